--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,17 @@
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['dist/', 'node_modules/', 'bench/results/'] },
+  ...tseslint.configs.recommended,
+  {
+    files: ['**/*.ts'],
+    rules: {
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/no-unused-vars': ['error', { argsIgnorePattern: '^_' }],
+      '@typescript-eslint/explicit-module-boundary-types': 'error',
+      complexity: ['error', 14],
+      'max-lines': ['error', 320],
+      'max-lines-per-function': ['error', { max: 70 }],
+    },
+  },
+);
--- /dev/null
+++ b/src/agent/agentDaemon.ts
@@ -0,0 +1,263 @@
+/** Everything that runs on a backend server box, put together. */
+import { randomUUID } from 'node:crypto';
+import type { BackendServer } from '../engine/backendServer.js';
+import { HttpEngine } from '../engine/httpEngine.js';
+import { PlainService } from '../engine/plainService.js';
+import { HttpOrigin } from '../platform/origin.js';
+import type { Origin } from '../platform/origin.js';
+import { httpToken } from '../protocol/authentication.js';
+import type { ControlConnection, ControlOptions } from '../protocol/controlConnection.js';
+import { ControlServer } from '../protocol/controlServer.js';
+import type { ReportMessage } from '../protocol/reportMessages.js';
+import { FairQueue } from '../requests/fairQueue.js';
+import { Ledger } from '../requests/ledger.js';
+import type { AgentSettings } from '../settings/agentSettings.js';
+import { Logger } from '../telemetry/logger.js';
+import { Metrics } from '../telemetry/metrics.js';
+import { SystemClock } from '../utils/clock.js';
+import { SeededRandom } from '../utils/random.js';
+import { RateLimiter } from '../utils/rateLimiter.js';
+import { pause } from '../utils/timers.js';
+import { placementHash } from '../utils/hash.js';
+import { AgentPeers } from '../weights/agentPeers.js';
+import { ChunkStore } from '../weights/chunkStore.js';
+import { PeerChunkClient } from '../weights/peerChunkClient.js';
+import { LayeredOrigin } from '../weights/layeredOrigin.js';
+import { UploadQueue } from '../weights/uploadQueue.js';
+import { AgentHttpServer } from './agentHttpServer.js';
+import { BackendForwarder } from './backendForwarder.js';
+import { OrderDesk, isOrder } from './orderDesk.js';
+import { Reporter } from './reporter.js';
+import { RequestGate } from './requestGate.js';
+import { ServiceHosts } from './serviceHosts.js';
+import { SwarmDesk } from './swarmDesk.js';
+
+/** Where a daemon listens. */
+export interface ListeningPorts {
+  httpPort: number;
+  controlPort: number;
+}
+
+/** Parts that a test may replace. */
+export interface AgentParts {
+  uploads: UploadQueue;
+}
+
+const HEALTH_INTERVAL_MILLISECONDS = 500;
+const DRAIN_POLL_MILLISECONDS = 20;
+/** How long a leaving box still answers after its last request, so that every entry has seen it leave. */
+const FAREWELL_MILLISECONDS = 300;
+
+/**
+ * An agent. It keeps nothing on disk: a new process is a new incarnation.
+ *
+ * @example
+ * const agent = new AgentDaemon(settings);
+ * const { httpPort, controlPort } = await agent.start();
+ * @since 0.1.0
+ */
+export class AgentDaemon {
+  readonly incarnation = randomUUID();
+  private readonly _settings: AgentSettings;
+  private readonly _logger: Logger;
+  private readonly _metrics = new Metrics();
+  private readonly _store: ChunkStore;
+  private readonly _queue: FairQueue;
+  private readonly _ledger: Ledger;
+  private readonly _gate: RequestGate;
+  private readonly _hosts: ServiceHosts;
+  private readonly _uploads: UploadQueue;
+  private readonly _peers: AgentPeers;
+  private readonly _swarm: SwarmDesk;
+  private readonly _orders: OrderDesk;
+  private readonly _reporter: Reporter;
+  private readonly _http: AgentHttpServer;
+  private readonly _control: ControlServer;
+  private readonly _backend: BackendServer;
+  private _healthTimer: NodeJS.Timeout | undefined;
+  private _backendUp = false;
+  private _leaving = false;
+  private _weightsBaseUrl = '';
+
+  constructor(settings: AgentSettings, parts: Partial<AgentParts> = {}) {
+    const clock = new SystemClock();
+    const random = new SeededRandom(settings.seed + placementHash(settings.box));
+    this._settings = settings;
+    this._logger = new Logger('agent', { box: settings.box });
+    this._store = new ChunkStore(settings.stagingMemoryBytes);
+    this._ledger = new Ledger({
+      clock,
+      keyLifetimeMilliseconds: settings.keyLifetimeMilliseconds,
+      maximumKeys: settings.ledgerKeys,
+    });
+    const slots = settings.backendSlots;
+    this._queue = new FairQueue({ slots, waitingPerCustomer: settings.waitingPerCustomer, clock });
+    this._uploads = parts.uploads ?? createUploads(settings);
+    this._backend = createBackend(settings);
+    this._swarm = new SwarmDesk(() => this._hosts.versions().map((version) => version.exchange));
+    this._peers = new AgentPeers(controlOptions(settings), random, this._logger, this._swarm);
+    this._hosts = new ServiceHosts({
+      backend: this._backend,
+      exchange: {
+        box: settings.box,
+        store: this._store,
+        peers: this._peers,
+        client: new PeerChunkClient(httpToken(settings.sharedKey, settings.box)),
+        origin: createOrigin(settings),
+        uploads: this._uploads,
+        bounds: {
+          stallMilliseconds: settings.stallMilliseconds,
+          incoming: new RateLimiter(settings.weightBytesPerSecond),
+        },
+        clock,
+        random,
+        logger: this._logger,
+      },
+      random,
+      logger: this._logger,
+      weightsBaseUrl: () => this._weightsBaseUrl,
+      onChange: () => this._reporter.changed(),
+    });
+    this._gate = new RequestGate(
+      (customer, name) => this._hosts.find(customer, name),
+      this._queue,
+      this._ledger,
+    );
+    this._orders = new OrderDesk({
+      incarnation: this.incarnation,
+      hosts: this._hosts,
+      ledger: this._ledger,
+      logger: this._logger,
+      onPlan: () => this._onPlan(),
+      onLedger: () => this._reporter.changed(),
+      isLeaving: () => this._leaving,
+    });
+    this._reporter = new Reporter(() => this._report());
+    this._http = this._createHttp();
+    this._control = new ControlServer(
+      controlOptions(settings),
+      (connection) => this._onConnection(connection),
+      (reason) => this._logger.state('control.refused', { reason }),
+    );
+  }
+
+  /** Starts listening. Throws when a port is taken. */
+  async start(): Promise<ListeningPorts> {
+    const { address } = this._settings;
+    const httpPort = await this._http.listen(address, this._settings.httpPort);
+    const controlPort = await this._control.listen(address, this._settings.controlPort);
+    this._weightsBaseUrl = `http://${address}:${httpPort}`;
+    await this._checkBackend();
+    this._healthTimer = setInterval(() => void this._checkBackend(), HEALTH_INTERVAL_MILLISECONDS);
+    this._logger.state('agent.started', { httpPort, controlPort, incarnation: this.incarnation });
+    return { httpPort, controlPort };
+  }
+
+  /** Takes no new work, lets requests in flight end, then closes. */
+  async stop(): Promise<void> {
+    this._leaving = true;
+    this._gate.leave();
+    for (const version of this._hosts.versions()) version.exchange.dropDraws();
+    this._reporter.sendNow();
+    this._logger.state('agent.leaving', { inFlight: this._queue.running, queued: this._queue.waiting });
+    const deadline = performance.now() + this._settings.drainMilliseconds;
+    while (this._queue.running + this._queue.waiting > 0 && performance.now() < deadline) {
+      await pause(DRAIN_POLL_MILLISECONDS);
+    }
+    await pause(FAREWELL_MILLISECONDS);
+    this.close();
+  }
+
+  /** Closes at once. */
+  close(): void {
+    clearInterval(this._healthTimer);
+    this._reporter.close();
+    for (const version of this._hosts.versions()) version.exchange.stop();
+    this._peers.close();
+    this._control.close();
+    this._http.close();
+    this._logger.state('agent.stopped');
+  }
+
+  private _createHttp(): AgentHttpServer {
+    this._metrics.gauge('requests_running', () => this._queue.running);
+    this._metrics.gauge('requests_waiting', () => this._queue.waiting);
+    this._metrics.gauge('staged_bytes', () => this._store.usedBytes);
+    this._metrics.gauge('uploaded_bytes', () => this._uploads.bytesSent);
+    return new AgentHttpServer({
+      box: this._settings.box,
+      incarnation: this.incarnation,
+      sharedKey: this._settings.sharedKey,
+      gate: this._gate,
+      queue: this._queue,
+      forwarder: new BackendForwarder(this._settings.backendUrl, this._ledger, this._logger),
+      uploads: this._uploads,
+      metrics: this._metrics,
+      versions: () => this._hosts.versions(),
+      isReady: () => this._backendUp && !this._leaving,
+    });
+  }
+
+  private _onConnection(connection: ControlConnection): void {
+    if (connection.peer.role === 'agent') {
+      this._peers.attach(connection);
+      return;
+    }
+    connection.on('message', (message) => {
+      if (message.type === 'subscribe') this._reporter.subscribe(connection);
+      else if (isOrder(message)) void this._orders.handle(message, connection);
+    });
+    connection.start();
+  }
+
+  private _onPlan(): void {
+    this._peers.want(this._hosts.neighbours().map((neighbour) => neighbour.member));
+    this._swarm.replayEarlyJoins();
+  }
+
+  private async _checkBackend(): Promise<void> {
+    const up = await this._backend.healthy();
+    if (up === this._backendUp) return;
+    this._backendUp = up;
+    this._logger.state('backend.health', { up });
+    this._reporter.changed();
+  }
+
+  private _report(): ReportMessage {
+    const services = this._hosts.all().map((host) => host.report(this._ledger.hashOf(host.name)));
+    return {
+      type: 'report',
+      box: this._settings.box,
+      incarnation: this.incarnation,
+      leaving: this._leaving,
+      backendUp: this._backendUp,
+      inFlight: this._queue.running,
+      queued: this._queue.waiting,
+      capacity: this._queue.slots,
+      stagedBytes: this._store.usedBytes,
+      services: services.filter((service) => service !== undefined),
+    };
+  }
+}
+
+function controlOptions(settings: AgentSettings): ControlOptions {
+  const { sharedKey, box, hall, peerTimeoutMilliseconds } = settings;
+  return { key: sharedKey, identity: { role: 'agent', box, hall }, peerTimeoutMilliseconds };
+}
+
+function createUploads(settings: AgentSettings): UploadQueue {
+  return new UploadQueue(new RateLimiter(settings.weightBytesPerSecond), settings.stallMilliseconds);
+}
+
+function createBackend(settings: AgentSettings): BackendServer {
+  return settings.backendKind === 'model'
+    ? new HttpEngine(settings.backendUrl)
+    : new PlainService(settings.backendUrl);
+}
+
+function createOrigin(settings: AgentSettings): Origin {
+  const origin = new HttpOrigin(settings.originUrl);
+  return settings.weightStoreUrl
+    ? new LayeredOrigin(new HttpOrigin(settings.weightStoreUrl), origin)
+    : origin;
+}
--- /dev/null
+++ b/src/agent/agentHttpServer.ts
@@ -0,0 +1,206 @@
+/** HTTP of an agent: chunks for other agents, weights for the local backend server, requests from entries. */
+import http from 'node:http';
+import { senderOfToken } from '../protocol/authentication.js';
+import { HEADER } from '../protocol/headers.js';
+import type { Priority } from '../protocol/headers.js';
+import type { FairQueue } from '../requests/fairQueue.js';
+import type { LedgerRequest } from '../requests/ledger.js';
+import type { Refusal } from '../requests/refusals.js';
+import type { Metrics } from '../telemetry/metrics.js';
+import { untilDrained } from '../utils/backpressure.js';
+import { answerJson, bearerToken, headerText, readBody } from '../utils/httpBody.js';
+import { closeHttp, listenHttp } from '../utils/httpServer.js';
+import { errorText } from '../utils/stepError.js';
+import type { UploadQueue } from '../weights/uploadQueue.js';
+import type { BackendForwarder } from './backendForwarder.js';
+import type { Pass, RequestGate } from './requestGate.js';
+import type { StagedVersion } from './stagedVersion.js';
+
+/** What the HTTP server of an agent works with. */
+export interface AgentHttpOptions {
+  box: string;
+  incarnation: string;
+  sharedKey: string;
+  gate: RequestGate;
+  queue: FairQueue;
+  forwarder: BackendForwarder;
+  uploads: UploadQueue;
+  metrics: Metrics;
+  /** All versions on the box. */
+  versions: () => StagedVersion[];
+  isReady: () => boolean;
+}
+
+export const MAXIMUM_REQUEST_BYTES = 4 * 1024 * 1024;
+const PRIORITIES: readonly string[] = ['high', 'normal', 'low'];
+
+/** Serves the paths below; everything but `/healthz`, `/readyz`, `/metrics` and local weights needs the shared key. */
+export class AgentHttpServer {
+  private readonly _options: AgentHttpOptions;
+  private readonly _server = http.createServer((request, response) => {
+    this._serve(request, response).catch((error: unknown) =>
+      answerJson(response, 400, { error: errorText(error) }),
+    );
+  });
+
+  constructor(options: AgentHttpOptions) {
+    this._options = options;
+    this._server.keepAliveTimeout = 30_000;
+  }
+
+  async listen(address: string, port: number): Promise<number> {
+    return await listenHttp(this._server, address, port);
+  }
+
+  close(): void {
+    closeHttp(this._server);
+  }
+
+  private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const [, kind, ...rest] = (request.url ?? '/').split('/');
+    if (kind === 'healthz') return answerJson(response, 200, { box: this._options.box });
+    if (kind === 'readyz') return this._answerReady(response);
+    if (kind === 'metrics') return await this._answerMetrics(response);
+    if (kind === 'local-weights') return await this._sendWeights(rest[0], response);
+    const sender = senderOfToken(this._options.sharedKey, bearerToken(request));
+    if (sender === undefined)
+      return answerJson(response, 401, { error: 'the shared key is missing or wrong' });
+    if (kind === 'chunks') return await this._sendChunk(sender, rest, response);
+    if (kind === 'requests') return await this._runRequest(request, response);
+    answerJson(response, 404, { error: 'no such path' });
+  }
+
+  private _answerReady(response: http.ServerResponse): void {
+    const ready = this._options.isReady();
+    answerJson(response, ready ? 200 : 503, { ready });
+  }
+
+  private async _answerMetrics(response: http.ServerResponse): Promise<void> {
+    const text = await this._options.metrics.exposition();
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
+  }
+
+  /** Chunks go only to boxes of the rollout; whoever is not one learns nothing, not even that it exists. */
+  private async _sendChunk(
+    sender: string,
+    [name, chunk]: string[],
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const rollout = decodeURIComponent(name);
+    const version = this._options.versions().find((candidate) => candidate.plan.rollout === rollout);
+    const data = version?.admits(sender) ? version.chunkData(Number(chunk)) : undefined;
+    if (!data) return answerJson(response, 404, { error: 'no such chunk' });
+    await this._options.uploads.send(response, data);
+  }
+
+  private async _sendWeights(token: string, response: http.ServerResponse): Promise<void> {
+    const version = this._options.versions().find((candidate) => candidate.weightsToken === token);
+    if (!version?.exchange.complete) return answerJson(response, 404, { error: 'no such weights' });
+    response.writeHead(200, { 'content-length': version.index.totalBytes });
+    for (let chunk = 0; chunk < version.index.chunkCount && !response.destroyed; chunk++) {
+      const data = version.chunkData(chunk);
+      if (!data) {
+        response.destroy();
+        return;
+      }
+      if (!response.write(data)) await untilDrained(response);
+    }
+    response.end();
+  }
+
+  private async _runRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const body = await readBody(request, MAXIMUM_REQUEST_BYTES);
+    const text = (name: string): string => headerText(request.headers, name);
+    const customer = text(HEADER.customer);
+    const configuration = text(HEADER.configuration);
+    const priority = (
+      PRIORITIES.includes(text(HEADER.priority)) ? text(HEADER.priority) : 'normal'
+    ) as Priority;
+    const deadline = text(HEADER.deadline);
+    const once = this._ledgerRequest(request, customer, configuration);
+    const entered = this._options.gate.enter({
+      customer,
+      configuration,
+      priority,
+      deadlineMilliseconds: deadline === '' ? undefined : Number(deadline),
+      version: text(HEADER.version),
+      once,
+    });
+    this._addEcho(request, response);
+    if (entered.isErr()) return this._refuse(response, entered.error);
+    if (entered.value.kind === 'replay') return this._replay(response, entered.value.answer);
+    await this._forward(request, response, entered.value, { customer, priority, body, ledgerKey: once?.key });
+  }
+
+  private async _forward(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    pass: Pass,
+    known: { customer: string; priority: Priority; body: Buffer; ledgerKey: string | undefined },
+  ): Promise<void> {
+    const refusal = await this._options.forwarder.forward(
+      {
+        ...known,
+        method: request.method ?? 'POST',
+        path: (request.url ?? '').slice('/requests'.length),
+        contentType: headerText(request.headers, 'content-type'),
+        requestId: headerText(request.headers, HEADER.requestId),
+        idempotencyKey: headerText(request.headers, HEADER.idempotencyKey),
+      },
+      pass,
+      response,
+    );
+    if (refusal) this._refuse(response, refusal);
+  }
+
+  /** A request is meant for one incarnation; another one refuses it as not its own. */
+  private _ledgerRequest(
+    request: http.IncomingMessage,
+    customer: string,
+    configuration: string,
+  ): LedgerRequest | undefined {
+    const text = (name: string): string => headerText(request.headers, name);
+    if (text(HEADER.repeatable) !== 'no') return undefined;
+    const meantForUs = text(HEADER.incarnation) === this._options.incarnation;
+    return {
+      key: `${customer}.${configuration}.${text(HEADER.idempotencyKey)}`,
+      slot: meantForUs ? Number(text(HEADER.slot)) : -1,
+      slotEpoch: Number(text(HEADER.slotEpoch)),
+      ticketed: text(HEADER.slotTicketed) === 'yes',
+    };
+  }
+
+  private _refuse(response: http.ServerResponse, refusal: Refusal): void {
+    this._options.metrics.count('requests_refused', { reason: refusal.reason });
+    answerJson(response, refusal.status, { error: refusal.reason }, refusalHeaders(refusal));
+  }
+
+  private _replay(
+    response: http.ServerResponse,
+    answer: { status: number; contentType: string; version: string; body: Buffer },
+  ): void {
+    const headers = {
+      'content-type': answer.contentType,
+      [HEADER.version]: answer.version,
+      [HEADER.outcome]: 'answered',
+    };
+    response.writeHead(answer.status, headers).end(answer.body);
+  }
+
+  /** Every answer names the request and customer that it is for, and the load of the box. */
+  private _addEcho(request: http.IncomingMessage, response: http.ServerResponse): void {
+    response.setHeader(HEADER.requestId, headerText(request.headers, HEADER.requestId));
+    response.setHeader(HEADER.customer, headerText(request.headers, HEADER.customer));
+    response.setHeader(HEADER.inFlight, this._options.queue.running);
+    response.setHeader(HEADER.queued, this._options.queue.waiting);
+  }
+}
+
+/** The headers by which a refusal travels from agent to entry. */
+export function refusalHeaders(refusal: Refusal): http.OutgoingHttpHeaders {
+  return {
+    [HEADER.outcome]: refusal.outcome,
+    [HEADER.reason]: refusal.reason,
+    [HEADER.retryAfter]: String(Math.ceil(refusal.retryAfterMilliseconds / 1000)),
+  };
+}
--- /dev/null
+++ b/src/agent/backendForwarder.ts
@@ -0,0 +1,167 @@
+/** Sends an admitted request to the backend server and its answer back to the entry. */
+import type http from 'node:http';
+import { Agent, request as httpRequest } from 'undici';
+import { wasNeverSent } from '../platform/httpClient.js';
+import { HEADER } from '../protocol/headers.js';
+import type { Ledger } from '../requests/ledger.js';
+import type { Refusal } from '../requests/refusals.js';
+import { refusalFor } from '../requests/refusals.js';
+import type { Logger } from '../telemetry/logger.js';
+import { untilDrained } from '../utils/backpressure.js';
+import { StepError, errorText } from '../utils/stepError.js';
+import type { Pass } from './requestGate.js';
+
+/** What is forwarded. */
+export interface ForwardRequest {
+  method: string;
+  /** Path and query at the backend server. */
+  path: string;
+  contentType: string;
+  body: Buffer;
+  requestId: string;
+  customer: string;
+  idempotencyKey: string;
+  priority: string;
+  /** The ledger's key when the request is not repeatable. */
+  ledgerKey: string | undefined;
+}
+
+type BackendAnswer = Awaited<ReturnType<typeof httpRequest>>;
+
+const LONGEST_KEPT_ANSWER_BYTES = 64 * 1024;
+/** A backend server may think for long before its first byte; callers end it by leaving. */
+const BACKEND_TIMEOUT_MILLISECONDS = 3_600_000;
+
+/** Talks to the backend server of this box. */
+export class BackendForwarder {
+  private readonly _baseUrl: string;
+  private readonly _ledger: Ledger;
+  private readonly _logger: Logger;
+  private readonly _dispatcher = new Agent({
+    pipelining: 1,
+    headersTimeout: BACKEND_TIMEOUT_MILLISECONDS,
+    bodyTimeout: BACKEND_TIMEOUT_MILLISECONDS,
+    connect: { timeout: 1_000 },
+  });
+
+  constructor(baseUrl: string, ledger: Ledger, logger: Logger) {
+    this._baseUrl = baseUrl;
+    this._ledger = ledger;
+    this._logger = logger;
+  }
+
+  /** Runs the request; returns a refusal when nothing has been answered yet. Never throws. */
+  async forward(
+    request: ForwardRequest,
+    pass: Pass,
+    response: http.ServerResponse,
+  ): Promise<Refusal | undefined> {
+    const left = new AbortController();
+    const onClose = (): void => left.abort();
+    response.once('close', onClose);
+    try {
+      return await this._run(request, pass, response, left.signal);
+    } finally {
+      response.off('close', onClose);
+      pass.end();
+    }
+  }
+
+  private async _run(
+    request: ForwardRequest,
+    pass: Pass,
+    response: http.ServerResponse,
+    left: AbortSignal,
+  ): Promise<Refusal | undefined> {
+    const admitted = await Promise.race([pass.admission.ready, aborted(left)]);
+    if (!admitted) {
+      this._cancelBooking(request);
+      return refusalFor('deadline-too-close');
+    }
+    const answer = await this._send(request, pass, left);
+    if (answer === undefined) return refusalFor('backend-unreachable');
+    if (answer === 'lost') return refusalFor('backend-lost');
+    await this._pipe(answer, request, pass, response);
+    return undefined;
+  }
+
+  private async _send(
+    request: ForwardRequest,
+    pass: Pass,
+    left: AbortSignal,
+  ): Promise<BackendAnswer | 'lost' | undefined> {
+    try {
+      return await httpRequest(`${this._baseUrl}${request.path}`, {
+        method: request.method as 'POST',
+        headers: backendHeaders(request, pass.version.plan.version),
+        body: request.body.length > 0 ? request.body : undefined,
+        dispatcher: this._dispatcher,
+        signal: left,
+      });
+    } catch (error) {
+      this._logger.decision('backend.failed', { request: request.requestId, reason: errorText(error) });
+      if (wasNeverSent(error)) {
+        this._cancelBooking(request);
+        return undefined;
+      }
+      this._finish(request, undefined);
+      return 'lost';
+    }
+  }
+
+  private async _pipe(
+    answer: BackendAnswer,
+    request: ForwardRequest,
+    pass: Pass,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const contentType = String(answer.headers['content-type'] ?? 'application/octet-stream');
+    const version = pass.version.plan.version;
+    const headers = { 'content-type': contentType, [HEADER.version]: version, [HEADER.outcome]: 'answered' };
+    response.writeHead(answer.statusCode, headers);
+    const kept: Buffer[] = [];
+    let length = 0;
+    try {
+      for await (const piece of answer.body as AsyncIterable<Buffer>) {
+        length += piece.length;
+        if (request.ledgerKey && length <= LONGEST_KEPT_ANSWER_BYTES) kept.push(piece);
+        if (!response.write(piece)) await untilDrained(response);
+        if (response.destroyed) throw new StepError('backend.pipe', 'the entry left');
+      }
+      const whole = length <= LONGEST_KEPT_ANSWER_BYTES;
+      const body = Buffer.concat(kept);
+      this._finish(request, whole ? { status: answer.statusCode, contentType, version, body } : undefined);
+      response.end();
+    } catch (error) {
+      this._logger.decision('backend.cut', { request: request.requestId, reason: errorText(error) });
+      this._finish(request, undefined);
+      response.destroy();
+    }
+  }
+
+  private _cancelBooking(request: ForwardRequest): void {
+    if (request.ledgerKey) this._ledger.cancel(request.ledgerKey);
+  }
+
+  private _finish(request: ForwardRequest, answer: Parameters<Ledger['finish']>[1]): void {
+    if (request.ledgerKey) this._ledger.finish(request.ledgerKey, answer);
+  }
+}
+
+function backendHeaders(request: ForwardRequest, version: string): Record<string, string> {
+  const headers: Record<string, string> = {
+    'content-type': request.contentType,
+    [HEADER.requestId]: request.requestId,
+    [HEADER.customer]: request.customer,
+    [HEADER.version]: version,
+    [HEADER.priority]: request.priority,
+  };
+  if (request.idempotencyKey) headers[HEADER.idempotencyKey] = request.idempotencyKey;
+  return headers;
+}
+
+async function aborted(signal: AbortSignal): Promise<false> {
+  if (!signal.aborted)
+    await new Promise((resolve) => signal.addEventListener('abort', resolve, { once: true }));
+  return false;
+}
--- /dev/null
+++ b/src/agent/orderDesk.ts
@@ -0,0 +1,108 @@
+/** Takes orders from coordinators: checks the epoch, then hands each to the configuration it is for. */
+import type { ControlConnection } from '../protocol/controlConnection.js';
+import type { Message } from '../protocol/message.js';
+import type { OrderMessage, PlanMessage } from '../protocol/rolloutMessages.js';
+import type { Ledger } from '../requests/ledger.js';
+import type { Logger } from '../telemetry/logger.js';
+import { assertNever } from '../utils/assert.js';
+import { serviceKey } from './requestGate.js';
+import type { OrderResult, ServiceHost } from './serviceHost.js';
+import type { ServiceHosts } from './serviceHosts.js';
+
+const ORDER_TYPES: ReadonlySet<Message['type']> = new Set([
+  'plan',
+  'grant',
+  'activate',
+  'withdraw',
+  'holdings-query',
+  'ledger',
+]);
+
+/** Whether a message is an order. */
+export function isOrder(message: Message): message is OrderMessage {
+  return ORDER_TYPES.has(message.type);
+}
+
+/** What an order may answer beside its result. */
+interface OrderAnswer extends OrderResult {
+  held?: Uint8Array<ArrayBuffer>;
+  openDraws?: number[];
+  originBytes?: number;
+  incarnation?: string;
+}
+
+/** What an order desk works with. */
+export interface OrderDeskOptions {
+  incarnation: string;
+  hosts: ServiceHosts;
+  ledger: Ledger;
+  logger: Logger;
+  /** Called when a plan may have changed the neighbours. */
+  onPlan: () => void;
+  onLedger: () => void;
+  isLeaving: () => boolean;
+}
+
+/** Carries out orders; a paused coordinator's late order meets a higher epoch here and is refused. */
+export class OrderDesk {
+  private readonly _options: OrderDeskOptions;
+
+  constructor(options: OrderDeskOptions) {
+    this._options = options;
+  }
+
+  /** Carries out an order and replies on `connection`. */
+  async handle(order: OrderMessage, connection: ControlConnection): Promise<void> {
+    const host = this._options.hosts.take(order.customer, order.configuration);
+    const { customer, configuration, epoch, type } = order;
+    if (!host.admitEpoch(epoch)) {
+      this._options.logger.state('order.refused', {
+        order: type,
+        customer,
+        configuration,
+        epoch,
+        peer: connection.peer.box,
+      });
+      connection.reply(order.call, { accepted: false, refusal: 'stale-epoch' });
+      return;
+    }
+    connection.reply(order.call, await this._carryOut(order, host));
+  }
+
+  private async _carryOut(order: OrderMessage, host: ServiceHost): Promise<OrderAnswer> {
+    switch (order.type) {
+      case 'plan':
+        return await this._plan(order, host);
+      case 'grant':
+        return this._options.isLeaving() ? { accepted: false, refusal: 'leaving' } : host.grant(order);
+      case 'activate':
+        return await host.activate(order);
+      case 'withdraw':
+        return await host.withdraw();
+      case 'holdings-query':
+        return this._holdings(order.rollout);
+      case 'ledger':
+        this._options.ledger.assign(serviceKey(order), order.slots);
+        this._options.onLedger();
+        return { accepted: true };
+      default:
+        return assertNever(order);
+    }
+  }
+
+  private async _plan(order: PlanMessage, host: ServiceHost): Promise<OrderAnswer> {
+    const result = await host.plan(order);
+    this._options.onPlan();
+    host.begin();
+    return { ...result, ...this._holdings(order.rollout) };
+  }
+
+  private _holdings(rollout: string): OrderAnswer {
+    const version = this._options.hosts.versions().find((candidate) => candidate.plan.rollout === rollout);
+    if (!version) return { accepted: false, refusal: 'unknown-rollout' };
+    const { held, openDraws, counts } = version.exchange;
+    const { incarnation } = this._options;
+    const { originBytes } = counts;
+    return { accepted: true, held: held.toBytes(), openDraws: [...openDraws], originBytes, incarnation };
+  }
+}
--- /dev/null
+++ b/src/agent/swarmDesk.ts
@@ -0,0 +1,50 @@
+/** Hands messages between agents to the rollout they belong to. */
+import type { Message } from '../protocol/message.js';
+import type { AgentPeersListener } from '../weights/agentPeers.js';
+import type { RolloutExchange } from '../weights/rolloutExchange.js';
+import { LRUCache } from 'lru-cache';
+
+/** Joins of rollouts whose plan has not reached this box yet. */
+const EARLY_JOINS = 4_096;
+
+/** Keeps joins that come before the plan, so that no neighbour is missed. */
+export class SwarmDesk implements AgentPeersListener {
+  private readonly _exchanges: () => RolloutExchange[];
+  private readonly _earlyJoins = new LRUCache<string, Uint8Array>({ max: EARLY_JOINS });
+
+  constructor(exchanges: () => RolloutExchange[]) {
+    this._exchanges = exchanges;
+  }
+
+  onPeerUp(box: string): void {
+    for (const exchange of this._exchanges()) exchange.onPeerUp(box);
+  }
+
+  onPeerDown(box: string): void {
+    for (const exchange of this._exchanges()) exchange.onPeerDown(box);
+    for (const key of [...this._earlyJoins.keys()]) {
+      if (key.startsWith(`${box}/`)) this._earlyJoins.delete(key);
+    }
+  }
+
+  onPeerMessage(box: string, message: Message): void {
+    if (message.type !== 'swarm-join' && message.type !== 'have') return;
+    const exchange = this._exchanges().find((candidate) => candidate.rollout === message.rollout);
+    if (message.type === 'have') exchange?.onPeerHave(box, message.chunks, message.uploadQueue);
+    else if (exchange) exchange.onPeerJoin(box, message.held);
+    else this._earlyJoins.set(`${box}/${message.rollout}`, message.held);
+  }
+
+  /** Replays the joins that came before their plan. */
+  replayEarlyJoins(): void {
+    for (const exchange of this._exchanges()) {
+      for (const { member } of exchange.neighbours) {
+        const key = `${member.box}/${exchange.rollout}`;
+        const held = this._earlyJoins.get(key);
+        if (!held) continue;
+        this._earlyJoins.delete(key);
+        exchange.onPeerJoin(member.box, held);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/cli/cliError.ts
@@ -0,0 +1,14 @@
+/** An error that ends the command line with a message and an exit code. */
+import type { ExitCode } from './exitCodes.js';
+
+export class CliError extends Error {
+  readonly exitCode: ExitCode;
+  /** One line each, for the user. */
+  readonly lines: readonly string[];
+
+  constructor(exitCode: ExitCode, lines: readonly string[]) {
+    super(lines.join('\n'));
+    this.exitCode = exitCode;
+    this.lines = lines;
+  }
+}
--- /dev/null
+++ b/src/cli/daemonCommand.ts
@@ -0,0 +1,55 @@
+/** Runs a daemon until it is told to stop. */
+import { agentSettingsSchema } from '../settings/agentSettings.js';
+import { entrySettingsSchema } from '../settings/entrySettings.js';
+import type { SettingsSchema } from '../settings/settingsParser.js';
+import { parseSettings, problemLines } from '../settings/settingsParser.js';
+import type { z } from 'zod';
+import { enableLogs } from '../telemetry/logger.js';
+import { CliError } from './cliError.js';
+import { EXIT } from './exitCodes.js';
+
+/** What both daemons have in common. */
+interface Daemon {
+  start(): Promise<{ httpPort: number; controlPort: number }>;
+  stop(): Promise<void>;
+}
+
+/** Flags as given on the command line. */
+export type Flags = Record<string, unknown>;
+
+/** Checks settings; throws a CliError that names every wrong one. */
+export function checkSettings<Schema extends SettingsSchema>(schema: Schema, flags: Flags): z.infer<Schema> {
+  const parsed = parseSettings(schema, flags, process.env);
+  if (parsed.isErr()) throw new CliError(EXIT.wrongInput, problemLines(parsed.error));
+  return parsed.value;
+}
+
+/** Runs `larklatch agent`. */
+export async function runAgent(flags: Flags): Promise<void> {
+  const settings = checkSettings(agentSettingsSchema, flags);
+  enableLogs(settings.log);
+  const { AgentDaemon } = await import('../agent/agentDaemon.js');
+  await runUntilStopped(new AgentDaemon(settings), settings.box);
+}
+
+/** Runs `larklatch entry`. */
+export async function runEntry(flags: Flags): Promise<void> {
+  const settings = checkSettings(entrySettingsSchema, flags);
+  enableLogs(settings.log);
+  const { EntryDaemon } = await import('../entry/entryDaemon.js');
+  await runUntilStopped(new EntryDaemon(settings), settings.box);
+}
+
+/** Prints where the daemon listens as one JSON line; SIGTERM and SIGINT stop it in order, a second one at once. */
+export async function runUntilStopped(daemon: Daemon, box: string): Promise<void> {
+  const ports = await daemon.start();
+  console.log(JSON.stringify({ event: 'listening', box, ...ports }));
+  let stopping = false;
+  const stop = (): void => {
+    if (stopping) process.exit(EXIT.failed);
+    stopping = true;
+    void daemon.stop().then(() => process.exit(EXIT.ok));
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+}
--- /dev/null
+++ b/src/cli/runCommand.ts
@@ -0,0 +1,98 @@
+/** Finds the command that the user named and runs it. */
+import { z } from 'zod';
+import { templateSchema } from '../configuration/template.js';
+import { problemsOf } from '../configuration/resolveSpecification.js';
+import { sendJson } from '../platform/httpClient.js';
+import { agentSettingsSchema } from '../settings/agentSettings.js';
+import { urlSetting } from '../settings/commonSettings.js';
+import { entrySettingsSchema } from '../settings/entrySettings.js';
+import type { SettingsSchema } from '../settings/settingsParser.js';
+import { CliError } from './cliError.js';
+import type { Flags } from './daemonCommand.js';
+import { checkSettings, runAgent, runEntry } from './daemonCommand.js';
+import { EXIT } from './exitCodes.js';
+import { HELP, settingsHelp } from './helpText.js';
+import type { ObjectKind } from './objectCommand.js';
+import { readJsonFile, runObjectCommand, textFlag } from './objectCommand.js';
+import { OperatorClient } from './operatorClient.js';
+import { runRolloutCommand } from './rolloutCommand.js';
+
+const OBJECT_KINDS: readonly string[] = ['template', 'customer', 'configuration'];
+const DAEMON_SCHEMAS: Record<string, SettingsSchema> = {
+  entry: entrySettingsSchema,
+  agent: agentSettingsSchema,
+};
+const TIMEOUT_MILLISECONDS = 10_000;
+
+const operatorSettingsSchema = z.object({
+  entryUrl: urlSetting,
+  operatorKey: z.string('the key of the operators').min(1, 'the key of the operators'),
+});
+
+const callerSettingsSchema = z.object({
+  entryUrl: urlSetting,
+  apiKey: z.string("a customer's API key").min(1, "a customer's API key"),
+  hall: z.string().optional(),
+});
+
+/** Runs a command; throws a CliError when it cannot. */
+export async function runCommand(words: string[], flags: Flags): Promise<void> {
+  const [command, ...rest] = words;
+  if (command === 'check') return check(rest[0], flags);
+  if (!command || flags['help']) return console.log(HELP);
+  if (command === 'agent') return await runAgent(flags);
+  if (command === 'entry') return await runEntry(flags);
+  if (command === 'entries') return print(await readEntries(flags), flags);
+  if (command === 'rollout') return print(await runRolloutCommand(operatorClient(flags), rest, flags), flags);
+  if (OBJECT_KINDS.includes(command)) {
+    return print(await runObjectCommand(operatorClient(flags), command as ObjectKind, rest, flags), flags);
+  }
+  throw new CliError(EXIT.wrongInput, [`unknown command ${JSON.stringify(command)}; see larklatch --help`]);
+}
+
+function operatorClient(flags: Flags): OperatorClient {
+  const settings = checkSettings(operatorSettingsSchema, flags);
+  return new OperatorClient(settings.entryUrl, settings.operatorKey);
+}
+
+async function readEntries(flags: Flags): Promise<unknown> {
+  const { entryUrl, apiKey, hall } = checkSettings(callerSettingsSchema, flags);
+  const answer = await sendJson({
+    step: 'entries.read',
+    method: 'GET',
+    url: `${entryUrl}/v1/entries${hall ? `?hall=${encodeURIComponent(hall)}` : ''}`,
+    headers: { authorization: `Bearer ${apiKey}` },
+    timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+  });
+  if (answer.status !== 200)
+    throw new CliError(EXIT.failed, [`${answer.status}: ${JSON.stringify(answer.body)}`]);
+  return answer.body;
+}
+
+/** Checks settings or a template without starting or publishing anything. */
+function check(what: string | undefined, flags: Flags): void {
+  const schema = DAEMON_SCHEMAS[what ?? ''];
+  if (schema && flags['help']) return console.log(settingsHelp(schema));
+  if (schema) checkSettings(schema, flags);
+  else if (what === 'template') checkTemplate(flags);
+  else
+    throw new CliError(EXIT.wrongInput, [
+      `cannot check ${JSON.stringify(what)}; allowed: entry, agent, template`,
+    ]);
+  console.log(`${what}${textFlag(flags, 'file') ? ` ${textFlag(flags, 'file')}` : ''}: ok`);
+}
+
+function checkTemplate(flags: Flags): void {
+  const value = readJsonFile(flags);
+  const parsed = templateSchema.safeParse(value);
+  if (parsed.success) return;
+  const problems = problemsOf(parsed.error, value);
+  const lines = problems.map(
+    ({ field, value: got, allowed }) => `${field}: got ${JSON.stringify(got)}; allowed: ${allowed}`,
+  );
+  throw new CliError(EXIT.wrongInput, lines);
+}
+
+function print(value: unknown, flags: Flags): void {
+  console.log(JSON.stringify(value, null, flags['json'] ? 0 : 2));
+}
--- /dev/null
+++ b/src/configuration/apiFollower.ts
@@ -0,0 +1,108 @@
+/** Keeps the replica up to date from the object API, by a listing and then watches. */
+import type { ObjectApi } from '../platform/objectApi.js';
+import type { Logger } from '../telemetry/logger.js';
+import { Backoff } from '../utils/backoff.js';
+import type { Clock } from '../utils/clock.js';
+import type { Random } from '../utils/random.js';
+import { errorText } from '../utils/stepError.js';
+import { pause } from '../utils/timers.js';
+import type { Replica } from './replica.js';
+
+const RETRY = { firstMilliseconds: 200, longestMilliseconds: 5_000 };
+/** How often an entry that does not watch looks whether it should. */
+const IDLE_MILLISECONDS = 500;
+
+/** Only the entries that `shouldWatch` says keep a watch open; the others hear from them. */
+export class ApiFollower {
+  private readonly _api: ObjectApi;
+  private readonly _replica: Replica;
+  private readonly _clock: Clock;
+  private readonly _logger: Logger;
+  private readonly _backoff: Backoff;
+  private readonly _shouldWatch: () => boolean;
+  private readonly _stopped = new AbortController();
+  /** The revision up to which this entry has seen everything; undefined until a listing worked. */
+  private _seen: number | undefined;
+  private _lastAnswerAt = Number.NEGATIVE_INFINITY;
+  private _reachable = false;
+
+  constructor(
+    api: ObjectApi,
+    replica: Replica,
+    clock: Clock,
+    random: Random,
+    logger: Logger,
+    shouldWatch: () => boolean,
+  ) {
+    this._api = api;
+    this._replica = replica;
+    this._clock = clock;
+    this._logger = logger;
+    this._backoff = new Backoff(RETRY, random);
+    this._shouldWatch = shouldWatch;
+  }
+
+  /** Whether a listing has ever worked. */
+  get synchronised(): boolean {
+    return this._seen !== undefined;
+  }
+
+  /** Milliseconds since the API last answered. */
+  get silence(): number {
+    return this._clock.now() - this._lastAnswerAt;
+  }
+
+  /** Follows until stopped. */
+  async run(): Promise<void> {
+    while (!this._stopped.signal.aborted) {
+      if (this._seen !== undefined && !this._shouldWatch())
+        await pause(IDLE_MILLISECONDS, this._stopped.signal);
+      else await this._step();
+    }
+  }
+
+  stop(): void {
+    this._stopped.abort();
+  }
+
+  private async _step(): Promise<void> {
+    try {
+      if (this._seen === undefined) await this._list();
+      else await this._watch(this._seen);
+      this._onAnswer();
+    } catch (error) {
+      if (this._stopped.signal.aborted) return;
+      this._onSilence(errorText(error));
+      await pause(this._backoff.nextWait(), this._stopped.signal);
+    }
+  }
+
+  private async _list(): Promise<void> {
+    const { revision, objects } = await this._api.list();
+    const records = objects.map((object) => ({ ...object, deleted: false }));
+    this._replica.applyListing(revision, records, 'api');
+    this._seen = revision;
+  }
+
+  private async _watch(after: number): Promise<void> {
+    const { revision, changes, truncated } = await this._api.watch(after, this._stopped.signal);
+    if (truncated) {
+      this._seen = undefined;
+      return;
+    }
+    for (const change of changes) this._replica.apply(change, 'api');
+    this._seen = revision;
+  }
+
+  private _onAnswer(): void {
+    this._lastAnswerAt = this._clock.now();
+    this._backoff.reset();
+    if (!this._reachable) this._logger.state('objectApi.reachable');
+    this._reachable = true;
+  }
+
+  private _onSilence(reason: string): void {
+    if (this._reachable) this._logger.state('objectApi.unreachable', { reason });
+    this._reachable = false;
+  }
+}
--- /dev/null
+++ b/src/entry/callerApi.ts
@@ -0,0 +1,220 @@
+/** The callers' interface: docs/CALLERS.md. */
+import type http from 'node:http';
+import { randomUUID } from 'node:crypto';
+import { z } from 'zod';
+import type { ConfigurationName } from '../configuration/recordKeys.js';
+import { configurationKey, shortName } from '../configuration/recordKeys.js';
+import type { ParsedRecords } from '../configuration/parsedRecords.js';
+import { problemsOf } from '../configuration/resolveSpecification.js';
+import type { ServiceKind } from '../protocol/index.js';
+import type { CallerRequest } from '../requests/callerRequest.js';
+import { readTerms } from '../requests/callerRequest.js';
+import type { LedgerRecord } from '../requests/ledgerSlots.js';
+import type { RequestRouter } from '../requests/requestRouter.js';
+import { issueTicket } from '../requests/ticket.js';
+import type { Specifications } from '../rollout/specifications.js';
+import type { EntryAddress } from '../routing/entryOrder.js';
+import type { RouteTable } from '../routing/routeTable.js';
+import type { Metrics } from '../telemetry/metrics.js';
+import type { Clock } from '../utils/clock.js';
+import { sha256Hex } from '../utils/hash.js';
+import { answerJson, bearerToken, headerText, readBody } from '../utils/httpBody.js';
+import type { Random } from '../utils/random.js';
+import { answerError, answerProblems, answerRefusal } from './answers.js';
+import { deliver } from './answerDelivery.js';
+import type { CustomerDirectory } from './customerDirectory.js';
+
+/** What the callers' interface works with. */
+export interface CallerApiOptions {
+  customers: CustomerDirectory;
+  specifications: Specifications;
+  router: RequestRouter;
+  routes: RouteTable;
+  ledgers: ParsedRecords<LedgerRecord>;
+  sharedKey: string;
+  entriesKeepSeconds: number;
+  entriesFor: (hall: string, asker: string) => EntryAddress[];
+  hall: string;
+  clock: Clock;
+  random: Random;
+  metrics: Metrics;
+}
+
+const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+/** Characters of the first messages that make requests alike for the prompt cache. */
+const AFFINITY_CHARACTERS = 512;
+const MOST_KEYS = 1_000;
+
+const chatSchema = z.looseObject({
+  model: z.string('the name of a model'),
+  messages: z.array(z.unknown(), 'a list of messages').min(1, 'at least one message'),
+});
+
+const keysSchema = z.strictObject({
+  service: z.string('the name of a model or service'),
+  count: z.number().int().min(1).max(MOST_KEYS, `1 to ${MOST_KEYS}`).default(1),
+});
+
+/** Serves callers; every path needs a customer's key. */
+export class CallerApi {
+  private readonly _options: CallerApiOptions;
+
+  constructor(options: CallerApiOptions) {
+    this._options = options;
+  }
+
+  /** Answers a request under `/v1/`; returns false when the path is not one of callers. */
+  async handle(request: http.IncomingMessage, response: http.ServerResponse, url: URL): Promise<boolean> {
+    const [, , first, second] = url.pathname.split('/');
+    const isChat = first === 'chat' && second === 'completions';
+    if (!isChat && first !== 'services' && first !== 'entries' && first !== 'idempotency-keys') return false;
+    const customer = this._options.customers.customerOf(bearerToken(request));
+    if (customer === undefined) {
+      answerError(response, 401, {
+        error: 'unknown API key',
+        advice: 'send Authorization: Bearer with your key',
+      });
+    } else if (first === 'entries') {
+      this._answerEntries(response, url, customer);
+    } else if (first === 'idempotency-keys') {
+      await this._answerKeys(request, response, customer);
+    } else if (isChat) {
+      await this._chat(request, response, customer);
+    } else {
+      await this._service(request, response, customer, url);
+    }
+    return true;
+  }
+
+  private _answerEntries(response: http.ServerResponse, url: URL, customer: string): void {
+    const hall = url.searchParams.get('hall') ?? this._options.hall;
+    const asker = url.searchParams.get('asker') ?? `${customer}/${response.socket?.remoteAddress ?? ''}`;
+    const entries = this._options.entriesFor(hall, asker);
+    answerJson(response, 200, { entries, keepSeconds: this._options.entriesKeepSeconds });
+  }
+
+  /** Hands out idempotency keys for slots whose owners take work now. */
+  private async _answerKeys(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    customer: string,
+  ): Promise<void> {
+    const body = parseJson(await readBody(request, MAXIMUM_BODY_BYTES));
+    const parsed = keysSchema.safeParse(body);
+    if (!parsed.success) return answerProblems(response, problemsOf(parsed.error, body));
+    const name =
+      this._find(customer, 'model', parsed.data.service) ??
+      this._find(customer, 'plain', parsed.data.service);
+    if (!name) return this._answerUnknown(response, 'service', parsed.data.service);
+    const keys = this._issueKeys(name, parsed.data.count);
+    if (keys.length > 0) return answerJson(response, 200, { keys });
+    answerError(response, 503, {
+      error: 'no backend server takes work now',
+      advice: 'try again in a second',
+    });
+  }
+
+  private _issueKeys(name: ConfigurationName, count: number): string[] {
+    const { ledgers, routes, sharedKey, random } = this._options;
+    const slots = ledgers.get(configurationKey('ledger', name))?.slots ?? [];
+    const usable = slots
+      .map((owner, slot) => ({ owner, slot }))
+      .filter(
+        ({ owner }) => routes.owner(name, owner.box, owner.incarnation) && routes.circuit(owner.box).allows,
+      );
+    if (usable.length === 0) return [];
+    return Array.from({ length: count }, () => {
+      const { owner, slot } = usable[random.integer(usable.length)];
+      return issueTicket(sharedKey, shortName(name), { slot, slotEpoch: owner.epoch });
+    });
+  }
+
+  private async _chat(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    customer: string,
+  ): Promise<void> {
+    const body = await readBody(request, MAXIMUM_BODY_BYTES);
+    const json = parseJson(body);
+    const parsed = chatSchema.safeParse(json);
+    if (!parsed.success) return answerProblems(response, problemsOf(parsed.error, json));
+    const { model, messages } = parsed.data;
+    const name = this._find(customer, 'model', model);
+    if (!name) return this._answerUnknown(response, 'model', model);
+    const prefix = JSON.stringify(messages).slice(0, AFFINITY_CHARACTERS);
+    const affinity = sha256Hex(`${customer}\n${model}\n${prefix}`).slice(0, 16);
+    await this._run(request, response, { name, path: '/v1/chat/completions', body, affinity }, true);
+  }
+
+  private async _service(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    customer: string,
+    url: URL,
+  ): Promise<void> {
+    const [, , , service, ...rest] = url.pathname.split('/');
+    const body = await readBody(request, MAXIMUM_BODY_BYTES);
+    const name = this._find(customer, 'plain', service);
+    if (!name) return this._answerUnknown(response, 'service', service);
+    const repeatable = request.method === 'GET' || request.method === 'HEAD';
+    await this._run(
+      request,
+      response,
+      { name, path: `/${rest.join('/')}${url.search}`, body, affinity: '' },
+      repeatable,
+    );
+  }
+
+  private async _run(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    target: Pick<CallerRequest, 'name' | 'path' | 'body' | 'affinity'>,
+    repeatable: boolean,
+  ): Promise<void> {
+    const terms = readTerms(request.headers, repeatable);
+    if (terms.isErr()) return answerProblems(response, terms.error);
+    const arrivedAt = this._options.clock.now();
+    const callerRequest: CallerRequest = {
+      ...target,
+      ...terms.value,
+      id: randomUUID(),
+      method: request.method ?? 'POST',
+      contentType: headerText(request.headers, 'content-type') || 'application/json',
+      arrivedAt,
+    };
+    const left = new AbortController();
+    response.once('close', () => left.abort());
+    const result = await this._options.router.route(callerRequest, left.signal);
+    if (result.kind === 'refused') {
+      return answerRefusal(response, result.refusal, callerRequest.id, this._options.random);
+    }
+    this._options.metrics.latency('first_byte', this._options.clock.now() - arrivedAt);
+    const end = await deliver(result.routed, callerRequest.id, response);
+    this._options.metrics.count('requests_delivered', { end });
+    this._options.metrics.latency('whole_answer', this._options.clock.now() - arrivedAt);
+  }
+
+  /** A customer's configuration by its own name or that of its model; other customers' do not exist for it. */
+  private _find(customer: string, kind: ServiceKind, wanted: string): ConfigurationName | undefined {
+    const found = this._options.specifications.all().find(({ name, specification }) => {
+      if (name.customer !== customer || specification?.kind !== kind) return false;
+      return name.configuration === wanted || (kind === 'model' && specification.model === wanted);
+    });
+    return found?.name;
+  }
+
+  private _answerUnknown(response: http.ServerResponse, what: 'model' | 'service', name: string): void {
+    answerError(response, 404, {
+      error: `no ${what} ${JSON.stringify(name)}`,
+      advice: 'ask your operator for its name',
+    });
+  }
+}
+
+function parseJson(body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString());
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/entry/entryDaemon.ts
@@ -0,0 +1,278 @@
+/** Everything that runs on an entry box, put together. */
+import { randomUUID } from 'node:crypto';
+import { ApiFollower } from '../configuration/apiFollower.js';
+import { ChangeDesk } from '../configuration/changeDesk.js';
+import { ParsedRecords } from '../configuration/parsedRecords.js';
+import { configurationKey } from '../configuration/recordKeys.js';
+import { Replica } from '../configuration/replica.js';
+import { SafeWriter } from '../configuration/safeWriter.js';
+import { AgentLinks } from '../membership/agentLinks.js';
+import { BoxListFollower } from '../membership/boxListFollower.js';
+import { isWatcher, replicationPeers } from '../membership/replicationPeers.js';
+import { Replicator } from '../membership/replicator.js';
+import type { Box } from '../platform/boxList.js';
+import { HttpBoxList } from '../platform/boxList.js';
+import { HttpObjectApi } from '../platform/httpObjectApi.js';
+import { HttpOrigin } from '../platform/origin.js';
+import { httpToken } from '../protocol/authentication.js';
+import type { ControlConnection, ControlOptions } from '../protocol/controlConnection.js';
+import { ControlServer } from '../protocol/controlServer.js';
+import { AgentClient } from '../requests/agentClient.js';
+import { RequestRouter } from '../requests/requestRouter.js';
+import { RetryBudget } from '../requests/retryBudget.js';
+import { CoordinatorPool } from '../rollout/coordinatorPool.js';
+import { parseLedger } from '../rollout/ledgerAssigner.js';
+import { parseRollout } from '../rollout/rolloutRecord.js';
+import { Specifications } from '../rollout/specifications.js';
+import type { EntryAddress } from '../routing/entryOrder.js';
+import { orderEntries } from '../routing/entryOrder.js';
+import { RouteTable } from '../routing/routeTable.js';
+import { agentSubset } from '../routing/subset.js';
+import type { EntrySettings } from '../settings/entrySettings.js';
+import { Logger } from '../telemetry/logger.js';
+import { Metrics } from '../telemetry/metrics.js';
+import { SystemClock } from '../utils/clock.js';
+import { placementHash } from '../utils/hash.js';
+import { SeededRandom } from '../utils/random.js';
+import { pause } from '../utils/timers.js';
+import { CallerApi } from './callerApi.js';
+import { CustomerDirectory } from './customerDirectory.js';
+import { EntryHttpServer } from './entryHttpServer.js';
+import { OperatorApi } from './operatorApi.js';
+import { RolloutStatusBoard } from './rolloutStatusBoard.js';
+
+/** Where a daemon listens. */
+export interface EntryPorts {
+  httpPort: number;
+  controlPort: number;
+}
+
+const DRAIN_POLL_MILLISECONDS = 20;
+/** How long a leaving entry still takes requests, so that callers and other entries have seen it leave. */
+const FAREWELL_MILLISECONDS = 500;
+
+/**
+ * An entry. All entries are equal; each may hold leases and so run rollouts.
+ *
+ * @example
+ * const entry = new EntryDaemon(settings);
+ * const { httpPort, controlPort } = await entry.start();
+ * @since 0.1.0
+ */
+export class EntryDaemon {
+  private readonly _settings: EntrySettings;
+  private readonly _clock = new SystemClock();
+  private readonly _random: SeededRandom;
+  private readonly _logger: Logger;
+  private readonly _metrics = new Metrics();
+  private readonly _replica = new Replica();
+  private readonly _rollouts = new ParsedRecords(this._replica, parseRollout);
+  private readonly _specifications = new Specifications(this._replica);
+  private readonly _boxes: BoxListFollower;
+  private readonly _follower: ApiFollower;
+  private readonly _replicator: Replicator;
+  private readonly _links: AgentLinks;
+  private readonly _routes: RouteTable;
+  private readonly _pool: CoordinatorPool;
+  private readonly _http: EntryHttpServer;
+  private readonly _control: ControlServer;
+  private _leaving = false;
+
+  constructor(settings: EntrySettings) {
+    this._settings = settings;
+    this._random = new SeededRandom(settings.seed + placementHash(settings.box));
+    this._logger = new Logger('entry', { box: settings.box });
+    const api = new HttpObjectApi(settings.objectApiUrl);
+    const writer = new SafeWriter(api, this._replica);
+    const services = { clock: this._clock, random: this._random, logger: this._logger };
+    this._boxes = new BoxListFollower(
+      new HttpBoxList(settings.boxListUrl),
+      settings.boxListMilliseconds,
+      this._logger,
+    );
+    this._follower = new ApiFollower(api, this._replica, this._clock, this._random, this._logger, () =>
+      this._watches(),
+    );
+    const control = controlOptions(settings);
+    const entries = (): Box[] => this._boxes.withRole('entry');
+    this._replicator = new Replicator({ control, replica: this._replica, entries, ...services });
+    this._links = new AgentLinks({ control, ...services });
+    this._routes = new RouteTable(this._links, settings.hall, this._clock, (name) =>
+      this._activatedRollout(name),
+    );
+    this._pool = new CoordinatorPool({
+      ...services,
+      replica: this._replica,
+      writer,
+      specifications: this._specifications,
+      boxes: this._boxes,
+      links: this._links,
+      origin: new HttpOrigin(settings.originUrl),
+      holder: `${settings.box}/${randomUUID()}`,
+      box: settings.box,
+      leaseMilliseconds: settings.leaseMilliseconds,
+      entries: () => this._usableEntries(),
+      isLeaving: () => this._leaving,
+    });
+    this._http = this._createHttp(writer);
+    this._metrics.gauge('entry_peers', () => this._replicator.peerCount);
+    this._metrics.gauge('agent_links_live', () => this._links.all().filter((link) => link.live).length);
+    this._metrics.gauge('highest_revision', () => this._replica.highestRevision);
+    this._control = new ControlServer(
+      control,
+      (connection) => this._onConnection(connection),
+      (reason) => this._logger.state('control.refused', { reason }),
+    );
+    this._boxes.on('change', () => this._onBoxes());
+  }
+
+  /** Starts listening. Throws when a port is taken. */
+  async start(): Promise<EntryPorts> {
+    const { address } = this._settings;
+    const httpPort = await this._http.listen(address, this._settings.httpPort);
+    const controlPort = await this._control.listen(address, this._settings.controlPort);
+    void this._boxes.run();
+    void this._follower.run();
+    this._logger.state('entry.started', { httpPort, controlPort });
+    return { httpPort, controlPort };
+  }
+
+  /** Tells the others, gives leases back, lets requests in flight end, then closes. */
+  async stop(): Promise<void> {
+    this._leaving = true;
+    this._replicator.announceLeaving();
+    this._http.leave();
+    this._logger.state('entry.leaving', { inFlight: this._http.inFlight });
+    await this._pool.stop();
+    await pause(FAREWELL_MILLISECONDS);
+    const deadline = performance.now() + this._settings.drainMilliseconds;
+    while (this._http.inFlight > 0 && performance.now() < deadline) await pause(DRAIN_POLL_MILLISECONDS);
+    this.close();
+  }
+
+  /** Closes at once. */
+  close(): void {
+    this._follower.stop();
+    this._boxes.stop();
+    this._replicator.close();
+    this._links.close();
+    this._control.close();
+    this._http.close();
+    this._logger.state('entry.stopped');
+  }
+
+  private _createHttp(writer: SafeWriter): EntryHttpServer {
+    const { _replica: replica, _specifications: specifications, _routes: routes, _settings: settings } = this;
+    const common = { clock: this._clock, random: this._random, metrics: this._metrics };
+    const ledgers = new ParsedRecords(replica, parseLedger);
+    const router = new RequestRouter({
+      ...common,
+      routes,
+      client: new AgentClient(
+        httpToken(settings.sharedKey, settings.box),
+        settings.requestTimeoutMilliseconds,
+      ),
+      ledgers,
+      retries: new RetryBudget(this._clock),
+      sharedKey: settings.sharedKey,
+      logger: this._logger,
+      isIsolated: () => this._isIsolated(),
+    });
+    const callers = new CallerApi({
+      ...common,
+      customers: new CustomerDirectory(replica),
+      specifications,
+      router,
+      routes,
+      ledgers,
+      sharedKey: settings.sharedKey,
+      entriesKeepSeconds: settings.entriesKeepSeconds,
+      entriesFor: (hall, asker) => this._entriesFor(hall, asker),
+      hall: settings.hall,
+    });
+    const board = new RolloutStatusBoard({
+      box: settings.box,
+      replica,
+      specifications,
+      boxes: this._boxes,
+      links: this._links,
+      replicator: this._replicator,
+    });
+    const changes = new ChangeDesk(replica, writer, this._replicator);
+    const operators = new OperatorApi({
+      operatorKey: settings.operatorKey,
+      replica,
+      changes,
+      specifications,
+      board,
+    });
+    return new EntryHttpServer({
+      callers,
+      operators,
+      metrics: this._metrics,
+      notReady: () => this._notReady(),
+    });
+  }
+
+  /** An entry serves only once it has the configuration: from the object API, or from a peer during an outage. */
+  private _notReady(): string {
+    if (!this._boxes.synchronised) return 'the box list has not been read yet';
+    if (!this._follower.synchronised && this._replica.size === 0) return 'no configuration has been read yet';
+    return '';
+  }
+
+  private _onConnection(connection: ControlConnection): void {
+    if (connection.peer.role === 'entry') this._replicator.attach(connection);
+    else connection.close('agents are dialled by entries');
+  }
+
+  private _onBoxes(): void {
+    const entries = this._boxes.withRole('entry');
+    const self = this._boxes.get(this._settings.box);
+    if (self) this._replicator.want(replicationPeers(self, entries));
+    const agents = this._boxes.withRole('agent');
+    const names = agents.map((agent) => agent.box);
+    const entryNames = entries.map((entry) => entry.box);
+    const chosen = new Set(agentSubset(this._settings.box, entryNames, names, this._settings.agentsPerEntry));
+    this._links.want(agents.filter((agent) => chosen.has(agent.box)));
+  }
+
+  private _watches(): boolean {
+    const self = this._boxes.get(this._settings.box);
+    return !self || isWatcher(self, this._boxes.withRole('entry'));
+  }
+
+  private _activatedRollout(name: { customer: string; configuration: string }): string | undefined {
+    const record = this._rollouts.get(configurationKey('rollout', name));
+    return record && record.phase !== 'staging' ? record.rollout : undefined;
+  }
+
+  /** Entries that callers may be sent to and that may coordinate. */
+  private _usableEntries(): Box[] {
+    return this._boxes.withRole('entry').filter((entry) => {
+      if (entry.box === this._settings.box) return !this._leaving && !this._isIsolated();
+      return (
+        entry.state === 'live' &&
+        this._replicator.isConnected(entry.box) &&
+        !this._replicator.isLeaving(entry.box)
+      );
+    });
+  }
+
+  private _entriesFor(hall: string, asker: string): EntryAddress[] {
+    return orderEntries(this._usableEntries(), hall, asker);
+  }
+
+  /** Cut off from the object API and from the entries of every other hall for too long. */
+  private _isIsolated(): boolean {
+    const { isolatedMilliseconds, hall } = this._settings;
+    if (this._follower.silence < isolatedMilliseconds) return false;
+    const hasOtherHalls = this._boxes.withRole('entry').some((entry) => entry.hall !== hall);
+    return hasOtherHalls && this._replicator.otherHallSilence > isolatedMilliseconds;
+  }
+}
+
+function controlOptions(settings: EntrySettings): ControlOptions {
+  const { sharedKey, box, hall, peerTimeoutMilliseconds } = settings;
+  return { key: sharedKey, identity: { role: 'entry', box, hall }, peerTimeoutMilliseconds };
+}
--- /dev/null
+++ b/src/entry/entryHttpServer.ts
@@ -0,0 +1,105 @@
+/** HTTP of an entry: callers, operators, health and metrics on one port. */
+import http from 'node:http';
+import type { Metrics } from '../telemetry/metrics.js';
+import { answerJson } from '../utils/httpBody.js';
+import { closeHttp, listenHttp } from '../utils/httpServer.js';
+import { errorText, StepError } from '../utils/stepError.js';
+import { answerError } from './answers.js';
+import type { CallerApi } from './callerApi.js';
+import type { OperatorApi } from './operatorApi.js';
+
+/** What the HTTP server of an entry works with. */
+export interface EntryHttpOptions {
+  callers: CallerApi;
+  operators: OperatorApi;
+  metrics: Metrics;
+  /** Why the entry takes no requests, or ''. */
+  notReady: () => string;
+}
+
+export class EntryHttpServer {
+  private readonly _options: EntryHttpOptions;
+  private readonly _server = http.createServer((request, response) => void this._serve(request, response));
+  private _inFlight = 0;
+  private _leaving = false;
+
+  constructor(options: EntryHttpOptions) {
+    this._options = options;
+    this._server.keepAliveTimeout = 30_000;
+  }
+
+  /** Requests that have not been answered in full. */
+  get inFlight(): number {
+    return this._inFlight;
+  }
+
+  async listen(address: string, port: number): Promise<number> {
+    return await listenHttp(this._server, address, port);
+  }
+
+  /** Asks callers to open no further request on connections that they hold. */
+  leave(): void {
+    this._leaving = true;
+  }
+
+  close(): void {
+    closeHttp(this._server);
+  }
+
+  private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    this._inFlight++;
+    response.once('close', () => this._inFlight--);
+    if (this._leaving) response.setHeader('connection', 'close');
+    try {
+      await this._route(request, response, new URL(request.url ?? '/', 'http://entry'));
+    } catch (error) {
+      this._answerFailure(response, error);
+    }
+  }
+
+  private async _route(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    url: URL,
+  ): Promise<void> {
+    if (url.pathname === '/healthz') return answerJson(response, 200, {});
+    if (url.pathname === '/readyz') return this._answerReady(response);
+    if (url.pathname === '/metrics') return await this._answerMetrics(response);
+    const notReady = this._options.notReady();
+    if (notReady !== '') {
+      response.setHeader('retry-after', '1');
+      return answerError(response, 503, {
+        error: notReady,
+        advice: 'use another entry, or come back after Retry-After',
+      });
+    }
+    if (url.pathname.startsWith('/v1/')) {
+      if (await this._options.callers.handle(request, response, url)) return;
+      if (await this._options.operators.handle(request, response, url)) return;
+    }
+    answerError(response, 404, {
+      error: `no path ${url.pathname}`,
+      advice: 'see docs/CALLERS.md and docs/OPERATING.md',
+    });
+  }
+
+  private _answerReady(response: http.ServerResponse): void {
+    const notReady = this._options.notReady();
+    answerJson(response, notReady === '' ? 200 : 503, { ready: notReady === '', reason: notReady });
+  }
+
+  private async _answerMetrics(response: http.ServerResponse): Promise<void> {
+    const text = await this._options.metrics.exposition();
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text);
+  }
+
+  private _answerFailure(response: http.ServerResponse, error: unknown): void {
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    const isInput = error instanceof StepError && error.advice === 'fix-input';
+    const advice = isInput ? 'send a smaller body' : 'report this to the operators';
+    answerError(response, isInput ? 413 : 500, { error: errorText(error), advice });
+  }
+}
--- /dev/null
+++ b/src/lease/leaseKeeper.ts
@@ -0,0 +1,133 @@
+/** Holds, or waits for, the lease of one configuration. */
+import { randomUUID } from 'node:crypto';
+import { createActor } from 'xstate';
+import type { Replica } from '../configuration/replica.js';
+import type { SafeOutcome, SafeWriter } from '../configuration/safeWriter.js';
+import type { Logger } from '../telemetry/logger.js';
+import type { Clock } from '../utils/clock.js';
+import { leaseMachine } from './leaseMachine.js';
+import type { LeaseEvent } from './leaseMachine.js';
+import { leaseRecordSchema } from './leaseRecord.js';
+import type { LeaseRecord } from './leaseRecord.js';
+
+/** What a lease keeper works with. */
+export interface LeaseKeeperOptions {
+  key: string;
+  /** Box and incarnation of this entry. */
+  holder: string;
+  lifetimeMilliseconds: number;
+  replica: Replica;
+  writer: SafeWriter;
+  clock: Clock;
+  logger: Logger;
+}
+
+/** Part of the lifetime after which a held lease is renewed. */
+const RENEW_PART = 1 / 3;
+
+/**
+ * Expiry is judged by each process on its own monotonic clock: a lease is free when its object has not changed for a
+ * lifetime, and held only until a lifetime after its last renewal was *sent*. Beyond that every order carries the
+ * epoch, and agents refuse a lower one, so a holder that wakes late is harmless whatever its clock says.
+ */
+export class LeaseKeeper {
+  private readonly _options: LeaseKeeperOptions;
+  private readonly _machine = createActor(leaseMachine).start();
+  private _seen: { text: string; at: number } | undefined;
+  private _held: { record: LeaseRecord; revision: number; sentAt: number } | undefined;
+  private _writing = false;
+
+  constructor(options: LeaseKeeperOptions) {
+    this._options = options;
+  }
+
+  /** The epoch under which orders may be given now; undefined when the lease is not held. */
+  get epoch(): number | undefined {
+    if (!this._held || this._machine.getSnapshot().value !== 'holding') return undefined;
+    if (this._options.clock.now() >= this._held.sentAt + this._options.lifetimeMilliseconds) {
+      this._end('LAPSED');
+      return undefined;
+    }
+    return this._held.record.epoch;
+  }
+
+  /** Does what is due now: acquires when free and `rank` allows, renews, or nothing. */
+  async tick(rank: number): Promise<void> {
+    if (this._writing) return;
+    this._writing = true;
+    try {
+      if (this.epoch !== undefined) await this._renewWhenDue();
+      else if (this._isFree(rank)) await this._acquire();
+    } finally {
+      this._writing = false;
+    }
+  }
+
+  /** Gives the lease back, so that another entry need not wait for it to expire. */
+  async release(): Promise<void> {
+    const held = this._held;
+    if (!held || this.epoch === undefined) return;
+    this._end('RELEASED');
+    await this._put({ ...held.record, released: true }, held.revision);
+  }
+
+  /** A later rank waits longer, so that entries do not all write at once. */
+  private _isFree(rank: number): boolean {
+    const { replica, key, clock, lifetimeMilliseconds } = this._options;
+    const record = this._current();
+    const text = `${replica.record(key)?.revision ?? 0}`;
+    if (this._seen?.text !== text) this._seen = { text, at: clock.now() };
+    const waited = clock.now() - this._seen.at;
+    const turn = (rank * lifetimeMilliseconds) / 4;
+    if (!record || record.released) return waited >= turn;
+    return waited >= lifetimeMilliseconds + turn;
+  }
+
+  private _current(): LeaseRecord | undefined {
+    const parsed = leaseRecordSchema.safeParse(this._options.replica.value(this._options.key));
+    return parsed.success ? parsed.data : undefined;
+  }
+
+  private async _acquire(): Promise<void> {
+    this._machine.send({ type: 'ACQUIRE' });
+    const epoch = (this._current()?.epoch ?? 0) + 1;
+    const sentAt = this._options.clock.now();
+    const record = { holder: this._options.holder, epoch, renewal: 0, released: false };
+    const outcome = await this._put(record, this._options.replica.liveRevision(this._options.key));
+    this._settle(outcome, sentAt, 'ACQUIRED');
+  }
+
+  private async _renewWhenDue(): Promise<void> {
+    const held = this._held!;
+    const sentAt = this._options.clock.now();
+    if (sentAt < held.sentAt + this._options.lifetimeMilliseconds * RENEW_PART) return;
+    const outcome = await this._put({ ...held.record, renewal: held.record.renewal + 1 }, held.revision);
+    if (outcome.kind === 'refused' || outcome.kind === 'unresolved') return;
+    this._settle(outcome, sentAt, undefined);
+  }
+
+  private async _put(record: Omit<LeaseRecord, 'changeId'>, revision: number): Promise<SafeOutcome> {
+    return await this._options.writer.put(this._options.key, { ...record, changeId: randomUUID() }, revision);
+  }
+
+  private _settle(outcome: SafeOutcome, sentAt: number, event: 'ACQUIRED' | undefined): void {
+    if (outcome.kind !== 'written') {
+      this._end('LOST');
+      return;
+    }
+    const record = leaseRecordSchema.parse(outcome.record.value);
+    this._held = { record, revision: outcome.record.revision, sentAt };
+    if (!event) return;
+    this._machine.send({ type: event });
+    this._options.logger.state('lease.acquired', { lease: this._options.key, epoch: record.epoch });
+  }
+
+  private _end(event: Exclude<LeaseEvent['type'], 'ACQUIRE' | 'ACQUIRED'>): void {
+    const epoch = this._held?.record.epoch;
+    this._held = undefined;
+    this._machine.send({ type: event });
+    if (epoch !== undefined) {
+      this._options.logger.state(`lease.${event.toLowerCase()}`, { lease: this._options.key, epoch });
+    }
+  }
+}
--- /dev/null
+++ b/src/membership/agentLink.ts
@@ -0,0 +1,143 @@
+/** An entry's connection to one agent, and the last report that came over it. */
+import { EventEmitter } from 'node:events';
+import { createActor } from 'xstate';
+import type { Box } from '../platform/boxList.js';
+import type { ControlOptions } from '../protocol/controlConnection.js';
+import { ControlConnection } from '../protocol/controlConnection.js';
+import type { CallMessage } from '../protocol/controlConnection.js';
+import type { ReportMessage } from '../protocol/reportMessages.js';
+import type { Member, ReplyMessage } from '../protocol/rolloutMessages.js';
+import type { Logger } from '../telemetry/logger.js';
+import { Backoff } from '../utils/backoff.js';
+import type { Clock } from '../utils/clock.js';
+import type { Random } from '../utils/random.js';
+import { StepError, errorText } from '../utils/stepError.js';
+import { pause } from '../utils/timers.js';
+import { linkMachine } from './linkMachine.js';
+
+interface AgentLinkEvents {
+  /** The state or the report changed. */
+  change: [];
+}
+
+/** What every agent link of an entry shares. */
+export interface LinkServices {
+  control: ControlOptions;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+}
+
+type Order = CallMessage extends infer Each ? (Each extends unknown ? Omit<Each, 'call'> : never) : never;
+
+const REDIAL = { firstMilliseconds: 50, longestMilliseconds: 1_000 };
+
+/** Dials until closed. A report is kept after the connection is lost, but the link is no longer live. */
+export class AgentLink extends EventEmitter<AgentLinkEvents> {
+  readonly box: Box;
+  report: ReportMessage | undefined;
+  /** When the report came, in monotonic milliseconds. */
+  reportedAt = 0;
+  /** Bytes of control traffic, both ways. */
+  controlBytes = 0;
+  private readonly _services: LinkServices;
+  private readonly _machine = createActor(linkMachine).start();
+  private readonly _stopped = new AbortController();
+  private _connection: ControlConnection | undefined;
+  private _lostAt: number;
+
+  constructor(box: Box, services: LinkServices) {
+    super();
+    this.box = box;
+    this._services = services;
+    this._lostAt = services.clock.now();
+    void this._run();
+  }
+
+  /** Whether new work may go to the agent. */
+  get live(): boolean {
+    return this._machine.getSnapshot().matches('live') && this.report !== undefined;
+  }
+
+  get connected(): boolean {
+    return this._connection !== undefined;
+  }
+
+  /** Milliseconds since the connection was lost; 0 while connected. */
+  get lostFor(): number {
+    return this._connection ? 0 : this._services.clock.now() - this._lostAt;
+  }
+
+  get member(): Member {
+    const { box, hall, address, httpPort, controlPort } = this.box;
+    return { box, hall, address, httpPort, controlPort };
+  }
+
+  /** Sends an order and waits for the reply. Throws a StepError when there is none. */
+  async order(order: Order): Promise<ReplyMessage> {
+    if (!this._connection)
+      throw new StepError(`order.${order.type}`, 'not connected', { peer: this.box.box });
+    return await this._connection.call(order);
+  }
+
+  close(): void {
+    this._stopped.abort();
+    this._connection?.close('no longer wanted');
+    this.removeAllListeners();
+  }
+
+  private async _run(): Promise<void> {
+    const backoff = new Backoff(REDIAL, this._services.random);
+    const { address, controlPort } = this.box;
+    while (!this._stopped.signal.aborted) {
+      try {
+        const connection = await ControlConnection.connect(address, controlPort, this._services.control);
+        backoff.reset();
+        await this._use(connection);
+      } catch (error) {
+        this._services.logger.decision('agent.redial', { peer: this.box.box, reason: errorText(error) });
+      }
+      await pause(backoff.nextWait(), this._stopped.signal);
+    }
+  }
+
+  /** Serves one connection until it closes. */
+  private async _use(connection: ControlConnection): Promise<void> {
+    if (this._stopped.signal.aborted) {
+      connection.close('no longer wanted');
+      return;
+    }
+    this._connection = connection;
+    this._machine.send({ type: 'CONNECTED' });
+    const closed = new Promise<string>((resolve) => connection.once('close', resolve));
+    connection.on('message', (message) => {
+      if (message.type === 'report') this._onReport(message);
+    });
+    connection.start();
+    connection.send({ type: 'subscribe' });
+    const reason = await closed;
+    this.controlBytes += connection.bytesSent + connection.bytesReceived;
+    this._onLost(reason);
+  }
+
+  private _onReport(report: ReportMessage): void {
+    const fresh = this.report === undefined;
+    this.report = report;
+    this.reportedAt = this._services.clock.now();
+    if (fresh)
+      this._services.logger.state('agent.live', { peer: this.box.box, incarnation: report.incarnation });
+    if (report.leaving && this._machine.getSnapshot().matches('live')) {
+      this._machine.send({ type: 'LEAVING' });
+      this._services.logger.state('agent.leaving', { peer: this.box.box });
+    }
+    this.emit('change');
+  }
+
+  private _onLost(reason: string): void {
+    this._connection = undefined;
+    this._lostAt = this._services.clock.now();
+    this._machine.send({ type: 'LOST' });
+    this._services.logger.state('agent.lost', { peer: this.box.box, reason });
+    this.emit('change');
+  }
+}
--- /dev/null
+++ b/src/membership/replicationPeers.ts
@@ -0,0 +1,38 @@
+/** Which entries an entry replicates with. Pure. */
+import type { Box } from '../platform/boxList.js';
+import { compareText, rendezvousOrder } from '../utils/rendezvous.js';
+
+/** Up to this many entries, every one is connected with every other. */
+const FULL_MESH_ENTRIES = 8;
+/** Beyond that, the peers that each entry dials: some of its own hall, some of others. */
+const OWN_HALL_PEERS = 2;
+const OTHER_HALL_PEERS = 2;
+
+/** Returns the entries that `self` dials; those that dial it come on top. */
+export function replicationPeers(self: Box, entries: readonly Box[]): Box[] {
+  const others = entries.filter((entry) => entry.box !== self.box);
+  if (entries.length <= FULL_MESH_ENTRIES)
+    return others.filter((entry) => compareText(self.box, entry.box) < 0);
+  const ring = ringSuccessor(self, entries);
+  const ordered = rendezvousOrder(self.box, others, (entry) => entry.box);
+  const own = ordered.filter((entry) => entry.hall === self.hall).slice(0, OWN_HALL_PEERS);
+  const other = ordered.filter((entry) => entry.hall !== self.hall).slice(0, OTHER_HALL_PEERS);
+  return [...new Set([ring, ...own, ...other])];
+}
+
+/** The next entry by name: with it the graph is connected whatever the hashes say. */
+function ringSuccessor(self: Box, entries: readonly Box[]): Box {
+  const ordered = [...entries].sort((a, b) => compareText(a.box, b.box));
+  const position = ordered.findIndex((entry) => entry.box === self.box);
+  return ordered[(position + 1) % ordered.length];
+}
+
+/** Entries per hall that keep a watch on the object API; two, so that the loss of one is not noticed. */
+const WATCHERS_PER_HALL = 2;
+
+/** Whether `self` is one of its hall's watchers. */
+export function isWatcher(self: Box, entries: readonly Box[]): boolean {
+  const ofHall = entries.filter((entry) => entry.hall === self.hall && entry.state === 'live');
+  const watchers = rendezvousOrder('watch', ofHall, (entry) => entry.box).slice(0, WATCHERS_PER_HALL);
+  return watchers.some((entry) => entry.box === self.box);
+}
--- /dev/null
+++ b/src/membership/replicator.ts
@@ -0,0 +1,200 @@
+/** Carries records between entries: each change at once to all neighbours, and what was missed by comparing digests. */
+import type { Confirmer } from '../configuration/changeDesk.js';
+import type { Replica } from '../configuration/replica.js';
+import type { Box } from '../platform/boxList.js';
+import type { ControlConnection, ControlOptions } from '../protocol/controlConnection.js';
+import { ControlConnection as Connection } from '../protocol/controlConnection.js';
+import type { Message } from '../protocol/message.js';
+import type { ReplicatedRecord } from '../protocol/records.js';
+import type { Logger } from '../telemetry/logger.js';
+import type { Clock } from '../utils/clock.js';
+import type { Random } from '../utils/random.js';
+import { errorText } from '../utils/stepError.js';
+
+/** What a replicator works with. */
+export interface ReplicatorOptions {
+  control: ControlOptions;
+  replica: Replica;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  /** Entries of the box list, this one included. */
+  entries: () => Box[];
+}
+
+/** A peer entry and what it has told. */
+interface EntryPeer {
+  connection: ControlConnection;
+  leaving: boolean;
+}
+
+const COMPARE_INTERVAL_MILLISECONDS = 2_000;
+const REDIAL_INTERVAL_MILLISECONDS = 250;
+const CONFIRM_TIMEOUT_MILLISECONDS = 1_500;
+const RECORDS_PER_MESSAGE = 200;
+
+/** One per entry. */
+export class Replicator implements Confirmer {
+  private readonly _options: ReplicatorOptions;
+  private readonly _peers = new Map<string, EntryPeer>();
+  private readonly _dialing = new Set<string>();
+  private readonly _timers: NodeJS.Timeout[] = [];
+  private _wanted: readonly Box[] = [];
+  private _leaving = false;
+  private _otherHallHeardAt = Number.NEGATIVE_INFINITY;
+
+  constructor(options: ReplicatorOptions) {
+    this._options = options;
+    options.replica.on('change', (record, source) => this._flood(record, source));
+    this._timers.push(setInterval(() => this._compareWithOne(), COMPARE_INTERVAL_MILLISECONDS));
+    this._timers.push(setInterval(() => this._dialMissing(), REDIAL_INTERVAL_MILLISECONDS));
+  }
+
+  /** Milliseconds since an entry of another hall was last connected. */
+  get otherHallSilence(): number {
+    const connected = [...this._peers.values()].some((peer) => this._isOtherHall(peer));
+    if (connected) this._otherHallHeardAt = this._options.clock.now();
+    return this._options.clock.now() - this._otherHallHeardAt;
+  }
+
+  get peerCount(): number {
+    return this._peers.size;
+  }
+
+  /** Whether an entry has said that it is leaving. */
+  isLeaving(box: string): boolean {
+    return this._peers.get(box)?.leaving ?? false;
+  }
+
+  isConnected(box: string): boolean {
+    return this._peers.has(box);
+  }
+
+  /** Keeps these entries connected; dials those that are not. */
+  want(boxes: readonly Box[]): void {
+    this._wanted = boxes;
+    this._dialMissing();
+  }
+
+  /** Takes a connection that another entry opened. */
+  attach(connection: ControlConnection): void {
+    const { box } = connection.peer;
+    this._peers.get(box)?.connection.close('replaced by a newer connection');
+    const peer: EntryPeer = { connection, leaving: false };
+    this._peers.set(box, peer);
+    connection.on('message', (message) => this._onMessage(peer, message));
+    connection.once('close', (reason) => this._onClose(box, peer, reason));
+    connection.start();
+    connection.send({ type: 'digest', buckets: this._options.replica.digest() });
+    if (this._leaving) connection.send({ type: 'entry-state', leaving: true });
+    this._options.logger.state('entry.connected', { peer: box });
+  }
+
+  /** Tells all peers that this entry is leaving. */
+  announceLeaving(): void {
+    this._leaving = true;
+    for (const peer of this._peers.values()) peer.connection.send({ type: 'entry-state', leaving: true });
+  }
+
+  async confirm(record: ReplicatedRecord): Promise<boolean> {
+    const candidates = this._confirmers();
+    if (candidates === 'none-exist') return true;
+    const calls = candidates.map((peer) =>
+      peer.connection.call({ type: 'records', records: [record] }, CONFIRM_TIMEOUT_MILLISECONDS),
+    );
+    try {
+      const reply = await Promise.any(calls);
+      return reply.accepted;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Asks a peer which revision of `key` it holds; undefined when it does not answer. */
+  async revisionAt(box: string, key: string): Promise<number | undefined> {
+    try {
+      const reply = await this._peers.get(box)?.connection.call({ type: 'revision-query', key });
+      return reply?.revision;
+    } catch {
+      return undefined;
+    }
+  }
+
+  close(): void {
+    for (const timer of this._timers) clearInterval(timer);
+    for (const peer of this._peers.values()) peer.connection.close('shutting down');
+  }
+
+  /** Peers of other halls where there are any in the box list, else peers of the own hall. */
+  private _confirmers(): EntryPeer[] | 'none-exist' {
+    const { hall, box } = this._options.control.identity;
+    const others = this._options.entries().filter((entry) => entry.box !== box);
+    if (others.length === 0) return 'none-exist';
+    const needsOtherHall = others.some((entry) => entry.hall !== hall);
+    const peers = [...this._peers.values()];
+    return needsOtherHall ? peers.filter((peer) => this._isOtherHall(peer)) : peers;
+  }
+
+  private _isOtherHall(peer: EntryPeer): boolean {
+    return peer.connection.peer.hall !== this._options.control.identity.hall;
+  }
+
+  private _onMessage(peer: EntryPeer, message: Message): void {
+    const { replica } = this._options;
+    const from = peer.connection.peer.box;
+    if (message.type === 'records') {
+      for (const record of message.records) replica.apply(record as ReplicatedRecord, from);
+      if (message.call !== undefined) peer.connection.reply(message.call, { accepted: true });
+    } else if (message.type === 'digest') {
+      this._sendRecords(peer, replica.recordsBeside(message.buckets));
+    } else if (message.type === 'revision-query') {
+      const revision = replica.record(message.key)?.revision ?? 0;
+      peer.connection.reply(message.call, { accepted: true, revision });
+    } else if (message.type === 'entry-state') {
+      peer.leaving = message.leaving;
+    }
+  }
+
+  private _onClose(box: string, peer: EntryPeer, reason: string): void {
+    if (this._peers.get(box) !== peer) return;
+    if (this._isOtherHall(peer)) this._otherHallHeardAt = this._options.clock.now();
+    this._peers.delete(box);
+    this._options.logger.state('entry.lost', { peer: box, reason });
+  }
+
+  private _flood(record: ReplicatedRecord, source: string): void {
+    for (const [box, peer] of this._peers) {
+      if (box !== source) this._sendRecords(peer, [record]);
+    }
+  }
+
+  private _sendRecords(peer: EntryPeer, records: readonly ReplicatedRecord[]): void {
+    for (let start = 0; start < records.length; start += RECORDS_PER_MESSAGE) {
+      peer.connection.send({ type: 'records', records: records.slice(start, start + RECORDS_PER_MESSAGE) });
+    }
+  }
+
+  /** The peer answers with what we lack; our next digest, or its own, brings it what it lacks. */
+  private _compareWithOne(): void {
+    const peers = [...this._peers.values()];
+    if (peers.length === 0) return;
+    const peer = peers[this._options.random.integer(peers.length)];
+    peer.connection.send({ type: 'digest', buckets: this._options.replica.digest() });
+  }
+
+  private _dialMissing(): void {
+    for (const box of this._wanted) {
+      if (this._peers.has(box.box) || this._dialing.has(box.box)) continue;
+      this._dialing.add(box.box);
+      void this._dial(box).finally(() => this._dialing.delete(box.box));
+    }
+  }
+
+  private async _dial(box: Box): Promise<void> {
+    try {
+      this.attach(await Connection.connect(box.address, box.controlPort, this._options.control));
+    } catch (error) {
+      this._options.logger.decision('entry.redial', { peer: box.box, reason: errorText(error) });
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/httpClient.ts
@@ -0,0 +1,64 @@
+/** JSON over HTTP towards the platform and backend servers, by undici. */
+import { Agent, request } from 'undici';
+import { StepError, errorCode, errorText } from '../utils/stepError.js';
+
+/** One request and its bounds. */
+export interface JsonRequest {
+  step: string;
+  method: 'GET' | 'PUT' | 'POST' | 'DELETE';
+  url: string;
+  body?: unknown;
+  headers?: Record<string, string>;
+  timeoutMilliseconds: number;
+  signal?: AbortSignal;
+}
+
+/** The parsed answer; `body` is undefined when there is none or it is not JSON. */
+export interface JsonAnswer {
+  status: number;
+  headers: Record<string, string | string[] | undefined>;
+  body: unknown;
+}
+
+const dispatcher = new Agent({ connections: 32, pipelining: 1, keepAliveTimeout: 10_000 });
+
+/** Codes after which it is certain that the request never left this process. */
+const NEVER_SENT = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+  'ENOTFOUND',
+]);
+
+/** Whether `error` proves that nothing reached the peer. */
+export function wasNeverSent(error: unknown): boolean {
+  return NEVER_SENT.has(errorCode(error)) || NEVER_SENT.has(errorCode((error as Error | undefined)?.cause));
+}
+
+/** Sends a JSON request. Throws a StepError when there is no answer; any status is an answer. */
+export async function sendJson(options: JsonRequest): Promise<JsonAnswer> {
+  const timeout = AbortSignal.timeout(options.timeoutMilliseconds);
+  const signal = options.signal ? AbortSignal.any([timeout, options.signal]) : timeout;
+  try {
+    const answer = await request(options.url, {
+      method: options.method,
+      headers: { 'content-type': 'application/json', ...options.headers },
+      body: options.body === undefined ? undefined : JSON.stringify(options.body),
+      dispatcher,
+      signal,
+    });
+    const text = await answer.body.text();
+    return { status: answer.statusCode, headers: answer.headers, body: parseJson(text) };
+  } catch (error) {
+    throw new StepError(options.step, errorText(error), { peer: new URL(options.url).host, cause: error });
+  }
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return text === '' ? undefined : JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/platform/origin.ts
@@ -0,0 +1,68 @@
+/** The origin of weights: manifests and ranges of a version's bytes over HTTP. */
+import { z } from 'zod';
+import { Agent, request } from 'undici';
+import { manifestSchema } from '../protocol/manifest.js';
+import type { Manifest } from '../protocol/manifest.js';
+import { StepError, errorText } from '../utils/stepError.js';
+import { sendJson } from './httpClient.js';
+
+/** Which bytes to read. */
+export interface OriginRange {
+  customer: string;
+  model: string;
+  version: string;
+  /** First byte of the version's blob, and how many. */
+  offset: number;
+  length: number;
+}
+
+/** The origin as the rest of the system sees it. */
+export interface Origin {
+  /** Throws a StepError when the version does not exist or the origin does not answer. */
+  manifest(customer: string, model: string, version: string): Promise<Manifest>;
+  /** Streams the bytes of a range; the stream fails when the signal is aborted. */
+  read(range: OriginRange, signal: AbortSignal): Promise<AsyncIterable<Buffer>>;
+}
+
+const MANIFEST_TIMEOUT_MILLISECONDS = 5_000;
+const PARTIAL_CONTENT = 206;
+
+/** The origin at `baseUrl`; ranged GETs. */
+export class HttpOrigin implements Origin {
+  private readonly _baseUrl: string;
+  private readonly _dispatcher = new Agent({ connections: 8, pipelining: 1 });
+
+  constructor(baseUrl: string) {
+    this._baseUrl = baseUrl;
+  }
+
+  async manifest(customer: string, model: string, version: string): Promise<Manifest> {
+    const url = `${this._baseUrl}/weights/${customer}/${model}/${version}/manifest`;
+    const answer = await sendJson({
+      step: 'origin.manifest',
+      method: 'GET',
+      url,
+      timeoutMilliseconds: MANIFEST_TIMEOUT_MILLISECONDS,
+    });
+    if (answer.status !== 200)
+      throw new StepError('origin.manifest', `status ${answer.status} for ${model} ${version}`);
+    const parsed = manifestSchema.safeParse(answer.body);
+    if (!parsed.success)
+      throw new StepError('origin.manifest', `bad manifest: ${z.prettifyError(parsed.error)}`);
+    return parsed.data;
+  }
+
+  async read(range: OriginRange, signal: AbortSignal): Promise<AsyncIterable<Buffer>> {
+    const url = `${this._baseUrl}/weights/${range.customer}/${range.model}/${range.version}/data`;
+    const last = range.offset + range.length - 1;
+    try {
+      const headers = { range: `bytes=${range.offset}-${last}` };
+      const answer = await request(url, { headers, dispatcher: this._dispatcher, signal });
+      if (answer.statusCode === PARTIAL_CONTENT) return answer.body;
+      await answer.body.dump();
+      throw new StepError('origin.read', `status ${answer.statusCode}`);
+    } catch (error) {
+      throw new StepError('origin.read', errorText(error), { peer: new URL(url).host, cause: error });
+    }
+  }
+}
--- /dev/null
+++ b/src/protocol/authentication.ts
@@ -0,0 +1,30 @@
+/**
+ * Proof that a process belongs to the system, from a key that all of them share.
+ * It does not hide what is sent; TLS would (see docs/OPERATING.md).
+ */
+import { createHmac, timingSafeEqual } from 'node:crypto';
+
+/** Returns the hex MAC of the joined `parts` under `key`. */
+export function macOf(key: string, ...parts: string[]): string {
+  return createHmac('sha256', key).update(parts.join('\n')).digest('hex');
+}
+
+/** Compares two MACs in constant time. */
+export function sameMac(a: string, b: string): boolean {
+  const left = Buffer.from(a);
+  const right = Buffer.from(b);
+  return left.length === right.length && timingSafeEqual(left, right);
+}
+
+/** Returns the bearer token that `sender` puts on its HTTP requests to other processes of the system. */
+export function httpToken(key: string, sender: string): string {
+  return `${sender}.${macOf(key, 'http', sender)}`;
+}
+
+/** Returns the sender of a bearer token made by {@link httpToken}, or undefined when it does not verify. */
+export function senderOfToken(key: string, token: string): string | undefined {
+  const dot = token.lastIndexOf('.');
+  if (dot < 1) return undefined;
+  const sender = token.slice(0, dot);
+  return sameMac(token.slice(dot + 1), macOf(key, 'http', sender)) ? sender : undefined;
+}
--- /dev/null
+++ b/src/protocol/controlConnection.ts
@@ -0,0 +1,249 @@
+/** One authenticated control connection between two processes of the system. */
+import { randomBytes } from 'node:crypto';
+import { EventEmitter } from 'node:events';
+import net from 'node:net';
+import type { z } from 'zod';
+import { StepError, errorText } from '../utils/stepError.js';
+import { withTimeout } from '../utils/timers.js';
+import { sameMac } from './authentication.js';
+import { FrameReader, encodeFrame } from './frameCodec.js';
+import type { Identity } from './handshake.js';
+import { PROTOCOL_VERSION, challengeSchema, handshakeMac, helloSchema, welcomeSchema } from './handshake.js';
+import type { Message } from './message.js';
+import { isKnownType, messageSchema } from './message.js';
+import type { ReplyMessage } from './rolloutMessages.js';
+
+/** A message that expects a reply, before its `call` number is set. */
+export type CallMessage = Extract<Message, { call?: number }>;
+type WithoutCall<T> = T extends unknown ? Omit<T, 'call'> : never;
+
+/** What a process needs to open or accept control connections. */
+export interface ControlOptions {
+  key: string;
+  identity: Identity;
+  /** Silence after which a peer counts as gone, in milliseconds; heartbeats go out three times as often. */
+  peerTimeoutMilliseconds: number;
+}
+
+interface ControlEvents {
+  message: [Message];
+  close: [string];
+}
+
+/** Default time for a call to be answered, in milliseconds. */
+const CALL_TIMEOUT_MILLISECONDS = 5_000;
+
+/** An open connection; `peer` is proven. Emits `message` and, once, `close` with the reason. */
+export class ControlConnection extends EventEmitter<ControlEvents> {
+  peer!: Identity;
+  /** Bytes sent and received, for the control budget. */
+  bytesSent = 0;
+  bytesReceived = 0;
+  private readonly _socket: net.Socket;
+  private readonly _options: ControlOptions;
+  private readonly _reader = new FrameReader();
+  private readonly _calls = new Map<number, (reply: ReplyMessage) => void>();
+  private _handshake: ((frame: unknown) => void) | undefined;
+  private _backlog: unknown[] = [];
+  private _started = false;
+  private _nextCall = 1;
+  private _heartbeat: NodeJS.Timeout | undefined;
+  private _silence: NodeJS.Timeout | undefined;
+  private _lastSentAt = 0;
+  private _closed = false;
+
+  private constructor(socket: net.Socket, options: ControlOptions) {
+    super();
+    this._socket = socket;
+    this._options = options;
+    socket.setNoDelay(true);
+    socket.on('data', (bytes: Buffer) => this._onData(bytes));
+    socket.on('error', (error) => this.close(errorText(error)));
+    socket.on('close', () => this.close('closed by peer'));
+    this._touch();
+  }
+
+  /** Connects to a listening peer and proves both ends. */
+  static async connect(address: string, port: number, options: ControlOptions): Promise<ControlConnection> {
+    const peer = `${address}:${port}`;
+    const connection = new ControlConnection(net.connect({ host: address, port }), options);
+    await connection._bounded(connection._openAsClient(), peer);
+    return connection;
+  }
+
+  /** Takes an accepted socket and proves both ends. */
+  static async accept(socket: net.Socket, options: ControlOptions): Promise<ControlConnection> {
+    const connection = new ControlConnection(socket, options);
+    await connection._bounded(connection._openAsServer(), `${socket.remoteAddress}:${socket.remotePort}`);
+    return connection;
+  }
+
+  get closed(): boolean {
+    return this._closed;
+  }
+
+  /** Delivers messages from now on; those that came before are delivered first. */
+  start(): void {
+    this._started = true;
+    const backlog = this._backlog;
+    this._backlog = [];
+    for (const frame of backlog) this._receive(frame);
+  }
+
+  /** Sends a message; dropped when the connection is closed. */
+  send(message: Message): void {
+    this._write(message);
+  }
+
+  /** Sends a message and waits for its reply. Rejects when the connection closes or the time is up. */
+  async call(
+    message: WithoutCall<CallMessage>,
+    timeoutMilliseconds = CALL_TIMEOUT_MILLISECONDS,
+  ): Promise<ReplyMessage> {
+    if (this._closed)
+      throw new StepError(`control.${message.type}`, 'connection closed', { peer: this.peer.box });
+    const call = this._nextCall++;
+    const reply = new Promise<ReplyMessage>((resolve, reject) => {
+      this._calls.set(call, resolve);
+      this.once('close', (reason) => reject(this._callError(message.type, reason)));
+    });
+    this._write({ ...message, call });
+    try {
+      return await withTimeout(reply, timeoutMilliseconds, () =>
+        this._callError(message.type, 'no answer in time'),
+      );
+    } finally {
+      this._calls.delete(call);
+    }
+  }
+
+  /** Answers a message that carried a `call`. */
+  reply(call: number, reply: Omit<ReplyMessage, 'type' | 'call'>): void {
+    this._write({ type: 'reply', call, ...reply });
+  }
+
+  /** Closes the connection at once. */
+  close(reason: string): void {
+    if (this._closed) return;
+    this._closed = true;
+    clearInterval(this._heartbeat);
+    clearTimeout(this._silence);
+    this._socket.destroy();
+    this.emit('close', reason);
+  }
+
+  private _callError(type: string, reason: string): StepError {
+    return new StepError(`control.${type}`, reason, { peer: this.peer?.box });
+  }
+
+  private async _bounded(opening: Promise<void>, peer: string): Promise<void> {
+    const timeout = this._options.peerTimeoutMilliseconds;
+    this.setMaxListeners(0);
+    try {
+      await withTimeout(opening, timeout, () => new StepError('control.open', 'no answer in time', { peer }));
+    } catch (error) {
+      this.close(errorText(error));
+      throw error;
+    }
+    this._heartbeat = setInterval(() => this._sendHeartbeat(), timeout / 3);
+  }
+
+  private async _openAsServer(): Promise<void> {
+    const nonce = randomBytes(16).toString('hex');
+    this._write({ type: 'challenge', nonce });
+    const hello = await this._nextHandshakeFrame(helloSchema);
+    const expected = handshakeMac(this._options.key, nonce, hello.identity);
+    if (hello.protocol !== PROTOCOL_VERSION)
+      throw new StepError('control.open', `protocol ${hello.protocol} not spoken`);
+    if (!sameMac(hello.mac, expected))
+      throw new StepError('control.open', 'wrong shared key', { peer: hello.identity.box });
+    this.peer = hello.identity;
+    const { identity, key } = this._options;
+    this._write({ type: 'welcome', identity, mac: handshakeMac(key, hello.nonce, identity) });
+  }
+
+  private async _openAsClient(): Promise<void> {
+    const { identity, key } = this._options;
+    const challenge = await this._nextHandshakeFrame(challengeSchema);
+    const nonce = randomBytes(16).toString('hex');
+    const mac = handshakeMac(key, challenge.nonce, identity);
+    this._write({ type: 'hello', protocol: PROTOCOL_VERSION, identity, nonce, mac });
+    const welcome = await this._nextHandshakeFrame(welcomeSchema);
+    const expected = handshakeMac(key, nonce, welcome.identity);
+    if (!sameMac(welcome.mac, expected))
+      throw new StepError('control.open', 'wrong shared key', { peer: welcome.identity.box });
+    this.peer = welcome.identity;
+  }
+
+  private async _nextHandshakeFrame<T>(schema: z.ZodType<T>): Promise<T> {
+    const frame = this._backlog.shift() ?? (await this._awaitHandshakeFrame());
+    const parsed = schema.safeParse(frame);
+    if (!parsed.success) throw new StepError('control.open', 'unexpected handshake frame');
+    return parsed.data;
+  }
+
+  private async _awaitHandshakeFrame(): Promise<unknown> {
+    return await new Promise<unknown>((resolve, reject) => {
+      this._handshake = resolve;
+      this.once('close', (reason) => reject(new StepError('control.open', reason)));
+    });
+  }
+
+  private _onData(bytes: Buffer): void {
+    this.bytesReceived += bytes.length;
+    this._touch();
+    try {
+      for (const frame of this._reader.push(bytes)) this._onFrame(frame);
+    } catch (error) {
+      this.close(errorText(error));
+    }
+  }
+
+  private _onFrame(frame: unknown): void {
+    const handshake = this._handshake;
+    this._handshake = undefined;
+    if (handshake) handshake(frame);
+    else if (this._started) this._receive(frame);
+    else this._backlog.push(frame);
+  }
+
+  /** Messages of a type that this version does not know are passed over, so that a mixed fleet works. */
+  private _receive(frame: unknown): void {
+    const type = (frame as { type?: unknown } | null)?.type;
+    if (typeof type === 'string' && !isKnownType(type)) return;
+    const parsed = messageSchema.safeParse(frame);
+    if (!parsed.success)
+      throw new StepError('control.receive', `bad message: ${parsed.error.issues[0]?.message}`);
+    this._dispatch(parsed.data);
+  }
+
+  private _dispatch(message: Message): void {
+    if (message.type === 'heartbeat') return;
+    if (message.type === 'reply') this._calls.get(message.call)?.(message);
+    else this.emit('message', message);
+  }
+
+  private _sendHeartbeat(): void {
+    const quietFor = performance.now() - this._lastSentAt;
+    if (quietFor > this._options.peerTimeoutMilliseconds / 4) this._write({ type: 'heartbeat' });
+  }
+
+  private _touch(): void {
+    if (this._silence) {
+      this._silence.refresh();
+      return;
+    }
+    this._silence = setTimeout(
+      () => this.close('silent for too long'),
+      this._options.peerTimeoutMilliseconds,
+    );
+  }
+
+  private _write(message: unknown): void {
+    if (this._closed) return;
+    const frame = encodeFrame(message);
+    this.bytesSent += frame.length;
+    this._lastSentAt = performance.now();
+    this._socket.write(frame);
+  }
+}
--- /dev/null
+++ b/src/protocol/manifest.ts
@@ -0,0 +1,15 @@
+/** The manifest of one version of a model. */
+import { z } from 'zod';
+import { digestSchema, versionSchema } from './names.js';
+
+/** One chunk: its SHA-256 and its size in bytes. */
+export const chunkSchema = z.object({ digest: digestSchema, size: z.number().int().positive() });
+export type ChunkDescription = z.infer<typeof chunkSchema>;
+
+/** All chunks of a version in order; the model's bytes are their concatenation. Source: the origin. */
+export const manifestSchema = z.object({
+  model: z.string().min(1).max(63),
+  version: versionSchema,
+  chunks: z.array(chunkSchema).max(100_000),
+});
+export type Manifest = z.infer<typeof manifestSchema>;
--- /dev/null
+++ b/src/protocol/message.ts
@@ -0,0 +1,53 @@
+/** The union of all control messages and its validator. */
+import { z } from 'zod';
+import {
+  digestMessageSchema,
+  entryStateSchema,
+  recordsMessageSchema,
+  revisionQuerySchema,
+} from './records.js';
+import { reportMessageSchema, subscribeMessageSchema } from './reportMessages.js';
+import {
+  activateMessageSchema,
+  grantMessageSchema,
+  holdingsQuerySchema,
+  ledgerMessageSchema,
+  planMessageSchema,
+  replyMessageSchema,
+  withdrawMessageSchema,
+} from './rolloutMessages.js';
+import { haveMessageSchema, swarmJoinSchema } from './swarmMessages.js';
+
+/** Keeps an idle connection known to be alive. */
+export const heartbeatSchema = z.object({ type: z.literal('heartbeat') });
+
+/** Every message that may follow the handshake. */
+export const messageSchema = z.discriminatedUnion('type', [
+  heartbeatSchema,
+  recordsMessageSchema,
+  digestMessageSchema,
+  revisionQuerySchema,
+  entryStateSchema,
+  subscribeMessageSchema,
+  reportMessageSchema,
+  planMessageSchema,
+  grantMessageSchema,
+  activateMessageSchema,
+  withdrawMessageSchema,
+  holdingsQuerySchema,
+  ledgerMessageSchema,
+  replyMessageSchema,
+  swarmJoinSchema,
+  haveMessageSchema,
+]);
+export type Message = z.infer<typeof messageSchema>;
+
+/** The message of a given type. */
+export type MessageOf<Type extends Message['type']> = Extract<Message, { type: Type }>;
+
+const knownTypes = new Set<string>(messageSchema.options.map((option) => option.shape.type.value));
+
+/** Whether this version of the protocol has a message of that type. */
+export function isKnownType(type: string): boolean {
+  return knownTypes.has(type);
+}
--- /dev/null
+++ b/src/requests/agentClient.ts
@@ -0,0 +1,160 @@
+/** Sends one attempt of a request to an agent. */
+import { Agent, request as httpRequest } from 'undici';
+import { wasNeverSent } from '../platform/httpClient.js';
+import { HEADER } from '../protocol/headers.js';
+import type { Outcome } from '../protocol/headers.js';
+import type { Backend } from '../routing/backend.js';
+import type { CallerRequest } from './callerRequest.js';
+import type { RefusalReason } from './refusals.js';
+
+/** The ledger slot that a request without repetition is meant for. */
+export interface LedgerTarget {
+  slot: number;
+  slotEpoch: number;
+  ticketed: boolean;
+  incarnation: string;
+}
+
+/** An answer whose body has not been read yet. */
+export interface AgentAnswer {
+  kind: 'answer';
+  status: number;
+  contentType: string;
+  version: string;
+  body: AsyncIterable<Buffer> & { destroy(): unknown };
+  load: number | undefined;
+}
+
+/** What came of an attempt. `reached` tells whether the agent itself spoke. */
+export type AttemptResult =
+  | AgentAnswer
+  | {
+      kind: 'refused';
+      reason: RefusalReason;
+      outcome: Outcome;
+      status: number;
+      retryAfterMilliseconds: number;
+      reached: boolean;
+      load: number | undefined;
+    };
+
+/** One attempt. */
+export interface Attempt {
+  request: CallerRequest;
+  backend: Backend;
+  /** Present when the request is not repeatable. */
+  ledger: LedgerTarget | undefined;
+  deadlineMilliseconds: number | undefined;
+  signal: AbortSignal;
+}
+
+/** Holds the connections to agents. */
+export class AgentClient {
+  private readonly _token: string;
+  private readonly _dispatcher: Agent;
+
+  /** `token` proves this entry; `firstByteMilliseconds` bounds the wait for an answer to begin. */
+  constructor(token: string, firstByteMilliseconds: number) {
+    this._token = token;
+    this._dispatcher = new Agent({
+      pipelining: 1,
+      headersTimeout: firstByteMilliseconds,
+      bodyTimeout: firstByteMilliseconds,
+      keepAliveTimeout: 10_000,
+      connect: { timeout: 1_000 },
+    });
+  }
+
+  /** Never throws. */
+  async send(attempt: Attempt): Promise<AttemptResult> {
+    const { request, backend } = attempt;
+    const url = `http://${backend.address}:${backend.httpPort}/requests${request.path}`;
+    try {
+      const answer = await httpRequest(url, {
+        method: request.method as 'POST',
+        headers: headersOf(attempt, this._token),
+        body: request.body.length > 0 ? request.body : undefined,
+        dispatcher: this._dispatcher,
+        signal: attempt.signal,
+      });
+      return await resultOf(answer, request);
+    } catch (error) {
+      const neverSent = wasNeverSent(error);
+      const reason = neverSent ? 'backend-unreachable' : 'backend-lost';
+      return unreached(reason, neverSent ? 'not-run' : 'unknown');
+    }
+  }
+}
+
+type HttpAnswer = Awaited<ReturnType<typeof httpRequest>>;
+
+function headersOf(
+  { request, ledger, deadlineMilliseconds }: Attempt,
+  token: string,
+): Record<string, string> {
+  const headers: Record<string, string> = {
+    authorization: `Bearer ${token}`,
+    'content-type': request.contentType,
+    [HEADER.requestId]: request.id,
+    [HEADER.customer]: request.name.customer,
+    [HEADER.configuration]: request.name.configuration,
+    [HEADER.priority]: request.priority,
+    [HEADER.repeatable]: ledger ? 'no' : 'yes',
+  };
+  if (request.idempotencyKey) headers[HEADER.idempotencyKey] = request.idempotencyKey;
+  if (deadlineMilliseconds !== undefined)
+    headers[HEADER.deadline] = String(Math.max(1, Math.floor(deadlineMilliseconds)));
+  if (!ledger) return headers;
+  return {
+    ...headers,
+    [HEADER.slot]: String(ledger.slot),
+    [HEADER.slotEpoch]: String(ledger.slotEpoch),
+    [HEADER.slotTicketed]: ledger.ticketed ? 'yes' : 'no',
+    [HEADER.incarnation]: ledger.incarnation,
+  };
+}
+
+/** An answer that is not to this very request is never passed on. */
+async function resultOf(answer: HttpAnswer, request: CallerRequest): Promise<AttemptResult> {
+  const text = (name: string): string => String(answer.headers[name] ?? '');
+  const load =
+    text(HEADER.inFlight) === '' ? undefined : Number(text(HEADER.inFlight)) + Number(text(HEADER.queued));
+  if (text(HEADER.requestId) !== request.id || text(HEADER.customer) !== request.name.customer) {
+    answer.body.destroy();
+    return unreached('backend-lost', 'unknown');
+  }
+  if (text(HEADER.outcome) === 'answered') {
+    const { statusCode: status, body } = answer;
+    return {
+      kind: 'answer',
+      status,
+      contentType: text('content-type'),
+      version: text(HEADER.version),
+      body,
+      load,
+    };
+  }
+  await answer.body.dump();
+  return {
+    kind: 'refused',
+    reason: (text(HEADER.reason) || 'backend-lost') as RefusalReason,
+    outcome: text(HEADER.outcome) === 'not-run' ? 'not-run' : 'unknown',
+    status: answer.statusCode,
+    retryAfterMilliseconds: Number(text(HEADER.retryAfter) || '1') * 1000,
+    reached: true,
+    load,
+  };
+}
+
+function unreached(reason: RefusalReason, outcome: Outcome): AttemptResult {
+  const status = reason === 'backend-unreachable' ? 503 : 502;
+  return {
+    kind: 'refused',
+    reason,
+    outcome,
+    status,
+    retryAfterMilliseconds: 500,
+    reached: false,
+    load: undefined,
+  };
+}
--- /dev/null
+++ b/src/requests/fairQueue.ts
@@ -0,0 +1,217 @@
+/** Shares a box's slots among customers by weight, and among requests of one customer by priority. */
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { Priority } from '../protocol/headers.js';
+import type { Clock } from '../utils/clock.js';
+
+/** Why a request was not admitted. */
+export type AdmissionRefusal = 'queue-full' | 'deadline-too-close';
+
+/** A refusal and when to come back, in milliseconds from now. */
+export interface Refused {
+  reason: AdmissionRefusal;
+  retryAfterMilliseconds: number;
+}
+
+/** A request that asks for a slot. */
+export interface AdmissionRequest {
+  customer: string;
+  weight: number;
+  priority: Priority;
+  /** Milliseconds from now within which the answer is of use; undefined for no limit. */
+  deadlineMilliseconds: number | undefined;
+}
+
+/** A place in the queue or a slot. `release` ends it, in either state, and may be called twice. */
+export interface Admission {
+  /** Resolves true once the request may run, false when its deadline passed while it waited. */
+  ready: Promise<boolean>;
+  release(): void;
+}
+
+/** Sizes of the queue. */
+export interface FairQueueOptions {
+  slots: number;
+  /** Requests that may wait, per customer. */
+  waitingPerCustomer: number;
+  clock: Clock;
+}
+
+interface Waiting {
+  request: AdmissionRequest;
+  expiresAt: number;
+  start: (admitted: boolean) => void;
+}
+
+/** The requests of one customer, and how much of its share the customer has used. */
+interface CustomerQueue {
+  waiting: Record<Priority, Waiting[]>;
+  running: number;
+  /** Virtual time at which the customer's next request is due. */
+  virtualTime: number;
+}
+
+const PRIORITIES: readonly Priority[] = ['high', 'normal', 'low'];
+/** Weight of a new sample in the moving average of service times. */
+const AVERAGE_WEIGHT = 0.1;
+const FIRST_SERVICE_MILLISECONDS = 50;
+const SHORTEST_RETRY_MILLISECONDS = 200;
+
+/**
+ * Start-time fair queueing: the customer whose virtual time is lowest runs next; each run moves it on by one over
+ * its weight. A customer that was idle starts at the present virtual time, so it cannot save up. A refusal is given
+ * at once, when the queue of the customer is full or the expected wait is past the deadline.
+ */
+export class FairQueue {
+  private readonly _options: FairQueueOptions;
+  private readonly _customers = new Map<string, CustomerQueue>();
+  private _running = 0;
+  private _waitingCount = 0;
+  private _virtualNow = 0;
+  private _serviceMilliseconds = FIRST_SERVICE_MILLISECONDS;
+
+  constructor(options: FairQueueOptions) {
+    this._options = options;
+  }
+
+  get running(): number {
+    return this._running;
+  }
+
+  get waiting(): number {
+    return this._waitingCount;
+  }
+
+  get slots(): number {
+    return this._options.slots;
+  }
+
+  /** Admits a request to a slot or the queue, or refuses it at once. */
+  admit(request: AdmissionRequest): Result<Admission, Refused> {
+    const customer = this._customer(request.customer);
+    const queued = waitingOf(customer);
+    const expectedWait = this._expectedWait(customer, queued, request.weight);
+    if (queued >= this._options.waitingPerCustomer) return err(refused('queue-full', expectedWait));
+    const deadline = request.deadlineMilliseconds;
+    if (deadline !== undefined && expectedWait + this._serviceMilliseconds > deadline) {
+      return err(refused('deadline-too-close', expectedWait));
+    }
+    return ok(this._enqueue(customer, request));
+  }
+
+  /** Expected wait of a request that would be the next of its customer, in milliseconds. */
+  private _expectedWait(customer: CustomerQueue, queued: number, weight: number): number {
+    if (this._running < this._options.slots && queued === 0) return 0;
+    const share = Math.max(1, this._options.slots * this._shareOf(customer, weight));
+    return ((queued + 1) * this._serviceMilliseconds) / share;
+  }
+
+  /** The part of the slots that a customer gets beside the others that are busy now. */
+  private _shareOf(customer: CustomerQueue, weight: number): number {
+    let busy = 1;
+    for (const other of this._customers.values()) {
+      if (other !== customer && waitingOf(other) + other.running > 0) busy++;
+    }
+    return Math.min(1, weight / (weight + busy - 1));
+  }
+
+  private _enqueue(customer: CustomerQueue, request: AdmissionRequest): Admission {
+    const deadline = request.deadlineMilliseconds;
+    const expiresAt =
+      deadline === undefined ? Number.POSITIVE_INFINITY : this._options.clock.now() + deadline;
+    let startedAt: number | undefined;
+    let released = false;
+    let start!: (admitted: boolean) => void;
+    const ready = new Promise<boolean>((resolve) => {
+      start = (admitted) => {
+        if (admitted) startedAt = this._options.clock.now();
+        resolve(admitted);
+      };
+    });
+    const item: Waiting = { request, expiresAt, start };
+    if (waitingOf(customer) === 0 && customer.running === 0) {
+      customer.virtualTime = Math.max(customer.virtualTime, this._virtualNow);
+    }
+    customer.waiting[request.priority].push(item);
+    this._waitingCount++;
+    const release = (): void => {
+      if (released) return;
+      released = true;
+      if (startedAt === undefined) this._leaveQueue(customer, item);
+      else this._finish(customer, request.customer, this._options.clock.now() - startedAt);
+    };
+    this._runNext();
+    return { ready, release };
+  }
+
+  private _leaveQueue(customer: CustomerQueue, item: Waiting): void {
+    const queue = customer.waiting[item.request.priority];
+    const position = queue.indexOf(item);
+    if (position < 0) return;
+    queue.splice(position, 1);
+    this._waitingCount--;
+    item.start(false);
+  }
+
+  private _finish(customer: CustomerQueue, name: string, milliseconds: number): void {
+    customer.running--;
+    this._running--;
+    this._serviceMilliseconds += AVERAGE_WEIGHT * (milliseconds - this._serviceMilliseconds);
+    if (customer.running === 0 && waitingOf(customer) === 0 && customer.virtualTime <= this._virtualNow) {
+      this._customers.delete(name);
+    }
+    this._runNext();
+  }
+
+  private _runNext(): void {
+    while (this._running < this._options.slots) {
+      const customer = this._mostDue();
+      if (!customer) return;
+      const item = firstWaiting(customer)!;
+      customer.waiting[item.request.priority].shift();
+      this._waitingCount--;
+      if (item.expiresAt < this._options.clock.now()) {
+        item.start(false);
+        continue;
+      }
+      this._virtualNow = Math.max(this._virtualNow, customer.virtualTime);
+      customer.virtualTime += 1 / item.request.weight;
+      customer.running++;
+      this._running++;
+      item.start(true);
+    }
+  }
+
+  private _mostDue(): CustomerQueue | undefined {
+    let best: CustomerQueue | undefined;
+    for (const customer of this._customers.values()) {
+      if (waitingOf(customer) === 0) continue;
+      if (!best || customer.virtualTime < best.virtualTime) best = customer;
+    }
+    return best;
+  }
+
+  private _customer(name: string): CustomerQueue {
+    let customer = this._customers.get(name);
+    if (!customer) {
+      customer = { waiting: { high: [], normal: [], low: [] }, running: 0, virtualTime: this._virtualNow };
+      this._customers.set(name, customer);
+    }
+    return customer;
+  }
+}
+
+function waitingOf(customer: CustomerQueue): number {
+  return PRIORITIES.reduce((sum, priority) => sum + customer.waiting[priority].length, 0);
+}
+
+function firstWaiting(customer: CustomerQueue): Waiting | undefined {
+  for (const priority of PRIORITIES) {
+    if (customer.waiting[priority].length > 0) return customer.waiting[priority][0];
+  }
+  return undefined;
+}
+
+function refused(reason: AdmissionRefusal, expectedWait: number): Refused {
+  return { reason, retryAfterMilliseconds: Math.max(SHORTEST_RETRY_MILLISECONDS, Math.ceil(expectedWait)) };
+}
--- /dev/null
+++ b/src/requests/ledgerSlots.ts
@@ -0,0 +1,90 @@
+/** The table that says which agent incarnation remembers which part of a service's idempotency keys. Pure. */
+import { z } from 'zod';
+import type { LedgerSlot } from '../protocol/rolloutMessages.js';
+import { countSchema, nameSchema } from '../protocol/index.js';
+import { placementHash } from '../utils/hash.js';
+
+/** Parts of a service's key space. */
+export const LEDGER_SLOTS = 32;
+
+/** One slot's owner. `epoch` grows at each change of owner; `blind` when the owner before was lost. */
+export const slotOwnerSchema = z.object({
+  box: nameSchema,
+  incarnation: z.string(),
+  epoch: countSchema,
+  blind: z.boolean(),
+});
+export type SlotOwner = z.infer<typeof slotOwnerSchema>;
+
+/** The ledger object of a configuration. */
+export const ledgerRecordSchema = z.object({
+  slots: z.array(slotOwnerSchema).length(LEDGER_SLOTS),
+  changeId: z.string(),
+});
+export type LedgerRecord = z.infer<typeof ledgerRecordSchema>;
+
+/** An agent process that can own slots. */
+export interface LedgerCandidate {
+  box: string;
+  incarnation: string;
+}
+
+/** Returns the slot of a caller's key. */
+export function slotOfKey(key: string): number {
+  return placementHash('ledger', key) % LEDGER_SLOTS;
+}
+
+/**
+ * Gives every slot without an owner, or whose owner is proven gone, to the candidate with the fewest slots.
+ * A silent owner keeps its slots: it may still be running requests.
+ */
+export function assignSlots(
+  current: readonly SlotOwner[],
+  candidates: readonly LedgerCandidate[],
+  isGone: (owner: SlotOwner) => boolean,
+): SlotOwner[] {
+  const load = new Map(candidates.map((candidate) => [identityOf(candidate), 0]));
+  for (const owner of current) {
+    if (!isGone(owner)) load.set(identityOf(owner), (load.get(identityOf(owner)) ?? 0) + 1);
+  }
+  return Array.from({ length: LEDGER_SLOTS }, (_unused, slot) => {
+    const owner = current[slot];
+    if ((owner && !isGone(owner)) || candidates.length === 0) return owner;
+    const next = leastLoaded(candidates, load);
+    load.set(identityOf(next), load.get(identityOf(next))! + 1);
+    return { ...next, epoch: (owner?.epoch ?? 0) + 1, blind: owner !== undefined };
+  });
+}
+
+/** The slots of one incarnation, in the form of an order. */
+export function slotsOf(slots: readonly SlotOwner[], candidate: LedgerCandidate): LedgerSlot[] {
+  const own: LedgerSlot[] = [];
+  slots.forEach((owner, slot) => {
+    if (owner && identityOf(owner) === identityOf(candidate))
+      own.push({ slot, slotEpoch: owner.epoch, blind: owner.blind });
+  });
+  return own;
+}
+
+/** Hash of slots and their epochs, in any order; 0 for none. */
+export function ledgerHash(slots: readonly LedgerSlot[]): number {
+  return (
+    slots.reduce((hash, { slot, slotEpoch }) => hash ^ placementHash(String(slot), String(slotEpoch)), 0) >>>
+    0
+  );
+}
+
+function identityOf(candidate: LedgerCandidate): string {
+  return `${candidate.box}/${candidate.incarnation}`;
+}
+
+function leastLoaded(
+  candidates: readonly LedgerCandidate[],
+  load: ReadonlyMap<string, number>,
+): LedgerCandidate {
+  let best = candidates[0];
+  for (const candidate of candidates) {
+    if (load.get(identityOf(candidate))! < load.get(identityOf(best))!) best = candidate;
+  }
+  return { box: best.box, incarnation: best.incarnation };
+}
--- /dev/null
+++ b/src/requests/refusals.ts
@@ -0,0 +1,62 @@
+/** Why an agent or an entry did not run a request, and how callers are told. */
+import type { Outcome } from '../protocol/headers.js';
+
+/** Reasons as they travel in the `larklatch-reason` header. */
+export type RefusalReason =
+  | 'leaving'
+  | 'not-serving'
+  | 'other-version'
+  | 'queue-full'
+  | 'deadline-too-close'
+  | 'not-owner'
+  | 'already-started'
+  | 'uncertain'
+  | 'ledger-full'
+  | 'backend-unreachable'
+  | 'backend-lost'
+  | 'no-backend'
+  | 'isolated'
+  | 'cancelled';
+
+/** A final refusal of a request. */
+export interface Refusal {
+  reason: RefusalReason;
+  status: number;
+  outcome: Outcome;
+  retryAfterMilliseconds: number;
+}
+
+const DEFAULT_RETRY_MILLISECONDS = 500;
+
+const STATUS: Record<RefusalReason, number> = {
+  leaving: 503,
+  'not-serving': 503,
+  'other-version': 503,
+  'queue-full': 429,
+  'deadline-too-close': 503,
+  'not-owner': 503,
+  'already-started': 409,
+  uncertain: 409,
+  'ledger-full': 429,
+  'backend-unreachable': 503,
+  'backend-lost': 502,
+  'no-backend': 503,
+  isolated: 503,
+  cancelled: 499,
+};
+
+const UNKNOWN: ReadonlySet<RefusalReason> = new Set([
+  'already-started',
+  'uncertain',
+  'backend-lost',
+  'cancelled',
+]);
+
+/** Builds the refusal for a reason; `outcome` is `unknown` where the work may have started. */
+export function refusalFor(
+  reason: RefusalReason,
+  retryAfterMilliseconds = DEFAULT_RETRY_MILLISECONDS,
+): Refusal {
+  const outcome = UNKNOWN.has(reason) ? 'unknown' : 'not-run';
+  return { reason, status: STATUS[reason], outcome, retryAfterMilliseconds };
+}
--- /dev/null
+++ b/src/requests/requestRouter.ts
@@ -0,0 +1,238 @@
+/** Brings a caller's request to a box that runs it, or to a final refusal, at once. */
+import { randomUUID } from 'node:crypto';
+import { configurationKey, shortName } from '../configuration/recordKeys.js';
+import type { ParsedRecords } from '../configuration/parsedRecords.js';
+import type { Logger } from '../telemetry/logger.js';
+import type { Metrics } from '../telemetry/metrics.js';
+import type { Clock } from '../utils/clock.js';
+import type { Random } from '../utils/random.js';
+import { pause } from '../utils/timers.js';
+import type { Backend } from '../routing/backend.js';
+import { chooseBackend } from '../routing/backendChoice.js';
+import type { RouteTable } from '../routing/routeTable.js';
+import type { AgentAnswer, AgentClient, AttemptResult, LedgerTarget } from './agentClient.js';
+import type { CallerRequest } from './callerRequest.js';
+import { LEDGER_SLOTS, slotOfKey } from './ledgerSlots.js';
+import type { LedgerRecord, SlotOwner } from './ledgerSlots.js';
+import type { Refusal, RefusalReason } from './refusals.js';
+import { refusalFor } from './refusals.js';
+import type { RetryBudget } from './retryBudget.js';
+import { readTicket } from './ticket.js';
+
+/** What a router works with. */
+export interface RequestRouterOptions {
+  routes: RouteTable;
+  client: AgentClient;
+  ledgers: ParsedRecords<LedgerRecord>;
+  retries: RetryBudget;
+  sharedKey: string;
+  clock: Clock;
+  random: Random;
+  logger: Logger;
+  metrics: Metrics;
+  /** Whether this entry is cut off from the rest and must not send what may run once only. */
+  isIsolated: () => boolean;
+}
+
+/** An answer being delivered; `done` must be called when its body has ended, however it ended. */
+export interface RoutedAnswer {
+  answer: AgentAnswer;
+  backend: Backend;
+  done(): void;
+}
+
+export type RouteResult = { kind: 'routed'; routed: RoutedAnswer } | { kind: 'refused'; refusal: Refusal };
+
+/** Attempts at different boxes, the first included. */
+const MOST_ATTEMPTS = 4;
+/** Refusals after which another box may be asked without a price: nothing ran, and the box does not take part. */
+const FREE_RETRY: ReadonlySet<RefusalReason> = new Set(['leaving', 'not-serving', 'backend-unreachable']);
+/** Statuses of a backend server after which a repeatable request is tried elsewhere. */
+const OVERLOADED_STATUSES: ReadonlySet<number> = new Set([429, 502, 503]);
+/** How often, and how far apart, a moving ledger slot is looked up again. */
+const OWNER_TRIES = 5;
+const OWNER_PAUSE_MILLISECONDS = 60;
+
+/** One per entry. */
+export class RequestRouter {
+  private readonly _options: RequestRouterOptions;
+
+  constructor(options: RequestRouterOptions) {
+    this._options = options;
+  }
+
+  /** Runs a request. `left` is aborted when the caller has gone. */
+  async route(request: CallerRequest, left: AbortSignal): Promise<RouteResult> {
+    this._options.retries.onRequest();
+    return request.repeatable ? await this._repeatable(request, left) : await this._once(request, left);
+  }
+
+  private async _repeatable(request: CallerRequest, left: AbortSignal): Promise<RouteResult> {
+    const tried = new Set<string>();
+    let refusal = refusalFor('no-backend');
+    let mayHaveRun = false;
+    for (let attempt = 0; attempt < MOST_ATTEMPTS; attempt++) {
+      const backend = this._choose(request, tried);
+      if (!backend) break;
+      tried.add(backend.box);
+      const result = await this._attempt(request, backend, undefined, left);
+      const last = attempt === MOST_ATTEMPTS - 1;
+      if (result.kind === 'answer' && (last || !OVERLOADED_STATUSES.has(result.status)))
+        return this._routed(result, backend);
+      this._end(backend);
+      refusal = result.kind === 'answer' ? overloaded(result) : refusalOf(result);
+      mayHaveRun ||= refusal.outcome === 'unknown';
+      if (left.aborted || this._isPastDeadline(request)) break;
+      if (!FREE_RETRY.has(refusal.reason) && !this._options.retries.takeRetry()) break;
+    }
+    return this._refuse(request, mayHaveRun ? { ...refusal, outcome: 'unknown' } : refusal);
+  }
+
+  /** Sent to the one incarnation that owns the key's slot; whatever is not certain is `unknown`. */
+  private async _once(request: CallerRequest, left: AbortSignal): Promise<RouteResult> {
+    const callerKeyed = request.idempotencyKey !== '';
+    const unsent = (reason: RefusalReason): RouteResult => {
+      const refusal = refusalFor(reason);
+      // an earlier sending of the same key may have run: only the owner of its slot can say that it did not
+      return this._refuse(request, callerKeyed ? { ...refusal, outcome: 'unknown' } : refusal);
+    };
+    if (this._options.isIsolated()) return unsent('isolated');
+    let reason: RefusalReason = 'no-backend';
+    for (let attempt = 0; attempt < OWNER_TRIES && !left.aborted; attempt++) {
+      const owned = this._ownerFor(request);
+      if (owned === 'lost-epoch') return this._refuse(request, refusalFor('uncertain'));
+      if (owned) {
+        const result = await this._attempt(owned.request, owned.backend, owned.ledger, left);
+        if (result.kind === 'answer') return this._routed(result, owned.backend);
+        this._end(owned.backend);
+        reason = result.reason;
+        const movedOn = reason === 'not-owner' || !result.reached;
+        if (!movedOn || result.outcome === 'unknown') return this._refuse(request, refusalOf(result));
+      }
+      await pause(OWNER_PAUSE_MILLISECONDS);
+    }
+    return unsent(reason);
+  }
+
+  /** The owner of the request's slot; for a request without a key, a new key whose owner takes work. */
+  private _ownerFor(
+    request: CallerRequest,
+  ): { request: CallerRequest; backend: Backend; ledger: LedgerTarget } | 'lost-epoch' | undefined {
+    const table = this._options.ledgers.get(configurationKey('ledger', request.name));
+    if (!table) return undefined;
+    if (request.idempotencyKey === '') return this._freshOwner(request, table.slots);
+    const ticket = readTicket(this._options.sharedKey, shortName(request.name), request.idempotencyKey);
+    const slot = ticket ? ticket.slot : slotOfKey(request.idempotencyKey);
+    const owner = table.slots[slot];
+    if (!owner) return undefined;
+    if (ticket && ticket.slotEpoch < owner.epoch) return 'lost-epoch';
+    const backend = this._options.routes.owner(request.name, owner.box, owner.incarnation);
+    const slotEpoch = ticket?.slotEpoch ?? owner.epoch;
+    const ledger = { slot, slotEpoch, ticketed: ticket !== undefined, incarnation: owner.incarnation };
+    return backend && { request, backend, ledger };
+  }
+
+  private _freshOwner(
+    request: CallerRequest,
+    slots: readonly SlotOwner[],
+  ): { request: CallerRequest; backend: Backend; ledger: LedgerTarget } | undefined {
+    const first = this._options.random.integer(LEDGER_SLOTS);
+    for (let offset = 0; offset < LEDGER_SLOTS; offset++) {
+      const slot = (first + offset) % LEDGER_SLOTS;
+      const owner = slots[slot];
+      const backend = this._options.routes.owner(request.name, owner.box, owner.incarnation);
+      if (!backend || !this._options.routes.circuit(owner.box).allows) continue;
+      const ledger = { slot, slotEpoch: owner.epoch, ticketed: true, incarnation: owner.incarnation };
+      return { request: { ...request, idempotencyKey: randomUUID() }, backend, ledger };
+    }
+    return undefined;
+  }
+
+  private _choose(request: CallerRequest, tried: ReadonlySet<string>): Backend | undefined {
+    const { routes, clock, random, logger } = this._options;
+    const allows = (box: string): boolean => !tried.has(box) && routes.circuit(box).allows;
+    const { affinity } = request;
+    const choice = chooseBackend(routes.pool(request.name), { affinity, allows, now: clock.now() }, random);
+    if (!choice) return undefined;
+    const { box, hall, version } = choice.backend;
+    logger.decision('request.routed', {
+      request: request.id,
+      peer: box,
+      hall,
+      version,
+      reason: choice.reason,
+    });
+    return choice.backend;
+  }
+
+  private async _attempt(
+    request: CallerRequest,
+    backend: Backend,
+    ledger: LedgerTarget | undefined,
+    left: AbortSignal,
+  ): Promise<AttemptResult> {
+    const remaining = this._remaining(request);
+    const signal =
+      remaining === undefined ? left : AbortSignal.any([left, AbortSignal.timeout(Math.max(1, remaining))]);
+    backend.load.outstanding++;
+    const result = await this._options.client.send({
+      request,
+      backend,
+      ledger,
+      deadlineMilliseconds: remaining,
+      signal,
+    });
+    if (result.load !== undefined) backend.load.report(result.load, this._options.clock.now());
+    this._judge(backend, result, left);
+    return result;
+  }
+
+  /** A box that cannot be reached, or whose backend server cannot, is left alone for a while. */
+  private _judge(backend: Backend, result: AttemptResult, left: AbortSignal): void {
+    const circuit = this._options.routes.circuit(backend.box);
+    const failed = result.kind === 'refused' && (!result.reached || result.reason === 'backend-unreachable');
+    if (!failed) circuit.succeeded();
+    else if (!left.aborted) circuit.failed();
+  }
+
+  private _routed(answer: AgentAnswer, backend: Backend): RouteResult {
+    let ended = false;
+    const done = (): void => {
+      if (!ended) this._end(backend);
+      ended = true;
+    };
+    return { kind: 'routed', routed: { answer, backend, done } };
+  }
+
+  private _end(backend: Backend): void {
+    backend.load.outstanding--;
+  }
+
+  private _remaining(request: CallerRequest): number | undefined {
+    if (request.deadlineMilliseconds === undefined) return undefined;
+    return request.arrivedAt + request.deadlineMilliseconds - this._options.clock.now();
+  }
+
+  private _isPastDeadline(request: CallerRequest): boolean {
+    const remaining = this._remaining(request);
+    return remaining !== undefined && remaining <= 0;
+  }
+
+  private _refuse(request: CallerRequest, refusal: Refusal): RouteResult {
+    this._options.metrics.count('requests_refused', { reason: refusal.reason, outcome: refusal.outcome });
+    const { reason, outcome } = refusal;
+    this._options.logger.decision('request.refused', { request: request.id, reason, outcome });
+    return { kind: 'refused', refusal };
+  }
+}
+
+function refusalOf(result: Exclude<AttemptResult, AgentAnswer>): Refusal {
+  const { reason, status, outcome, retryAfterMilliseconds } = result;
+  return { reason, status, outcome, retryAfterMilliseconds };
+}
+
+/** A backend server's own refusal does not prove that nothing ran. */
+function overloaded(answer: AgentAnswer): Refusal {
+  answer.body.destroy();
+  return { ...refusalFor('backend-lost'), status: answer.status };
+}
--- /dev/null
+++ b/src/requests/ticket.ts
@@ -0,0 +1,31 @@
+/** Idempotency keys that the system itself hands out: they name the ledger slot and its epoch, and are signed. */
+import { randomUUID } from 'node:crypto';
+import { macOf, sameMac } from '../protocol/authentication.js';
+
+/** What a ticket proves: that its key was first usable under this epoch of the slot. */
+export interface Ticket {
+  slot: number;
+  slotEpoch: number;
+}
+
+const PREFIX = 'lk1';
+const MAC_LENGTH = 32;
+
+/** Makes a key for requests to `service` (`customer.configuration`). */
+export function issueTicket(sharedKey: string, service: string, ticket: Ticket): string {
+  const body = [PREFIX, ticket.slot, ticket.slotEpoch, randomUUID()].join('.');
+  return `${body}.${signature(sharedKey, service, body)}`;
+}
+
+/** Returns what a key made by {@link issueTicket} proves, undefined for any other key. */
+export function readTicket(sharedKey: string, service: string, key: string): Ticket | undefined {
+  const parts = key.split('.');
+  if (parts.length !== 5 || parts[0] !== PREFIX) return undefined;
+  const body = parts.slice(0, 4).join('.');
+  if (!sameMac(parts[4], signature(sharedKey, service, body))) return undefined;
+  return { slot: Number(parts[1]), slotEpoch: Number(parts[2]) };
+}
+
+function signature(sharedKey: string, service: string, body: string): string {
+  return macOf(sharedKey, 'ticket', service, body).slice(0, MAC_LENGTH);
+}
--- /dev/null
+++ b/src/rollout/ledgerAssigner.ts
@@ -0,0 +1,117 @@
+/** Keeps the ledger table of a configuration in step with the agents that live. */
+import { randomUUID } from 'node:crypto';
+import type { ConfigurationName } from '../configuration/recordKeys.js';
+import { configurationKey, shortName } from '../configuration/recordKeys.js';
+import type { Replica } from '../configuration/replica.js';
+import type { SafeWriter } from '../configuration/safeWriter.js';
+import type { AgentLinks } from '../membership/agentLinks.js';
+import type { BoxListFollower } from '../membership/boxListFollower.js';
+import type { LedgerCandidate, LedgerRecord, SlotOwner } from '../requests/ledgerSlots.js';
+import { assignSlots, ledgerHash, ledgerRecordSchema, slotsOf } from '../requests/ledgerSlots.js';
+import type { Logger } from '../telemetry/logger.js';
+import { errorText } from '../utils/stepError.js';
+import type { RolloutRecord } from './rolloutRecord.js';
+import type { RolloutBox } from './rolloutView.js';
+
+/** What an assigner works with. */
+export interface LedgerAssignerServices {
+  replica: Replica;
+  writer: SafeWriter;
+  boxes: BoxListFollower;
+  links: AgentLinks;
+  logger: Logger;
+}
+
+/** Writes the table first and tells the owners after, so that two incarnations never own a slot under one epoch. */
+export class LedgerAssigner {
+  private readonly _services: LedgerAssignerServices;
+  private readonly _name: ConfigurationName;
+  private readonly _epoch: () => number | undefined;
+
+  constructor(services: LedgerAssignerServices, name: ConfigurationName, epoch: () => number | undefined) {
+    this._services = services;
+    this._name = name;
+    this._epoch = epoch;
+  }
+
+  /** Assigns free slots once the first rollout is complete, and tells agents of theirs. */
+  async step(rollout: RolloutRecord, boxes: readonly RolloutBox[]): Promise<void> {
+    const key = configurationKey('ledger', this._name);
+    const table = parseLedger(this._services.replica.value(key));
+    if (!table && rollout.phase !== 'complete') return;
+    const candidates = ledgerCandidates(boxes);
+    if (candidates.length === 0) return;
+    const slots = assignSlots(table?.slots ?? [], candidates, (owner) => this._isGone(owner));
+    if (!table || changed(table.slots, slots)) {
+      const value = { slots, changeId: randomUUID() };
+      const outcome = await this._services.writer.put(key, value, this._services.replica.liveRevision(key));
+      this._services.logger.state('ledger.assigned', {
+        configuration: shortName(this._name),
+        outcome: outcome.kind,
+      });
+      if (outcome.kind !== 'written') return;
+    }
+    await this._tell(slots, boxes);
+  }
+
+  private _isGone(owner: SlotOwner): boolean {
+    return isOwnerGone(owner, this._services.boxes, this._services.links);
+  }
+
+  private async _tell(slots: readonly SlotOwner[], boxes: readonly RolloutBox[]): Promise<void> {
+    const epoch = this._epoch();
+    if (epoch === undefined) return;
+    const { customer, configuration } = this._name;
+    const untold = boxes.filter((box) => box.live && !knowsSlots(box, slots));
+    await Promise.all(
+      untold.map(async ({ box, link }) => {
+        const candidate = { box, incarnation: link!.report!.incarnation };
+        try {
+          await link!.order({
+            type: 'ledger',
+            customer,
+            configuration,
+            epoch,
+            slots: slotsOf(slots, candidate),
+          });
+        } catch (error) {
+          this._services.logger.state('ledger.failed', { peer: box, reason: errorText(error) });
+        }
+      }),
+    );
+  }
+}
+
+/** Reads a ledger object out of the replica. */
+export function parseLedger(value: unknown): LedgerRecord | undefined {
+  const parsed = ledgerRecordSchema.safeParse(value);
+  return parsed.success ? parsed.data : undefined;
+}
+
+/** Whether the agent has been told exactly the slots that the table gives it. */
+export function knowsSlots(box: RolloutBox, slots: readonly SlotOwner[]): boolean {
+  const incarnation = box.link?.report?.incarnation;
+  if (!incarnation || !box.report) return true;
+  return box.report.ledgerHash === ledgerHash(slotsOf(slots, { box: box.box, incarnation }));
+}
+
+/** Boxes that serve the configuration now. */
+export function ledgerCandidates(boxes: readonly RolloutBox[]): LedgerCandidate[] {
+  return boxes
+    .filter((box) => box.expected && box.live && box.report?.activeRollout)
+    .map(({ box, link }) => ({ box, incarnation: link!.report!.incarnation }));
+}
+
+/** Proof that an incarnation runs no more: another one answers on its box, or the platform has dropped the box. */
+export function isOwnerGone(owner: SlotOwner, boxes: BoxListFollower, links: AgentLinks): boolean {
+  if (!boxes.synchronised) return false;
+  if (!boxes.get(owner.box)) return true;
+  const link = links.get(owner.box);
+  return (
+    link?.connected === true && link.report !== undefined && link.report.incarnation !== owner.incarnation
+  );
+}
+
+function changed(before: readonly SlotOwner[], after: readonly SlotOwner[]): boolean {
+  return after.some((owner, slot) => owner !== before[slot]);
+}
--- /dev/null
+++ b/src/rollout/rolloutRecord.ts
@@ -0,0 +1,38 @@
+/** The rollout object of a configuration: what has been decided and must survive the coordinator. */
+import { z } from 'zod';
+import {
+  countSchema,
+  digestSchema,
+  nameSchema,
+  serviceKindSchema,
+  versionSchema,
+} from '../protocol/index.js';
+
+/** `staging` → `active` (boxes may switch) → `complete` (all live boxes have switched). */
+export const rolloutPhaseSchema = z.enum(['staging', 'active', 'complete']);
+export type RolloutPhase = z.infer<typeof rolloutPhaseSchema>;
+
+export const rolloutRecordSchema = z.object({
+  rollout: z.string(),
+  kind: serviceKindSchema,
+  model: nameSchema,
+  version: versionSchema,
+  manifestDigest: digestSchema,
+  totalBytes: countSchema,
+  phase: rolloutPhaseSchema,
+  /** Bytes that each agent incarnation (`box/incarnation`) has been allowed to draw from the origin. */
+  granted: z.record(z.string(), countSchema),
+  /** Why the rollout cannot go on, or ''. */
+  heldBack: z.string(),
+  startedAt: z.string(),
+  activatedAt: z.string(),
+  completedAt: z.string(),
+  changeId: z.string(),
+});
+export type RolloutRecord = z.infer<typeof rolloutRecordSchema>;
+
+/** Reads a record out of the replica; undefined when there is none or it does not parse. */
+export function parseRollout(value: unknown): RolloutRecord | undefined {
+  const parsed = rolloutRecordSchema.safeParse(value);
+  return parsed.success ? parsed.data : undefined;
+}
--- /dev/null
+++ b/src/rollout/workCheck.ts
@@ -0,0 +1,53 @@
+/** Whether a configuration needs a coordinator now. */
+import { configurationKey } from '../configuration/recordKeys.js';
+import type { Replica } from '../configuration/replica.js';
+import type { AgentLinks } from '../membership/agentLinks.js';
+import type { BoxListFollower } from '../membership/boxListFollower.js';
+import { assignSlots } from '../requests/ledgerSlots.js';
+import { isOwnerGone, knowsSlots, ledgerCandidates, parseLedger } from './ledgerAssigner.js';
+import type { RolloutRecord } from './rolloutRecord.js';
+import { parseRollout } from './rolloutRecord.js';
+import type { RolloutBox } from './rolloutView.js';
+import { rolloutBoxes, serviceReport } from './rolloutView.js';
+import type { WantedConfiguration } from './specifications.js';
+
+/** What the check looks at. */
+export interface WorkCheckView {
+  replica: Replica;
+  boxes: BoxListFollower;
+  links: AgentLinks;
+}
+
+/** Compares what is wanted with the rollout object, the agents' reports and the ledger table. */
+export function needsWork(wanted: WantedConfiguration, view: WorkCheckView): boolean {
+  const record = parseRollout(view.replica.value(configurationKey('rollout', wanted.name)));
+  if (wanted.withdrawn) return record !== undefined || isServedAnywhere(wanted, view.links);
+  const { specification } = wanted;
+  if (!specification) return false;
+  if (record?.phase !== 'complete') return true;
+  if (record.model !== specification.model || record.version !== specification.version) return true;
+  const boxes = rolloutBoxes(wanted.name, specification, view.boxes, view.links);
+  return boxes.some((box) => lacksVersion(box, record)) || ledgerNeedsWork(wanted, boxes, view);
+}
+
+function isServedAnywhere(wanted: WantedConfiguration, links: AgentLinks): boolean {
+  return links.all().some((link) => link.connected && serviceReport(link, wanted.name) !== undefined);
+}
+
+function lacksVersion(box: RolloutBox, record: RolloutRecord): boolean {
+  return box.expected && box.live && box.report?.activeRollout !== record.rollout;
+}
+
+function ledgerNeedsWork(
+  wanted: WantedConfiguration,
+  boxes: readonly RolloutBox[],
+  view: WorkCheckView,
+): boolean {
+  const candidates = ledgerCandidates(boxes);
+  if (candidates.length === 0) return false;
+  const table = parseLedger(view.replica.value(configurationKey('ledger', wanted.name)));
+  if (!table) return true;
+  const next = assignSlots(table.slots, candidates, (owner) => isOwnerGone(owner, view.boxes, view.links));
+  if (next.some((owner, slot) => owner !== table.slots[slot])) return true;
+  return boxes.some((box) => box.live && !knowsSlots(box, table.slots));
+}
--- /dev/null
+++ b/src/routing/backend.ts
@@ -0,0 +1,37 @@
+/** One box as the router sees it for one configuration. */
+
+/** Load and place of a box. `outstanding` is this entry's own count, and exact; the reported figures lag. */
+export interface Backend {
+  box: string;
+  hall: string;
+  address: string;
+  httpPort: number;
+  incarnation: string;
+  /** The version in service, '' never. */
+  version: string;
+  rollout: string;
+  capacity: number;
+  load: BoxLoad;
+}
+
+/** What an entry knows of a box's load, kept across reports. */
+export class BoxLoad {
+  /** Requests that this entry has sent and that have not ended. */
+  outstanding = 0;
+  private _othersReported = 0;
+  private _reportedAt = Number.NEGATIVE_INFINITY;
+
+  /** Takes a report or the load that came with an answer: requests on the box, this entry's included. */
+  report(requests: number, now: number): void {
+    this._othersReported = Math.max(0, requests - this.outstanding);
+    this._reportedAt = now;
+  }
+
+  /** Requests on the box; what others sent counts less as the report ages. */
+  estimate(now: number): number {
+    const age = now - this._reportedAt;
+    return this.outstanding + this._othersReported * 0.5 ** (age / HALF_LIFE_MILLISECONDS);
+  }
+}
+
+const HALF_LIFE_MILLISECONDS = 1_000;
--- /dev/null
+++ b/src/routing/backendChoice.ts
@@ -0,0 +1,72 @@
+/** Chooses the box for a request. Pure but for randomness. */
+import type { Random } from '../utils/random.js';
+import { rendezvousOrder } from '../utils/rendezvous.js';
+import type { Backend } from './backend.js';
+
+/** The boxes of one configuration, by distance from this entry. */
+export interface BackendPool {
+  sameHall: readonly Backend[];
+  otherHalls: readonly Backend[];
+}
+
+/** What a choice depends on. */
+export interface ChoiceRequest {
+  /** Hash key of customer and prompt prefix, '' for none: requests that share it like the same box. */
+  affinity: string;
+  /** Whether a box may be chosen: not tried before, circuit closed. */
+  allows: (box: string) => boolean;
+  now: number;
+}
+
+/** Why a box was chosen; goes into the decision log. */
+export type ChoiceReason = 'affinity' | 'less-loaded' | 'only-one';
+
+export interface Choice {
+  backend: Backend;
+  reason: ChoiceReason;
+}
+
+/** Requests over capacity, in parts of it, at which the own hall counts as full and others are looked at. */
+const FULL_LOAD = 1.5;
+/** How much busier the affine box may be, in parts of capacity, before the request goes elsewhere. */
+const AFFINITY_TOLERANCE = 0.5;
+
+/** The own hall first; there, the affine box unless it is much busier than another, else the less loaded of two. */
+export function chooseBackend(pool: BackendPool, request: ChoiceRequest, random: Random): Choice | undefined {
+  const near = pool.sameHall.filter((backend) => request.allows(backend.box));
+  const choice = chooseAmong(near, request, random);
+  if (choice && loadOf(choice.backend, request.now) < FULL_LOAD) return choice;
+  const far = pool.otherHalls.filter((backend) => request.allows(backend.box));
+  const other = chooseAmong(far, request, random);
+  if (!choice || !other) return choice ?? other;
+  return loadOf(other.backend, request.now) < loadOf(choice.backend, request.now) ? other : choice;
+}
+
+function chooseAmong(
+  candidates: readonly Backend[],
+  request: ChoiceRequest,
+  random: Random,
+): Choice | undefined {
+  if (candidates.length === 0) return undefined;
+  if (candidates.length === 1) return { backend: candidates[0], reason: 'only-one' };
+  const one = candidates[random.integer(candidates.length)];
+  const two = candidates[random.integer(candidates.length)];
+  const lighter = loadOf(one, request.now) <= loadOf(two, request.now) ? one : two;
+  const affine = affineBackend(candidates, request.affinity);
+  if (affine && loadOf(affine, request.now) <= loadOf(lighter, request.now) + AFFINITY_TOLERANCE) {
+    return { backend: affine, reason: 'affinity' };
+  }
+  return { backend: lighter, reason: 'less-loaded' };
+}
+
+/** Up to this many boxes all are ranked; beyond it the rank would cost more than the cache is worth. */
+const RANKED_BOXES = 64;
+
+function affineBackend(candidates: readonly Backend[], affinity: string): Backend | undefined {
+  if (affinity === '' || candidates.length > RANKED_BOXES) return undefined;
+  return rendezvousOrder(affinity, candidates, (backend) => backend.box)[0];
+}
+
+function loadOf(backend: Backend, now: number): number {
+  return backend.load.estimate(now) / backend.capacity;
+}
--- /dev/null
+++ b/src/routing/circuit.ts
@@ -0,0 +1,36 @@
+/** Keeps work from a box that fails: closed, open for a while, then one request to try. */
+import type { Clock } from '../utils/clock.js';
+
+const FAILURES_TO_OPEN = 3;
+const FIRST_OPEN_MILLISECONDS = 500;
+const LONGEST_OPEN_MILLISECONDS = 10_000;
+
+/** One per box. */
+export class Circuit {
+  private readonly _clock: Clock;
+  private _failures = 0;
+  private _openUntil = 0;
+  private _openMilliseconds = FIRST_OPEN_MILLISECONDS;
+
+  constructor(clock: Clock) {
+    this._clock = clock;
+  }
+
+  /** Whether a request may be sent. */
+  get allows(): boolean {
+    return this._clock.now() >= this._openUntil;
+  }
+
+  succeeded(): void {
+    this._failures = 0;
+    this._openMilliseconds = FIRST_OPEN_MILLISECONDS;
+  }
+
+  /** Counts a failure; after a few, and at once when the trial fails, the circuit opens for longer each time. */
+  failed(): void {
+    this._failures++;
+    if (this._failures < FAILURES_TO_OPEN) return;
+    this._openUntil = this._clock.now() + this._openMilliseconds;
+    this._openMilliseconds = Math.min(LONGEST_OPEN_MILLISECONDS, this._openMilliseconds * 2);
+  }
+}
--- /dev/null
+++ b/src/routing/routeTable.ts
@@ -0,0 +1,113 @@
+/** Which boxes serve which configuration, from the agents' own reports. */
+import type { ConfigurationName } from '../configuration/recordKeys.js';
+import { shortName } from '../configuration/recordKeys.js';
+import type { AgentLink } from '../membership/agentLink.js';
+import type { AgentLinks } from '../membership/agentLinks.js';
+import type { ServiceReport } from '../protocol/reportMessages.js';
+import type { Clock } from '../utils/clock.js';
+import type { Backend } from './backend.js';
+import { BoxLoad } from './backend.js';
+import type { BackendPool } from './backendChoice.js';
+import { Circuit } from './circuit.js';
+import { preferVersion } from './versionPreference.js';
+
+/** What an entry keeps of a box across reports. */
+interface BoxState {
+  load: BoxLoad;
+  circuit: Circuit;
+  reportedAt: number;
+}
+
+/** Rebuilt when a report or a link has changed, at the next question. */
+export class RouteTable {
+  private readonly _links: AgentLinks;
+  private readonly _hall: string;
+  private readonly _clock: Clock;
+  /** The rollout that callers should be served by, once it has been activated. */
+  private readonly _activatedRollout: (name: ConfigurationName) => string | undefined;
+  private readonly _boxes = new Map<string, BoxState>();
+  private _pools = new Map<string, Backend[]>();
+  private _stale = true;
+
+  constructor(
+    links: AgentLinks,
+    hall: string,
+    clock: Clock,
+    activatedRollout: (name: ConfigurationName) => string | undefined,
+  ) {
+    this._links = links;
+    this._hall = hall;
+    this._clock = clock;
+    this._activatedRollout = activatedRollout;
+    links.on('change', () => (this._stale = true));
+  }
+
+  /** Boxes that take work for a configuration now. */
+  pool(name: ConfigurationName): BackendPool {
+    if (this._stale) this._rebuild();
+    const all = this._pools.get(shortName(name)) ?? [];
+    const backends = preferVersion(all, this._activatedRollout(name));
+    return {
+      sameHall: backends.filter((backend) => backend.hall === this._hall),
+      otherHalls: backends.filter((backend) => backend.hall !== this._hall),
+    };
+  }
+
+  /** The box that runs an incarnation, if it takes work. */
+  owner(name: ConfigurationName, box: string, incarnation: string): Backend | undefined {
+    if (this._stale) this._rebuild();
+    return this._pools
+      .get(shortName(name))
+      ?.find((each) => each.box === box && each.incarnation === incarnation);
+  }
+
+  circuit(box: string): Circuit {
+    return this._state(box).circuit;
+  }
+
+  private _state(box: string): BoxState {
+    let state = this._boxes.get(box);
+    if (!state) {
+      state = { load: new BoxLoad(), circuit: new Circuit(this._clock), reportedAt: 0 };
+      this._boxes.set(box, state);
+    }
+    return state;
+  }
+
+  private _rebuild(): void {
+    this._stale = false;
+    this._pools = new Map();
+    for (const link of this._links.all()) {
+      const { report } = link;
+      if (!link.live || !report?.backendUp || link.box.state === 'leaving') continue;
+      this._takeLoad(link);
+      for (const service of report.services) this._add(link, service);
+    }
+  }
+
+  private _takeLoad(link: AgentLink): void {
+    const state = this._state(link.box.box);
+    if (state.reportedAt === link.reportedAt) return;
+    state.reportedAt = link.reportedAt;
+    state.load.report(link.report!.inFlight + link.report!.queued, link.reportedAt);
+  }
+
+  private _add(link: AgentLink, service: ServiceReport): void {
+    if (service.activeVersion === '') return;
+    const { box, hall, address, httpPort } = link.box;
+    const name = shortName(service);
+    const backends = this._pools.get(name) ?? [];
+    backends.push({
+      box,
+      hall,
+      address,
+      httpPort,
+      incarnation: link.report!.incarnation,
+      version: service.activeVersion,
+      rollout: service.activeRollout,
+      capacity: link.report!.capacity,
+      load: this._state(box).load,
+    });
+    this._pools.set(name, backends);
+  }
+}
--- /dev/null
+++ b/src/settings/commonSettings.ts
@@ -0,0 +1,53 @@
+/** Settings that entries and agents share. */
+import { z } from 'zod';
+import { nameSchema } from '../protocol/names.js';
+
+const MAXIMUM_PORT = 65_535;
+const SHORTEST_KEY = 16;
+
+/** A TCP port; 0 lets the system choose. */
+export const portSetting = z.coerce
+  .number('a port from 0 to 65535')
+  .int('a port from 0 to 65535')
+  .min(0, 'a port from 0 to 65535')
+  .max(MAXIMUM_PORT, 'a port from 0 to 65535')
+  .default(0);
+
+/** An HTTP base URL without a trailing slash. */
+export const urlSetting = z
+  .string('an http URL, such as http://10.0.0.1:8080')
+  .regex(/^https?:\/\/[^/]+$/, 'an http URL without a path, such as http://10.0.0.1:8080');
+
+/** A whole number within bounds. */
+export function numberSetting(
+  minimum: number,
+  maximum: number,
+  standard: number,
+  unit: string,
+): z.ZodDefault<z.ZodCoercedNumber> {
+  const allowed = `a whole number of ${unit} from ${minimum} to ${maximum}`;
+  return z.coerce.number(allowed).int(allowed).min(minimum, allowed).max(maximum, allowed).default(standard);
+}
+
+export const commonSettings = {
+  box: nameSchema.describe('name of this box, as in the box list'),
+  hall: nameSchema.describe('hall in which this box stands'),
+  address: z.ipv4('an IPv4 address').default('127.0.0.1').describe('address to listen on and be reached at'),
+  httpPort: portSetting.describe('port for HTTP; 0 lets the system choose'),
+  controlPort: portSetting.describe('port for control connections; 0 lets the system choose'),
+  sharedKey: z
+    .string(`at least ${SHORTEST_KEY} characters`)
+    .min(SHORTEST_KEY, `at least ${SHORTEST_KEY} characters`)
+    .describe('key that all processes of the system share; best given as a variable'),
+  peerTimeoutMilliseconds: numberSetting(100, 60_000, 1_500, 'milliseconds').describe(
+    'silence after which a control connection counts as lost',
+  ),
+  drainMilliseconds: numberSetting(0, 3_600_000, 60_000, 'milliseconds').describe(
+    'longest time that a planned stop waits for requests in flight',
+  ),
+  seed: numberSetting(0, 2 ** 31 - 1, 1, 'any kind').describe('seed of random choices'),
+  log: z
+    .enum(['off', 'state', 'decision'], 'off, state or decision')
+    .default('state')
+    .describe('which lines are logged'),
+};
--- /dev/null
+++ b/src/weights/agentPeers.ts
@@ -0,0 +1,101 @@
+/** Control connections between agents: one per pair, shared by all rollouts. */
+import type { ControlConnection, ControlOptions } from '../protocol/controlConnection.js';
+import { ControlConnection as Connection } from '../protocol/controlConnection.js';
+import type { Message } from '../protocol/message.js';
+import type { Member } from '../protocol/rolloutMessages.js';
+import type { Logger } from '../telemetry/logger.js';
+import { Backoff } from '../utils/backoff.js';
+import type { Random } from '../utils/random.js';
+import { compareText } from '../utils/rendezvous.js';
+import { errorText } from '../utils/stepError.js';
+import { pause } from '../utils/timers.js';
+
+/** What hears of connections and their messages. */
+export interface AgentPeersListener {
+  onPeerUp(box: string): void;
+  onPeerDown(box: string): void;
+  onPeerMessage(box: string, message: Message): void;
+}
+
+const REDIAL = { firstMilliseconds: 50, longestMilliseconds: 2_000 };
+
+/** Dials wanted peers whose box sorts after ours; the others dial us. */
+export class AgentPeers {
+  private readonly _options: ControlOptions;
+  private readonly _random: Random;
+  private readonly _logger: Logger;
+  private readonly _listener: AgentPeersListener;
+  private readonly _wanted = new Map<string, Member>();
+  private readonly _connections = new Map<string, ControlConnection>();
+  private readonly _dialing = new Set<string>();
+  private readonly _stopped = new AbortController();
+
+  constructor(options: ControlOptions, random: Random, logger: Logger, listener: AgentPeersListener) {
+    this._options = options;
+    this._random = random;
+    this._logger = logger;
+    this._listener = listener;
+  }
+
+  isConnected(box: string): boolean {
+    return this._connections.has(box);
+  }
+
+  /** Sends to a connected peer; dropped otherwise. */
+  send(box: string, message: Message): void {
+    this._connections.get(box)?.send(message);
+  }
+
+  /** Keeps exactly these peers connected. */
+  want(members: readonly Member[]): void {
+    this._wanted.clear();
+    for (const member of members) this._wanted.set(member.box, member);
+    for (const member of members) this._dial(member);
+  }
+
+  /** Takes a connection that another agent opened. */
+  attach(connection: ControlConnection): void {
+    const { box } = connection.peer;
+    this._connections.get(box)?.close('replaced by a newer connection');
+    this._connections.set(box, connection);
+    connection.on('message', (message) => this._listener.onPeerMessage(box, message));
+    connection.once('close', (reason) => this._onClose(box, connection, reason));
+    this._listener.onPeerUp(box);
+    connection.start();
+  }
+
+  close(): void {
+    this._stopped.abort();
+    for (const connection of this._connections.values()) connection.close('shutting down');
+  }
+
+  private _onClose(box: string, connection: ControlConnection, reason: string): void {
+    if (this._connections.get(box) !== connection) return;
+    this._connections.delete(box);
+    this._logger.state('peer.down', { peer: box, reason });
+    this._listener.onPeerDown(box);
+    const member = this._wanted.get(box);
+    if (member) this._dial(member);
+  }
+
+  private _dial(member: Member): void {
+    const { box } = member;
+    const dialsUs = compareText(this._options.identity.box, box) > 0;
+    if (dialsUs || this._connections.has(box) || this._dialing.has(box)) return;
+    this._dialing.add(box);
+    void this._dialUntilConnected(member).finally(() => this._dialing.delete(box));
+  }
+
+  private async _dialUntilConnected(member: Member): Promise<void> {
+    const backoff = new Backoff(REDIAL, this._random);
+    while (this._wanted.has(member.box) && !this._stopped.signal.aborted) {
+      try {
+        this.attach(await Connection.connect(member.address, member.controlPort, this._options));
+        return;
+      } catch (error) {
+        this._logger.decision('peer.redial', { peer: member.box, reason: errorText(error) });
+        await pause(backoff.nextWait(), this._stopped.signal);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/weights/chainTopology.ts
@@ -0,0 +1,25 @@
+/** Baseline: boxes in a row, hall after hall; the first draws from the origin and each feeds the next. */
+import type { Member } from '../protocol/rolloutMessages.js';
+import { compareText } from '../utils/rendezvous.js';
+import type { Neighbour, Topology, TopologyPolicy } from './topology.js';
+
+export class ChainTopology implements TopologyPolicy {
+  topologyOf(box: string, members: readonly Member[]): Topology {
+    const row = inRow(members);
+    const position = row.findIndex((member) => member.box === box);
+    const ends = [row[position - 1], row[position + 1]].filter((member) => member !== undefined);
+    const neighbours: Neighbour[] = ends.map((member) => ({
+      member,
+      crossHall: member.hall !== row[position].hall,
+    }));
+    return { neighbours, importRank: () => 0 };
+  }
+
+  initialDraws(missing: readonly number[], members: readonly Member[]): Map<string, number[]> {
+    return new Map([[inRow(members)[0].box, [...missing]]]);
+  }
+}
+
+function inRow(members: readonly Member[]): Member[] {
+  return [...members].sort((a, b) => compareText(`${a.hall}/${a.box}`, `${b.hall}/${b.box}`));
+}
--- /dev/null
+++ b/src/weights/chunkPicker.ts
@@ -0,0 +1,131 @@
+/** Decides which chunk to fetch next, and from which neighbour. Pure but for its own bookkeeping. */
+import type { Bitset } from '../utils/bitset.js';
+import type { Clock } from '../utils/clock.js';
+import type { Random } from '../utils/random.js';
+import type { PeerView } from './peerView.js';
+
+/** A decision of the picker. */
+export interface Pick {
+  chunk: number;
+  peer: PeerView;
+}
+
+/** What the picker is built from. */
+export interface ChunkPickerOptions {
+  held: Bitset;
+  clock: Clock;
+  random: Random;
+  /** See Topology.importRank. */
+  importRank: (chunk: number) => number | undefined;
+  /** How long a gateway waits, per rank, before it fetches in place of the one before it. */
+  importStepMilliseconds: number;
+  /** Most fetches under way from one peer. */
+  fetchesPerPeer: number;
+}
+
+/**
+ * Rarest chunk first. A chunk that a neighbour of the own hall holds is never fetched from another hall; one that
+ * only other halls hold is fetched by the gateway whose turn it is, and before all others.
+ */
+export class ChunkPicker {
+  private readonly _options: ChunkPickerOptions;
+  private readonly _peers = new Map<string, PeerView>();
+  private readonly _inFlight = new Set<number>();
+  private readonly _hallHolders: Uint16Array;
+  private readonly _remoteSince: Float64Array;
+
+  constructor(options: ChunkPickerOptions) {
+    this._options = options;
+    this._hallHolders = new Uint16Array(options.held.size);
+    this._remoteSince = new Float64Array(options.held.size).fill(Number.POSITIVE_INFINITY);
+  }
+
+  addPeer(peer: PeerView): void {
+    this._peers.set(peer.box, peer);
+  }
+
+  peer(box: string): PeerView | undefined {
+    return this._peers.get(box);
+  }
+
+  peers(): Iterable<PeerView> {
+    return this._peers.values();
+  }
+
+  /** Notes that `peer` holds `chunk`. */
+  noteHeld(peer: PeerView, chunk: number): void {
+    if (!peer.held.add(chunk)) return;
+    if (!peer.crossHall) this._hallHolders[chunk]++;
+    else if (this._remoteSince[chunk] === Number.POSITIVE_INFINITY)
+      this._remoteSince[chunk] = this._options.clock.now();
+  }
+
+  /** Forgets what a disconnected peer held. */
+  removePeer(peer: PeerView): void {
+    this._peers.delete(peer.box);
+    if (peer.crossHall) return;
+    for (let chunk = 0; chunk < peer.held.size; chunk++) {
+      if (peer.held.has(chunk)) this._hallHolders[chunk]--;
+    }
+  }
+
+  /** Marks a chunk as being fetched or drawn. */
+  begin(chunk: number): void {
+    this._inFlight.add(chunk);
+  }
+
+  /** Ends {@link ChunkPicker.begin}. */
+  end(chunk: number): void {
+    this._inFlight.delete(chunk);
+  }
+
+  isInFlight(chunk: number): boolean {
+    return this._inFlight.has(chunk);
+  }
+
+  /** Returns the next fetch, or undefined when there is nothing to fetch now. */
+  next(): Pick | undefined {
+    const wanted = this._wanted();
+    for (const chunk of wanted) {
+      const peer = this._bestHolder(chunk);
+      if (peer) return { chunk, peer };
+    }
+    return undefined;
+  }
+
+  /** Chunks worth fetching: imports first, then rarest first; equals in random order. */
+  private _wanted(): number[] {
+    const { held, random } = this._options;
+    const wanted: { chunk: number; order: number }[] = [];
+    for (let chunk = 0; chunk < held.size; chunk++) {
+      if (held.has(chunk) || this._inFlight.has(chunk)) continue;
+      const holders = this._hallHolders[chunk];
+      if (holders > 0 || this._mayImport(chunk)) wanted.push({ chunk, order: holders + random.fraction() });
+    }
+    return wanted.sort((a, b) => a.order - b.order).map((item) => item.chunk);
+  }
+
+  private _mayImport(chunk: number): boolean {
+    const rank = this._options.importRank(chunk);
+    if (rank === undefined) return false;
+    const waited = this._options.clock.now() - this._remoteSince[chunk];
+    return waited >= rank * this._options.importStepMilliseconds;
+  }
+
+  /** The least loaded usable holder; other halls only when no neighbour of the own hall holds the chunk. */
+  private _bestHolder(chunk: number): PeerView | undefined {
+    const now = this._options.clock.now();
+    const crossHall = this._hallHolders[chunk] === 0;
+    let best: PeerView | undefined;
+    for (const peer of this._peers.values()) {
+      if (peer.crossHall !== crossHall || !peer.held.has(chunk) || !peer.usable(now)) continue;
+      if (peer.inFlight >= this._options.fetchesPerPeer) continue;
+      if (!best || loadOf(peer) < loadOf(best)) best = peer;
+    }
+    return best;
+  }
+}
+
+function loadOf(peer: PeerView): number {
+  return peer.inFlight + peer.uploadQueue;
+}
--- /dev/null
+++ b/src/weights/directTopology.ts
@@ -0,0 +1,13 @@
+/** Baseline: every box draws every chunk from the origin. */
+import type { Member } from '../protocol/rolloutMessages.js';
+import type { Topology, TopologyPolicy } from './topology.js';
+
+export class DirectTopology implements TopologyPolicy {
+  topologyOf(): Topology {
+    return { neighbours: [], importRank: () => undefined };
+  }
+
+  initialDraws(missing: readonly number[], members: readonly Member[]): Map<string, number[]> {
+    return new Map(members.map((member) => [member.box, [...missing]]));
+  }
+}
--- /dev/null
+++ b/src/weights/exchangeTopology.ts
@@ -0,0 +1,91 @@
+/**
+ * The chosen layout: boxes of a hall exchange among themselves; a few gateways per hall fetch each chunk from
+ * another hall once; a few of the gateways draw from the origin. See docs/decisions/0001-distribution.md.
+ */
+import type { Member } from '../protocol/rolloutMessages.js';
+import { compareText, rendezvousOrder } from '../utils/rendezvous.js';
+import type { Neighbour, Topology, TopologyPolicy } from './topology.js';
+
+/** Boxes per hall that exchange with other halls. */
+const GATEWAYS_PER_HALL = 8;
+/** Boxes that draw from the origin at the same time, over all halls; enough to fill its link with one box stalled. */
+const DRAWERS = 9;
+/** Up to this many boxes, all boxes of a hall know each other. */
+const FULL_MESH_BOXES = 16;
+
+/** One hall of a rollout; both lists are in the same order at every process. */
+interface HallLayout {
+  hall: string;
+  members: Member[];
+  gateways: Member[];
+}
+
+export class ExchangeTopology implements TopologyPolicy {
+  topologyOf(box: string, members: readonly Member[]): Topology {
+    const halls = hallLayouts(members);
+    const own = halls.find((layout) => layout.members.some((member) => member.box === box));
+    if (!own) return { neighbours: [], importRank: () => undefined };
+    const gatewayIndex = own.gateways.findIndex((member) => member.box === box);
+    const neighbours = [
+      ...hallNeighbours(own, box),
+      ...(gatewayIndex < 0 ? [] : crossNeighbours(halls, own)),
+    ];
+    return { neighbours, importRank: (chunk) => importRank(chunk, gatewayIndex, own.gateways.length) };
+  }
+
+  initialDraws(missing: readonly number[], members: readonly Member[]): Map<string, number[]> {
+    const drawers = drawersOf(hallLayouts(members));
+    const draws = new Map<string, number[]>();
+    missing.forEach((chunk, position) => {
+      const { box } = drawers[position % drawers.length];
+      draws.set(box, [...(draws.get(box) ?? []), chunk]);
+    });
+    return draws;
+  }
+}
+
+function hallLayouts(members: readonly Member[]): HallLayout[] {
+  const halls = [...new Set(members.map((member) => member.hall))].sort(compareText);
+  return halls.map((hall) => {
+    const inHall = members.filter((member) => member.hall === hall);
+    const ordered = rendezvousOrder('layout', inHall, (member) => member.box);
+    return { hall, members: ordered, gateways: ordered.slice(0, GATEWAYS_PER_HALL) };
+  });
+}
+
+/** Takes gateways in turn from each hall. */
+function drawersOf(halls: readonly HallLayout[]): Member[] {
+  const drawers: Member[] = [];
+  for (let rank = 0; rank < GATEWAYS_PER_HALL && drawers.length < DRAWERS; rank++) {
+    for (const { gateways } of halls) {
+      if (gateways[rank] && drawers.length < DRAWERS) drawers.push(gateways[rank]);
+    }
+  }
+  return drawers;
+}
+
+/** All boxes of a small hall; in a large one those at distances 1, 2, 4, … around a ring. */
+function hallNeighbours(layout: HallLayout, box: string): Neighbour[] {
+  const { members } = layout;
+  const self = members.findIndex((member) => member.box === box);
+  const chosen = new Set<number>();
+  const step =
+    members.length <= FULL_MESH_BOXES
+      ? (distance: number) => distance + 1
+      : (distance: number) => distance * 2;
+  for (let distance = 1; distance <= members.length / 2; distance = step(distance)) {
+    chosen.add((self + distance) % members.length);
+    chosen.add((self - distance + members.length) % members.length);
+  }
+  return [...chosen].map((index) => ({ member: members[index], crossHall: false }));
+}
+
+function crossNeighbours(halls: readonly HallLayout[], own: HallLayout): Neighbour[] {
+  const others = halls.filter((layout) => layout !== own).flatMap((layout) => layout.gateways);
+  return others.map((member) => ({ member, crossHall: true }));
+}
+
+function importRank(chunk: number, gatewayIndex: number, gatewayCount: number): number | undefined {
+  if (gatewayIndex < 0) return undefined;
+  return (gatewayIndex - (chunk % gatewayCount) + gatewayCount) % gatewayCount;
+}
--- /dev/null
+++ b/src/weights/haveAnnouncer.ts
@@ -0,0 +1,31 @@
+/** Gathers newly held chunks and tells the neighbours about several at once. */
+
+/** How long new chunks are gathered. */
+const GATHER_MILLISECONDS = 20;
+
+export class HaveAnnouncer {
+  private readonly _announce: (chunks: number[]) => void;
+  private _fresh: number[] = [];
+  private _timer: NodeJS.Timeout | undefined;
+
+  constructor(announce: (chunks: number[]) => void) {
+    this._announce = announce;
+  }
+
+  /** Adds a chunk to the next announcement. */
+  add(chunk: number): void {
+    this._fresh.push(chunk);
+    this._timer ??= setTimeout(() => this._flush(), GATHER_MILLISECONDS);
+  }
+
+  stop(): void {
+    clearTimeout(this._timer);
+  }
+
+  private _flush(): void {
+    this._timer = undefined;
+    const chunks = this._fresh;
+    this._fresh = [];
+    this._announce(chunks);
+  }
+}
--- /dev/null
+++ b/src/weights/originDrawer.ts
@@ -0,0 +1,117 @@
+/** Draws granted chunks from the origin, one after the other. */
+import type { Origin } from '../platform/origin.js';
+import type { Logger } from '../telemetry/logger.js';
+import { Backoff } from '../utils/backoff.js';
+import type { Random } from '../utils/random.js';
+import { errorText } from '../utils/stepError.js';
+import { pause } from '../utils/timers.js';
+import type { TransferBounds } from './chunkSource.js';
+import { CorruptChunkError, receiveChunk } from './chunkSource.js';
+import type { ManifestIndex } from './manifestIndex.js';
+import type { TransferCounts } from './transferCounts.js';
+
+/** What a drawer works with. */
+export interface OriginDrawerOptions {
+  customer: string;
+  index: ManifestIndex;
+  origin: Origin;
+  bounds: TransferBounds;
+  counts: TransferCounts;
+  random: Random;
+  logger: Logger;
+  signal: AbortSignal;
+  isHeld: (chunk: number) => boolean;
+  isInFlight: (chunk: number) => boolean;
+  /** Marks a chunk as being drawn; the returned function ends it. */
+  begin: (chunk: number) => () => void;
+  store: (chunk: number, data: Buffer) => void;
+  onChange: () => void;
+}
+
+/** How a draw ended. `not-sent` cost the origin nothing and may be tried again under the same grant. */
+type DrawEnd = 'done' | 'failed' | 'not-sent';
+
+const DRAW_RETRY = { firstMilliseconds: 50, longestMilliseconds: 2_000 };
+
+/** Each grant allows one attempt that takes bytes, so that the origin budget holds whatever fails. */
+export class OriginDrawer {
+  private readonly _options: OriginDrawerOptions;
+  private readonly _open: number[] = [];
+  private readonly _failed = new Set<number>();
+  private _drawing = false;
+
+  constructor(options: OriginDrawerOptions) {
+    this._options = options;
+  }
+
+  /** Granted draws that have not ended, in order. */
+  get open(): readonly number[] {
+    return this._open;
+  }
+
+  /** Draws that took bytes and failed; each needs a new grant. */
+  get failed(): number[] {
+    return [...this._failed].filter((chunk) => !this._options.isHeld(chunk));
+  }
+
+  /** Queues draws. */
+  grant(chunks: readonly number[]): void {
+    for (const chunk of chunks) {
+      this._failed.delete(chunk);
+      if (!this._options.isHeld(chunk) && !this._open.includes(chunk)) this._open.push(chunk);
+    }
+    void this._drawAll();
+  }
+
+  /** Gives up all draws that have not begun, so that they can be granted to another box. */
+  dropWaiting(): void {
+    this._open.splice(1);
+  }
+
+  private async _drawAll(): Promise<void> {
+    if (this._drawing) return;
+    this._drawing = true;
+    const backoff = new Backoff(DRAW_RETRY, this._options.random);
+    while (this._open.length > 0 && !this._options.signal.aborted) {
+      const chunk = this._open[0];
+      const end = this._options.isInFlight(chunk) ? 'not-sent' : await this._draw(chunk);
+      if (end === 'not-sent') {
+        await pause(backoff.nextWait(), this._options.signal);
+        continue;
+      }
+      this._open.shift();
+      if (end === 'failed') this._failed.add(chunk);
+      backoff.reset();
+      this._options.onChange();
+    }
+    this._drawing = false;
+  }
+
+  private async _draw(chunk: number): Promise<DrawEnd> {
+    const { index, bounds, counts, logger, isHeld, begin, store } = this._options;
+    if (isHeld(chunk)) return 'done';
+    const before = counts.originBytes;
+    const onBytes = (bytes: number): void => {
+      counts.originBytes += bytes;
+    };
+    const end = begin(chunk);
+    try {
+      const open = (signal: AbortSignal): Promise<AsyncIterable<Buffer>> => this._read(chunk, signal);
+      store(chunk, await receiveChunk(index.chunk(chunk), bounds, open, onBytes, 'origin'));
+      return 'done';
+    } catch (error) {
+      if (error instanceof CorruptChunkError) counts.corruptChunks++;
+      logger.decision('draw.failed', { chunk, reason: errorText(error) });
+      return counts.originBytes > before ? 'failed' : 'not-sent';
+    } finally {
+      end();
+    }
+  }
+
+  private async _read(chunk: number, signal: AbortSignal): Promise<AsyncIterable<Buffer>> {
+    const { customer, index, origin } = this._options;
+    const { model, version } = index.manifest;
+    const range = { customer, model, version, offset: index.offset(chunk), length: index.chunk(chunk).size };
+    return await origin.read(range, AbortSignal.any([signal, this._options.signal]));
+  }
+}
--- /dev/null
+++ b/src/weights/topology.ts
@@ -0,0 +1,26 @@
+/** Who exchanges chunks with whom in a rollout. */
+import type { Member } from '../protocol/rolloutMessages.js';
+
+/** A peer of a rollout. */
+export interface Neighbour {
+  member: Member;
+  crossHall: boolean;
+}
+
+/** One box's place in a rollout. */
+export interface Topology {
+  readonly neighbours: readonly Neighbour[];
+  /**
+   * The box's turn to fetch a chunk from another hall: 0 for the box that does so at once, higher for boxes that
+   * step in later, undefined for a box that never does.
+   */
+  importRank(chunk: number): number | undefined;
+}
+
+/** Lays out a rollout. Every process computes the same from the same members. */
+export interface TopologyPolicy {
+  /** The place of `box` among `members`. */
+  topologyOf(box: string, members: readonly Member[]): Topology;
+  /** Which box draws which of the `missing` chunks from the origin at first. */
+  initialDraws(missing: readonly number[], members: readonly Member[]): Map<string, number[]>;
+}
--- /dev/null
+++ b/src/weights/transferCounts.ts
@@ -0,0 +1,10 @@
+/** Bytes that a rollout has moved to a box, by source. */
+export interface TransferCounts {
+  /** From the origin, wasted ones included. */
+  originBytes: number;
+  /** From agents of the own hall. */
+  peerBytes: number;
+  /** From agents of other halls. */
+  crossHallBytes: number;
+  corruptChunks: number;
+}
--- /dev/null
+++ b/standins/boxListStandin.ts
@@ -0,0 +1,41 @@
+/** Stand-in for the box list: boxes are put and removed over HTTP and show up after a lag. */
+import type { Box } from '../src/platform/boxList.js';
+import { StandinServer, sendJsonAnswer } from './standinServer.js';
+import type { StandinRequest } from './standinServer.js';
+
+/** Ways in which the box list can fail. */
+export interface BoxListFaults {
+  availability: 'up' | 'down';
+  /** How long a change takes to show, in milliseconds. */
+  lagMilliseconds: number;
+}
+
+/** Holds boxes in memory. `PUT /boxes/{box}` and `DELETE /boxes/{box}` change them. */
+export class BoxListStandin extends StandinServer<BoxListFaults> {
+  private readonly _boxes = new Map<string, Box>();
+  private _revision = 0;
+
+  constructor() {
+    super({ availability: 'up', lagMilliseconds: 0 });
+  }
+
+  protected override handle({ method, url, body, response }: StandinRequest): void {
+    const box = url.pathname.slice('/boxes/'.length);
+    if (method === 'PUT') this._later(() => this._boxes.set(box, body as Box));
+    if (method === 'DELETE') this._later(() => this._boxes.delete(box));
+    if (method === 'GET' && this.faults.availability === 'down') {
+      response.destroy();
+      return;
+    }
+    sendJsonAnswer(response, 200, { revision: this._revision, boxes: [...this._boxes.values()] });
+  }
+
+  private _later(change: () => void): void {
+    const apply = (): void => {
+      change();
+      this._revision++;
+    };
+    if (this.faults.lagMilliseconds === 0) apply();
+    else setTimeout(apply, this.faults.lagMilliseconds);
+  }
+}
--- /dev/null
+++ b/standins/localFleet.ts
@@ -0,0 +1,312 @@
+/** A fleet of real processes on loopback: stand-ins, entries and agents. Shared by demo, bench and tests. */
+import type { Box } from '../src/platform/boxList.js';
+import { sendJson } from '../src/platform/httpClient.js';
+import type { JsonAnswer } from '../src/platform/httpClient.js';
+import type { RolloutStatus } from '../src/entry/rolloutStatusBoard.js';
+import { sha256Hex } from '../src/utils/hash.js';
+import { pause } from '../src/utils/timers.js';
+import { Child } from './childProcess.js';
+import { commonSettings, numbered, prefixed } from './fleetSettings.js';
+import type { VersionRecipe } from './originStandin.js';
+
+/** Size and rates of a fleet. */
+export interface FleetOptions {
+  halls: readonly string[];
+  entriesPerHall: number;
+  modelBoxesPerHall: number;
+  plainBoxesPerHall?: number;
+  /** Rate of the origin's link; 0 for unlimited. */
+  originBytesPerSecond?: number;
+  /** Rate of each box's link, each way; 0 for unlimited. */
+  boxBytesPerSecond?: number;
+  /** More settings, by variable name without the prefix. */
+  entrySettings?: Record<string, string>;
+  agentSettings?: Record<string, string>;
+  engine?: Record<string, unknown>;
+  /** Boxes whose agent damages chunks that it sends. */
+  damagingBoxes?: readonly string[];
+}
+
+/** A box of the fleet. */
+export interface FleetBox {
+  name: string;
+  hall: string;
+  role: Box['role'];
+  child: Child;
+  httpUrl: string;
+  /** The backend server's URL, of agents. */
+  backendUrl: string;
+}
+
+/** A published version. */
+export interface PublishedVersion {
+  blobDigest: string;
+  totalBytes: number;
+}
+
+export const OPERATOR_KEY = 'operator-key-for-loopback';
+const TIMEOUT_MILLISECONDS = 15_000;
+const POLL_MILLISECONDS = 20;
+
+/** Started with {@link LocalFleet.start}; must be stopped. */
+export class LocalFleet {
+  readonly boxes = new Map<string, FleetBox>();
+  objectApiUrl = '';
+  boxListUrl = '';
+  originUrl = '';
+  private readonly _options: FleetOptions;
+  private readonly _standins: Child[] = [];
+
+  private constructor(options: FleetOptions) {
+    this._options = options;
+  }
+
+  static async start(options: FleetOptions): Promise<LocalFleet> {
+    const fleet = new LocalFleet(options);
+    try {
+      await fleet._startPlatform();
+      await Promise.all(options.halls.map((hall) => fleet._startHall(hall)));
+      await fleet._untilReady();
+    } catch (error) {
+      await fleet.stop();
+      throw error;
+    }
+    return fleet;
+  }
+
+  entries(): FleetBox[] {
+    return [...this.boxes.values()].filter((box) => box.role === 'entry' && box.child.running);
+  }
+
+  box(name: string): FleetBox {
+    const box = this.boxes.get(name);
+    if (!box) throw new Error(`no box ${name}`);
+    return box;
+  }
+
+  /** Names of the agents in front of engines, in order. */
+  modelBoxes(): string[] {
+    return this._named('model');
+  }
+
+  plainBoxes(): string[] {
+    return this._named('plain');
+  }
+
+  /** Sends an operator's request to an entry. */
+  async operate(
+    method: 'GET' | 'PUT' | 'DELETE',
+    path: string,
+    body?: unknown,
+    entry = this.entries()[0],
+  ): Promise<JsonAnswer> {
+    const headers = { authorization: `Bearer ${OPERATOR_KEY}` };
+    return await this._send(method, `${entry.httpUrl}${path}`, body, headers);
+  }
+
+  /** Sends an operator's request and throws unless it is accepted. */
+  async publish(path: string, body: unknown): Promise<void> {
+    const answer = await this.operate('PUT', path, body);
+    if (answer.status !== 200) throw new Error(`${path}: ${answer.status} ${JSON.stringify(answer.body)}`);
+  }
+
+  async addCustomer(name: string, apiKey: string): Promise<void> {
+    await this.publish(`/v1/customers/${name}`, { keyDigests: [sha256Hex(apiKey)] });
+  }
+
+  async publishVersion(recipe: VersionRecipe): Promise<PublishedVersion> {
+    const answer = await this._send('POST', `${this.originUrl}/_versions`, recipe);
+    return answer.body as PublishedVersion;
+  }
+
+  /** Sets faults of a stand-in by its URL. */
+  async setFaults(url: string, faults: object): Promise<void> {
+    await this._send('POST', `${url}/_faults`, faults);
+  }
+
+  async originBytes(): Promise<number> {
+    const answer = await this._send('GET', `${this.originUrl}/_counts`);
+    return (answer.body as { bytesSent: number }).bytesSent;
+  }
+
+  async read<T>(url: string): Promise<T> {
+    return (await this._send('GET', url)).body as T;
+  }
+
+  async rollout(customer: string, configuration: string, entry = this.entries()[0]): Promise<RolloutStatus> {
+    const answer = await this.operate('GET', `/v1/rollouts/${customer}/${configuration}`, undefined, entry);
+    return answer.body as RolloutStatus;
+  }
+
+  /** Polls until `condition` holds and returns its value. */
+  async until<T>(
+    what: string,
+    condition: () => Promise<T | undefined | false>,
+    timeoutMilliseconds = 30_000,
+  ): Promise<T> {
+    const deadline = performance.now() + timeoutMilliseconds;
+    while (performance.now() < deadline) {
+      const value = await condition().catch(() => undefined);
+      if (value !== undefined && value !== false) return value;
+      await pause(POLL_MILLISECONDS);
+    }
+    throw new Error(`not in time: ${what}`);
+  }
+
+  async untilComplete(
+    customer: string,
+    configuration: string,
+    version: string,
+    timeoutMilliseconds = 60_000,
+  ): Promise<RolloutStatus> {
+    return await this.until(
+      `${customer}.${configuration} ${version} complete`,
+      async () => {
+        const status = await this.rollout(customer, configuration);
+        return (
+          status.phase === 'complete' &&
+          status.wantedVersion === version &&
+          status.replicas === status.boxes &&
+          status
+        );
+      },
+      timeoutMilliseconds,
+    );
+  }
+
+  /** Takes a box off the box list. */
+  async unlist(name: string): Promise<void> {
+    await this._send('DELETE', `${this.boxListUrl}/boxes/${name}`);
+  }
+
+  /** Starts the agent or entry of a box anew, empty, and lists it. */
+  async restart(name: string): Promise<FleetBox> {
+    const old = this.box(name);
+    await old.child.end();
+    if (old.role === 'entry') return await this._startEntry(name, old.hall);
+    return await this._startAgent(name, old.hall, old.backendUrl);
+  }
+
+  /** Ends every process. */
+  async stop(): Promise<void> {
+    const children = [...this.boxes.values()].map((box) => box.child);
+    await Promise.all([...children, ...this._standins].map((child) => child.end()));
+  }
+
+  private _named(part: string): string[] {
+    const names = [...this.boxes.values()].filter((box) => box.role === 'agent').map((box) => box.name);
+    return names.filter((name) => name.includes(`-${part}-`)).sort();
+  }
+
+  private async _startPlatform(): Promise<void> {
+    this.objectApiUrl = (await this._standin('object-api', {}))[0];
+    this.boxListUrl = (await this._standin('box-list', {}))[0];
+    this.originUrl = (
+      await this._standin('origin', { bytesPerSecond: this._options.originBytesPerSecond ?? 0 })
+    )[0];
+  }
+
+  private async _standin(kind: string, options: object): Promise<string[]> {
+    const child = await Child.start({ script: 'standins/main.js', words: [kind, JSON.stringify(options)] });
+    this._standins.push(child);
+    return child.ready['urls'] as string[];
+  }
+
+  private async _startHall(hall: string): Promise<void> {
+    const { modelBoxesPerHall, plainBoxesPerHall = 0, engine } = this._options;
+    const engines =
+      modelBoxesPerHall > 0 ? await this._standin('engine', { ...engine, count: modelBoxesPerHall }) : [];
+    const plain = plainBoxesPerHall > 0 ? await this._standin('plain', { count: plainBoxesPerHall }) : [];
+    const entries = numbered(this._options.entriesPerHall).map((index) =>
+      this._startEntry(`${hall}-entry-${index}`, hall),
+    );
+    const models = engines.map((url, index) => this._startAgent(`${hall}-model-${index + 1}`, hall, url));
+    const plains = plain.map((url, index) => this._startAgent(`${hall}-plain-${index + 1}`, hall, url));
+    await Promise.all([...entries, ...models, ...plains]);
+  }
+
+  private async _startEntry(name: string, hall: string): Promise<FleetBox> {
+    const child = await Child.start({
+      script: 'src/cli/main.js',
+      words: ['entry'],
+      environment: {
+        ...commonSettings(name, hall, this.originUrl),
+        LARKLATCH_OBJECT_API_URL: this.objectApiUrl,
+        LARKLATCH_BOX_LIST_URL: this.boxListUrl,
+        LARKLATCH_OPERATOR_KEY: OPERATOR_KEY,
+        LARKLATCH_LEASE_MILLISECONDS: '3000',
+        LARKLATCH_BOX_LIST_MILLISECONDS: '200',
+        ...prefixed(this._options.entrySettings),
+      },
+    });
+    return await this._list(name, hall, 'entry', child, '');
+  }
+
+  private async _startAgent(name: string, hall: string, backendUrl: string): Promise<FleetBox> {
+    const damaging = this._options.damagingBoxes?.includes(name) ?? false;
+    const child = await Child.start({
+      script: damaging ? 'standins/faultyAgent.js' : 'src/cli/main.js',
+      words: damaging ? [] : ['agent'],
+      environment: {
+        ...commonSettings(name, hall, this.originUrl),
+        LARKLATCH_BACKEND_URL: backendUrl,
+        LARKLATCH_BACKEND_KIND: name.includes('-plain-') ? 'plain' : 'model',
+        LARKLATCH_WEIGHT_BYTES_PER_SECOND: String(this._options.boxBytesPerSecond ?? 0),
+        ...prefixed(this._options.agentSettings),
+      },
+    });
+    return await this._list(name, hall, 'agent', child, backendUrl);
+  }
+
+  private async _list(
+    name: string,
+    hall: string,
+    role: Box['role'],
+    child: Child,
+    backendUrl: string,
+  ): Promise<FleetBox> {
+    const { httpPort, controlPort } = child.ready as { httpPort: number; controlPort: number };
+    const box: Box = { box: name, role, hall, address: '127.0.0.1', httpPort, controlPort, state: 'live' };
+    await this._send('PUT', `${this.boxListUrl}/boxes/${name}`, box);
+    const fleetBox: FleetBox = {
+      name,
+      hall,
+      role,
+      child,
+      httpUrl: `http://127.0.0.1:${httpPort}`,
+      backendUrl,
+    };
+    this.boxes.set(name, fleetBox);
+    return fleetBox;
+  }
+
+  private async _untilReady(): Promise<void> {
+    const wanted = this.entries().length;
+    for (const entry of this.entries()) {
+      await this.until(
+        `${entry.name} ready`,
+        async () => (await this._send('GET', `${entry.httpUrl}/readyz`)).status === 200,
+      );
+      await this.until(`${entry.name} connected`, async () => {
+        const text = await (await fetch(`${entry.httpUrl}/metrics`)).text();
+        return text.includes(`larklatch_entry_peers ${wanted - 1}`);
+      });
+    }
+  }
+
+  private async _send(
+    method: 'GET' | 'PUT' | 'POST' | 'DELETE',
+    url: string,
+    body?: unknown,
+    headers = {},
+  ): Promise<JsonAnswer> {
+    return await sendJson({
+      step: 'fleet',
+      method,
+      url,
+      body,
+      headers,
+      timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+    });
+  }
+}
