Let each chunk cross into a hall once, and spread fetches over peers

Cause: a gateway stepped in for another after 400 ms although that one's fetch was only waiting in a queue, so 3.2 to 3.6 copies crossed halls; every holder announced every chunk to other halls; two fetches from one peer and two uploads at once slowed each chunk down.

Ruled out: bytes (the links were idle for a fifth of the time) and the origin (1.00 copies by T/4).

Conclusion: one fetch a peer, one upload at a time; importers step in at once only for gateways that are not connected, else after 2 s.

--- a/src/protocol/frameCodec.ts
+++ b/src/protocol/frameCodec.ts
@@ -6,9 +6,12 @@
 export const MAXIMUM_FRAME_BYTES = 8 * 1024 * 1024;
 const LENGTH_BYTES = 4;
 
+const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
+const decoder = new Decoder({ useRecords: false });
+
 /** Encodes one message as a frame. */
 export function encodeFrame(message: unknown): Buffer {
-  const body = new Encoder({ useRecords: false, tagUint8Array: false }).encode(message);
+  const body = encoder.encode(message);
   if (body.length > MAXIMUM_FRAME_BYTES)
     throw new StepError('frame.encode', `${body.length} bytes is over the limit`);
   const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
@@ -19,7 +22,6 @@
 
 /** Cuts a byte stream into frames and decodes them. */
 export class FrameReader {
-  private readonly _decoder = new Decoder({ useRecords: false });
   private _pending: Buffer[] = [];
   private _pendingBytes = 0;
 
@@ -55,7 +57,7 @@
 
   private _decode(body: Buffer): unknown {
     try {
-      return this._decoder.decode(body);
+      return decoder.decode(body);
     } catch (error) {
       throw new StepError('frame.decode', 'not a CBOR item', { cause: error });
     }
--- a/src/routing/backendChoice.ts
+++ b/src/routing/backendChoice.ts
@@ -49,8 +49,9 @@
 ): Choice | undefined {
   if (candidates.length === 0) return undefined;
   if (candidates.length === 1) return { backend: candidates[0], reason: 'only-one' };
-  const one = candidates[random.integer(candidates.length)];
-  const two = candidates[random.integer(candidates.length)];
+  const first = random.integer(candidates.length);
+  const one = candidates[first];
+  const two = candidates[(first + 1 + random.integer(candidates.length - 1)) % candidates.length];
   const lighter = loadOf(one, request.now) <= loadOf(two, request.now) ? one : two;
   const affine = affineBackend(candidates, request.affinity);
   if (affine && loadOf(affine, request.now) <= loadOf(lighter, request.now) + AFFINITY_TOLERANCE) {
--- a/src/weights/chainTopology.ts
+++ b/src/weights/chainTopology.ts
@@ -12,7 +12,7 @@
       member,
       crossHall: member.hall !== row[position].hall,
     }));
-    return { neighbours, importRank: () => 0 };
+    return { neighbours, importers: () => undefined };
   }
 
   initialDraws(missing: readonly number[], members: readonly Member[]): Map<string, number[]> {
--- a/src/weights/chunkPicker.ts
+++ b/src/weights/chunkPicker.ts
@@ -15,9 +15,10 @@
   held: Bitset;
   clock: Clock;
   random: Random;
-  /** See Topology.importRank. */
-  importRank: (chunk: number) => number | undefined;
-  /** How long a gateway waits, per rank, before it fetches in place of the one before it. */
+  box: string;
+  /** See Topology.importers. */
+  importers: (chunk: number) => readonly string[] | undefined;
+  /** How long a gateway waits for each connected one that comes before it. */
   importStepMilliseconds: number;
   /** Most fetches under way from one peer. */
   fetchesPerPeer: number;
@@ -106,10 +107,14 @@
   }
 
   private _mayImport(chunk: number): boolean {
-    const rank = this._options.importRank(chunk);
-    if (rank === undefined) return false;
+    if (this._remoteSince[chunk] === Number.POSITIVE_INFINITY) return false;
+    const importers = this._options.importers(chunk);
+    if (importers === undefined) return true;
+    const position = importers.indexOf(this._options.box);
+    if (position < 0) return false;
+    const before = importers.slice(0, position).filter((box) => this._peers.has(box)).length;
     const waited = this._options.clock.now() - this._remoteSince[chunk];
-    return waited >= rank * this._options.importStepMilliseconds;
+    return waited >= before * this._options.importStepMilliseconds;
   }
 
   /** The least loaded usable holder; other halls only when no neighbour of the own hall holds the chunk. */
--- a/src/weights/directTopology.ts
+++ b/src/weights/directTopology.ts
@@ -4,7 +4,7 @@
 
 export class DirectTopology implements TopologyPolicy {
   topologyOf(): Topology {
-    return { neighbours: [], importRank: () => undefined };
+    return { neighbours: [], importers: () => [] };
   }
 
   initialDraws(missing: readonly number[], members: readonly Member[]): Map<string, number[]> {
--- a/src/weights/exchangeTopology.ts
+++ b/src/weights/exchangeTopology.ts
@@ -24,13 +24,11 @@
   topologyOf(box: string, members: readonly Member[]): Topology {
     const halls = hallLayouts(members);
     const own = halls.find((layout) => layout.members.some((member) => member.box === box));
-    if (!own) return { neighbours: [], importRank: () => undefined };
-    const gatewayIndex = own.gateways.findIndex((member) => member.box === box);
-    const neighbours = [
-      ...hallNeighbours(own, box),
-      ...(gatewayIndex < 0 ? [] : crossNeighbours(halls, own)),
-    ];
-    return { neighbours, importRank: (chunk) => importRank(chunk, gatewayIndex, own.gateways.length) };
+    if (!own) return { neighbours: [], importers: () => [] };
+    const isGateway = own.gateways.some((member) => member.box === box);
+    const neighbours = [...hallNeighbours(own, box), ...(isGateway ? crossNeighbours(halls, own) : [])];
+    const gateways = own.gateways.map((member) => member.box);
+    return { neighbours, importers: (chunk) => rotated(gateways, chunk % gateways.length) };
   }
 
   initialDraws(missing: readonly number[], members: readonly Member[]): Map<string, number[]> {
@@ -64,7 +62,7 @@
   return drawers;
 }
 
-/** All boxes of a small hall; in a large one those at distances 1, 2, 4, … around a ring. */
+/** All boxes of a small hall; in a large one those at distances 1, 2, 4, … around a ring, and gateways all gateways. */
 function hallNeighbours(layout: HallLayout, box: string): Neighbour[] {
   const { members } = layout;
   const self = members.findIndex((member) => member.box === box);
@@ -77,6 +75,10 @@
     chosen.add((self + distance) % members.length);
     chosen.add((self - distance + members.length) % members.length);
   }
+  if (self < GATEWAYS_PER_HALL) layout.gateways.forEach((_gateway, index) => chosen.add(index));
+  chosen.delete(self);
+  if (self < GATEWAYS_PER_HALL) layout.gateways.forEach((_gateway, index) => chosen.add(index));
+  chosen.delete(self);
   return [...chosen].map((index) => ({ member: members[index], crossHall: false }));
 }
 
@@ -85,7 +87,6 @@
   return others.map((member) => ({ member, crossHall: true }));
 }
 
-function importRank(chunk: number, gatewayIndex: number, gatewayCount: number): number | undefined {
-  if (gatewayIndex < 0) return undefined;
-  return (gatewayIndex - (chunk % gatewayCount) + gatewayCount) % gatewayCount;
+function rotated(boxes: readonly string[], first: number): string[] {
+  return [...boxes.slice(first), ...boxes.slice(0, first)];
 }
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -24,11 +24,13 @@
 import type { UploadQueue } from './uploadQueue.js';
 
 /** Fetches under way at the same time; enough to keep the incoming link busy while some wait in a queue. */
-const FETCHES_AT_ONCE = 5;
-const FETCHES_PER_PEER = 2;
-const IMPORT_STEP_MILLISECONDS = 400;
+const FETCHES_AT_ONCE = 8;
+const FETCHES_PER_PEER = 1;
+const IMPORT_STEP_MILLISECONDS = 2_000;
 /** How long to wait before looking again when there is nothing to fetch. */
 const IDLE_RETRY_MILLISECONDS = 25;
+/** How often neighbours in other halls are told everything. */
+const REFRESH_MILLISECONDS = 2_000;
 const BUSY_PEER_MILLISECONDS = 40;
 const FAILED_PEER_MILLISECONDS = 500;
 
@@ -59,6 +61,8 @@
   private readonly _picker: ChunkPicker;
   private readonly _onChange: () => void;
   private readonly _drawer: OriginDrawer;
+  private readonly _brought = new Set<number>();
+  private readonly _refreshTimer = setInterval(() => this._refresh(), REFRESH_MILLISECONDS);
   private readonly _announcer = new HaveAnnouncer((chunks) => this._announce(chunks));
   private readonly _stopped = new AbortController();
   private _topology: Topology;
@@ -80,7 +84,8 @@
       held: this.held,
       clock: services.clock,
       random: services.random,
-      importRank: (chunk) => this._topology.importRank(chunk),
+      box: services.box,
+      importers: (chunk) => this._topology.importers(chunk),
       importStepMilliseconds: IMPORT_STEP_MILLISECONDS,
       fetchesPerPeer: FETCHES_PER_PEER,
     });
@@ -141,7 +146,7 @@
     const view = new PeerView(box, neighbour.crossHall, this.held.size);
     view.connected = true;
     this._picker.addPeer(view);
-    this._services.peers.send(box, { type: 'swarm-join', rollout: this.rollout, held: this.held.toBytes() });
+    this._sendJoin(box);
   }
 
   onPeerDown(box: string): void {
@@ -172,6 +177,7 @@
   stop(): void {
     this._stopped.abort();
     this._announcer.stop();
+    clearInterval(this._refreshTimer);
     clearTimeout(this._idleTimer);
   }
 
@@ -192,7 +198,7 @@
         this._picker.begin(chunk);
         return () => this._picker.end(chunk);
       },
-      store: (chunk, data) => this._store(chunk, data),
+      store: (chunk, data) => this._store(chunk, data, true),
       onChange: this._onChange,
     });
   }
@@ -237,7 +243,7 @@
     this._picker.begin(chunk);
     this._services.logger.decision('chunk.fetch', { rollout: this.rollout, chunk, peer: peer.box });
     try {
-      this._store(chunk, await this._receiveFromPeer(chunk, peer));
+      this._store(chunk, await this._receiveFromPeer(chunk, peer), peer.crossHall);
     } catch (error) {
       this._onFetchFailed(peer, error);
     } finally {
@@ -289,7 +295,8 @@
     return AbortSignal.any([signal, this._stopped.signal]);
   }
 
-  private _store(chunk: number, data: Buffer): void {
+  /** `brought` says that the chunk came from outside the hall, so that this box is the one that other halls ask. */
+  private _store(chunk: number, data: Buffer, brought: boolean): void {
     if (this._stopped.signal.aborted) return;
     const { store } = this._services;
     if (store.put(this._plan.customer, this._index.chunk(chunk).digest, data) === 'full') {
@@ -299,16 +306,34 @@
     }
     this.problem = '';
     if (!this.held.add(chunk)) return;
+    if (brought) this._brought.add(chunk);
     this._announcer.add(chunk);
     this._onChange();
   }
 
+  /** Other halls hear of a chunk only from the boxes that brought it into this one: each fetches it once. */
   private _announce(chunks: number[]): void {
     const uploadQueue = this._services.uploads.length;
+    const brought = chunks.filter(
+      (chunk) => this._brought.has(chunk) || this._topology.importers(chunk) === undefined,
+    );
+    for (const peer of this._picker.peers()) {
+      const news = peer.crossHall ? brought : chunks;
+      if (news.length === 0) continue;
+      this._services.peers.send(peer.box, { type: 'have', rollout: this.rollout, chunks: news, uploadQueue });
+    }
+  }
+
+  /** Tells other halls everything now and then, for when the box that brought a chunk is lost. */
+  private _refresh(): void {
     for (const peer of this._picker.peers()) {
-      this._services.peers.send(peer.box, { type: 'have', rollout: this.rollout, chunks, uploadQueue });
+      if (peer.crossHall && !peer.held.full) this._sendJoin(peer.box);
     }
   }
+
+  private _sendJoin(box: string): void {
+    this._services.peers.send(box, { type: 'swarm-join', rollout: this.rollout, held: this.held.toBytes() });
+  }
 }
 
 function byBox(neighbours: readonly Neighbour[]): Map<string, Neighbour> {
--- a/src/weights/topology.ts
+++ b/src/weights/topology.ts
@@ -11,10 +11,10 @@
 export interface Topology {
   readonly neighbours: readonly Neighbour[];
   /**
-   * The box's turn to fetch a chunk from another hall: 0 for the box that does so at once, higher for boxes that
-   * step in later, undefined for a box that never does.
+   * The boxes of the own hall that fetch a chunk from another hall, in the order in which they step in for each other;
+   * undefined where every box may fetch from every neighbour.
    */
-  importRank(chunk: number): number | undefined;
+  importers(chunk: number): readonly string[] | undefined;
 }
 
 /** Lays out a rollout. Every process computes the same from the same members. */
--- a/src/weights/uploadQueue.ts
+++ b/src/weights/uploadQueue.ts
@@ -4,8 +4,8 @@
 import { untilDrained } from '../utils/backpressure.js';
 import type { RateLimiter } from '../utils/rateLimiter.js';
 
-/** Chunks sent at the same time; two hide each other's latency. */
-const UPLOAD_SLOTS = 2;
+/** Chunks sent at the same time: one ends sooner, and so is passed on sooner, than two that share the link. */
+const UPLOAD_SLOTS = 1;
 /** Chunks that may wait for a slot. */
 const UPLOAD_QUEUE = 6;
 const PIECE_BYTES = 64 * 1024;
--- /dev/null
+++ b/tests/chunkPicker.spec.ts
@@ -0,0 +1,107 @@
+/** Which chunk is fetched next, from whom, and who fetches from another hall. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { ChunkPicker } from '../src/weights/chunkPicker.js';
+import { PeerView } from '../src/weights/peerView.js';
+import { Bitset } from '../src/utils/bitset.js';
+import { ManualClock } from '../src/utils/clock.js';
+import { SeededRandom } from '../src/utils/random.js';
+
+const CHUNKS = 8;
+const STEP = 1_000;
+
+interface Stage {
+  picker: ChunkPicker;
+  clock: ManualClock;
+  held: Bitset;
+  peer(box: string, chunks: number[], crossHall?: boolean): PeerView;
+}
+
+/** A box 'self'; importers of every chunk are 'first', then 'self'. */
+function stage(importers: readonly string[] | undefined = ['first', 'self']): Stage {
+  const clock = new ManualClock();
+  const held = new Bitset(CHUNKS);
+  const random = new SeededRandom(1);
+  const picker = new ChunkPicker({
+    box: 'self',
+    held,
+    clock,
+    random,
+    importers: () => importers,
+    importStepMilliseconds: STEP,
+    fetchesPerPeer: 1,
+  });
+  const peer = (box: string, chunks: number[], crossHall = false): PeerView => {
+    const view = new PeerView(box, crossHall, CHUNKS);
+    view.connected = true;
+    picker.addPeer(view);
+    for (const chunk of chunks) picker.noteHeld(view, chunk);
+    return view;
+  };
+  return { picker, clock, held, peer };
+}
+
+test('should pick the chunk that the fewest neighbours hold', () => {
+  const { picker, peer } = stage();
+  peer('a', [0, 1, 2]);
+  peer('b', [0, 1]);
+  expect(picker.next()?.chunk).toEqual(2);
+});
+
+test('should pick nothing that is held or being fetched', () => {
+  const { picker, held, peer } = stage();
+  peer('a', [0, 1]);
+  held.add(0);
+  picker.begin(1);
+  expect(picker.next()).toEqual(undefined);
+});
+
+test('should not ask a peer beyond its share of fetches', () => {
+  const { picker, peer } = stage();
+  peer('a', [0]).inFlight = 1;
+  expect(picker.next()).toEqual(undefined);
+});
+
+test('should leave a chunk of another hall to the gateway whose turn it is', () => {
+  const { picker, peer } = stage();
+  peer('first', []);
+  peer('far', [4], true);
+  expect(picker.next()).toEqual(undefined);
+});
+
+test('should step in for a gateway that does not fetch', () => {
+  const { picker, clock, peer } = stage();
+  peer('first', []);
+  peer('far', [4], true);
+  clock.advance(STEP);
+  expect(picker.next()?.peer.box).toEqual('far');
+});
+
+test('should step in at once for a gateway that is not connected', () => {
+  const { picker, peer } = stage();
+  peer('far', [4], true);
+  expect(picker.next()?.peer.box).toEqual('far');
+});
+
+test('should never fetch from another hall what a neighbour of its own holds', () => {
+  const { picker, clock, peer } = stage(['self']);
+  peer('far', [4], true);
+  const near = peer('near', [4]);
+  near.inFlight = 1;
+  clock.advance(STEP * 10);
+  expect(picker.next()).toEqual(undefined);
+});
+
+test('should forget what a lost neighbour held', () => {
+  const { picker, peer } = stage();
+  const lost = peer('a', [0]);
+  picker.removePeer(lost);
+  expect(picker.next()).toEqual(undefined);
+});
+
+test('should set a peer aside after repeated corrupt chunks', () => {
+  const { picker, peer } = stage();
+  const bad = peer('bad', [0]);
+  for (let count = 0; count < 3; count++) bad.countCorruptChunk();
+  expect(picker.next()).toEqual(undefined);
+});
--- /dev/null
+++ b/tests/controlConnection.spec.ts
@@ -0,0 +1,162 @@
+/** Control connections: proof of the shared key, bad frames, calls, silence. */
+import net from 'node:net';
+import { test } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import type { ControlOptions } from '../src/protocol/controlConnection.js';
+import { ControlConnection } from '../src/protocol/controlConnection.js';
+import { ControlServer } from '../src/protocol/controlServer.js';
+import { FrameReader, MAXIMUM_FRAME_BYTES, encodeFrame } from '../src/protocol/frameCodec.js';
+import { messageSchema } from '../src/protocol/message.js';
+
+function options(box: string, key = 'the-shared-key'): ControlOptions {
+  return { key, identity: { role: 'entry', box, hall: 'zagreb' }, peerTimeoutMilliseconds: 300 };
+}
+
+interface Pair {
+  server: ControlServer;
+  port: number;
+  accepted: Promise<ControlConnection>;
+  refused: Promise<string>;
+}
+
+async function listen(key?: string): Promise<Pair> {
+  let onAccepted!: (connection: ControlConnection) => void;
+  let onRefused!: (reason: string) => void;
+  const accepted = new Promise<ControlConnection>((resolve) => (onAccepted = resolve));
+  const refused = new Promise<string>((resolve) => (onRefused = resolve));
+  const server = new ControlServer(options('server', key), onAccepted, onRefused);
+  const port = await server.listen('127.0.0.1', 0);
+  return { server, port, accepted, refused };
+}
+
+test('should connect peers that share a key and tell each who the other is', async () => {
+  const { server, port, accepted } = await listen();
+  const client = await ControlConnection.connect('127.0.0.1', port, options('client'));
+  expect(client.peer.box).toEqual('server');
+  expect((await accepted).peer.box).toEqual('client');
+  client.close('done');
+  server.close();
+});
+
+test('should refuse a peer with another key', async () => {
+  const { server, port, refused } = await listen();
+  await expect(ControlConnection.connect('127.0.0.1', port, options('client', 'a-wrong-key'))).toBeRejected();
+  expect((await refused).includes('wrong shared key')).toEqual(true);
+  server.close();
+});
+
+test('should lose no message that comes before the listener does', async () => {
+  const { server, port, accepted } = await listen();
+  const client = await ControlConnection.connect('127.0.0.1', port, options('client'));
+  client.send({ type: 'entry-state', leaving: true });
+  const connection = await accepted;
+  const message = new Promise((resolve) => connection.once('message', resolve));
+  connection.start();
+  expect(await message).toEqual({ type: 'entry-state', leaving: true });
+  client.close('done');
+  server.close();
+});
+
+test('should match each reply to its call', async () => {
+  const { server, port, accepted } = await listen();
+  const client = await ControlConnection.connect('127.0.0.1', port, options('client'));
+  client.start();
+  const connection = await accepted;
+  const calls: number[] = [];
+  connection.on('message', (message) => {
+    if (message.type !== 'revision-query') return;
+    calls.push(message.call);
+    if (calls.length < 2) return;
+    for (const call of [...calls].reverse()) connection.reply(call, { accepted: true, revision: call });
+  });
+  connection.start();
+  const replies = await Promise.all(
+    ['a/b', 'c/d'].map((key) => client.call({ type: 'revision-query', key })),
+  );
+  expect(replies.map((reply) => reply.revision)).toEqual([1, 2]);
+  client.close('done');
+  server.close();
+});
+
+test('should end a call when the connection is lost', async () => {
+  const { server, port, accepted } = await listen();
+  const client = await ControlConnection.connect('127.0.0.1', port, options('client'));
+  const call = client.call({ type: 'revision-query', key: 'a/b' });
+  (await accepted).close('gone');
+  await expect(call).toBeRejected();
+  server.close();
+});
+
+test('should notice a peer that is silent', async () => {
+  const { server, port, accepted } = await listen();
+  const socket = net.connect(port, '127.0.0.1');
+  socket.on('error', () => undefined);
+  socket.resume();
+  const closed = new Promise((resolve) => socket.once('close', resolve));
+  await closed;
+  server.close();
+  void accepted;
+});
+
+test('should pass over a message of a type that it does not know', async () => {
+  const { server, port, accepted } = await listen();
+  const client = await ControlConnection.connect('127.0.0.1', port, options('client'));
+  const connection = await accepted;
+  const message = new Promise((resolve) => connection.once('message', resolve));
+  connection.start();
+  client.send({ type: 'from-a-later-version' } as never);
+  client.send({ type: 'entry-state', leaving: false });
+  expect(await message).toEqual({ type: 'entry-state', leaving: false });
+  client.close('done');
+  server.close();
+});
+
+test('should close a connection that sends a malformed message', async () => {
+  const { server, port, accepted } = await listen();
+  const client = await ControlConnection.connect('127.0.0.1', port, options('client'));
+  const connection = await accepted;
+  const closed = new Promise((resolve) => connection.once('close', resolve));
+  connection.start();
+  client.send({ type: 'entry-state', leaving: 'perhaps' } as never);
+  expect(String(await closed).includes('bad message')).toEqual(true);
+  server.close();
+});
+
+test('should read frames however the bytes are cut', () => {
+  const messages = [{ type: 'heartbeat' }, { type: 'entry-state', leaving: true }, { type: 'heartbeat' }];
+  const bytes = Buffer.concat(messages.map((message) => encodeFrame(message)));
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 1, max: 9 }), { minLength: 1 }), (sizes) => {
+      const reader = new FrameReader();
+      const read: unknown[] = [];
+      for (let start = 0, turn = 0; start < bytes.length; turn++) {
+        const size = sizes[turn % sizes.length];
+        read.push(...reader.push(bytes.subarray(start, start + size)));
+        start += size;
+      }
+      expect(read).toEqual(messages);
+    }),
+    { seed: 2 },
+  );
+});
+
+test('should refuse a frame over the limit before it has come', () => {
+  const header = Buffer.alloc(4);
+  header.writeUInt32BE(MAXIMUM_FRAME_BYTES + 1);
+  expect(() => new FrameReader().push(header)).toThrow();
+});
+
+test('should survive any bytes and any message', () => {
+  fc.assert(
+    fc.property(fc.uint8Array({ maxLength: 200 }), fc.anything(), (bytes, message) => {
+      try {
+        new FrameReader().push(Buffer.from(bytes));
+      } catch (error) {
+        expect((error as Error).name).toEqual('StepError');
+      }
+      messageSchema.safeParse(message);
+    }),
+    { seed: 9, numRuns: 500 },
+  );
+});
--- /dev/null
+++ b/tests/fairQueue.spec.ts
@@ -0,0 +1,129 @@
+/** Shares among customers, refusals at once, deadlines. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { Priority } from '../src/protocol/headers.js';
+import type { Admission } from '../src/requests/fairQueue.js';
+import { FairQueue } from '../src/requests/fairQueue.js';
+import { ManualClock } from '../src/utils/clock.js';
+
+interface Ask {
+  customer: string;
+  weight?: number;
+  priority?: Priority;
+  deadlineMilliseconds?: number;
+}
+
+function queueWith(slots: number, waitingPerCustomer = 1_000): { queue: FairQueue; clock: ManualClock } {
+  const clock = new ManualClock();
+  return { queue: new FairQueue({ slots, waitingPerCustomer, clock }), clock };
+}
+
+function admit(queue: FairQueue, ask: Ask): Admission {
+  const { customer, weight = 1, priority = 'normal', deadlineMilliseconds } = ask;
+  return queue.admit({ customer, weight, priority, deadlineMilliseconds })._unsafeUnwrap();
+}
+
+/** Admits requests, then serves them one after the other and returns the order of their names. */
+async function servedOrder(queue: FairQueue, asks: (Ask & { name: string })[]): Promise<string[]> {
+  const blocker = admit(queue, { customer: 'blocker' });
+  const order: string[] = [];
+  for (const ask of asks) {
+    const admission = admit(queue, ask);
+    void admission.ready.then((runs) => {
+      if (runs) order.push(ask.name);
+      admission.release();
+    });
+  }
+  blocker.release();
+  for (let turn = 0; turn < asks.length * 4; turn++) await Promise.resolve();
+  return order;
+}
+
+test('should alternate between a burst and a small customer', async () => {
+  const { queue } = queueWith(1);
+  const burst = Array.from({ length: 10 }, (_none, index) => ({ customer: 'large', name: `large-${index}` }));
+  const small = [0, 1, 2].map((index) => ({ customer: 'small', name: `small-${index}` }));
+  const order = await servedOrder(queue, [...burst, ...small]);
+  const last = order.indexOf('small-2');
+  expect(last <= 6).toEqual(true);
+  expect(order.length).toEqual(13);
+});
+
+test('should serve equal customers equally within five in a hundred', async () => {
+  const { queue } = queueWith(1);
+  const asks = ['a', 'b', 'c', 'd'].flatMap((customer) =>
+    Array.from({ length: 50 }, () => ({ customer, name: customer })),
+  );
+  const first = (await servedOrder(queue, asks)).slice(0, 100);
+  for (const customer of ['a', 'b', 'c', 'd']) {
+    const share = first.filter((name) => name === customer).length;
+    expect(Math.abs(share - 25) <= 1).toEqual(true);
+  }
+});
+
+test('should give a customer of twice the weight twice the share', async () => {
+  const { queue } = queueWith(1);
+  const asks = [
+    ...Array.from({ length: 60 }, () => ({ customer: 'heavy', weight: 2, name: 'heavy' })),
+    ...Array.from({ length: 60 }, () => ({ customer: 'light', weight: 1, name: 'light' })),
+  ];
+  const first = (await servedOrder(queue, asks)).slice(0, 60);
+  const heavy = first.filter((name) => name === 'heavy').length;
+  expect(heavy >= 38 && heavy <= 42).toEqual(true);
+});
+
+test('should run high priority first, within a customer only', async () => {
+  const { queue } = queueWith(1);
+  const order = await servedOrder(queue, [
+    { customer: 'a', priority: 'low', name: 'a-low' },
+    { customer: 'a', priority: 'high', name: 'a-high' },
+    { customer: 'b', priority: 'low', name: 'b-low' },
+  ]);
+  expect(order.indexOf('a-high') < order.indexOf('a-low')).toEqual(true);
+  expect(order.indexOf('b-low') < 2).toEqual(true);
+});
+
+test('should refuse at once when the queue of the customer is full, and say when to come back', () => {
+  const { queue } = queueWith(1, 2);
+  for (let index = 0; index < 3; index++) admit(queue, { customer: 'a' });
+  const refused = queue.admit({
+    customer: 'a',
+    weight: 1,
+    priority: 'normal',
+    deadlineMilliseconds: undefined,
+  });
+  expect(refused._unsafeUnwrapErr().reason).toEqual('queue-full');
+  expect(refused._unsafeUnwrapErr().retryAfterMilliseconds > 0).toEqual(true);
+  expect(
+    queue.admit({ customer: 'b', weight: 1, priority: 'normal', deadlineMilliseconds: undefined }).isOk(),
+  ).toEqual(true);
+});
+
+test('should refuse at once what cannot end before its deadline', () => {
+  const { queue } = queueWith(1);
+  for (let index = 0; index < 20; index++) admit(queue, { customer: 'a' });
+  const refused = queue.admit({ customer: 'a', weight: 1, priority: 'normal', deadlineMilliseconds: 100 });
+  expect(refused._unsafeUnwrapErr().reason).toEqual('deadline-too-close');
+});
+
+test('should not run a request whose deadline passed while it waited', async () => {
+  const { queue, clock } = queueWith(1);
+  const running = admit(queue, { customer: 'a' });
+  const waiting = admit(queue, { customer: 'b', deadlineMilliseconds: 200 });
+  clock.advance(201);
+  running.release();
+  expect(await waiting.ready).toEqual(false);
+  expect(queue.running).toEqual(0);
+});
+
+test('should free the place of a caller that leaves the queue', async () => {
+  const { queue } = queueWith(1);
+  const running = admit(queue, { customer: 'a' });
+  const waiting = admit(queue, { customer: 'a' });
+  waiting.release();
+  expect(await waiting.ready).toEqual(false);
+  expect(queue.waiting).toEqual(0);
+  running.release();
+  running.release();
+  expect(queue.running).toEqual(0);
+});
--- /dev/null
+++ b/tests/ledger.spec.ts
@@ -0,0 +1,163 @@
+/** At most once: what an agent's ledger lets run, step by step and fault by fault. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import type { LedgerRequest, LedgerVerdict } from '../src/requests/ledger.js';
+import { Ledger } from '../src/requests/ledger.js';
+import type { LedgerCandidate, SlotOwner } from '../src/requests/ledgerSlots.js';
+import { LEDGER_SLOTS, assignSlots, ledgerHash, slotsOf } from '../src/requests/ledgerSlots.js';
+import { issueTicket, readTicket } from '../src/requests/ticket.js';
+import { ManualClock } from '../src/utils/clock.js';
+
+const SERVICE = 'studio.turns';
+const LIFETIME = 1_000;
+
+function ledgerWith(maximumKeys = 100): { ledger: Ledger; clock: ManualClock } {
+  const clock = new ManualClock();
+  return { ledger: new Ledger({ clock, keyLifetimeMilliseconds: LIFETIME, maximumKeys }), clock };
+}
+
+function asked(request: Partial<LedgerRequest> = {}): LedgerRequest {
+  return { key: 'k', slot: 3, slotEpoch: 2, ticketed: false, ...request };
+}
+
+const CASES: {
+  what: string;
+  blind: boolean;
+  request: Partial<LedgerRequest>;
+  verdict: LedgerVerdict['kind'];
+}[] = [
+  { what: 'the owner, same epoch', blind: false, request: {}, verdict: 'run' },
+  { what: 'a slot of another box', blind: false, request: { slot: 4 }, verdict: 'not-owner' },
+  { what: 'an entry with a stale table', blind: false, request: { slotEpoch: 1 }, verdict: 'not-owner' },
+  { what: 'an entry with a newer table', blind: false, request: { slotEpoch: 3 }, verdict: 'not-owner' },
+  {
+    what: 'a ticket of a lost owner',
+    blind: false,
+    request: { slotEpoch: 1, ticketed: true },
+    verdict: 'uncertain',
+  },
+  { what: 'a bare key after the owner was lost', blind: true, request: {}, verdict: 'uncertain' },
+  {
+    what: 'a fresh ticket after the owner was lost',
+    blind: true,
+    request: { ticketed: true },
+    verdict: 'run',
+  },
+];
+
+for (const { what, blind, request, verdict } of CASES) {
+  test(`should answer ${verdict} to ${what}`, () => {
+    const { ledger } = ledgerWith();
+    ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind }]);
+    expect(ledger.check(SERVICE, asked(request)).kind).toEqual(verdict);
+  });
+}
+
+test('should let a key run once, also while it runs', () => {
+  const { ledger } = ledgerWith();
+  ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: false }]);
+  expect(ledger.check(SERVICE, asked()).kind).toEqual('run');
+  expect(ledger.check(SERVICE, asked()).kind).toEqual('started');
+  ledger.finish('k', undefined);
+  expect(ledger.check(SERVICE, asked()).kind).toEqual('started');
+});
+
+test('should give a kept answer again', () => {
+  const { ledger } = ledgerWith();
+  ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: false }]);
+  ledger.check(SERVICE, asked());
+  ledger.finish('k', { status: 200, contentType: 'text/plain', version: '1', body: Buffer.from('done') });
+  const verdict = ledger.check(SERVICE, asked());
+  expect(verdict.kind === 'answered' && verdict.answer.body.toString()).toEqual('done');
+});
+
+test('should let a key run that was certainly never sent', () => {
+  const { ledger } = ledgerWith();
+  ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: false }]);
+  ledger.check(SERVICE, asked());
+  ledger.cancel('k');
+  expect(ledger.check(SERVICE, asked()).kind).toEqual('run');
+});
+
+test('should refuse new keys rather than forget one that may still be sent again', () => {
+  const { ledger, clock } = ledgerWith(1);
+  ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: false }]);
+  ledger.check(SERVICE, asked({ key: 'first' }));
+  ledger.finish('first', undefined);
+  expect(ledger.check(SERVICE, asked({ key: 'second' })).kind).toEqual('full');
+  clock.advance(LIFETIME + 1);
+  expect(ledger.check(SERVICE, asked({ key: 'second' })).kind).toEqual('run');
+});
+
+test('should never forget a key that still runs', () => {
+  const { ledger, clock } = ledgerWith(1);
+  ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: false }]);
+  ledger.check(SERVICE, asked({ key: 'long' }));
+  clock.advance(LIFETIME * 10);
+  expect(ledger.check(SERVICE, asked({ key: 'other' })).kind).toEqual('full');
+  expect(ledger.check(SERVICE, asked({ key: 'long' })).kind).toEqual('started');
+});
+
+test('should see clearly again once every key of the lost owner has expired', () => {
+  const { ledger, clock } = ledgerWith();
+  ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: true }]);
+  clock.advance(LIFETIME);
+  expect(ledger.check(SERVICE, asked()).kind).toEqual('run');
+});
+
+test('should keep its sight when the same slots are assigned again', () => {
+  const { ledger, clock } = ledgerWith();
+  ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: true }]);
+  clock.advance(LIFETIME - 1);
+  ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: true }]);
+  clock.advance(1);
+  expect(ledger.check(SERVICE, asked()).kind).toEqual('run');
+});
+
+const BOXES: LedgerCandidate[] = ['a', 'b', 'c'].map((box) => ({ box, incarnation: `${box}1` }));
+
+test('should deal all slots evenly at first', () => {
+  const slots = assignSlots([], BOXES, () => false);
+  const counts = BOXES.map(({ box }) => slots.filter((owner) => owner.box === box).length);
+  expect(slots.length).toEqual(LEDGER_SLOTS);
+  expect(Math.max(...counts) - Math.min(...counts) <= 1).toEqual(true);
+  expect(slots.every((owner) => owner.epoch === 1 && !owner.blind)).toEqual(true);
+});
+
+test('should move only the slots of an owner that is proven gone, blind and under a new epoch', () => {
+  const before = assignSlots([], BOXES, () => false);
+  const after = assignSlots(before, BOXES.slice(1), (owner) => owner.box === 'a');
+  after.forEach((owner, slot) => {
+    if (before[slot].box === 'a') expect(owner.epoch === 2 && owner.blind && owner.box !== 'a').toEqual(true);
+    else expect(owner).toEqual(before[slot]);
+  });
+});
+
+test('should leave the slots of a silent owner where they are', () => {
+  const before = assignSlots([], BOXES, () => false);
+  expect(assignSlots(before, BOXES.slice(1), () => false)).toEqual(before);
+});
+
+test('should hash what the owner was told to the same value as the table', () => {
+  const slots: SlotOwner[] = assignSlots([], BOXES, () => false);
+  const { ledger } = ledgerWith();
+  ledger.assign(SERVICE, slotsOf(slots, BOXES[1]));
+  expect(ledger.hashOf(SERVICE)).toEqual(ledgerHash(slotsOf(slots, BOXES[1])));
+  expect(ledger.hashOf(SERVICE) === ledgerHash(slotsOf(slots, BOXES[0]))).toEqual(false);
+});
+
+test('should read its own tickets and no others', () => {
+  const ticket = issueTicket('a-shared-key', SERVICE, { slot: 7, slotEpoch: 4 });
+  expect(readTicket('a-shared-key', SERVICE, ticket)).toEqual({ slot: 7, slotEpoch: 4 });
+  expect(readTicket('another-key', SERVICE, ticket)).toEqual(undefined);
+  expect(readTicket('a-shared-key', 'other.turns', ticket)).toEqual(undefined);
+  expect(readTicket('a-shared-key', SERVICE, ticket.replace('.4.', '.5.'))).toEqual(undefined);
+});
+
+test('should take no text for a ticket', () => {
+  fc.assert(
+    fc.property(fc.string(), (text) => readTicket('a-shared-key', SERVICE, text) === undefined),
+    { seed: 5 },
+  );
+});
