--- /dev/null
+++ b/bench/controlBench.ts
@@ -0,0 +1,97 @@
+/** What control costs each daemon, and how it grows with agents, entries and configurations. */
+import { pause } from '../src/utils/timers.js';
+import { LocalFleet } from '../standins/localFleet.js';
+import { printLine } from './benchLine.js';
+import type { Usage } from './processUsage.js';
+import { meanUsage } from './processUsage.js';
+
+interface Shape {
+  agents: number;
+  entries: number;
+  configurations: number;
+}
+
+interface Figures {
+  shape: Shape;
+  entry: Usage;
+  agent: Usage;
+}
+
+const HALLS = ['zagreb', 'split', 'osijek'];
+const SETTLE_MILLISECONDS = 4_000;
+const MEASURE_MILLISECONDS = 10_000;
+const BASE: Shape = { agents: 6, entries: 3, configurations: 1 };
+const MEASURES: { name: string; unit: string; read: (usage: Usage) => number }[] = [
+  { name: 'control.bytesPerSecond', unit: 'bytes/s', read: (usage) => usage.bytesPerSecond },
+  { name: 'control.cpuPercent', unit: '% of a core', read: (usage) => usage.cpuPercent },
+  { name: 'control.residentMegabytes', unit: 'MB', read: (usage) => usage.residentMegabytes },
+];
+
+/** Measures a base fleet and one that is larger in each direction. */
+export async function benchControl(): Promise<void> {
+  const base = await measure(BASE);
+  for (const { name, unit, read } of MEASURES) {
+    for (const role of ['entry', 'agent'] as const) {
+      const value = read(base[role]);
+      printLine({ name, value, unit, baseline: null, conditions: `${role}, idle; ${textOf(BASE)}` });
+    }
+  }
+  for (const [dimension, larger] of [
+    ['agents', { ...BASE, agents: 30 }],
+    ['entries', { ...BASE, entries: 15 }],
+    ['configurations', { ...BASE, configurations: 101 }],
+  ] as const) {
+    printSlopes(dimension, base, await measure(larger));
+  }
+}
+
+function printSlopes(dimension: keyof Shape, base: Figures, larger: Figures): void {
+  const steps = larger.shape[dimension] - base.shape[dimension];
+  for (const { name, unit, read } of MEASURES) {
+    for (const role of ['entry', 'agent'] as const) {
+      const value = (read(larger[role]) - read(base[role])) / steps;
+      const conditions = `${role}, slope per ${dimension}; ${textOf(base.shape)} to ${textOf(larger.shape)}`;
+      printLine({ name, value, unit, baseline: null, conditions });
+    }
+  }
+}
+
+async function measure(shape: Shape): Promise<Figures> {
+  const fleet = await LocalFleet.start({
+    halls: HALLS,
+    entriesPerHall: shape.entries / HALLS.length,
+    modelBoxesPerHall: 0,
+    plainBoxesPerHall: shape.agents / HALLS.length,
+    entrySettings: { BOX_LIST_MILLISECONDS: '1000' },
+  });
+  try {
+    await fleet.addCustomer('studio', 'key');
+    const rollout = { kind: 'plain', model: 'turns', version: '1', boxes: { parameter: 'boxes' } };
+    await fleet.publish('/v1/templates/service', { parameters: { boxes: { type: 'boxes' } }, rollout });
+    const body = { template: 'service', parameters: { boxes: fleet.plainBoxes().slice(0, 3) } };
+    for (let index = 0; index < shape.configurations; index++) {
+      await fleet.publish(`/v1/configurations/studio/turns-${index}`, body);
+    }
+    const last = `turns-${shape.configurations - 1}`;
+    await fleet.untilComplete('studio', last, '1', 120_000);
+    await pause(SETTLE_MILLISECONDS);
+    const boxes = [...fleet.boxes.values()];
+    const [entry, agent] = await Promise.all([
+      meanUsage(
+        boxes.filter((box) => box.role === 'entry'),
+        MEASURE_MILLISECONDS,
+      ),
+      meanUsage(
+        boxes.filter((box) => box.role === 'agent'),
+        MEASURE_MILLISECONDS,
+      ),
+    ]);
+    return { shape, entry, agent };
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function textOf({ agents, entries, configurations }: Shape): string {
+  return `${agents} agents, ${entries} entries, ${configurations} configurations`;
+}
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,17 @@
+/** `npm run bench [-- PART ...]`: prints one JSON object a line. Parts: rollout, decisions, requests, control. */
+import { benchControl } from './controlBench.js';
+import { benchDecisions } from './decisionBench.js';
+import { benchRequests } from './requestBench.js';
+import { benchRollout } from './rolloutBench.js';
+
+const PARTS: Record<string, () => Promise<void>> = {
+  decisions: benchDecisions,
+  rollout: benchRollout,
+  requests: benchRequests,
+  control: benchControl,
+};
+
+const wanted = process.argv.slice(2);
+for (const [name, run] of Object.entries(PARTS)) {
+  if (wanted.length === 0 || wanted.includes(name)) await run();
+}
--- /dev/null
+++ b/bench/processUsage.ts
@@ -0,0 +1,48 @@
+/** Processor time, memory and control traffic of a daemon. */
+import { readFileSync } from 'node:fs';
+import { pause } from '../src/utils/timers.js';
+import type { FleetBox } from '../standins/localFleet.js';
+
+/** Use over an interval. */
+export interface Usage {
+  bytesPerSecond: number;
+  /** Of one core. */
+  cpuPercent: number;
+  residentMegabytes: number;
+}
+
+const TICKS_PER_SECOND = 100;
+const KILOBYTES_PER_MEGABYTE = 1024;
+
+/** Measures several daemons over the same interval and returns their mean. */
+export async function meanUsage(boxes: readonly FleetBox[], milliseconds: number): Promise<Usage> {
+  const before = await Promise.all(boxes.map((box) => sample(box)));
+  await pause(milliseconds);
+  const after = await Promise.all(boxes.map((box) => sample(box)));
+  const seconds = milliseconds / 1000;
+  const mean = (read: (index: number) => number): number =>
+    boxes.reduce((sum, _box, index) => sum + read(index), 0) / boxes.length;
+  return {
+    bytesPerSecond: mean((index) => (after[index].controlBytes - before[index].controlBytes) / seconds),
+    cpuPercent: mean(
+      (index) => ((after[index].ticks - before[index].ticks) / TICKS_PER_SECOND / seconds) * 100,
+    ),
+    residentMegabytes: mean((index) => after[index].residentMegabytes),
+  };
+}
+
+async function sample(
+  box: FleetBox,
+): Promise<{ controlBytes: number; ticks: number; residentMegabytes: number }> {
+  const metrics = await (await fetch(`${box.httpUrl}/metrics`)).text();
+  const controlBytes = Number(/^larklatch_control_bytes (\d+)$/m.exec(metrics)?.[1] ?? 0);
+  const stat = readFileSync(`/proc/${box.child.processId}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const status = readFileSync(`/proc/${box.child.processId}/status`, 'utf8');
+  const residentKilobytes = Number(/^VmRSS:\s+(\d+)/m.exec(status)?.[1] ?? 0);
+  return {
+    controlBytes,
+    ticks: Number(fields[11]) + Number(fields[12]),
+    residentMegabytes: residentKilobytes / KILOBYTES_PER_MEGABYTE,
+  };
+}
--- /dev/null
+++ b/bench/rolloutBench.ts
@@ -0,0 +1,126 @@
+/** Time to N replicas and origin bytes, with the baselines in the same run. */
+import { printLine } from './benchLine.js';
+import { breakFleet } from './rolloutFaults.js';
+import type { RolloutFigures, RolloutRunOptions } from './rolloutRun.js';
+import { measureRollout } from './rolloutRun.js';
+
+const KILOBYTE = 1024;
+
+const SMALL: RolloutRunOptions = {
+  distribution: 'exchange',
+  halls: ['zagreb', 'split', 'osijek'],
+  boxesPerHall: 8,
+  entriesPerHall: 1,
+  chunkBytes: 64 * KILOBYTE,
+  chunkCount: 64,
+  periodSeconds: 12,
+};
+const LARGE: RolloutRunOptions = { ...SMALL, chunkCount: 256, periodSeconds: 40 };
+const FAULTS_AFTER_MILLISECONDS = 4_000;
+const CHANGED_SHARE = 0.3;
+
+/** Baselines on a small model, the chosen layout on both sizes, with faults, and with a version that shares chunks. */
+export async function benchRollout(): Promise<void> {
+  const direct = await measureRollout({ ...SMALL, distribution: 'direct' });
+  const chain = await measureRollout({ ...SMALL, distribution: 'chain' });
+  const exchange = await measureRollout(SMALL);
+  printRatio(
+    'rollout.timeToReplicas.ratioToBound',
+    exchange,
+    direct,
+    `${conditions(SMALL)}; baseline direct`,
+  );
+  printRatio('rollout.timeToReplicas.ratioToBound', exchange, chain, `${conditions(SMALL)}; baseline chain`);
+  printCopies('rollout.originCopies', exchange, direct, `${conditions(SMALL)}; baseline direct`);
+  const large = await measureRollout({ ...LARGE, originBudgetCopies: 1.1 });
+  printRatio('rollout.timeToReplicas.ratioToBound', large, undefined, conditions(LARGE));
+  printCopies('rollout.originCopies', large, undefined, conditions(LARGE));
+  printLine({
+    name: 'rollout.crossHallCopies',
+    value: large.crossHallCopies,
+    unit: 'copies',
+    baseline: null,
+    conditions: conditions(LARGE),
+  });
+  printTimes(large, conditions(LARGE));
+  await benchFaults();
+  await benchSharedChunks();
+}
+
+async function benchFaults(): Promise<void> {
+  const faulty = await measureRollout({
+    ...LARGE,
+    entriesPerHall: 2,
+    originBudgetCopies: 1.5,
+    faults: (fleet) => breakFleet(fleet, FAULTS_AFTER_MILLISECONDS),
+  });
+  const what = `${conditions(LARGE)}; 3 agents killed, 1 frozen for 5 s, 1% of draws corrupt, coordinator killed`;
+  printRatio('rollout.timeToReplicas.ratioToBound.faults', faulty, undefined, what);
+  printCopies('rollout.originCopies.faults', faulty, undefined, what);
+}
+
+async function benchSharedChunks(): Promise<void> {
+  const options = { ...SMALL, chunkCount: 128, changedShare: CHANGED_SHARE, originBudgetCopies: 1.1 };
+  const shared = await measureRollout(options);
+  printLine({
+    name: 'rollout.originBytesOverChanged',
+    value: shared.originOverChanged,
+    unit: 'ratio',
+    baseline: 1 / CHANGED_SHARE,
+    conditions: `${conditions(options)}; 70% of chunks shared with the version before; baseline draws all chunks`,
+  });
+}
+
+function conditions({
+  halls,
+  boxesPerHall,
+  chunkCount,
+  chunkBytes,
+  periodSeconds,
+}: RolloutRunOptions): string {
+  const boxes = halls.length * boxesPerHall;
+  const chunks = `${chunkCount} chunks of ${chunkBytes / KILOBYTE} KB`;
+  return `${boxes} boxes, ${halls.length} halls, ${chunks}, T = ${periodSeconds} s, full duplex, one run, loopback`;
+}
+
+function ratio(figures: RolloutFigures): number {
+  return figures.allSeconds / figures.boundSeconds;
+}
+
+function printRatio(
+  name: string,
+  figures: RolloutFigures,
+  baseline: RolloutFigures | undefined,
+  what: string,
+): void {
+  const value = ratio(figures);
+  printLine({ name, value, unit: 'ratio', baseline: baseline ? ratio(baseline) : null, conditions: what });
+}
+
+function printCopies(
+  name: string,
+  figures: RolloutFigures,
+  baseline: RolloutFigures | undefined,
+  what: string,
+): void {
+  const value = figures.originCopies;
+  printLine({ name, value, unit: 'copies', baseline: baseline?.originCopies ?? null, conditions: what });
+}
+
+function printTimes(figures: RolloutFigures, what: string): void {
+  const times = {
+    first: figures.firstSeconds,
+    half: figures.halfSeconds,
+    ninety: figures.ninetySeconds,
+    all: figures.allSeconds,
+  };
+  for (const [part, value] of Object.entries(times)) {
+    printLine({
+      name: `rollout.timeToReplicas.${part}`,
+      value,
+      unit: 'seconds',
+      baseline: null,
+      conditions: `${what}; rolling`,
+    });
+  }
+}
--- a/bench/rolloutRun.ts
+++ b/bench/rolloutRun.ts
@@ -92,7 +92,7 @@
       allSeconds: times.seconds[boxes - 1],
       originCopies: times.originBytes / modelBytes,
       crossHallCopies: times.crossHallBytes / modelBytes,
-      originOverChanged: times.originBytes / (modelBytes * changed),
+      originOverChanged: times.originBytes / (options.chunkBytes * Math.round(options.chunkCount * changed)),
     };
   } finally {
     await fleet.stop();
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -9,11 +9,11 @@
 
 const HALLS = ['zagreb', 'split', 'osijek'];
 const BOXES_PER_HALL = 8;
-const CHUNK_BYTES = 256 * 1024;
-const CHUNKS = 192;
+const CHUNK_BYTES = 128 * 1024;
+const CHUNKS = 160;
 const MODEL_BYTES = CHUNK_BYTES * CHUNKS;
 /** The time in which the origin could send four copies and each box's link two. */
-const PERIOD_SECONDS = 16;
+const PERIOD_SECONDS = 24;
 const ORIGIN_BYTES_PER_SECOND = (4 * MODEL_BYTES) / PERIOD_SECONDS;
 const BOX_BYTES_PER_SECOND = (2 * MODEL_BYTES) / PERIOD_SECONDS;
 const PROGRESS_MILLISECONDS = 250;
--- a/src/agent/agentDaemon.ts
+++ b/src/agent/agentDaemon.ts
@@ -6,7 +6,8 @@
 import { HttpOrigin } from '../platform/origin.js';
 import type { Origin } from '../platform/origin.js';
 import { httpToken } from '../protocol/authentication.js';
-import type { ControlConnection, ControlOptions } from '../protocol/controlConnection.js';
+import type { ControlOptions } from '../protocol/controlConnection.js';
+import { ControlConnection } from '../protocol/controlConnection.js';
 import { ControlServer } from '../protocol/controlServer.js';
 import type { ReportMessage } from '../protocol/reportMessages.js';
 import { FairQueue } from '../requests/fairQueue.js';
@@ -45,6 +46,8 @@
 
 const HEALTH_INTERVAL_MILLISECONDS = 500;
 const DRAIN_POLL_MILLISECONDS = 20;
+/** How long a leaving box waits for its part of the ledger to be taken over. */
+const HAND_OVER_MILLISECONDS = 3_000;
 /** How long a leaving box still answers after its last request, so that every entry has seen it leave. */
 const FAREWELL_MILLISECONDS = 300;
 
@@ -164,6 +167,8 @@
     while (this._queue.running + this._queue.waiting > 0 && performance.now() < deadline) {
       await pause(DRAIN_POLL_MILLISECONDS);
     }
+    const handedOverBy = performance.now() + HAND_OVER_MILLISECONDS;
+    while (this._ledger.ownsSlots && performance.now() < handedOverBy) await pause(DRAIN_POLL_MILLISECONDS);
     await pause(FAREWELL_MILLISECONDS);
     this.close();
   }
@@ -180,6 +185,7 @@
   }
 
   private _createHttp(): AgentHttpServer {
+    this._metrics.gauge('control_bytes', () => ControlConnection.totalBytes);
     this._metrics.gauge('requests_running', () => this._queue.running);
     this._metrics.gauge('requests_waiting', () => this._queue.waiting);
     this._metrics.gauge('staged_bytes', () => this._store.usedBytes);
--- a/src/agent/agentHttpServer.ts
+++ b/src/agent/agentHttpServer.ts
@@ -39,7 +39,7 @@
   private readonly _options: AgentHttpOptions;
   private readonly _server = http.createServer((request, response) => {
     this._serve(request, response).catch((error: unknown) =>
-      answerJson(response, 400, { error: errorText(error) }),
+      answerJson(response, 400, { error: errorText(error) }, { connection: 'close' }),
     );
   });
 
--- a/src/agent/orderDesk.ts
+++ b/src/agent/orderDesk.ts
@@ -16,6 +16,8 @@
   'withdraw',
   'holdings-query',
   'ledger',
+  'ledger-export',
+  'ledger-import',
 ]);
 
 /** Whether a message is an order. */
@@ -29,6 +31,7 @@
   openDraws?: number[];
   originBytes?: number;
   incarnation?: string;
+  keys?: string[];
 }
 
 /** What an order desk works with. */
@@ -85,6 +88,11 @@
         this._options.ledger.assign(serviceKey(order), order.slots);
         this._options.onLedger();
         return { accepted: true };
+      case 'ledger-export':
+        return { accepted: true, keys: this._options.ledger.exportKeys(serviceKey(order)) };
+      case 'ledger-import':
+        this._options.ledger.importKeys(order.keys);
+        return { accepted: true };
       default:
         return assertNever(order);
     }
--- /dev/null
+++ b/src/cli/settingsPage.ts
@@ -0,0 +1,39 @@
+/** The operators' page of settings, made from the schemas. */
+import type { z } from 'zod';
+import { agentSettingsSchema } from '../settings/agentSettings.js';
+import { entrySettingsSchema } from '../settings/entrySettings.js';
+import type { SettingsSchema } from '../settings/settingsParser.js';
+import { flagOf, variableOf } from '../settings/settingsParser.js';
+
+/** Returns docs/SETTINGS.md. */
+export function settingsPage(): string {
+  return [
+    '# Settings',
+    '',
+    'Made by `node scripts/writeSettings.mjs`; a test checks that it is up to date.',
+    '',
+    '## `larklatch entry`',
+    '',
+    ...table(entrySettingsSchema),
+    '',
+    '## `larklatch agent`',
+    '',
+    ...table(agentSettingsSchema),
+    '',
+  ].join('\n');
+}
+
+function table(schema: SettingsSchema): string[] {
+  const rows = Object.entries(schema.shape).map(([name, field]) => row(name, field as z.ZodType));
+  return ['| flag | variable | meaning | default |', '| --- | --- | --- | --- |', ...rows];
+}
+
+function row(name: string, field: z.ZodType): string {
+  const standard = field.safeParse(undefined);
+  const fallback = standard.success
+    ? standard.data === undefined
+      ? 'none'
+      : `\`${String(standard.data)}\``
+    : 'required';
+  return `| \`${flagOf(name)}\` | \`${variableOf(name)}\` | ${field.description ?? ''} | ${fallback} |`;
+}
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -15,7 +15,8 @@
 import { HttpObjectApi } from '../platform/httpObjectApi.js';
 import { HttpOrigin } from '../platform/origin.js';
 import { httpToken } from '../protocol/authentication.js';
-import type { ControlConnection, ControlOptions } from '../protocol/controlConnection.js';
+import type { ControlOptions } from '../protocol/controlConnection.js';
+import { ControlConnection } from '../protocol/controlConnection.js';
 import { ControlServer } from '../protocol/controlServer.js';
 import { AgentClient } from '../requests/agentClient.js';
 import { RequestRouter } from '../requests/requestRouter.js';
@@ -115,6 +116,7 @@
       isLeaving: () => this._leaving,
     });
     this._http = this._createHttp(writer);
+    this._metrics.gauge('control_bytes', () => ControlConnection.totalBytes);
     this._metrics.gauge('entry_peers', () => this._replicator.peerCount);
     this._metrics.gauge('agent_links_live', () => this._links.all().filter((link) => link.live).length);
     this._metrics.gauge('highest_revision', () => this._replica.highestRevision);
--- a/src/entry/entryHttpServer.ts
+++ b/src/entry/entryHttpServer.ts
@@ -98,6 +98,7 @@
       response.destroy();
       return;
     }
+    response.setHeader('connection', 'close');
     const isInput = error instanceof StepError && error.advice === 'fix-input';
     const advice = isInput ? 'send a smaller body' : 'report this to the operators';
     answerError(response, isInput ? 413 : 500, { error: errorText(error), advice });
--- a/src/membership/agentLink.ts
+++ b/src/membership/agentLink.ts
@@ -38,12 +38,11 @@
   report: ReportMessage | undefined;
   /** When the report came, in monotonic milliseconds. */
   reportedAt = 0;
-  /** Bytes of control traffic, both ways. */
-  controlBytes = 0;
   private readonly _services: LinkServices;
   private readonly _machine = createActor(linkMachine).start();
   private readonly _stopped = new AbortController();
   private _connection: ControlConnection | undefined;
+  private _lost = new AbortController();
   private _lostAt: number;
 
   constructor(box: Box, services: LinkServices) {
@@ -68,6 +67,11 @@
     return this._connection ? 0 : this._services.clock.now() - this._lostAt;
   }
 
+  /** Aborted when the present connection is lost: what was sent and has no answer yet may never get one. */
+  get lostSignal(): AbortSignal {
+    return this._lost.signal;
+  }
+
   get member(): Member {
     const { box, hall, address, httpPort, controlPort } = this.box;
     return { box, hall, address, httpPort, controlPort };
@@ -108,6 +112,7 @@
       return;
     }
     this._connection = connection;
+    this._lost = new AbortController();
     this._machine.send({ type: 'CONNECTED' });
     const closed = new Promise<string>((resolve) => connection.once('close', resolve));
     connection.on('message', (message) => {
@@ -116,7 +121,6 @@
     connection.start();
     connection.send({ type: 'subscribe' });
     const reason = await closed;
-    this.controlBytes += connection.bytesSent + connection.bytesReceived;
     this._onLost(reason);
   }
 
@@ -135,6 +139,7 @@
 
   private _onLost(reason: string): void {
     this._connection = undefined;
+    this._lost.abort();
     this._lostAt = this._services.clock.now();
     this._machine.send({ type: 'LOST' });
     this._services.logger.state('agent.lost', { peer: this.box.box, reason });
--- a/src/membership/replicator.ts
+++ b/src/membership/replicator.ts
@@ -10,6 +10,7 @@
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
 import { errorText } from '../utils/stepError.js';
+import { pause } from '../utils/timers.js';
 
 /** What a replicator works with. */
 export interface ReplicatorOptions {
@@ -31,6 +32,8 @@
 const COMPARE_INTERVAL_MILLISECONDS = 2_000;
 const REDIAL_INTERVAL_MILLISECONDS = 250;
 const CONFIRM_TIMEOUT_MILLISECONDS = 1_500;
+/** How soon to look for peers again: one that has just started is about to connect. */
+const CONFIRM_RETRY_MILLISECONDS = 50;
 const RECORDS_PER_MESSAGE = 200;
 
 /** One per entry. */
@@ -97,17 +100,14 @@
   }
 
   async confirm(record: ReplicatedRecord): Promise<boolean> {
-    const candidates = this._confirmers();
-    if (candidates === 'none-exist') return true;
-    const calls = candidates.map((peer) =>
-      peer.connection.call({ type: 'records', records: [record] }, CONFIRM_TIMEOUT_MILLISECONDS),
-    );
-    try {
-      const reply = await Promise.any(calls);
-      return reply.accepted;
-    } catch {
-      return false;
+    const deadline = this._options.clock.now() + CONFIRM_TIMEOUT_MILLISECONDS;
+    while (this._options.clock.now() < deadline) {
+      const candidates = this._confirmers();
+      if (candidates === 'none-exist') return true;
+      if (await this._confirmedByOne(candidates, record)) return true;
+      await pause(CONFIRM_RETRY_MILLISECONDS);
     }
+    return false;
   }
 
   /** Asks a peer which revision of `key` it holds; undefined when it does not answer. */
@@ -125,6 +125,20 @@
     for (const peer of this._peers.values()) peer.connection.close('shutting down');
   }
 
+  private async _confirmedByOne(
+    candidates: readonly EntryPeer[],
+    record: ReplicatedRecord,
+  ): Promise<boolean> {
+    const calls = candidates.map((peer) =>
+      peer.connection.call({ type: 'records', records: [record] }, CONFIRM_TIMEOUT_MILLISECONDS),
+    );
+    try {
+      return (await Promise.any(calls)).accepted;
+    } catch {
+      return false;
+    }
+  }
+
   /** Peers of other halls where there are any in the box list, else peers of the own hall. */
   private _confirmers(): EntryPeer[] | 'none-exist' {
     const { hall, box } = this._options.control.identity;
--- a/src/protocol/controlConnection.ts
+++ b/src/protocol/controlConnection.ts
@@ -30,15 +30,16 @@
   close: [string];
 }
 
+/** How long a silent connection has to show what already lies in its buffer. */
+const SECOND_LOOK_MILLISECONDS = 50;
 /** Default time for a call to be answered, in milliseconds. */
 const CALL_TIMEOUT_MILLISECONDS = 5_000;
 
 /** An open connection; `peer` is proven. Emits `message` and, once, `close` with the reason. */
 export class ControlConnection extends EventEmitter<ControlEvents> {
+  /** Bytes that all connections of this process have sent and received. */
+  static totalBytes = 0;
   peer!: Identity;
-  /** Bytes sent and received, for the control budget. */
-  bytesSent = 0;
-  bytesReceived = 0;
   private readonly _socket: net.Socket;
   private readonly _options: ControlOptions;
   private readonly _reader = new FrameReader();
@@ -190,7 +191,7 @@
   }
 
   private _onData(bytes: Buffer): void {
-    this.bytesReceived += bytes.length;
+    ControlConnection.totalBytes += bytes.length;
     this._touch();
     try {
       for (const frame of this._reader.push(bytes)) this._onFrame(frame);
@@ -229,20 +230,19 @@
   }
 
   private _touch(): void {
-    if (this._silence) {
-      this._silence.refresh();
-      return;
-    }
-    this._silence = setTimeout(
-      () => this.close('silent for too long'),
-      this._options.peerTimeoutMilliseconds,
-    );
+    clearTimeout(this._silence);
+    this._silence = setTimeout(() => this._onSilence(), this._options.peerTimeoutMilliseconds);
+  }
+
+  /** When this process itself was paused, what the peer sent meanwhile is still to be read: look once more. */
+  private _onSilence(): void {
+    this._silence = setTimeout(() => this.close('silent for too long'), SECOND_LOOK_MILLISECONDS);
   }
 
   private _write(message: unknown): void {
     if (this._closed) return;
     const frame = encodeFrame(message);
-    this.bytesSent += frame.length;
+    ControlConnection.totalBytes += frame.length;
     this._lastSentAt = performance.now();
     this._socket.write(frame);
   }
--- a/src/protocol/rolloutMessages.ts
+++ b/src/protocol/rolloutMessages.ts
@@ -75,6 +75,16 @@
   ...orderFields,
   slots: z.array(z.object({ slot: countSchema, slotEpoch: countSchema, blind: z.boolean() })).max(1_000),
 });
+/** Takes all slots from an agent that is leaving; the reply carries the keys that it remembers. */
+export const ledgerExportSchema = z.object({ type: z.literal('ledger-export'), ...orderFields });
+
+/** Makes an agent remember keys that another one handed over, before it is given their slots. */
+export const ledgerImportSchema = z.object({
+  type: z.literal('ledger-import'),
+  ...orderFields,
+  keys: z.array(z.string()).max(1_000_000),
+});
+
 export type LedgerSlot = z.infer<typeof ledgerMessageSchema>['slots'][number];
 
 /** Any order. */
@@ -84,7 +94,9 @@
   | z.infer<typeof activateMessageSchema>
   | z.infer<typeof withdrawMessageSchema>
   | z.infer<typeof holdingsQuerySchema>
-  | z.infer<typeof ledgerMessageSchema>;
+  | z.infer<typeof ledgerMessageSchema>
+  | z.infer<typeof ledgerExportSchema>
+  | z.infer<typeof ledgerImportSchema>;
 
 /** Why an agent refused an order. */
 export const orderRefusalSchema = z.enum([
@@ -108,5 +120,6 @@
   openDraws: z.array(countSchema).optional(),
   originBytes: countSchema.optional(),
   incarnation: z.string().optional(),
+  keys: z.array(z.string()).optional(),
 });
 export type ReplyMessage = z.infer<typeof replyMessageSchema>;
--- a/src/requests/agentClient.ts
+++ b/src/requests/agentClient.ts
@@ -69,19 +69,25 @@
   async send(attempt: Attempt): Promise<AttemptResult> {
     const { request, backend } = attempt;
     const url = `http://${backend.address}:${backend.httpPort}/requests${request.path}`;
+    const boxLost = new AbortController();
+    const onLost = (): void => boxLost.abort();
+    backend.lost.addEventListener('abort', onLost);
     try {
       const answer = await httpRequest(url, {
         method: request.method as 'POST',
         headers: headersOf(attempt, this._token),
         body: request.body.length > 0 ? request.body : undefined,
         dispatcher: this._dispatcher,
-        signal: attempt.signal,
+        signal: AbortSignal.any([attempt.signal, boxLost.signal]),
       });
       return await resultOf(answer, request);
     } catch (error) {
       const neverSent = wasNeverSent(error);
       const reason = neverSent ? 'backend-unreachable' : 'backend-lost';
       return unreached(reason, neverSent ? 'not-run' : 'unknown');
+    } finally {
+      // an answer that has begun may still end over its own connection
+      backend.lost.removeEventListener('abort', onLost);
     }
   }
 }
--- a/src/requests/ledger.ts
+++ b/src/requests/ledger.ts
@@ -89,6 +89,24 @@
     this._slots.set(service, new Map(states));
   }
 
+  /** Whether any slot of any service is this incarnation's. */
+  get ownsSlots(): boolean {
+    return [...this._slots.values()].some((slots) => slots.size > 0);
+  }
+
+  /** Gives up all slots of a service and returns the keys it remembers, so that another owner can take over. */
+  exportKeys(service: string): string[] {
+    this._slots.delete(service);
+    return [...this._keys.keys()].filter((key) => key.startsWith(`${service}.`));
+  }
+
+  /** Remembers keys that an earlier owner let run. */
+  importKeys(keys: readonly string[]): void {
+    for (const key of keys) {
+      if (!this._keys.has(key)) this.finish(key, undefined);
+    }
+  }
+
   /** Decides; `run` books the key, and the caller of this method must run it now or call {@link Ledger.cancel}. */
   check(service: string, request: LedgerRequest): LedgerVerdict {
     const known = this._keys.get(request.key);
--- a/src/requests/ledgerSlots.ts
+++ b/src/requests/ledgerSlots.ts
@@ -34,25 +34,28 @@
   return placementHash('ledger', key) % LEDGER_SLOTS;
 }
 
+/** `lost`: proven gone, with its memory. `handed-over`: it has given up its slots and its keys have been imported. */
+export type OwnerFate = 'owns' | 'lost' | 'handed-over';
+
 /**
- * Gives every slot without an owner, or whose owner is proven gone, to the candidate with the fewest slots.
+ * Gives every slot without an owner, or whose owner is lost or has handed over, to the candidate with the fewest.
  * A silent owner keeps its slots: it may still be running requests.
  */
 export function assignSlots(
   current: readonly SlotOwner[],
   candidates: readonly LedgerCandidate[],
-  isGone: (owner: SlotOwner) => boolean,
+  fateOf: (owner: SlotOwner) => OwnerFate,
 ): SlotOwner[] {
   const load = new Map(candidates.map((candidate) => [identityOf(candidate), 0]));
   for (const owner of current) {
-    if (!isGone(owner)) load.set(identityOf(owner), (load.get(identityOf(owner)) ?? 0) + 1);
+    if (fateOf(owner) === 'owns') load.set(identityOf(owner), (load.get(identityOf(owner)) ?? 0) + 1);
   }
   return Array.from({ length: LEDGER_SLOTS }, (_unused, slot) => {
     const owner = current[slot];
-    if ((owner && !isGone(owner)) || candidates.length === 0) return owner;
+    if ((owner && fateOf(owner) === 'owns') || candidates.length === 0) return owner;
     const next = leastLoaded(candidates, load);
     load.set(identityOf(next), load.get(identityOf(next))! + 1);
-    return { ...next, epoch: (owner?.epoch ?? 0) + 1, blind: owner !== undefined };
+    return { ...next, epoch: (owner?.epoch ?? 0) + 1, blind: isBlind(owner, fateOf) };
   });
 }
 
@@ -74,6 +77,11 @@
   );
 }
 
+/** A slot stays blind when it is handed over by an owner that was blind itself. */
+function isBlind(before: SlotOwner | undefined, fateOf: (owner: SlotOwner) => OwnerFate): boolean {
+  return before !== undefined && (fateOf(before) === 'lost' || before.blind);
+}
+
 function identityOf(candidate: LedgerCandidate): string {
   return `${candidate.box}/${candidate.incarnation}`;
 }
--- a/src/requests/requestRouter.ts
+++ b/src/requests/requestRouter.ts
@@ -50,7 +50,7 @@
 /** Statuses of a backend server after which a repeatable request is tried elsewhere. */
 const OVERLOADED_STATUSES: ReadonlySet<number> = new Set([429, 502, 503]);
 /** How often, and how far apart, a moving ledger slot is looked up again. */
-const OWNER_TRIES = 5;
+const OWNER_TRIES = 12;
 const OWNER_PAUSE_MILLISECONDS = 60;
 
 /** One per entry. */
@@ -106,7 +106,7 @@
         if (result.kind === 'answer') return this._routed(result, owned.backend);
         this._end(owned.backend);
         reason = result.reason;
-        const movedOn = reason === 'not-owner' || !result.reached;
+        const movedOn = reason === 'not-owner' || reason === 'leaving' || !result.reached;
         if (!movedOn || result.outcome === 'unknown') return this._refuse(request, refusalOf(result));
       }
       await pause(OWNER_PAUSE_MILLISECONDS);
--- a/src/rollout/ledgerAssigner.ts
+++ b/src/rollout/ledgerAssigner.ts
@@ -6,7 +6,8 @@
 import type { SafeWriter } from '../configuration/safeWriter.js';
 import type { AgentLinks } from '../membership/agentLinks.js';
 import type { BoxListFollower } from '../membership/boxListFollower.js';
-import type { LedgerCandidate, LedgerRecord, SlotOwner } from '../requests/ledgerSlots.js';
+import type { LedgerSlot, ReplyMessage } from '../protocol/rolloutMessages.js';
+import type { LedgerCandidate, LedgerRecord, OwnerFate, SlotOwner } from '../requests/ledgerSlots.js';
 import { assignSlots, ledgerHash, ledgerRecordSchema, slotsOf } from '../requests/ledgerSlots.js';
 import type { Logger } from '../telemetry/logger.js';
 import { errorText } from '../utils/stepError.js';
@@ -41,7 +42,11 @@
     if (!table && rollout.phase !== 'complete') return;
     const candidates = ledgerCandidates(boxes);
     if (candidates.length === 0) return;
-    const slots = assignSlots(table?.slots ?? [], candidates, (owner) => this._isGone(owner));
+    const handedOver = await this._takeOver(table?.slots ?? [], boxes);
+    const fateOf = (owner: SlotOwner): OwnerFate =>
+      handedOver.has(identityOf(owner)) ? 'handed-over' : this._fateOf(owner);
+    const slots = assignSlots(table?.slots ?? [], candidates, fateOf);
+    if (!(await this._import(table?.slots ?? [], slots, handedOver))) return;
     if (!table || changed(table.slots, slots)) {
       const value = { slots, changeId: randomUUID() };
       const outcome = await this._services.writer.put(key, value, this._services.replica.liveRevision(key));
@@ -54,34 +59,87 @@
     await this._tell(slots, boxes);
   }
 
-  private _isGone(owner: SlotOwner): boolean {
-    return isOwnerGone(owner, this._services.boxes, this._services.links);
+  /** Takes the keys of owners that are leaving or no longer belong to the configuration; by `box/incarnation`. */
+  private async _takeOver(
+    slots: readonly SlotOwner[],
+    boxes: readonly RolloutBox[],
+  ): Promise<Map<string, string[]>> {
+    const keys = new Map<string, string[]>();
+    const owners = new Map(slots.map((owner) => [identityOf(owner), owner]));
+    for (const [identity, owner] of owners) {
+      if (this._fateOf(owner) !== 'owns' || !mustHandOver(owner, boxes, this._services.links)) continue;
+      const reply = await this._order(owner.box, { type: 'ledger-export' });
+      if (reply?.accepted && reply.keys) keys.set(identity, reply.keys);
+    }
+    return keys;
   }
 
-  private async _tell(slots: readonly SlotOwner[], boxes: readonly RolloutBox[]): Promise<void> {
+  /** Gives handed-over keys to the new owners, before the table makes them owners. False when one did not answer. */
+  private async _import(
+    before: readonly SlotOwner[],
+    after: readonly SlotOwner[],
+    handedOver: ReadonlyMap<string, string[]>,
+  ): Promise<boolean> {
+    for (const [identity, keys] of handedOver) {
+      const heirs = new Set(
+        after.filter((_owner, slot) => identityOf(before[slot]) === identity).map((owner) => owner.box),
+      );
+      for (const heir of heirs) {
+        const reply = await this._order(heir, { type: 'ledger-import', keys });
+        if (!reply?.accepted) return false;
+      }
+    }
+    return true;
+  }
+
+  private _fateOf(owner: SlotOwner): OwnerFate {
+    return isOwnerGone(owner, this._services.boxes, this._services.links) ? 'lost' : 'owns';
+  }
+
+  private async _order(
+    box: string,
+    order:
+      | { type: 'ledger-export' }
+      | { type: 'ledger-import'; keys: string[] }
+      | { type: 'ledger'; slots: LedgerSlot[] },
+  ): Promise<ReplyMessage | undefined> {
     const epoch = this._epoch();
-    if (epoch === undefined) return;
-    const { customer, configuration } = this._name;
+    const link = this._services.links.get(box);
+    if (epoch === undefined || !link) return undefined;
+    try {
+      return await link.order({ ...order, ...this._name, epoch });
+    } catch (error) {
+      this._services.logger.state('ledger.failed', {
+        peer: box,
+        order: order.type,
+        reason: errorText(error),
+      });
+      return undefined;
+    }
+  }
+
+  private async _tell(slots: readonly SlotOwner[], boxes: readonly RolloutBox[]): Promise<void> {
     const untold = boxes.filter((box) => box.live && !knowsSlots(box, slots));
     await Promise.all(
       untold.map(async ({ box, link }) => {
-        const candidate = { box, incarnation: link!.report!.incarnation };
-        try {
-          await link!.order({
-            type: 'ledger',
-            customer,
-            configuration,
-            epoch,
-            slots: slotsOf(slots, candidate),
-          });
-        } catch (error) {
-          this._services.logger.state('ledger.failed', { peer: box, reason: errorText(error) });
-        }
+        const own = slotsOf(slots, { box, incarnation: link!.report!.incarnation });
+        await this._order(box, { type: 'ledger', slots: own });
       }),
     );
   }
 }
 
+/** Whether an owner still runs but is to run no more. */
+export function mustHandOver(owner: SlotOwner, boxes: readonly RolloutBox[], links: AgentLinks): boolean {
+  if (!links.get(owner.box)?.connected) return false;
+  const box = boxes.find((candidate) => candidate.box === owner.box);
+  return !box?.expected;
+}
+
+function identityOf(owner: LedgerCandidate): string {
+  return `${owner.box}/${owner.incarnation}`;
+}
+
 /** Reads a ledger object out of the replica. */
 export function parseLedger(value: unknown): LedgerRecord | undefined {
   const parsed = ledgerRecordSchema.safeParse(value);
--- a/src/rollout/rolloutCoordinator.ts
+++ b/src/rollout/rolloutCoordinator.ts
@@ -5,6 +5,7 @@
 import type { Replica } from '../configuration/replica.js';
 import type { SafeWriter } from '../configuration/safeWriter.js';
 import type { Specification } from '../configuration/template.js';
+import type { AgentLink } from '../membership/agentLink.js';
 import type { AgentLinks } from '../membership/agentLinks.js';
 import type { BoxListFollower } from '../membership/boxListFollower.js';
 import type { Origin } from '../platform/origin.js';
@@ -19,7 +20,7 @@
 import type { RolloutRecord } from './rolloutRecord.js';
 import { parseRollout } from './rolloutRecord.js';
 import type { RolloutBox } from './rolloutView.js';
-import { rolloutBoxes, serviceReport } from './rolloutView.js';
+import { rolloutBoxes, serviceReport, strays } from './rolloutView.js';
 import type { Specifications } from './specifications.js';
 
 /** What all coordinators of an entry share. */
@@ -73,6 +74,7 @@
     await this._advancePhase(record, specification, boxes);
     this._activate(record, boxes);
     await this._ledger.step(record, boxes);
+    await this._withdrawFrom(strays(this._name, specification, this._services.links));
   }
 
   private _record(): RolloutRecord | undefined {
@@ -253,12 +255,15 @@
     return { customer, configuration, epoch: this._epoch() ?? 0 };
   }
 
+  private async _withdrawFrom(links: readonly AgentLink[]): Promise<void> {
+    await Promise.allSettled(links.map((link) => link.order({ ...this._orderFields(), type: 'withdraw' })));
+  }
+
   /** Takes the configuration off every box, then removes what was kept about it. */
   private async _withdraw(): Promise<void> {
     const { links, replica, writer } = this._services;
     const serving = links.all().filter((link) => link.connected && serviceReport(link, this._name));
-    await Promise.allSettled(serving.map((link) => link.order({ ...this._orderFields(), type: 'withdraw' })));
-    if (serving.length > 0) return;
+    if (serving.length > 0) return await this._withdrawFrom(serving);
     for (const kind of ['rollout', 'ledger'] as const) {
       const key = configurationKey(kind, this._name);
       const revision = replica.liveRevision(key);
--- a/src/rollout/rolloutView.ts
+++ b/src/rollout/rolloutView.ts
@@ -32,6 +32,18 @@
   });
 }
 
+/** Agents that still hold a configuration whose specification does not name them any more. */
+export function strays(
+  name: ConfigurationName,
+  specification: Specification,
+  links: AgentLinks,
+): AgentLink[] {
+  const named = new Set(specification.boxes);
+  return links
+    .all()
+    .filter((link) => link.connected && !named.has(link.box.box) && serviceReport(link, name));
+}
+
 /** What an agent reports of one configuration. */
 export function serviceReport(
   link: AgentLink | undefined,
--- a/src/rollout/workCheck.ts
+++ b/src/rollout/workCheck.ts
@@ -3,12 +3,12 @@
 import type { Replica } from '../configuration/replica.js';
 import type { AgentLinks } from '../membership/agentLinks.js';
 import type { BoxListFollower } from '../membership/boxListFollower.js';
-import { assignSlots } from '../requests/ledgerSlots.js';
-import { isOwnerGone, knowsSlots, ledgerCandidates, parseLedger } from './ledgerAssigner.js';
+import type { SlotOwner } from '../requests/ledgerSlots.js';
+import { isOwnerGone, knowsSlots, ledgerCandidates, mustHandOver, parseLedger } from './ledgerAssigner.js';
 import type { RolloutRecord } from './rolloutRecord.js';
 import { parseRollout } from './rolloutRecord.js';
 import type { RolloutBox } from './rolloutView.js';
-import { rolloutBoxes, serviceReport } from './rolloutView.js';
+import { rolloutBoxes, serviceReport, strays } from './rolloutView.js';
 import type { WantedConfiguration } from './specifications.js';
 
 /** What the check looks at. */
@@ -27,6 +27,7 @@
   if (record?.phase !== 'complete') return true;
   if (record.model !== specification.model || record.version !== specification.version) return true;
   const boxes = rolloutBoxes(wanted.name, specification, view.boxes, view.links);
+  if (strays(wanted.name, specification, view.links).length > 0) return true;
   return boxes.some((box) => lacksVersion(box, record)) || ledgerNeedsWork(wanted, boxes, view);
 }
 
@@ -47,7 +48,8 @@
   if (candidates.length === 0) return false;
   const table = parseLedger(view.replica.value(configurationKey('ledger', wanted.name)));
   if (!table) return true;
-  const next = assignSlots(table.slots, candidates, (owner) => isOwnerGone(owner, view.boxes, view.links));
-  if (next.some((owner, slot) => owner !== table.slots[slot])) return true;
+  const isOver = (owner: SlotOwner): boolean =>
+    isOwnerGone(owner, view.boxes, view.links) || mustHandOver(owner, boxes, view.links);
+  if (table.slots.some(isOver)) return true;
   return boxes.some((box) => box.live && !knowsSlots(box, table.slots));
 }
--- a/src/routing/backend.ts
+++ b/src/routing/backend.ts
@@ -12,6 +12,8 @@
   rollout: string;
   capacity: number;
   load: BoxLoad;
+  /** Aborted when the box is lost. */
+  lost: AbortSignal;
 }
 
 /** What an entry knows of a box's load, kept across reports. */
--- a/src/routing/backendChoice.ts
+++ b/src/routing/backendChoice.ts
@@ -31,17 +31,31 @@
 /** How much busier the affine box may be, in parts of capacity, before the request goes elsewhere. */
 const AFFINITY_TOLERANCE = 0.5;
 
+/** Up to this many boxes all are looked at; of more, a sample, since the look would cost more than it is worth. */
+const RANKED_BOXES = 64;
+const SAMPLED_BOXES = 16;
+
 /** The own hall first; there, the affine box unless it is much busier than another, else the less loaded of two. */
 export function chooseBackend(pool: BackendPool, request: ChoiceRequest, random: Random): Choice | undefined {
-  const near = pool.sameHall.filter((backend) => request.allows(backend.box));
-  const choice = chooseAmong(near, request, random);
+  const choice = chooseAmong(candidatesOf(pool.sameHall, request, random), request, random);
   if (choice && loadOf(choice.backend, request.now) < FULL_LOAD) return choice;
-  const far = pool.otherHalls.filter((backend) => request.allows(backend.box));
-  const other = chooseAmong(far, request, random);
+  const other = chooseAmong(candidatesOf(pool.otherHalls, request, random), request, random);
   if (!choice || !other) return choice ?? other;
   return loadOf(other.backend, request.now) < loadOf(choice.backend, request.now) ? other : choice;
 }
 
+/** The boxes that may be chosen; of very many, a sample. */
+function candidatesOf(backends: readonly Backend[], request: ChoiceRequest, random: Random): Backend[] {
+  if (backends.length <= RANKED_BOXES) return backends.filter((backend) => request.allows(backend.box));
+  const first = random.integer(backends.length);
+  const sample = Array.from(
+    { length: SAMPLED_BOXES },
+    (_none, step) => backends[(first + step * step) % backends.length],
+  );
+  const allowed = sample.filter((backend) => request.allows(backend.box));
+  return allowed.length > 0 ? allowed : backends.filter((backend) => request.allows(backend.box));
+}
+
 function chooseAmong(
   candidates: readonly Backend[],
   request: ChoiceRequest,
@@ -60,11 +74,8 @@
   return { backend: lighter, reason: 'less-loaded' };
 }
 
-/** Up to this many boxes all are ranked; beyond it the rank would cost more than the cache is worth. */
-const RANKED_BOXES = 64;
-
 function affineBackend(candidates: readonly Backend[], affinity: string): Backend | undefined {
-  if (affinity === '' || candidates.length > RANKED_BOXES) return undefined;
+  if (affinity === '') return undefined;
   return rendezvousOrder(affinity, candidates, (backend) => backend.box)[0];
 }
 
--- a/src/routing/routeTable.ts
+++ b/src/routing/routeTable.ts
@@ -18,6 +18,12 @@
   reportedAt: number;
 }
 
+/** A pool and the rollout that it was made for. */
+interface CachedPool {
+  activated: string | undefined;
+  pool: BackendPool;
+}
+
 /** Rebuilt when a report or a link has changed, at the next question. */
 export class RouteTable {
   private readonly _links: AgentLinks;
@@ -26,7 +32,8 @@
   /** The rollout that callers should be served by, once it has been activated. */
   private readonly _activatedRollout: (name: ConfigurationName) => string | undefined;
   private readonly _boxes = new Map<string, BoxState>();
-  private _pools = new Map<string, Backend[]>();
+  private _backends = new Map<string, Backend[]>();
+  private readonly _pools = new Map<string, CachedPool>();
   private _stale = true;
 
   constructor(
@@ -45,18 +52,22 @@
   /** Boxes that take work for a configuration now. */
   pool(name: ConfigurationName): BackendPool {
     if (this._stale) this._rebuild();
-    const all = this._pools.get(shortName(name)) ?? [];
-    const backends = preferVersion(all, this._activatedRollout(name));
-    return {
+    const activated = this._activatedRollout(name);
+    const cached = this._pools.get(shortName(name));
+    if (cached && cached.activated === activated) return cached.pool;
+    const backends = preferVersion(this._backends.get(shortName(name)) ?? [], activated);
+    const pool = {
       sameHall: backends.filter((backend) => backend.hall === this._hall),
       otherHalls: backends.filter((backend) => backend.hall !== this._hall),
     };
+    this._pools.set(shortName(name), { activated, pool });
+    return pool;
   }
 
   /** The box that runs an incarnation, if it takes work. */
   owner(name: ConfigurationName, box: string, incarnation: string): Backend | undefined {
     if (this._stale) this._rebuild();
-    return this._pools
+    return this._backends
       .get(shortName(name))
       ?.find((each) => each.box === box && each.incarnation === incarnation);
   }
@@ -76,7 +87,8 @@
 
   private _rebuild(): void {
     this._stale = false;
-    this._pools = new Map();
+    this._backends = new Map();
+    this._pools.clear();
     for (const link of this._links.all()) {
       const { report } = link;
       if (!link.live || !report?.backendUp || link.box.state === 'leaving') continue;
@@ -96,7 +108,7 @@
     if (service.activeVersion === '') return;
     const { box, hall, address, httpPort } = link.box;
     const name = shortName(service);
-    const backends = this._pools.get(name) ?? [];
+    const backends = this._backends.get(name) ?? [];
     backends.push({
       box,
       hall,
@@ -107,7 +119,8 @@
       rollout: service.activeRollout,
       capacity: link.report!.capacity,
       load: this._state(box).load,
+      lost: link.lostSignal,
     });
-    this._pools.set(name, backends);
+    this._backends.set(name, backends);
   }
 }
--- a/src/utils/httpBody.ts
+++ b/src/utils/httpBody.ts
@@ -2,17 +2,23 @@
 import type http from 'node:http';
 import { StepError } from './stepError.js';
 
-/** Reads a whole body; throws a StepError once it is over `limitBytes`. */
+/**
+ * Reads a whole body; throws a StepError once it is over `limitBytes`. The rest of such a body is thrown away, and the
+ * answer should close the connection.
+ */
 export async function readBody(request: http.IncomingMessage, limitBytes: number): Promise<Buffer> {
   const pieces: Buffer[] = [];
   let length = 0;
-  for await (const piece of request) {
-    length += (piece as Buffer).length;
-    if (length > limitBytes)
-      throw new StepError('http.body', `over ${limitBytes} bytes`, { advice: 'fix-input' });
-    pieces.push(piece as Buffer);
-  }
-  return Buffer.concat(pieces, length);
+  return await new Promise((resolve, reject) => {
+    request.on('data', (piece: Buffer) => {
+      length += piece.length;
+      if (length <= limitBytes) pieces.push(piece);
+      else reject(new StepError('http.body', `over ${limitBytes} bytes`, { advice: 'fix-input' }));
+    });
+    request.once('end', () => resolve(Buffer.concat(pieces)));
+    request.once('error', reject);
+    request.once('close', () => reject(new StepError('http.body', 'ended early')));
+  });
 }
 
 /** Answers with JSON. */
--- a/standins/localFleet.ts
+++ b/standins/localFleet.ts
@@ -251,7 +251,7 @@
         ...commonSettings(name, hall, this.originUrl),
         LARKLATCH_BACKEND_URL: backendUrl,
         LARKLATCH_BACKEND_KIND: name.includes('-plain-') ? 'plain' : 'model',
-        LARKLATCH_WEIGHT_BYTES_PER_SECOND: String(this._options.boxBytesPerSecond ?? 0),
+        LARKLATCH_WEIGHT_BYTES_PER_SECOND: String(Math.round(this._options.boxBytesPerSecond ?? 0)),
         ...prefixed(this._options.agentSettings),
       },
     });
--- a/standins/runLog.ts
+++ b/standins/runLog.ts
@@ -7,6 +7,8 @@
   idempotencyKey: string;
   version: string;
   content: string;
+  /** Milliseconds of the wall clock. */
+  at: number;
 }
 
 /** Counts runs per request and per idempotency key. */
@@ -31,5 +33,6 @@
     idempotencyKey: text('idempotency-key'),
     version,
     content,
+    at: Date.now(),
   };
 }
--- /dev/null
+++ b/tests/fleetRequests.spec.ts
@@ -0,0 +1,263 @@
+/** Requests on real processes: at most once, isolation, planned stops, cuts and cancels. */
+import { randomUUID } from 'node:crypto';
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { call, newKeys, notice, publishService, rollOut, runsOf, useFleet } from './fixtures/fleetFixture.js';
+
+const context = useFleet({
+  modelBoxesPerHall: 1,
+  plainBoxesPerHall: 1,
+  engine: { tokenMilliseconds: 10, firstTokenMilliseconds: 5 },
+});
+
+function chat(content: string, extra: object = {}): object {
+  return { model: 'judge', messages: [{ role: 'user', content }], ...extra };
+}
+
+/** Runs of one key, whoever ran them. */
+async function runsOfKey(key: string): Promise<number> {
+  const runs = await runsOf(context.fleet);
+  return runs.filter((run) => run.idempotencyKey === key).length;
+}
+
+test('should answer a chat, whole and as a stream', async () => {
+  const { fleet } = context;
+  await rollOut(fleet, 'v1', { chunkCount: 2 });
+  await fleet.untilComplete('korrigan', 'judge', 'v1');
+  const whole = await call(fleet, '/v1/chat/completions', chat('ruling'));
+  expect(whole.headers.get('larklatch-outcome')).toEqual('answered');
+  expect(whole.headers.get('larklatch-version')).toEqual('v1');
+  expect((await whole.text()).includes('korrigan/judge@v1: ruling')).toEqual(true);
+  const stream = await call(fleet, '/v1/chat/completions', chat('ruling', { stream: true }), {}, 1);
+  expect((await stream.text()).endsWith('data: [DONE]\n\n')).toEqual(true);
+});
+
+test('should hide one customer from another', async () => {
+  const { fleet } = context;
+  const answer = await call(fleet, '/v1/chat/completions', chat('x'), { authorization: 'Bearer key-other' });
+  expect(answer.status).toEqual(404);
+  expect((await answer.text()).includes('korrigan')).toEqual(false);
+});
+
+test('should refuse an unknown key and name a wrong header', async () => {
+  const { fleet } = context;
+  const unknown = await call(fleet, '/v1/chat/completions', chat('x'), { authorization: 'Bearer nobody' });
+  expect(unknown.status).toEqual(401);
+  const wrong = await call(fleet, '/v1/chat/completions', chat('x'), { 'larklatch-priority': 'urgent' });
+  expect(wrong.status).toEqual(422);
+  expect((await wrong.text()).includes('larklatch-priority')).toEqual(true);
+});
+
+test('should refuse a body over the limit and serve the caller again', async () => {
+  const answer = await call(context.fleet, '/v1/chat/completions', chat('x'.repeat(5_000_000)));
+  expect(answer.status).toEqual(413);
+  await answer.text();
+  const next = await call(context.fleet, '/v1/chat/completions', chat('after'));
+  expect((await next.text()).includes('after')).toEqual(true);
+});
+
+test('should run a key once when two entries get it at the same moment', async () => {
+  const { fleet } = context;
+  await publishService(fleet);
+  for (let round = 0; round < 20; round++) {
+    const key = randomUUID();
+    const answers = await Promise.all([0, 1, 2].map((entry) => notice(fleet, key, entry)));
+    expect(answers.filter((answer) => answer.status === 200).length >= 1).toEqual(true);
+    for (const answer of answers)
+      expect(answer.headers.get('larklatch-outcome') === 'not-run').toEqual(false);
+    expect(await runsOfKey(key)).toEqual(1);
+  }
+});
+
+test('should give the same answer again at another entry', async () => {
+  const { fleet } = context;
+  const [key] = await newKeys(fleet, 1);
+  const first = await (await notice(fleet, key, 0)).text();
+  const second = await (await notice(fleet, key, 1)).text();
+  expect(second).toEqual(first);
+  expect(await runsOfKey(key)).toEqual(1);
+});
+
+test('should hand the ledger over when an agent is stopped as planned', async () => {
+  const { fleet } = context;
+  const keys = Array.from({ length: 24 }, () => randomUUID());
+  for (const key of keys) expect((await notice(fleet, key)).status).toEqual(200);
+  const leaving = fleet.plainBoxes()[2];
+  const ended = fleet.box(leaving).child.end('SIGTERM');
+  const duringStop = Array.from({ length: 24 }, () => randomUUID());
+  for (const key of duringStop) expect((await notice(fleet, key)).status).toEqual(200);
+  expect(await ended).toEqual(0);
+  await fleet.unlist(leaving);
+  const later = Array.from({ length: 24 }, () => randomUUID());
+  for (const key of later) expect((await notice(fleet, key)).status).toEqual(200);
+  for (const key of keys) {
+    await notice(fleet, key);
+    expect(await runsOfKey(key)).toEqual(1);
+  }
+  await fleet.restart(leaving);
+  await fleet.untilComplete('korrigan', 'notices', '1');
+});
+
+test('should call the outcome unknown when the answer of the service is lost, and run nothing again', async () => {
+  const { fleet } = context;
+  for (const box of fleet.plainBoxes())
+    await fleet.setFaults(fleet.box(box).backendUrl, { requests: 'lose-answer' });
+  const key = randomUUID();
+  const answers = [await notice(fleet, key, 0), await notice(fleet, key, 1), await notice(fleet, key, 2)];
+  for (const box of fleet.plainBoxes()) await fleet.setFaults(fleet.box(box).backendUrl, { requests: 'ok' });
+  for (const answer of answers) expect(answer.headers.get('larklatch-outcome')).toEqual('unknown');
+  expect(await runsOfKey(key)).toEqual(1);
+});
+
+test('should not run a key again after the agent that ran it has been lost with its memory', async () => {
+  const { fleet } = context;
+  const keys = Array.from({ length: 24 }, () => randomUUID());
+  for (const key of keys) expect((await notice(fleet, key)).status).toEqual(200);
+  const victim = fleet.plainBoxes()[0];
+  const runsBefore = await runsOf(fleet, [victim]);
+  const lostKeys = keys.filter((key) => runsBefore.some((run) => run.idempotencyKey === key));
+  expect(lostKeys.length > 0).toEqual(true);
+  await fleet.restart(victim);
+  await fleet.until('the lost slots have a new owner', async () => {
+    const answer = await notice(fleet, lostKeys[0], 1);
+    return answer.status === 409 && ((await answer.json()) as { error: string }).error === 'uncertain';
+  });
+  for (const key of lostKeys) {
+    expect((await notice(fleet, key, 2)).headers.get('larklatch-outcome')).toEqual('unknown');
+    expect(await runsOfKey(key)).toEqual(1);
+  }
+  const [fresh] = await newKeys(fleet, 1);
+  expect((await notice(fleet, fresh)).status).toEqual(200);
+});
+
+test('should not send a frozen agent’s keys elsewhere', async () => {
+  const { fleet } = context;
+  const victim = fleet.plainBoxes()[1];
+  const child = fleet.box(victim).child;
+  child.signal('SIGSTOP');
+  const keys = Array.from({ length: 12 }, () => randomUUID());
+  const answers = await Promise.all(keys.map((key) => notice(fleet, key).catch(() => undefined)));
+  child.signal('SIGCONT');
+  await fleet.until(
+    'all entries see the agent',
+    async () => (await notice(fleet, randomUUID())).status === 200,
+  );
+  for (const [index, key] of keys.entries()) {
+    const runs = await runsOfKey(key);
+    expect(runs <= 1).toEqual(true);
+    if (answers[index]?.headers.get('larklatch-outcome') === 'not-run') expect(runs).toEqual(0);
+  }
+});
+
+/** Sends chats and notices without a pause until told to stop; returns the answers that were not whole. */
+function keepAsking(entries: readonly number[]): { stop: () => Promise<string[]> } {
+  const { fleet } = context;
+  const failures: string[] = [];
+  const urls = entries.map((entry) => fleet.entries()[entry].httpUrl);
+  let running = true;
+  const ask = async (url: string): Promise<void> => {
+    while (running) {
+      const answer = await fetch(`${url}/v1/chat/completions`, {
+        method: 'POST',
+        headers: { authorization: 'Bearer key-korrigan' },
+        body: JSON.stringify(chat('load', { stream: true, max_tokens: 20 })),
+      });
+      const text = await answer.text().catch((error: unknown) => String(error));
+      if (answer.status !== 200 || !text.endsWith('data: [DONE]\n\n'))
+        failures.push(`${answer.status} ${text.slice(-80)}`);
+    }
+  };
+  const loops = urls.flatMap((url) => [ask(url), ask(url)]);
+  return {
+    stop: async () => {
+      running = false;
+      await Promise.all(loops.map((loop) => loop.catch((error: unknown) => failures.push(String(error)))));
+      return failures;
+    },
+  };
+}
+
+test('should cut nothing when an agent is stopped as planned', async () => {
+  const { fleet } = context;
+  const load = keepAsking([0, 1]);
+  const box = fleet.modelBoxes()[0];
+  expect(await fleet.box(box).child.end('SIGTERM')).toEqual(0);
+  expect(await load.stop()).toEqual([]);
+  await fleet.restart(box);
+  await fleet.untilComplete('korrigan', 'judge', 'v1');
+});
+
+test('should cut nothing when an entry is stopped as planned', async () => {
+  const { fleet } = context;
+  const entry = fleet.entries()[2];
+  const streams = Array.from({ length: 6 }, () =>
+    call(fleet, '/v1/chat/completions', chat('long', { stream: true, max_tokens: 60 }), {}, 2),
+  );
+  const heads = await Promise.all(streams);
+  const ended = entry.child.end('SIGTERM');
+  for (const head of heads) expect((await head.text()).endsWith('data: [DONE]\n\n')).toEqual(true);
+  expect(await ended).toEqual(0);
+});
+
+test('should run nothing twice when an entry was frozen while it waited for an answer', async () => {
+  const { fleet } = context;
+  const entry = fleet.entries()[0];
+  const content = randomUUID();
+  const answer = call(fleet, '/v1/chat/completions', chat(content, { max_tokens: 100 }), {}, 0);
+  await fleet.until('the request runs', async () => (await chatRuns(content)) === 1);
+  entry.child.signal('SIGSTOP');
+  await fleet.until('the answer is ready', async () => {
+    const states = await Promise.all(
+      fleet.modelBoxes().map((box) => fleet.read<{ running: number }>(`${fleet.box(box).backendUrl}/_state`)),
+    );
+    return states.every((state) => state.running === 0);
+  });
+  await new Promise((resolve) => setTimeout(resolve, FROZEN_MILLISECONDS));
+  entry.child.signal('SIGCONT');
+  expect((await (await answer).text()).includes(content)).toEqual(true);
+  expect(await chatRuns(content)).toEqual(1);
+  await fleet.until('the entry serves again', async () => {
+    return (await call(fleet, '/v1/chat/completions', chat('again'))).status === 200;
+  });
+});
+
+/** Longer than the silence after which a control connection counts as lost. */
+const FROZEN_MILLISECONDS = 2_000;
+
+async function chatRuns(content: string): Promise<number> {
+  const runs = await runsOf(context.fleet, context.fleet.modelBoxes());
+  return runs.filter((run) => run.content === content).length;
+}
+
+test('should end a cut stream visibly incomplete', async () => {
+  const { fleet } = context;
+  for (const box of fleet.modelBoxes())
+    await fleet.setFaults(fleet.box(box).backendUrl, { cutStreamAfterTokens: 3 });
+  const answer = await call(fleet, '/v1/chat/completions', chat('cut', { stream: true, max_tokens: 9 }));
+  expect(answer.status).toEqual(200);
+  const text = await answer.text().catch((error: unknown) => String(error));
+  for (const box of fleet.modelBoxes())
+    await fleet.setFaults(fleet.box(box).backendUrl, { cutStreamAfterTokens: 0 });
+  expect(text.includes('[DONE]')).toEqual(false);
+});
+
+test('should cancel the work of a caller that leaves', async () => {
+  const { fleet } = context;
+  const abort = new AbortController();
+  const request = fetch(`${fleet.entries()[0].httpUrl}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: 'Bearer key-korrigan' },
+    body: JSON.stringify(chat('leave', { stream: true, max_tokens: 500 })),
+    signal: abort.signal,
+  });
+  expect((await request).status).toEqual(200);
+  abort.abort();
+  await fleet.until('the engine stops', async () => {
+    const states = await Promise.all(
+      fleet
+        .modelBoxes()
+        .map((box) => fleet.read<{ cancelled: number }>(`${fleet.box(box).backendUrl}/_state`)),
+    );
+    return states.some((state) => state.cancelled > 0);
+  });
+});
--- /dev/null
+++ b/tests/fleetRollout.spec.ts
@@ -0,0 +1,178 @@
+/** Rollouts on real processes: kills, freezes, outages and changes in the middle. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { CHUNK_BYTES, coordinator, engineState, rollOut, useFleet } from './fixtures/fleetFixture.js';
+
+/** Slow enough that a rollout of 48 chunks takes about three seconds. */
+const SLOW = { originBytesPerSecond: 32 * CHUNK_BYTES, boxBytesPerSecond: 16 * CHUNK_BYTES };
+const LONG = 48;
+
+const context = useFleet({ ...SLOW, entriesPerHall: 1 });
+
+/** Waits until some chunk of a version has come to a box, so that the rollout is in its middle. */
+async function untilUnderWay(version: string): Promise<void> {
+  const { fleet } = context;
+  await fleet.until(`${version} under way`, async () => {
+    const status = await fleet.rollout('korrigan', 'judge');
+    return (
+      status.wantedVersion === version &&
+      status.perBox.some((box) => box.totalChunks === LONG && box.heldChunks > 4)
+    );
+  });
+}
+
+async function expectServed(version: string, digest: string): Promise<void> {
+  const { fleet } = context;
+  const boxes = fleet.modelBoxes().filter((box) => fleet.box(box).child.running);
+  for (const box of boxes) {
+    const state = await engineState(fleet, box);
+    expect(state.active).toEqual(version);
+    expect(state.digests[version]).toEqual(digest);
+  }
+}
+
+test('should bring the exact bytes to every engine and draw each chunk once', async () => {
+  const { fleet } = context;
+  const before = await fleet.originBytes();
+  const digest = await rollOut(fleet, 'v1');
+  await fleet.untilComplete('korrigan', 'judge', 'v1');
+  await expectServed('v1', digest);
+  expect((await fleet.originBytes()) - before).toEqual(24 * CHUNK_BYTES);
+});
+
+test('should draw only the chunks that a version does not share with the one before', async () => {
+  const { fleet } = context;
+  const before = await fleet.originBytes();
+  const digest = await rollOut(fleet, 'v2', { base: 'v1', changedShare: 0.25 });
+  await fleet.untilComplete('korrigan', 'judge', 'v2');
+  await expectServed('v2', digest);
+  expect((await fleet.originBytes()) - before).toEqual(6 * CHUNK_BYTES);
+});
+
+test('should fill a replaced box from its peers, not from the origin', async () => {
+  const { fleet } = context;
+  const box = fleet.modelBoxes()[0];
+  const before = await fleet.originBytes();
+  await fleet.restart(box);
+  await fleet.until('the new agent serves', async () => {
+    const status = await fleet.rollout('korrigan', 'judge');
+    const replaced = status.perBox.find((each) => each.box === box);
+    return replaced?.state === 'active' && replaced.activeVersion === 'v2';
+  });
+  expect(await fleet.originBytes()).toEqual(before);
+});
+
+test('should end on the last version when it changes in the middle of a rollout', async () => {
+  const { fleet } = context;
+  await rollOut(fleet, 'v3', { chunkCount: LONG });
+  await untilUnderWay('v3');
+  const digest = await rollOut(fleet, 'v4', { chunkCount: LONG });
+  await fleet.untilComplete('korrigan', 'judge', 'v4');
+  await expectServed('v4', digest);
+});
+
+test('should go on when the entry of the coordinator is killed in the middle', async () => {
+  const { fleet } = context;
+  const before = await fleet.originBytes();
+  const digest = await rollOut(fleet, 'v5', { chunkCount: LONG });
+  await untilUnderWay('v5');
+  const { box, epoch } = await coordinator(fleet);
+  await fleet.box(box).child.end('SIGKILL');
+  await fleet.untilComplete('korrigan', 'judge', 'v5');
+  await expectServed('v5', digest);
+  expect((await coordinator(fleet)).epoch > epoch).toEqual(true);
+  expect((await fleet.originBytes()) - before).toEqual(LONG * CHUNK_BYTES);
+  await fleet.restart(box);
+});
+
+test('should not be disturbed by a coordinator that was frozen past its lease', async () => {
+  const { fleet } = context;
+  await rollOut(fleet, 'v6', { chunkCount: LONG });
+  await untilUnderWay('v6');
+  const { box, epoch } = await coordinator(fleet);
+  const frozen = fleet.box(box).child;
+  frozen.signal('SIGSTOP');
+  const other = fleet.entries().find((entry) => entry.name !== box)!;
+  await fleet.until('another coordinator', async () => (await coordinator(fleet)).epoch > epoch);
+  const digest = await publishFrom(other.name, 'v7');
+  frozen.signal('SIGCONT');
+  await fleet.untilComplete('korrigan', 'judge', 'v7');
+  await expectServed('v7', digest);
+});
+
+/** Publishes a version through a named entry. */
+async function publishFrom(entry: string, version: string): Promise<string> {
+  const { fleet } = context;
+  const recipe = { customer: 'korrigan', model: 'judge', version, chunkBytes: CHUNK_BYTES, chunkCount: LONG };
+  const { blobDigest } = await fleet.publishVersion(recipe);
+  const body = { template: 'chat', parameters: { version, boxes: fleet.modelBoxes() } };
+  await fleet.until('the change is accepted', async () => {
+    const answer = await fleet.operate('PUT', '/v1/configurations/korrigan/judge', body, fleet.box(entry));
+    return answer.status === 200;
+  });
+  return blobDigest;
+}
+
+test('should move chunks on while the object api is down, and switch once it is back', async () => {
+  const { fleet } = context;
+  const digest = await rollOut(fleet, 'v8', { chunkCount: LONG });
+  await untilUnderWay('v8');
+  await fleet.setFaults(fleet.objectApiUrl, { availability: 'down' });
+  await fleet.until('every chunk is there', async () => {
+    const status = await fleet.rollout('korrigan', 'judge');
+    return status.perBox.every((box) => box.heldChunks === LONG);
+  });
+  const { active } = await engineState(fleet, fleet.modelBoxes()[0]);
+  expect(active).toEqual('v7');
+  await fleet.setFaults(fleet.objectApiUrl, { availability: 'up' });
+  await fleet.untilComplete('korrigan', 'judge', 'v8');
+  await expectServed('v8', digest);
+});
+
+test('should draw a corrupt chunk again within the budget and never serve it', async () => {
+  const { fleet } = context;
+  await fleet.setFaults(fleet.originUrl, { corruptShare: 0.1 });
+  const digest = await rollOut(fleet, 'v9', { chunkCount: LONG });
+  await fleet.untilComplete('korrigan', 'judge', 'v9');
+  await fleet.setFaults(fleet.originUrl, { corruptShare: 0 });
+  await expectServed('v9', digest);
+});
+
+test('should hand the draws of a killed box to others', async () => {
+  const { fleet } = context;
+  const digest = await rollOut(fleet, 'v10', { chunkCount: LONG });
+  await untilUnderWay('v10');
+  const victim = fleet.modelBoxes()[1];
+  await fleet.box(victim).child.end('SIGKILL');
+  await fleet.unlist(victim);
+  await fleet.untilComplete('korrigan', 'judge', 'v10');
+  await expectServed('v10', digest);
+  await fleet.restart(victim);
+  await fleet.until('the box is back', async () => (await engineState(fleet, victim)).active === 'v10');
+});
+
+test('should take a configuration off a box that it names no more', async () => {
+  const { fleet } = context;
+  const [dropped, ...kept] = fleet.modelBoxes();
+  await rollOut(fleet, 'v10', { chunkCount: LONG, boxes: kept });
+  await fleet.until('the box holds nothing', async () => {
+    const text = await (await fetch(`${fleet.box(dropped).httpUrl}/metrics`)).text();
+    return text.includes('larklatch_staged_bytes 0');
+  });
+});
+
+test('should take a withdrawn configuration off every box', async () => {
+  const { fleet } = context;
+  const answer = await fleet.operate('DELETE', '/v1/configurations/korrigan/judge');
+  expect(answer.status).toEqual(200);
+  await fleet.until(
+    'withdrawn',
+    async () => (await fleet.rollout('korrigan', 'judge')).phase === 'withdrawn',
+  );
+  for (const box of fleet.modelBoxes()) {
+    await fleet.until(`${box} holds nothing`, async () => {
+      const text = await (await fetch(`${fleet.box(box).httpUrl}/metrics`)).text();
+      return text.includes('larklatch_staged_bytes 0');
+    });
+  }
+});
--- a/tests/ledger.spec.ts
+++ b/tests/ledger.spec.ts
@@ -118,7 +118,7 @@
 const BOXES: LedgerCandidate[] = ['a', 'b', 'c'].map((box) => ({ box, incarnation: `${box}1` }));
 
 test('should deal all slots evenly at first', () => {
-  const slots = assignSlots([], BOXES, () => false);
+  const slots = assignSlots([], BOXES, () => 'owns');
   const counts = BOXES.map(({ box }) => slots.filter((owner) => owner.box === box).length);
   expect(slots.length).toEqual(LEDGER_SLOTS);
   expect(Math.max(...counts) - Math.min(...counts) <= 1).toEqual(true);
@@ -126,8 +126,8 @@
 });
 
 test('should move only the slots of an owner that is proven gone, blind and under a new epoch', () => {
-  const before = assignSlots([], BOXES, () => false);
-  const after = assignSlots(before, BOXES.slice(1), (owner) => owner.box === 'a');
+  const before = assignSlots([], BOXES, () => 'owns');
+  const after = assignSlots(before, BOXES.slice(1), (owner) => (owner.box === 'a' ? 'lost' : 'owns'));
   after.forEach((owner, slot) => {
     if (before[slot].box === 'a') expect(owner.epoch === 2 && owner.blind && owner.box !== 'a').toEqual(true);
     else expect(owner).toEqual(before[slot]);
@@ -135,12 +135,12 @@
 });
 
 test('should leave the slots of a silent owner where they are', () => {
-  const before = assignSlots([], BOXES, () => false);
-  expect(assignSlots(before, BOXES.slice(1), () => false)).toEqual(before);
+  const before = assignSlots([], BOXES, () => 'owns');
+  expect(assignSlots(before, BOXES.slice(1), () => 'owns')).toEqual(before);
 });
 
 test('should hash what the owner was told to the same value as the table', () => {
-  const slots: SlotOwner[] = assignSlots([], BOXES, () => false);
+  const slots: SlotOwner[] = assignSlots([], BOXES, () => 'owns');
   const { ledger } = ledgerWith();
   ledger.assign(SERVICE, slotsOf(slots, BOXES[1]));
   expect(ledger.hashOf(SERVICE)).toEqual(ledgerHash(slotsOf(slots, BOXES[1])));
@@ -161,3 +161,29 @@
     { seed: 5 },
   );
 });
+
+test('should hand a slot over with sight when the old owner gave its keys', () => {
+  const before = assignSlots([], BOXES, () => 'owns');
+  const after = assignSlots(before, BOXES.slice(1), (owner) => (owner.box === 'a' ? 'handed-over' : 'owns'));
+  after.forEach((owner, slot) => {
+    if (before[slot].box === 'a') expect(owner.epoch === 2 && !owner.blind).toEqual(true);
+  });
+});
+
+test('should stay blind when the one that hands over was blind itself', () => {
+  const lost = assignSlots([], BOXES, () => 'owns').map((owner) => ({ ...owner, blind: true }));
+  const after = assignSlots(lost, BOXES.slice(1), (owner) => (owner.box === 'a' ? 'handed-over' : 'owns'));
+  expect(after.every((owner) => owner.blind)).toEqual(true);
+});
+
+test('should let nothing run that the earlier owner let run', () => {
+  const { ledger: leaving } = ledgerWith();
+  leaving.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: false }]);
+  leaving.check(SERVICE, asked({ key: `${SERVICE}.k` }));
+  const { ledger: next } = ledgerWith();
+  next.importKeys(leaving.exportKeys(SERVICE));
+  next.assign(SERVICE, [{ slot: 3, slotEpoch: 3, blind: false }]);
+  expect(leaving.check(SERVICE, asked({ key: `${SERVICE}.other` })).kind).toEqual('not-owner');
+  expect(next.check(SERVICE, asked({ key: `${SERVICE}.k`, slotEpoch: 3 })).kind).toEqual('started');
+  expect(next.check(SERVICE, asked({ key: `${SERVICE}.other`, slotEpoch: 3 })).kind).toEqual('run');
+});
--- a/tests/routing.spec.ts
+++ b/tests/routing.spec.ts
@@ -14,7 +14,7 @@
 
 function backend(box: string, hall = 'near', rollout = 'r1'): Backend {
   const place = { address: '127.0.0.1', httpPort: 1, incarnation: 'i', version: 'v', capacity: 10 };
-  return { ...place, box, hall, rollout, load: new BoxLoad() };
+  return { ...place, box, hall, rollout, load: new BoxLoad(), lost: new AbortController().signal };
 }
 
 const random = new SeededRandom(1);
