--- a/src/agent/agentDaemon.ts
+++ b/src/agent/agentDaemon.ts
@@ -44,7 +44,7 @@
   uploads: UploadQueue;
 }
 
-const HEALTH_INTERVAL_MILLISECONDS = 500;
+const HEALTH_INTERVAL_MILLISECONDS = 1_000;
 const DRAIN_POLL_MILLISECONDS = 20;
 /** How long a leaving box waits for its part of the ledger to be taken over. */
 const HAND_OVER_MILLISECONDS = 3_000;
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -68,6 +68,7 @@
   private readonly _metrics = new Metrics();
   private readonly _replica = new Replica();
   private readonly _rollouts = new ParsedRecords(this._replica, parseRollout);
+  private readonly _ledgers = new ParsedRecords(this._replica, parseLedger);
   private readonly _specifications = new Specifications(this._replica);
   private readonly _boxes: BoxListFollower;
   private readonly _follower: ApiFollower;
@@ -104,6 +105,8 @@
     this._pool = new CoordinatorPool({
       ...services,
       replica: this._replica,
+      rollouts: this._rollouts,
+      ledgers: this._ledgers,
       writer,
       specifications: this._specifications,
       boxes: this._boxes,
@@ -166,7 +169,6 @@
   private _createHttp(writer: SafeWriter): EntryHttpServer {
     const { _replica: replica, _specifications: specifications, _routes: routes, _settings: settings } = this;
     const common = { clock: this._clock, random: this._random, metrics: this._metrics };
-    const ledgers = new ParsedRecords(replica, parseLedger);
     const router = new RequestRouter({
       ...common,
       routes,
@@ -174,7 +176,7 @@
         httpToken(settings.sharedKey, settings.box),
         settings.requestTimeoutMilliseconds,
       ),
-      ledgers,
+      ledgers: this._ledgers,
       retries: new RetryBudget(this._clock),
       sharedKey: settings.sharedKey,
       logger: this._logger,
@@ -186,7 +188,7 @@
       specifications,
       router,
       routes,
-      ledgers,
+      ledgers: this._ledgers,
       sharedKey: settings.sharedKey,
       entriesKeepSeconds: settings.entriesKeepSeconds,
       entriesFor: (hall, asker) => this._entriesFor(hall, asker),
--- a/src/membership/agentLink.ts
+++ b/src/membership/agentLink.ts
@@ -1,5 +1,5 @@
 /** An entry's connection to one agent, and the last report that came over it. */
-import { EventEmitter } from 'node:events';
+import { EventEmitter, setMaxListeners } from 'node:events';
 import { createActor } from 'xstate';
 import type { Box } from '../platform/boxList.js';
 import type { ControlOptions } from '../protocol/controlConnection.js';
@@ -42,7 +42,7 @@
   private readonly _machine = createActor(linkMachine).start();
   private readonly _stopped = new AbortController();
   private _connection: ControlConnection | undefined;
-  private _lost = new AbortController();
+  private _lost = unboundedController();
   private _lostAt: number;
 
   constructor(box: Box, services: LinkServices) {
@@ -112,7 +112,7 @@
       return;
     }
     this._connection = connection;
-    this._lost = new AbortController();
+    this._lost = unboundedController();
     this._machine.send({ type: 'CONNECTED' });
     const closed = new Promise<string>((resolve) => connection.once('close', resolve));
     connection.on('message', (message) => {
@@ -146,3 +146,10 @@
     this.emit('change');
   }
 }
+
+/** Any number of requests may wait on one link. */
+function unboundedController(): AbortController {
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  return controller;
+}
--- a/src/protocol/controlConnection.ts
+++ b/src/protocol/controlConnection.ts
@@ -6,7 +6,7 @@
 import { StepError, errorText } from '../utils/stepError.js';
 import { withTimeout } from '../utils/timers.js';
 import { sameMac } from './authentication.js';
-import { FrameReader, encodeFrame } from './frameCodec.js';
+import { FrameReader, HEARTBEAT_FRAME, encodeFrame } from './frameCodec.js';
 import type { Identity } from './handshake.js';
 import { PROTOCOL_VERSION, challengeSchema, handshakeMac, helloSchema, welcomeSchema } from './handshake.js';
 import type { Message } from './message.js';
@@ -219,14 +219,13 @@
   }
 
   private _dispatch(message: Message): void {
-    if (message.type === 'heartbeat') return;
     if (message.type === 'reply') this._calls.get(message.call)?.(message);
     else this.emit('message', message);
   }
 
   private _sendHeartbeat(): void {
     const quietFor = performance.now() - this._lastSentAt;
-    if (quietFor > this._options.peerTimeoutMilliseconds / 4) this._write({ type: 'heartbeat' });
+    if (quietFor > this._options.peerTimeoutMilliseconds / 4) this._writeFrame(HEARTBEAT_FRAME);
   }
 
   private _touch(): void {
@@ -240,8 +239,10 @@
   }
 
   private _write(message: unknown): void {
-    if (this._closed) return;
-    const frame = encodeFrame(message);
+    if (!this._closed) this._writeFrame(encodeFrame(message));
+  }
+
+  private _writeFrame(frame: Buffer): void {
     ControlConnection.totalBytes += frame.length;
     this._lastSentAt = performance.now();
     this._socket.write(frame);
--- a/src/protocol/frameCodec.ts
+++ b/src/protocol/frameCodec.ts
@@ -1,4 +1,4 @@
-/** Length-framed CBOR: four bytes of length, then one CBOR item. */
+/** Length-framed CBOR: four bytes of length, then one CBOR item; a frame of length 0 is a heartbeat. */
 import { Decoder, Encoder } from 'cbor-x';
 import { StepError } from '../utils/stepError.js';
 
@@ -9,6 +9,9 @@
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
 const decoder = new Decoder({ useRecords: false });
 
+/** Keeps a quiet connection known to be alive. */
+export const HEARTBEAT_FRAME = Buffer.alloc(LENGTH_BYTES);
+
 /** Encodes one message as a frame. */
 export function encodeFrame(message: unknown): Buffer {
   const body = encoder.encode(message);
@@ -31,7 +34,7 @@
     this._pendingBytes += bytes.length;
     const messages: unknown[] = [];
     for (let body = this._nextBody(); body !== undefined; body = this._nextBody()) {
-      messages.push(this._decode(body));
+      if (body.length > 0) messages.push(this._decode(body));
     }
     return messages;
   }
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -20,12 +20,8 @@
 } from './rolloutMessages.js';
 import { haveMessageSchema, swarmJoinSchema } from './swarmMessages.js';
 
-/** Keeps an idle connection known to be alive. */
-export const heartbeatSchema = z.object({ type: z.literal('heartbeat') });
-
 /** Every message that may follow the handshake. */
 export const messageSchema = z.discriminatedUnion('type', [
-  heartbeatSchema,
   recordsMessageSchema,
   digestMessageSchema,
   revisionQuerySchema,
--- a/src/rollout/coordinatorPool.ts
+++ b/src/rollout/coordinatorPool.ts
@@ -31,6 +31,8 @@
 }
 
 const STEP_INTERVAL_MILLISECONDS = 50;
+/** How often to look when nothing has changed and no lease is held. */
+const QUIET_INTERVAL_MILLISECONDS = 500;
 /** How long a lease is kept with nothing to do. */
 const IDLE_MILLISECONDS = 1_000;
 
@@ -38,11 +40,15 @@
 export class CoordinatorPool {
   private readonly _options: CoordinatorPoolOptions;
   private readonly _charges = new Map<string, Charge>();
-  private readonly _timer: NodeJS.Timeout;
+  private _timer: NodeJS.Timeout | undefined;
+  private _dueAt = 0;
+  private _stopped = false;
 
   constructor(options: CoordinatorPoolOptions) {
     this._options = options;
-    this._timer = setInterval(() => this._stepAll(), STEP_INTERVAL_MILLISECONDS);
+    options.replica.on('change', () => this._wake());
+    options.links.on('change', () => this._wake());
+    this._schedule(STEP_INTERVAL_MILLISECONDS);
   }
 
   /** The epoch under which this entry coordinates a configuration; undefined when it does not. */
@@ -52,11 +58,29 @@
 
   /** Gives all leases back. */
   async stop(): Promise<void> {
-    clearInterval(this._timer);
+    this._stopped = true;
+    clearTimeout(this._timer);
     await Promise.all([...this._charges.values()].map((charge) => charge.lease.release()));
   }
 
+  /** Looks soon after a change. */
+  private _wake(): void {
+    if (this._dueAt - this._options.clock.now() > STEP_INTERVAL_MILLISECONDS)
+      this._schedule(STEP_INTERVAL_MILLISECONDS);
+  }
+
+  private _schedule(milliseconds: number): void {
+    if (this._stopped) return;
+    clearTimeout(this._timer);
+    this._dueAt = this._options.clock.now() + milliseconds;
+    this._timer = setTimeout(() => this._stepAll(), milliseconds);
+  }
+
   private _stepAll(): void {
+    const working = [...this._charges.values()].some(
+      (charge) => charge.busy || charge.lease.epoch !== undefined,
+    );
+    this._schedule(working ? STEP_INTERVAL_MILLISECONDS : QUIET_INTERVAL_MILLISECONDS);
     for (const wanted of this._options.specifications.all()) {
       const charge = this._charge(wanted.name);
       if (charge.lease.epoch !== undefined) this._renew(charge);
--- a/src/rollout/ledgerAssigner.ts
+++ b/src/rollout/ledgerAssigner.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import type { ConfigurationName } from '../configuration/recordKeys.js';
 import { configurationKey, shortName } from '../configuration/recordKeys.js';
+import type { ParsedRecords } from '../configuration/parsedRecords.js';
 import type { Replica } from '../configuration/replica.js';
 import type { SafeWriter } from '../configuration/safeWriter.js';
 import type { AgentLinks } from '../membership/agentLinks.js';
@@ -17,6 +18,7 @@
 /** What an assigner works with. */
 export interface LedgerAssignerServices {
   replica: Replica;
+  ledgers: ParsedRecords<LedgerRecord>;
   writer: SafeWriter;
   boxes: BoxListFollower;
   links: AgentLinks;
@@ -38,7 +40,7 @@
   /** Assigns free slots once the first rollout is complete, and tells agents of theirs. */
   async step(rollout: RolloutRecord, boxes: readonly RolloutBox[]): Promise<void> {
     const key = configurationKey('ledger', this._name);
-    const table = parseLedger(this._services.replica.value(key));
+    const table = this._services.ledgers.get(key);
     if (!table && rollout.phase !== 'complete') return;
     const candidates = ledgerCandidates(boxes);
     if (candidates.length === 0) return;
--- a/src/rollout/rolloutCoordinator.ts
+++ b/src/rollout/rolloutCoordinator.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import type { ConfigurationName } from '../configuration/recordKeys.js';
 import { configurationKey, shortName } from '../configuration/recordKeys.js';
+import type { ParsedRecords } from '../configuration/parsedRecords.js';
 import type { Replica } from '../configuration/replica.js';
 import type { SafeWriter } from '../configuration/safeWriter.js';
 import type { Specification } from '../configuration/template.js';
@@ -10,6 +11,7 @@
 import type { BoxListFollower } from '../membership/boxListFollower.js';
 import type { Origin } from '../platform/origin.js';
 import type { Manifest } from '../protocol/manifest.js';
+import type { LedgerRecord } from '../requests/ledgerSlots.js';
 import type { Logger } from '../telemetry/logger.js';
 import type { Clock } from '../utils/clock.js';
 import { errorText } from '../utils/stepError.js';
@@ -18,7 +20,6 @@
 import { LedgerAssigner } from './ledgerAssigner.js';
 import { PlanSender } from './planSender.js';
 import type { RolloutRecord } from './rolloutRecord.js';
-import { parseRollout } from './rolloutRecord.js';
 import type { RolloutBox } from './rolloutView.js';
 import { rolloutBoxes, serviceReport, strays } from './rolloutView.js';
 import type { Specifications } from './specifications.js';
@@ -26,6 +27,8 @@
 /** What all coordinators of an entry share. */
 export interface CoordinatorServices {
   replica: Replica;
+  rollouts: ParsedRecords<RolloutRecord>;
+  ledgers: ParsedRecords<LedgerRecord>;
   writer: SafeWriter;
   specifications: Specifications;
   boxes: BoxListFollower;
@@ -78,7 +81,7 @@
   }
 
   private _record(): RolloutRecord | undefined {
-    return parseRollout(this._services.replica.value(this._key()));
+    return this._services.rollouts.get(this._key());
   }
 
   private _key(): string {
--- a/src/rollout/workCheck.ts
+++ b/src/rollout/workCheck.ts
@@ -1,26 +1,26 @@
 /** Whether a configuration needs a coordinator now. */
 import { configurationKey } from '../configuration/recordKeys.js';
-import type { Replica } from '../configuration/replica.js';
+import type { ParsedRecords } from '../configuration/parsedRecords.js';
 import type { AgentLinks } from '../membership/agentLinks.js';
 import type { BoxListFollower } from '../membership/boxListFollower.js';
-import type { SlotOwner } from '../requests/ledgerSlots.js';
-import { isOwnerGone, knowsSlots, ledgerCandidates, mustHandOver, parseLedger } from './ledgerAssigner.js';
+import type { LedgerRecord, SlotOwner } from '../requests/ledgerSlots.js';
+import { isOwnerGone, knowsSlots, ledgerCandidates, mustHandOver } from './ledgerAssigner.js';
 import type { RolloutRecord } from './rolloutRecord.js';
-import { parseRollout } from './rolloutRecord.js';
 import type { RolloutBox } from './rolloutView.js';
 import { rolloutBoxes, serviceReport, strays } from './rolloutView.js';
 import type { WantedConfiguration } from './specifications.js';
 
 /** What the check looks at. */
 export interface WorkCheckView {
-  replica: Replica;
+  rollouts: ParsedRecords<RolloutRecord>;
+  ledgers: ParsedRecords<LedgerRecord>;
   boxes: BoxListFollower;
   links: AgentLinks;
 }
 
 /** Compares what is wanted with the rollout object, the agents' reports and the ledger table. */
 export function needsWork(wanted: WantedConfiguration, view: WorkCheckView): boolean {
-  const record = parseRollout(view.replica.value(configurationKey('rollout', wanted.name)));
+  const record = view.rollouts.get(configurationKey('rollout', wanted.name));
   if (wanted.withdrawn) return record !== undefined || isServedAnywhere(wanted, view.links);
   const { specification } = wanted;
   if (!specification) return false;
@@ -46,7 +46,7 @@
 ): boolean {
   const candidates = ledgerCandidates(boxes);
   if (candidates.length === 0) return false;
-  const table = parseLedger(view.replica.value(configurationKey('ledger', wanted.name)));
+  const table = view.ledgers.get(configurationKey('ledger', wanted.name));
   if (!table) return true;
   const isOver = (owner: SlotOwner): boolean =>
     isOwnerGone(owner, view.boxes, view.links) || mustHandOver(owner, boxes, view.links);
--- a/src/settings/commonSettings.ts
+++ b/src/settings/commonSettings.ts
@@ -39,7 +39,7 @@
     .string(`at least ${SHORTEST_KEY} characters`)
     .min(SHORTEST_KEY, `at least ${SHORTEST_KEY} characters`)
     .describe('key that all processes of the system share; best given as a variable'),
-  peerTimeoutMilliseconds: numberSetting(100, 60_000, 1_500, 'milliseconds').describe(
+  peerTimeoutMilliseconds: numberSetting(100, 60_000, 2_000, 'milliseconds').describe(
     'silence after which a control connection counts as lost',
   ),
   drainMilliseconds: numberSetting(0, 3_600_000, 60_000, 'milliseconds').describe(
