Pace coordinators' writes, share the origin by weight, send load apart

Causes and measures: - A hundred configurations published at once made every entry lease and write them all; the object API refused an operator's change (429) in the control bench.

Handlers and readers get the field's names instead of desks and boards.

--- a/bench/controlBench.ts
+++ b/bench/controlBench.ts
@@ -18,8 +18,9 @@
 }
 
 const HALLS = ['zagreb', 'split', 'osijek'];
-const SETTLE_MILLISECONDS = 4_000;
-const MEASURE_MILLISECONDS = 10_000;
+const COMPLETE_MILLISECONDS = 120_000;
+const SETTLE_MILLISECONDS = 10_000;
+const MEASURE_MILLISECONDS = 20_000;
 const BASE: Shape = { agents: 6, entries: 3, configurations: 1 };
 const MEASURES: { name: string; unit: string; read: (usage: Usage) => number }[] = [
   { name: 'control.bytesPerSecond', unit: 'bytes/s', read: (usage) => usage.bytesPerSecond },
@@ -72,8 +73,19 @@
     for (let index = 0; index < shape.configurations; index++) {
       await fleet.publish(`/v1/configurations/studio/turns-${index}`, body);
     }
-    const last = `turns-${shape.configurations - 1}`;
-    await fleet.untilComplete('studio', last, '1', 120_000);
+    await fleet.until(
+      'all complete',
+      async () => {
+        const { rollouts } = (await fleet.operate('GET', '/v1/rollouts')).body as {
+          rollouts: { phase: string }[];
+        };
+        return (
+          rollouts.length === shape.configurations &&
+          rollouts.every((rollout) => rollout.phase === 'complete')
+        );
+      },
+      COMPLETE_MILLISECONDS,
+    );
     await pause(SETTLE_MILLISECONDS);
     const boxes = [...fleet.boxes.values()];
     const [entry, agent] = await Promise.all([
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,12 +1,14 @@
-/** `npm run bench [-- PART ...]`: prints one JSON object a line. Parts: rollout, decisions, requests, control. */
+/** `npm run bench [-- PART ...]`: prints one JSON object a line. Parts: decisions, rollout, share, requests, control. */
 import { benchControl } from './controlBench.js';
 import { benchDecisions } from './decisionBench.js';
 import { benchRequests } from './requestBench.js';
 import { benchRollout } from './rolloutBench.js';
+import { benchShare } from './shareBench.js';
 
 const PARTS: Record<string, () => Promise<void>> = {
   decisions: benchDecisions,
   rollout: benchRollout,
+  share: benchShare,
   requests: benchRequests,
   control: benchControl,
 };
--- a/bench/rolloutRun.ts
+++ b/bench/rolloutRun.ts
@@ -3,7 +3,7 @@
 import type { Distribution } from '../src/protocol/index.js';
 import { pause } from '../src/utils/timers.js';
 import { LocalFleet } from '../standins/localFleet.js';
-import type { FleetOptions } from '../standins/localFleet.js';
+import type { FleetOptions } from '../standins/fleetSettings.js';
 
 /** What is rolled out, on what. */
 export interface RolloutRunOptions {
--- /dev/null
+++ b/bench/shareBench.ts
@@ -0,0 +1,80 @@
+/** Two customers' rollouts at once, one of twice the weight. */
+import { pause } from '../src/utils/timers.js';
+import { LocalFleet } from '../standins/localFleet.js';
+import { printLine } from './benchLine.js';
+
+const CHUNK_BYTES = 64 * 1024;
+const CHUNKS = 128;
+const PERIOD_SECONDS = 16;
+const MODEL_BYTES = CHUNK_BYTES * CHUNKS;
+const WEIGHTS = { heavy: 2, light: 1 };
+/** Part of a copy that the first rollout has drawn when the shares are read. */
+const READ_AT = 0.6;
+
+/** Prints how many bytes the heavy rollout has drawn for each of the light one, in the middle, and both origin copies. */
+export async function benchShare(): Promise<void> {
+  const fleet = await LocalFleet.start({
+    halls: ['zagreb', 'split', 'osijek'],
+    entriesPerHall: 1,
+    modelBoxesPerHall: 8,
+    originBytesPerSecond: (4 * MODEL_BYTES) / PERIOD_SECONDS,
+    boxBytesPerSecond: (2 * MODEL_BYTES) / PERIOD_SECONDS,
+  });
+  try {
+    await publishBoth(fleet);
+    const share = await readShare(fleet);
+    const conditions = '24 boxes, 3 halls, weights 2 and 1, equal models started together, loopback, one run';
+    printLine({ name: 'rollout.originShareByWeight', value: share, unit: 'ratio', baseline: 2, conditions });
+    for (const customer of Object.keys(WEIGHTS)) {
+      const status = await fleet.untilComplete(customer, 'advisor', 'v1', 90_000);
+      const value = status.bytes.origin / MODEL_BYTES;
+      printLine({
+        name: 'rollout.originCopies.two',
+        value,
+        unit: 'copies',
+        baseline: null,
+        conditions: `${customer}; ${conditions}`,
+      });
+    }
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function publishBoth(fleet: LocalFleet): Promise<void> {
+  const parameters = { boxes: { type: 'boxes' }, weight: { type: 'number', minimum: 0.1, maximum: 10 } };
+  const rollout = {
+    model: 'advisor',
+    version: 'v1',
+    boxes: { parameter: 'boxes' },
+    weight: { parameter: 'weight' },
+    originBudgetCopies: 1.1,
+  };
+  await fleet.publish('/v1/templates/chat', { parameters, rollout });
+  for (const customer of Object.keys(WEIGHTS)) {
+    await fleet.addCustomer(customer, `key-${customer}`);
+    await fleet.publishVersion({
+      customer,
+      model: 'advisor',
+      version: 'v1',
+      chunkBytes: CHUNK_BYTES,
+      chunkCount: CHUNKS,
+    });
+  }
+  await Promise.all(
+    Object.entries(WEIGHTS).map(([customer, weight]) => {
+      const body = { template: 'chat', parameters: { boxes: fleet.modelBoxes(), weight } };
+      return fleet.publish(`/v1/configurations/${customer}/advisor`, body);
+    }),
+  );
+}
+
+async function readShare(fleet: LocalFleet): Promise<number> {
+  for (;;) {
+    const [heavy, light] = await Promise.all(
+      Object.keys(WEIGHTS).map((customer) => fleet.rollout(customer, 'advisor')),
+    );
+    if (heavy.bytes.origin > READ_AT * MODEL_BYTES) return heavy.bytes.origin / light.bytes.origin;
+    await pause(50);
+  }
+}
--- a/src/agent/agentDaemon.ts
+++ b/src/agent/agentDaemon.ts
@@ -27,11 +27,11 @@
 import { UploadQueue } from '../weights/uploadQueue.js';
 import { AgentHttpServer } from './agentHttpServer.js';
 import { BackendForwarder } from './backendForwarder.js';
-import { OrderDesk, isOrder } from './orderDesk.js';
+import { OrderHandler, isOrder } from './orderHandler.js';
 import { Reporter } from './reporter.js';
 import { RequestGate } from './requestGate.js';
 import { ServiceHosts } from './serviceHosts.js';
-import { SwarmDesk } from './swarmDesk.js';
+import { SwarmMessageHandler } from './swarmMessageHandler.js';
 
 /** Where a daemon listens. */
 export interface ListeningPorts {
@@ -49,7 +49,7 @@
 /** How long a leaving box waits for its part of the ledger to be taken over. */
 const HAND_OVER_MILLISECONDS = 3_000;
 /** How long a leaving box still answers after its last request, so that every entry has seen it leave. */
-const FAREWELL_MILLISECONDS = 300;
+const SHUTDOWN_GRACE_MILLISECONDS = 300;
 
 /**
  * An agent. It keeps nothing on disk: a new process is a new incarnation.
@@ -71,8 +71,8 @@
   private readonly _hosts: ServiceHosts;
   private readonly _uploads: UploadQueue;
   private readonly _peers: AgentPeers;
-  private readonly _swarm: SwarmDesk;
-  private readonly _orders: OrderDesk;
+  private readonly _swarm: SwarmMessageHandler;
+  private readonly _orders: OrderHandler;
   private readonly _reporter: Reporter;
   private readonly _http: AgentHttpServer;
   private readonly _control: ControlServer;
@@ -97,7 +97,7 @@
     this._queue = new FairQueue({ slots, waitingPerCustomer: settings.waitingPerCustomer, clock });
     this._uploads = parts.uploads ?? createUploads(settings);
     this._backend = createBackend(settings);
-    this._swarm = new SwarmDesk(() => this._hosts.versions().map((version) => version.exchange));
+    this._swarm = new SwarmMessageHandler(() => this._hosts.versions().map((version) => version.exchange));
     this._peers = new AgentPeers(controlOptions(settings), random, this._logger, this._swarm);
     this._hosts = new ServiceHosts({
       backend: this._backend,
@@ -126,7 +126,7 @@
       this._queue,
       this._ledger,
     );
-    this._orders = new OrderDesk({
+    this._orders = new OrderHandler({
       incarnation: this.incarnation,
       hosts: this._hosts,
       ledger: this._ledger,
@@ -169,7 +169,7 @@
     }
     const handedOverBy = performance.now() + HAND_OVER_MILLISECONDS;
     while (this._ledger.ownsSlots && performance.now() < handedOverBy) await pause(DRAIN_POLL_MILLISECONDS);
-    await pause(FAREWELL_MILLISECONDS);
+    await pause(SHUTDOWN_GRACE_MILLISECONDS);
     this.close();
   }
 
--- a/src/agent/orderDesk.ts
+++ b/src/agent/orderHandler.ts
@@ -34,8 +34,8 @@
   keys?: string[];
 }
 
-/** What an order desk works with. */
-export interface OrderDeskOptions {
+/** What an order handler works with. */
+export interface OrderHandlerOptions {
   incarnation: string;
   hosts: ServiceHosts;
   ledger: Ledger;
@@ -47,10 +47,10 @@
 }
 
 /** Carries out orders; a paused coordinator's late order meets a higher epoch here and is refused. */
-export class OrderDesk {
-  private readonly _options: OrderDeskOptions;
+export class OrderHandler {
+  private readonly _options: OrderHandlerOptions;
 
-  constructor(options: OrderDeskOptions) {
+  constructor(options: OrderHandlerOptions) {
     this._options = options;
   }
 
--- a/src/agent/reporter.ts
+++ b/src/agent/reporter.ts
@@ -1,22 +1,23 @@
-/** Tells the subscribed entries about this box: at once on a change of state, slowly for load alone. */
+/** Tells the subscribed entries about this box: its state on every change, its load now and then. */
 import type { ControlConnection } from '../protocol/controlConnection.js';
-import type { ReportMessage } from '../protocol/reportMessages.js';
+import type { LoadMessage, ReportMessage } from '../protocol/reportMessages.js';
 
 /** Changes within this time go out as one report. */
 const GATHER_MILLISECONDS = 100;
-/** How often a report goes out when only load may have changed. */
-const LOAD_INTERVAL_MILLISECONDS = 500;
+/** How often the load goes out when it has changed; it also comes back with every answer. */
+const LOAD_INTERVAL_MILLISECONDS = 1_000;
 
 export class Reporter {
   private readonly _build: () => ReportMessage;
   private readonly _subscribers = new Set<ControlConnection>();
   private readonly _loadTimer: NodeJS.Timeout;
   private _gatherTimer: NodeJS.Timeout | undefined;
-  private _lastSent = '';
+  private _lastState = '';
+  private _lastLoad = '';
 
   constructor(build: () => ReportMessage) {
     this._build = build;
-    this._loadTimer = setInterval(() => this._sendWhenChanged(), LOAD_INTERVAL_MILLISECONDS);
+    this._loadTimer = setInterval(() => this._sendChanges(), LOAD_INTERVAL_MILLISECONDS);
   }
 
   /** Sends the present report and all later ones. */
@@ -30,13 +31,13 @@
   changed(): void {
     this._gatherTimer ??= setTimeout(() => {
       this._gatherTimer = undefined;
-      this._sendWhenChanged();
+      this._sendChanges();
     }, GATHER_MILLISECONDS);
   }
 
   /** Sends without waiting. */
   sendNow(): void {
-    this._sendWhenChanged();
+    this._sendChanges();
   }
 
   close(): void {
@@ -44,11 +45,19 @@
     clearTimeout(this._gatherTimer);
   }
 
-  private _sendWhenChanged(): void {
+  private _sendChanges(): void {
     const report = this._build();
-    const text = JSON.stringify(report);
-    if (text === this._lastSent) return;
-    this._lastSent = text;
-    for (const subscriber of this._subscribers) subscriber.send(report);
+    const { inFlight, queued } = report;
+    const load: LoadMessage = { type: 'load', inFlight, queued };
+    const stateText = JSON.stringify({ ...report, inFlight: 0, queued: 0 });
+    const loadText = JSON.stringify(load);
+    if (stateText !== this._lastState) this._sendAll(report);
+    else if (loadText !== this._lastLoad) this._sendAll(load);
+    this._lastState = stateText;
+    this._lastLoad = loadText;
+  }
+
+  private _sendAll(message: ReportMessage | LoadMessage): void {
+    for (const subscriber of this._subscribers) subscriber.send(message);
   }
 }
--- a/src/agent/swarmDesk.ts
+++ b/src/agent/swarmMessageHandler.ts
@@ -8,7 +8,7 @@
 const EARLY_JOINS = 4_096;
 
 /** Keeps joins that come before the plan, so that no neighbour is missed. */
-export class SwarmDesk implements AgentPeersListener {
+export class SwarmMessageHandler implements AgentPeersListener {
   private readonly _exchanges: () => RolloutExchange[];
   private readonly _earlyJoins = new LRUCache<string, Uint8Array>({ max: EARLY_JOINS });
 
--- a/src/cli/rolloutCommand.ts
+++ b/src/cli/rolloutCommand.ts
@@ -1,5 +1,5 @@
 /** `larklatch rollout status|watch`. */
-import type { RolloutStatus } from '../entry/rolloutStatusBoard.js';
+import type { RolloutStatus } from '../entry/rolloutStatusReader.js';
 import { CliError } from './cliError.js';
 import type { Flags } from './daemonCommand.js';
 import { EXIT } from './exitCodes.js';
--- a/src/configuration/changeDesk.ts
+++ b/src/configuration/changeHandler.ts
@@ -40,7 +40,7 @@
 }
 
 /** Writes changes and waits until they are safe. */
-export class ChangeDesk {
+export class ChangeHandler {
   private readonly _replica: Replica;
   private readonly _writer: SafeWriter;
   private readonly _confirmer: Confirmer;
@@ -57,13 +57,15 @@
     if (this._wasMadeBefore(known, request)) return await this._confirmed(known!);
     if (request.value === undefined && (!known || known.deleted)) return err({ kind: 'not-found' });
     const expected = request.expectedRevision ?? this._replica.liveRevision(request.key);
-    const outcome =
-      request.value === undefined
-        ? await this._writer.delete(request.key, expected)
-        : await this._writer.put(request.key, { ...request.value, changeId: request.changeId }, expected);
+    const outcome = await this._write(request, expected);
     return outcome.kind === 'written' ? await this._confirmed(outcome.record) : err(refusalOf(outcome));
   }
 
+  private async _write(request: ChangeRequest, expected: number): Promise<SafeOutcome> {
+    if (request.value === undefined) return await this._writer.delete(request.key, expected);
+    return await this._writer.put(request.key, { ...request.value, changeId: request.changeId }, expected);
+  }
+
   private _wasMadeBefore(known: ReplicatedRecord | undefined, request: ChangeRequest): boolean {
     if (!known || known.deleted || request.value === undefined) return false;
     return (known.value as { changeId?: string }).changeId === request.changeId;
--- a/src/configuration/recordKeys.ts
+++ b/src/configuration/recordKeys.ts
@@ -1,8 +1,5 @@
 /** Names of the objects that the system keeps in the object API. */
 
-/** Kinds of objects. */
-export type RecordKind = 'template' | 'customer' | 'configuration' | 'rollout' | 'lease' | 'ledger';
-
 /** A customer's configuration by name. */
 export interface ConfigurationName {
   customer: string;
@@ -17,11 +14,11 @@
   return `customer/${name}`;
 }
 
+/** Kinds of objects that a configuration has. */
+export type ConfigurationKind = 'configuration' | 'rollout' | 'lease' | 'ledger';
+
 /** The object of one `kind` that belongs to a configuration. */
-export function configurationKey(
-  kind: 'configuration' | 'rollout' | 'lease' | 'ledger',
-  name: ConfigurationName,
-): string {
+export function configurationKey(kind: ConfigurationKind, name: ConfigurationName): string {
   return `${kind}/${name.customer}/${name.configuration}`;
 }
 
--- a/src/configuration/safeWriter.ts
+++ b/src/configuration/safeWriter.ts
@@ -63,7 +63,7 @@
   /** Sends a write; when its outcome is unknown, reads back and sends it again until it is known. */
   private async _settle(write: PendingWrite): Promise<SafeOutcome> {
     let outcome = await write.send();
-    if (outcome.kind === 'refused') return outcome;
+    if (outcome.kind === 'refused') return { kind: 'refused', reason: outcome.reason };
     for (let attempt = 0; attempt < READ_BACK_TRIES; attempt++) {
       if (outcome.kind === 'written') return this._written(write.record(outcome.revision));
       const current = await this._read(write.key);
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -1,7 +1,7 @@
 /** Everything that runs on an entry box, put together. */
 import { randomUUID } from 'node:crypto';
 import { ApiFollower } from '../configuration/apiFollower.js';
-import { ChangeDesk } from '../configuration/changeDesk.js';
+import { ChangeHandler } from '../configuration/changeHandler.js';
 import { ParsedRecords } from '../configuration/parsedRecords.js';
 import { configurationKey } from '../configuration/recordKeys.js';
 import { Replica } from '../configuration/replica.js';
@@ -13,6 +13,7 @@
 import type { Box } from '../platform/boxList.js';
 import { HttpBoxList } from '../platform/boxList.js';
 import { HttpObjectApi } from '../platform/httpObjectApi.js';
+import { PacedObjectApi } from '../platform/pacedObjectApi.js';
 import { HttpOrigin } from '../platform/origin.js';
 import { httpToken } from '../protocol/authentication.js';
 import type { ControlOptions } from '../protocol/controlConnection.js';
@@ -40,7 +41,7 @@
 import { CustomerDirectory } from './customerDirectory.js';
 import { EntryHttpServer } from './entryHttpServer.js';
 import { OperatorApi } from './operatorApi.js';
-import { RolloutStatusBoard } from './rolloutStatusBoard.js';
+import { RolloutStatusReader } from './rolloutStatusReader.js';
 
 /** Where a daemon listens. */
 export interface EntryPorts {
@@ -48,9 +49,11 @@
   controlPort: number;
 }
 
+/** How often the wanted links are looked at, since leases come and go. */
+const LINK_INTERVAL_MILLISECONDS = 1_000;
 const DRAIN_POLL_MILLISECONDS = 20;
 /** How long a leaving entry still takes requests, so that callers and other entries have seen it leave. */
-const FAREWELL_MILLISECONDS = 500;
+const SHUTDOWN_GRACE_MILLISECONDS = 500;
 
 /**
  * An entry. All entries are equal; each may hold leases and so run rollouts.
@@ -78,6 +81,7 @@
   private readonly _pool: CoordinatorPool;
   private readonly _http: EntryHttpServer;
   private readonly _control: ControlServer;
+  private _linkTimer: NodeJS.Timeout | undefined;
   private _leaving = false;
 
   constructor(settings: EntrySettings) {
@@ -107,7 +111,8 @@
       replica: this._replica,
       rollouts: this._rollouts,
       ledgers: this._ledgers,
-      writer,
+      writer: new SafeWriter(new PacedObjectApi(api), this._replica),
+      leaseWriter: writer,
       specifications: this._specifications,
       boxes: this._boxes,
       links: this._links,
@@ -136,6 +141,7 @@
     const { address } = this._settings;
     const httpPort = await this._http.listen(address, this._settings.httpPort);
     const controlPort = await this._control.listen(address, this._settings.controlPort);
+    this._linkTimer = setInterval(() => this._wantLinks(), LINK_INTERVAL_MILLISECONDS);
     void this._boxes.run();
     void this._follower.run();
     this._logger.state('entry.started', { httpPort, controlPort });
@@ -149,7 +155,7 @@
     this._http.leave();
     this._logger.state('entry.leaving', { inFlight: this._http.inFlight });
     await this._pool.stop();
-    await pause(FAREWELL_MILLISECONDS);
+    await pause(SHUTDOWN_GRACE_MILLISECONDS);
     const deadline = performance.now() + this._settings.drainMilliseconds;
     while (this._http.inFlight > 0 && performance.now() < deadline) await pause(DRAIN_POLL_MILLISECONDS);
     this.close();
@@ -157,6 +163,7 @@
 
   /** Closes at once. */
   close(): void {
+    clearInterval(this._linkTimer);
     this._follower.stop();
     this._boxes.stop();
     this._replicator.close();
@@ -194,7 +201,7 @@
       entriesFor: (hall, asker) => this._entriesFor(hall, asker),
       hall: settings.hall,
     });
-    const board = new RolloutStatusBoard({
+    const statusReader = new RolloutStatusReader({
       box: settings.box,
       replica,
       specifications,
@@ -202,13 +209,13 @@
       links: this._links,
       replicator: this._replicator,
     });
-    const changes = new ChangeDesk(replica, writer, this._replicator);
+    const changes = new ChangeHandler(replica, writer, this._replicator);
     const operators = new OperatorApi({
       operatorKey: settings.operatorKey,
       replica,
       changes,
       specifications,
-      board,
+      statusReader,
     });
     return new EntryHttpServer({
       callers,
@@ -234,11 +241,17 @@
     const entries = this._boxes.withRole('entry');
     const self = this._boxes.get(this._settings.box);
     if (self) this._replicator.want(replicationPeers(self, entries));
+    this._wantLinks();
+  }
+
+  /** Connects the agents of this entry's subset, and those of the configurations that it coordinates. */
+  private _wantLinks(): void {
     const agents = this._boxes.withRole('agent');
     const names = agents.map((agent) => agent.box);
-    const entryNames = entries.map((entry) => entry.box);
-    const chosen = new Set(agentSubset(this._settings.box, entryNames, names, this._settings.agentsPerEntry));
-    this._links.want(agents.filter((agent) => chosen.has(agent.box)));
+    const entries = this._boxes.withRole('entry').map((entry) => entry.box);
+    const chosen = new Set(agentSubset(this._settings.box, entries, names, this._settings.agentsPerEntry));
+    const coordinated = this._pool.coordinatedBoxes();
+    this._links.want(agents.filter((agent) => chosen.has(agent.box) || coordinated.has(agent.box)));
   }
 
   private _watches(): boolean {
--- a/src/entry/operatorApi.ts
+++ b/src/entry/operatorApi.ts
@@ -4,7 +4,7 @@
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { z } from 'zod';
-import type { ChangeDesk, ChangeRefusal } from '../configuration/changeDesk.js';
+import type { ChangeHandler, ChangeRefusal } from '../configuration/changeHandler.js';
 import { configurationKey, customerKey, templateKey } from '../configuration/recordKeys.js';
 import type { Replica } from '../configuration/replica.js';
 import type { FieldProblem } from '../configuration/resolveSpecification.js';
@@ -17,15 +17,15 @@
 import { withoutChangeId } from '../rollout/specifications.js';
 import { answerJson, bearerToken, headerText, readBody } from '../utils/httpBody.js';
 import { answerError, answerProblems } from './answers.js';
-import type { RolloutStatusBoard } from './rolloutStatusBoard.js';
+import type { RolloutStatusReader } from './rolloutStatusReader.js';
 
 /** What the operators' interface works with. */
 export interface OperatorApiOptions {
   operatorKey: string;
   replica: Replica;
-  changes: ChangeDesk;
+  changes: ChangeHandler;
   specifications: Specifications;
-  board: RolloutStatusBoard;
+  statusReader: RolloutStatusReader;
 }
 
 /** One object that operators may read and write. */
@@ -68,12 +68,12 @@
     response: http.ServerResponse,
     [customer, configuration]: string[],
   ): Promise<void> {
-    const { board, specifications } = this._options;
+    const { statusReader, specifications } = this._options;
     if (!customer) {
-      const all = await Promise.all(specifications.all().map((wanted) => board.status(wanted.name)));
+      const all = await Promise.all(specifications.all().map((wanted) => statusReader.status(wanted.name)));
       return answerJson(response, 200, { rollouts: all.filter((status) => status !== undefined) });
     }
-    const status = await board.status({ customer, configuration });
+    const status = await statusReader.status({ customer, configuration });
     if (status) answerJson(response, 200, status);
     else
       answerError(response, 404, {
--- a/src/entry/rolloutStatusBoard.ts
+++ b/src/entry/rolloutStatusReader.ts
@@ -52,8 +52,8 @@
   perBox: BoxStatus[];
 }
 
-/** What a board works with. */
-export interface StatusBoardOptions {
+/** What a statusReader works with. */
+export interface StatusReaderOptions {
   box: string;
   replica: Replica;
   specifications: Specifications;
@@ -62,10 +62,10 @@
   replicator: Replicator;
 }
 
-export class RolloutStatusBoard {
-  private readonly _options: StatusBoardOptions;
+export class RolloutStatusReader {
+  private readonly _options: StatusReaderOptions;
 
-  constructor(options: StatusBoardOptions) {
+  constructor(options: StatusReaderOptions) {
     this._options = options;
   }
 
--- a/src/membership/agentLink.ts
+++ b/src/membership/agentLink.ts
@@ -5,7 +5,7 @@
 import type { ControlOptions } from '../protocol/controlConnection.js';
 import { ControlConnection } from '../protocol/controlConnection.js';
 import type { CallMessage } from '../protocol/controlConnection.js';
-import type { ReportMessage } from '../protocol/reportMessages.js';
+import type { LoadMessage, ReportMessage } from '../protocol/reportMessages.js';
 import type { Member, ReplyMessage } from '../protocol/rolloutMessages.js';
 import type { Logger } from '../telemetry/logger.js';
 import { Backoff } from '../utils/backoff.js';
@@ -18,6 +18,8 @@
 interface AgentLinkEvents {
   /** The state or the report changed. */
   change: [];
+  /** Only the load changed. */
+  load: [];
 }
 
 /** What every agent link of an entry shares. */
@@ -117,6 +119,7 @@
     const closed = new Promise<string>((resolve) => connection.once('close', resolve));
     connection.on('message', (message) => {
       if (message.type === 'report') this._onReport(message);
+      else if (message.type === 'load') this._onLoad(message);
     });
     connection.start();
     connection.send({ type: 'subscribe' });
@@ -137,6 +140,13 @@
     this.emit('change');
   }
 
+  private _onLoad({ inFlight, queued }: LoadMessage): void {
+    if (!this.report) return;
+    this.report = { ...this.report, inFlight, queued };
+    this.reportedAt = this._services.clock.now();
+    this.emit('load');
+  }
+
   private _onLost(reason: string): void {
     this._connection = undefined;
     this._lost.abort();
--- a/src/membership/agentLinks.ts
+++ b/src/membership/agentLinks.ts
@@ -6,6 +6,7 @@
 
 interface AgentLinksEvents {
   change: [];
+  load: [link: AgentLink];
 }
 
 /** Follows the box list: one link per wanted box, a new one when a box moves to another address or port. */
@@ -46,6 +47,7 @@
   private _add(box: Box): void {
     const link = new AgentLink({ ...box }, this._services);
     link.on('change', () => this.emit('change'));
+    link.on('load', () => this.emit('load', link));
     this._links.set(box.box, link);
     this.emit('change');
   }
--- a/src/platform/httpObjectApi.ts
+++ b/src/platform/httpObjectApi.ts
@@ -71,16 +71,17 @@
       });
       return writeOutcome(answer);
     } catch (error) {
-      const kind = wasNeverSent(error instanceof StepError ? error.cause : error) ? 'refused' : 'unknown';
-      return { kind, reason: errorText(error) };
+      const reason = errorText(error);
+      const neverSent = wasNeverSent(error instanceof StepError ? error.cause : error);
+      return neverSent ? { kind: 'refused', reason, limited: false } : { kind: 'unknown', reason };
     }
   }
 }
 
 function writeOutcome(answer: JsonAnswer): WriteOutcome {
   if (answer.status === 412) return { kind: 'conflict' };
-  if (answer.status === 429 || answer.status === 503)
-    return { kind: 'refused', reason: `status ${answer.status}` };
+  if (answer.status === 429) return { kind: 'refused', reason: 'too many writes', limited: true };
+  if (answer.status === 503) return { kind: 'refused', reason: 'status 503', limited: false };
   const written = writtenSchema.safeParse(answer.body);
   if (answer.status === 200 && written.success) return { kind: 'written', revision: written.data.revision };
   return { kind: 'unknown', reason: `status ${answer.status}` };
--- a/src/platform/objectApi.ts
+++ b/src/platform/objectApi.ts
@@ -32,7 +32,8 @@
 export type WriteOutcome =
   | { kind: 'written'; revision: number }
   | { kind: 'conflict' }
-  | { kind: 'refused'; reason: string }
+  /** Nothing was written; `limited` when there were too many writes. */
+  | { kind: 'refused'; reason: string; limited: boolean }
   | { kind: 'unknown'; reason: string };
 
 /** The object API as the rest of the system sees it. Reads throw a StepError when there is no answer. */
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -6,7 +6,7 @@
   recordsMessageSchema,
   revisionQuerySchema,
 } from './records.js';
-import { reportMessageSchema, subscribeMessageSchema } from './reportMessages.js';
+import { loadMessageSchema, reportMessageSchema, subscribeMessageSchema } from './reportMessages.js';
 import {
   activateMessageSchema,
   grantMessageSchema,
@@ -28,6 +28,7 @@
   entryStateSchema,
   subscribeMessageSchema,
   reportMessageSchema,
+  loadMessageSchema,
   planMessageSchema,
   grantMessageSchema,
   activateMessageSchema,
--- a/src/protocol/reportMessages.ts
+++ b/src/protocol/reportMessages.ts
@@ -45,5 +45,13 @@
 });
 export type ReportMessage = z.infer<typeof reportMessageSchema>;
 
+/** Load alone, which changes far more often than the rest. A hint. */
+export const loadMessageSchema = z.object({
+  type: z.literal('load'),
+  inFlight: countSchema,
+  queued: countSchema,
+});
+export type LoadMessage = z.infer<typeof loadMessageSchema>;
+
 /** Asks the agent to send its report now and on every change. */
 export const subscribeMessageSchema = z.object({ type: z.literal('subscribe') });
--- a/src/rollout/coordinatorPool.ts
+++ b/src/rollout/coordinatorPool.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationName } from '../configuration/recordKeys.js';
 import { configurationKey, shortName } from '../configuration/recordKeys.js';
 import { LeaseKeeper } from '../lease/leaseKeeper.js';
+import type { SafeWriter } from '../configuration/safeWriter.js';
 import type { Box } from '../platform/boxList.js';
 import { errorText } from '../utils/stepError.js';
 import { rendezvousOrder } from '../utils/rendezvous.js';
@@ -16,13 +17,15 @@
   holder: string;
   box: string;
   leaseMilliseconds: number;
+  /** Writes leases without waiting for other writes. */
+  leaseWriter: SafeWriter;
   /** Entries that may coordinate: live and not leaving. */
   entries: () => Box[];
   isLeaving: () => boolean;
 }
 
 /** One configuration under this entry's eyes. */
-interface Charge {
+interface ManagedConfiguration {
   lease: LeaseKeeper;
   coordinator: RolloutCoordinator | undefined;
   epoch: number | undefined;
@@ -33,13 +36,15 @@
 const STEP_INTERVAL_MILLISECONDS = 50;
 /** How often to look when nothing has changed and no lease is held. */
 const QUIET_INTERVAL_MILLISECONDS = 500;
+/** Configurations that an entry coordinates at the same time; each costs a renewal every third of a lease. */
+const MOST_LEASES = 8;
 /** How long a lease is kept with nothing to do. */
 const IDLE_MILLISECONDS = 1_000;
 
 /** The entry that ranks first for a configuration takes its lease at once, the others after growing waits. */
 export class CoordinatorPool {
   private readonly _options: CoordinatorPoolOptions;
-  private readonly _charges = new Map<string, Charge>();
+  private readonly _managed = new Map<string, ManagedConfiguration>();
   private _timer: NodeJS.Timeout | undefined;
   private _dueAt = 0;
   private _stopped = false;
@@ -51,16 +56,19 @@
     this._schedule(STEP_INTERVAL_MILLISECONDS);
   }
 
-  /** The epoch under which this entry coordinates a configuration; undefined when it does not. */
-  epochOf(name: ConfigurationName): number | undefined {
-    return this._charges.get(shortName(name))?.lease.epoch;
+  /** Boxes of the configurations that this entry coordinates or is the first to take up. */
+  coordinatedBoxes(): Set<string> {
+    const coordinated = this._options.specifications.all().filter(({ name }) => {
+      return this._managed.get(shortName(name))?.lease.epoch !== undefined || this._rank(name) === 0;
+    });
+    return new Set(coordinated.flatMap(({ specification }) => specification?.boxes ?? []));
   }
 
   /** Gives all leases back. */
   async stop(): Promise<void> {
     this._stopped = true;
     clearTimeout(this._timer);
-    await Promise.all([...this._charges.values()].map((charge) => charge.lease.release()));
+    await Promise.all([...this._managed.values()].map((managed) => managed.lease.release()));
   }
 
   /** Looks soon after a change. */
@@ -77,43 +85,43 @@
   }
 
   private _stepAll(): void {
-    const working = [...this._charges.values()].some(
-      (charge) => charge.busy || charge.lease.epoch !== undefined,
+    const working = [...this._managed.values()].some(
+      (managed) => managed.busy || managed.lease.epoch !== undefined,
     );
     this._schedule(working ? STEP_INTERVAL_MILLISECONDS : QUIET_INTERVAL_MILLISECONDS);
     for (const wanted of this._options.specifications.all()) {
-      const charge = this._charge(wanted.name);
-      if (charge.lease.epoch !== undefined) this._renew(charge);
-      if (charge.busy) continue;
-      charge.busy = true;
-      void this._step(wanted, charge)
+      const managed = this._manage(wanted.name);
+      if (managed.lease.epoch !== undefined) this._renew(managed);
+      if (managed.busy) continue;
+      managed.busy = true;
+      void this._step(wanted, managed)
         .catch((error: unknown) =>
           this._options.logger.state('coordinator.failed', { reason: errorText(error) }),
         )
-        .finally(() => (charge.busy = false));
+        .finally(() => (managed.busy = false));
     }
   }
 
   /** Renewal does not wait for a step, which may wait for a silent agent. */
-  private _renew(charge: Charge): void {
-    charge.lease.tick(0).catch((error: unknown) => {
+  private _renew(managed: ManagedConfiguration): void {
+    managed.lease.tick(0).catch((error: unknown) => {
       this._options.logger.state('lease.failed', { reason: errorText(error) });
     });
   }
 
-  private _charge(name: ConfigurationName): Charge {
-    let charge = this._charges.get(shortName(name));
-    if (!charge) {
-      charge = {
+  private _manage(name: ConfigurationName): ManagedConfiguration {
+    let managed = this._managed.get(shortName(name));
+    if (!managed) {
+      managed = {
         lease: this._createLease(name),
         coordinator: undefined,
         epoch: undefined,
         idleSince: undefined,
         busy: false,
       };
-      this._charges.set(shortName(name), charge);
+      this._managed.set(shortName(name), managed);
     }
-    return charge;
+    return managed;
   }
 
   private _createLease(name: ConfigurationName): LeaseKeeper {
@@ -122,41 +130,47 @@
       holder: this._options.holder,
       lifetimeMilliseconds: this._options.leaseMilliseconds,
       replica: this._options.replica,
-      writer: this._options.writer,
+      writer: this._options.leaseWriter,
       clock: this._options.clock,
       logger: this._options.logger,
     });
   }
 
-  private async _step(wanted: WantedConfiguration, charge: Charge): Promise<void> {
+  private async _step(wanted: WantedConfiguration, managed: ManagedConfiguration): Promise<void> {
     const work = needsWork(wanted, this._options);
-    if (!work && charge.lease.epoch === undefined) return;
-    if (!work) return await this._idle(charge);
-    charge.idleSince = undefined;
-    if (this._options.isLeaving()) return await charge.lease.release();
-    if (charge.lease.epoch === undefined) await charge.lease.tick(this._rank(wanted.name));
-    const epoch = charge.lease.epoch;
+    if (!work && managed.lease.epoch === undefined) return;
+    if (!work) return await this._idle(managed);
+    managed.idleSince = undefined;
+    if (this._options.isLeaving()) return await managed.lease.release();
+    if (managed.lease.epoch === undefined && this._heldLeases() < MOST_LEASES) {
+      await managed.lease.tick(this._rank(wanted.name));
+    }
+    const epoch = managed.lease.epoch;
     if (epoch === undefined) return;
-    if (charge.epoch !== epoch) {
-      charge.epoch = epoch;
-      charge.coordinator = new RolloutCoordinator(this._options, wanted.name, () =>
-        this._currentEpoch(charge, epoch),
+    if (managed.epoch !== epoch) {
+      managed.epoch = epoch;
+      managed.coordinator = new RolloutCoordinator(this._options, wanted.name, () =>
+        this._currentEpoch(managed, epoch),
       );
     }
-    await charge.coordinator!.step();
+    await managed.coordinator!.step();
   }
 
   /** A coordinator never acts under a later epoch than its own. */
-  private _currentEpoch(charge: Charge, epoch: number): number | undefined {
-    return charge.lease.epoch === epoch ? epoch : undefined;
+  private _currentEpoch(managed: ManagedConfiguration, epoch: number): number | undefined {
+    return managed.lease.epoch === epoch ? epoch : undefined;
   }
 
-  private async _idle(charge: Charge): Promise<void> {
+  private async _idle(managed: ManagedConfiguration): Promise<void> {
     const now = this._options.clock.now();
-    charge.idleSince ??= now;
-    if (now - charge.idleSince < IDLE_MILLISECONDS) return;
-    charge.idleSince = undefined;
-    await charge.lease.release();
+    managed.idleSince ??= now;
+    if (now - managed.idleSince < IDLE_MILLISECONDS) return;
+    managed.idleSince = undefined;
+    await managed.lease.release();
+  }
+
+  private _heldLeases(): number {
+    return [...this._managed.values()].filter((managed) => managed.lease.epoch !== undefined).length;
   }
 
   private _rank(name: ConfigurationName): number {
--- a/src/rollout/drawGranter.ts
+++ b/src/rollout/drawGranter.ts
@@ -170,7 +170,8 @@
   private _assign(chunks: readonly number[], live: readonly RolloutBox[]): Map<string, number[]> {
     const members = live.filter((box) => box.expected).map((box) => box.link!.member);
     if (members.length === 0) return new Map();
-    return topologyPolicy(this._options.specification.distribution).initialDraws(chunks, members);
+    const { distribution, weight } = this._options.specification;
+    return topologyPolicy(distribution).initialDraws(chunks, members, weight);
   }
 
   /** The baseline in which each box draws all that it lacks. */
--- a/src/rollout/ledgerAssigner.ts
+++ b/src/rollout/ledgerAssigner.ts
@@ -83,11 +83,11 @@
     handedOver: ReadonlyMap<string, string[]>,
   ): Promise<boolean> {
     for (const [identity, keys] of handedOver) {
-      const heirs = new Set(
+      const newOwners = new Set(
         after.filter((_owner, slot) => identityOf(before[slot]) === identity).map((owner) => owner.box),
       );
-      for (const heir of heirs) {
-        const reply = await this._order(heir, { type: 'ledger-import', keys });
+      for (const newOwner of newOwners) {
+        const reply = await this._order(newOwner, { type: 'ledger-import', keys });
         if (!reply?.accepted) return false;
       }
     }
--- a/src/rollout/rolloutCoordinator.ts
+++ b/src/rollout/rolloutCoordinator.ts
@@ -21,7 +21,7 @@
 import { PlanSender } from './planSender.js';
 import type { RolloutRecord } from './rolloutRecord.js';
 import type { RolloutBox } from './rolloutView.js';
-import { rolloutBoxes, serviceReport, strays } from './rolloutView.js';
+import { rolloutBoxes, serviceReport, linksToWithdraw } from './rolloutView.js';
 import type { Specifications } from './specifications.js';
 
 /** What all coordinators of an entry share. */
@@ -77,7 +77,7 @@
     await this._advancePhase(record, specification, boxes);
     this._activate(record, boxes);
     await this._ledger.step(record, boxes);
-    await this._withdrawFrom(strays(this._name, specification, this._services.links));
+    await this._withdrawFrom(linksToWithdraw(this._name, specification, this._services.links));
   }
 
   private _record(): RolloutRecord | undefined {
--- a/src/rollout/rolloutRecord.ts
+++ b/src/rollout/rolloutRecord.ts
@@ -10,7 +10,6 @@
 
 /** `staging` → `active` (boxes may switch) → `complete` (all live boxes have switched). */
 export const rolloutPhaseSchema = z.enum(['staging', 'active', 'complete']);
-export type RolloutPhase = z.infer<typeof rolloutPhaseSchema>;
 
 export const rolloutRecordSchema = z.object({
   rollout: z.string(),
--- a/src/rollout/rolloutView.ts
+++ b/src/rollout/rolloutView.ts
@@ -33,7 +33,7 @@
 }
 
 /** Agents that still hold a configuration whose specification does not name them any more. */
-export function strays(
+export function linksToWithdraw(
   name: ConfigurationName,
   specification: Specification,
   links: AgentLinks,
--- a/src/rollout/workCheck.ts
+++ b/src/rollout/workCheck.ts
@@ -7,7 +7,7 @@
 import { isOwnerGone, knowsSlots, ledgerCandidates, mustHandOver } from './ledgerAssigner.js';
 import type { RolloutRecord } from './rolloutRecord.js';
 import type { RolloutBox } from './rolloutView.js';
-import { rolloutBoxes, serviceReport, strays } from './rolloutView.js';
+import { rolloutBoxes, serviceReport, linksToWithdraw } from './rolloutView.js';
 import type { WantedConfiguration } from './specifications.js';
 
 /** What the check looks at. */
@@ -27,7 +27,7 @@
   if (record?.phase !== 'complete') return true;
   if (record.model !== specification.model || record.version !== specification.version) return true;
   const boxes = rolloutBoxes(wanted.name, specification, view.boxes, view.links);
-  if (strays(wanted.name, specification, view.links).length > 0) return true;
+  if (linksToWithdraw(wanted.name, specification, view.links).length > 0) return true;
   return boxes.some((box) => lacksVersion(box, record)) || ledgerNeedsWork(wanted, boxes, view);
 }
 
--- a/src/routing/routeTable.ts
+++ b/src/routing/routeTable.ts
@@ -47,6 +47,7 @@
     this._clock = clock;
     this._activatedRollout = activatedRollout;
     links.on('change', () => (this._stale = true));
+    links.on('load', (link) => this._takeLoad(link));
   }
 
   /** Boxes that take work for a configuration now. */
--- a/src/weights/exchangeTopology.ts
+++ b/src/weights/exchangeTopology.ts
@@ -8,8 +8,10 @@
 
 /** Boxes per hall that exchange with other halls. */
 const GATEWAYS_PER_HALL = 8;
-/** Boxes that draw from the origin at the same time, over all halls; enough to fill its link with one box stalled. */
+/** Boxes that draw from the origin at the same time, over all halls, for a rollout of weight 1. */
 const DRAWERS = 9;
+/** What a box draws leaves it once for each hall; so many drawers a hall let their outgoing links keep up. */
+const LEAST_DRAWERS_PER_HALL = 2;
 /** Up to this many boxes, all boxes of a hall know each other. */
 const FULL_MESH_BOXES = 16;
 
@@ -31,8 +33,12 @@
     return { neighbours, importers: (chunk) => rotated(gateways, chunk % gateways.length) };
   }
 
-  initialDraws(missing: readonly number[], members: readonly Member[]): Map<string, number[]> {
-    const drawers = drawersOf(hallLayouts(members));
+  initialDraws(
+    missing: readonly number[],
+    members: readonly Member[],
+    weight: number,
+  ): Map<string, number[]> {
+    const drawers = drawersOf(hallLayouts(members), weight);
     const draws = new Map<string, number[]>();
     missing.forEach((chunk, position) => {
       const { box } = drawers[position % drawers.length];
@@ -52,11 +58,12 @@
 }
 
 /** Takes gateways in turn from each hall. */
-function drawersOf(halls: readonly HallLayout[]): Member[] {
+function drawersOf(halls: readonly HallLayout[], weight: number): Member[] {
+  const wanted = Math.max(LEAST_DRAWERS_PER_HALL * halls.length, Math.round(DRAWERS * weight));
   const drawers: Member[] = [];
-  for (let rank = 0; rank < GATEWAYS_PER_HALL && drawers.length < DRAWERS; rank++) {
+  for (let rank = 0; rank < GATEWAYS_PER_HALL && drawers.length < wanted; rank++) {
     for (const { gateways } of halls) {
-      if (gateways[rank] && drawers.length < DRAWERS) drawers.push(gateways[rank]);
+      if (gateways[rank] && drawers.length < wanted) drawers.push(gateways[rank]);
     }
   }
   return drawers;
--- a/src/weights/topology.ts
+++ b/src/weights/topology.ts
@@ -21,6 +21,9 @@
 export interface TopologyPolicy {
   /** The place of `box` among `members`. */
   topologyOf(box: string, members: readonly Member[]): Topology;
-  /** Which box draws which of the `missing` chunks from the origin at first. */
-  initialDraws(missing: readonly number[], members: readonly Member[]): Map<string, number[]>;
+  /**
+   * Which box draws which of the `missing` chunks from the origin. Rollouts share the origin's link by the number of
+   * boxes that draw at the same time, which grows with `weight`.
+   */
+  initialDraws(missing: readonly number[], members: readonly Member[], weight: number): Map<string, number[]>;
 }
--- a/standins/childProcess.ts
+++ b/standins/childProcess.ts
@@ -17,6 +17,7 @@
 /** Children that still run; none outlives this process. */
 const started = new Set<ChildProcess>();
 process.once('exit', () => started.forEach((child) => child.kill('SIGKILL')));
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1));
 
 /** A child that prints one JSON line once it listens. */
 export class Child {
--- a/standins/fleetSettings.ts
+++ b/standins/fleetSettings.ts
@@ -1,5 +1,23 @@
 /** Settings of the processes of a local fleet. */
 
+/** Size and rates of a fleet. */
+export interface FleetOptions {
+  halls: readonly string[];
+  entriesPerHall: number;
+  modelBoxesPerHall: number;
+  plainBoxesPerHall?: number;
+  /** Rate of the origin's link; 0 for unlimited. */
+  originBytesPerSecond?: number;
+  /** Rate of each box's link, each way; 0 for unlimited. */
+  boxBytesPerSecond?: number;
+  /** More settings, by variable name without the prefix. */
+  entrySettings?: Record<string, string>;
+  agentSettings?: Record<string, string>;
+  engine?: Record<string, unknown>;
+  /** Boxes whose agent damages chunks that it sends. */
+  damagingBoxes?: readonly string[];
+}
+
 const SHARED_KEY = 'shared-key-for-loopback';
 
 /** What entries and agents of a fleet are both given. */
--- a/standins/localFleet.ts
+++ b/standins/localFleet.ts
@@ -1,32 +1,16 @@
 /** A fleet of real processes on loopback: stand-ins, entries and agents. Shared by demo, bench and tests. */
+import { randomUUID } from 'node:crypto';
 import type { Box } from '../src/platform/boxList.js';
 import { sendJson } from '../src/platform/httpClient.js';
 import type { JsonAnswer } from '../src/platform/httpClient.js';
-import type { RolloutStatus } from '../src/entry/rolloutStatusBoard.js';
+import type { RolloutStatus } from '../src/entry/rolloutStatusReader.js';
 import { sha256Hex } from '../src/utils/hash.js';
 import { pause } from '../src/utils/timers.js';
 import { Child } from './childProcess.js';
+import type { FleetOptions } from './fleetSettings.js';
 import { commonSettings, numbered, prefixed } from './fleetSettings.js';
 import type { VersionRecipe } from './originStandin.js';
 
-/** Size and rates of a fleet. */
-export interface FleetOptions {
-  halls: readonly string[];
-  entriesPerHall: number;
-  modelBoxesPerHall: number;
-  plainBoxesPerHall?: number;
-  /** Rate of the origin's link; 0 for unlimited. */
-  originBytesPerSecond?: number;
-  /** Rate of each box's link, each way; 0 for unlimited. */
-  boxBytesPerSecond?: number;
-  /** More settings, by variable name without the prefix. */
-  entrySettings?: Record<string, string>;
-  agentSettings?: Record<string, string>;
-  engine?: Record<string, unknown>;
-  /** Boxes whose agent damages chunks that it sends. */
-  damagingBoxes?: readonly string[];
-}
-
 /** A box of the fleet. */
 export interface FleetBox {
   name: string;
@@ -47,6 +31,9 @@
 export const OPERATOR_KEY = 'operator-key-for-loopback';
 const TIMEOUT_MILLISECONDS = 15_000;
 const POLL_MILLISECONDS = 20;
+/** How often, and how far apart, a change is sent again that was refused for the time being. */
+const PUBLISH_TRIES = 20;
+const PUBLISH_PAUSE_MILLISECONDS = 500;
 /** Peers that every entry has, however many there are. */
 const LEAST_PEERS = 3;
 
@@ -101,14 +88,20 @@
     path: string,
     body?: unknown,
     entry = this.entries()[0],
+    changeId: string = randomUUID(),
   ): Promise<JsonAnswer> {
-    const headers = { authorization: `Bearer ${OPERATOR_KEY}` };
+    const headers = { authorization: `Bearer ${OPERATOR_KEY}`, 'idempotency-key': changeId };
     return await this._send(method, `${entry.httpUrl}${path}`, body, headers);
   }
 
   /** Sends an operator's request and throws unless it is accepted. */
   async publish(path: string, body: unknown): Promise<void> {
-    const answer = await this.operate('PUT', path, body);
+    const changeId = randomUUID();
+    let answer = await this.operate('PUT', path, body, undefined, changeId);
+    for (let attempt = 0; answer.status === 503 && attempt < PUBLISH_TRIES; attempt++) {
+      await pause(PUBLISH_PAUSE_MILLISECONDS);
+      answer = await this.operate('PUT', path, body, undefined, changeId);
+    }
     if (answer.status !== 200) throw new Error(`${path}: ${answer.status} ${JSON.stringify(answer.body)}`);
   }
 
@@ -176,6 +169,13 @@
     );
   }
 
+  /** Changes a box's state in the box list; its process is not told. */
+  async listAs(name: string, state: Box['state']): Promise<void> {
+    const { boxes } = await this.read<{ boxes: Box[] }>(`${this.boxListUrl}/boxes`);
+    const box = boxes.find((each) => each.box === name);
+    await this._send('PUT', `${this.boxListUrl}/boxes/${name}`, { ...box, state });
+  }
+
   /** Takes a box off the box list. */
   async unlist(name: string): Promise<void> {
     await this._send('DELETE', `${this.boxListUrl}/boxes/${name}`);
--- a/tests/exchangeTopology.spec.ts
+++ b/tests/exchangeTopology.spec.ts
@@ -57,6 +57,7 @@
   const draws = policy.initialDraws(
     Array.from({ length: 90 }, (_none, index) => index),
     members(8),
+    1,
   );
   const chunks = [...draws.values()].flat();
   expect(new Set(chunks).size).toEqual(90);
@@ -73,3 +74,9 @@
   );
   expect(new Set(firsts).size).toEqual(8);
 });
+
+test('should let a rollout of twice the weight draw on twice the boxes', () => {
+  const missing = Array.from({ length: 90 }, (_none, index) => index);
+  expect(policy.initialDraws(missing, members(8), 2).size).toEqual(18);
+  expect(policy.initialDraws(missing, members(8), 0.1).size).toEqual(6);
+});
--- a/tests/fleetRequests.spec.ts
+++ b/tests/fleetRequests.spec.ts
@@ -187,6 +187,26 @@
   await fleet.untilComplete('korrigan', 'judge', 'v1');
 });
 
+/** How much new work a box gets while all boxes together get forty requests more. */
+async function runsWhileOthersWork(box: string): Promise<number> {
+  const { fleet } = context;
+  const before = (await runsOf(fleet, [box])).length;
+  const all = (await runsOf(fleet, fleet.modelBoxes())).length;
+  await fleet.until('others work', async () => (await runsOf(fleet, fleet.modelBoxes())).length >= all + 40);
+  return (await runsOf(fleet, [box])).length - before;
+}
+
+test('should give no new work to a box that the box list calls leaving, and cut nothing', async () => {
+  const { fleet } = context;
+  const box = fleet.modelBoxes()[1];
+  const load = keepAsking([0, 1]);
+  await fleet.listAs(box, 'leaving');
+  await fleet.until('the box gets no more work', async () => (await runsWhileOthersWork(box)) === 0);
+  expect(await runsWhileOthersWork(box)).toEqual(0);
+  expect(await load.stop()).toEqual([]);
+  await fleet.listAs(box, 'live');
+});
+
 test('should cut nothing when an entry is stopped as planned', async () => {
   const { fleet } = context;
   const entry = fleet.entries()[2];
--- a/tests/serviceHost.spec.ts
+++ b/tests/serviceHost.spec.ts
@@ -146,6 +146,16 @@
   await until(() => on.state() === 'loaded');
 }
 
+/** Stages a version whose load lasts until the returned function is called. */
+async function loading(on: Stage, version: string): Promise<() => void> {
+  let release!: () => void;
+  on.backend.loading = new Promise((resolve) => (release = resolve));
+  await on.plan(version);
+  on.grantAll(version);
+  await until(() => on.backend.seen.length === 1);
+  return release;
+}
+
 test('should load and activate a version once every chunk is verified', async () => {
   const on = stage();
   await loaded(on, 'v1');
@@ -201,11 +211,7 @@
 
 test('should not take a load that ended late for the version that replaced it', async () => {
   const on = stage();
-  let release!: () => void;
-  on.backend.loading = new Promise((resolve) => (release = resolve));
-  await on.plan('v1');
-  on.grantAll('v1');
-  await until(() => on.backend.seen.length === 1);
+  const release = await loading(on, 'v1');
   await on.plan('v2');
   release();
   expect(on.state()).toEqual('staging');
@@ -257,11 +263,7 @@
 
 test('should serve nothing once withdrawn, also when a load ends later', async () => {
   const on = stage();
-  let release!: () => void;
-  on.backend.loading = new Promise((resolve) => (release = resolve));
-  await on.plan('v1');
-  on.grantAll('v1');
-  await until(() => on.backend.seen.length === 1);
+  const release = await loading(on, 'v1');
   await on.host.withdraw();
   release();
   expect(on.host.active).toEqual(undefined);
