--- a/src/rollout/coordinatorPool.ts
+++ b/src/rollout/coordinatorPool.ts
@@ -89,17 +89,24 @@
       (managed) => managed.busy || managed.lease.epoch !== undefined,
     );
     this._schedule(working ? STEP_INTERVAL_MILLISECONDS : QUIET_INTERVAL_MILLISECONDS);
-    for (const wanted of this._options.specifications.all()) {
-      const managed = this._manage(wanted.name);
-      if (managed.lease.epoch !== undefined) this._renew(managed);
-      if (managed.busy) continue;
-      managed.busy = true;
-      void this._step(wanted, managed)
-        .catch((error: unknown) =>
-          this._options.logger.state('coordinator.failed', { reason: errorText(error) }),
-        )
-        .finally(() => (managed.busy = false));
-    }
+    for (const wanted of this._options.specifications.all()) this._stepOne(wanted);
+  }
+
+  /** Nothing is kept of a configuration that needs no work. */
+  private _stepOne(wanted: WantedConfiguration): void {
+    const work = needsWork(wanted, this._options);
+    const key = shortName(wanted.name);
+    const managed = this._managed.get(key) ?? (work ? this._manage(wanted.name) : undefined);
+    if (!managed) return;
+    if (managed.lease.epoch !== undefined) this._renew(managed);
+    else if (!work && !managed.busy) this._managed.delete(key);
+    if (managed.busy) return;
+    managed.busy = true;
+    void this._step(wanted, managed, work)
+      .catch((error: unknown) =>
+        this._options.logger.state('coordinator.failed', { reason: errorText(error) }),
+      )
+      .finally(() => (managed.busy = false));
   }
 
   /** Renewal does not wait for a step, which may wait for a silent agent. */
@@ -136,9 +143,11 @@
     });
   }
 
-  private async _step(wanted: WantedConfiguration, managed: ManagedConfiguration): Promise<void> {
-    const work = needsWork(wanted, this._options);
-    if (!work && managed.lease.epoch === undefined) return;
+  private async _step(
+    wanted: WantedConfiguration,
+    managed: ManagedConfiguration,
+    work: boolean,
+  ): Promise<void> {
     if (!work) return await this._idle(managed);
     managed.idleSince = undefined;
     if (this._options.isLeaving()) return await managed.lease.release();
