--- a/src/agent/agentDaemon.ts
+++ b/src/agent/agentDaemon.ts
@@ -44,6 +44,8 @@
   uploads: UploadQueue;
 }
 
+/** Longer than an entry can be cut off before it sends nothing more that may run once only. */
+const STALE_ENTRY_MILLISECONDS = 15_000;
 const HEALTH_INTERVAL_MILLISECONDS = 1_000;
 const DRAIN_POLL_MILLISECONDS = 20;
 /** How long a leaving box waits for its part of the ledger to be taken over. */
@@ -91,6 +93,7 @@
     this._ledger = new Ledger({
       clock,
       keyLifetimeMilliseconds: settings.keyLifetimeMilliseconds,
+      blindMilliseconds: settings.keyLifetimeMilliseconds + STALE_ENTRY_MILLISECONDS,
       maximumKeys: settings.ledgerKeys,
     });
     const slots = settings.backendSlots;
--- a/src/requests/ledger.ts
+++ b/src/requests/ledger.ts
@@ -43,6 +43,11 @@
   clock: Clock;
   /** How long after its first sending a caller may send a key again. */
   keyLifetimeMilliseconds: number;
+  /**
+   * How long a slot stays blind after its owner was lost: the lifetime of a key, and as long again as an entry may go on
+   * sending to the lost owner because it has not heard of the loss.
+   */
+  blindMilliseconds: number;
   maximumKeys: number;
 }
 
@@ -83,7 +88,7 @@
     const states = slots.map((owned): [number, SlotState] => {
       const known = before?.get(owned.slot);
       if (known && known.slotEpoch === owned.slotEpoch) return [owned.slot, known];
-      const blindUntil = owned.blind ? now + this._options.keyLifetimeMilliseconds : 0;
+      const blindUntil = owned.blind ? now + this._options.blindMilliseconds : 0;
       return [owned.slot, { ...owned, blindUntil }];
     });
     this._slots.set(service, new Map(states));
--- a/tests/ledger.spec.ts
+++ b/tests/ledger.spec.ts
@@ -11,10 +11,14 @@
 
 const SERVICE = 'studio.turns';
 const LIFETIME = 1_000;
+const BLIND = 1_500;
 
 function ledgerWith(maximumKeys = 100): { ledger: Ledger; clock: ManualClock } {
   const clock = new ManualClock();
-  return { ledger: new Ledger({ clock, keyLifetimeMilliseconds: LIFETIME, maximumKeys }), clock };
+  return {
+    ledger: new Ledger({ clock, keyLifetimeMilliseconds: LIFETIME, blindMilliseconds: BLIND, maximumKeys }),
+    clock,
+  };
 }
 
 function asked(request: Partial<LedgerRequest> = {}): LedgerRequest {
@@ -102,14 +106,16 @@
 test('should see clearly again once every key of the lost owner has expired', () => {
   const { ledger, clock } = ledgerWith();
   ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: true }]);
-  clock.advance(LIFETIME);
+  clock.advance(BLIND - 1);
+  expect(ledger.check(SERVICE, asked()).kind).toEqual('uncertain');
+  clock.advance(1);
   expect(ledger.check(SERVICE, asked()).kind).toEqual('run');
 });
 
 test('should keep its sight when the same slots are assigned again', () => {
   const { ledger, clock } = ledgerWith();
   ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: true }]);
-  clock.advance(LIFETIME - 1);
+  clock.advance(BLIND - 1);
   ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: true }]);
   clock.advance(1);
   expect(ledger.check(SERVICE, asked()).kind).toEqual('run');
