Name the version that really answered while versions change

Found by the demo on a fresh clone: 1 wrong answer in 3,484 requests, its header naming v1 and its text v2. Cause: the agent named the version that was active when it let the request in; an engine that switches while the request is on its way runs the next one. Ruled out: the wrong caller's answer (the text was the request's own) and the entry (it copies the agent's header).

--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -116,7 +116,8 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const contentType = String(answer.headers['content-type'] ?? 'application/octet-stream');
-    const version = pass.version.plan.version;
+    // a backend server that says which version ran knows it better than we do
+    const version = String(answer.headers[HEADER.version] ?? pass.version.plan.version);
     const headers = { 'content-type': contentType, [HEADER.version]: version, [HEADER.outcome]: 'answered' };
     response.writeHead(answer.statusCode, headers);
     const kept: Buffer[] = [];
--- a/standins/engineStandin.ts
+++ b/standins/engineStandin.ts
@@ -99,7 +99,7 @@
   private async _chat(request: StandinRequest): Promise<void> {
     const chat = request.body as ChatBody;
     const customer = String(request.headers['larklatch-customer'] ?? '');
-    const version = this._models.get(`${customer}/${chat.model}`)?.active;
+    const version = this._versionFor(request, `${customer}/${chat.model}`);
     if (!version) return sendJsonAnswer(request.response, 404, { error: 'no such model' });
     if (this.faults.requests === 'refuse')
       return sendJsonAnswer(request.response, 503, { error: 'refusing' });
@@ -107,12 +107,20 @@
     try {
       const content = chat.messages.at(-1)?.content ?? '';
       this._log.add(runFromHeaders(request.headers, version, content));
+      request.response.setHeader('larklatch-version', version);
       await this._answer(request.response, chat, `${customer}/${chat.model}@${version}: ${content}`);
     } finally {
       this._releaseSlot();
     }
   }
 
+  /** The version that the request names, if it is loaded, else the active one. */
+  private _versionFor(request: StandinRequest, model: string): string | undefined {
+    const named = String(request.headers['larklatch-version'] ?? '');
+    const loaded = this._models.get(model);
+    return loaded?.digests[named] ? named : loaded?.active;
+  }
+
   private async _answer(response: http.ServerResponse, chat: ChatBody, text: string): Promise<void> {
     await pause(this._options.firstTokenMilliseconds);
     if (this.faults.requests === 'stall') return;
--- /dev/null
+++ b/tests/backendForwarder.spec.ts
@@ -0,0 +1,69 @@
+/** What an agent makes of its backend server's answers. */
+import http from 'node:http';
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { BackendForwarder } from '../src/agent/backendForwarder.js';
+import type { Pass } from '../src/agent/requestGate.js';
+import { Ledger } from '../src/requests/ledger.js';
+import { Logger } from '../src/telemetry/logger.js';
+import { ManualClock } from '../src/utils/clock.js';
+import { listenHttp } from '../src/utils/httpServer.js';
+
+const PASS = {
+  kind: 'run',
+  version: { plan: { version: 'v1' } },
+  admission: { ready: Promise.resolve(true), release: () => undefined },
+  end: () => undefined,
+} as unknown as Pass;
+
+/** Forwards one request to `backend` and returns what an entry would see. */
+async function forward(backend: http.RequestListener): Promise<Response | string> {
+  const server = http.createServer(backend);
+  const url = `http://127.0.0.1:${await listenHttp(server, '127.0.0.1', 0)}`;
+  const ledger = new Ledger({
+    clock: new ManualClock(),
+    keyLifetimeMilliseconds: 1,
+    blindMilliseconds: 1,
+    maximumKeys: 1,
+  });
+  const forwarder = new BackendForwarder(url, ledger, new Logger('test'));
+  const request = {
+    method: 'POST',
+    path: '/',
+    contentType: 'text/plain',
+    body: Buffer.from('x'),
+    requestId: 'r',
+    customer: 'c',
+  };
+  const agent = http.createServer((_request, response) => {
+    void forwarder
+      .forward({ ...request, idempotencyKey: '', priority: 'normal', ledgerKey: undefined }, PASS, response)
+      .then((refusal) => {
+        if (refusal) response.end(refusal.reason);
+      });
+  });
+  const port = await listenHttp(agent, '127.0.0.1', 0);
+  const answer = await fetch(`http://127.0.0.1:${port}`);
+  const text = await answer.text();
+  for (const each of [server, agent]) {
+    each.close();
+    each.closeAllConnections();
+  }
+  return answer.headers.has('larklatch-outcome') ? answer : text;
+}
+
+test('should name the version that the backend server says ran', async () => {
+  const answer = (await forward((_request, response) =>
+    response.setHeader('larklatch-version', 'v2').end('done'),
+  )) as Response;
+  expect(answer.headers.get('larklatch-version')).toEqual('v2');
+});
+
+test('should name the version that was asked for when the backend server says none', async () => {
+  const answer = (await forward((_request, response) => response.end('done'))) as Response;
+  expect(answer.headers.get('larklatch-version')).toEqual('v1');
+});
+
+test('should call work lost that the backend server took and did not answer', async () => {
+  expect(await forward((request) => request.socket.destroy())).toEqual('backend-lost');
+});
--- a/tests/fleetRequests.spec.ts
+++ b/tests/fleetRequests.spec.ts
@@ -177,6 +177,29 @@
   };
 }
 
+test('should name the version that answered, also while versions change', async () => {
+  const { fleet } = context;
+  const wrong: string[] = [];
+  let running = true;
+  const ask = async (entry: number): Promise<void> => {
+    while (running) {
+      const answer = await call(fleet, '/v1/chat/completions', chat('which', { max_tokens: 1 }), {}, entry);
+      const text = await answer.text();
+      const version = answer.headers.get('larklatch-version');
+      if (answer.status !== 200 || !text.includes(`korrigan/judge@${version}: which`))
+        wrong.push(`${version}: ${text}`);
+    }
+  };
+  const asking = Promise.all([0, 1, 2, 0, 1, 2, 0, 1, 2].map((entry) => ask(entry)));
+  for (const version of ['v2', 'v3', 'v4', 'v5', 'v1']) {
+    await rollOut(fleet, version, { chunkCount: 2 });
+    await fleet.untilComplete('korrigan', 'judge', version);
+  }
+  running = false;
+  await asking;
+  expect(wrong).toEqual([]);
+});
+
 test('should cut nothing when an agent is stopped as planned', async () => {
   const { fleet } = context;
   const load = keepAsking([0, 1]);
