Ask a newly connected entry while another one is silent

Ruled out: the object API (the answer came after 1.6 s) and readiness (the entry had answered before).

A deletion sent again is confirmed again instead of 'not found'; decisions in the log name customer and hall, and keyed requests have theirs; a keyed request no longer looks for its owner past its deadline.

--- a/src/agent/agentDaemon.ts
+++ b/src/agent/agentDaemon.ts
@@ -88,7 +88,7 @@
     const clock = new SystemClock();
     const random = new SeededRandom(settings.seed + placementHash(settings.box));
     this._settings = settings;
-    this._logger = new Logger('agent', { box: settings.box });
+    this._logger = new Logger('agent', { box: settings.box, hall: settings.hall });
     this._store = new ChunkStore(settings.stagingMemoryBytes);
     this._ledger = new Ledger({
       clock,
--- a/src/configuration/changeHandler.ts
+++ b/src/configuration/changeHandler.ts
@@ -55,7 +55,8 @@
   async change(request: ChangeRequest): Promise<Result<AcceptedChange, ChangeRefusal>> {
     const known = this._replica.record(request.key);
     if (this._wasMadeBefore(known, request)) return await this._confirmed(known!);
-    if (request.value === undefined && (!known || known.deleted)) return err({ kind: 'not-found' });
+    if (request.value === undefined && known?.deleted) return await this._confirmed(known);
+    if (request.value === undefined && !known) return err({ kind: 'not-found' });
     const expected = request.expectedRevision ?? this._replica.liveRevision(request.key);
     const outcome = await this._write(request, expected);
     return outcome.kind === 'written' ? await this._confirmed(outcome.record) : err(refusalOf(outcome));
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -87,7 +87,7 @@
   constructor(settings: EntrySettings) {
     this._settings = settings;
     this._random = new SeededRandom(settings.seed + placementHash(settings.box));
-    this._logger = new Logger('entry', { box: settings.box });
+    this._logger = new Logger('entry', { box: settings.box, hall: settings.hall });
     const api = new HttpObjectApi(settings.objectApiUrl);
     const writer = new SafeWriter(api, this._replica);
     const services = { clock: this._clock, random: this._random, logger: this._logger };
--- a/src/membership/replicator.ts
+++ b/src/membership/replicator.ts
@@ -31,7 +31,9 @@
 
 const COMPARE_INTERVAL_MILLISECONDS = 2_000;
 const REDIAL_INTERVAL_MILLISECONDS = 250;
-const CONFIRM_TIMEOUT_MILLISECONDS = 1_500;
+const CONFIRM_TIMEOUT_MILLISECONDS = 2_000;
+/** How long one round of asking lasts: a silent peer must not keep one that has connected since from being asked. */
+const CONFIRM_ROUND_MILLISECONDS = 300;
 /** How soon to look for peers again: one that has just started is about to connect. */
 const CONFIRM_RETRY_MILLISECONDS = 50;
 const RECORDS_PER_MESSAGE = 200;
@@ -130,7 +132,7 @@
     record: ReplicatedRecord,
   ): Promise<boolean> {
     const calls = candidates.map((peer) =>
-      peer.connection.call({ type: 'records', records: [record] }, CONFIRM_TIMEOUT_MILLISECONDS),
+      peer.connection.call({ type: 'records', records: [record] }, CONFIRM_ROUND_MILLISECONDS),
     );
     try {
       return (await Promise.any(calls)).accepted;
--- a/src/requests/requestRouter.ts
+++ b/src/requests/requestRouter.ts
@@ -49,7 +49,7 @@
 const FREE_RETRY: ReadonlySet<RefusalReason> = new Set(['leaving', 'not-serving', 'backend-unreachable']);
 /** Statuses of a backend server after which a repeatable request is tried elsewhere. */
 const OVERLOADED_STATUSES: ReadonlySet<number> = new Set([429, 502, 503]);
-/** How often, and how far apart, a moving ledger slot is looked up again. */
+/** How often, and how far apart, a ledger slot whose owner takes no work is looked up again: it may be moving. */
 const OWNER_TRIES = 12;
 const OWNER_PAUSE_MILLISECONDS = 60;
 
@@ -98,10 +98,12 @@
     };
     if (this._options.isIsolated()) return unsent('isolated');
     let reason: RefusalReason = 'no-backend';
-    for (let attempt = 0; attempt < OWNER_TRIES && !left.aborted; attempt++) {
+    for (let attempt = 0; attempt < OWNER_TRIES; attempt++) {
+      if (left.aborted || this._isPastDeadline(request)) break;
       const owned = this._ownerFor(request);
       if (owned === 'lost-epoch') return this._refuse(request, refusalFor('uncertain'));
       if (owned) {
+        this._logRouted(request, owned.backend, 'owns-key');
         const result = await this._attempt(owned.request, owned.backend, owned.ledger, left);
         if (result.kind === 'answer') return this._routed(result, owned.backend);
         this._end(owned.backend);
@@ -149,20 +151,26 @@
   }
 
   private _choose(request: CallerRequest, tried: ReadonlySet<string>): Backend | undefined {
-    const { routes, clock, random, logger } = this._options;
+    const { routes, clock, random } = this._options;
     const allows = (box: string): boolean => !tried.has(box) && routes.circuit(box).allows;
     const { affinity } = request;
     const choice = chooseBackend(routes.pool(request.name), { affinity, allows, now: clock.now() }, random);
     if (!choice) return undefined;
-    const { box, hall, version } = choice.backend;
-    logger.decision('request.routed', {
+    this._logRouted(request, choice.backend, choice.reason);
+    return choice.backend;
+  }
+
+  private _logRouted(request: CallerRequest, backend: Backend, reason: string): void {
+    const { box: peer, hall: peerHall, version } = backend;
+    const { customer } = request.name;
+    this._options.logger.decision('request.routed', {
       request: request.id,
-      peer: box,
-      hall,
+      customer,
+      peer,
+      peerHall,
       version,
-      reason: choice.reason,
+      reason,
     });
-    return choice.backend;
   }
 
   private async _attempt(
@@ -221,7 +229,8 @@
   private _refuse(request: CallerRequest, refusal: Refusal): RouteResult {
     this._options.metrics.count('requests_refused', { reason: refusal.reason, outcome: refusal.outcome });
     const { reason, outcome } = refusal;
-    this._options.logger.decision('request.refused', { request: request.id, reason, outcome });
+    const { customer } = request.name;
+    this._options.logger.decision('request.refused', { request: request.id, customer, reason, outcome });
     return { kind: 'refused', refusal };
   }
 }
