Name an agent's incarnation in one place

identityOf stood twice, letter for letter, in ledgerSlots and ledgerAssigner; the assigner now takes the one in ledgerSlots.

--- a/src/requests/ledgerSlots.ts
+++ b/src/requests/ledgerSlots.ts
@@ -82,7 +82,8 @@
   return before !== undefined && (fateOf(before) === 'lost' || before.blind);
 }
 
-function identityOf(candidate: LedgerCandidate): string {
+/** `box/incarnation`: names one life of an agent. */
+export function identityOf(candidate: LedgerCandidate): string {
   return `${candidate.box}/${candidate.incarnation}`;
 }
 
--- a/src/rollout/ledgerAssigner.ts
+++ b/src/rollout/ledgerAssigner.ts
@@ -9,7 +9,7 @@
 import type { BoxListFollower } from '../membership/boxListFollower.js';
 import type { LedgerSlot, ReplyMessage } from '../protocol/rolloutMessages.js';
 import type { LedgerCandidate, LedgerRecord, OwnerFate, SlotOwner } from '../requests/ledgerSlots.js';
-import { assignSlots, ledgerHash, ledgerRecordSchema, slotsOf } from '../requests/ledgerSlots.js';
+import { assignSlots, identityOf, ledgerHash, ledgerRecordSchema, slotsOf } from '../requests/ledgerSlots.js';
 import type { Logger } from '../telemetry/logger.js';
 import { errorText } from '../utils/stepError.js';
 import type { RolloutRecord } from './rolloutRecord.js';
@@ -138,10 +138,6 @@
   return !box?.expected;
 }
 
-function identityOf(owner: LedgerCandidate): string {
-  return `${owner.box}/${owner.incarnation}`;
-}
-
 /** Reads a ledger object out of the replica. */
 export function parseLedger(value: unknown): LedgerRecord | undefined {
   const parsed = ledgerRecordSchema.safeParse(value);
