--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -1,7 +1,7 @@
 /** Sends an admitted request to the backend server and its answer back to the entry. */
 import type http from 'node:http';
 import { Agent, request as httpRequest } from 'undici';
-import { wasNeverSent } from '../platform/httpClient.js';
+import { wasNeverSent } from '../external/httpClient.js';
 import { HEADER } from '../protocol/headers.js';
 import type { Ledger } from '../requests/ledger.js';
 import type { Refusal } from '../requests/refusals.js';
--- a/src/cli/operatorClient.ts
+++ b/src/cli/operatorClient.ts
@@ -1,7 +1,7 @@
 /** Talks to the operators' interface of an entry. */
 import { randomUUID } from 'node:crypto';
-import type { JsonAnswer } from '../platform/httpClient.js';
-import { sendJson } from '../platform/httpClient.js';
+import type { JsonAnswer } from '../external/httpClient.js';
+import { sendJson } from '../external/httpClient.js';
 import { CliError } from './cliError.js';
 import { EXIT } from './exitCodes.js';
 import type { ExitCode } from './exitCodes.js';
--- a/src/cli/runCommand.ts
+++ b/src/cli/runCommand.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod';
 import { templateSchema } from '../configuration/template.js';
 import { problemsOf } from '../configuration/resolveSpecification.js';
-import { sendJson } from '../platform/httpClient.js';
+import { sendJson } from '../external/httpClient.js';
 import { agentSettingsSchema } from '../settings/agentSettings.js';
 import { urlSetting } from '../settings/commonSettings.js';
 import { entrySettingsSchema } from '../settings/entrySettings.js';
--- a/src/configuration/apiFollower.ts
+++ b/src/configuration/apiFollower.ts
@@ -1,5 +1,5 @@
 /** Keeps the replica up to date from the object API, by a listing and then watches. */
-import type { ObjectApi } from '../platform/objectApi.js';
+import type { ObjectApi } from '../external/objectApi.js';
 import type { Logger } from '../telemetry/logger.js';
 import { Backoff } from '../utils/backoff.js';
 import type { Clock } from '../utils/clock.js';
--- a/src/configuration/safeWriter.ts
+++ b/src/configuration/safeWriter.ts
@@ -1,5 +1,5 @@
 /** Conditional writes whose outcome is always known, or said to be unknown. */
-import type { ObjectApi, WriteOutcome } from '../platform/objectApi.js';
+import type { ObjectApi, WriteOutcome } from '../external/objectApi.js';
 import type { ReplicatedRecord } from '../protocol/records.js';
 import { pause } from '../utils/timers.js';
 import type { Replica } from './replica.js';
--- a/src/engine/httpEngine.ts
+++ b/src/engine/httpEngine.ts
@@ -1,5 +1,5 @@
 /** A model engine that takes orders over HTTP/JSON. */
-import { sendJson } from '../platform/httpClient.js';
+import { sendJson } from '../external/httpClient.js';
 import { StepError } from '../utils/stepError.js';
 import type { BackendServer, LoadOrder, VersionOrder } from './backendServer.js';
 
--- a/src/entry/rolloutStatusReader.ts
+++ b/src/entry/rolloutStatusReader.ts
@@ -6,7 +6,7 @@
 import type { AgentLinks } from '../membership/agentLinks.js';
 import type { BoxListFollower } from '../membership/boxListFollower.js';
 import type { Replicator } from '../membership/replicator.js';
-import type { Box } from '../platform/boxList.js';
+import type { Box } from '../external/boxList.js';
 import { parseRollout } from '../rollout/rolloutRecord.js';
 import type { RolloutRecord } from '../rollout/rolloutRecord.js';
 import type { RolloutBox } from '../rollout/rolloutView.js';
--- a/src/membership/agentLink.ts
+++ b/src/membership/agentLink.ts
@@ -1,7 +1,7 @@
 /** An entry's connection to one agent, and the last report that came over it. */
 import { EventEmitter, setMaxListeners } from 'node:events';
 import { createActor } from 'xstate';
-import type { Box } from '../platform/boxList.js';
+import type { Box } from '../external/boxList.js';
 import type { ControlOptions } from '../protocol/controlConnection.js';
 import { ControlConnection } from '../protocol/controlConnection.js';
 import type { CallMessage } from '../protocol/controlConnection.js';
--- a/src/membership/agentLinks.ts
+++ b/src/membership/agentLinks.ts
@@ -1,6 +1,6 @@
 /** All agents that an entry keeps connected. */
 import { EventEmitter } from 'node:events';
-import type { Box } from '../platform/boxList.js';
+import type { Box } from '../external/boxList.js';
 import type { LinkServices } from './agentLink.js';
 import { AgentLink } from './agentLink.js';
 
--- a/src/membership/boxListFollower.ts
+++ b/src/membership/boxListFollower.ts
@@ -1,6 +1,6 @@
 /** Reads the box list at intervals and keeps the last answer. */
 import { EventEmitter } from 'node:events';
-import type { Box, BoxList } from '../platform/boxList.js';
+import type { Box, BoxList } from '../external/boxList.js';
 import type { Logger } from '../telemetry/logger.js';
 import { errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
--- a/src/membership/replicationPeers.ts
+++ b/src/membership/replicationPeers.ts
@@ -1,5 +1,5 @@
 /** Which entries an entry replicates with. Pure. */
-import type { Box } from '../platform/boxList.js';
+import type { Box } from '../external/boxList.js';
 import { compareText, rendezvousOrder } from '../utils/rendezvous.js';
 
 /** Up to this many entries, every one is connected with every other. */
--- a/src/membership/replicator.ts
+++ b/src/membership/replicator.ts
@@ -1,7 +1,7 @@
 /** Carries records between entries: each change at once to all neighbours, and what was missed by comparing digests. */
 import type { Confirmer } from '../configuration/changeHandler.js';
 import type { Replica } from '../configuration/replica.js';
-import type { Box } from '../platform/boxList.js';
+import type { Box } from '../external/boxList.js';
 import type { ControlConnection, ControlOptions } from '../protocol/controlConnection.js';
 import { ControlConnection as Connection } from '../protocol/controlConnection.js';
 import type { Message } from '../protocol/message.js';
--- a/src/requests/agentClient.ts
+++ b/src/requests/agentClient.ts
@@ -1,6 +1,6 @@
 /** Sends one attempt of a request to an agent. */
 import { Agent, request as httpRequest } from 'undici';
-import { wasNeverSent } from '../platform/httpClient.js';
+import { wasNeverSent } from '../external/httpClient.js';
 import { HEADER } from '../protocol/headers.js';
 import type { Outcome } from '../protocol/headers.js';
 import type { Backend } from '../routing/backend.js';
--- a/src/rollout/coordinatorPool.ts
+++ b/src/rollout/coordinatorPool.ts
@@ -3,7 +3,7 @@
 import { configurationKey, shortName } from '../configuration/recordKeys.js';
 import { LeaseKeeper } from '../lease/leaseKeeper.js';
 import type { SafeWriter } from '../configuration/safeWriter.js';
-import type { Box } from '../platform/boxList.js';
+import type { Box } from '../external/boxList.js';
 import { errorText } from '../utils/stepError.js';
 import { rendezvousOrder } from '../utils/rendezvous.js';
 import type { CoordinatorServices } from './rolloutCoordinator.js';
--- a/src/rollout/rolloutCoordinator.ts
+++ b/src/rollout/rolloutCoordinator.ts
@@ -9,7 +9,7 @@
 import type { AgentLink } from '../membership/agentLink.js';
 import type { AgentLinks } from '../membership/agentLinks.js';
 import type { BoxListFollower } from '../membership/boxListFollower.js';
-import type { Origin } from '../platform/origin.js';
+import type { Origin } from '../external/origin.js';
 import type { Manifest } from '../protocol/manifest.js';
 import type { LedgerRecord } from '../requests/ledgerSlots.js';
 import type { Logger } from '../telemetry/logger.js';
--- a/src/routing/entryOrder.ts
+++ b/src/routing/entryOrder.ts
@@ -1,5 +1,5 @@
 /** The addresses that callers are told to use. Pure. */
-import type { Box } from '../platform/boxList.js';
+import type { Box } from '../external/boxList.js';
 import { compareText, rendezvousOrder } from '../utils/rendezvous.js';
 
 /** An entry as callers see it. */
--- a/src/weights/layeredOrigin.ts
+++ b/src/weights/layeredOrigin.ts
@@ -1,6 +1,6 @@
 /** Asks the weight store first and the origin when the store cannot serve. */
 import type { Manifest } from '../protocol/manifest.js';
-import type { Origin, OriginRange } from '../platform/origin.js';
+import type { Origin, OriginRange } from '../external/origin.js';
 
 /** Two origins, the cheaper one first. */
 export class LayeredOrigin implements Origin {
--- a/src/weights/originDrawer.ts
+++ b/src/weights/originDrawer.ts
@@ -1,5 +1,5 @@
 /** Draws granted chunks from the origin, one after the other. */
-import type { Origin } from '../platform/origin.js';
+import type { Origin } from '../external/origin.js';
 import type { Logger } from '../telemetry/logger.js';
 import { Backoff } from '../utils/backoff.js';
 import type { Random } from '../utils/random.js';
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -1,5 +1,5 @@
 /** Brings one version's chunks to this box and hands them on: one instance per rollout. */
-import type { Origin } from '../platform/origin.js';
+import type { Origin } from '../external/origin.js';
 import type { PlanMessage } from '../protocol/rolloutMessages.js';
 import type { Logger } from '../telemetry/logger.js';
 import { Bitset } from '../utils/bitset.js';
--- a/standins/boxListStandin.ts
+++ b/standins/boxListStandin.ts
@@ -1,5 +1,5 @@
 /** Stand-in for the box list: boxes are put and removed over HTTP and show up after a lag. */
-import type { Box } from '../src/platform/boxList.js';
+import type { Box } from '../src/external/boxList.js';
 import { StandinServer, sendJsonAnswer } from './standinServer.js';
 import type { StandinRequest } from './standinServer.js';
 
--- a/standins/localFleet.ts
+++ b/standins/localFleet.ts
@@ -1,8 +1,8 @@
 /** A fleet of real processes on loopback: stand-ins, entries and agents. Shared by demo, bench and tests. */
 import { randomUUID } from 'node:crypto';
-import type { Box } from '../src/platform/boxList.js';
-import { sendJson } from '../src/platform/httpClient.js';
-import type { JsonAnswer } from '../src/platform/httpClient.js';
+import type { Box } from '../src/external/boxList.js';
+import { sendJson } from '../src/external/httpClient.js';
+import type { JsonAnswer } from '../src/external/httpClient.js';
 import type { RolloutStatus } from '../src/entry/rolloutStatusReader.js';
 import { sha256Hex } from '../src/utils/hash.js';
 import { pause } from '../src/utils/timers.js';
--- a/tests/layeredOrigin.spec.ts
+++ b/tests/layeredOrigin.spec.ts
@@ -1,7 +1,7 @@
 /** The weight store is asked first, and the origin when the store cannot serve. */
 import { test } from 'node:test';
 import { expect } from 'earl';
-import type { Origin } from '../src/platform/origin.js';
+import type { Origin } from '../src/external/origin.js';
 import { StepError } from '../src/utils/stepError.js';
 import { LayeredOrigin } from '../src/weights/layeredOrigin.js';
 
--- a/tests/pacedObjectApi.spec.ts
+++ b/tests/pacedObjectApi.spec.ts
@@ -1,7 +1,7 @@
 /** Coordinators slow down when the object API refuses writes for their number, and recover. */
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { PacedObjectApi } from '../src/platform/pacedObjectApi.js';
+import { PacedObjectApi } from '../src/external/pacedObjectApi.js';
 import { MemoryObjectApi } from './fixtures/memoryObjectApi.js';
 
 test('should make fewer writes while the api refuses them for their number', async () => {
--- a/tests/replicator.spec.ts
+++ b/tests/replicator.spec.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl';
 import { Replica } from '../src/configuration/replica.js';
 import { Replicator } from '../src/membership/replicator.js';
-import type { Box } from '../src/platform/boxList.js';
+import type { Box } from '../src/external/boxList.js';
 import type { ControlOptions } from '../src/protocol/controlConnection.js';
 import { ControlConnection } from '../src/protocol/controlConnection.js';
 import { ControlServer } from '../src/protocol/controlServer.js';
--- a/tests/serviceHost.spec.ts
+++ b/tests/serviceHost.spec.ts
@@ -2,7 +2,7 @@
 import { after, test } from 'node:test';
 import { expect } from 'earl';
 import { ServiceHost } from '../src/agent/serviceHost.js';
-import type { Origin, OriginRange } from '../src/platform/origin.js';
+import type { Origin, OriginRange } from '../src/external/origin.js';
 import type { Manifest } from '../src/protocol/manifest.js';
 import type { PlanMessage } from '../src/protocol/rolloutMessages.js';
 import { Logger } from '../src/telemetry/logger.js';
