--- a/src/agent/agentDaemon.ts
+++ b/src/agent/agentDaemon.ts
@@ -31,7 +31,7 @@
 import { Reporter } from './reporter.js';
 import { RequestGate } from './requestGate.js';
 import { ServiceHosts } from './serviceHosts.js';
-import { SwarmMessageHandler } from './swarmMessageHandler.js';
+import { SwarmMessageHandler } from '../weights/swarmMessageHandler.js';
 
 /** Where a daemon listens. */
 export interface ListeningPorts {
--- /dev/null
+++ b/src/protocol/boxMessages.ts
@@ -0,0 +1,64 @@
+/** What entries and the agents of backend servers tell each other when backend servers are reached directly. */
+import { z } from 'zod';
+import { countSchema, nameSchema } from './names.js';
+
+const MAXIMUM_LIST = 10_000;
+
+/** An entry that callers may use. */
+export const entryAddressSchema = z.object({
+  box: nameSchema,
+  hall: z.string(),
+  /** Where callers connect, as host:port. */
+  address: z.string(),
+  leaving: z.boolean(),
+});
+export type EntryAddress = z.infer<typeof entryAddressSchema>;
+
+/** A version that an operator wants in service, and for how long this has been known. */
+export const wantedVersionSchema = z.object({
+  model: z.string(),
+  version: countSchema,
+  knownMilliseconds: z.number().nonnegative(),
+});
+export type WantedVersion = z.infer<typeof wantedVersionSchema>;
+
+/** A box whose agent exchanges chunks. */
+export const agentAddressSchema = z.object({ box: nameSchema, hall: z.string(), address: z.string() });
+export type AgentAddress = z.infer<typeof agentAddressSchema>;
+
+/** Sent by an entry to each agent when it connects and on every change. */
+export const entryPresenceSchema = z.object({
+  type: z.literal('entry-presence'),
+  entry: entryAddressSchema,
+  wanted: z.array(wantedVersionSchema).max(MAXIMUM_LIST),
+  /** The agents beside the backend servers of the same service. */
+  agents: z.array(agentAddressSchema).max(MAXIMUM_LIST),
+  /** Where weights are read, as host:port; '' while unknown. */
+  origin: z.string(),
+});
+export type EntryPresence = z.infer<typeof entryPresenceSchema>;
+
+/** What the backend server of a box does with respect to versions. */
+export const servingStateSchema = z.enum(['serving', 'switching', 'empty']);
+export type ServingState = z.infer<typeof servingStateSchema>;
+
+/** Sent by an agent to all connected entries on every change. Load is a hint. */
+export const boxStatusSchema = z.object({
+  type: z.literal('box-status'),
+  state: servingStateSchema,
+  model: z.string(),
+  version: countSchema,
+  running: countSchema,
+  queued: countSchema,
+  /** The entries that are connected to this agent. */
+  entries: z.array(entryAddressSchema).max(MAXIMUM_LIST),
+});
+export type BoxStatus = z.infer<typeof boxStatusSchema>;
+
+/** Sent between agents: whether the sender is about to switch, and what it holds. */
+export const switchStateSchema = z.object({
+  type: z.literal('switch-state'),
+  version: countSchema,
+  state: z.enum(['staging', 'staged', 'switching', 'serving']),
+});
+export type SwitchState = z.infer<typeof switchStateSchema>;
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -1,5 +1,6 @@
 /** The union of all control messages and its validator. */
 import { z } from 'zod';
+import { boxStatusSchema, entryPresenceSchema, switchStateSchema } from './boxMessages.js';
 import {
   digestMessageSchema,
   entryStateSchema,
@@ -40,6 +41,9 @@
   replyMessageSchema,
   swarmJoinSchema,
   haveMessageSchema,
+  entryPresenceSchema,
+  boxStatusSchema,
+  switchStateSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- /dev/null
+++ b/src/records/kindFollower.ts
@@ -0,0 +1,132 @@
+/** Keeps a copy of all objects of one kind: lists once, then watches, and lists again when history is lost. */
+import { EventEmitter } from 'node:events';
+import type { EventLog } from '../telemetry/eventLog.js';
+import { Backoff } from '../utils/backoff.js';
+import type { Clock } from '../utils/clock.js';
+import type { Random } from '../utils/random.js';
+import { errorText } from '../utils/stepError.js';
+import { pause } from '../utils/timers.js';
+import type { StoredObject, WatchableStore } from './watchableStore.js';
+
+/** What a follower works with. */
+export interface KindFollowerOptions {
+  kind: string;
+  store: WatchableStore;
+  clock: Clock;
+  random: Random;
+  log: EventLog;
+}
+
+interface KindFollowerEvents {
+  /** The copy has changed. */
+  change: [];
+}
+
+const WATCH_WAIT_MILLISECONDS = 25_000;
+const RETRY = { firstMilliseconds: 80, longestMilliseconds: 600 };
+/** A watch that answered sooner than this was busy; the next one waits a little, so that changes come together. */
+const GATHER_MILLISECONDS = 40;
+
+/** Emits `change` after each listing or change. Nothing is dropped while the store cannot be reached. */
+export class KindFollower extends EventEmitter<KindFollowerEvents> {
+  readonly objects = new Map<string, StoredObject>();
+  private readonly _options: KindFollowerOptions;
+  private readonly _stopped = new AbortController();
+  private _revision: number | undefined;
+  private _reachable = false;
+  private _lastAnswerAt = Number.NEGATIVE_INFINITY;
+  private _unreachableSince = 0;
+
+  constructor(options: KindFollowerOptions) {
+    super();
+    this._options = options;
+  }
+
+  /** Whether a listing has ever been read. */
+  get known(): boolean {
+    return this._lastAnswerAt !== Number.NEGATIVE_INFINITY;
+  }
+
+  /** Whether the last call to the store was answered; a watch that waits counts as answered. */
+  get reachable(): boolean {
+    return this._reachable;
+  }
+
+  /** Milliseconds since the store became unreachable; 0 while it is reachable. */
+  get unreachableFor(): number {
+    return this._reachable ? 0 : this._options.clock.now() - this._unreachableSince;
+  }
+
+  /** Revision of the store that the copy reflects. */
+  get revision(): number {
+    return this._revision ?? 0;
+  }
+
+  start(): void {
+    this._unreachableSince = this._options.clock.now();
+    void this._follow();
+  }
+
+  stop(): void {
+    this._stopped.abort();
+  }
+
+  private async _follow(): Promise<void> {
+    const { clock, random } = this._options;
+    const backoff = new Backoff(RETRY, random);
+    while (!this._stopped.signal.aborted) {
+      const askedAt = clock.now();
+      try {
+        await this._step();
+        this._onAnswer();
+        backoff.reset();
+        if (clock.now() - askedAt < GATHER_MILLISECONDS)
+          await pause(GATHER_MILLISECONDS, this._stopped.signal);
+      } catch (error) {
+        this._onSilence(errorText(error));
+        await pause(backoff.nextWait(), this._stopped.signal);
+      }
+    }
+  }
+
+  private async _step(): Promise<void> {
+    if (this._revision === undefined) return await this._list();
+    const { kind, store } = this._options;
+    const answer = await store.watch(kind, this._revision, WATCH_WAIT_MILLISECONDS, this._stopped.signal);
+    if (answer.kind === 'history-lost') {
+      this._revision = undefined;
+      this._options.log.state('store.history-lost', { kind });
+      return;
+    }
+    for (const { object, gone } of answer.changes) {
+      if (gone) this.objects.delete(object.name);
+      else this.objects.set(object.name, object);
+    }
+    this._revision = answer.revision;
+    if (answer.changes.length > 0) this.emit('change');
+  }
+
+  private async _list(): Promise<void> {
+    const { kind, store } = this._options;
+    const listing = await store.list(kind, this._stopped.signal);
+    this.objects.clear();
+    for (const object of listing.objects) this.objects.set(object.name, object);
+    this._revision = listing.revision;
+    this._lastAnswerAt = this._options.clock.now();
+    this.emit('change');
+  }
+
+  private _onAnswer(): void {
+    this._lastAnswerAt = this._options.clock.now();
+    if (this._reachable) return;
+    this._reachable = true;
+    this._options.log.state('store.reachable', { kind: this._options.kind, revision: this.revision });
+  }
+
+  private _onSilence(reason: string): void {
+    if (this._stopped.signal.aborted || !this._reachable) return;
+    this._reachable = false;
+    this._unreachableSince = this._options.clock.now();
+    this._options.log.state('store.unreachable', { kind: this._options.kind, reason });
+  }
+}
--- /dev/null
+++ b/src/records/watchableStore.ts
@@ -0,0 +1,31 @@
+/** A store of objects by kind and name, which can be listed and watched. */
+
+/** One object as of a revision of the store. */
+export interface StoredObject {
+  name: string;
+  revision: number;
+  value: unknown;
+}
+
+/** All objects of a kind, as of `revision`. */
+export interface KindListing {
+  revision: number;
+  objects: StoredObject[];
+}
+
+/** One change; `gone` when the object was deleted. */
+export interface ObjectChange {
+  object: StoredObject;
+  gone: boolean;
+}
+
+/** Changes up to `revision`, or the news that the store no longer has them all. */
+export type KindChanges =
+  { kind: 'changes'; revision: number; changes: ObjectChange[] } | { kind: 'history-lost' };
+
+/** Reads throw a StepError when there is no usable answer. */
+export interface WatchableStore {
+  list(kind: string, signal: AbortSignal): Promise<KindListing>;
+  /** Waits up to `waitMilliseconds` for a change after `revision`. */
+  watch(kind: string, revision: number, waitMilliseconds: number, signal: AbortSignal): Promise<KindChanges>;
+}
--- /dev/null
+++ b/src/serving/backendCall.ts
@@ -0,0 +1,142 @@
+/** One attempt: a request sent to one backend server over one connection, and its answer as it comes. */
+import type { Dispatcher } from 'undici';
+import { errorCode, errorText } from '../utils/stepError.js';
+import type { TrackedServer } from './trackedServer.js';
+
+/** The request as the backend server gets it. */
+export interface BackendRequest {
+  method: string;
+  path: string;
+  /** Names and values in turn. */
+  headers: string[];
+  body: Buffer | undefined;
+}
+
+/** Header values by lower-case name. */
+export type AnswerHeaders = Record<string, string | string[] | undefined>;
+
+/** Hears what comes of an attempt; after `onEnd` or `onFailed` nothing follows. */
+export interface BackendCallListener {
+  onHead(status: number, headers: AnswerHeaders): void;
+  onData(bytes: Buffer): void;
+  onEnd(): void;
+  /** `sent` is false when it is certain that nothing reached the server. */
+  onFailed(failure: CallFailure): void;
+}
+
+/** How an attempt failed. */
+export interface CallFailure {
+  sent: boolean;
+  reason: string;
+}
+
+/** Why an attempt was given up by this process. */
+export type AbortReason = 'caller-gone' | 'time-over' | 'silent' | 'foreign-answer' | 'not-needed';
+
+class CallAborted extends Error {}
+
+export class BackendCall {
+  readonly server: TrackedServer;
+  private readonly _listener: BackendCallListener;
+  private readonly _client: Dispatcher;
+  private readonly _giveBack: (reusable: boolean) => void;
+  private _controller: Dispatcher.DispatchController | undefined;
+  private _sent = false;
+  private _ended = false;
+  private _aborted: AbortReason | undefined;
+
+  private constructor(
+    server: TrackedServer,
+    client: Dispatcher,
+    giveBack: (reusable: boolean) => void,
+    listener: BackendCallListener,
+  ) {
+    this.server = server;
+    this._client = client;
+    this._giveBack = giveBack;
+    this._listener = listener;
+  }
+
+  /** Sends a request; undefined when the server's connections are all in use. */
+  static send(
+    server: TrackedServer,
+    request: BackendRequest,
+    listener: BackendCallListener,
+  ): BackendCall | undefined {
+    const client = server.connections.acquire();
+    if (!client) return undefined;
+    const giveBack = (reusable: boolean): void => server.connections.release(client, reusable);
+    const call = new BackendCall(server, client, giveBack, listener);
+    server.load.outstanding++;
+    call._dispatch(request);
+    return call;
+  }
+
+  /** Whether the request may have reached the server. */
+  get sent(): boolean {
+    return this._sent;
+  }
+
+  /** Stops reading until {@link BackendCall.resume}. */
+  pause(): void {
+    this._controller?.pause();
+  }
+
+  resume(): void {
+    if (!this._ended) this._controller?.resume();
+  }
+
+  /** Ends the attempt and its connection, which tells the server to stop working. The listener hears nothing more. */
+  abort(reason: AbortReason): void {
+    if (this._ended) return;
+    this._aborted = reason;
+    this._end(false);
+    this._controller?.abort(new CallAborted(reason));
+  }
+
+  private _dispatch(request: BackendRequest): void {
+    const { method, path, headers, body } = request;
+    const options = { method: method as Dispatcher.HttpMethod, path, headers, body: body ?? null };
+    this._client.dispatch(options, {
+      onRequestStart: (controller) => {
+        this._controller = controller;
+        if (this._aborted) controller.abort(new CallAborted(this._aborted));
+        else this._sent = true;
+      },
+      onResponseStart: (_controller, status, headers) => this._onHead(status, headers),
+      onResponseData: (_controller, bytes) => this._onData(bytes),
+      onResponseEnd: () => this._onEnd(),
+      onResponseError: (_controller, error) => this._onError(error),
+    });
+  }
+
+  private _onHead(status: number, headers: AnswerHeaders): void {
+    if (this._ended) return;
+    this.server.heard();
+    this._listener.onHead(status, headers);
+  }
+
+  private _onData(bytes: Buffer): void {
+    if (this._ended) return;
+    this.server.heard();
+    this._listener.onData(bytes);
+  }
+
+  private _onEnd(): void {
+    if (this._ended) return;
+    this._end(true);
+    this._listener.onEnd();
+  }
+
+  private _onError(error: unknown): void {
+    if (this._ended) return;
+    this._end(false);
+    this._listener.onFailed({ sent: this._sent, reason: errorCode(error) || errorText(error) });
+  }
+
+  private _end(reusable: boolean): void {
+    this._ended = true;
+    this.server.load.outstanding--;
+    this._giveBack(reusable);
+  }
+}
--- /dev/null
+++ b/src/serving/callerServer.ts
@@ -0,0 +1,62 @@
+/** The HTTP server that callers connect to. */
+import http from 'node:http';
+import type { Socket } from 'node:net';
+import { listenHttp } from '../utils/httpServer.js';
+import type { CallerLimits } from './servingConfiguration.js';
+
+/** Handles one request; must not throw. */
+export type RequestListener = (request: http.IncomingMessage, response: http.ServerResponse) => void;
+
+const LARGEST_HEADER_BYTES = 64 * 1024;
+/** How much longer than the limit says an unused connection is kept, so that a request never meets its end. */
+const IDLE_MARGIN_MILLISECONDS = 2_000;
+const DEFAULT_IDLE_MILLISECONDS = 60_000;
+const MALFORMED_ANSWER = 'HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n';
+
+export class CallerServer {
+  private readonly _server: http.Server;
+  private readonly _sockets = new Set<Socket>();
+
+  constructor(listener: RequestListener) {
+    this._server = http.createServer({ maxHeaderSize: LARGEST_HEADER_BYTES, noDelay: true }, listener);
+    this._server.keepAliveTimeout = DEFAULT_IDLE_MILLISECONDS;
+    this._server.requestTimeout = 0;
+    this._server.headersTimeout = 0;
+    this._server.on('connection', (socket) => this._keep(socket));
+    this._server.on('clientError', (_error, socket) => {
+      if (socket.writable) socket.end(MALFORMED_ANSWER);
+      else socket.destroy();
+    });
+  }
+
+  /** Connections that are open. */
+  get connections(): number {
+    return this._sockets.size;
+  }
+
+  async listen(address: string, port: number): Promise<number> {
+    return await listenHttp(this._server, address, port);
+  }
+
+  /** Follows the operator's limits. */
+  applyLimits(limits: CallerLimits): void {
+    this._server.keepAliveTimeout = limits.idleMilliseconds + IDLE_MARGIN_MILLISECONDS;
+  }
+
+  /** Takes no new connections and closes those that carry no request. */
+  stopListening(): void {
+    this._server.close();
+    this._server.closeIdleConnections();
+  }
+
+  /** Closes everything. */
+  close(): void {
+    this._server.close();
+    this._server.closeAllConnections();
+  }
+
+  private _keep(socket: Socket): void {
+    this._sockets.add(socket);
+    socket.once('close', () => this._sockets.delete(socket));
+  }
+}
--- /dev/null
+++ b/src/serving/configurationHolder.ts
@@ -0,0 +1,37 @@
+/** The configuration in force in this process: only ever a newer one. */
+import type { EventLog } from '../telemetry/eventLog.js';
+import { RouteIndex } from './routeIndex.js';
+import type { ServingConfiguration } from './servingConfiguration.js';
+
+export class ConfigurationHolder {
+  private readonly _log: EventLog;
+  private _index: RouteIndex | undefined;
+
+  constructor(log: EventLog) {
+    this._log = log;
+  }
+
+  /** Undefined until the first configuration has come. */
+  get index(): RouteIndex | undefined {
+    return this._index;
+  }
+
+  get version(): number {
+    return this._index?.configuration.version ?? -1;
+  }
+
+  /** Takes a configuration if it is newer than the one in force; returns whether it was. */
+  offer(configuration: ServingConfiguration, source: string): boolean {
+    if (configuration.version <= this.version) return false;
+    const previous = this.version;
+    this._index = new RouteIndex(configuration);
+    this._log.state('configuration.applied', {
+      version: configuration.version,
+      previous,
+      source,
+      routes: configuration.routes.length,
+      customers: configuration.customers.length,
+    });
+    return true;
+  }
+}
--- /dev/null
+++ b/src/serving/directoryServer.ts
@@ -0,0 +1,55 @@
+/** Answers where callers should connect, whether this entry is ready, and its metrics. */
+import http from 'node:http';
+import { answerJson } from '../utils/httpBody.js';
+import { closeHttp, listenHttp } from '../utils/httpServer.js';
+import type { EntryDirectory } from './entryDirectory.js';
+import type { DirectoryPaths } from './gatewayDaemon.js';
+import type { ServingMetrics } from './servingMetrics.js';
+
+/** What the server works with. */
+export interface DirectoryServerOptions {
+  paths: DirectoryPaths;
+  keepSeconds: number;
+  entries: EntryDirectory;
+  metrics: ServingMetrics;
+  isReady: () => boolean;
+}
+
+/** One handler on several addresses, since each of them may be asked anything. */
+export class DirectoryServer {
+  private readonly _options: DirectoryServerOptions;
+  private readonly _servers: http.Server[] = [];
+
+  constructor(options: DirectoryServerOptions) {
+    this._options = options;
+  }
+
+  /** Listens on each of the addresses (host:port). */
+  async listen(addresses: ReadonlySet<string>): Promise<void> {
+    for (const address of addresses) {
+      const server = http.createServer((request, response) => this._serve(request, response));
+      const colon = address.lastIndexOf(':');
+      await listenHttp(server, address.slice(0, colon), Number(address.slice(colon + 1)));
+      this._servers.push(server);
+    }
+  }
+
+  close(): void {
+    for (const server of this._servers) closeHttp(server);
+  }
+
+  private _serve(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const { paths, keepSeconds, entries, metrics, isReady } = this._options;
+    const url = new URL(request.url ?? '/', 'http://directory');
+    if (url.pathname === paths.ready)
+      return answerJson(response, isReady() ? 200 : 503, { ready: isReady() });
+    if (url.pathname === paths.metrics) {
+      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(metrics.exposition());
+      return;
+    }
+    if (url.pathname !== paths.directory) return answerJson(response, 404, { error: 'no such path' });
+    const addresses = entries.addressesFor(paths.hallOf(url.searchParams));
+    if (addresses.length === 0) return answerJson(response, 503, { error: 'no entry is known' });
+    answerJson(response, 200, paths.directoryAnswer(addresses, keepSeconds));
+  }
+}
--- /dev/null
+++ b/src/serving/forwardedRequest.ts
@@ -0,0 +1,395 @@
+/** Carries one admitted request to backend servers until it has an answer. */
+import type { EventLog } from '../telemetry/eventLog.js';
+import type { ServingMetrics } from './servingMetrics.js';
+import type { Clock } from '../utils/clock.js';
+import type { AnswerHeaders, BackendRequest, CallFailure } from './backendCall.js';
+import { BackendCall } from './backendCall.js';
+import type { CallerExchange } from './callerExchange.js';
+import { OWN_STATUS } from './callerExchange.js';
+import type { HeaderNames } from './headerNames.js';
+import type { RetryAllowance } from './retryAllowance.js';
+import type { ServerFound, ServerPool } from './serverPool.js';
+import type { Route } from './servingConfiguration.js';
+import { StreamRelay } from './streamRelay.js';
+import type { TrackedServer } from './trackedServer.js';
+import type { VersionGate } from './versionGate.js';
+
+/** What all requests share. */
+export interface ForwardServices {
+  names: HeaderNames;
+  pool: ServerPool;
+  gate: VersionGate;
+  clock: Clock;
+  log: EventLog;
+  metrics: ServingMetrics;
+}
+
+/** A request that has been admitted. */
+export interface AdmittedRequest {
+  exchange: CallerExchange;
+  route: Route;
+  service: string;
+  /** The model that the caller names, '' for none. */
+  model: string;
+  method: string;
+  path: string;
+  /** Headers to pass on, without those that change from attempt to attempt. */
+  headers: string[];
+  body: Buffer | undefined;
+  /** The last event that the caller has seen, '' for none. */
+  lastEventId: string;
+  retries: RetryAllowance;
+  /** Monotonic milliseconds at which the caller or the operator no longer waits. */
+  endsAt: number;
+}
+
+/** Statuses that say, without a proof that it has run, that a request has not run. */
+const PROMISING_STATUSES = new Set([408, 421, 429, 503]);
+const MISDIRECTED = 421;
+const SERVER_ERROR = 500;
+/** Least time that is worth another attempt. */
+const SHORTEST_ATTEMPT_MILLISECONDS = 40;
+/** Connections that cannot be opened cost no attempt, but there is an end to them. */
+const MOST_UNREACHABLE = 4;
+/** First answer of a repeatable request, in parts of its objective, after which another server is tried. */
+const PATIENCE_OBJECTIVES = 2.5;
+const LEAST_PATIENCE_MILLISECONDS = 350;
+/** The same for the first event of a stream. */
+const STREAM_PATIENCE_MILLISECONDS = 1_000;
+/** Pause of a begun stream after which it is resumed elsewhere. */
+const STREAM_SILENCE_MILLISECONDS = 900;
+const WATCH_INTERVAL_MILLISECONDS = 100;
+const RETRY_AFTER_BUSY_MILLISECONDS = 350;
+const RETRY_AFTER_NONE_MILLISECONDS = 700;
+/** Largest answer of a request that is no stream, in bytes. */
+const LARGEST_ANSWER = 16 * 1024 * 1024;
+
+/** The answer of a request that is no stream, as far as it has come. */
+interface PartialAnswer {
+  status: number;
+  headers: AnswerHeaders;
+  body: Buffer[];
+  length: number;
+}
+
+export class ForwardedRequest {
+  private readonly _services: ForwardServices;
+  private readonly _request: AdmittedRequest;
+  private readonly _startedAt: number;
+  private readonly _relay: StreamRelay | undefined;
+  private readonly _tried = new Set<string>();
+  private readonly _done: () => void;
+  private _call: BackendCall | undefined;
+  private _answer: PartialAnswer | undefined;
+  private _attempts = 0;
+  private _unreachable = 0;
+  /** Whether the request may have run somewhere. */
+  private _mayHaveRun = false;
+  private _rejected = false;
+  private _ended = false;
+  private _attemptStartedAt = 0;
+  private _deadlineTimer: NodeJS.Timeout | undefined;
+  private _watchTimer: NodeJS.Timeout | undefined;
+
+  /** `done` is called once, when the request has ended. */
+  constructor(services: ForwardServices, request: AdmittedRequest, done: () => void) {
+    this._services = services;
+    this._request = request;
+    this._done = done;
+    this._startedAt = services.clock.now();
+    if (request.route.kind === 'stream') this._relay = new StreamRelay(request.exchange, request.lastEventId);
+  }
+
+  start(): void {
+    const { exchange, endsAt } = this._request;
+    if (exchange.ended) return this._onCallerGone();
+    exchange.onCallerGone(() => this._onCallerGone());
+    this._deadlineTimer = setTimeout(
+      () => this._onTimeOver(),
+      Math.max(0, endsAt - this._services.clock.now()),
+    );
+    if (this._repeatable) this._watchTimer = setInterval(() => this._watch(), WATCH_INTERVAL_MILLISECONDS);
+    this._attempt();
+  }
+
+  private get _repeatable(): boolean {
+    const { kind, resumable } = this._request.route;
+    return kind === 'repeatable' || (kind === 'stream' && resumable);
+  }
+
+  private get _left(): number {
+    return this._request.endsAt - this._services.clock.now();
+  }
+
+  /** Sends the request to the best server there is. */
+  private _attempt(): void {
+    if (this._ended) return;
+    const found = this._find();
+    if (found.kind === 'none') return this._giveUp(found.reason);
+    const { server } = found;
+    const listener = {
+      onHead: (status: number, headers: AnswerHeaders) => this._onHead(server, status, headers),
+      onData: (bytes: Buffer) => this._onData(bytes),
+      onEnd: () => this._onEnd(server),
+      onFailed: (failure: CallFailure) => this._onFailed(server, failure),
+    };
+    this._attemptStartedAt = this._services.clock.now();
+    this._answer = undefined;
+    const call = BackendCall.send(server, this._requestFor(server), listener);
+    if (!call) return this._giveUp('all-busy');
+    this._attempts++;
+    this._tried.add(server.record.id);
+    this._call = call;
+    if (this._relay) server.streamBegan();
+    this._services.log.decision('request.sent', {
+      request: this._request.exchange.requestId,
+      server: server.record.id,
+      attempt: this._attempts,
+      load: Math.round(server.load.estimate(this._attemptStartedAt)),
+      version: server.version(this._request.model),
+      leftMilliseconds: Math.round(this._left),
+    });
+  }
+
+  private _find(): ServerFound {
+    const { service, model } = this._request;
+    const lowestVersion = this._services.gate.lowest(model);
+    return this._services.pool.find({ service, model, lowestVersion, tried: this._tried });
+  }
+
+  private _requestFor(server: TrackedServer): BackendRequest {
+    const { names, gate } = this._services;
+    const { method, path, headers, body, model } = this._request;
+    const own = [names.deadline, String(Math.max(1, Math.floor(this._left)))];
+    own.push(names.expectedServer, server.record.id);
+    const lastEventId = this._relay?.lastEventId ?? '';
+    if (lastEventId !== '') own.push(names.lastEventId, lastEventId);
+    if (model !== '' && gate.newest(model) > server.version(model)) {
+      own.push(names.expectedVersion, String(server.version(model)));
+    }
+    return { method, path, headers: [...headers, ...own], body };
+  }
+
+  private _onHead(server: TrackedServer, status: number, headers: AnswerHeaders): void {
+    const { names } = this._services;
+    const { exchange, model } = this._request;
+    if (headers[names.requestId] !== exchange.requestId) return this._onForeignAnswer(server);
+    const version = Number(headers[names.version]);
+    if (model !== '' && version > 0) server.noteVersion(model, version);
+    this._answer = { status, headers, body: [], length: 0 };
+    const isStream = this._relay !== undefined && status === 200 && headers[names.seal] !== undefined;
+    if (isStream) this._relay?.begin(status, headers);
+  }
+
+  private _onData(bytes: Buffer): void {
+    const answer = this._answer;
+    if (!answer) return;
+    if (this._relay?.begun && answer.status === 200) return this._relayEvents(bytes);
+    answer.body.push(bytes);
+    answer.length += bytes.length;
+    if (answer.length > LARGEST_ANSWER) this._onForeignAnswer(this._call!.server);
+  }
+
+  private _relayEvents(bytes: Buffer): void {
+    const call = this._call;
+    if (this._relay!.push(bytes)) return;
+    call?.pause();
+    this._request.exchange.onceDrained(() => call?.resume());
+  }
+
+  /** The answer is for another request: nothing of this connection can be trusted. */
+  private _onForeignAnswer(server: TrackedServer): void {
+    this._leave('foreign-answer');
+    this._afterFailure(server, { sent: true, reason: 'foreign-answer' });
+  }
+
+  private _onEnd(server: TrackedServer): void {
+    const answer = this._answer!;
+    this._forgetCall(server);
+    if (this._relay?.begun && answer.status === 200) {
+      server.health.note('succeeded');
+      this._relay.end();
+      return this._end('answered', { status: 200, server: server.record.id });
+    }
+    this._judge(server, answer);
+  }
+
+  /** Decides what a whole answer means. */
+  private _judge(server: TrackedServer, answer: PartialAnswer): void {
+    const { names } = this._services;
+    const { status, headers } = answer;
+    if (headers[names.notRun] !== undefined || status === MISDIRECTED)
+      return this._onRejected(server, status);
+    this._mayHaveRun = true;
+    const isSuccess = status < SERVER_ERROR && status >= 200;
+    server.health.note(isSuccess ? 'succeeded' : 'failed');
+    if (!isSuccess && this._repeatable && this._mayTryAgain()) return this._attempt();
+    if (PROMISING_STATUSES.has(status))
+      return this._refuse(OWN_STATUS.unclear, `status ${status} from server`);
+    if (isSuccess && status < 300 && headers[names.seal] === undefined) {
+      return this._refuse(OWN_STATUS.unclear, 'answer without proof');
+    }
+    if (this._relay?.begun) return this._cut('stream could not be resumed');
+    this._request.exchange.answer(status, headers, Buffer.concat(answer.body));
+    this._end('answered', { status, server: server.record.id });
+  }
+
+  /** The server says that the request has not run. */
+  private _onRejected(server: TrackedServer, status: number): void {
+    server.health.note('rejected');
+    this._rejected = true;
+    this._services.metrics.rejected(server.record.service);
+    this._services.log.decision('request.rejected', {
+      request: this._request.exchange.requestId,
+      server: server.record.id,
+      status,
+    });
+    if (this._mayTryAgain()) return this._attempt();
+    this._giveUp('all-busy');
+  }
+
+  private _onFailed(server: TrackedServer, failure: CallFailure): void {
+    this._forgetCall(server);
+    this._afterFailure(server, failure);
+  }
+
+  private _afterFailure(server: TrackedServer, failure: CallFailure): void {
+    this._services.log.decision('request.attempt-failed', {
+      request: this._request.exchange.requestId,
+      server: server.record.id,
+      sent: failure.sent,
+      reason: failure.reason,
+      milliseconds: Math.round(this._services.clock.now() - this._attemptStartedAt),
+    });
+    if (!failure.sent) return this._afterUnreachable(server);
+    this._mayHaveRun = true;
+    if (failure.reason === 'silent') server.health.note('silent');
+    else server.health.note('failed');
+    if (this._repeatable && this._mayTryAgain()) return this._attempt();
+    if (this._relay?.begun) return this._cut(failure.reason);
+    this._refuse(OWN_STATUS.unclear, failure.reason);
+  }
+
+  /** Nothing reached the server, so that the attempt does not count. */
+  private _afterUnreachable(server: TrackedServer): void {
+    server.health.noteUnreachable();
+    this._attempts--;
+    this._unreachable++;
+    const may = this._unreachable < MOST_UNREACHABLE && this._left > SHORTEST_ATTEMPT_MILLISECONDS;
+    if (may) this._attempt();
+    else this._giveUp('no-server');
+  }
+
+  private _mayTryAgain(): boolean {
+    const { route, retries } = this._request;
+    if (this._attempts >= route.attempts || this._left < SHORTEST_ATTEMPT_MILLISECONDS) return false;
+    if (this._find().kind === 'none') return false;
+    const allowed = retries.takeRetry();
+    if (allowed) this._services.metrics.retried(this._request.service);
+    return allowed;
+  }
+
+  /** Looks whether the server is silent for too long. */
+  private _watch(): void {
+    const call = this._call;
+    if (!call) return;
+    const waited = this._services.clock.now() - this._attemptStartedAt;
+    const silent = this._relay
+      ? this._streamIsSilent(call, waited)
+      : waited >
+        Math.max(
+          LEAST_PATIENCE_MILLISECONDS,
+          this._request.route.objectiveMilliseconds * PATIENCE_OBJECTIVES,
+        );
+    if (!silent || !this._mayTryAgain()) return;
+    const { server } = call;
+    this._leave('silent');
+    this._mayHaveRun = true;
+    server.health.note('silent');
+    this._services.log.decision('request.silent', {
+      request: this._request.exchange.requestId,
+      server: server.record.id,
+      waitedMilliseconds: Math.round(waited),
+    });
+    this._attempt();
+  }
+
+  private _streamIsSilent(call: BackendCall, waited: number): boolean {
+    const relay = this._relay!;
+    if (this._answer && relay.begun) {
+      return relay.silentFor(this._services.clock.now()) > STREAM_SILENCE_MILLISECONDS;
+    }
+    return waited > STREAM_PATIENCE_MILLISECONDS || call.server.silentFor > STREAM_SILENCE_MILLISECONDS;
+  }
+
+  private _giveUp(reason: string): void {
+    if (this._relay?.begun) return this._cut(reason);
+    if (this._mayHaveRun && !this._repeatable) return this._refuse(OWN_STATUS.unclear, reason);
+    if (this._mayHaveRun) return this._refuse(OWN_STATUS.unclear, reason);
+    const wait = reason === 'all-busy' ? RETRY_AFTER_BUSY_MILLISECONDS : RETRY_AFTER_NONE_MILLISECONDS;
+    this._refuse(OWN_STATUS.notRun, reason, wait);
+  }
+
+  private _onTimeOver(): void {
+    const sent = this._mayHaveRun || this._call?.sent === true;
+    this._leave('time-over');
+    if (this._relay?.begun) return this._cut('time over');
+    if (sent) return this._refuse(OWN_STATUS.timeOver, 'time over');
+    this._refuse(OWN_STATUS.notRun, 'time over before the request was sent', 0);
+  }
+
+  private _onCallerGone(): void {
+    if (this._ended) return;
+    this._leave('caller-gone');
+    this._end('caller-gone', {});
+  }
+
+  /** Ends the attempt under way, if there is one. */
+  private _leave(reason: 'caller-gone' | 'time-over' | 'silent' | 'foreign-answer'): void {
+    const call = this._call;
+    if (!call) return;
+    this._forgetCall(call.server);
+    call.abort(reason);
+  }
+
+  private _forgetCall(server: TrackedServer): void {
+    if (!this._call) return;
+    this._call = undefined;
+    if (this._relay) {
+      server.streamEnded();
+      this._relay.forgetPartial();
+    }
+  }
+
+  private _refuse(status: number, reason: string, retryAfterMilliseconds?: number): void {
+    this._request.exchange.refuse(status, reason, retryAfterMilliseconds);
+    this._end(status === OWN_STATUS.notRun ? 'refused' : 'failed', {
+      status,
+      reason,
+      rejected: this._rejected,
+    });
+  }
+
+  private _cut(reason: string): void {
+    this._request.exchange.cut();
+    this._end('cut', { reason });
+  }
+
+  private _end(outcome: string, fields: Record<string, string | number | boolean>): void {
+    if (this._ended) return;
+    this._ended = true;
+    clearTimeout(this._deadlineTimer);
+    clearInterval(this._watchTimer);
+    const { exchange, route, service } = this._request;
+    const milliseconds = Math.round(this._services.clock.now() - this._startedAt);
+    this._services.metrics.requestEnded(service, outcome, milliseconds);
+    this._services.log.decision(`request.${outcome}`, {
+      request: exchange.requestId,
+      route: route.name,
+      attempts: this._attempts,
+      milliseconds,
+      ...fields,
+    });
+    this._done();
+  }
+}
--- /dev/null
+++ b/src/serving/gatewayDaemon.ts
@@ -0,0 +1,286 @@
+/** An entry that reaches backend servers directly: everything it is made of, put together. */
+import type http from 'node:http';
+import type { AgentAddress, BoxStatus, EntryAddress, EntryPresence } from '../protocol/boxMessages.js';
+import { KindFollower } from '../records/kindFollower.js';
+import type { GatewaySettings } from '../settings/gatewaySettings.js';
+import type { EventLog } from '../telemetry/eventLog.js';
+import { SystemClock } from '../utils/clock.js';
+import { placementHash } from '../utils/hash.js';
+import { SeededRandom } from '../utils/random.js';
+import { errorText } from '../utils/stepError.js';
+import { pause } from '../utils/timers.js';
+import { BoxLinks } from './boxLinks.js';
+import { CallerServer } from './callerServer.js';
+import { ConfigurationHolder } from './configurationHolder.js';
+import { DirectoryServer } from './directoryServer.js';
+import { EntryDirectory } from './entryDirectory.js';
+import type { ForwardServices } from './forwardedRequest.js';
+import { ForwardedRequest } from './forwardedRequest.js';
+import type { HeaderNames } from './headerNames.js';
+import type { ServingPlatform } from './platformRecords.js';
+import { RequestAdmission } from './requestAdmission.js';
+import { ServerPool, hostOf } from './serverPool.js';
+import { ServingMetrics } from './servingMetrics.js';
+import { VersionGate } from './versionGate.js';
+
+/** What a gateway is built from beside its settings. */
+export interface GatewayParts {
+  platform: ServingPlatform;
+  names: HeaderNames;
+  paths: DirectoryPaths;
+  log: EventLog;
+}
+
+/** Paths that the directory and readiness are asked for at, and how a directory answer is written. */
+export interface DirectoryPaths {
+  ready: string;
+  directory: string;
+  metrics: string;
+  /** The hall that a directory request names. */
+  hallOf(query: URLSearchParams): string;
+  directoryAnswer(addresses: readonly string[], keepSeconds: number): unknown;
+}
+
+/** A configuration that has not been confirmed for so long is not trusted to be the newest. */
+const STALE_MILLISECONDS = 1_000;
+/** How long a leaving entry takes new connections: callers may keep its address for three times as long as told. */
+const LEAVING_LISTEN_SHARE = 0.72;
+const LEAVING_POLL_MILLISECONDS = 50;
+const LEAVING_END_SHARE = 0.95;
+
+export class GatewayDaemon {
+  private readonly _settings: GatewaySettings;
+  private readonly _parts: GatewayParts;
+  private readonly _clock = new SystemClock();
+  private readonly _log: EventLog;
+  private readonly _metrics = new ServingMetrics();
+  private readonly _configuration: ConfigurationHolder;
+  private readonly _entries: EntryDirectory;
+  private readonly _pool: ServerPool;
+  private readonly _gate: VersionGate;
+  private readonly _links: BoxLinks;
+  private readonly _followers: { configuration: KindFollower; servers: KindFollower; versions: KindFollower };
+  private readonly _admission: RequestAdmission;
+  private readonly _forward: ForwardServices;
+  private readonly _callers: CallerServer;
+  private readonly _directory: DirectoryServer;
+  private readonly _own: EntryAddress;
+  private _running = 0;
+  private _versionsListed = false;
+
+  constructor(settings: GatewaySettings, parts: GatewayParts) {
+    const clock = this._clock;
+    const random = new SeededRandom(settings.seed + placementHash(settings.box));
+    this._settings = settings;
+    this._parts = parts;
+    this._log = parts.log;
+    this._own = { box: settings.box, hall: settings.hall, address: settings.callerAddress, leaving: false };
+    this._configuration = new ConfigurationHolder(parts.log);
+    this._entries = new EntryDirectory(this._own, clock);
+    const entries = (): number => this._entries.count();
+    this._pool = new ServerPool({
+      hall: settings.hall,
+      clock,
+      random,
+      log: parts.log,
+      service: (name) => this._configuration.index?.service(name),
+      entries,
+    });
+    this._gate = new VersionGate(
+      { switchMilliseconds: settings.versionMilliseconds, startMilliseconds: settings.contactMilliseconds },
+      clock,
+    );
+    this._links = new BoxLinks({
+      control: {
+        key: settings.sharedKey,
+        identity: { role: 'entry', box: settings.box, hall: settings.hall },
+        peerTimeoutMilliseconds: settings.peerTimeoutMilliseconds,
+      },
+      random,
+      log: parts.log,
+      presence: (agent) => this._presence(agent),
+      onStatus: (agent, status) => this._onStatus(agent, status),
+      onDown: (agent) => this._entries.forget(agent.box),
+    });
+    const { kinds } = parts.platform.reader;
+    const follow = (kind: string): KindFollower =>
+      new KindFollower({ kind, store: parts.platform.store, clock, random, log: parts.log });
+    this._followers = {
+      configuration: follow(kinds.configuration),
+      servers: follow(kinds.servers),
+      versions: follow(kinds.versions),
+    };
+    this._admission = new RequestAdmission({
+      names: parts.names,
+      configuration: this._configuration,
+      clock,
+      random,
+      log: parts.log,
+      retryBound: {
+        ratio: settings.retryPercent / 100,
+        windowMilliseconds: settings.retryWindowMilliseconds,
+        slack: settings.retrySlack,
+      },
+      entries,
+      isLeaving: () => this._own.leaving,
+      isCurrent: () => this._followers.configuration.unreachableFor < STALE_MILLISECONDS,
+    });
+    this._forward = {
+      names: parts.names,
+      pool: this._pool,
+      gate: this._gate,
+      clock,
+      log: parts.log,
+      metrics: this._metrics,
+    };
+    this._callers = new CallerServer((request, response) => void this._serve(request, response));
+    this._directory = new DirectoryServer({
+      paths: parts.paths,
+      keepSeconds: settings.directorySeconds,
+      entries: this._entries,
+      metrics: this._metrics,
+      isReady: () => !this._own.leaving && this._configuration.index !== undefined,
+    });
+  }
+
+  /** Starts listening and following the platform. Throws when a port is taken. */
+  async start(): Promise<void> {
+    const { callerAddress, readyAddress, directoryAddress, metricsAddress } = this._settings;
+    this._addGauges();
+    this._follow();
+    const [host, port] = splitAddress(callerAddress);
+    await this._callers.listen(host, port);
+    await this._directory.listen(new Set([readyAddress, directoryAddress, metricsAddress]));
+    this._log.state('gateway.started', { address: callerAddress });
+  }
+
+  /** Leaves the directory, lets requests in flight end, then closes. */
+  async stop(): Promise<void> {
+    if (this._own.leaving) return;
+    const startedAt = this._clock.now();
+    const { drainMilliseconds } = this._settings;
+    this._own.leaving = true;
+    this._log.state('gateway.leaving', { running: this._running, connections: this._callers.connections });
+    this._links.announce();
+    const elapsed = (): number => this._clock.now() - startedAt;
+    while (elapsed() < drainMilliseconds * LEAVING_LISTEN_SHARE) await pause(LEAVING_POLL_MILLISECONDS);
+    this._callers.stopListening();
+    while (this._running > 0 && elapsed() < drainMilliseconds * LEAVING_END_SHARE) {
+      await pause(LEAVING_POLL_MILLISECONDS);
+    }
+    this.close();
+    this._log.state('gateway.stopped', { running: this._running });
+  }
+
+  /** Closes at once. */
+  close(): void {
+    for (const follower of Object.values(this._followers)) follower.stop();
+    this._links.close();
+    this._pool.close();
+    this._callers.close();
+    this._directory.close();
+  }
+
+  private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    try {
+      const admitted = await this._admission.admit(request, response);
+      if (!admitted) return;
+      this._running++;
+      new ForwardedRequest(this._forward, admitted, () => this._running--).start();
+    } catch (error) {
+      this._log.state('request.error', { reason: errorText(error) });
+      response.destroy();
+    }
+  }
+
+  private _follow(): void {
+    const { configuration, servers, versions } = this._followers;
+    configuration.on('change', () => this._onConfiguration());
+    servers.on('change', () => this._onServers());
+    versions.on('change', () => this._onVersions());
+    for (const follower of [configuration, servers, versions]) follower.start();
+  }
+
+  private _onConfiguration(): void {
+    for (const { name, value } of this._followers.configuration.objects.values()) {
+      const configuration = this._parts.platform.reader.configuration(name, value);
+      if (!configuration || !this._configuration.offer(configuration, 'store')) continue;
+      this._callers.applyLimits(configuration.limits);
+      this._wantAgents();
+    }
+  }
+
+  private _onServers(): void {
+    const objects = [...this._followers.servers.objects.values()];
+    const records = objects.map(({ name, value }) => this._parts.platform.reader.server(name, value));
+    this._pool.update(records.filter((record) => record !== undefined));
+    this._wantAgents();
+  }
+
+  private _onVersions(): void {
+    const fresh = this._versionsListed;
+    this._versionsListed = true;
+    let changed = false;
+    for (const { name, value } of this._followers.versions.objects.values()) {
+      const named = this._parts.platform.reader.version(name, value);
+      if (!named || !this._gate.note(named.model, named.version, fresh)) continue;
+      this._log.state('version.named', { ...named, fresh });
+      changed = true;
+    }
+    if (changed) this._links.announce();
+  }
+
+  /** Agents stand beside the backend servers of services that have a model engine. */
+  private _agents(): AgentAddress[] {
+    const agents = new Map<string, AgentAddress>();
+    for (const { record } of this._pool.all()) {
+      if (!this._configuration.index?.service(record.service)?.engine) continue;
+      const host = hostOf(record.address);
+      const box = boxOfHost(host);
+      agents.set(box, { box, hall: record.hall, address: `${host}:${this._settings.agentPort}` });
+    }
+    return [...agents.values()];
+  }
+
+  private _wantAgents(): void {
+    this._links.want(this._agents());
+    this._links.announce();
+  }
+
+  private _presence(_agent: AgentAddress): EntryPresence {
+    const services = [...(this._configuration.index?.services() ?? [])];
+    const origin = services.find((service) => service.origin !== undefined)?.origin?.address ?? '';
+    return {
+      type: 'entry-presence',
+      entry: this._own,
+      wanted: this._gate.wanted(),
+      agents: this._agents(),
+      origin,
+    };
+  }
+
+  private _onStatus(agent: AgentAddress, status: BoxStatus): void {
+    this._entries.report(agent.box, status.entries);
+    this._pool.noteStatus(hostOf(agent.address), status);
+  }
+
+  private _addGauges(): void {
+    this._metrics.gauge('requests_running', () => this._running);
+    this._metrics.gauge('caller_connections', () => this._callers.connections);
+    this._metrics.gauge('configuration_version', () => this._configuration.version);
+    this._metrics.gauge('agents_connected', () => this._links.connected);
+    this._metrics.gauge('entries_live', () => this._entries.count());
+    this._metrics.gauge('log_lines_dropped', () => this._log.droppedLines);
+    this._metrics.gauge('memory_bytes', () => process.memoryUsage.rss());
+  }
+}
+
+/** The name that all processes give the box at an IPv4 address. */
+export function boxOfHost(host: string): string {
+  return host.replaceAll('.', '-');
+}
+
+/** Splits host:port. */
+export function splitAddress(address: string): [string, number] {
+  return [hostOf(address), Number(address.slice(address.lastIndexOf(':') + 1))];
+}
--- /dev/null
+++ b/src/serving/headerNames.ts
@@ -0,0 +1,33 @@
+/** The names that request and answer headers have towards callers and backend servers. All in lower case. */
+export interface HeaderNames {
+  requestId: string;
+  deadline: string;
+  lastEventId: string;
+  /** Which life of a backend server a request is meant for. */
+  expectedServer: string;
+  /** The customer, as told to backend servers. */
+  customer: string;
+  /** On an answer: the request has not run. */
+  notRun: string;
+  /** On an answer: proof of the backend server that ran the request. */
+  seal: string;
+  priority: string;
+  expectedVersion: string;
+  version: string;
+  model: string;
+}
+
+/** Names of the product's own interface. */
+export const OWN_HEADER_NAMES: HeaderNames = {
+  requestId: 'larklatch-request-id',
+  deadline: 'larklatch-deadline-milliseconds',
+  lastEventId: 'last-event-id',
+  expectedServer: 'larklatch-expected-server',
+  customer: 'larklatch-customer',
+  notRun: 'larklatch-not-run',
+  seal: 'larklatch-seal',
+  priority: 'larklatch-priority',
+  expectedVersion: 'larklatch-expected-version',
+  version: 'larklatch-version',
+  model: 'larklatch-model',
+};
--- /dev/null
+++ b/src/serving/requestAdmission.ts
@@ -0,0 +1,148 @@
+/** Looks a caller's request up in the configuration and admits it or answers it. */
+import type http from 'node:http';
+import type { EventLog } from '../telemetry/eventLog.js';
+import { bearerToken, readBody } from '../utils/httpBody.js';
+import type { Clock } from '../utils/clock.js';
+import type { Random } from '../utils/random.js';
+import { CallerExchange, OWN_STATUS, passedHeaders } from './callerExchange.js';
+import type { ConfigurationHolder } from './configurationHolder.js';
+import type { AdmittedRequest } from './forwardedRequest.js';
+import type { HeaderNames } from './headerNames.js';
+import type { RetryBound } from './retryAllowance.js';
+import { RetryAllowance } from './retryAllowance.js';
+import { chooseTarget } from './routeIndex.js';
+import type { RouteIndex } from './routeIndex.js';
+import type { CustomerKeys, Route } from './servingConfiguration.js';
+
+/** What admission works with. */
+export interface AdmissionOptions {
+  names: HeaderNames;
+  configuration: ConfigurationHolder;
+  clock: Clock;
+  random: Random;
+  log: EventLog;
+  retryBound: RetryBound;
+  entries: () => number;
+  isLeaving: () => boolean;
+  /** Whether the configuration can be trusted to be the newest. */
+  isCurrent: () => boolean;
+}
+
+/** A refusal that comes from the configuration. */
+interface Denial {
+  status: number;
+  reason: string;
+}
+
+const RETRY_AFTER_UNKNOWN_MILLISECONDS = 400;
+const LONGEST_MILLISECONDS = 3_600_000;
+
+export class RequestAdmission {
+  private readonly _options: AdmissionOptions;
+  private readonly _retries = new Map<string, RetryAllowance>();
+  private readonly _dropped: ReadonlySet<string>;
+
+  constructor(options: AdmissionOptions) {
+    this._options = options;
+    const { names } = options;
+    this._dropped = new Set([
+      'authorization',
+      names.deadline,
+      names.customer,
+      names.expectedServer,
+      names.expectedVersion,
+      names.lastEventId,
+      names.priority,
+      names.notRun,
+    ]);
+  }
+
+  /** Returns the admitted request, or undefined when it has been answered. */
+  async admit(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<AdmittedRequest | undefined> {
+    const arrivedAt = this._options.clock.now();
+    const { names, isLeaving, configuration } = this._options;
+    const exchange = new CallerExchange(request, response, names.requestId, isLeaving);
+    const { index } = configuration;
+    if (!index) {
+      exchange.refuse(OWN_STATUS.notRun, 'no configuration yet', RETRY_AFTER_UNKNOWN_MILLISECONDS);
+      return undefined;
+    }
+    const route = index.route(request.headers.host ?? '', request.url ?? '/');
+    if (!route) return this._deny(exchange, { status: OWN_STATUS.noRoute, reason: 'no such route' });
+    const customer = index.customer(bearerToken(request));
+    if (!customer && !route.anonymous && index.hasCustomers) {
+      return this._deny(exchange, { status: OWN_STATUS.unauthorized, reason: 'unknown API key' });
+    }
+    const body = await this._readBody(exchange, index);
+    if (body === undefined) return undefined;
+    return this._admitted(exchange, route, customer, body, arrivedAt);
+  }
+
+  private _deny(exchange: CallerExchange, denial: Denial): undefined {
+    const { isCurrent, configuration, log } = this._options;
+    const current = isCurrent();
+    log.decision('request.denied', {
+      request: exchange.requestId,
+      status: denial.status,
+      reason: denial.reason,
+      version: configuration.version,
+      current,
+    });
+    if (current) exchange.refuse(denial.status, denial.reason);
+    else exchange.refuse(OWN_STATUS.notRun, 'configuration may be old', RETRY_AFTER_UNKNOWN_MILLISECONDS);
+    return undefined;
+  }
+
+  private async _readBody(exchange: CallerExchange, index: RouteIndex): Promise<Buffer | undefined> {
+    try {
+      return await readBody(exchange.request, index.configuration.limits.bodyBytes);
+    } catch {
+      exchange.refuse(OWN_STATUS.tooLarge, 'body too large');
+      return undefined;
+    }
+  }
+
+  private _admitted(
+    exchange: CallerExchange,
+    route: Route,
+    customer: CustomerKeys | undefined,
+    body: Buffer,
+    arrivedAt: number,
+  ): AdmittedRequest {
+    const { names, random } = this._options;
+    const { request } = exchange;
+    const headers = passedHeaders(request, this._dropped);
+    if (customer) headers.push(names.customer, customer.name);
+    headers.push(names.priority, String(customer?.priority ?? route.priority));
+    const service = chooseTarget(route, random.fraction());
+    const deadline = Number(request.headers[names.deadline] ?? LONGEST_MILLISECONDS) || LONGEST_MILLISECONDS;
+    const retries = this._retriesOf(service);
+    retries.onRequest();
+    return {
+      exchange,
+      route,
+      service,
+      model: String(request.headers[names.model] ?? ''),
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
+      headers,
+      body: body.length > 0 ? body : undefined,
+      lastEventId: String(request.headers[names.lastEventId] ?? ''),
+      retries,
+      endsAt: arrivedAt + Math.min(deadline, route.timeoutMilliseconds),
+    };
+  }
+
+  private _retriesOf(service: string): RetryAllowance {
+    let retries = this._retries.get(service);
+    if (!retries) {
+      const { retryBound, clock, entries } = this._options;
+      retries = new RetryAllowance(retryBound, clock, entries);
+      this._retries.set(service, retries);
+    }
+    return retries;
+  }
+}
--- /dev/null
+++ b/src/serving/retryAllowance.ts
@@ -0,0 +1,70 @@
+/** This entry's share of the retries that a service may get from all entries in a sliding window. */
+import type { Clock } from '../utils/clock.js';
+
+/** The bound over all entries. */
+export interface RetryBound {
+  /** Retries allowed per request. */
+  ratio: number;
+  windowMilliseconds: number;
+  /** Retries allowed in a window whatever the number of requests. */
+  slack: number;
+}
+
+/** Parts of the bound that are used, to leave room for what other entries count otherwise. */
+const SAFETY = 0.75;
+const SLICES = 20;
+
+interface Slice {
+  index: number;
+  requests: number;
+  retries: number;
+}
+
+/** Counts by slices of the window. One per service. */
+export class RetryAllowance {
+  private readonly _bound: RetryBound;
+  private readonly _clock: Clock;
+  private readonly _entries: () => number;
+  private _slices: Slice[] = [];
+
+  /** `entries` tells how many entries share the bound now. */
+  constructor(bound: RetryBound, clock: Clock, entries: () => number) {
+    this._bound = bound;
+    this._clock = clock;
+    this._entries = entries;
+  }
+
+  /** Counts a caller's request. */
+  onRequest(): void {
+    this._current().requests++;
+  }
+
+  /** Takes the leave for one more arrival of a request; false when there is none. */
+  takeRetry(): boolean {
+    const current = this._current();
+    const requests = this._slices.reduce((sum, slice) => sum + slice.requests, 0);
+    const retries = this._slices.reduce((sum, slice) => sum + slice.retries, 0);
+    const { ratio, slack } = this._bound;
+    const allowed = SAFETY * (ratio * requests + slack / Math.max(1, this._entries()));
+    if (retries + 1 > allowed) return false;
+    current.retries++;
+    return true;
+  }
+
+  /** Gives back a leave that was not used. */
+  giveBack(): void {
+    const current = this._current();
+    current.retries = Math.max(0, current.retries - 1);
+  }
+
+  private _current(): Slice {
+    const index = Math.floor(this._clock.now() / (this._bound.windowMilliseconds / SLICES));
+    this._slices = this._slices.filter((slice) => slice.index > index - SLICES);
+    let slice = this._slices.at(-1);
+    if (slice?.index !== index) {
+      slice = { index, requests: 0, retries: 0 };
+      this._slices.push(slice);
+    }
+    return slice;
+  }
+}
--- /dev/null
+++ b/src/serving/routeIndex.ts
@@ -0,0 +1,66 @@
+/** Finds the route and the customer of a request in one version of the configuration. */
+import type {
+  CustomerKeys,
+  Route,
+  ServiceDescription,
+  ServingConfiguration,
+} from './servingConfiguration.js';
+
+/** Immutable; a new configuration gets a new index. */
+export class RouteIndex {
+  readonly configuration: ServingConfiguration;
+  private readonly _routesByHost = new Map<string, Route[]>();
+  private readonly _customersByKey = new Map<string, CustomerKeys>();
+  private readonly _services = new Map<string, ServiceDescription>();
+
+  constructor(configuration: ServingConfiguration) {
+    this.configuration = configuration;
+    for (const route of configuration.routes) {
+      const host = route.host.toLowerCase();
+      this._routesByHost.set(host, [...(this._routesByHost.get(host) ?? []), route]);
+    }
+    for (const routes of this._routesByHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+    for (const customer of configuration.customers) {
+      for (const key of customer.keys) this._customersByKey.set(key, customer);
+    }
+    for (const service of configuration.services) this._services.set(service.name, service);
+  }
+
+  /** The route with the longest prefix of the request's path; the port of `host` and a query do not count. */
+  route(host: string, target: string): Route | undefined {
+    const routes = this._routesByHost.get(host.replace(/:\d+$/, '').toLowerCase());
+    const path = target.split('?', 1)[0];
+    return routes?.find((route) => path.startsWith(route.pathPrefix));
+  }
+
+  /** The customer that holds an API key. */
+  customer(key: string): CustomerKeys | undefined {
+    return this._customersByKey.get(key);
+  }
+
+  /** Whether requests have to carry an API key. */
+  get hasCustomers(): boolean {
+    return this.configuration.customers.length > 0;
+  }
+
+  service(name: string): ServiceDescription | undefined {
+    return this._services.get(name);
+  }
+
+  services(): Iterable<ServiceDescription> {
+    return this._services.values();
+  }
+}
+
+/** Chooses a target of a split route; `fraction` is a random number from 0 up to 1. */
+export function chooseTarget(route: Route, fraction: number): string {
+  const total = route.targets.reduce((sum, target) => sum + target.weight, 0);
+  let left = fraction * total;
+  for (const target of route.targets) {
+    left -= target.weight;
+    if (left < 0) return target.service;
+  }
+  return route.targets[route.targets.length - 1].service;
+}
--- /dev/null
+++ b/src/serving/serverHealth.ts
@@ -0,0 +1,73 @@
+/** How a backend server has answered lately. */
+import type { Clock } from '../utils/clock.js';
+
+/** How one attempt ended, seen from the server's health. */
+export type AttemptEnd = 'succeeded' | 'failed' | 'rejected' | 'silent';
+
+/** Time after which what was seen counts half. */
+const HALF_LIFE_MILLISECONDS = 2_500;
+/** Attempts that an unseen server is taken to have succeeded in. */
+const PRIOR_SUCCESSES = 4;
+const REJECTION_WEIGHT = 0.5;
+const SILENCE_WEIGHT = 3;
+/** Pause after a rejection, after silence, and after a failed connection. */
+const REJECTED_PAUSE_MILLISECONDS = 150;
+const SILENT_PAUSE_MILLISECONDS = 1_000;
+const UNREACHABLE_PAUSE_MILLISECONDS = 700;
+
+/** Counts attempts, the newer the more. One per backend server. */
+export class ServerHealth {
+  private readonly _clock: Clock;
+  private _successes = 0;
+  private _failures = 0;
+  private _countedAt: number;
+  private _avoidedUntil = 0;
+
+  constructor(clock: Clock) {
+    this._clock = clock;
+    this._countedAt = clock.now();
+  }
+
+  /** Part of recent attempts that failed, from 0 to 1. */
+  get failureRate(): number {
+    this._age();
+    return this._failures / (this._failures + this._successes + PRIOR_SUCCESSES);
+  }
+
+  /** Whether to pass over the server for now. */
+  get avoided(): boolean {
+    return this._clock.now() < this._avoidedUntil;
+  }
+
+  note(end: AttemptEnd): void {
+    this._age();
+    if (end === 'succeeded') this._successes++;
+    else if (end === 'failed') this._failures++;
+    else if (end === 'rejected') {
+      this._failures += REJECTION_WEIGHT;
+      this._avoid(REJECTED_PAUSE_MILLISECONDS);
+    } else {
+      this._failures += SILENCE_WEIGHT;
+      this._avoid(SILENT_PAUSE_MILLISECONDS);
+    }
+  }
+
+  /** A connection could not be opened. */
+  noteUnreachable(): void {
+    this._age();
+    this._failures++;
+    this._avoid(UNREACHABLE_PAUSE_MILLISECONDS);
+  }
+
+  private _avoid(milliseconds: number): void {
+    this._avoidedUntil = Math.max(this._avoidedUntil, this._clock.now() + milliseconds);
+  }
+
+  private _age(): void {
+    const now = this._clock.now();
+    const factor = 0.5 ** ((now - this._countedAt) / HALF_LIFE_MILLISECONDS);
+    this._successes *= factor;
+    this._failures *= factor;
+    this._countedAt = now;
+  }
+}
--- /dev/null
+++ b/src/serving/serverPool.ts
@@ -0,0 +1,170 @@
+/** All backend servers that service discovery knows, and the choice among them. */
+import type { BoxStatus } from '../protocol/boxMessages.js';
+import type { EventLog } from '../telemetry/eventLog.js';
+import type { Clock } from '../utils/clock.js';
+import type { Random } from '../utils/random.js';
+import { BackendConnections } from './backendConnections.js';
+import type { BackendServerRecord } from './backendServerRecord.js';
+import type { Candidate, ServiceCost } from './serverChoice.js';
+import { chooseServer } from './serverChoice.js';
+import type { ServiceDescription } from './servingConfiguration.js';
+import { TrackedServer } from './trackedServer.js';
+
+/** What the pool works with. */
+export interface ServerPoolOptions {
+  hall: string;
+  clock: Clock;
+  random: Random;
+  log: EventLog;
+  service: (name: string) => ServiceDescription | undefined;
+  /** How many entries share the connections to each server. */
+  entries: () => number;
+}
+
+/** What a request needs of a server. */
+export interface ServerNeed {
+  service: string;
+  /** The model, '' for services without one. */
+  model: string;
+  /** The lowest version on which the request may begin. */
+  lowestVersion: number;
+  /** Servers that have been tried for the request. */
+  tried: ReadonlySet<string>;
+}
+
+/** A chosen server, or how the service stands when there is none. */
+export type ServerFound =
+  | { kind: 'found'; server: TrackedServer }
+  | { kind: 'none'; reason: 'no-server' | 'all-busy' | 'old-version' };
+
+/** Part of a server's connections that all entries together may use. */
+const CONNECTION_SHARE = 0.8;
+const CONNECT_MILLISECONDS = 700;
+const UNKNOWN_SLOTS = 4;
+const PLAIN_SERVICE_MILLISECONDS = 60;
+/** Requests on a server, in parts of its slots, beyond which no more are sent. */
+const FULLEST_ENGINE = 1.6;
+const FULLEST_PLAIN = 3;
+
+export class ServerPool {
+  private readonly _options: ServerPoolOptions;
+  private readonly _servers = new Map<string, TrackedServer>();
+
+  constructor(options: ServerPoolOptions) {
+    this._options = options;
+  }
+
+  /** Takes the whole list of service discovery. Servers that left it get nothing new. */
+  update(records: readonly BackendServerRecord[]): void {
+    const present = new Set<string>();
+    for (const record of records) {
+      present.add(record.id);
+      this._updateOne(record);
+    }
+    for (const [id, server] of this._servers) {
+      if (present.has(id)) continue;
+      this._servers.delete(id);
+      server.connections.close();
+      this._options.log.state('server.gone', { server: id, service: server.record.service });
+    }
+  }
+
+  all(): TrackedServer[] {
+    return [...this._servers.values()];
+  }
+
+  /** Takes the status of the agent at `host`. */
+  noteStatus(host: string, status: BoxStatus): void {
+    for (const server of this._servers.values()) {
+      if (hostOf(server.record.address) === host) server.noteStatus(status);
+    }
+  }
+
+  /** Chooses a server. */
+  find(need: ServerNeed): ServerFound {
+    const present = this.all().filter(
+      ({ record }) => record.service === need.service && !record.draining && !need.tried.has(record.id),
+    );
+    if (present.length === 0) return { kind: 'none', reason: 'no-server' };
+    const able = present.filter((server) => isAble(server, need));
+    if (able.length === 0) return { kind: 'none', reason: 'old-version' };
+    const open = able.filter((server) => server.connections.available);
+    const candidates = open.map((server) => this._candidate(server));
+    const chosen = chooseServer(
+      candidates.filter(hasRoom(this._fullest(need.service))),
+      this._cost(need.service),
+      this._options.random,
+    );
+    if (!chosen) return { kind: 'none', reason: 'all-busy' };
+    return { kind: 'found', server: this._servers.get(chosen.id)! };
+  }
+
+  /** Closes all connections that are not in use. */
+  close(): void {
+    for (const server of this._servers.values()) server.connections.close();
+  }
+
+  private _updateOne(record: BackendServerRecord): void {
+    const { log } = this._options;
+    const known = this._servers.get(record.id);
+    if (!known) {
+      log.state('server.found', { server: record.id, service: record.service, address: record.address });
+      this._servers.set(record.id, this._track(record));
+      return;
+    }
+    if (record.draining && !known.record.draining) {
+      log.state('server.draining', { server: record.id, service: record.service });
+      known.connections.close();
+    }
+    known.update(record);
+  }
+
+  private _track(record: BackendServerRecord): TrackedServer {
+    const limit = (): number => {
+      const maximum = this._options.service(record.service)?.maximumConnections ?? UNKNOWN_SLOTS;
+      return Math.max(1, Math.floor((maximum * CONNECTION_SHARE) / Math.max(1, this._options.entries())));
+    };
+    const { address } = record;
+    const connections = new BackendConnections({ address, connectMilliseconds: CONNECT_MILLISECONDS, limit });
+    return new TrackedServer(record, connections, this._options.clock);
+  }
+
+  private _candidate(server: TrackedServer): Candidate {
+    const { record, health, load } = server;
+    return {
+      id: record.id,
+      sameHall: record.hall === this._options.hall,
+      slots: Math.max(1, record.slots),
+      load: load.estimate(this._options.clock.now()),
+      failureRate: health.failureRate,
+      avoided: health.avoided || server.suspicious,
+    };
+  }
+
+  private _cost(service: string): ServiceCost {
+    const engine = this._options.service(service)?.engine;
+    if (!engine) return { serviceMilliseconds: PLAIN_SERVICE_MILLISECONDS };
+    const reading = engine.usualPromptTokens / (engine.readTokensPerSecond / 1000);
+    return { serviceMilliseconds: reading + engine.usualAnswerTokens * engine.stepMilliseconds };
+  }
+
+  private _fullest(service: string): number {
+    return this._options.service(service)?.engine ? FULLEST_ENGINE : FULLEST_PLAIN;
+  }
+}
+
+/** Whether a server holds a version on which the request may begin, and is not changing it. */
+function isAble(server: TrackedServer, need: ServerNeed): boolean {
+  if (need.model === '') return true;
+  const version = server.version(need.model);
+  return version > 0 && version >= need.lowestVersion && !server.switching;
+}
+
+function hasRoom(fullest: number): (candidate: Candidate) => boolean {
+  return (candidate) => candidate.load < candidate.slots * fullest;
+}
+
+/** The host of host:port. */
+export function hostOf(address: string): string {
+  return address.slice(0, address.lastIndexOf(':'));
+}
--- /dev/null
+++ b/src/serving/streamRelay.ts
@@ -0,0 +1,73 @@
+/** Passes the events of a stream on, in order and once each, over as many backend servers as it takes. */
+import type { AnswerHeaders } from './backendCall.js';
+import type { CallerExchange } from './callerExchange.js';
+import { EventSplitter } from './eventSplitter.js';
+
+/** Only whole events are passed on, so that a stream can go on elsewhere after any event. */
+export class StreamRelay {
+  private readonly _exchange: CallerExchange;
+  private _splitter = new EventSplitter();
+  private _lastEventId: string;
+  private _begun = false;
+  private _heardAt = 0;
+
+  /** `lastEventId` is the last event that the caller has seen, '' for none. */
+  constructor(exchange: CallerExchange, lastEventId: string) {
+    this._exchange = exchange;
+    this._lastEventId = lastEventId;
+  }
+
+  /** Whether the caller has the head of the answer. */
+  get begun(): boolean {
+    return this._begun;
+  }
+
+  get lastEventId(): string {
+    return this._lastEventId;
+  }
+
+  /** Milliseconds since the last bytes came. */
+  silentFor(now: number): number {
+    return now - this._heardAt;
+  }
+
+  /** Sends the head, unless that of an earlier server has been sent. */
+  begin(status: number, headers: AnswerHeaders): void {
+    this._heardAt = performance.now();
+    if (this._begun) return;
+    this._begun = true;
+    this._exchange.begin(status, headers);
+  }
+
+  /** Passes whole events on; false when the caller reads too slowly. */
+  push(bytes: Buffer): boolean {
+    this._heardAt = performance.now();
+    let flows = true;
+    for (const event of this._splitter.push(bytes)) {
+      if (event.id !== undefined) {
+        if (isRepeated(event.id, this._lastEventId)) continue;
+        this._lastEventId = event.id;
+      }
+      flows = this._exchange.write(event.bytes) && flows;
+    }
+    return flows;
+  }
+
+  /** Drops an event that was broken off. */
+  forgetPartial(): void {
+    this._splitter = new EventSplitter();
+  }
+
+  /** Ends the answer as whole; what follows the last event belongs to it. */
+  end(): void {
+    this._exchange.end();
+  }
+}
+
+/** Whether an event has been passed on before. Ids are numbers that rise. */
+function isRepeated(id: string, last: string): boolean {
+  if (last === '') return false;
+  const number = Number(id);
+  const lastNumber = Number(last);
+  return Number.isFinite(number) && Number.isFinite(lastNumber) && number <= lastNumber;
+}
--- /dev/null
+++ b/src/serving/trackedServer.ts
@@ -0,0 +1,86 @@
+/** All that this entry knows of one backend server. */
+import { BoxLoad } from '../routing/backend.js';
+import type { BoxStatus } from '../protocol/boxMessages.js';
+import type { Clock } from '../utils/clock.js';
+import type { BackendConnections } from './backendConnections.js';
+import type { BackendServerRecord } from './backendServerRecord.js';
+import { ServerHealth } from './serverHealth.js';
+
+/** Silence of a server that has requests to answer, after which nothing new is sent. */
+const SUSPICIOUS_SILENCE_MILLISECONDS = 500;
+const STATUS_LIFETIME_MILLISECONDS = 2_000;
+
+export class TrackedServer {
+  record: BackendServerRecord;
+  readonly health: ServerHealth;
+  readonly load = new BoxLoad();
+  readonly connections: BackendConnections;
+  private readonly _clock: Clock;
+  private readonly _versions = new Map<string, number>();
+  private _status: BoxStatus | undefined;
+  private _statusAt = Number.NEGATIVE_INFINITY;
+  private _heardAt = 0;
+  private _streams = 0;
+
+  constructor(record: BackendServerRecord, connections: BackendConnections, clock: Clock) {
+    this.record = record;
+    this.connections = connections;
+    this.health = new ServerHealth(clock);
+    this._clock = clock;
+    this.update(record);
+  }
+
+  /** Takes what service discovery says. */
+  update(record: BackendServerRecord): void {
+    this.record = record;
+    for (const { name, version } of record.models) this.noteVersion(name, version);
+  }
+
+  /** Takes what the agent beside the server says. */
+  noteStatus(status: BoxStatus): void {
+    this._status = status;
+    this._statusAt = this._clock.now();
+    if (status.state !== 'empty') this.noteVersion(status.model, status.version);
+    this.load.report(status.running + status.queued, this._clock.now());
+  }
+
+  /** Versions only rise within one life of a server. */
+  noteVersion(model: string, version: number): void {
+    this._versions.set(model, Math.max(version, this._versions.get(model) ?? 0));
+  }
+
+  /** The version of `model` in service, 0 when none is known. */
+  version(model: string): number {
+    return this._versions.get(model) ?? 0;
+  }
+
+  /** Whether the server is between two versions and takes no requests. */
+  get switching(): boolean {
+    const fresh = this._clock.now() - this._statusAt < STATUS_LIFETIME_MILLISECONDS;
+    return fresh && this._status?.state === 'switching';
+  }
+
+  /** A stream began or ended on the server. */
+  streamBegan(): void {
+    if (this._streams === 0) this._heardAt = this._clock.now();
+    this._streams++;
+  }
+
+  streamEnded(): void {
+    this._streams--;
+  }
+
+  /** Bytes came from the server. */
+  heard(): void {
+    this._heardAt = this._clock.now();
+  }
+
+  /** Milliseconds since the server sent anything while it had streams to send; 0 when it has none. */
+  get silentFor(): number {
+    return this._streams === 0 ? 0 : this._clock.now() - this._heardAt;
+  }
+
+  get suspicious(): boolean {
+    return this.silentFor > SUSPICIOUS_SILENCE_MILLISECONDS;
+  }
+}
--- /dev/null
+++ b/src/serving/versionGate.ts
@@ -0,0 +1,64 @@
+/** Which versions of a model may still begin requests. */
+import type { WantedVersion } from '../protocol/boxMessages.js';
+import type { Clock } from '../utils/clock.js';
+
+/** Bounds of a version change, in milliseconds. */
+export interface VersionBounds {
+  /** Time after the acknowledgement of a version in which requests may still begin on older ones. */
+  switchMilliseconds: number;
+  /** Time after its start in which this process is not held to the bound. */
+  startMilliseconds: number;
+}
+
+/** Requests sent to an older version end this long before the bound, since they may wait before they begin. */
+const MARGIN_MILLISECONDS = 1_500;
+/** Versions of one model that are remembered. */
+const REMEMBERED = 16;
+
+interface KnownVersion {
+  version: number;
+  knownAt: number;
+}
+
+/** Versions of a model only rise. */
+export class VersionGate {
+  private readonly _bounds: VersionBounds;
+  private readonly _clock: Clock;
+  private readonly _known = new Map<string, KnownVersion[]>();
+
+  constructor(bounds: VersionBounds, clock: Clock) {
+    this._bounds = bounds;
+    this._clock = clock;
+  }
+
+  /** Notes a version; `fresh` when it was heard of as it was named, not found when this process started. */
+  note(model: string, version: number, fresh: boolean): boolean {
+    const known = this._known.get(model) ?? [];
+    if (known.some((item) => item.version >= version)) return false;
+    const already = fresh ? 0 : this._bounds.switchMilliseconds - this._bounds.startMilliseconds;
+    known.push({ version, knownAt: this._clock.now() - already });
+    this._known.set(model, known.slice(-REMEMBERED));
+    return true;
+  }
+
+  /** The lowest version on which a request may begin now; 0 when any may. */
+  lowest(model: string): number {
+    const oldest = this._clock.now() - (this._bounds.switchMilliseconds - MARGIN_MILLISECONDS);
+    const due = (this._known.get(model) ?? []).filter((item) => item.knownAt <= oldest);
+    return due.at(-1)?.version ?? 0;
+  }
+
+  /** The newest version of a model; 0 when none is known. */
+  newest(model: string): number {
+    return this._known.get(model)?.at(-1)?.version ?? 0;
+  }
+
+  /** Newest versions of all models. */
+  wanted(): WantedVersion[] {
+    const now = this._clock.now();
+    return [...this._known].map(([model, known]) => {
+      const { version, knownAt } = known[known.length - 1];
+      return { model, version, knownMilliseconds: Math.max(0, now - knownAt) };
+    });
+  }
+}
--- /dev/null
+++ b/src/staging/chunkServer.ts
@@ -0,0 +1,59 @@
+/** Serves chunks and manifests of the versions on this box to other agents. */
+import http from 'node:http';
+import { senderOfToken } from '../protocol/authentication.js';
+import type { Manifest } from '../protocol/manifest.js';
+import { answerJson, bearerToken } from '../utils/httpBody.js';
+import { closeHttp, listenHttp } from '../utils/httpServer.js';
+import { errorText } from '../utils/stepError.js';
+import type { UploadQueue } from '../weights/uploadQueue.js';
+
+/** What the server works with. */
+export interface ChunkServerOptions {
+  sharedKey: string;
+  uploads: UploadQueue;
+  /** A chunk that is held and verified. */
+  chunk: (rollout: string, chunk: number) => Buffer | undefined;
+  manifest: (rollout: string) => Manifest | undefined;
+}
+
+const KEEP_ALIVE_MILLISECONDS = 30_000;
+
+export class ChunkServer {
+  private readonly _options: ChunkServerOptions;
+  private readonly _server = http.createServer((request, response) => {
+    this._serve(request, response).catch((error: unknown) =>
+      answerJson(response, 400, { error: errorText(error) }, { connection: 'close' }),
+    );
+  });
+
+  constructor(options: ChunkServerOptions) {
+    this._options = options;
+    this._server.keepAliveTimeout = KEEP_ALIVE_MILLISECONDS;
+  }
+
+  async listen(address: string, port: number): Promise<number> {
+    return await listenHttp(this._server, address, port);
+  }
+
+  close(): void {
+    closeHttp(this._server);
+  }
+
+  private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const { sharedKey, chunk, manifest, uploads } = this._options;
+    if (senderOfToken(sharedKey, bearerToken(request)) === undefined) {
+      return answerJson(response, 401, { error: 'the shared key is missing or wrong' });
+    }
+    const [, kind, rollout = '', index = ''] = (request.url ?? '/').split('/');
+    const name = decodeURIComponent(rollout);
+    if (kind === 'manifests') {
+      const found = manifest(name);
+      return found
+        ? answerJson(response, 200, found)
+        : answerJson(response, 404, { error: 'no such rollout' });
+    }
+    const data = kind === 'chunks' ? chunk(name, Number(index)) : undefined;
+    if (!data) return answerJson(response, 404, { error: 'no such chunk' });
+    await uploads.send(response, data);
+  }
+}
--- /dev/null
+++ b/src/staging/chunkStager.ts
@@ -0,0 +1,92 @@
+/** Lays the chunks of a version before the local backend server and verifies what lies there. */
+import type { EventLog } from '../telemetry/eventLog.js';
+import { sha256Hex } from '../utils/hash.js';
+import { errorText } from '../utils/stepError.js';
+import type { ManifestIndex } from '../weights/manifestIndex.js';
+import type { LocalBackend } from './localBackend.js';
+
+/** Rounds in which spoilt chunks are laid anew. */
+const REPAIR_ROUNDS = 3;
+
+/** One version on its way to the backend server. */
+export class ChunkStager {
+  private readonly _backend: LocalBackend;
+  private readonly _model: string;
+  private readonly _index: ManifestIndex;
+  private readonly _log: EventLog;
+  private readonly _laid = new Set<number>();
+  private readonly _waiting: { chunk: number; data: Buffer }[] = [];
+  private _laying = false;
+  private _stopped = false;
+
+  constructor(backend: LocalBackend, model: string, index: ManifestIndex, log: EventLog) {
+    this._backend = backend;
+    this._model = model;
+    this._index = index;
+    this._log = log;
+  }
+
+  /** Lays a chunk as soon as those before it are laid. */
+  add(chunk: number, data: Buffer): void {
+    this._waiting.push({ chunk, data });
+    if (!this._laying) void this._layWaiting();
+  }
+
+  /** Lays nothing more. */
+  stop(): void {
+    this._stopped = true;
+  }
+
+  /** Reads all chunks back and lays those anew that differ; whether all are as the manifest says. */
+  async verify(data: (chunk: number) => Buffer | undefined): Promise<boolean> {
+    let suspects = Array.from({ length: this._index.chunkCount }, (_unused, chunk) => chunk);
+    for (let round = 0; round < REPAIR_ROUNDS; round++) {
+      const spoilt = await this._spoilt(suspects);
+      if (spoilt.length === 0) return true;
+      for (const chunk of spoilt) {
+        const bytes = data(chunk);
+        if (!bytes) return false;
+        await this._backend.putChunk(this._model, chunk, bytes);
+      }
+      if (this._laid.size > 0)
+        this._log.state('chunks.laid-anew', { model: this._model, chunks: spoilt.length });
+      suspects = spoilt;
+    }
+    return false;
+  }
+
+  /** Chunks that lie there already and are as the manifest says. */
+  async adopt(take: (chunk: number, data: Buffer) => void): Promise<void> {
+    for (const chunk of await this._backend.stagedChunks(this._model)) {
+      if (chunk >= this._index.chunkCount) continue;
+      const bytes = await this._backend.getChunk(this._model, chunk);
+      if (bytes && this._matches(chunk, bytes)) take(chunk, bytes);
+    }
+  }
+
+  private async _spoilt(suspects: readonly number[]): Promise<number[]> {
+    const spoilt: number[] = [];
+    for (const chunk of suspects) {
+      const bytes = await this._backend.getChunk(this._model, chunk);
+      if (!bytes || !this._matches(chunk, bytes)) spoilt.push(chunk);
+    }
+    return spoilt;
+  }
+
+  private _matches(chunk: number, bytes: Buffer): boolean {
+    return sha256Hex(bytes) === this._index.chunk(chunk).digest;
+  }
+
+  private async _layWaiting(): Promise<void> {
+    this._laying = true;
+    for (let next = this._waiting.shift(); next && !this._stopped; next = this._waiting.shift()) {
+      try {
+        await this._backend.putChunk(this._model, next.chunk, next.data);
+        this._laid.add(next.chunk);
+      } catch (error) {
+        this._log.decision('chunk.not-laid', { chunk: next.chunk, reason: errorText(error) });
+      }
+    }
+    this._laying = false;
+  }
+}
--- /dev/null
+++ b/src/staging/peerMessages.ts
@@ -0,0 +1,64 @@
+/** Hands messages of other agents to the exchange, and remembers where each box stands on the way to a version. */
+import type { Message } from '../protocol/message.js';
+import type { AgentPeersListener } from '../weights/agentPeers.js';
+import type { RolloutExchange } from '../weights/rolloutExchange.js';
+import { SwarmMessageHandler } from '../weights/swarmMessageHandler.js';
+import type { SwitchPeer, SwitchStage } from './switchTurn.js';
+
+interface KnownStage {
+  version: number;
+  stage: SwitchStage;
+}
+
+export class PeerMessages implements AgentPeersListener {
+  private readonly _swarm: SwarmMessageHandler;
+  private readonly _stages = new Map<string, KnownStage>();
+  private readonly _onUp: (box: string) => void;
+  private _wanted = new Set<string>();
+
+  /** `onUp` is called for each box that has been connected. */
+  constructor(exchange: () => RolloutExchange | undefined, onUp: (box: string) => void) {
+    this._onUp = onUp;
+    this._swarm = new SwarmMessageHandler(() => {
+      const current = exchange();
+      return current ? [current] : [];
+    });
+  }
+
+  /** Forgets boxes that no longer belong to the service. */
+  keep(boxes: readonly string[]): void {
+    this._wanted = new Set(boxes);
+    for (const box of this._stages.keys()) if (!this._wanted.has(box)) this._stages.delete(box);
+  }
+
+  /** Where the connected boxes stand on the way to `version`; one that has not heard of it is staging. */
+  stages(version: number): SwitchPeer[] {
+    return [...this._stages].map(([box, known]) => ({
+      box,
+      stage: known.version >= version ? known.stage : 'staging',
+    }));
+  }
+
+  /** Replays what came before the exchange was there. */
+  replay(): void {
+    this._swarm.replayEarlyJoins();
+  }
+
+  onPeerUp(box: string): void {
+    this._onUp(box);
+    this._swarm.onPeerUp(box);
+  }
+
+  onPeerDown(box: string): void {
+    this._stages.delete(box);
+    this._swarm.onPeerDown(box);
+  }
+
+  onPeerMessage(box: string, message: Message): void {
+    if (message.type === 'switch-state') {
+      this._stages.set(box, { version: message.version, stage: message.state });
+      return;
+    }
+    this._swarm.onPeerMessage(box, message);
+  }
+}
--- /dev/null
+++ b/src/staging/stagingDaemon.ts
@@ -0,0 +1,250 @@
+/** An agent that brings versions to the backend server of its box: everything it is made of, put together. */
+import type { Origin } from '../external/origin.js';
+import { httpToken } from '../protocol/authentication.js';
+import type {
+  AgentAddress,
+  BoxStatus,
+  EntryAddress,
+  EntryPresence,
+  SwitchState,
+} from '../protocol/boxMessages.js';
+import type { ControlConnection, ControlOptions } from '../protocol/controlConnection.js';
+import { ControlServer } from '../protocol/controlServer.js';
+import type { Message } from '../protocol/message.js';
+import type { Member } from '../protocol/rolloutMessages.js';
+import type { StagingSettings } from '../settings/stagingSettings.js';
+import type { EventLog } from '../telemetry/eventLog.js';
+import type { Logger } from '../telemetry/logger.js';
+import type { Clock } from '../utils/clock.js';
+import { SystemClock } from '../utils/clock.js';
+import { placementHash } from '../utils/hash.js';
+import type { Random } from '../utils/random.js';
+import { SeededRandom } from '../utils/random.js';
+import { RateLimiter } from '../utils/rateLimiter.js';
+import { AgentPeers } from '../weights/agentPeers.js';
+import { ChunkStore } from '../weights/chunkStore.js';
+import { PeerChunkClient } from '../weights/peerChunkClient.js';
+import { UploadQueue } from '../weights/uploadQueue.js';
+import { ChunkServer } from './chunkServer.js';
+import type { LocalBackend } from './localBackend.js';
+import { ManifestReader } from './manifestReader.js';
+import { PeerMessages } from './peerMessages.js';
+import { VersionReconciler } from './versionReconciler.js';
+
+/** What an agent is built from beside its settings. */
+export interface StagingParts {
+  backend: LocalBackend;
+  /** The origin at an address (host:port). */
+  originAt: (address: string) => Origin;
+  log: EventLog;
+  exchangeLogger: Logger;
+}
+
+const STALL_MILLISECONDS = 1_500;
+/** Written at a time, so that an event of a stream waits some tens of milliseconds at most. */
+const BLOCK_BYTES = 8 * 1024;
+const STATUS_INTERVAL_MILLISECONDS = 250;
+const BITS_PER_BYTE = 8;
+
+export class StagingDaemon {
+  private readonly _settings: StagingSettings;
+  private readonly _parts: StagingParts;
+  private readonly _clock: Clock = new SystemClock();
+  private readonly _log: EventLog;
+  private readonly _peers: AgentPeers;
+  private readonly _messages: PeerMessages;
+  private readonly _reconciler: VersionReconciler;
+  private readonly _control: ControlServer;
+  private readonly _chunks: ChunkServer;
+  private readonly _entries = new Map<ControlConnection, EntryAddress>();
+  private _members: Member[] = [];
+  private _origin: Origin | undefined;
+  private _originAddress = '';
+  private _lastStatus = '';
+  private _lastState = '';
+  private _statusTimer: NodeJS.Timeout | undefined;
+
+  constructor(settings: StagingSettings, parts: StagingParts) {
+    const random = new SeededRandom(settings.seed + placementHash(settings.box));
+    this._settings = settings;
+    this._parts = parts;
+    this._log = parts.log;
+    this._messages = new PeerMessages(
+      () => this._reconciler.stage?.exchange,
+      (box) => this._peers.send(box, this._switchState()),
+    );
+    this._peers = new AgentPeers(controlOptions(settings), random, parts.exchangeLogger, this._messages);
+    const uploads = new UploadQueue(new RateLimiter(weightRate(settings)), STALL_MILLISECONDS, BLOCK_BYTES);
+    this._reconciler = this._createReconciler(random, uploads);
+    this._chunks = new ChunkServer({
+      sharedKey: settings.sharedKey,
+      uploads,
+      chunk: (rollout, chunk) => this._stageOf(rollout)?.chunk(chunk),
+      manifest: (rollout) => this._stageOf(rollout)?.index.manifest,
+    });
+    this._control = new ControlServer(
+      controlOptions(settings),
+      (connection) => this._onConnection(connection),
+      (reason) => this._log.decision('control.refused', { reason }),
+    );
+  }
+
+  /** Starts listening. Throws when a port is taken. */
+  async start(): Promise<void> {
+    const { address, controlPort, chunkPort } = this._settings;
+    await this._chunks.listen(address, chunkPort);
+    await this._control.listen(address, controlPort);
+    this._statusTimer = setInterval(() => this._sendStatus(), STATUS_INTERVAL_MILLISECONDS);
+    this._reconciler.start();
+    this._log.state('agent.started', { address, controlPort, chunkPort });
+  }
+
+  /** Closes at once: a restarted agent takes over what lies staged. */
+  async stop(): Promise<void> {
+    clearInterval(this._statusTimer);
+    this._reconciler.stop();
+    this._peers.close();
+    this._control.close();
+    this._chunks.close();
+    this._log.state('agent.stopped');
+  }
+
+  private _stageOf(rollout: string): VersionReconciler['stage'] {
+    const { stage } = this._reconciler;
+    return stage?.exchange.rollout === rollout ? stage : undefined;
+  }
+
+  private _createReconciler(random: Random, uploads: UploadQueue): VersionReconciler {
+    const { settings, parts, clock } = { settings: this._settings, parts: this._parts, clock: this._clock };
+    const token = httpToken(settings.sharedKey, settings.box);
+    return new VersionReconciler({
+      box: settings.box,
+      backend: parts.backend,
+      manifests: new ManifestReader({
+        origin: () => this._origin,
+        peers: () => this._members.filter((member) => member.box !== settings.box),
+        token,
+        random,
+        log: parts.log,
+      }),
+      services: {
+        box: settings.box,
+        store: new ChunkStore(settings.stagingMemoryBytes),
+        peers: this._peers,
+        client: new PeerChunkClient(token),
+        origin: {
+          manifest: async (customer, model, version) =>
+            await this._origin!.manifest(customer, model, version),
+          read: async (range, signal) => await this._origin!.read(range, signal),
+        },
+        uploads,
+        bounds: { stallMilliseconds: STALL_MILLISECONDS, incoming: new RateLimiter(weightRate(settings)) },
+        clock,
+        random,
+        logger: parts.exchangeLogger,
+      },
+      clock,
+      log: parts.log,
+      versionMilliseconds: settings.versionMilliseconds,
+      members: () => this._members,
+      peers: (version) => this._messages.stages(version),
+      onChange: () => this._onStage(),
+    });
+  }
+
+  private _onConnection(connection: ControlConnection): void {
+    if (connection.peer.role === 'agent') return this._peers.attach(connection);
+    connection.on('message', (message) => this._onEntryMessage(connection, message));
+    connection.once('close', () => {
+      this._entries.delete(connection);
+      this._sendStatus();
+    });
+    connection.start();
+    connection.send(this._status());
+  }
+
+  private _onEntryMessage(connection: ControlConnection, message: Message): void {
+    if (message.type !== 'entry-presence') return;
+    this._entries.set(connection, message.entry);
+    this._takeOrigin(message.origin);
+    this._takeAgents(message.agents);
+    this._takeVersions(message);
+    this._sendStatus();
+  }
+
+  private _takeOrigin(address: string): void {
+    if (address === '' || address === this._originAddress) return;
+    this._originAddress = address;
+    this._origin = this._parts.originAt(address);
+  }
+
+  private _takeAgents(agents: readonly AgentAddress[]): void {
+    const members = agents.map((agent) => this._memberOf(agent));
+    if (JSON.stringify(members) === JSON.stringify(this._members)) return;
+    this._members = members;
+    const others = members.filter((member) => member.box !== this._settings.box);
+    this._peers.want(others);
+    this._messages.keep(others.map((member) => member.box));
+    this._reconciler.updateMembers();
+  }
+
+  private _memberOf(agent: AgentAddress): Member {
+    const { controlPort, chunkPort } = this._settings;
+    const address = agent.address.slice(0, agent.address.lastIndexOf(':'));
+    return { box: agent.box, hall: agent.hall, address, httpPort: chunkPort, controlPort };
+  }
+
+  private _takeVersions(presence: EntryPresence): void {
+    for (const { model, version, knownMilliseconds } of presence.wanted) {
+      this._reconciler.want({ model, version, namedAt: this._clock.now() - knownMilliseconds });
+    }
+  }
+
+  /** Tells the other boxes and the entries when this box comes to another stage. */
+  private _onStage(): void {
+    this._messages.replay();
+    const state = this._switchState();
+    const text = JSON.stringify(state);
+    if (text === this._lastState) return;
+    this._lastState = text;
+    for (const member of this._members) this._peers.send(member.box, state);
+    this._sendStatus();
+  }
+
+  private _switchState(): SwitchState {
+    const { target, switchStage } = this._reconciler;
+    return { type: 'switch-state', version: target?.version ?? 0, state: switchStage };
+  }
+
+  private _status(): BoxStatus {
+    const { status, target, switchStage, servedVersion } = this._reconciler;
+    const state = switchStage === 'switching' ? 'switching' : servedVersion > 0 ? 'serving' : 'empty';
+    return {
+      type: 'box-status',
+      state,
+      model: target?.model ?? '',
+      version: servedVersion,
+      running: status?.running ?? 0,
+      queued: status?.queued ?? 0,
+      entries: [...this._entries.values()],
+    };
+  }
+
+  private _sendStatus(): void {
+    const status = this._status();
+    const text = JSON.stringify(status);
+    if (text === this._lastStatus) return;
+    this._lastStatus = text;
+    for (const connection of this._entries.keys()) connection.send(status);
+  }
+}
+
+function controlOptions(settings: StagingSettings): ControlOptions {
+  const { sharedKey, box, hall, peerTimeoutMilliseconds } = settings;
+  return { key: sharedKey, identity: { role: 'agent', box, hall }, peerTimeoutMilliseconds };
+}
+
+/** Bytes a second that weights may take each way. */
+function weightRate(settings: StagingSettings): number {
+  return (settings.linkKilobits * 1000 * (settings.weightShare / 100)) / BITS_PER_BYTE;
+}
--- /dev/null
+++ b/src/staging/versionStage.ts
@@ -0,0 +1,166 @@
+/** One version that this box brings to its backend server: chunks, draws from the origin, what lies staged. */
+import type { Manifest } from '../protocol/manifest.js';
+import type { Member, PlanMessage } from '../protocol/rolloutMessages.js';
+import type { EventLog } from '../telemetry/eventLog.js';
+import type { Clock } from '../utils/clock.js';
+import { errorText } from '../utils/stepError.js';
+import { ManifestIndex } from '../weights/manifestIndex.js';
+import type { ExchangeServices } from '../weights/rolloutExchange.js';
+import { RolloutExchange } from '../weights/rolloutExchange.js';
+import { ChunkStager } from './chunkStager.js';
+import { drawOrder, drawerOf } from './drawSchedule.js';
+import type { LocalBackend } from './localBackend.js';
+
+/** What a stage works with. */
+export interface VersionStageOptions {
+  model: string;
+  version: number;
+  manifest: Manifest;
+  members: readonly Member[];
+  services: ExchangeServices;
+  backend: LocalBackend;
+  clock: Clock;
+  log: EventLog;
+  /** Monotonic milliseconds at which the version was named. */
+  namedAt: number;
+}
+
+const DRAW_INTERVAL_MILLISECONDS = 100;
+/** How long a box that comes late waits for news of what the others hold before it draws. */
+const NEWS_MILLISECONDS = 400;
+/** A version that was named so recently is nowhere yet, so that there is no news to wait for. */
+const NEW_VERSION_MILLISECONDS = 1_000;
+
+/** The name of a rollout: the same at every box. */
+export function rolloutName(model: string, version: number): string {
+  return `${model}@${version}`;
+}
+
+export class VersionStage {
+  readonly version: number;
+  readonly model: string;
+  readonly exchange: RolloutExchange;
+  readonly index: ManifestIndex;
+  readonly namedAt: number;
+  private readonly _options: VersionStageOptions;
+  private readonly _stager: ChunkStager;
+  private readonly _seen = new Set<number>();
+  private readonly _startedAt: number;
+  private _members: readonly Member[];
+  private _drawTimer: NodeJS.Timeout | undefined;
+  private _completeLogged = false;
+
+  constructor(options: VersionStageOptions) {
+    this._options = options;
+    this.version = options.version;
+    this.model = options.model;
+    this.namedAt = options.namedAt;
+    this._members = options.members;
+    this._startedAt = options.clock.now();
+    this.index = new ManifestIndex(options.manifest);
+    this._stager = new ChunkStager(options.backend, options.model, this.index, options.log);
+    this.exchange = new RolloutExchange(options.services, this._plan(), this.index, () => this._onChange());
+  }
+
+  get complete(): boolean {
+    return this.exchange.complete;
+  }
+
+  /** Opens the exchange; `adopt` takes over what lies staged from an earlier life of this process. */
+  async start(adopt: boolean): Promise<void> {
+    this.exchange.start();
+    if (adopt) await this._adopt();
+    this._drawTimer = setInterval(() => this._draw(), DRAW_INTERVAL_MILLISECONDS);
+    this._draw();
+  }
+
+  updateMembers(members: readonly Member[]): void {
+    this._members = members;
+    this.exchange.updateMembers(this._plan());
+  }
+
+  chunk(index: number): Buffer | undefined {
+    if (!this.exchange.held.has(index)) return undefined;
+    return this._options.services.store.get('', this.index.chunk(index).digest);
+  }
+
+  /** Whether everything lies before the backend server as the manifest says. */
+  async verify(): Promise<boolean> {
+    return await this._stager.verify((chunk) => this.chunk(chunk));
+  }
+
+  /** Ends all transfers and lets the chunks go. */
+  drop(): void {
+    clearInterval(this._drawTimer);
+    this._stager.stop();
+    this.exchange.stop();
+    this._options.services.store.release(this.exchange.rollout);
+  }
+
+  private async _adopt(): Promise<void> {
+    try {
+      await this._stager.adopt((chunk, data) => {
+        this._seen.add(chunk);
+        this.exchange.adopt(chunk, data);
+      });
+    } catch (error) {
+      this._options.log.decision('chunks.not-adopted', { reason: errorText(error) });
+    }
+  }
+
+  /** Draws what is nowhere and whose turn is ours. */
+  private _draw(): void {
+    if (this.complete) return clearInterval(this._drawTimer);
+    const now = this._options.clock.now();
+    const elapsed = now - this.namedAt;
+    const isNew = this._startedAt - this.namedAt < NEW_VERSION_MILLISECONDS;
+    if (!isNew && now - this._startedAt < NEWS_MILLISECONDS) return;
+    const order = drawOrder(this.exchange.rollout, this._members);
+    const { box } = this._options.services;
+    const due = this.exchange.unseenChunks().filter((chunk) => drawerOf(order, chunk, elapsed) === box);
+    const open = new Set(this.exchange.openDraws);
+    const fresh = due.filter((chunk) => !open.has(chunk));
+    if (fresh.length === 0) return;
+    this._options.log.decision('draws.begun', { version: this.version, chunks: fresh.length });
+    this.exchange.grant(fresh);
+  }
+
+  private _onChange(): void {
+    for (const chunk of this.exchange.held.members()) {
+      if (this._seen.has(chunk)) continue;
+      this._seen.add(chunk);
+      const data = this.chunk(chunk);
+      if (data) this._stager.add(chunk, data);
+    }
+    if (!this.complete || this._completeLogged) return;
+    this._completeLogged = true;
+    const { counts } = this.exchange;
+    this._options.log.state('version.whole', {
+      model: this.model,
+      version: this.version,
+      milliseconds: Math.round(this._options.clock.now() - this.namedAt),
+      sinceStart: Math.round(this._options.clock.now() - this._startedAt),
+      ...counts,
+    });
+  }
+
+  private _plan(): PlanMessage {
+    const { model, version, manifest } = this._options;
+    return {
+      type: 'plan',
+      call: 0,
+      customer: '',
+      configuration: model,
+      epoch: 0,
+      rollout: rolloutName(model, version),
+      kind: 'model',
+      model,
+      version: String(version),
+      manifestDigest: '',
+      manifest,
+      weight: 1,
+      distribution: 'exchange',
+      members: [...this._members],
+    };
+  }
+}
--- /dev/null
+++ b/src/telemetry/eventLog.ts
@@ -0,0 +1,90 @@
+/** Structured log lines (JSON) on standard output: bounded in rate and memory, never blocking. */
+import sonicBoom from 'sonic-boom';
+
+/** What a line may carry. Undefined fields are left out. */
+export type EventFields = Record<string, string | number | boolean | readonly unknown[] | undefined>;
+
+/** Which lines are written. */
+export type EventLevel = 'off' | 'state' | 'decision';
+
+/** Where lines go; a stand-in in tests. */
+export interface LineSink {
+  write(line: string): void;
+}
+
+/** Lines of one step that may be written within one second; further ones are counted. */
+const LINES_PER_SECOND = 40;
+const WINDOW_MILLISECONDS = 1_000;
+/** Bytes that may wait for a reader of standard output; beyond that lines are dropped. */
+const BUFFER_BYTES = 256 * 1024;
+const STANDARD_OUTPUT = 1;
+
+interface StepBudget {
+  windowStart: number;
+  written: number;
+  dropped: number;
+}
+
+/** Returns a sink that writes to standard output without ever waiting for its reader. */
+export function standardOutputSink(): LineSink {
+  const stream = new sonicBoom.SonicBoom({ fd: STANDARD_OUTPUT, sync: false, maxLength: BUFFER_BYTES });
+  stream.on('error', () => undefined);
+  return stream;
+}
+
+/** Writes the lines of one process. `common` fields stand on every line. */
+export class EventLog {
+  private readonly _sink: LineSink;
+  private readonly _level: EventLevel;
+  private readonly _common: EventFields;
+  private readonly _budgets = new Map<string, StepBudget>();
+  private _droppedLines = 0;
+
+  constructor(sink: LineSink, level: EventLevel, common: EventFields = {}) {
+    this._sink = sink;
+    this._level = level;
+    this._common = common;
+  }
+
+  /** Lines that were over their budget since the start. */
+  get droppedLines(): number {
+    return this._droppedLines;
+  }
+
+  /** Logs a change of what the process believes, a start, a stop, or a dependency lost or regained. */
+  state(step: string, fields: EventFields = {}): void {
+    if (this._level !== 'off') this._write(step, fields);
+  }
+
+  /** Logs a decision about one request or transfer. */
+  decision(step: string, fields: EventFields = {}): void {
+    if (this._level === 'decision') this._write(step, fields);
+  }
+
+  private _write(step: string, fields: EventFields): void {
+    const now = Date.now();
+    const budget = this._budgetOf(step, now);
+    if (budget.written >= LINES_PER_SECOND) {
+      budget.dropped++;
+      this._droppedLines++;
+      return;
+    }
+    budget.written++;
+    const dropped = budget.dropped > 0 ? budget.dropped : undefined;
+    budget.dropped = 0;
+    this._sink.write(`${JSON.stringify({ time: now, step, ...this._common, ...fields, dropped })}\n`);
+  }
+
+  private _budgetOf(step: string, now: number): StepBudget {
+    let budget = this._budgets.get(step);
+    if (!budget) {
+      budget = { windowStart: now, written: 0, dropped: 0 };
+      this._budgets.set(step, budget);
+    }
+    if (Math.abs(now - budget.windowStart) >= WINDOW_MILLISECONDS) {
+      budget.windowStart = now;
+      budget.written = 0;
+    }
+    return budget;
+  }
+}
--- a/src/weights/chunkPicker.ts
+++ b/src/weights/chunkPicker.ts
@@ -80,6 +80,14 @@
     this._inFlight.delete(chunk);
   }
 
+  /** Whether any neighbour is known to hold the chunk. */
+  isSeen(chunk: number): boolean {
+    for (const peer of this._peers.values()) {
+      if (peer.held.has(chunk)) return true;
+    }
+    return false;
+  }
+
   isInFlight(chunk: number): boolean {
     return this._inFlight.has(chunk);
   }
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -100,6 +100,13 @@
     return this._drawer.failed;
   }
 
+  /** Chunks that are neither here nor at any neighbour, nor on their way. */
+  unseenChunks(): number[] {
+    return this.held
+      .missing()
+      .filter((chunk) => !this._picker.isInFlight(chunk) && !this._picker.isSeen(chunk));
+  }
+
   get neighbours(): Neighbour[] {
     return [...this._members.values()];
   }
@@ -132,6 +139,11 @@
     this._drawer.dropWaiting();
   }
 
+  /** Takes a verified chunk that was found on this box. */
+  adopt(chunk: number, data: Buffer): void {
+    this._store(chunk, data, true);
+  }
+
   /** Queues draws from the origin. */
   grant(chunks: readonly number[]): void {
     this._drawer.grant(chunks);
--- a/src/agent/swarmMessageHandler.ts
+++ b/src/weights/swarmMessageHandler.ts
@@ -1,7 +1,7 @@
 /** Hands messages between agents to the rollout they belong to. */
 import type { Message } from '../protocol/message.js';
-import type { AgentPeersListener } from '../weights/agentPeers.js';
-import type { RolloutExchange } from '../weights/rolloutExchange.js';
+import type { AgentPeersListener } from './agentPeers.js';
+import type { RolloutExchange } from './rolloutExchange.js';
 import { LRUCache } from 'lru-cache';
 
 /** Joins of rollouts whose plan has not reached this box yet. */
--- a/src/weights/uploadQueue.ts
+++ b/src/weights/uploadQueue.ts
@@ -8,19 +8,22 @@
 const UPLOAD_SLOTS = 1;
 /** Chunks that may wait for a slot. */
 const UPLOAD_QUEUE = 6;
-const PIECE_BYTES = 64 * 1024;
+const BLOCK_BYTES = 64 * 1024;
 
 /** Paces and bounds what the box sends. */
 export class UploadQueue {
   private readonly _outgoing: RateLimiter;
   private readonly _stallMilliseconds: number;
+  private readonly _blockBytes: number;
   private readonly _waiting: (() => void)[] = [];
   private _active = 0;
   bytesSent = 0;
 
-  constructor(outgoing: RateLimiter, stallMilliseconds: number) {
+  /** `blockBytes` is written at a time: what else uses the link waits no longer than such a block takes. */
+  constructor(outgoing: RateLimiter, stallMilliseconds: number, blockBytes = BLOCK_BYTES) {
     this._outgoing = outgoing;
     this._stallMilliseconds = stallMilliseconds;
+    this._blockBytes = blockBytes;
   }
 
   /** Chunks being sent or waiting. */
@@ -47,8 +50,8 @@
   }
 
   private async _sendPieces(response: http.ServerResponse, data: Buffer): Promise<void> {
-    for (let start = 0; start < data.length && !response.destroyed; start += PIECE_BYTES) {
-      const piece = data.subarray(start, start + PIECE_BYTES);
+    for (let start = 0; start < data.length && !response.destroyed; start += this._blockBytes) {
+      const piece = data.subarray(start, start + this._blockBytes);
       await this._outgoing.acquire(piece.length);
       this.bytesSent += piece.length;
       if (!response.write(piece)) await this._drained(response);
