--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,7 +1,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'bench/results/'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'bench/results/'] },
   ...tseslint.configs.recommended,
   {
     files: ['**/*.ts'],
--- a/src/protocol/boxMessages.ts
+++ b/src/protocol/boxMessages.ts
@@ -50,11 +50,16 @@
   version: countSchema,
   running: countSchema,
   queued: countSchema,
-  /** The entries that are connected to this agent. */
-  entries: z.array(entryAddressSchema).max(MAXIMUM_LIST),
 });
 export type BoxStatus = z.infer<typeof boxStatusSchema>;
 
+/** Sent by an agent to all connected entries on every change: the entries that are connected to it. */
+export const entryListSchema = z.object({
+  type: z.literal('entry-list'),
+  entries: z.array(entryAddressSchema).max(MAXIMUM_LIST),
+});
+export type EntryList = z.infer<typeof entryListSchema>;
+
 /** Sent between agents: whether the sender is about to switch, and what it holds. */
 export const switchStateSchema = z.object({
   type: z.literal('switch-state'),
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -1,6 +1,6 @@
 /** The union of all control messages and its validator. */
 import { z } from 'zod';
-import { boxStatusSchema, entryPresenceSchema, switchStateSchema } from './boxMessages.js';
+import { boxStatusSchema, entryListSchema, entryPresenceSchema, switchStateSchema } from './boxMessages.js';
 import {
   digestMessageSchema,
   entryStateSchema,
@@ -43,6 +43,7 @@
   haveMessageSchema,
   entryPresenceSchema,
   boxStatusSchema,
+  entryListSchema,
   switchStateSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
--- /dev/null
+++ b/src/serving/admittedRequest.ts
@@ -0,0 +1,23 @@
+/** A caller's request that may be sent to a backend server. */
+import type { CallerExchange } from './callerExchange.js';
+import type { RetryAllowance } from './retryAllowance.js';
+import type { Route } from './servingConfiguration.js';
+
+/** A request that has been admitted. */
+export interface AdmittedRequest {
+  exchange: CallerExchange;
+  route: Route;
+  service: string;
+  /** The model that the caller names, '' for none. */
+  model: string;
+  method: string;
+  path: string;
+  /** Headers to pass on, without those that change from attempt to attempt. */
+  headers: string[];
+  body: Buffer | undefined;
+  /** The last event that the caller has seen, '' for none. */
+  lastEventId: string;
+  retries: RetryAllowance;
+  /** Monotonic milliseconds at which the caller or the operator no longer waits. */
+  endsAt: number;
+}
--- a/src/serving/boxLinks.ts
+++ b/src/serving/boxLinks.ts
@@ -1,5 +1,5 @@
 /** Control connections from an entry to the agents beside backend servers. */
-import type { AgentAddress, BoxStatus, EntryPresence } from '../protocol/boxMessages.js';
+import type { AgentAddress, BoxStatus, EntryList, EntryPresence } from '../protocol/boxMessages.js';
 import type { ControlOptions } from '../protocol/controlConnection.js';
 import { ControlConnection } from '../protocol/controlConnection.js';
 import type { EventLog } from '../telemetry/eventLog.js';
@@ -16,6 +16,7 @@
   /** What this entry tells the agent on a box. */
   presence: (agent: AgentAddress) => EntryPresence;
   onStatus: (agent: AgentAddress, status: BoxStatus) => void;
+  onEntries: (agent: AgentAddress, list: EntryList) => void;
   onDown: (agent: AgentAddress) => void;
 }
 
@@ -92,6 +93,7 @@
     const closed = new Promise<string>((resolve) => connection.once('close', resolve));
     connection.on('message', (message) => {
       if (message.type === 'box-status') this._options.onStatus(agent, message);
+      if (message.type === 'entry-list') this._options.onEntries(agent, message);
     });
     connection.start();
     connection.send(this._options.presence(agent));
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -1,34 +1,24 @@
 /** Which entries callers may use. Learnt from the agents, to which every live entry is connected. */
 import type { EntryAddress } from '../protocol/boxMessages.js';
-import type { Clock } from '../utils/clock.js';
 import { compareText } from '../utils/rendezvous.js';
 
-/** How long an agent's word on entries counts. */
-const REPORT_LIFETIME_MILLISECONDS = 4_000;
 /** Fewest entries to name, as long as there are so many. */
 const FEWEST_ENTRIES = 2;
 const MOST_ENTRIES = 64;
 
-interface AgentReport {
-  entries: readonly EntryAddress[];
-  at: number;
-}
-
-/** An entry is live while any agent that was heard of lately is connected to it. */
+/** An entry is live while any agent that is connected to this one is connected to it. */
 export class EntryDirectory {
   private readonly _own: EntryAddress;
-  private readonly _clock: Clock;
-  private readonly _reports = new Map<string, AgentReport>();
+  private readonly _reports = new Map<string, readonly EntryAddress[]>();
   private _lastKnown: EntryAddress[] = [];
 
-  constructor(own: EntryAddress, clock: Clock) {
+  constructor(own: EntryAddress) {
     this._own = own;
-    this._clock = clock;
   }
 
   /** Takes the entries that the agent on `box` is connected to. */
   report(box: string, entries: readonly EntryAddress[]): void {
-    this._reports.set(box, { entries, at: this._clock.now() });
+    this._reports.set(box, entries);
   }
 
   /** Forgets an agent that is no longer connected. */
@@ -38,19 +28,15 @@
 
   /** All live entries, this one included, those that leave excluded. */
   live(): EntryAddress[] {
-    const oldest = this._clock.now() - REPORT_LIFETIME_MILLISECONDS;
     const found = new Map<string, EntryAddress>();
-    let heard = false;
     const leaving = new Set<string>();
-    for (const { entries, at } of this._reports.values()) {
-      if (at < oldest) continue;
-      heard = true;
+    for (const entries of this._reports.values()) {
       for (const entry of entries) {
         if (entry.leaving) leaving.add(entry.box);
         found.set(entry.box, entry);
       }
     }
-    if (heard) this._lastKnown = [...found.values()];
+    if (this._reports.size > 0) this._lastKnown = [...found.values()];
     else for (const entry of this._lastKnown) found.set(entry.box, entry);
     found.set(this._own.box, this._own);
     const live = [...found.values()].filter((entry) => !entry.leaving && !leaving.has(entry.box));
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -4,12 +4,14 @@
 import type { Clock } from '../utils/clock.js';
 import type { AnswerHeaders, BackendRequest, CallFailure } from './backendCall.js';
 import { BackendCall } from './backendCall.js';
-import type { CallerExchange } from './callerExchange.js';
 import { OWN_STATUS } from './callerExchange.js';
+import type { AdmittedRequest } from './admittedRequest.js';
+import type { PartialAnswer } from './answerJudgement.js';
+import { isSilent, judgeAnswer } from './answerJudgement.js';
 import type { HeaderNames } from './headerNames.js';
-import type { RetryAllowance } from './retryAllowance.js';
+import type { RequestOutcome } from './requestTrace.js';
+import { RequestTrace } from './requestTrace.js';
 import type { ServerFound, ServerPool } from './serverPool.js';
-import type { Route } from './servingConfiguration.js';
 import { StreamRelay } from './streamRelay.js';
 import type { TrackedServer } from './trackedServer.js';
 import type { VersionGate } from './versionGate.js';
@@ -24,58 +26,20 @@
   metrics: ServingMetrics;
 }
 
-/** A request that has been admitted. */
-export interface AdmittedRequest {
-  exchange: CallerExchange;
-  route: Route;
-  service: string;
-  /** The model that the caller names, '' for none. */
-  model: string;
-  method: string;
-  path: string;
-  /** Headers to pass on, without those that change from attempt to attempt. */
-  headers: string[];
-  body: Buffer | undefined;
-  /** The last event that the caller has seen, '' for none. */
-  lastEventId: string;
-  retries: RetryAllowance;
-  /** Monotonic milliseconds at which the caller or the operator no longer waits. */
-  endsAt: number;
-}
-
-/** Statuses that say, without a proof that it has run, that a request has not run. */
-const PROMISING_STATUSES = new Set([408, 421, 429, 503]);
-const MISDIRECTED = 421;
-const SERVER_ERROR = 500;
 /** Least time that is worth another attempt. */
 const SHORTEST_ATTEMPT_MILLISECONDS = 40;
 /** Connections that cannot be opened cost no attempt, but there is an end to them. */
 const MOST_UNREACHABLE = 4;
-/** First answer of a repeatable request, in parts of its objective, after which another server is tried. */
-const PATIENCE_OBJECTIVES = 2.5;
-const LEAST_PATIENCE_MILLISECONDS = 350;
-/** The same for the first event of a stream. */
-const STREAM_PATIENCE_MILLISECONDS = 1_000;
-/** Pause of a begun stream after which it is resumed elsewhere. */
-const STREAM_SILENCE_MILLISECONDS = 900;
 const WATCH_INTERVAL_MILLISECONDS = 100;
 const RETRY_AFTER_BUSY_MILLISECONDS = 350;
 const RETRY_AFTER_NONE_MILLISECONDS = 700;
 /** Largest answer of a request that is no stream, in bytes. */
 const LARGEST_ANSWER = 16 * 1024 * 1024;
 
-/** The answer of a request that is no stream, as far as it has come. */
-interface PartialAnswer {
-  status: number;
-  headers: AnswerHeaders;
-  body: Buffer[];
-  length: number;
-}
-
 export class ForwardedRequest {
   private readonly _services: ForwardServices;
   private readonly _request: AdmittedRequest;
-  private readonly _startedAt: number;
+  private readonly _trace: RequestTrace;
   private readonly _relay: StreamRelay | undefined;
   private readonly _tried = new Set<string>();
   private readonly _done: () => void;
@@ -96,7 +60,7 @@
     this._services = services;
     this._request = request;
     this._done = done;
-    this._startedAt = services.clock.now();
+    this._trace = new RequestTrace(request, services.log, services.metrics, services.clock);
     if (request.route.kind === 'stream') this._relay = new StreamRelay(request.exchange, request.lastEventId);
   }
 
@@ -141,14 +105,7 @@
     this._tried.add(server.record.id);
     this._call = call;
     if (this._relay) server.streamBegan();
-    this._services.log.decision('request.sent', {
-      request: this._request.exchange.requestId,
-      server: server.record.id,
-      attempt: this._attempts,
-      load: Math.round(server.load.estimate(this._attemptStartedAt)),
-      version: server.version(this._request.model),
-      leftMilliseconds: Math.round(this._left),
-    });
+    this._trace.sent(server, this._attempts);
   }
 
   private _find(): ServerFound {
@@ -214,21 +171,16 @@
     this._judge(server, answer);
   }
 
-  /** Decides what a whole answer means. */
+  /** Acts on what a whole answer means. */
   private _judge(server: TrackedServer, answer: PartialAnswer): void {
-    const { names } = this._services;
     const { status, headers } = answer;
-    if (headers[names.notRun] !== undefined || status === MISDIRECTED)
-      return this._onRejected(server, status);
+    const verdict = judgeAnswer(status, headers, this._services.names);
+    if (verdict === 'not-run') return this._onRejected(server, status);
     this._mayHaveRun = true;
-    const isSuccess = status < SERVER_ERROR && status >= 200;
-    server.health.note(isSuccess ? 'succeeded' : 'failed');
-    if (!isSuccess && this._repeatable && this._mayTryAgain()) return this._attempt();
-    if (PROMISING_STATUSES.has(status))
-      return this._refuse(OWN_STATUS.unclear, `status ${status} from server`);
-    if (isSuccess && status < 300 && headers[names.seal] === undefined) {
-      return this._refuse(OWN_STATUS.unclear, 'answer without proof');
-    }
+    server.health.note(verdict === 'failed' || verdict === 'unclear' ? 'failed' : 'succeeded');
+    const again = verdict !== 'answered' && this._repeatable;
+    if (again && this._mayTryAgain()) return this._attempt();
+    if (verdict === 'unclear') return this._refuse(OWN_STATUS.unclear, `status ${status} from server`);
     if (this._relay?.begun) return this._cut('stream could not be resumed');
     this._request.exchange.answer(status, headers, Buffer.concat(answer.body));
     this._end('answered', { status, server: server.record.id });
@@ -238,12 +190,7 @@
   private _onRejected(server: TrackedServer, status: number): void {
     server.health.note('rejected');
     this._rejected = true;
-    this._services.metrics.rejected(server.record.service);
-    this._services.log.decision('request.rejected', {
-      request: this._request.exchange.requestId,
-      server: server.record.id,
-      status,
-    });
+    this._trace.rejected(server, status);
     if (this._mayTryAgain()) return this._attempt();
     this._giveUp('all-busy');
   }
@@ -254,13 +201,7 @@
   }
 
   private _afterFailure(server: TrackedServer, failure: CallFailure): void {
-    this._services.log.decision('request.attempt-failed', {
-      request: this._request.exchange.requestId,
-      server: server.record.id,
-      sent: failure.sent,
-      reason: failure.reason,
-      milliseconds: Math.round(this._services.clock.now() - this._attemptStartedAt),
-    });
+    this._trace.attemptFailed(server, failure, this._services.clock.now() - this._attemptStartedAt);
     if (!failure.sent) return this._afterUnreachable(server);
     this._mayHaveRun = true;
     if (failure.reason === 'silent') server.health.note('silent');
@@ -285,7 +226,7 @@
     if (this._attempts >= route.attempts || this._left < SHORTEST_ATTEMPT_MILLISECONDS) return false;
     if (this._find().kind === 'none') return false;
     const allowed = retries.takeRetry();
-    if (allowed) this._services.metrics.retried(this._request.service);
+    if (allowed) this._trace.retried();
     return allowed;
   }
 
@@ -294,37 +235,24 @@
     const call = this._call;
     if (!call) return;
     const waited = this._services.clock.now() - this._attemptStartedAt;
-    const silent = this._relay
-      ? this._streamIsSilent(call, waited)
-      : waited >
-        Math.max(
-          LEAST_PATIENCE_MILLISECONDS,
-          this._request.route.objectiveMilliseconds * PATIENCE_OBJECTIVES,
-        );
+    const silent = isSilent({
+      waited,
+      objective: this._request.route.objectiveMilliseconds,
+      serverSilentFor: call.server.silentFor,
+      stream: this._relay !== undefined,
+      streamSilentFor: this._answer && this._relay?.begun ? this._relay.silentFor() : undefined,
+    });
     if (!silent || !this._mayTryAgain()) return;
     const { server } = call;
     this._leave('silent');
     this._mayHaveRun = true;
     server.health.note('silent');
-    this._services.log.decision('request.silent', {
-      request: this._request.exchange.requestId,
-      server: server.record.id,
-      waitedMilliseconds: Math.round(waited),
-    });
+    this._trace.attemptFailed(server, { sent: true, reason: 'silent' }, waited);
     this._attempt();
   }
 
-  private _streamIsSilent(call: BackendCall, waited: number): boolean {
-    const relay = this._relay!;
-    if (this._answer && relay.begun) {
-      return relay.silentFor(this._services.clock.now()) > STREAM_SILENCE_MILLISECONDS;
-    }
-    return waited > STREAM_PATIENCE_MILLISECONDS || call.server.silentFor > STREAM_SILENCE_MILLISECONDS;
-  }
-
   private _giveUp(reason: string): void {
     if (this._relay?.begun) return this._cut(reason);
-    if (this._mayHaveRun && !this._repeatable) return this._refuse(OWN_STATUS.unclear, reason);
     if (this._mayHaveRun) return this._refuse(OWN_STATUS.unclear, reason);
     const wait = reason === 'all-busy' ? RETRY_AFTER_BUSY_MILLISECONDS : RETRY_AFTER_NONE_MILLISECONDS;
     this._refuse(OWN_STATUS.notRun, reason, wait);
@@ -375,21 +303,12 @@
     this._end('cut', { reason });
   }
 
-  private _end(outcome: string, fields: Record<string, string | number | boolean>): void {
+  private _end(outcome: RequestOutcome, fields: Record<string, string | number | boolean>): void {
     if (this._ended) return;
     this._ended = true;
     clearTimeout(this._deadlineTimer);
     clearInterval(this._watchTimer);
-    const { exchange, route, service } = this._request;
-    const milliseconds = Math.round(this._services.clock.now() - this._startedAt);
-    this._services.metrics.requestEnded(service, outcome, milliseconds);
-    this._services.log.decision(`request.${outcome}`, {
-      request: exchange.requestId,
-      route: route.name,
-      attempts: this._attempts,
-      milliseconds,
-      ...fields,
-    });
+    this._trace.ended(outcome, this._attempts, fields);
     this._done();
   }
 }
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -1,11 +1,12 @@
 /** An entry that reaches backend servers directly: everything it is made of, put together. */
 import type http from 'node:http';
-import type { AgentAddress, BoxStatus, EntryAddress, EntryPresence } from '../protocol/boxMessages.js';
+import type { AgentAddress, EntryAddress, EntryPresence } from '../protocol/boxMessages.js';
 import { KindFollower } from '../records/kindFollower.js';
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { SystemClock } from '../utils/clock.js';
 import { placementHash } from '../utils/hash.js';
+import type { Random } from '../utils/random.js';
 import { SeededRandom } from '../utils/random.js';
 import { errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
@@ -41,6 +42,14 @@
   directoryAnswer(addresses: readonly string[], keepSeconds: number): unknown;
 }
 
+/** The records of the platform that a gateway follows. */
+interface Followers {
+  configuration: KindFollower;
+  servers: KindFollower;
+  versions: KindFollower;
+}
+
+const PERCENT = 100;
 /** A configuration that has not been confirmed for so long is not trusted to be the newest. */
 const STALE_MILLISECONDS = 1_000;
 /** How long a leaving entry takes new connections: callers may keep its address for three times as long as told. */
@@ -59,7 +68,7 @@
   private readonly _pool: ServerPool;
   private readonly _gate: VersionGate;
   private readonly _links: BoxLinks;
-  private readonly _followers: { configuration: KindFollower; servers: KindFollower; versions: KindFollower };
+  private readonly _followers: Followers;
   private readonly _admission: RequestAdmission;
   private readonly _forward: ForwardServices;
   private readonly _callers: CallerServer;
@@ -76,15 +85,14 @@
     this._log = parts.log;
     this._own = { box: settings.box, hall: settings.hall, address: settings.callerAddress, leaving: false };
     this._configuration = new ConfigurationHolder(parts.log);
-    this._entries = new EntryDirectory(this._own, clock);
-    const entries = (): number => this._entries.count();
+    this._entries = new EntryDirectory(this._own);
     this._pool = new ServerPool({
       hall: settings.hall,
       clock,
       random,
       log: parts.log,
       service: (name) => this._configuration.index?.service(name),
-      entries,
+      entries: () => this._entries.count(),
     });
     this._gate = new VersionGate(
       { switchMilliseconds: settings.versionMilliseconds, startMilliseconds: settings.contactMilliseconds },
@@ -99,32 +107,12 @@
       random,
       log: parts.log,
       presence: (agent) => this._presence(agent),
-      onStatus: (agent, status) => this._onStatus(agent, status),
+      onStatus: (agent, status) => this._pool.noteStatus(hostOf(agent.address), status),
+      onEntries: (agent, list) => this._entries.report(agent.box, list.entries),
       onDown: (agent) => this._entries.forget(agent.box),
     });
-    const { kinds } = parts.platform.reader;
-    const follow = (kind: string): KindFollower =>
-      new KindFollower({ kind, store: parts.platform.store, clock, random, log: parts.log });
-    this._followers = {
-      configuration: follow(kinds.configuration),
-      servers: follow(kinds.servers),
-      versions: follow(kinds.versions),
-    };
-    this._admission = new RequestAdmission({
-      names: parts.names,
-      configuration: this._configuration,
-      clock,
-      random,
-      log: parts.log,
-      retryBound: {
-        ratio: settings.retryPercent / 100,
-        windowMilliseconds: settings.retryWindowMilliseconds,
-        slack: settings.retrySlack,
-      },
-      entries,
-      isLeaving: () => this._own.leaving,
-      isCurrent: () => this._followers.configuration.unreachableFor < STALE_MILLISECONDS,
-    });
+    this._followers = this._createFollowers(random);
+    this._admission = this._createAdmission(random);
     this._forward = {
       names: parts.names,
       pool: this._pool,
@@ -193,6 +181,33 @@
     }
   }
 
+  private _createFollowers(random: Random): Followers {
+    const { store, reader } = this._parts.platform;
+    const follow = (kind: string): KindFollower =>
+      new KindFollower({ kind, store, clock: this._clock, random, log: this._log });
+    const { configuration, servers, versions } = reader.kinds;
+    return { configuration: follow(configuration), servers: follow(servers), versions: follow(versions) };
+  }
+
+  private _createAdmission(random: Random): RequestAdmission {
+    const { retryPercent, retryWindowMilliseconds, retrySlack } = this._settings;
+    return new RequestAdmission({
+      names: this._parts.names,
+      configuration: this._configuration,
+      clock: this._clock,
+      random,
+      log: this._log,
+      retryBound: {
+        ratio: retryPercent / PERCENT,
+        windowMilliseconds: retryWindowMilliseconds,
+        slack: retrySlack,
+      },
+      entries: () => this._entries.count(),
+      isLeaving: () => this._own.leaving,
+      isCurrent: () => this._followers.configuration.unreachableFor < STALE_MILLISECONDS,
+    });
+  }
+
   private _follow(): void {
     const { configuration, servers, versions } = this._followers;
     configuration.on('change', () => this._onConfiguration());
@@ -231,9 +246,10 @@
   }
 
   /** Agents stand beside the backend servers of services that have a model engine. */
-  private _agents(): AgentAddress[] {
+  private _agents(service?: string): AgentAddress[] {
     const agents = new Map<string, AgentAddress>();
     for (const { record } of this._pool.all()) {
+      if (service !== undefined && record.service !== service) continue;
       if (!this._configuration.index?.service(record.service)?.engine) continue;
       const host = hostOf(record.address);
       const box = boxOfHost(host);
@@ -247,23 +263,20 @@
     this._links.announce();
   }
 
-  private _presence(_agent: AgentAddress): EntryPresence {
+  private _presence(agent: AgentAddress): EntryPresence {
     const services = [...(this._configuration.index?.services() ?? [])];
     const origin = services.find((service) => service.origin !== undefined)?.origin?.address ?? '';
+    const service = this._pool.serviceAt(hostOf(agent.address));
+    const models = services.find(({ name }) => name === service)?.engine?.models ?? [];
     return {
       type: 'entry-presence',
       entry: this._own,
-      wanted: this._gate.wanted(),
-      agents: this._agents(),
+      wanted: models.map((model) => this._gate.wanted(model)),
+      agents: this._agents(service),
       origin,
     };
   }
 
-  private _onStatus(agent: AgentAddress, status: BoxStatus): void {
-    this._entries.report(agent.box, status.entries);
-    this._pool.noteStatus(hostOf(agent.address), status);
-  }
-
   private _addGauges(): void {
     this._metrics.gauge('requests_running', () => this._running);
     this._metrics.gauge('caller_connections', () => this._callers.connections);
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -6,7 +6,7 @@
 import type { Random } from '../utils/random.js';
 import { CallerExchange, OWN_STATUS, passedHeaders } from './callerExchange.js';
 import type { ConfigurationHolder } from './configurationHolder.js';
-import type { AdmittedRequest } from './forwardedRequest.js';
+import type { AdmittedRequest } from './admittedRequest.js';
 import type { HeaderNames } from './headerNames.js';
 import type { RetryBound } from './retryAllowance.js';
 import { RetryAllowance } from './retryAllowance.js';
--- /dev/null
+++ b/src/serving/requestTrace.ts
@@ -0,0 +1,68 @@
+/** Log lines and counters of one request, from its first attempt to its end. */
+import type { EventLog } from '../telemetry/eventLog.js';
+import type { Clock } from '../utils/clock.js';
+import type { AdmittedRequest } from './admittedRequest.js';
+import type { CallFailure } from './backendCall.js';
+import type { ServingMetrics } from './servingMetrics.js';
+import type { TrackedServer } from './trackedServer.js';
+
+/** How a request ended. */
+export type RequestOutcome = 'answered' | 'refused' | 'failed' | 'cut' | 'caller-gone';
+
+export class RequestTrace {
+  private readonly _request: AdmittedRequest;
+  private readonly _log: EventLog;
+  private readonly _metrics: ServingMetrics;
+  private readonly _clock: Clock;
+  private readonly _startedAt: number;
+
+  constructor(request: AdmittedRequest, log: EventLog, metrics: ServingMetrics, clock: Clock) {
+    this._request = request;
+    this._log = log;
+    this._metrics = metrics;
+    this._clock = clock;
+    this._startedAt = clock.now();
+  }
+
+  sent(server: TrackedServer, attempt: number): void {
+    const now = this._clock.now();
+    this._log.decision('request.sent', {
+      request: this._id,
+      server: server.record.id,
+      attempt,
+      load: Math.round(server.load.estimate(now)),
+      version: server.version(this._request.model),
+      leftMilliseconds: Math.round(this._request.endsAt - now),
+    });
+  }
+
+  rejected(server: TrackedServer, status: number): void {
+    this._metrics.rejected(server.record.service);
+    this._log.decision('request.rejected', { request: this._id, server: server.record.id, status });
+  }
+
+  attemptFailed(server: TrackedServer, failure: CallFailure, waited: number): void {
+    const milliseconds = Math.round(waited);
+    this._log.decision('request.attempt-failed', {
+      request: this._id,
+      server: server.record.id,
+      ...failure,
+      milliseconds,
+    });
+  }
+
+  retried(): void {
+    this._metrics.retried(this._request.service);
+  }
+
+  ended(outcome: RequestOutcome, attempts: number, fields: Record<string, string | number | boolean>): void {
+    const milliseconds = Math.round(this._clock.now() - this._startedAt);
+    this._metrics.requestEnded(this._request.service, outcome, milliseconds);
+    const route = this._request.route.name;
+    this._log.decision(`request.${outcome}`, { request: this._id, route, attempts, milliseconds, ...fields });
+  }
+
+  private get _id(): string {
+    return this._request.exchange.requestId;
+  }
+}
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -73,6 +73,11 @@
     return [...this._servers.values()];
   }
 
+  /** The service of the backend server at `host`, '' when there is none. */
+  serviceAt(host: string): string {
+    return this.all().find(({ record }) => hostOf(record.address) === host)?.record.service ?? '';
+  }
+
   /** Takes the status of the agent at `host`. */
   noteStatus(host: string, status: BoxStatus): void {
     for (const server of this._servers.values()) {
--- a/src/serving/streamRelay.ts
+++ b/src/serving/streamRelay.ts
@@ -27,8 +27,8 @@
   }
 
   /** Milliseconds since the last bytes came. */
-  silentFor(now: number): number {
-    return now - this._heardAt;
+  silentFor(): number {
+    return performance.now() - this._heardAt;
   }
 
   /** Sends the head, unless that of an earlier server has been sent. */
--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -12,6 +12,8 @@
 
 /** Requests sent to an older version end this long before the bound, since they may wait before they begin. */
 const MARGIN_MILLISECONDS = 1_500;
+/** The version of a model before any other is named. */
+const FIRST_VERSION = 1;
 /** Versions of one model that are remembered. */
 const REMEMBERED = 16;
 
@@ -53,12 +55,14 @@
     return this._known.get(model)?.at(-1)?.version ?? 0;
   }
 
-  /** Newest versions of all models. */
-  wanted(): WantedVersion[] {
-    const now = this._clock.now();
-    return [...this._known].map(([model, known]) => {
-      const { version, knownAt } = known[known.length - 1];
-      return { model, version, knownMilliseconds: Math.max(0, now - knownAt) };
-    });
+  /** The version of a model that every backend server should come to. */
+  wanted(model: string): WantedVersion {
+    const newest = this._known.get(model)?.at(-1);
+    if (!newest) return { model, version: FIRST_VERSION, knownMilliseconds: this._bounds.switchMilliseconds };
+    return {
+      model,
+      version: newest.version,
+      knownMilliseconds: Math.max(0, this._clock.now() - newest.knownAt),
+    };
   }
 }
--- a/src/staging/chunkStager.ts
+++ b/src/staging/chunkStager.ts
@@ -17,6 +17,7 @@
   private readonly _laid = new Set<number>();
   private readonly _waiting: { chunk: number; data: Buffer }[] = [];
   private _laying = false;
+  private _open = false;
   private _stopped = false;
 
   constructor(backend: LocalBackend, model: string, index: ManifestIndex, log: EventLog) {
@@ -26,10 +27,16 @@
     this._log = log;
   }
 
-  /** Lays a chunk as soon as those before it are laid. */
+  /** Lays a chunk as soon as those before it are laid and the place is free. */
   add(chunk: number, data: Buffer): void {
     this._waiting.push({ chunk, data });
-    if (!this._laying) void this._layWaiting();
+    this._resume();
+  }
+
+  /** The place before the backend server holds one version at a time: it is free for this one from now on. */
+  open(): void {
+    this._open = true;
+    this._resume();
   }
 
   /** Lays nothing more. */
@@ -77,6 +84,10 @@
     return sha256Hex(bytes) === this._index.chunk(chunk).digest;
   }
 
+  private _resume(): void {
+    if (this._open && !this._laying) void this._layWaiting();
+  }
+
   private async _layWaiting(): Promise<void> {
     this._laying = true;
     for (let next = this._waiting.shift(); next && !this._stopped; next = this._waiting.shift()) {
--- a/src/staging/peerMessages.ts
+++ b/src/staging/peerMessages.ts
@@ -17,12 +17,9 @@
   private _wanted = new Set<string>();
 
   /** `onUp` is called for each box that has been connected. */
-  constructor(exchange: () => RolloutExchange | undefined, onUp: (box: string) => void) {
+  constructor(exchanges: () => RolloutExchange[], onUp: (box: string) => void) {
     this._onUp = onUp;
-    this._swarm = new SwarmMessageHandler(() => {
-      const current = exchange();
-      return current ? [current] : [];
-    });
+    this._swarm = new SwarmMessageHandler(exchanges);
   }
 
   /** Forgets boxes that no longer belong to the service. */
@@ -31,12 +28,9 @@
     for (const box of this._stages.keys()) if (!this._wanted.has(box)) this._stages.delete(box);
   }
 
-  /** Where the connected boxes stand on the way to `version`; one that has not heard of it is staging. */
+  /** Where the connected boxes stand on the way to `version`. */
   stages(version: number): SwitchPeer[] {
-    return [...this._stages].map(([box, known]) => ({
-      box,
-      stage: known.version >= version ? known.stage : 'staging',
-    }));
+    return [...this._stages].map(([box, known]) => ({ box, stage: stageTowards(version, known) }));
   }
 
   /** Replays what came before the exchange was there. */
@@ -62,3 +56,9 @@
     this._swarm.onPeerMessage(box, message);
   }
 }
+
+/** One that has not heard of the version is staging, one that is beyond it serves, unless it switches just now. */
+function stageTowards(version: number, known: KnownStage): SwitchStage {
+  if (known.stage === 'switching' || known.version === version) return known.stage;
+  return known.version > version ? 'serving' : 'staging';
+}
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -5,6 +5,7 @@
   AgentAddress,
   BoxStatus,
   EntryAddress,
+  EntryList,
   EntryPresence,
   SwitchState,
 } from '../protocol/boxMessages.js';
@@ -20,6 +21,7 @@
 import { placementHash } from '../utils/hash.js';
 import type { Random } from '../utils/random.js';
 import { SeededRandom } from '../utils/random.js';
+import { compareText } from '../utils/rendezvous.js';
 import { RateLimiter } from '../utils/rateLimiter.js';
 import { AgentPeers } from '../weights/agentPeers.js';
 import { ChunkStore } from '../weights/chunkStore.js';
@@ -29,6 +31,7 @@
 import type { LocalBackend } from './localBackend.js';
 import { ManifestReader } from './manifestReader.js';
 import { PeerMessages } from './peerMessages.js';
+import { StageQueue } from './stageQueue.js';
 import { VersionReconciler } from './versionReconciler.js';
 
 /** What an agent is built from beside its settings. */
@@ -53,6 +56,7 @@
   private readonly _log: EventLog;
   private readonly _peers: AgentPeers;
   private readonly _messages: PeerMessages;
+  private readonly _stages: StageQueue;
   private readonly _reconciler: VersionReconciler;
   private readonly _control: ControlServer;
   private readonly _chunks: ChunkServer;
@@ -61,6 +65,7 @@
   private _origin: Origin | undefined;
   private _originAddress = '';
   private _lastStatus = '';
+  private _lastEntries = '';
   private _lastState = '';
   private _statusTimer: NodeJS.Timeout | undefined;
 
@@ -70,17 +75,18 @@
     this._parts = parts;
     this._log = parts.log;
     this._messages = new PeerMessages(
-      () => this._reconciler.stage?.exchange,
+      () => this._stages.stages.map((stage) => stage.exchange),
       (box) => this._peers.send(box, this._switchState()),
     );
     this._peers = new AgentPeers(controlOptions(settings), random, parts.exchangeLogger, this._messages);
     const uploads = new UploadQueue(new RateLimiter(weightRate(settings)), STALL_MILLISECONDS, BLOCK_BYTES);
-    this._reconciler = this._createReconciler(random, uploads);
+    this._stages = this._createStages(random, uploads);
+    this._reconciler = this._createReconciler();
     this._chunks = new ChunkServer({
       sharedKey: settings.sharedKey,
       uploads,
-      chunk: (rollout, chunk) => this._stageOf(rollout)?.chunk(chunk),
-      manifest: (rollout) => this._stageOf(rollout)?.index.manifest,
+      chunk: (rollout, chunk) => this._stages.find(rollout)?.chunk(chunk),
+      manifest: (rollout) => this._stages.find(rollout)?.index.manifest,
     });
     this._control = new ControlServer(
       controlOptions(settings),
@@ -103,23 +109,22 @@
   async stop(): Promise<void> {
     clearInterval(this._statusTimer);
     this._reconciler.stop();
+    this._stages.close();
     this._peers.close();
     this._control.close();
     this._chunks.close();
     this._log.state('agent.stopped');
   }
 
-  private _stageOf(rollout: string): VersionReconciler['stage'] {
-    const { stage } = this._reconciler;
-    return stage?.exchange.rollout === rollout ? stage : undefined;
-  }
-
-  private _createReconciler(random: Random, uploads: UploadQueue): VersionReconciler {
-    const { settings, parts, clock } = { settings: this._settings, parts: this._parts, clock: this._clock };
+  private _createStages(random: Random, uploads: UploadQueue): StageQueue {
+    const { _settings: settings, _parts: parts, _clock: clock } = this;
     const token = httpToken(settings.sharedKey, settings.box);
-    return new VersionReconciler({
-      box: settings.box,
+    return new StageQueue({
       backend: parts.backend,
+      clock,
+      log: parts.log,
+      members: () => this._members,
+      onOpened: () => this._messages.replay(),
       manifests: new ManifestReader({
         origin: () => this._origin,
         peers: () => this._members.filter((member) => member.box !== settings.box),
@@ -143,7 +148,16 @@
         random,
         logger: parts.exchangeLogger,
       },
-      clock,
+    });
+  }
+
+  private _createReconciler(): VersionReconciler {
+    const { _settings: settings, _parts: parts } = this;
+    return new VersionReconciler({
+      box: settings.box,
+      backend: parts.backend,
+      stages: this._stages,
+      clock: this._clock,
       log: parts.log,
       versionMilliseconds: settings.versionMilliseconds,
       members: () => this._members,
@@ -157,19 +171,23 @@
     connection.on('message', (message) => this._onEntryMessage(connection, message));
     connection.once('close', () => {
       this._entries.delete(connection);
-      this._sendStatus();
+      this._sendEntries();
     });
     connection.start();
-    connection.send(this._status());
   }
 
   private _onEntryMessage(connection: ControlConnection, message: Message): void {
     if (message.type !== 'entry-presence') return;
+    const isNew = !this._entries.has(connection);
     this._entries.set(connection, message.entry);
+    this._sendEntries();
+    if (isNew) {
+      connection.send(this._entryList());
+      connection.send(this._status());
+    }
     this._takeOrigin(message.origin);
     this._takeAgents(message.agents);
     this._takeVersions(message);
-    this._sendStatus();
   }
 
   private _takeOrigin(address: string): void {
@@ -185,7 +203,7 @@
     const others = members.filter((member) => member.box !== this._settings.box);
     this._peers.want(others);
     this._messages.keep(others.map((member) => member.box));
-    this._reconciler.updateMembers();
+    this._stages.updateMembers();
   }
 
   private _memberOf(agent: AgentAddress): Member {
@@ -196,13 +214,12 @@
 
   private _takeVersions(presence: EntryPresence): void {
     for (const { model, version, knownMilliseconds } of presence.wanted) {
-      this._reconciler.want({ model, version, namedAt: this._clock.now() - knownMilliseconds });
+      this._stages.want({ model, version, namedAt: this._clock.now() - knownMilliseconds });
     }
   }
 
   /** Tells the other boxes and the entries when this box comes to another stage. */
   private _onStage(): void {
-    this._messages.replay();
     const state = this._switchState();
     const text = JSON.stringify(state);
     if (text === this._lastState) return;
@@ -212,30 +229,42 @@
   }
 
   private _switchState(): SwitchState {
-    const { target, switchStage } = this._reconciler;
-    return { type: 'switch-state', version: target?.version ?? 0, state: switchStage };
+    const { nextVersion, switchStage } = this._reconciler;
+    return { type: 'switch-state', version: nextVersion, state: switchStage };
   }
 
   private _status(): BoxStatus {
-    const { status, target, switchStage, servedVersion } = this._reconciler;
-    const state = switchStage === 'switching' ? 'switching' : servedVersion > 0 ? 'serving' : 'empty';
+    const { status, switchStage, servedVersion } = this._reconciler;
+    const serving = servedVersion > 0 ? 'serving' : 'empty';
     return {
       type: 'box-status',
-      state,
-      model: target?.model ?? '',
+      state: switchStage === 'switching' ? 'switching' : serving,
+      model: this._stages.model,
       version: servedVersion,
       running: status?.running ?? 0,
       queued: status?.queued ?? 0,
-      entries: [...this._entries.values()],
     };
   }
 
+  private _entryList(): EntryList {
+    const entries = [...this._entries.values()];
+    return { type: 'entry-list', entries: entries.sort((a, b) => compareText(a.box, b.box)) };
+  }
+
   private _sendStatus(): void {
-    const status = this._status();
-    const text = JSON.stringify(status);
-    if (text === this._lastStatus) return;
-    this._lastStatus = text;
-    for (const connection of this._entries.keys()) connection.send(status);
+    this._lastStatus = this._sendChanged(this._status(), this._lastStatus);
+  }
+
+  private _sendEntries(): void {
+    this._lastEntries = this._sendChanged(this._entryList(), this._lastEntries);
+  }
+
+  /** Sends a message to all entries unless it says what the last one said; returns its text. */
+  private _sendChanged(message: BoxStatus | EntryList, last: string): string {
+    const text = JSON.stringify(message);
+    if (text === last) return text;
+    for (const connection of this._entries.keys()) connection.send(message);
+    return text;
   }
 }
 
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -66,6 +66,16 @@
     return this.exchange.complete;
   }
 
+  /** Part of the chunks that are here, from 0 to 1. */
+  get heldShare(): number {
+    return this.exchange.held.count / this.index.chunkCount;
+  }
+
+  /** Lets the chunks lie before the backend server from now on. */
+  openStaging(): void {
+    this._stager.open();
+  }
+
   /** Opens the exchange; `adopt` takes over what lies staged from an earlier life of this process. */
   async start(adopt: boolean): Promise<void> {
     this.exchange.start();
