Choose among a few drawn servers, and move streams off a switching one

Ruled out: full batches (4.5 of 16 places taken at the time), processor (0.07 cores an entry), the link (others on it were in time). Now the best of four is taken, prompts not read yet count, and a load that changed by two is told at once. Streams that keep a server from its next version for 500 ms are resumed elsewhere.

--- a/src/agent/agentDaemon.ts
+++ b/src/agent/agentDaemon.ts
@@ -46,6 +46,8 @@
 
 /** Longer than an entry can be cut off before it sends nothing more that may run once only. */
 const STALE_ENTRY_MILLISECONDS = 15_000;
+/** Enough to keep the incoming link busy while some wait in a queue. */
+const FETCHES_AT_ONCE = 8;
 const HEALTH_INTERVAL_MILLISECONDS = 1_000;
 const DRAIN_POLL_MILLISECONDS = 20;
 /** How long a leaving box waits for its part of the ledger to be taken over. */
@@ -114,6 +116,7 @@
         bounds: {
           stallMilliseconds: settings.stallMilliseconds,
           incoming: new RateLimiter(settings.weightBytesPerSecond),
+          fetchesAtOnce: FETCHES_AT_ONCE,
         },
         clock,
         random,
--- a/src/serving/answerJudgement.ts
+++ b/src/serving/answerJudgement.ts
@@ -39,20 +39,29 @@
 /** Pause of a begun stream, or of a server that has streams to send, after which streams are resumed elsewhere. */
 const STREAM_SILENCE_MILLISECONDS = 900;
 
+/** Streams that keep a server from its next version for so long are resumed elsewhere. */
+const SWITCHING_PATIENCE_MILLISECONDS = 500;
+
 /** How an attempt stands; times in milliseconds. */
-export interface AttemptSilence {
+export interface AttemptProgress {
   /** Since the attempt began. */
   waited: number;
   objective: number;
   /** Since the server sent anything for any stream. */
   serverSilentFor: number;
   stream: boolean;
+  /** For which the server has been between two versions, and waits for its streams to end; 0 when it is not. */
+  serverSwitchingFor: number;
   /** Since this stream's last bytes; undefined before its head. */
   streamSilentFor: number | undefined;
 }
 
 /** Whether the attempt should be given up for another server. */
-export function isSilent(attempt: AttemptSilence): boolean {
+export function shouldMove(attempt: AttemptProgress): boolean {
+  return attempt.serverSwitchingFor > SWITCHING_PATIENCE_MILLISECONDS || isSilent(attempt);
+}
+
+function isSilent(attempt: AttemptProgress): boolean {
   if (!attempt.stream) {
     return attempt.waited > Math.max(LEAST_PATIENCE_MILLISECONDS, attempt.objective * PATIENCE_OBJECTIVES);
   }
--- a/src/serving/backendCall.ts
+++ b/src/serving/backendCall.ts
@@ -68,6 +68,7 @@
     const giveBack = (reusable: boolean): void => server.connections.release(client, reusable);
     const call = new BackendCall(server, client, giveBack, listener);
     server.load.outstanding++;
+    server.noteSent();
     call._dispatch(request);
     return call;
   }
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -7,7 +7,7 @@
 import { OWN_STATUS } from './callerExchange.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { PartialAnswer } from './answerJudgement.js';
-import { isSilent, judgeAnswer } from './answerJudgement.js';
+import { judgeAnswer, shouldMove } from './answerJudgement.js';
 import type { HeaderNames } from './headerNames.js';
 import type { RequestOutcome } from './requestTrace.js';
 import { RequestTrace } from './requestTrace.js';
@@ -235,19 +235,22 @@
     const call = this._call;
     if (!call) return;
     const waited = this._services.clock.now() - this._attemptStartedAt;
-    const silent = isSilent({
+    const { server } = call;
+    const { switchingFor } = server;
+    const moves = shouldMove({
       waited,
       objective: this._request.route.objectiveMilliseconds,
-      serverSilentFor: call.server.silentFor,
+      serverSilentFor: server.silentFor,
+      serverSwitchingFor: switchingFor,
       stream: this._relay !== undefined,
       streamSilentFor: this._answer && this._relay?.begun ? this._relay.silentFor() : undefined,
     });
-    if (!silent || !this._mayTryAgain()) return;
-    const { server } = call;
+    if (!moves || !this._mayTryAgain()) return;
     this._leave('silent');
     this._mayHaveRun = true;
-    server.health.note('silent');
-    this._trace.attemptFailed(server, { sent: true, reason: 'silent' }, waited);
+    if (switchingFor === 0) server.health.note('silent');
+    const reason = switchingFor === 0 ? 'silent' : 'switching';
+    this._trace.attemptFailed(server, { sent: true, reason }, waited);
     this._attempt();
   }
 
@@ -308,7 +311,7 @@
     this._ended = true;
     clearTimeout(this._deadlineTimer);
     clearInterval(this._watchTimer);
-    this._trace.ended(outcome, this._attempts, fields);
+    this._trace.ended(outcome, this._attempts, fields, this._relay);
     this._done();
   }
 }
--- a/src/serving/requestTrace.ts
+++ b/src/serving/requestTrace.ts
@@ -4,6 +4,7 @@
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { CallFailure } from './backendCall.js';
 import type { ServingMetrics } from './servingMetrics.js';
+import type { StreamRelay } from './streamRelay.js';
 import type { TrackedServer } from './trackedServer.js';
 
 /** How a request ended. */
@@ -55,11 +56,25 @@
     this._metrics.retried(this._request.service);
   }
 
-  ended(outcome: RequestOutcome, attempts: number, fields: Record<string, string | number | boolean>): void {
+  ended(
+    outcome: RequestOutcome,
+    attempts: number,
+    fields: Record<string, string | number | boolean>,
+    stream: StreamRelay | undefined,
+  ): void {
     const milliseconds = Math.round(this._clock.now() - this._startedAt);
     this._metrics.requestEnded(this._request.service, outcome, milliseconds);
     const route = this._request.route.name;
-    this._log.decision(`request.${outcome}`, { request: this._id, route, attempts, milliseconds, ...fields });
+    const firstAt = stream?.firstAt ?? 0;
+    this._log.decision(`request.${outcome}`, {
+      request: this._id,
+      route,
+      attempts,
+      milliseconds,
+      firstMilliseconds: firstAt > 0 ? Math.round(firstAt - this._startedAt) : undefined,
+      pauseMilliseconds: stream ? Math.round(stream.longestPause) : undefined,
+      ...fields,
+    });
   }
 
   private get _id(): string {
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -1,5 +1,6 @@
 /** Chooses the backend server for a request: the lowest expected cost. Pure but for randomness. */
 import type { Random } from '../utils/random.js';
+import { shuffled } from '../utils/random.js';
 
 /** A backend server as a choice sees it. */
 export interface Candidate {
@@ -8,6 +9,8 @@
   slots: number;
   /** Requests on the server, running or queued, over all entries. */
   load: number;
+  /** Prompts on the server that it has yet to read. */
+  unread: number;
   /** Part of recent attempts that failed, from 0 to 1. */
   failureRate: number;
   /** Whether to use it only when there is no other. */
@@ -18,6 +21,8 @@
 export interface ServiceCost {
   /** Mean time that a request holds a slot, in milliseconds. */
   serviceMilliseconds: number;
+  /** Mean time that a server needs to read a prompt, in milliseconds; 0 where there are none. */
+  readMilliseconds: number;
 }
 
 /** What another hall costs: the way there and back, and bytes between halls. */
@@ -28,31 +33,51 @@
 const USUAL_FAILURE_RATE = 0.12;
 /** How much slower a full batch is than an empty one, in parts of the service time. */
 const BATCH_SLOWDOWN = 0.25;
-/** Servers whose costs differ by less count as equal. */
-const EQUAL_MILLISECONDS = 5;
+/** Servers that are compared, and how many of them stand in the own hall. */
+const DRAWN = 4;
+const NEAR_DRAWN = 3;
 
 /** Expected cost of sending a request to `candidate`, in milliseconds. */
 export function expectedCost(candidate: Candidate, service: ServiceCost): number {
-  const { serviceMilliseconds } = service;
+  const { serviceMilliseconds, readMilliseconds } = service;
   const filled = Math.min(1, candidate.load / candidate.slots);
   const ahead = Math.max(0, candidate.load + 1 - candidate.slots);
   const waiting = (ahead / candidate.slots) * serviceMilliseconds;
   const failing = Math.max(0, candidate.failureRate - USUAL_FAILURE_RATE) * FAILURE_MILLISECONDS;
   const distance = candidate.sameHall ? 0 : OTHER_HALL_MILLISECONDS;
-  return filled * BATCH_SLOWDOWN * serviceMilliseconds + waiting + failing + distance;
+  const reading = candidate.unread * readMilliseconds;
+  return filled * BATCH_SLOWDOWN * serviceMilliseconds + reading + waiting + failing + distance;
 }
 
-/** The candidate of lowest cost; avoided ones only when there is no other. */
+/**
+ * The best of a few candidates drawn at random. All entries decide on the same news, which lags: if each took the best
+ * of all, all would take the same one.
+ */
 export function chooseServer<T extends Candidate>(
   candidates: readonly T[],
   service: ServiceCost,
   random: Random,
 ): T | undefined {
-  const usable = candidates.filter((candidate) => !candidate.avoided);
+  const fit = candidates.filter((candidate) => !candidate.avoided);
+  const usable = fit.length > 0 ? fit : candidates;
+  const near = shuffled(
+    usable.filter((candidate) => candidate.sameHall),
+    random,
+  );
+  const far = shuffled(
+    usable.filter((candidate) => !candidate.sameHall),
+    random,
+  );
+  const nearDrawn = near.slice(0, Math.max(NEAR_DRAWN, DRAWN - far.length));
+  const drawn = [...nearDrawn, ...far.slice(0, DRAWN - nearDrawn.length)];
+  return cheapest(drawn, service);
+}
+
+function cheapest<T extends Candidate>(candidates: readonly T[], service: ServiceCost): T | undefined {
   let best: T | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
-  for (const candidate of usable.length > 0 ? usable : candidates) {
-    const cost = expectedCost(candidate, service) + random.fraction() * EQUAL_MILLISECONDS;
+  for (const candidate of candidates) {
+    const cost = expectedCost(candidate, service);
     if (cost >= bestCost) continue;
     best = candidate;
     bestCost = cost;
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -141,6 +141,7 @@
       sameHall: record.hall === this._options.hall,
       slots: Math.max(1, record.slots),
       load: load.estimate(this._options.clock.now()),
+      unread: server.unread,
       failureRate: health.failureRate,
       avoided: health.avoided || server.suspicious,
     };
@@ -148,9 +149,10 @@
 
   private _cost(service: string): ServiceCost {
     const engine = this._options.service(service)?.engine;
-    if (!engine) return { serviceMilliseconds: PLAIN_SERVICE_MILLISECONDS };
+    if (!engine) return { serviceMilliseconds: PLAIN_SERVICE_MILLISECONDS, readMilliseconds: 0 };
     const reading = engine.usualPromptTokens / (engine.readTokensPerSecond / 1000);
-    return { serviceMilliseconds: reading + engine.usualAnswerTokens * engine.stepMilliseconds };
+    const writing = engine.usualAnswerTokens * engine.stepMilliseconds;
+    return { serviceMilliseconds: reading + writing, readMilliseconds: reading };
   }
 
   private _fullest(service: string): number {
--- a/src/serving/streamRelay.ts
+++ b/src/serving/streamRelay.ts
@@ -10,6 +10,8 @@
   private _lastEventId: string;
   private _begun = false;
   private _heardAt = 0;
+  private _firstAt = 0;
+  private _longestPause = 0;
 
   /** `lastEventId` is the last event that the caller has seen, '' for none. */
   constructor(exchange: CallerExchange, lastEventId: string) {
@@ -26,6 +28,16 @@
     return this._lastEventId;
   }
 
+  /** Monotonic milliseconds at which the first event came, 0 before. */
+  get firstAt(): number {
+    return this._firstAt;
+  }
+
+  /** Longest time between bytes after the first event, in milliseconds. */
+  get longestPause(): number {
+    return this._longestPause;
+  }
+
   /** Milliseconds since the last bytes came. */
   silentFor(): number {
     return performance.now() - this._heardAt;
@@ -33,15 +45,18 @@
 
   /** Sends the head, unless that of an earlier server has been sent. */
   begin(status: number, headers: AnswerHeaders): void {
-    this._heardAt = performance.now();
     if (this._begun) return;
+    this._heardAt = performance.now();
     this._begun = true;
     this._exchange.begin(status, headers);
   }
 
   /** Passes whole events on; false when the caller reads too slowly. */
   push(bytes: Buffer): boolean {
-    this._heardAt = performance.now();
+    const now = performance.now();
+    if (this._firstAt > 0) this._longestPause = Math.max(this._longestPause, now - this._heardAt);
+    else this._firstAt = now;
+    this._heardAt = now;
     let flows = true;
     for (const event of this._splitter.push(bytes)) {
       if (event.id !== undefined) {
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -9,6 +9,10 @@
 /** Silence of a server that has requests to answer, after which nothing new is sent. */
 const SUSPICIOUS_SILENCE_MILLISECONDS = 500;
 const STATUS_LIFETIME_MILLISECONDS = 2_000;
+/** Time in which a server reads a prompt, at the most, and in which half of those that waited have been read. */
+const UNREAD_MILLISECONDS = 250;
+const UNREAD_HALF_LIFE_MILLISECONDS = 120;
+const REMEMBERED_SENDS = 32;
 
 export class TrackedServer {
   record: BackendServerRecord;
@@ -19,8 +23,10 @@
   private readonly _versions = new Map<string, number>();
   private _status: BoxStatus | undefined;
   private _statusAt = Number.NEGATIVE_INFINITY;
+  private _switchingSince = 0;
   private _heardAt = 0;
   private _streams = 0;
+  private readonly _sentAt: number[] = [];
 
   constructor(record: BackendServerRecord, connections: BackendConnections, clock: Clock) {
     this.record = record;
@@ -38,12 +44,29 @@
 
   /** Takes what the agent beside the server says. */
   noteStatus(status: BoxStatus): void {
+    if (status.state === 'switching' && this._status?.state !== 'switching')
+      this._switchingSince = this._clock.now();
     this._status = status;
     this._statusAt = this._clock.now();
     if (status.state !== 'empty') this.noteVersion(status.model, status.version);
     this.load.report(status.running + status.queued, this._clock.now());
   }
 
+  /** This process sent a request to the server. */
+  noteSent(): void {
+    this._sentAt.push(this._clock.now());
+    if (this._sentAt.length > REMEMBERED_SENDS) this._sentAt.shift();
+  }
+
+  /** Requests on the server that have brought no event yet: as last told, and those sent by this process since. */
+  get unread(): number {
+    const now = this._clock.now();
+    const told =
+      (this._status?.queued ?? 0) * 0.5 ** ((now - this._statusAt) / UNREAD_HALF_LIFE_MILLISECONDS);
+    const from = Math.max(this._statusAt, now - UNREAD_MILLISECONDS);
+    return told + this._sentAt.filter((at) => at > from).length;
+  }
+
   /** Versions only rise within one life of a server. */
   noteVersion(model: string, version: number): void {
     this._versions.set(model, Math.max(version, this._versions.get(model) ?? 0));
@@ -60,6 +83,11 @@
     return fresh && this._status?.state === 'switching';
   }
 
+  /** Milliseconds for which the server has been between two versions, 0 when it is not. */
+  get switchingFor(): number {
+    return this.switching ? this._clock.now() - this._switchingSince : 0;
+  }
+
   /** A stream began or ended on the server. */
   streamBegan(): void {
     if (this._streams === 0) this._heardAt = this._clock.now();
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -43,10 +43,14 @@
   exchangeLogger: Logger;
 }
 
+/** Few, so that requests to the backend server find the incoming link free. */
+const FETCHES_AT_ONCE = 3;
 const STALL_MILLISECONDS = 1_500;
 /** Written at a time, so that an event of a stream waits some tens of milliseconds at most. */
 const BLOCK_BYTES = 8 * 1024;
 const STATUS_INTERVAL_MILLISECONDS = 250;
+/** Requests by which the load has to change to be told at once. */
+const LOAD_STEP = 2;
 const BITS_PER_BYTE = 8;
 
 export class StagingDaemon {
@@ -65,6 +69,7 @@
   private _origin: Origin | undefined;
   private _originAddress = '';
   private _lastStatus = '';
+  private _lastLoad = 0;
   private _lastEntries = '';
   private _lastState = '';
   private _statusTimer: NodeJS.Timeout | undefined;
@@ -143,7 +148,11 @@
           read: async (range, signal) => await this._origin!.read(range, signal),
         },
         uploads,
-        bounds: { stallMilliseconds: STALL_MILLISECONDS, incoming: new RateLimiter(weightRate(settings)) },
+        bounds: {
+          stallMilliseconds: STALL_MILLISECONDS,
+          incoming: new RateLimiter(weightRate(settings)),
+          fetchesAtOnce: FETCHES_AT_ONCE,
+        },
         clock,
         random,
         logger: parts.exchangeLogger,
@@ -220,6 +229,7 @@
 
   /** Tells the other boxes and the entries when this box comes to another stage. */
   private _onStage(): void {
+    this._sendLoadChange();
     const state = this._switchState();
     const text = JSON.stringify(state);
     if (text === this._lastState) return;
@@ -228,6 +238,13 @@
     this._sendStatus();
   }
 
+  /** A load that has changed much is told at once. */
+  private _sendLoadChange(): void {
+    const { status } = this._reconciler;
+    const load = (status?.running ?? 0) + (status?.queued ?? 0);
+    if (Math.abs(load - this._lastLoad) >= LOAD_STEP) this._sendStatus();
+  }
+
   private _switchState(): SwitchState {
     const { nextVersion, switchStage } = this._reconciler;
     return { type: 'switch-state', version: nextVersion, state: switchStage };
@@ -252,7 +269,9 @@
   }
 
   private _sendStatus(): void {
-    this._lastStatus = this._sendChanged(this._status(), this._lastStatus);
+    const status = this._status();
+    this._lastLoad = status.running + status.queued;
+    this._lastStatus = this._sendChanged(status, this._lastStatus);
   }
 
   private _sendEntries(): void {
--- a/src/staging/switchTurn.ts
+++ b/src/staging/switchTurn.ts
@@ -21,9 +21,9 @@
 }
 
 /** Part of the boxes that may switch at the same time. */
-const SWITCHING_SHARE = 0.4;
+const SWITCHING_SHARE = 0.34;
 /** A box that switches this late still makes it. */
-const LAST_CALL_MILLISECONDS = 2_700;
+const LAST_CALL_MILLISECONDS = 1_900;
 
 /** Whether `box`, which has everything staged, may begin to switch. */
 export function maySwitch(situation: SwitchSituation): boolean {
--- a/src/weights/chunkSource.ts
+++ b/src/weights/chunkSource.ts
@@ -13,6 +13,8 @@
   stallMilliseconds: number;
   /** Paces the box's incoming link. */
   incoming: RateLimiter;
+  /** Fetches from peers under way at the same time; what they ask for queues on the incoming link. */
+  fetchesAtOnce: number;
 }
 
 /**
--- a/src/weights/peerFetcher.ts
+++ b/src/weights/peerFetcher.ts
@@ -31,8 +31,6 @@
   store: (chunk: number, data: Buffer, crossHall: boolean) => void;
 }
 
-/** Fetches under way at the same time; enough to keep the incoming link busy while some wait in a queue. */
-const FETCHES_AT_ONCE = 8;
 /** How long to wait before looking again when there is nothing to fetch. */
 const IDLE_RETRY_MILLISECONDS = 25;
 const BUSY_PEER_MILLISECONDS = 40;
@@ -65,7 +63,7 @@
 
   private _mayFetch(): boolean {
     const { isComplete, signal } = this._options;
-    return this._fetching < FETCHES_AT_ONCE && !isComplete() && !signal.aborted;
+    return this._fetching < this._options.bounds.fetchesAtOnce && !isComplete() && !signal.aborted;
   }
 
   private _retryWhenIdle(): void {
--- a/tests/serviceHost.spec.ts
+++ b/tests/serviceHost.spec.ts
@@ -78,7 +78,7 @@
       client: new PeerChunkClient('token'),
       origin,
       uploads: new UploadQueue(new RateLimiter(0), 500),
-      bounds: { stallMilliseconds: 500, incoming: new RateLimiter(0) },
+      bounds: { stallMilliseconds: 500, incoming: new RateLimiter(0), fetchesAtOnce: 8 },
       clock: new SystemClock(),
       random,
       logger,
