--- a/src/serving/answerJudgement.ts
+++ b/src/serving/answerJudgement.ts
@@ -39,8 +39,18 @@
 /** Pause of a begun stream, or of a server that has streams to send, after which streams are resumed elsewhere. */
 const STREAM_SILENCE_MILLISECONDS = 900;
 
-/** Streams that keep a server from its next version for so long are resumed elsewhere. */
-const SWITCHING_PATIENCE_MILLISECONDS = 500;
+/**
+ * Streams that keep a server from its next version are resumed elsewhere after a time drawn from this range, so that
+ * they do not all meet on the others at once.
+ */
+const LEAST_SWITCHING_PATIENCE_MILLISECONDS = 300;
+const MOST_SWITCHING_PATIENCE_MILLISECONDS = 900;
+
+/** How long a stream may keep a server from its next version; `fraction` is a random number from 0 up to 1. */
+export function switchingPatience(fraction: number): number {
+  const range = MOST_SWITCHING_PATIENCE_MILLISECONDS - LEAST_SWITCHING_PATIENCE_MILLISECONDS;
+  return LEAST_SWITCHING_PATIENCE_MILLISECONDS + fraction * range;
+}
 
 /** How an attempt stands; times in milliseconds. */
 export interface AttemptProgress {
@@ -52,13 +62,15 @@
   stream: boolean;
   /** For which the server has been between two versions, and waits for its streams to end; 0 when it is not. */
   serverSwitchingFor: number;
+  /** See {@link switchingPatience}. */
+  switchingPatience: number;
   /** Since this stream's last bytes; undefined before its head. */
   streamSilentFor: number | undefined;
 }
 
 /** Whether the attempt should be given up for another server. */
 export function shouldMove(attempt: AttemptProgress): boolean {
-  return attempt.serverSwitchingFor > SWITCHING_PATIENCE_MILLISECONDS || isSilent(attempt);
+  return attempt.serverSwitchingFor > attempt.switchingPatience || isSilent(attempt);
 }
 
 function isSilent(attempt: AttemptProgress): boolean {
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -2,12 +2,13 @@
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { ServingMetrics } from './servingMetrics.js';
 import type { Clock } from '../utils/clock.js';
+import type { Random } from '../utils/random.js';
 import type { AnswerHeaders, BackendRequest, CallFailure } from './backendCall.js';
 import { BackendCall } from './backendCall.js';
 import { OWN_STATUS } from './callerExchange.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { PartialAnswer } from './answerJudgement.js';
-import { judgeAnswer, shouldMove } from './answerJudgement.js';
+import { judgeAnswer, shouldMove, switchingPatience } from './answerJudgement.js';
 import type { HeaderNames } from './headerNames.js';
 import type { RequestOutcome } from './requestTrace.js';
 import { RequestTrace } from './requestTrace.js';
@@ -22,6 +23,7 @@
   pool: ServerPool;
   gate: VersionGate;
   clock: Clock;
+  random: Random;
   log: EventLog;
   metrics: ServingMetrics;
 }
@@ -42,6 +44,7 @@
   private readonly _trace: RequestTrace;
   private readonly _relay: StreamRelay | undefined;
   private readonly _tried = new Set<string>();
+  private readonly _switchingPatience: number;
   private readonly _done: () => void;
   private _call: BackendCall | undefined;
   private _answer: PartialAnswer | undefined;
@@ -49,7 +52,6 @@
   private _unreachable = 0;
   /** Whether the request may have run somewhere. */
   private _mayHaveRun = false;
-  private _rejected = false;
   private _ended = false;
   private _attemptStartedAt = 0;
   private _deadlineTimer: NodeJS.Timeout | undefined;
@@ -60,6 +62,7 @@
     this._services = services;
     this._request = request;
     this._done = done;
+    this._switchingPatience = switchingPatience(services.random.fraction());
     this._trace = new RequestTrace(request, services.log, services.metrics, services.clock);
     if (request.route.kind === 'stream') this._relay = new StreamRelay(request.exchange, request.lastEventId);
   }
@@ -189,7 +192,6 @@
   /** The server says that the request has not run. */
   private _onRejected(server: TrackedServer, status: number): void {
     server.health.note('rejected');
-    this._rejected = true;
     this._trace.rejected(server, status);
     if (this._mayTryAgain()) return this._attempt();
     this._giveUp('all-busy');
@@ -242,6 +244,7 @@
       objective: this._request.route.objectiveMilliseconds,
       serverSilentFor: server.silentFor,
       serverSwitchingFor: switchingFor,
+      switchingPatience: this._switchingPatience,
       stream: this._relay !== undefined,
       streamSilentFor: this._answer && this._relay?.begun ? this._relay.silentFor() : undefined,
     });
@@ -294,11 +297,7 @@
 
   private _refuse(status: number, reason: string, retryAfterMilliseconds?: number): void {
     this._request.exchange.refuse(status, reason, retryAfterMilliseconds);
-    this._end(status === OWN_STATUS.notRun ? 'refused' : 'failed', {
-      status,
-      reason,
-      rejected: this._rejected,
-    });
+    this._end(status === OWN_STATUS.notRun ? 'refused' : 'failed', { status, reason });
   }
 
   private _cut(reason: string): void {
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -118,6 +118,7 @@
       pool: this._pool,
       gate: this._gate,
       clock,
+      random,
       log: parts.log,
       metrics: this._metrics,
     };
--- a/src/staging/peerMessages.ts
+++ b/src/staging/peerMessages.ts
@@ -1,5 +1,6 @@
 /** Hands messages of other agents to the exchange, and remembers where each box stands on the way to a version. */
 import type { Message } from '../protocol/message.js';
+import type { Clock } from '../utils/clock.js';
 import type { AgentPeersListener } from '../weights/agentPeers.js';
 import type { RolloutExchange } from '../weights/rolloutExchange.js';
 import { SwarmMessageHandler } from '../weights/swarmMessageHandler.js';
@@ -8,16 +9,19 @@
 interface KnownStage {
   version: number;
   stage: SwitchStage;
+  since: number;
 }
 
 export class PeerMessages implements AgentPeersListener {
   private readonly _swarm: SwarmMessageHandler;
   private readonly _stages = new Map<string, KnownStage>();
+  private readonly _clock: Clock;
   private readonly _onUp: (box: string) => void;
   private _wanted = new Set<string>();
 
   /** `onUp` is called for each box that has been connected. */
-  constructor(exchanges: () => RolloutExchange[], onUp: (box: string) => void) {
+  constructor(exchanges: () => RolloutExchange[], clock: Clock, onUp: (box: string) => void) {
+    this._clock = clock;
     this._onUp = onUp;
     this._swarm = new SwarmMessageHandler(exchanges);
   }
@@ -30,7 +34,12 @@
 
   /** Where the connected boxes stand on the way to `version`. */
   stages(version: number): SwitchPeer[] {
-    return [...this._stages].map(([box, known]) => ({ box, stage: stageTowards(version, known) }));
+    const now = this._clock.now();
+    return [...this._stages].map(([box, known]) => ({
+      box,
+      stage: stageTowards(version, known),
+      stageMilliseconds: now - known.since,
+    }));
   }
 
   /** Replays what came before the exchange was there. */
@@ -50,7 +59,7 @@
 
   onPeerMessage(box: string, message: Message): void {
     if (message.type === 'switch-state') {
-      this._stages.set(box, { version: message.version, stage: message.state });
+      this._stages.set(box, { version: message.version, stage: message.state, since: this._clock.now() });
       return;
     }
     this._swarm.onPeerMessage(box, message);
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -81,6 +81,7 @@
     this._log = parts.log;
     this._messages = new PeerMessages(
       () => this._stages.stages.map((stage) => stage.exchange),
+      this._clock,
       (box) => this._peers.send(box, this._switchState()),
     );
     this._peers = new AgentPeers(controlOptions(settings), random, parts.exchangeLogger, this._messages);
--- a/src/staging/switchTurn.ts
+++ b/src/staging/switchTurn.ts
@@ -7,6 +7,8 @@
 export interface SwitchPeer {
   box: string;
   stage: SwitchStage;
+  /** Milliseconds for which it has been at this stage. */
+  stageMilliseconds: number;
 }
 
 /** What a turn depends on. */
@@ -24,14 +26,23 @@
 const SWITCHING_SHARE = 0.34;
 /** A box that switches this late still makes it. */
 const LAST_CALL_MILLISECONDS = 1_900;
+/** Longest time between two boxes that begin to switch. */
+const LONGEST_GAP_MILLISECONDS = 250;
 
-/** Whether `box`, which has everything staged, may begin to switch. */
+/**
+ * Whether `box`, which has everything staged, may begin to switch. Boxes begin one after the other, since the streams
+ * that they hand over would otherwise meet on the others all at once; the gap is what the time left allows.
+ */
 export function maySwitch(situation: SwitchSituation): boolean {
   const { box, peers, order, leftMilliseconds } = situation;
-  if (leftMilliseconds < LAST_CALL_MILLISECONDS) return true;
+  const spare = leftMilliseconds - LAST_CALL_MILLISECONDS;
+  if (spare <= 0) return true;
+  const switching = peers.filter((peer) => peer.stage === 'switching');
   const places = Math.max(1, Math.floor((peers.length + 1) * SWITCHING_SHARE));
-  const switching = peers.filter((peer) => peer.stage === 'switching').length;
+  if (switching.length >= places) return false;
   const rank = order.indexOf(box);
-  const before = peers.filter((peer) => peer.stage === 'staged' && order.indexOf(peer.box) < rank).length;
-  return switching + before < places;
+  if (peers.some((peer) => peer.stage === 'staged' && order.indexOf(peer.box) < rank)) return false;
+  const waiting = peers.filter((peer) => peer.stage === 'staged' || peer.stage === 'staging').length + 1;
+  const gap = Math.min(LONGEST_GAP_MILLISECONDS, spare / waiting);
+  return switching.every((peer) => peer.stageMilliseconds >= gap);
 }
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -92,7 +92,8 @@
         this._options.log.decision('backend.unreachable', { reason: errorText(error) });
         await pause(RETRY_MILLISECONDS, this._stopped.signal);
       }
-      const wait = this._switchingTo > 0 ? SWITCHING_POLL_MILLISECONDS : POLL_MILLISECONDS;
+      const isNear = this._switchingTo > 0 || this._next?.complete === true;
+      const wait = isNear ? SWITCHING_POLL_MILLISECONDS : POLL_MILLISECONDS;
       await pause(wait, this._stopped.signal);
     }
   }
--- /dev/null
+++ b/standins/platformStoreStandin.ts
@@ -0,0 +1,109 @@
+/** A stand-in for the platform's metadata store: objects by kind and name, lists in pages, watches. */
+import type http from 'node:http';
+import { StandinServer, sendJsonAnswer } from './standinServer.js';
+import type { StandinRequest } from './standinServer.js';
+
+/** What the store can be told to do wrong. */
+export interface PlatformStoreFaults {
+  /** Answers every call with this status. */
+  status?: number;
+  /** Never answers. */
+  silent?: boolean;
+  /** Answers with something that is no JSON. */
+  garbled?: boolean;
+}
+
+interface HeldObject {
+  kind: string;
+  name: string;
+  revision: number;
+  spec: unknown;
+  gone: boolean;
+}
+
+const PAGE = 2;
+const LIST = /^\/objects\/([^/]+)$/;
+
+export class PlatformStoreStandin extends StandinServer<PlatformStoreFaults> {
+  /** Calls that were made, as `METHOD path?query`. */
+  readonly calls: string[] = [];
+  private readonly _objects: HeldObject[] = [];
+  private readonly _watchers = new Set<() => void>();
+  private _revision = 0;
+  private _forgottenUpTo = 0;
+
+  constructor() {
+    super({});
+  }
+
+  /** Creates or replaces an object. */
+  put(kind: string, name: string, spec: unknown): void {
+    this._change({ kind, name, spec, gone: false });
+  }
+
+  remove(kind: string, name: string): void {
+    this._change({ kind, name, spec: null, gone: true });
+  }
+
+  /** Forgets what changed so far, so that older watches are answered with 410. */
+  forgetHistory(): void {
+    this._forgottenUpTo = this._revision;
+  }
+
+  protected async handle(request: StandinRequest): Promise<void> {
+    const { url, response, method } = request;
+    this.calls.push(`${method} ${url.pathname}${url.search}`);
+    if (this.faults.silent) return;
+    if (this.faults.status) return sendJsonAnswer(response, this.faults.status, {});
+    if (this.faults.garbled) return void response.writeHead(200).end('<html>');
+    const kind = LIST.exec(url.pathname)?.[1] ?? '';
+    const watch = url.searchParams.get('watch');
+    if (watch === null) this._list(kind, url.searchParams.get('since_rev') ?? '', response);
+    else await this._watch(kind, Number(watch), Number(url.searchParams.get('wait_ms')), response);
+  }
+
+  private _change(change: Omit<HeldObject, 'revision'>): void {
+    const known = this._objects.findIndex(({ kind, name }) => kind === change.kind && name === change.name);
+    if (known >= 0) this._objects.splice(known, 1);
+    this._revision++;
+    this._objects.push({ ...change, revision: this._revision });
+    for (const wake of this._watchers) wake();
+  }
+
+  private _list(kind: string, after: string, response: http.ServerResponse): void {
+    const all = this._objects.filter((object) => object.kind === kind && !object.gone);
+    const later = all.sort((a, b) => (a.name < b.name ? -1 : 1)).filter((object) => object.name > after);
+    const entries = later.slice(0, PAGE).map(toWire);
+    sendJsonAnswer(response, 200, { entries, more: later.length > PAGE, at: this._revision });
+  }
+
+  private async _watch(
+    kind: string,
+    after: number,
+    wait: number,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    if (after < this._forgottenUpTo) return sendJsonAnswer(response, 410, {});
+    const changes = (): HeldObject[] =>
+      this._objects.filter((object) => object.kind === kind && object.revision > after);
+    if (changes().length === 0) await this._untilChange(wait);
+    const events = changes().map((object) => ({ object: toWire(object), gone: object.gone }));
+    sendJsonAnswer(response, 200, { events, at: this._revision });
+  }
+
+  private async _untilChange(milliseconds: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const wake = (): void => {
+        clearTimeout(timer);
+        this._watchers.delete(wake);
+        resolve();
+      };
+      const timer = setTimeout(wake, milliseconds);
+      this._watchers.add(wake);
+    });
+  }
+}
+
+function toWire({ name, revision, spec }: HeldObject): unknown {
+  return { metadata: { name, revision, finalizers: [], deleting: false }, spec, status: null };
+}
--- /dev/null
+++ b/tests/platformStore.spec.ts
@@ -0,0 +1,107 @@
+/** The adapter of the platform's store, and what follows it, against a stand-in. */
+import { afterEach, beforeEach, test } from 'node:test';
+import { expect } from 'earl';
+import { PlatformStore } from '../platform/store.js';
+import { KindFollower } from '../src/records/kindFollower.js';
+import { EventLog } from '../src/telemetry/eventLog.js';
+import { SystemClock } from '../src/utils/clock.js';
+import { SeededRandom } from '../src/utils/random.js';
+import { PlatformStoreStandin } from '../standins/platformStoreStandin.js';
+import { until } from './fixtures/until.js';
+
+const NEVER = new AbortController().signal;
+let standin: PlatformStoreStandin;
+let store: PlatformStore;
+let follower: KindFollower;
+
+beforeEach(async () => {
+  standin = new PlatformStoreStandin();
+  const url = new URL(await standin.listen());
+  store = new PlatformStore(url.host);
+  const log = new EventLog({ write: () => undefined }, 'off');
+  follower = new KindFollower({
+    kind: 'servers',
+    store,
+    clock: new SystemClock(),
+    random: new SeededRandom(1),
+    log,
+  });
+});
+
+afterEach(() => {
+  follower.stop();
+  standin.close();
+});
+
+test('should list all pages of a kind', async () => {
+  for (const name of ['a', 'b', 'c', 'd', 'e']) standin.put('servers', name, { name });
+  standin.put('config', 'main', {});
+  const listing = await store.list('servers', NEVER);
+  expect(listing.objects.map((object) => object.name)).toEqual(['a', 'b', 'c', 'd', 'e']);
+  expect(listing.revision).toEqual(6);
+});
+
+test('should tell changes and deletions after a revision', async () => {
+  standin.put('servers', 'a', 1);
+  standin.put('servers', 'b', 2);
+  standin.remove('servers', 'a');
+  const changes = await store.watch('servers', 1, 1_000, NEVER);
+  if (changes.kind !== 'changes') throw new Error('history should be there');
+  expect(changes.changes.map(({ object, gone }) => [object.name, gone])).toEqual([
+    ['b', false],
+    ['a', true],
+  ]);
+});
+
+test('should say that history was lost', async () => {
+  standin.put('servers', 'a', 1);
+  standin.forgetHistory();
+  expect(await store.watch('servers', 0, 1_000, NEVER)).toEqual({ kind: 'history-lost' });
+});
+
+for (const [what, faults] of [
+  ['a store that is busy', { status: 503 }],
+  ['a store that limits calls', { status: 429 }],
+  ['an answer that is no JSON', { garbled: true }],
+] as const) {
+  test(`should fail with the step at ${what}`, async () => {
+    standin.faults = { ...faults };
+    await expect(store.list('servers', NEVER)).toBeRejectedWith('store.list');
+    await expect(store.watch('servers', 1, 1_000, NEVER)).toBeRejectedWith('store.watch');
+  });
+}
+
+test('should follow changes', async () => {
+  standin.put('servers', 'a', 1);
+  follower.start();
+  await until(() => follower.objects.size === 1);
+  standin.put('servers', 'b', 2);
+  await until(() => follower.objects.size === 2);
+  standin.remove('servers', 'a');
+  await until(() => follower.objects.size === 1);
+  expect([...follower.objects.keys()]).toEqual(['b']);
+});
+
+test('should notice what left while history was forgotten', async () => {
+  standin.put('servers', 'a', 1);
+  standin.put('servers', 'b', 2);
+  follower.start();
+  await until(() => follower.objects.size === 2);
+  standin.faults = { status: 503 };
+  standin.remove('servers', 'a');
+  await until(() => !follower.reachable);
+  standin.forgetHistory();
+  standin.faults = {};
+  await until(() => follower.objects.size === 1);
+  expect(follower.reachable).toEqual(true);
+});
+
+test('should keep what it knows while the store is away', async () => {
+  standin.put('servers', 'a', 1);
+  follower.start();
+  await until(() => follower.objects.size === 1);
+  standin.faults = { status: 503 };
+  standin.put('servers', 'b', 2);
+  await until(() => follower.unreachableFor > 0);
+  expect(follower.objects.size >= 1).toEqual(true);
+});
--- /dev/null
+++ b/tests/servingDecisions.spec.ts
@@ -0,0 +1,234 @@
+/** Decisions of a gateway, each with time and randomness set by the test. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { OWN_HEADER_NAMES } from '../src/serving/headerNames.js';
+import type { AttemptProgress } from '../src/serving/answerJudgement.js';
+import { judgeAnswer, shouldMove, switchingPatience } from '../src/serving/answerJudgement.js';
+import { EntryDirectory } from '../src/serving/entryDirectory.js';
+import { EventSplitter } from '../src/serving/eventSplitter.js';
+import { RetryAllowance } from '../src/serving/retryAllowance.js';
+import { RouteIndex, chooseTarget } from '../src/serving/routeIndex.js';
+import type { Candidate } from '../src/serving/serverChoice.js';
+import { chooseServer, expectedCost } from '../src/serving/serverChoice.js';
+import { ServerHealth } from '../src/serving/serverHealth.js';
+import { VersionGate } from '../src/serving/versionGate.js';
+import { ManualClock } from '../src/utils/clock.js';
+import { SeededRandom } from '../src/utils/random.js';
+import { routeFixture, servingConfiguration } from './fixtures/servingFixture.js';
+
+const ENGINE = { serviceMilliseconds: 900, readMilliseconds: 30 };
+
+function candidate(id: string, changes: Partial<Candidate> = {}): Candidate {
+  return { id, sameHall: true, slots: 16, load: 0, unread: 0, failureRate: 0, avoided: false, ...changes };
+}
+
+test('should find the route with the longest prefix of the path', () => {
+  const routes = [
+    routeFixture({ name: 'short', pathPrefix: '/a/' }),
+    routeFixture({ name: 'long', pathPrefix: '/a/b/' }),
+  ];
+  const index = new RouteIndex(servingConfiguration({ routes }));
+  expect(index.route('host.example:80', '/a/b/c?d=/a/')?.name).toEqual('long');
+  expect(index.route('HOST.example', '/a/x')?.name).toEqual('short');
+  expect(index.route('host.example', '/b/')).toEqual(undefined);
+  expect(index.route('other.example', '/a/')).toEqual(undefined);
+});
+
+test('should split requests by weight', () => {
+  const targets = [
+    { service: 'most', weight: 90 },
+    { service: 'few', weight: 10 },
+  ];
+  const route = routeFixture({ targets });
+  expect(chooseTarget(route, 0.89)).toEqual('most');
+  expect(chooseTarget(route, 0.91)).toEqual('few');
+});
+
+test('should know the customer of each key and of no other', () => {
+  const index = new RouteIndex(servingConfiguration());
+  expect(index.customer('key-one')?.name).toEqual('one');
+  expect(index.customer('key-two')).toEqual(undefined);
+});
+
+test('should prefer the server with fewer prompts to read', () => {
+  expect(expectedCost(candidate('a', { unread: 3 }), ENGINE)).toBeGreaterThan(
+    expectedCost(candidate('b', { load: 4 }), ENGINE),
+  );
+});
+
+test('should leave the own hall only when it costs more than the way', () => {
+  const random = new SeededRandom(1);
+  const far = candidate('far', { sameHall: false });
+  expect(chooseServer([candidate('near', { load: 1 }), far], ENGINE, random)?.id).toEqual('near');
+  expect(chooseServer([candidate('near', { load: 12 }), far], ENGINE, random)?.id).toEqual('far');
+});
+
+test('should use a server that is avoided only when there is no other', () => {
+  const random = new SeededRandom(1);
+  const avoided = candidate('avoided', { avoided: true });
+  expect(chooseServer([avoided, candidate('busy', { load: 15 })], ENGINE, random)?.id).toEqual('busy');
+  expect(chooseServer([avoided], ENGINE, random)?.id).toEqual('avoided');
+});
+
+test('should not send everything to one server while the news of load stands still', () => {
+  const random = new SeededRandom(5);
+  const servers = Array.from({ length: 12 }, (_unused, index) =>
+    candidate(`s${index}`, { load: index * 0.1 }),
+  );
+  const counts = new Map<string, number>();
+  for (let request = 0; request < 120; request++) {
+    const id = chooseServer(servers, ENGINE, random)?.id ?? '';
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  expect(Math.max(...counts.values())).toBeLessThan(60);
+});
+
+test('should pass over a server that fails until its failures are old', () => {
+  const clock = new ManualClock();
+  const health = new ServerHealth(clock);
+  for (let attempt = 0; attempt < 6; attempt++) health.note('failed');
+  expect(health.failureRate).toBeGreaterThan(0.5);
+  clock.advance(15_000);
+  expect(health.failureRate).toBeLessThan(0.05);
+});
+
+test('should leave a silent server alone for a while', () => {
+  const clock = new ManualClock();
+  const health = new ServerHealth(clock);
+  health.note('silent');
+  expect(health.avoided).toEqual(true);
+  clock.advance(1_001);
+  expect(health.avoided).toEqual(false);
+});
+
+test('should keep this share of the retries within the bound', () => {
+  const clock = new ManualClock();
+  const bound = { ratio: 0.2, windowMilliseconds: 10_000, slack: 100 };
+  const allowance = new RetryAllowance(bound, clock, () => 5);
+  let taken = 0;
+  while (allowance.takeRetry()) taken++;
+  expect(taken).toEqual(15);
+  for (let request = 0; request < 100; request++) allowance.onRequest();
+  while (allowance.takeRetry()) taken++;
+  expect(taken).toEqual(30);
+  clock.advance(10_500);
+  expect(allowance.takeRetry()).toEqual(true);
+});
+
+test('should let no request begin on an older version once the time is over', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, startMilliseconds: 3_000 }, clock);
+  expect(gate.note('m', 2, true)).toEqual(true);
+  expect(gate.note('m', 2, true)).toEqual(false);
+  clock.advance(7_000);
+  expect(gate.lowest('m')).toEqual(0);
+  clock.advance(200);
+  expect(gate.lowest('m')).toEqual(2);
+});
+
+test('should judge each version from its own naming', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, startMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, true);
+  clock.advance(4_000);
+  gate.note('m', 3, true);
+  clock.advance(3_500);
+  expect(gate.lowest('m')).toEqual(2);
+  clock.advance(4_000);
+  expect(gate.lowest('m')).toEqual(3);
+});
+
+test('should not trust the age of a version that it finds at its start', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, startMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, false);
+  clock.advance(2_200);
+  expect(gate.lowest('m')).toEqual(2);
+});
+
+test('should want the first version before any is named', () => {
+  const gate = new VersionGate({ switchMilliseconds: 8_000, startMilliseconds: 3_000 }, new ManualClock());
+  expect(gate.wanted('m').version).toEqual(1);
+});
+
+test('should cut a stream into whole events, wherever its bytes are cut', () => {
+  const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata';
+  for (let cut = 1; cut < text.length; cut++) {
+    const splitter = new EventSplitter();
+    const events = [
+      ...splitter.push(Buffer.from(text.slice(0, cut))),
+      ...splitter.push(Buffer.from(text.slice(cut))),
+    ];
+    expect(events.map((event) => event.id)).toEqual(['1', '2']);
+    expect(splitter.rest.toString()).toEqual('id: 3\ndata');
+  }
+});
+
+for (const [what, status, headers, verdict] of [
+  ['a success with its proof', 200, { 'larklatch-seal': 's' }, 'answered'],
+  ['a success without proof', 200, {}, 'unclear'],
+  ['a refusal of the caller', 404, { 'larklatch-seal': 's' }, 'answered'],
+  ['a failure', 500, { 'larklatch-seal': 's' }, 'failed'],
+  ['a full server', 503, { 'larklatch-not-run': '1' }, 'not-run'],
+  ['a full server that may have run', 503, { 'larklatch-seal': 's' }, 'unclear'],
+  ['another server at the address', 421, {}, 'not-run'],
+  ['a limit that may have run', 429, {}, 'unclear'],
+] as const) {
+  test(`should judge ${what}`, () => {
+    expect(judgeAnswer(status, { ...headers }, OWN_HEADER_NAMES)).toEqual(verdict);
+  });
+}
+
+const CALM: AttemptProgress = {
+  waited: 100,
+  objective: 400,
+  serverSilentFor: 0,
+  serverSwitchingFor: 0,
+  switchingPatience: switchingPatience(0.5),
+  stream: true,
+  streamSilentFor: 10,
+};
+for (const [what, changes, moves] of [
+  ['a stream that flows', {}, false],
+  ['a stream that stands still', { streamSilentFor: 1_000 }, true],
+  ['a stream that never begins', { streamSilentFor: undefined, waited: 1_100 }, true],
+  ['a stream at a server that is silent to all', { streamSilentFor: undefined, serverSilentFor: 950 }, true],
+  ['a stream that holds up a switch', { serverSwitchingFor: 700 }, true],
+  ['a plain request that takes long', { stream: false, streamSilentFor: undefined, waited: 1_100 }, true],
+  ['a plain request in time', { stream: false, streamSilentFor: undefined, waited: 300 }, false],
+] as const) {
+  test(`should ${moves ? 'move' : 'keep'} ${what}`, () => {
+    expect(shouldMove({ ...CALM, ...changes })).toEqual(moves);
+  });
+}
+
+function entry(box: string, hall: string, leaving = false): Parameters<EntryDirectory['report']>[1][number] {
+  return { box, hall, address: `${box}:80`, leaving };
+}
+
+test("should name the live entries of the caller's hall", () => {
+  const directory = new EntryDirectory(entry('a', 'north'));
+  directory.report('agent', [entry('a', 'north'), entry('b', 'north'), entry('c', 'south')]);
+  expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
+});
+
+test('should name an entry of another hall rather than only one', () => {
+  const directory = new EntryDirectory(entry('a', 'north'));
+  directory.report('agent', [entry('b', 'south'), entry('c', 'south')]);
+  expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
+});
+
+test('should not name an entry that leaves, whoever says so', () => {
+  const directory = new EntryDirectory(entry('a', 'north'));
+  directory.report('one', [entry('b', 'north')]);
+  directory.report('two', [entry('b', 'north', true)]);
+  expect(directory.addressesFor('north')).toEqual(['a:80']);
+});
+
+test('should go on naming the entries it knew when no agent can be reached', () => {
+  const directory = new EntryDirectory(entry('a', 'north'));
+  directory.report('agent', [entry('b', 'north')]);
+  expect(directory.count()).toEqual(2);
+  directory.forget('agent');
+  expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
+});
--- /dev/null
+++ b/tests/stagingDecisions.spec.ts
@@ -0,0 +1,99 @@
+/** Decisions of an agent: who draws what, and who switches when. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { Member } from '../src/protocol/rolloutMessages.js';
+import { DRAW_TURN_MILLISECONDS, drawOrder, drawerOf } from '../src/staging/drawSchedule.js';
+import type { SwitchPeer, SwitchSituation } from '../src/staging/switchTurn.js';
+import { maySwitch } from '../src/staging/switchTurn.js';
+
+const HALLS = ['north', 'south', 'west'];
+const CHUNKS = 48;
+
+function members(count: number): Member[] {
+  return Array.from({ length: count }, (_unused, index) => ({
+    box: `box-${index}`,
+    hall: HALLS[index % HALLS.length],
+    address: '127.0.0.1',
+    httpPort: 1,
+    controlPort: 2,
+  }));
+}
+
+test('should work out the same order from members in any order', () => {
+  const forward = drawOrder('r', members(14));
+  expect(drawOrder('r', members(14).reverse())).toEqual(forward);
+  expect(new Set(forward).size).toEqual(14);
+});
+
+test('should share the draws evenly', () => {
+  const order = drawOrder('r', members(14));
+  const counts = new Map<string, number>();
+  for (let chunk = 0; chunk < CHUNKS; chunk++) {
+    const drawer = drawerOf(order, chunk, 0) ?? '';
+    counts.set(drawer, (counts.get(drawer) ?? 0) + 1);
+  }
+  expect(Math.max(...counts.values()) - Math.min(...counts.values())).toBeLessThanOrEqual(1);
+});
+
+test('should give every chunk exactly one drawer at any time, and another one each turn', () => {
+  const order = drawOrder('r', members(5));
+  const drawers = Array.from({ length: 5 }, (_unused, turn) =>
+    drawerOf(order, 3, turn * DRAW_TURN_MILLISECONDS),
+  );
+  expect(new Set(drawers).size).toEqual(5);
+});
+
+test('should have no drawer without members', () => {
+  expect(drawerOf([], 1, 0)).toEqual(undefined);
+});
+
+function peers(
+  count: number,
+  stage: SwitchPeer['stage'],
+  first = 1,
+  stageMilliseconds = 1_000,
+): SwitchPeer[] {
+  return Array.from({ length: count }, (_unused, index) => ({
+    box: `box-${first + index}`,
+    stage,
+    stageMilliseconds,
+  }));
+}
+
+function situation(changes: Partial<SwitchSituation>): SwitchSituation {
+  const order = Array.from({ length: 15 }, (_unused, index) => `box-${index}`);
+  return { box: 'box-0', peers: peers(14, 'staging'), order, leftMilliseconds: 4_000, ...changes };
+}
+
+test('should switch first when first in order', () => {
+  expect(maySwitch(situation({}))).toEqual(true);
+});
+
+test('should wait for a box before it that has everything staged', () => {
+  const waiting = situation({ box: 'box-5', peers: peers(1, 'staged', 2) });
+  expect(maySwitch(waiting)).toEqual(false);
+});
+
+test('should not wait for a box before it that has not', () => {
+  expect(maySwitch(situation({ box: 'box-5', peers: peers(4, 'staging') }))).toEqual(true);
+});
+
+test('should keep most boxes in service', () => {
+  const full = situation({ peers: [...peers(5, 'switching'), ...peers(9, 'staging', 6)] });
+  expect(maySwitch(full)).toEqual(false);
+  const room = situation({ peers: [...peers(4, 'switching'), ...peers(10, 'staging', 5)] });
+  expect(maySwitch(room)).toEqual(true);
+});
+
+test('should begin some time after the box before', () => {
+  const others = [...peers(1, 'switching', 1, 20), ...peers(13, 'staging', 2)];
+  expect(maySwitch(situation({ peers: others }))).toEqual(false);
+});
+
+test('should switch whatever the others do when time runs out', () => {
+  expect(maySwitch(situation({ peers: peers(14, 'switching'), leftMilliseconds: 1_500 }))).toEqual(true);
+});
+
+test('should switch alone', () => {
+  expect(maySwitch(situation({ peers: [], order: ['box-0'] }))).toEqual(true);
+});
