--- a/scripts/checkImports.mjs
+++ b/scripts/checkImports.mjs
@@ -1,12 +1,12 @@
-/** Fails when a file of src/<folder> imports from a folder that src/<folder>/DEPS.list does not name. */
+/** Fails when a file of src/<folder>, or of platform, imports from a folder of src that its DEPS.list does not name. */
 import { existsSync, readdirSync, readFileSync } from 'node:fs';
 import path from 'node:path';
 
 const root = 'src';
 const problems = [];
 
-function allowedFolders(folder) {
-  const list = path.join(root, folder, 'DEPS.list');
+function allowedFolders(directory) {
+  const list = path.join(directory, 'DEPS.list');
   if (!existsSync(list)) {
     problems.push(`${list} is missing`);
     return new Set();
@@ -15,24 +15,28 @@
   return new Set(lines.map((line) => line.trim()).filter((line) => line && !line.startsWith('#')));
 }
 
-function checkFile(folder, file, allowed) {
+function checkFile(directory, file, allowed) {
   const text = readFileSync(file, 'utf8');
   for (const match of text.matchAll(/from '(\.[^']+)'/g)) {
     const target = path.relative(root, path.resolve(path.dirname(file), match[1]));
-    const targetFolder = target.split(path.sep)[0];
-    if (targetFolder !== folder && !allowed.has(targetFolder)) {
-      problems.push(`${file} imports ${target}, which ${folder}/DEPS.list does not allow`);
+    const inside = !path.relative(directory, path.join(root, target)).startsWith('..');
+    if (!inside && !allowed.has(target.split(path.sep)[0])) {
+      problems.push(`${file} imports ${target}, which ${directory}/DEPS.list does not allow`);
     }
   }
 }
 
-for (const entry of readdirSync(root, { withFileTypes: true })) {
-  if (!entry.isDirectory()) continue;
-  const allowed = allowedFolders(entry.name);
-  for (const file of readdirSync(path.join(root, entry.name), { recursive: true })) {
-    if (file.endsWith('.ts')) checkFile(entry.name, path.join(root, entry.name, file), allowed);
+function checkDirectory(directory) {
+  const allowed = allowedFolders(directory);
+  for (const file of readdirSync(directory, { recursive: true })) {
+    if (file.endsWith('.ts')) checkFile(directory, path.join(directory, file), allowed);
   }
 }
+
+for (const entry of readdirSync(root, { withFileTypes: true })) {
+  if (entry.isDirectory()) checkDirectory(path.join(root, entry.name));
+}
+checkDirectory('platform');
 if (problems.length > 0) {
   console.error(problems.join('\n'));
   process.exit(1);
--- /dev/null
+++ b/tests/gatewayRequests.spec.ts
@@ -0,0 +1,230 @@
+/** Requests through a gateway to backend servers that misbehave in every way: a table of faults. */
+import { afterEach, beforeEach, test } from 'node:test';
+import { expect } from 'earl';
+import { answerBytes, answers, chunkOf, events, streamHead } from '../standins/scriptedBackend.js';
+import type { ArrivedRequest, Script } from '../standins/scriptedBackend.js';
+import { GatewayFixture } from './fixtures/gatewayFixture.js';
+import { routeFixture, servingConfiguration } from './fixtures/servingFixture.js';
+import { until } from './fixtures/until.js';
+
+let fixture: GatewayFixture;
+
+beforeEach(() => {
+  fixture = new GatewayFixture();
+});
+
+afterEach(() => fixture.stop());
+
+const ONCE = { routes: [routeFixture({ kind: 'once', attempts: 1 })] };
+const STREAM = { routes: [routeFixture({ kind: 'stream', resumable: true })] };
+
+const resets: Script = ({ socket }) => void socket.resetAndDestroy();
+const closes: Script = ({ socket }) => void socket.end();
+const rejects = answers({ status: 503, headers: { 'larklatch-not-run': '1' }, seal: null });
+const halfAnswer: Script = (request) => {
+  request.socket.write(answerBytes(request, { headers: { 'content-length': '100' }, body: 'half' }));
+  request.socket.end();
+};
+const silence: Script = () => undefined;
+
+test('should pass a request on unaltered, with the customer in place of the key', async () => {
+  await fixture.start([answers()]);
+  const headers = {
+    'x-own': 'Kept',
+    'larklatch-customer': 'forged',
+    'larklatch-deadline-milliseconds': '3000',
+  };
+  const answer = await fixture.ask({ method: 'POST', path: '/a/x?q=%20', body: 'the body', headers });
+  expect([answer.status, answer.body, answer.headers['larklatch-seal']]).toEqual([200, 'body', 'seal']);
+  const [arrived] = fixture.backends[0].arrived;
+  expect([arrived.method, arrived.path, arrived.body]).toEqual(['POST', '/a/x?q=%20', 'the body']);
+  expect(arrived.headers.get('host')).toEqual('host.example');
+  expect(arrived.headers.get('x-own')).toEqual('Kept');
+  expect(arrived.headers.get('larklatch-customer')).toEqual('one');
+  expect(arrived.headers.get('larklatch-expected-server')).toEqual('server-0');
+  expect(arrived.headers.has('authorization')).toEqual(false);
+  expect(Number(arrived.headers.get('larklatch-deadline-milliseconds'))).toBeLessThanOrEqual(3_000);
+});
+
+for (const [what, request, status] of [
+  ['no route', { path: '/none' }, 404],
+  ['an unknown key', { headers: { authorization: 'Bearer other' } }, 401],
+  ['no key', { headers: { authorization: '' } }, 401],
+] as const) {
+  test(`should answer ${status} to a request with ${what}`, async () => {
+    await fixture.start([answers()]);
+    expect((await fixture.ask(request)).status).toEqual(status);
+    expect(fixture.arrivals).toEqual(0);
+  });
+}
+
+for (const [what, script, status] of [
+  ['is reset', resets, 502],
+  ['is closed', closes, 502],
+  ['ends early', halfAnswer, 502],
+  ['belongs to another request', answers({ id: 'another' }), 502],
+  ['carries no proof', answers({ seal: null }), 502],
+  ['is 503 without saying that it has not run', answers({ status: 503 }), 502],
+  ['is 429 without saying that it has not run', answers({ status: 429 }), 502],
+  ['is a failure of its own', answers({ status: 500 }), 500],
+  ['says that it has not run', rejects, 503],
+  ['comes from another server', answers({ status: 421, seal: null }), 503],
+] as const) {
+  test(`should answer ${status} and never run twice what may run once, when the answer ${what}`, async () => {
+    await fixture.start([script, script], ONCE);
+    const answer = await fixture.ask({ method: 'POST', body: 'x' });
+    expect(answer.status).toEqual(status);
+    expect(fixture.arrivals).toEqual(1);
+    expect(answer.headers['retry-after'] !== undefined).toEqual(status === 503);
+  });
+}
+
+for (const [what, script] of [
+  ['is reset', resets],
+  ['is closed', closes],
+  ['ends early', halfAnswer],
+  ['belongs to another request', answers({ id: 'another' })],
+  ['is a failure', answers({ status: 500 })],
+  ['says that it has not run', rejects],
+] as const) {
+  test(`should try another server with what may be repeated, when the answer ${what}`, async () => {
+    let first = true;
+    const failsOnce: Script = (request) => {
+      if (!first) return answers()(request);
+      first = false;
+      script(request);
+    };
+    await fixture.start([failsOnce, failsOnce]);
+    const answer = await fixture.ask();
+    expect([answer.status, answer.body]).toEqual([200, 'body']);
+    expect(fixture.arrivals).toEqual(2);
+  });
+}
+
+test('should send a request to no more servers than its route allows', async () => {
+  await fixture.start([resets, resets, resets]);
+  expect((await fixture.ask()).status).toEqual(502);
+  expect(fixture.arrivals).toEqual(2);
+});
+
+test('should answer 504 at the timeout of the route, and let the server go', async () => {
+  await fixture.start([silence], { routes: [routeFixture({ kind: 'once', timeoutMilliseconds: 150 })] });
+  expect((await fixture.ask({ method: 'POST' })).status).toEqual(504);
+  await until(() => fixture.backends[0].closed === 1);
+});
+
+test('should let the server go when the caller leaves', async () => {
+  await fixture.start([silence]);
+  const leave = new AbortController();
+  const asked = fixture.ask({ signal: leave.signal });
+  await until(() => fixture.arrivals === 1);
+  leave.abort();
+  await expect(asked).toBeRejected();
+  await until(() => fixture.backends[0].closed === 1);
+});
+
+test('should use a connection again, but not one that sent more than was asked for', async () => {
+  await fixture.start([answers()]);
+  await fixture.ask();
+  await fixture.ask();
+  expect(fixture.backends[0].opened).toEqual(1);
+  fixture.backends[0].answerWith((request) => {
+    request.socket.write(answerBytes(request) + answerBytes(request, { body: 'surplus' }));
+  });
+  await fixture.ask();
+  await until(() => fixture.backends[0].closed === 1);
+  expect((await fixture.ask()).body).toEqual('body');
+  expect(fixture.backends[0].opened).toEqual(2);
+});
+
+test('should send nothing new to a server that is draining or gone', async () => {
+  await fixture.start([answers({ body: 'zero' }), answers({ body: 'one' })]);
+  fixture.setServer(0, { draining: true });
+  await until(() => fixture.lines.some((line) => line.includes('server.draining')));
+  for (let request = 0; request < 4; request++) expect((await fixture.ask()).body).toEqual('one');
+  fixture.setServer(1, undefined);
+  await until(() => fixture.lines.some((line) => line.includes('server.gone')));
+  const refused = await fixture.ask();
+  expect([refused.status, refused.headers['retry-after'] !== undefined]).toEqual([503, true]);
+});
+
+test('should follow a newer configuration and never go back to an older one', async () => {
+  await fixture.start([answers()]);
+  fixture.store.set('configuration', { main: servingConfiguration({ version: 5, customers: [] }) });
+  await until(() => fixture.lines.some((line) => line.includes('"version":5')));
+  fixture.store.set('configuration', { main: servingConfiguration({ version: 4, routes: [] }) });
+  expect((await fixture.ask({ headers: { authorization: '' } })).status).toEqual(200);
+});
+
+function streams(...parts: string[]): (request: ArrivedRequest) => void {
+  return (request) => {
+    request.socket.write(streamHead(request) + parts.map(chunkOf).join(''));
+  };
+}
+
+test('should pass a stream on event by event', async () => {
+  await fixture.start(
+    [
+      (request) => {
+        streams(events(1, 2), events(3))(request);
+        request.socket.write('0\r\n\r\n');
+      },
+    ],
+    STREAM,
+  );
+  const answer = await fixture.ask();
+  expect([answer.body, answer.whole]).toEqual([events(1, 2, 3), true]);
+});
+
+for (const [what, breaks] of [
+  ['is reset', (request: ArrivedRequest) => request.socket.resetAndDestroy()],
+  ['is closed', (request: ArrivedRequest) => request.socket.end()],
+] as const) {
+  test(`should go on elsewhere, without gap or repeat, when a stream ${what} within an event`, async () => {
+    const script: Script = (request) => {
+      const last = request.headers.get('last-event-id');
+      if (last === undefined) {
+        streams(events(1, 2), 'id: 3\ndata: ev')(request);
+        setImmediate(() => breaks(request));
+        return;
+      }
+      streams(events(Number(last), Number(last) + 1), events(Number(last) + 2))(request);
+      request.socket.write('0\r\n\r\n');
+    };
+    await fixture.start([script, script], STREAM);
+    const answer = await fixture.ask();
+    expect(answer.whole).toEqual(true);
+    const ids = [...answer.body.matchAll(/id: (\d+)/g)].map((match) => Number(match[1]));
+    expect(ids).toEqual(ids.map((_id, index) => index + 1));
+    expect(ids.length).toBeGreaterThanOrEqual(2);
+    expect(fixture.arrivals).toEqual(2);
+  });
+}
+
+test('should not let a stream that cannot go on look whole', async () => {
+  const script: Script = (request) => {
+    streams(events(1))(request);
+    setTimeout(() => request.socket.destroy(), 30);
+  };
+  await fixture.start([script], STREAM);
+  const answer = await fixture.ask();
+  expect([answer.status, answer.whole]).toEqual([200, false]);
+});
+
+test('should go on where the caller says', async () => {
+  await fixture.start([answers()], STREAM);
+  await fixture.ask({ headers: { 'last-event-id': '7' } });
+  expect(fixture.backends[0].arrived[0].headers.get('last-event-id')).toEqual('7');
+});
+
+test('should leave in order: not ready, connections told to close, requests in flight answered', async () => {
+  await fixture.start([(request) => void setTimeout(() => answers()(request), 200)]);
+  const inFlight = fixture.ask();
+  await until(() => fixture.arrivals === 1);
+  const stopped = fixture.gateway.stop();
+  const ready = await fetch(`http://${fixture.directory}/ready`);
+  expect(ready.status).toEqual(503);
+  const answer = await inFlight;
+  expect([answer.status, answer.whole, answer.headers.connection]).toEqual([200, true, 'close']);
+  await stopped;
+});
--- /dev/null
+++ b/tests/platformAdapter.spec.ts
@@ -0,0 +1,152 @@
+/** The adapter to the users' platform: settings, records, and that its names stand nowhere else. */
+import { readFileSync, readdirSync, writeFileSync, mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { PlatformRecordReader } from '../platform/records.js';
+import { SettingsError, readGatewaySettings, readStagingSettings } from '../platform/settings.js';
+
+const KEY = 'a key for the tests';
+const reader = new PlatformRecordReader();
+
+const COMMON = {
+  node_name: 'Edge.North-1',
+  ip: '10.1.0.40',
+  zone: 'north',
+  port_range: [7700, 7715],
+  limits: { link_mbps: 6.58 },
+  bounds: {
+    contact_ms: 3000,
+    grace_s: 8,
+    retry_ratio: 0.2,
+    retry_window_s: 10,
+    retry_slack: 100,
+    version_ms: 8000,
+    ttl_max_s: 5,
+  },
+  platform: { address: '10.200.1.7:8007' },
+  listen: { front: '10.1.0.40:8005', ready: '10.1.0.40:8002', directory: '10.1.0.40:8009' },
+  app: '10.1.0.40:8001',
+  service: 'advisors',
+  unknown_field: { is: 'ignored' },
+};
+
+function settingsFile(content: unknown): string {
+  const file = path.join(mkdtempSync(path.join(tmpdir(), 'settings-')), 'boot.json');
+  writeFileSync(file, typeof content === 'string' ? content : JSON.stringify(content));
+  return file;
+}
+
+function problemsOf(read: () => unknown): readonly string[] {
+  try {
+    read();
+    return [];
+  } catch (error) {
+    return error instanceof SettingsError ? error.lines : [String(error)];
+  }
+}
+
+test('should turn the settings file into settings of a gateway', () => {
+  const settings = readGatewaySettings(settingsFile(COMMON), KEY);
+  expect(settings.box).toEqual('edge-north-1');
+  expect(settings.callerAddress).toEqual('10.1.0.40:8005');
+  expect(settings.retryPercent).toEqual(20);
+  expect(settings.drainMilliseconds).toEqual(8_000);
+  expect(settings.agentPort).toEqual(7_700);
+});
+
+test('should turn the settings file into settings of an agent', () => {
+  const settings = readStagingSettings(settingsFile(COMMON), KEY);
+  expect([settings.box, settings.linkKilobits, settings.chunkPort]).toEqual(['10-1-0-40', 6_580, 7_701]);
+});
+
+for (const [what, content, field] of [
+  ['no zone', { ...COMMON, zone: undefined }, 'zone'],
+  ['a bound that is no number', { ...COMMON, bounds: { ...COMMON.bounds, grace_s: 'x' } }, 'bounds.grace_s'],
+  ['no store', { ...COMMON, platform: {} }, 'platform.address'],
+  ['no address for callers', { ...COMMON, listen: {} }, 'listen.front'],
+  ['a file that is no JSON', '{', 'LARKLATCH_CONFIG'],
+] as const) {
+  test(`should name the field in settings with ${what}`, () => {
+    const [problem] = problemsOf(() => readGatewaySettings(settingsFile(content), KEY));
+    expect(problem.startsWith(`${field}:`)).toEqual(true);
+  });
+}
+
+test('should name the variable when no settings file is named', () => {
+  expect(problemsOf(() => readStagingSettings(undefined, KEY))[0]).toEqual(
+    'LARKLATCH_CONFIG: not set; it names the settings file',
+  );
+});
+
+test('should read a configuration', () => {
+  const route = {
+    name: 'r',
+    host: 'h',
+    path_prefix: '/p/',
+    type: 'streaming',
+    timeout_ms: 6000,
+    latency_goal_ms: 400,
+    split: [
+      { service: 'a', weight: 90 },
+      { service: 'b', weight: 10 },
+    ],
+    max_attempts: 2,
+    resumable: true,
+  };
+  const services = [
+    { name: 'a', max_conns: 424 },
+    { name: 'o', origin: '1.2.3.4:80', link_mbps: 15 },
+  ];
+  const tenants = [{ name: 't', api_keys: ['k'], priority: 1 }];
+  const read = reader.configuration('main', { version: 7, routes: [route], services, tenants });
+  expect(read?.version).toEqual(7);
+  expect(read?.routes[0].kind).toEqual('stream');
+  expect(read?.routes[0].targets.map((target) => target.service)).toEqual(['a', 'b']);
+  expect(read?.services[1].origin).toEqual({ address: '1.2.3.4:80', bitsPerSecond: 15_000_000 });
+  expect(read?.customers).toEqual([{ name: 't', keys: ['k'], priority: 1 }]);
+});
+
+test('should treat a request of an unknown type as one that may run once only', () => {
+  const route = { host: 'h', path_prefix: '/', type: 'new', service: 'a' };
+  expect(reader.configuration('main', { version: 1, routes: [route], services: [] })?.routes[0].kind).toEqual(
+    'once',
+  );
+});
+
+for (const [what, value] of [
+  ['nothing', undefined],
+  ['no version', { routes: [], services: [] }],
+  ['a text', 'x'],
+] as const) {
+  test(`should not take ${what} for a configuration`, () => {
+    expect(reader.configuration('main', value)).toEqual(undefined);
+  });
+}
+
+test('should read a backend server', () => {
+  const value = { service: 's', address: '1.1.1.1:1', zone: 'z', state: 'draining', slots: 16 };
+  expect(reader.server('i-1', value)).toEqual({
+    id: 'i-1',
+    service: 's',
+    address: '1.1.1.1:1',
+    hall: 'z',
+    slots: 16,
+    draining: true,
+    models: [],
+  });
+});
+
+const PLATFORM_NAMES =
+  /x-(attempt-id|server-seal|target-instance|not-executed|weight-versions|prefix-hash|token-usage|deadline-ms)|latency_goal_ms|path_prefix|non_idempotent|LARKLATCH_CONFIG|port_range|stage-(put|get)|seq_no|api_keys/i;
+
+test("should keep the platform's names inside the adapter", () => {
+  const sources = readdirSync('src', { recursive: true, encoding: 'utf8' }).filter((file) =>
+    file.endsWith('.ts'),
+  );
+  const offenders = sources.filter((file) =>
+    PLATFORM_NAMES.test(readFileSync(path.join('src', file), 'utf8')),
+  );
+  expect(offenders).toEqual([]);
+});
