--- a/src/records/kindFollower.ts
+++ b/src/records/kindFollower.ts
@@ -6,7 +6,7 @@
 import type { Random } from '../utils/random.js';
 import { errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
-import type { StoredObject, WatchableStore } from './watchableStore.js';
+import type { KindChanges, KindListing, StoredObject, WatchableStore } from './watchableStore.js';
 
 /** What a follower works with. */
 export interface KindFollowerOptions {
@@ -34,8 +34,10 @@
   private readonly _stopped = new AbortController();
   private _revision: number | undefined;
   private _reachable = false;
+  private _lost = false;
   private _lastAnswerAt = Number.NEGATIVE_INFINITY;
   private _unreachableSince = 0;
+  private _regainedAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: KindFollowerOptions) {
     super();
@@ -57,6 +59,11 @@
     return this._reachable ? 0 : this._options.clock.now() - this._unreachableSince;
   }
 
+  /** Milliseconds since the store became reachable again; infinite when it never was lost. */
+  get regainedFor(): number {
+    return this._options.clock.now() - this._regainedAt;
+  }
+
   /** Revision of the store that the copy reflects. */
   get revision(): number {
     return this._revision ?? 0;
@@ -77,8 +84,9 @@
     while (!this._stopped.signal.aborted) {
       const askedAt = clock.now();
       try {
-        await this._step();
+        const answer = await this._ask();
         this._onAnswer();
+        this._take(answer);
         backoff.reset();
         if (clock.now() - askedAt < GATHER_MILLISECONDS)
           await pause(GATHER_MILLISECONDS, this._stopped.signal);
@@ -89,30 +97,34 @@
     }
   }
 
-  private async _step(): Promise<void> {
-    if (this._revision === undefined) return await this._list();
+  private async _ask(): Promise<KindListing | KindChanges> {
     const { kind, store } = this._options;
-    const answer = await store.watch(kind, this._revision, WATCH_WAIT_MILLISECONDS, this._stopped.signal);
-    if (answer.kind === 'history-lost') {
+    if (this._revision === undefined) return await store.list(kind, this._stopped.signal);
+    return await store.watch(kind, this._revision, WATCH_WAIT_MILLISECONDS, this._stopped.signal);
+  }
+
+  private _take(answer: KindListing | KindChanges): void {
+    if ('objects' in answer) this._takeListing(answer);
+    else if (answer.kind === 'changes') this._takeChanges(answer);
+    else {
       this._revision = undefined;
-      this._options.log.state('store.history-lost', { kind });
-      return;
+      this._options.log.state('store.history-lost', { kind: this._options.kind });
     }
-    for (const { object, gone } of answer.changes) {
+  }
+
+  private _takeChanges({ changes, revision }: Extract<KindChanges, { kind: 'changes' }>): void {
+    for (const { object, gone } of changes) {
       if (gone) this.objects.delete(object.name);
       else this.objects.set(object.name, object);
     }
-    this._revision = answer.revision;
-    if (answer.changes.length > 0) this.emit('change');
+    this._revision = revision;
+    if (changes.length > 0) this.emit('change');
   }
 
-  private async _list(): Promise<void> {
-    const { kind, store } = this._options;
-    const listing = await store.list(kind, this._stopped.signal);
+  private _takeListing(listing: KindListing): void {
     this.objects.clear();
     for (const object of listing.objects) this.objects.set(object.name, object);
     this._revision = listing.revision;
-    this._lastAnswerAt = this._options.clock.now();
     this.emit('change');
   }
 
@@ -120,12 +132,14 @@
     this._lastAnswerAt = this._options.clock.now();
     if (this._reachable) return;
     this._reachable = true;
+    if (this._lost) this._regainedAt = this._options.clock.now();
     this._options.log.state('store.reachable', { kind: this._options.kind, revision: this.revision });
   }
 
   private _onSilence(reason: string): void {
     if (this._stopped.signal.aborted || !this._reachable) return;
     this._reachable = false;
+    this._lost = true;
     this._unreachableSince = this._options.clock.now();
     this._options.log.state('store.unreachable', { kind: this._options.kind, reason });
   }
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -50,6 +50,8 @@
 }
 
 const PERCENT = 100;
+/** How long after an outage of the store backend servers may be missing that only could not renew their entries. */
+const OUTAGE_ECHO_MILLISECONDS = 1_500;
 /** A configuration that has not been confirmed for so long is not trusted to be the newest. */
 const STALE_MILLISECONDS = 1_000;
 /** How long a leaving entry takes new connections: callers may keep its address for three times as long as told. */
@@ -161,6 +163,11 @@
     this._log.state('gateway.stopped', { running: this._running });
   }
 
+  /** Notes that the settings may have changed; all of them hold from a start to a stop, so that nothing is cut. */
+  reload(): void {
+    this._log.state('gateway.reload', { applied: 'nothing that holds while the process runs' });
+  }
+
   /** Closes at once. */
   close(): void {
     for (const follower of Object.values(this._followers)) follower.stop();
@@ -229,7 +236,11 @@
   private _onServers(): void {
     const objects = [...this._followers.servers.objects.values()];
     const records = objects.map(({ name, value }) => this._parts.platform.reader.server(name, value));
-    this._pool.update(records.filter((record) => record !== undefined));
+    const doubtful = this._followers.servers.regainedFor < OUTAGE_ECHO_MILLISECONDS;
+    this._pool.update(
+      records.filter((record) => record !== undefined),
+      doubtful,
+    );
     this._wantAgents();
   }
 
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -40,6 +40,8 @@
 /** Part of a server's connections that all entries together may use. */
 const CONNECTION_SHARE = 0.8;
 const CONNECT_MILLISECONDS = 700;
+/** How long a server is kept that is missing after an outage: longer than it needs to renew its entry. */
+const DOUBT_MILLISECONDS = 1_700;
 const UNKNOWN_SLOTS = 4;
 const PLAIN_SERVICE_MILLISECONDS = 60;
 /** Requests on a server, in parts of its slots, beyond which no more are sent. */
@@ -49,23 +51,28 @@
 export class ServerPool {
   private readonly _options: ServerPoolOptions;
   private readonly _servers = new Map<string, TrackedServer>();
+  /** Servers that are missing from a list that is not trusted. */
+  private readonly _missing = new Set<string>();
 
   constructor(options: ServerPoolOptions) {
     this._options = options;
   }
 
-  /** Takes the whole list of service discovery. Servers that left it get nothing new. */
-  update(records: readonly BackendServerRecord[]): void {
+  /**
+   * Takes the whole list of service discovery. Servers that left it get nothing new, unless the list is `doubtful`:
+   * after an outage, servers that could not renew their entries are missing though they run. Those are kept for a
+   * while, for when there is no other.
+   */
+  update(records: readonly BackendServerRecord[], doubtful = false): void {
     const present = new Set<string>();
     for (const record of records) {
       present.add(record.id);
       this._updateOne(record);
     }
     for (const [id, server] of this._servers) {
-      if (present.has(id)) continue;
-      this._servers.delete(id);
-      server.connections.close();
-      this._options.log.state('server.gone', { server: id, service: server.record.service });
+      if (present.has(id)) this._missing.delete(id);
+      else if (doubtful) this._doubt(id);
+      else if (!this._missing.has(id)) this._remove(id, server);
     }
   }
 
@@ -109,6 +116,23 @@
     for (const server of this._servers.values()) server.connections.close();
   }
 
+  private _doubt(id: string): void {
+    if (this._missing.has(id)) return;
+    this._options.log.state('server.missing', { server: id });
+    this._missing.add(id);
+    const timer = setTimeout(() => {
+      const server = this._servers.get(id);
+      if (this._missing.delete(id) && server) this._remove(id, server);
+    }, DOUBT_MILLISECONDS);
+    timer.unref();
+  }
+
+  private _remove(id: string, server: TrackedServer): void {
+    this._servers.delete(id);
+    server.connections.close();
+    this._options.log.state('server.gone', { server: id, service: server.record.service });
+  }
+
   private _updateOne(record: BackendServerRecord): void {
     const { log } = this._options;
     const known = this._servers.get(record.id);
@@ -143,7 +167,7 @@
       load: load.estimate(this._options.clock.now()),
       unread: server.unread,
       failureRate: health.failureRate,
-      avoided: health.avoided || server.suspicious,
+      avoided: health.avoided || server.suspicious || this._missing.has(record.id),
     };
   }
 
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -111,6 +111,11 @@
     this._log.state('agent.started', { address, controlPort, chunkPort });
   }
 
+  /** Notes that the settings may have changed; all of them hold from a start to a stop, so that nothing is cut. */
+  reload(): void {
+    this._log.state('agent.reload', { applied: 'nothing that holds while the process runs' });
+  }
+
   /** Closes at once: a restarted agent takes over what lies staged. */
   async stop(): Promise<void> {
     clearInterval(this._statusTimer);
