--- a/src/serving/directoryServer.ts
+++ b/src/serving/directoryServer.ts
@@ -1,17 +1,15 @@
-/** Answers where callers should connect, whether this entry is ready, and its metrics. */
+/** Answers where callers should connect, and whether this entry is ready. */
 import http from 'node:http';
 import { answerJson } from '../utils/httpBody.js';
 import { closeHttp, listenHttp } from '../utils/httpServer.js';
 import type { EntryDirectory } from './entryDirectory.js';
 import type { DirectoryPaths } from './gatewayDaemon.js';
-import type { ServingMetrics } from './servingMetrics.js';
 
 /** What the server works with. */
 export interface DirectoryServerOptions {
   paths: DirectoryPaths;
   keepSeconds: number;
   entries: EntryDirectory;
-  metrics: ServingMetrics;
   isReady: () => boolean;
 }
 
@@ -39,14 +37,10 @@
   }
 
   private _serve(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const { paths, keepSeconds, entries, metrics, isReady } = this._options;
+    const { paths, keepSeconds, entries, isReady } = this._options;
     const url = new URL(request.url ?? '/', 'http://directory');
     if (url.pathname === paths.ready)
       return answerJson(response, isReady() ? 200 : 503, { ready: isReady() });
-    if (url.pathname === paths.metrics) {
-      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(metrics.exposition());
-      return;
-    }
     if (url.pathname !== paths.directory) return answerJson(response, 404, { error: 'no such path' });
     const addresses = entries.addressesFor(paths.hallOf(url.searchParams));
     if (addresses.length === 0) return answerJson(response, 503, { error: 'no entry is known' });
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -1,6 +1,6 @@
 /** Carries one admitted request to backend servers until it has an answer. */
 import type { EventLog } from '../telemetry/eventLog.js';
-import type { ServingMetrics } from './servingMetrics.js';
+import type { ServingMetrics } from '../telemetry/servingMetrics.js';
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
 import type { AnswerHeaders, BackendRequest, CallFailure } from './backendCall.js';
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -21,7 +21,8 @@
 import type { ServingPlatform } from './platformRecords.js';
 import { RequestAdmission } from './requestAdmission.js';
 import { ServerPool, hostOf } from './serverPool.js';
-import { ServingMetrics } from './servingMetrics.js';
+import { MetricsServer } from '../telemetry/metricsServer.js';
+import { ServingMetrics } from '../telemetry/servingMetrics.js';
 import { VersionGate } from './versionGate.js';
 
 /** What a gateway is built from beside its settings. */
@@ -75,6 +76,7 @@
   private readonly _forward: ForwardServices;
   private readonly _callers: CallerServer;
   private readonly _directory: DirectoryServer;
+  private readonly _metricsServer: MetricsServer;
   private readonly _own: EntryAddress;
   private _running = 0;
   private _versionsListed = false;
@@ -125,11 +127,11 @@
       metrics: this._metrics,
     };
     this._callers = new CallerServer((request, response) => void this._serve(request, response));
+    this._metricsServer = new MetricsServer(this._metrics, parts.paths.metrics);
     this._directory = new DirectoryServer({
       paths: parts.paths,
       keepSeconds: settings.directorySeconds,
       entries: this._entries,
-      metrics: this._metrics,
       isReady: () => !this._own.leaving && this._configuration.index !== undefined,
     });
   }
@@ -141,7 +143,8 @@
     this._follow();
     const [host, port] = splitAddress(callerAddress);
     await this._callers.listen(host, port);
-    await this._directory.listen(new Set([readyAddress, directoryAddress, metricsAddress]));
+    await this._directory.listen(new Set([readyAddress, directoryAddress]));
+    await this._metricsServer.listen(...splitAddress(metricsAddress));
     this._log.state('gateway.started', { address: callerAddress });
   }
 
@@ -175,6 +178,7 @@
     this._pool.close();
     this._callers.close();
     this._directory.close();
+    this._metricsServer.close();
   }
 
   private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
--- a/src/serving/requestTrace.ts
+++ b/src/serving/requestTrace.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../utils/clock.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { CallFailure } from './backendCall.js';
-import type { ServingMetrics } from './servingMetrics.js';
+import type { ServingMetrics } from '../telemetry/servingMetrics.js';
 import type { StreamRelay } from './streamRelay.js';
 import type { TrackedServer } from './trackedServer.js';
 
--- a/src/settings/stagingSettings.ts
+++ b/src/settings/stagingSettings.ts
@@ -13,6 +13,7 @@
   storeAddress: z.string('host:port').describe('store of the platform'),
   controlPort: numberSetting(0, 65_535, 7_700, 'port').describe('port for control connections'),
   chunkPort: numberSetting(0, 65_535, 7_701, 'port').describe('port for chunks'),
+  metricsPort: numberSetting(0, 65_535, 7_702, 'port').describe('port for metrics'),
   sharedKey: z
     .string('at least 16 characters')
     .min(16, 'at least 16 characters')
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -16,6 +16,7 @@
 import type { StagingSettings } from '../settings/stagingSettings.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Logger } from '../telemetry/logger.js';
+import { MetricsServer } from '../telemetry/metricsServer.js';
 import type { Clock } from '../utils/clock.js';
 import { SystemClock } from '../utils/clock.js';
 import { placementHash } from '../utils/hash.js';
@@ -32,6 +33,7 @@
 import { ManifestReader } from './manifestReader.js';
 import { PeerMessages } from './peerMessages.js';
 import { StageQueue } from './stageQueue.js';
+import { stagingMetrics } from './stagingMetrics.js';
 import { VersionReconciler } from './versionReconciler.js';
 
 /** What an agent is built from beside its settings. */
@@ -48,6 +50,7 @@
 const STALL_MILLISECONDS = 1_500;
 /** Written at a time, so that an event of a stream waits some tens of milliseconds at most. */
 const BLOCK_BYTES = 8 * 1024;
+const METRICS_PATH = '/metrics';
 const STATUS_INTERVAL_MILLISECONDS = 250;
 /** Requests by which the load has to change to be told at once. */
 const LOAD_STEP = 2;
@@ -64,6 +67,7 @@
   private readonly _reconciler: VersionReconciler;
   private readonly _control: ControlServer;
   private readonly _chunks: ChunkServer;
+  private readonly _metricsServer: MetricsServer;
   private readonly _entries = new Map<ControlConnection, EntryAddress>();
   private _members: Member[] = [];
   private _origin: Origin | undefined;
@@ -94,6 +98,14 @@
       chunk: (rollout, chunk) => this._stages.find(rollout)?.chunk(chunk),
       manifest: (rollout) => this._stages.find(rollout)?.index.manifest,
     });
+    const metrics = stagingMetrics({
+      stages: this._stages,
+      reconciler: this._reconciler,
+      uploads,
+      log: parts.log,
+      entries: () => this._entries.size,
+    });
+    this._metricsServer = new MetricsServer(metrics, METRICS_PATH);
     this._control = new ControlServer(
       controlOptions(settings),
       (connection) => this._onConnection(connection),
@@ -106,6 +118,7 @@
     const { address, controlPort, chunkPort } = this._settings;
     await this._chunks.listen(address, chunkPort);
     await this._control.listen(address, controlPort);
+    await this._metricsServer.listen(address, this._settings.metricsPort);
     this._statusTimer = setInterval(() => this._sendStatus(), STATUS_INTERVAL_MILLISECONDS);
     this._reconciler.start();
     this._log.state('agent.started', { address, controlPort, chunkPort });
@@ -124,6 +137,7 @@
     this._peers.close();
     this._control.close();
     this._chunks.close();
+    this._metricsServer.close();
     this._log.state('agent.stopped');
   }
 
--- /dev/null
+++ b/src/staging/stagingMetrics.ts
@@ -0,0 +1,41 @@
+/** The figures of an agent. */
+import type { EventLog } from '../telemetry/eventLog.js';
+import { ServingMetrics } from '../telemetry/servingMetrics.js';
+import type { TransferCounts } from '../weights/transferCounts.js';
+import type { UploadQueue } from '../weights/uploadQueue.js';
+import type { StageQueue } from './stageQueue.js';
+import type { VersionReconciler } from './versionReconciler.js';
+
+/** What the figures are read from. */
+export interface StagingFigures {
+  stages: StageQueue;
+  reconciler: VersionReconciler;
+  uploads: UploadQueue;
+  log: EventLog;
+  /** Entries that are connected. */
+  entries: () => number;
+}
+
+/** Figures of the newest version on its way, and of the process. */
+export function stagingMetrics({
+  stages,
+  reconciler,
+  uploads,
+  log,
+  entries,
+}: StagingFigures): ServingMetrics {
+  const metrics = new ServingMetrics();
+  const counts = (): TransferCounts | undefined => stages.stages.at(-1)?.exchange.counts;
+  metrics.gauge('version_wanted', () => stages.wantedVersion);
+  metrics.gauge('version_serving', () => reconciler.servedVersion);
+  metrics.gauge('version_held_share', () => stages.stages.at(-1)?.heldShare ?? 0);
+  metrics.gauge('version_origin_bytes', () => counts()?.originBytes ?? 0);
+  metrics.gauge('version_peer_bytes', () => counts()?.peerBytes ?? 0);
+  metrics.gauge('version_cross_hall_bytes', () => counts()?.crossHallBytes ?? 0);
+  metrics.gauge('version_corrupt_chunks', () => counts()?.corruptChunks ?? 0);
+  metrics.gauge('uploaded_bytes', () => uploads.bytesSent);
+  metrics.gauge('entries_connected', entries);
+  metrics.gauge('log_lines_dropped', () => log.droppedLines);
+  metrics.gauge('memory_bytes', () => process.memoryUsage.rss());
+  return metrics;
+}
