--- a/src/records/kindFollower.ts
+++ b/src/records/kindFollower.ts
@@ -22,7 +22,7 @@
   change: [];
 }
 
-const WATCH_WAIT_MILLISECONDS = 25_000;
+const WATCH_WAIT_MILLISECONDS = 20_000;
 const RETRY = { firstMilliseconds: 80, longestMilliseconds: 600 };
 /** A watch that answered sooner than this was busy; the next one waits a little, so that changes come together. */
 const GATHER_MILLISECONDS = 40;
@@ -32,10 +32,10 @@
   readonly objects = new Map<string, StoredObject>();
   private readonly _options: KindFollowerOptions;
   private readonly _stopped = new AbortController();
+  private _asking = new AbortController();
   private _revision: number | undefined;
   private _reachable = false;
   private _lost = false;
-  private _lastAnswerAt = Number.NEGATIVE_INFINITY;
   private _unreachableSince = 0;
   private _regainedAt = Number.NEGATIVE_INFINITY;
 
@@ -44,11 +44,6 @@
     this._options = options;
   }
 
-  /** Whether a listing has ever been read. */
-  get known(): boolean {
-    return this._lastAnswerAt !== Number.NEGATIVE_INFINITY;
-  }
-
   /** Whether the last call to the store was answered; a watch that waits counts as answered. */
   get reachable(): boolean {
     return this._reachable;
@@ -76,6 +71,12 @@
 
   stop(): void {
     this._stopped.abort();
+    this._asking.abort();
+  }
+
+  /** Asks anew at once: the call under way may never be answered. */
+  refresh(): void {
+    this._asking.abort();
   }
 
   private async _follow(): Promise<void> {
@@ -91,6 +92,7 @@
         if (clock.now() - askedAt < GATHER_MILLISECONDS)
           await pause(GATHER_MILLISECONDS, this._stopped.signal);
       } catch (error) {
+        if (this._asking.signal.aborted) continue;
         this._onSilence(errorText(error));
         await pause(backoff.nextWait(), this._stopped.signal);
       }
@@ -99,8 +101,10 @@
 
   private async _ask(): Promise<KindListing | KindChanges> {
     const { kind, store } = this._options;
-    if (this._revision === undefined) return await store.list(kind, this._stopped.signal);
-    return await store.watch(kind, this._revision, WATCH_WAIT_MILLISECONDS, this._stopped.signal);
+    this._asking = new AbortController();
+    const { signal } = this._asking;
+    if (this._revision === undefined) return await store.list(kind, signal);
+    return await store.watch(kind, this._revision, WATCH_WAIT_MILLISECONDS, signal);
   }
 
   private _take(answer: KindListing | KindChanges): void {
@@ -129,7 +133,6 @@
   }
 
   private _onAnswer(): void {
-    this._lastAnswerAt = this._options.clock.now();
     if (this._reachable) return;
     this._reachable = true;
     if (this._lost) this._regainedAt = this._options.clock.now();
--- a/src/records/watchableStore.ts
+++ b/src/records/watchableStore.ts
@@ -25,6 +25,8 @@
 
 /** Reads throw a StepError when there is no usable answer. */
 export interface WatchableStore {
+  /** Resolves when the store answers at all, by the cheapest read there is. */
+  probe(timeoutMilliseconds: number, signal: AbortSignal): Promise<void>;
   list(kind: string, signal: AbortSignal): Promise<KindListing>;
   /** Waits up to `waitMilliseconds` for a change after `revision`. */
   watch(kind: string, revision: number, waitMilliseconds: number, signal: AbortSignal): Promise<KindChanges>;
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -1,7 +1,6 @@
 /** An entry that reaches backend servers directly: everything it is made of, put together. */
 import type http from 'node:http';
 import type { AgentAddress, EntryAddress, EntryPresence } from '../protocol/boxMessages.js';
-import { KindFollower } from '../records/kindFollower.js';
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { SystemClock } from '../utils/clock.js';
@@ -18,6 +17,7 @@
 import type { ForwardServices } from './forwardedRequest.js';
 import { ForwardedRequest } from './forwardedRequest.js';
 import type { HeaderNames } from './headerNames.js';
+import { PlatformFollowers } from './platformFollowers.js';
 import type { ServingPlatform } from './platformRecords.js';
 import { RequestAdmission } from './requestAdmission.js';
 import { ServerPool, hostOf } from './serverPool.js';
@@ -43,18 +43,7 @@
   directoryAnswer(addresses: readonly string[], keepSeconds: number): unknown;
 }
 
-/** The records of the platform that a gateway follows. */
-interface Followers {
-  configuration: KindFollower;
-  servers: KindFollower;
-  versions: KindFollower;
-}
-
 const PERCENT = 100;
-/** How long after an outage of the store backend servers may be missing that only could not renew their entries. */
-const OUTAGE_ECHO_MILLISECONDS = 1_500;
-/** A configuration that has not been confirmed for so long is not trusted to be the newest. */
-const STALE_MILLISECONDS = 1_000;
 /** How long a leaving entry takes new connections: callers may keep its address for three times as long as told. */
 const LEAVING_LISTEN_SHARE = 0.72;
 const LEAVING_POLL_MILLISECONDS = 50;
@@ -71,7 +60,7 @@
   private readonly _pool: ServerPool;
   private readonly _gate: VersionGate;
   private readonly _links: BoxLinks;
-  private readonly _followers: Followers;
+  private readonly _followers: PlatformFollowers;
   private readonly _admission: RequestAdmission;
   private readonly _forward: ForwardServices;
   private readonly _callers: CallerServer;
@@ -115,7 +104,7 @@
       onEntries: (agent, list) => this._entries.report(agent.box, list.entries),
       onDown: (agent) => this._entries.forget(agent.box),
     });
-    this._followers = this._createFollowers(random);
+    this._followers = new PlatformFollowers(parts.platform, clock, random, parts.log);
     this._admission = this._createAdmission(random);
     this._forward = {
       names: parts.names,
@@ -173,7 +162,7 @@
 
   /** Closes at once. */
   close(): void {
-    for (const follower of Object.values(this._followers)) follower.stop();
+    this._followers.stop();
     this._links.close();
     this._pool.close();
     this._callers.close();
@@ -193,14 +182,6 @@
     }
   }
 
-  private _createFollowers(random: Random): Followers {
-    const { store, reader } = this._parts.platform;
-    const follow = (kind: string): KindFollower =>
-      new KindFollower({ kind, store, clock: this._clock, random, log: this._log });
-    const { configuration, servers, versions } = reader.kinds;
-    return { configuration: follow(configuration), servers: follow(servers), versions: follow(versions) };
-  }
-
   private _createAdmission(random: Random): RequestAdmission {
     const { retryPercent, retryWindowMilliseconds, retrySlack } = this._settings;
     return new RequestAdmission({
@@ -216,7 +197,7 @@
       },
       entries: () => this._entries.count(),
       isLeaving: () => this._own.leaving,
-      isCurrent: () => this._followers.configuration.unreachableFor < STALE_MILLISECONDS,
+      isCurrent: () => this._followers.isCurrent,
     });
   }
 
@@ -225,7 +206,7 @@
     configuration.on('change', () => this._onConfiguration());
     servers.on('change', () => this._onServers());
     versions.on('change', () => this._onVersions());
-    for (const follower of [configuration, servers, versions]) follower.start();
+    this._followers.start();
   }
 
   private _onConfiguration(): void {
@@ -240,7 +221,7 @@
   private _onServers(): void {
     const objects = [...this._followers.servers.objects.values()];
     const records = objects.map(({ name, value }) => this._parts.platform.reader.server(name, value));
-    const doubtful = this._followers.servers.regainedFor < OUTAGE_ECHO_MILLISECONDS;
+    const doubtful = this._followers.isEchoing;
     this._pool.update(
       records.filter((record) => record !== undefined),
       doubtful,
--- a/standins/platformStoreStandin.ts
+++ b/standins/platformStoreStandin.ts
@@ -45,6 +45,11 @@
     this._change({ kind, name, spec: null, gone: true });
   }
 
+  /** Watches that wait now are never answered, as after a cut that lost their answers. */
+  deafenWatches(): void {
+    this._watchers.clear();
+  }
+
   /** Forgets what changed so far, so that older watches are answered with 410. */
   forgetHistory(): void {
     this._forgottenUpTo = this._revision;
@@ -98,7 +103,7 @@
         this._watchers.delete(wake);
         resolve();
       };
-      const timer = setTimeout(wake, milliseconds);
+      const timer = setTimeout(wake, milliseconds).unref();
       this._watchers.add(wake);
     });
   }
--- a/tests/platformStore.spec.ts
+++ b/tests/platformStore.spec.ts
@@ -3,6 +3,7 @@
 import { expect } from 'earl';
 import { PlatformStore } from '../platform/store.js';
 import { KindFollower } from '../src/records/kindFollower.js';
+import { StoreProbe } from '../src/records/storeProbe.js';
 import { EventLog } from '../src/telemetry/eventLog.js';
 import { SystemClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
@@ -105,3 +106,22 @@
   await until(() => follower.unreachableFor > 0);
   expect(follower.objects.size >= 1).toEqual(true);
 });
+
+test('should not trust a watch that was opened before the store was lost', async () => {
+  standin.put('servers', 'a', 1);
+  const clock = new SystemClock();
+  const probe = new StoreProbe({ store, clock, log: new EventLog({ write: () => undefined }, 'off') });
+  probe.on('regained', () => follower.refresh());
+  follower.start();
+  await until(() => standin.calls.some((call) => call.includes('watch=')));
+  standin.deafenWatches();
+  standin.put('servers', 'b', 2);
+  standin.faults = { silent: true };
+  probe.start();
+  await until(() => probe.lostFor > 0);
+  expect(follower.objects.size).toEqual(1);
+  standin.faults = {};
+  await until(() => follower.objects.size === 2);
+  expect(probe.lostFor).toEqual(0);
+  probe.stop();
+});
