--- a/src/cli/helpText.ts
+++ b/src/cli/helpText.ts
@@ -15,7 +15,9 @@
     $ larklatch rollout status|watch CUSTOMER NAME    how far a rollout is
     $ larklatch entries --api-key KEY                 the addresses that callers are given
     $ larklatch check entry|agent [settings]          check settings without starting
+    $ larklatch check gateway|staging [settings]      check settings of the daemons that run on the platform
     $ larklatch check template --file FILE            check a template without publishing
+    $ larklatch explain REQUEST-ID < log              the story of one request from the logs of several processes
 
   Options of operator commands
     --entry-url URL        an entry (LARKLATCH_ENTRY_URL)
--- a/src/cli/runCommand.ts
+++ b/src/cli/runCommand.ts
@@ -6,11 +6,14 @@
 import { agentSettingsSchema } from '../settings/agentSettings.js';
 import { urlSetting } from '../settings/commonSettings.js';
 import { entrySettingsSchema } from '../settings/entrySettings.js';
+import { gatewaySettingsSchema } from '../settings/gatewaySettings.js';
+import { stagingSettingsSchema } from '../settings/stagingSettings.js';
 import type { SettingsSchema } from '../settings/settingsParser.js';
 import { CliError } from './cliError.js';
 import type { Flags } from './daemonCommand.js';
 import { checkSettings, runAgent, runEntry } from './daemonCommand.js';
 import { EXIT } from './exitCodes.js';
+import { readStory, storyText } from './explainCommand.js';
 import { HELP, settingsHelp } from './helpText.js';
 import type { ObjectKind } from './objectCommand.js';
 import { readJsonFile, runObjectCommand, textFlag } from './objectCommand.js';
@@ -21,6 +24,8 @@
 const DAEMON_SCHEMAS: Record<string, SettingsSchema> = {
   entry: entrySettingsSchema,
   agent: agentSettingsSchema,
+  gateway: gatewaySettingsSchema,
+  staging: stagingSettingsSchema,
 };
 const TIMEOUT_MILLISECONDS = 10_000;
 
@@ -39,6 +44,7 @@
 export async function runCommand(words: string[], flags: Flags): Promise<void> {
   const [command, ...rest] = words;
   if (command === 'check') return check(rest[0], flags);
+  if (command === 'explain') return await explain(rest[0]);
   if (!command || flags['help']) return console.log(HELP);
   if (command === 'agent') return await runAgent(flags);
   if (command === 'entry') return await runEntry(flags);
@@ -50,6 +56,14 @@
   throw new CliError(EXIT.wrongInput, [`unknown command ${JSON.stringify(command)}; see larklatch --help`]);
 }
 
+async function explain(request: string | undefined): Promise<void> {
+  if (!request) throw new CliError(EXIT.wrongInput, ['which request? larklatch explain REQUEST-ID < log']);
+  const story = await readStory(process.stdin, request);
+  if (story.length === 0)
+    throw new CliError(EXIT.failed, [`no line of request ${request} on standard input`]);
+  for (const line of storyText(story)) console.log(line);
+}
+
 function operatorClient(flags: Flags): OperatorClient {
   const settings = checkSettings(operatorSettingsSchema, flags);
   return new OperatorClient(settings.entryUrl, settings.operatorKey);
@@ -77,7 +91,7 @@
   else if (what === 'template') checkTemplate(flags);
   else
     throw new CliError(EXIT.wrongInput, [
-      `cannot check ${JSON.stringify(what)}; allowed: entry, agent, template`,
+      `cannot check ${JSON.stringify(what)}; allowed: entry, agent, gateway, staging, template`,
     ]);
   console.log(`${what}${textFlag(flags, 'file') ? ` ${textFlag(flags, 'file')}` : ''}: ok`);
 }
--- a/src/cli/settingsPage.ts
+++ b/src/cli/settingsPage.ts
@@ -2,6 +2,8 @@
 import type { z } from 'zod';
 import { agentSettingsSchema } from '../settings/agentSettings.js';
 import { entrySettingsSchema } from '../settings/entrySettings.js';
+import { gatewaySettingsSchema } from '../settings/gatewaySettings.js';
+import { stagingSettingsSchema } from '../settings/stagingSettings.js';
 import type { SettingsSchema } from '../settings/settingsParser.js';
 import { flagOf, variableOf } from '../settings/settingsParser.js';
 
@@ -20,6 +22,16 @@
     '',
     ...table(agentSettingsSchema),
     '',
+    '## On the platform: gateway',
+    '',
+    'On the platform, the adapter fills these from the settings file.',
+    '',
+    ...table(gatewaySettingsSchema),
+    '',
+    '## On the platform: staging agent',
+    '',
+    ...table(stagingSettingsSchema),
+    '',
   ].join('\n');
 }
 
--- /dev/null
+++ b/tests/eventLog.spec.ts
@@ -0,0 +1,31 @@
+/** Log lines: bounded, structured, and never in the way. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { EventLog } from '../src/telemetry/eventLog.js';
+
+const MANY = 1_000;
+
+test('should write one JSON object a line, with what stands on every line', () => {
+  const lines: string[] = [];
+  new EventLog({ write: (line) => void lines.push(line) }, 'state', { box: 'b' }).state('start', { port: 1 });
+  const parsed = JSON.parse(lines[0]);
+  expect([parsed.step, parsed.box, parsed.port]).toEqual(['start', 'b', 1]);
+  expect(lines[0].endsWith('\n')).toEqual(true);
+});
+
+test('should write decisions only when asked to', () => {
+  const lines: string[] = [];
+  const log = new EventLog({ write: (line) => void lines.push(line) }, 'state');
+  log.decision('request.sent');
+  expect(lines).toEqual([]);
+});
+
+test('should write no more than a few lines of one step a second, and count the others', () => {
+  const lines: string[] = [];
+  const log = new EventLog({ write: (line) => void lines.push(line) }, 'decision');
+  for (let line = 0; line < MANY; line++) log.decision('request.sent');
+  log.decision('request.refused');
+  expect(lines.length < MANY / 2).toEqual(true);
+  expect(log.droppedLines).toEqual(MANY + 1 - lines.length);
+  expect(lines.at(-1)?.includes('request.refused')).toEqual(true);
+});
