--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -113,8 +113,10 @@
 
   private _find(): ServerFound {
     const { service, model } = this._request;
-    const lowestVersion = this._services.gate.lowest(model);
-    return this._services.pool.find({ service, model, lowestVersion, tried: this._tried });
+    const { gate, pool } = this._services;
+    const lowestVersion = gate.lowest(model);
+    const lowestVersionFar = gate.lowest(model, true);
+    return pool.find({ service, model, lowestVersion, lowestVersionFar, tried: this._tried });
   }
 
   private _requestFor(server: TrackedServer): BackendRequest {
@@ -134,6 +136,7 @@
     const { names } = this._services;
     const { exchange, model } = this._request;
     if (headers[names.requestId] !== exchange.requestId) return this._onForeignAnswer(server);
+    server.health.noteFirstAnswer(this._services.clock.now() - this._attemptStartedAt);
     const version = Number(headers[names.version]);
     if (model !== '' && version > 0) server.noteVersion(model, version);
     this._answer = { status, headers, body: [], length: 0 };
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -13,6 +13,8 @@
   unread: number;
   /** Part of recent attempts that failed, from 0 to 1. */
   failureRate: number;
+  /** Recent time to the first answer, in milliseconds. */
+  firstAnswerMilliseconds: number;
   /** Whether to use it only when there is no other. */
   avoided: boolean;
 }
@@ -23,6 +25,8 @@
   serviceMilliseconds: number;
   /** Mean time that a server needs to read a prompt, in milliseconds; 0 where there are none. */
   readMilliseconds: number;
+  /** Time to the first answer of a server that is well, in milliseconds. */
+  usualFirstMilliseconds: number;
 }
 
 /** What another hall costs: the way there and back, and bytes between halls. */
@@ -46,7 +50,8 @@
   const failing = Math.max(0, candidate.failureRate - USUAL_FAILURE_RATE) * FAILURE_MILLISECONDS;
   const distance = candidate.sameHall ? 0 : OTHER_HALL_MILLISECONDS;
   const reading = candidate.unread * readMilliseconds;
-  return filled * BATCH_SLOWDOWN * serviceMilliseconds + reading + waiting + failing + distance;
+  const slow = Math.max(0, candidate.firstAnswerMilliseconds - service.usualFirstMilliseconds);
+  return filled * BATCH_SLOWDOWN * serviceMilliseconds + reading + waiting + failing + slow + distance;
 }
 
 /**
--- a/src/serving/serverHealth.ts
+++ b/src/serving/serverHealth.ts
@@ -8,6 +8,8 @@
 const HALF_LIFE_MILLISECONDS = 2_500;
 /** Attempts that an unseen server is taken to have succeeded in. */
 const PRIOR_SUCCESSES = 4;
+/** Weight of the newest time to the first answer. */
+const NEWEST_WEIGHT = 0.3;
 const REJECTION_WEIGHT = 0.5;
 const SILENCE_WEIGHT = 3;
 /** Pause after a rejection, after silence, and after a failed connection. */
@@ -22,6 +24,8 @@
   private _failures = 0;
   private _countedAt: number;
   private _avoidedUntil = 0;
+  private _firstAnswer = 0;
+  private _firstAnswerAt = 0;
 
   constructor(clock: Clock) {
     this._clock = clock;
@@ -34,6 +38,18 @@
     return this._failures / (this._failures + this._successes + PRIOR_SUCCESSES);
   }
 
+  /** Recent time to the first answer, in milliseconds; fades when there is no news, so that the server is tried again. */
+  get firstAnswerMilliseconds(): number {
+    const age = this._clock.now() - this._firstAnswerAt;
+    return this._firstAnswer * 0.5 ** (age / HALF_LIFE_MILLISECONDS);
+  }
+
+  /** Notes how long an attempt waited for its first answer. */
+  noteFirstAnswer(milliseconds: number): void {
+    this._firstAnswer += (milliseconds - this._firstAnswer) * NEWEST_WEIGHT;
+    this._firstAnswerAt = this._clock.now();
+  }
+
   /** Whether to pass over the server for now. */
   get avoided(): boolean {
     return this._clock.now() < this._avoidedUntil;
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -28,6 +28,8 @@
   model: string;
   /** The lowest version on which the request may begin. */
   lowestVersion: number;
+  /** The same for a server that requests may take long to reach. */
+  lowestVersionFar: number;
   /** Servers that have been tried for the request. */
   tried: ReadonlySet<string>;
 }
@@ -43,7 +45,14 @@
 /** How long a server is kept that is missing after an outage: longer than it needs to renew its entry. */
 const DOUBT_MILLISECONDS = 1_700;
 const UNKNOWN_SLOTS = 4;
-const PLAIN_SERVICE_MILLISECONDS = 60;
+const PLAIN_COST: ServiceCost = {
+  serviceMilliseconds: 60,
+  readMilliseconds: 0,
+  usualFirstMilliseconds: 100,
+};
+/** Prompts that a server reads, and steps that it takes, until the first event of a stream. */
+const USUAL_FIRST_READS = 3;
+const USUAL_FIRST_STEPS = 12;
 /** Requests on a server, in parts of its slots, beyond which no more are sent. */
 const FULLEST_ENGINE = 1.6;
 const FULLEST_PLAIN = 3;
@@ -167,16 +176,18 @@
       load: load.estimate(this._options.clock.now()),
       unread: server.unread,
       failureRate: health.failureRate,
+      firstAnswerMilliseconds: health.firstAnswerMilliseconds,
       avoided: health.avoided || server.suspicious || this._missing.has(record.id),
     };
   }
 
   private _cost(service: string): ServiceCost {
     const engine = this._options.service(service)?.engine;
-    if (!engine) return { serviceMilliseconds: PLAIN_SERVICE_MILLISECONDS, readMilliseconds: 0 };
+    if (!engine) return PLAIN_COST;
     const reading = engine.usualPromptTokens / (engine.readTokensPerSecond / 1000);
     const writing = engine.usualAnswerTokens * engine.stepMilliseconds;
-    return { serviceMilliseconds: reading + writing, readMilliseconds: reading };
+    const usualFirstMilliseconds = USUAL_FIRST_READS * reading + USUAL_FIRST_STEPS * engine.stepMilliseconds;
+    return { serviceMilliseconds: reading + writing, readMilliseconds: reading, usualFirstMilliseconds };
   }
 
   private _fullest(service: string): number {
@@ -188,7 +199,8 @@
 function isAble(server: TrackedServer, need: ServerNeed): boolean {
   if (need.model === '') return true;
   const version = server.version(need.model);
-  return version > 0 && version >= need.lowestVersion && !server.switching;
+  const lowest = server.isNearby ? need.lowestVersion : need.lowestVersionFar;
+  return version > 0 && version >= lowest && !server.switching;
 }
 
 function hasRoom(fullest: number): (candidate: Candidate) => boolean {
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -9,6 +9,8 @@
 /** Silence of a server that has requests to answer, after which nothing new is sent. */
 const SUSPICIOUS_SILENCE_MILLISECONDS = 500;
 const STATUS_LIFETIME_MILLISECONDS = 2_000;
+/** Agents send their status once a second at least. */
+const NEARBY_MILLISECONDS = 1_400;
 /** Time in which a server reads a prompt, at the most, and in which half of those that waited have been read. */
 const UNREAD_MILLISECONDS = 250;
 const UNREAD_HALF_LIFE_MILLISECONDS = 120;
@@ -88,6 +90,11 @@
     return this.switching ? this._clock.now() - this._switchingSince : 0;
   }
 
+  /** Whether news from the box come in time, so that requests reach it in time too. */
+  get isNearby(): boolean {
+    return this._clock.now() - this._statusAt < NEARBY_MILLISECONDS && !this.health.avoided;
+  }
+
   /** A stream began or ended on the server. */
   streamBegan(): void {
     if (this._streams === 0) this._heardAt = this._clock.now();
--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -12,6 +12,7 @@
 
 /** Requests sent to an older version end this long before the bound, since they may wait before they begin. */
 const MARGIN_MILLISECONDS = 900;
+const FAR_MARGIN_MILLISECONDS = 2_500;
 /** The version of a model before any other is named. */
 const FIRST_VERSION = 1;
 /** Versions of one model that are remembered. */
@@ -43,9 +44,13 @@
     return true;
   }
 
-  /** The lowest version on which a request may begin now; 0 when any may. */
-  lowest(model: string): number {
-    const oldest = this._clock.now() - (this._bounds.switchMilliseconds - MARGIN_MILLISECONDS);
+  /**
+   * The lowest version on which a request may begin that is sent now; 0 when any may. `far` when it may take long to
+   * reach its server.
+   */
+  lowest(model: string, far = false): number {
+    const margin = far ? FAR_MARGIN_MILLISECONDS : MARGIN_MILLISECONDS;
+    const oldest = this._clock.now() - (this._bounds.switchMilliseconds - margin);
     const due = (this._known.get(model) ?? []).filter((item) => item.knownAt <= oldest);
     return due.at(-1)?.version ?? 0;
   }
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -34,6 +34,7 @@
 import { PeerMessages } from './peerMessages.js';
 import { StageQueue } from './stageQueue.js';
 import { stagingMetrics } from './stagingMetrics.js';
+import { StatusSender } from './statusSender.js';
 import { VersionReconciler } from './versionReconciler.js';
 
 /** What an agent is built from beside its settings. */
@@ -52,8 +53,6 @@
 const BLOCK_BYTES = 8 * 1024;
 const METRICS_PATH = '/metrics';
 const STATUS_INTERVAL_MILLISECONDS = 250;
-/** Requests by which the load has to change to be told at once. */
-const LOAD_STEP = 2;
 const BITS_PER_BYTE = 8;
 
 export class StagingDaemon {
@@ -68,12 +67,11 @@
   private readonly _control: ControlServer;
   private readonly _chunks: ChunkServer;
   private readonly _metricsServer: MetricsServer;
+  private readonly _statusSender: StatusSender;
   private readonly _entries = new Map<ControlConnection, EntryAddress>();
   private _members: Member[] = [];
   private _origin: Origin | undefined;
   private _originAddress = '';
-  private _lastStatus = '';
-  private _lastLoad = 0;
   private _lastEntries = '';
   private _lastState = '';
   private _statusTimer: NodeJS.Timeout | undefined;
@@ -83,6 +81,11 @@
     this._settings = settings;
     this._parts = parts;
     this._log = parts.log;
+    this._statusSender = new StatusSender(
+      this._clock,
+      () => this._status(),
+      (status) => this._entries.forEach((_entry, connection) => connection.send(status)),
+    );
     this._messages = new PeerMessages(
       () => this._stages.stages.map((stage) => stage.exchange),
       this._clock,
@@ -119,7 +122,7 @@
     await this._chunks.listen(address, chunkPort);
     await this._control.listen(address, controlPort);
     await this._metricsServer.listen(address, this._settings.metricsPort);
-    this._statusTimer = setInterval(() => this._sendStatus(), STATUS_INTERVAL_MILLISECONDS);
+    this._statusTimer = setInterval(() => this._statusSender.onInterval(), STATUS_INTERVAL_MILLISECONDS);
     this._reconciler.start();
     this._log.state('agent.started', { address, controlPort, chunkPort });
   }
@@ -249,20 +252,12 @@
 
   /** Tells the other boxes and the entries when this box comes to another stage. */
   private _onStage(): void {
-    this._sendLoadChange();
+    this._statusSender.onChange();
     const state = this._switchState();
     const text = JSON.stringify(state);
     if (text === this._lastState) return;
     this._lastState = text;
     for (const member of this._members) this._peers.send(member.box, state);
-    this._sendStatus();
-  }
-
-  /** A load that has changed much is told at once. */
-  private _sendLoadChange(): void {
-    const { status } = this._reconciler;
-    const load = (status?.running ?? 0) + (status?.queued ?? 0);
-    if (Math.abs(load - this._lastLoad) >= LOAD_STEP) this._sendStatus();
   }
 
   private _switchState(): SwitchState {
@@ -288,22 +283,12 @@
     return { type: 'entry-list', entries: entries.sort((a, b) => compareText(a.box, b.box)) };
   }
 
-  private _sendStatus(): void {
-    const status = this._status();
-    this._lastLoad = status.running + status.queued;
-    this._lastStatus = this._sendChanged(status, this._lastStatus);
-  }
-
   private _sendEntries(): void {
-    this._lastEntries = this._sendChanged(this._entryList(), this._lastEntries);
-  }
-
-  /** Sends a message to all entries unless it says what the last one said; returns its text. */
-  private _sendChanged(message: BoxStatus | EntryList, last: string): string {
-    const text = JSON.stringify(message);
-    if (text === last) return text;
-    for (const connection of this._entries.keys()) connection.send(message);
-    return text;
+    const list = this._entryList();
+    const text = JSON.stringify(list);
+    if (text === this._lastEntries) return;
+    this._lastEntries = text;
+    for (const connection of this._entries.keys()) connection.send(list);
   }
 }
 
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -16,10 +16,20 @@
 import { SeededRandom } from '../src/utils/random.js';
 import { routeFixture, servingConfiguration } from './fixtures/servingFixture.js';
 
-const ENGINE = { serviceMilliseconds: 900, readMilliseconds: 30 };
+const ENGINE = { serviceMilliseconds: 900, readMilliseconds: 30, usualFirstMilliseconds: 180 };
 
 function candidate(id: string, changes: Partial<Candidate> = {}): Candidate {
-  return { id, sameHall: true, slots: 16, load: 0, unread: 0, failureRate: 0, avoided: false, ...changes };
+  return {
+    id,
+    sameHall: true,
+    slots: 16,
+    load: 0,
+    unread: 0,
+    failureRate: 0,
+    firstAnswerMilliseconds: 100,
+    avoided: false,
+    ...changes,
+  };
 }
 
 test('should find the route with the longest prefix of the path', () => {
@@ -63,6 +73,29 @@
   expect(chooseServer([candidate('near', { load: 12 }), far], ENGINE, random)?.id).toEqual('far');
 });
 
+test('should pass over a server that has become slow', () => {
+  const slow = candidate('slow', { firstAnswerMilliseconds: 900 });
+  const chosen = chooseServer([slow, candidate('busy', { load: 12 })], ENGINE, new SeededRandom(1));
+  expect(chosen?.id).toEqual('busy');
+});
+
+test('should forget that a server was slow, so that it is tried again', () => {
+  const clock = new ManualClock();
+  const health = new ServerHealth(clock);
+  for (let attempt = 0; attempt < 10; attempt++) health.noteFirstAnswer(1_000);
+  expect(health.firstAnswerMilliseconds).toBeGreaterThan(900);
+  clock.advance(10_000);
+  expect(health.firstAnswerMilliseconds).toBeLessThan(100);
+});
+
+test('should stop sending to an older version sooner where requests take long', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, startMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, true);
+  clock.advance(6_000);
+  expect([gate.lowest('m'), gate.lowest('m', true)]).toEqual([0, 2]);
+});
+
 test('should use a server that is avoided only when there is no other', () => {
   const random = new SeededRandom(1);
   const avoided = candidate('avoided', { avoided: true });
