--- a/src/agent/agentDaemon.ts
+++ b/src/agent/agentDaemon.ts
@@ -48,6 +48,7 @@
 const STALE_ENTRY_MILLISECONDS = 15_000;
 /** Enough to keep the incoming link busy while some wait in a queue. */
 const FETCHES_AT_ONCE = 8;
+const IMPORT_STEP_MILLISECONDS = 2_000;
 const HEALTH_INTERVAL_MILLISECONDS = 1_000;
 const DRAIN_POLL_MILLISECONDS = 20;
 /** How long a leaving box waits for its part of the ledger to be taken over. */
@@ -117,6 +118,7 @@
           stallMilliseconds: settings.stallMilliseconds,
           incoming: new RateLimiter(settings.weightBytesPerSecond),
           fetchesAtOnce: FETCHES_AT_ONCE,
+          importStepMilliseconds: IMPORT_STEP_MILLISECONDS,
         },
         clock,
         random,
--- a/src/records/kindFollower.ts
+++ b/src/records/kindFollower.ts
@@ -1,4 +1,4 @@
-/** Keeps a copy of all objects of one kind: lists once, then watches, and lists again when history is lost. */
+/** Keeps a copy of all objects of one kind: lists once, then watches, and lists again after any trouble. */
 import { EventEmitter } from 'node:events';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { Backoff } from '../utils/backoff.js';
@@ -74,8 +74,9 @@
     this._asking.abort();
   }
 
-  /** Asks anew at once: the call under way may never be answered. */
+  /** Lists anew at once: the call under way may never be answered. */
   refresh(): void {
+    this._revision = undefined;
     this._asking.abort();
   }
 
@@ -140,6 +141,7 @@
   }
 
   private _onSilence(reason: string): void {
+    this._revision = undefined;
     if (this._stopped.signal.aborted || !this._reachable) return;
     this._reachable = false;
     this._lost = true;
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -11,6 +11,8 @@
 const STATUS_LIFETIME_MILLISECONDS = 2_000;
 /** Agents send their status once a second at least. */
 const NEARBY_MILLISECONDS = 1_400;
+/** First answers that take longer say that requests wait, on the way or at the server. */
+const PROMPT_MILLISECONDS = 350;
 /** Time in which a server reads a prompt, at the most, and in which half of those that waited have been read. */
 const UNREAD_MILLISECONDS = 250;
 const UNREAD_HALF_LIFE_MILLISECONDS = 120;
@@ -92,7 +94,9 @@
 
   /** Whether news from the box come in time, so that requests reach it in time too. */
   get isNearby(): boolean {
-    return this._clock.now() - this._statusAt < NEARBY_MILLISECONDS && !this.health.avoided;
+    const newsAge = this._clock.now() - this._statusAt;
+    const isPrompt = this.health.firstAnswerMilliseconds < PROMPT_MILLISECONDS;
+    return newsAge < NEARBY_MILLISECONDS && isPrompt && !this.health.avoided;
   }
 
   /** A stream began or ended on the server. */
--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -11,7 +11,7 @@
 }
 
 /** Requests sent to an older version end this long before the bound, since they may wait before they begin. */
-const MARGIN_MILLISECONDS = 900;
+const MARGIN_MILLISECONDS = 1_000;
 const FAR_MARGIN_MILLISECONDS = 2_500;
 /** The version of a model before any other is named. */
 const FIRST_VERSION = 1;
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -48,6 +48,8 @@
 
 /** Few, so that requests to the backend server find the incoming link free. */
 const FETCHES_AT_ONCE = 3;
+/** Longer than a chunk takes on a link that is well, several times shorter than on one that is squeezed. */
+const IMPORT_STEP_MILLISECONDS = 600;
 const STALL_MILLISECONDS = 1_500;
 /** Written at a time, so that an event of a stream waits some tens of milliseconds at most. */
 const BLOCK_BYTES = 8 * 1024;
@@ -175,6 +177,7 @@
           stallMilliseconds: STALL_MILLISECONDS,
           incoming: new RateLimiter(weightRate(settings)),
           fetchesAtOnce: FETCHES_AT_ONCE,
+          importStepMilliseconds: IMPORT_STEP_MILLISECONDS,
         },
         clock,
         random,
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -21,7 +21,6 @@
 import type { UploadQueue } from './uploadQueue.js';
 
 const FETCHES_PER_PEER = 1;
-const IMPORT_STEP_MILLISECONDS = 2_000;
 /** How often a version that found no room looks for it again. */
 const ROOM_RETRY_MILLISECONDS = 500;
 /** How often neighbours in other halls are told everything. */
@@ -79,7 +78,7 @@
       random: services.random,
       box: services.box,
       importers: (chunk) => this._topology.importers(chunk),
-      importStepMilliseconds: IMPORT_STEP_MILLISECONDS,
+      importStepMilliseconds: services.bounds.importStepMilliseconds,
       fetchesPerPeer: FETCHES_PER_PEER,
     });
     this._drawer = this._createDrawer();
--- a/tests/platformStore.spec.ts
+++ b/tests/platformStore.spec.ts
@@ -125,3 +125,17 @@
   expect(probe.lostFor).toEqual(0);
   probe.stop();
 });
+
+test('should list, not watch, after a call that failed: a watch may hang on history that is gone', async () => {
+  standin.put('servers', 'a', 1);
+  follower.start();
+  await until(() => standin.calls.some((call) => call.includes('watch=')));
+  standin.faults = { status: 503 };
+  standin.put('servers', 'b', 2);
+  await until(() => !follower.reachable);
+  standin.calls.length = 0;
+  standin.faults = {};
+  await until(() => follower.reachable);
+  const answered = standin.calls.filter((call) => !call.includes('stale'));
+  expect(answered.some((call) => call === 'GET /objects/servers')).toEqual(true);
+});
--- a/tests/serviceHost.spec.ts
+++ b/tests/serviceHost.spec.ts
@@ -78,7 +78,12 @@
       client: new PeerChunkClient('token'),
       origin,
       uploads: new UploadQueue(new RateLimiter(0), 500),
-      bounds: { stallMilliseconds: 500, incoming: new RateLimiter(0), fetchesAtOnce: 8 },
+      bounds: {
+        stallMilliseconds: 500,
+        incoming: new RateLimiter(0),
+        fetchesAtOnce: 8,
+        importStepMilliseconds: 2_000,
+      },
       clock: new SystemClock(),
       random,
       logger,
