--- a/src/serving/answerJudgement.ts
+++ b/src/serving/answerJudgement.ts
@@ -18,7 +18,8 @@
 
 /** Statuses that promise that a request has not run, which without a proof may not be passed on. */
 const PROMISING_STATUSES = new Set([408, 421, 429, 503]);
-const MISDIRECTED = 421;
+/** Another server has the address, or the server holds another version. */
+export const MISDIRECTED = 421;
 const SERVER_ERROR = 500;
 const REDIRECTION = 300;
 
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -8,7 +8,7 @@
 import { OWN_STATUS } from './callerExchange.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { PartialAnswer } from './answerJudgement.js';
-import { judgeAnswer, shouldMove, switchingPatience } from './answerJudgement.js';
+import { MISDIRECTED, judgeAnswer, shouldMove, switchingPatience } from './answerJudgement.js';
 import type { HeaderNames } from './headerNames.js';
 import type { RequestOutcome } from './requestTrace.js';
 import { RequestTrace } from './requestTrace.js';
@@ -194,7 +194,7 @@
 
   /** The server says that the request has not run. */
   private _onRejected(server: TrackedServer, status: number): void {
-    server.health.note('rejected');
+    server.health.note(status === MISDIRECTED ? 'displaced' : 'rejected');
     this._trace.rejected(server, status);
     if (this._mayTryAgain()) return this._attempt();
     this._giveUp('all-busy');
--- a/src/serving/serverHealth.ts
+++ b/src/serving/serverHealth.ts
@@ -1,8 +1,8 @@
 /** How a backend server has answered lately. */
 import type { Clock } from '../utils/clock.js';
 
-/** How one attempt ended, seen from the server's health. */
-export type AttemptEnd = 'succeeded' | 'failed' | 'rejected' | 'silent';
+/** How one attempt ended, seen from the server's health; `displaced`: another server answered at its address. */
+export type AttemptEnd = 'succeeded' | 'failed' | 'rejected' | 'displaced' | 'silent';
 
 /** Time after which what was seen counts half. */
 const HALF_LIFE_MILLISECONDS = 2_500;
@@ -15,6 +15,7 @@
 /** Pause after a rejection, after silence, and after a failed connection. */
 const REJECTED_PAUSE_MILLISECONDS = 150;
 const SILENT_PAUSE_MILLISECONDS = 1_000;
+const DISPLACED_PAUSE_MILLISECONDS = 1_500;
 const UNREACHABLE_PAUSE_MILLISECONDS = 700;
 
 /** Counts attempts, the newer the more. One per backend server. */
@@ -62,7 +63,8 @@
     else if (end === 'rejected') {
       this._failures += REJECTION_WEIGHT;
       this._avoid(REJECTED_PAUSE_MILLISECONDS);
-    } else {
+    } else if (end === 'displaced') this._avoid(DISPLACED_PAUSE_MILLISECONDS);
+    else {
       this._failures += SILENCE_WEIGHT;
       this._avoid(SILENT_PAUSE_MILLISECONDS);
     }
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -52,7 +52,7 @@
       this._switchingSince = this._clock.now();
     this._status = status;
     this._statusAt = this._clock.now();
-    if (status.state !== 'empty') this.noteVersion(status.model, status.version);
+    if (status.model !== '') this._versions.set(status.model, status.version);
     this.load.report(status.running + status.queued, this._clock.now());
   }
 
@@ -71,7 +71,7 @@
     return told + this._sentAt.filter((at) => at > from).length;
   }
 
-  /** Versions only rise within one life of a server. */
+  /** A version that the server itself named; versions only rise while nothing says that it lost them. */
   noteVersion(model: string, version: number): void {
     this._versions.set(model, Math.max(version, this._versions.get(model) ?? 0));
   }
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -274,7 +274,8 @@
     return {
       type: 'box-status',
       state: switchStage === 'switching' ? 'switching' : serving,
-      model: this._stages.model,
+      // before the first word of the backend server nothing is known
+      model: status ? this._stages.model : '',
       version: servedVersion,
       running: status?.running ?? 0,
       queued: status?.queued ?? 0,
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -4,6 +4,7 @@
 import { OWN_HEADER_NAMES } from '../src/serving/headerNames.js';
 import type { AttemptProgress } from '../src/serving/answerJudgement.js';
 import { judgeAnswer, shouldMove, switchingPatience } from '../src/serving/answerJudgement.js';
+import { BackendConnections } from '../src/serving/backendConnections.js';
 import { EntryDirectory } from '../src/serving/entryDirectory.js';
 import { EventSplitter } from '../src/serving/eventSplitter.js';
 import { RetryAllowance } from '../src/serving/retryAllowance.js';
@@ -11,6 +12,7 @@
 import type { Candidate } from '../src/serving/serverChoice.js';
 import { chooseServer, expectedCost } from '../src/serving/serverChoice.js';
 import { ServerHealth } from '../src/serving/serverHealth.js';
+import { TrackedServer } from '../src/serving/trackedServer.js';
 import { VersionGate } from '../src/serving/versionGate.js';
 import { ManualClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
@@ -125,6 +127,34 @@
   expect(health.failureRate).toBeLessThan(0.05);
 });
 
+test('should believe the agent that a server has lost its version', () => {
+  const clock = new ManualClock();
+  const record = { id: 's', service: 'm', address: '127.0.0.1:1', hall: 'north', slots: 4, draining: false };
+  const connections = new BackendConnections({
+    address: record.address,
+    connectMilliseconds: 1,
+    limit: () => 1,
+  });
+  const server = new TrackedServer(
+    { ...record, models: [{ name: 'model', version: 2 }] },
+    connections,
+    clock,
+  );
+  expect(server.version('model')).toEqual(2);
+  const load = { type: 'box-status', running: 0, queued: 0, model: 'model' } as const;
+  server.noteStatus({ ...load, state: 'empty', version: 0 });
+  expect(server.version('model')).toEqual(0);
+  server.noteStatus({ ...load, state: 'serving', version: 3 });
+  expect(server.version('model')).toEqual(3);
+});
+
+test('should leave alone for a while a server whose address another one has', () => {
+  const clock = new ManualClock();
+  const health = new ServerHealth(clock);
+  health.note('displaced');
+  expect([health.avoided, health.failureRate]).toEqual([true, 0]);
+});
+
 test('should leave a silent server alone for a while', () => {
   const clock = new ManualClock();
   const health = new ServerHealth(clock);
