--- a/src/configuration/template.ts
+++ b/src/configuration/template.ts
@@ -26,7 +26,7 @@
 ]);
 export type Parameter = z.infer<typeof parameterSchema>;
 
-/** What trades time to replicas against origin bytes: see docs/OPERATING.md. */
+/** What trades time to replicas against origin bytes: see docs/OPERATIONS.md. */
 export const urgencySchema = z.enum(['time', 'origin-bytes']);
 export type Urgency = z.infer<typeof urgencySchema>;
 
--- a/src/entry/entryHttpServer.ts
+++ b/src/entry/entryHttpServer.ts
@@ -79,7 +79,7 @@
     }
     answerError(response, 404, {
       error: `no path ${url.pathname}`,
-      advice: 'see docs/CALLERS.md and docs/OPERATING.md',
+      advice: 'see docs/CALLERS.md and docs/OPERATIONS.md',
     });
   }
 
--- a/src/entry/operatorApi.ts
+++ b/src/entry/operatorApi.ts
@@ -1,4 +1,4 @@
-/** The operators' interface: docs/OPERATING.md. */
+/** The operators' interface: docs/OPERATIONS.md. */
 import type http from 'node:http';
 import { randomUUID } from 'node:crypto';
 import type { Result } from 'neverthrow';
--- a/src/protocol/authentication.ts
+++ b/src/protocol/authentication.ts
@@ -1,6 +1,6 @@
 /**
  * Proof that a process belongs to the system, from a key that all of them share.
- * It does not hide what is sent; TLS would (see docs/OPERATING.md).
+ * It does not hide what is sent; TLS would (see docs/OPERATIONS.md).
  */
 import { createHmac, timingSafeEqual } from 'node:crypto';
 
--- a/tests/fleetCommandLine.spec.ts
+++ b/tests/fleetCommandLine.spec.ts
@@ -1,4 +1,4 @@
-/** The commands of docs/OPERATING.md, in its order, on a fleet of processes. */
+/** The commands of docs/OPERATIONS.md, in its order, on a fleet of processes. */
 import { readFileSync } from 'node:fs';
 import { test } from 'node:test';
 import { expect } from 'earl';
@@ -16,7 +16,7 @@
 
 /** The template that the operators' page shows. */
 function documentedTemplate(): string {
-  const page = readFileSync('docs/OPERATING.md', 'utf8');
+  const page = readFileSync('docs/OPERATIONS.md', 'utf8');
   return /`template\.json`:\s+```json\n([\s\S]+?)```/.exec(page)![1];
 }
 
