--- a/src/telemetry/eventLog.ts
+++ b/src/telemetry/eventLog.ts
@@ -13,7 +13,7 @@
 }
 
 /** Lines of one step that may be written within one second; further ones are counted. */
-const LINES_PER_SECOND = 40;
+const LINES_PER_SECOND = 100;
 const WINDOW_MILLISECONDS = 1_000;
 /** Bytes that may wait for a reader of standard output; beyond that lines are dropped. */
 const BUFFER_BYTES = 256 * 1024;
