--- a/src/entry/callerApi.ts
+++ b/src/entry/callerApi.ts
@@ -23,6 +23,7 @@
 import { answerError, answerProblems, answerRefusal } from './answers.js';
 import { deliver } from './answerDelivery.js';
 import type { CustomerDirectory } from './customerDirectory.js';
+import { parseJson } from '../utils/json.js';
 
 /** What the callers' interface works with. */
 export interface CallerApiOptions {
@@ -210,11 +211,3 @@
     });
   }
 }
-
-function parseJson(body: Buffer): unknown {
-  try {
-    return JSON.parse(body.toString());
-  } catch {
-    return undefined;
-  }
-}
--- a/src/entry/operatorApi.ts
+++ b/src/entry/operatorApi.ts
@@ -18,6 +18,7 @@
 import { answerJson, bearerToken, headerText, readBody } from '../utils/httpBody.js';
 import { answerError, answerProblems } from './answers.js';
 import type { RolloutStatusReader } from './rolloutStatusReader.js';
+import { parseJson } from '../utils/json.js';
 
 /** What the operators' interface works with. */
 export interface OperatorApiOptions {
@@ -202,14 +203,6 @@
   return parsed.success ? ok(parsed.data) : err(problemsOf(parsed.error, value));
 }
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 function answerChangeRefusal(response: http.ServerResponse, refusal: ChangeRefusal): void {
   const retry = { [HEADER.retryAfter]: '1' };
   switch (refusal.kind) {
--- a/src/external/httpClient.ts
+++ b/src/external/httpClient.ts
@@ -1,6 +1,7 @@
 /** JSON over HTTP towards the platform and backend servers, by undici. */
 import { Agent, request } from 'undici';
 import { StepError, errorCode, errorText } from '../utils/stepError.js';
+import { parseJson } from '../utils/json.js';
 
 /** One request and its bounds. */
 export interface JsonRequest {
@@ -54,11 +55,3 @@
     throw new StepError(options.step, errorText(error), { peer: new URL(options.url).host, cause: error });
   }
 }
-
-function parseJson(text: string): unknown {
-  try {
-    return text === '' ? undefined : JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
--- a/src/settings/commonSettings.ts
+++ b/src/settings/commonSettings.ts
@@ -18,6 +18,11 @@
   .string('an http URL, such as http://10.0.0.1:8080')
   .regex(/^https?:\/\/[^/]+$/, 'an http URL without a path, such as http://10.0.0.1:8080');
 
+/** Where something listens. */
+export const hostPortSetting = z
+  .string('host:port')
+  .regex(/^[^:\s]+:\d+$/, 'host:port, such as 10.0.0.1:8080');
+
 /** A whole number within bounds. */
 export function numberSetting(
   minimum: number,
@@ -29,12 +34,8 @@
   return z.coerce.number(allowed).int(allowed).min(minimum, allowed).max(maximum, allowed).default(standard);
 }
 
-export const commonSettings = {
-  box: nameSchema.describe('name of this box, as in the box list'),
-  hall: nameSchema.describe('hall in which this box stands'),
-  address: z.ipv4('an IPv4 address').default('127.0.0.1').describe('address to listen on and be reached at'),
-  httpPort: portSetting.describe('port for HTTP; 0 lets the system choose'),
-  controlPort: portSetting.describe('port for control connections; 0 lets the system choose'),
+/** Settings of every process of ours. */
+export const processSettings = {
   sharedKey: z
     .string(`at least ${SHORTEST_KEY} characters`)
     .min(SHORTEST_KEY, `at least ${SHORTEST_KEY} characters`)
@@ -42,12 +43,32 @@
   peerTimeoutMilliseconds: numberSetting(100, 60_000, 2_000, 'milliseconds').describe(
     'silence after which a control connection counts as lost',
   ),
-  drainMilliseconds: numberSetting(0, 3_600_000, 60_000, 'milliseconds').describe(
-    'longest time that a planned stop waits for requests in flight',
-  ),
   seed: numberSetting(0, 2 ** 31 - 1, 1, 'any kind').describe('seed of random choices'),
   log: z
     .enum(['off', 'state', 'decision'], 'off, state or decision')
     .default('state')
     .describe('which lines are logged'),
 };
+
+export const commonSettings = {
+  ...processSettings,
+  box: nameSchema.describe('name of this box, as in the box list'),
+  hall: nameSchema.describe('hall in which this box stands'),
+  address: z.ipv4('an IPv4 address').default('127.0.0.1').describe('address to listen on and be reached at'),
+  httpPort: portSetting.describe('port for HTTP; 0 lets the system choose'),
+  controlPort: portSetting.describe('port for control connections; 0 lets the system choose'),
+  drainMilliseconds: numberSetting(0, 3_600_000, 60_000, 'milliseconds').describe(
+    'longest time that a planned stop waits for requests in flight',
+  ),
+};
+
+/** Settings of the processes on a platform whose names need not be ours. */
+export const platformProcessSettings = {
+  ...processSettings,
+  box: z.string('a name').min(1, 'a name').describe('name of this box'),
+  hall: z.string('a name').min(1, 'a name').describe('hall in which this box stands'),
+  storeAddress: hostPortSetting.describe('store of the platform'),
+  versionMilliseconds: numberSetting(100, 3_600_000, 8_000, 'milliseconds').describe(
+    'time after which no request begins on an older version',
+  ),
+};
