--- a/tests/platformAdapter.spec.ts
+++ b/tests/platformAdapter.spec.ts
@@ -1,4 +1,5 @@
 /** The adapter to the users' platform: settings, records, and that its names stand nowhere else. */
+import { spawnSync } from 'node:child_process';
 import { readFileSync, readdirSync, writeFileSync, mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -150,3 +151,18 @@
   );
   expect(offenders).toEqual([]);
 });
+
+for (const [what, words, problem] of [
+  ['no settings file', ['entry'], 'LARKLATCH_CONFIG: not set'],
+  ['no such role', ['other'], 'role: got other; allowed: entry, agent'],
+] as const) {
+  test(`should end with exit code 2 and one line, given ${what}`, () => {
+    const result = spawnSync(process.execPath, ['dist/platform/main.js', ...words], {
+      env: { LARKLATCH_SHARED_KEY: KEY },
+      encoding: 'utf8',
+    });
+    expect(result.status).toEqual(2);
+    expect(result.stderr.trim().startsWith(`larklatch: ${problem}`)).toEqual(true);
+    expect(result.stderr.trim().split('\n').length).toEqual(1);
+  });
+}
