--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -115,8 +115,8 @@
     const { service, model } = this._request;
     const { gate, pool } = this._services;
     const lowestVersion = gate.lowest(model);
-    const lowestVersionFar = gate.lowest(model, true);
-    return pool.find({ service, model, lowestVersion, lowestVersionFar, tried: this._tried });
+    const lowestVersionSlow = gate.lowest(model, true);
+    return pool.find({ service, model, lowestVersion, lowestVersionSlow, tried: this._tried });
   }
 
   private _requestFor(server: TrackedServer): BackendRequest {
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -28,8 +28,8 @@
   model: string;
   /** The lowest version on which the request may begin. */
   lowestVersion: number;
-  /** The same for a server that requests may take long to reach. */
-  lowestVersionFar: number;
+  /** The same for a server on which requests may take long to begin. */
+  lowestVersionSlow: number;
   /** Servers that have been tried for the request. */
   tried: ReadonlySet<string>;
 }
@@ -199,7 +199,7 @@
 function isAble(server: TrackedServer, need: ServerNeed): boolean {
   if (need.model === '') return true;
   const version = server.version(need.model);
-  const lowest = server.isNearby ? need.lowestVersion : need.lowestVersionFar;
+  const lowest = server.beginsSoon ? need.lowestVersion : need.lowestVersionSlow;
   return version > 0 && version >= lowest && !server.switching;
 }
 
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -13,6 +13,8 @@
 const NEARBY_MILLISECONDS = 1_400;
 /** First answers that take longer say that requests wait, on the way or at the server. */
 const PROMPT_MILLISECONDS = 350;
+/** Prompts before which another one has to wait long to be read. */
+const MANY_UNREAD = 3;
 /** Time in which a server reads a prompt, at the most, and in which half of those that waited have been read. */
 const UNREAD_MILLISECONDS = 250;
 const UNREAD_HALF_LIFE_MILLISECONDS = 120;
@@ -92,11 +94,12 @@
     return this.switching ? this._clock.now() - this._switchingSince : 0;
   }
 
-  /** Whether news from the box come in time, so that requests reach it in time too. */
-  get isNearby(): boolean {
+  /** Whether a request that is sent now begins within some hundred milliseconds, as far as can be told. */
+  get beginsSoon(): boolean {
     const newsAge = this._clock.now() - this._statusAt;
     const isPrompt = this.health.firstAnswerMilliseconds < PROMPT_MILLISECONDS;
-    return newsAge < NEARBY_MILLISECONDS && isPrompt && !this.health.avoided;
+    const isFree = this.unread < MANY_UNREAD && this.load.estimate(this._clock.now()) < this.record.slots;
+    return newsAge < NEARBY_MILLISECONDS && isPrompt && isFree && !this.health.avoided;
   }
 
   /** A stream began or ended on the server. */
--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -11,8 +11,8 @@
 }
 
 /** Requests sent to an older version end this long before the bound, since they may wait before they begin. */
-const MARGIN_MILLISECONDS = 1_000;
-const FAR_MARGIN_MILLISECONDS = 2_500;
+const MARGIN_MILLISECONDS = 1_300;
+const SLOW_MARGIN_MILLISECONDS = 2_500;
 /** The version of a model before any other is named. */
 const FIRST_VERSION = 1;
 /** Versions of one model that are remembered. */
@@ -45,11 +45,11 @@
   }
 
   /**
-   * The lowest version on which a request may begin that is sent now; 0 when any may. `far` when it may take long to
-   * reach its server.
+   * The lowest version on which a request may begin that is sent now; 0 when any may. `slow` when it may take long to
+   * begin.
    */
-  lowest(model: string, far = false): number {
-    const margin = far ? FAR_MARGIN_MILLISECONDS : MARGIN_MILLISECONDS;
+  lowest(model: string, slow = false): number {
+    const margin = slow ? SLOW_MARGIN_MILLISECONDS : MARGIN_MILLISECONDS;
     const oldest = this._clock.now() - (this._bounds.switchMilliseconds - margin);
     const due = (this._known.get(model) ?? []).filter((item) => item.knownAt <= oldest);
     return due.at(-1)?.version ?? 0;
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -148,6 +148,26 @@
   expect(server.version('model')).toEqual(3);
 });
 
+test('should not count on a server with prompts before it to begin soon', () => {
+  const clock = new ManualClock();
+  clock.advance(10_000);
+  const record = { id: 's', service: 'm', address: '127.0.0.1:1', hall: 'north', slots: 16, draining: false };
+  const connections = new BackendConnections({
+    address: record.address,
+    connectMilliseconds: 1,
+    limit: () => 1,
+  });
+  const server = new TrackedServer({ ...record, models: [] }, connections, clock);
+  const status = { type: 'box-status', state: 'serving', version: 1, running: 4, model: 'model' } as const;
+  expect(server.beginsSoon).toEqual(false);
+  server.noteStatus({ ...status, queued: 0 });
+  expect(server.beginsSoon).toEqual(true);
+  server.noteStatus({ ...status, queued: 5 });
+  expect(server.beginsSoon).toEqual(false);
+  server.noteStatus({ ...status, running: 17, queued: 0 });
+  expect(server.beginsSoon).toEqual(false);
+});
+
 test('should leave alone for a while a server whose address another one has', () => {
   const clock = new ManualClock();
   const health = new ServerHealth(clock);
@@ -183,7 +203,7 @@
   const gate = new VersionGate({ switchMilliseconds: 8_000, startMilliseconds: 3_000 }, clock);
   expect(gate.note('m', 2, true)).toEqual(true);
   expect(gate.note('m', 2, true)).toEqual(false);
-  clock.advance(6_900);
+  clock.advance(6_600);
   expect(gate.lowest('m')).toEqual(0);
   clock.advance(200);
   expect(gate.lowest('m')).toEqual(2);
