--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -4,7 +4,6 @@
 import { OWN_HEADER_NAMES } from '../src/serving/headerNames.js';
 import type { AttemptProgress } from '../src/serving/answerJudgement.js';
 import { judgeAnswer, shouldMove, switchingPatience } from '../src/serving/answerJudgement.js';
-import { BackendConnections } from '../src/serving/backendConnections.js';
 import { EntryDirectory } from '../src/serving/entryDirectory.js';
 import { EventSplitter } from '../src/serving/eventSplitter.js';
 import { RetryAllowance } from '../src/serving/retryAllowance.js';
@@ -12,7 +11,6 @@
 import type { Candidate } from '../src/serving/serverChoice.js';
 import { chooseServer, expectedCost } from '../src/serving/serverChoice.js';
 import { ServerHealth } from '../src/serving/serverHealth.js';
-import { TrackedServer } from '../src/serving/trackedServer.js';
 import { VersionGate } from '../src/serving/versionGate.js';
 import { ManualClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
@@ -127,47 +125,6 @@
   expect(health.failureRate).toBeLessThan(0.05);
 });
 
-test('should believe the agent that a server has lost its version', () => {
-  const clock = new ManualClock();
-  const record = { id: 's', service: 'm', address: '127.0.0.1:1', hall: 'north', slots: 4, draining: false };
-  const connections = new BackendConnections({
-    address: record.address,
-    connectMilliseconds: 1,
-    limit: () => 1,
-  });
-  const server = new TrackedServer(
-    { ...record, models: [{ name: 'model', version: 2 }] },
-    connections,
-    clock,
-  );
-  expect(server.version('model')).toEqual(2);
-  const load = { type: 'box-status', running: 0, queued: 0, model: 'model' } as const;
-  server.noteStatus({ ...load, state: 'empty', version: 0 });
-  expect(server.version('model')).toEqual(0);
-  server.noteStatus({ ...load, state: 'serving', version: 3 });
-  expect(server.version('model')).toEqual(3);
-});
-
-test('should not count on a server with prompts before it to begin soon', () => {
-  const clock = new ManualClock();
-  clock.advance(10_000);
-  const record = { id: 's', service: 'm', address: '127.0.0.1:1', hall: 'north', slots: 16, draining: false };
-  const connections = new BackendConnections({
-    address: record.address,
-    connectMilliseconds: 1,
-    limit: () => 1,
-  });
-  const server = new TrackedServer({ ...record, models: [] }, connections, clock);
-  const status = { type: 'box-status', state: 'serving', version: 1, running: 4, model: 'model' } as const;
-  expect(server.beginsSoon).toEqual(false);
-  server.noteStatus({ ...status, queued: 0 });
-  expect(server.beginsSoon).toEqual(true);
-  server.noteStatus({ ...status, queued: 5 });
-  expect(server.beginsSoon).toEqual(false);
-  server.noteStatus({ ...status, running: 17, queued: 0 });
-  expect(server.beginsSoon).toEqual(false);
-});
-
 test('should leave alone for a while a server whose address another one has', () => {
   const clock = new ManualClock();
   const health = new ServerHealth(clock);
--- /dev/null
+++ b/tests/trackedServer.spec.ts
@@ -0,0 +1,58 @@
+/** What a gateway believes of one backend server. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { BackendConnections } from '../src/serving/backendConnections.js';
+import type { ServedModel } from '../src/serving/backendServerRecord.js';
+import { TrackedServer } from '../src/serving/trackedServer.js';
+import { ManualClock } from '../src/utils/clock.js';
+
+function trackedServer(clock: ManualClock, models: ServedModel[] = []): TrackedServer {
+  const record = { id: 's', service: 'm', address: '127.0.0.1:1', hall: 'north', slots: 16, draining: false };
+  const connections = new BackendConnections({
+    address: record.address,
+    connectMilliseconds: 1,
+    limit: () => 1,
+  });
+  return new TrackedServer({ ...record, models }, connections, clock);
+}
+
+test('should believe the agent that a server has lost its version', () => {
+  const clock = new ManualClock();
+  const record = { id: 's', service: 'm', address: '127.0.0.1:1', hall: 'north', slots: 4, draining: false };
+  const connections = new BackendConnections({
+    address: record.address,
+    connectMilliseconds: 1,
+    limit: () => 1,
+  });
+  const server = new TrackedServer(
+    { ...record, models: [{ name: 'model', version: 2 }] },
+    connections,
+    clock,
+  );
+  expect(server.version('model')).toEqual(2);
+  const load = { type: 'box-status', running: 0, queued: 0, model: 'model' } as const;
+  server.noteStatus({ ...load, state: 'empty', version: 0 });
+  expect(server.version('model')).toEqual(0);
+  server.noteStatus({ ...load, state: 'serving', version: 3 });
+  expect(server.version('model')).toEqual(3);
+});
+
+test('should not count on a server with prompts before it to begin soon', () => {
+  const clock = new ManualClock();
+  clock.advance(10_000);
+  const record = { id: 's', service: 'm', address: '127.0.0.1:1', hall: 'north', slots: 16, draining: false };
+  const connections = new BackendConnections({
+    address: record.address,
+    connectMilliseconds: 1,
+    limit: () => 1,
+  });
+  const server = new TrackedServer({ ...record, models: [] }, connections, clock);
+  const status = { type: 'box-status', state: 'serving', version: 1, running: 4, model: 'model' } as const;
+  expect(server.beginsSoon).toEqual(false);
+  server.noteStatus({ ...status, queued: 0 });
+  expect(server.beginsSoon).toEqual(true);
+  server.noteStatus({ ...status, queued: 5 });
+  expect(server.beginsSoon).toEqual(false);
+  server.noteStatus({ ...status, running: 17, queued: 0 });
+  expect(server.beginsSoon).toEqual(false);
+});
