--- /dev/null
+++ b/src/serving/forwardServices.ts
@@ -0,0 +1,18 @@
+/** What all requests of a gateway share. */
+import type { EventLog } from '../telemetry/eventLog.js';
+import type { ServingMetrics } from '../telemetry/servingMetrics.js';
+import type { Clock } from '../utils/clock.js';
+import type { Random } from '../utils/random.js';
+import type { HeaderNames } from './headerNames.js';
+import type { ServerPool } from './serverPool.js';
+import type { VersionGate } from './versionGate.js';
+
+export interface ForwardServices {
+  names: HeaderNames;
+  pool: ServerPool;
+  gate: VersionGate;
+  clock: Clock;
+  random: Random;
+  log: EventLog;
+  metrics: ServingMetrics;
+}
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -1,32 +1,16 @@
 /** Carries one admitted request to backend servers until it has an answer. */
-import type { EventLog } from '../telemetry/eventLog.js';
-import type { ServingMetrics } from '../telemetry/servingMetrics.js';
-import type { Clock } from '../utils/clock.js';
-import type { Random } from '../utils/random.js';
 import type { AnswerHeaders, BackendRequest, CallFailure } from './backendCall.js';
 import { BackendCall } from './backendCall.js';
 import { OWN_STATUS } from './callerExchange.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { PartialAnswer } from './answerJudgement.js';
 import { MISDIRECTED, judgeAnswer, shouldMove, switchingPatience } from './answerJudgement.js';
-import type { HeaderNames } from './headerNames.js';
+import type { ForwardServices } from './forwardServices.js';
 import type { RequestOutcome } from './requestTrace.js';
 import { RequestTrace } from './requestTrace.js';
-import type { ServerFound, ServerPool } from './serverPool.js';
+import type { ServerFound } from './serverPool.js';
 import { StreamRelay } from './streamRelay.js';
 import type { TrackedServer } from './trackedServer.js';
-import type { VersionGate } from './versionGate.js';
-
-/** What all requests share. */
-export interface ForwardServices {
-  names: HeaderNames;
-  pool: ServerPool;
-  gate: VersionGate;
-  clock: Clock;
-  random: Random;
-  log: EventLog;
-  metrics: ServingMetrics;
-}
 
 /** Least time that is worth another attempt. */
 const SHORTEST_ATTEMPT_MILLISECONDS = 40;
@@ -112,11 +96,16 @@
   }
 
   private _find(): ServerFound {
-    const { service, model } = this._request;
+    const { service, model, route } = this._request;
     const { gate, pool } = this._services;
-    const lowestVersion = gate.lowest(model);
-    const lowestVersionSlow = gate.lowest(model, true);
-    return pool.find({ service, model, lowestVersion, lowestVersionSlow, tried: this._tried });
+    return pool.find({
+      service,
+      model,
+      lowestVersion: gate.lowest(model),
+      lowestVersionSlow: gate.lowest(model, true),
+      objectiveMilliseconds: route.objectiveMilliseconds,
+      tried: this._tried,
+    });
   }
 
   private _requestFor(server: TrackedServer): BackendRequest {
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -15,7 +15,7 @@
 import { ConfigurationHolder } from './configurationHolder.js';
 import { DirectoryServer } from './directoryServer.js';
 import { EntryDirectory } from './entryDirectory.js';
-import type { ForwardServices } from './forwardedRequest.js';
+import type { ForwardServices } from './forwardServices.js';
 import { ForwardedRequest } from './forwardedRequest.js';
 import type { HeaderNames } from './headerNames.js';
 import { PlatformFollowers } from './platformFollowers.js';
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -27,6 +27,8 @@
   readMilliseconds: number;
   /** Time to the first answer of a server that is well, in milliseconds. */
   usualFirstMilliseconds: number;
+  /** Requests on a server, in parts of its slots, beyond which no more are sent. */
+  fullest: number;
 }
 
 /** What another hall costs: the way there and back, and bytes between halls. */
@@ -54,6 +56,19 @@
   return filled * BATCH_SLOWDOWN * serviceMilliseconds + reading + waiting + failing + slow + distance;
 }
 
+/** Time to the first answer beside what waits, in parts of the objective. */
+const BASE_SHARE = 0.4;
+
+/**
+ * Whether a request sent to `candidate` is likely to get its first answer within its objective. Where none is, the
+ * request is better refused at once: more work on a full server makes all of it late.
+ */
+export function isInTime(candidate: Candidate, service: ServiceCost, objectiveMilliseconds: number): boolean {
+  if (candidate.load >= candidate.slots * service.fullest) return false;
+  const spare = objectiveMilliseconds * (1 - BASE_SHARE);
+  return candidate.unread * service.readMilliseconds <= spare;
+}
+
 /**
  * The best of a few candidates drawn at random. All entries decide on the same news, which lags: if each took the best
  * of all, all would take the same one.
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -6,7 +6,7 @@
 import { BackendConnections } from './backendConnections.js';
 import type { BackendServerRecord } from './backendServerRecord.js';
 import type { Candidate, ServiceCost } from './serverChoice.js';
-import { chooseServer } from './serverChoice.js';
+import { chooseServer, isInTime } from './serverChoice.js';
 import type { ServiceDescription } from './servingConfiguration.js';
 import { TrackedServer } from './trackedServer.js';
 
@@ -30,6 +30,8 @@
   lowestVersion: number;
   /** The same for a server on which requests may take long to begin. */
   lowestVersionSlow: number;
+  /** Time within which a first answer is worth most. */
+  objectiveMilliseconds: number;
   /** Servers that have been tried for the request. */
   tried: ReadonlySet<string>;
 }
@@ -49,13 +51,13 @@
   serviceMilliseconds: 60,
   readMilliseconds: 0,
   usualFirstMilliseconds: 100,
+  fullest: 3,
 };
 /** Prompts that a server reads, and steps that it takes, until the first event of a stream. */
 const USUAL_FIRST_READS = 3;
 const USUAL_FIRST_STEPS = 12;
-/** Requests on a server, in parts of its slots, beyond which no more are sent. */
-const FULLEST_ENGINE = 1.6;
-const FULLEST_PLAIN = 3;
+/** A full batch without a queue: what waits behind it comes late. */
+const FULLEST_ENGINE = 1;
 
 export class ServerPool {
   private readonly _options: ServerPoolOptions;
@@ -111,11 +113,9 @@
     if (able.length === 0) return { kind: 'none', reason: 'old-version' };
     const open = able.filter((server) => server.connections.available);
     const candidates = open.map((server) => this._candidate(server));
-    const chosen = chooseServer(
-      candidates.filter(hasRoom(this._fullest(need.service))),
-      this._cost(need.service),
-      this._options.random,
-    );
+    const cost = this._cost(need.service);
+    const timely = candidates.filter((candidate) => isInTime(candidate, cost, need.objectiveMilliseconds));
+    const chosen = chooseServer(timely, cost, this._options.random);
     if (!chosen) return { kind: 'none', reason: 'all-busy' };
     return { kind: 'found', server: this._servers.get(chosen.id)! };
   }
@@ -187,11 +187,12 @@
     const reading = engine.usualPromptTokens / (engine.readTokensPerSecond / 1000);
     const writing = engine.usualAnswerTokens * engine.stepMilliseconds;
     const usualFirstMilliseconds = USUAL_FIRST_READS * reading + USUAL_FIRST_STEPS * engine.stepMilliseconds;
-    return { serviceMilliseconds: reading + writing, readMilliseconds: reading, usualFirstMilliseconds };
-  }
-
-  private _fullest(service: string): number {
-    return this._options.service(service)?.engine ? FULLEST_ENGINE : FULLEST_PLAIN;
+    return {
+      serviceMilliseconds: reading + writing,
+      readMilliseconds: reading,
+      usualFirstMilliseconds,
+      fullest: FULLEST_ENGINE,
+    };
   }
 }
 
@@ -203,10 +204,6 @@
   return version > 0 && version >= lowest && !server.switching;
 }
 
-function hasRoom(fullest: number): (candidate: Candidate) => boolean {
-  return (candidate) => candidate.load < candidate.slots * fullest;
-}
-
 /** The host of host:port. */
 export function hostOf(address: string): string {
   return address.slice(0, address.lastIndexOf(':'));
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -9,14 +9,14 @@
 import { RetryAllowance } from '../src/serving/retryAllowance.js';
 import { RouteIndex, chooseTarget } from '../src/serving/routeIndex.js';
 import type { Candidate } from '../src/serving/serverChoice.js';
-import { chooseServer, expectedCost } from '../src/serving/serverChoice.js';
+import { chooseServer, expectedCost, isInTime } from '../src/serving/serverChoice.js';
 import { ServerHealth } from '../src/serving/serverHealth.js';
 import { VersionGate } from '../src/serving/versionGate.js';
 import { ManualClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
 import { routeFixture, servingConfiguration } from './fixtures/servingFixture.js';
 
-const ENGINE = { serviceMilliseconds: 900, readMilliseconds: 30, usualFirstMilliseconds: 180 };
+const ENGINE = { serviceMilliseconds: 900, readMilliseconds: 30, usualFirstMilliseconds: 180, fullest: 1 };
 
 function candidate(id: string, changes: Partial<Candidate> = {}): Candidate {
   return {
@@ -73,6 +73,12 @@
   expect(chooseServer([candidate('near', { load: 12 }), far], ENGINE, random)?.id).toEqual('far');
 });
 
+test('should send no more to a server than it answers in time', () => {
+  expect(isInTime(candidate('free', { load: 15, unread: 4 }), ENGINE, 400)).toEqual(true);
+  expect(isInTime(candidate('full', { load: 16 }), ENGINE, 400)).toEqual(false);
+  expect(isInTime(candidate('reading', { load: 10, unread: 9 }), ENGINE, 400)).toEqual(false);
+});
+
 test('should pass over a server that has become slow', () => {
   const slow = candidate('slow', { firstAnswerMilliseconds: 900 });
   const chosen = chooseServer([slow, candidate('busy', { load: 12 })], ENGINE, new SeededRandom(1));
--- a/tests/trackedServer.spec.ts
+++ b/tests/trackedServer.spec.ts
@@ -8,27 +8,12 @@
 
 function trackedServer(clock: ManualClock, models: ServedModel[] = []): TrackedServer {
   const record = { id: 's', service: 'm', address: '127.0.0.1:1', hall: 'north', slots: 16, draining: false };
-  const connections = new BackendConnections({
-    address: record.address,
-    connectMilliseconds: 1,
-    limit: () => 1,
-  });
-  return new TrackedServer({ ...record, models }, connections, clock);
+  const options = { address: record.address, connectMilliseconds: 1, limit: () => 1 };
+  return new TrackedServer({ ...record, models }, new BackendConnections(options), clock);
 }
 
 test('should believe the agent that a server has lost its version', () => {
-  const clock = new ManualClock();
-  const record = { id: 's', service: 'm', address: '127.0.0.1:1', hall: 'north', slots: 4, draining: false };
-  const connections = new BackendConnections({
-    address: record.address,
-    connectMilliseconds: 1,
-    limit: () => 1,
-  });
-  const server = new TrackedServer(
-    { ...record, models: [{ name: 'model', version: 2 }] },
-    connections,
-    clock,
-  );
+  const server = trackedServer(new ManualClock(), [{ name: 'model', version: 2 }]);
   expect(server.version('model')).toEqual(2);
   const load = { type: 'box-status', running: 0, queued: 0, model: 'model' } as const;
   server.noteStatus({ ...load, state: 'empty', version: 0 });
@@ -40,13 +25,7 @@
 test('should not count on a server with prompts before it to begin soon', () => {
   const clock = new ManualClock();
   clock.advance(10_000);
-  const record = { id: 's', service: 'm', address: '127.0.0.1:1', hall: 'north', slots: 16, draining: false };
-  const connections = new BackendConnections({
-    address: record.address,
-    connectMilliseconds: 1,
-    limit: () => 1,
-  });
-  const server = new TrackedServer({ ...record, models: [] }, connections, clock);
+  const server = trackedServer(clock);
   const status = { type: 'box-status', state: 'serving', version: 1, running: 4, model: 'model' } as const;
   expect(server.beginsSoon).toEqual(false);
   server.noteStatus({ ...status, queued: 0 });
