--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -93,6 +93,7 @@
       this._clock,
       () => this._status(),
       (status) => this._entries.forEach((_entry, connection) => connection.send(status)),
+      () => this._entries.size,
     );
     this._messages = new PeerMessages(
       () => this._stages.stages.map((stage) => stage.exchange),
--- a/src/staging/statusSender.ts
+++ b/src/staging/statusSender.ts
@@ -4,6 +4,11 @@
 
 /** Requests by which the load has to change to be told at once. */
 const LOAD_STEP = 2;
+/**
+ * Shortest time between two statuses that tell only another load, for each entry that hears them: what an agent sends
+ * and an entry hears stays bounded however many there are.
+ */
+const SPACING_PER_ENTRY_MILLISECONDS = 8;
 /** A status is sent so often even when nothing has changed, so that entries know how fresh their news is. */
 const LONGEST_MILLISECONDS = 1_000;
 
@@ -11,11 +16,18 @@
   private readonly _clock: Clock;
   private readonly _build: () => BoxStatus;
   private readonly _send: (status: BoxStatus) => void;
+  private readonly _entries: () => number;
   private _last: BoxStatus | undefined;
   private _sentAt = 0;
 
-  /** `build` gives the present status, `send` sends one to all entries. */
-  constructor(clock: Clock, build: () => BoxStatus, send: (status: BoxStatus) => void) {
+  /** `build` gives the present status, `send` sends one to all entries, `entries` counts them. */
+  constructor(
+    clock: Clock,
+    build: () => BoxStatus,
+    send: (status: BoxStatus) => void,
+    entries: () => number,
+  ) {
+    this._entries = entries;
     this._clock = clock;
     this._build = build;
     this._send = send;
@@ -26,14 +38,20 @@
     const status = this._build();
     const last = this._last;
     const sameState = last?.state === status.state && last.version === status.version;
-    if (!sameState || Math.abs(loadOf(status) - loadOf(last)) >= LOAD_STEP) this._sendNow(status);
+    if (!sameState) this._sendNow(status);
+    else if (this._mayTellLoad && Math.abs(loadOf(status) - loadOf(last)) >= LOAD_STEP) this._sendNow(status);
   }
 
   /** Sends the status if anything has changed, or if it is old. */
   onInterval(): void {
     const status = this._build();
     const old = this._clock.now() - this._sentAt >= LONGEST_MILLISECONDS;
-    if (old || JSON.stringify(status) !== JSON.stringify(this._last)) this._sendNow(status);
+    const changed = JSON.stringify(status) !== JSON.stringify(this._last);
+    if (old || (changed && this._mayTellLoad)) this._sendNow(status);
+  }
+
+  private get _mayTellLoad(): boolean {
+    return this._clock.now() - this._sentAt >= SPACING_PER_ENTRY_MILLISECONDS * this._entries();
   }
 
   private _sendNow(status: BoxStatus): void {
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -29,7 +29,7 @@
 const POLL_MILLISECONDS = 80;
 const SWITCHING_POLL_MILLISECONDS = 40;
 /** How long entries have to hear that a switch begins before it does. */
-const NOTICE_MILLISECONDS = 30;
+const NOTICE_MILLISECONDS = 60;
 /** An order that has shown no effect for so long, though the backend server does nothing, is given again. */
 const IDLE_ORDER_MILLISECONDS = 300;
 /** The same while the backend server is busy. */
--- /dev/null
+++ b/tests/statusSender.spec.ts
@@ -0,0 +1,70 @@
+/** When an agent tells entries how its box stands. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { BoxStatus } from '../src/protocol/boxMessages.js';
+import { StatusSender } from '../src/staging/statusSender.js';
+import { ManualClock } from '../src/utils/clock.js';
+
+class Box {
+  readonly clock = new ManualClock();
+  readonly sent: BoxStatus[] = [];
+  readonly status: BoxStatus = {
+    type: 'box-status',
+    state: 'serving',
+    model: 'm',
+    version: 1,
+    running: 0,
+    queued: 0,
+  };
+  readonly sender: StatusSender;
+
+  constructor(entries: number) {
+    const send = (status: BoxStatus): void => void this.sent.push({ ...status });
+    this.sender = new StatusSender(
+      this.clock,
+      () => ({ ...this.status }),
+      send,
+      () => entries,
+    );
+    this.clock.advance(10_000);
+    this.sender.onInterval();
+  }
+}
+
+test('should tell another state at once', () => {
+  const box = new Box(40);
+  box.status.state = 'switching';
+  box.sender.onChange();
+  expect(box.sent.at(-1)?.state).toEqual('switching');
+});
+
+test('should tell a load that has changed much at once, a small change later', () => {
+  const box = new Box(1);
+  box.clock.advance(50);
+  box.status.running = 1;
+  box.sender.onChange();
+  expect(box.sent.length).toEqual(1);
+  box.status.running = 2;
+  box.sender.onChange();
+  expect(box.sent.length).toEqual(2);
+});
+
+test('should tell the load less often the more entries hear it', () => {
+  const box = new Box(40);
+  for (let load = 1; load <= 100; load++) {
+    box.clock.advance(10);
+    box.status.running = load * 5;
+    box.sender.onChange();
+  }
+  expect(box.sent.length).toBeLessThanOrEqual(4);
+});
+
+test('should send a status now and then though nothing changes', () => {
+  const box = new Box(7);
+  box.clock.advance(999);
+  box.sender.onInterval();
+  expect(box.sent.length).toEqual(1);
+  box.clock.advance(1);
+  box.sender.onInterval();
+  expect(box.sent.length).toEqual(2);
+});
