--- a/src/staging/switchTurn.ts
+++ b/src/staging/switchTurn.ts
@@ -26,6 +26,8 @@
 const SWITCHING_SHARE = 0.34;
 /** A box that switches this late still makes it. */
 const LAST_CALL_MILLISECONDS = 1_900;
+/** A box that has not taken its turn for so long may be dead: the next one goes on. */
+const MISSED_TURN_MILLISECONDS = 400;
 /** Longest time between two boxes that begin to switch. */
 const LONGEST_GAP_MILLISECONDS = 250;
 
@@ -41,8 +43,9 @@
   const places = Math.max(1, Math.floor((peers.length + 1) * SWITCHING_SHARE));
   if (switching.length >= places) return false;
   const rank = order.indexOf(box);
-  if (peers.some((peer) => peer.stage === 'staged' && order.indexOf(peer.box) < rank)) return false;
+  const before = peers.filter((peer) => peer.stage === 'staged' && order.indexOf(peer.box) < rank);
   const waiting = peers.filter((peer) => peer.stage === 'staged' || peer.stage === 'staging').length + 1;
   const gap = Math.min(LONGEST_GAP_MILLISECONDS, spare / waiting);
-  return switching.every((peer) => peer.stageMilliseconds >= gap);
+  const least = before.length > 0 ? gap + MISSED_TURN_MILLISECONDS : gap;
+  return [...switching, ...before].every((peer) => peer.stageMilliseconds >= least);
 }
