--- a/tests/stagingDecisions.spec.ts
+++ b/tests/stagingDecisions.spec.ts
@@ -75,9 +75,10 @@
 });
 
 test('should go on when a box before it does not take its turn', () => {
-  const missed = [...peers(1, 'staged', 2, 1_500), ...peers(1, 'switching', 1, 800)];
+  const others = peers(10, 'staging', 6);
+  const missed = [...peers(1, 'staged', 2, 1_500), ...peers(1, 'switching', 1, 800), ...others];
   expect(maySwitch(situation({ box: 'box-5', peers: missed }))).toEqual(true);
-  const recent = [...peers(1, 'staged', 2, 1_500), ...peers(1, 'switching', 1, 300)];
+  const recent = [...peers(1, 'staged', 2, 1_500), ...peers(1, 'switching', 1, 300), ...others];
   expect(maySwitch(situation({ box: 'box-5', peers: recent }))).toEqual(false);
 });
 
