--- a/tests/gatewayRequests.spec.ts
+++ b/tests/gatewayRequests.spec.ts
@@ -101,6 +101,16 @@
   });
 }
 
+test('should not say that a key is unknown when it may have been added unseen', async () => {
+  await fixture.start([answers()]);
+  fixture.store.lost = true;
+  await until(() => fixture.lines.some((line) => line.includes('store.lost')));
+  let answer = await fixture.ask({ headers: { authorization: 'Bearer other' } });
+  while (answer.status === 401) answer = await fixture.ask({ headers: { authorization: 'Bearer other' } });
+  expect([answer.status, answer.headers['retry-after'] !== undefined]).toEqual([503, true]);
+  expect((await fixture.ask()).status).toEqual(200);
+});
+
 test('should send a request to no more servers than its route allows', async () => {
   await fixture.start([resets, resets, resets]);
   expect((await fixture.ask()).status).toEqual(502);
