Take no answer without length as whole after a reset

The connection's own error is heard first now. Test: 'should not take an answer without length as whole when its connection is reset' failed before (200 for 502).

--- a/src/serving/backendCall.ts
+++ b/src/serving/backendCall.ts
@@ -1,6 +1,7 @@
 /** One attempt: a request sent to one backend server over one connection, and its answer as it comes. */
 import type { Dispatcher } from 'undici';
 import { errorCode, errorText } from '../utils/stepError.js';
+import type { BackendConnection } from './backendConnections.js';
 import type { TrackedServer } from './trackedServer.js';
 
 /** The request as the backend server gets it. */
@@ -38,7 +39,7 @@
 export class BackendCall {
   readonly server: TrackedServer;
   private readonly _listener: BackendCallListener;
-  private readonly _client: Dispatcher;
+  private readonly _connection: BackendConnection;
   private readonly _giveBack: (reusable: boolean) => void;
   private _controller: Dispatcher.DispatchController | undefined;
   private _sent = false;
@@ -47,12 +48,12 @@
 
   private constructor(
     server: TrackedServer,
-    client: Dispatcher,
+    connection: BackendConnection,
     giveBack: (reusable: boolean) => void,
     listener: BackendCallListener,
   ) {
     this.server = server;
-    this._client = client;
+    this._connection = connection;
     this._giveBack = giveBack;
     this._listener = listener;
   }
@@ -63,10 +64,10 @@
     request: BackendRequest,
     listener: BackendCallListener,
   ): BackendCall | undefined {
-    const client = server.connections.acquire();
-    if (!client) return undefined;
-    const giveBack = (reusable: boolean): void => server.connections.release(client, reusable);
-    const call = new BackendCall(server, client, giveBack, listener);
+    const connection = server.connections.acquire();
+    if (!connection) return undefined;
+    const giveBack = (reusable: boolean): void => server.connections.release(connection, reusable);
+    const call = new BackendCall(server, connection, giveBack, listener);
     server.load.outstanding++;
     server.noteSent();
     call._dispatch(request);
@@ -98,7 +99,7 @@
   private _dispatch(request: BackendRequest): void {
     const { method, path, headers, body } = request;
     const options = { method: method as Dispatcher.HttpMethod, path, headers, body: body ?? null };
-    this._client.dispatch(options, {
+    this._connection.client.dispatch(options, {
       onRequestStart: (controller) => {
         this._controller = controller;
         if (this._aborted) controller.abort(new CallAborted(this._aborted));
@@ -125,6 +126,7 @@
 
   private _onEnd(): void {
     if (this._ended) return;
+    if (this._connection.broken) return this._onError(new Error('reset within an answer without length'));
     this._end(true);
     this._listener.onEnd();
   }
--- a/src/serving/backendConnections.ts
+++ b/src/serving/backendConnections.ts
@@ -1,5 +1,40 @@
 /** The connections of this entry to one backend server: kept, few, and never more than its share. */
-import { Client } from 'undici';
+import { Client, buildConnector } from 'undici';
+
+/** How long an unused connection is kept when the server does not say. */
+const KEEP_MILLISECONDS = 3_500;
+/** How much earlier than the server says an unused connection is closed. */
+const KEEP_MARGIN_MILLISECONDS = 1_200;
+const LONGEST_KEEP_MILLISECONDS = 60_000;
+
+/** One connection to a backend server; it carries one request at a time. */
+export class BackendConnection {
+  readonly client: Client;
+  private _broken = false;
+
+  constructor(address: string, connectMilliseconds: number) {
+    const connect = buildConnector({ timeout: connectMilliseconds });
+    this.client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: KEEP_MILLISECONDS,
+      keepAliveMaxTimeout: LONGEST_KEEP_MILLISECONDS,
+      keepAliveTimeoutThreshold: KEEP_MARGIN_MILLISECONDS,
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          // heard before the client hears it, which takes an answer without length as whole after a reset
+          result[1]?.once('error', () => (this._broken = true));
+          callback(...result);
+        }),
+    });
+  }
+
+  /** Whether the connection ended with an error, so that an answer that ended with it is not whole. */
+  get broken(): boolean {
+    return this._broken;
+  }
+}
 
 /** How connections are opened and kept. */
 export interface ConnectionOptions {
@@ -10,17 +45,11 @@
   limit: () => number;
 }
 
-/** How long an unused connection is kept when the server does not say. */
-const KEEP_MILLISECONDS = 3_500;
-/** How much earlier than the server says an unused connection is closed. */
-const KEEP_MARGIN_MILLISECONDS = 1_200;
-const LONGEST_KEEP_MILLISECONDS = 60_000;
-
 /** Lends connections, the most recently used one first. Each carries one request at a time. */
 export class BackendConnections {
   private readonly _options: ConnectionOptions;
-  private readonly _idle: Client[] = [];
-  private readonly _all = new Set<Client>();
+  private readonly _idle: BackendConnection[] = [];
+  private readonly _all = new Set<BackendConnection>();
   private _closed = false;
 
   constructor(options: ConnectionOptions) {
@@ -37,47 +66,41 @@
   }
 
   /** An unused connection, or a new one within the limit. */
-  acquire(): Client | undefined {
+  acquire(): BackendConnection | undefined {
     const idle = this._idle.pop();
     if (idle) return idle;
     if (this._all.size >= this._options.limit() || this._closed) return undefined;
-    const client = this._open();
-    this._all.add(client);
-    return client;
+    const connection = this._open();
+    this._all.add(connection);
+    return connection;
   }
 
   /** Takes a connection back; one that must not be used again is closed. */
-  release(client: Client, reusable: boolean): void {
-    if (reusable && !this._closed && this._all.has(client)) this._idle.push(client);
-    else this._discard(client);
+  release(connection: BackendConnection, reusable: boolean): void {
+    const isUsable = reusable && !connection.broken && !this._closed;
+    if (isUsable && this._all.has(connection)) this._idle.push(connection);
+    else this._discard(connection);
   }
 
   /** Closes unused connections now and the others as they come back. */
   close(): void {
     this._closed = true;
-    for (const client of [...this._idle]) this._discard(client);
+    for (const connection of [...this._idle]) this._discard(connection);
   }
 
-  private _open(): Client {
-    const client = new Client(`http://${this._options.address}`, {
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      keepAliveTimeout: KEEP_MILLISECONDS,
-      keepAliveMaxTimeout: LONGEST_KEEP_MILLISECONDS,
-      keepAliveTimeoutThreshold: KEEP_MARGIN_MILLISECONDS,
-      connect: { timeout: this._options.connectMilliseconds },
-    });
-    client.on('disconnect', () => {
-      if (this._idle.includes(client)) this._discard(client);
+  private _open(): BackendConnection {
+    const { address, connectMilliseconds } = this._options;
+    const connection = new BackendConnection(address, connectMilliseconds);
+    connection.client.on('disconnect', () => {
+      if (this._idle.includes(connection)) this._discard(connection);
     });
-    return client;
+    return connection;
   }
 
-  private _discard(client: Client): void {
-    this._all.delete(client);
-    const position = this._idle.indexOf(client);
+  private _discard(connection: BackendConnection): void {
+    this._all.delete(connection);
+    const position = this._idle.indexOf(connection);
     if (position >= 0) this._idle.splice(position, 1);
-    void client.destroy().catch(() => undefined);
+    void connection.client.destroy().catch(() => undefined);
   }
 }
--- a/tests/gatewayRequests.spec.ts
+++ b/tests/gatewayRequests.spec.ts
@@ -123,6 +123,25 @@
   await until(() => fixture.backends[0].closed === 1);
 });
 
+/** An answer without length, which ends with its connection. */
+function unframed(end: (request: ArrivedRequest) => void): Script {
+  return (request) => {
+    request.socket.write(answerBytes(request, { headers: { connection: 'close' }, body: 'part' }));
+    setTimeout(() => end(request), 30);
+  };
+}
+
+test('should take an answer without length as whole when its connection ends', async () => {
+  await fixture.start([unframed(({ socket }) => void socket.end())], ONCE);
+  const answer = await fixture.ask({ method: 'POST' });
+  expect([answer.status, answer.body]).toEqual([200, 'part']);
+});
+
+test('should not take an answer without length as whole when its connection is reset', async () => {
+  await fixture.start([unframed(({ socket }) => void socket.resetAndDestroy())], ONCE);
+  expect((await fixture.ask({ method: 'POST' })).status).toEqual(502);
+});
+
 test('should let the server go when the caller leaves', async () => {
   await fixture.start([silence]);
   const leave = new AbortController();
