Keep the framing of answers without length; tell entries of a narrow link

Tests: 'should take an answer without length…' (failed before), 'should pass over a server whose link is narrow', 'should not count on a server…'.

--- a/src/protocol/boxMessages.ts
+++ b/src/protocol/boxMessages.ts
@@ -57,6 +57,8 @@
   version: countSchema,
   running: countSchema,
   queued: countSchema,
+  /** Whether chunks come so slowly that the link of the box must be narrow, for requests as well. */
+  slowLink: z.boolean(),
 });
 export type BoxStatus = z.infer<typeof boxStatusSchema>;
 
--- a/src/serving/callerExchange.ts
+++ b/src/serving/callerExchange.ts
@@ -79,7 +79,8 @@
     if (this.begun || this.ended) return this.cut();
     this._copyHeaders(headers);
     const hasBody = status !== 204 && status !== 304 && this.request.method !== 'HEAD';
-    this._finishHead(status, hasBody ? body.length : undefined);
+    const framed = hasBody && this._keepFraming(headers);
+    this._finishHead(status, framed ? body.length : undefined);
     this._response.end(hasBody ? body : undefined);
   }
 
@@ -87,6 +88,7 @@
   begin(status: number, headers: http.IncomingHttpHeaders): void {
     if (this.begun || this.ended) return;
     this._copyHeaders(headers);
+    this._keepFraming(headers);
     this._finishHead(status, undefined);
     this._response.flushHeaders();
   }
@@ -110,6 +112,19 @@
     this._response.destroy();
   }
 
+  /**
+   * An answer that says nothing of its length ends with its connection, and nobody can tell whether it is whole: it must
+   * not be passed on as one of known length. Returns whether the length is known.
+   */
+  private _keepFraming(headers: http.IncomingHttpHeaders): boolean {
+    const framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    if (!framed) {
+      this._response.useChunkedEncodingByDefault = false;
+      this._response.setHeader('connection', 'close');
+    }
+    return framed;
+  }
+
   private _copyHeaders(headers: http.IncomingHttpHeaders): void {
     for (const [name, value] of Object.entries(headers)) {
       if (value !== undefined && !CONNECTION_HEADERS.has(name)) this._response.setHeader(name, value);
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -15,6 +15,8 @@
   failureRate: number;
   /** Recent time to the first answer, in milliseconds. */
   firstAnswerMilliseconds: number;
+  /** Whether the link of its box is narrow. */
+  slowLink: boolean;
   /** Whether to use it only when there is no other. */
   avoided: boolean;
 }
@@ -33,6 +35,8 @@
 
 /** What another hall costs: the way there and back, and bytes between halls. */
 const OTHER_HALL_MILLISECONDS = 20;
+/** What a narrow link costs: requests and events wait behind chunks. */
+const SLOW_LINK_MILLISECONDS = 400;
 /** What a failed attempt costs. */
 const FAILURE_MILLISECONDS = 1_500;
 /** Failures that every server has now and then. */
@@ -52,8 +56,9 @@
   const failing = Math.max(0, candidate.failureRate - USUAL_FAILURE_RATE) * FAILURE_MILLISECONDS;
   const distance = candidate.sameHall ? 0 : OTHER_HALL_MILLISECONDS;
   const reading = candidate.unread * readMilliseconds;
+  const link = candidate.slowLink ? SLOW_LINK_MILLISECONDS : 0;
   const slow = Math.max(0, candidate.firstAnswerMilliseconds - service.usualFirstMilliseconds);
-  return filled * BATCH_SLOWDOWN * serviceMilliseconds + reading + waiting + failing + slow + distance;
+  return filled * BATCH_SLOWDOWN * serviceMilliseconds + reading + waiting + failing + slow + link + distance;
 }
 
 /** Time to the first answer beside what waits, in parts of the objective. */
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -177,6 +177,7 @@
       unread: server.unread,
       failureRate: health.failureRate,
       firstAnswerMilliseconds: health.firstAnswerMilliseconds,
+      slowLink: server.slowLink,
       avoided: health.avoided || server.suspicious || this._missing.has(record.id),
     };
   }
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -89,6 +89,11 @@
     return fresh && this._status?.state === 'switching';
   }
 
+  /** Whether the link of the server's box is narrow. */
+  get slowLink(): boolean {
+    return this._status?.slowLink === true;
+  }
+
   /** Milliseconds for which the server has been between two versions, 0 when it is not. */
   get switchingFor(): number {
     return this.switching ? this._clock.now() - this._switchingSince : 0;
@@ -99,7 +104,8 @@
     const newsAge = this._clock.now() - this._statusAt;
     const isPrompt = this.health.firstAnswerMilliseconds < PROMPT_MILLISECONDS;
     const isFree = this.unread < MANY_UNREAD && this.load.estimate(this._clock.now()) < this.record.slots;
-    return newsAge < NEARBY_MILLISECONDS && isPrompt && isFree && !this.health.avoided;
+    const mayReach = newsAge < NEARBY_MILLISECONDS && !this.slowLink && !this.health.avoided;
+    return mayReach && isPrompt && isFree;
   }
 
   /** A stream began or ended on the server. */
--- a/src/staging/stageQueue.ts
+++ b/src/staging/stageQueue.ts
@@ -16,7 +16,7 @@
 /** What the queue works with. */
 export interface StageQueueOptions extends Pick<
   VersionStageOptions,
-  'services' | 'backend' | 'clock' | 'log'
+  'services' | 'backend' | 'clock' | 'log' | 'bytesPerSecond'
 > {
   manifests: ManifestReader;
   log: EventLog;
@@ -53,6 +53,11 @@
     return this._stages;
   }
 
+  /** Whether the newest version comes so slowly that the link must be narrow. */
+  get isSlow(): boolean {
+    return this._stages.at(-1)?.isSlow ?? false;
+  }
+
   /** The oldest stage of a version newer than `version`. */
   after(version: number): VersionStage | undefined {
     return this._stages.find((stage) => stage.version > version);
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -163,6 +163,7 @@
       log: parts.log,
       members: () => this._members,
       onOpened: () => this._messages.replay(),
+      bytesPerSecond: weightRate(settings),
       manifests: new ManifestReader({
         origin: () => this._origin,
         peers: () => this._members.filter((member) => member.box !== settings.box),
@@ -287,6 +288,7 @@
       version: servedVersion,
       running: status?.running ?? 0,
       queued: status?.queued ?? 0,
+      slowLink: this._stages.isSlow,
     };
   }
 
--- a/src/staging/statusSender.ts
+++ b/src/staging/statusSender.ts
@@ -38,7 +38,7 @@
     const status = this._build();
     const last = this._last;
     const sameState = last?.state === status.state && last.version === status.version;
-    if (!sameState) this._sendNow(status);
+    if (!sameState || last.slowLink !== status.slowLink) this._sendNow(status);
     else if (this._mayTellLoad && Math.abs(loadOf(status) - loadOf(last)) >= LOAD_STEP) this._sendNow(status);
   }
 
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -23,8 +23,14 @@
   log: EventLog;
   /** Monotonic milliseconds at which the version was named. */
   namedAt: number;
+  /** What the box may take of chunks. */
+  bytesPerSecond: number;
 }
 
+/** Part of the rate below which a link counts as slow, and the time after which that can be told. */
+const SLOW_SHARE = 0.45;
+const LEAST_MEASURED_MILLISECONDS = 1_000;
+
 const DRAW_INTERVAL_MILLISECONDS = 100;
 /** How long a box that comes late waits for news of what the others hold before it draws. */
 const NEWS_MILLISECONDS = 400;
@@ -71,6 +77,15 @@
     return this.exchange.held.count / this.index.chunkCount;
   }
 
+  /** Whether chunks come much more slowly than the box may take them. */
+  get isSlow(): boolean {
+    const elapsed = this._options.clock.now() - this._startedAt;
+    if (this.complete || elapsed < LEAST_MEASURED_MILLISECONDS) return false;
+    const { originBytes, peerBytes, crossHallBytes } = this.exchange.counts;
+    const received = originBytes + peerBytes + crossHallBytes;
+    return received < (this._options.bytesPerSecond / 1000) * elapsed * SLOW_SHARE;
+  }
+
   /** Lets the chunks lie before the backend server from now on. */
   openStaging(): void {
     this._stager.open();
--- a/tests/gatewayRequests.spec.ts
+++ b/tests/gatewayRequests.spec.ts
@@ -135,6 +135,10 @@
   await fixture.start([unframed(({ socket }) => void socket.end())], ONCE);
   const answer = await fixture.ask({ method: 'POST' });
   expect([answer.status, answer.body]).toEqual([200, 'part']);
+  // nobody can tell whether it is whole, so that it may not be passed on as one of known length
+  expect(answer.headers['content-length']).toEqual(undefined);
+  expect(answer.headers['transfer-encoding']).toEqual(undefined);
+  expect(answer.headers.connection).toEqual('close');
 });
 
 test('should not take an answer without length as whole when its connection is reset', async () => {
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -27,6 +27,7 @@
     unread: 0,
     failureRate: 0,
     firstAnswerMilliseconds: 100,
+    slowLink: false,
     avoided: false,
     ...changes,
   };
@@ -79,6 +80,12 @@
   expect(isInTime(candidate('reading', { load: 10, unread: 9 }), ENGINE, 400)).toEqual(false);
 });
 
+test('should pass over a server whose link is narrow', () => {
+  const narrow = candidate('narrow', { slowLink: true });
+  const chosen = chooseServer([narrow, candidate('busy', { load: 12 })], ENGINE, new SeededRandom(1));
+  expect(chosen?.id).toEqual('busy');
+});
+
 test('should pass over a server that has become slow', () => {
   const slow = candidate('slow', { firstAnswerMilliseconds: 900 });
   const chosen = chooseServer([slow, candidate('busy', { load: 12 })], ENGINE, new SeededRandom(1));
--- a/tests/statusSender.spec.ts
+++ b/tests/statusSender.spec.ts
@@ -15,6 +15,7 @@
     version: 1,
     running: 0,
     queued: 0,
+    slowLink: false,
   };
   readonly sender: StatusSender;
 
--- a/tests/trackedServer.spec.ts
+++ b/tests/trackedServer.spec.ts
@@ -15,7 +15,7 @@
 test('should believe the agent that a server has lost its version', () => {
   const server = trackedServer(new ManualClock(), [{ name: 'model', version: 2 }]);
   expect(server.version('model')).toEqual(2);
-  const load = { type: 'box-status', running: 0, queued: 0, model: 'model' } as const;
+  const load = { type: 'box-status', running: 0, queued: 0, model: 'model', slowLink: false } as const;
   server.noteStatus({ ...load, state: 'empty', version: 0 });
   expect(server.version('model')).toEqual(0);
   server.noteStatus({ ...load, state: 'serving', version: 3 });
@@ -26,7 +26,14 @@
   const clock = new ManualClock();
   clock.advance(10_000);
   const server = trackedServer(clock);
-  const status = { type: 'box-status', state: 'serving', version: 1, running: 4, model: 'model' } as const;
+  const status = {
+    type: 'box-status',
+    state: 'serving',
+    version: 1,
+    running: 4,
+    model: 'model',
+    slowLink: false,
+  } as const;
   expect(server.beginsSoon).toEqual(false);
   server.noteStatus({ ...status, queued: 0 });
   expect(server.beginsSoon).toEqual(true);
@@ -34,4 +41,6 @@
   expect(server.beginsSoon).toEqual(false);
   server.noteStatus({ ...status, running: 17, queued: 0 });
   expect(server.beginsSoon).toEqual(false);
+  server.noteStatus({ ...status, queued: 0, slowLink: true });
+  expect(server.beginsSoon).toEqual(false);
 });
