--- a/src/serving/backendConnections.ts
+++ b/src/serving/backendConnections.ts
@@ -56,10 +56,6 @@
     this._options = options;
   }
 
-  get count(): number {
-    return this._all.size;
-  }
-
   /** Whether a request could be sent now. */
   get available(): boolean {
     return this._idle.length > 0 || this._all.size < this._options.limit();
--- a/src/serving/boxLinks.ts
+++ b/src/serving/boxLinks.ts
@@ -10,6 +10,7 @@
 import { ControlConnection } from '../protocol/controlConnection.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { Backoff } from '../utils/backoff.js';
+import { splitAddress } from '../utils/hostPort.js';
 import type { Random } from '../utils/random.js';
 import { Gathered } from '../utils/gathered.js';
 import { errorText } from '../utils/stepError.js';
@@ -127,8 +128,7 @@
   /** Resolves when the connection has been lost. */
   private async _connectOnce(link: Link): Promise<void> {
     const { agent } = link;
-    const port = Number(agent.address.slice(agent.address.lastIndexOf(':') + 1));
-    const host = agent.address.slice(0, agent.address.lastIndexOf(':'));
+    const [host, port] = splitAddress(agent.address);
     const connection = await ControlConnection.connect(host, port, this._options.control);
     if (link.stopped.signal.aborted) return connection.close('no longer wanted');
     link.connection = connection;
--- a/src/serving/directoryServer.ts
+++ b/src/serving/directoryServer.ts
@@ -1,6 +1,7 @@
 /** Answers where callers should connect, and whether this entry is ready. */
 import http from 'node:http';
 import { answerJson } from '../utils/httpBody.js';
+import { splitAddress } from '../utils/hostPort.js';
 import { closeHttp, listenHttp } from '../utils/httpServer.js';
 import type { EntryDirectory } from './entryDirectory.js';
 import type { DirectoryPaths } from './gatewayDaemon.js';
@@ -26,8 +27,7 @@
   async listen(addresses: ReadonlySet<string>): Promise<void> {
     for (const address of addresses) {
       const server = http.createServer((request, response) => this._serve(request, response));
-      const colon = address.lastIndexOf(':');
-      await listenHttp(server, address.slice(0, colon), Number(address.slice(colon + 1)));
+      await listenHttp(server, ...splitAddress(address));
       this._servers.push(server);
     }
   }
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -8,6 +8,7 @@
 import type { Random } from '../utils/random.js';
 import { SeededRandom } from '../utils/random.js';
 import { rendezvousOrder } from '../utils/rendezvous.js';
+import { hostOf, splitAddress } from '../utils/hostPort.js';
 import { errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
 import { BoxLinks } from './boxLinks.js';
@@ -21,7 +22,7 @@
 import { PlatformFollowers } from './platformFollowers.js';
 import type { ServingPlatform } from './platformRecords.js';
 import { RequestAdmission } from './requestAdmission.js';
-import { ServerPool, hostOf } from './serverPool.js';
+import { ServerPool } from './serverPool.js';
 import { MetricsServer } from '../telemetry/metricsServer.js';
 import { ServingMetrics } from '../telemetry/servingMetrics.js';
 import { VersionGate } from './versionGate.js';
@@ -304,8 +305,3 @@
 export function boxOfHost(host: string): string {
   return host.replaceAll('.', '-');
 }
-
-/** Splits host:port. */
-export function splitAddress(address: string): [string, number] {
-  return [hostOf(address), Number(address.slice(address.lastIndexOf(':') + 1))];
-}
--- a/src/serving/retryAllowance.ts
+++ b/src/serving/retryAllowance.ts
@@ -51,12 +51,6 @@
     return true;
   }
 
-  /** Gives back a leave that was not used. */
-  giveBack(): void {
-    const current = this._current();
-    current.retries = Math.max(0, current.retries - 1);
-  }
-
   private _current(): Slice {
     const index = Math.floor(this._clock.now() / (this._bound.windowMilliseconds / SLICES));
     this._slices = this._slices.filter((slice) => slice.index > index - SLICES);
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -2,6 +2,7 @@
 import type { BoxStatus } from '../protocol/boxMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
+import { hostOf } from '../utils/hostPort.js';
 import type { Random } from '../utils/random.js';
 import { BackendConnections } from './backendConnections.js';
 import type { BackendServerRecord } from './backendServerRecord.js';
@@ -204,8 +205,3 @@
   const lowest = server.beginsSoon ? need.lowestVersion : need.lowestVersionSlow;
   return version > 0 && version >= lowest && !server.switching;
 }
-
-/** The host of host:port. */
-export function hostOf(address: string): string {
-  return address.slice(0, address.lastIndexOf(':'));
-}
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -21,6 +21,7 @@
 import type { Clock } from '../utils/clock.js';
 import { SystemClock } from '../utils/clock.js';
 import { placementHash } from '../utils/hash.js';
+import { hostOf } from '../utils/hostPort.js';
 import type { Random } from '../utils/random.js';
 import { SeededRandom } from '../utils/random.js';
 import { Gathered } from '../utils/gathered.js';
@@ -252,7 +253,7 @@
 
   private _memberOf(agent: AgentAddress): Member {
     const { controlPort, chunkPort } = this._settings;
-    const address = agent.address.slice(0, agent.address.lastIndexOf(':'));
+    const address = hostOf(agent.address);
     return { box: agent.box, hall: agent.hall, address, httpPort: chunkPort, controlPort };
   }
 
--- a/tests/platformProcesses.spec.ts
+++ b/tests/platformProcesses.spec.ts
@@ -3,14 +3,13 @@
 import type { ChildProcess } from 'node:child_process';
 import { mkdtempSync, writeFileSync } from 'node:fs';
 import http from 'node:http';
-import type { AddressInfo } from 'node:net';
-import net from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import { after, before, test } from 'node:test';
 import { expect } from 'earl';
 import { PlatformStoreStandin } from '../standins/platformStoreStandin.js';
 import { ScriptedBackend } from '../standins/scriptedBackend.js';
+import { freePort } from './fixtures/freePort.js';
 import { until } from './fixtures/until.js';
 
 const ADDRESS = '127.0.2.1';
@@ -33,14 +32,6 @@
 let ready = '';
 let directory = '';
 
-async function freePort(): Promise<number> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => server.listen(0, ADDRESS, resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise<void>((resolve) => server.close(() => resolve()));
-  return port;
-}
-
 async function get(
   address: string,
   target: string,
@@ -76,9 +67,9 @@
   });
   store.put('servers', 'i-1', { service: 'plain', address, zone: 'north', slots: 4, state: 'ready' });
   [front, ready, directory] = [
-    `${ADDRESS}:${await freePort()}`,
-    `${ADDRESS}:${await freePort()}`,
-    `${ADDRESS}:${await freePort()}`,
+    `${ADDRESS}:${await freePort(ADDRESS)}`,
+    `${ADDRESS}:${await freePort(ADDRESS)}`,
+    `${ADDRESS}:${await freePort(ADDRESS)}`,
   ];
   const settings = {
     node_name: 'edge-north-1',
