--- /dev/null
+++ b/soak/callerLog.ts
@@ -0,0 +1,22 @@
+/** What callers have seen of each request, for the checks. */
+
+/** What a caller sends. */
+export type CallKind = 'stream' | 'once' | 'repeatable';
+
+/** How an answer looked to the caller. */
+export type CallEnd = 'whole' | 'refused' | 'failed' | 'cut' | 'never-sent' | 'left';
+
+/** One attempt with an id of its own. */
+export interface Call {
+  id: string;
+  kind: CallKind;
+  entry: string;
+  /** Wall clock, in milliseconds. */
+  sentAt: number;
+  endedAt: number;
+  end: CallEnd;
+  /** 0 when there was no answer. */
+  status: number;
+  /** What was wrong with the answer, if anything. */
+  wrong: string | undefined;
+}
--- /dev/null
+++ b/soak/fleetProcess.ts
@@ -0,0 +1,93 @@
+/** One process of larklatch as the platform starts it: a settings file, a role, its log lines. */
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { closeSync, openSync, writeFileSync } from 'node:fs';
+import path from 'node:path';
+
+export type ProcessRole = 'entry' | 'agent';
+
+/** How a process is started; it can be started again after its end. */
+export interface FleetProcessOptions {
+  name: string;
+  role: ProcessRole;
+  /** Contents of its settings file. */
+  settings: unknown;
+  /** Where its settings and its log lie. */
+  directory: string;
+  sharedKey: string;
+  /** Further words for node. */
+  nodeWords?: readonly string[];
+}
+
+const MAIN = process.env.SOAK_MAIN ?? new URL('../platform/main.js', import.meta.url).pathname;
+
+/** Processes that still run; none outlives this one. */
+const running = new Set<ChildProcess>();
+process.once('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+
+export class FleetProcess {
+  readonly name: string;
+  readonly role: ProcessRole;
+  /** Ends that nobody asked for. */
+  unexpectedEnds = 0;
+  private readonly _options: FleetProcessOptions;
+  private _child: ChildProcess | undefined;
+  private _expectsEnd = false;
+  private _isStopped = false;
+
+  constructor(options: FleetProcessOptions) {
+    this._options = options;
+    this.name = options.name;
+    this.role = options.role;
+  }
+
+  get running(): boolean {
+    return this._child !== undefined;
+  }
+
+  /** Whether it stands still after SIGSTOP. */
+  get paused(): boolean {
+    return this._isStopped;
+  }
+
+  /** Starts it unless it runs. */
+  start(): void {
+    if (this._child) return;
+    const { directory, settings, role, sharedKey, nodeWords = [] } = this._options;
+    const file = path.join(directory, `${this.name}.json`);
+    writeFileSync(file, JSON.stringify(settings));
+    const log = openSync(path.join(directory, `${this.name}.log`), 'a');
+    const child = spawn(process.execPath, [...nodeWords, MAIN, role], {
+      env: { LARKLATCH_CONFIG: file, LARKLATCH_SHARED_KEY: sharedKey },
+      stdio: ['ignore', log, log],
+    });
+    closeSync(log);
+    this._child = child;
+    this._expectsEnd = false;
+    running.add(child);
+    child.once('exit', () => this._onExit(child));
+  }
+
+  /** Sends a signal; SIGKILL and SIGTERM are ends that are asked for. */
+  signal(name: NodeJS.Signals): void {
+    if (!this._child) return;
+    if (name === 'SIGKILL' || name === 'SIGTERM') this._expectsEnd = true;
+    if (name === 'SIGSTOP') this._isStopped = true;
+    if (name === 'SIGCONT') this._isStopped = false;
+    this._child.kill(name);
+  }
+
+  /** Resolves when it has ended. */
+  async ended(): Promise<void> {
+    const child = this._child;
+    if (child) await new Promise<void>((resolve) => child.once('exit', () => resolve()));
+  }
+
+  private _onExit(child: ChildProcess): void {
+    running.delete(child);
+    if (this._child !== child) return;
+    this._child = undefined;
+    this._isStopped = false;
+    if (!this._expectsEnd) this.unexpectedEnds++;
+  }
+}
--- /dev/null
+++ b/soak/loopbackProxy.ts
@@ -0,0 +1,99 @@
+/** A TCP proxy on loopback that harms what passes through it, from outside the processes at both ends. */
+import net from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { splitAddress } from '../src/utils/hostPort.js';
+
+/**
+ * `pass`: all goes through. `delay`: late. `reset`: connections are reset. `deaf`: nothing goes from the client to the
+ * server. `mute`: nothing comes back. `silent`: neither way, and nothing is closed.
+ */
+export type ProxyMode = 'pass' | 'delay' | 'reset' | 'deaf' | 'mute' | 'silent';
+
+const DELAY_MILLISECONDS = 250;
+
+/** The two ends of one connection. */
+interface Pair {
+  client: Socket;
+  server: Socket;
+}
+
+export class LoopbackProxy {
+  private readonly _target: string;
+  private readonly _pairs = new Set<Pair>();
+  private readonly _server = net.createServer((client) => this._accept(client));
+  private _mode: ProxyMode = 'pass';
+
+  /** `target` is host:port. */
+  constructor(target: string) {
+    this._target = target;
+  }
+
+  get mode(): ProxyMode {
+    return this._mode;
+  }
+
+  /** Starts listening and returns host:port. */
+  async listen(host: string, port: number): Promise<string> {
+    await new Promise<void>((resolve, reject) => {
+      this._server.once('error', reject);
+      this._server.listen(port, host, resolve);
+    });
+    return `${host}:${(this._server.address() as AddressInfo).port}`;
+  }
+
+  /** Holds for open and new connections; what was held up goes on when all passes again. */
+  set(mode: ProxyMode): void {
+    this._mode = mode;
+    for (const pair of this._pairs) this._apply(pair);
+  }
+
+  close(): void {
+    this._server.close();
+    for (const pair of this._pairs) cut(pair);
+  }
+
+  private _accept(client: Socket): void {
+    if (this._mode === 'reset') return void client.resetAndDestroy();
+    const [host, port] = splitAddress(this._target);
+    const server = net.connect({ host, port, allowHalfOpen: true });
+    const pair = { client, server };
+    this._pairs.add(pair);
+    for (const socket of [client, server]) {
+      socket.setNoDelay(true);
+      socket.on('error', () => cut(pair));
+      socket.once('close', () => {
+        this._pairs.delete(pair);
+        cut(pair);
+      });
+    }
+    this._forward(client, server);
+    this._forward(server, client);
+    this._apply(pair);
+  }
+
+  private _forward(from: Socket, to: Socket): void {
+    from.on('data', (bytes: Buffer) => {
+      if (this._mode !== 'delay') return void to.write(bytes);
+      setTimeout(() => to.writable && to.write(bytes), DELAY_MILLISECONDS);
+    });
+    from.on('end', () => {
+      const wait = this._mode === 'delay' ? DELAY_MILLISECONDS : 0;
+      setTimeout(() => to.writable && to.end(), wait);
+    });
+  }
+
+  private _apply(pair: Pair): void {
+    if (this._mode === 'reset') return cut(pair);
+    hold(pair.client, this._mode === 'deaf' || this._mode === 'silent');
+    hold(pair.server, this._mode === 'mute' || this._mode === 'silent');
+  }
+}
+
+function hold(socket: Socket, held: boolean): void {
+  if (held) socket.pause();
+  else socket.resume();
+}
+
+function cut({ client, server }: Pair): void {
+  for (const socket of [client, server]) if (!socket.destroyed) socket.resetAndDestroy();
+}
--- /dev/null
+++ b/soak/soakCaller.ts
@@ -0,0 +1,199 @@
+/** Callers: they ask which entries to use, keep connections, send requests and look at every byte of the answers. */
+import http from 'node:http';
+import type { Random } from '../src/utils/random.js';
+import { pause } from '../src/utils/timers.js';
+import { STREAM_EVENTS, eventText, sealOf } from '../standins/platformRunnerStandin.js';
+import type { Call, CallEnd, CallKind } from './callerLog.js';
+import { CUSTOMERS, HOST } from './soakFleet.js';
+
+/** What a caller works with. */
+export interface SoakCallerOptions {
+  zone: string;
+  /** Directories of all entries, host:port. */
+  directories: readonly string[];
+  random: Random;
+  newId: () => string;
+  onCall: (call: Call) => void;
+  /** Mean pause between requests, in milliseconds. */
+  pauseMilliseconds: number;
+}
+
+const DEADLINE_MILLISECONDS = 4_000;
+const RESOLVE_MILLISECONDS = 1_000;
+const PATHS: Record<CallKind, string> = {
+  stream: '/chat/x?stream=1',
+  once: '/turns/x',
+  repeatable: '/boards/x',
+};
+const METHODS: Record<CallKind, string> = { stream: 'POST', once: 'POST', repeatable: 'GET' };
+const PROMISES = new Set([408, 421, 429, 503]);
+const TRIES = 2;
+/** Share of requests whose caller leaves early. */
+const LEAVING_SHARE = 0.02;
+const LEAVING_MILLISECONDS = 40;
+
+/** An answer as far as it came. */
+interface Seen {
+  status: number;
+  headers: http.IncomingHttpHeaders;
+  body: string;
+  end: 'whole' | 'cut' | 'never-sent' | 'left';
+}
+
+export class SoakCaller {
+  private readonly _options: SoakCallerOptions;
+  private readonly _agent = new http.Agent({ keepAlive: true, maxFreeSockets: 2 });
+  private _addresses: string[] = [];
+  private _keptUntil = 0;
+  private _stopped = false;
+
+  constructor(options: SoakCallerOptions) {
+    this._options = options;
+  }
+
+  /** Sends requests until {@link SoakCaller.stop}; resolves when the last one has ended. */
+  async run(): Promise<void> {
+    const { random, pauseMilliseconds } = this._options;
+    while (!this._stopped) {
+      await this._request(this._draw());
+      await pause(random.fraction() * 2 * pauseMilliseconds);
+    }
+    this._agent.destroy();
+  }
+
+  stop(): void {
+    this._stopped = true;
+  }
+
+  private _draw(): CallKind {
+    const drawn = this._options.random.integer(4);
+    if (drawn < 2) return 'stream';
+    return drawn === 2 ? 'once' : 'repeatable';
+  }
+
+  /** Sends again as callers may: what may run once only after a promise that it has not run. */
+  private async _request(kind: CallKind): Promise<void> {
+    const { random, onCall } = this._options;
+    for (let attempt = 0; attempt < TRIES; attempt++) {
+      const address = await this._address();
+      if (address === undefined) return;
+      const call = await this._send(kind, address, random.fraction() < LEAVING_SHARE);
+      onCall(call);
+      if (call.end === 'whole' || call.end === 'left') return;
+      if (call.end === 'cut' || call.end === 'never-sent') this._forget(address);
+      if (kind === 'once' && call.end !== 'refused' && call.end !== 'never-sent') return;
+      await pause(random.integer(100));
+    }
+  }
+
+  private _forget(address: string): void {
+    this._addresses = this._addresses.filter((other) => other !== address);
+  }
+
+  private async _address(): Promise<string | undefined> {
+    if (Date.now() > this._keptUntil || this._addresses.length === 0) await this._resolve();
+    const { random } = this._options;
+    return this._addresses.length === 0 ? undefined : this._addresses[random.integer(this._addresses.length)];
+  }
+
+  private async _resolve(): Promise<void> {
+    const { directories, random, zone } = this._options;
+    for (let attempt = 0; attempt < 3; attempt++) {
+      const directory = directories[random.integer(directories.length)];
+      const seen = await this._get(`http://${directory}/resolve?name=${HOST}&region=r&zone=${zone}`);
+      if (seen?.status !== 200) continue;
+      const answer = JSON.parse(seen.body) as { addresses: string[]; ttl_s: number };
+      this._addresses = answer.addresses;
+      this._keptUntil = Date.now() + answer.ttl_s * 1000;
+      return;
+    }
+    await pause(100);
+  }
+
+  private async _get(url: string): Promise<Seen | undefined> {
+    return await new Promise((resolve) => {
+      const request = http.get(url, { agent: false, timeout: RESOLVE_MILLISECONDS }, (answer) => {
+        let body = '';
+        answer.on('data', (bytes: Buffer) => (body += bytes.toString()));
+        answer.on('end', () =>
+          resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body, end: 'whole' }),
+        );
+        answer.on('error', () => resolve(undefined));
+      });
+      request.on('timeout', () => request.destroy());
+      request.on('error', () => resolve(undefined));
+    });
+  }
+
+  private async _send(kind: CallKind, address: string, leaves: boolean): Promise<Call> {
+    const id = this._options.newId();
+    const sentAt = Date.now();
+    const seen = await this._exchange(kind, address, id, leaves);
+    const wrong = this._fault(kind, id, seen);
+    const end = endOf(seen, wrong);
+    return { id, kind, entry: address, sentAt, endedAt: Date.now(), end, status: seen.status, wrong };
+  }
+
+  private async _exchange(kind: CallKind, address: string, id: string, leaves: boolean): Promise<Seen> {
+    const { random } = this._options;
+    const customer = CUSTOMERS[random.integer(CUSTOMERS.length)];
+    const [host, port] = address.split(':');
+    return await new Promise((resolve) => {
+      const seen: Seen = { status: 0, headers: {}, body: '', end: 'never-sent' };
+      const timer = setTimeout(() => request.destroy(new Error('deadline')), DEADLINE_MILLISECONDS + 500);
+      const finish = (end: Seen['end']): void => {
+        clearTimeout(timer);
+        resolve({ ...seen, end });
+      };
+      const headers: http.OutgoingHttpHeaders = {
+        host: HOST,
+        'x-attempt-id': id,
+        'x-deadline-ms': String(DEADLINE_MILLISECONDS),
+        authorization: `Bearer ${customer.api_keys[0]}`,
+        'x-tenant': 'forged',
+      };
+      if (kind === 'stream') headers['x-model'] = 'm0';
+      const method = METHODS[kind];
+      const path = PATHS[kind];
+      const request = http.request({ host, port, method, path, headers, agent: this._agent }, (answer) => {
+        seen.status = answer.statusCode ?? 0;
+        seen.headers = answer.headers;
+        answer.on('data', (bytes: Buffer) => (seen.body += bytes.toString()));
+        answer.on('end', () => finish('whole'));
+        answer.on('error', () => finish(leaves ? 'left' : 'cut'));
+      });
+      request.on('error', (error: NodeJS.ErrnoException) => {
+        if (leaves) return finish('left');
+        const neverSent = error.code === 'ECONNREFUSED' && seen.status === 0;
+        finish(neverSent ? 'never-sent' : 'cut');
+      });
+      if (leaves) setTimeout(() => request.destroy(), LEAVING_MILLISECONDS);
+      request.end(kind === 'stream' ? '{"prompt":"hello"}' : undefined);
+    });
+  }
+
+  /** What the answer shows that must never be. */
+  private _fault(kind: CallKind, id: string, seen: Seen): string | undefined {
+    if (seen.status === 0 || seen.end === 'left') return undefined;
+    if (seen.headers['x-attempt-id'] !== undefined && seen.headers['x-attempt-id'] !== id)
+      return `answer of ${seen.headers['x-attempt-id']}`;
+    if (seen.status >= 200 && seen.status < 300 && seen.headers['x-server-seal'] !== sealOf(id))
+      return `seal ${seen.headers['x-server-seal']}`;
+    if ([400, 401, 403, 404].includes(seen.status)) return `denied with ${seen.status}`;
+    if (seen.status !== 200) return undefined;
+    const expected = kind === 'stream' ? streamText(id) : `answer of ${id}`;
+    const isWhole = seen.end === 'whole';
+    const fits = isWhole ? seen.body === expected : expected.startsWith(seen.body);
+    return fits ? undefined : `${isWhole ? 'whole' : 'part'}: ${JSON.stringify(seen.body.slice(-120))}`;
+  }
+}
+
+function streamText(id: string): string {
+  return Array.from({ length: STREAM_EVENTS }, (_unused, index) => eventText(id, index + 1)).join('');
+}
+
+function endOf(seen: Seen, wrong: string | undefined): CallEnd {
+  if (seen.end !== 'whole') return seen.end;
+  if (PROMISES.has(seen.status)) return 'refused';
+  return seen.status === 200 && wrong === undefined ? 'whole' : 'failed';
+}
--- /dev/null
+++ b/soak/soakFleet.ts
@@ -0,0 +1,291 @@
+/** The real programs as processes on loopback addresses, before stand-ins of the platform. */
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+import type { Random } from '../src/utils/random.js';
+import { PlatformOriginStandin } from '../standins/platformOriginStandin.js';
+import type { Execution } from '../standins/platformRunnerStandin.js';
+import { PlatformRunnerStandin } from '../standins/platformRunnerStandin.js';
+import { PlatformStoreStandin } from '../standins/platformStoreStandin.js';
+import type { WeightsShape } from '../standins/weightsFixture.js';
+import { FleetProcess } from './fleetProcess.js';
+import { LoopbackProxy } from './loopbackProxy.js';
+
+/** How large a fleet is. */
+export interface FleetSize {
+  entries: number;
+  /** Boxes with a model server and an agent. */
+  modelBoxes: number;
+  plainServers: number;
+}
+
+/** A box with a server, and the proxy before it. */
+export interface SoakBox {
+  host: string;
+  zone: string;
+  service: string;
+  runner: PlatformRunnerStandin;
+  /** What requests pass through. */
+  proxy: LoopbackProxy;
+  /** How often a server has been started here. */
+  lives: number;
+}
+
+/** Hears what servers see. */
+export interface FleetListener {
+  onExecution(execution: Execution): void;
+  onUnwhole(runner: string, version: number): void;
+}
+
+export const ZONES = ['north', 'south', 'west'];
+export const MODEL_SERVICE = 'chat';
+export const PLAIN_SERVICE = 'turns';
+export const CUSTOMERS = [
+  { name: 'studio-a', api_keys: ['key-a'] },
+  { name: 'studio-b', api_keys: ['key-b'] },
+];
+export const HOST = 'games.example';
+const SHAPE: WeightsShape = { model: 'm0', chunks: 12, chunkBytes: 4_096 };
+const PORTS = {
+  front: 28_005,
+  ready: 28_002,
+  directory: 28_009,
+  runner: 28_001,
+  proxied: 28_011,
+  own: 28_700,
+};
+const SHARED_KEY = 'the key of a soak';
+const LINK_MEGABITS = 50;
+
+/** Bounds that the settings of a process name. */
+export const BOUNDS = {
+  contact_ms: 3000,
+  grace_s: 3,
+  retry_ratio: 0.2,
+  retry_window_s: 10,
+  retry_slack: 100,
+  version_ms: 8000,
+  drain_ms: 2000,
+  ttl_max_s: 2,
+};
+
+export class SoakFleet {
+  readonly store = new PlatformStoreStandin();
+  readonly origin: PlatformOriginStandin;
+  readonly entries: FleetProcess[] = [];
+  readonly agents: FleetProcess[] = [];
+  readonly boxes: SoakBox[] = [];
+  /** Between each entry and the store. */
+  readonly storeProxies = new Map<string, LoopbackProxy>();
+  readonly directory = mkdtempSync(path.join(tmpdir(), 'larklatch-soak-'));
+  private readonly _size: FleetSize;
+  private readonly _random: Random;
+  private readonly _listener: FleetListener;
+  private readonly _network: number;
+  private readonly _nodeWords: readonly string[];
+  private _configurationVersion = 0;
+  private _weightsVersion = 1;
+  private _originAddress = '';
+  private _runnersMade = 0;
+
+  /** `network` is the second part of all loopback addresses, so that fleets do not meet. */
+  constructor(
+    size: FleetSize,
+    network: number,
+    random: Random,
+    listener: FleetListener,
+    nodeWords: readonly string[] = [],
+  ) {
+    this._size = size;
+    this._network = network;
+    this._random = random;
+    this._listener = listener;
+    this._nodeWords = nodeWords;
+    this.origin = new PlatformOriginStandin(SHAPE, () => random.fraction());
+  }
+
+  /** The version that was named last. */
+  get weightsVersion(): number {
+    return this._weightsVersion;
+  }
+
+  async start(): Promise<void> {
+    const storeAddress = new URL(await this.store.listen()).host;
+    this._originAddress = await this.origin.listen();
+    this.configure();
+    this.store.put('versions', SHAPE.model, { model: SHAPE.model, version: this._weightsVersion });
+    for (let index = 0; index < this._size.modelBoxes; index++) await this._addBox(index, MODEL_SERVICE);
+    for (let index = 0; index < this._size.plainServers; index++)
+      await this._addBox(this._size.modelBoxes + index, PLAIN_SERVICE);
+    for (let index = 0; index < this._size.entries; index++) await this._addEntry(index, storeAddress);
+  }
+
+  async stop(): Promise<void> {
+    for (const process of [...this.entries, ...this.agents]) process.signal('SIGKILL');
+    await Promise.all([...this.entries, ...this.agents].map((process) => process.ended()));
+    for (const { runner, proxy } of this.boxes) {
+      runner.close();
+      proxy.close();
+    }
+    for (const proxy of this.storeProxies.values()) proxy.close();
+    this.store.close();
+    this.origin.close();
+  }
+
+  /** Puts a newer configuration into the store. */
+  configure(): number {
+    this._configurationVersion += 1 + this._random.integer(3);
+    this.store.put('config', 'main', {
+      version: this._configurationVersion,
+      routes: [
+        route('/chat/', 'streaming', MODEL_SERVICE, { resumable: true, max_attempts: 2, itl_target_ms: 300 }),
+        route('/turns/', 'non_idempotent', PLAIN_SERVICE, { max_attempts: 1 }),
+        route('/boards/', 'idempotent', PLAIN_SERVICE, { max_attempts: 2 }),
+        route(`/extra-${this._configurationVersion}/`, 'idempotent', PLAIN_SERVICE, {}),
+      ],
+      services: [modelService(), { name: PLAIN_SERVICE, max_conns: 64 }, this._originService()],
+      limits: { max_body_bytes: 100_000, idle_timeout_ms: 15_000 },
+      tenants: CUSTOMERS,
+    });
+    return this._configurationVersion;
+  }
+
+  /** Names a newer version of the model's weights. */
+  nameWeights(): number {
+    this._weightsVersion++;
+    this.store.put('versions', SHAPE.model, { model: SHAPE.model, version: this._weightsVersion });
+    return this._weightsVersion;
+  }
+
+  /** Ends the server of a box at once; its record leaves the store. */
+  crashRunner(box: SoakBox): void {
+    box.runner.close();
+    this.store.remove('servers', box.runner.id);
+  }
+
+  /** Starts another server on a box: another id, and no model. */
+  async startRunner(box: SoakBox): Promise<void> {
+    const staged = box.runner.staged;
+    box.runner = this._createRunner(box.service, 0);
+    for (const [piece, bytes] of staged) box.runner.staged.set(piece, bytes);
+    box.lives++;
+    await box.runner.listen(box.host, PORTS.runner);
+    this.publish(box);
+  }
+
+  /** Writes what a server says of itself into the store. */
+  publish(box: SoakBox, state: 'ready' | 'draining' = 'ready'): void {
+    const record = box.runner.record(`${box.host}:${PORTS.proxied}`, box.zone, state);
+    this.store.put('servers', box.runner.id, record);
+  }
+
+  /** Addresses of the directory of each entry. */
+  directories(): string[] {
+    return this.entries.map((_entry, index) => `${this._entryHost(index)}:${PORTS.directory}`);
+  }
+
+  private _entryHost(index: number): string {
+    return `127.${this._network}.1.${index + 1}`;
+  }
+
+  private _createRunner(service: string, version: number): PlatformRunnerStandin {
+    this._runnersMade++;
+    return new PlatformRunnerStandin({
+      id: `i-${this._runnersMade}`,
+      service,
+      slots: 8,
+      weights: service === MODEL_SERVICE ? SHAPE : undefined,
+      version,
+      onExecution: (execution) => this._listener.onExecution(execution),
+      onUnwhole: (runner, unwhole) => this._listener.onUnwhole(runner, unwhole),
+      fraction: () => this._random.fraction(),
+    });
+  }
+
+  private async _addBox(index: number, service: string): Promise<void> {
+    const host = `127.${this._network}.2.${index + 1}`;
+    const zone = ZONES[index % ZONES.length];
+    const runner = this._createRunner(service, 1);
+    const proxy = new LoopbackProxy(`${host}:${PORTS.runner}`);
+    const box: SoakBox = { host, zone, service, runner, proxy, lives: 1 };
+    await runner.listen(host, PORTS.runner);
+    await proxy.listen(host, PORTS.proxied);
+    this.boxes.push(box);
+    this.publish(box);
+    if (service === MODEL_SERVICE) this._addAgent(box);
+  }
+
+  private _addAgent(box: SoakBox): void {
+    const settings = {
+      ...this._commonSettings(`side-${box.host}`, box.host, box.zone, LINK_MEGABITS),
+      app: `${box.host}:${PORTS.runner}`,
+      service: box.service,
+      platform: { address: '127.0.0.1:9' },
+    };
+    const agent = this._process(`agent-${box.host}`, 'agent', settings);
+    this.agents.push(agent);
+    agent.start();
+  }
+
+  private async _addEntry(index: number, storeAddress: string): Promise<void> {
+    const host = this._entryHost(index);
+    const proxy = new LoopbackProxy(storeAddress);
+    const address = await proxy.listen(host, 0);
+    const name = `entry-${index + 1}`;
+    this.storeProxies.set(name, proxy);
+    const settings = {
+      ...this._commonSettings(name, host, ZONES[index % ZONES.length], 1000),
+      platform: { address },
+      listen: {
+        front: `${host}:${PORTS.front}`,
+        ready: `${host}:${PORTS.ready}`,
+        directory: `${host}:${PORTS.directory}`,
+      },
+    };
+    const entry = this._process(name, 'entry', settings);
+    this.entries.push(entry);
+    entry.start();
+  }
+
+  private _process(name: string, role: 'entry' | 'agent', settings: unknown): FleetProcess {
+    return new FleetProcess({
+      name,
+      role,
+      settings,
+      directory: this.directory,
+      sharedKey: SHARED_KEY,
+      nodeWords: this._nodeWords,
+    });
+  }
+
+  private _commonSettings(name: string, ip: string, zone: string, megabits: number): Record<string, unknown> {
+    return {
+      node_name: name,
+      ip,
+      zone,
+      port_range: [PORTS.own, PORTS.own + 15],
+      limits: { link_mbps: megabits },
+      bounds: BOUNDS,
+    };
+  }
+
+  private _originService(): unknown {
+    return { name: 'weights', origin: this._originAddress, link_mbps: 100, max_conns: 48 };
+  }
+}
+
+function route(prefix: string, type: string, service: string, more: Record<string, unknown>): unknown {
+  const common = { timeout_ms: 4000, latency_goal_ms: 400, priority: 1, max_attempts: 1, anonymous: false };
+  return { name: `r${prefix}`, host: HOST, path_prefix: prefix, type, service, ...common, ...more };
+}
+
+function modelService(): unknown {
+  const engine = {
+    slots: 8,
+    models: [{ name: SHAPE.model }],
+    step_ms: 15,
+    read_per_s: 31_900,
+    usual: { prompt: 500, answer: 6 },
+  };
+  return { name: MODEL_SERVICE, max_conns: 194, engine };
+}
--- a/src/external/httpClient.ts
+++ b/src/external/httpClient.ts
@@ -2,6 +2,7 @@
 import { Agent, request } from 'undici';
 import { StepError, errorCode, errorText } from '../utils/stepError.js';
 import { parseJson } from '../utils/json.js';
+import { TimeLimit } from '../utils/timeLimit.js';
 
 /** One request and its bounds. */
 export interface JsonRequest {
@@ -39,19 +40,20 @@
 
 /** Sends a JSON request. Throws a StepError when there is no answer; any status is an answer. */
 export async function sendJson(options: JsonRequest): Promise<JsonAnswer> {
-  const timeout = AbortSignal.timeout(options.timeoutMilliseconds);
-  const signal = options.signal ? AbortSignal.any([timeout, options.signal]) : timeout;
+  const limit = new TimeLimit(options.timeoutMilliseconds, options.signal);
   try {
     const answer = await request(options.url, {
       method: options.method,
       headers: { 'content-type': 'application/json', ...options.headers },
       body: options.body === undefined ? undefined : JSON.stringify(options.body),
       dispatcher,
-      signal,
+      signal: limit.signal,
     });
     const text = await answer.body.text();
     return { status: answer.statusCode, headers: answer.headers, body: parseJson(text) };
   } catch (error) {
     throw new StepError(options.step, errorText(error), { peer: new URL(options.url).host, cause: error });
+  } finally {
+    limit.end();
   }
 }
--- a/src/protocol/controlConnection.ts
+++ b/src/protocol/controlConnection.ts
@@ -21,7 +21,7 @@
 export interface ControlOptions {
   key: string;
   identity: Identity;
-  /** Silence after which a peer counts as gone, in milliseconds; heartbeats go out three times as often. */
+  /** Silence after which a peer counts as gone, in milliseconds; heartbeats go out more often. */
   peerTimeoutMilliseconds: number;
 }
 
@@ -30,6 +30,8 @@
   close: [string];
 }
 
+/** Heartbeats of a quiet connection within the silence that counts as its loss. */
+const HEARTBEATS_PER_TIMEOUT = 2.5;
 /** How long a silent connection has to show what already lies in its buffer. */
 const SECOND_LOOK_MILLISECONDS = 50;
 /** Default time for a call to be answered, in milliseconds. */
@@ -51,6 +53,7 @@
   private _heartbeat: NodeJS.Timeout | undefined;
   private _silence: NodeJS.Timeout | undefined;
   private _lastSentAt = 0;
+  private _lastHeardAt = performance.now();
   private _closed = false;
 
   private constructor(socket: net.Socket, options: ControlOptions) {
@@ -61,7 +64,7 @@
     socket.on('data', (bytes: Buffer) => this._onData(bytes));
     socket.on('error', (error) => this.close(errorText(error)));
     socket.on('close', () => this.close('closed by peer'));
-    this._touch();
+    this._watchSilence();
   }
 
   /** Connects to a listening peer and proves both ends. */
@@ -96,6 +99,12 @@
     this._write(message);
   }
 
+  /** Sends one message on several connections, encoded once. */
+  static broadcast(connections: Iterable<ControlConnection>, message: Message): void {
+    const frame = encodeFrame(message);
+    for (const connection of connections) if (!connection._closed) connection._writeFrame(frame);
+  }
+
   /** Sends a message and waits for its reply. Rejects when the connection closes or the time is up. */
   async call(
     message: WithoutCall<CallMessage>,
@@ -146,7 +155,7 @@
       this.close(errorText(error));
       throw error;
     }
-    this._heartbeat = setInterval(() => this._sendHeartbeat(), timeout / 3);
+    this._heartbeat = setInterval(() => this._sendHeartbeat(), timeout / HEARTBEATS_PER_TIMEOUT);
   }
 
   private async _openAsServer(): Promise<void> {
@@ -192,7 +201,7 @@
 
   private _onData(bytes: Buffer): void {
     ControlConnection.totalBytes += bytes.length;
-    this._touch();
+    this._lastHeardAt = performance.now();
     try {
       for (const frame of this._reader.push(bytes)) this._onFrame(frame);
     } catch (error) {
@@ -228,14 +237,20 @@
     if (quietFor > this._options.peerTimeoutMilliseconds / 4) this._writeFrame(HEARTBEAT_FRAME);
   }
 
-  private _touch(): void {
-    clearTimeout(this._silence);
-    this._silence = setTimeout(() => this._onSilence(), this._options.peerTimeoutMilliseconds);
+  /** Looks for silence when the peer could have been silent for too long, rather than at every frame. */
+  private _watchSilence(): void {
+    const left = this._lastHeardAt + this._options.peerTimeoutMilliseconds - performance.now();
+    if (left <= 0) this._onSilence();
+    else this._silence = setTimeout(() => this._watchSilence(), left);
   }
 
   /** When this process itself was paused, what the peer sent meanwhile is still to be read: look once more. */
   private _onSilence(): void {
-    this._silence = setTimeout(() => this.close('silent for too long'), SECOND_LOOK_MILLISECONDS);
+    const heardAt = this._lastHeardAt;
+    this._silence = setTimeout(() => {
+      if (this._lastHeardAt > heardAt) this._watchSilence();
+      else this.close('silent for too long');
+    }, SECOND_LOOK_MILLISECONDS);
   }
 
   private _write(message: unknown): void {
--- /dev/null
+++ b/src/serving/agentNews.ts
@@ -0,0 +1,111 @@
+/** What this entry tells the agents beside backend servers: itself, the wanted versions, and who their peers are. */
+import type { AgentAddress, AgentList, EntryAddress, EntryPresence } from '../protocol/boxMessages.js';
+import { hostOf } from '../utils/hostPort.js';
+import { rendezvousOrder } from '../utils/rendezvous.js';
+import type { ConfigurationHolder } from './configurationHolder.js';
+import type { EntryDirectory } from './entryDirectory.js';
+import type { ServerPool } from './serverPool.js';
+import type { ServiceDescription } from './servingConfiguration.js';
+import type { VersionGate } from './versionGate.js';
+
+/** What the news are read from. */
+export interface AgentNewsOptions {
+  own: EntryAddress;
+  /** Control port of agents. */
+  agentPort: number;
+  configuration: ConfigurationHolder;
+  entries: EntryDirectory;
+  pool: ServerPool;
+  gate: VersionGate;
+  /** Revision of service discovery. */
+  revision: () => number;
+}
+
+/** Entries that tell an agent who its peers are. */
+const TELLERS = 3;
+
+export class AgentNews {
+  private readonly _options: AgentNewsOptions;
+  /** Agents by service; the same array until {@link AgentNews.refresh}. */
+  private readonly _agents = new Map<string, AgentAddress[]>();
+  /** Whether this entry is one of an agent's tellers, for the entries that are live now. */
+  private readonly _tells = new Map<string, boolean>();
+  private _tellsFor: readonly EntryAddress[] = [];
+
+  constructor(options: AgentNewsOptions) {
+    this._options = options;
+  }
+
+  /** Servers or services have changed. */
+  refresh(): void {
+    this._agents.clear();
+  }
+
+  /** Agents of all services that have a model engine. */
+  all(): AgentAddress[] {
+    const services = [...this._services()].filter((service) => service.engine !== undefined);
+    return services.flatMap((service) => this._agentsOf(service.name));
+  }
+
+  presence(agent: AgentAddress): EntryPresence {
+    const { own, pool, gate } = this._options;
+    const services = [...this._services()];
+    const origin = services.find((service) => service.origin !== undefined)?.origin?.address ?? '';
+    const service = pool.serviceAt(hostOf(agent.address));
+    const models = services.find(({ name }) => name === service)?.engine?.models ?? [];
+    return { type: 'entry-presence', entry: own, wanted: models.map((model) => gate.wanted(model)), origin };
+  }
+
+  /** A few entries, the same ones as all others work out, tell an agent who its peers are. */
+  agentList(agent: AgentAddress): AgentList | undefined {
+    if (!this._isTeller(agent.box)) return undefined;
+    const { pool, revision } = this._options;
+    const service = pool.serviceAt(hostOf(agent.address));
+    return { type: 'agent-list', revision: revision(), agents: this._agentsOf(service) };
+  }
+
+  private _isTeller(box: string): boolean {
+    const { entries, own } = this._options;
+    const live = entries.live();
+    if (live !== this._tellsFor) this._tells.clear();
+    this._tellsFor = live;
+    let tells = this._tells.get(box);
+    if (tells === undefined) {
+      const tellers = rendezvousOrder(box, live, (entry) => entry.box).slice(0, TELLERS);
+      tells = tellers.some((entry) => entry.box === own.box);
+      this._tells.set(box, tells);
+    }
+    return tells;
+  }
+
+  private _services(): Iterable<ServiceDescription> {
+    return this._options.configuration.index?.services() ?? [];
+  }
+
+  /** Agents stand beside the backend servers of services that have a model engine. */
+  private _agentsOf(service: string): AgentAddress[] {
+    let agents = this._agents.get(service);
+    if (!agents) {
+      agents = this._find(service);
+      this._agents.set(service, agents);
+    }
+    return agents;
+  }
+
+  private _find(service: string): AgentAddress[] {
+    const { pool, configuration, agentPort } = this._options;
+    if (!configuration.index?.service(service)?.engine) return [];
+    const agents = new Map<string, AgentAddress>();
+    for (const { record, host } of pool.all()) {
+      if (record.service !== service) continue;
+      const box = boxOfHost(host);
+      agents.set(box, { box, hall: record.hall, address: `${host}:${agentPort}` });
+    }
+    return [...agents.values()];
+  }
+}
+
+/** The name that all processes give the box at an IPv4 address. */
+export function boxOfHost(host: string): string {
+  return host.replaceAll('.', '-');
+}
--- a/src/serving/boxLinks.ts
+++ b/src/serving/boxLinks.ts
@@ -40,6 +40,8 @@
   /** What was last sent on the connection, without what only ages. */
   sentPresence: string;
   sentAgents: string;
+  /** The list that {@link Link.sentAgents} was made from. */
+  toldAgents: readonly AgentAddress[] | undefined;
 }
 
 /** Keeps one connection to every wanted agent. */
@@ -76,6 +78,7 @@
         connection: undefined,
         sentPresence: '',
         sentAgents: '',
+        toldAgents: undefined,
       };
       this._links.set(agent.box, link);
       void this._keepConnected(link);
@@ -106,7 +109,8 @@
     if (text !== link.sentPresence) connection.send(presence);
     link.sentPresence = text;
     const list = this._options.agentList(agent);
-    if (!list) return;
+    if (!list || list.agents === link.toldAgents) return;
+    link.toldAgents = list.agents;
     const agents = JSON.stringify(list.agents);
     if (agents !== link.sentAgents) connection.send(list);
     link.sentAgents = agents;
@@ -141,6 +145,7 @@
     connection.start();
     link.sentPresence = '';
     link.sentAgents = '';
+    link.toldAgents = undefined;
     this._tell(link);
     const reason = await closed;
     link.connection = undefined;
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -13,6 +13,8 @@
   private readonly _own: EntryAddress;
   private readonly _reports = new Map<string, readonly EntryAddress[]>();
   private _lastKnown: EntryAddress[] = [];
+  /** Undefined after a change, until it is asked for. */
+  private _live: readonly EntryAddress[] | undefined;
 
   constructor(own: EntryAddress) {
     this._own = own;
@@ -21,28 +23,25 @@
   /** Takes the entries that the agent on `box` is connected to. */
   report(box: string, entries: readonly EntryAddress[]): void {
     this._reports.set(box, entries);
+    this._live = this._workOut();
   }
 
   /** Forgets an agent that is no longer connected. */
   forget(box: string): void {
     this._reports.delete(box);
+    this._live = undefined;
+  }
+
+  /** This entry leaves: callers are not sent to it any more. */
+  leave(): void {
+    this._own.leaving = true;
+    this._live = undefined;
   }
 
   /** All live entries, this one included, those that leave excluded. */
-  live(): EntryAddress[] {
-    const found = new Map<string, EntryAddress>();
-    const leaving = new Set<string>();
-    for (const entries of this._reports.values()) {
-      for (const entry of entries) {
-        if (entry.leaving) leaving.add(entry.box);
-        found.set(entry.box, entry);
-      }
-    }
-    if (this._reports.size > 0) this._lastKnown = [...found.values()];
-    else for (const entry of this._lastKnown) found.set(entry.box, entry);
-    found.set(this._own.box, this._own);
-    const live = [...found.values()].filter((entry) => !entry.leaving && !leaving.has(entry.box));
-    return live.sort((a, b) => compareText(a.box, b.box));
+  live(): readonly EntryAddress[] {
+    this._live ??= this._workOut();
+    return this._live;
   }
 
   /** How many entries share the bounds of the whole system; many, until it is known. */
@@ -61,4 +60,20 @@
       near.length >= FEWEST_ENTRIES ? near : [...near, ...far.slice(0, FEWEST_ENTRIES - near.length)];
     return chosen.slice(0, MOST_ENTRIES).map((entry) => entry.address);
   }
+
+  private _workOut(): EntryAddress[] {
+    const found = new Map<string, EntryAddress>();
+    const leaving = new Set<string>();
+    for (const entries of this._reports.values()) {
+      for (const entry of entries) {
+        if (entry.leaving) leaving.add(entry.box);
+        found.set(entry.box, entry);
+      }
+    }
+    if (this._reports.size > 0) this._lastKnown = [...found.values()];
+    else for (const entry of this._lastKnown) found.set(entry.box, entry);
+    found.set(this._own.box, this._own);
+    const live = [...found.values()].filter((entry) => !entry.leaving && !leaving.has(entry.box));
+    return live.sort((a, b) => compareText(a.box, b.box));
+  }
 }
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -1,16 +1,16 @@
 /** An entry that reaches backend servers directly: everything it is made of, put together. */
 import type http from 'node:http';
-import type { AgentAddress, AgentList, EntryAddress, EntryPresence } from '../protocol/boxMessages.js';
+import type { EntryAddress } from '../protocol/boxMessages.js';
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { SystemClock } from '../utils/clock.js';
 import { placementHash } from '../utils/hash.js';
 import type { Random } from '../utils/random.js';
 import { SeededRandom } from '../utils/random.js';
-import { rendezvousOrder } from '../utils/rendezvous.js';
 import { hostOf, splitAddress } from '../utils/hostPort.js';
 import { errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
+import { AgentNews } from './agentNews.js';
 import { BoxLinks } from './boxLinks.js';
 import { CallerServer } from './callerServer.js';
 import { ConfigurationHolder } from './configurationHolder.js';
@@ -46,8 +46,6 @@
 }
 
 const PERCENT = 100;
-/** Entries that tell an agent who its peers are. */
-const TELLERS = 3;
 /** How long a leaving entry takes new connections: callers may keep its address for three times as long as told. */
 const LEAVING_LISTEN_SHARE = 0.72;
 const LEAVING_POLL_MILLISECONDS = 50;
@@ -64,6 +62,7 @@
   private readonly _pool: ServerPool;
   private readonly _gate: VersionGate;
   private readonly _links: BoxLinks;
+  private readonly _news: AgentNews;
   private readonly _followers: PlatformFollowers;
   private readonly _admission: RequestAdmission;
   private readonly _forward: ForwardServices;
@@ -103,8 +102,8 @@
       },
       random,
       log: parts.log,
-      presence: (agent) => this._presence(agent),
-      agentList: (agent) => this._agentList(agent),
+      presence: (agent) => this._news.presence(agent),
+      agentList: (agent) => this._news.agentList(agent),
       onStatus: (agent, status) => this._pool.noteStatus(hostOf(agent.address), status),
       onEntries: (agent, list) => {
         this._entries.report(agent.box, list.entries);
@@ -113,6 +112,15 @@
       onDown: (agent) => this._entries.forget(agent.box),
     });
     this._followers = new PlatformFollowers(parts.platform, clock, random, parts.log);
+    this._news = new AgentNews({
+      own: this._own,
+      agentPort: settings.agentPort,
+      configuration: this._configuration,
+      entries: this._entries,
+      pool: this._pool,
+      gate: this._gate,
+      revision: () => this._followers.servers.revision,
+    });
     this._admission = this._createAdmission(random);
     this._forward = {
       names: parts.names,
@@ -150,7 +158,7 @@
     if (this._own.leaving) return;
     const startedAt = this._clock.now();
     const { drainMilliseconds } = this._settings;
-    this._own.leaving = true;
+    this._entries.leave();
     this._log.state('gateway.leaving', { running: this._running, connections: this._callers.connections });
     this._links.announceNow();
     const elapsed = (): number => this._clock.now() - startedAt;
@@ -250,46 +258,12 @@
     if (changed) this._links.announce();
   }
 
-  /** Agents stand beside the backend servers of services that have a model engine. */
-  private _agents(service?: string): AgentAddress[] {
-    const agents = new Map<string, AgentAddress>();
-    for (const { record } of this._pool.all()) {
-      if (service !== undefined && record.service !== service) continue;
-      if (!this._configuration.index?.service(record.service)?.engine) continue;
-      const host = hostOf(record.address);
-      const box = boxOfHost(host);
-      agents.set(box, { box, hall: record.hall, address: `${host}:${this._settings.agentPort}` });
-    }
-    return [...agents.values()];
-  }
-
   private _wantAgents(): void {
-    this._links.want(this._agents());
+    this._news.refresh();
+    this._links.want(this._news.all());
     this._links.announce();
   }
 
-  private _presence(agent: AgentAddress): EntryPresence {
-    const services = [...(this._configuration.index?.services() ?? [])];
-    const origin = services.find((service) => service.origin !== undefined)?.origin?.address ?? '';
-    const service = this._pool.serviceAt(hostOf(agent.address));
-    const models = services.find(({ name }) => name === service)?.engine?.models ?? [];
-    return {
-      type: 'entry-presence',
-      entry: this._own,
-      wanted: models.map((model) => this._gate.wanted(model)),
-      origin,
-    };
-  }
-
-  /** A few entries, the same ones as all others work out, tell an agent who its peers are. */
-  private _agentList(agent: AgentAddress): AgentList | undefined {
-    const tellers = rendezvousOrder(agent.box, this._entries.live(), (entry) => entry.box);
-    const position = tellers.findIndex((entry) => entry.box === this._settings.box);
-    if (position < 0 || position >= TELLERS) return undefined;
-    const service = this._pool.serviceAt(hostOf(agent.address));
-    return { type: 'agent-list', revision: this._followers.servers.revision, agents: this._agents(service) };
-  }
-
   private _addGauges(): void {
     this._metrics.gauge('requests_running', () => this._running);
     this._metrics.gauge('caller_connections', () => this._callers.connections);
@@ -300,8 +274,3 @@
     this._metrics.gauge('memory_bytes', () => process.memoryUsage.rss());
   }
 }
-
-/** The name that all processes give the box at an IPv4 address. */
-export function boxOfHost(host: string): string {
-  return host.replaceAll('.', '-');
-}
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -2,7 +2,6 @@
 import type { BoxStatus } from '../protocol/boxMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
-import { hostOf } from '../utils/hostPort.js';
 import type { Random } from '../utils/random.js';
 import { BackendConnections } from './backendConnections.js';
 import type { BackendServerRecord } from './backendServerRecord.js';
@@ -94,14 +93,12 @@
 
   /** The service of the backend server at `host`, '' when there is none. */
   serviceAt(host: string): string {
-    return this.all().find(({ record }) => hostOf(record.address) === host)?.record.service ?? '';
+    return this.all().find((server) => server.host === host)?.record.service ?? '';
   }
 
   /** Takes the status of the agent at `host`. */
   noteStatus(host: string, status: BoxStatus): void {
-    for (const server of this._servers.values()) {
-      if (hostOf(server.record.address) === host) server.noteStatus(status);
-    }
+    for (const server of this._servers.values()) if (server.host === host) server.noteStatus(status);
   }
 
   /** Chooses a server. */
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -2,6 +2,7 @@
 import { BoxLoad } from '../routing/backend.js';
 import type { BoxStatus } from '../protocol/boxMessages.js';
 import type { Clock } from '../utils/clock.js';
+import { hostOf } from '../utils/hostPort.js';
 import type { BackendConnections } from './backendConnections.js';
 import type { BackendServerRecord } from './backendServerRecord.js';
 import { ServerHealth } from './serverHealth.js';
@@ -22,6 +23,8 @@
 
 export class TrackedServer {
   record: BackendServerRecord;
+  /** Address of its box. */
+  host = '';
   readonly health: ServerHealth;
   readonly load = new BoxLoad();
   readonly connections: BackendConnections;
@@ -45,6 +48,7 @@
   /** Takes what service discovery says. */
   update(record: BackendServerRecord): void {
     this.record = record;
+    this.host = hostOf(record.address);
     for (const { name, version } of record.models) this.noteVersion(name, version);
   }
 
--- /dev/null
+++ b/src/staging/connectedEntries.ts
@@ -0,0 +1,71 @@
+/** The entries that are connected to this agent; a few agents tell each entry who the others are. */
+import type { EntryAddress } from '../protocol/boxMessages.js';
+import { ControlConnection } from '../protocol/controlConnection.js';
+import type { Message } from '../protocol/message.js';
+import type { Member } from '../protocol/rolloutMessages.js';
+import { Gathered } from '../utils/gathered.js';
+import { compareText, rendezvousOrder } from '../utils/rendezvous.js';
+
+/** Agents that tell an entry who the other entries are. */
+const TELLERS = 4;
+const GATHER_MILLISECONDS = 15;
+
+export class ConnectedEntries {
+  private readonly _box: string;
+  private readonly _members: () => readonly Member[];
+  private readonly _entries = new Map<ControlConnection, EntryAddress>();
+  private readonly _changed = new Gathered(GATHER_MILLISECONDS, () => this._tell());
+
+  /** `box` is this agent's, `members` are all agents of the service. */
+  constructor(box: string, members: () => readonly Member[]) {
+    this._box = box;
+    this._members = members;
+  }
+
+  get count(): number {
+    return this._entries.size;
+  }
+
+  /** Notes what an entry says of itself; returns whether it is new. */
+  note(connection: ControlConnection, entry: EntryAddress): boolean {
+    const isNew = !this._entries.has(connection);
+    this._entries.set(connection, entry);
+    this._changed.call();
+    return isNew;
+  }
+
+  forget(connection: ControlConnection): void {
+    this._entries.delete(connection);
+    this._changed.call();
+  }
+
+  /** The agents of the service have changed, and with them who tells whom. */
+  refresh(): void {
+    this._changed.call();
+  }
+
+  /** Sends a message to all of them. */
+  broadcast(message: Message): void {
+    ControlConnection.broadcast(this._entries.keys(), message);
+  }
+
+  stop(): void {
+    this._changed.cancel();
+  }
+
+  /** Tells the entries for which this agent is one of the few that do, as all agents work out alike. */
+  private _tell(): void {
+    const told = [...this._entries].filter(([, entry]) => this._isTellerOf(entry.box));
+    const entries = [...this._entries.values()].sort((a, b) => compareText(a.box, b.box));
+    ControlConnection.broadcast(
+      told.map(([connection]) => connection),
+      { type: 'entry-list', entries },
+    );
+  }
+
+  private _isTellerOf(entry: string): boolean {
+    const members = this._members();
+    const tellers = rendezvousOrder(entry, members, (member) => member.box).slice(0, TELLERS);
+    return members.length === 0 || tellers.some((member) => member.box === this._box);
+  }
+}
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -5,8 +5,6 @@
   AgentAddress,
   AgentList,
   BoxStatus,
-  EntryAddress,
-  EntryList,
   EntryPresence,
   SwitchState,
 } from '../protocol/boxMessages.js';
@@ -24,14 +22,13 @@
 import { hostOf } from '../utils/hostPort.js';
 import type { Random } from '../utils/random.js';
 import { SeededRandom } from '../utils/random.js';
-import { Gathered } from '../utils/gathered.js';
-import { compareText, rendezvousOrder } from '../utils/rendezvous.js';
 import { RateLimiter } from '../utils/rateLimiter.js';
 import { AgentPeers } from '../weights/agentPeers.js';
 import { ChunkStore } from '../weights/chunkStore.js';
 import { PeerChunkClient } from '../weights/peerChunkClient.js';
 import { UploadQueue } from '../weights/uploadQueue.js';
 import { ChunkServer } from './chunkServer.js';
+import { ConnectedEntries } from './connectedEntries.js';
 import type { LocalBackend } from './localBackend.js';
 import { ManifestReader } from './manifestReader.js';
 import { PeerMessages } from './peerMessages.js';
@@ -56,9 +53,6 @@
 const STALL_MILLISECONDS = 1_500;
 /** Written at a time, so that an event of a stream waits some tens of milliseconds at most. */
 const BLOCK_BYTES = 8 * 1024;
-/** Agents that tell an entry who the other entries are. */
-const TELLERS = 4;
-const GATHER_MILLISECONDS = 15;
 const METRICS_PATH = '/metrics';
 const STATUS_INTERVAL_MILLISECONDS = 250;
 const BITS_PER_BYTE = 8;
@@ -76,12 +70,11 @@
   private readonly _chunks: ChunkServer;
   private readonly _metricsServer: MetricsServer;
   private readonly _statusSender: StatusSender;
-  private readonly _entries = new Map<ControlConnection, EntryAddress>();
+  private readonly _entries: ConnectedEntries;
   private _members: Member[] = [];
   private _origin: Origin | undefined;
   private _originAddress = '';
   private _agentsRevision = 0;
-  private readonly _entriesChanged = new Gathered(GATHER_MILLISECONDS, () => this._sendEntries());
   private _lastState = '';
   private _statusTimer: NodeJS.Timeout | undefined;
 
@@ -90,11 +83,12 @@
     this._settings = settings;
     this._parts = parts;
     this._log = parts.log;
+    this._entries = new ConnectedEntries(settings.box, () => this._members);
     this._statusSender = new StatusSender(
       this._clock,
       () => this._status(),
-      (status) => this._entries.forEach((_entry, connection) => connection.send(status)),
-      () => this._entries.size,
+      (status) => this._entries.broadcast(status),
+      () => this._entries.count,
     );
     this._messages = new PeerMessages(
       () => this._stages.stages.map((stage) => stage.exchange),
@@ -116,7 +110,7 @@
       reconciler: this._reconciler,
       uploads,
       log: parts.log,
-      entries: () => this._entries.size,
+      entries: () => this._entries.count,
     });
     this._metricsServer = new MetricsServer(metrics, METRICS_PATH);
     this._control = new ControlServer(
@@ -145,7 +139,7 @@
   /** Closes at once: a restarted agent takes over what lies staged. */
   async stop(): Promise<void> {
     clearInterval(this._statusTimer);
-    this._entriesChanged.cancel();
+    this._entries.stop();
     this._reconciler.stop();
     this._stages.close();
     this._peers.close();
@@ -214,19 +208,14 @@
   private _onConnection(connection: ControlConnection): void {
     if (connection.peer.role === 'agent') return this._peers.attach(connection);
     connection.on('message', (message) => this._onEntryMessage(connection, message));
-    connection.once('close', () => {
-      this._entries.delete(connection);
-      this._entriesChanged.call();
-    });
+    connection.once('close', () => this._entries.forget(connection));
     connection.start();
   }
 
   private _onEntryMessage(connection: ControlConnection, message: Message): void {
     if (message.type === 'agent-list') this._takeAgents(message);
     if (message.type !== 'entry-presence') return;
-    const isNew = !this._entries.has(connection);
-    this._entries.set(connection, message.entry);
-    this._entriesChanged.call();
+    const isNew = this._entries.note(connection, message.entry);
     if (isNew) connection.send(this._status());
     this._takeOrigin(message.origin);
     this._takeVersions(message);
@@ -248,7 +237,7 @@
     this._peers.want(others);
     this._messages.keep(others.map((member) => member.box));
     this._stages.updateMembers();
-    this._entriesChanged.call();
+    this._entries.refresh();
   }
 
   private _memberOf(agent: AgentAddress): Member {
@@ -292,21 +281,6 @@
       slowLink: this._stages.isSlow,
     };
   }
-
-  private _entryList(): EntryList {
-    const entries = [...this._entries.values()];
-    return { type: 'entry-list', entries: entries.sort((a, b) => compareText(a.box, b.box)) };
-  }
-
-  /** Tells the entries for which this agent is one of the few that do, as all agents work out alike. */
-  private _sendEntries(): void {
-    const list = this._entryList();
-    for (const [connection, { box }] of this._entries) {
-      const tellers = rendezvousOrder(box, this._members, (member) => member.box).slice(0, TELLERS);
-      const isTeller = tellers.some((member) => member.box === this._settings.box);
-      if (isTeller || this._members.length === 0) connection.send(list);
-    }
-  }
 }
 
 function controlOptions(settings: StagingSettings): ControlOptions {
--- a/src/staging/statusSender.ts
+++ b/src/staging/statusSender.ts
@@ -8,7 +8,7 @@
  * Shortest time between two statuses that tell only another load, for each entry that hears them: what an agent sends
  * and an entry hears stays bounded however many there are.
  */
-const SPACING_PER_ENTRY_MILLISECONDS = 8;
+const SPACING_PER_ENTRY_MILLISECONDS = 10;
 /** A status is sent so often even when nothing has changed, so that entries know how fresh their news is. */
 const LONGEST_MILLISECONDS = 1_000;
 
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -26,7 +26,7 @@
   onChange: () => void;
 }
 
-const POLL_MILLISECONDS = 80;
+const POLL_MILLISECONDS = 120;
 const SWITCHING_POLL_MILLISECONDS = 40;
 /** How long entries have to hear that a switch begins before it does. */
 const NOTICE_MILLISECONDS = 60;
--- a/src/utils/httpBody.ts
+++ b/src/utils/httpBody.ts
@@ -17,7 +17,9 @@
     });
     request.once('end', () => resolve(Buffer.concat(pieces)));
     request.once('error', reject);
-    request.once('close', () => reject(new StepError('http.body', 'ended early')));
+    request.once('close', () => {
+      if (!request.readableEnded) reject(new StepError('http.body', 'ended early'));
+    });
   });
 }
 
--- a/src/weights/exchangeTopology.ts
+++ b/src/weights/exchangeTopology.ts
@@ -84,8 +84,6 @@
   }
   if (self < GATEWAYS_PER_HALL) layout.gateways.forEach((_gateway, index) => chosen.add(index));
   chosen.delete(self);
-  if (self < GATEWAYS_PER_HALL) layout.gateways.forEach((_gateway, index) => chosen.add(index));
-  chosen.delete(self);
   return [...chosen].map((index) => ({ member: members[index], crossHall: false }));
 }
 
--- /dev/null
+++ b/standins/platformRunnerStandin.ts
@@ -0,0 +1,292 @@
+/** A stand-in for a runner of the platform: requests, reports, orders and staged pieces, over its published calls. */
+import http from 'node:http';
+import { sha256Hex } from '../src/utils/hash.js';
+import type { WeightsShape } from './weightsFixture.js';
+import { versionDigests } from './weightsFixture.js';
+
+/** One request that a runner has begun to work on. */
+export interface Execution {
+  id: string;
+  runner: string;
+  service: string;
+  customer: string;
+  path: string;
+  /** Version of the model, 0 for services without one. */
+  version: number;
+  /** Wall clock, in milliseconds. */
+  at: number;
+}
+
+/** How a runner is made. */
+export interface PlatformRunnerOptions {
+  id: string;
+  service: string;
+  slots: number;
+  /** Undefined for a service without a model. */
+  weights: WeightsShape | undefined;
+  /** The version that it holds at first, 0 for none. */
+  version: number;
+  /** Hears of every request that begins. */
+  onExecution: (execution: Execution) => void;
+  /** Hears of a version that was taken though it was not whole. */
+  onUnwhole: (runner: string, version: number) => void;
+  /** Draws from 0 up to 1. */
+  fraction: () => number;
+}
+
+/** What a runner can be told to do wrong; shares are of requests. */
+export interface PlatformRunnerFaults {
+  /** Runs them and resets the connection. */
+  lostShare?: number;
+  /** Answers them with an error of its own. */
+  failedShare?: number;
+  /** Breaks their answers off. */
+  brokenShare?: number;
+  /** Sends a second answer after the first. */
+  extraShare?: number;
+  /** Never answers anything. */
+  silent?: boolean;
+  /** Turns everything away. */
+  shedding?: boolean;
+  /** Loses the answers to orders that it carries out. */
+  lostOrders?: boolean;
+}
+
+/** Requests that wait beyond the slots. */
+const QUEUE = 16;
+const WARM_MILLISECONDS = 60;
+const EVENT_MILLISECONDS = 15;
+const PLAIN_MILLISECONDS = 10;
+const EVENTS = 6;
+const LATEST = Number.MAX_SAFE_INTEGER;
+const MISDIRECTED = 421;
+const UNAVAILABLE = 503;
+
+export class PlatformRunnerStandin {
+  faults: PlatformRunnerFaults = {};
+  readonly id: string;
+  readonly staged = new Map<number, Buffer>();
+  private readonly _options: PlatformRunnerOptions;
+  private readonly _server = http.createServer((request, response) => void this._serve(request, response));
+  private readonly _waiting: (() => void)[] = [];
+  private _version: number;
+  private _active = 0;
+  private _sequence = 0;
+  private _starting = false;
+
+  constructor(options: PlatformRunnerOptions) {
+    this._options = options;
+    this.id = options.id;
+    this._version = options.version;
+    this._server.keepAliveTimeout = 5_000;
+  }
+
+  /** The version in service, 0 for none. */
+  get version(): number {
+    return this._version;
+  }
+
+  async listen(host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this._server.once('error', reject);
+      this._server.listen(port, host, resolve);
+    });
+  }
+
+  /** Ends at once, as in a crash. */
+  close(): void {
+    this._server.close();
+    this._server.closeAllConnections();
+  }
+
+  /** What it writes of itself into the platform's store. */
+  record(address: string, zone: string, state: 'ready' | 'draining' = 'ready'): unknown {
+    const { service, slots, weights } = this._options;
+    return { service, address, zone, slots, state, version: 'v1', models: weights ? this._models() : [] };
+  }
+
+  private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    if (this.faults.silent) return;
+    const url = new URL(request.url ?? '/', 'http://runner');
+    const body = await readAll(request);
+    const [, call] = url.pathname.split('/');
+    const piece = url.searchParams.get('item_count');
+    if (call === 'report') return sendJson(response, 200, this._report());
+    if (call === 'order') return this._order(JSON.parse(body.toString()) as OrderBody, response);
+    if (call === 'stage-put') return this._put(Number(piece), body, response);
+    if (call === 'stage-get') return this._get(piece, response);
+    if (call === 'healthz') return void response.writeHead(200, { 'x-instance-id': this.id }).end();
+    await this._run(request, response, url);
+  }
+
+  private _models(): unknown[] {
+    const { weights } = this._options;
+    if (!weights || this._version === 0) return [];
+    const layers = [{ source: 0, target_version: 4, version: this._version }];
+    return [{ name: weights.model, version: this._version, adapters: [], layers }];
+  }
+
+  private _report(): unknown {
+    const queued = this._waiting.length;
+    const models = this._models();
+    return {
+      phase: 'unified',
+      models,
+      utilization: this._starting,
+      seq_no: this._sequence,
+      queued,
+      active: this._active,
+    };
+  }
+
+  private _put(piece: number, body: Buffer, response: http.ServerResponse): void {
+    this.staged.set(piece, body);
+    response.writeHead(200).end();
+  }
+
+  private _get(piece: string | null, response: http.ServerResponse): void {
+    if (piece === null) return sendJson(response, 200, { held: [...this.staged.keys()] });
+    const bytes = this.staged.get(Number(piece));
+    if (bytes) response.writeHead(200, { 'content-length': bytes.length }).end(bytes);
+    else response.writeHead(404).end();
+  }
+
+  private _order(order: OrderBody, response: http.ServerResponse): void {
+    const { weights } = this._options;
+    if (order.operation !== 'start' || !weights) return sendJson(response, 400, {});
+    if (order.expected_rev !== undefined && order.expected_rev !== this._sequence)
+      return sendJson(response, 409, {});
+    if (this._starting) return sendJson(response, 409, {});
+    if (order.version === this._version) return sendJson(response, 200, {});
+    this._sequence++;
+    this._starting = true;
+    void this._start(weights, order.version);
+    if (this.faults.lostOrders) response.destroy();
+    else sendJson(response, 202, {});
+  }
+
+  /** Takes what lies staged now, serves it once what runs has ended. */
+  private async _start(weights: WeightsShape, version: number): Promise<void> {
+    const digests = versionDigests(weights, version);
+    const whole = digests.every((digest, piece) => {
+      const bytes = this.staged.get(piece);
+      return bytes !== undefined && sha256Hex(bytes) === digest;
+    });
+    if (!whole) this._options.onUnwhole(this.id, version);
+    while (this._active > 0) await delay(EVENT_MILLISECONDS);
+    await delay(WARM_MILLISECONDS);
+    this._version = version;
+    this._starting = false;
+  }
+
+  private async _run(request: http.IncomingMessage, response: http.ServerResponse, url: URL): Promise<void> {
+    const { slots, service, onExecution, fraction } = this._options;
+    const { headers } = request;
+    const id = String(headers['x-attempt-id'] ?? '');
+    const refusal = this._refusal(headers);
+    if (refusal) return this._turnAway(response, refusal, id);
+    if (this._active >= slots) await new Promise<void>((resume) => this._waiting.push(resume));
+    if (response.destroyed) return this._waiting.shift()?.();
+    this._active++;
+    const customer = String(headers['x-tenant'] ?? '');
+    const execution = { id, runner: this.id, service, customer, path: url.pathname, version: this._version };
+    onExecution({ ...execution, at: Date.now() });
+    try {
+      await this._answer(request, response, id, url, fraction());
+    } finally {
+      this._active--;
+      this._waiting.shift()?.();
+    }
+  }
+
+  /** The status by which a request is turned away, 0 when it is let in. */
+  private _refusal(headers: http.IncomingHttpHeaders): number {
+    const target = headers['x-target-instance'] ?? this.id;
+    const expected = Number(headers['x-expected-version'] ?? this._version);
+    if (target !== this.id) return MISDIRECTED;
+    if (this._options.weights && (this._version === 0 || expected !== this._version)) return MISDIRECTED;
+    const isFull = this._active + this._waiting.length >= this._options.slots + QUEUE;
+    return this._starting || isFull || this.faults.shedding ? UNAVAILABLE : 0;
+  }
+
+  private _turnAway(response: http.ServerResponse, status: number, id: string): void {
+    response.writeHead(status, { 'x-not-executed': '1', 'x-attempt-id': id, 'content-length': 0 }).end();
+  }
+
+  private async _answer(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    id: string,
+    url: URL,
+    drawn: number,
+  ): Promise<void> {
+    const { lostShare = 0, failedShare = 0, brokenShare = 0, extraShare = 0 } = this.faults;
+    const headers: http.OutgoingHttpHeaders = { 'x-attempt-id': id, 'x-server-seal': sealOf(id) };
+    if (this._options.weights) headers['x-weight-versions'] = String(this._version);
+    if (drawn < lostShare) return void response.destroy();
+    if (drawn < lostShare + failedShare) return void response.writeHead(500, headers).end('failed');
+    const isBroken = drawn < lostShare + failedShare + brokenShare;
+    if (url.searchParams.has('stream')) return this._stream(request, response, id, headers, isBroken);
+    await delay(PLAIN_MILLISECONDS);
+    const body = `answer of ${id}`;
+    response.writeHead(200, { ...headers, 'content-length': body.length });
+    if (isBroken) return void response.write(body.slice(0, 3), () => response.destroy());
+    response.end(body);
+    if (drawn < lostShare + failedShare + brokenShare + extraShare)
+      request.socket.write(
+        `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: s\r\ncontent-length: 2\r\n\r\nno`,
+      );
+  }
+
+  private async _stream(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    id: string,
+    headers: http.OutgoingHttpHeaders,
+    isBroken: boolean,
+  ): Promise<void> {
+    const first = Number(request.headers['last-event-id'] ?? 0) + 1;
+    const last = isBroken ? first + 1 : LATEST;
+    response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
+    for (let event = first; event <= EVENTS && !response.destroyed; event++) {
+      await delay(EVENT_MILLISECONDS);
+      const text = eventText(id, event);
+      if (event >= last)
+        return void response.write(text.slice(0, text.length >> 1), () => response.destroy());
+      response.write(text);
+    }
+    response.end();
+  }
+}
+
+/** What a caller of the stand-in must get: the seal of an answer, its events, and how many there are. */
+export function sealOf(id: string): string {
+  return `seal-of-${id}`;
+}
+
+export function eventText(id: string, event: number): string {
+  return `id: ${event}\ndata: event ${event} of ${id}\n\n`;
+}
+
+export const STREAM_EVENTS = EVENTS;
+
+interface OrderBody {
+  operation: string;
+  version: number;
+  expected_rev?: number;
+}
+
+function sendJson(response: http.ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' });
+  response.end(JSON.stringify(body));
+}
+
+async function readAll(request: http.IncomingMessage): Promise<Buffer> {
+  const pieces: Buffer[] = [];
+  for await (const piece of request) pieces.push(piece as Buffer);
+  return Buffer.concat(pieces);
+}
+
+async function delay(milliseconds: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
