--- a/soak/fleetProcess.ts
+++ b/soak/fleetProcess.ts
@@ -19,7 +19,7 @@
   nodeWords?: readonly string[];
 }
 
-const MAIN = process.env.SOAK_MAIN ?? new URL('../platform/main.js', import.meta.url).pathname;
+const MAIN = new URL('../platform/main.js', import.meta.url).pathname;
 
 /** Processes that still run; none outlives this one. */
 const running = new Set<ChildProcess>();
--- /dev/null
+++ b/soak/promiseChecks.ts
@@ -0,0 +1,164 @@
+/** Checks what callers and backend servers have seen against the promises of docs/PROMISES.md. */
+import type { Execution } from '../standins/platformRunnerStandin.js';
+import type { Call } from './callerLog.js';
+
+export type PromiseName =
+  | 'answer' // every caller gets the whole answer to its own request
+  | 'once' // what may run once runs once
+  | 'not-run' // a refusal is true
+  | 'asked' // nothing runs that nobody asked for, or for another customer
+  | 'whole' // no server takes an unwhole version
+  | 'version' // no request begins on an older version after the bound
+  | 'draining' // a leaving server gets nothing new
+  | 'planned' // planned work cuts nothing
+  | 'ends' // no process ends by itself
+  | 'recovery'; // requests are served again once faults are over
+
+/** A promise that was broken. */
+export interface Breach {
+  promise: PromiseName;
+  what: string;
+}
+
+/** A time in which something was harmed, in wall clock milliseconds. */
+interface Harm {
+  from: number;
+  until: number;
+}
+
+/** What the bound of a version or a leaving server runs from. */
+interface Announcement {
+  version: number;
+  at: number;
+}
+
+/** Beyond the bounds themselves: timers and processors of a loaded machine. */
+const SLACK_MILLISECONDS = 500;
+/** After a harm, processes are held to bounds in time again. */
+const CONTACT_MILLISECONDS = 3_000;
+const MOST_BREACHES = 50;
+
+/** Bounds in milliseconds. */
+export interface CheckBounds {
+  versionMilliseconds: number;
+  drainMilliseconds: number;
+}
+
+export class PromiseChecks {
+  readonly breaches: Breach[] = [];
+  private readonly _bounds: CheckBounds;
+  private readonly _calls = new Map<string, Call>();
+  private readonly _executions = new Map<string, Execution[]>();
+  private readonly _asked = new Set<string>();
+  private readonly _harms: Harm[] = [];
+  private readonly _named: Announcement[] = [];
+  private readonly _leaving = new Map<string, number>();
+
+  constructor(bounds: CheckBounds) {
+    this._bounds = bounds;
+  }
+
+  /** Calls that have ended. */
+  get calls(): readonly Call[] {
+    return [...this._calls.values()];
+  }
+
+  /** A caller is about to send a request. */
+  onAsked(id: string): void {
+    this._asked.add(id);
+  }
+
+  onCall(call: Call): void {
+    this._calls.set(call.id, call);
+    if (call.wrong !== undefined)
+      this._breach('answer', `${call.kind} ${call.id} at ${call.entry}: ${call.wrong}`);
+    this._checkOnce(call.id);
+  }
+
+  onExecution(execution: Execution): void {
+    const known = this._executions.get(execution.id) ?? [];
+    this._executions.set(execution.id, [...known, execution]);
+    if (!this._asked.has(execution.id)) this._breach('asked', `nobody sent ${execution.id}`);
+    this._checkOnce(execution.id);
+    this._checkVersion(execution);
+    this._checkLeaving(execution);
+  }
+
+  onUnwhole(runner: string, version: number): void {
+    this._breach('whole', `${runner} took version ${version} unwhole`);
+  }
+
+  /** Something is harmed from now on; the returned function ends it. */
+  onHarm(): () => void {
+    const harm = { from: Date.now(), until: Number.POSITIVE_INFINITY };
+    this._harms.push(harm);
+    return () => (harm.until = Date.now());
+  }
+
+  onNamed(version: number): void {
+    this._named.push({ version, at: Date.now() });
+  }
+
+  onLeaving(runner: string): void {
+    this._leaving.set(runner, Date.now());
+  }
+
+  /** Requests that planned work ended without an answer. */
+  checkPlanned(): void {
+    for (const call of this._calls.values()) {
+      if (call.end !== 'cut' && call.end !== 'failed') continue;
+      if (this._isHarmed(call.sentAt, call.endedAt)) continue;
+      this._breach('planned', `${call.kind} ${call.id} at ${call.entry}: ${call.end} ${call.status}`);
+    }
+  }
+
+  /** Requests sent from `at` on, when nothing is harmed any more, are served. */
+  checkRecovery(at: number, leastShare: number): void {
+    const late = [...this._calls.values()].filter((call) => call.sentAt >= at && call.end !== 'left');
+    const served = late.filter((call) => call.end === 'whole').length;
+    if (late.length === 0 || served / late.length < leastShare)
+      this._breach('recovery', `${served} of ${late.length} served after all faults`);
+  }
+
+  /** A process that ended by itself. */
+  onOwnEnd(name: string): void {
+    this._breach('ends', name);
+  }
+
+  private _checkOnce(id: string): void {
+    const call = this._calls.get(id);
+    const executions = this._executions.get(id) ?? [];
+    const isOnce = call?.kind === 'once' || executions.some(({ path }) => path.startsWith('/turns/'));
+    if (!isOnce) return;
+    const where = executions.map(({ runner }) => runner).join(', ');
+    if (executions.length > 1) this._breach('once', `${id} ran ${executions.length} times: ${where}`);
+    if (call?.end === 'refused' && executions.length > 0)
+      this._breach('not-run', `${id} was refused with ${call.status} and ran at ${where}`);
+  }
+
+  private _checkVersion({ version, at, runner, id }: Execution): void {
+    if (version === 0) return;
+    const newer = this._named.find((named) => named.version > version);
+    if (!newer || at - newer.at < this._bounds.versionMilliseconds + SLACK_MILLISECONDS) return;
+    if (this._isHarmed(newer.at, at)) return;
+    this._breach(
+      'version',
+      `${id} began on ${version} at ${runner}, ${at - newer.at} ms after ${newer.version}`,
+    );
+  }
+
+  private _checkLeaving({ runner, at, id }: Execution): void {
+    const since = this._leaving.get(runner);
+    if (since === undefined || at - since < this._bounds.drainMilliseconds + SLACK_MILLISECONDS) return;
+    if (this._isHarmed(since, at)) return;
+    this._breach('draining', `${id} began at ${runner}, ${at - since} ms after it was leaving`);
+  }
+
+  private _isHarmed(from: number, until: number): boolean {
+    return this._harms.some((harm) => harm.from <= until && harm.until + CONTACT_MILLISECONDS >= from);
+  }
+
+  private _breach(promise: PromiseName, what: string): void {
+    if (this.breaches.length < MOST_BREACHES) this.breaches.push({ promise, what });
+  }
+}
--- /dev/null
+++ b/soak/soakFaults.ts
@@ -0,0 +1,211 @@
+/** Faults and planned work that a soak draws from; each is applied from outside the processes. */
+import type { Random } from '../src/utils/random.js';
+import { pause } from '../src/utils/timers.js';
+import type { FleetProcess } from './fleetProcess.js';
+import type { ProxyMode } from './loopbackProxy.js';
+import type { PromiseChecks } from './promiseChecks.js';
+import type { SoakBox, SoakFleet } from './soakFleet.js';
+import { MODEL_SERVICE, PLAIN_SERVICE } from './soakFleet.js';
+
+/** Work that must not be noticed by any request. */
+export type PlannedKind =
+  'configure' | 'name-weights' | 'stop-entry' | 'stop-agent' | 'replace-server' | 'reload';
+
+export type FaultKind =
+  | PlannedKind
+  | 'kill-entry'
+  | 'kill-agent'
+  | 'freeze-entry'
+  | 'freeze-agent'
+  | 'kill-many'
+  | 'harm-store-link'
+  | 'harm-server-link'
+  | 'harm-store'
+  | 'forget-history'
+  | 'harm-origin'
+  | 'sick-server'
+  | 'crash-server'
+  | 'rot-chunks';
+
+export const PLANNED_KINDS: readonly PlannedKind[] = [
+  'configure',
+  'name-weights',
+  'stop-entry',
+  'stop-agent',
+  'replace-server',
+  'reload',
+];
+
+export const FAULT_KINDS: readonly FaultKind[] = [
+  ...PLANNED_KINDS,
+  'kill-entry',
+  'kill-agent',
+  'freeze-entry',
+  'freeze-agent',
+  'kill-many',
+  'harm-store-link',
+  'harm-server-link',
+  'harm-store',
+  'forget-history',
+  'harm-origin',
+  'sick-server',
+  'crash-server',
+  'rot-chunks',
+];
+
+const PROXY_MODES: readonly ProxyMode[] = ['delay', 'reset', 'deaf', 'mute', 'silent'];
+const LONGEST_MILLISECONDS = 3_500;
+const SHORTEST_MILLISECONDS = 300;
+const RESTART_MILLISECONDS = 300;
+/** A leaving server works on for so long before it ends. */
+const LEAVE_MILLISECONDS = 3_500;
+const KILLED_SHARE = 0.6;
+
+/** Applies one fault after the other; several may overlap. */
+export class SoakFaults {
+  private readonly _fleet: SoakFleet;
+  private readonly _checks: PromiseChecks;
+  private readonly _random: Random;
+  private readonly _log: (line: string) => void;
+
+  constructor(fleet: SoakFleet, checks: PromiseChecks, random: Random, log: (line: string) => void) {
+    this._fleet = fleet;
+    this._checks = checks;
+    this._random = random;
+    this._log = log;
+  }
+
+  /** Applies a fault and resolves when it has been lifted. */
+  async apply(kind: FaultKind): Promise<void> {
+    const isPlanned = (PLANNED_KINDS as readonly FaultKind[]).includes(kind);
+    const lift = isPlanned ? () => undefined : this._checks.onHarm();
+    const milliseconds = SHORTEST_MILLISECONDS + this._random.integer(LONGEST_MILLISECONDS);
+    this._log(`${kind} ${milliseconds}`);
+    try {
+      await this._perform(kind, milliseconds);
+    } finally {
+      lift();
+    }
+  }
+
+  private async _perform(kind: FaultKind, milliseconds: number): Promise<void> {
+    const { entries, agents } = this._fleet;
+    switch (kind) {
+      case 'configure':
+        return void this._fleet.configure();
+      case 'name-weights':
+        return this._checks.onNamed(this._fleet.nameWeights());
+      case 'reload':
+        return this._pick([...entries, ...agents]).signal('SIGHUP');
+      case 'stop-entry':
+        return await this._end([this._pick(entries)], 'SIGTERM');
+      case 'stop-agent':
+        return await this._end([this._pick(agents)], 'SIGTERM');
+      case 'kill-entry':
+        return await this._end([this._pick(entries)], 'SIGKILL');
+      case 'kill-agent':
+        return await this._end([this._pick(agents)], 'SIGKILL');
+      case 'kill-many':
+        return await this._end(
+          [...entries, ...agents].filter(() => this._random.fraction() < KILLED_SHARE),
+          'SIGKILL',
+        );
+      case 'freeze-entry':
+        return await this._freeze(this._pick(entries), milliseconds);
+      case 'freeze-agent':
+        return await this._freeze(this._pick(agents), milliseconds);
+      default:
+        return await this._harm(kind, milliseconds);
+    }
+  }
+
+  private async _harm(kind: FaultKind, milliseconds: number): Promise<void> {
+    const { store, origin, boxes, storeProxies } = this._fleet;
+    if (kind === 'forget-history') return store.forgetHistory();
+    if (kind === 'replace-server') return await this._replace(this._pick(this._boxesOf(MODEL_SERVICE)));
+    if (kind === 'crash-server') return await this._crash(this._pick(boxes), milliseconds);
+    if (kind === 'rot-chunks') return this._rot(this._pick(this._boxesOf(MODEL_SERVICE)));
+    if (kind === 'harm-store') {
+      store.faults = this._random.integer(2) === 0 ? { status: 503 } : { silent: true };
+      await pause(milliseconds);
+      store.faults = {};
+    } else if (kind === 'harm-origin') {
+      origin.faults = this._originFaults();
+      await pause(milliseconds);
+      origin.faults = {};
+    } else if (kind === 'sick-server') await this._sicken(this._pick(boxes), milliseconds);
+    else {
+      const links = kind === 'harm-store-link' ? [...storeProxies.values()] : boxes.map(({ proxy }) => proxy);
+      const link = this._pick(links);
+      link.set(this._pick(PROXY_MODES));
+      await pause(milliseconds);
+      link.set('pass');
+    }
+  }
+
+  private async _end(processes: readonly FleetProcess[], signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+    const ended = processes.filter((process) => process.running && !process.paused);
+    for (const process of ended) process.signal(signal);
+    await Promise.all(ended.map((process) => process.ended()));
+    await pause(this._random.integer(RESTART_MILLISECONDS));
+    for (const process of ended) process.start();
+  }
+
+  private async _freeze(process: FleetProcess, milliseconds: number): Promise<void> {
+    if (!process.running || process.paused) return;
+    process.signal('SIGSTOP');
+    await pause(milliseconds);
+    process.signal('SIGCONT');
+  }
+
+  private async _sicken(box: SoakBox, milliseconds: number): Promise<void> {
+    const { runner } = box;
+    runner.faults = this._pick([
+      { lostShare: 0.2 },
+      { failedShare: 0.4 },
+      { brokenShare: 0.3 },
+      { extraShare: 0.3 },
+      { silent: true },
+      { shedding: true },
+      { lostOrders: true },
+    ]);
+    await pause(milliseconds);
+    runner.faults = {};
+  }
+
+  private async _crash(box: SoakBox, milliseconds: number): Promise<void> {
+    const { runner } = box;
+    this._fleet.crashRunner(box);
+    await pause(milliseconds);
+    if (box.runner === runner) await this._fleet.startRunner(box);
+  }
+
+  /** Another server takes over a box once the one there has ended in order. */
+  private async _replace(box: SoakBox): Promise<void> {
+    const { runner } = box;
+    this._fleet.publish(box, 'draining');
+    this._checks.onLeaving(runner.id);
+    await pause(LEAVE_MILLISECONDS);
+    if (box.runner !== runner) return;
+    this._fleet.crashRunner(box);
+    await this._fleet.startRunner(box);
+  }
+
+  private _rot(box: SoakBox): void {
+    for (const bytes of box.runner.staged.values()) {
+      if (this._random.fraction() < 0.2) bytes[0] ^= 1;
+    }
+  }
+
+  private _originFaults(): SoakFleet['origin']['faults'] {
+    return this._pick([{ status: 503 }, { silent: true }, { spoiltShare: 0.3 }, { brokenShare: 0.3 }]);
+  }
+
+  private _boxesOf(service: typeof MODEL_SERVICE | typeof PLAIN_SERVICE): SoakBox[] {
+    return this._fleet.boxes.filter((box) => box.service === service);
+  }
+
+  private _pick<T>(items: readonly T[]): T {
+    return items[this._random.integer(items.length)];
+  }
+}
--- /dev/null
+++ b/soak/soakRun.ts
@@ -0,0 +1,140 @@
+/** One soak: a fleet, callers, faults drawn from a seed, and what was broken. */
+import { SeededRandom } from '../src/utils/random.js';
+import type { Random } from '../src/utils/random.js';
+import { pause } from '../src/utils/timers.js';
+import type { Call } from './callerLog.js';
+import type { Breach } from './promiseChecks.js';
+import { PromiseChecks } from './promiseChecks.js';
+import { SoakCaller } from './soakCaller.js';
+import type { FaultKind } from './soakFaults.js';
+import { FAULT_KINDS, PLANNED_KINDS, SoakFaults } from './soakFaults.js';
+import type { FleetSize } from './soakFleet.js';
+import { BOUNDS, SoakFleet, ZONES } from './soakFleet.js';
+
+/** What a soak is made from. */
+export interface SoakOptions {
+  seed: number;
+  /** Time in which faults are applied. */
+  seconds: number;
+  size: FleetSize;
+  callers: number;
+  /** Only work that no request may notice. */
+  plannedOnly: boolean;
+  /** The second part of its loopback addresses. */
+  network: number;
+  /** Faults to draw from; all that fit when left out. */
+  kinds?: readonly FaultKind[];
+  log: (line: string) => void;
+}
+
+/** What came of a soak. */
+export interface SoakReport {
+  seed: number;
+  breaches: readonly Breach[];
+  calls: number;
+  served: number;
+  /** Calls by their end. */
+  ends: Record<string, number>;
+  originBytes: number;
+  /** Where settings and logs of the processes lie. */
+  directory: string;
+}
+
+const START_MILLISECONDS = 2_500;
+/** Faults under way at the same time, at the most. */
+const MOST_AT_ONCE = 3;
+const MEAN_GAP_MILLISECONDS = 900;
+/** After the last fault: links are opened anew, versions brought, servers found. */
+const SETTLE_MILLISECONDS = 6_000;
+const RECOVERED_MILLISECONDS = 2_000;
+const LEAST_SERVED_SHARE = 0.9;
+const CALLER_PAUSE_MILLISECONDS = 60;
+
+export async function soak(options: SoakOptions): Promise<SoakReport> {
+  const random = new SeededRandom(options.seed);
+  const { version_ms: versionMilliseconds, drain_ms: drainMilliseconds } = BOUNDS;
+  const checks = new PromiseChecks({ versionMilliseconds, drainMilliseconds });
+  const fleet = new SoakFleet(options.size, options.network, new SeededRandom(options.seed + 1), checks);
+  try {
+    await fleet.start();
+    checks.onNamed(fleet.weightsVersion);
+    await pause(START_MILLISECONDS);
+    return await withCallers(options, fleet, checks, random);
+  } finally {
+    await fleet.stop();
+  }
+}
+
+async function withCallers(
+  options: SoakOptions,
+  fleet: SoakFleet,
+  checks: PromiseChecks,
+  random: Random,
+): Promise<SoakReport> {
+  const callers = createCallers(options, fleet, checks);
+  const ended = Promise.all(callers.map((caller) => caller.run()));
+  await applyFaults(options, new SoakFaults(fleet, checks, random, options.log), random);
+  await pause(SETTLE_MILLISECONDS);
+  const settledAt = Date.now();
+  await pause(RECOVERED_MILLISECONDS);
+  for (const caller of callers) caller.stop();
+  await ended;
+  checks.checkRecovery(settledAt, LEAST_SERVED_SHARE);
+  if (options.plannedOnly) checks.checkPlanned();
+  for (const { name, unexpectedEnds } of [...fleet.entries, ...fleet.agents])
+    if (unexpectedEnds > 0) checks.onOwnEnd(`${name} ended ${unexpectedEnds} times by itself`);
+  return report(options, fleet, checks);
+}
+
+function createCallers(options: SoakOptions, fleet: SoakFleet, checks: PromiseChecks): SoakCaller[] {
+  let ids = 0;
+  return Array.from(
+    { length: options.callers },
+    (_unused, index) =>
+      new SoakCaller({
+        zone: ZONES[index % ZONES.length],
+        directories: fleet.directories(),
+        random: new SeededRandom(options.seed * 1_000 + index),
+        newId: () => {
+          const id = `call-${options.seed}-${ids++}`;
+          checks.onAsked(id);
+          return id;
+        },
+        onCall: (call: Call) => checks.onCall(call),
+        pauseMilliseconds: CALLER_PAUSE_MILLISECONDS,
+      }),
+  );
+}
+
+/** Draws faults until the time is over; resolves when all have been lifted. */
+async function applyFaults(options: SoakOptions, faults: SoakFaults, random: Random): Promise<void> {
+  const kinds = options.kinds ?? (options.plannedOnly ? PLANNED_KINDS : FAULT_KINDS);
+  const until = Date.now() + options.seconds * 1_000;
+  const underWay = new Set<Promise<void>>();
+  while (Date.now() < until) {
+    if (underWay.size < MOST_AT_ONCE) {
+      const fault = faults.apply(kinds[random.integer(kinds.length)]);
+      underWay.add(fault);
+      void fault.finally(() => underWay.delete(fault));
+    }
+    await pause(random.integer(2 * MEAN_GAP_MILLISECONDS));
+  }
+  await Promise.all(underWay);
+}
+
+function report(options: SoakOptions, fleet: SoakFleet, checks: PromiseChecks): SoakReport {
+  const ends: Record<string, number> = {};
+  for (const { kind, end, status } of checks.calls) {
+    const key = `${kind} ${end} ${status}`;
+    ends[key] = (ends[key] ?? 0) + 1;
+  }
+  return {
+    seed: options.seed,
+    breaches: checks.breaches,
+    calls: checks.calls.length,
+    served: checks.calls.filter((call) => call.end === 'whole').length,
+    ends,
+    originBytes: fleet.origin.bytesSent,
+    directory: fleet.directory,
+  };
+}
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -103,6 +103,7 @@
       model,
       lowestVersion: gate.lowest(model),
       lowestVersionSlow: gate.lowest(model, true),
+      preferredVersion: gate.preferred(model),
       objectiveMilliseconds: route.objectiveMilliseconds,
       tried: this._tried,
     });
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -17,6 +17,8 @@
   firstAnswerMilliseconds: number;
   /** Whether the link of its box is narrow. */
   slowLink: boolean;
+  /** Whether it serves an older version than the newest, some time after that was named. */
+  outdated: boolean;
   /** Whether to use it only when there is no other. */
   avoided: boolean;
 }
@@ -37,6 +39,11 @@
 const OTHER_HALL_MILLISECONDS = 20;
 /** What a narrow link costs: requests and events wait behind chunks. */
 const SLOW_LINK_MILLISECONDS = 400;
+/**
+ * What an older version costs: a server that goes dark with a request that waits begins it when it is back, and that may
+ * be after the bound for older versions.
+ */
+const OUTDATED_MILLISECONDS = 150;
 /** What a failed attempt costs. */
 const FAILURE_MILLISECONDS = 1_500;
 /** Failures that every server has now and then. */
@@ -58,7 +65,9 @@
   const reading = candidate.unread * readMilliseconds;
   const link = candidate.slowLink ? SLOW_LINK_MILLISECONDS : 0;
   const slow = Math.max(0, candidate.firstAnswerMilliseconds - service.usualFirstMilliseconds);
-  return filled * BATCH_SLOWDOWN * serviceMilliseconds + reading + waiting + failing + slow + link + distance;
+  const risk = candidate.outdated ? OUTDATED_MILLISECONDS : 0;
+  const busy = filled * BATCH_SLOWDOWN * serviceMilliseconds;
+  return busy + reading + waiting + failing + slow + link + distance + risk;
 }
 
 /** Time to the first answer beside what waits, in parts of the objective. */
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -30,6 +30,8 @@
   lowestVersion: number;
   /** The same for a server on which requests may take long to begin. */
   lowestVersionSlow: number;
+  /** The lowest version that is not better avoided. */
+  preferredVersion: number;
   /** Time within which a first answer is worth most. */
   objectiveMilliseconds: number;
   /** Servers that have been tried for the request. */
@@ -110,7 +112,7 @@
     const able = present.filter((server) => isAble(server, need));
     if (able.length === 0) return { kind: 'none', reason: 'old-version' };
     const open = able.filter((server) => server.connections.available);
-    const candidates = open.map((server) => this._candidate(server));
+    const candidates = open.map((server) => this._candidate(server, need));
     const cost = this._cost(need.service);
     const timely = candidates.filter((candidate) => isInTime(candidate, cost, need.objectiveMilliseconds));
     const chosen = chooseServer(timely, cost, this._options.random);
@@ -165,7 +167,7 @@
     return new TrackedServer(record, connections, this._options.clock);
   }
 
-  private _candidate(server: TrackedServer): Candidate {
+  private _candidate(server: TrackedServer, need: ServerNeed): Candidate {
     const { record, health, load } = server;
     return {
       id: record.id,
@@ -176,6 +178,7 @@
       failureRate: health.failureRate,
       firstAnswerMilliseconds: health.firstAnswerMilliseconds,
       slowLink: server.slowLink,
+      outdated: need.model !== '' && server.version(need.model) < need.preferredVersion,
       avoided: health.avoided || server.suspicious || this._missing.has(record.id),
     };
   }
--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -13,6 +13,8 @@
 /** Requests sent to an older version end this long before the bound, since they may wait before they begin. */
 const MARGIN_MILLISECONDS = 1_300;
 const SLOW_MARGIN_MILLISECONDS = 2_500;
+/** Time after which servers of older versions are avoided: before, all of them are of an older one. */
+const PREFERRED_MILLISECONDS = 3_000;
 /** The version of a model before any other is named. */
 const FIRST_VERSION = 1;
 /** Versions of one model that are remembered. */
@@ -50,9 +52,12 @@
    */
   lowest(model: string, slow = false): number {
     const margin = slow ? SLOW_MARGIN_MILLISECONDS : MARGIN_MILLISECONDS;
-    const oldest = this._clock.now() - (this._bounds.switchMilliseconds - margin);
-    const due = (this._known.get(model) ?? []).filter((item) => item.knownAt <= oldest);
-    return due.at(-1)?.version ?? 0;
+    return this._dueAfter(model, this._bounds.switchMilliseconds - margin);
+  }
+
+  /** The lowest version that is not better avoided, since others may begin too late if their server goes dark. */
+  preferred(model: string): number {
+    return this._dueAfter(model, PREFERRED_MILLISECONDS);
   }
 
   /** The newest version of a model; 0 when none is known. */
@@ -70,4 +75,11 @@
       knownMilliseconds: Math.max(0, this._clock.now() - newest.knownAt),
     };
   }
+
+  /** The newest version that has been known for `milliseconds`, 0 when there is none. */
+  private _dueAfter(model: string, milliseconds: number): number {
+    const oldest = this._clock.now() - milliseconds;
+    const due = (this._known.get(model) ?? []).filter((item) => item.knownAt <= oldest);
+    return due.at(-1)?.version ?? 0;
+  }
 }
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -189,7 +189,8 @@
     if (response.destroyed) return this._waiting.shift()?.();
     this._active++;
     const customer = String(headers['x-tenant'] ?? '');
-    const execution = { id, runner: this.id, service, customer, path: url.pathname, version: this._version };
+    const version = this._options.weights ? this._version : 0;
+    const execution = { id, runner: this.id, service, customer, path: url.pathname, version };
     onExecution({ ...execution, at: Date.now() });
     try {
       await this._answer(request, response, id, url, fraction());
--- a/standins/platformStoreStandin.ts
+++ b/standins/platformStoreStandin.ts
@@ -25,6 +25,8 @@
 const LIST = /^\/objects\/([^/]+)$/;
 
 export class PlatformStoreStandin extends StandinServer<PlatformStoreFaults> {
+  /** Called with each call before it is answered. */
+  onCall: (call: string) => void = () => undefined;
   /** Calls that were made, as `METHOD path?query`. */
   readonly calls: string[] = [];
   private readonly _objects: HeldObject[] = [];
@@ -57,7 +59,9 @@
 
   protected async handle(request: StandinRequest): Promise<void> {
     const { url, response, method } = request;
-    this.calls.push(`${method} ${url.pathname}${url.search}`);
+    const call = `${method} ${url.pathname}${url.search}`;
+    this.calls.push(call);
+    this.onCall(call);
     if (this.faults.silent) return;
     if (this.faults.status) return sendJsonAnswer(response, this.faults.status, {});
     if (this.faults.garbled) return void response.writeHead(200).end('<html>');
--- /dev/null
+++ b/tests/platformRunner.spec.ts
@@ -0,0 +1,141 @@
+/** The adapter's calls to a runner and to the origin of weights, against stand-ins of both. */
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { afterEach, beforeEach, test } from 'node:test';
+import { expect } from 'earl';
+import { PlatformOrigin, PlatformRunner } from '../platform/runner.js';
+import { sha256Hex } from '../src/utils/hash.js';
+import { PlatformOriginStandin } from '../standins/platformOriginStandin.js';
+import { PlatformRunnerStandin } from '../standins/platformRunnerStandin.js';
+import { versionChunk } from '../standins/weightsFixture.js';
+import { freePort } from './fixtures/freePort.js';
+import { until } from './fixtures/until.js';
+
+const SHAPE = { model: 'm0', chunks: 4, chunkBytes: 1_000 };
+
+let standin: PlatformRunnerStandin;
+let runner: PlatformRunner;
+let originStandin: PlatformOriginStandin;
+let origin: PlatformOrigin;
+const unwhole: number[] = [];
+
+beforeEach(async () => {
+  unwhole.length = 0;
+  standin = new PlatformRunnerStandin({
+    id: 'i-1',
+    service: 'chat',
+    slots: 2,
+    weights: SHAPE,
+    version: 1,
+    onExecution: () => undefined,
+    onUnwhole: (_runner, version) => unwhole.push(version),
+    fraction: () => 0,
+  });
+  const port = await freePort();
+  await standin.listen('127.0.0.1', port);
+  runner = new PlatformRunner(`127.0.0.1:${port}`);
+  originStandin = new PlatformOriginStandin(SHAPE, () => 0);
+  origin = new PlatformOrigin(await originStandin.listen());
+});
+
+afterEach(() => {
+  standin.close();
+  originStandin.close();
+});
+
+async function stageAll(version: number): Promise<void> {
+  for (let chunk = 0; chunk < SHAPE.chunks; chunk++)
+    await runner.putChunk(SHAPE.model, chunk, versionChunk(SHAPE, version, chunk));
+}
+
+async function readPiece(version: number, chunk: number): Promise<Buffer> {
+  const range = { customer: '', model: SHAPE.model, version: String(version) };
+  const { signal } = new AbortController();
+  const offset = chunk * SHAPE.chunkBytes;
+  const pieces: Buffer[] = [];
+  for await (const bytes of await origin.read({ ...range, offset, length: SHAPE.chunkBytes }, signal))
+    pieces.push(bytes);
+  return Buffer.concat(pieces);
+}
+
+test('should read the report of a runner', async () => {
+  expect(await runner.status()).toEqual({
+    versions: new Map([[SHAPE.model, 1]]),
+    busy: false,
+    revision: 0,
+    running: 0,
+    queued: 0,
+  });
+});
+
+test('should lay chunks and read back what lies there', async () => {
+  const bytes = versionChunk(SHAPE, 2, 3);
+  await runner.putChunk(SHAPE.model, 3, bytes);
+  expect(await runner.stagedChunks(SHAPE.model)).toEqual([3]);
+  expect(await runner.getChunk(SHAPE.model, 3)).toEqual(bytes);
+  expect(await runner.getChunk(SHAPE.model, 0)).toEqual(undefined);
+});
+
+test('should order a version that is whole, and see it in service', async () => {
+  await stageAll(2);
+  expect(await runner.startVersion(SHAPE.model, 2, 0)).toEqual('begun');
+  await until(() => standin.version === 2);
+  expect((await runner.status()).revision).toEqual(1);
+  expect(await runner.startVersion(SHAPE.model, 2, 1)).toEqual('done');
+  expect(unwhole).toEqual([]);
+});
+
+test('should tell that an order of an earlier state is refused', async () => {
+  await stageAll(2);
+  expect(await runner.startVersion(SHAPE.model, 2, 7)).toEqual('refused');
+  expect(standin.version).toEqual(1);
+});
+
+test('should not know what came of an order whose answer is lost', async () => {
+  await stageAll(2);
+  standin.faults = { lostOrders: true };
+  expect(await runner.startVersion(SHAPE.model, 2, 0)).toEqual('unknown');
+  await until(() => standin.version === 2);
+});
+
+test('should fail with the step at a report that is none', async () => {
+  const server = http.createServer((_request, response) => response.writeHead(200).end('<html>'));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  await expect(new PlatformRunner(`127.0.0.1:${port}`).status()).toBeRejectedWith(/runner\.report/);
+  server.close();
+  server.closeAllConnections();
+});
+
+test('should fail with the step at a runner that is gone', async () => {
+  standin.close();
+  await expect(runner.status()).toBeRejectedWith(/runner\.report/);
+  await expect(runner.putChunk(SHAPE.model, 0, Buffer.alloc(1))).toBeRejectedWith(/runner\.stage-put/);
+  await expect(runner.getChunk(SHAPE.model, 0)).toBeRejectedWith(/runner\.stage-get/);
+});
+
+test('should read digests and pieces of the origin', async () => {
+  const manifest = await origin.manifest('', SHAPE.model, '3');
+  expect(manifest.chunks.map(({ size }) => size)).toEqual([1_000, 1_000, 1_000, 1_000]);
+  for (const chunk of [0, 3])
+    expect(sha256Hex(await readPiece(3, chunk))).toEqual(manifest.chunks[chunk].digest);
+});
+
+for (const status of [404, 410, 429, 503]) {
+  test(`should fail with the step when the origin answers ${status}`, async () => {
+    originStandin.faults = { status };
+    await expect(origin.manifest('', SHAPE.model, '3')).toBeRejectedWith(/origin\.manifest/);
+    await expect(readPiece(3, 0)).toBeRejectedWith(/origin\.read/);
+  });
+}
+
+test('should hand spoilt bytes on, for the digest to tell', async () => {
+  originStandin.faults = { spoiltShare: 1 };
+  const manifest = await origin.manifest('', SHAPE.model, '3');
+  expect(sha256Hex(await readPiece(3, 0)) === manifest.chunks[0].digest).toEqual(false);
+});
+
+test('should fail when a piece breaks off', async () => {
+  originStandin.faults = { brokenShare: 1 };
+  await expect(readPiece(3, 0)).toBeRejected();
+});
--- a/tests/platformStore.spec.ts
+++ b/tests/platformStore.spec.ts
@@ -42,6 +42,15 @@
   expect(listing.revision).toEqual(6);
 });
 
+test('should not miss what changes on an earlier page while later ones are listed', async () => {
+  for (const name of ['a', 'b', 'c']) standin.put('servers', name, 'ready');
+  standin.onCall = (call) => {
+    if (call.includes('since_rev')) standin.put('servers', 'a', 'draining');
+  };
+  follower.start();
+  await until(() => follower.objects.get('a')?.value === 'draining');
+});
+
 test('should tell changes and deletions after a revision', async () => {
   standin.put('servers', 'a', 1);
   standin.put('servers', 'b', 2);
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -28,6 +28,7 @@
     failureRate: 0,
     firstAnswerMilliseconds: 100,
     slowLink: false,
+    outdated: false,
     avoided: false,
     ...changes,
   };
@@ -292,3 +293,15 @@
   directory.forget('agent');
   expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
 });
+
+test('should prefer servers of the newest version some time after it was named', () => {
+  const old = candidate('old', { outdated: true });
+  const chosen = chooseServer([old, candidate('new', { load: 8 })], ENGINE, new SeededRandom(1));
+  expect(chosen?.id).toEqual('new');
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, startMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, true);
+  expect(gate.preferred('m')).toEqual(0);
+  clock.advance(3_000);
+  expect(gate.preferred('m')).toEqual(2);
+});
--- /dev/null
+++ b/tests/soak.spec.ts
@@ -0,0 +1,99 @@
+/** A short soak with a fixed seed, and the checks of a soak themselves. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { Call } from '../soak/callerLog.js';
+import { PromiseChecks } from '../soak/promiseChecks.js';
+import { soak } from '../soak/soakRun.js';
+import type { Execution } from '../standins/platformRunnerStandin.js';
+
+const SIZE = { entries: 2, modelBoxes: 3, plainServers: 2 };
+
+function execution(changes: Partial<Execution> = {}): Execution {
+  const base = { id: 'a', runner: 'i-1', service: 'turns', customer: 'studio-a', path: '/turns/x' };
+  return { ...base, version: 0, at: Date.now(), ...changes };
+}
+
+function call(changes: Partial<Call> = {}): Call {
+  const base = { id: 'a', kind: 'once', entry: 'entry', sentAt: 0, endedAt: 0, status: 200 } as const;
+  return { ...base, end: 'whole', wrong: undefined, ...changes };
+}
+
+function checks(): PromiseChecks {
+  const made = new PromiseChecks({ versionMilliseconds: 8_000, drainMilliseconds: 2_000 });
+  made.onAsked('a');
+  return made;
+}
+
+test('should keep all promises through faults of one seed', async () => {
+  const report = await soak({
+    seed: 5,
+    seconds: 6,
+    size: SIZE,
+    callers: 4,
+    plannedOnly: false,
+    network: 41,
+    log: () => undefined,
+  });
+  expect(report.breaches).toEqual([]);
+  expect(report.served).toBeGreaterThan(50);
+});
+
+test('should cut nothing through planned work of one seed', async () => {
+  const report = await soak({
+    seed: 8,
+    seconds: 6,
+    size: SIZE,
+    callers: 4,
+    plannedOnly: true,
+    network: 42,
+    log: () => undefined,
+  });
+  expect(report.breaches).toEqual([]);
+});
+
+test('should find a request that ran twice', () => {
+  const found = checks();
+  found.onExecution(execution());
+  found.onExecution(execution({ runner: 'i-2' }));
+  expect(found.breaches.map(({ promise }) => promise)).toEqual(['once']);
+});
+
+test('should find a refusal that is not true, whichever is seen first', () => {
+  const ranFirst = checks();
+  ranFirst.onExecution(execution());
+  ranFirst.onCall(call({ end: 'refused', status: 503 }));
+  const toldFirst = checks();
+  toldFirst.onCall(call({ end: 'refused', status: 503 }));
+  toldFirst.onExecution(execution());
+  for (const { breaches } of [ranFirst, toldFirst])
+    expect(breaches.map(({ promise }) => promise)).toEqual(['not-run']);
+});
+
+test('should find a request that nobody sent, and an answer that is wrong', () => {
+  const found = checks();
+  found.onExecution(execution({ id: 'b', path: '/boards/x' }));
+  found.onCall(call({ wrong: 'answer of b' }));
+  expect(found.breaches.map(({ promise }) => promise)).toEqual(['asked', 'answer']);
+});
+
+test('should find a version and a leaving server that are kept too long, unless something was harmed', () => {
+  const found = checks();
+  found.onNamed(2);
+  found.onLeaving('i-1');
+  const at = Date.now() + 9_000;
+  found.onExecution(execution({ path: '/chat/x', version: 1, at }));
+  expect(found.breaches.map(({ promise }) => promise)).toEqual(['version', 'draining']);
+  const harmed = checks();
+  harmed.onNamed(2);
+  harmed.onHarm()();
+  harmed.onExecution(execution({ path: '/chat/x', version: 1, at }));
+  expect(harmed.breaches).toEqual([]);
+});
+
+test('should find requests that planned work cut, and a service that does not come back', () => {
+  const found = checks();
+  found.onCall(call({ end: 'cut', status: 0, sentAt: 1, endedAt: 2 }));
+  found.checkPlanned();
+  found.checkRecovery(0, 0.9);
+  expect(found.breaches.map(({ promise }) => promise)).toEqual(['planned', 'recovery']);
+});
