--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -11,7 +11,7 @@
 
 /** Packages of which only a part is loaded: a starting process serves nothing, so every millisecond counts. */
 const PARTS = {
-  undici: path.resolve('scripts/undiciParts.cjs'),
+  undici: path.resolve('scripts/undiciParts.mjs'),
   'hdr-histogram-js': resolve('hdr-histogram-js/dist/HistogramBuilder.js'),
 };
 
--- a/scripts/undiciParts.cjs
+++ b/scripts/undiciParts.mjs
@@ -2,10 +2,10 @@
  * The parts of undici that the platform's daemons use. The whole package also loads fetch, caches and mocks, which costs
  * a starting process a third of its time.
  */
-const Agent = require('undici/lib/dispatcher/agent.js');
-const Client = require('undici/lib/dispatcher/client.js');
-const callRequest = require('undici/lib/api/api-request.js');
-const buildConnector = require('undici/lib/core/connect.js');
+import callRequest from 'undici/lib/api/api-request.js';
+import buildConnector from 'undici/lib/core/connect.js';
+import Agent from 'undici/lib/dispatcher/agent.js';
+import Client from 'undici/lib/dispatcher/client.js';
 
 /** As undici's own, but that a dispatcher must be given. */
 function request(url, options) {
@@ -14,4 +14,4 @@
   return callRequest.call(options.dispatcher, { ...options, origin, path: `${pathname}${search}`, method });
 }
 
-module.exports = { Agent, Client, buildConnector, request };
+export { Agent, Client, buildConnector, request };
