Bring a version to many boxes in time: few drawers, other halls first, short upload queues; fewer calls and messages

The exchange was built for 15 boxes. 48 boxes drew one chunk each at the same time, so that the first chunks came after 1.3 s and the origin reset connections (48 allowed); a drawer's queue was full of its own hall's requests while other halls waited; six requests queued at one holder while others idled.

Change: 12 boxes draw at first, any box after three turns; boxes that do not draw ask the others for the manifest; uploads serve other halls first, then chunks sent less often; one waits of the own hall, six of others. Load news go to entries of other halls less often (25 ms an entry, at most 1 s apart); changes of servers are gathered for 250 ms before the next watch.

Ruled out: manifests that come late (all boxes had one within 0.4 s). Tests: uploadQueue, stagingDecisions, statusSender, platformStore.

--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import type { Random } from '../src/utils/random.js';
+import type { OriginLink } from '../standins/platformOriginStandin.js';
 import { PlatformOriginStandin } from '../standins/platformOriginStandin.js';
 import type { Execution } from '../standins/platformRunnerStandin.js';
 import { PlatformRunnerStandin } from '../standins/platformRunnerStandin.js';
@@ -19,6 +20,25 @@
   plainServers: number;
 }
 
+/** How weights move. */
+export interface FleetWeights {
+  shape: WeightsShape;
+  boxLinkMegabits: number;
+  originLink: OriginLink;
+}
+
+/** What a fleet is made from. */
+export interface SoakFleetOptions {
+  size: FleetSize;
+  weights?: FleetWeights;
+  /** The second part of all loopback addresses, so that fleets do not meet. */
+  network: number;
+  random: Random;
+  listener: FleetListener;
+  /** Further words for node. */
+  nodeWords?: readonly string[];
+}
+
 /** A box with a server, and the proxy before it. */
 export interface SoakBox {
   host: string;
@@ -45,7 +65,13 @@
   { name: 'studio-b', api_keys: ['key-b'] },
 ];
 export const HOST = 'games.example';
-const SHAPE: WeightsShape = { model: 'm0', chunks: 12, chunkBytes: 4_096 };
+const MODEL = 'm0';
+/** Small versions on fast links: a soak looks for broken promises, not for time. */
+const SMALL_WEIGHTS: FleetWeights = {
+  shape: { model: MODEL, chunks: 12, chunkBytes: 4_096 },
+  boxLinkMegabits: 50,
+  originLink: { bytesPerSecond: 0, maximumConnections: 1_000 },
+};
 const PORTS = {
   front: 28_005,
   ready: 28_002,
@@ -55,7 +81,6 @@
   own: 28_700,
 };
 const SHARED_KEY = 'the key of a soak';
-const LINK_MEGABITS = 50;
 
 /** Bounds that the settings of a process name. */
 export const BOUNDS = {
@@ -78,30 +103,18 @@
   /** Between each entry and the store. */
   readonly storeProxies = new Map<string, LoopbackProxy>();
   readonly directory = mkdtempSync(path.join(tmpdir(), 'larklatch-soak-'));
-  private readonly _size: FleetSize;
-  private readonly _random: Random;
-  private readonly _listener: FleetListener;
-  private readonly _network: number;
-  private readonly _nodeWords: readonly string[];
+  private readonly _options: SoakFleetOptions;
+  private readonly _weights: FleetWeights;
   private _configurationVersion = 0;
   private _weightsVersion = 1;
   private _originAddress = '';
   private _runnersMade = 0;
 
-  /** `network` is the second part of all loopback addresses, so that fleets do not meet. */
-  constructor(
-    size: FleetSize,
-    network: number,
-    random: Random,
-    listener: FleetListener,
-    nodeWords: readonly string[] = [],
-  ) {
-    this._size = size;
-    this._network = network;
-    this._random = random;
-    this._listener = listener;
-    this._nodeWords = nodeWords;
-    this.origin = new PlatformOriginStandin(SHAPE, () => random.fraction());
+  constructor(options: SoakFleetOptions) {
+    const { random, weights = SMALL_WEIGHTS } = options;
+    this._options = options;
+    this._weights = weights;
+    this.origin = new PlatformOriginStandin(weights.shape, () => random.fraction(), weights.originLink);
   }
 
   /** The version that was named last. */
@@ -113,11 +126,13 @@
     const storeAddress = new URL(await this.store.listen()).host;
     this._originAddress = await this.origin.listen();
     this.configure();
-    this.store.put('versions', SHAPE.model, { model: SHAPE.model, version: this._weightsVersion });
-    for (let index = 0; index < this._size.modelBoxes; index++) await this._addBox(index, MODEL_SERVICE);
-    for (let index = 0; index < this._size.plainServers; index++)
-      await this._addBox(this._size.modelBoxes + index, PLAIN_SERVICE);
-    for (let index = 0; index < this._size.entries; index++) await this._addEntry(index, storeAddress);
+    this.store.put('versions', MODEL, { model: MODEL, version: this._weightsVersion });
+    for (let index = 0; index < this._options.size.modelBoxes; index++)
+      await this._addBox(index, MODEL_SERVICE);
+    for (let index = 0; index < this._options.size.plainServers; index++)
+      await this._addBox(this._options.size.modelBoxes + index, PLAIN_SERVICE);
+    for (let index = 0; index < this._options.size.entries; index++)
+      await this._addEntry(index, storeAddress);
   }
 
   async stop(): Promise<void> {
@@ -134,7 +149,7 @@
 
   /** Puts a newer configuration into the store. */
   configure(): number {
-    this._configurationVersion += 1 + this._random.integer(3);
+    this._configurationVersion += 1 + this._options.random.integer(3);
     this.store.put('config', 'main', {
       version: this._configurationVersion,
       routes: [
@@ -153,7 +168,7 @@
   /** Names a newer version of the model's weights. */
   nameWeights(): number {
     this._weightsVersion++;
-    this.store.put('versions', SHAPE.model, { model: SHAPE.model, version: this._weightsVersion });
+    this.store.put('versions', MODEL, { model: MODEL, version: this._weightsVersion });
     return this._weightsVersion;
   }
 
@@ -185,7 +200,7 @@
   }
 
   private _entryHost(index: number): string {
-    return `127.${this._network}.1.${index + 1}`;
+    return `127.${this._options.network}.1.${index + 1}`;
   }
 
   private _createRunner(service: string, version: number): PlatformRunnerStandin {
@@ -194,16 +209,16 @@
       id: `i-${this._runnersMade}`,
       service,
       slots: 8,
-      weights: service === MODEL_SERVICE ? SHAPE : undefined,
-      version,
-      onExecution: (execution) => this._listener.onExecution(execution),
-      onUnwhole: (runner, unwhole) => this._listener.onUnwhole(runner, unwhole),
-      fraction: () => this._random.fraction(),
+      weights: service === MODEL_SERVICE ? this._weights.shape : undefined,
+      version: service === MODEL_SERVICE ? version : 0,
+      onExecution: (execution) => this._options.listener.onExecution(execution),
+      onUnwhole: (runner, unwhole) => this._options.listener.onUnwhole(runner, unwhole),
+      fraction: () => this._options.random.fraction(),
     });
   }
 
   private async _addBox(index: number, service: string): Promise<void> {
-    const host = `127.${this._network}.2.${index + 1}`;
+    const host = `127.${this._options.network}.2.${index + 1}`;
     const zone = ZONES[index % ZONES.length];
     const runner = this._createRunner(service, 1);
     const proxy = new LoopbackProxy(`${host}:${PORTS.runner}`);
@@ -217,7 +232,7 @@
 
   private _addAgent(box: SoakBox): void {
     const settings = {
-      ...this._commonSettings(`side-${box.host}`, box.host, box.zone, LINK_MEGABITS),
+      ...this._commonSettings(`side-${box.host}`, box.host, box.zone, this._weights.boxLinkMegabits),
       app: `${box.host}:${PORTS.runner}`,
       service: box.service,
       platform: { address: '127.0.0.1:9' },
@@ -254,7 +269,7 @@
       settings,
       directory: this.directory,
       sharedKey: SHARED_KEY,
-      nodeWords: this._nodeWords,
+      nodeWords: this._options.nodeWords,
     });
   }
 
@@ -282,7 +297,7 @@
 function modelService(): unknown {
   const engine = {
     slots: 8,
-    models: [{ name: SHAPE.model }],
+    models: [{ name: MODEL }],
     step_ms: 15,
     read_per_s: 31_900,
     usual: { prompt: 500, answer: 6 },
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -54,7 +54,13 @@
   const random = new SeededRandom(options.seed);
   const { version_ms: versionMilliseconds, drain_ms: drainMilliseconds } = BOUNDS;
   const checks = new PromiseChecks({ versionMilliseconds, drainMilliseconds });
-  const fleet = new SoakFleet(options.size, options.network, new SeededRandom(options.seed + 1), checks);
+  const { size, network } = options;
+  const fleet = new SoakFleet({
+    size,
+    network,
+    random: new SeededRandom(options.seed + 1),
+    listener: checks,
+  });
   try {
     await fleet.start();
     checks.onNamed(fleet.weightsVersion);
--- a/src/agent/agentHttpServer.ts
+++ b/src/agent/agentHttpServer.ts
@@ -89,8 +89,10 @@
     const rollout = decodeURIComponent(name);
     const version = this._options.versions().find((candidate) => candidate.plan.rollout === rollout);
     const data = version?.admits(sender) ? version.chunkData(Number(chunk)) : undefined;
-    if (!data) return answerJson(response, 404, { error: 'no such chunk' });
-    await this._options.uploads.send(response, data);
+    if (!version || !data) return answerJson(response, 404, { error: 'no such chunk' });
+    const { uploads, box } = this._options;
+    const crossHall = version.areApart(sender, box);
+    await uploads.send(response, data, { chunk: `${rollout}/${chunk}`, crossHall });
   }
 
   private async _sendWeights(token: string, response: http.ServerResponse): Promise<void> {
--- a/src/agent/stagedVersion.ts
+++ b/src/agent/stagedVersion.ts
@@ -48,6 +48,13 @@
     return this.plan.members.some((member) => member.box === box);
   }
 
+  /** Whether two boxes of the rollout stand in different halls. */
+  areApart(one: string, other: string): boolean {
+    const hallOf = (box: string): string | undefined =>
+      this.plan.members.find((member) => member.box === box)?.hall;
+    return hallOf(one) !== hallOf(other);
+  }
+
   /** Ends transfers and lets the chunks go. */
   drop(): void {
     this.advance('SUPERSEDED');
--- a/src/records/kindFollower.ts
+++ b/src/records/kindFollower.ts
@@ -15,6 +15,8 @@
   clock: Clock;
   random: Random;
   log: EventLog;
+  /** How long changes are gathered after one, so that many of them cost one call. */
+  gatherMilliseconds: number;
 }
 
 interface KindFollowerEvents {
@@ -24,9 +26,6 @@
 
 const WATCH_WAIT_MILLISECONDS = 20_000;
 const RETRY = { firstMilliseconds: 80, longestMilliseconds: 600 };
-/** A watch that answered sooner than this was busy; the next one waits a little, so that changes come together. */
-const GATHER_MILLISECONDS = 40;
-
 /** Emits `change` after each listing or change. Nothing is dropped while the store cannot be reached. */
 export class KindFollower extends EventEmitter<KindFollowerEvents> {
   readonly objects = new Map<string, StoredObject>();
@@ -81,17 +80,15 @@
   }
 
   private async _follow(): Promise<void> {
-    const { clock, random } = this._options;
+    const { random, gatherMilliseconds } = this._options;
     const backoff = new Backoff(RETRY, random);
     while (!this._stopped.signal.aborted) {
-      const askedAt = clock.now();
       try {
         const answer = await this._ask();
         this._onAnswer();
         this._take(answer);
         backoff.reset();
-        if (clock.now() - askedAt < GATHER_MILLISECONDS)
-          await pause(GATHER_MILLISECONDS, this._stopped.signal);
+        if (!('objects' in answer)) await pause(gatherMilliseconds, this._stopped.signal);
       } catch (error) {
         if (this._asking.signal.aborted) continue;
         this._onSilence(errorText(error));
--- a/src/serving/platformFollowers.ts
+++ b/src/serving/platformFollowers.ts
@@ -8,6 +8,9 @@
 
 /** A copy that has not been confirmed for so long is not trusted to be the newest. */
 const STALE_MILLISECONDS = 1_000;
+/** Calls to the store have their price, and servers change many at a time: when they start, switch and leave. */
+const GATHER_SERVERS_MILLISECONDS = 250;
+const GATHER_MILLISECONDS = 60;
 /** How long after an outage of the store backend servers may be missing that only could not renew their entries. */
 const OUTAGE_ECHO_MILLISECONDS = 1_500;
 
@@ -19,10 +22,11 @@
 
   constructor(platform: ServingPlatform, clock: Clock, random: Random, log: EventLog) {
     const { store, reader } = platform;
-    const follow = (kind: string): KindFollower => new KindFollower({ kind, store, clock, random, log });
-    this.configuration = follow(reader.kinds.configuration);
-    this.servers = follow(reader.kinds.servers);
-    this.versions = follow(reader.kinds.versions);
+    const follow = (kind: string, gatherMilliseconds: number): KindFollower =>
+      new KindFollower({ kind, store, clock, random, log, gatherMilliseconds });
+    this.configuration = follow(reader.kinds.configuration, GATHER_MILLISECONDS);
+    this.servers = follow(reader.kinds.servers, GATHER_SERVERS_MILLISECONDS);
+    this.versions = follow(reader.kinds.versions, GATHER_MILLISECONDS);
     this._probe = new StoreProbe({ store, clock, log });
   }
 
--- a/src/staging/chunkServer.ts
+++ b/src/staging/chunkServer.ts
@@ -14,6 +14,8 @@
   /** A chunk that is held and verified. */
   chunk: (rollout: string, chunk: number) => Buffer | undefined;
   manifest: (rollout: string) => Manifest | undefined;
+  /** Whether a box stands in another hall. */
+  isCrossHall: (box: string) => boolean;
 }
 
 const KEEP_ALIVE_MILLISECONDS = 30_000;
@@ -40,8 +42,9 @@
   }
 
   private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const { sharedKey, chunk, manifest, uploads } = this._options;
-    if (senderOfToken(sharedKey, bearerToken(request)) === undefined) {
+    const { sharedKey, chunk, manifest, uploads, isCrossHall } = this._options;
+    const sender = senderOfToken(sharedKey, bearerToken(request));
+    if (sender === undefined) {
       return answerJson(response, 401, { error: 'the shared key is missing or wrong' });
     }
     const [, kind, rollout = '', index = ''] = (request.url ?? '/').split('/');
@@ -54,6 +57,6 @@
     }
     const data = kind === 'chunks' ? chunk(name, Number(index)) : undefined;
     if (!data) return answerJson(response, 404, { error: 'no such chunk' });
-    await uploads.send(response, data);
+    await uploads.send(response, data, { chunk: `${name}/${index}`, crossHall: isCrossHall(sender) });
   }
 }
--- a/src/staging/connectedEntries.ts
+++ b/src/staging/connectedEntries.ts
@@ -4,21 +4,28 @@
 import type { Message } from '../protocol/message.js';
 import type { Member } from '../protocol/rolloutMessages.js';
 import { Gathered } from '../utils/gathered.js';
+import type { StatusAudience } from './statusSender.js';
 import { compareText, rendezvousOrder } from '../utils/rendezvous.js';
 
 /** Agents that tell an entry who the other entries are. */
 const TELLERS = 4;
 const GATHER_MILLISECONDS = 15;
 
+/** Where this agent is. */
+export interface BoxPlace {
+  box: string;
+  hall: string;
+}
+
 export class ConnectedEntries {
-  private readonly _box: string;
+  private readonly _place: BoxPlace;
   private readonly _members: () => readonly Member[];
   private readonly _entries = new Map<ControlConnection, EntryAddress>();
   private readonly _changed = new Gathered(GATHER_MILLISECONDS, () => this._tell());
 
-  /** `box` is this agent's, `members` are all agents of the service. */
-  constructor(box: string, members: () => readonly Member[]) {
-    this._box = box;
+  /** `members` are all agents of the service. */
+  constructor(place: BoxPlace, members: () => readonly Member[]) {
+    this._place = place;
     this._members = members;
   }
 
@@ -44,9 +51,15 @@
     this._changed.call();
   }
 
-  /** Sends a message to all of them. */
-  broadcast(message: Message): void {
-    ControlConnection.broadcast(this._entries.keys(), message);
+  /** Sends a message to all of them, or to those of this hall. */
+  broadcast(message: Message, audience: StatusAudience): void {
+    const heard = [...this._entries].filter(
+      ([, entry]) => audience === 'all' || entry.hall === this._place.hall,
+    );
+    ControlConnection.broadcast(
+      heard.map(([connection]) => connection),
+      message,
+    );
   }
 
   stop(): void {
@@ -66,6 +79,6 @@
   private _isTellerOf(entry: string): boolean {
     const members = this._members();
     const tellers = rendezvousOrder(entry, members, (member) => member.box).slice(0, TELLERS);
-    return members.length === 0 || tellers.some((member) => member.box === this._box);
+    return members.length === 0 || tellers.some((member) => member.box === this._place.box);
   }
 }
--- a/src/staging/drawSchedule.ts
+++ b/src/staging/drawSchedule.ts
@@ -20,9 +20,23 @@
   return order;
 }
 
+/**
+ * Boxes that draw at first. More of them would each have a smaller part of the origin's link, so that the first chunks came
+ * later, and may be more than the origin takes connections.
+ */
+const FIRST_DRAWERS = 12;
+/** Turns after which any box may step in, since the first drawers seem to be gone. */
+const FIRST_TURNS = 3;
+
+/** The boxes that draw from the origin, unless they are gone. */
+export function firstDrawers(order: readonly string[]): string[] {
+  return order.slice(0, FIRST_DRAWERS);
+}
+
 /** The box whose turn it is to draw `chunk`, `elapsed` milliseconds after the version was named. */
 export function drawerOf(order: readonly string[], chunk: number, elapsed: number): string | undefined {
   if (order.length === 0) return undefined;
   const turn = Math.floor(Math.max(0, elapsed) / DRAW_TURN_MILLISECONDS);
-  return order[(chunk + turn) % order.length];
+  const drawers = turn < FIRST_TURNS ? firstDrawers(order) : order;
+  return drawers[(chunk + turn) % drawers.length];
 }
--- a/src/staging/manifestReader.ts
+++ b/src/staging/manifestReader.ts
@@ -17,6 +17,9 @@
   origin: () => Origin | undefined;
   /** Other agents of the service. */
   peers: () => readonly Member[];
+  /** Boxes that read the origin; the others ask them. */
+  drawers: (rollout: string) => readonly string[];
+  box: string;
   token: string;
   random: Random;
   log: EventLog;
@@ -25,6 +28,8 @@
 const RETRY = { firstMilliseconds: 60, longestMilliseconds: 500 };
 const PEER_TIMEOUT_MILLISECONDS = 800;
 const PEERS_ASKED = 3;
+/** Rounds after which a box that does not draw asks the origin all the same. */
+const PATIENT_ROUNDS = 5;
 
 export class ManifestReader {
   private readonly _options: ManifestReaderOptions;
@@ -41,8 +46,12 @@
     signal: AbortSignal,
   ): Promise<Manifest | undefined> {
     const backoff = new Backoff(RETRY, this._options.random);
-    while (!signal.aborted) {
-      const found = (await this._fromOrigin(model, version)) ?? (await this._fromPeers(rollout));
+    const drawers = this._options.drawers(rollout);
+    const isDrawer = drawers.length === 0 || drawers.includes(this._options.box);
+    for (let round = 0; !signal.aborted; round++) {
+      const mayAskOrigin = isDrawer || round >= PATIENT_ROUNDS;
+      const atOrigin = mayAskOrigin ? await this._fromOrigin(model, version) : undefined;
+      const found = atOrigin ?? (await this._fromPeers(rollout, drawers));
       if (found) return found;
       await pause(backoff.nextWait(), signal);
     }
@@ -60,9 +69,13 @@
     }
   }
 
-  private async _fromPeers(rollout: string): Promise<Manifest | undefined> {
+  /** Asks a few, one that draws first. */
+  private async _fromPeers(rollout: string, drawers: readonly string[]): Promise<Manifest | undefined> {
     const { peers, random } = this._options;
-    for (const member of shuffled(peers(), random).slice(0, PEERS_ASKED)) {
+    const mixed = shuffled(peers(), random);
+    const drawer = mixed.find((member) => drawers.includes(member.box));
+    const others = mixed.filter((member) => member !== drawer);
+    for (const member of [...(drawer ? [drawer] : []), ...others].slice(0, PEERS_ASKED)) {
       const found = await this._fromPeer(member, rollout);
       if (found) return found;
     }
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -29,6 +29,7 @@
 import { UploadQueue } from '../weights/uploadQueue.js';
 import { ChunkServer } from './chunkServer.js';
 import { ConnectedEntries } from './connectedEntries.js';
+import { drawOrder, firstDrawers } from './drawSchedule.js';
 import type { LocalBackend } from './localBackend.js';
 import { ManifestReader } from './manifestReader.js';
 import { PeerMessages } from './peerMessages.js';
@@ -83,13 +84,13 @@
     this._settings = settings;
     this._parts = parts;
     this._log = parts.log;
-    this._entries = new ConnectedEntries(settings.box, () => this._members);
-    this._statusSender = new StatusSender(
-      this._clock,
-      () => this._status(),
-      (status) => this._entries.broadcast(status),
-      () => this._entries.count,
-    );
+    this._entries = new ConnectedEntries(settings, () => this._members);
+    this._statusSender = new StatusSender({
+      clock: this._clock,
+      build: () => this._status(),
+      send: (status, audience) => this._entries.broadcast(status, audience),
+      entries: () => this._entries.count,
+    });
     this._messages = new PeerMessages(
       () => this._stages.stages.map((stage) => stage.exchange),
       this._clock,
@@ -104,6 +105,8 @@
       uploads,
       chunk: (rollout, chunk) => this._stages.find(rollout)?.chunk(chunk),
       manifest: (rollout) => this._stages.find(rollout)?.index.manifest,
+      isCrossHall: (box) =>
+        this._members.some((member) => member.box === box && member.hall !== settings.hall),
     });
     const metrics = stagingMetrics({
       stages: this._stages,
@@ -161,7 +164,9 @@
       bytesPerSecond: weightRate(settings),
       manifests: new ManifestReader({
         origin: () => this._origin,
+        box: settings.box,
         peers: () => this._members.filter((member) => member.box !== settings.box),
+        drawers: (rollout) => firstDrawers(drawOrder(rollout, this._members)),
         token,
         random,
         log: parts.log,
--- a/src/staging/statusSender.ts
+++ b/src/staging/statusSender.ts
@@ -6,58 +6,67 @@
 const LOAD_STEP = 2;
 /**
  * Shortest time between two statuses that tell only another load, for each entry that hears them: what an agent sends
- * and an entry hears stays bounded however many there are.
+ * and an entry hears stays bounded however many there are. Entries of other halls, which send fewer requests here, hear
+ * less often.
  */
 const SPACING_PER_ENTRY_MILLISECONDS = 10;
+const FAR_SPACING_PER_ENTRY_MILLISECONDS = 25;
 /** A status is sent so often even when nothing has changed, so that entries know how fresh their news is. */
 const LONGEST_MILLISECONDS = 1_000;
 
+/** Who hears a status: all entries, or only those of the own hall. */
+export type StatusAudience = 'all' | 'near';
+
+/** What a sender works with. */
+export interface StatusSenderOptions {
+  clock: Clock;
+  /** The present status. */
+  build: () => BoxStatus;
+  send: (status: BoxStatus, audience: StatusAudience) => void;
+  /** Entries that are connected. */
+  entries: () => number;
+}
+
 export class StatusSender {
-  private readonly _clock: Clock;
-  private readonly _build: () => BoxStatus;
-  private readonly _send: (status: BoxStatus) => void;
-  private readonly _entries: () => number;
+  private readonly _options: StatusSenderOptions;
   private _last: BoxStatus | undefined;
   private _sentAt = 0;
+  private _sentToAllAt = 0;
 
-  /** `build` gives the present status, `send` sends one to all entries, `entries` counts them. */
-  constructor(
-    clock: Clock,
-    build: () => BoxStatus,
-    send: (status: BoxStatus) => void,
-    entries: () => number,
-  ) {
-    this._entries = entries;
-    this._clock = clock;
-    this._build = build;
-    this._send = send;
+  constructor(options: StatusSenderOptions) {
+    this._options = options;
   }
 
   /** Sends the status if another state, version or load has to be told at once. */
   onChange(): void {
-    const status = this._build();
+    const status = this._options.build();
     const last = this._last;
     const sameState = last?.state === status.state && last.version === status.version;
-    if (!sameState || last.slowLink !== status.slowLink) this._sendNow(status);
-    else if (this._mayTellLoad && Math.abs(loadOf(status) - loadOf(last)) >= LOAD_STEP) this._sendNow(status);
+    if (!sameState || last.slowLink !== status.slowLink) this._sendTo('all', status);
+    else if (Math.abs(loadOf(status) - loadOf(last)) >= LOAD_STEP) this._tellLoad(status);
   }
 
   /** Sends the status if anything has changed, or if it is old. */
   onInterval(): void {
-    const status = this._build();
-    const old = this._clock.now() - this._sentAt >= LONGEST_MILLISECONDS;
-    const changed = JSON.stringify(status) !== JSON.stringify(this._last);
-    if (old || (changed && this._mayTellLoad)) this._sendNow(status);
+    const status = this._options.build();
+    const now = this._options.clock.now();
+    if (now - this._sentToAllAt >= LONGEST_MILLISECONDS) this._sendTo('all', status);
+    else if (JSON.stringify(status) !== JSON.stringify(this._last)) this._tellLoad(status);
   }
 
-  private get _mayTellLoad(): boolean {
-    return this._clock.now() - this._sentAt >= SPACING_PER_ENTRY_MILLISECONDS * this._entries();
+  private _tellLoad(status: BoxStatus): void {
+    const { clock, entries } = this._options;
+    const now = clock.now();
+    if (now - this._sentToAllAt >= FAR_SPACING_PER_ENTRY_MILLISECONDS * entries())
+      this._sendTo('all', status);
+    else if (now - this._sentAt >= SPACING_PER_ENTRY_MILLISECONDS * entries()) this._sendTo('near', status);
   }
 
-  private _sendNow(status: BoxStatus): void {
+  private _sendTo(audience: StatusAudience, status: BoxStatus): void {
     this._last = status;
-    this._sentAt = this._clock.now();
-    this._send(status);
+    this._sentAt = this._options.clock.now();
+    if (audience === 'all') this._sentToAllAt = this._sentAt;
+    this._options.send(status, audience);
   }
 }
 
--- a/src/weights/uploadQueue.ts
+++ b/src/weights/uploadQueue.ts
@@ -6,16 +6,34 @@
 
 /** Chunks sent at the same time: one ends sooner, and so is passed on sooner, than two that share the link. */
 const UPLOAD_SLOTS = 1;
-/** Chunks that may wait for a slot. */
-const UPLOAD_QUEUE = 6;
+/** Chunks that may wait for a slot, for boxes of this hall and of others. Nearer boxes ask elsewhere: others hold them too. */
+const UPLOAD_QUEUE = 1;
+const CROSS_HALL_UPLOAD_QUEUE = 6;
 const BLOCK_BYTES = 64 * 1024;
 
-/** Paces and bounds what the box sends. */
+/** What is asked for, and by whom. */
+export interface UploadRequest {
+  /** The same for every request of one chunk. */
+  chunk: string;
+  /** Whether another hall asks: a whole hall waits for it. */
+  crossHall: boolean;
+}
+
+interface WaitingUpload {
+  request: UploadRequest;
+  begin: () => void;
+}
+
+/** Chunks of which it is remembered how often they were sent. */
+const REMEMBERED_CHUNKS = 4_096;
+
+/** Paces and bounds what the box sends. Other halls go first, then chunks that were sent less often: they spread sooner. */
 export class UploadQueue {
   private readonly _outgoing: RateLimiter;
   private readonly _stallMilliseconds: number;
   private readonly _blockBytes: number;
-  private readonly _waiting: (() => void)[] = [];
+  private readonly _waiting: WaitingUpload[] = [];
+  private readonly _timesSent = new Map<string, number>();
   private _active = 0;
   bytesSent = 0;
 
@@ -32,12 +50,13 @@
   }
 
   /** Answers with `data`, or with 503 when the queue is full. */
-  async send(response: http.ServerResponse, data: Buffer): Promise<void> {
-    if (this._waiting.length >= UPLOAD_QUEUE) {
+  async send(response: http.ServerResponse, data: Buffer, request: UploadRequest): Promise<void> {
+    if (this._isFullFor(request)) {
       response.writeHead(503, { [HEADER.uploadQueue]: String(this.length) }).end();
       return;
     }
-    await this._takeSlot();
+    await this._takeSlot(request);
+    this._countSent(request.chunk);
     try {
       response.writeHead(200, {
         'content-length': data.length,
@@ -66,14 +85,44 @@
     clearTimeout(stalled);
   }
 
-  private async _takeSlot(): Promise<void> {
-    if (this._active >= UPLOAD_SLOTS) await new Promise<void>((resolve) => this._waiting.push(resolve));
+  /** Requests of other halls find room beside those of the own hall. */
+  private _isFullFor({ crossHall }: UploadRequest): boolean {
+    const alike = this._waiting.filter(({ request }) => request.crossHall === crossHall);
+    return alike.length >= (crossHall ? CROSS_HALL_UPLOAD_QUEUE : UPLOAD_QUEUE);
+  }
+
+  private async _takeSlot(request: UploadRequest): Promise<void> {
+    if (this._active >= UPLOAD_SLOTS)
+      await new Promise<void>((begin) => this._waiting.push({ request, begin }));
     else this._active++;
   }
 
   private _releaseSlot(): void {
-    const next = this._waiting.shift();
-    if (next) next();
+    const next = this._next();
+    if (next) next.begin();
     else this._active--;
   }
+
+  /** Takes the request that comes first out of those that wait. */
+  private _next(): WaitingUpload | undefined {
+    let best = 0;
+    for (let index = 1; index < this._waiting.length; index++) {
+      if (this._rank(this._waiting[index]) < this._rank(this._waiting[best])) best = index;
+    }
+    return this._waiting.splice(best, 1)[0];
+  }
+
+  private _rank({ request }: WaitingUpload): number {
+    const timesSent = this._timesSent.get(request.chunk) ?? 0;
+    return request.crossHall ? timesSent - REMEMBERED_CHUNKS : timesSent;
+  }
+
+  private _countSent(chunk: string): void {
+    const timesSent = this._timesSent.get(chunk) ?? 0;
+    this._timesSent.delete(chunk);
+    this._timesSent.set(chunk, timesSent + 1);
+    if (this._timesSent.size <= REMEMBERED_CHUNKS) return;
+    const [oldest] = this._timesSent.keys();
+    this._timesSent.delete(oldest);
+  }
 }
--- a/standins/platformOriginStandin.ts
+++ b/standins/platformOriginStandin.ts
@@ -1,6 +1,7 @@
 /** A stand-in for the platform's origin of weights: digests and pieces of made-up versions. */
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { RateLimiter } from '../src/utils/rateLimiter.js';
 import type { WeightsShape } from './weightsFixture.js';
 import { versionChunk, versionDigests } from './weightsFixture.js';
 
@@ -16,18 +17,43 @@
   brokenShare?: number;
 }
 
+/** The link of the origin. */
+export interface OriginLink {
+  /** 0 for no bound. */
+  bytesPerSecond: number;
+  /** Connections beyond this are reset. */
+  maximumConnections: number;
+}
+
+const OPEN_LINK: OriginLink = { bytesPerSecond: 0, maximumConnections: 1_000 };
+const BLOCK_BYTES = 4_096;
+
 export class PlatformOriginStandin {
   faults: PlatformOriginFaults = {};
   /** Bytes of pieces that were sent. */
   bytesSent = 0;
   private readonly _shape: WeightsShape;
   private readonly _fraction: () => number;
+  private readonly _limiter: RateLimiter;
+  private _connections = 0;
+  /** Connections that were reset. */
+  resets = 0;
   private readonly _server = http.createServer((request, response) => this._serve(request, response));
 
   /** `fraction` draws from 0 up to 1. */
-  constructor(shape: WeightsShape, fraction: () => number = () => 1) {
+  constructor(shape: WeightsShape, fraction: () => number = () => 1, link: OriginLink = OPEN_LINK) {
     this._shape = shape;
     this._fraction = fraction;
+    this._limiter = new RateLimiter(link.bytesPerSecond);
+    this._server.on('connection', (socket) => {
+      if (this._connections >= link.maximumConnections) {
+        this.resets++;
+        socket.resetAndDestroy();
+        return;
+      }
+      this._connections++;
+      socket.once('close', () => this._connections--);
+    });
   }
 
   /** Starts listening and returns host:port. */
@@ -48,8 +74,8 @@
     const [, call] = url.pathname.split('/');
     const version = Number(url.searchParams.get('version') ?? 1);
     if (call === 'manifest') return this._sendDigests(version, response);
-    if (call === 'piece')
-      return this._sendPiece(version, Number(url.searchParams.get('item_count')), response);
+    const piece = Number(url.searchParams.get('item_count'));
+    if (call === 'piece') return void this._sendPiece(version, piece, response);
     response.writeHead(404).end();
   }
 
@@ -60,13 +86,20 @@
     response.end(JSON.stringify({ model, version, chunk_bytes: chunkBytes, layers: 4, digests }));
   }
 
-  private _sendPiece(version: number, piece: number, response: http.ServerResponse): void {
+  private async _sendPiece(version: number, piece: number, response: http.ServerResponse): Promise<void> {
     const bytes = versionChunk(this._shape, version, piece);
     const { spoiltShare = 0, brokenShare = 0 } = this.faults;
     if (this._fraction() < spoiltShare) bytes[0] ^= 1;
-    this.bytesSent += bytes.length;
+    const isBroken = this._fraction() < brokenShare;
+    const end = isBroken ? bytes.length >> 1 : bytes.length;
     response.writeHead(200, { 'content-length': bytes.length });
-    if (this._fraction() >= brokenShare) return void response.end(bytes);
-    response.write(bytes.subarray(0, bytes.length >> 1), () => response.destroy());
+    for (let start = 0; start < end && !response.destroyed; start += BLOCK_BYTES) {
+      const block = bytes.subarray(start, Math.min(end, start + BLOCK_BYTES));
+      await this._limiter.acquire(block.length);
+      this.bytesSent += block.length;
+      response.write(block);
+    }
+    if (isBroken) response.destroy();
+    else response.end();
   }
 }
--- a/tests/platformStore.spec.ts
+++ b/tests/platformStore.spec.ts
@@ -26,6 +26,7 @@
     clock: new SystemClock(),
     random: new SeededRandom(1),
     log,
+    gatherMilliseconds: 20,
   });
 });
 
@@ -92,6 +93,19 @@
   expect([...follower.objects.keys()]).toEqual(['b']);
 });
 
+test('should gather changes that come together into few calls', async () => {
+  standin.put('servers', 'a', 0);
+  follower.start();
+  await until(() => follower.objects.has('a'));
+  const before = standin.calls.length;
+  for (let change = 1; change <= 50; change++) {
+    standin.put('servers', 'a', change);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  await until(() => follower.objects.get('a')?.value === 50);
+  expect(standin.calls.length - before).toBeLessThan(10);
+});
+
 test('should notice what left while history was forgotten', async () => {
   standin.put('servers', 'a', 1);
   standin.put('servers', 'b', 2);
--- a/tests/stagingDecisions.spec.ts
+++ b/tests/stagingDecisions.spec.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import type { Member } from '../src/protocol/rolloutMessages.js';
-import { DRAW_TURN_MILLISECONDS, drawOrder, drawerOf } from '../src/staging/drawSchedule.js';
+import { DRAW_TURN_MILLISECONDS, drawOrder, drawerOf, firstDrawers } from '../src/staging/drawSchedule.js';
 import type { SwitchPeer, SwitchSituation } from '../src/staging/switchTurn.js';
 import { maySwitch } from '../src/staging/switchTurn.js';
 
@@ -43,6 +43,19 @@
   expect(new Set(drawers).size).toEqual(5);
 });
 
+test('should let few boxes of a large service draw at first, and any box once those seem to be gone', () => {
+  const order = drawOrder('r', members(54));
+  const drawersAfter = (turns: number): Set<string | undefined> =>
+    new Set(
+      Array.from({ length: CHUNKS }, (_unused, chunk) =>
+        drawerOf(order, chunk, turns * DRAW_TURN_MILLISECONDS),
+      ),
+    );
+  expect([...drawersAfter(0)].sort()).toEqual(firstDrawers(order).sort());
+  expect(drawersAfter(0).size).toEqual(12);
+  expect(drawersAfter(3).size).toEqual(48);
+});
+
 test('should have no drawer without members', () => {
   expect(drawerOf([], 1, 0)).toEqual(undefined);
 });
--- a/tests/statusSender.spec.ts
+++ b/tests/statusSender.spec.ts
@@ -2,12 +2,14 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import type { BoxStatus } from '../src/protocol/boxMessages.js';
+import type { StatusAudience } from '../src/staging/statusSender.js';
 import { StatusSender } from '../src/staging/statusSender.js';
 import { ManualClock } from '../src/utils/clock.js';
 
 class Box {
   readonly clock = new ManualClock();
   readonly sent: BoxStatus[] = [];
+  readonly audiences: StatusAudience[] = [];
   readonly status: BoxStatus = {
     type: 'box-status',
     state: 'serving',
@@ -20,13 +22,15 @@
   readonly sender: StatusSender;
 
   constructor(entries: number) {
-    const send = (status: BoxStatus): void => void this.sent.push({ ...status });
-    this.sender = new StatusSender(
-      this.clock,
-      () => ({ ...this.status }),
-      send,
-      () => entries,
-    );
+    this.sender = new StatusSender({
+      clock: this.clock,
+      build: () => ({ ...this.status }),
+      send: (status, audience) => {
+        this.sent.push({ ...status });
+        this.audiences.push(audience);
+      },
+      entries: () => entries,
+    });
     this.clock.advance(10_000);
     this.sender.onInterval();
   }
@@ -69,3 +73,15 @@
   box.sender.onInterval();
   expect(box.sent.length).toEqual(2);
 });
+
+test('should tell the load more often to entries of the own hall', () => {
+  const box = new Box(10);
+  for (let load = 1; load <= 100; load++) {
+    box.clock.advance(10);
+    box.status.running = load * 5;
+    box.sender.onChange();
+  }
+  const toAll = box.audiences.filter((audience) => audience === 'all').length;
+  expect(box.sent.length).toBeGreaterThan(8);
+  expect(toAll).toBeLessThanOrEqual(5);
+});
