--- a/tests/platformStore.spec.ts
+++ b/tests/platformStore.spec.ts
@@ -26,6 +26,7 @@
     clock: new SystemClock(),
     random: new SeededRandom(1),
     log,
+    gatherMilliseconds: 20,
   });
 });
 
@@ -42,6 +43,15 @@
   expect(listing.revision).toEqual(6);
 });
 
+test('should not miss what changes on an earlier page while later ones are listed', async () => {
+  for (const name of ['a', 'b', 'c']) standin.put('servers', name, 'ready');
+  standin.onCall = (call) => {
+    if (call.includes('since_rev')) standin.put('servers', 'a', 'draining');
+  };
+  follower.start();
+  await until(() => follower.objects.get('a')?.value === 'draining');
+});
+
 test('should tell changes and deletions after a revision', async () => {
   standin.put('servers', 'a', 1);
   standin.put('servers', 'b', 2);
@@ -83,6 +93,19 @@
   expect([...follower.objects.keys()]).toEqual(['b']);
 });
 
+test('should gather changes that come together into few calls', async () => {
+  standin.put('servers', 'a', 0);
+  follower.start();
+  await until(() => follower.objects.has('a'));
+  const before = standin.calls.length;
+  for (let change = 1; change <= 50; change++) {
+    standin.put('servers', 'a', change);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  await until(() => follower.objects.get('a')?.value === 50);
+  expect(standin.calls.length - before).toBeLessThan(10);
+});
+
 test('should notice what left while history was forgotten', async () => {
   standin.put('servers', 'a', 1);
   standin.put('servers', 'b', 2);
