Tell refused callers to come back within a third of their time, not after 0.35 s

What waits for the new attempt loses nothing by waiting longer, since its time counts from there. Change: retryAfter, half to all of 0.32 of the time left, drawn at random. Test: servingDecisions.

The soak ends its processes on SIGTERM; docs/SOAK.md.

--- a/soak/fleetProcess.ts
+++ b/soak/fleetProcess.ts
@@ -24,6 +24,7 @@
 /** Processes that still run; none outlives this one. */
 const running = new Set<ChildProcess>();
 process.once('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => process.exit(1));
 
 export class FleetProcess {
   readonly name: string;
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -8,6 +8,7 @@
 import type { ForwardServices } from './forwardServices.js';
 import type { RequestOutcome } from './requestTrace.js';
 import { RequestTrace } from './requestTrace.js';
+import { retryAfter } from './retryAdvice.js';
 import type { ServerFound } from './serverPool.js';
 import { StreamRelay } from './streamRelay.js';
 import type { TrackedServer } from './trackedServer.js';
@@ -17,8 +18,6 @@
 /** Connections that cannot be opened cost no attempt, but there is an end to them. */
 const MOST_UNREACHABLE = 4;
 const WATCH_INTERVAL_MILLISECONDS = 100;
-const RETRY_AFTER_BUSY_MILLISECONDS = 350;
-const RETRY_AFTER_NONE_MILLISECONDS = 700;
 /** Largest answer of a request that is no stream, in bytes. */
 const LARGEST_ANSWER = 16 * 1024 * 1024;
 
@@ -253,8 +252,7 @@
   private _giveUp(reason: string): void {
     if (this._relay?.begun) return this._cut(reason);
     if (this._mayHaveRun) return this._refuse(OWN_STATUS.unclear, reason);
-    const wait = reason === 'all-busy' ? RETRY_AFTER_BUSY_MILLISECONDS : RETRY_AFTER_NONE_MILLISECONDS;
-    this._refuse(OWN_STATUS.notRun, reason, wait);
+    this._refuse(OWN_STATUS.notRun, reason, retryAfter(this._left, this._services.random.fraction()));
   }
 
   private _onTimeOver(): void {
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -10,6 +10,7 @@
 import { RouteIndex, chooseTarget } from '../src/serving/routeIndex.js';
 import type { Candidate } from '../src/serving/serverChoice.js';
 import { chooseServer, expectedCost, isInTime } from '../src/serving/serverChoice.js';
+import { retryAfter } from '../src/serving/retryAdvice.js';
 import { ServerHealth } from '../src/serving/serverHealth.js';
 import { VersionGate } from '../src/serving/versionGate.js';
 import { ManualClock } from '../src/utils/clock.js';
@@ -305,3 +306,9 @@
   clock.advance(3_000);
   expect(gate.preferred('m')).toEqual(2);
 });
+
+test('should tell callers to come back within the time that they wait, and apart', () => {
+  expect(retryAfter(6_000, 0)).toEqual(960);
+  expect(retryAfter(6_000, 0.999)).toEqual(1_919);
+  expect(retryAfter(-5, 0.5)).toEqual(0);
+});
