Drop settings and fields that nothing used; draws of a late version by few boxes too

Staging settings 'service' and 'storeAddress', Route.pauseMilliseconds and OriginDescription.bitsPerSecond were read and used by nothing; StreamRelay takes its time from the clock that is passed in. After a loss of all power, boxes come late to a version together: their draws are shared as of a new one, so that few boxes draw at first.

--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -47,7 +47,8 @@
     this._done = done;
     this._switchingPatience = switchingPatience(services.random.fraction());
     this._trace = new RequestTrace(request, services.log, services.metrics, services.clock);
-    if (request.route.kind === 'stream') this._relay = new StreamRelay(request.exchange, request.lastEventId);
+    if (request.route.kind === 'stream')
+      this._relay = new StreamRelay(request.exchange, request.lastEventId, services.clock);
   }
 
   start(): void {
--- a/src/serving/servingConfiguration.ts
+++ b/src/serving/servingConfiguration.ts
@@ -28,8 +28,6 @@
   anonymous: boolean;
   /** Whether a stream may be resumed at another backend server. */
   resumable: boolean;
-  /** Longest pause between events with which a stream stays in time; undefined for other requests. */
-  pauseMilliseconds: number | undefined;
 }
 
 /** Figures of a service's model engine. */
@@ -46,7 +44,6 @@
 /** Where and how the weights of models are read. */
 export interface OriginDescription {
   address: string;
-  bitsPerSecond: number;
 }
 
 /** One service. */
--- a/src/serving/streamRelay.ts
+++ b/src/serving/streamRelay.ts
@@ -1,4 +1,5 @@
 /** Passes the events of a stream on, in order and once each, over as many backend servers as it takes. */
+import type { Clock } from '../utils/clock.js';
 import type { AnswerHeaders } from './backendCall.js';
 import type { CallerExchange } from './callerExchange.js';
 import { EventSplitter } from './eventSplitter.js';
@@ -6,6 +7,7 @@
 /** Only whole events are passed on, so that a stream can go on elsewhere after any event. */
 export class StreamRelay {
   private readonly _exchange: CallerExchange;
+  private readonly _clock: Clock;
   private _splitter = new EventSplitter();
   private _lastEventId: string;
   private _begun = false;
@@ -14,8 +16,9 @@
   private _longestPause = 0;
 
   /** `lastEventId` is the last event that the caller has seen, '' for none. */
-  constructor(exchange: CallerExchange, lastEventId: string) {
+  constructor(exchange: CallerExchange, lastEventId: string, clock: Clock) {
     this._exchange = exchange;
+    this._clock = clock;
     this._lastEventId = lastEventId;
   }
 
@@ -40,20 +43,20 @@
 
   /** Milliseconds since the last bytes came. */
   silentFor(): number {
-    return performance.now() - this._heardAt;
+    return this._clock.now() - this._heardAt;
   }
 
   /** Sends the head, unless that of an earlier server has been sent. */
   begin(status: number, headers: AnswerHeaders): void {
     if (this._begun) return;
-    this._heardAt = performance.now();
+    this._heardAt = this._clock.now();
     this._begun = true;
     this._exchange.begin(status, headers);
   }
 
   /** Passes whole events on; false when the caller reads too slowly. */
   push(bytes: Buffer): boolean {
-    const now = performance.now();
+    const now = this._clock.now();
     if (this._firstAt > 0) this._longestPause = Math.max(this._longestPause, now - this._heardAt);
     else this._firstAt = now;
     this._heardAt = now;
--- a/src/settings/commonSettings.ts
+++ b/src/settings/commonSettings.ts
@@ -67,7 +67,6 @@
   ...processSettings,
   box: z.string('a name').min(1, 'a name').describe('name of this box'),
   hall: z.string('a name').min(1, 'a name').describe('hall in which this box stands'),
-  storeAddress: hostPortSetting.describe('store of the platform'),
   versionMilliseconds: numberSetting(100, 3_600_000, 8_000, 'milliseconds').describe(
     'time after which no request begins on an older version',
   ),
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -8,6 +8,7 @@
   readyAddress: hostPortSetting.describe('where readiness is asked for'),
   directoryAddress: hostPortSetting.describe('where callers ask which entries to use'),
   metricsAddress: hostPortSetting.describe('where metrics are read'),
+  storeAddress: hostPortSetting.describe('store of the platform'),
   agentPort: numberSetting(1, 65_535, 7_700, 'port').describe('control port of agents'),
   drainMilliseconds: numberSetting(0, 3_600_000, 8_000, 'milliseconds').describe(
     'longest time that a planned stop may take',
--- a/src/settings/stagingSettings.ts
+++ b/src/settings/stagingSettings.ts
@@ -7,7 +7,6 @@
 export const stagingSettingsSchema = z.object({
   ...platformProcessSettings,
   address: z.ipv4('an IPv4 address').describe('address to listen on and be reached at'),
-  service: z.string('a name').min(1, 'a name').describe('service of the backend server'),
   backendAddress: hostPortSetting.describe('backend server on this box'),
   controlPort: numberSetting(0, 65_535, 7_700, 'port').describe('port for control connections'),
   chunkPort: numberSetting(0, 65_535, 7_701, 'port').describe('port for chunks'),
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -137,9 +137,10 @@
   private _draw(): void {
     if (this.complete) return clearInterval(this._drawTimer);
     const now = this._options.clock.now();
-    const elapsed = now - this.namedAt;
     const isNew = this._startedAt - this.namedAt < NEW_VERSION_MILLISECONDS;
     if (!isNew && now - this._startedAt < NEWS_MILLISECONDS) return;
+    // boxes that start together come late to a version together, and share its draws as of a new one
+    const elapsed = now - (isNew ? this.namedAt : this._startedAt);
     const order = drawOrder(this.exchange.rollout, this._members);
     const { box } = this._options.services;
     const due = this.exchange.unseenChunks().filter((chunk) => drawerOf(order, chunk, elapsed) === box);
