--- a/src/weights/peerFetcher.ts
+++ b/src/weights/peerFetcher.ts
@@ -33,7 +33,7 @@
 
 /** How long to wait before looking again when there is nothing to fetch. */
 const IDLE_RETRY_MILLISECONDS = 25;
-const BUSY_PEER_MILLISECONDS = 40;
+const BUSY_PEER_MILLISECONDS = 80;
 const FAILED_PEER_MILLISECONDS = 500;
 
 export class PeerFetcher {
--- a/src/weights/uploadQueue.ts
+++ b/src/weights/uploadQueue.ts
@@ -7,7 +7,7 @@
 /** Chunks sent at the same time: one ends sooner, and so is passed on sooner, than two that share the link. */
 const UPLOAD_SLOTS = 1;
 /** Chunks that may wait for a slot, for boxes of this hall and of others. Nearer boxes ask elsewhere: others hold them too. */
-const UPLOAD_QUEUE = 1;
+const UPLOAD_QUEUE = 2;
 const CROSS_HALL_UPLOAD_QUEUE = 6;
 const BLOCK_BYTES = 64 * 1024;
 
