--- a/soak/callerLog.ts
+++ b/soak/callerLog.ts
@@ -1,7 +1,7 @@
 /** What callers have seen of each request, for the checks. */
 
 /** What a caller sends. */
-export type CallKind = 'stream' | 'once' | 'repeatable';
+export type CallKind = 'stream' | 'once' | 'repeatable' | 'newest';
 
 /** How an answer looked to the caller. */
 export type CallEnd = 'whole' | 'refused' | 'failed' | 'cut' | 'never-sent' | 'left';
@@ -17,6 +17,8 @@
   end: CallEnd;
   /** 0 when there was no answer. */
   status: number;
+  /** Of calls on the route of the newest configuration: since when that is there. */
+  configuredAt: number | undefined;
   /** What was wrong with the answer, if anything. */
   wrong: string | undefined;
 }
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -9,6 +9,7 @@
   | 'asked' // nothing runs that nobody asked for, or for another customer
   | 'whole' // no server takes an unwhole version
   | 'version' // no request begins on an older version after the bound
+  | 'configuration' // a configuration is in force in time, and stays
   | 'draining' // a leaving server gets nothing new
   | 'planned' // planned work cuts nothing
   | 'ends' // no process ends by itself
@@ -37,11 +38,13 @@
 /** After a harm, processes are held to bounds in time again. */
 const CONTACT_MILLISECONDS = 3_000;
 const MOST_BREACHES = 50;
+const NOT_FOUND = 404;
 
 /** Bounds in milliseconds. */
 export interface CheckBounds {
   versionMilliseconds: number;
   drainMilliseconds: number;
+  configurationMilliseconds: number;
 }
 
 export class PromiseChecks {
@@ -52,6 +55,8 @@
   private readonly _asked = new Set<string>();
   private readonly _harms: Harm[] = [];
   private readonly _named: Announcement[] = [];
+  /** Configurations that an entry was seen to have, by entry and the time at which they came. */
+  private readonly _inForce = new Set<string>();
   private readonly _leaving = new Map<string, number>();
 
   constructor(bounds: CheckBounds) {
@@ -73,6 +78,7 @@
     if (call.wrong !== undefined)
       this._breach('answer', `${call.kind} ${call.id} at ${call.entry}: ${call.wrong}`);
     this._checkOnce(call.id);
+    if (call.configuredAt !== undefined) this._checkConfiguration(call, call.configuredAt);
   }
 
   onExecution(execution: Execution): void {
@@ -106,7 +112,7 @@
   /** Requests that planned work ended without an answer. */
   checkPlanned(): void {
     for (const call of this._calls.values()) {
-      if (call.end !== 'cut' && call.end !== 'failed') continue;
+      if (call.kind === 'newest' || (call.end !== 'cut' && call.end !== 'failed')) continue;
       if (this._isHarmed(call.sentAt, call.endedAt)) continue;
       this._breach('planned', `${call.kind} ${call.id} at ${call.entry}: ${call.end} ${call.status}`);
     }
@@ -114,7 +120,9 @@
 
   /** Requests sent from `at` on, when nothing is harmed any more, are served. */
   checkRecovery(at: number, leastShare: number): void {
-    const late = [...this._calls.values()].filter((call) => call.sentAt >= at && call.end !== 'left');
+    const late = [...this._calls.values()].filter(
+      (call) => call.sentAt >= at && call.end !== 'left' && call.kind !== 'newest',
+    );
     const served = late.filter((call) => call.end === 'whole').length;
     if (late.length === 0 || served / late.length < leastShare)
       this._breach('recovery', `${served} of ${late.length} served after all faults`);
@@ -147,6 +155,18 @@
     );
   }
 
+  private _checkConfiguration(call: Call, configuredAt: number): void {
+    const { entry, status, sentAt, endedAt, id } = call;
+    const key = `${entry} ${configuredAt}`;
+    if (status === 200) this._inForce.add(key);
+    if (status !== NOT_FOUND) return;
+    const age = sentAt - configuredAt;
+    const isLate = age > this._bounds.configurationMilliseconds + SLACK_MILLISECONDS;
+    if (this._inForce.has(key)) this._breach('configuration', `${id}: ${entry} went back`);
+    else if (isLate && !this._isHarmed(configuredAt, endedAt))
+      this._breach('configuration', `${id}: not in force at ${entry} after ${age} ms`);
+  }
+
   private _checkLeaving({ runner, at, id }: Execution): void {
     const since = this._leaving.get(runner);
     if (since === undefined || at - since < this._bounds.drainMilliseconds + SLACK_MILLISECONDS) return;
--- a/soak/soakCaller.ts
+++ b/soak/soakCaller.ts
@@ -4,6 +4,7 @@
 import { pause } from '../src/utils/timers.js';
 import { STREAM_EVENTS, eventText, sealOf } from '../standins/platformRunnerStandin.js';
 import type { Call, CallEnd, CallKind } from './callerLog.js';
+import type { NewestRoute } from './soakFleet.js';
 import { CUSTOMERS, HOST } from './soakFleet.js';
 
 /** What a caller works with. */
@@ -14,19 +15,29 @@
   random: Random;
   newId: () => string;
   onCall: (call: Call) => void;
+  /** The route that came with the newest configuration. */
+  newestRoute: () => NewestRoute;
   /** Mean pause between requests, in milliseconds. */
   pauseMilliseconds: number;
 }
 
 const DEADLINE_MILLISECONDS = 4_000;
 const RESOLVE_MILLISECONDS = 1_000;
-const PATHS: Record<CallKind, string> = {
+const PATHS: Record<Exclude<CallKind, 'newest'>, string> = {
   stream: '/chat/x?stream=1',
   once: '/turns/x',
   repeatable: '/boards/x',
 };
-const METHODS: Record<CallKind, string> = { stream: 'POST', once: 'POST', repeatable: 'GET' };
+const METHODS: Record<CallKind, string> = { stream: 'POST', once: 'POST', repeatable: 'GET', newest: 'GET' };
+/** How often each kind is drawn. */
+const DRAWN_KINDS: readonly CallKind[] = [
+  ...Array<CallKind>(5).fill('stream'),
+  ...Array<CallKind>(2).fill('once'),
+  ...Array<CallKind>(2).fill('repeatable'),
+  'newest',
+];
 const PROMISES = new Set([408, 421, 429, 503]);
+const DENIALS = new Set([400, 401, 403, 404]);
 const TRIES = 2;
 /** Share of requests whose caller leaves early. */
 const LEAVING_SHARE = 0.02;
@@ -66,9 +77,8 @@
   }
 
   private _draw(): CallKind {
-    const drawn = this._options.random.integer(4);
-    if (drawn < 2) return 'stream';
-    return drawn === 2 ? 'once' : 'repeatable';
+    const drawn = this._options.random.integer(DRAWN_KINDS.length);
+    return DRAWN_KINDS[drawn];
   }
 
   /** Sends again as callers may: what may run once only after a promise that it has not run. */
@@ -126,15 +136,27 @@
   }
 
   private async _send(kind: CallKind, address: string, leaves: boolean): Promise<Call> {
-    const id = this._options.newId();
+    const { newId, newestRoute } = this._options;
+    const id = newId();
     const sentAt = Date.now();
-    const seen = await this._exchange(kind, address, id, leaves);
+    const newest = newestRoute();
+    const path = kind === 'newest' ? `${newest.prefix}x` : PATHS[kind];
+    const seen = await this._exchange(kind, path, address, id, leaves);
+    const isStillNewest = kind === 'newest' && newestRoute().prefix === newest.prefix;
+    const configuredAt = isStillNewest ? newest.since : undefined;
     const wrong = this._fault(kind, id, seen);
     const end = endOf(seen, wrong);
-    return { id, kind, entry: address, sentAt, endedAt: Date.now(), end, status: seen.status, wrong };
+    const { status } = seen;
+    return { id, kind, entry: address, sentAt, endedAt: Date.now(), end, status, configuredAt, wrong };
   }
 
-  private async _exchange(kind: CallKind, address: string, id: string, leaves: boolean): Promise<Seen> {
+  private async _exchange(
+    kind: CallKind,
+    path: string,
+    address: string,
+    id: string,
+    leaves: boolean,
+  ): Promise<Seen> {
     const { random } = this._options;
     const customer = CUSTOMERS[random.integer(CUSTOMERS.length)];
     const [host, port] = address.split(':');
@@ -154,7 +176,6 @@
       };
       if (kind === 'stream') headers['x-model'] = 'm0';
       const method = METHODS[kind];
-      const path = PATHS[kind];
       const request = http.request({ host, port, method, path, headers, agent: this._agent }, (answer) => {
         seen.status = answer.statusCode ?? 0;
         seen.headers = answer.headers;
@@ -175,19 +196,27 @@
   /** What the answer shows that must never be. */
   private _fault(kind: CallKind, id: string, seen: Seen): string | undefined {
     if (seen.status === 0 || seen.end === 'left') return undefined;
-    if (seen.headers['x-attempt-id'] !== undefined && seen.headers['x-attempt-id'] !== id)
-      return `answer of ${seen.headers['x-attempt-id']}`;
-    if (seen.status >= 200 && seen.status < 300 && seen.headers['x-server-seal'] !== sealOf(id))
-      return `seal ${seen.headers['x-server-seal']}`;
-    if ([400, 401, 403, 404].includes(seen.status)) return `denied with ${seen.status}`;
-    if (seen.status !== 200) return undefined;
-    const expected = kind === 'stream' ? streamText(id) : `answer of ${id}`;
-    const isWhole = seen.end === 'whole';
-    const fits = isWhole ? seen.body === expected : expected.startsWith(seen.body);
-    return fits ? undefined : `${isWhole ? 'whole' : 'part'}: ${JSON.stringify(seen.body.slice(-120))}`;
+    return headFault(kind, id, seen) ?? (seen.status === 200 ? bodyFault(kind, id, seen) : undefined);
   }
 }
 
+function headFault(kind: CallKind, id: string, { status, headers }: Seen): string | undefined {
+  const answered = headers['x-attempt-id'] ?? id;
+  if (answered !== id) return `answer of ${String(answered)}`;
+  const isSuccess = status >= 200 && status < 300;
+  if (isSuccess && headers['x-server-seal'] !== sealOf(id)) return `seal ${headers['x-server-seal']}`;
+  // an entry may not know the newest configuration yet: whether it is too late is for the checks to say
+  const mayBeDenied = kind === 'newest' && status === 404;
+  return DENIALS.has(status) && !mayBeDenied ? `denied with ${status}` : undefined;
+}
+
+function bodyFault(kind: CallKind, id: string, { body, end }: Seen): string | undefined {
+  const expected = kind === 'stream' ? streamText(id) : `answer of ${id}`;
+  const isWhole = end === 'whole';
+  const fits = isWhole ? body === expected : expected.startsWith(body);
+  return fits ? undefined : `${isWhole ? 'whole' : 'part'}: ${JSON.stringify(body.slice(-120))}`;
+}
+
 function streamText(id: string): string {
   return Array.from({ length: STREAM_EVENTS }, (_unused, index) => eventText(id, index + 1)).join('');
 }
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -39,6 +39,12 @@
   nodeWords?: readonly string[];
 }
 
+/** A route that came with the newest configuration. */
+export interface NewestRoute {
+  prefix: string;
+  since: number;
+}
+
 /** A box with a server, and the proxy before it. */
 export interface SoakBox {
   host: string;
@@ -106,6 +112,7 @@
   private readonly _options: SoakFleetOptions;
   private readonly _weights: FleetWeights;
   private _configurationVersion = 0;
+  private _configuredAt = 0;
   private _weightsVersion = 1;
   private _originAddress = '';
   private _runnersMade = 0;
@@ -117,6 +124,11 @@
     this.origin = new PlatformOriginStandin(weights.shape, () => random.fraction(), weights.originLink);
   }
 
+  /** The route that only the newest configuration has, and since when (wall clock, milliseconds). */
+  get newestRoute(): NewestRoute {
+    return { prefix: `/extra-${this._configurationVersion}/`, since: this._configuredAt };
+  }
+
   /** The version that was named last. */
   get weightsVersion(): number {
     return this._weightsVersion;
@@ -150,13 +162,14 @@
   /** Puts a newer configuration into the store. */
   configure(): number {
     this._configurationVersion += 1 + this._options.random.integer(3);
+    this._configuredAt = Date.now();
     this.store.put('config', 'main', {
       version: this._configurationVersion,
       routes: [
         route('/chat/', 'streaming', MODEL_SERVICE, { resumable: true, max_attempts: 2, itl_target_ms: 300 }),
         route('/turns/', 'non_idempotent', PLAIN_SERVICE, { max_attempts: 1 }),
         route('/boards/', 'idempotent', PLAIN_SERVICE, { max_attempts: 2 }),
-        route(`/extra-${this._configurationVersion}/`, 'idempotent', PLAIN_SERVICE, {}),
+        route(this.newestRoute.prefix, 'idempotent', PLAIN_SERVICE, {}),
       ],
       services: [modelService(), { name: PLAIN_SERVICE, max_conns: 64 }, this._originService()],
       limits: { max_body_bytes: 100_000, idle_timeout_ms: 15_000 },
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -40,6 +40,8 @@
   directory: string;
 }
 
+/** Time in which a configuration has to be in force. */
+const CONFIGURATION_MILLISECONDS = 2_000;
 const START_MILLISECONDS = 2_500;
 /** Faults under way at the same time, at the most. */
 const MOST_AT_ONCE = 3;
@@ -52,8 +54,11 @@
 
 export async function soak(options: SoakOptions): Promise<SoakReport> {
   const random = new SeededRandom(options.seed);
-  const { version_ms: versionMilliseconds, drain_ms: drainMilliseconds } = BOUNDS;
-  const checks = new PromiseChecks({ versionMilliseconds, drainMilliseconds });
+  const checks = new PromiseChecks({
+    versionMilliseconds: BOUNDS.version_ms,
+    drainMilliseconds: BOUNDS.drain_ms,
+    configurationMilliseconds: CONFIGURATION_MILLISECONDS,
+  });
   const { size, network } = options;
   const fleet = new SoakFleet({
     size,
@@ -79,12 +84,16 @@
 ): Promise<SoakReport> {
   const callers = createCallers(options, fleet, checks);
   const ended = Promise.all(callers.map((caller) => caller.run()));
-  await applyFaults(options, new SoakFaults(fleet, checks, random, options.log), random);
-  await pause(SETTLE_MILLISECONDS);
-  const settledAt = Date.now();
-  await pause(RECOVERED_MILLISECONDS);
-  for (const caller of callers) caller.stop();
-  await ended;
+  let settledAt: number;
+  try {
+    await applyFaults(options, new SoakFaults(fleet, checks, random, options.log), random);
+    await pause(SETTLE_MILLISECONDS);
+    settledAt = Date.now();
+    await pause(RECOVERED_MILLISECONDS);
+  } finally {
+    for (const caller of callers) caller.stop();
+    await ended;
+  }
   checks.checkRecovery(settledAt, LEAST_SERVED_SHARE);
   if (options.plannedOnly) checks.checkPlanned();
   for (const { name, unexpectedEnds } of [...fleet.entries, ...fleet.agents])
@@ -107,6 +116,7 @@
           return id;
         },
         onCall: (call: Call) => checks.onCall(call),
+        newestRoute: () => fleet.newestRoute,
         pauseMilliseconds: CALLER_PAUSE_MILLISECONDS,
       }),
   );
@@ -117,15 +127,19 @@
   const kinds = options.kinds ?? (options.plannedOnly ? PLANNED_KINDS : FAULT_KINDS);
   const until = Date.now() + options.seconds * 1_000;
   const underWay = new Set<Promise<void>>();
+  const failures: unknown[] = [];
   while (Date.now() < until) {
     if (underWay.size < MOST_AT_ONCE) {
-      const fault = faults.apply(kinds[random.integer(kinds.length)]);
+      const fault = faults
+        .apply(kinds[random.integer(kinds.length)])
+        .catch((error: unknown) => void failures.push(error))
+        .finally(() => underWay.delete(fault));
       underWay.add(fault);
-      void fault.finally(() => underWay.delete(fault));
     }
     await pause(random.integer(2 * MEAN_GAP_MILLISECONDS));
   }
   await Promise.all(underWay);
+  if (failures.length > 0) throw failures[0];
 }
 
 function report(options: SoakOptions, fleet: SoakFleet, checks: PromiseChecks): SoakReport {
--- a/tests/platformProcesses.spec.ts
+++ b/tests/platformProcesses.spec.ts
@@ -1,7 +1,8 @@
 /** The gateway as a process, as the platform starts it: settings file, store, callers, SIGHUP, SIGTERM. */
-import { spawn } from 'node:child_process';
+import { spawn, spawnSync } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
 import { mkdtempSync, writeFileSync } from 'node:fs';
+import { open } from 'node:fs/promises';
 import http from 'node:http';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -127,6 +128,27 @@
   expect(lines.every((line) => JSON.parse(line).box === 'edge-north-1')).toEqual(true);
 });
 
+test('should outlive a SIGHUP that comes while it starts', async () => {
+  const pipe = path.join(mkdtempSync(path.join(tmpdir(), 'early-')), 'boot.json');
+  spawnSync('mkfifo', [pipe]);
+  const early = spawn(process.execPath, ['dist/platform/main.js', 'entry'], {
+    env: { LARKLATCH_CONFIG: pipe, LARKLATCH_SHARED_KEY: 'a key for the tests' },
+    stdio: ['ignore', 'ignore', 'pipe'],
+  });
+  let errors = '';
+  early.stderr!.on('data', (bytes: Buffer) => (errors += bytes.toString()));
+  const ended = new Promise<[number | null, string | null]>((resolve) =>
+    early.once('exit', (code, signal) => resolve([code, signal])),
+  );
+  // opens when the process opens it to read its settings, which it then waits for
+  const writer = await open(pipe, 'w');
+  early.kill('SIGHUP');
+  await writer.writeFile('{}');
+  await writer.close();
+  expect(await ended).toEqual([2, null]);
+  expect(errors).toMatchRegex(/node_name/);
+});
+
 test('should leave in order at SIGTERM', async () => {
   const exited = new Promise<number | null>((resolve) => gateway.once('exit', resolve));
   gateway.kill('SIGTERM');
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -15,11 +15,15 @@
 
 function call(changes: Partial<Call> = {}): Call {
   const base = { id: 'a', kind: 'once', entry: 'entry', sentAt: 0, endedAt: 0, status: 200 } as const;
-  return { ...base, end: 'whole', wrong: undefined, ...changes };
+  return { ...base, end: 'whole', configuredAt: undefined, wrong: undefined, ...changes };
 }
 
 function checks(): PromiseChecks {
-  const made = new PromiseChecks({ versionMilliseconds: 8_000, drainMilliseconds: 2_000 });
+  const made = new PromiseChecks({
+    versionMilliseconds: 8_000,
+    drainMilliseconds: 2_000,
+    configurationMilliseconds: 2_000,
+  });
   made.onAsked('a');
   return made;
 }
@@ -97,3 +101,16 @@
   found.checkRecovery(0, 0.9);
   expect(found.breaches.map(({ promise }) => promise)).toEqual(['planned', 'recovery']);
 });
+
+test('should find a configuration that is late, and one that goes back', () => {
+  const late = checks();
+  const probe = { kind: 'newest', configuredAt: 1, end: 'failed', status: 404 } as const;
+  late.onCall(call({ ...probe, sentAt: 1_000, endedAt: 1_001 }));
+  expect(late.breaches).toEqual([]);
+  late.onCall(call({ ...probe, id: 'b', sentAt: 2_600, endedAt: 2_601 }));
+  expect(late.breaches.map(({ promise }) => promise)).toEqual(['configuration']);
+  const back = checks();
+  back.onCall(call({ ...probe, end: 'whole', status: 200 }));
+  back.onCall(call({ ...probe, id: 'b', sentAt: 100, endedAt: 101 }));
+  expect(back.breaches.map(({ promise }) => promise)).toEqual(['configuration']);
+});
