--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -167,7 +167,7 @@
       version: this._configurationVersion,
       routes: [
         route('/chat/', 'streaming', MODEL_SERVICE, { resumable: true, max_attempts: 2, itl_target_ms: 300 }),
-        route('/turns/', 'non_idempotent', PLAIN_SERVICE, { max_attempts: 1 }),
+        route('/turns/', 'non_idempotent', PLAIN_SERVICE, { max_attempts: 2 }),
         route('/boards/', 'idempotent', PLAIN_SERVICE, { max_attempts: 2 }),
         route(this.newestRoute.prefix, 'idempotent', PLAIN_SERVICE, {}),
       ],
