--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -60,6 +60,8 @@
 /** A leaving server works on for so long before it ends. */
 const LEAVE_MILLISECONDS = 3_500;
 const KILLED_SHARE = 0.6;
+const ROT_SHARE = 0.05;
+const ROT_MILLISECONDS = 400;
 
 /** Applies one fault after the other; several may overlap. */
 export class SoakFaults {
@@ -124,13 +126,15 @@
     if (kind === 'forget-history') return store.forgetHistory();
     if (kind === 'replace-server') return await this._replace(this._pick(this._boxesOf(MODEL_SERVICE)));
     if (kind === 'crash-server') return await this._crash(this._pick(boxes), milliseconds);
-    if (kind === 'rot-chunks') return this._rot(this._pick(this._boxesOf(MODEL_SERVICE)));
+    if (kind === 'rot-chunks') return await this._rot(this._pick(this._boxesOf(MODEL_SERVICE)), milliseconds);
     if (kind === 'harm-store') {
       store.faults = this._random.integer(2) === 0 ? { status: 503 } : { silent: true };
       await pause(milliseconds);
       store.faults = {};
     } else if (kind === 'harm-origin') {
       origin.faults = this._originFaults();
+      // without a version that moves, nobody would notice
+      this._checks.onNamed(this._fleet.nameWeights());
       await pause(milliseconds);
       origin.faults = {};
     } else if (kind === 'sick-server') await this._sicken(this._pick(boxes), milliseconds);
@@ -191,9 +195,14 @@
     await this._fleet.startRunner(box);
   }
 
-  private _rot(box: SoakBox): void {
-    for (const bytes of box.runner.staged.values()) {
-      if (this._random.fraction() < 0.2) bytes[0] ^= 1;
+  /** Spoils what lies staged again and again while a version moves, but not so late that nobody could notice. */
+  private async _rot(box: SoakBox, milliseconds: number): Promise<void> {
+    this._checks.onNamed(this._fleet.nameWeights());
+    for (let rotten = 0; rotten < milliseconds; rotten += ROT_MILLISECONDS) {
+      for (const piece of box.runner.staged.keys()) {
+        if (this._random.fraction() < ROT_SHARE) box.runner.spoil(piece);
+      }
+      await pause(ROT_MILLISECONDS);
     }
   }
 
