--- a/soak/loopbackProxy.ts
+++ b/soak/loopbackProxy.ts
@@ -95,5 +95,9 @@
 }
 
 function cut({ client, server }: Pair): void {
-  for (const socket of [client, server]) if (!socket.destroyed) socket.resetAndDestroy();
+  for (const socket of [client, server]) {
+    // a socket that is shutting down cannot be reset: Node would never close it, and never end
+    if (socket.writableEnded) socket.destroy();
+    else if (!socket.destroyed) socket.resetAndDestroy();
+  }
 }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,5 +1,6 @@
 /** `npm run soak -- --minutes M --seed S`: soaks one seed after the other until the time is over. */
 import meow from 'meow';
+import { FAULT_KINDS } from './soakFaults.js';
 import { soak } from './soakRun.js';
 
 const HELP = `
@@ -15,6 +16,7 @@
     --boxes        boxes with a model server and an agent (default 6)
     --callers      callers (default 10)
     --planned      only planned work, which no request may notice
+    --kinds        faults to draw from, separated by commas (default: all)
     --network      second part of the loopback addresses (default 31)
     --verbose      print each fault
 `;
@@ -32,12 +34,19 @@
     callers: { ...NUMBERS, default: 10 },
     network: { ...NUMBERS, default: 31 },
     planned: { type: 'boolean', default: false },
+    kinds: { type: 'string', default: '' },
     verbose: { type: 'boolean', default: false },
   },
 });
 
 const { flags } = cli;
 const PLANNED_EVERY = 4;
+const names = flags.kinds.split(',').filter((name) => name !== '');
+const kinds = FAULT_KINDS.filter((kind) => names.includes(kind));
+if (kinds.length < names.length) {
+  console.error(`soak: --kinds: got ${flags.kinds}; allowed: ${FAULT_KINDS.join(', ')}`);
+  process.exit(2);
+}
 const until = Date.now() + flags.minutes * 60_000;
 let broken = 0;
 for (let seed = flags.seed; seed < flags.seed + flags.seeds && Date.now() < until; seed++) {
@@ -49,6 +58,7 @@
     callers: flags.callers,
     plannedOnly,
     network: flags.network,
+    kinds: kinds.length > 0 ? kinds : undefined,
     log: (line) => flags.verbose && console.error(`${new Date().toISOString()} seed ${seed}: ${line}`),
   });
   if (report.breaches.length > 0) broken++;
