A leaving entry takes only what ends before it does

New connections are taken for 5.76 of the 8 s, since callers keep an address for up to 6 s; what came last had 1.8 s left, and a stream may take longer. Change: a leaving entry refuses at once, with the advice to come back at once, what may outlast the time until it closes (the request's own time, 3.2 s at the most). Test: gatewayRequests 'should take only what ends in time while it leaves'. Ruled out: a stop that came early (it ended at 7.6 s as meant).

--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -72,6 +72,7 @@
   private readonly _own: EntryAddress;
   private _running = 0;
   private _versionsListed = false;
+  private _closesAt = Number.POSITIVE_INFINITY;
 
   constructor(settings: GatewaySettings, parts: GatewayParts) {
     const clock = this._clock;
@@ -159,6 +160,7 @@
     const startedAt = this._clock.now();
     const { drainMilliseconds } = this._settings;
     this._entries.leave();
+    this._closesAt = startedAt + drainMilliseconds * LEAVING_END_SHARE;
     this._log.state('gateway.leaving', { running: this._running, connections: this._callers.connections });
     this._links.announceNow();
     const elapsed = (): number => this._clock.now() - startedAt;
@@ -213,6 +215,7 @@
       },
       entries: () => this._entries.count(),
       isLeaving: () => this._own.leaving,
+      closesIn: () => this._closesAt - this._clock.now(),
       isCurrent: () => this._followers.isCurrent,
     });
   }
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -24,6 +24,8 @@
   retryBound: RetryBound;
   entries: () => number;
   isLeaving: () => boolean;
+  /** Milliseconds until a leaving entry closes all connections; infinite while it stays. */
+  closesIn: () => number;
   /** Whether the configuration can be trusted to be the newest. */
   isCurrent: () => boolean;
 }
@@ -36,6 +38,10 @@
 
 const RETRY_AFTER_UNKNOWN_MILLISECONDS = 400;
 const LONGEST_MILLISECONDS = 3_600_000;
+/** Longest time that a request usually takes. A leaving entry takes only what ends before it does. */
+const USUAL_MILLISECONDS = 3_200;
+/** Another entry takes the request at once. */
+const RETRY_AFTER_LEAVING_MILLISECONDS = 10;
 
 export class RequestAdmission {
   private readonly _options: AdmissionOptions;
@@ -78,6 +84,10 @@
     }
     const body = await this._readBody(exchange, index);
     if (body === undefined) return undefined;
+    if (!this._endsInTime(request, route)) {
+      exchange.refuse(OWN_STATUS.notRun, 'leaving', RETRY_AFTER_LEAVING_MILLISECONDS);
+      return undefined;
+    }
     return this._admitted(exchange, route, customer, body, arrivedAt);
   }
 
@@ -118,7 +128,6 @@
     if (customer) headers.push(names.customer, customer.name);
     headers.push(names.priority, String(customer?.priority ?? route.priority));
     const service = chooseTarget(route, random.fraction());
-    const deadline = Number(request.headers[names.deadline] ?? LONGEST_MILLISECONDS) || LONGEST_MILLISECONDS;
     const retries = this._retriesOf(service);
     retries.onRequest();
     return {
@@ -132,10 +141,20 @@
       body: body.length > 0 ? body : undefined,
       lastEventId: String(request.headers[names.lastEventId] ?? ''),
       retries,
-      endsAt: arrivedAt + Math.min(deadline, route.timeoutMilliseconds),
+      endsAt: arrivedAt + this._longest(request, route),
     };
   }
 
+  /** The longest time that a request may take, in milliseconds. */
+  private _longest(request: http.IncomingMessage, route: Route): number {
+    const told = Number(request.headers[this._options.names.deadline] ?? LONGEST_MILLISECONDS);
+    return Math.min(told || LONGEST_MILLISECONDS, route.timeoutMilliseconds);
+  }
+
+  private _endsInTime(request: http.IncomingMessage, route: Route): boolean {
+    return this._options.closesIn() >= Math.min(this._longest(request, route), USUAL_MILLISECONDS);
+  }
+
   private _retriesOf(service: string): RetryAllowance {
     let retries = this._retries.get(service);
     if (!retries) {
--- a/tests/gatewayRequests.spec.ts
+++ b/tests/gatewayRequests.spec.ts
@@ -261,3 +261,18 @@
   expect([answer.status, answer.whole, answer.headers.connection]).toEqual([200, true, 'close']);
   await stopped;
 });
+
+test('should take only what ends in time while it leaves, and send the rest elsewhere at once', async () => {
+  await fixture.start([answers()]);
+  const stopped = fixture.gateway.stop();
+  const short = { 'larklatch-deadline-milliseconds': '400' };
+  expect((await fixture.ask({ headers: short })).status).toEqual(200);
+  const refused = await fixture.ask();
+  expect([refused.status, refused.headers['retry-after'], refused.headers.connection]).toEqual([
+    503,
+    '0.01',
+    'close',
+  ]);
+  expect(fixture.arrivals).toEqual(1);
+  await stopped;
+});
