--- a/src/serving/backendCall.ts
+++ b/src/serving/backendCall.ts
@@ -44,6 +44,7 @@
   private _controller: Dispatcher.DispatchController | undefined;
   private _sent = false;
   private _ended = false;
+  private _isRead = false;
   private _aborted: AbortReason | undefined;
 
   private constructor(
@@ -121,6 +122,7 @@
 
   private _onData(bytes: Buffer): void {
     if (this._ended) return;
+    this._noteRead();
     this.server.heard();
     this._listener.onData(bytes);
   }
@@ -138,7 +140,14 @@
     this._listener.onFailed({ sent: this._sent, reason: errorCode(error) || errorText(error) });
   }
 
+  private _noteRead(): void {
+    if (this._isRead) return;
+    this._isRead = true;
+    this.server.noteRead();
+  }
+
   private _end(reusable: boolean): void {
+    this._noteRead();
     this._ended = true;
     this.server.load.outstanding--;
     this._giveBack(reusable);
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -51,6 +51,11 @@
       : this.live().length || 1;
   }
 
+  /** How many live entries stand in this one's data centre. */
+  countNear(): number {
+    return this.live().filter((entry) => entry.hall === this._own.hall).length;
+  }
+
   /** Addresses for a caller in `hall`: its own hall's entries, and others where that has too few. */
   addressesFor(hall: string): string[] {
     const live = this.live();
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -65,15 +65,11 @@
       () => this._onTimeOver(),
       Math.max(0, endsAt - this._services.clock.now()),
     );
-    if (this._repeatable) this._watchTimer = setInterval(() => this._watch(), WATCH_INTERVAL_MILLISECONDS);
+    if (this._attempts.repeatable)
+      this._watchTimer = setInterval(() => this._watch(), WATCH_INTERVAL_MILLISECONDS);
     this._attempt();
   }
 
-  private get _repeatable(): boolean {
-    const { kind, resumable } = this._request.route;
-    return kind === 'repeatable' || (kind === 'stream' && resumable);
-  }
-
   /** Sends the request to the best server there is. */
   private _attempt(): void {
     if (this._final.given) return;
@@ -158,7 +154,7 @@
     if (verdict === 'not-run') return this._onRejected(server, status);
     this._mayHaveRun = true;
     server.health.note(verdict === 'failed' || verdict === 'unclear' ? 'failed' : 'succeeded');
-    const again = verdict !== 'answered' && this._repeatable;
+    const again = verdict !== 'answered' && this._attempts.repeatable;
     if (again && this._goOnElsewhere()) return;
     if (verdict === 'unclear') return this._final.refuse(OWN_STATUS.unclear, `status ${status} from server`);
     if (this._relay?.begun) return this._final.cut('stream could not be resumed');
@@ -183,7 +179,7 @@
     this._mayHaveRun = true;
     if (failure.reason === 'silent') server.health.note('silent');
     else server.health.note('failed');
-    if (this._repeatable && this._goOnElsewhere()) return;
+    if (this._attempts.repeatable && this._goOnElsewhere()) return;
     if (this._relay?.begun) return this._final.cut(failure.reason);
     this._final.refuse(OWN_STATUS.unclear, failure.reason);
   }
@@ -213,11 +209,17 @@
   private _watch(): void {
     const call = this._call;
     if (!call || this._handover) return;
+    if (!this._answer && this._attempts.mayBeginTooLate(call.server)) return this._takeBack(call);
     const { switchingFor } = call.server;
     if (switchingFor === 0) this._moveIfSilent(call);
     else if (this._relay && switchingFor > this._handoverDelay) this._beginHandover();
   }
 
+  private _takeBack({ server }: BackendCall): void {
+    this._leave('not-needed');
+    this._afterFailure(server, { sent: true, reason: 'not begun before the bound of its version' });
+  }
+
   private _moveIfSilent({ server }: BackendCall): void {
     const waited = this._services.clock.now() - this._attemptStartedAt;
     const silent = isSilent({
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -90,6 +90,7 @@
       log: parts.log,
       service: (name) => this._configuration.index?.service(name),
       entries: () => this._entries.count(),
+      entriesNear: () => this._entries.countNear(),
     });
     this._gate = new VersionGate(
       { switchMilliseconds: settings.versionMilliseconds, startMilliseconds: settings.contactMilliseconds },
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -28,6 +28,12 @@
     return this._count;
   }
 
+  /** Whether the request may run more than once. */
+  get repeatable(): boolean {
+    const { kind, resumable } = this._request.route;
+    return kind === 'repeatable' || (kind === 'stream' && resumable);
+  }
+
   /** Milliseconds until the caller or the operator no longer waits. */
   get leftMilliseconds(): number {
     return this._request.endsAt - this._services.clock.now();
@@ -60,6 +66,12 @@
     });
   }
 
+  /** Whether the bound is so near that the request should no longer begin on the version of `server`. */
+  mayBeginTooLate(server: TrackedServer): boolean {
+    const { model } = this._request;
+    return model !== '' && server.version(model) < this._services.gate.lowestToBegin(model);
+  }
+
   /** Counts an attempt. */
   noteSent(server: TrackedServer): void {
     this._count++;
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -21,6 +21,8 @@
   service: (name: string) => ServiceDescription | undefined;
   /** How many entries share the connections to each server. */
   entries: () => number;
+  /** How many of these stand in this data centre. */
+  entriesNear: () => number;
 }
 
 /** A chosen server, or how the service stands when there is none. */
@@ -48,8 +50,8 @@
 const USUAL_FIRST_STEPS = 12;
 /** Servers are alike that differ by less than a prompt to read: another entry may have sent it one already. */
 const TIE_PROMPTS = 0.8;
-/** A full batch without a queue: what waits behind it comes late. */
-const FULLEST_ENGINE = 1;
+/** Load is told with a lag of some 100 ms, in which one or two requests arrive: a full batch makes all of them late. */
+const FULLEST_ENGINE = 0.9;
 
 export class ServerPool {
   private readonly _options: ServerPoolOptions;
@@ -154,7 +156,9 @@
     };
     const { address } = record;
     const connections = new BackendConnections({ address, connectMilliseconds: CONNECT_MILLISECONDS, limit });
-    return new TrackedServer(record, connections, this._options.clock);
+    const { clock, hall, entriesNear, entries } = this._options;
+    const sharers = (): number => (record.hall === hall ? entriesNear() : entries() - entriesNear());
+    return new TrackedServer(record, connections, clock, () => Math.max(1, sharers()));
   }
 
   private _candidate(server: TrackedServer, need: ServerNeed): Candidate {
--- a/src/serving/streamHandover.ts
+++ b/src/serving/streamHandover.ts
@@ -19,8 +19,8 @@
   onFailed: (failure: CallFailure) => void;
 }
 
-/** Time for the first event of the second server; one that takes longer is no better than the first. */
-const LONGEST_MILLISECONDS = 1_000;
+/** Time for the first event of the second server: less than entries keep clear of the bound of an older version. */
+const LONGEST_MILLISECONDS = 600;
 const SUCCESS = 200;
 
 /** Ends by exactly one of `onReady`, `onFailed` and {@link StreamHandover.cancel}. */
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -16,10 +16,8 @@
 const PROMPT_MILLISECONDS = 350;
 /** Prompts before which another one has to wait long to be read. */
 const MANY_UNREAD = 3;
-/** Time in which a server reads a prompt, at the most, and in which half of those that waited have been read. */
-const UNREAD_MILLISECONDS = 250;
+/** Time in which half of the prompts have been read that waited at the last report. */
 const UNREAD_HALF_LIFE_MILLISECONDS = 120;
-const REMEMBERED_SENDS = 32;
 
 export class TrackedServer {
   record: BackendServerRecord;
@@ -35,13 +33,21 @@
   private _switchingSince = 0;
   private _heardAt = 0;
   private _streams = 0;
-  private readonly _sentAt: number[] = [];
-
-  constructor(record: BackendServerRecord, connections: BackendConnections, clock: Clock) {
+  private readonly _sharers: () => number;
+  private _ownUnread = 0;
+
+  /** `sharers` is how many entries send most of their requests to this server. */
+  constructor(
+    record: BackendServerRecord,
+    connections: BackendConnections,
+    clock: Clock,
+    sharers: () => number,
+  ) {
     this.record = record;
     this.connections = connections;
     this.health = new ServerHealth(clock);
     this._clock = clock;
+    this._sharers = sharers;
     this.update(record);
   }
 
@@ -64,17 +70,22 @@
 
   /** This process sent a request to the server. */
   noteSent(): void {
-    this._sentAt.push(this._clock.now());
-    if (this._sentAt.length > REMEMBERED_SENDS) this._sentAt.shift();
+    this._ownUnread++;
+  }
+
+  /** A request that this process sent has brought its first event, or is given up. */
+  noteRead(): void {
+    this._ownUnread--;
   }
 
-  /** Requests on the server that have brought no event yet: as last told, and those sent by this process since. */
+  /**
+   * Requests on the server that have brought no event yet. Those of this process are known; others are taken to have sent
+   * as many, since they choose by the same reports, unless the agent has told of more.
+   */
   get unread(): number {
-    const now = this._clock.now();
-    const told =
-      (this._status?.queued ?? 0) * 0.5 ** ((now - this._statusAt) / UNREAD_HALF_LIFE_MILLISECONDS);
-    const from = Math.max(this._statusAt, now - UNREAD_MILLISECONDS);
-    return told + this._sentAt.filter((at) => at > from).length;
+    const age = this._clock.now() - this._statusAt;
+    const told = (this._status?.queued ?? 0) * 0.5 ** (age / UNREAD_HALF_LIFE_MILLISECONDS);
+    return Math.max(told, this._ownUnread * this._sharers());
   }
 
   /** A version that the server itself named; versions only rise while nothing says that it lost them. */
--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -1,5 +1,6 @@
 /** Which versions of a model may still begin requests. */
 import type { WantedVersion } from '../protocol/boxMessages.js';
+import { LAST_SEND_MARGIN_MILLISECONDS } from '../protocol/versionMargins.js';
 import type { Clock } from '../utils/clock.js';
 
 /** Bounds of a version change, in milliseconds. */
@@ -10,9 +11,10 @@
   startMilliseconds: number;
 }
 
-/** Requests sent to an older version end this long before the bound, since they may wait before they begin. */
-const MARGIN_MILLISECONDS = 1_300;
-const SLOW_MARGIN_MILLISECONDS = 2_500;
+/** Servers that answer late, or are not heard, get nothing on an older version for longer than others. */
+const SLOW_MARGIN_MILLISECONDS = 1_500;
+/** A request that has not begun on an older version is taken back this long before the bound: time for a reset to arrive. */
+const TAKE_BACK_MARGIN_MILLISECONDS = 200;
 /** Servers of older versions are avoided this long before the bound: before, most of them are of an older one. */
 const PREFERRED_MARGIN_MILLISECONDS = 3_000;
 /** The version of a model before any other is named. */
@@ -51,10 +53,15 @@
    * begin.
    */
   lowest(model: string, slow = false): number {
-    const margin = slow ? SLOW_MARGIN_MILLISECONDS : MARGIN_MILLISECONDS;
+    const margin = slow ? SLOW_MARGIN_MILLISECONDS : LAST_SEND_MARGIN_MILLISECONDS;
     return this._dueAfter(model, this._bounds.switchMilliseconds - margin);
   }
 
+  /** The lowest version on which requests that have been sent may still begin; others have to be taken back. */
+  lowestToBegin(model: string): number {
+    return this._dueAfter(model, this._bounds.switchMilliseconds - TAKE_BACK_MARGIN_MILLISECONDS);
+  }
+
   /** The lowest version that is not better avoided, since others may begin too late if their server goes dark. */
   preferred(model: string): number {
     return this._dueAfter(model, this._bounds.switchMilliseconds - PREFERRED_MARGIN_MILLISECONDS);
--- a/src/staging/stageQueue.ts
+++ b/src/staging/stageQueue.ts
@@ -4,6 +4,7 @@
 import type { ManifestReader } from './manifestReader.js';
 import type { VersionStageOptions } from './versionStage.js';
 import { VersionStage, rolloutName } from './versionStage.js';
+import { isWorthFinishing } from './worthFinishing.js';
 
 /** A version to bring into service. */
 export interface TargetVersion {
@@ -21,13 +22,12 @@
   manifests: ManifestReader;
   log: EventLog;
   members: () => readonly Member[];
+  /** Time after its naming in which a version has to take the place of older ones. */
+  versionMilliseconds: number;
   /** A stage was opened. */
   onOpened: () => void;
 }
 
-/** A version of which so much is here when a newer one is named is still finished and served first. */
-const WORTH_FINISHING = 0.7;
-
 export class StageQueue {
   private readonly _options: StageQueueOptions;
   private _stages: VersionStage[] = [];
@@ -74,10 +74,15 @@
     this._reading.abort();
     this._reading = new AbortController();
     this._options.log.state('version.wanted', { model: target.model, version: target.version });
+    this.dropSuperseded();
+    void this._open(target, this._reading.signal);
+  }
+
+  /** Drops versions that are not worth finishing, since a newer one has been named. */
+  dropSuperseded(): void {
     for (const stage of this._stages) {
-      if (stage.heldShare < WORTH_FINISHING) this._drop(stage);
+      if (!stage.complete && !this._isWorthFinishing(stage)) this._drop(stage);
     }
-    void this._open(target, this._reading.signal);
   }
 
   /** Drops what is older than the version in service. */
@@ -97,7 +102,41 @@
     for (const stage of this._stages) this._drop(stage);
   }
 
+  private _isWorthFinishing(stage: VersionStage): boolean {
+    const target = this._target;
+    if (!target || target.version <= stage.version) return true;
+    const { clock, versionMilliseconds } = this._options;
+    const newer = this._stages.find((other) => other.version === target.version);
+    return isWorthFinishing({
+      namedAt: stage.namedAt,
+      newerNamedAt: target.namedAt,
+      now: clock.now(),
+      switchMilliseconds: versionMilliseconds,
+      copyMilliseconds: stage.copyMilliseconds,
+      missingMilliseconds: stage.copyMilliseconds * (1 - stage.heldShare),
+      seenShare: stage.seenShare,
+      newerSeenShare: newer?.seenShare ?? 0,
+    });
+  }
+
+  /** Whether all older versions are here or cannot go on, so that `version` may take the link. */
+  private _mayFetch(version: number): boolean {
+    return this._stages.every(
+      (stage) => stage.version >= version || stage.complete || !stage.exchange.isFetching,
+    );
+  }
+
+  /** Whether this box has drawn its part of all older versions, so that `version` may have the origin's link. */
+  private _mayDraw(version: number): boolean {
+    return this._stages.every((stage) => stage.version >= version || stage.exchange.openDraws.length === 0);
+  }
+
   private _drop(stage: VersionStage): void {
+    this._options.log.state('version.dropped', {
+      version: stage.version,
+      wanted: this.wantedVersion,
+      heldShare: stage.heldShare,
+    });
     stage.drop();
     this._stages = this._stages.filter((other) => other !== stage);
   }
@@ -107,7 +146,14 @@
     const { model, version } = target;
     const manifest = await manifests.read(model, version, rolloutName(model, version), signal);
     if (!manifest || signal.aborted) return;
-    const stage = new VersionStage({ ...this._options, ...target, manifest, members: members() });
+    const stage = new VersionStage({
+      ...this._options,
+      ...target,
+      manifest,
+      members: members(),
+      mayFetch: () => this._mayFetch(version),
+      mayDraw: () => this._mayDraw(version),
+    });
     this._stages.push(stage);
     const adopt = this._first;
     this._first = false;
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -164,6 +164,7 @@
       members: () => this._members,
       onOpened: () => this._messages.replay(),
       bytesPerSecond: receiveRate(settings),
+      versionMilliseconds: settings.versionMilliseconds,
       manifests: new ManifestReader({
         origin: () => this._origin,
         box: settings.box,
--- a/src/staging/switchTurn.ts
+++ b/src/staging/switchTurn.ts
@@ -1,4 +1,5 @@
 /** Decides when a box may begin to switch versions, so that enough others serve meanwhile. Pure. */
+import { LAST_SEND_MARGIN_MILLISECONDS } from '../protocol/versionMargins.js';
 
 /**
  * Where a box stands on the way to a version: `staged` when it is whole or nearly so, `preparing` when it gets fewer
@@ -29,8 +30,8 @@
 export const PREPARING_MILLISECONDS = 300;
 /** From the beginning of the preparation to serving the new version, as measured on the users' bench. */
 const TURN_MILLISECONDS = 1_100;
-/** Entries send nothing more to the older version from here on, so that a box loses nothing by switching. */
-const LAST_CALL_MILLISECONDS = 1_300;
+/** The last box begins this long before the bound, so that it is nearly back when entries send no more to the older version. */
+const LAST_CALL_MILLISECONDS = LAST_SEND_MARGIN_MILLISECONDS + 600;
 /** Largest part of the boxes that take their turns at the same time while there is time left. */
 const LARGEST_SHARE = 0.4;
 /** A box that has not taken its turn for so long may be dead: the next one goes on. */
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -1,5 +1,6 @@
 /** Brings the backend server of this box to the wanted versions, again and again until it is there. */
 import type { Member } from '../protocol/rolloutMessages.js';
+import { LAST_SEND_MARGIN_MILLISECONDS } from '../protocol/versionMargins.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import { errorText } from '../utils/stepError.js';
@@ -30,8 +31,6 @@
 const SWITCHING_POLL_MILLISECONDS = 40;
 /** How long entries have to hear that a switch begins before it does. */
 const NOTICE_MILLISECONDS = 60;
-/** When entries send nothing more to the older version there is nothing to prepare. */
-const LATE_MILLISECONDS = 1_300;
 /** An order that has shown no effect for so long, though the backend server does nothing, is given again. */
 const IDLE_ORDER_MILLISECONDS = 300;
 /** The same while the backend server is busy. */
@@ -118,6 +117,7 @@
   }
 
   private async _reconcile(): Promise<void> {
+    this._options.stages.dropSuperseded();
     const stage = this._next;
     if (!stage) return;
     stage.openStaging();
@@ -151,7 +151,7 @@
 
   /** Whether requests may no longer begin on the version in service. */
   private _isLate(stage: VersionStage): boolean {
-    return this._leftMilliseconds(stage) <= LATE_MILLISECONDS;
+    return this._leftMilliseconds(stage) <= LAST_SEND_MARGIN_MILLISECONDS;
   }
 
   /** Milliseconds until no request may begin on an older version than that of `stage`. */
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -25,12 +25,16 @@
   namedAt: number;
   /** What the box may take of chunks. */
   bytesPerSecond: number;
+  /** Whether this version may fetch from other boxes, and draw from the origin, or leaves these to an older one. */
+  mayFetch: () => boolean;
+  mayDraw: () => boolean;
 }
 
 /** Part of the rate below which a link counts as slow, and the time after which that can be told. */
 const SLOW_SHARE = 0.45;
 const LEAST_MEASURED_MILLISECONDS = 1_000;
 
+const MILLISECONDS_PER_SECOND = 1_000;
 const DRAW_INTERVAL_MILLISECONDS = 100;
 /** How long a box that comes late waits for news of what the others hold before it draws. */
 const NEWS_MILLISECONDS = 400;
@@ -65,7 +69,12 @@
     this._startedAt = options.clock.now();
     this.index = new ManifestIndex(options.manifest);
     this._stager = new ChunkStager(options.backend, options.model, this.index, options.log);
-    this.exchange = new RolloutExchange(options.services, this._plan(), this.index, () => this._onChange());
+    this.exchange = new RolloutExchange(
+      { ...options.services, mayFetch: options.mayFetch },
+      this._plan(),
+      this.index,
+      () => this._onChange(),
+    );
   }
 
   get complete(): boolean {
@@ -77,6 +86,16 @@
     return this.exchange.held.count / this.index.chunkCount;
   }
 
+  /** Part of the chunks that have left the origin and are here or at a neighbour, from 0 to 1. */
+  get seenShare(): number {
+    return 1 - this.exchange.unseenChunks().length / this.index.chunkCount;
+  }
+
+  /** Milliseconds that a whole copy takes at the rate at which the box may take chunks. */
+  get copyMilliseconds(): number {
+    return (this.index.totalBytes * MILLISECONDS_PER_SECOND) / this._options.bytesPerSecond;
+  }
+
   /** Milliseconds until everything is here, if chunks go on coming as fast as they have so far. */
   get expectedMilliseconds(): number {
     if (this.complete) return 0;
@@ -144,6 +163,7 @@
   /** Draws what is nowhere and whose turn is ours. */
   private _draw(): void {
     if (this.complete) return clearInterval(this._drawTimer);
+    if (!this._options.mayDraw()) return;
     const now = this._options.clock.now();
     const isNew = this._startedAt - this.namedAt < NEW_VERSION_MILLISECONDS;
     if (!isNew && now - this._startedAt < NEWS_MILLISECONDS) return;
--- a/src/weights/peerFetcher.ts
+++ b/src/weights/peerFetcher.ts
@@ -27,6 +27,8 @@
   signal: AbortSignal;
   member: (box: string) => Member | undefined;
   isComplete: () => boolean;
+  /** Whether fetches may begin now; asked again after a short while. */
+  mayFetch: () => boolean;
   /** Takes a verified chunk and whether it came from another hall. */
   store: (chunk: number, data: Buffer, crossHall: boolean) => void;
 }
@@ -48,7 +50,7 @@
   /** Starts as many fetches as there are slots and chunks worth fetching. */
   fill(): void {
     while (this._mayFetch()) {
-      const pick = this._options.picker.next();
+      const pick = this._options.mayFetch() ? this._options.picker.next() : undefined;
       if (!pick) {
         this._retryWhenIdle();
         return;
@@ -57,6 +59,11 @@
     }
   }
 
+  /** Fetches under way. */
+  get fetching(): number {
+    return this._fetching;
+  }
+
   stop(): void {
     clearTimeout(this._idleTimer);
   }
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -38,6 +38,8 @@
   clock: Clock;
   random: Random;
   logger: Logger;
+  /** Whether chunks may be fetched now; when left out, always. */
+  mayFetch?: () => boolean;
 }
 
 /** Fetches what is missing until the version is complete, and answers neighbours throughout. */
@@ -89,6 +91,11 @@
     return this.held.full;
   }
 
+  /** Whether chunks are on their way from other boxes. */
+  get isFetching(): boolean {
+    return this._fetcher.fetching > 0;
+  }
+
   /** Granted draws that have not ended, in order. */
   get openDraws(): readonly number[] {
     return this._drawer.open;
@@ -214,8 +221,9 @@
   }
 
   private _createFetcher(): PeerFetcher {
-    const { client, bounds, clock, random, logger } = this._services;
+    const { client, bounds, clock, random, logger, mayFetch = () => true } = this._services;
     return new PeerFetcher({
+      mayFetch,
       rollout: this.rollout,
       index: this._index,
       picker: this._picker,
