Draws follow their progress, lost boxes draw nothing, handovers go to servers that are full for others

Change: a box's chunks pass on once it has brought nothing for 0.9 s; boxes whose connection is lost are left out; nobody prepares while chunks are nowhere; a handover may go to a server up to 1.1 of its batch.

--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -95,7 +95,7 @@
       onHead: (status, headers) => this._onHead(server, status, headers),
       onData: (bytes) => this._onData(bytes),
       onEnd: () => this._onEnd(server),
-      onFailed: (failure) => this._onFailed(server, failure),
+      onFailed: (failure) => this._afterFailure(server, failure),
     };
   }
 
@@ -168,12 +168,8 @@
     if (!this._goOnElsewhere()) this._giveUp('all-busy');
   }
 
-  private _onFailed(server: TrackedServer, failure: CallFailure): void {
-    this._forgetCall(server);
-    this._afterFailure(server, failure);
-  }
-
   private _afterFailure(server: TrackedServer, failure: CallFailure): void {
+    this._forgetCall(server);
     this._trace.attemptFailed(server, failure, this._services.clock.now() - this._attemptStartedAt);
     if (!failure.sent && !this._handover) return this._afterUnreachable(server);
     this._mayHaveRun = true;
@@ -199,8 +195,8 @@
     return true;
   }
 
-  private _takeRetry(): boolean {
-    const taken = this._attempts.takeRetry();
+  private _takeRetry(isHandover = false): boolean {
+    const taken = this._attempts.takeRetry(isHandover);
     if (taken) this._trace.retried();
     return taken;
   }
@@ -239,8 +235,8 @@
 
   /** Asks another server for the rest of the stream, while this one goes on. */
   private _beginHandover(): void {
-    const found = this._attempts.find();
-    if (found.kind === 'none' || !this._takeRetry()) return;
+    const found = this._attempts.find(true);
+    if (found.kind === 'none' || !this._takeRetry(true)) return;
     const { server } = found;
     const startedAt = this._services.clock.now();
     this._handover = StreamHandover.begin({
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -39,8 +39,8 @@
     return this._request.endsAt - this._services.clock.now();
   }
 
-  /** The best server that has not been tried. */
-  find(): ServerFound {
+  /** The best server that has not been tried; `isHandover` while the request runs on another one. */
+  find(isHandover = false): ServerFound {
     const { service, model, route } = this._request;
     const { gate, pool } = this._services;
     return pool.find({
@@ -51,6 +51,7 @@
       preferredVersion: gate.preferred(model),
       newestVersion: gate.newest(model),
       objectiveMilliseconds: route.objectiveMilliseconds,
+      isHandover,
       tried: this._tried,
     });
   }
@@ -86,9 +87,9 @@
   }
 
   /** Takes the leave for one more attempt: the route, the time left, a server and the retry budget must allow it. */
-  takeRetry(): boolean {
+  takeRetry(isHandover = false): boolean {
     const { route, retries } = this._request;
     if (this._count >= route.attempts || this.leftMilliseconds < SHORTEST_ATTEMPT_MILLISECONDS) return false;
-    return this.find().kind === 'found' && retries.takeRetry();
+    return this.find(isHandover).kind === 'found' && retries.takeRetry();
   }
 }
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -52,6 +52,8 @@
 const TIE_PROMPTS = 0.8;
 /** Load is told with a lag of some 100 ms, in which one or two requests arrive: a full batch makes all of them late. */
 const FULLEST_ENGINE = 0.9;
+/** Streams that are handed over have been admitted, and keep their server from its next version. */
+const FULLEST_FOR_HANDOVERS = 1.1;
 
 export class ServerPool {
   private readonly _options: ServerPoolOptions;
@@ -105,7 +107,7 @@
     if (able.length === 0) return { kind: 'none', reason: 'old-version' };
     const open = able.filter((server) => server.connections.available);
     const candidates = open.map((server) => this._candidate(server, need));
-    const cost = this._cost(need.service);
+    const cost = this._cost(need);
     const timely = candidates.filter((candidate) => isInTime(candidate, cost, need.objectiveMilliseconds));
     const chosen = chooseServer(timely, cost, this._options.random);
     if (!chosen) return { kind: 'none', reason: 'all-busy' };
@@ -178,7 +180,7 @@
     };
   }
 
-  private _cost(service: string): ServiceCost {
+  private _cost({ service, isHandover }: ServerNeed): ServiceCost {
     const engine = this._options.service(service)?.engine;
     if (!engine) return PLAIN_COST;
     const reading = engine.usualPromptTokens / (engine.readTokensPerSecond / 1000);
@@ -188,7 +190,7 @@
       serviceMilliseconds: reading + writing,
       readMilliseconds: reading,
       usualFirstMilliseconds,
-      fullest: FULLEST_ENGINE,
+      fullest: isHandover ? FULLEST_FOR_HANDOVERS : FULLEST_ENGINE,
       batchSlowdown: 0,
       tieMilliseconds: reading * TIE_PROMPTS,
     };
--- a/src/staging/drawSchedule.ts
+++ b/src/staging/drawSchedule.ts
@@ -2,8 +2,11 @@
 import type { Member } from '../protocol/rolloutMessages.js';
 import { compareText, rendezvousOrder } from '../utils/rendezvous.js';
 
-/** How long one box has for its draws before the next one steps in, in milliseconds. */
-export const DRAW_TURN_MILLISECONDS = 1_600;
+/**
+ * How long a box may bring nothing before another one draws its chunks too, in milliseconds. Twelve boxes that share an
+ * origin of 9.9 Mbit/s each bring a chunk of 32 KB every 320 ms.
+ */
+export const DRAW_TURN_MILLISECONDS = 900;
 
 /** Boxes in an order that all processes work out alike, halls in turn so that each hall draws its share. */
 export function drawOrder(rollout: string, members: readonly Member[]): string[] {
@@ -33,10 +36,39 @@
   return order.slice(0, FIRST_DRAWERS);
 }
 
-/** The box whose turn it is to draw `chunk`, `elapsed` milliseconds after the version was named. */
+/** The box whose turn it is to draw `chunk` when the first one has brought nothing for `elapsed` milliseconds. */
 export function drawerOf(order: readonly string[], chunk: number, elapsed: number): string | undefined {
   if (order.length === 0) return undefined;
   const turn = Math.floor(Math.max(0, elapsed) / DRAW_TURN_MILLISECONDS);
   const drawers = turn < FIRST_TURNS ? firstDrawers(order) : order;
   return drawers[(chunk + turn) % drawers.length];
 }
+
+/** Notes which boxes bring the chunks that they are to draw. */
+export class DrawProgress {
+  private readonly _startedAt: number;
+  private readonly _broughtAt = new Map<string, number>();
+  private _unseen: ReadonlySet<number>;
+
+  /** `chunks` is how many there are, all of them unseen. */
+  constructor(chunks: number, startedAt: number) {
+    this._unseen = new Set(Array.from({ length: chunks }, (_unused, chunk) => chunk));
+    this._startedAt = startedAt;
+  }
+
+  /** Takes the chunks that are nowhere yet. */
+  update(order: readonly string[], unseen: readonly number[], now: number): void {
+    const still = new Set(unseen);
+    for (const chunk of this._unseen) {
+      const drawer = drawerOf(order, chunk, 0);
+      if (!still.has(chunk) && drawer !== undefined) this._broughtAt.set(drawer, now);
+    }
+    this._unseen = still;
+  }
+
+  /** Milliseconds for which the box that is first to draw `chunk` has brought nothing. */
+  silentFor(order: readonly string[], chunk: number, now: number): number {
+    const drawer = drawerOf(order, chunk, 0) ?? '';
+    return now - Math.max(this._startedAt, this._broughtAt.get(drawer) ?? 0);
+  }
+}
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -8,7 +8,7 @@
 import type { ExchangeServices } from '../weights/rolloutExchange.js';
 import { RolloutExchange } from '../weights/rolloutExchange.js';
 import { ChunkStager } from './chunkStager.js';
-import { drawOrder, drawerOf } from './drawSchedule.js';
+import { DrawProgress, drawOrder, drawerOf } from './drawSchedule.js';
 import type { LocalBackend } from './localBackend.js';
 
 /** What a stage works with. */
@@ -57,6 +57,7 @@
   private readonly _seen = new Set<number>();
   private readonly _startedAt: number;
   private _members: readonly Member[];
+  private readonly _progress: DrawProgress;
   private _drawTimer: NodeJS.Timeout | undefined;
   private _completeLogged = false;
 
@@ -68,6 +69,7 @@
     this._members = options.members;
     this._startedAt = options.clock.now();
     this.index = new ManifestIndex(options.manifest);
+    this._progress = new DrawProgress(this.index.chunkCount, this._startedAt);
     this._stager = new ChunkStager(options.backend, options.model, this.index, options.log);
     this.exchange = new RolloutExchange(
       { ...options.services, mayFetch: options.mayFetch },
@@ -96,9 +98,10 @@
     return (this.index.totalBytes * MILLISECONDS_PER_SECOND) / this._options.bytesPerSecond;
   }
 
-  /** Milliseconds until everything is here, if chunks go on coming as fast as they have so far. */
+  /** Milliseconds until everything is here, if chunks go on coming as fast as they have; infinite if some are nowhere. */
   get expectedMilliseconds(): number {
     if (this.complete) return 0;
+    if (this.seenShare < 1) return Number.POSITIVE_INFINITY;
     const { count, size } = this.exchange.held;
     const elapsed = this._options.clock.now() - this._startedAt;
     return count === 0 ? Number.POSITIVE_INFINITY : (elapsed * (size - count)) / count;
@@ -167,11 +170,13 @@
     const now = this._options.clock.now();
     const isNew = this._startedAt - this.namedAt < NEW_VERSION_MILLISECONDS;
     if (!isNew && now - this._startedAt < NEWS_MILLISECONDS) return;
-    // boxes that start together come late to a version together, and share its draws as of a new one
-    const elapsed = now - (isNew ? this.namedAt : this._startedAt);
-    const order = drawOrder(this.exchange.rollout, this._members);
+    const order = drawOrder(this.exchange.rollout, this._reachableMembers());
+    const unseen = this.exchange.unseenChunks();
+    this._progress.update(order, unseen, now);
     const { box } = this._options.services;
-    const due = this.exchange.unseenChunks().filter((chunk) => drawerOf(order, chunk, elapsed) === box);
+    const due = unseen.filter(
+      (chunk) => drawerOf(order, chunk, this._progress.silentFor(order, chunk, now)) === box,
+    );
     const open = new Set(this.exchange.openDraws);
     const fresh = due.filter((chunk) => !open.has(chunk));
     if (fresh.length === 0) return;
@@ -179,6 +184,13 @@
     this.exchange.grant(fresh);
   }
 
+  /** Boxes that are connected, unless so few are that the connections have yet to be made. */
+  private _reachableMembers(): readonly Member[] {
+    const { box, peers } = this._options.services;
+    const reachable = this._members.filter((member) => member.box === box || peers.isConnected(member.box));
+    return reachable.length * 2 > this._members.length ? reachable : this._members;
+  }
+
   private _onChange(): void {
     for (const chunk of this.exchange.held.members()) {
       if (this._seen.has(chunk)) continue;
--- a/tests/serverEligibility.spec.ts
+++ b/tests/serverEligibility.spec.ts
@@ -22,6 +22,7 @@
   preferredVersion: 0,
   newestVersion: 2,
   objectiveMilliseconds: 400,
+  isHandover: false,
   tried: new Set(),
 };
 
--- a/tests/stagingDecisions.spec.ts
+++ b/tests/stagingDecisions.spec.ts
@@ -2,7 +2,13 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import type { Member } from '../src/protocol/rolloutMessages.js';
-import { DRAW_TURN_MILLISECONDS, drawOrder, drawerOf, firstDrawers } from '../src/staging/drawSchedule.js';
+import {
+  DRAW_TURN_MILLISECONDS,
+  DrawProgress,
+  drawOrder,
+  drawerOf,
+  firstDrawers,
+} from '../src/staging/drawSchedule.js';
 import type { SwitchPeer, SwitchSituation } from '../src/staging/switchTurn.js';
 import { maySwitch } from '../src/staging/switchTurn.js';
 
@@ -56,6 +62,24 @@
   expect(drawersAfter(3).size).toEqual(48);
 });
 
+test('should let another box draw the chunks of one that brings nothing, and leave those of a slow one to it', () => {
+  const order = drawOrder('r', members(4));
+  const progress = new DrawProgress(8, 0);
+  const broughtBy = (box: string): number[] =>
+    Array.from({ length: 8 }, (_unused, chunk) => chunk).filter((chunk) => drawerOf(order, chunk, 0) === box);
+  const [slow] = order;
+  const [first, second] = broughtBy(slow);
+  const unseen = Array.from({ length: 8 }, (_unused, chunk) => chunk).filter((chunk) => chunk !== first);
+  progress.update(order, unseen, 800);
+  const drawerAt = (chunk: number, now: number): string | undefined =>
+    drawerOf(order, chunk, progress.silentFor(order, chunk, now));
+  expect(drawerAt(second, 1_500)).toEqual(slow);
+  const [dead] = order.slice(1);
+  const [undrawn] = broughtBy(dead);
+  expect(drawerAt(undrawn, 800)).toEqual(dead);
+  expect(drawerAt(undrawn, 1_000)).not.toEqual(dead);
+});
+
 test('should have no drawer without members', () => {
   expect(drawerOf([], 1, 0)).toEqual(undefined);
 });
