--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -10,6 +10,7 @@
 import { ChunkStager } from './chunkStager.js';
 import { DrawProgress, drawOrder, drawerOf } from './drawSchedule.js';
 import type { LocalBackend } from './localBackend.js';
+import { ScarceChunks } from './scarceChunks.js';
 
 /** What a stage works with. */
 export interface VersionStageOptions {
@@ -58,6 +59,8 @@
   private readonly _startedAt: number;
   private _members: readonly Member[];
   private readonly _progress: DrawProgress;
+  private readonly _scarce = new ScarceChunks();
+  private readonly _redrawn = new Set<number>();
   private _drawTimer: NodeJS.Timeout | undefined;
   private _completeLogged = false;
 
@@ -167,6 +170,7 @@
   private _draw(): void {
     if (this.complete) return clearInterval(this._drawTimer);
     if (!this._options.mayDraw()) return;
+    this._drawScarce();
     const now = this._options.clock.now();
     const isNew = this._startedAt - this.namedAt < NEW_VERSION_MILLISECONDS;
     if (!isNew && now - this._startedAt < NEWS_MILLISECONDS) return;
@@ -184,6 +188,27 @@
     this.exchange.grant(fresh);
   }
 
+  /** Draws again what a single box with a narrow link holds, and whose turn in this data centre is ours. */
+  private _drawScarce(): void {
+    const now = this._options.clock.now();
+    const { box } = this._options.services;
+    const own = this._members.find((member) => member.box === box);
+    const near = this._reachableMembers().filter((member) => member.hall === own?.hall);
+    const order = drawOrder(this.exchange.rollout, near);
+    const due = this._scarce
+      .update(this.exchange.soleHolders(), now)
+      .filter(({ chunk, holder, overdueMilliseconds }) => {
+        const others = order.filter((candidate) => candidate !== holder);
+        return drawerOf(others, chunk, overdueMilliseconds) === box;
+      })
+      .map(({ chunk }) => chunk)
+      .filter((chunk) => !this._redrawn.has(chunk));
+    if (due.length === 0) return;
+    for (const chunk of due) this._redrawn.add(chunk);
+    this._options.log.decision('draws.of-scarce-chunks', { version: this.version, chunks: due.length });
+    this.exchange.grant(due, true);
+  }
+
   /** Boxes that are connected, unless so few are that the connections have yet to be made. */
   private _reachableMembers(): readonly Member[] {
     const { box, peers } = this._options.services;
--- a/src/weights/chunkPicker.ts
+++ b/src/weights/chunkPicker.ts
@@ -82,10 +82,12 @@
 
   /** Whether any neighbour is known to hold the chunk. */
   isSeen(chunk: number): boolean {
-    for (const peer of this._peers.values()) {
-      if (peer.held.has(chunk)) return true;
-    }
-    return false;
+    return this.holders(chunk).length > 0;
+  }
+
+  /** The neighbours that are known to hold the chunk. */
+  holders(chunk: number): string[] {
+    return [...this._peers.values()].filter((peer) => peer.held.has(chunk)).map((peer) => peer.box);
   }
 
   isInFlight(chunk: number): boolean {
--- a/src/weights/originDrawer.ts
+++ b/src/weights/originDrawer.ts
@@ -40,6 +40,8 @@
   private readonly _options: OriginDrawerOptions;
   private readonly _open: number[] = [];
   private readonly _failed = new Set<number>();
+  /** Chunks that are drawn even while they are fetched from a neighbour. */
+  private readonly _urgent = new Set<number>();
   private _drawing = false;
 
   constructor(options: OriginDrawerOptions) {
@@ -56,8 +58,9 @@
     return [...this._failed].filter((chunk) => !this._options.isHeld(chunk));
   }
 
-  /** Queues draws. */
-  grant(chunks: readonly number[]): void {
+  /** Queues draws. Those that are `urgent` do not wait for a fetch of the same chunk from a neighbour. */
+  grant(chunks: readonly number[], urgent = false): void {
+    if (urgent) for (const chunk of chunks) this._urgent.add(chunk);
     for (const chunk of chunks) {
       this._failed.delete(chunk);
       if (!this._options.isHeld(chunk) && !this._open.includes(chunk)) this._open.push(chunk);
@@ -81,7 +84,8 @@
     const backoff = new Backoff(DRAW_RETRY, this._options.random);
     while (this._open.length > 0 && !this._options.signal.aborted) {
       const chunk = this._open[0];
-      const end = this._options.isInFlight(chunk) ? 'not-sent' : await this._draw(chunk);
+      const waits = this._options.isInFlight(chunk) && !this._urgent.has(chunk);
+      const end = waits ? 'not-sent' : await this._draw(chunk);
       if (end === 'not-sent') {
         await pause(backoff.nextWait(), this._options.signal);
         continue;
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -113,6 +113,16 @@
       .filter((chunk) => !this._picker.isInFlight(chunk) && !this._picker.isSeen(chunk));
   }
 
+  /** Missing chunks that only one neighbour is known to hold, and that neighbour. */
+  soleHolders(): Map<number, string> {
+    const found = new Map<number, string>();
+    for (const chunk of this.held.missing()) {
+      const holders = this._picker.holders(chunk);
+      if (holders.length === 1) found.set(chunk, holders[0]);
+    }
+    return found;
+  }
+
   get neighbours(): Neighbour[] {
     return [...this._members.values()];
   }
@@ -150,9 +160,9 @@
     this._store(chunk, data, true);
   }
 
-  /** Queues draws from the origin. */
-  grant(chunks: readonly number[]): void {
-    this._drawer.grant(chunks);
+  /** Queues draws from the origin; see {@link OriginDrawer.grant}. */
+  grant(chunks: readonly number[], urgent = false): void {
+    this._drawer.grant(chunks, urgent);
   }
 
   onPeerUp(box: string): void {
