--- a/src/cli/helpText.ts
+++ b/src/cli/helpText.ts
@@ -17,6 +17,7 @@
     $ larklatch check entry|agent [settings]          check settings without starting
     $ larklatch check gateway|staging [settings]      check settings of the daemons that run on the platform
     $ larklatch check template --file FILE            check a template without publishing
+    $ larklatch losses [--pause-milliseconds N] < log how requests ended, by second and by route
     $ larklatch explain REQUEST-ID < log              the story of one request from the logs of several processes
 
   Options of operator commands
--- a/src/cli/runCommand.ts
+++ b/src/cli/runCommand.ts
@@ -15,6 +15,7 @@
 import { EXIT } from './exitCodes.js';
 import { readStory, storyText } from './explainCommand.js';
 import { HELP, settingsHelp } from './helpText.js';
+import { lossText, readLosses } from './lossTable.js';
 import type { ObjectKind } from './objectCommand.js';
 import { readJsonFile, runObjectCommand, textFlag } from './objectCommand.js';
 import { OperatorClient } from './operatorClient.js';
@@ -28,6 +29,8 @@
   staging: stagingSettingsSchema,
 };
 const TIMEOUT_MILLISECONDS = 10_000;
+/** Longest pause of a stream that is in time, unless the user says otherwise; that of the users' deployments. */
+const LONGEST_PAUSE_MILLISECONDS = 300;
 
 const operatorSettingsSchema = z.object({
   entryUrl: urlSetting,
@@ -45,6 +48,7 @@
   const [command, ...rest] = words;
   if (command === 'check') return check(rest[0], flags);
   if (command === 'explain') return await explain(rest[0]);
+  if (command === 'losses') return await printLosses(flags);
   if (!command || flags['help']) return console.log(HELP);
   if (command === 'agent') return await runAgent(flags);
   if (command === 'entry') return await runEntry(flags);
@@ -64,6 +68,12 @@
   for (const line of storyText(story)) console.log(line);
 }
 
+async function printLosses(flags: Flags): Promise<void> {
+  const longestPause = Number(textFlag(flags, 'pauseMilliseconds') ?? LONGEST_PAUSE_MILLISECONDS);
+  if (!(longestPause > 0)) throw new CliError(EXIT.wrongInput, ['--pause-milliseconds: a number above 0']);
+  for (const line of lossText(await readLosses(process.stdin, longestPause))) console.log(line);
+}
+
 function operatorClient(flags: Flags): OperatorClient {
   const settings = checkSettings(operatorSettingsSchema, flags);
   return new OperatorClient(settings.entryUrl, settings.operatorKey);
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -208,7 +208,7 @@
     if (!this._answer && this._attempts.mayBeginTooLate(call.server)) return this._takeBack(call);
     const { switchingFor } = call.server;
     if (switchingFor === 0) this._moveIfSilent(call);
-    else if (this._relay && switchingFor > this._handoverDelay) this._beginHandover();
+    else if (this._relay && switchingFor > this._handoverDelay) this._beginHandover(call.server);
   }
 
   private _takeBack({ server }: BackendCall): void {
@@ -234,9 +234,10 @@
   }
 
   /** Asks another server for the rest of the stream, while this one goes on. */
-  private _beginHandover(): void {
+  private _beginHandover(from: TrackedServer): void {
     const found = this._attempts.find(true);
-    if (found.kind === 'none' || !this._takeRetry(true)) return;
+    if (found.kind === 'none') return this._trace.notHandedOver(from, found.reason);
+    if (!this._takeRetry(true)) return this._trace.notHandedOver(from, 'no attempt or retry left');
     const { server } = found;
     const startedAt = this._services.clock.now();
     this._handover = StreamHandover.begin({
--- a/src/serving/requestTrace.ts
+++ b/src/serving/requestTrace.ts
@@ -16,6 +16,7 @@
   private readonly _metrics: ServingMetrics;
   private readonly _clock: Clock;
   private readonly _startedAt: number;
+  private _stays = false;
 
   constructor(request: AdmittedRequest, log: EventLog, metrics: ServingMetrics, clock: Clock) {
     this._request = request;
@@ -52,6 +53,14 @@
     });
   }
 
+  /** A stream stays at a server that is about to change its version; logged once. */
+  notHandedOver(server: TrackedServer, reason: string): void {
+    if (this._stays) return;
+    this._stays = true;
+    this._metrics.count(`handovers_refused_total{reason="${reason}"}`);
+    this._log.decision('request.not-handed-over', { request: this._id, server: server.record.id, reason });
+  }
+
   retried(): void {
     this._metrics.retried(this._request.service);
   }
@@ -64,13 +73,14 @@
   ): void {
     const milliseconds = Math.round(this._clock.now() - this._startedAt);
     this._metrics.requestEnded(this._request.service, outcome, milliseconds);
-    const route = this._request.route.name;
+    const { name: route, objectiveMilliseconds } = this._request.route;
     const firstAt = stream?.firstAt ?? 0;
     this._log.decision(`request.${outcome}`, {
       request: this._id,
       route,
       attempts,
       milliseconds,
+      objectiveMilliseconds,
       firstMilliseconds: firstAt > 0 ? Math.round(firstAt - this._startedAt) : undefined,
       pauseMilliseconds: stream ? Math.round(stream.longestPause) : undefined,
       ...fields,
--- a/src/serving/retryAllowance.ts
+++ b/src/serving/retryAllowance.ts
@@ -11,7 +11,7 @@
 }
 
 /** Parts of the bound that are used, to leave room for what other entries count otherwise. */
-const SAFETY = 0.75;
+const SAFETY = 0.85;
 const SLICES = 20;
 
 interface Slice {
--- a/src/staging/switchTurn.ts
+++ b/src/staging/switchTurn.ts
@@ -27,7 +27,7 @@
 }
 
 /** How long a box prepares: about half of the streams that it holds end meanwhile and need not be handed over. */
-export const PREPARING_MILLISECONDS = 300;
+export const PREPARING_MILLISECONDS = 450;
 /** From the beginning of the preparation to serving the new version, as measured on the users' bench. */
 const TURN_MILLISECONDS = 1_100;
 /** The last box begins this long before the bound, so that it is nearly back when entries send no more to the older version. */
--- /dev/null
+++ b/tests/lossTable.spec.ts
@@ -0,0 +1,41 @@
+/** The table of losses, from log lines. */
+import { Readable } from 'node:stream';
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { lossText, readLosses } from '../src/cli/lossTable.js';
+
+const START = 1_000_000;
+
+function line(step: string, atSeconds: number, fields: object = {}): string {
+  const milliseconds = 500;
+  const time = START + atSeconds * 1_000 + milliseconds;
+  const all = { time, step, route: 'r', attempts: 1, milliseconds, objectiveMilliseconds: 400, ...fields };
+  return `12.5 gateway-1 ${JSON.stringify(all)}\n`;
+}
+
+test('should count how requests ended by the second in which they began, and by route', async () => {
+  const log = [
+    line('request.answered', 0, { firstMilliseconds: 100, pauseMilliseconds: 60 }),
+    line('request.answered', 0.5, { firstMilliseconds: 450, pauseMilliseconds: 60, attempts: 2 }),
+    line('request.answered', 1.2, { firstMilliseconds: 100, pauseMilliseconds: 350, route: 's' }),
+    line('request.refused', 1.4),
+    'no line of ours\n',
+  ];
+  const rows = await readLosses(Readable.from(log), 300);
+  expect(rows.map(({ group }) => group)).toEqual(['second 0', 'second 1', 'route r', 'route s']);
+  expect(rows[0]).toLooseEqual({
+    group: 'second 0',
+    moved: 1,
+    ends: {
+      'in-time': 1,
+      'late-first': 1,
+      'late-midway': 0,
+      refused: 0,
+      failed: 0,
+      cut: 0,
+      'caller-gone': 0,
+    },
+  });
+  expect([rows[1].ends['late-midway'], rows[1].ends.refused]).toEqual([1, 1]);
+  expect(lossText(rows).length).toEqual(5);
+});
