An engine counts as full at 0.95 of its batch

Hypothesis: at 0.9 one place of 16 stays unused under overload, while load reports lag less than one request since prompts count until their first event.

--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -51,7 +51,7 @@
 /** Servers are alike that differ by less than a prompt to read: another entry may have sent it one already. */
 const TIE_PROMPTS = 0.8;
 /** Load is told with a lag of some 100 ms, in which one or two requests arrive: a full batch makes all of them late. */
-const FULLEST_ENGINE = 0.9;
+const FULLEST_ENGINE = 0.95;
 /** Streams that are handed over have been admitted, and keep their server from its next version. */
 const FULLEST_FOR_HANDOVERS = 1.1;
 
