An engine counts as full at its whole batch; at most three entries are taken to send at the same moment; names

Of more than three entries in a data centre, one prompt not yet read would have counted as so many that a server seemed too busy for anything (39 entries on the grown deployment; from the figures, not measured).

--- a/src/serving/agentNews.ts
+++ b/src/serving/agentAnnouncements.ts
@@ -1,15 +1,15 @@
 /** What this entry tells the agents beside backend servers: itself, the wanted versions, and who their peers are. */
 import type { AgentAddress, AgentList, EntryAddress, EntryPresence } from '../protocol/boxMessages.js';
 import { hostOf } from '../utils/hostPort.js';
-import { rendezvousOrder } from '../utils/rendezvous.js';
+import { isAmongFirst } from '../utils/rendezvous.js';
 import type { ConfigurationHolder } from './configurationHolder.js';
 import type { EntryDirectory } from './entryDirectory.js';
 import type { ServerPool } from './serverPool.js';
 import type { ServiceDescription } from './servingConfiguration.js';
 import type { VersionGate } from './versionGate.js';
 
-/** What the news are read from. */
-export interface AgentNewsOptions {
+/** What the announcements are made from. */
+export interface AgentAnnouncementsOptions {
   own: EntryAddress;
   /** Control port of agents. */
   agentPort: number;
@@ -21,18 +21,18 @@
   revision: () => number;
 }
 
-/** Entries that tell an agent who its peers are. */
-const TELLERS = 3;
+/** Entries that tell an agent who its peers are: any of them may be lost, and more would only repeat it. */
+const LISTING_ENTRIES = 3;
 
-export class AgentNews {
-  private readonly _options: AgentNewsOptions;
-  /** Agents by service; the same array until {@link AgentNews.refresh}. */
+export class AgentAnnouncements {
+  private readonly _options: AgentAnnouncementsOptions;
+  /** Agents by service; the same array until {@link AgentAnnouncements.refresh}. */
   private readonly _agents = new Map<string, AgentAddress[]>();
-  /** Whether this entry is one of an agent's tellers, for the entries that are live now. */
-  private readonly _tells = new Map<string, boolean>();
-  private _tellsFor: readonly EntryAddress[] = [];
+  /** Whether this entry is one of the few that tell an agent, for the entries that are live now. */
+  private readonly _lists = new Map<string, boolean>();
+  private _listsAreFor: readonly EntryAddress[] = [];
 
-  constructor(options: AgentNewsOptions) {
+  constructor(options: AgentAnnouncementsOptions) {
     this._options = options;
   }
 
@@ -58,24 +58,24 @@
 
   /** A few entries, the same ones as all others work out, tell an agent who its peers are. */
   agentList(agent: AgentAddress): AgentList | undefined {
-    if (!this._isTeller(agent.box)) return undefined;
+    if (!this._listsFor(agent.box)) return undefined;
     const { pool, revision } = this._options;
     const service = pool.serviceAt(hostOf(agent.address));
     return { type: 'agent-list', revision: revision(), agents: this._agentsOf(service) };
   }
 
-  private _isTeller(box: string): boolean {
+  /** Whether this entry is one of the few that tell the agent on `box`. */
+  private _listsFor(box: string): boolean {
     const { entries, own } = this._options;
     const live = entries.live();
-    if (live !== this._tellsFor) this._tells.clear();
-    this._tellsFor = live;
-    let tells = this._tells.get(box);
-    if (tells === undefined) {
-      const tellers = rendezvousOrder(box, live, (entry) => entry.box).slice(0, TELLERS);
-      tells = tellers.some((entry) => entry.box === own.box);
-      this._tells.set(box, tells);
+    if (live !== this._listsAreFor) this._lists.clear();
+    this._listsAreFor = live;
+    let lists = this._lists.get(box);
+    if (lists === undefined) {
+      lists = isAmongFirst(LISTING_ENTRIES, own.box, box, live);
+      this._lists.set(box, lists);
     }
-    return tells;
+    return lists;
   }
 
   private _services(): Iterable<ServiceDescription> {
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -133,7 +133,7 @@
 
   /** The answer is for another request: nothing of this connection can be trusted. */
   private _onForeignAnswer(server: TrackedServer): void {
-    this._leave('foreign-answer');
+    this._endAttempt('foreign-answer');
     this._afterFailure(server, { sent: true, reason: 'foreign-answer' });
   }
 
@@ -212,7 +212,7 @@
   }
 
   private _takeBack({ server }: BackendCall): void {
-    this._leave('not-needed');
+    this._endAttempt('not-needed');
     this._afterFailure(server, { sent: true, reason: 'not begun before the bound of its version' });
   }
 
@@ -226,7 +226,7 @@
       streamSilentFor: this._answer && this._relay?.begun ? this._relay.silentFor() : undefined,
     });
     if (!silent || !this._takeRetry()) return;
-    this._leave('silent');
+    this._endAttempt('silent');
     this._mayHaveRun = true;
     server.health.note('silent');
     this._trace.attemptFailed(server, { sent: true, reason: 'silent' }, waited);
@@ -258,7 +258,7 @@
     if (this._call) {
       const waited = this._services.clock.now() - this._attemptStartedAt;
       this._trace.attemptFailed(this._call.server, { sent: true, reason: 'switching' }, waited);
-      this._leave('not-needed');
+      this._endAttempt('not-needed');
     }
     this._mayHaveRun = true;
     this._call = call;
@@ -283,7 +283,7 @@
 
   private _onTimeOver(): void {
     const sent = this._mayHaveRun || this._call?.sent === true;
-    this._leave('time-over');
+    this._endAttempt('time-over');
     if (this._relay?.begun) return this._final.cut('time over');
     if (sent) return this._final.refuse(OWN_STATUS.timeOver, 'time over');
     this._final.refuse(OWN_STATUS.notRun, 'time over before the request was sent', 0);
@@ -291,12 +291,12 @@
 
   private _onCallerGone(): void {
     if (this._final.given) return;
-    this._leave('caller-gone');
+    this._endAttempt('caller-gone');
     this._final.callerGone();
   }
 
   /** Ends the attempt under way, if there is one. */
-  private _leave(reason: AbortReason): void {
+  private _endAttempt(reason: AbortReason): void {
     const call = this._call;
     if (call) this._forgetCall(call.server);
     call?.abort(reason);
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -10,7 +10,7 @@
 import { hostOf, splitAddress } from '../utils/hostPort.js';
 import { errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
-import { AgentNews } from './agentNews.js';
+import { AgentAnnouncements } from './agentAnnouncements.js';
 import { BoxLinks } from './boxLinks.js';
 import { CallerServer } from './callerServer.js';
 import { ConfigurationHolder } from './configurationHolder.js';
@@ -62,7 +62,7 @@
   private readonly _pool: ServerPool;
   private readonly _gate: VersionGate;
   private readonly _links: BoxLinks;
-  private readonly _news: AgentNews;
+  private readonly _announcements: AgentAnnouncements;
   private readonly _followers: PlatformFollowers;
   private readonly _admission: RequestAdmission;
   private readonly _forward: ForwardServices;
@@ -104,8 +104,8 @@
       },
       random,
       log: parts.log,
-      presence: (agent) => this._news.presence(agent),
-      agentList: (agent) => this._news.agentList(agent),
+      presence: (agent) => this._announcements.presence(agent),
+      agentList: (agent) => this._announcements.agentList(agent),
       onStatus: (agent, status) => this._pool.noteStatus(hostOf(agent.address), status),
       onEntries: (agent, list) => {
         this._entries.report(agent.box, list.entries);
@@ -114,7 +114,7 @@
       onDown: (agent) => this._entries.forget(agent.box),
     });
     this._followers = new PlatformFollowers(parts.platform, clock, random, parts.log);
-    this._news = new AgentNews({
+    this._announcements = new AgentAnnouncements({
       own: this._own,
       agentPort: settings.agentPort,
       configuration: this._configuration,
@@ -263,8 +263,8 @@
   }
 
   private _wantAgents(): void {
-    this._news.refresh();
-    this._links.want(this._news.all());
+    this._announcements.refresh();
+    this._links.want(this._announcements.all());
     this._links.announce();
   }
 
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -86,7 +86,7 @@
     return this._unreachable < MOST_UNREACHABLE && this.leftMilliseconds > SHORTEST_ATTEMPT_MILLISECONDS;
   }
 
-  /** Takes the leave for one more attempt: the route, the time left, a server and the retry budget must allow it. */
+  /** Takes permission for one more attempt: the route, the time left, a server and the retry budget must allow it. */
   takeRetry(isHandover = false): boolean {
     const { route, retries } = this._request;
     if (this._count >= route.attempts || this.leftMilliseconds < SHORTEST_ATTEMPT_MILLISECONDS) return false;
--- a/src/serving/retryAllowance.ts
+++ b/src/serving/retryAllowance.ts
@@ -39,7 +39,7 @@
     this._current().requests++;
   }
 
-  /** Takes the leave for one more arrival of a request; false when there is none. */
+  /** Takes permission for one more arrival of a request; false when there is none. */
   takeRetry(): boolean {
     const current = this._current();
     const requests = this._slices.reduce((sum, slice) => sum + slice.requests, 0);
--- a/src/serving/serverHealth.ts
+++ b/src/serving/serverHealth.ts
@@ -39,7 +39,7 @@
     return this._failures / (this._failures + this._successes + PRIOR_SUCCESSES);
   }
 
-  /** Recent time to the first answer, in milliseconds; fades when there is no news, so that the server is tried again. */
+  /** Recent time to the first answer, in milliseconds; fades while nothing is measured, so that the server is tried again. */
   get firstAnswerMilliseconds(): number {
     const age = this._clock.now() - this._firstAnswerAt;
     return this._firstAnswer * 0.5 ** (age / HALF_LIFE_MILLISECONDS);
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -48,10 +48,12 @@
 /** Prompts that a server reads, and steps that it takes, until the first event of a stream. */
 const USUAL_FIRST_READS = 3;
 const USUAL_FIRST_STEPS = 12;
+/** Entries that are taken to send to a server at the same moment: more would send to different ones. */
+const MOST_SHARERS = 3;
 /** Servers are alike that differ by less than a prompt to read: another entry may have sent it one already. */
 const TIE_PROMPTS = 0.8;
-/** Load is told with a lag of some 100 ms, in which one or two requests arrive: a full batch makes all of them late. */
-const FULLEST_ENGINE = 0.95;
+/** Requests beyond the batch wait for one to end: several times the objective, and with them all that come after. */
+const FULLEST_ENGINE = 1;
 /** Streams that are handed over have been admitted, and keep their server from its next version. */
 const FULLEST_FOR_HANDOVERS = 1.1;
 
@@ -160,7 +162,9 @@
     const connections = new BackendConnections({ address, connectMilliseconds: CONNECT_MILLISECONDS, limit });
     const { clock, hall, entriesNear, entries } = this._options;
     const sharers = (): number => (record.hall === hall ? entriesNear() : entries() - entriesNear());
-    return new TrackedServer(record, connections, clock, () => Math.max(1, sharers()));
+    return new TrackedServer(record, connections, clock, () =>
+      Math.min(MOST_SHARERS, Math.max(1, sharers())),
+    );
   }
 
   private _candidate(server: TrackedServer, need: ServerNeed): Candidate {
--- a/src/staging/connectedEntries.ts
+++ b/src/staging/connectedEntries.ts
@@ -5,10 +5,10 @@
 import type { Member } from '../protocol/rolloutMessages.js';
 import { Gathered } from '../utils/gathered.js';
 import type { StatusAudience } from './statusSender.js';
-import { compareText, rendezvousOrder } from '../utils/rendezvous.js';
+import { compareText, isAmongFirst } from '../utils/rendezvous.js';
 
-/** Agents that tell an entry who the other entries are. */
-const TELLERS = 4;
+/** Agents that tell an entry who the other entries are: any of them may be lost, and more would only repeat it. */
+const LISTING_AGENTS = 4;
 const GATHER_MILLISECONDS = 15;
 
 /** Where this agent is. */
@@ -68,7 +68,7 @@
 
   /** Tells the entries for which this agent is one of the few that do, as all agents work out alike. */
   private _tell(): void {
-    const told = [...this._entries].filter(([, entry]) => this._isTellerOf(entry.box));
+    const told = [...this._entries].filter(([, entry]) => this._listsFor(entry.box));
     const entries = [...this._entries.values()].sort((a, b) => compareText(a.box, b.box));
     ControlConnection.broadcast(
       told.map(([connection]) => connection),
@@ -76,9 +76,8 @@
     );
   }
 
-  private _isTellerOf(entry: string): boolean {
+  private _listsFor(entry: string): boolean {
     const members = this._members();
-    const tellers = rendezvousOrder(entry, members, (member) => member.box).slice(0, TELLERS);
-    return members.length === 0 || tellers.some((member) => member.box === this._place.box);
+    return members.length === 0 || isAmongFirst(LISTING_AGENTS, this._place.box, entry, members);
   }
 }
--- a/src/staging/statusSender.ts
+++ b/src/staging/statusSender.ts
@@ -11,7 +11,7 @@
  */
 const SPACING_PER_ENTRY_MILLISECONDS = 10;
 const FAR_SPACING_PER_ENTRY_MILLISECONDS = 25;
-/** A status is sent so often even when nothing has changed, so that entries know how fresh their news is. */
+/** A status is sent so often even when nothing has changed, so that entries know how old their reports are. */
 const LONGEST_MILLISECONDS = 1_000;
 
 /** Who hears a status: all entries, or only those of the own hall. */
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -37,9 +37,9 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const DRAW_INTERVAL_MILLISECONDS = 100;
-/** How long a box that comes late waits for news of what the others hold before it draws. */
-const NEWS_MILLISECONDS = 400;
-/** A version that was named so recently is nowhere yet, so that there is no news to wait for. */
+/** How long a box that comes late waits to hear what the others hold before it draws. */
+const HEARING_MILLISECONDS = 400;
+/** A version that was named so recently is nowhere yet, so that there is nothing to wait for. */
 const NEW_VERSION_MILLISECONDS = 1_000;
 
 /** The name of a rollout: the same at every box. */
@@ -173,7 +173,7 @@
     this._drawScarce();
     const now = this._options.clock.now();
     const isNew = this._startedAt - this.namedAt < NEW_VERSION_MILLISECONDS;
-    if (!isNew && now - this._startedAt < NEWS_MILLISECONDS) return;
+    if (!isNew && now - this._startedAt < HEARING_MILLISECONDS) return;
     const order = drawOrder(this.exchange.rollout, this._reachableMembers());
     const unseen = this.exchange.unseenChunks();
     this._progress.update(order, unseen, now);
