Order a server only when nothing that has not begun waits at it

Ruled out: a reset in place of a close (the server began the request all the same). Change: after the notice to the entries an order waits until nothing queues at the server, 100 ms at least and 300 at most.

--- a/src/staging/switchTurn.ts
+++ b/src/staging/switchTurn.ts
@@ -75,3 +75,25 @@
 function startedFor({ stage, stageMilliseconds }: SwitchPeer): number {
   return stage === 'switching' ? stageMilliseconds + PREPARING_MILLISECONDS : stageMilliseconds;
 }
+
+/** How a server stands whose entries have been told that it is about to switch. */
+export interface SwitchNotice {
+  /** Milliseconds since they were told. */
+  noticeMilliseconds: number;
+  /** Requests that the server has and has not begun. */
+  waiting: number;
+}
+
+/** Time in which entries hear the notice, and requests that crossed it arrive: some 20 ms each, with a margin. */
+const SHORTEST_NOTICE_MILLISECONDS = 100;
+/** Time in which requests that crossed the notice have begun but for a few; waiting longer would cost too much. */
+const LONGEST_NOTICE_MILLISECONDS = 300;
+
+/**
+ * Whether the server may be ordered to take its next version. A request that has not begun by then would begin later if
+ * anything holds the box up at this moment, and that may be after the bound of its version.
+ */
+export function mayOrder({ noticeMilliseconds, waiting }: SwitchNotice): boolean {
+  if (noticeMilliseconds >= LONGEST_NOTICE_MILLISECONDS) return true;
+  return waiting === 0 && noticeMilliseconds >= SHORTEST_NOTICE_MILLISECONDS;
+}
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -9,7 +9,7 @@
 import type { LocalBackend, LocalBackendStatus } from './localBackend.js';
 import type { StageQueue } from './stageQueue.js';
 import type { SwitchPeer, SwitchStage } from './switchTurn.js';
-import { PREPARING_MILLISECONDS, maySwitch } from './switchTurn.js';
+import { PREPARING_MILLISECONDS, maySwitch, mayOrder } from './switchTurn.js';
 import type { VersionStage } from './versionStage.js';
 
 /** What the reconciler works with. */
@@ -29,8 +29,6 @@
 
 const POLL_MILLISECONDS = 120;
 const SWITCHING_POLL_MILLISECONDS = 40;
-/** How long entries have to hear that a switch begins before it does. */
-const NOTICE_MILLISECONDS = 60;
 /** An order that has shown no effect for so long, though the backend server does nothing, is given again. */
 const IDLE_ORDER_MILLISECONDS = 300;
 /** The same while the backend server is busy. */
@@ -191,8 +189,7 @@
       return;
     }
     onChange();
-    if (!isEmpty) await pause(NOTICE_MILLISECONDS);
-    const { revision } = await backend.status();
+    const revision = await this._revisionToOrder(isEmpty || this._isLate(stage));
     const outcome = await backend.startVersion(stage.model, stage.version, revision);
     this._orderedAt = clock.now();
     log.state('version.ordered', {
@@ -205,4 +202,17 @@
     });
     if (outcome === 'refused') this._switchingTo = 0;
   }
+
+  /** Waits until the server may be ordered, and returns its revision then. */
+  private async _revisionToOrder(isUnused: boolean): Promise<number> {
+    const { backend, clock } = this._options;
+    const noticedAt = clock.now();
+    for (;;) {
+      this._stopped.signal.throwIfAborted();
+      const { revision, queued } = await backend.status();
+      const noticeMilliseconds = clock.now() - noticedAt;
+      if (isUnused || mayOrder({ noticeMilliseconds, waiting: queued })) return revision;
+      await pause(SWITCHING_POLL_MILLISECONDS, this._stopped.signal);
+    }
+  }
 }
--- a/tests/stagingDecisions.spec.ts
+++ b/tests/stagingDecisions.spec.ts
@@ -10,7 +10,7 @@
   firstDrawers,
 } from '../src/staging/drawSchedule.js';
 import type { SwitchPeer, SwitchSituation } from '../src/staging/switchTurn.js';
-import { maySwitch } from '../src/staging/switchTurn.js';
+import { mayOrder, maySwitch } from '../src/staging/switchTurn.js';
 
 const HALLS = ['north', 'south', 'west'];
 const CHUNKS = 48;
@@ -155,3 +155,14 @@
 test('should switch alone', () => {
   expect(maySwitch(situation({ peers: [], order: ['box-0'] }))).toEqual(true);
 });
+
+for (const [what, noticeMilliseconds, waiting, may] of [
+  ['whose entries may not have heard of it', 70, 0, false],
+  ['with requests that have not begun', 200, 1, false],
+  ['without requests that have not begun', 110, 0, true],
+  ['that has had time enough', 300, 3, true],
+] as const) {
+  test(`should ${may ? 'order' : 'not yet order'} a server ${what}`, () => {
+    expect(mayOrder({ noticeMilliseconds, waiting })).toEqual(may);
+  });
+}
