--- a/src/serving/answerJudgement.ts
+++ b/src/serving/answerJudgement.ts
@@ -45,14 +45,16 @@
 const STREAM_SILENCE_MILLISECONDS = 900;
 
 /**
- * Streams at a server that is about to take another version are handed over to others after a time of up to this, so that
- * they do not all meet on the others at once. A prompt takes some 40 ms to read, and a server hands some 10 over.
+ * Streams at a server that is about to take another version are handed over to others after a time from this range, so
+ * that they do not all meet on the others at once. Most end by themselves before: their prompts need not be read again.
  */
-const LONGEST_HANDOVER_DELAY_MILLISECONDS = 200;
+const SHORTEST_HANDOVER_DELAY_MILLISECONDS = 500;
+const LONGEST_HANDOVER_DELAY_MILLISECONDS = 1_000;
 
 /** When a stream is handed over after its server has begun to switch; `fraction` is a random number from 0 up to 1. */
 export function handoverDelay(fraction: number): number {
-  return LONGEST_HANDOVER_DELAY_MILLISECONDS * fraction;
+  const range = LONGEST_HANDOVER_DELAY_MILLISECONDS - SHORTEST_HANDOVER_DELAY_MILLISECONDS;
+  return SHORTEST_HANDOVER_DELAY_MILLISECONDS + range * fraction;
 }
 
 /** How an attempt stands; times in milliseconds. */
--- a/tests/gatewayStreams.spec.ts
+++ b/tests/gatewayStreams.spec.ts
@@ -85,7 +85,7 @@
 }
 
 test('should hand a stream over before its server changes its version, without gap, repeat or pause', async () => {
-  await fixture.startEngines([streamsOn(20, 60), streamsOn(20, 60)], STREAM);
+  await fixture.startEngines([streamsOn(20, 150), streamsOn(20, 150)], STREAM);
   const asked = fixture.ask();
   await until(() => fixture.arrivals === 1);
   const first = fixture.backends[0].arrived.length === 1 ? 0 : 1;
@@ -93,14 +93,14 @@
   await until(() => fixture.backends[first].closed === 1);
   const answer = await asked;
   const ids = [...answer.body.matchAll(/id: (\d+)/g)].map((match) => Number(match[1]));
-  expect(ids).toEqual(Array.from({ length: 60 }, (_unused, index) => index + 1));
+  expect(ids).toEqual(Array.from({ length: 150 }, (_unused, index) => index + 1));
   expect([answer.whole, fixture.arrivals]).toEqual([true, 2]);
   expect(fixture.backends[1 - first].arrived[0].headers.has('last-event-id')).toEqual(true);
 });
 
 test('should go on at the first server when the one that a stream is handed over to fails', async () => {
   let arrived = 0;
-  const script: Script = (request) => (arrived++ === 0 ? streamsOn(20, 40) : rejects)(request);
+  const script: Script = (request) => (arrived++ === 0 ? streamsOn(20, 150) : rejects)(request);
   await fixture.startEngines([script, script], STREAM);
   const asked = fixture.ask();
   await until(() => fixture.arrivals === 1);
@@ -108,7 +108,7 @@
   tellState(first === 0 ? ['switching', 'serving'] : ['serving', 'switching']);
   const answer = await asked;
   expect([answer.whole, fixture.arrivals]).toEqual([true, 2]);
-  expect(answer.body).toEqual(events(...Array.from({ length: 40 }, (_unused, index) => index + 1)));
+  expect(answer.body).toEqual(events(...Array.from({ length: 150 }, (_unused, index) => index + 1)));
 });
 
 test('should wait for the handover when the first server breaks off meanwhile', async () => {
