A handover that fails at once leaves nothing behind

Cause, from reading: a call that fails before 'begin' returns would have left the request with a handover that never ends, and counted a stream's end without its beginning; an idle connection that has just been closed may do so. The server counts the stream before the call is sent now, and a handover that has ended is not kept.

--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -81,12 +81,12 @@
     const call = BackendCall.send(server, this._outgoing(server), this._listenerFor(server));
     if (!call) return this._giveUp('all-busy');
     this._call = call;
+    if (this._relay) server.streamBegan();
     this._noteAttempt(server);
   }
 
   private _noteAttempt(server: TrackedServer): void {
     this._attempts.noteSent(server);
-    if (this._relay) server.streamBegan();
     this._trace.sent(server, this._attempts.count);
   }
 
--- a/src/serving/streamHandover.ts
+++ b/src/serving/streamHandover.ts
@@ -39,17 +39,18 @@
     );
   }
 
-  /** Sends the request; undefined when the server's connections are all in use. */
+  /** Sends the request; undefined when the server's connections are all in use, or when it has failed at once. */
   static begin(options: StreamHandoverOptions): StreamHandover | undefined {
     const handover = new StreamHandover(options);
+    options.server.streamBegan();
     handover._call = BackendCall.send(options.server, options.request, {
       onHead: (status, headers) => handover._onHead(status, headers),
       onData: (bytes) => handover._onData(bytes),
       onEnd: () => handover._onEnd(),
       onFailed: (failure) => handover._onFailed(failure),
     });
-    if (handover._call) return handover;
-    clearTimeout(handover._timer);
+    if (handover._call) return handover._state === 'ended' ? undefined : handover;
+    handover._end('ended');
     return undefined;
   }
 
