Never say 'not run' while a handover is under way

Cause, from reading: a stream whose first server rejects it while a second one has been asked was refused with 503 when its time was over in that moment, though the second server may have run it. The test fails without the change.

--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -282,7 +282,7 @@
   }
 
   private _onTimeOver(): void {
-    const sent = this._mayHaveRun || this._call?.sent === true;
+    const sent = this._mayHaveRun || this._handover !== undefined || this._call?.sent === true;
     this._endAttempt('time-over');
     if (this._relay?.begun) return this._final.cut('time over');
     if (sent) return this._final.refuse(OWN_STATUS.timeOver, 'time over');
--- a/tests/gatewayStreams.spec.ts
+++ b/tests/gatewayStreams.spec.ts
@@ -127,6 +127,23 @@
   expect(answer.body).toEqual(events(...Array.from({ length: 20 }, (_unused, index) => index + 1)));
 });
 
+test('should not say that a stream has not run while another server may be running it', async () => {
+  let first: ArrivedRequest | undefined;
+  const rejectsOnceHandedOver: Script = (request) => {
+    if (first) rejects(first);
+    first ??= request;
+  };
+  // over while the handover, which begins after a second at the latest and lasts for 600 ms, is under way
+  const routes = [routeFixture({ kind: 'stream', resumable: true, timeoutMilliseconds: 1_500 })];
+  await fixture.startEngines([rejectsOnceHandedOver, rejectsOnceHandedOver], { routes });
+  const asked = fixture.ask();
+  await until(() => fixture.arrivals === 1);
+  tellState(fixture.backends[0].arrived.length === 1 ? ['switching', 'serving'] : ['serving', 'switching']);
+  const { status } = await asked;
+  expect(fixture.arrivals).toEqual(2);
+  expect([502, 504].includes(status)).toEqual(true);
+});
+
 test('should not let a stream that cannot go on look whole', async () => {
   const script: Script = (request) => {
     streams(events(1))(request);
