--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -43,12 +43,15 @@
   find(isHandover = false): ServerFound {
     const { service, model, route } = this._request;
     const { gate, pool } = this._services;
+    const preferredVersion = gate.preferred(model);
+    // what is handed over late to a server of an older version would have to move again, and may begin there too late
+    const lowestForHandover = isHandover ? preferredVersion : 0;
     return pool.find({
       service,
       model,
-      lowestVersion: gate.lowest(model),
-      lowestVersionSlow: gate.lowest(model, true),
-      preferredVersion: gate.preferred(model),
+      lowestVersion: Math.max(gate.lowest(model), lowestForHandover),
+      lowestVersionSlow: Math.max(gate.lowest(model, true), lowestForHandover),
+      preferredVersion,
       newestVersion: gate.newest(model),
       objectiveMilliseconds: route.objectiveMilliseconds,
       isHandover,
--- a/src/staging/switchTurn.ts
+++ b/src/staging/switchTurn.ts
@@ -31,7 +31,7 @@
 /** From the beginning of the preparation to serving the new version, as measured on the users' bench. */
 const TURN_MILLISECONDS = 1_100;
 /** The last box begins this long before the bound, so that it is nearly back when entries send no more to the older version. */
-const LAST_CALL_MILLISECONDS = LAST_SEND_MARGIN_MILLISECONDS + 600;
+const LAST_CALL_MILLISECONDS = LAST_SEND_MARGIN_MILLISECONDS + 300;
 /** Largest part of the boxes that take their turns at the same time while there is time left. */
 const LARGEST_SHARE = 0.4;
 /** A box that has not taken its turn for so long may be dead: the next one goes on. */
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -32,8 +32,10 @@
 }
 
 /** Part of the rate below which a link counts as slow, and the time after which that can be told. */
-const SLOW_SHARE = 0.45;
+const SLOW_SHARE = 0.38;
 const LEAST_MEASURED_MILLISECONDS = 1_000;
+/** A link that was narrow while chunks came is taken to stay so for a while: squeezes of the users' bench last for 5 to 7 s. */
+const STILL_SLOW_MILLISECONDS = 4_000;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const DRAW_INTERVAL_MILLISECONDS = 100;
@@ -62,7 +64,8 @@
   private readonly _scarce = new ScarceChunks();
   private readonly _redrawn = new Set<number>();
   private _drawTimer: NodeJS.Timeout | undefined;
-  private _completeLogged = false;
+  /** Monotonic milliseconds at which everything was here; infinite before. */
+  private _completedAt = Number.POSITIVE_INFINITY;
 
   constructor(options: VersionStageOptions) {
     this._options = options;
@@ -110,10 +113,12 @@
     return count === 0 ? Number.POSITIVE_INFINITY : (elapsed * (size - count)) / count;
   }
 
-  /** Whether chunks come much more slowly than the box may take them. */
+  /** Whether chunks come much more slowly than the box may take them, or came so until a moment ago. */
   get isSlow(): boolean {
-    const elapsed = this._options.clock.now() - this._startedAt;
-    if (this.complete || elapsed < LEAST_MEASURED_MILLISECONDS) return false;
+    const now = this._options.clock.now();
+    if (now - this._completedAt > STILL_SLOW_MILLISECONDS) return false;
+    const elapsed = Math.min(now, this._completedAt) - this._startedAt;
+    if (elapsed < LEAST_MEASURED_MILLISECONDS) return false;
     const { originBytes, peerBytes, crossHallBytes } = this.exchange.counts;
     const received = originBytes + peerBytes + crossHallBytes;
     return received < (this._options.bytesPerSecond / 1000) * elapsed * SLOW_SHARE;
@@ -223,8 +228,8 @@
       const data = this.chunk(chunk);
       if (data) this._stager.add(chunk, data);
     }
-    if (!this.complete || this._completeLogged) return;
-    this._completeLogged = true;
+    if (!this.complete || this._completedAt < Number.POSITIVE_INFINITY) return;
+    this._completedAt = this._options.clock.now();
     const { counts } = this.exchange;
     this._options.log.state('version.whole', {
       model: this.model,
