--- a/src/serving/serverEligibility.ts
+++ b/src/serving/serverEligibility.ts
@@ -5,13 +5,14 @@
 /** What eligibility depends on. */
 export type VersionedServer = Pick<
   TrackedServer,
-  'version' | 'beginsSoon' | 'switching' | 'agentSilent' | 'suspicious'
+  'version' | 'beginsSoon' | 'switching' | 'agentSilent' | 'suspicious' | 'slowLink'
 >;
 
 /**
  * The servers that hold a version on which the request may begin and are not changing it. A server of an older version
  * that nothing has been heard of may be frozen or cut off, and begin the request only when it is back, after the bound
- * for its version: it is left out as long as there is any other.
+ * for its version; on a narrow link a request may be on its way for as long. Such a server is left out as long as there
+ * is any other.
  */
 export function eligibleServers<Server extends VersionedServer>(
   servers: readonly Server[],
@@ -31,5 +32,5 @@
 
 function mayBeginTooLate(server: VersionedServer, need: ServerNeed): boolean {
   const isOutdated = server.version(need.model) < need.newestVersion;
-  return isOutdated && (server.agentSilent || server.suspicious);
+  return isOutdated && (server.agentSilent || server.suspicious || server.slowLink);
 }
--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -12,7 +12,7 @@
 }
 
 /** Servers that answer late, or are not heard, get nothing on an older version for longer than others. */
-const SLOW_MARGIN_MILLISECONDS = 2_500;
+const SLOW_MARGIN_MILLISECONDS = 1_500;
 /** A request that has not begun on an older version is taken back this long before the bound: time for a reset to arrive. */
 const TAKE_BACK_MARGIN_MILLISECONDS = 200;
 /** Servers of older versions are avoided this long before the bound: before, most of them are of an older one. */
--- a/tests/serverEligibility.spec.ts
+++ b/tests/serverEligibility.spec.ts
@@ -10,7 +10,7 @@
 }
 
 function server(name: string, version: number, changes: Partial<VersionedServer> = {}): NamedServer {
-  const well = { beginsSoon: true, switching: false, agentSilent: false, suspicious: false };
+  const well = { beginsSoon: true, switching: false, agentSilent: false, suspicious: false, slowLink: false };
   return { name, version: () => version, ...well, ...changes };
 }
 
@@ -33,6 +33,7 @@
 for (const [what, changes] of [
   ['whose agent is silent', { agentSilent: true }],
   ['that is silent itself', { suspicious: true }],
+  ['whose link is narrow', { slowLink: true }],
 ] as const) {
   test(`should send nothing to a server of an older version ${what} while there is another`, () => {
     expect(namesOf([server('frozen', 1, changes), server('old', 1)])).toEqual(['old']);
