--- a/src/serving/backendConnections.ts
+++ b/src/serving/backendConnections.ts
@@ -35,7 +35,7 @@
 
   /**
    * Ends the connection with a reset. An ordinary close stands behind the request in the stream: a server that was cut
-   * off or frozen would still begin the request once it can be reached again. After a reset nothing more is delivered.
+   * off would still get the request once it can be reached again. What has reached a frozen box is not taken back by it.
    */
   reset(): void {
     this._socket?.resetAndDestroy();
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -97,8 +97,8 @@
         this._options.log.decision('backend.unreachable', { reason: errorText(error) });
         await pause(RETRY_MILLISECONDS, this._stopped.signal);
       }
-      const isNear = this.switchStage === 'serving' || this.switchStage === 'staging';
-      const wait = isNear ? POLL_MILLISECONDS : SWITCHING_POLL_MILLISECONDS;
+      const isFarFromSwitching = this.switchStage === 'serving' || this.switchStage === 'staging';
+      const wait = isFarFromSwitching ? POLL_MILLISECONDS : SWITCHING_POLL_MILLISECONDS;
       await pause(wait, this._stopped.signal);
     }
   }
