--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -11,6 +11,7 @@
 import type { WeightsShape } from '../standins/weightsFixture.js';
 import { FleetProcess } from './fleetProcess.js';
 import { LoopbackProxy } from './loopbackProxy.js';
+import { PORTS } from './soakPorts.js';
 
 /** How large a fleet is. */
 export interface FleetSize {
@@ -78,14 +79,8 @@
   boxLinkMegabits: 50,
   originLink: { bytesPerSecond: 0, maximumConnections: 1_000 },
 };
-const PORTS = {
-  front: 28_005,
-  ready: 28_002,
-  directory: 28_009,
-  runner: 28_001,
-  proxied: 28_011,
-  own: 28_700,
-};
+/** Entries that the settings of each name, as the platform does. */
+const SEEDS = 3;
 const SHARED_KEY = 'the key of a soak';
 
 /** Bounds that the settings of a process name. */
@@ -268,7 +263,9 @@
         front: `${host}:${PORTS.front}`,
         ready: `${host}:${PORTS.ready}`,
         directory: `${host}:${PORTS.directory}`,
+        control: `${host}:${PORTS.control}`,
       },
+      seeds: Array.from({ length: SEEDS }, (_unused, seed) => `${this._entryHost(seed)}:${PORTS.control}`),
     };
     const entry = this._process(name, 'entry', settings);
     this.entries.push(entry);
--- /dev/null
+++ b/soak/soakPorts.ts
@@ -0,0 +1,10 @@
+/** Ports of the processes of a soak: the same on every loopback address. */
+export const PORTS = {
+  front: 28_005,
+  ready: 28_002,
+  directory: 28_009,
+  control: 28_010,
+  runner: 28_001,
+  proxied: 28_011,
+  own: 28_700,
+} as const;
--- a/src/protocol/boxMessages.ts
+++ b/src/protocol/boxMessages.ts
@@ -10,6 +10,8 @@
   hall: z.string(),
   /** Where callers connect, as host:port. */
   address: z.string(),
+  /** Where control connections are accepted, as host:port. */
+  control: z.string(),
   leaving: z.boolean(),
 });
 export type EntryAddress = z.infer<typeof entryAddressSchema>;
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -8,6 +8,7 @@
   entryPresenceSchema,
   switchStateSchema,
 } from './boxMessages.js';
+import { recordChangesSchema, recordStampSchema, recordSubscribeSchema } from './recordMessages.js';
 import {
   digestMessageSchema,
   entryStateSchema,
@@ -54,6 +55,9 @@
   boxStatusSchema,
   entryListSchema,
   switchStateSchema,
+  recordSubscribeSchema,
+  recordChangesSchema,
+  recordStampSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- /dev/null
+++ b/src/protocol/recordMessages.ts
@@ -0,0 +1,45 @@
+/** Records of the platform's store as entries pass them on to each other. */
+import { z } from 'zod';
+import { countSchema } from './names.js';
+
+const MAXIMUM_LIST = 100_000;
+
+/** Revisions of the store by kind of record. */
+const revisionsSchema = z.record(z.string(), countSchema);
+
+/** Asks an entry for its copies: for how current they are, and for their changes too if `wantsChanges`. */
+export const recordSubscribeSchema = z.object({
+  type: z.literal('record-subscribe'),
+  wantsChanges: z.boolean(),
+  /** What the asking entry holds; copies of the same revision are not sent again. */
+  revisions: revisionsSchema,
+});
+export type RecordSubscribe = z.infer<typeof recordSubscribeSchema>;
+
+/** All objects of a kind if `whole`, else those that have changed, as of `revision`. */
+export const recordChangesSchema = z.object({
+  type: z.literal('record-changes'),
+  kind: z.string(),
+  revision: countSchema,
+  whole: z.boolean(),
+  objects: z
+    .array(z.object({ name: z.string(), revision: countSchema, value: z.unknown() }))
+    .max(MAXIMUM_LIST),
+  gone: z.array(z.string()).max(MAXIMUM_LIST),
+});
+export type RecordChanges = z.infer<typeof recordChangesSchema>;
+
+/** How current the sender's copies are; sent now and then and with each change. */
+export const recordStampSchema = z.object({
+  type: z.literal('record-stamp'),
+  /** Whether the receiver has been sent all changes up to these revisions. */
+  withChanges: z.boolean(),
+  /** Milliseconds since the store last confirmed the copies; null when it never has. */
+  confirmedMilliseconds: z.number().nonnegative().nullable(),
+  /** Milliseconds since the store was regained after an outage; null when it was never lost. */
+  regainedMilliseconds: z.number().nonnegative().nullable(),
+  revisions: revisionsSchema,
+  /** The newest change of each kind that the sender knows. A copy that was confirmed later may lack nothing of it. */
+  newestChanges: revisionsSchema,
+});
+export type RecordStamp = z.infer<typeof recordStampSchema>;
--- a/src/records/kindFollower.ts
+++ b/src/records/kindFollower.ts
@@ -1,46 +1,39 @@
-/** Keeps a copy of all objects of one kind: lists once, then watches, and lists again after any trouble. */
-import { EventEmitter } from 'node:events';
+/** Keeps a copy of all objects of one kind by the store: lists once, then watches, and lists again after any trouble. */
 import type { EventLog } from '../telemetry/eventLog.js';
 import { Backoff } from '../utils/backoff.js';
-import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
 import { errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
-import type { KindChanges, KindListing, StoredObject, WatchableStore } from './watchableStore.js';
+import type { RecordReplica } from './recordReplica.js';
+import type { KindChanges, KindListing, WatchableStore } from './watchableStore.js';
 
 /** What a follower works with. */
 export interface KindFollowerOptions {
-  kind: string;
+  replica: RecordReplica;
   store: WatchableStore;
-  clock: Clock;
   random: Random;
   log: EventLog;
-  /** How long changes are gathered after one, so that many of them cost one call. */
+  /** How long changes are gathered after an urgent one, so that many of them cost one call. */
   gatherMilliseconds: number;
-}
-
-interface KindFollowerEvents {
-  /** The copy has changed. */
-  change: [];
+  /** The same after changes that are not urgent. */
+  gatherMinorMilliseconds: number;
 }
 
 const WATCH_WAIT_MILLISECONDS = 20_000;
 const RETRY = { firstMilliseconds: 80, longestMilliseconds: 600 };
-/** Emits `change` after each listing or change. Nothing is dropped while the store cannot be reached. */
-export class KindFollower extends EventEmitter<KindFollowerEvents> {
-  readonly objects = new Map<string, StoredObject>();
+
+/** Nothing is dropped while the store cannot be reached. */
+export class KindFollower {
   private readonly _options: KindFollowerOptions;
-  private readonly _stopped = new AbortController();
+  private _stopped = new AbortController();
   private _asking = new AbortController();
+  /** Revision from which to watch; undefined when the kind has to be listed. */
   private _revision: number | undefined;
   private _reachable = false;
-  private _lost = false;
-  private _unreachableSince = 0;
-  private _regainedAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: KindFollowerOptions) {
-    super();
     this._options = options;
+    this._stopped.abort();
   }
 
   /** Whether the last call to the store was answered; a watch that waits counts as answered. */
@@ -48,29 +41,19 @@
     return this._reachable;
   }
 
-  /** Milliseconds since the store became unreachable; 0 while it is reachable. */
-  get unreachableFor(): number {
-    return this._reachable ? 0 : this._options.clock.now() - this._unreachableSince;
-  }
-
-  /** Milliseconds since the store became reachable again; infinite when it never was lost. */
-  get regainedFor(): number {
-    return this._options.clock.now() - this._regainedAt;
-  }
-
-  /** Revision of the store that the copy reflects. */
-  get revision(): number {
-    return this._revision ?? 0;
-  }
-
+  /** Begins to follow, with a listing: a watch from the revision of the copy may hang if the store has forgotten it. */
   start(): void {
-    this._unreachableSince = this._options.clock.now();
-    void this._follow();
+    if (!this._stopped.signal.aborted) return;
+    this._revision = undefined;
+    this._stopped = new AbortController();
+    void this._follow(this._stopped.signal);
   }
 
+  /** Ends; {@link KindFollower.start} may follow. */
   stop(): void {
     this._stopped.abort();
     this._asking.abort();
+    this._reachable = false;
   }
 
   /** Lists anew at once: the call under way may never be answered. */
@@ -79,70 +62,60 @@
     this._asking.abort();
   }
 
-  private async _follow(): Promise<void> {
-    const { random, gatherMilliseconds } = this._options;
-    const backoff = new Backoff(RETRY, random);
-    while (!this._stopped.signal.aborted) {
+  private async _follow(stopped: AbortSignal): Promise<void> {
+    const backoff = new Backoff(RETRY, this._options.random);
+    while (!stopped.aborted) {
+      const asking = new AbortController();
+      this._asking = asking;
       try {
-        const answer = await this._ask();
+        const answer = await this._ask(asking.signal);
+        if (stopped.aborted) return;
         this._onAnswer();
-        this._take(answer);
         backoff.reset();
-        if (!('objects' in answer)) await pause(gatherMilliseconds, this._stopped.signal);
+        await pause(this._take(answer), stopped);
       } catch (error) {
-        if (this._asking.signal.aborted) continue;
+        if (stopped.aborted || asking.signal.aborted) continue;
         this._onSilence(errorText(error));
-        await pause(backoff.nextWait(), this._stopped.signal);
+        await pause(backoff.nextWait(), stopped);
       }
     }
   }
 
-  private async _ask(): Promise<KindListing | KindChanges> {
-    const { kind, store } = this._options;
-    this._asking = new AbortController();
-    const { signal } = this._asking;
-    if (this._revision === undefined) return await store.list(kind, signal);
-    return await store.watch(kind, this._revision, WATCH_WAIT_MILLISECONDS, signal);
+  private async _ask(signal: AbortSignal): Promise<KindListing | KindChanges> {
+    const { replica, store } = this._options;
+    if (this._revision === undefined) return await store.list(replica.kind, signal);
+    return await store.watch(replica.kind, this._revision, WATCH_WAIT_MILLISECONDS, signal);
   }
 
-  private _take(answer: KindListing | KindChanges): void {
-    if ('objects' in answer) this._takeListing(answer);
-    else if (answer.kind === 'changes') this._takeChanges(answer);
-    else {
-      this._revision = undefined;
-      this._options.log.state('store.history-lost', { kind: this._options.kind });
+  /** Takes an answer; returns how long to gather what follows, in milliseconds. */
+  private _take(answer: KindListing | KindChanges): number {
+    const { replica, log, gatherMilliseconds, gatherMinorMilliseconds } = this._options;
+    if ('objects' in answer) {
+      replica.takeListing(answer);
+      this._revision = answer.revision;
+      return 0;
     }
-  }
-
-  private _takeChanges({ changes, revision }: Extract<KindChanges, { kind: 'changes' }>): void {
-    for (const { object, gone } of changes) {
-      if (gone) this.objects.delete(object.name);
-      else this.objects.set(object.name, object);
+    if (answer.kind === 'history-lost') {
+      this._revision = undefined;
+      log.state('store.history-lost', { kind: replica.kind });
+      return 0;
     }
-    this._revision = revision;
-    if (changes.length > 0) this.emit('change');
-  }
-
-  private _takeListing(listing: KindListing): void {
-    this.objects.clear();
-    for (const object of listing.objects) this.objects.set(object.name, object);
-    this._revision = listing.revision;
-    this.emit('change');
+    this._revision = answer.revision;
+    const weight = replica.takeChanges(answer.revision, answer.changes);
+    return weight === 'urgent' ? gatherMilliseconds : gatherMinorMilliseconds;
   }
 
   private _onAnswer(): void {
     if (this._reachable) return;
     this._reachable = true;
-    if (this._lost) this._regainedAt = this._options.clock.now();
-    this._options.log.state('store.reachable', { kind: this._options.kind, revision: this.revision });
+    const { replica, log } = this._options;
+    log.state('store.reachable', { kind: replica.kind, revision: replica.revision });
   }
 
   private _onSilence(reason: string): void {
     this._revision = undefined;
-    if (this._stopped.signal.aborted || !this._reachable) return;
+    if (!this._reachable) return;
     this._reachable = false;
-    this._lost = true;
-    this._unreachableSince = this._options.clock.now();
-    this._options.log.state('store.unreachable', { kind: this._options.kind, reason });
+    this._options.log.state('store.unreachable', { kind: this._options.replica.kind, reason });
   }
 }
--- /dev/null
+++ b/src/records/recordRelay.ts
@@ -0,0 +1,94 @@
+/** Passes this process's copies on to the entries that ask for them. */
+import { ControlConnection } from '../protocol/controlConnection.js';
+import type { Message } from '../protocol/message.js';
+import type { RecordChanges, RecordSubscribe } from '../protocol/recordMessages.js';
+import type { RecordReplica, ReplicaChange } from './recordReplica.js';
+import type { RecordState } from './recordState.js';
+
+/** How often listeners are told how current the copies are: they go elsewhere after a second without. */
+const STAMP_INTERVAL_MILLISECONDS = 300;
+
+export class RecordRelay {
+  private readonly _state: RecordState;
+  /** Listeners, and whether each wants changes beside stamps. */
+  private readonly _listeners = new Map<ControlConnection, boolean>();
+  private _timer: NodeJS.Timeout | undefined;
+
+  constructor(state: RecordState) {
+    this._state = state;
+    for (const replica of state.replicas) replica.on('change', (change) => this._onChange(replica, change));
+  }
+
+  /** Entries that listen. */
+  get listeners(): number {
+    return this._listeners.size;
+  }
+
+  /** Serves a connection that another entry opened. */
+  attach(connection: ControlConnection): void {
+    connection.on('message', (message) => {
+      if (message.type === 'record-subscribe') this._subscribe(connection, message);
+    });
+    connection.once('close', () => this._forget(connection));
+    connection.start();
+  }
+
+  /** Tells all listeners at once how current the copies are. */
+  tellStamp(): void {
+    for (const wantsChanges of [true, false]) {
+      this._broadcast(wantsChanges, this._state.stamp(wantsChanges));
+    }
+  }
+
+  close(): void {
+    clearInterval(this._timer);
+    for (const connection of this._listeners.keys()) connection.close('shutting down');
+  }
+
+  private _subscribe(connection: ControlConnection, { wantsChanges, revisions }: RecordSubscribe): void {
+    this._listeners.set(connection, wantsChanges);
+    this._timer ??= setInterval(() => this.tellStamp(), STAMP_INTERVAL_MILLISECONDS);
+    if (wantsChanges) {
+      for (const replica of this._state.replicas) {
+        if (replica.revision > (revisions[replica.kind] ?? 0)) connection.send(wholeOf(replica));
+      }
+    }
+    connection.send(this._state.stamp(wantsChanges));
+  }
+
+  private _forget(connection: ControlConnection): void {
+    this._listeners.delete(connection);
+    if (this._listeners.size > 0) return;
+    clearInterval(this._timer);
+    this._timer = undefined;
+  }
+
+  private _onChange(replica: RecordReplica, change: ReplicaChange): void {
+    this._broadcast(true, change.whole ? wholeOf(replica) : changesOf(replica, change));
+    this._broadcast(true, this._state.stamp(true));
+  }
+
+  private _broadcast(toThoseWithChanges: boolean, message: Message): void {
+    const told = [...this._listeners].filter(([, wantsChanges]) => wantsChanges === toThoseWithChanges);
+    if (told.length === 0) return;
+    ControlConnection.broadcast(
+      told.map(([connection]) => connection),
+      message,
+    );
+  }
+}
+
+function wholeOf({ kind, revision, objects }: RecordReplica): RecordChanges {
+  return { type: 'record-changes', kind, revision, whole: true, objects: [...objects.values()], gone: [] };
+}
+
+function changesOf({ kind, revision }: RecordReplica, { changes }: ReplicaChange): RecordChanges {
+  return {
+    type: 'record-changes',
+    kind,
+    revision,
+    whole: false,
+    objects: changes.filter(({ gone }) => !gone).map(({ object }) => object),
+    gone: changes.filter(({ gone }) => gone).map(({ object }) => object.name),
+  };
+}
--- /dev/null
+++ b/src/records/recordSources.ts
@@ -0,0 +1,207 @@
+/** Carries out from whom this entry takes its copies of the store's records, and whether it reads the store itself. */
+import type { ControlOptions } from '../protocol/controlConnection.js';
+import type { RecordChanges, RecordStamp } from '../protocol/recordMessages.js';
+import type { EventLog } from '../telemetry/eventLog.js';
+import type { Clock } from '../utils/clock.js';
+import { LagWatch } from './lagWatch.js';
+import type { RecordRelay } from './recordRelay.js';
+import type { RecordState } from './recordState.js';
+import { freshnessOf } from './recordState.js';
+import type { RecordSource, SourceChoice } from './sourceChoice.js';
+import { chooseSources } from './sourceChoice.js';
+import { SourceLink } from './sourceLink.js';
+import type { StoreReader } from './storeReader.js';
+
+/** What the sources work with. */
+export interface RecordSourcesOptions {
+  own: RecordSource;
+  seeds: readonly string[];
+  /** Live entries in an order that all of them work out alike. */
+  ranking: () => readonly RecordSource[];
+  state: RecordState;
+  reader: StoreReader;
+  relay: RecordRelay;
+  control: ControlOptions;
+  clock: Clock;
+  log: EventLog;
+}
+
+const TICK_MILLISECONDS = 100;
+/** Three stamps and the way. */
+const SILENT_MILLISECONDS = 1_000;
+/** Two probes of the store, the time-out of one, and a stamp: a reader that is well confirms its copies more often. */
+const UNCONFIRMED_MILLISECONDS = 1_300;
+/** Time that a new source, or this process when it begins to read, has to become current. */
+const OPENING_MILLISECONDS = 1_000;
+/** How long a source is passed over that has failed. */
+const FAILED_MILLISECONDS = 3_000;
+/** The choice to read has to last so long, since entries that start learn of each other one after the other. */
+const SETTLE_MILLISECONDS = 250;
+/** Time after a start in which others may still be starting, so that they are dialled again before they are passed over. */
+const STARTING_MILLISECONDS = 1_500;
+
+export class RecordSources {
+  private readonly _options: RecordSourcesOptions;
+  private readonly _links = new Map<string, SourceLink>();
+  private readonly _failedUntil = new Map<string, number>();
+  private readonly _lag = new LagWatch();
+  private _startedAt = 0;
+  private _shouldReadSince: number | undefined;
+  private _readingSince = 0;
+  private _primary = '';
+  private _timer: NodeJS.Timeout | undefined;
+
+  constructor(options: RecordSourcesOptions) {
+    this._options = options;
+  }
+
+  start(): void {
+    this._startedAt = this._options.clock.now();
+    this._timer = setInterval(() => this._tick(), TICK_MILLISECONDS);
+    this._tick();
+  }
+
+  stop(): void {
+    clearInterval(this._timer);
+    for (const link of this._links.values()) link.close();
+    this._links.clear();
+    this._options.reader.stop();
+  }
+
+  private _tick(): void {
+    this._noteFailures();
+    const { own, seeds, ranking } = this._options;
+    const hasFailed = (address: string): boolean => this._hasFailed(address);
+    const choice = chooseSources({ own, seeds, ranking: ranking(), hasFailed });
+    this._listenTo(choice.sources);
+    this._readIf(choice);
+    this._choosePrimary(choice.sources);
+    this._lookBehind();
+  }
+
+  private _hasFailed(address: string): boolean {
+    return (this._failedUntil.get(address) ?? 0) > this._options.clock.now();
+  }
+
+  private _fail(address: string, reason: string): void {
+    if (this._hasFailed(address)) return;
+    const { clock, log } = this._options;
+    this._failedUntil.set(address, clock.now() + FAILED_MILLISECONDS);
+    this._closeLink(address);
+    log.state('records.source-failed', { source: address, reason });
+  }
+
+  private _noteFailures(): void {
+    for (const [address, link] of this._links) {
+      if (link.silentFor > SILENT_MILLISECONDS) this._fail(address, 'silent');
+      else if (this._isUnconfirmed(link)) this._fail(address, 'does not reach the store');
+    }
+    const { reader, own, clock } = this._options;
+    if (!reader.isReading || clock.now() - this._readingSince < OPENING_MILLISECONDS) return;
+    if (clock.now() - reader.confirmedAt > UNCONFIRMED_MILLISECONDS) this._fail(own.address, 'own reading');
+  }
+
+  private _isUnconfirmed(link: SourceLink): boolean {
+    const now = this._options.clock.now();
+    if (!link.stamp || now - link.openedAt < OPENING_MILLISECONDS) return false;
+    return now - freshnessOf(link.stamp, link.stampedAt).confirmedAt > UNCONFIRMED_MILLISECONDS;
+  }
+
+  private _listenTo(sources: readonly RecordSource[]): void {
+    const wanted = new Set(sources.map(({ address }) => address));
+    for (const address of [...this._links.keys()]) if (!wanted.has(address)) this._closeLink(address);
+    for (const address of wanted) if (!this._links.has(address)) this._openLink(address);
+  }
+
+  private _openLink(address: string): void {
+    const { control, clock, state } = this._options;
+    const link = new SourceLink({
+      address,
+      control,
+      clock,
+      revisions: () => state.revisions,
+      onStamp: (stamp) => this._onStamp(address, stamp),
+      onChanges: (changes) => this._onChanges(changes),
+      onLost: (reason) => this._onLost(address, reason),
+    });
+    this._links.set(address, link);
+  }
+
+  private _closeLink(address: string): void {
+    this._links.get(address)?.close();
+    this._links.delete(address);
+  }
+
+  private _onLost(address: string, reason: string): void {
+    this._links.delete(address);
+    const isStarting = this._options.clock.now() - this._startedAt < STARTING_MILLISECONDS;
+    if (!isStarting) this._fail(address, reason);
+  }
+
+  /** Begins to read when that is wanted for long enough, and ends when others are known to read. */
+  private _readIf({ reads, sources }: SourceChoice): void {
+    const { reader, clock } = this._options;
+    const now = clock.now();
+    this._shouldReadSince = reads ? (this._shouldReadSince ?? now) : undefined;
+    const isSettled =
+      this._shouldReadSince !== undefined && now - this._shouldReadSince >= SETTLE_MILLISECONDS;
+    if (isSettled && !reader.isReading) {
+      this._readingSince = now;
+      reader.start();
+    }
+    if (!reads && reader.isReading && sources.some((source) => this._isCurrent(source.address)))
+      reader.stop();
+  }
+
+  /** Whether a source is known to have the newest copies. */
+  private _isCurrent(address: string): boolean {
+    const link = this._links.get(address);
+    if (!link?.stamp) return false;
+    const { confirmedAt } = freshnessOf(link.stamp, link.stampedAt);
+    return this._options.clock.now() - confirmedAt <= UNCONFIRMED_MILLISECONDS;
+  }
+
+  /** Takes changes from one source, and from none while the own reading is current. */
+  private _choosePrimary(sources: readonly RecordSource[]): void {
+    const { reader, log } = this._options;
+    const isReader = reader.confirmedAt > Number.NEGATIVE_INFINITY;
+    const primary = isReader ? '' : (sources[0]?.address ?? '');
+    for (const [address, link] of this._links) link.want(address === primary);
+    if (primary === this._primary) return;
+    this._primary = primary;
+    log.state('records.source', { source: primary === '' ? 'store' : primary });
+  }
+
+  /** Notices that another source knows of changes that the copies lack: whoever brings them is not to be relied upon. */
+  private _lookBehind(): void {
+    const { state, clock, reader } = this._options;
+    for (const { kind, revision } of state.replicas) {
+      const newest = [...this._links.values()].map((link) => link.stamp?.newestChanges[kind] ?? 0);
+      if (!this._lag.isTooLong(kind, revision, Math.max(0, ...newest), clock.now())) continue;
+      if (reader.confirmedAt > Number.NEGATIVE_INFINITY) reader.refresh();
+      else if (this._primary !== '') this._fail(this._primary, `behind in ${kind}`);
+    }
+  }
+
+  private _onStamp(address: string, stamp: RecordStamp): void {
+    if (address === this._primary && stamp.withChanges) this._options.state.confirmByStamp(stamp);
+  }
+
+  private _onChanges({ kind, revision, whole, objects, gone }: RecordChanges): void {
+    const replica = this._options.state.replica(kind);
+    if (!replica) return;
+    if (whole) return replica.takeListing({ revision, objects: objects.map(toStored) });
+    replica.takeChanges(revision, [
+      ...objects.map((object) => ({ object: toStored(object), gone: false })),
+      ...gone.map((name) => ({ object: { name, revision, value: undefined }, gone: true })),
+    ]);
+  }
+}
+
+function toStored(object: RecordChanges['objects'][number]): {
+  name: string;
+  revision: number;
+  value: unknown;
+} {
+  return { name: object.name, revision: object.revision, value: object.value };
+}
--- /dev/null
+++ b/src/records/recordState.ts
@@ -0,0 +1,84 @@
+/** This process's copies of the store's records, and until when they are known to have been the newest. */
+import type { RecordStamp } from '../protocol/recordMessages.js';
+import type { Clock } from '../utils/clock.js';
+import type { RecordReplica } from './recordReplica.js';
+
+/** Where the copies come from at the moment, as far as their age is concerned. */
+export interface Freshness {
+  /** Monotonic milliseconds; -infinity for never. */
+  confirmedAt: number;
+  regainedAt: number;
+}
+
+export class RecordState {
+  readonly replicas: readonly RecordReplica[];
+  private readonly _clock: Clock;
+  private readonly _ownReading: () => Freshness;
+  private _confirmedAt = Number.NEGATIVE_INFINITY;
+  private _regainedAt = Number.NEGATIVE_INFINITY;
+
+  /** `ownReading` tells how current the copies are if this process reads the store itself. */
+  constructor(replicas: readonly RecordReplica[], clock: Clock, ownReading: () => Freshness) {
+    this.replicas = replicas;
+    this._clock = clock;
+    this._ownReading = ownReading;
+  }
+
+  /** Milliseconds for which the copies have not been confirmed to be the newest; infinite when they never were. */
+  get unconfirmedFor(): number {
+    this.confirm(this._ownReading());
+    return this._clock.now() - this._confirmedAt;
+  }
+
+  /** Milliseconds since the store was regained after an outage; infinite when it never was lost. */
+  get regainedFor(): number {
+    this.confirm(this._ownReading());
+    return this._clock.now() - this._regainedAt;
+  }
+
+  get revisions(): Record<string, number> {
+    return Object.fromEntries(this.replicas.map(({ kind, revision }) => [kind, revision]));
+  }
+
+  replica(kind: string): RecordReplica | undefined {
+    return this.replicas.find((candidate) => candidate.kind === kind);
+  }
+
+  /** Notes how current the copies are; they never become older than they were known to be. */
+  confirm({ confirmedAt, regainedAt }: Freshness): void {
+    this._confirmedAt = Math.max(this._confirmedAt, confirmedAt);
+    this._regainedAt = Math.max(this._regainedAt, regainedAt);
+  }
+
+  /** The same by the stamp of an entry whose changes have all been taken. */
+  confirmByStamp(stamp: RecordStamp): void {
+    this.confirm(freshnessOf(stamp, this._clock.now()));
+    for (const [kind, revision] of Object.entries(stamp.revisions)) {
+      this.replica(kind)?.noteRevision(revision, stamp.newestChanges[kind] ?? 0);
+    }
+  }
+
+  /** `withChanges` says that the receiver has been sent all changes. */
+  stamp(withChanges: boolean): RecordStamp {
+    return {
+      type: 'record-stamp',
+      withChanges,
+      confirmedMilliseconds: finiteOrNull(this.unconfirmedFor),
+      regainedMilliseconds: finiteOrNull(this.regainedFor),
+      revisions: this.revisions,
+      newestChanges: Object.fromEntries(this.replicas.map(({ kind, newestChange }) => [kind, newestChange])),
+    };
+  }
+}
+
+/** The freshness that a stamp tells which came at `now`. */
+export function freshnessOf(stamp: RecordStamp, now: number): Freshness {
+  return {
+    confirmedAt: now - (stamp.confirmedMilliseconds ?? Number.POSITIVE_INFINITY),
+    regainedAt: now - (stamp.regainedMilliseconds ?? Number.POSITIVE_INFINITY),
+  };
+}
+
+function finiteOrNull(milliseconds: number): number | null {
+  return Number.isFinite(milliseconds) ? Math.max(0, milliseconds) : null;
+}
--- a/src/records/storeProbe.ts
+++ b/src/records/storeProbe.ts
@@ -14,18 +14,21 @@
 }
 
 interface StoreProbeEvents {
-  /** The store answers again: watches that were opened before may hang. */
-  regained: [];
+  answered: [];
+  /** The store is silent: watches that were opened before may hang, also once it answers again. */
+  lost: [];
 }
 
-const INTERVAL_MILLISECONDS = 1_000;
+/** With the time-out, the longest time until those who rely on this process know that it has lost the store. */
+const INTERVAL_MILLISECONDS = 500;
 const LOST_INTERVAL_MILLISECONDS = 250;
-const TIMEOUT_MILLISECONDS = 800;
+const TIMEOUT_MILLISECONDS = 600;
 
 export class StoreProbe extends EventEmitter<StoreProbeEvents> {
   private readonly _options: StoreProbeOptions;
-  private readonly _stopped = new AbortController();
-  private _lostAt: number | undefined;
+  private _stopped = new AbortController();
+  private _isLost = false;
+  private _answeredAt = Number.NEGATIVE_INFINITY;
   private _regainedAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: StoreProbeOptions) {
@@ -33,49 +36,53 @@
     this._options = options;
   }
 
-  /** Milliseconds since the store was last known to answer; 0 while it does. */
-  get lostFor(): number {
-    return this._lostAt === undefined ? 0 : this._options.clock.now() - this._lostAt;
+  /** Monotonic milliseconds at which the last probe was sent that was answered; -infinity while the store is lost. */
+  get answeredAt(): number {
+    return this._isLost ? Number.NEGATIVE_INFINITY : this._answeredAt;
   }
 
-  /** Milliseconds since the store was regained; infinite when it never was lost. */
-  get regainedFor(): number {
-    return this._options.clock.now() - this._regainedAt;
+  /** Monotonic milliseconds at which the store was regained; -infinity when it never was lost. */
+  get regainedAt(): number {
+    return this._regainedAt;
   }
 
   start(): void {
-    void this._run();
+    this._stopped = new AbortController();
+    this._answeredAt = Number.NEGATIVE_INFINITY;
+    void this._run(this._stopped.signal);
   }
 
   stop(): void {
     this._stopped.abort();
   }
 
-  private async _run(): Promise<void> {
-    const { signal } = this._stopped;
-    while (!signal.aborted) {
+  private async _run(stopped: AbortSignal): Promise<void> {
+    while (!stopped.aborted) {
       const askedAt = this._options.clock.now();
       try {
-        await this._options.store.probe(TIMEOUT_MILLISECONDS, signal);
-        this._onAnswer();
+        await this._options.store.probe(TIMEOUT_MILLISECONDS, stopped);
+        if (!stopped.aborted) this._onAnswer(askedAt);
       } catch (error) {
-        this._onSilence(askedAt, errorText(error));
+        if (!stopped.aborted) this._onSilence(errorText(error));
       }
-      await pause(this._lostAt === undefined ? INTERVAL_MILLISECONDS : LOST_INTERVAL_MILLISECONDS, signal);
+      await pause(this._isLost ? LOST_INTERVAL_MILLISECONDS : INTERVAL_MILLISECONDS, stopped);
     }
   }
 
-  private _onAnswer(): void {
-    if (this._lostAt === undefined) return;
-    this._options.log.state('store.regained', { milliseconds: Math.round(this.lostFor) });
-    this._lostAt = undefined;
-    this._regainedAt = this._options.clock.now();
-    this.emit('regained');
+  private _onAnswer(askedAt: number): void {
+    this._answeredAt = askedAt;
+    if (this._isLost) {
+      this._isLost = false;
+      this._regainedAt = this._options.clock.now();
+      this._options.log.state('store.regained');
+    }
+    this.emit('answered');
   }
 
-  private _onSilence(askedAt: number, reason: string): void {
-    if (this._stopped.signal.aborted || this._lostAt !== undefined) return;
-    this._lostAt = askedAt;
+  private _onSilence(reason: string): void {
+    if (this._isLost) return;
+    this._isLost = true;
     this._options.log.state('store.lost', { reason });
+    this.emit('lost');
   }
 }
--- /dev/null
+++ b/src/serving/decodedServers.ts
@@ -0,0 +1,35 @@
+/** Records of backend servers, each decoded once. */
+import type { ChangeWeight } from '../records/recordReplica.js';
+import type { StoredObject } from '../records/watchableStore.js';
+import type { BackendServerRecord } from './backendServerRecord.js';
+import type { RecordReader } from './platformRecords.js';
+
+export class DecodedServers {
+  private readonly _reader: RecordReader;
+  private readonly _decoded = new WeakMap<StoredObject, { record: BackendServerRecord | undefined }>();
+
+  constructor(reader: RecordReader) {
+    this._reader = reader;
+  }
+
+  /** The record that an object holds; undefined if it cannot be understood. */
+  of(object: StoredObject): BackendServerRecord | undefined {
+    let decoded = this._decoded.get(object);
+    if (!decoded) {
+      decoded = { record: this._reader.server(object.name, object.value) };
+      this._decoded.set(object, decoded);
+    }
+    return decoded.record;
+  }
+
+  /** How much a change matters to those who choose servers: which version one serves is told sooner by its agent. */
+  weigh(before: StoredObject | undefined, after: StoredObject | undefined): ChangeWeight {
+    const old = before && this.of(before);
+    const next = after && this.of(after);
+    if (!old || !next) return old === next ? 'none' : 'urgent';
+    const { models: oldModels, ...oldPlace } = old;
+    const { models: nextModels, ...nextPlace } = next;
+    if (JSON.stringify(oldPlace) !== JSON.stringify(nextPlace)) return 'urgent';
+    return JSON.stringify(oldModels) === JSON.stringify(nextModels) ? 'none' : 'minor';
+  }
+}
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -1,10 +1,13 @@
 /** Which entries callers may use. Learnt from a few agents, to which every live entry is connected. */
 import type { EntryAddress } from '../protocol/boxMessages.js';
+import type { RecordSource } from '../records/sourceChoice.js';
+import { orderAcrossDataCentres } from '../utils/dataCentreOrder.js';
 import { compareText } from '../utils/rendezvous.js';
 
 /** Fewest entries to name, as long as there are so many. */
 const FEWEST_ENTRIES = 2;
 const MOST_ENTRIES = 64;
+const RECORDS_KEY = 'record-sources';
 /** After a start, so that entries that start together do not each take the whole of a shared bound. */
 const ASSUMED_ENTRIES = 16;
 
@@ -15,6 +18,8 @@
   private _lastKnown: EntryAddress[] = [];
   /** Undefined after a change, until it is asked for. */
   private _live: readonly EntryAddress[] | undefined;
+  private _ranked: readonly RecordSource[] = [];
+  private _rankedFor: readonly EntryAddress[] = [];
 
   constructor(own: EntryAddress) {
     this._own = own;
@@ -44,6 +49,17 @@
     return this._live;
   }
 
+  /** The live entries in the order in which they are asked for records of the store, as all of them work out alike. */
+  recordSources(): readonly RecordSource[] {
+    const live = this.live();
+    if (live !== this._rankedFor) {
+      this._rankedFor = live;
+      const order = orderAcrossDataCentres(RECORDS_KEY, live);
+      this._ranked = order.map(({ box, control }) => ({ box, address: control }));
+    }
+    return this._ranked;
+  }
+
   /** How many entries share the bounds of the whole system; many, until it is known. */
   count(): number {
     return this._lastKnown.length === 0 && this._reports.size === 0
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -1,6 +1,8 @@
 /** An entry that reaches backend servers directly: everything it is made of, put together. */
 import type http from 'node:http';
 import type { EntryAddress } from '../protocol/boxMessages.js';
+import type { ControlOptions } from '../protocol/controlConnection.js';
+import { ControlServer } from '../protocol/controlServer.js';
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { SystemClock } from '../utils/clock.js';
@@ -64,6 +66,7 @@
   private readonly _links: BoxLinks;
   private readonly _announcements: AgentAnnouncements;
   private readonly _followers: PlatformFollowers;
+  private readonly _control: ControlServer;
   private readonly _admission: RequestAdmission;
   private readonly _forward: ForwardServices;
   private readonly _callers: CallerServer;
@@ -80,7 +83,13 @@
     this._settings = settings;
     this._parts = parts;
     this._log = parts.log;
-    this._own = { box: settings.box, hall: settings.hall, address: settings.callerAddress, leaving: false };
+    this._own = {
+      box: settings.box,
+      hall: settings.hall,
+      address: settings.callerAddress,
+      control: settings.controlAddress,
+      leaving: false,
+    };
     this._configuration = new ConfigurationHolder(parts.log);
     this._entries = new EntryDirectory(this._own);
     this._pool = new ServerPool({
@@ -97,21 +106,13 @@
       { switchMilliseconds: settings.versionMilliseconds, startMilliseconds: settings.contactMilliseconds },
       clock,
     );
-    this._links = new BoxLinks({
-      control: {
-        key: settings.sharedKey,
-        identity: { role: 'entry', box: settings.box, hall: settings.hall },
-        peerTimeoutMilliseconds: settings.peerTimeoutMilliseconds,
-      },
-      random,
-      log: parts.log,
-      presence: (agent) => this._announcements.presence(agent),
-      agentList: (agent) => this._announcements.agentList(agent),
-      onStatus: (agent, status) => this._pool.noteStatus(hostOf(agent.address), status),
-      onEntries: (agent, list) => this._entries.report(agent.box, list.entries),
-      onDown: (agent) => this._entries.forget(agent.box),
-    });
-    this._followers = new PlatformFollowers(parts.platform, clock, random, parts.log);
+    this._links = this._createLinks(random);
+    this._followers = this._createFollowers(random);
+    this._control = new ControlServer(
+      this._controlOptions(),
+      (connection) => this._followers.relay.attach(connection),
+      (reason) => this._log.decision('control.refused', { reason }),
+    );
     this._announcements = new AgentAnnouncements({
       own: this._own,
       agentPort: settings.agentPort,
@@ -142,8 +143,9 @@
 
   /** Starts listening and following the platform. Throws when a port is taken. */
   async start(): Promise<void> {
-    const { callerAddress, readyAddress, directoryAddress, metricsAddress } = this._settings;
+    const { callerAddress, readyAddress, directoryAddress, metricsAddress, controlAddress } = this._settings;
     this._addGauges();
+    await this._control.listen(...splitAddress(controlAddress));
     this._follow();
     const [host, port] = splitAddress(callerAddress);
     await this._callers.listen(host, port);
@@ -179,6 +181,7 @@
   /** Closes at once. */
   close(): void {
     this._followers.stop();
+    this._control.close();
     this._links.close();
     this._pool.close();
     this._callers.close();
@@ -198,6 +201,38 @@
     }
   }
 
+  private _controlOptions(): ControlOptions {
+    const { sharedKey, box, hall, peerTimeoutMilliseconds } = this._settings;
+    return { key: sharedKey, identity: { role: 'entry', box, hall }, peerTimeoutMilliseconds };
+  }
+
+  private _createLinks(random: Random): BoxLinks {
+    return new BoxLinks({
+      control: this._controlOptions(),
+      random,
+      log: this._log,
+      presence: (agent) => this._announcements.presence(agent),
+      agentList: (agent) => this._announcements.agentList(agent),
+      onStatus: (agent, status) => this._pool.noteStatus(hostOf(agent.address), status),
+      onEntries: (agent, list) => this._entries.report(agent.box, list.entries),
+      onDown: (agent) => this._entries.forget(agent.box),
+    });
+  }
+
+  private _createFollowers(random: Random): PlatformFollowers {
+    const { box, controlAddress, seeds } = this._settings;
+    return new PlatformFollowers({
+      platform: this._parts.platform,
+      own: { box, address: controlAddress },
+      seeds,
+      ranking: () => this._entries.recordSources(),
+      control: this._controlOptions(),
+      clock: this._clock,
+      random,
+      log: this._log,
+    });
+  }
+
   private _createAdmission(random: Random): RequestAdmission {
     const { retryPercent, retryWindowMilliseconds, retrySlack } = this._settings;
     return new RequestAdmission({
@@ -236,8 +271,8 @@
   }
 
   private _onServers(): void {
-    const objects = [...this._followers.servers.objects.values()];
-    const records = objects.map(({ name, value }) => this._parts.platform.reader.server(name, value));
+    const { servers, decoded } = this._followers;
+    const records = [...servers.objects.values()].map((object) => decoded.of(object));
     const doubtful = this._followers.isEchoing;
     this._pool.update(
       records.filter((record) => record !== undefined),
@@ -271,6 +306,8 @@
     this._metrics.gauge('configuration_version', () => this._configuration.version);
     this._metrics.gauge('agents_connected', () => this._links.connected);
     this._metrics.gauge('entries_live', () => this._entries.count());
+    this._metrics.gauge('reads_store', () => Number(this._followers.isReading));
+    this._metrics.gauge('record_listeners', () => this._followers.relay.listeners);
     this._metrics.gauge('log_lines_dropped', () => this._log.droppedLines);
     this._metrics.gauge('memory_bytes', () => process.memoryUsage.rss());
   }
--- a/src/serving/platformFollowers.ts
+++ b/src/serving/platformFollowers.ts
@@ -1,59 +1,105 @@
 /** The records of the platform that a gateway follows, and whether it can trust its copies. */
 import { KindFollower } from '../records/kindFollower.js';
-import { StoreProbe } from '../records/storeProbe.js';
-import type { EventLog } from '../telemetry/eventLog.js';
-import type { Clock } from '../utils/clock.js';
+import { RecordRelay } from '../records/recordRelay.js';
+import type { WeighChange } from '../records/recordReplica.js';
+import { RecordReplica } from '../records/recordReplica.js';
+import type { RecordSourcesOptions } from '../records/recordSources.js';
+import { RecordSources } from '../records/recordSources.js';
+import { RecordState } from '../records/recordState.js';
+import { StoreReader } from '../records/storeReader.js';
 import type { Random } from '../utils/random.js';
+import { DecodedServers } from './decodedServers.js';
 import type { ServingPlatform } from './platformRecords.js';
 
-/** A copy that has not been confirmed for so long is not trusted to be the newest. */
-const STALE_MILLISECONDS = 1_000;
+/** What the followers work with. */
+export interface PlatformFollowersOptions extends Omit<RecordSourcesOptions, 'state' | 'reader' | 'relay'> {
+  platform: ServingPlatform;
+  random: Random;
+}
+
+/**
+ * A copy that has not been confirmed for so long is not trusted to be the newest: one that comes from another entry is
+ * confirmed every 500 ms there and stamped every 300 ms, and a lost probe takes 600 ms.
+ */
+const STALE_MILLISECONDS = 1_700;
 /** Calls to the store have their price, and servers change many at a time: when they start, switch and leave. */
 const GATHER_SERVERS_MILLISECONDS = 250;
+/** Many servers change only what they hold while they load or switch, which their agents tell as well. */
+const GATHER_MINOR_MILLISECONDS = 700;
 const GATHER_MILLISECONDS = 60;
 /** How long after an outage of the store backend servers may be missing that only could not renew their entries. */
 const OUTAGE_ECHO_MILLISECONDS = 1_500;
 
 export class PlatformFollowers {
-  readonly configuration: KindFollower;
-  readonly servers: KindFollower;
-  readonly versions: KindFollower;
-  private readonly _probe: StoreProbe;
+  readonly configuration: RecordReplica;
+  readonly servers: RecordReplica;
+  readonly versions: RecordReplica;
+  readonly decoded: DecodedServers;
+  readonly relay: RecordRelay;
+  private readonly _state: RecordState;
+  private readonly _reader: StoreReader;
+  private readonly _sources: RecordSources;
 
-  constructor(platform: ServingPlatform, clock: Clock, random: Random, log: EventLog) {
+  constructor(options: PlatformFollowersOptions) {
+    const { platform, clock, log } = options;
     const { store, reader } = platform;
-    const follow = (kind: string, gatherMilliseconds: number): KindFollower =>
-      new KindFollower({ kind, store, clock, random, log, gatherMilliseconds });
-    this.configuration = follow(reader.kinds.configuration, GATHER_MILLISECONDS);
-    this.servers = follow(reader.kinds.servers, GATHER_SERVERS_MILLISECONDS);
-    this.versions = follow(reader.kinds.versions, GATHER_MILLISECONDS);
-    this._probe = new StoreProbe({ store, clock, log });
+    this.decoded = new DecodedServers(reader);
+    const weighServer: WeighChange = (before, after) => this.decoded.weigh(before, after);
+    this.configuration = new RecordReplica(reader.kinds.configuration);
+    this.servers = new RecordReplica(reader.kinds.servers, weighServer);
+    this.versions = new RecordReplica(reader.kinds.versions);
+    this._state = new RecordState(
+      [this.configuration, this.servers, this.versions],
+      clock,
+      () => this._reader,
+    );
+    this.relay = new RecordRelay(this._state);
+    const followers = this._state.replicas.map((replica) => this._followerOf(replica, options));
+    this._reader = new StoreReader({ followers, store, clock, log });
+    this._sources = new RecordSources({
+      ...options,
+      state: this._state,
+      reader: this._reader,
+      relay: this.relay,
+    });
   }
 
   /** Whether the configuration can be trusted to be the newest. */
   get isCurrent(): boolean {
-    return Math.max(this.configuration.unreachableFor, this._probe.lostFor) < STALE_MILLISECONDS;
+    return this._state.unconfirmedFor < STALE_MILLISECONDS;
   }
 
   /** Whether the store was regained so lately that servers may be missing though they run. */
   get isEchoing(): boolean {
-    return Math.min(this.servers.regainedFor, this._probe.regainedFor) < OUTAGE_ECHO_MILLISECONDS;
+    return this._state.regainedFor < OUTAGE_ECHO_MILLISECONDS;
+  }
+
+  /** Whether this process reads the store itself. */
+  get isReading(): boolean {
+    return this._reader.isReading;
   }
 
   start(): void {
-    for (const follower of this._all) follower.start();
-    this._probe.on('regained', () => {
-      for (const follower of this._all) follower.refresh();
-    });
-    this._probe.start();
+    this._sources.start();
   }
 
   stop(): void {
-    for (const follower of this._all) follower.stop();
-    this._probe.stop();
+    this._sources.stop();
+    this.relay.close();
   }
 
-  private get _all(): KindFollower[] {
-    return [this.configuration, this.servers, this.versions];
+  private _followerOf(
+    replica: RecordReplica,
+    { platform, random, log }: PlatformFollowersOptions,
+  ): KindFollower {
+    const isServers = replica === this.servers;
+    return new KindFollower({
+      replica,
+      store: platform.store,
+      random,
+      log,
+      gatherMilliseconds: isServers ? GATHER_SERVERS_MILLISECONDS : GATHER_MILLISECONDS,
+      gatherMinorMilliseconds: isServers ? GATHER_MINOR_MILLISECONDS : GATHER_MILLISECONDS,
+    });
   }
 }
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -7,6 +7,11 @@
   callerAddress: hostPortSetting.describe('where callers connect'),
   readyAddress: hostPortSetting.describe('where readiness is asked for'),
   directoryAddress: hostPortSetting.describe('where callers ask which entries to use'),
+  controlAddress: hostPortSetting.describe('where other entries connect'),
+  seeds: z
+    .array(hostPortSetting)
+    .default([])
+    .describe('control addresses of entries to ask while no other is known, separated by commas'),
   metricsAddress: hostPortSetting.describe('where metrics are read'),
   storeAddress: hostPortSetting.describe('store of the platform'),
   agentPort: numberSetting(1, 65_535, 7_700, 'port').describe('control port of agents'),
--- a/tests/connectedEntries.spec.ts
+++ b/tests/connectedEntries.spec.ts
@@ -26,7 +26,7 @@
 function presence(box: string, changes: Partial<EntryPresence> = {}): EntryPresence {
   return {
     type: 'entry-presence',
-    entry: { box, hall: 'north', address: `${box}:1`, leaving: false },
+    entry: { box, hall: 'north', address: `${box}:1`, control: `${box}:2`, leaving: false },
     wanted: [],
     origin: '',
     hearsStatus: true,
--- /dev/null
+++ b/tests/lagWatch.spec.ts
@@ -0,0 +1,40 @@
+/** When a copy counts as behind that of another source. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { LagWatch } from '../src/records/lagWatch.js';
+
+test('should notice a change that the copy lacks for too long', () => {
+  const lag = new LagWatch();
+  expect(lag.isTooLong('config', 10, 12, 0)).toEqual(false);
+  expect(lag.isTooLong('config', 10, 12, 1_200)).toEqual(false);
+  expect(lag.isTooLong('config', 10, 12, 1_201)).toEqual(true);
+});
+
+test('should say so once, and again only after as long', () => {
+  const lag = new LagWatch();
+  lag.isTooLong('config', 10, 12, 0);
+  expect(lag.isTooLong('config', 10, 12, 2_000)).toEqual(true);
+  expect(lag.isTooLong('config', 10, 12, 2_100)).toEqual(false);
+});
+
+test('should count from the first change that is lacking, and begin anew once that has come', () => {
+  const lag = new LagWatch();
+  lag.isTooLong('config', 10, 12, 0);
+  expect(lag.isTooLong('config', 10, 15, 1_300)).toEqual(true);
+  lag.isTooLong('config', 10, 15, 1_400);
+  expect(lag.isTooLong('config', 15, 16, 2_700)).toEqual(false);
+  expect(lag.isTooLong('config', 15, 16, 2_800)).toEqual(false);
+});
+
+test('should not mind that another source is known to be complete up to a later revision', () => {
+  const lag = new LagWatch();
+  // the other source has listed at 900, and the newest change that it knows is 7
+  expect(lag.isTooLong('config', 10, 7, 0)).toEqual(false);
+  expect(lag.isTooLong('config', 10, 7, 60_000)).toEqual(false);
+});
+
+test('should watch each kind apart', () => {
+  const lag = new LagWatch();
+  lag.isTooLong('config', 10, 12, 0);
+  expect(lag.isTooLong('servers', 10, 12, 2_000)).toEqual(false);
+});
--- a/tests/platformAdapter.spec.ts
+++ b/tests/platformAdapter.spec.ts
@@ -27,7 +27,13 @@
     ttl_max_s: 5,
   },
   platform: { address: '10.200.1.7:8007' },
-  listen: { front: '10.1.0.40:8005', ready: '10.1.0.40:8002', directory: '10.1.0.40:8009' },
+  listen: {
+    front: '10.1.0.40:8005',
+    ready: '10.1.0.40:8002',
+    directory: '10.1.0.40:8009',
+    control: '10.1.0.40:8000',
+  },
+  seeds: ['10.2.0.37:8000', '10.3.0.38:8000'],
   app: '10.1.0.40:8001',
   service: 'advisors',
   unknown_field: { is: 'ignored' },
@@ -55,6 +61,8 @@
   expect(settings.retryPercent).toEqual(20);
   expect(settings.drainMilliseconds).toEqual(8_000);
   expect(settings.agentPort).toEqual(7_700);
+  expect(settings.controlAddress).toEqual('10.1.0.40:8000');
+  expect(settings.seeds).toEqual(['10.2.0.37:8000', '10.3.0.38:8000']);
 });
 
 test('should turn the settings file into settings of an agent', () => {
--- a/tests/platformProcesses.spec.ts
+++ b/tests/platformProcesses.spec.ts
@@ -80,7 +80,7 @@
     limits: { link_mbps: 1000 },
     bounds: { contact_ms: 3000, grace_s: 1.5, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 100 },
     platform: { address: storeUrl.host },
-    listen: { front, ready, directory },
+    listen: { front, ready, directory, control: `${ADDRESS}:${await freePort(ADDRESS)}` },
   };
   const file = path.join(mkdtempSync(path.join(tmpdir(), 'gateway-')), 'boot.json');
   writeFileSync(file, JSON.stringify(settings));
--- a/tests/platformStore.spec.ts
+++ b/tests/platformStore.spec.ts
@@ -3,7 +3,8 @@
 import { expect } from 'earl';
 import { PlatformStore } from '../platform/store.js';
 import { KindFollower } from '../src/records/kindFollower.js';
-import { StoreProbe } from '../src/records/storeProbe.js';
+import { RecordReplica } from '../src/records/recordReplica.js';
+import { StoreReader } from '../src/records/storeReader.js';
 import { EventLog } from '../src/telemetry/eventLog.js';
 import { SystemClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
@@ -13,24 +14,34 @@
 const NEVER = new AbortController().signal;
 let standin: PlatformStoreStandin;
 let store: PlatformStore;
+let replica: RecordReplica;
 let follower: KindFollower;
+let reader: StoreReader | undefined;
 
 beforeEach(async () => {
   standin = new PlatformStoreStandin();
   const url = new URL(await standin.listen());
   store = new PlatformStore(url.host);
   const log = new EventLog({ write: () => undefined }, 'off');
+  replica = new RecordReplica('servers');
   follower = new KindFollower({
-    kind: 'servers',
+    replica,
     store,
-    clock: new SystemClock(),
     random: new SeededRandom(1),
     log,
     gatherMilliseconds: 20,
+    gatherMinorMilliseconds: 20,
   });
 });
 
+function readerOf(one: KindFollower): StoreReader {
+  const log = new EventLog({ write: () => undefined }, 'off');
+  reader = new StoreReader({ followers: [one], store, clock: new SystemClock(), log });
+  return reader;
+}
+
 afterEach(() => {
+  reader?.stop();
   follower.stop();
   standin.close();
 });
@@ -49,7 +60,7 @@
     if (call.includes('since_rev')) standin.put('servers', 'a', 'draining');
   };
   follower.start();
-  await until(() => follower.objects.get('a')?.value === 'draining');
+  await until(() => replica.objects.get('a')?.value === 'draining');
 });
 
 test('should tell changes and deletions after a revision', async () => {
@@ -85,24 +96,24 @@
 test('should follow changes', async () => {
   standin.put('servers', 'a', 1);
   follower.start();
-  await until(() => follower.objects.size === 1);
+  await until(() => replica.objects.size === 1);
   standin.put('servers', 'b', 2);
-  await until(() => follower.objects.size === 2);
+  await until(() => replica.objects.size === 2);
   standin.remove('servers', 'a');
-  await until(() => follower.objects.size === 1);
-  expect([...follower.objects.keys()]).toEqual(['b']);
+  await until(() => replica.objects.size === 1);
+  expect([...replica.objects.keys()]).toEqual(['b']);
 });
 
 test('should gather changes that come together into few calls', async () => {
   standin.put('servers', 'a', 0);
   follower.start();
-  await until(() => follower.objects.has('a'));
+  await until(() => replica.objects.has('a'));
   const before = standin.calls.length;
   for (let change = 1; change <= 50; change++) {
     standin.put('servers', 'a', change);
     await new Promise((resolve) => setImmediate(resolve));
   }
-  await until(() => follower.objects.get('a')?.value === 50);
+  await until(() => replica.objects.get('a')?.value === 50);
   expect(standin.calls.length - before).toBeLessThan(10);
 });
 
@@ -110,46 +121,68 @@
   standin.put('servers', 'a', 1);
   standin.put('servers', 'b', 2);
   follower.start();
-  await until(() => follower.objects.size === 2);
+  await until(() => replica.objects.size === 2);
   standin.faults = { status: 503 };
   // ends a watch that is open already, with nothing of this kind
   standin.put('config', 'main', 1);
   await until(() => !follower.reachable);
   standin.remove('servers', 'a');
   standin.forgetHistory();
-  expect(follower.objects.size).toEqual(2);
+  expect(replica.objects.size).toEqual(2);
   standin.faults = {};
   await until(() => follower.reachable);
-  expect([...follower.objects.keys()]).toEqual(['b']);
+  expect([...replica.objects.keys()]).toEqual(['b']);
 });
 
 test('should keep what it knows while the store is away', async () => {
   standin.put('servers', 'a', 1);
   follower.start();
-  await until(() => follower.objects.size === 1);
+  await until(() => replica.objects.size === 1);
   standin.faults = { status: 503 };
   standin.put('servers', 'b', 2);
-  await until(() => follower.unreachableFor > 0);
-  expect(follower.objects.size >= 1).toEqual(true);
+  await until(() => !follower.reachable);
+  expect(replica.objects.size >= 1).toEqual(true);
 });
 
 test('should not trust a watch that was opened before the store was lost', async () => {
   standin.put('servers', 'a', 1);
-  const clock = new SystemClock();
-  const probe = new StoreProbe({ store, clock, log: new EventLog({ write: () => undefined }, 'off') });
-  probe.on('regained', () => follower.refresh());
-  follower.start();
+  const started = readerOf(follower);
+  started.start();
   await until(() => standin.calls.some((call) => call.includes('watch=')));
   standin.deafenWatches();
   standin.put('servers', 'b', 2);
   standin.faults = { silent: true };
-  probe.start();
-  await until(() => probe.lostFor > 0);
-  expect(follower.objects.size).toEqual(1);
+  await until(() => started.confirmedAt === Number.NEGATIVE_INFINITY);
+  expect(replica.objects.size).toEqual(1);
   standin.faults = {};
-  await until(() => follower.objects.size === 2);
-  expect(probe.lostFor).toEqual(0);
-  probe.stop();
+  await until(() => replica.objects.size === 2);
+  await until(() => started.confirmedAt > 0);
+  expect(started.regainedAt).toBeGreaterThan(0);
+});
+
+test('should only probe a store that is silent: each call has its price', async () => {
+  const started = readerOf(follower);
+  started.start();
+  await until(() => started.confirmedAt > 0);
+  standin.faults = { status: 503 };
+  standin.put('servers', 'a', 1);
+  await until(() => started.confirmedAt === Number.NEGATIVE_INFINITY);
+  standin.calls.length = 0;
+  const lastCalls = (): string[] => standin.calls.slice(-3);
+  await until(() => lastCalls().length === 3 && lastCalls().every((call) => call.includes('stale=1')));
+  expect(standin.calls.length).toBeLessThan(12);
+});
+
+test('should go on from a listing when it begins to read again', async () => {
+  const started = readerOf(follower);
+  standin.put('servers', 'a', 1);
+  started.start();
+  await until(() => replica.objects.size === 1);
+  started.stop();
+  standin.remove('servers', 'a');
+  standin.forgetHistory();
+  started.start();
+  await until(() => replica.objects.size === 0);
 });
 
 test('should list, not watch, after a call that failed: a watch may hang on history that is gone', async () => {
--- /dev/null
+++ b/tests/recordReplica.spec.ts
@@ -0,0 +1,114 @@
+/** Copies of the store's records only become newer, whoever brings them and in whatever order. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { ReplicaChange } from '../src/records/recordReplica.js';
+import { RecordReplica } from '../src/records/recordReplica.js';
+import type { ObjectChange, StoredObject } from '../src/records/watchableStore.js';
+import type { BackendServerRecord } from '../src/serving/backendServerRecord.js';
+import { DecodedServers } from '../src/serving/decodedServers.js';
+
+function object(name: string, revision: number, value: unknown = revision): StoredObject {
+  return { name, revision, value };
+}
+
+function set(name: string, revision: number): ObjectChange {
+  return { object: object(name, revision), gone: false };
+}
+
+function gone(name: string, revision: number): ObjectChange {
+  return { object: object(name, revision), gone: true };
+}
+
+function names(replica: RecordReplica): string[] {
+  return [...replica.objects.keys()].sort();
+}
+
+function filled(revision: number): RecordReplica {
+  const replica = new RecordReplica('servers');
+  replica.takeListing({ revision, objects: [object('a', 5), object('b', 7)] });
+  return replica;
+}
+
+test('should take changes that follow its listing', () => {
+  const replica = filled(10);
+  replica.takeChanges(12, [set('c', 11), gone('a', 12)]);
+  expect(names(replica)).toEqual(['b', 'c']);
+  expect(replica.revision).toEqual(12);
+});
+
+test('should not go back with a listing that is older than its copy', () => {
+  const replica = filled(10);
+  replica.takeListing({ revision: 9, objects: [] });
+  expect(names(replica)).toEqual(['a', 'b']);
+  expect(replica.revision).toEqual(10);
+});
+
+test('should not bring back what has been deleted when an older change comes late', () => {
+  const replica = filled(10);
+  replica.takeChanges(12, [gone('a', 11)]);
+  replica.takeChanges(11, [set('a', 11)]);
+  replica.takeChanges(13, [set('a', 10), set('b', 13)]);
+  expect(names(replica)).toEqual(['b']);
+  expect(replica.objects.get('b')?.revision).toEqual(13);
+});
+
+test('should not lose what has been made anew when an older deletion comes late', () => {
+  const replica = filled(10);
+  replica.takeChanges(14, [set('a', 14)]);
+  replica.takeChanges(15, [gone('a', 12)]);
+  expect(names(replica)).toEqual(['a', 'b']);
+});
+
+test('should take a deletion that carries the revision of the last change', () => {
+  const replica = filled(10);
+  replica.takeChanges(11, [gone('b', 7)]);
+  expect(names(replica)).toEqual(['a']);
+});
+
+test('should tell its newest change apart from how far it is known to be complete', () => {
+  const replica = filled(10);
+  expect([replica.revision, replica.newestChange]).toEqual([10, 7]);
+  replica.takeChanges(30, []);
+  expect([replica.revision, replica.newestChange]).toEqual([30, 7]);
+  replica.takeChanges(31, [set('a', 31)]);
+  expect(replica.newestChange).toEqual(31);
+});
+
+test('should say what has changed, and nothing when nothing has that is used', () => {
+  const replica = new RecordReplica('servers', (before, after) =>
+    before?.value === after?.value ? 'none' : 'urgent',
+  );
+  const seen: ReplicaChange[] = [];
+  replica.on('change', (change) => void seen.push(change));
+  replica.takeListing({ revision: 1, objects: [object('a', 1, 'x')] });
+  replica.takeListing({ revision: 2, objects: [object('a', 2, 'x')] });
+  expect(replica.takeChanges(3, [{ object: object('a', 3, 'x'), gone: false }])).toEqual('none');
+  expect(replica.takeChanges(4, [{ object: object('a', 4, 'y'), gone: false }])).toEqual('urgent');
+  expect(seen.map(({ whole }) => whole)).toEqual([true, false]);
+});
+
+test('should weigh a change of a server by what it changes', () => {
+  const record: BackendServerRecord = {
+    id: 'a',
+    service: 's',
+    address: '127.0.0.1:1',
+    hall: 'north',
+    slots: 8,
+    draining: false,
+    models: [{ name: 'm', version: 1 }],
+  };
+  const decoded = new DecodedServers({
+    kinds: { configuration: 'configuration', servers: 'servers', versions: 'versions' },
+    configuration: () => undefined,
+    server: (_name, value) => value as BackendServerRecord,
+    version: () => undefined,
+  });
+  const before = object('a', 1, record);
+  const changed = (changes: Partial<BackendServerRecord>): StoredObject =>
+    object('a', 2, { ...record, ...changes });
+  expect(decoded.weigh(before, changed({}))).toEqual('none');
+  expect(decoded.weigh(before, changed({ models: [{ name: 'm', version: 2 }] }))).toEqual('minor');
+  expect(decoded.weigh(before, changed({ draining: true }))).toEqual('urgent');
+  expect(decoded.weigh(before, undefined)).toEqual('urgent');
+  expect(decoded.weigh(undefined, before)).toEqual('urgent');
+});
--- /dev/null
+++ b/tests/recordSources.spec.ts
@@ -0,0 +1,217 @@
+/** Entries that share what a few of them read of the store, while these and the store fail. */
+import net from 'node:net';
+import { afterEach, beforeEach, test } from 'node:test';
+import { expect } from 'earl';
+import { ControlServer } from '../src/protocol/controlServer.js';
+import type { ControlOptions } from '../src/protocol/controlConnection.js';
+import { PlatformFollowers } from '../src/serving/platformFollowers.js';
+import type { RecordSource } from '../src/records/sourceChoice.js';
+import type { KindChanges, KindListing, WatchableStore } from '../src/records/watchableStore.js';
+import type { RecordReader } from '../src/serving/platformRecords.js';
+import type { ServingConfiguration } from '../src/serving/servingConfiguration.js';
+import { EventLog } from '../src/telemetry/eventLog.js';
+import { SystemClock } from '../src/utils/clock.js';
+import { SeededRandom } from '../src/utils/random.js';
+import { StepError } from '../src/utils/stepError.js';
+import { PlatformStore } from '../platform/store.js';
+import { PlatformStoreStandin } from '../standins/platformStoreStandin.js';
+import { freePort } from './fixtures/freePort.js';
+import { until } from './fixtures/until.js';
+
+const READER: RecordReader = {
+  kinds: { configuration: 'config', servers: 'servers', versions: 'versions' },
+  configuration: (_name, value) => value as ServingConfiguration,
+  server: () => undefined,
+  version: () => undefined,
+};
+
+/** A store that one entry may be cut off from, and whose watches may stay silent there. */
+class CuttableStore implements WatchableStore {
+  cut = false;
+  deaf = false;
+  private readonly _store: WatchableStore;
+
+  constructor(store: WatchableStore) {
+    this._store = store;
+  }
+
+  async probe(timeoutMilliseconds: number, signal: AbortSignal): Promise<void> {
+    this._pass();
+    await this._store.probe(timeoutMilliseconds, signal);
+  }
+
+  async list(kind: string, signal: AbortSignal): Promise<KindListing> {
+    this._pass();
+    return await this._store.list(kind, signal);
+  }
+
+  async watch(kind: string, revision: number, wait: number, signal: AbortSignal): Promise<KindChanges> {
+    this._pass();
+    const answer = await this._store.watch(kind, revision, wait, signal);
+    if (!this.deaf) return answer;
+    return await new Promise((_resolve, reject) => {
+      signal.addEventListener('abort', () => reject(new StepError('test.watch', 'given up')));
+    });
+  }
+
+  private _pass(): void {
+    if (this.cut) throw new StepError('test.store', 'cut off');
+  }
+}
+
+/** One entry, as far as the store's records are concerned. */
+class Entry {
+  readonly followers: PlatformFollowers;
+  readonly store: CuttableStore;
+  readonly server: ControlServer;
+  readonly lines: string[] = [];
+  readonly control: ControlOptions;
+  readonly address: string;
+
+  constructor(own: RecordSource, seeds: string[], ranking: readonly RecordSource[], store: WatchableStore) {
+    this.address = own.address;
+    this.store = new CuttableStore(store);
+    const identity = { role: 'entry', box: own.box, hall: 'north' } as const;
+    this.control = { key: 'a key for the tests', identity, peerTimeoutMilliseconds: 2_000 };
+    this.followers = new PlatformFollowers({
+      platform: { store: this.store, reader: READER },
+      own,
+      seeds,
+      ranking: () => ranking,
+      control: this.control,
+      clock: new SystemClock(),
+      random: new SeededRandom(1),
+      log: new EventLog({ write: (line) => void this.lines.push(line) }, 'decision'),
+    });
+    this.server = new ControlServer(
+      this.control,
+      (connection) => this.followers.relay.attach(connection),
+      () => undefined,
+    );
+  }
+
+  async start(port: number): Promise<void> {
+    await this.server.listen('127.0.0.1', port);
+    this.followers.start();
+  }
+
+  /** The configuration that this entry holds. */
+  get held(): unknown {
+    return this.followers.configuration.objects.get('main')?.value;
+  }
+
+  stop(): void {
+    this.followers.stop();
+    this.server.close();
+  }
+}
+
+let standin: PlatformStoreStandin;
+let store: PlatformStore;
+let entries: Entry[] = [];
+
+beforeEach(async () => {
+  standin = new PlatformStoreStandin();
+  store = new PlatformStore(new URL(await standin.listen()).host);
+  standin.put('config', 'main', 1);
+  entries = [];
+});
+
+afterEach(() => {
+  for (const entry of entries) entry.stop();
+  standin.close();
+});
+
+async function startEntries(count: number): Promise<void> {
+  const ports = await Promise.all(Array.from({ length: count }, () => freePort()));
+  const ranking = ports.map((port, index) => ({ box: `entry-${index}`, address: `127.0.0.1:${port}` }));
+  entries = ranking.map((own) => new Entry(own, [], ranking, store));
+  await Promise.all(entries.map(async (entry, index) => await entry.start(ports[index])));
+  await until(() => entries.every((entry) => entry.held === 1 && entry.followers.isCurrent));
+}
+
+function strongCalls(): string[] {
+  return standin.calls.filter((call) => !call.includes('stale=1'));
+}
+
+test('should read the store at two entries and pass it on to all', async () => {
+  await startEntries(6);
+  expect(entries.map((entry) => entry.followers.isReading)).toEqual([true, true, false, false, false, false]);
+  expect(strongCalls().length).toBeLessThanOrEqual(12);
+  standin.put('config', 'main', 2);
+  await until(() => entries.every((entry) => entry.held === 2));
+});
+
+test('should pass on what is new when a reader is cut off from the store', async () => {
+  await startEntries(5);
+  entries[0].store.cut = true;
+  await until(() => entries[0].lines.some((line) => line.includes('store.lost')));
+  standin.put('config', 'main', 2);
+  await until(() => entries.every((entry) => entry.held === 2 && entry.followers.isCurrent));
+});
+
+test('should read at others when both readers are cut off from the store', async () => {
+  await startEntries(5);
+  const readers = entries.slice(0, 2);
+  for (const reader of readers) reader.store.cut = true;
+  await until(() => readers.every(({ lines }) => lines.some((line) => line.includes('store.lost'))));
+  standin.put('config', 'main', 2);
+  await until(() => entries.every((entry) => entry.held === 2 && entry.followers.isCurrent));
+  expect(entries.slice(2).some((entry) => entry.followers.isReading)).toEqual(true);
+});
+
+test('should notice a reader whose watches hang, by what the other one has', async () => {
+  await startEntries(4);
+  entries[0].store.deaf = true;
+  standin.put('config', 'main', 2);
+  await until(() => entries.every((entry) => entry.held === 2));
+  await until(() => entries.every((entry) => entry.followers.isCurrent));
+});
+
+test('should go on when both readers are gone', async () => {
+  await startEntries(5);
+  for (const entry of entries.slice(0, 2)) entry.stop();
+  standin.put('config', 'main', 2);
+  const left = entries.slice(2);
+  await until(() => left.every((entry) => entry.held === 2 && entry.followers.isCurrent));
+});
+
+test('should not trust its copy while the store is silent for all, and again once it is back', async () => {
+  await startEntries(3);
+  standin.faults = { status: 503 };
+  await until(() => entries.every((entry) => !entry.followers.isCurrent));
+  expect(entries.every((entry) => entry.held === 1)).toEqual(true);
+  standin.put('config', 'main', 2);
+  standin.faults = {};
+  await until(() => entries.every((entry) => entry.held === 2 && entry.followers.isCurrent));
+});
+
+test('should take what a seed holds when it starts while the store is silent', async () => {
+  await startEntries(2);
+  standin.faults = { silent: true };
+  const port = await freePort();
+  const own = { box: 'late', address: `127.0.0.1:${port}` };
+  const seeds = entries.map(({ address }) => address);
+  const late = new Entry(own, seeds, [own], store);
+  entries.push(late);
+  await late.start(port);
+  await until(() => late.held === 1);
+  expect(late.followers.configuration.revision).toBeGreaterThan(0);
+});
+
+test('should read for itself when no other entry can be reached', async () => {
+  const port = await freePort();
+  const own = { box: 'alone', address: `127.0.0.1:${port}` };
+  const alone = new Entry(own, [`127.0.0.1:${await silentPort()}`], [own], store);
+  entries.push(alone);
+  await alone.start(port);
+  await until(() => alone.held === 1 && alone.followers.isCurrent);
+});
+
+/** A port that takes connections and says nothing, as a frozen process does. */
+async function silentPort(): Promise<number> {
+  const server = net.createServer(() => undefined);
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  server.unref();
+  return (server.address() as net.AddressInfo).port;
+}
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -199,7 +199,7 @@
 }
 
 function entry(box: string, hall: string, leaving = false): Parameters<EntryDirectory['report']>[1][number] {
-  return { box, hall, address: `${box}:80`, leaving };
+  return { box, hall, address: `${box}:80`, control: `${box}:81`, leaving };
 }
 
 test('should assume that it shares bounds with many until it knows better', () => {
