Count prompts that wait by their size, not by their number

Cause: a server reads 21 tokens a millisecond on the large site and prompts have 40 to 3,900 tokens, so that one waiting prompt stands for 2 to 180 ms; the choice of a server took all for alike.

Change: a request carries the size of its prompt in usual prompts of the service, from the tokens that the caller names; what this entry has sent and was not answered is summed by that size. Nothing changes where callers name none.

--- a/src/serving/admittedRequest.ts
+++ b/src/serving/admittedRequest.ts
@@ -15,6 +15,8 @@
   /** Headers to pass on, without those that change from attempt to attempt. */
   headers: string[];
   body: Buffer | undefined;
+  /** Size of the prompt, in usual prompts of the service; 1 when the caller does not tell it. */
+  prompts: number;
   /** The last event that the caller has seen, '' for none. */
   lastEventId: string;
   retries: RetryAllowance;
--- a/src/serving/backendCall.ts
+++ b/src/serving/backendCall.ts
@@ -11,6 +11,8 @@
   /** Names and values in turn. */
   headers: string[];
   body: Buffer | undefined;
+  /** Size of the prompt, in usual prompts of the service. */
+  prompts: number;
 }
 
 /** Header values by lower-case name. */
@@ -44,6 +46,7 @@
   private _controller: Dispatcher.DispatchController | undefined;
   private _sent = false;
   private _ended = false;
+  private readonly _prompts: number;
   private _isRead = false;
   private _aborted: AbortReason | undefined;
 
@@ -52,8 +55,10 @@
     connection: BackendConnection,
     giveBack: (reusable: boolean) => void,
     listener: BackendCallListener,
+    prompts: number,
   ) {
     this.server = server;
+    this._prompts = prompts;
     this._connection = connection;
     this._giveBack = giveBack;
     this._listener = listener;
@@ -68,9 +73,9 @@
     const connection = server.connections.acquire();
     if (!connection) return undefined;
     const giveBack = (reusable: boolean): void => server.connections.release(connection, reusable);
-    const call = new BackendCall(server, connection, giveBack, listener);
+    const call = new BackendCall(server, connection, giveBack, listener, request.prompts);
     server.load.outstanding++;
-    server.noteSent();
+    server.noteSent(request.prompts);
     call._dispatch(request);
     return call;
   }
@@ -143,7 +148,7 @@
   private _noteRead(): void {
     if (this._isRead) return;
     this._isRead = true;
-    this.server.noteRead();
+    this.server.noteRead(this._prompts);
   }
 
   private _end(reusable: boolean): void {
--- a/src/serving/headerNames.ts
+++ b/src/serving/headerNames.ts
@@ -15,6 +15,8 @@
   expectedVersion: string;
   version: string;
   model: string;
+  /** Tokens of the prompt, and the most that may come out, separated by a comma. */
+  tokens: string;
 }
 
 /** Names of the product's own interface. */
@@ -30,4 +32,5 @@
   expectedVersion: 'larklatch-expected-version',
   version: 'larklatch-version',
   model: 'larklatch-model',
+  tokens: 'larklatch-tokens',
 };
--- a/src/serving/outgoingRequest.ts
+++ b/src/serving/outgoingRequest.ts
@@ -21,7 +21,7 @@
   names: HeaderNames,
   terms: AttemptTerms,
 ): BackendRequest {
-  const { method, path, headers, body, model } = request;
+  const { method, path, headers, body, model, prompts } = request;
   const { server, leftMilliseconds, lastEventId, newestVersion } = terms;
   const own = [names.deadline, String(Math.max(1, Math.floor(leftMilliseconds)))];
   own.push(names.expectedServer, server.record.id);
@@ -29,5 +29,5 @@
   const version = server.version(model);
   // a server that has taken a newer version meanwhile rejects the request, so that its load is known to be another
   if (model !== '' && newestVersion > version) own.push(names.expectedVersion, String(version));
-  return { method, path, headers: [...headers, ...own], body };
+  return { method, path, headers: [...headers, ...own], body, prompts };
 }
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -8,6 +8,7 @@
 import type { ConfigurationHolder } from './configurationHolder.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { HeaderNames } from './headerNames.js';
+import { promptSize } from './promptSize.js';
 import type { RetryBound } from './retryAllowance.js';
 import { RetryAllowance } from './retryAllowance.js';
 import { chooseTarget } from './routeIndex.js';
@@ -139,12 +140,18 @@
       path: request.url ?? '/',
       headers,
       body: body.length > 0 ? body : undefined,
+      prompts: promptSize(request.headers[names.tokens], this._usualPromptTokens(service)),
       lastEventId: String(request.headers[names.lastEventId] ?? ''),
       retries,
       endsAt: arrivedAt + this._longest(request, route),
     };
   }
 
+  /** Mean tokens of a prompt to a service, 0 where it has none. */
+  private _usualPromptTokens(service: string): number {
+    return this._options.configuration.index?.service(service)?.engine?.usualPromptTokens ?? 0;
+  }
+
   /** The longest time that a request may take, in milliseconds. */
   private _longest(request: http.IncomingMessage, route: Route): number {
     const told = Number(request.headers[this._options.names.deadline] ?? LONGEST_MILLISECONDS);
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -19,6 +19,9 @@
 /** Time in which half of the prompts have been read that waited at the last report. */
 const UNREAD_HALF_LIFE_MILLISECONDS = 120;
 
+/** Less than any prompt, in usual prompts. */
+const LEAST_PROMPT = 1e-6;
+
 export class TrackedServer {
   record: BackendServerRecord;
   /** Address of its box. */
@@ -68,19 +71,22 @@
     this.load.report(status.running + status.queued, this._clock.now());
   }
 
-  /** This process sent a request to the server. */
-  noteSent(): void {
-    this._ownUnread++;
+  /** This process sent a request to the server, with a prompt of `prompts` usual ones. */
+  noteSent(prompts: number): void {
+    this._ownUnread += prompts;
   }
 
   /** A request that this process sent has brought its first event, or is given up. */
-  noteRead(): void {
-    this._ownUnread--;
+  noteRead(prompts: number): void {
+    this._ownUnread -= prompts;
+    // what is left of fractions that have all been taken away
+    if (this._ownUnread < LEAST_PROMPT) this._ownUnread = 0;
   }
 
   /**
-   * Requests on the server that have brought no event yet. Those of this process are known; others are taken to have sent
-   * as many, since they choose by the same reports, unless the agent has told of more.
+   * What the server has yet to read, in usual prompts: its time for one prompt may be sixty times that for another. What this
+   * process sent is known; others are taken to have sent as much, since they choose by the same reports, unless the agent
+   * has told of more.
    */
   get unread(): number {
     const age = this._clock.now() - this._statusAt;
--- a/tests/trackedServer.spec.ts
+++ b/tests/trackedServer.spec.ts
@@ -3,6 +3,7 @@
 import { expect } from 'earl';
 import { BackendConnections } from '../src/serving/backendConnections.js';
 import type { ServedModel } from '../src/serving/backendServerRecord.js';
+import { promptSize } from '../src/serving/promptSize.js';
 import { TrackedServer } from '../src/serving/trackedServer.js';
 import { ManualClock } from '../src/utils/clock.js';
 
@@ -47,15 +48,34 @@
 
 test('should take other entries to have sent as many prompts as this one', () => {
   const server = trackedServer(new ManualClock());
-  server.noteSent();
-  server.noteSent();
+  server.noteSent(1);
+  server.noteSent(1);
   expect(server.unread).toEqual(6);
-  server.noteRead();
+  server.noteRead(1);
   expect(server.unread).toEqual(3);
-  server.noteRead();
+  server.noteRead(1);
   expect(server.unread).toEqual(0);
 });
 
+test('should count what waits by the size of prompts, not by their number', () => {
+  const large = trackedServer(new ManualClock());
+  const small = trackedServer(new ManualClock());
+  large.noteSent(4);
+  for (const size of [0.1, 0.2, 0.3]) small.noteSent(size);
+  expect(large.unread).toBeGreaterThan(small.unread * 3);
+  for (const size of [0.3, 0.1, 0.2]) small.noteRead(size);
+  expect(small.unread).toEqual(0);
+});
+
+test('should tell the size of a prompt from its tokens', () => {
+  expect(promptSize('3880,80', 970)).toEqual(4);
+  expect(promptSize('97', 970)).toEqual(0.1);
+  expect(promptSize(undefined, 970)).toEqual(1);
+  expect(promptSize('many', 970)).toEqual(1);
+  expect(promptSize('-5,1', 970)).toEqual(1);
+  expect(promptSize('100,1', 0)).toEqual(1);
+});
+
 test('should believe the agent that more prompts wait, for as long as they take to be read', () => {
   const clock = new ManualClock();
   const server = trackedServer(clock);
