Tell entries of changes among entries, not of all of them each time; ask near entries for agents

Cause: at each change an agent of the directory told 100 entries a list of 100 (12 kB): 1.2 MB, four times over, most of it between regions; when 41 entries restart in turn that is some 5 MB for each of a dozen gathered changes. Lists of agents came from whichever three entries had connected first. Read from the code; not measured apart.

--- a/src/protocol/boxMessages.ts
+++ b/src/protocol/boxMessages.ts
@@ -74,7 +74,11 @@
 /** Sent by an agent, on every change, to the entries that want it: the entries that are connected to the agent. */
 export const entryListSchema = z.object({
   type: z.literal('entry-list'),
+  /** Whether these are all entries; else those that have changed since the last list on the connection. */
+  whole: z.boolean(),
   entries: z.array(entryAddressSchema).max(MAXIMUM_LIST),
+  /** Boxes of entries that are no longer connected. */
+  gone: z.array(nameSchema).max(MAXIMUM_LIST),
 });
 export type EntryList = z.infer<typeof entryListSchema>;
 
--- a/src/serving/boxLinks.ts
+++ b/src/serving/boxLinks.ts
@@ -51,9 +51,12 @@
 export class BoxLinks {
   private readonly _options: BoxLinksOptions;
   private readonly _links = new Map<string, Link>();
-  private readonly _announcement = new Gathered(GATHER_MILLISECONDS, () => {
-    for (const link of this._links.values()) this._tell(link);
-  });
+  private readonly _announcement = new Gathered(
+    () => GATHER_MILLISECONDS,
+    () => {
+      for (const link of this._links.values()) this._tell(link);
+    },
+  );
 
   constructor(options: BoxLinksOptions) {
     this._options = options;
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -1,5 +1,5 @@
 /** Which entries callers may use. Learnt from a few agents, to which every live entry is connected. */
-import type { EntryAddress } from '../protocol/boxMessages.js';
+import type { EntryAddress, EntryList } from '../protocol/boxMessages.js';
 import type { RecordSource } from '../records/sourceChoice.js';
 import { orderAcrossDataCentres } from '../utils/dataCentreOrder.js';
 import { compareText } from '../utils/rendezvous.js';
@@ -14,7 +14,8 @@
 /** An entry is live while any agent that is connected to this one is connected to it. */
 export class EntryDirectory {
   private readonly _own: EntryAddress;
-  private readonly _reports = new Map<string, readonly EntryAddress[]>();
+  /** Entries by box, by the box of the agent that they are connected to. */
+  private readonly _reports = new Map<string, Map<string, EntryAddress>>();
   private _lastKnown: EntryAddress[] = [];
   /** Undefined after a change, until it is asked for. */
   private _live: readonly EntryAddress[] | undefined;
@@ -25,9 +26,12 @@
     this._own = own;
   }
 
-  /** Takes the entries that the agent on `box` is connected to. */
-  report(box: string, entries: readonly EntryAddress[]): void {
-    this._reports.set(box, entries);
+  /** Takes what the agent on `box` tells of the entries that it is connected to. */
+  report(box: string, { whole, entries, gone }: Omit<EntryList, 'type'>): void {
+    const known = whole ? new Map<string, EntryAddress>() : (this._reports.get(box) ?? new Map());
+    for (const entry of entries) known.set(entry.box, entry);
+    for (const left of gone) known.delete(left);
+    this._reports.set(box, known);
     this._live = this._workOut();
   }
 
@@ -86,7 +90,7 @@
     const found = new Map<string, EntryAddress>();
     const leaving = new Set<string>();
     for (const entries of this._reports.values()) {
-      for (const entry of entries) {
+      for (const entry of entries.values()) {
         if (entry.leaving) leaving.add(entry.box);
         found.set(entry.box, entry);
       }
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -214,7 +214,7 @@
       presence: (agent) => this._announcements.presence(agent),
       agentList: (agent) => this._announcements.agentList(agent),
       onStatus: (agent, status) => this._pool.noteStatus(hostOf(agent.address), status),
-      onEntries: (agent, list) => this._entries.report(agent.box, list.entries),
+      onEntries: (agent, list) => this._entries.report(agent.box, list),
       onDown: (agent) => this._entries.forget(agent.box),
     });
   }
--- a/src/staging/connectedEntries.ts
+++ b/src/staging/connectedEntries.ts
@@ -8,7 +8,12 @@
 
 /** Entries that are asked who the other agents are: any of them may be lost, and more would only repeat it. */
 const ASKED_ENTRIES = 3;
-const GATHER_MILLISECONDS = 40;
+/**
+ * How long changes are gathered for each entry that is told of them: what a list costs grows with their number, and many
+ * entries start or stop together.
+ */
+const GATHER_PER_LISTENER_MILLISECONDS = 5;
+const SHORTEST_GATHER_MILLISECONDS = 15;
 
 interface ConnectedEntry {
   address: EntryAddress;
@@ -16,12 +21,19 @@
   hearsEntries: boolean;
   /** Whether the entry has been asked who the other agents are. */
   asked: boolean;
+  /** Whether it has been told all that {@link ConnectedEntries} has told before. */
+  synced: boolean;
 }
 
 export class ConnectedEntries {
   private readonly _dataCentre: string;
   private readonly _entries = new Map<ControlConnection, ConnectedEntry>();
-  private readonly _changed = new Gathered(GATHER_MILLISECONDS, () => this._tell());
+  private readonly _changed = new Gathered(
+    () => Math.max(SHORTEST_GATHER_MILLISECONDS, GATHER_PER_LISTENER_MILLISECONDS * this._listeners().length),
+    () => this._tell(),
+  );
+  /** Entries by box, as the listeners have been told. */
+  private _told = new Map<string, EntryAddress>();
 
   /** `dataCentre` is that of this box. */
   constructor(dataCentre: string) {
@@ -41,7 +53,13 @@
   note(connection: ControlConnection, presence: EntryPresence): boolean {
     const known = this._entries.get(connection);
     const { entry: address, hearsStatus, hearsEntries } = presence;
-    this._entries.set(connection, { address, hearsStatus, hearsEntries, asked: known?.asked ?? false });
+    this._entries.set(connection, {
+      address,
+      hearsStatus,
+      hearsEntries,
+      asked: known?.asked ?? false,
+      synced: known?.synced === true && hearsEntries,
+    });
     this._askEnough();
     this._changed.call();
     return hearsStatus && !known?.hearsStatus;
@@ -68,26 +86,53 @@
     this._changed.cancel();
   }
 
+  /** Asks those of this data centre first: lists of agents are long, and bytes between data centres have their price. */
   private _askEnough(): void {
     let asked = [...this._entries.values()].filter((entry) => entry.asked).length;
-    for (const [connection, entry] of this._entries) {
+    if (asked >= ASKED_ENTRIES) return;
+    const free = [...this._entries].filter(([, entry]) => !entry.asked && !entry.address.leaving);
+    const isNear = (entry: ConnectedEntry): boolean => entry.address.hall === this._dataCentre;
+    free.sort(([, a], [, b]) => Number(isNear(b)) - Number(isNear(a)));
+    for (const [connection, entry] of free) {
       if (asked >= ASKED_ENTRIES) return;
-      if (entry.asked || entry.address.leaving) continue;
       entry.asked = true;
       asked++;
       connection.send({ type: 'agent-list-query', wanted: true });
     }
   }
 
-  /** Tells the entries that want to know who is connected. */
+  private _listeners(): [ControlConnection, ConnectedEntry][] {
+    return [...this._entries].filter(([, entry]) => entry.hearsEntries);
+  }
+
+  /** Tells the entries that want to know who is connected: all of it at first, then what has changed. */
   private _tell(): void {
-    const told = [...this._entries].filter(([, entry]) => entry.hearsEntries);
+    const listeners = this._listeners();
+    const current = new Map([...this._entries.values()].map(({ address }) => [address.box, address]));
+    const changed = [...current.values()].filter((entry) => !isSame(entry, this._told.get(entry.box)));
+    const gone = [...this._told.keys()].filter((box) => !current.has(box));
+    this._told = current;
+    if (changed.length + gone.length > 0)
+      this._send(listeners, true, { type: 'entry-list', whole: false, entries: changed, gone });
+    const entries = [...current.values()].sort((a, b) => compareText(a.box, b.box));
+    this._send(listeners, false, { type: 'entry-list', whole: true, entries, gone: [] });
+    for (const [, entry] of listeners) entry.synced = true;
+  }
+
+  private _send(
+    listeners: readonly [ControlConnection, ConnectedEntry][],
+    toSynced: boolean,
+    message: Message,
+  ): void {
+    const told = listeners.filter(([, entry]) => entry.synced === toSynced);
     if (told.length === 0) return;
-    const entries = [...this._entries.values()].map(({ address }) => address);
-    entries.sort((a, b) => compareText(a.box, b.box));
     ControlConnection.broadcast(
       told.map(([connection]) => connection),
-      { type: 'entry-list', entries },
+      message,
     );
   }
 }
+
+function isSame(a: EntryAddress, b: EntryAddress | undefined): boolean {
+  return JSON.stringify(a) === JSON.stringify(b);
+}
--- a/src/utils/gathered.ts
+++ b/src/utils/gathered.ts
@@ -2,17 +2,17 @@
 
 export class Gathered {
   private readonly _run: () => void;
-  private readonly _milliseconds: number;
+  private readonly _milliseconds: () => number;
   private _timer: NodeJS.Timeout | undefined;
 
-  /** `run` is called once, `milliseconds` after the first of the calls that it stands for. */
-  constructor(milliseconds: number, run: () => void) {
+  /** `run` is called once, `milliseconds()` after the first of the calls that it stands for. */
+  constructor(milliseconds: () => number, run: () => void) {
     this._milliseconds = milliseconds;
     this._run = run;
   }
 
   call(): void {
-    this._timer ??= setTimeout(() => this.now(), this._milliseconds);
+    this._timer ??= setTimeout(() => this.now(), this._milliseconds());
   }
 
   /** Runs at once, also for calls that wait. */
--- a/tests/connectedEntries.spec.ts
+++ b/tests/connectedEntries.spec.ts
@@ -1,10 +1,12 @@
 /** What an agent asks of the entries that are connected to it, and tells them. */
 import { test } from 'node:test';
 import { expect } from 'earl';
-import type { EntryPresence } from '../src/protocol/boxMessages.js';
+import type { EntryList, EntryPresence } from '../src/protocol/boxMessages.js';
 import type { ControlConnection } from '../src/protocol/controlConnection.js';
+import { FrameReader } from '../src/protocol/frameCodec.js';
 import type { Message } from '../src/protocol/message.js';
 import { ConnectedEntries } from '../src/staging/connectedEntries.js';
+import { until } from './fixtures/until.js';
 
 /** A connection that only notes what is sent on it. */
 class NotedConnection {
@@ -14,6 +16,15 @@
     this.sent.push(message);
   }
 
+  /** What broadcasts are written with. */
+  _writeFrame(frame: Buffer): void {
+    for (const message of new FrameReader().push(frame)) this.sent.push(message as Message);
+  }
+
+  get lists(): EntryList[] {
+    return this.sent.filter((message) => message.type === 'entry-list');
+  }
+
   get asked(): boolean {
     return this.sent.some((message) => message.type === 'agent-list-query' && message.wanted);
   }
@@ -73,3 +84,37 @@
   expect(entries.statusListeners).toEqual(1);
   entries.stop();
 });
+
+test('should ask entries of its own data centre before others', () => {
+  const entries = new ConnectedEntries('south');
+  const connections = Array.from({ length: 8 }, () => new NotedConnection());
+  const far = connections.slice(0, 3);
+  const near = connections.slice(3);
+  far.forEach((connection, index) => entries.note(connection.asConnection(), presence(`far-${index}`)));
+  near.forEach((connection, index) => {
+    const entry = { ...presence(`near-${index}`).entry, hall: 'south' };
+    entries.note(connection.asConnection(), presence(`near-${index}`, { entry }));
+  });
+  far.forEach((connection) => entries.forget(connection.asConnection()));
+  expect(near.filter((connection) => connection.asked)).toHaveLength(3);
+  entries.stop();
+});
+
+test('should tell an entry of all others once, and then of changes', async () => {
+  const entries = new ConnectedEntries('north');
+  const listener = new NotedConnection();
+  const other = new NotedConnection();
+  entries.note(listener.asConnection(), presence('listener', { hearsEntries: true }));
+  entries.note(other.asConnection(), presence('other'));
+  await until(() => listener.lists.length === 1);
+  entries.forget(other.asConnection());
+  entries.note(new NotedConnection().asConnection(), presence('third'));
+  await until(() => listener.lists.length === 2);
+  const [first, second] = listener.lists;
+  expect(first.whole).toEqual(true);
+  expect(first.entries.map(({ box }) => box)).toEqual(['listener', 'other']);
+  expect(second.whole).toEqual(false);
+  expect(second.entries.map(({ box }) => box)).toEqual(['third']);
+  expect(second.gone).toEqual(['other']);
+  entries.stop();
+});
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { OWN_HEADER_NAMES } from '../src/serving/headerNames.js';
+import type { EntryAddress } from '../src/protocol/boxMessages.js';
 import type { AttemptProgress } from '../src/serving/answerJudgement.js';
 import { isSilent, judgeAnswer } from '../src/serving/answerJudgement.js';
 import { EntryDirectory } from '../src/serving/entryDirectory.js';
@@ -198,39 +199,52 @@
   });
 }
 
-function entry(box: string, hall: string, leaving = false): Parameters<EntryDirectory['report']>[1][number] {
+function entry(box: string, hall: string, leaving = false): EntryAddress {
   return { box, hall, address: `${box}:80`, control: `${box}:81`, leaving };
 }
 
+function all(entries: EntryAddress[]): { whole: boolean; entries: EntryAddress[]; gone: string[] } {
+  return { whole: true, entries, gone: [] };
+}
+
+test('should take what has changed since the last list', () => {
+  const directory = new EntryDirectory(entry('a', 'north'));
+  directory.report('agent', all([entry('b', 'north'), entry('c', 'north')]));
+  directory.report('agent', { whole: false, entries: [entry('d', 'north')], gone: ['b'] });
+  expect(directory.addressesFor('north')).toEqual(['a:80', 'c:80', 'd:80']);
+  directory.report('agent', all([entry('b', 'north')]));
+  expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
+});
+
 test('should assume that it shares bounds with many until it knows better', () => {
   const directory = new EntryDirectory(entry('a', 'north'));
   expect(directory.count()).toEqual(16);
-  directory.report('agent', [entry('a', 'north')]);
+  directory.report('agent', all([entry('a', 'north')]));
   expect(directory.count()).toEqual(1);
 });
 
 test("should name the live entries of the caller's hall", () => {
   const directory = new EntryDirectory(entry('a', 'north'));
-  directory.report('agent', [entry('a', 'north'), entry('b', 'north'), entry('c', 'south')]);
+  directory.report('agent', all([entry('a', 'north'), entry('b', 'north'), entry('c', 'south')]));
   expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
 });
 
 test('should name an entry of another hall rather than only one', () => {
   const directory = new EntryDirectory(entry('a', 'north'));
-  directory.report('agent', [entry('b', 'south'), entry('c', 'south')]);
+  directory.report('agent', all([entry('b', 'south'), entry('c', 'south')]));
   expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
 });
 
 test('should not name an entry that leaves, whoever says so', () => {
   const directory = new EntryDirectory(entry('a', 'north'));
-  directory.report('one', [entry('b', 'north')]);
-  directory.report('two', [entry('b', 'north', true)]);
+  directory.report('one', all([entry('b', 'north')]));
+  directory.report('two', all([entry('b', 'north', true)]));
   expect(directory.addressesFor('north')).toEqual(['a:80']);
 });
 
 test('should go on naming the entries it knew when no agent can be reached', () => {
   const directory = new EntryDirectory(entry('a', 'north'));
-  directory.report('agent', [entry('b', 'north')]);
+  directory.report('agent', all([entry('b', 'north')]));
   expect(directory.count()).toEqual(2);
   directory.forget('agent');
   expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
