One timer for the watches of all running requests; tell the load 2.5 times as often

Cause: each running request had a timer of 50 ms of its own, so that an entry with eight streams woke 160 times a second. Load reports age with the number of entries that hear them (10 and 25 ms each); with bounded links there is room for more of them.

Change: SharedInterval calls all watches, and the care of all control connections, from one timer. A load is told 4 ms (own data centre) and 10 ms (others) for each listener. The two tests of that rate keep their numbers with 2.5 times the listeners: the rate a listener is the policy that changed, the bound on what an agent sends is the same.

--- a/src/protocol/controlConnection.ts
+++ b/src/protocol/controlConnection.ts
@@ -3,6 +3,7 @@
 import { EventEmitter } from 'node:events';
 import net from 'node:net';
 import type { z } from 'zod';
+import { SharedInterval } from '../utils/sharedInterval.js';
 import { StepError, errorText } from '../utils/stepError.js';
 import { withTimeout } from '../utils/timers.js';
 import { sameMac } from './authentication.js';
@@ -34,6 +35,7 @@
 const HEARTBEATS_PER_TIMEOUT = 2.5;
 /** How often a process looks after all its connections: one timer, since one for each wakes it hundreds of times a second. */
 const CARE_INTERVAL_MILLISECONDS = 200;
+const care = new SharedInterval(CARE_INTERVAL_MILLISECONDS);
 /** How long a silent connection has to show what already lies in its buffer. */
 const SECOND_LOOK_MILLISECONDS = 50;
 /** Default time for a call to be answered, in milliseconds. */
@@ -43,8 +45,6 @@
 export class ControlConnection extends EventEmitter<ControlEvents> {
   /** Bytes that all connections of this process have sent and received. */
   static totalBytes = 0;
-  private static readonly _open = new Set<ControlConnection>();
-  private static _care: NodeJS.Timeout | undefined;
   peer!: Identity;
   private readonly _socket: net.Socket;
   private readonly _options: ControlOptions;
@@ -55,6 +55,7 @@
   private _opened = false;
   private _started = false;
   private _nextCall = 1;
+  private readonly _endCare: () => void;
   private _secondLook: NodeJS.Timeout | undefined;
   private _lastSentAt = 0;
   private _lastHeardAt = performance.now();
@@ -68,24 +69,7 @@
     socket.on('data', (bytes: Buffer) => this._onData(bytes));
     socket.on('error', (error) => this.close(errorText(error)));
     socket.on('close', () => this.close('closed by peer'));
-    ControlConnection._open.add(this);
-    ControlConnection._care ??= setInterval(
-      () => ControlConnection._careForAll(),
-      CARE_INTERVAL_MILLISECONDS,
-    );
-  }
-
-  /** Looks for peers that have been silent for too long, and sends what keeps quiet connections alive. */
-  private static _careForAll(): void {
-    const now = performance.now();
-    for (const connection of ControlConnection._open) connection._careFor(now);
-  }
-
-  private static _forget(connection: ControlConnection): void {
-    ControlConnection._open.delete(connection);
-    if (ControlConnection._open.size > 0) return;
-    clearInterval(ControlConnection._care);
-    ControlConnection._care = undefined;
+    this._endCare = care.add(() => this._careFor(performance.now()));
   }
 
   /** Connects to a listening peer and proves both ends. */
@@ -158,7 +142,7 @@
     if (this._closed) return;
     this._closed = true;
     clearTimeout(this._secondLook);
-    ControlConnection._forget(this);
+    this._endCare();
     this._socket.destroy();
     this.emit('close', reason);
   }
@@ -253,6 +237,7 @@
     else this.emit('message', message);
   }
 
+  /** Looks whether the peer has been silent for too long, and sends what keeps a quiet connection alive. */
   private _careFor(now: number): void {
     const timeout = this._options.peerTimeoutMilliseconds;
     if (now - this._lastHeardAt > timeout) this._onSilence();
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -6,6 +6,7 @@
   BackendRequest,
   CallFailure,
 } from './backendCall.js';
+import { SharedInterval } from '../utils/sharedInterval.js';
 import { BackendCall } from './backendCall.js';
 import { OWN_STATUS } from './callerExchange.js';
 import type { AdmittedRequest } from './admittedRequest.js';
@@ -23,6 +24,7 @@
 
 /** How often a request looks at its server: several times within the shortest patience. */
 const WATCH_INTERVAL_MILLISECONDS = 50;
+const watches = new SharedInterval(WATCH_INTERVAL_MILLISECONDS);
 /** Largest answer of a request that is no stream, in bytes. */
 const LARGEST_ANSWER = 16 * 1024 * 1024;
 
@@ -42,7 +44,7 @@
   private _mayHaveRun = false;
   private _attemptStartedAt = 0;
   private _deadlineTimer: NodeJS.Timeout | undefined;
-  private _watchTimer: NodeJS.Timeout | undefined;
+  private _endWatch: () => void = () => undefined;
 
   /** `done` is called once, when the request has ended. */
   constructor(services: ForwardServices, request: AdmittedRequest, done: () => void) {
@@ -65,8 +67,7 @@
       () => this._onTimeOver(),
       Math.max(0, endsAt - this._services.clock.now()),
     );
-    if (this._attempts.repeatable)
-      this._watchTimer = setInterval(() => this._watch(), WATCH_INTERVAL_MILLISECONDS);
+    if (this._attempts.repeatable) this._endWatch = watches.add(() => this._watch());
     this._attempt();
   }
 
@@ -312,7 +313,7 @@
   private _onEnded(outcome: RequestOutcome, fields: Record<string, string | number | boolean>): void {
     this._handover?.cancel();
     clearTimeout(this._deadlineTimer);
-    clearInterval(this._watchTimer);
+    this._endWatch();
     this._trace.ended(outcome, this._attempts.count, fields, this._relay);
     this._done();
   }
--- a/src/staging/statusSender.ts
+++ b/src/staging/statusSender.ts
@@ -6,15 +6,15 @@
 const LOAD_STEP = 2;
 /**
  * Shortest time between two statuses that tell only another load, for each entry that hears them: what an agent sends
- * and an entry hears stays bounded however many there are. Entries of other halls, which send fewer requests here, hear
- * less often.
+ * stays bounded however many there are. Entries of other data centres, which send fewer requests here, hear less often.
+ * Where 15 entries hear 13 servers, 4 in place of 10 ms brought 0.79 in place of 0.74 of the credit (one pair of runs).
  */
-const SPACING_PER_ENTRY_MILLISECONDS = 10;
-const FAR_SPACING_PER_ENTRY_MILLISECONDS = 25;
+const SPACING_PER_ENTRY_MILLISECONDS = 4;
+const FAR_SPACING_PER_ENTRY_MILLISECONDS = 10;
 /** A status is sent so often even when nothing has changed, so that entries know how old their reports are. */
 const LONGEST_MILLISECONDS = 1_000;
 
-/** Who hears a status: all entries, or only those of the own hall. */
+/** Who hears a status: all entries, or only those of the own data centre. */
 export type StatusAudience = 'all' | 'near';
 
 /** What a sender works with. */
