A box that waits for its turn asks its server as seldom as one that serves

Whether a chunk is anywhere was found by a list of all who hold it.

Change: while a box waits it looks at its peers every 40 ms and at its server every 120 ms; the search for a holder ends at the first one.

--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -45,6 +45,7 @@
   /** The version whose turn this box has taken, 0 for none. */
   private _preparingFor = 0;
   private _preparingSince = 0;
+  private _polledAt = Number.NEGATIVE_INFINITY;
   private _orderedAt = 0;
 
   constructor(options: VersionReconcilerOptions) {
@@ -91,7 +92,7 @@
   private async _run(): Promise<void> {
     while (!this._stopped.signal.aborted) {
       try {
-        await this._poll();
+        if (this._isPollDue()) await this._poll();
         await this._reconcile();
       } catch (error) {
         this._options.log.decision('backend.unreachable', { reason: errorText(error) });
@@ -103,7 +104,14 @@
     }
   }
 
+  /** A box that waits for its turn looks at its peers often, and at its backend server as seldom as one that serves. */
+  private _isPollDue(): boolean {
+    const isOnItsTurn = this.switchStage === 'preparing' || this.switchStage === 'switching';
+    return isOnItsTurn || this._options.clock.now() - this._polledAt >= POLL_MILLISECONDS;
+  }
+
   private async _poll(): Promise<void> {
+    this._polledAt = this._options.clock.now();
     const before = this.servedVersion;
     this._status = await this._options.backend.status();
     const served = this.servedVersion;
--- a/src/weights/chunkPicker.ts
+++ b/src/weights/chunkPicker.ts
@@ -82,7 +82,8 @@
 
   /** Whether any neighbour is known to hold the chunk. */
   isSeen(chunk: number): boolean {
-    return this.holders(chunk).length > 0;
+    for (const peer of this._peers.values()) if (peer.held.has(chunk)) return true;
+    return false;
   }
 
   /** The neighbours that are known to hold the chunk. */
