Figures of size stay on the metrics address: calls to the store, control messages, age of the load used

Store calls by kind and call, messages and bytes of control connections, and the age of the load report by which a server was chosen (also `loadAge` in `request.sent`). Changes that only tell what servers hold are gathered for 500 ms in place of 700, and a copy may lack a change for 1.0 s in place of 1.2: with a stale reader a server's leaving then reaches all within the 2 s that the smaller sites allow (0.5 + 0.3 + 1.0 s and a round trip; arithmetic). `DirectoryPaths` moved, so that the directory server and the gateway no longer import each other.

--- a/src/protocol/controlConnection.ts
+++ b/src/protocol/controlConnection.ts
@@ -45,6 +45,9 @@
 export class ControlConnection extends EventEmitter<ControlEvents> {
   /** Bytes that all connections of this process have sent and received. */
   static totalBytes = 0;
+  /** Messages and heartbeats that all connections of this process have sent and received. */
+  static framesSent = 0;
+  static framesReceived = 0;
   peer!: Identity;
   private readonly _socket: net.Socket;
   private readonly _options: ControlOptions;
@@ -215,6 +218,7 @@
   }
 
   private _onFrame(frame: unknown): void {
+    ControlConnection.framesReceived++;
     const handshake = this._handshake;
     this._handshake = undefined;
     if (handshake) handshake(frame);
@@ -261,6 +265,7 @@
 
   private _writeFrame(frame: Buffer): void {
     ControlConnection.totalBytes += frame.length;
+    ControlConnection.framesSent++;
     this._lastSentAt = performance.now();
     this._socket.write(frame);
   }
--- /dev/null
+++ b/src/protocol/controlGauges.ts
@@ -0,0 +1,13 @@
+/** What all control connections of a process carry, as figures on its metrics address. */
+import { ControlConnection } from './controlConnection.js';
+
+/** Where figures are shown. */
+interface GaugeBoard {
+  gauge(name: string, read: () => number): void;
+}
+
+export function addControlGauges(metrics: GaugeBoard): void {
+  metrics.gauge('control_messages_sent', () => ControlConnection.framesSent);
+  metrics.gauge('control_messages_received', () => ControlConnection.framesReceived);
+  metrics.gauge('control_bytes', () => ControlConnection.totalBytes);
+}
--- /dev/null
+++ b/src/records/countedStore.ts
@@ -0,0 +1,36 @@
+/** Counts the calls to a store: each has its price on the platform, answered or not. */
+import type { KindChanges, KindListing, WatchableStore } from './watchableStore.js';
+
+/** How the store is called. */
+export type StoreCall = 'probe' | 'list' | 'watch';
+
+export class CountedStore implements WatchableStore {
+  private readonly _store: WatchableStore;
+  private readonly _count: (call: StoreCall, kind: string) => void;
+
+  /** `count` is told of each call; `kind` is '' for probes. */
+  constructor(store: WatchableStore, count: (call: StoreCall, kind: string) => void) {
+    this._store = store;
+    this._count = count;
+  }
+
+  async probe(timeoutMilliseconds: number, signal: AbortSignal): Promise<void> {
+    this._count('probe', '');
+    await this._store.probe(timeoutMilliseconds, signal);
+  }
+
+  async list(kind: string, signal: AbortSignal): Promise<KindListing> {
+    this._count('list', kind);
+    return await this._store.list(kind, signal);
+  }
+
+  async watch(
+    kind: string,
+    revision: number,
+    waitMilliseconds: number,
+    signal: AbortSignal,
+  ): Promise<KindChanges> {
+    this._count('watch', kind);
+    return await this._store.watch(kind, revision, waitMilliseconds, signal);
+  }
+}
--- a/src/records/lagWatch.ts
+++ b/src/records/lagWatch.ts
@@ -1,7 +1,7 @@
 /** Notices copies that lack a change which another source has known for too long. */
 
-/** How long a copy may lack a change: as long as readers gather changes, and two stamps. */
-const LONGEST_LAG_MILLISECONDS = 1_200;
+/** How long a copy may lack a change: as long as readers gather minor changes (500 ms), and a stamp (300 ms), with a margin. */
+const LONGEST_LAG_MILLISECONDS = 1_000;
 
 interface Lag {
   /** Revision of the change that is lacking. */
--- a/src/serving/directoryServer.ts
+++ b/src/serving/directoryServer.ts
@@ -4,7 +4,16 @@
 import { splitAddress } from '../utils/hostPort.js';
 import { closeHttp, listenHttp } from '../utils/httpServer.js';
 import type { EntryDirectory } from './entryDirectory.js';
-import type { DirectoryPaths } from './gatewayDaemon.js';
+
+/** Paths that the directory and readiness are asked for at, and how a directory answer is written. */
+export interface DirectoryPaths {
+  ready: string;
+  directory: string;
+  metrics: string;
+  /** The hall that a directory request names. */
+  hallOf(query: URLSearchParams): string;
+  directoryAnswer(addresses: readonly string[], keepSeconds: number): unknown;
+}
 
 /** What the server works with. */
 export interface DirectoryServerOptions {
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -5,6 +5,7 @@
 import { ControlServer } from '../protocol/controlServer.js';
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import type { EventLog } from '../telemetry/eventLog.js';
+import { CountedStore } from '../records/countedStore.js';
 import { SystemClock } from '../utils/clock.js';
 import { placementHash } from '../utils/hash.js';
 import type { Random } from '../utils/random.js';
@@ -16,6 +17,7 @@
 import { BoxLinks } from './boxLinks.js';
 import { CallerServer } from './callerServer.js';
 import { ConfigurationHolder } from './configurationHolder.js';
+import type { DirectoryPaths } from './directoryServer.js';
 import { DirectoryServer } from './directoryServer.js';
 import { EntryDirectory } from './entryDirectory.js';
 import type { ForwardServices } from './forwardServices.js';
@@ -25,6 +27,7 @@
 import type { ServingPlatform } from './platformRecords.js';
 import { RequestAdmission } from './requestAdmission.js';
 import { ServerPool } from './serverPool.js';
+import { addControlGauges } from '../protocol/controlGauges.js';
 import { MetricsServer } from '../telemetry/metricsServer.js';
 import { ServingMetrics } from '../telemetry/servingMetrics.js';
 import { VersionGate } from './versionGate.js';
@@ -37,16 +40,6 @@
   log: EventLog;
 }
 
-/** Paths that the directory and readiness are asked for at, and how a directory answer is written. */
-export interface DirectoryPaths {
-  ready: string;
-  directory: string;
-  metrics: string;
-  /** The hall that a directory request names. */
-  hallOf(query: URLSearchParams): string;
-  directoryAnswer(addresses: readonly string[], keepSeconds: number): unknown;
-}
-
 const PERCENT = 100;
 /** How long a leaving entry takes new connections: callers may keep its address for three times as long as told. */
 const LEAVING_LISTEN_SHARE = 0.72;
@@ -222,7 +215,7 @@
   private _createFollowers(random: Random): PlatformFollowers {
     const { box, controlAddress, seeds } = this._settings;
     return new PlatformFollowers({
-      platform: this._parts.platform,
+      platform: { ...this._parts.platform, store: this._countedStore() },
       own: { box, address: controlAddress },
       seeds,
       ranking: () => this._entries.recordSources(),
@@ -233,6 +226,12 @@
     });
   }
 
+  private _countedStore(): CountedStore {
+    return new CountedStore(this._parts.platform.store, (call, kind) =>
+      this._metrics.count(`store_calls_total{call="${call}",kind="${kind}"}`),
+    );
+  }
+
   private _createAdmission(random: Random): RequestAdmission {
     const { retryPercent, retryWindowMilliseconds, retrySlack } = this._settings;
     return new RequestAdmission({
@@ -301,6 +300,7 @@
   }
 
   private _addGauges(): void {
+    addControlGauges(this._metrics);
     this._metrics.gauge('requests_running', () => this._running);
     this._metrics.gauge('caller_connections', () => this._callers.connections);
     this._metrics.gauge('configuration_version', () => this._configuration.version);
--- a/src/serving/platformFollowers.ts
+++ b/src/serving/platformFollowers.ts
@@ -25,7 +25,7 @@
 /** Calls to the store have their price, and servers change many at a time: when they start, switch and leave. */
 const GATHER_SERVERS_MILLISECONDS = 250;
 /** Many servers change only what they hold while they load or switch, which their agents tell as well. */
-const GATHER_MINOR_MILLISECONDS = 700;
+const GATHER_MINOR_MILLISECONDS = 500;
 const GATHER_MILLISECONDS = 60;
 /** How long after an outage of the store backend servers may be missing that only could not renew their entries. */
 const OUTAGE_ECHO_MILLISECONDS = 1_500;
--- a/src/serving/requestTrace.ts
+++ b/src/serving/requestTrace.ts
@@ -28,11 +28,14 @@
 
   sent(server: TrackedServer, attempt: number): void {
     const now = this._clock.now();
+    const { statusAge } = server;
+    if (statusAge !== undefined) this._metrics.loadUsed(server.record.service, statusAge);
     this._log.decision('request.sent', {
       request: this._id,
       server: server.record.id,
       attempt,
       load: Math.round(server.load.estimate(now)),
+      loadAge: statusAge === undefined ? undefined : Math.round(statusAge),
       version: server.version(this._request.model),
       leftMilliseconds: Math.round(this._request.endsAt - now),
     });
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -116,6 +116,11 @@
     return fresh && this._status?.state === 'preparing';
   }
 
+  /** Milliseconds since the agent beside the server told how it stands; undefined when it never has. */
+  get statusAge(): number | undefined {
+    return this._status && this._clock.now() - this._statusAt;
+  }
+
   /** Whether the agent beside the server has said nothing for longer than it ever should. */
   get agentSilent(): boolean {
     return this._clock.now() - this._statusAt > AGENT_SILENCE_MILLISECONDS;
--- a/src/staging/stagingMetrics.ts
+++ b/src/staging/stagingMetrics.ts
@@ -1,4 +1,5 @@
 /** The figures of an agent. */
+import { addControlGauges } from '../protocol/controlGauges.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { ServingMetrics } from '../telemetry/servingMetrics.js';
 import type { TransferCounts } from '../weights/transferCounts.js';
@@ -35,6 +36,7 @@
   metrics.gauge('version_corrupt_chunks', () => counts()?.corruptChunks ?? 0);
   metrics.gauge('uploaded_bytes', () => uploads.bytesSent);
   metrics.gauge('entries_connected', entries);
+  addControlGauges(metrics);
   metrics.gauge('log_lines_dropped', () => log.droppedLines);
   metrics.gauge('memory_bytes', () => process.memoryUsage.rss());
   return metrics;
--- a/src/telemetry/servingMetrics.ts
+++ b/src/telemetry/servingMetrics.ts
@@ -5,9 +5,16 @@
 const QUANTILES = [50, 95, 99];
 const HIGHEST_MILLISECONDS = 600_000;
 
+/** Times of one kind, for one service. */
+interface NamedHistogram {
+  name: string;
+  service: string;
+  histogram: Histogram;
+}
+
 export class ServingMetrics {
   private readonly _counts = new Map<string, number>();
-  private readonly _latencies = new Map<string, Histogram>();
+  private readonly _histograms = new Map<string, NamedHistogram>();
   private readonly _gauges = new Map<string, () => number>();
 
   rejected(service: string): void {
@@ -20,7 +27,12 @@
 
   requestEnded(service: string, outcome: string, milliseconds: number): void {
     this.count(`requests_total{service="${service}",outcome="${outcome}"}`);
-    this._latency(service).recordValue(Math.min(HIGHEST_MILLISECONDS, Math.max(0, Math.round(milliseconds))));
+    this._record('request_milliseconds', service, milliseconds);
+  }
+
+  /** Age of the load report by which a server was chosen. */
+  loadUsed(service: string, ageMilliseconds: number): void {
+    this._record('load_age_milliseconds', service, ageMilliseconds);
   }
 
   /** Adds one to a counter; `series` is its name with labels. */
@@ -37,24 +49,27 @@
   exposition(): string {
     const lines = [...this._counts].map(([series, value]) => `larklatch_${series} ${value}`);
     for (const [name, read] of this._gauges) lines.push(`larklatch_${name} ${read()}`);
-    for (const [service, histogram] of this._latencies) {
+    for (const { name, service, histogram } of this._histograms.values()) {
       for (const quantile of QUANTILES) {
         const value = histogram.getValueAtPercentile(quantile);
-        lines.push(
-          `larklatch_request_milliseconds{service="${service}",quantile="${quantile / 100}"} ${value}`,
-        );
+        lines.push(`larklatch_${name}{service="${service}",quantile="${quantile / 100}"} ${value}`);
       }
-      lines.push(`larklatch_request_milliseconds_count{service="${service}"} ${histogram.totalCount}`);
+      lines.push(`larklatch_${name}_count{service="${service}"} ${histogram.totalCount}`);
     }
     return `${lines.join('\n')}\n`;
   }
 
-  private _latency(service: string): Histogram {
-    let histogram = this._latencies.get(service);
-    if (!histogram) {
-      histogram = build({ highestTrackableValue: HIGHEST_MILLISECONDS, numberOfSignificantValueDigits: 2 });
-      this._latencies.set(service, histogram);
+  private _record(name: string, service: string, milliseconds: number): void {
+    const key = `${name}/${service}`;
+    let held = this._histograms.get(key);
+    if (!held) {
+      const options = {
+        highestTrackableValue: HIGHEST_MILLISECONDS,
+        numberOfSignificantValueDigits: 2,
+      } as const;
+      held = { name, service, histogram: build(options) };
+      this._histograms.set(key, held);
     }
-    return histogram;
+    held.histogram.recordValue(Math.min(HIGHEST_MILLISECONDS, Math.max(0, Math.round(milliseconds))));
   }
 }
--- a/tests/lagWatch.spec.ts
+++ b/tests/lagWatch.spec.ts
@@ -6,8 +6,8 @@
 test('should notice a change that the copy lacks for too long', () => {
   const lag = new LagWatch();
   expect(lag.isTooLong('config', 10, 12, 0)).toEqual(false);
-  expect(lag.isTooLong('config', 10, 12, 1_200)).toEqual(false);
-  expect(lag.isTooLong('config', 10, 12, 1_201)).toEqual(true);
+  expect(lag.isTooLong('config', 10, 12, 1_000)).toEqual(false);
+  expect(lag.isTooLong('config', 10, 12, 1_001)).toEqual(true);
 });
 
 test('should say so once, and again only after as long', () => {
@@ -20,10 +20,10 @@
 test('should count from the first change that is lacking, and begin anew once that has come', () => {
   const lag = new LagWatch();
   lag.isTooLong('config', 10, 12, 0);
-  expect(lag.isTooLong('config', 10, 15, 1_300)).toEqual(true);
-  lag.isTooLong('config', 10, 15, 1_400);
-  expect(lag.isTooLong('config', 15, 16, 2_700)).toEqual(false);
-  expect(lag.isTooLong('config', 15, 16, 2_800)).toEqual(false);
+  expect(lag.isTooLong('config', 10, 15, 1_100)).toEqual(true);
+  lag.isTooLong('config', 10, 15, 1_200);
+  expect(lag.isTooLong('config', 15, 16, 2_400)).toEqual(false);
+  expect(lag.isTooLong('config', 15, 16, 2_500)).toEqual(false);
 });
 
 test('should not mind that another source is known to be complete up to a later revision', () => {
--- /dev/null
+++ b/tests/servingMetrics.spec.ts
@@ -0,0 +1,34 @@
+/** The figures that a gateway shows. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { CountedStore } from '../src/records/countedStore.js';
+import type { WatchableStore } from '../src/records/watchableStore.js';
+import { ServingMetrics } from '../src/telemetry/servingMetrics.js';
+
+const NEVER = new AbortController().signal;
+
+test('should show times of requests and ages of load apart, by service', () => {
+  const metrics = new ServingMetrics();
+  metrics.requestEnded('a', 'answered', 100);
+  metrics.loadUsed('a', 250);
+  metrics.loadUsed('b', 30);
+  const text = metrics.exposition();
+  expect(text).toInclude('larklatch_requests_total{service="a",outcome="answered"} 1');
+  expect(text).toInclude('larklatch_request_milliseconds{service="a",quantile="0.5"} 100');
+  expect(text).toInclude('larklatch_load_age_milliseconds{service="a",quantile="0.5"} 250');
+  expect(text).toInclude('larklatch_load_age_milliseconds_count{service="b"} 1');
+});
+
+test('should count calls to the store, answered or not', async () => {
+  const store: WatchableStore = {
+    probe: async () => undefined,
+    list: async () => ({ revision: 1, objects: [] }),
+    watch: async () => await Promise.reject(new Error('lost')),
+  };
+  const calls: string[] = [];
+  const counted = new CountedStore(store, (call, kind) => void calls.push(`${call} ${kind}`.trim()));
+  await counted.probe(1, NEVER);
+  expect(await counted.list('servers', NEVER)).toEqual({ revision: 1, objects: [] });
+  await expect(counted.watch('servers', 1, 1, NEVER)).toBeRejectedWith('lost');
+  expect(calls).toEqual(['probe', 'list servers', 'watch servers']);
+});
