--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -274,7 +274,10 @@
     const text = JSON.stringify(state);
     if (text === this._lastState) return;
     this._lastState = text;
-    for (const member of this._connected) this._peers.send(member.box, state);
+    this._peers.broadcast(
+      this._connected.map((member) => member.box),
+      state,
+    );
   }
 
   /** Where the other boxes of the group stand on the way to `version`. */
--- a/src/weights/agentPeers.ts
+++ b/src/weights/agentPeers.ts
@@ -1,6 +1,6 @@
 /** Control connections between agents: one per pair, shared by all rollouts. */
-import type { ControlConnection, ControlOptions } from '../protocol/controlConnection.js';
-import { ControlConnection as Connection } from '../protocol/controlConnection.js';
+import type { ControlOptions } from '../protocol/controlConnection.js';
+import { ControlConnection } from '../protocol/controlConnection.js';
 import type { Message } from '../protocol/message.js';
 import type { Member } from '../protocol/rolloutMessages.js';
 import type { Logger } from '../telemetry/logger.js';
@@ -46,6 +46,15 @@
     this._connections.get(box)?.send(message);
   }
 
+  /** Sends one message to all of these peers that are connected, encoded once. */
+  broadcast(boxes: Iterable<string>, message: Message): void {
+    const connections = [...boxes].map((box) => this._connections.get(box));
+    ControlConnection.broadcast(
+      connections.filter((connection) => connection !== undefined),
+      message,
+    );
+  }
+
   /** Keeps exactly these peers connected. */
   want(members: readonly Member[]): void {
     this._wanted.clear();
@@ -90,7 +99,7 @@
     const backoff = new Backoff(REDIAL, this._random);
     while (this._wanted.has(member.box) && !this._stopped.signal.aborted) {
       try {
-        this.attach(await Connection.connect(member.address, member.controlPort, this._options));
+        this.attach(await ControlConnection.connect(member.address, member.controlPort, this._options));
         return;
       } catch (error) {
         this._logger.decision('peer.redial', { peer: member.box, reason: errorText(error) });
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -285,17 +285,21 @@
     this._onChange();
   }
 
-  /** Other halls hear of a chunk only from the boxes that brought it into this one: each fetches it once. */
+  /** Other data centres hear of a chunk only from the boxes that brought it into this one: each fetches it once. */
   private _announce(chunks: number[]): void {
-    const uploadQueue = this._services.uploads.length;
     const brought = chunks.filter(
       (chunk) => this._brought.has(chunk) || this._topology.importers(chunk) === undefined,
     );
-    for (const peer of this._picker.peers()) {
-      const news = peer.crossHall ? brought : chunks;
-      if (news.length === 0) continue;
-      this._services.peers.send(peer.box, { type: 'have', rollout: this.rollout, chunks: news, uploadQueue });
-    }
+    this._tell(false, chunks);
+    this._tell(true, brought);
+  }
+
+  private _tell(crossHall: boolean, chunks: number[]): void {
+    if (chunks.length === 0) return;
+    const { peers, uploads } = this._services;
+    const told = [...this._picker.peers()].filter((peer) => peer.crossHall === crossHall);
+    const boxes = told.map((peer) => peer.box);
+    peers.broadcast(boxes, { type: 'have', rollout: this.rollout, chunks, uploadQueue: uploads.length });
   }
 
   /** Tells other halls everything now and then, for when the box that brought a chunk is lost. */
