Count the bound of a version from the earliest time at which it may have been named

Cause, from reading the new exchange: an entry whose source has failed hears of a version with the listing of the next source, up to 1.5 s after it was named, and would have sent requests to older versions for as much longer: past the 8 s of VERSION, on a calm machine.

Change: a version that comes with a listing may have been named when the copy was last confirmed, and at least 1.5 s ago; bounds, and what agents are told, count from then. A version that is watched counts from when it is heard, as before.

Tests: `servingDecisions` ("earliest time at which", "named long ago") fail without it.

--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -6,6 +6,7 @@
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { CountedStore } from '../records/countedStore.js';
+import type { ReplicaChange } from '../records/recordReplica.js';
 import { SystemClock } from '../utils/clock.js';
 import { placementHash } from '../utils/hash.js';
 import type { Random } from '../utils/random.js';
@@ -256,7 +257,7 @@
     const { configuration, servers, versions } = this._followers;
     configuration.on('change', () => this._onConfiguration());
     servers.on('change', () => this._onServers());
-    versions.on('change', () => this._onVersions());
+    versions.on('change', (change) => this._onVersions(change));
     this._followers.start();
   }
 
@@ -280,14 +281,15 @@
     this._wantAgents();
   }
 
-  private _onVersions(): void {
+  private _onVersions({ whole }: ReplicaChange): void {
     const fresh = this._versionsListed;
     this._versionsListed = true;
+    const lateMilliseconds = whole ? this._followers.latestGap : 0;
     let changed = false;
     for (const { name, value } of this._followers.versions.objects.values()) {
       const named = this._parts.platform.reader.version(name, value);
-      if (!named || !this._gate.note(named.model, named.version, fresh)) continue;
-      this._log.state('version.named', { ...named, fresh });
+      if (!named || !this._gate.note(named.model, named.version, fresh, lateMilliseconds)) continue;
+      this._log.state('version.named', { ...named, fresh, lateMilliseconds: Math.round(lateMilliseconds) });
       changed = true;
     }
     if (changed) this._links.announce();
--- a/src/serving/platformFollowers.ts
+++ b/src/serving/platformFollowers.ts
@@ -27,6 +27,8 @@
 /** Many servers change only what they hold while they load or switch, which their agents tell as well. */
 const GATHER_MINOR_MILLISECONDS = 500;
 const GATHER_MILLISECONDS = 60;
+/** The longest lag of a copy (1,000), a stamp (300), and a round of reading, as `LagWatch` and `RecordRelay` have them. */
+const LEAST_GAP_MILLISECONDS = 1_500;
 /** How long after an outage of the store backend servers may be missing that only could not renew their entries. */
 const OUTAGE_ECHO_MILLISECONDS = 1_500;
 
@@ -69,6 +71,14 @@
     return this._state.unconfirmedFor < STALE_MILLISECONDS;
   }
 
+  /**
+   * Milliseconds in which a record that comes with a listing may have been made: since the copy was last confirmed, and at
+   * least as long as it takes to notice that a reader has fallen behind. Changes that are watched come as they are made.
+   */
+  get latestGap(): number {
+    return Math.max(LEAST_GAP_MILLISECONDS, this._state.unconfirmedFor);
+  }
+
   /** Whether the store was regained so lately that servers may be missing though they run. */
   get isEchoing(): boolean {
     return this._state.regainedFor < OUTAGE_ECHO_MILLISECONDS;
--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -38,11 +38,17 @@
     this._clock = clock;
   }
 
-  /** Notes a version; `fresh` when it was heard of as it was named, not found when this process started. */
-  note(model: string, version: number, fresh: boolean): boolean {
+  /**
+   * Notes a version; `fresh` when it was heard of as it was named, not found when this process started. It may have been
+   * named `lateMilliseconds` before it was heard of.
+   */
+  note(model: string, version: number, fresh: boolean, lateMilliseconds = 0): boolean {
     const known = this._known.get(model) ?? [];
     if (known.some((item) => item.version >= version)) return false;
-    const already = fresh ? 0 : this._bounds.switchMilliseconds - this._bounds.startMilliseconds;
+    const { switchMilliseconds, startMilliseconds } = this._bounds;
+    const already = fresh
+      ? Math.min(lateMilliseconds, switchMilliseconds)
+      : switchMilliseconds - startMilliseconds;
     known.push({ version, knownAt: this._clock.now() - already });
     this._known.set(model, known.slice(-REMEMBERED));
     return true;
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -120,6 +120,26 @@
   expect(gate.lowestToBegin('m')).toEqual(2);
 });
 
+test('should count the bound of a version from the earliest time at which it may have been named', () => {
+  const clock = new ManualClock();
+  clock.advance(20_000);
+  const gate = new VersionGate({ switchMilliseconds: 8_000, startMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, true, 1_500);
+  expect(gate.wanted('m').knownMilliseconds).toEqual(1_500);
+  clock.advance(5_499);
+  expect(gate.lowest('m')).toEqual(0);
+  clock.advance(1);
+  expect(gate.lowest('m')).toEqual(2);
+});
+
+test('should not send to an older version at all when a version may have been named long ago', () => {
+  const clock = new ManualClock();
+  clock.advance(20_000);
+  const gate = new VersionGate({ switchMilliseconds: 8_000, startMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, true, Number.POSITIVE_INFINITY);
+  expect(gate.lowest('m')).toEqual(2);
+});
+
 test('should judge each version from its own naming', () => {
   const clock = new ManualClock();
   const gate = new VersionGate({ switchMilliseconds: 8_000, startMilliseconds: 3_000 }, clock);
