--- a/bench/controlBench.ts
+++ b/bench/controlBench.ts
@@ -17,7 +17,7 @@
   agent: Usage;
 }
 
-const HALLS = ['zagreb', 'split', 'osijek'];
+const DATA_CENTRES = ['zagreb', 'split', 'osijek'];
 const COMPLETE_MILLISECONDS = 120_000;
 const SETTLE_MILLISECONDS = 10_000;
 const MEASURE_MILLISECONDS = 20_000;
@@ -59,10 +59,10 @@
 
 async function measure(shape: Shape): Promise<Figures> {
   const fleet = await LocalFleet.start({
-    halls: HALLS,
-    entriesPerHall: shape.entries / HALLS.length,
-    modelBoxesPerHall: 0,
-    plainBoxesPerHall: shape.agents / HALLS.length,
+    dataCentres: DATA_CENTRES,
+    entriesPerDataCentre: shape.entries / DATA_CENTRES.length,
+    modelBoxesPerDataCentre: 0,
+    plainBoxesPerDataCentre: shape.agents / DATA_CENTRES.length,
     entrySettings: { BOX_LIST_MILLISECONDS: '1000' },
   });
   try {
--- a/bench/decisionBench.ts
+++ b/bench/decisionBench.ts
@@ -7,12 +7,12 @@
 
 const BACKENDS = 2_900;
 const DECISIONS = 100_000;
-const HALLS = 5;
+const DATA_CENTRES = 5;
 
 function backend(index: number): Backend {
   return {
     box: `box-${index}`,
-    hall: `hall-${index % HALLS}`,
+    dataCentre: `data-centre-${index % DATA_CENTRES}`,
     address: '127.0.0.1',
     httpPort: 1,
     incarnation: 'i',
@@ -24,12 +24,12 @@
   };
 }
 
-/** Routes to 2,900 boxes of one configuration in five halls, every request with a prompt prefix. */
+/** Routes to 2,900 boxes of one configuration in five data centres, every request with a prompt prefix. */
 export async function benchDecisions(): Promise<void> {
   const all = Array.from({ length: BACKENDS }, (_none, index) => backend(index));
   const pool = {
-    sameHall: all.filter((each) => each.hall === 'hall-0'),
-    otherHalls: all.filter((each) => each.hall !== 'hall-0'),
+    sameDataCentre: all.filter((each) => each.dataCentre === 'data-centre-0'),
+    otherDataCentres: all.filter((each) => each.dataCentre !== 'data-centre-0'),
   };
   const random = new SeededRandom(1);
   const start = performance.now();
@@ -37,7 +37,7 @@
     chooseBackend(pool, { affinity: `prefix-${decision % 997}`, allows: () => true, now: decision }, random);
   }
   const microseconds = ((performance.now() - start) * 1000) / DECISIONS;
-  const conditions = `${BACKENDS} backend servers of one configuration in ${HALLS} halls, ${DECISIONS} decisions`;
+  const conditions = `${BACKENDS} backend servers of one configuration in ${DATA_CENTRES} data centres, ${DECISIONS} decisions`;
   printLine({
     name: 'route.decision.microseconds',
     value: microseconds,
--- a/bench/requestBench.ts
+++ b/bench/requestBench.ts
@@ -4,19 +4,19 @@
 import type { Run } from '../standins/runLog.js';
 import { printLine } from './benchLine.js';
 
-const HALLS = ['brest', 'vannes', 'rennes'];
+const DATA_CENTRES = ['brest', 'vannes', 'rennes'];
 const CHUNK_BYTES = 64 * 1024;
 const SLOTS = 4;
 const TOKENS = 10;
 const ENGINE = { slots: SLOTS, firstTokenMilliseconds: 20, tokenMilliseconds: 3 };
-const BOXES_PER_HALL = 1;
+const BOXES_PER_DATA_CENTRE = 1;
 /** Requests a second that all boxes together can serve. */
 const CAPACITY =
-  (HALLS.length * BOXES_PER_HALL * SLOTS * 1000) /
+  (DATA_CENTRES.length * BOXES_PER_DATA_CENTRE * SLOTS * 1000) /
   (ENGINE.firstTokenMilliseconds + TOKENS * ENGINE.tokenMilliseconds);
 const CHANGES = 20;
 const LOAD_MILLISECONDS = 6_000;
-const CONDITIONS = '3 halls, 3 entries, 3 model boxes of 4 slots, loopback, one run';
+const CONDITIONS = '3 data centres, 3 entries, 3 model boxes of 4 slots, loopback, one run';
 
 interface LoadResult {
   sent: number;
@@ -28,9 +28,9 @@
 
 export async function benchRequests(): Promise<void> {
   const fleet = await LocalFleet.start({
-    halls: HALLS,
-    entriesPerHall: 1,
-    modelBoxesPerHall: BOXES_PER_HALL,
+    dataCentres: DATA_CENTRES,
+    entriesPerDataCentre: 1,
+    modelBoxesPerDataCentre: BOXES_PER_DATA_CENTRE,
     engine: ENGINE,
     agentSettings: { BACKEND_SLOTS: String(SLOTS), WAITING_PER_CUSTOMER: '32' },
     boxBytesPerSecond: 64 * CHUNK_BYTES,
--- a/bench/rolloutBench.ts
+++ b/bench/rolloutBench.ts
@@ -8,9 +8,9 @@
 
 const SMALL: RolloutRunOptions = {
   distribution: 'exchange',
-  halls: ['zagreb', 'split', 'osijek'],
-  boxesPerHall: 8,
-  entriesPerHall: 1,
+  dataCentres: ['zagreb', 'split', 'osijek'],
+  boxesPerDataCentre: 8,
+  entriesPerDataCentre: 1,
   chunkBytes: 64 * KILOBYTE,
   chunkCount: 64,
   periodSeconds: 12,
@@ -50,7 +50,7 @@
 async function benchFaults(): Promise<void> {
   const faulty = await measureRollout({
     ...LARGE,
-    entriesPerHall: 2,
+    entriesPerDataCentre: 2,
     originBudgetCopies: 1.5,
     faults: (fleet) => breakFleet(fleet, FAULTS_AFTER_MILLISECONDS),
   });
@@ -72,15 +72,15 @@
 }
 
 function conditions({
-  halls,
-  boxesPerHall,
+  dataCentres,
+  boxesPerDataCentre,
   chunkCount,
   chunkBytes,
   periodSeconds,
 }: RolloutRunOptions): string {
-  const boxes = halls.length * boxesPerHall;
+  const boxes = dataCentres.length * boxesPerDataCentre;
   const chunks = `${chunkCount} chunks of ${chunkBytes / KILOBYTE} KB`;
-  return `${boxes} boxes, ${halls.length} halls, ${chunks}, T = ${periodSeconds} s, full duplex, one run, loopback`;
+  return `${boxes} boxes, ${dataCentres.length} data centres, ${chunks}, T = ${periodSeconds} s, full duplex, one run, loopback`;
 }
 
 function ratio(figures: RolloutFigures): number {
--- a/bench/rolloutRun.ts
+++ b/bench/rolloutRun.ts
@@ -8,9 +8,9 @@
 /** What is rolled out, on what. */
 export interface RolloutRunOptions {
   distribution: Distribution;
-  halls: readonly string[];
-  boxesPerHall: number;
-  entriesPerHall: number;
+  dataCentres: readonly string[];
+  boxesPerDataCentre: number;
+  entriesPerDataCentre: number;
   chunkBytes: number;
   chunkCount: number;
   /** The time in which the origin sends four copies and each link two. */
@@ -64,9 +64,9 @@
   const originBytesPerSecond = (RATES.origin * modelBytes) / options.periodSeconds;
   const boxBytesPerSecond = (RATES.box * modelBytes) / options.periodSeconds;
   const fleet = await LocalFleet.start({
-    halls: options.halls,
-    entriesPerHall: options.entriesPerHall,
-    modelBoxesPerHall: options.boxesPerHall,
+    dataCentres: options.dataCentres,
+    entriesPerDataCentre: options.entriesPerDataCentre,
+    modelBoxesPerDataCentre: options.boxesPerDataCentre,
     originBytesPerSecond,
     boxBytesPerSecond,
     ...options.fleet,
@@ -132,7 +132,7 @@
   return {
     seconds,
     originBytes: (await fleet.originBytes()) - originBefore,
-    crossHallBytes: status.bytes.otherHalls,
+    crossHallBytes: status.bytes.otherDataCentres,
   };
 }
 
--- a/bench/shareBench.ts
+++ b/bench/shareBench.ts
@@ -14,16 +14,17 @@
 /** Prints how many bytes the heavy rollout has drawn for each of the light one, in the middle, and both origin copies. */
 export async function benchShare(): Promise<void> {
   const fleet = await LocalFleet.start({
-    halls: ['zagreb', 'split', 'osijek'],
-    entriesPerHall: 1,
-    modelBoxesPerHall: 8,
+    dataCentres: ['zagreb', 'split', 'osijek'],
+    entriesPerDataCentre: 1,
+    modelBoxesPerDataCentre: 8,
     originBytesPerSecond: (4 * MODEL_BYTES) / PERIOD_SECONDS,
     boxBytesPerSecond: (2 * MODEL_BYTES) / PERIOD_SECONDS,
   });
   try {
     await publishBoth(fleet);
     const share = await readShare(fleet);
-    const conditions = '24 boxes, 3 halls, weights 2 and 1, equal models started together, loopback, one run';
+    const conditions =
+      '24 boxes, 3 data centres, weights 2 and 1, equal models started together, loopback, one run';
     printLine({ name: 'rollout.originShareByWeight', value: share, unit: 'ratio', baseline: 2, conditions });
     for (const customer of Object.keys(WEIGHTS)) {
       const status = await fleet.untilComplete(customer, 'advisor', 'v1', 90_000);
--- a/demo/main.ts
+++ b/demo/main.ts
@@ -7,8 +7,8 @@
 import { LocalFleet } from '../standins/localFleet.js';
 import type { Run } from '../standins/runLog.js';
 
-const HALLS = ['zagreb', 'split', 'osijek'];
-const BOXES_PER_HALL = 8;
+const DATA_CENTRES = ['zagreb', 'split', 'osijek'];
+const BOXES_PER_DATA_CENTRE = 8;
 const CHUNK_BYTES = 128 * 1024;
 const CHUNKS = 160;
 const MODEL_BYTES = CHUNK_BYTES * CHUNKS;
@@ -112,7 +112,7 @@
 /** Kills an agent in the middle of the rollout; the box list notices a second later. */
 async function breakThings(fleet: LocalFleet): Promise<void> {
   await pause(KILL_AFTER_MILLISECONDS);
-  const victim = `${HALLS[0]}-model-2`;
+  const victim = `${DATA_CENTRES[0]}-model-2`;
   console.log(`killing the agent of ${victim}`);
   await fleet.box(victim).child.end('SIGKILL');
   await pause(1_000);
@@ -168,17 +168,19 @@
 }
 
 async function main(): Promise<number> {
-  const boxes = HALLS.length * BOXES_PER_HALL;
+  const boxes = DATA_CENTRES.length * BOXES_PER_DATA_CENTRE;
   const megabytes = MODEL_BYTES / 1024 / 1024;
-  console.log(`starting ${boxes} model boxes, 3 service boxes and 6 entries in ${HALLS.length} halls`);
+  console.log(
+    `starting ${boxes} model boxes, 3 service boxes and 6 entries in ${DATA_CENTRES.length} data centres`,
+  );
   const fleet = await LocalFleet.start({
-    halls: HALLS,
-    entriesPerHall: 2,
-    modelBoxesPerHall: BOXES_PER_HALL,
-    plainBoxesPerHall: 1,
+    dataCentres: DATA_CENTRES,
+    entriesPerDataCentre: 2,
+    modelBoxesPerDataCentre: BOXES_PER_DATA_CENTRE,
+    plainBoxesPerDataCentre: 1,
     originBytesPerSecond: ORIGIN_BYTES_PER_SECOND,
     boxBytesPerSecond: BOX_BYTES_PER_SECOND,
-    damagingBoxes: withFaults ? [`${HALLS[1]}-model-3`] : [],
+    damagingBoxes: withFaults ? [`${DATA_CENTRES[1]}-model-3`] : [],
   });
   try {
     await prepare(fleet);
--- a/src/agent/agentDaemon.ts
+++ b/src/agent/agentDaemon.ts
@@ -91,7 +91,7 @@
     const clock = new SystemClock();
     const random = new SeededRandom(settings.seed + placementHash(settings.box));
     this._settings = settings;
-    this._logger = new Logger('agent', { box: settings.box, hall: settings.hall });
+    this._logger = new Logger('agent', { box: settings.box, dataCentre: settings.dataCentre });
     this._store = new ChunkStore(settings.stagingMemoryBytes);
     this._ledger = new Ledger({
       clock,
@@ -255,8 +255,8 @@
 }
 
 function controlOptions(settings: AgentSettings): ControlOptions {
-  const { sharedKey, box, hall, peerTimeoutMilliseconds } = settings;
-  return { key: sharedKey, identity: { role: 'agent', box, hall }, peerTimeoutMilliseconds };
+  const { sharedKey, box, dataCentre, peerTimeoutMilliseconds } = settings;
+  return { key: sharedKey, identity: { role: 'agent', box, dataCentre }, peerTimeoutMilliseconds };
 }
 
 function createUploads(settings: AgentSettings): UploadQueue {
--- a/src/agent/stagedVersion.ts
+++ b/src/agent/stagedVersion.ts
@@ -48,11 +48,11 @@
     return this.plan.members.some((member) => member.box === box);
   }
 
-  /** Whether two boxes of the rollout stand in different halls. */
+  /** Whether two boxes of the rollout stand in different data centres. */
   areApart(one: string, other: string): boolean {
-    const hallOf = (box: string): string | undefined =>
-      this.plan.members.find((member) => member.box === box)?.hall;
-    return hallOf(one) !== hallOf(other);
+    const dataCentreOf = (box: string): string | undefined =>
+      this.plan.members.find((member) => member.box === box)?.dataCentre;
+    return dataCentreOf(one) !== dataCentreOf(other);
   }
 
   /** Ends transfers and lets the chunks go. */
--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -36,7 +36,7 @@
   if (start < 0 || !line.includes(request)) return undefined;
   try {
     const { time, step, box, request: id, ...fields } = JSON.parse(line.slice(start));
-    delete fields.hall;
+    delete fields.dataCentre;
     return id === request ? { time, step, box, fields } : undefined;
   } catch {
     return undefined;
--- a/src/cli/runCommand.ts
+++ b/src/cli/runCommand.ts
@@ -40,7 +40,7 @@
 const callerSettingsSchema = z.object({
   entryUrl: urlSetting,
   apiKey: z.string("a customer's API key").min(1, "a customer's API key"),
-  hall: z.string().optional(),
+  dataCentre: z.string().optional(),
 });
 
 /** Runs a command; throws a CliError when it cannot. */
@@ -80,11 +80,11 @@
 }
 
 async function readEntries(flags: Flags): Promise<unknown> {
-  const { entryUrl, apiKey, hall } = checkSettings(callerSettingsSchema, flags);
+  const { entryUrl, apiKey, dataCentre } = checkSettings(callerSettingsSchema, flags);
   const answer = await sendJson({
     step: 'entries.read',
     method: 'GET',
-    url: `${entryUrl}/v1/entries${hall ? `?hall=${encodeURIComponent(hall)}` : ''}`,
+    url: `${entryUrl}/v1/entries${dataCentre ? `?dataCentre=${encodeURIComponent(dataCentre)}` : ''}`,
     headers: { authorization: `Bearer ${apiKey}` },
     timeoutMilliseconds: TIMEOUT_MILLISECONDS,
   });
--- a/src/configuration/changeHandler.ts
+++ b/src/configuration/changeHandler.ts
@@ -1,4 +1,4 @@
-/** Accepts operators' changes: checked, written once, and held by another hall before the yes. */
+/** Accepts operators' changes: checked, written once, and held by another data centre before the yes. */
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { ReplicatedRecord } from '../protocol/records.js';
@@ -33,7 +33,7 @@
   /** It may have been changed: send the same change again. */
   | { kind: 'unresolved'; reason: string };
 
-/** Hands a record to other entries and tells how many in other halls confirmed it. */
+/** Hands a record to other entries and tells how many in other data centres confirmed it. */
 export interface Confirmer {
   /** Resolves true once enough entries hold the record that the loss of one cannot keep it from the rest. */
   confirm(record: ReplicatedRecord): Promise<boolean>;
@@ -74,7 +74,10 @@
 
   private async _confirmed(record: ReplicatedRecord): Promise<Result<AcceptedChange, ChangeRefusal>> {
     if (await this._confirmer.confirm(record)) return ok({ record });
-    return err({ kind: 'unresolved', reason: 'written, but no entry of another hall has confirmed it' });
+    return err({
+      kind: 'unresolved',
+      reason: 'written, but no entry of another data centre has confirmed it',
+    });
   }
 }
 
--- a/src/entry/callerApi.ts
+++ b/src/entry/callerApi.ts
@@ -34,8 +34,8 @@
   ledgers: ParsedRecords<LedgerRecord>;
   sharedKey: string;
   entriesKeepSeconds: number;
-  entriesFor: (hall: string, asker: string) => EntryAddress[];
-  hall: string;
+  entriesFor: (dataCentre: string, asker: string) => EntryAddress[];
+  dataCentre: string;
   clock: Clock;
   random: Random;
   metrics: Metrics;
@@ -88,9 +88,9 @@
   }
 
   private _answerEntries(response: http.ServerResponse, url: URL, customer: string): void {
-    const hall = url.searchParams.get('hall') ?? this._options.hall;
+    const dataCentre = url.searchParams.get('dataCentre') ?? this._options.dataCentre;
     const asker = url.searchParams.get('asker') ?? `${customer}/${response.socket?.remoteAddress ?? ''}`;
-    const entries = this._options.entriesFor(hall, asker);
+    const entries = this._options.entriesFor(dataCentre, asker);
     answerJson(response, 200, { entries, keepSeconds: this._options.entriesKeepSeconds });
   }
 
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -87,7 +87,7 @@
   constructor(settings: EntrySettings) {
     this._settings = settings;
     this._random = new SeededRandom(settings.seed + placementHash(settings.box));
-    this._logger = new Logger('entry', { box: settings.box, hall: settings.hall });
+    this._logger = new Logger('entry', { box: settings.box, dataCentre: settings.dataCentre });
     const api = new HttpObjectApi(settings.objectApiUrl);
     const writer = new SafeWriter(api, this._replica);
     const services = { clock: this._clock, random: this._random, logger: this._logger };
@@ -103,7 +103,7 @@
     const entries = (): Box[] => this._boxes.withRole('entry');
     this._replicator = new Replicator({ control, replica: this._replica, entries, ...services });
     this._links = new AgentLinks({ control, ...services });
-    this._routes = new RouteTable(this._links, settings.hall, this._clock, (name) =>
+    this._routes = new RouteTable(this._links, settings.dataCentre, this._clock, (name) =>
       this._activatedRollout(name),
     );
     this._pool = new CoordinatorPool({
@@ -198,8 +198,8 @@
       ledgers: this._ledgers,
       sharedKey: settings.sharedKey,
       entriesKeepSeconds: settings.entriesKeepSeconds,
-      entriesFor: (hall, asker) => this._entriesFor(hall, asker),
-      hall: settings.hall,
+      entriesFor: (dataCentre, asker) => this._entriesFor(dataCentre, asker),
+      dataCentre: settings.dataCentre,
     });
     const statusReader = new RolloutStatusReader({
       box: settings.box,
@@ -276,20 +276,22 @@
     });
   }
 
-  private _entriesFor(hall: string, asker: string): EntryAddress[] {
-    return orderEntries(this._usableEntries(), hall, asker);
+  private _entriesFor(dataCentre: string, asker: string): EntryAddress[] {
+    return orderEntries(this._usableEntries(), dataCentre, asker);
   }
 
-  /** Cut off from the object API and from the entries of every other hall for too long. */
+  /** Cut off from the object API and from the entries of every other data centre for too long. */
   private _isIsolated(): boolean {
-    const { isolatedMilliseconds, hall } = this._settings;
+    const { isolatedMilliseconds, dataCentre } = this._settings;
     if (this._follower.silence < isolatedMilliseconds) return false;
-    const hasOtherHalls = this._boxes.withRole('entry').some((entry) => entry.hall !== hall);
-    return hasOtherHalls && this._replicator.otherHallSilence > isolatedMilliseconds;
+    const hasOtherDataCentres = this._boxes
+      .withRole('entry')
+      .some((entry) => entry.dataCentre !== dataCentre);
+    return hasOtherDataCentres && this._replicator.otherDataCentreSilence > isolatedMilliseconds;
   }
 }
 
 function controlOptions(settings: EntrySettings): ControlOptions {
-  const { sharedKey, box, hall, peerTimeoutMilliseconds } = settings;
-  return { key: sharedKey, identity: { role: 'entry', box, hall }, peerTimeoutMilliseconds };
+  const { sharedKey, box, dataCentre, peerTimeoutMilliseconds } = settings;
+  return { key: sharedKey, identity: { role: 'entry', box, dataCentre }, peerTimeoutMilliseconds };
 }
--- a/src/entry/rolloutStatusReader.ts
+++ b/src/entry/rolloutStatusReader.ts
@@ -16,7 +16,7 @@
 /** One box of a rollout, for operators. */
 export interface BoxStatus {
   box: string;
-  hall: string;
+  dataCentre: string;
   state: string;
   activeVersion: string;
   heldChunks: number;
@@ -27,7 +27,7 @@
 /** One entry's knowledge of the configuration. */
 export interface EntryStatus {
   box: string;
-  hall: string;
+  dataCentre: string;
   inForce: boolean;
 }
 
@@ -45,7 +45,7 @@
   /** Boxes that serve the wanted version, and boxes that the platform lists as live. */
   replicas: number;
   boxes: number;
-  bytes: { total: number; origin: number; ownHall: number; otherHalls: number };
+  bytes: { total: number; origin: number; ownDataCentre: number; otherDataCentres: number };
   /** What keeps the rollout from going on; empty when nothing does. */
   heldBackBy: string[];
   entries: EntryStatus[];
@@ -103,18 +103,19 @@
   }
 
   private async _entryStatus(entry: Box, key: string, revision: number): Promise<EntryStatus> {
-    const { box, hall } = entry;
-    if (box === this._options.box) return { box, hall, inForce: true };
+    const { box, dataCentre } = entry;
+    if (box === this._options.box) return { box, dataCentre, inForce: true };
     const known = await this._options.replicator.revisionAt(box, key);
-    return { box, hall, inForce: known !== undefined && known >= revision };
+    return { box, dataCentre, inForce: known !== undefined && known >= revision };
   }
 
   private _boxStatus({ box, live, report, link }: RolloutBox): BoxStatus {
-    const hall = this._options.boxes.get(box)?.hall ?? '';
+    const dataCentre = this._options.boxes.get(box)?.dataCentre ?? '';
     const state = live ? (report?.state ?? 'waiting') : unreachableState(link);
-    if (!report) return { box, hall, state, activeVersion: '', heldChunks: 0, totalChunks: 0, problem: '' };
+    if (!report)
+      return { box, dataCentre, state, activeVersion: '', heldChunks: 0, totalChunks: 0, problem: '' };
     const { activeVersion, heldChunks, totalChunks, problem } = report;
-    return { box, hall, state, activeVersion, heldChunks, totalChunks, problem };
+    return { box, dataCentre, state, activeVersion, heldChunks, totalChunks, problem };
   }
 }
 
@@ -125,12 +126,12 @@
 }
 
 function bytesOf(record: RolloutRecord | undefined, members: readonly RolloutBox[]): RolloutStatus['bytes'] {
-  const bytes = { total: record?.totalBytes ?? 0, origin: 0, ownHall: 0, otherHalls: 0 };
+  const bytes = { total: record?.totalBytes ?? 0, origin: 0, ownDataCentre: 0, otherDataCentres: 0 };
   for (const { report } of members) {
     if (report?.rollout !== record?.rollout) continue;
     bytes.origin += report?.originBytes ?? 0;
-    bytes.ownHall += report?.peerBytes ?? 0;
-    bytes.otherHalls += report?.crossHallBytes ?? 0;
+    bytes.ownDataCentre += report?.peerBytes ?? 0;
+    bytes.otherDataCentres += report?.crossHallBytes ?? 0;
   }
   return bytes;
 }
--- a/src/external/boxList.ts
+++ b/src/external/boxList.ts
@@ -11,7 +11,7 @@
 export const boxSchema = z.object({
   box: nameSchema,
   role: roleSchema,
-  hall: nameSchema,
+  dataCentre: nameSchema,
   address: z.string(),
   httpPort: z.number(),
   controlPort: z.number(),
--- a/src/membership/agentLink.ts
+++ b/src/membership/agentLink.ts
@@ -75,8 +75,8 @@
   }
 
   get member(): Member {
-    const { box, hall, address, httpPort, controlPort } = this.box;
-    return { box, hall, address, httpPort, controlPort };
+    const { box, dataCentre, address, httpPort, controlPort } = this.box;
+    return { box, dataCentre, address, httpPort, controlPort };
   }
 
   /** Sends an order and waits for the reply. Throws a StepError when there is none. */
--- a/src/membership/replicationPeers.ts
+++ b/src/membership/replicationPeers.ts
@@ -4,9 +4,9 @@
 
 /** Up to this many entries, every one is connected with every other. */
 const FULL_MESH_ENTRIES = 8;
-/** Beyond that, the peers that each entry dials: some of its own hall, some of others. */
-const OWN_HALL_PEERS = 2;
-const OTHER_HALL_PEERS = 2;
+/** Beyond that, the peers that each entry dials: some of its own data centre, some of others. */
+const OWN_DATA_CENTRE_PEERS = 2;
+const OTHER_DATA_CENTRE_PEERS = 2;
 
 /** Returns the entries that `self` dials; those that dial it come on top. */
 export function replicationPeers(self: Box, entries: readonly Box[]): Box[] {
@@ -15,8 +15,10 @@
     return others.filter((entry) => compareText(self.box, entry.box) < 0);
   const ring = ringSuccessor(self, entries);
   const ordered = rendezvousOrder(self.box, others, (entry) => entry.box);
-  const own = ordered.filter((entry) => entry.hall === self.hall).slice(0, OWN_HALL_PEERS);
-  const other = ordered.filter((entry) => entry.hall !== self.hall).slice(0, OTHER_HALL_PEERS);
+  const own = ordered.filter((entry) => entry.dataCentre === self.dataCentre).slice(0, OWN_DATA_CENTRE_PEERS);
+  const other = ordered
+    .filter((entry) => entry.dataCentre !== self.dataCentre)
+    .slice(0, OTHER_DATA_CENTRE_PEERS);
   return [...new Set([ring, ...own, ...other])];
 }
 
@@ -27,12 +29,17 @@
   return ordered[(position + 1) % ordered.length];
 }
 
-/** Entries per hall that keep a watch on the object API; two, so that the loss of one is not noticed. */
-const WATCHERS_PER_HALL = 2;
+/** Entries per data centre that keep a watch on the object API; two, so that the loss of one is not noticed. */
+const WATCHERS_PER_DATA_CENTRE = 2;
 
-/** Whether `self` is one of its hall's watchers. */
+/** Whether `self` is one of its data centre's watchers. */
 export function isWatcher(self: Box, entries: readonly Box[]): boolean {
-  const ofHall = entries.filter((entry) => entry.hall === self.hall && entry.state === 'live');
-  const watchers = rendezvousOrder('watch', ofHall, (entry) => entry.box).slice(0, WATCHERS_PER_HALL);
+  const ofDataCentre = entries.filter(
+    (entry) => entry.dataCentre === self.dataCentre && entry.state === 'live',
+  );
+  const watchers = rendezvousOrder('watch', ofDataCentre, (entry) => entry.box).slice(
+    0,
+    WATCHERS_PER_DATA_CENTRE,
+  );
   return watchers.some((entry) => entry.box === self.box);
 }
--- a/src/membership/replicator.ts
+++ b/src/membership/replicator.ts
@@ -46,7 +46,7 @@
   private readonly _timers: NodeJS.Timeout[] = [];
   private _wanted: readonly Box[] = [];
   private _leaving = false;
-  private _otherHallHeardAt = Number.NEGATIVE_INFINITY;
+  private _otherDataCentreHeardAt = Number.NEGATIVE_INFINITY;
 
   constructor(options: ReplicatorOptions) {
     this._options = options;
@@ -55,11 +55,11 @@
     this._timers.push(setInterval(() => this._dialMissing(), REDIAL_INTERVAL_MILLISECONDS));
   }
 
-  /** Milliseconds since an entry of another hall was last connected. */
-  get otherHallSilence(): number {
-    const connected = [...this._peers.values()].some((peer) => this._isOtherHall(peer));
-    if (connected) this._otherHallHeardAt = this._options.clock.now();
-    return this._options.clock.now() - this._otherHallHeardAt;
+  /** Milliseconds since an entry of another data centre was last connected. */
+  get otherDataCentreSilence(): number {
+    const connected = [...this._peers.values()].some((peer) => this._isOtherDataCentre(peer));
+    if (connected) this._otherDataCentreHeardAt = this._options.clock.now();
+    return this._options.clock.now() - this._otherDataCentreHeardAt;
   }
 
   get peerCount(): number {
@@ -141,18 +141,18 @@
     }
   }
 
-  /** Peers of other halls where there are any in the box list, else peers of the own hall. */
+  /** Peers of other data centres where there are any in the box list, else peers of the own data centre. */
   private _confirmers(): EntryPeer[] | 'none-exist' {
-    const { hall, box } = this._options.control.identity;
+    const { dataCentre, box } = this._options.control.identity;
     const others = this._options.entries().filter((entry) => entry.box !== box);
     if (others.length === 0) return 'none-exist';
-    const needsOtherHall = others.some((entry) => entry.hall !== hall);
+    const needsOtherDataCentre = others.some((entry) => entry.dataCentre !== dataCentre);
     const peers = [...this._peers.values()];
-    return needsOtherHall ? peers.filter((peer) => this._isOtherHall(peer)) : peers;
+    return needsOtherDataCentre ? peers.filter((peer) => this._isOtherDataCentre(peer)) : peers;
   }
 
-  private _isOtherHall(peer: EntryPeer): boolean {
-    return peer.connection.peer.hall !== this._options.control.identity.hall;
+  private _isOtherDataCentre(peer: EntryPeer): boolean {
+    return peer.connection.peer.dataCentre !== this._options.control.identity.dataCentre;
   }
 
   private _onMessage(peer: EntryPeer, message: Message): void {
@@ -173,7 +173,7 @@
 
   private _onClose(box: string, peer: EntryPeer, reason: string): void {
     if (this._peers.get(box) !== peer) return;
-    if (this._isOtherHall(peer)) this._otherHallHeardAt = this._options.clock.now();
+    if (this._isOtherDataCentre(peer)) this._otherDataCentreHeardAt = this._options.clock.now();
     this._peers.delete(box);
     this._options.logger.state('entry.lost', { peer: box, reason });
   }
--- a/src/protocol/boxMessages.ts
+++ b/src/protocol/boxMessages.ts
@@ -7,7 +7,7 @@
 /** An entry that callers may use. */
 export const entryAddressSchema = z.object({
   box: nameSchema,
-  hall: z.string(),
+  dataCentre: z.string(),
   /** Where callers connect, as host:port. */
   address: z.string(),
   /** Where control connections are accepted, as host:port. */
@@ -25,7 +25,7 @@
 export type WantedVersion = z.infer<typeof wantedVersionSchema>;
 
 /** A box whose agent exchanges chunks. */
-export const agentAddressSchema = z.object({ box: nameSchema, hall: z.string(), address: z.string() });
+export const agentAddressSchema = z.object({ box: nameSchema, dataCentre: z.string(), address: z.string() });
 export type AgentAddress = z.infer<typeof agentAddressSchema>;
 
 /** Sent by an entry to each agent when it connects and on every change. */
--- a/src/protocol/handshake.ts
+++ b/src/protocol/handshake.ts
@@ -7,7 +7,7 @@
 export const PROTOCOL_VERSION = 1;
 
 /** Who stands at one end of a connection. */
-export const identitySchema = z.object({ role: roleSchema, box: nameSchema, hall: nameSchema });
+export const identitySchema = z.object({ role: roleSchema, box: nameSchema, dataCentre: nameSchema });
 export type Identity = z.infer<typeof identitySchema>;
 
 export const challengeSchema = z.object({ type: z.literal('challenge'), nonce: z.string() });
@@ -28,5 +28,5 @@
 
 /** Returns the MAC by which `identity` answers a nonce. */
 export function handshakeMac(key: string, nonce: string, identity: Identity): string {
-  return macOf(key, 'control', nonce, identity.role, identity.box, identity.hall);
+  return macOf(key, 'control', nonce, identity.role, identity.box, identity.dataCentre);
 }
--- a/src/protocol/names.ts
+++ b/src/protocol/names.ts
@@ -4,7 +4,7 @@
 const NAME_ALLOWED = '1 to 63 of a-z, 0-9 and -, not starting with -';
 const VERSION_ALLOWED = '1 to 63 of A-Z, a-z, 0-9, ., _ and -';
 
-/** Names of customers, configurations, models, boxes and halls: short, and safe in a URL path. */
+/** Names of customers, configurations, models, boxes and data centres: short, and safe in a URL path. */
 export const nameSchema = z.string(NAME_ALLOWED).regex(/^[a-z0-9][a-z0-9-]{0,62}$/, NAME_ALLOWED);
 
 /** Versions of a model or template. */
--- a/src/protocol/rolloutMessages.ts
+++ b/src/protocol/rolloutMessages.ts
@@ -6,7 +6,7 @@
 /** A box of a rollout and where its agent listens. */
 export const memberSchema = z.object({
   box: nameSchema,
-  hall: nameSchema,
+  dataCentre: nameSchema,
   address: z.string(),
   httpPort: countSchema,
   controlPort: countSchema,
--- a/src/requests/requestRouter.ts
+++ b/src/requests/requestRouter.ts
@@ -161,13 +161,13 @@
   }
 
   private _logRouted(request: CallerRequest, backend: Backend, reason: string): void {
-    const { box: peer, hall: peerHall, version } = backend;
+    const { box: peer, dataCentre: peerDataCentre, version } = backend;
     const { customer } = request.name;
     this._options.logger.decision('request.routed', {
       request: request.id,
       customer,
       peer,
-      peerHall,
+      peerDataCentre,
       version,
       reason,
     });
--- a/src/routing/backend.ts
+++ b/src/routing/backend.ts
@@ -3,7 +3,7 @@
 /** Load and place of a box. `outstanding` is this entry's own count, and exact; the reported figures lag. */
 export interface Backend {
   box: string;
-  hall: string;
+  dataCentre: string;
   address: string;
   httpPort: number;
   incarnation: string;
--- a/src/routing/backendChoice.ts
+++ b/src/routing/backendChoice.ts
@@ -5,8 +5,8 @@
 
 /** The boxes of one configuration, by distance from this entry. */
 export interface BackendPool {
-  sameHall: readonly Backend[];
-  otherHalls: readonly Backend[];
+  sameDataCentre: readonly Backend[];
+  otherDataCentres: readonly Backend[];
 }
 
 /** What a choice depends on. */
@@ -26,7 +26,7 @@
   reason: ChoiceReason;
 }
 
-/** Requests over capacity, in parts of it, at which the own hall counts as full and others are looked at. */
+/** Requests over capacity, in parts of it, at which the own data centre counts as full and others are looked at. */
 const FULL_LOAD = 1.5;
 /** How much busier the affine box may be, in parts of capacity, before the request goes elsewhere. */
 const AFFINITY_TOLERANCE = 0.5;
@@ -35,11 +35,11 @@
 const RANKED_BOXES = 64;
 const SAMPLED_BOXES = 16;
 
-/** The own hall first; there, the affine box unless it is much busier than another, else the less loaded of two. */
+/** The own data centre first; there, the affine box unless it is much busier than another, else the less loaded of two. */
 export function chooseBackend(pool: BackendPool, request: ChoiceRequest, random: Random): Choice | undefined {
-  const choice = chooseAmong(candidatesOf(pool.sameHall, request, random), request, random);
+  const choice = chooseAmong(candidatesOf(pool.sameDataCentre, request, random), request, random);
   if (choice && loadOf(choice.backend, request.now) < FULL_LOAD) return choice;
-  const other = chooseAmong(candidatesOf(pool.otherHalls, request, random), request, random);
+  const other = chooseAmong(candidatesOf(pool.otherDataCentres, request, random), request, random);
   if (!choice || !other) return choice ?? other;
   return loadOf(other.backend, request.now) < loadOf(choice.backend, request.now) ? other : choice;
 }
--- a/src/routing/entryOrder.ts
+++ b/src/routing/entryOrder.ts
@@ -4,21 +4,24 @@
 
 /** An entry as callers see it. */
 export interface EntryAddress {
-  hall: string;
+  dataCentre: string;
   url: string;
 }
 
-/** The caller's hall first; within a hall each asker gets an order of its own, so that callers spread. */
-export function orderEntries(entries: readonly Box[], hall: string, asker: string): EntryAddress[] {
-  const halls = [...new Set(entries.map((entry) => entry.hall))].sort(compareText);
+/** The caller's data centre first; within a data centre each asker gets an order of its own, so that callers spread. */
+export function orderEntries(entries: readonly Box[], dataCentre: string, asker: string): EntryAddress[] {
+  const dataCentres = [...new Set(entries.map((entry) => entry.dataCentre))].sort(compareText);
   const far = rendezvousOrder(
     asker,
-    halls.filter((other) => other !== hall),
+    dataCentres.filter((other) => other !== dataCentre),
     (other) => other,
   );
-  return [hall, ...far].flatMap((each) => {
-    const inHall = entries.filter((entry) => entry.hall === each);
-    const ordered = rendezvousOrder(asker, inHall, (entry) => entry.box);
-    return ordered.map((entry) => ({ hall: entry.hall, url: `http://${entry.address}:${entry.httpPort}` }));
+  return [dataCentre, ...far].flatMap((each) => {
+    const inDataCentre = entries.filter((entry) => entry.dataCentre === each);
+    const ordered = rendezvousOrder(asker, inDataCentre, (entry) => entry.box);
+    return ordered.map((entry) => ({
+      dataCentre: entry.dataCentre,
+      url: `http://${entry.address}:${entry.httpPort}`,
+    }));
   });
 }
--- a/src/routing/routeTable.ts
+++ b/src/routing/routeTable.ts
@@ -27,7 +27,7 @@
 /** Rebuilt when a report or a link has changed, at the next question. */
 export class RouteTable {
   private readonly _links: AgentLinks;
-  private readonly _hall: string;
+  private readonly _dataCentre: string;
   private readonly _clock: Clock;
   /** The rollout that callers should be served by, once it has been activated. */
   private readonly _activatedRollout: (name: ConfigurationName) => string | undefined;
@@ -38,12 +38,12 @@
 
   constructor(
     links: AgentLinks,
-    hall: string,
+    dataCentre: string,
     clock: Clock,
     activatedRollout: (name: ConfigurationName) => string | undefined,
   ) {
     this._links = links;
-    this._hall = hall;
+    this._dataCentre = dataCentre;
     this._clock = clock;
     this._activatedRollout = activatedRollout;
     links.on('change', () => (this._stale = true));
@@ -58,8 +58,8 @@
     if (cached && cached.activated === activated) return cached.pool;
     const backends = preferVersion(this._backends.get(shortName(name)) ?? [], activated);
     const pool = {
-      sameHall: backends.filter((backend) => backend.hall === this._hall),
-      otherHalls: backends.filter((backend) => backend.hall !== this._hall),
+      sameDataCentre: backends.filter((backend) => backend.dataCentre === this._dataCentre),
+      otherDataCentres: backends.filter((backend) => backend.dataCentre !== this._dataCentre),
     };
     this._pools.set(shortName(name), { activated, pool });
     return pool;
@@ -107,12 +107,12 @@
 
   private _add(link: AgentLink, service: ServiceReport): void {
     if (service.activeVersion === '') return;
-    const { box, hall, address, httpPort } = link.box;
+    const { box, dataCentre, address, httpPort } = link.box;
     const name = shortName(service);
     const backends = this._backends.get(name) ?? [];
     backends.push({
       box,
-      hall,
+      dataCentre,
       address,
       httpPort,
       incarnation: link.report!.incarnation,
--- a/src/serving/agentAnnouncements.ts
+++ b/src/serving/agentAnnouncements.ts
@@ -114,7 +114,7 @@
     for (const { record, host } of pool.all()) {
       if (record.service !== service) continue;
       const box = boxOfHost(host);
-      agents.set(box, { box, hall: record.hall, address: `${host}:${agentPort}` });
+      agents.set(box, { box, dataCentre: record.dataCentre, address: `${host}:${agentPort}` });
     }
     return [...agents.values()];
   }
--- a/src/serving/agentSelection.ts
+++ b/src/serving/agentSelection.ts
@@ -43,8 +43,8 @@
 /** Those of the own data centre, and a few others that differ from entry to entry. */
 function routedAgents(own: PlacedBox, agents: readonly AgentAddress[]): readonly AgentAddress[] {
   if (agents.length <= MOST_AGENTS_FOR_ALL) return agents;
-  const near = agents.filter((agent) => agent.hall === own.hall);
-  const far = agents.filter((agent) => agent.hall !== own.hall);
+  const near = agents.filter((agent) => agent.dataCentre === own.dataCentre);
+  const far = agents.filter((agent) => agent.dataCentre !== own.dataCentre);
   const nearest = rendezvousOrder(own.box, near, ({ box }) => box).slice(0, MOST_NEAR_AGENTS);
   const wantedFar = Math.max(FAR_AGENTS, MOST_NEAR_AGENTS / 2 - nearest.length);
   return [...nearest, ...orderAcrossDataCentres(own.box, far).slice(0, wantedFar)];
--- a/src/serving/backendServerRecord.ts
+++ b/src/serving/backendServerRecord.ts
@@ -13,7 +13,7 @@
   service: string;
   /** host:port. */
   address: string;
-  hall: string;
+  dataCentre: string;
   slots: number;
   draining: boolean;
   models: readonly ServedModel[];
--- a/src/serving/directoryServer.ts
+++ b/src/serving/directoryServer.ts
@@ -10,8 +10,8 @@
   ready: string;
   directory: string;
   metrics: string;
-  /** The hall that a directory request names. */
-  hallOf(query: URLSearchParams): string;
+  /** The data centre that a directory request names. */
+  dataCentreOf(query: URLSearchParams): string;
   directoryAnswer(addresses: readonly string[], keepSeconds: number): unknown;
 }
 
@@ -51,7 +51,7 @@
     if (url.pathname === paths.ready)
       return answerJson(response, isReady() ? 200 : 503, { ready: isReady() });
     if (url.pathname !== paths.directory) return answerJson(response, 404, { error: 'no such path' });
-    const addresses = entries.addressesFor(paths.hallOf(url.searchParams));
+    const addresses = entries.addressesFor(paths.dataCentreOf(url.searchParams));
     if (addresses.length === 0) return answerJson(response, 503, { error: 'no entry is known' });
     answerJson(response, 200, paths.directoryAnswer(addresses, keepSeconds));
   }
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -73,14 +73,14 @@
 
   /** How many live entries stand in this one's data centre. */
   countNear(): number {
-    return this.live().filter((entry) => entry.hall === this._own.hall).length;
+    return this.live().filter((entry) => entry.dataCentre === this._own.dataCentre).length;
   }
 
-  /** Addresses for a caller in `hall`: its own hall's entries, and others where that has too few. */
-  addressesFor(hall: string): string[] {
+  /** Addresses for a caller in `data centre`: its own data centre's entries, and others where that has too few. */
+  addressesFor(dataCentre: string): string[] {
     const live = this.live();
-    const near = live.filter((entry) => entry.hall === hall);
-    const far = live.filter((entry) => entry.hall !== hall);
+    const near = live.filter((entry) => entry.dataCentre === dataCentre);
+    const far = live.filter((entry) => entry.dataCentre !== dataCentre);
     const chosen =
       near.length >= FEWEST_ENTRIES ? near : [...near, ...far.slice(0, FEWEST_ENTRIES - near.length)];
     return chosen.slice(0, MOST_ENTRIES).map((entry) => entry.address);
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -79,7 +79,7 @@
     this._log = parts.log;
     this._own = {
       box: settings.box,
-      hall: settings.hall,
+      dataCentre: settings.dataCentre,
       address: settings.callerAddress,
       control: settings.controlAddress,
       leaving: false,
@@ -87,7 +87,7 @@
     this._configuration = new ConfigurationHolder(parts.log);
     this._entries = new EntryDirectory(this._own);
     this._pool = new ServerPool({
-      hall: settings.hall,
+      dataCentre: settings.dataCentre,
       clock,
       random,
       log: parts.log,
@@ -196,8 +196,8 @@
   }
 
   private _controlOptions(): ControlOptions {
-    const { sharedKey, box, hall, peerTimeoutMilliseconds } = this._settings;
-    return { key: sharedKey, identity: { role: 'entry', box, hall }, peerTimeoutMilliseconds };
+    const { sharedKey, box, dataCentre, peerTimeoutMilliseconds } = this._settings;
+    return { key: sharedKey, identity: { role: 'entry', box, dataCentre }, peerTimeoutMilliseconds };
   }
 
   private _createLinks(random: Random): BoxLinks {
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -5,7 +5,7 @@
 /** A backend server as a choice sees it. */
 export interface Candidate {
   id: string;
-  sameHall: boolean;
+  sameDataCentre: boolean;
   slots: number;
   /** Requests on the server, running or queued, over all entries. */
   load: number;
@@ -44,8 +44,8 @@
   tieMilliseconds: number;
 }
 
-/** What another hall costs: the way there and back, and bytes between halls. */
-const OTHER_HALL_MILLISECONDS = 20;
+/** What another data centre costs: the way there and back, and bytes between data centres. */
+const OTHER_DATA_CENTRE_MILLISECONDS = 20;
 /** What a narrow link costs: requests and events wait behind chunks. */
 const SLOW_LINK_MILLISECONDS = 400;
 /** What an older version costs late before its bound: a request may begin there too late if anything holds it up. */
@@ -59,7 +59,7 @@
 /** What the last place costs: the next request has to wait for one to end. The first places cost next to nothing. */
 const LAST_PLACE_MILLISECONDS = 100;
 const CROWDING_POWER = 4;
-/** Servers that are compared, and how many of them stand in the own hall. */
+/** Servers that are compared, and how many of them stand in the own data centre. */
 const DRAWN = 4;
 const NEAR_DRAWN = 3;
 
@@ -70,7 +70,7 @@
   const ahead = Math.max(0, candidate.load + 1 - candidate.slots);
   const waiting = (ahead / candidate.slots) * serviceMilliseconds;
   const failing = Math.max(0, candidate.failureRate - USUAL_FAILURE_RATE) * FAILURE_MILLISECONDS;
-  const distance = candidate.sameHall ? 0 : OTHER_HALL_MILLISECONDS;
+  const distance = candidate.sameDataCentre ? 0 : OTHER_DATA_CENTRE_MILLISECONDS;
   const reading = candidate.unread * readMilliseconds;
   const link = candidate.slowLink ? SLOW_LINK_MILLISECONDS : 0;
   const slow = Math.max(0, candidate.firstAnswerMilliseconds - service.usualFirstMilliseconds);
@@ -106,11 +106,11 @@
   const fit = candidates.filter((candidate) => !candidate.avoided);
   const usable = fit.length > 0 ? fit : candidates;
   const near = shuffled(
-    usable.filter((candidate) => candidate.sameHall),
+    usable.filter((candidate) => candidate.sameDataCentre),
     random,
   );
   const far = shuffled(
-    usable.filter((candidate) => !candidate.sameHall),
+    usable.filter((candidate) => !candidate.sameDataCentre),
     random,
   );
   const nearDrawn = near.slice(0, Math.max(NEAR_DRAWN, DRAWN - far.length));
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -14,7 +14,7 @@
 
 /** What the pool works with. */
 export interface ServerPoolOptions {
-  hall: string;
+  dataCentre: string;
   clock: Clock;
   random: Random;
   log: EventLog;
@@ -175,8 +175,9 @@
     };
     const { address } = record;
     const connections = new BackendConnections({ address, connectMilliseconds: CONNECT_MILLISECONDS, limit });
-    const { clock, hall, entriesNear, entries } = this._options;
-    const sharers = (): number => (record.hall === hall ? entriesNear() : entries() - entriesNear());
+    const { clock, dataCentre, entriesNear, entries } = this._options;
+    const sharers = (): number =>
+      record.dataCentre === dataCentre ? entriesNear() : entries() - entriesNear();
     return new TrackedServer(record, connections, clock, () =>
       Math.min(MOST_SHARERS, Math.max(1, sharers())),
     );
@@ -186,7 +187,7 @@
     const { record, health, load } = server;
     return {
       id: record.id,
-      sameHall: record.hall === this._options.hall,
+      sameDataCentre: record.dataCentre === this._options.dataCentre,
       slots: Math.max(1, record.slots),
       load: load.estimate(this._options.clock.now()),
       unread: server.unread,
--- a/src/settings/commonSettings.ts
+++ b/src/settings/commonSettings.ts
@@ -53,7 +53,7 @@
 export const commonSettings = {
   ...processSettings,
   box: nameSchema.describe('name of this box, as in the box list'),
-  hall: nameSchema.describe('hall in which this box stands'),
+  dataCentre: nameSchema.describe('data centre in which this box stands'),
   address: z.ipv4('an IPv4 address').default('127.0.0.1').describe('address to listen on and be reached at'),
   httpPort: portSetting.describe('port for HTTP; 0 lets the system choose'),
   controlPort: portSetting.describe('port for control connections; 0 lets the system choose'),
@@ -66,7 +66,7 @@
 export const platformProcessSettings = {
   ...processSettings,
   box: z.string('a name').min(1, 'a name').describe('name of this box'),
-  hall: z.string('a name').min(1, 'a name').describe('hall in which this box stands'),
+  dataCentre: z.string('a name').min(1, 'a name').describe('data centre in which this box stands'),
   versionMilliseconds: numberSetting(100, 3_600_000, 8_000, 'milliseconds').describe(
     'time after which no request begins on an older version',
   ),
--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -27,7 +27,7 @@
     'longest time for the first byte of an answer',
   ),
   isolatedMilliseconds: numberSetting(500, 600_000, 10_000, 'milliseconds').describe(
-    'time without the object API and other halls after which an entry counts as isolated',
+    'time without the object API and other data centres after which an entry counts as isolated',
   ),
 });
 
--- a/src/settings/settingsParser.ts
+++ b/src/settings/settingsParser.ts
@@ -5,7 +5,7 @@
 
 /** One wrong setting. */
 export interface SettingProblem {
-  /** As the user writes it, such as `--hall`. */
+  /** As the user writes it, such as `--data centre`. */
   flag: string;
   /** The environment variable that sets the same. */
   variable: string;
--- a/src/staging/connectedEntries.ts
+++ b/src/staging/connectedEntries.ts
@@ -74,7 +74,8 @@
   /** Sends a status to the entries that want it: to all of them, or to those of this data centre. */
   broadcastStatus(message: Message, audience: StatusAudience): void {
     const heard = [...this._entries].filter(
-      ([, entry]) => entry.hearsStatus && (audience === 'all' || entry.address.hall === this._dataCentre),
+      ([, entry]) =>
+        entry.hearsStatus && (audience === 'all' || entry.address.dataCentre === this._dataCentre),
     );
     ControlConnection.broadcast(
       heard.map(([connection]) => connection),
@@ -91,7 +92,7 @@
     let asked = [...this._entries.values()].filter((entry) => entry.asked).length;
     if (asked >= ASKED_ENTRIES) return;
     const free = [...this._entries].filter(([, entry]) => !entry.asked && !entry.address.leaving);
-    const isNear = (entry: ConnectedEntry): boolean => entry.address.hall === this._dataCentre;
+    const isNear = (entry: ConnectedEntry): boolean => entry.address.dataCentre === this._dataCentre;
     free.sort(([, a], [, b]) => Number(isNear(b)) - Number(isNear(a)));
     for (const [connection, entry] of free) {
       if (asked >= ASKED_ENTRIES) return;
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -93,7 +93,7 @@
     this._settings = settings;
     this._parts = parts;
     this._log = parts.log;
-    this._entries = new ConnectedEntries(settings.hall);
+    this._entries = new ConnectedEntries(settings.dataCentre);
     this._statusSender = new StatusSender({
       clock: this._clock,
       build: () => this._status(),
@@ -109,7 +109,7 @@
     const uploads = new UploadQueue(new RateLimiter(sendRate(settings)), STALL_MILLISECONDS, BLOCK_BYTES);
     this._stages = this._createStages(random, uploads);
     this._reconciler = this._createReconciler();
-    const priorities = new UploadPriorities(settings.hall, () => this._members);
+    const priorities = new UploadPriorities(settings.dataCentre, () => this._members);
     this._chunks = new ChunkServer({
       sharedKey: settings.sharedKey,
       uploads,
@@ -258,7 +258,7 @@
   private _memberOf(agent: AgentAddress): Member {
     const { controlPort, chunkPort } = this._settings;
     const address = hostOf(agent.address);
-    return { box: agent.box, hall: agent.hall, address, httpPort: chunkPort, controlPort };
+    return { box: agent.box, dataCentre: agent.dataCentre, address, httpPort: chunkPort, controlPort };
   }
 
   private _takeVersions(presence: EntryPresence): void {
@@ -313,6 +313,6 @@
 }
 
 function controlOptions(settings: StagingSettings): ControlOptions {
-  const { sharedKey, box, hall, peerTimeoutMilliseconds } = settings;
-  return { key: sharedKey, identity: { role: 'agent', box, hall }, peerTimeoutMilliseconds };
+  const { sharedKey, box, dataCentre, peerTimeoutMilliseconds } = settings;
+  return { key: sharedKey, identity: { role: 'agent', box, dataCentre }, peerTimeoutMilliseconds };
 }
--- a/src/staging/switchGroup.ts
+++ b/src/staging/switchGroup.ts
@@ -11,7 +11,7 @@
 export function switchGroup(box: string, members: readonly Member[]): readonly Member[] {
   if (members.length <= MOST_BOXES_FOR_ALL) return members;
   const own = members.find((member) => member.box === box);
-  return own ? members.filter((member) => member.hall === own.hall) : members;
+  return own ? members.filter((member) => member.dataCentre === own.dataCentre) : members;
 }
 
 /** Other boxes to be connected to. If one box names another here, the other names it too. */
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -223,7 +223,7 @@
   private _orderDrawers(): void {
     const { box } = this._options.services;
     const own = this._members.find((member) => member.box === box);
-    const near = this._members.filter((member) => member.hall === own?.hall);
+    const near = this._members.filter((member) => member.dataCentre === own?.dataCentre);
     this._order = drawOrder(this.exchange.rollout, this._members);
     this._nearOrder = drawOrder(this.exchange.rollout, near);
     const peers = connectedPeers(box, this._members);
--- a/src/utils/dataCentreOrder.ts
+++ b/src/utils/dataCentreOrder.ts
@@ -4,16 +4,16 @@
 /** A box and where it stands. */
 export interface PlacedBox {
   box: string;
-  hall: string;
+  dataCentre: string;
 }
 
 /** Boxes by their rank for `key`, one of each data centre in turn, so that any first few are spread over all of them. */
 export function orderAcrossDataCentres<T extends PlacedBox>(key: string, boxes: readonly T[]): T[] {
   const byDataCentre = new Map<string, T[]>();
   for (const candidate of boxes) {
-    const group = byDataCentre.get(candidate.hall) ?? [];
+    const group = byDataCentre.get(candidate.dataCentre) ?? [];
     group.push(candidate);
-    byDataCentre.set(candidate.hall, group);
+    byDataCentre.set(candidate.dataCentre, group);
   }
   const names = [...byDataCentre.keys()].sort(compareText);
   const ranked = names.map((name) => rendezvousOrder(key, byDataCentre.get(name)!, ({ box }) => box));
--- a/src/weights/chainTopology.ts
+++ b/src/weights/chainTopology.ts
@@ -1,4 +1,4 @@
-/** Baseline: boxes in a row, hall after hall; the first draws from the origin and each feeds the next. */
+/** Baseline: boxes in a row, data centre after data centre; the first draws from the origin and each feeds the next. */
 import type { Member } from '../protocol/rolloutMessages.js';
 import { compareText } from '../utils/rendezvous.js';
 import type { Neighbour, Topology, TopologyPolicy } from './topology.js';
@@ -10,7 +10,7 @@
     const ends = [row[position - 1], row[position + 1]].filter((member) => member !== undefined);
     const neighbours: Neighbour[] = ends.map((member) => ({
       member,
-      crossHall: member.hall !== row[position].hall,
+      crossHall: member.dataCentre !== row[position].dataCentre,
     }));
     return { neighbours, importers: () => undefined };
   }
@@ -21,5 +21,5 @@
 }
 
 function inRow(members: readonly Member[]): Member[] {
-  return [...members].sort((a, b) => compareText(`${a.hall}/${a.box}`, `${b.hall}/${b.box}`));
+  return [...members].sort((a, b) => compareText(`${a.dataCentre}/${a.box}`, `${b.dataCentre}/${b.box}`));
 }
--- a/src/weights/chunkPicker.ts
+++ b/src/weights/chunkPicker.ts
@@ -25,19 +25,19 @@
 }
 
 /**
- * Rarest chunk first. A chunk that a neighbour of the own hall holds is never fetched from another hall; one that
- * only other halls hold is fetched by the gateway whose turn it is, and before all others.
+ * Rarest chunk first. A chunk that a neighbour of the own data centre holds is never fetched from another data centre; one that
+ * only other data centres hold is fetched by the gateway whose turn it is, and before all others.
  */
 export class ChunkPicker {
   private readonly _options: ChunkPickerOptions;
   private readonly _peers = new Map<string, PeerView>();
   private readonly _inFlight = new Set<number>();
-  private readonly _hallHolders: Uint16Array;
+  private readonly _dataCentreHolders: Uint16Array;
   private readonly _remoteSince: Float64Array;
 
   constructor(options: ChunkPickerOptions) {
     this._options = options;
-    this._hallHolders = new Uint16Array(options.held.size);
+    this._dataCentreHolders = new Uint16Array(options.held.size);
     this._remoteSince = new Float64Array(options.held.size).fill(Number.POSITIVE_INFINITY);
   }
 
@@ -56,7 +56,7 @@
   /** Notes that `peer` holds `chunk`. */
   noteHeld(peer: PeerView, chunk: number): void {
     if (!peer.held.add(chunk)) return;
-    if (!peer.crossHall) this._hallHolders[chunk]++;
+    if (!peer.crossHall) this._dataCentreHolders[chunk]++;
     else if (this._remoteSince[chunk] === Number.POSITIVE_INFINITY)
       this._remoteSince[chunk] = this._options.clock.now();
   }
@@ -66,7 +66,7 @@
     this._peers.delete(peer.box);
     if (peer.crossHall) return;
     for (let chunk = 0; chunk < peer.held.size; chunk++) {
-      if (peer.held.has(chunk)) this._hallHolders[chunk]--;
+      if (peer.held.has(chunk)) this._dataCentreHolders[chunk]--;
     }
   }
 
@@ -111,7 +111,7 @@
     const wanted: { chunk: number; order: number }[] = [];
     for (let chunk = 0; chunk < held.size; chunk++) {
       if (held.has(chunk) || this._inFlight.has(chunk)) continue;
-      const holders = this._hallHolders[chunk];
+      const holders = this._dataCentreHolders[chunk];
       if (holders > 0 || this._mayImport(chunk)) wanted.push({ chunk, order: holders + random.fraction() });
     }
     return wanted.sort((a, b) => a.order - b.order).map((item) => item.chunk);
@@ -128,10 +128,10 @@
     return waited >= before * this._options.importStepMilliseconds;
   }
 
-  /** The least loaded usable holder; other halls only when no neighbour of the own hall holds the chunk. */
+  /** The least loaded usable holder; other data centres only when no neighbour of the own data centre holds the chunk. */
   private _bestHolder(chunk: number): PeerView | undefined {
     const now = this._options.clock.now();
-    const crossHall = this._hallHolders[chunk] === 0;
+    const crossHall = this._dataCentreHolders[chunk] === 0;
     let best: PeerView | undefined;
     for (const peer of this._peers.values()) {
       if (peer.crossHall !== crossHall || !peer.held.has(chunk) || !peer.usable(now)) continue;
--- a/src/weights/chunkSource.ts
+++ b/src/weights/chunkSource.ts
@@ -15,7 +15,7 @@
   incoming: RateLimiter;
   /** Fetches from peers under way at the same time; what they ask for queues on the incoming link. */
   fetchesAtOnce: number;
-  /** How long a gateway waits for each connected one that comes before it to bring a chunk into the hall. */
+  /** How long a gateway waits for each connected one that comes before it to bring a chunk into the data centre. */
   importStepMilliseconds: number;
 }
 
--- a/src/weights/peerFetcher.ts
+++ b/src/weights/peerFetcher.ts
@@ -29,7 +29,7 @@
   isComplete: () => boolean;
   /** Whether fetches may begin now; asked again after a short while. */
   mayFetch: () => boolean;
-  /** Takes a verified chunk and whether it came from another hall. */
+  /** Takes a verified chunk and whether it came from another data centre. */
   store: (chunk: number, data: Buffer, crossHall: boolean) => void;
 }
 
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -23,7 +23,7 @@
 const FETCHES_PER_PEER = 1;
 /** How often a version that found no room looks for it again. */
 const ROOM_RETRY_MILLISECONDS = 500;
-/** How often neighbours in other halls are told everything. */
+/** How often neighbours in other data centres are told everything. */
 const REFRESH_MILLISECONDS = 2_000;
 
 /** What an exchange works with; shared by all exchanges of an agent. */
@@ -275,7 +275,7 @@
     }
   }
 
-  /** `brought` says that the chunk came from outside the hall, so that this box is the one that other halls ask. */
+  /** `brought` says that the chunk came from outside the data centre, so that this box is the one that other data centres ask. */
   private _store(chunk: number, data: Buffer, brought: boolean): void {
     if (this._stopped.signal.aborted) return;
     this._services.store.put(this._plan.customer, this._index.chunk(chunk).digest, data);
@@ -302,7 +302,7 @@
     peers.broadcast(boxes, { type: 'have', rollout: this.rollout, chunks, uploadQueue: uploads.length });
   }
 
-  /** Tells other halls everything now and then, for when the box that brought a chunk is lost. */
+  /** Tells other data centres everything now and then, for when the box that brought a chunk is lost. */
   private _refresh(): void {
     for (const peer of this._picker.peers()) {
       if (peer.crossHall && !peer.held.full) this._sendJoin(peer.box);
--- a/src/weights/topology.ts
+++ b/src/weights/topology.ts
@@ -11,7 +11,7 @@
 export interface Topology {
   readonly neighbours: readonly Neighbour[];
   /**
-   * The boxes of the own hall that fetch a chunk from another hall, in the order in which they step in for each other;
+   * The boxes of the own data centre that fetch a chunk from another data centre, in the order in which they step in for each other;
    * undefined where every box may fetch from every neighbour.
    */
   importers(chunk: number): readonly string[] | undefined;
--- a/src/weights/transferCounts.ts
+++ b/src/weights/transferCounts.ts
@@ -2,9 +2,9 @@
 export interface TransferCounts {
   /** From the origin, wasted ones included. */
   originBytes: number;
-  /** From agents of the own hall. */
+  /** From agents of the own data centre. */
   peerBytes: number;
-  /** From agents of other halls. */
+  /** From agents of other data centres. */
   crossHallBytes: number;
   corruptChunks: number;
 }
--- a/standins/fleetSettings.ts
+++ b/standins/fleetSettings.ts
@@ -2,10 +2,10 @@
 
 /** Size and rates of a fleet. */
 export interface FleetOptions {
-  halls: readonly string[];
-  entriesPerHall: number;
-  modelBoxesPerHall: number;
-  plainBoxesPerHall?: number;
+  dataCentres: readonly string[];
+  entriesPerDataCentre: number;
+  modelBoxesPerDataCentre: number;
+  plainBoxesPerDataCentre?: number;
   /** Rate of the origin's link; 0 for unlimited. */
   originBytesPerSecond?: number;
   /** Rate of each box's link, each way; 0 for unlimited. */
@@ -21,10 +21,10 @@
 const SHARED_KEY = 'shared-key-for-loopback';
 
 /** What entries and agents of a fleet are both given. */
-export function commonSettings(box: string, hall: string, originUrl: string): Record<string, string> {
+export function commonSettings(box: string, dataCentre: string, originUrl: string): Record<string, string> {
   return {
     LARKLATCH_BOX: box,
-    LARKLATCH_HALL: hall,
+    LARKLATCH_DATA_CENTRE: dataCentre,
     LARKLATCH_SHARED_KEY: SHARED_KEY,
     LARKLATCH_ORIGIN_URL: originUrl,
     LARKLATCH_LOG: process.env['LARKLATCH_LOG'] ?? 'off',
--- a/standins/localFleet.ts
+++ b/standins/localFleet.ts
@@ -14,7 +14,7 @@
 /** A box of the fleet. */
 export interface FleetBox {
   name: string;
-  hall: string;
+  dataCentre: string;
   role: Box['role'];
   child: Child;
   httpUrl: string;
@@ -54,7 +54,7 @@
     const fleet = new LocalFleet(options);
     try {
       await fleet._startPlatform();
-      await Promise.all(options.halls.map((hall) => fleet._startHall(hall)));
+      await Promise.all(options.dataCentres.map((dataCentre) => fleet._startDataCentre(dataCentre)));
       await fleet._untilReady();
     } catch (error) {
       await fleet.stop();
@@ -185,8 +185,8 @@
   async restart(name: string): Promise<FleetBox> {
     const old = this.box(name);
     await old.child.end();
-    if (old.role === 'entry') return await this._startEntry(name, old.hall);
-    return await this._startAgent(name, old.hall, old.backendUrl);
+    if (old.role === 'entry') return await this._startEntry(name, old.dataCentre);
+    return await this._startAgent(name, old.dataCentre, old.backendUrl);
   }
 
   /** Ends every process. */
@@ -214,25 +214,29 @@
     return child.ready['urls'] as string[];
   }
 
-  private async _startHall(hall: string): Promise<void> {
-    const { modelBoxesPerHall, plainBoxesPerHall = 0, engine } = this._options;
-    const engines =
-      modelBoxesPerHall > 0 ? await this._standin('engine', { ...engine, count: modelBoxesPerHall }) : [];
-    const plain = plainBoxesPerHall > 0 ? await this._standin('plain', { count: plainBoxesPerHall }) : [];
-    const entries = numbered(this._options.entriesPerHall).map((index) =>
-      this._startEntry(`${hall}-entry-${index}`, hall),
+  private async _startDataCentre(dataCentre: string): Promise<void> {
+    const { modelBoxesPerDataCentre: modelBoxes, plainBoxesPerDataCentre: plainBoxes = 0 } = this._options;
+    const { engine } = this._options;
+    const engines = modelBoxes > 0 ? await this._standin('engine', { ...engine, count: modelBoxes }) : [];
+    const plain = plainBoxes > 0 ? await this._standin('plain', { count: plainBoxes }) : [];
+    const entries = numbered(this._options.entriesPerDataCentre).map((index) =>
+      this._startEntry(`${dataCentre}-entry-${index}`, dataCentre),
+    );
+    const models = engines.map((url, index) =>
+      this._startAgent(`${dataCentre}-model-${index + 1}`, dataCentre, url),
+    );
+    const plains = plain.map((url, index) =>
+      this._startAgent(`${dataCentre}-plain-${index + 1}`, dataCentre, url),
     );
-    const models = engines.map((url, index) => this._startAgent(`${hall}-model-${index + 1}`, hall, url));
-    const plains = plain.map((url, index) => this._startAgent(`${hall}-plain-${index + 1}`, hall, url));
     await Promise.all([...entries, ...models, ...plains]);
   }
 
-  private async _startEntry(name: string, hall: string): Promise<FleetBox> {
+  private async _startEntry(name: string, dataCentre: string): Promise<FleetBox> {
     const child = await Child.start({
       script: 'src/cli/main.js',
       words: ['entry'],
       environment: {
-        ...commonSettings(name, hall, this.originUrl),
+        ...commonSettings(name, dataCentre, this.originUrl),
         LARKLATCH_OBJECT_API_URL: this.objectApiUrl,
         LARKLATCH_BOX_LIST_URL: this.boxListUrl,
         LARKLATCH_OPERATOR_KEY: OPERATOR_KEY,
@@ -241,38 +245,39 @@
         ...prefixed(this._options.entrySettings),
       },
     });
-    return await this._list(name, hall, 'entry', child, '');
+    return await this._list(name, dataCentre, 'entry', child, '');
   }
 
-  private async _startAgent(name: string, hall: string, backendUrl: string): Promise<FleetBox> {
+  private async _startAgent(name: string, dataCentre: string, backendUrl: string): Promise<FleetBox> {
     const damaging = this._options.damagingBoxes?.includes(name) ?? false;
     const child = await Child.start({
       script: damaging ? 'standins/faultyAgent.js' : 'src/cli/main.js',
       words: damaging ? [] : ['agent'],
       environment: {
-        ...commonSettings(name, hall, this.originUrl),
+        ...commonSettings(name, dataCentre, this.originUrl),
         LARKLATCH_BACKEND_URL: backendUrl,
         LARKLATCH_BACKEND_KIND: name.includes('-plain-') ? 'plain' : 'model',
         LARKLATCH_WEIGHT_BYTES_PER_SECOND: String(Math.round(this._options.boxBytesPerSecond ?? 0)),
         ...prefixed(this._options.agentSettings),
       },
     });
-    return await this._list(name, hall, 'agent', child, backendUrl);
+    return await this._list(name, dataCentre, 'agent', child, backendUrl);
   }
 
   private async _list(
     name: string,
-    hall: string,
+    dataCentre: string,
     role: Box['role'],
     child: Child,
     backendUrl: string,
   ): Promise<FleetBox> {
     const { httpPort, controlPort } = child.ready as { httpPort: number; controlPort: number };
-    const box: Box = { box: name, role, hall, address: '127.0.0.1', httpPort, controlPort, state: 'live' };
+    const place = { box: name, role, dataCentre, address: '127.0.0.1' };
+    const box: Box = { ...place, httpPort, controlPort, state: 'live' };
     await this._send('PUT', `${this.boxListUrl}/boxes/${name}`, box);
     const fleetBox: FleetBox = {
       name,
-      hall,
+      dataCentre,
       role,
       child,
       httpUrl: `http://127.0.0.1:${httpPort}`,
--- a/tests/agentSelection.spec.ts
+++ b/tests/agentSelection.spec.ts
@@ -9,20 +9,20 @@
 function agents(count: number, dataCentres = DATA_CENTRES, prefix = 'agent'): AgentAddress[] {
   return Array.from({ length: count }, (_unused, index) => ({
     box: `${prefix}-${index}`,
-    hall: dataCentres[index % dataCentres.length],
+    dataCentre: dataCentres[index % dataCentres.length],
     address: `${prefix}-${index}:1`,
   }));
 }
 
-function entries(count: number): { box: string; hall: string }[] {
+function entries(count: number): { box: string; dataCentre: string }[] {
   return Array.from({ length: count }, (_unused, index) => ({
     box: `entry-${index}`,
-    hall: DATA_CENTRES[index % DATA_CENTRES.length],
+    dataCentre: DATA_CENTRES[index % DATA_CENTRES.length],
   }));
 }
 
 test('should select all agents of a small fleet', () => {
-  const selection = selectAgents({ box: 'entry', hall: 'north' }, [agents(40)]);
+  const selection = selectAgents({ box: 'entry', dataCentre: 'north' }, [agents(40)]);
   expect(selection.agents).toHaveLength(40);
   expect(selection.routed.size).toEqual(40);
   expect(selection.directory.size).toEqual(4);
@@ -30,7 +30,7 @@
 
 test('should select a bounded number of agents however large the fleet is', () => {
   for (const count of [41, 144, 600, 3_000]) {
-    const selection = selectAgents({ box: 'entry', hall: 'north' }, [agents(count)]);
+    const selection = selectAgents({ box: 'entry', dataCentre: 'north' }, [agents(count)]);
     expect(selection.agents.length).toBeLessThanOrEqual(44);
     expect(selection.routed.size).toBeGreaterThan(15);
   }
@@ -38,16 +38,16 @@
 
 test('should send requests to all servers of its own data centre while these are few', () => {
   const all = agents(120);
-  const { routed } = selectAgents({ box: 'entry', hall: 'south' }, [all]);
-  const near = all.filter(({ hall }) => hall === 'south');
+  const { routed } = selectAgents({ box: 'entry', dataCentre: 'south' }, [all]);
+  const near = all.filter(({ dataCentre }) => dataCentre === 'south');
   expect(near.every(({ box }) => routed.has(box))).toEqual(true);
   expect(routed.size).toEqual(near.length + 8);
 });
 
 test('should send requests to servers of all other data centres', () => {
   const all = agents(120);
-  const { routed } = selectAgents({ box: 'entry', hall: 'south' }, [all]);
-  const reached = new Set(all.filter(({ box }) => routed.has(box)).map(({ hall }) => hall));
+  const { routed } = selectAgents({ box: 'entry', dataCentre: 'south' }, [all]);
+  const reached = new Set(all.filter(({ box }) => routed.has(box)).map(({ dataCentre }) => dataCentre));
   expect(reached.size).toEqual(5);
 });
 
@@ -66,26 +66,26 @@
   const all = agents(144);
   const [first, ...others] = entries(20).map((entry) => selectAgents(entry, [all]).directory);
   expect(others.every((directory) => [...directory].join() === [...first].join())).toEqual(true);
-  const dataCentres = new Set(all.filter(({ box }) => first.has(box)).map(({ hall }) => hall));
+  const dataCentres = new Set(all.filter(({ box }) => first.has(box)).map(({ dataCentre }) => dataCentre));
   expect(dataCentres.size).toEqual(4);
 });
 
 test('should serve where its own data centre has no agents', () => {
   const all = agents(100, ['north', 'west']);
-  const { routed, directory } = selectAgents({ box: 'entry', hall: 'south' }, [all]);
+  const { routed, directory } = selectAgents({ box: 'entry', dataCentre: 'south' }, [all]);
   expect(routed.size).toEqual(16);
   expect(directory.size).toEqual(4);
 });
 
 test('should cover a rare service beside a common one', () => {
   const rare = agents(3, ['west'], 'rare');
-  const { routed } = selectAgents({ box: 'entry', hall: 'north' }, [agents(200), rare]);
+  const { routed } = selectAgents({ box: 'entry', dataCentre: 'north' }, [agents(200), rare]);
   expect(rare.every(({ box }) => routed.has(box))).toEqual(true);
 });
 
 test('should keep most of its agents when one of them goes', () => {
   const all = agents(600);
-  const own = { box: 'entry', hall: 'north' };
+  const own = { box: 'entry', dataCentre: 'north' };
   const before = selectAgents(own, [all]);
   const gone = [...before.routed][0];
   const after = selectAgents(own, [all.filter(({ box }) => box !== gone)]);
--- a/tests/chunkPicker.spec.ts
+++ b/tests/chunkPicker.spec.ts
@@ -1,4 +1,4 @@
-/** Which chunk is fetched next, from whom, and who fetches from another hall. */
+/** Which chunk is fetched next, from whom, and who fetches from another data centre. */
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { ChunkPicker } from '../src/weights/chunkPicker.js';
@@ -62,7 +62,7 @@
   expect(picker.next()).toEqual(undefined);
 });
 
-test('should leave a chunk of another hall to the gateway whose turn it is', () => {
+test('should leave a chunk of another data centre to the gateway whose turn it is', () => {
   const { picker, peer } = stage();
   peer('first', []);
   peer('far', [4], true);
@@ -83,7 +83,7 @@
   expect(picker.next()?.peer.box).toEqual('far');
 });
 
-test('should never fetch from another hall what a neighbour of its own holds', () => {
+test('should never fetch from another data centre what a neighbour of its own holds', () => {
   const { picker, clock, peer } = stage(['self']);
   peer('far', [4], true);
   const near = peer('near', [4]);
--- a/tests/connectedEntries.spec.ts
+++ b/tests/connectedEntries.spec.ts
@@ -37,7 +37,7 @@
 function presence(box: string, changes: Partial<EntryPresence> = {}): EntryPresence {
   return {
     type: 'entry-presence',
-    entry: { box, hall: 'north', address: `${box}:1`, control: `${box}:2`, leaving: false },
+    entry: { box, dataCentre: 'north', address: `${box}:1`, control: `${box}:2`, leaving: false },
     wanted: [],
     origin: '',
     hearsStatus: true,
@@ -92,7 +92,7 @@
   const near = connections.slice(3);
   far.forEach((connection, index) => entries.note(connection.asConnection(), presence(`far-${index}`)));
   near.forEach((connection, index) => {
-    const entry = { ...presence(`near-${index}`).entry, hall: 'south' };
+    const entry = { ...presence(`near-${index}`).entry, dataCentre: 'south' };
     entries.note(connection.asConnection(), presence(`near-${index}`, { entry }));
   });
   far.forEach((connection) => entries.forget(connection.asConnection()));
--- a/tests/controlConnection.spec.ts
+++ b/tests/controlConnection.spec.ts
@@ -15,7 +15,7 @@
 import { messageSchema } from '../src/protocol/message.js';
 
 function options(box: string, key = 'the-shared-key'): ControlOptions {
-  return { key, identity: { role: 'entry', box, hall: 'zagreb' }, peerTimeoutMilliseconds: 300 };
+  return { key, identity: { role: 'entry', box, dataCentre: 'zagreb' }, peerTimeoutMilliseconds: 300 };
 }
 
 interface Pair {
--- a/tests/exchangeTopology.spec.ts
+++ b/tests/exchangeTopology.spec.ts
@@ -7,11 +7,11 @@
 
 const policy = new ExchangeTopology();
 
-function members(perHall: number, halls = ['a', 'b', 'c']): Member[] {
-  return halls.flatMap((hall) =>
-    Array.from({ length: perHall }, (_none, index) => ({
-      box: `${hall}-${index}`,
-      hall,
+function members(perDataCentre: number, dataCentres = ['a', 'b', 'c']): Member[] {
+  return dataCentres.flatMap((dataCentre) =>
+    Array.from({ length: perDataCentre }, (_none, index) => ({
+      box: `${dataCentre}-${index}`,
+      dataCentre,
       address: '127.0.0.1',
       httpPort: 1,
       controlPort: 1,
@@ -23,9 +23,9 @@
   return policy.topologyOf(box, all).neighbours.map((neighbour) => neighbour.member.box);
 }
 
-for (const perHall of [1, 2, 8, 40, 142]) {
-  test(`should be symmetric and connected with ${perHall} boxes a hall`, () => {
-    const all = members(perHall);
+for (const perDataCentre of [1, 2, 8, 40, 142]) {
+  test(`should be symmetric and connected with ${perDataCentre} boxes a data centre`, () => {
+    const all = members(perDataCentre);
     const reached = new Set([all[0].box]);
     const open = [all[0].box];
     while (open.length > 0) {
@@ -40,7 +40,7 @@
   });
 }
 
-test('should keep the number of neighbours small in a large hall', () => {
+test('should keep the number of neighbours small in a large data centre', () => {
   const all = members(142, ['a', 'b', 'c', 'd', 'e']);
   const degrees = all.map((member) => neighboursOf(member.box, all).length);
   expect(Math.max(...degrees) <= 56).toEqual(true);
@@ -53,7 +53,7 @@
   expect(neighboursOf('b-3', other).sort()).toEqual(neighboursOf('b-3', all).sort());
 });
 
-test('should draw each missing chunk once, spread evenly over a few boxes of every hall', () => {
+test('should draw each missing chunk once, spread evenly over a few boxes of every data centre', () => {
   const draws = policy.initialDraws(
     Array.from({ length: 90 }, (_none, index) => index),
     members(8),
@@ -66,7 +66,7 @@
   expect(new Set([...draws.keys()].map((box) => box[0])).size).toEqual(3);
 });
 
-test('should spread imports over the gateways of a hall', () => {
+test('should spread imports over the gateways of a data centre', () => {
   const all = members(8);
   const firsts = Array.from(
     { length: 8 },
--- a/tests/fleetAudit.spec.ts
+++ b/tests/fleetAudit.spec.ts
@@ -6,7 +6,7 @@
 import { SeededRandom } from '../src/utils/random.js';
 import { notice, newKeys, publishService, runsOf, useFleet } from './fixtures/fleetFixture.js';
 
-const context = useFleet({ modelBoxesPerHall: 0, plainBoxesPerHall: 2 });
+const context = useFleet({ modelBoxesPerDataCentre: 0, plainBoxesPerDataCentre: 2 });
 
 const REQUESTS = 2_000;
 const CALLERS = 20;
--- a/tests/fleetCommandLine.spec.ts
+++ b/tests/fleetCommandLine.spec.ts
@@ -7,7 +7,7 @@
 import { larklatch, temporaryFile } from './fixtures/commandLine.js';
 import { CHUNK_BYTES, useFleet } from './fixtures/fleetFixture.js';
 
-const context = useFleet({ modelBoxesPerHall: 1 });
+const context = useFleet({ modelBoxesPerDataCentre: 1 });
 
 async function operate(...words: string[]): Promise<CommandResult> {
   const entryUrl = context.fleet.entries()[0].httpUrl;
@@ -74,9 +74,9 @@
 });
 
 test('should tell a caller which entries to use', async () => {
-  const words = ['entries', '--api-key', 'key-of-the-studio', '--hall', 'rennes', '--json'];
-  const { entries } = JSON.parse((await operate(...words)).output) as { entries: { hall: string }[] };
-  expect(entries.map((entry) => entry.hall)[0]).toEqual('rennes');
+  const words = ['entries', '--api-key', 'key-of-the-studio', '--data-centre', 'rennes', '--json'];
+  const { entries } = JSON.parse((await operate(...words)).output) as { entries: { dataCentre: string }[] };
+  expect(entries.map((entry) => entry.dataCentre)[0]).toEqual('rennes');
   expect(entries.length).toEqual(3);
 });
 
@@ -117,7 +117,7 @@
   const good = [
     '--box',
     'box-7',
-    '--hall',
+    '--data-centre',
     'zagreb',
     '--backend-url',
     'http://10.0.1.7:9000',
--- a/tests/fleetConfiguration.spec.ts
+++ b/tests/fleetConfiguration.spec.ts
@@ -5,9 +5,9 @@
 import { call, notice, publishService, useFleet } from './fixtures/fleetFixture.js';
 
 const context = useFleet({
-  modelBoxesPerHall: 1,
-  plainBoxesPerHall: 1,
-  entriesPerHall: 1,
+  modelBoxesPerDataCentre: 1,
+  plainBoxesPerDataCentre: 1,
+  entriesPerDataCentre: 1,
   entrySettings: { ISOLATED_MILLISECONDS: '1000' },
 });
 const PATH = '/v1/configurations/korrigan/judge';
@@ -127,7 +127,7 @@
   expect(answer.status).toEqual(401);
 });
 
-test('should send nothing that may run once only from a hall that is cut off, and serve the rest', async () => {
+test('should send nothing that may run once only from a data centre that is cut off, and serve the rest', async () => {
   const { fleet } = context;
   await publishService(fleet);
   const [cutOff, ...others] = fleet.entries();
--- a/tests/fleetRequests.spec.ts
+++ b/tests/fleetRequests.spec.ts
@@ -5,8 +5,8 @@
 import { call, newKeys, notice, publishService, rollOut, runsOf, useFleet } from './fixtures/fleetFixture.js';
 
 const context = useFleet({
-  modelBoxesPerHall: 1,
-  plainBoxesPerHall: 1,
+  modelBoxesPerDataCentre: 1,
+  plainBoxesPerDataCentre: 1,
   engine: { tokenMilliseconds: 10, firstTokenMilliseconds: 5 },
 });
 
--- a/tests/fleetRollout.spec.ts
+++ b/tests/fleetRollout.spec.ts
@@ -7,7 +7,7 @@
 const SLOW = { originBytesPerSecond: 32 * CHUNK_BYTES, boxBytesPerSecond: 16 * CHUNK_BYTES };
 const LONG = 48;
 
-const context = useFleet({ ...SLOW, entriesPerHall: 1 });
+const context = useFleet({ ...SLOW, entriesPerDataCentre: 1 });
 
 /** Waits until some chunk of a version has come to a box, so that the rollout is in its middle. */
 async function untilUnderWay(version: string): Promise<void> {
--- a/tests/manifestReader.spec.ts
+++ b/tests/manifestReader.spec.ts
@@ -46,7 +46,13 @@
 });
 
 function reader(box: string): ManifestReader {
-  const member = { box: 'drawer', hall: 'north', address: '127.0.0.1', httpPort: peerPort, controlPort: 1 };
+  const member = {
+    box: 'drawer',
+    dataCentre: 'north',
+    address: '127.0.0.1',
+    httpPort: peerPort,
+    controlPort: 1,
+  };
   return new ManifestReader({
     origin: () => origin,
     peers: () => [member],
--- a/tests/platformAdapter.spec.ts
+++ b/tests/platformAdapter.spec.ts
@@ -140,7 +140,7 @@
     id: 'i-1',
     service: 's',
     address: '1.1.1.1:1',
-    hall: 'z',
+    dataCentre: 'z',
     slots: 16,
     draining: true,
     models: [],
--- a/tests/recordReplica.spec.ts
+++ b/tests/recordReplica.spec.ts
@@ -92,7 +92,7 @@
     id: 'a',
     service: 's',
     address: '127.0.0.1:1',
-    hall: 'north',
+    dataCentre: 'north',
     slots: 8,
     draining: false,
     models: [{ name: 'm', version: 1 }],
--- a/tests/recordSources.spec.ts
+++ b/tests/recordSources.spec.ts
@@ -71,7 +71,7 @@
   constructor(own: RecordSource, seeds: string[], ranking: readonly RecordSource[], store: WatchableStore) {
     this.address = own.address;
     this.store = new CuttableStore(store);
-    const identity = { role: 'entry', box: own.box, hall: 'north' } as const;
+    const identity = { role: 'entry', box: own.box, dataCentre: 'north' } as const;
     this.control = { key: 'a key for the tests', identity, peerTimeoutMilliseconds: 2_000 };
     this.followers = new PlatformFollowers({
       platform: { store: this.store, reader: READER },
--- a/tests/replicator.spec.ts
+++ b/tests/replicator.spec.ts
@@ -1,4 +1,4 @@
-/** Confirmation of a change by entries of other halls, one of which is silent. */
+/** Confirmation of a change by entries of other data centres, one of which is silent. */
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { Replica } from '../src/configuration/replica.js';
@@ -17,14 +17,14 @@
 function options(box: string): ControlOptions {
   return {
     key: 'the-shared-key',
-    identity: { role: 'entry', box, hall: `hall-of-${box}` },
+    identity: { role: 'entry', box, dataCentre: `data-centre-of-${box}` },
     peerTimeoutMilliseconds: 5_000,
   };
 }
 
 function listed(box: string): Box {
   const place = { address: '127.0.0.1', httpPort: 1, controlPort: 1, state: 'live' as const };
-  return { ...place, box, role: 'entry', hall: `hall-of-${box}` };
+  return { ...place, box, role: 'entry', dataCentre: `data-centre-of-${box}` };
 }
 
 test('should take the word of a peer that connects while another one is silent', async () => {
--- a/tests/routing.spec.ts
+++ b/tests/routing.spec.ts
@@ -12,35 +12,39 @@
 import { ManualClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
 
-function backend(box: string, hall = 'near', rollout = 'r1'): Backend {
+function backend(box: string, dataCentre = 'near', rollout = 'r1'): Backend {
   const place = { address: '127.0.0.1', httpPort: 1, incarnation: 'i', version: 'v', capacity: 10 };
-  return { ...place, box, hall, rollout, load: new BoxLoad(), lost: new AbortController().signal };
+  return { ...place, box, dataCentre, rollout, load: new BoxLoad(), lost: new AbortController().signal };
 }
 
 const random = new SeededRandom(1);
 const anyBox = { affinity: '', allows: () => true, now: 0 };
 
-test('should stay in the own hall while it has room', () => {
-  const pool = { sameHall: [backend('a'), backend('b')], otherHalls: [backend('far', 'far')] };
+test('should stay in the own data centre while it has room', () => {
+  const pool = { sameDataCentre: [backend('a'), backend('b')], otherDataCentres: [backend('far', 'far')] };
   for (let turn = 0; turn < 50; turn++)
-    expect(chooseBackend(pool, anyBox, random)?.backend.hall).toEqual('near');
+    expect(chooseBackend(pool, anyBox, random)?.backend.dataCentre).toEqual('near');
 });
 
-test('should go to another hall when the own one is full', () => {
+test('should go to another data centre when the own one is full', () => {
   const full = backend('a');
   full.load.outstanding = 16;
-  const choice = chooseBackend({ sameHall: [full], otherHalls: [backend('far', 'far')] }, anyBox, random);
+  const choice = chooseBackend(
+    { sameDataCentre: [full], otherDataCentres: [backend('far', 'far')] },
+    anyBox,
+    random,
+  );
   expect(choice?.backend.box).toEqual('far');
 });
 
-test('should go to another hall when no box of the own one may be chosen', () => {
-  const pool = { sameHall: [backend('a')], otherHalls: [backend('far', 'far')] };
+test('should go to another data centre when no box of the own one may be chosen', () => {
+  const pool = { sameDataCentre: [backend('a')], otherDataCentres: [backend('far', 'far')] };
   const choice = chooseBackend(pool, { ...anyBox, allows: (box) => box !== 'a' }, random);
   expect(choice?.backend.box).toEqual('far');
 });
 
 test('should keep requests with one prefix on one box, and let go when it is much busier', () => {
-  const pool = { sameHall: ['a', 'b', 'c', 'd'].map((box) => backend(box)), otherHalls: [] };
+  const pool = { sameDataCentre: ['a', 'b', 'c', 'd'].map((box) => backend(box)), otherDataCentres: [] };
   const request = { ...anyBox, affinity: 'customer-and-prefix' };
   const first = chooseBackend(pool, request, random)!;
   for (let turn = 0; turn < 20; turn++)
@@ -52,7 +56,8 @@
 test('should balance on its own count while reports lag', () => {
   const boxes = ['a', 'b', 'c', 'd'].map((box) => backend(box));
   for (let request = 0; request < 400; request++) {
-    chooseBackend({ sameHall: boxes, otherHalls: [] }, anyBox, random)!.backend.load.outstanding++;
+    chooseBackend({ sameDataCentre: boxes, otherDataCentres: [] }, anyBox, random)!.backend.load
+      .outstanding++;
   }
   const counts = boxes.map((box) => box.load.outstanding);
   expect(Math.max(...counts) - Math.min(...counts) <= 10).toEqual(true);
@@ -115,16 +120,16 @@
   expect(Math.max(...values) <= 16).toEqual(true);
 });
 
-test('should order entries by hall and spread askers within it', () => {
+test('should order entries by data centre and spread askers within it', () => {
   const box = { role: 'entry' as const, address: '127.0.0.1', controlPort: 1, state: 'live' as const };
-  const entries = ['a', 'b'].flatMap((hall) =>
-    [1, 2, 3].map((number) => ({ ...box, box: `${hall}-${number}`, hall, httpPort: number })),
+  const entries = ['a', 'b'].flatMap((dataCentre) =>
+    [1, 2, 3].map((number) => ({ ...box, box: `${dataCentre}-${number}`, dataCentre, httpPort: number })),
   );
   const firsts = Array.from(
     { length: 60 },
     (_none, asker) => orderEntries(entries, 'b', `asker-${asker}`)[0],
   );
-  expect(firsts.every((entry) => entry.hall === 'b')).toEqual(true);
+  expect(firsts.every((entry) => entry.dataCentre === 'b')).toEqual(true);
   expect(new Set(firsts.map((entry) => entry.url)).size).toEqual(3);
   expect(orderEntries(entries, 'b', 'asker').length).toEqual(6);
 });
--- a/tests/serverChoice.spec.ts
+++ b/tests/serverChoice.spec.ts
@@ -19,7 +19,7 @@
 function candidate(id: string, changes: Partial<Candidate> = {}): Candidate {
   return {
     id,
-    sameHall: true,
+    sameDataCentre: true,
     slots: 16,
     load: 0,
     unread: 0,
@@ -39,9 +39,9 @@
   );
 });
 
-test('should leave the own hall only when it costs more than the way', () => {
+test('should leave the own data centre only when it costs more than the way', () => {
   const random = new SeededRandom(1);
-  const far = candidate('far', { sameHall: false });
+  const far = candidate('far', { sameDataCentre: false });
   expect(chooseServer([candidate('near', { load: 1 }), far], ENGINE, random)?.id).toEqual('near');
   expect(chooseServer([candidate('near', { load: 15 }), far], ENGINE, random)?.id).toEqual('far');
 });
--- a/tests/serviceHost.spec.ts
+++ b/tests/serviceHost.spec.ts
@@ -65,7 +65,7 @@
 function createHost(backend: FakeBackendServer, origin: Origin, stagingBytes: number): ServiceHost {
   const random = new SeededRandom(1);
   const logger = new Logger('test');
-  const identity = { role: 'agent' as const, box: 'self', hall: 'h' };
+  const identity = { role: 'agent' as const, box: 'self', dataCentre: 'h' };
   const control = { key: 'k', identity, peerTimeoutMilliseconds: 500 };
   const nobody = { onPeerUp: () => undefined, onPeerDown: () => undefined, onPeerMessage: () => undefined };
   const host = new ServiceHost({
@@ -115,7 +115,7 @@
     manifest,
     weight: 1,
     distribution: 'exchange',
-    members: [{ box: 'self', hall: 'h', address: '127.0.0.1', httpPort: 1, controlPort: 1 }],
+    members: [{ box: 'self', dataCentre: 'h', address: '127.0.0.1', httpPort: 1, controlPort: 1 }],
   };
 }
 
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -219,8 +219,8 @@
   });
 }
 
-function entry(box: string, hall: string, leaving = false): EntryAddress {
-  return { box, hall, address: `${box}:80`, control: `${box}:81`, leaving };
+function entry(box: string, dataCentre: string, leaving = false): EntryAddress {
+  return { box, dataCentre, address: `${box}:80`, control: `${box}:81`, leaving };
 }
 
 function all(entries: EntryAddress[]): { whole: boolean; entries: EntryAddress[]; gone: string[] } {
@@ -243,13 +243,13 @@
   expect(directory.count()).toEqual(1);
 });
 
-test("should name the live entries of the caller's hall", () => {
+test("should name the live entries of the caller's data centre", () => {
   const directory = new EntryDirectory(entry('a', 'north'));
   directory.report('agent', all([entry('a', 'north'), entry('b', 'north'), entry('c', 'south')]));
   expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
 });
 
-test('should name an entry of another hall rather than only one', () => {
+test('should name an entry of another data centre rather than only one', () => {
   const directory = new EntryDirectory(entry('a', 'north'));
   directory.report('agent', all([entry('b', 'south'), entry('c', 'south')]));
   expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
--- a/tests/settings.spec.ts
+++ b/tests/settings.spec.ts
@@ -6,7 +6,7 @@
 
 const GOOD = {
   box: 'box-1',
-  hall: 'zagreb',
+  dataCentre: 'zagreb',
   sharedKey: 'a-key-of-sixteen-or-more',
   backendUrl: 'http://127.0.0.1:1',
   originUrl: 'http://127.0.0.1:2',
@@ -19,9 +19,9 @@
 });
 
 test('should take a flag before a variable', () => {
-  const environment = { LARKLATCH_HALL: 'split', LARKLATCH_BACKEND_SLOTS: '3' };
+  const environment = { LARKLATCH_DATA_CENTRE: 'split', LARKLATCH_BACKEND_SLOTS: '3' };
   const settings = parseSettings(agentSettingsSchema, GOOD, environment)._unsafeUnwrap();
-  expect(settings.hall).toEqual('zagreb');
+  expect(settings.dataCentre).toEqual('zagreb');
   expect(settings.backendSlots).toEqual(3);
 });
 
--- a/tests/stagingDecisions.spec.ts
+++ b/tests/stagingDecisions.spec.ts
@@ -12,13 +12,13 @@
 import type { SwitchPeer, SwitchSituation } from '../src/staging/switchTurn.js';
 import { mayOrder, maySwitch } from '../src/staging/switchTurn.js';
 
-const HALLS = ['north', 'south', 'west'];
+const DATA_CENTRES = ['north', 'south', 'west'];
 const CHUNKS = 48;
 
 function members(count: number): Member[] {
   return Array.from({ length: count }, (_unused, index) => ({
     box: `box-${index}`,
-    hall: HALLS[index % HALLS.length],
+    dataCentre: DATA_CENTRES[index % DATA_CENTRES.length],
     address: '127.0.0.1',
     httpPort: 1,
     controlPort: 2,
--- a/tests/switchGroup.spec.ts
+++ b/tests/switchGroup.spec.ts
@@ -11,7 +11,7 @@
 function members(count: number): Member[] {
   return Array.from({ length: count }, (_unused, index) => ({
     box: `box-${index}`,
-    hall: DATA_CENTRES[index % DATA_CENTRES.length],
+    dataCentre: DATA_CENTRES[index % DATA_CENTRES.length],
     address: '127.0.0.1',
     httpPort: 1,
     controlPort: 2,
@@ -26,7 +26,7 @@
 test('should take turns within a data centre in a large fleet', () => {
   const group = switchGroup('box-0', members(144));
   expect(group).toHaveLength(29);
-  expect(group.every(({ hall }) => hall === 'east')).toEqual(true);
+  expect(group.every(({ dataCentre }) => dataCentre === 'east')).toEqual(true);
 });
 
 test('should bound the connections of a box however large the fleet is', () => {
--- a/tests/trackedServer.spec.ts
+++ b/tests/trackedServer.spec.ts
@@ -8,7 +8,14 @@
 import { ManualClock } from '../src/utils/clock.js';
 
 function trackedServer(clock: ManualClock, models: ServedModel[] = []): TrackedServer {
-  const record = { id: 's', service: 'm', address: '127.0.0.1:1', hall: 'north', slots: 16, draining: false };
+  const record = {
+    id: 's',
+    service: 'm',
+    address: '127.0.0.1:1',
+    dataCentre: 'north',
+    slots: 16,
+    draining: false,
+  };
   const options = { address: record.address, connectMilliseconds: 1, limit: () => 1 };
   return new TrackedServer({ ...record, models }, new BackendConnections(options), clock, () => 3);
 }
--- a/tests/uploadQueue.spec.ts
+++ b/tests/uploadQueue.spec.ts
@@ -41,7 +41,7 @@
   });
 }
 
-test('should serve another hall before a box of its own that asked earlier', async () => {
+test('should serve another data centre before a box of its own that asked earlier', async () => {
   queue = new UploadQueue(new RateLimiter(RATE), 5_000, 4_096);
   begun = [];
   const first = ask('a/near');
@@ -66,7 +66,7 @@
   expect(begun).toEqual(['a/far', 'b/far', 'c/far', 'a/far']);
 });
 
-test('should send near boxes elsewhere when it is busy, but keep room for other halls', async () => {
+test('should send near boxes elsewhere when it is busy, but keep room for other data centres', async () => {
   queue = new UploadQueue(new RateLimiter(RATE), 5_000, 4_096);
   begun = [];
   const first = ask('a/near');
