An entry that starts takes a stale copy of the records at once

Cause, from reading: an entry that is restarted while the seeds of its settings are gone waited 1.0 to 1.8 s for them before it read the store, and refused everything meanwhile; before the records were shared it had a configuration after some 0.15 s.

Change: at its start an entry lists the three kinds once as stale (0.3 of a call): it can serve and finds the agents, and with them the other entries, at once. The copy is not confirmed by that: what the configuration seems to refuse gets 503 until a source or the store has confirmed it. Seeds that refuse connections are dialled again for 0.7 s after a start in place of 1.5 s.

Tests: `recordSources` ("a copy at once though its seeds are silent") fails without it.

--- a/src/records/countedStore.ts
+++ b/src/records/countedStore.ts
@@ -2,7 +2,7 @@
 import type { KindChanges, KindListing, WatchableStore } from './watchableStore.js';
 
 /** How the store is called. */
-export type StoreCall = 'probe' | 'list' | 'watch';
+export type StoreCall = 'probe' | 'list' | 'list-stale' | 'watch';
 
 export class CountedStore implements WatchableStore {
   private readonly _store: WatchableStore;
@@ -24,6 +24,11 @@
     return await this._store.list(kind, signal);
   }
 
+  async listStale(kind: string, signal: AbortSignal): Promise<KindListing> {
+    this._count('list-stale', kind);
+    return await this._store.listStale(kind, signal);
+  }
+
   async watch(
     kind: string,
     revision: number,
--- a/src/records/recordSources.ts
+++ b/src/records/recordSources.ts
@@ -3,6 +3,7 @@
 import type { RecordChanges, RecordStamp } from '../protocol/recordMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
+import { errorText } from '../utils/stepError.js';
 import { LagWatch } from './lagWatch.js';
 import type { RecordRelay } from './recordRelay.js';
 import type { RecordState } from './recordState.js';
@@ -11,6 +12,7 @@
 import { chooseSources } from './sourceChoice.js';
 import { SourceLink } from './sourceLink.js';
 import type { StoreReader } from './storeReader.js';
+import type { WatchableStore } from './watchableStore.js';
 
 /** What the sources work with. */
 export interface RecordSourcesOptions {
@@ -20,6 +22,7 @@
   ranking: () => readonly RecordSource[];
   state: RecordState;
   reader: StoreReader;
+  store: WatchableStore;
   relay: RecordRelay;
   control: ControlOptions;
   clock: Clock;
@@ -38,7 +41,7 @@
 /** The choice to read has to last so long, since entries that start learn of each other one after the other. */
 const SETTLE_MILLISECONDS = 250;
 /** Time after a start in which others may still be starting, so that they are dialled again before they are passed over. */
-const STARTING_MILLISECONDS = 1_500;
+const STARTING_MILLISECONDS = 700;
 
 export class RecordSources {
   private readonly _options: RecordSourcesOptions;
@@ -49,6 +52,7 @@
   private _shouldReadSince: number | undefined;
   private _readingSince = 0;
   private _primary = '';
+  private readonly _stopped = new AbortController();
   private _timer: NodeJS.Timeout | undefined;
 
   constructor(options: RecordSourcesOptions) {
@@ -58,16 +62,36 @@
   start(): void {
     this._startedAt = this._options.clock.now();
     this._timer = setInterval(() => this._tick(), TICK_MILLISECONDS);
+    void this._takeStaleCopies();
     this._tick();
   }
 
   stop(): void {
     clearInterval(this._timer);
+    this._stopped.abort();
     for (const link of this._links.values()) link.close();
     this._links.clear();
     this._options.reader.stop();
   }
 
+  /**
+   * Takes what the store held some seconds ago, so that requests are served and other entries found at once, also where all
+   * seeds are gone. The copies are not confirmed by that.
+   */
+  private async _takeStaleCopies(): Promise<void> {
+    const { state, store, log } = this._options;
+    await Promise.all(
+      state.replicas.map(async (replica) => {
+        try {
+          replica.takeListing(await store.listStale(replica.kind, this._stopped.signal));
+        } catch (error) {
+          if (this._stopped.signal.aborted) return;
+          log.state('records.no-stale-copy', { kind: replica.kind, reason: errorText(error) });
+        }
+      }),
+    );
+  }
+
   private _tick(): void {
     this._noteFailures();
     const { own, seeds, ranking } = this._options;
--- a/src/records/watchableStore.ts
+++ b/src/records/watchableStore.ts
@@ -28,6 +28,8 @@
   /** Resolves when the store answers at all, by the cheapest read there is. */
   probe(timeoutMilliseconds: number, signal: AbortSignal): Promise<void>;
   list(kind: string, signal: AbortSignal): Promise<KindListing>;
+  /** The same at a fraction of the price, but perhaps as of some seconds ago. */
+  listStale(kind: string, signal: AbortSignal): Promise<KindListing>;
   /** Waits up to `waitMilliseconds` for a change after `revision`. */
   watch(kind: string, revision: number, waitMilliseconds: number, signal: AbortSignal): Promise<KindChanges>;
 }
--- a/src/serving/platformFollowers.ts
+++ b/src/serving/platformFollowers.ts
@@ -12,7 +12,10 @@
 import type { ServingPlatform } from './platformRecords.js';
 
 /** What the followers work with. */
-export interface PlatformFollowersOptions extends Omit<RecordSourcesOptions, 'state' | 'reader' | 'relay'> {
+export interface PlatformFollowersOptions extends Omit<
+  RecordSourcesOptions,
+  'state' | 'reader' | 'relay' | 'store'
+> {
   platform: ServingPlatform;
   random: Random;
 }
@@ -62,6 +65,7 @@
       ...options,
       state: this._state,
       reader: this._reader,
+      store,
       relay: this.relay,
     });
   }
--- a/tests/platformStore.spec.ts
+++ b/tests/platformStore.spec.ts
@@ -54,6 +54,14 @@
   expect(listing.revision).toEqual(6);
 });
 
+test('should list all pages at a fraction of the price when they may be stale', async () => {
+  for (const name of ['a', 'b', 'c']) standin.put('servers', name, { name });
+  const listing = await store.listStale('servers', NEVER);
+  expect(listing.objects.map((object) => object.name)).toEqual(['a', 'b', 'c']);
+  expect(standin.calls.every((call) => call.includes('stale=1'))).toEqual(true);
+  expect(standin.calls.length).toEqual(2);
+});
+
 test('should not miss what changes on an earlier page while later ones are listed', async () => {
   for (const name of ['a', 'b', 'c']) standin.put('servers', name, 'ready');
   standin.onCall = (call) => {
--- a/tests/recordSources.spec.ts
+++ b/tests/recordSources.spec.ts
@@ -45,6 +45,11 @@
     return await this._store.list(kind, signal);
   }
 
+  async listStale(kind: string, signal: AbortSignal): Promise<KindListing> {
+    this._pass();
+    return await this._store.listStale(kind, signal);
+  }
+
   async watch(kind: string, revision: number, wait: number, signal: AbortSignal): Promise<KindChanges> {
     this._pass();
     const answer = await this._store.watch(kind, revision, wait, signal);
@@ -199,6 +204,19 @@
   expect(late.followers.configuration.revision).toBeGreaterThan(0);
 });
 
+test('should have a copy at once though its seeds are silent, and trust it once the store has confirmed it', async () => {
+  const port = await freePort();
+  const own = { box: 'restarted', address: `127.0.0.1:${port}` };
+  const seeds = [`127.0.0.1:${await silentPort()}`, `127.0.0.1:${await silentPort()}`];
+  const restarted = new Entry(own, seeds, [own], store);
+  entries.push(restarted);
+  await restarted.start(port);
+  await until(() => restarted.held === 1);
+  expect(restarted.followers.isReading).toEqual(false);
+  expect(restarted.followers.isCurrent).toEqual(false);
+  await until(() => restarted.followers.isCurrent);
+});
+
 test('should read for itself when no other entry can be reached', async () => {
   const port = await freePort();
   const own = { box: 'alone', address: `127.0.0.1:${port}` };
--- a/tests/servingMetrics.spec.ts
+++ b/tests/servingMetrics.spec.ts
@@ -23,12 +23,14 @@
   const store: WatchableStore = {
     probe: async () => undefined,
     list: async () => ({ revision: 1, objects: [] }),
+    listStale: async () => ({ revision: 1, objects: [] }),
     watch: async () => await Promise.reject(new Error('lost')),
   };
   const calls: string[] = [];
   const counted = new CountedStore(store, (call, kind) => void calls.push(`${call} ${kind}`.trim()));
   await counted.probe(1, NEVER);
   expect(await counted.list('servers', NEVER)).toEqual({ revision: 1, objects: [] });
+  await counted.listStale('versions', NEVER);
   await expect(counted.watch('servers', 1, 1, NEVER)).toBeRejectedWith('lost');
-  expect(calls).toEqual(['probe', 'list servers', 'watch servers']);
+  expect(calls).toEqual(['probe', 'list servers', 'list-stale versions', 'watch servers']);
 });
