A reader that has lost the store says so at once

Cause, from arithmetic and a test: with both readers cut off from the store others noticed 0.9 s after these had (1.3 s without a confirmation), and the next one read 1.2 s after, up to 2.3 s after the cut: past the 2 s that smaller sites give a configuration.

Change: a reader that gets no answer to its probe passes itself over, and its stamps say that it has lost the store until something confirms its copies anew; those who hear it go on to the next source at once.

--- a/src/protocol/recordMessages.ts
+++ b/src/protocol/recordMessages.ts
@@ -38,6 +38,8 @@
   confirmedMilliseconds: z.number().nonnegative().nullable(),
   /** Milliseconds since the store was regained after an outage; null when it was never lost. */
   regainedMilliseconds: z.number().nonnegative().nullable(),
+  /** Whether the sender has lost the store, and nothing has confirmed its copies since. */
+  lost: z.boolean(),
   revisions: revisionsSchema,
   /** The newest change of each kind that the sender knows. A copy that was confirmed later may lack nothing of it. */
   newestChanges: revisionsSchema,
--- a/src/records/recordSources.ts
+++ b/src/records/recordSources.ts
@@ -118,9 +118,20 @@
   private _noteFailures(): void {
     for (const [address, link] of this._links) {
       if (link.silentFor > SILENT_MILLISECONDS) this._fail(address, 'silent');
+      else if (link.stamp?.lost) this._fail(address, 'has lost the store');
       else if (this._isUnconfirmed(link)) this._fail(address, 'does not reach the store');
     }
-    const { reader, own, clock } = this._options;
+    this._noteOwnFailure();
+  }
+
+  /** Tells a loss of the store at once, so that others begin to read before what they rely on is too old. */
+  private _noteOwnFailure(): void {
+    const { reader, own, clock, relay, state } = this._options;
+    if (reader.isLost && !this._hasFailed(own.address)) {
+      this._fail(own.address, 'has lost the store');
+      state.noteLost();
+      relay.tellStamp();
+    }
     if (!reader.isReading || clock.now() - this._readingSince < OPENING_MILLISECONDS) return;
     if (clock.now() - reader.confirmedAt > UNCONFIRMED_MILLISECONDS) this._fail(own.address, 'own reading');
   }
--- a/src/records/recordState.ts
+++ b/src/records/recordState.ts
@@ -3,9 +3,8 @@
 import type { Clock } from '../utils/clock.js';
 import type { RecordReplica } from './recordReplica.js';
 
-/** Where the copies come from at the moment, as far as their age is concerned. */
+/** How current copies are; monotonic milliseconds, -infinity for never. */
 export interface Freshness {
-  /** Monotonic milliseconds; -infinity for never. */
   confirmedAt: number;
   regainedAt: number;
 }
@@ -16,6 +15,7 @@
   private readonly _ownReading: () => Freshness;
   private _confirmedAt = Number.NEGATIVE_INFINITY;
   private _regainedAt = Number.NEGATIVE_INFINITY;
+  private _lostAt = Number.NEGATIVE_INFINITY;
 
   /** `ownReading` tells how current the copies are if this process reads the store itself. */
   constructor(replicas: readonly RecordReplica[], clock: Clock, ownReading: () => Freshness) {
@@ -58,6 +58,11 @@
     }
   }
 
+  /** Notes that the store has been lost: until something confirms the copies anew, others should not wait for them. */
+  noteLost(): void {
+    this._lostAt = this._clock.now();
+  }
+
   /** `withChanges` says that the receiver has been sent all changes. */
   stamp(withChanges: boolean): RecordStamp {
     return {
@@ -65,6 +70,7 @@
       withChanges,
       confirmedMilliseconds: finiteOrNull(this.unconfirmedFor),
       regainedMilliseconds: finiteOrNull(this.regainedFor),
+      lost: this._lostAt > this._confirmedAt,
       revisions: this.revisions,
       newestChanges: Object.fromEntries(this.replicas.map(({ kind, newestChange }) => [kind, newestChange])),
     };
--- a/src/records/storeProbe.ts
+++ b/src/records/storeProbe.ts
@@ -41,6 +41,11 @@
     return this._isLost ? Number.NEGATIVE_INFINITY : this._answeredAt;
   }
 
+  /** Whether the last probe was not answered. */
+  get isLost(): boolean {
+    return this._isLost;
+  }
+
   /** Monotonic milliseconds at which the store was regained; -infinity when it never was lost. */
   get regainedAt(): number {
     return this._regainedAt;
@@ -49,6 +54,7 @@
   start(): void {
     this._stopped = new AbortController();
     this._answeredAt = Number.NEGATIVE_INFINITY;
+    this._isLost = false;
     void this._run(this._stopped.signal);
   }
 
--- a/src/records/storeReader.ts
+++ b/src/records/storeReader.ts
@@ -31,6 +31,11 @@
     return this._reading;
   }
 
+  /** Whether it reads, and the store does not answer. */
+  get isLost(): boolean {
+    return this._reading && this._probe.isLost;
+  }
+
   /** Monotonic milliseconds at which the store last confirmed the copies; -infinity when it has not since the start. */
   get confirmedAt(): number {
     const isFollowing = this._options.followers.every((follower) => follower.reachable);
--- a/tests/recordSources.spec.ts
+++ b/tests/recordSources.spec.ts
@@ -163,6 +163,7 @@
   standin.put('config', 'main', 2);
   await until(() => entries.every((entry) => entry.held === 2 && entry.followers.isCurrent));
   expect(entries.slice(2).some((entry) => entry.followers.isReading)).toEqual(true);
+  expect(entries[4].lines.some((line) => line.includes('has lost the store'))).toEqual(true);
 });
 
 test('should notice a reader whose watches hang, by what the other one has', async () => {
