--- a/src/records/recordSources.ts
+++ b/src/records/recordSources.ts
@@ -4,6 +4,7 @@
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import { errorText } from '../utils/stepError.js';
+import { FailedSources } from './failedSources.js';
 import { LagWatch } from './lagWatch.js';
 import type { RecordRelay } from './recordRelay.js';
 import type { RecordState } from './recordState.js';
@@ -12,7 +13,7 @@
 import { chooseSources } from './sourceChoice.js';
 import { SourceLink } from './sourceLink.js';
 import type { StoreReader } from './storeReader.js';
-import type { WatchableStore } from './watchableStore.js';
+import type { StoredObject, WatchableStore } from './watchableStore.js';
 
 /** What the sources work with. */
 export interface RecordSourcesOptions {
@@ -36,8 +37,6 @@
 const UNCONFIRMED_MILLISECONDS = 1_300;
 /** Time that a new source, or this process when it begins to read, has to become current. */
 const OPENING_MILLISECONDS = 1_000;
-/** How long a source is passed over that has failed. */
-const FAILED_MILLISECONDS = 3_000;
 /** The choice to read has to last so long, since entries that start learn of each other one after the other. */
 const SETTLE_MILLISECONDS = 250;
 /** Time after a start in which others may still be starting, so that they are dialled again before they are passed over. */
@@ -46,7 +45,7 @@
 export class RecordSources {
   private readonly _options: RecordSourcesOptions;
   private readonly _links = new Map<string, SourceLink>();
-  private readonly _failedUntil = new Map<string, number>();
+  private readonly _failed: FailedSources;
   private readonly _lag = new LagWatch();
   private _startedAt = 0;
   private _shouldReadSince: number | undefined;
@@ -57,6 +56,7 @@
 
   constructor(options: RecordSourcesOptions) {
     this._options = options;
+    this._failed = new FailedSources(options.clock, options.log);
   }
 
   start(): void {
@@ -95,7 +95,7 @@
   private _tick(): void {
     this._noteFailures();
     const { own, seeds, ranking } = this._options;
-    const hasFailed = (address: string): boolean => this._hasFailed(address);
+    const hasFailed = (address: string): boolean => this._failed.has(address);
     const choice = chooseSources({ own, seeds, ranking: ranking(), hasFailed });
     this._listenTo(choice.sources);
     this._readIf(choice);
@@ -103,16 +103,9 @@
     this._lookBehind();
   }
 
-  private _hasFailed(address: string): boolean {
-    return (this._failedUntil.get(address) ?? 0) > this._options.clock.now();
-  }
-
   private _fail(address: string, reason: string): void {
-    if (this._hasFailed(address)) return;
-    const { clock, log } = this._options;
-    this._failedUntil.set(address, clock.now() + FAILED_MILLISECONDS);
+    this._failed.add(address, reason);
     this._closeLink(address);
-    log.state('records.source-failed', { source: address, reason });
   }
 
   private _noteFailures(): void {
@@ -127,7 +120,7 @@
   /** Tells a loss of the store at once, so that others begin to read before what they rely on is too old. */
   private _noteOwnFailure(): void {
     const { reader, own, clock, relay, state } = this._options;
-    if (reader.isLost && !this._hasFailed(own.address)) {
+    if (reader.isLost && !this._failed.has(own.address)) {
       this._fail(own.address, 'has lost the store');
       state.noteLost();
       relay.tellStamp();
@@ -233,10 +226,6 @@
   }
 }
 
-function toStored(object: RecordChanges['objects'][number]): {
-  name: string;
-  revision: number;
-  value: unknown;
-} {
-  return { name: object.name, revision: object.revision, value: object.value };
+function toStored({ name, revision, value }: RecordChanges['objects'][number]): StoredObject {
+  return { name, revision, value };
 }
--- a/tests/stagingDecisions.spec.ts
+++ b/tests/stagingDecisions.spec.ts
@@ -11,18 +11,13 @@
 } from '../src/staging/drawSchedule.js';
 import type { SwitchPeer, SwitchSituation } from '../src/staging/switchTurn.js';
 import { mayOrder, maySwitch } from '../src/staging/switchTurn.js';
+import { membersOf } from './fixtures/memberFixture.js';
 
 const DATA_CENTRES = ['north', 'south', 'west'];
 const CHUNKS = 48;
 
 function members(count: number): Member[] {
-  return Array.from({ length: count }, (_unused, index) => ({
-    box: `box-${index}`,
-    dataCentre: DATA_CENTRES[index % DATA_CENTRES.length],
-    address: '127.0.0.1',
-    httpPort: 1,
-    controlPort: 2,
-  }));
+  return membersOf(count, DATA_CENTRES);
 }
 
 test('should work out the same order from members in any order', () => {
--- a/tests/switchGroup.spec.ts
+++ b/tests/switchGroup.spec.ts
@@ -5,17 +5,12 @@
 import { drawOrder, firstDrawers } from '../src/staging/drawSchedule.js';
 import { connectedPeers, switchGroup } from '../src/staging/switchGroup.js';
 import { exchangeGateways } from '../src/weights/exchangeTopology.js';
+import { membersOf } from './fixtures/memberFixture.js';
 
 const DATA_CENTRES = ['east', 'north', 'south', 'west', 'middle'];
 
 function members(count: number): Member[] {
-  return Array.from({ length: count }, (_unused, index) => ({
-    box: `box-${index}`,
-    dataCentre: DATA_CENTRES[index % DATA_CENTRES.length],
-    address: '127.0.0.1',
-    httpPort: 1,
-    controlPort: 2,
-  }));
+  return membersOf(count, DATA_CENTRES);
 }
 
 test('should connect all boxes of a small fleet', () => {
