A test of the half of VERSION on narrow links that had none; crossHall is crossDataCentre

Whether a link counts as narrow is a pure function now (`narrowLink.ts`), tested for the 4 s after the last chunk. `ExchangeServices` has a module of its own.

--- a/bench/rolloutBench.ts
+++ b/bench/rolloutBench.ts
@@ -36,8 +36,8 @@
   printRatio('rollout.timeToReplicas.ratioToBound', large, undefined, conditions(LARGE));
   printCopies('rollout.originCopies', large, undefined, conditions(LARGE));
   printLine({
-    name: 'rollout.crossHallCopies',
-    value: large.crossHallCopies,
+    name: 'rollout.crossDataCentreCopies',
+    value: large.crossDataCentreCopies,
     unit: 'copies',
     baseline: null,
     conditions: conditions(LARGE),
--- a/bench/rolloutRun.ts
+++ b/bench/rolloutRun.ts
@@ -32,7 +32,7 @@
   ninetySeconds: number;
   allSeconds: number;
   originCopies: number;
-  crossHallCopies: number;
+  crossDataCentreCopies: number;
   /** Bytes drawn from the origin over the bytes that differ from the version before. */
   originOverChanged: number;
 }
@@ -91,7 +91,7 @@
       ninetySeconds: times.seconds[Math.ceil(boxes * 0.9) - 1],
       allSeconds: times.seconds[boxes - 1],
       originCopies: times.originBytes / modelBytes,
-      crossHallCopies: times.crossHallBytes / modelBytes,
+      crossDataCentreCopies: times.crossDataCentreBytes / modelBytes,
       originOverChanged: times.originBytes / (options.chunkBytes * Math.round(options.chunkCount * changed)),
     };
   } finally {
@@ -103,7 +103,7 @@
   /** For each box that ended, in order. */
   seconds: number[];
   originBytes: number;
-  crossHallBytes: number;
+  crossDataCentreBytes: number;
 }
 
 async function rollOut(
@@ -132,7 +132,7 @@
   return {
     seconds,
     originBytes: (await fleet.originBytes()) - originBefore,
-    crossHallBytes: status.bytes.otherDataCentres,
+    crossDataCentreBytes: status.bytes.otherDataCentres,
   };
 }
 
--- a/src/agent/serviceHost.ts
+++ b/src/agent/serviceHost.ts
@@ -8,7 +8,7 @@
 import { Backoff } from '../utils/backoff.js';
 import { errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
-import type { ExchangeServices } from '../weights/rolloutExchange.js';
+import type { ExchangeServices } from '../weights/exchangeServices.js';
 import { StagedVersion } from './stagedVersion.js';
 
 /** The result of an order. */
--- a/src/agent/stagedVersion.ts
+++ b/src/agent/stagedVersion.ts
@@ -3,7 +3,7 @@
 import type { Actor } from 'xstate';
 import type { StageState } from '../protocol/reportMessages.js';
 import type { PlanMessage } from '../protocol/rolloutMessages.js';
-import type { ExchangeServices } from '../weights/rolloutExchange.js';
+import type { ExchangeServices } from '../weights/exchangeServices.js';
 import { RolloutExchange } from '../weights/rolloutExchange.js';
 import { ManifestIndex } from '../weights/manifestIndex.js';
 import type { StageEvent, stageMachine } from './stageMachine.js';
--- a/src/entry/rolloutStatusReader.ts
+++ b/src/entry/rolloutStatusReader.ts
@@ -131,7 +131,7 @@
     if (report?.rollout !== record?.rollout) continue;
     bytes.origin += report?.originBytes ?? 0;
     bytes.ownDataCentre += report?.peerBytes ?? 0;
-    bytes.otherDataCentres += report?.crossHallBytes ?? 0;
+    bytes.otherDataCentres += report?.crossDataCentreBytes ?? 0;
   }
   return bytes;
 }
--- a/src/protocol/reportMessages.ts
+++ b/src/protocol/reportMessages.ts
@@ -18,7 +18,7 @@
   heldChunks: countSchema,
   totalChunks: countSchema,
   originBytes: countSchema,
-  crossHallBytes: countSchema,
+  crossDataCentreBytes: countSchema,
   peerBytes: countSchema,
   corruptChunks: countSchema,
   openDraws: countSchema,
--- a/src/staging/stagingMetrics.ts
+++ b/src/staging/stagingMetrics.ts
@@ -32,7 +32,7 @@
   metrics.gauge('version_held_share', () => stages.stages.at(-1)?.heldShare ?? 0);
   metrics.gauge('version_origin_bytes', () => counts()?.originBytes ?? 0);
   metrics.gauge('version_peer_bytes', () => counts()?.peerBytes ?? 0);
-  metrics.gauge('version_cross_data_centre_bytes', () => counts()?.crossHallBytes ?? 0);
+  metrics.gauge('version_cross_data_centre_bytes', () => counts()?.crossDataCentreBytes ?? 0);
   metrics.gauge('version_corrupt_chunks', () => counts()?.corruptChunks ?? 0);
   metrics.gauge('uploaded_bytes', () => uploads.bytesSent);
   metrics.gauge('entries_connected', entries);
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -5,11 +5,12 @@
 import type { Clock } from '../utils/clock.js';
 import { errorText } from '../utils/stepError.js';
 import { ManifestIndex } from '../weights/manifestIndex.js';
-import type { ExchangeServices } from '../weights/rolloutExchange.js';
+import type { ExchangeServices } from '../weights/exchangeServices.js';
 import { RolloutExchange } from '../weights/rolloutExchange.js';
 import { ChunkStager } from './chunkStager.js';
 import { DrawProgress, drawOrder, drawerOf } from './drawSchedule.js';
 import type { LocalBackend } from './localBackend.js';
+import { isNarrowLink } from './narrowLink.js';
 import { ScarceChunks } from './scarceChunks.js';
 import { connectedPeers } from './switchGroup.js';
 
@@ -32,12 +33,6 @@
   mayDraw: () => boolean;
 }
 
-/** Part of the rate below which a link counts as slow, and the time after which that can be told. */
-const SLOW_SHARE = 0.38;
-const LEAST_MEASURED_MILLISECONDS = 1_000;
-/** A link that was narrow while chunks came is taken to stay so for a while: squeezes of the users' bench last for 5 to 7 s. */
-const STILL_SLOW_MILLISECONDS = 4_000;
-
 const MILLISECONDS_PER_SECOND = 1_000;
 const DRAW_INTERVAL_MILLISECONDS = 100;
 /** How long a box that comes late waits to hear what the others hold before it draws. */
@@ -121,13 +116,14 @@
 
   /** Whether chunks come much more slowly than the box may take them, or came so until a moment ago. */
   get isSlow(): boolean {
-    const now = this._options.clock.now();
-    if (now - this._completedAt > STILL_SLOW_MILLISECONDS) return false;
-    const elapsed = Math.min(now, this._completedAt) - this._startedAt;
-    if (elapsed < LEAST_MEASURED_MILLISECONDS) return false;
-    const { originBytes, peerBytes, crossHallBytes } = this.exchange.counts;
-    const received = originBytes + peerBytes + crossHallBytes;
-    return received < (this._options.bytesPerSecond / 1000) * elapsed * SLOW_SHARE;
+    const { originBytes, peerBytes, crossDataCentreBytes } = this.exchange.counts;
+    const transfer = {
+      startedAt: this._startedAt,
+      completedAt: this._completedAt,
+      receivedBytes: originBytes + peerBytes + crossDataCentreBytes,
+      bytesPerSecond: this._options.bytesPerSecond,
+    };
+    return isNarrowLink(transfer, this._options.clock.now());
   }
 
   /** Lets the chunks lie before the backend server from now on. */
--- a/src/weights/chainTopology.ts
+++ b/src/weights/chainTopology.ts
@@ -10,7 +10,7 @@
     const ends = [row[position - 1], row[position + 1]].filter((member) => member !== undefined);
     const neighbours: Neighbour[] = ends.map((member) => ({
       member,
-      crossHall: member.dataCentre !== row[position].dataCentre,
+      crossDataCentre: member.dataCentre !== row[position].dataCentre,
     }));
     return { neighbours, importers: () => undefined };
   }
--- a/src/weights/chunkPicker.ts
+++ b/src/weights/chunkPicker.ts
@@ -56,7 +56,7 @@
   /** Notes that `peer` holds `chunk`. */
   noteHeld(peer: PeerView, chunk: number): void {
     if (!peer.held.add(chunk)) return;
-    if (!peer.crossHall) this._dataCentreHolders[chunk]++;
+    if (!peer.crossDataCentre) this._dataCentreHolders[chunk]++;
     else if (this._remoteSince[chunk] === Number.POSITIVE_INFINITY)
       this._remoteSince[chunk] = this._options.clock.now();
   }
@@ -64,7 +64,7 @@
   /** Forgets what a disconnected peer held. */
   removePeer(peer: PeerView): void {
     this._peers.delete(peer.box);
-    if (peer.crossHall) return;
+    if (peer.crossDataCentre) return;
     for (let chunk = 0; chunk < peer.held.size; chunk++) {
       if (peer.held.has(chunk)) this._dataCentreHolders[chunk]--;
     }
@@ -131,10 +131,10 @@
   /** The least loaded usable holder; other data centres only when no neighbour of the own data centre holds the chunk. */
   private _bestHolder(chunk: number): PeerView | undefined {
     const now = this._options.clock.now();
-    const crossHall = this._dataCentreHolders[chunk] === 0;
+    const crossDataCentre = this._dataCentreHolders[chunk] === 0;
     let best: PeerView | undefined;
     for (const peer of this._peers.values()) {
-      if (peer.crossHall !== crossHall || !peer.held.has(chunk) || !peer.usable(now)) continue;
+      if (peer.crossDataCentre !== crossDataCentre || !peer.held.has(chunk) || !peer.usable(now)) continue;
       if (peer.inFlight >= this._options.fetchesPerPeer) continue;
       if (!best || loadOf(peer) < loadOf(best)) best = peer;
     }
--- a/src/weights/exchangeTopology.ts
+++ b/src/weights/exchangeTopology.ts
@@ -92,12 +92,12 @@
   }
   if (self < GATEWAYS_PER_DATA_CENTRE) layout.gateways.forEach((_gateway, index) => chosen.add(index));
   chosen.delete(self);
-  return [...chosen].map((index) => ({ member: members[index], crossHall: false }));
+  return [...chosen].map((index) => ({ member: members[index], crossDataCentre: false }));
 }
 
 function crossNeighbours(dataCentres: readonly DataCentreLayout[], own: DataCentreLayout): Neighbour[] {
   const others = dataCentres.filter((layout) => layout !== own).flatMap((layout) => layout.gateways);
-  return others.map((member) => ({ member, crossHall: true }));
+  return others.map((member) => ({ member, crossDataCentre: true }));
 }
 
 function rotated(boxes: readonly string[], first: number): string[] {
--- a/src/weights/peerFetcher.ts
+++ b/src/weights/peerFetcher.ts
@@ -30,7 +30,7 @@
   /** Whether fetches may begin now; asked again after a short while. */
   mayFetch: () => boolean;
   /** Takes a verified chunk and whether it came from another data centre. */
-  store: (chunk: number, data: Buffer, crossHall: boolean) => void;
+  store: (chunk: number, data: Buffer, crossDataCentre: boolean) => void;
 }
 
 /** How long to wait before looking again when there is nothing to fetch. */
@@ -88,7 +88,7 @@
     picker.begin(chunk);
     logger.decision('chunk.fetch', { rollout, chunk, peer: peer.box });
     try {
-      store(chunk, await this._receive(chunk, peer), peer.crossHall);
+      store(chunk, await this._receive(chunk, peer), peer.crossDataCentre);
     } catch (error) {
       this._onFailed(peer, error);
     } finally {
@@ -103,7 +103,7 @@
     const { index, bounds, counts } = this._options;
     const open = (signal: AbortSignal): Promise<AsyncIterable<Buffer>> => this._open(chunk, peer, signal);
     const onBytes = (bytes: number): void => {
-      counts[peer.crossHall ? 'crossHallBytes' : 'peerBytes'] += bytes;
+      counts[peer.crossDataCentre ? 'crossDataCentreBytes' : 'peerBytes'] += bytes;
     };
     return await receiveChunk(index.chunk(chunk), bounds, open, onBytes, peer.box);
   }
--- a/src/weights/peerView.ts
+++ b/src/weights/peerView.ts
@@ -6,7 +6,7 @@
 
 export class PeerView {
   readonly box: string;
-  readonly crossHall: boolean;
+  readonly crossDataCentre: boolean;
   readonly held: Bitset;
   connected = false;
   /** Fetches of this box that are under way from the peer. */
@@ -16,9 +16,9 @@
   private _corruptChunks = 0;
   private _avoidUntil = 0;
 
-  constructor(box: string, crossHall: boolean, chunkCount: number) {
+  constructor(box: string, crossDataCentre: boolean, chunkCount: number) {
     this.box = box;
-    this.crossHall = crossHall;
+    this.crossDataCentre = crossDataCentre;
     this.held = new Bitset(chunkCount);
   }
 
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -1,24 +1,16 @@
 /** Brings one version's chunks to this box and hands them on: one instance per rollout. */
-import type { Origin } from '../external/origin.js';
 import type { PlanMessage } from '../protocol/rolloutMessages.js';
-import type { Logger } from '../telemetry/logger.js';
 import { Bitset } from '../utils/bitset.js';
-import type { Clock } from '../utils/clock.js';
-import type { Random } from '../utils/random.js';
-import type { AgentPeers } from './agentPeers.js';
-import type { ChunkStore } from './chunkStore.js';
 import { ChunkPicker } from './chunkPicker.js';
-import type { TransferBounds } from './chunkSource.js';
+import type { ExchangeServices } from './exchangeServices.js';
 import { HaveAnnouncer } from './haveAnnouncer.js';
 import type { ManifestIndex } from './manifestIndex.js';
-import type { PeerChunkClient } from './peerChunkClient.js';
 import { OriginDrawer } from './originDrawer.js';
 import { PeerFetcher } from './peerFetcher.js';
 import { PeerView } from './peerView.js';
 import { topologyPolicy } from './topologies.js';
 import type { Neighbour, Topology } from './topology.js';
 import type { TransferCounts } from './transferCounts.js';
-import type { UploadQueue } from './uploadQueue.js';
 
 const FETCHES_PER_PEER = 1;
 /** How often a version that found no room looks for it again. */
@@ -26,27 +18,16 @@
 /** How often neighbours in other data centres are told everything. */
 const REFRESH_MILLISECONDS = 2_000;
 
-/** What an exchange works with; shared by all exchanges of an agent. */
-export interface ExchangeServices {
-  box: string;
-  store: ChunkStore;
-  peers: AgentPeers;
-  client: PeerChunkClient;
-  origin: Origin;
-  uploads: UploadQueue;
-  bounds: TransferBounds;
-  clock: Clock;
-  random: Random;
-  logger: Logger;
-  /** Whether chunks may be fetched now; when left out, always. */
-  mayFetch?: () => boolean;
-}
-
 /** Fetches what is missing until the version is complete, and answers neighbours throughout. */
 export class RolloutExchange {
   readonly rollout: string;
   readonly held: Bitset;
-  readonly counts: TransferCounts = { originBytes: 0, peerBytes: 0, crossHallBytes: 0, corruptChunks: 0 };
+  readonly counts: TransferCounts = {
+    originBytes: 0,
+    peerBytes: 0,
+    crossDataCentreBytes: 0,
+    corruptChunks: 0,
+  };
   /** Why nothing moves, or ''. */
   problem = '';
   private readonly _services: ExchangeServices;
@@ -168,7 +149,7 @@
   onPeerUp(box: string): void {
     const neighbour = this._members.get(box);
     if (!neighbour || this._picker.peer(box)?.connected) return;
-    const view = new PeerView(box, neighbour.crossHall, this.held.size);
+    const view = new PeerView(box, neighbour.crossDataCentre, this.held.size);
     view.connected = true;
     this._picker.addPeer(view);
     this._sendJoin(box);
@@ -246,7 +227,7 @@
       signal: this._stopped.signal,
       member: (box) => this._members.get(box)?.member,
       isComplete: () => this.complete,
-      store: (chunk, data, crossHall) => this._store(chunk, data, crossHall),
+      store: (chunk, data, crossDataCentre) => this._store(chunk, data, crossDataCentre),
     });
   }
 
@@ -294,10 +275,10 @@
     this._tell(true, brought);
   }
 
-  private _tell(crossHall: boolean, chunks: number[]): void {
+  private _tell(crossDataCentre: boolean, chunks: number[]): void {
     if (chunks.length === 0) return;
     const { peers, uploads } = this._services;
-    const told = [...this._picker.peers()].filter((peer) => peer.crossHall === crossHall);
+    const told = [...this._picker.peers()].filter((peer) => peer.crossDataCentre === crossDataCentre);
     const boxes = told.map((peer) => peer.box);
     peers.broadcast(boxes, { type: 'have', rollout: this.rollout, chunks, uploadQueue: uploads.length });
   }
@@ -305,7 +286,7 @@
   /** Tells other data centres everything now and then, for when the box that brought a chunk is lost. */
   private _refresh(): void {
     for (const peer of this._picker.peers()) {
-      if (peer.crossHall && !peer.held.full) this._sendJoin(peer.box);
+      if (peer.crossDataCentre && !peer.held.full) this._sendJoin(peer.box);
     }
   }
 
--- a/src/weights/topology.ts
+++ b/src/weights/topology.ts
@@ -4,7 +4,7 @@
 /** A peer of a rollout. */
 export interface Neighbour {
   member: Member;
-  crossHall: boolean;
+  crossDataCentre: boolean;
 }
 
 /** One box's place in a rollout. */
--- a/src/weights/transferCounts.ts
+++ b/src/weights/transferCounts.ts
@@ -5,6 +5,6 @@
   /** From agents of the own data centre. */
   peerBytes: number;
   /** From agents of other data centres. */
-  crossHallBytes: number;
+  crossDataCentreBytes: number;
   corruptChunks: number;
 }
--- a/tests/chunkPicker.spec.ts
+++ b/tests/chunkPicker.spec.ts
@@ -14,7 +14,7 @@
   picker: ChunkPicker;
   clock: ManualClock;
   held: Bitset;
-  peer(box: string, chunks: number[], crossHall?: boolean): PeerView;
+  peer(box: string, chunks: number[], crossDataCentre?: boolean): PeerView;
 }
 
 /** A box 'self'; importers of every chunk are 'first', then 'self'. */
@@ -31,8 +31,8 @@
     importStepMilliseconds: STEP,
     fetchesPerPeer: 1,
   });
-  const peer = (box: string, chunks: number[], crossHall = false): PeerView => {
-    const view = new PeerView(box, crossHall, CHUNKS);
+  const peer = (box: string, chunks: number[], crossDataCentre = false): PeerView => {
+    const view = new PeerView(box, crossDataCentre, CHUNKS);
     view.connected = true;
     picker.addPeer(view);
     for (const chunk of chunks) picker.noteHeld(view, chunk);
