--- a/tests/recordSources.spec.ts
+++ b/tests/recordSources.spec.ts
@@ -6,6 +6,7 @@
 import type { ControlOptions } from '../src/protocol/controlConnection.js';
 import { PlatformFollowers } from '../src/serving/platformFollowers.js';
 import type { RecordSource } from '../src/records/sourceChoice.js';
+import { READERS } from '../src/records/sourceChoice.js';
 import type { KindChanges, KindListing, WatchableStore } from '../src/records/watchableStore.js';
 import type { RecordReader } from '../src/serving/platformRecords.js';
 import type { ServingConfiguration } from '../src/serving/servingConfiguration.js';
@@ -133,6 +134,8 @@
   entries = ranking.map((own) => new Entry(own, [], ranking, store));
   await Promise.all(entries.map(async (entry, index) => await entry.start(ports[index])));
   await until(() => entries.every((entry) => entry.held === 1 && entry.followers.isCurrent));
+  // the others are current as soon as one reads; the second one may begin a tick later
+  await until(() => entries.slice(0, READERS).every((entry) => entry.followers.isReading));
 }
 
 function strongCalls(): string[] {
