--- a/src/utils/rendezvous.ts
+++ b/src/utils/rendezvous.ts
@@ -12,17 +12,6 @@
   return scored.map((item) => item.candidate);
 }
 
-/** Whether `box` is one of the first `count` boxes in the order of `key`, as all processes work out alike. */
-export function isAmongFirst(
-  count: number,
-  box: string,
-  key: string,
-  candidates: readonly { box: string }[],
-): boolean {
-  const first = rendezvousOrder(key, candidates, (candidate) => candidate.box).slice(0, count);
-  return first.some((candidate) => candidate.box === box);
-}
-
 /** Orders two strings by code unit, the same on every machine. */
 export function compareText(a: string, b: string): number {
   if (a === b) return 0;
