--- a/src/utils/hash.ts
+++ b/src/utils/hash.ts
@@ -1,8 +1,6 @@
-/** Hashes: SHA-256 for content, xxHash for placement. */
+/** Hashes: SHA-256 for content, MurmurHash for placement. */
 import { createHash } from 'node:crypto';
-import createXxhash from 'xxhash-wasm';
-
-const xxhash = await createXxhash();
+import murmurhash from 'murmurhash';
 
 /** Returns the SHA-256 of `data` in lower-case hex. */
 export function sha256Hex(data: Uint8Array | string): string {
@@ -11,5 +9,5 @@
 
 /** Returns a 32-bit placement hash of the joined `parts`. Not for security. */
 export function placementHash(...parts: string[]): number {
-  return xxhash.h32(parts.join('\u0000'));
+  return murmurhash.v3(parts.join('\u0000'));
 }
--- a/tests/platformProcesses.spec.ts
+++ b/tests/platformProcesses.spec.ts
@@ -156,6 +156,8 @@
     );
   expect(imported('main.js')).toEqual(['./earlySignals.js']);
   expect(imported('earlySignals.js')).toEqual([]);
+  const bundled = imported('bundledMain.js').filter((name) => !name.startsWith('node:'));
+  expect(bundled).toEqual(['./codeCache.js', './earlySignals.js']);
 });
 
 test('should leave in order at SIGTERM', async () => {
