--- /dev/null
+++ b/tests/serverPool.spec.ts
@@ -0,0 +1,75 @@
+/** Which server a gateway finds for a request, and for whom there is still room. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { ServerNeed } from '../src/serving/serverNeed.js';
+import { ServerPool } from '../src/serving/serverPool.js';
+import type { ServiceDescription } from '../src/serving/servingConfiguration.js';
+import { EventLog } from '../src/telemetry/eventLog.js';
+import { ManualClock } from '../src/utils/clock.js';
+import { SeededRandom } from '../src/utils/random.js';
+
+const SLOTS = 8;
+const CHAT: ServiceDescription = {
+  name: 'chat',
+  maximumConnections: 100,
+  engine: {
+    slots: SLOTS,
+    models: ['m'],
+    stepMilliseconds: 11,
+    readTokensPerSecond: 21_300,
+    usualPromptTokens: 900,
+    usualAnswerTokens: 80,
+  },
+  origin: undefined,
+};
+
+/** A pool with one server on which `running` requests run. */
+function poolWithLoad(running: number): ServerPool {
+  const clock = new ManualClock();
+  clock.advance(10_000);
+  const pool = new ServerPool({
+    dataCentre: 'north',
+    clock,
+    random: new SeededRandom(1),
+    log: new EventLog({ write: () => true }, 'off', { box: 'entry', dataCentre: 'north' }),
+    service: () => CHAT,
+    entries: () => 1,
+    entriesNear: () => 1,
+    isRouted: () => true,
+  });
+  const models = [{ name: 'm', version: 1 }];
+  const place = { address: '127.0.0.1:1', dataCentre: 'north', slots: SLOTS, draining: false };
+  pool.update([{ id: 'i-1', service: 'chat', models, ...place }]);
+  pool.noteStatus('127.0.0.1', {
+    type: 'box-status',
+    state: 'serving',
+    model: 'm',
+    version: 1,
+    running,
+    queued: 0,
+    slowLink: false,
+  });
+  return pool;
+}
+
+function need(isHandover: boolean): ServerNeed {
+  return {
+    service: 'chat',
+    model: 'm',
+    lowestVersion: 0,
+    lowestVersionSlow: 0,
+    preferredVersion: 0,
+    newestVersion: 1,
+    objectiveMilliseconds: 500,
+    isHandover,
+    tried: new Set(),
+  };
+}
+
+test('should have room on a full server for a stream that is handed over, and for nothing new', () => {
+  const kinds = (running: number): string[] =>
+    [false, true].map((isHandover) => poolWithLoad(running).find(need(isHandover)).kind);
+  expect(kinds(SLOTS - 1)).toEqual(['found', 'found']);
+  expect(kinds(SLOTS)).toEqual(['none', 'found']);
+  expect(kinds(SLOTS + 1)).toEqual(['none', 'none']);
+});
