Give up draws whose turn has passed, and ask an origin that was gone again within 0.4 s

While the origin is dark the turn of a chunk passes on every 0.9 s; each box kept in its queue all that was ever its turn, and all of them drew when the origin was back. Waits between tries grew to 2 s. Ruled out: the origin's link (1.3 s a copy), the exchange. Change: a box keeps only what is its turn now, and urgent draws; waits end at 0.4 s (2 s). Tests: originDrawer, both failed before.

--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -21,8 +21,10 @@
   outdated: boolean;
   /** Whether it is about to change its version, so that its streams have to be handed over soon. */
   preparing: boolean;
-  /** Whether to use it only when there is no other. */
+  /** Whether to use it only when no other one has room. */
   avoided: boolean;
+  /** Whether it fails time after time, so that it is used only when there is no other. */
+  failing: boolean;
 }
 
 /** How a service's requests weigh on a server. */
@@ -95,9 +97,9 @@
 }
 
 /**
- * The best of a few candidates drawn at random, of those that are likely to answer within the objective. Servers to avoid
- * count only where there is no other: one that resets or swallows requests always has room, and as a place for what others
- * have no room for it would take the most. All entries decide on the same load reports, which lag: if each took the
+ * The best of a few candidates drawn at random, of those that are likely to answer within the objective. A server that
+ * resets or swallows requests always has room, and as a place for what others have no room for it would take the most: those
+ * that fail time after time count only where there is no other, full or not. All entries decide on the same load reports, which lag: if each took the
  * best of all, all would take the same one, such as a server that has just come into service and is empty.
  */
 export function chooseServer<T extends Candidate>(
@@ -106,10 +108,12 @@
   objectiveMilliseconds: number,
   random: Random,
 ): T | undefined {
-  const sound = candidates.filter((candidate) => !candidate.avoided);
-  const usable = (sound.length > 0 ? sound : candidates).filter((candidate) =>
+  const sound = candidates.filter((candidate) => !candidate.failing);
+  const timely = (sound.length > 0 ? sound : candidates).filter((candidate) =>
     isInTime(candidate, service, objectiveMilliseconds),
   );
+  const fit = timely.filter((candidate) => !candidate.avoided);
+  const usable = fit.length > 0 ? fit : timely;
   const near = shuffled(
     usable.filter((candidate) => candidate.sameDataCentre),
     random,
--- a/src/serving/serverHealth.ts
+++ b/src/serving/serverHealth.ts
@@ -65,10 +65,9 @@
     return this._clock.now() < this._avoidedUntil;
   }
 
-  /** Whether to pass over it for a request while it has `outstanding` others of this process. */
-  avoids(outstanding: number): boolean {
-    const isOnTrial = this._failuresInRow >= FAILURES_IN_ROW && outstanding > 0;
-    return this.avoided || isOnTrial;
+  /** Whether it fails time after time and is not to be tried while it has `outstanding` requests of this process. */
+  failing(outstanding: number): boolean {
+    return this._failuresInRow >= FAILURES_IN_ROW && (this.avoided || outstanding > 0);
   }
 
   note(end: AttemptEnd): void {
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -195,7 +195,8 @@
       slowLink: server.slowLink,
       outdated: need.model !== '' && server.version(need.model) < need.preferredVersion,
       preparing: server.preparing,
-      avoided: health.avoids(load.outstanding) || server.suspicious || this._missing.has(record.id),
+      avoided: health.avoided || server.suspicious || this._missing.has(record.id),
+      failing: health.failing(load.outstanding),
     };
   }
 
--- a/src/weights/originDrawer.ts
+++ b/src/weights/originDrawer.ts
@@ -33,16 +33,24 @@
 /** How a draw ended. `not-sent` cost the origin nothing and may be tried again under the same grant. */
 type DrawEnd = 'done' | 'failed' | 'not-sent';
 
-const DRAW_RETRY = { firstMilliseconds: 50, longestMilliseconds: 2_000 };
+/**
+ * While the origin is gone, the boxes that draw from it, a dozen at most, ask again so often: a version can be needed most
+ * just when the origin returns, and each wait is time in which nothing may be served once the bound of the older one is over.
+ */
+export const DRAW_RETRY = { firstMilliseconds: 50, longestMilliseconds: 400 };
 
 /** Each grant allows one attempt that takes bytes, so that the origin budget holds whatever fails. */
 export class OriginDrawer {
   private readonly _options: OriginDrawerOptions;
-  private readonly _open: number[] = [];
+  private _open: number[] = [];
   private readonly _failed = new Set<number>();
   /** Chunks that are drawn even while they are fetched from a neighbour. */
   private readonly _urgent = new Set<number>();
   private _drawing = false;
+  /** The chunk that is on its way from the origin. */
+  private _current: number | undefined;
+  /** Whether the turn of {@link _current} has passed to another box: it is not asked for again. */
+  private _currentPassed = false;
 
   constructor(options: OriginDrawerOptions) {
     this._options = options;
@@ -68,6 +76,16 @@
     this.resume();
   }
 
+  /**
+   * Gives up draws that have not begun, but for `chunks` and urgent ones: while the origin was gone their turn has passed to
+   * other boxes. If each box went on with all that was ever its turn, the origin would send them several times when it is back.
+   */
+  keep(chunks: readonly number[]): void {
+    const kept = new Set([...chunks, ...this._urgent]);
+    this._open = this._open.filter((chunk) => chunk === this._current || kept.has(chunk));
+    this._currentPassed = this._current !== undefined && !kept.has(this._current);
+  }
+
   /** Draws what is open, if the version has room. */
   resume(): void {
     if (this._options.mayDraw()) void this._drawAll();
@@ -84,13 +102,15 @@
     const backoff = new Backoff(DRAW_RETRY, this._options.random);
     while (this._open.length > 0 && !this._options.signal.aborted) {
       const chunk = this._open[0];
+      this._currentPassed = false;
       const waits = this._options.isInFlight(chunk) && !this._urgent.has(chunk);
       const end = waits ? 'not-sent' : await this._draw(chunk);
       if (end === 'not-sent') {
+        if (this._currentPassed) this._close(chunk);
         await pause(backoff.nextWait(), this._options.signal);
         continue;
       }
-      this._open.shift();
+      this._close(chunk);
       if (end === 'failed') this._failed.add(chunk);
       backoff.reset();
       this._options.onChange();
@@ -98,6 +118,10 @@
     this._drawing = false;
   }
 
+  private _close(chunk: number): void {
+    this._open = this._open.filter((open) => open !== chunk);
+  }
+
   private async _draw(chunk: number): Promise<DrawEnd> {
     const { index, bounds, counts, logger, isHeld, begin, store } = this._options;
     if (isHeld(chunk)) return 'done';
@@ -106,6 +130,7 @@
       counts.originBytes += bytes;
     };
     const end = begin(chunk);
+    this._current = chunk;
     try {
       const open = (signal: AbortSignal): Promise<AsyncIterable<Buffer>> => this._read(chunk, signal);
       store(chunk, await receiveChunk(index.chunk(chunk), bounds, open, onBytes, 'origin'));
@@ -115,6 +140,7 @@
       logger.decision('draw.failed', { chunk, reason: errorText(error) });
       return counts.originBytes > before ? 'failed' : 'not-sent';
     } finally {
+      this._current = undefined;
       end();
     }
   }
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -146,6 +146,11 @@
     this._drawer.grant(chunks, urgent);
   }
 
+  /** Gives up draws that are the turn of other boxes now; see {@link OriginDrawer.keep}. */
+  keepDraws(chunks: readonly number[]): void {
+    this._drawer.keep(chunks);
+  }
+
   onPeerUp(box: string): void {
     const neighbour = this._members.get(box);
     if (!neighbour || this._picker.peer(box)?.connected) return;
--- /dev/null
+++ b/tests/originDrawer.spec.ts
@@ -0,0 +1,76 @@
+/** Which chunks a box draws from the origin after an outage. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { OriginRange } from '../src/external/origin.js';
+import { sha256Hex } from '../src/utils/hash.js';
+import { SeededRandom } from '../src/utils/random.js';
+import { RateLimiter } from '../src/utils/rateLimiter.js';
+import { Logger } from '../src/telemetry/logger.js';
+import { ManifestIndex } from '../src/weights/manifestIndex.js';
+import { DRAW_RETRY, OriginDrawer } from '../src/weights/originDrawer.js';
+import { until } from './fixtures/until.js';
+
+const CHUNK = Buffer.from('chunk');
+const CHUNKS = 4;
+
+/** An origin that is down until the test lets it up, and a drawer before it. */
+class Outage {
+  readonly drawn: number[] = [];
+  isDown = true;
+  readonly drawer: OriginDrawer;
+  private readonly _ended = new AbortController();
+
+  constructor() {
+    const chunks = Array.from({ length: CHUNKS }, () => ({ digest: sha256Hex(CHUNK), size: CHUNK.length }));
+    this.drawer = new OriginDrawer({
+      customer: '',
+      index: new ManifestIndex({ model: 'm', version: '1', chunks }),
+      origin: {
+        manifest: async () => ({ model: 'm', version: '1', chunks }),
+        read: async (range) => this._read(range),
+      },
+      bounds: {
+        stallMilliseconds: 1_000,
+        incoming: new RateLimiter(0),
+        fetchesAtOnce: 1,
+        importStepMilliseconds: 1,
+      },
+      counts: { originBytes: 0, peerBytes: 0, crossDataCentreBytes: 0, corruptChunks: 0 },
+      random: new SeededRandom(1),
+      logger: new Logger('test'),
+      signal: this._ended.signal,
+      mayDraw: () => true,
+      isHeld: (chunk) => this.drawn.includes(chunk),
+      isInFlight: () => false,
+      begin: () => () => undefined,
+      store: (chunk) => void this.drawn.push(chunk),
+      onChange: () => undefined,
+    });
+  }
+
+  end(): void {
+    this._ended.abort();
+  }
+
+  private async _read(_range: OriginRange): Promise<AsyncIterable<Buffer>> {
+    if (this.isDown) throw new Error('origin is down');
+    return (async function* () {
+      yield CHUNK;
+    })();
+  }
+}
+
+test('should draw after an outage only what is its turn then, and what is urgent', async () => {
+  const outage = new Outage();
+  outage.drawer.grant([0, 1, 2]);
+  outage.drawer.grant([3], true);
+  outage.drawer.keep([2]);
+  outage.isDown = false;
+  await until(() => outage.drawer.open.length === 0);
+  expect([...outage.drawn].sort()).toEqual([2, 3]);
+  outage.end();
+});
+
+test('should ask an origin that is gone again within half a second', () => {
+  expect(DRAW_RETRY.longestMilliseconds).toBeLessThan(500);
+});
