--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -98,7 +98,7 @@
       isRouted: (host) => this._announcements.isRouted(host),
     });
     this._gate = new VersionGate(
-      { switchMilliseconds: settings.versionMilliseconds, startMilliseconds: settings.contactMilliseconds },
+      { switchMilliseconds: settings.versionMilliseconds, contactMilliseconds: settings.contactMilliseconds },
       clock,
     );
     this._links = this._createLinks(random);
--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -7,8 +7,8 @@
 export interface VersionBounds {
   /** Time after the acknowledgement of a version in which requests may still begin on older ones. */
   switchMilliseconds: number;
-  /** Time after its start in which this process is not held to the bound. */
-  startMilliseconds: number;
+  /** Time after its start, or after it has regained the store, in which this process is not held to the bound. */
+  contactMilliseconds: number;
 }
 
 /** Servers that answer late, or are not heard, get nothing on an older version for longer than others. */
@@ -46,16 +46,18 @@
 
   /**
    * Notes a version. It may have been named `lateMilliseconds` before it was heard of; infinite when nothing is known of
-   * the time before, as at a start. Whenever that was, the bound is not over before `startMilliseconds` after the start:
-   * a starting process that took it for over would cut off the requests that it has just sent.
+   * the time since the start. A process is not held to the bound for `contactMilliseconds` after its start, nor after it was
+   * without word of the store for longer than that. If it took the bound for over, it would refuse everything until the newer
+   * version has come, and take back the requests that it has just sent.
    */
   note(model: string, version: number, lateMilliseconds: number): boolean {
     const known = this._known.get(model) ?? [];
     if (known.some((item) => item.version >= version)) return false;
-    const { switchMilliseconds, startMilliseconds } = this._bounds;
-    const earliest = this._clock.now() - Math.min(lateMilliseconds, switchMilliseconds);
-    const earliestThatCounts = this._startedAt - (switchMilliseconds - startMilliseconds);
-    known.push({ version, knownAt: Math.max(earliest, earliestThatCounts) });
+    const { switchMilliseconds, contactMilliseconds } = this._bounds;
+    const now = this._clock.now();
+    const contactSince = Number.isFinite(lateMilliseconds) ? now : this._startedAt;
+    const earliestThatCounts = contactSince - (switchMilliseconds - contactMilliseconds);
+    known.push({ version, knownAt: Math.max(now - lateMilliseconds, earliestThatCounts) });
     this._known.set(model, known.slice(-REMEMBERED));
     return true;
   }
--- /dev/null
+++ b/tests/versionGate.spec.ts
@@ -0,0 +1,104 @@
+/** On which versions requests may begin, and from when on. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { VersionGate } from '../src/serving/versionGate.js';
+import { ManualClock } from '../src/utils/clock.js';
+
+test('should stop sending to an older version sooner where requests take long', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, 0);
+  clock.advance(6_600);
+  expect([gate.lowest('m'), gate.lowest('m', true)]).toEqual([0, 2]);
+});
+
+test('should let no request begin on an older version once the time is over', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  expect(gate.note('m', 2, 0)).toEqual(true);
+  expect(gate.note('m', 2, 0)).toEqual(false);
+  clock.advance(6_900);
+  expect(gate.lowest('m')).toEqual(0);
+  clock.advance(200);
+  expect(gate.lowest('m')).toEqual(2);
+});
+
+test('should take back what has not begun on an older version just before the bound', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, 0);
+  clock.advance(7_450);
+  expect(gate.lowestToBegin('m')).toEqual(0);
+  clock.advance(100);
+  expect(gate.lowestToBegin('m')).toEqual(2);
+});
+
+test('should count the bound of a version from the earliest time at which it may have been named', () => {
+  const clock = new ManualClock();
+  clock.advance(20_000);
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, 1_500);
+  expect(gate.wanted('m').knownMilliseconds).toEqual(1_500);
+  clock.advance(5_499);
+  expect(gate.lowest('m')).toEqual(0);
+  clock.advance(1);
+  expect(gate.lowest('m')).toEqual(2);
+});
+
+test('should not send to an older version at all when nothing was known of the versions since a start long ago', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  clock.advance(20_000);
+  gate.note('m', 2, Number.POSITIVE_INFINITY);
+  expect(gate.lowest('m')).toEqual(2);
+});
+
+test('should serve older versions for a while after an outage in which a version may have been named long ago', () => {
+  for (const lateMilliseconds of [7_900, 20_000]) {
+    const clock = new ManualClock();
+    const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+    clock.advance(20_000);
+    gate.note('m', 2, lateMilliseconds);
+    clock.advance(1_999);
+    expect(gate.lowest('m')).toEqual(0);
+    clock.advance(1);
+    expect(gate.lowest('m')).toEqual(2);
+  }
+});
+
+test('should not take back what it has just sent when a version comes during its start', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  clock.advance(400);
+  gate.note('m', 2, Number.POSITIVE_INFINITY);
+  clock.advance(400);
+  gate.note('m', 3, Number.POSITIVE_INFINITY);
+  expect(gate.lowestToBegin('m')).toEqual(0);
+  clock.advance(2_100);
+  expect(gate.lowestToBegin('m')).toEqual(3);
+});
+
+test('should judge each version from its own naming', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, 0);
+  clock.advance(4_000);
+  gate.note('m', 3, 0);
+  clock.advance(3_500);
+  expect(gate.lowest('m')).toEqual(2);
+  clock.advance(4_000);
+  expect(gate.lowest('m')).toEqual(3);
+});
+
+test('should not trust the age of a version that it finds at its start', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, Number.POSITIVE_INFINITY);
+  clock.advance(2_400);
+  expect(gate.lowest('m')).toEqual(2);
+});
+
+test('should want the first version before any is named', () => {
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, new ManualClock());
+  expect(gate.wanted('m').version).toEqual(1);
+});
