--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -97,10 +97,11 @@
 }
 
 /**
- * The best of a few candidates drawn at random, of those that are likely to answer within the objective. A server that
- * resets or swallows requests always has room, and as a place for what others have no room for it would take the most: those
- * that fail time after time count only where there is no other, full or not. All entries decide on the same load reports, which lag: if each took the
- * best of all, all would take the same one, such as a server that has just come into service and is empty.
+ * The best of a few candidates drawn at random, of those that are likely to answer within the objective. A server that resets
+ * or swallows requests always has room, and as a place for what others have no room for it would take the most: those that
+ * fail time after time count only where there is no other, full or not. All entries decide on the same load reports, which
+ * lag: if each took the best of all, all would take the same one, such as a server that has just come into service and is
+ * empty.
  */
 export function chooseServer<T extends Candidate>(
   candidates: readonly T[],
