Compress large control messages

Measured: a configuration of 2,000 routes in the test takes under a fifth of its text. Tests: controlConnection 'in a small part of its size', 'beyond the limit'; the first failed before.

--- a/src/protocol/frameCodec.ts
+++ b/src/protocol/frameCodec.ts
@@ -1,10 +1,23 @@
-/** Length-framed CBOR: four bytes of length, then one CBOR item; a frame of length 0 is a heartbeat. */
+/**
+ * Length-framed CBOR: four bytes of length, then one CBOR item; a frame of length 0 is a heartbeat. The highest bit of the
+ * length says that the item is compressed.
+ */
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import { Decoder, Encoder } from 'cbor-x';
 import { StepError } from '../utils/stepError.js';
 
 /** The longest frame that either side accepts, in bytes. */
 export const MAXIMUM_FRAME_BYTES = 8 * 1024 * 1024;
 const LENGTH_BYTES = 4;
+/** Far above any length that is accepted. */
+const COMPRESSED_BIT = 0x8000_0000;
+/**
+ * Items of so many bytes are compressed. One that reads the store sends a configuration of 0.7 MB to each of a hundred
+ * entries: 560 Mbit, through a link of as little as 28 Mbit/s, while it has to be in force everywhere within seconds.
+ */
+const COMPRESSED_FROM_BYTES = 16 * 1024;
+/** Configurations repeat themselves so much that a closer search saves next to nothing and costs several times as much. */
+const COMPRESSION_LEVEL = 1;
 
 const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
 const decoder = new Decoder({ useRecords: false });
@@ -17,12 +30,20 @@
   const body = encoder.encode(message);
   if (body.length > MAXIMUM_FRAME_BYTES)
     throw new StepError('frame.encode', `${body.length} bytes is over the limit`);
-  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
-  frame.writeUInt32BE(body.length, 0);
-  body.copy(frame, LENGTH_BYTES);
+  const isCompressed = body.length >= COMPRESSED_FROM_BYTES;
+  const sent = isCompressed ? deflateRawSync(body, { level: COMPRESSION_LEVEL }) : body;
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + sent.length);
+  frame.writeUInt32BE(isCompressed ? COMPRESSED_BIT + sent.length : sent.length, 0);
+  sent.copy(frame, LENGTH_BYTES);
   return frame;
 }
 
+/** What a frame carries. */
+interface FrameBody {
+  bytes: Buffer;
+  isCompressed: boolean;
+}
+
 /** Cuts a byte stream into frames and decodes them. */
 export class FrameReader {
   private _pending: Buffer[] = [];
@@ -34,15 +55,17 @@
     this._pendingBytes += bytes.length;
     const messages: unknown[] = [];
     for (let body = this._nextBody(); body !== undefined; body = this._nextBody()) {
-      if (body.length > 0) messages.push(this._decode(body));
+      if (body.bytes.length > 0) messages.push(this._decode(body));
     }
     return messages;
   }
 
-  private _nextBody(): Buffer | undefined {
+  private _nextBody(): FrameBody | undefined {
     if (this._pendingBytes < LENGTH_BYTES) return undefined;
     if (this._pending[0].length < LENGTH_BYTES) this._join();
-    const length = this._pending[0].readUInt32BE(0);
+    const told = this._pending[0].readUInt32BE(0);
+    const isCompressed = told >= COMPRESSED_BIT;
+    const length = isCompressed ? told - COMPRESSED_BIT : told;
     if (length > MAXIMUM_FRAME_BYTES)
       throw new StepError('frame.decode', `${length} bytes is over the limit`);
     if (this._pendingBytes < LENGTH_BYTES + length) return undefined;
@@ -51,16 +74,17 @@
     const rest = all.subarray(LENGTH_BYTES + length);
     this._pending = rest.length > 0 ? [rest] : [];
     this._pendingBytes = rest.length;
-    return all.subarray(LENGTH_BYTES, LENGTH_BYTES + length);
+    return { bytes: all.subarray(LENGTH_BYTES, LENGTH_BYTES + length), isCompressed };
   }
 
   private _join(): void {
     if (this._pending.length > 1) this._pending = [Buffer.concat(this._pending)];
   }
 
-  private _decode(body: Buffer): unknown {
+  private _decode({ bytes, isCompressed }: FrameBody): unknown {
     try {
-      return decoder.decode(body);
+      const item = isCompressed ? inflateRawSync(bytes, { maxOutputLength: MAXIMUM_FRAME_BYTES }) : bytes;
+      return decoder.decode(item);
     } catch (error) {
       throw new StepError('frame.decode', 'not a CBOR item', { cause: error });
     }
--- a/tests/controlConnection.spec.ts
+++ b/tests/controlConnection.spec.ts
@@ -1,5 +1,6 @@
 /** Control connections: proof of the shared key, bad frames, calls, silence. */
 import net from 'node:net';
+import { deflateRawSync } from 'node:zlib';
 import { test } from 'node:test';
 import { expect } from 'earl';
 import fc from 'fast-check';
@@ -159,6 +160,28 @@
   expect(() => new FrameReader().push(header)).toThrow();
 });
 
+test('should send a large configuration in a small part of its size, and read it back', () => {
+  const routes = Array.from({ length: 2_000 }, (_unused, index) => ({
+    name: `route-${index}`,
+    host: 'games.example',
+    path_prefix: `/titles/${index}/turns/`,
+    timeout_ms: 4_000,
+  }));
+  const frame = encodeFrame({ type: 'any', routes });
+  expect(frame.length).toBeLessThan(JSON.stringify(routes).length / 5);
+  const reader = new FrameReader();
+  const middle = Math.floor(frame.length / 2);
+  expect(reader.push(frame.subarray(0, middle))).toEqual([]);
+  expect(reader.push(frame.subarray(middle))).toEqual([{ type: 'any', routes }]);
+});
+
+test('should refuse a small frame that would grow beyond the limit', () => {
+  const packed = deflateRawSync(Buffer.alloc(MAXIMUM_FRAME_BYTES + 1));
+  const head = Buffer.alloc(4);
+  head.writeUInt32BE(0x8000_0000 + packed.length, 0);
+  expect(() => new FrameReader().push(Buffer.concat([head, packed]))).toThrow('not a CBOR item');
+});
+
 test('should survive any bytes and any message', () => {
   fc.assert(
     fc.property(fc.uint8Array({ maxLength: 200 }), fc.anything(), (bytes, message) => {
