--- /dev/null
+++ b/tests/knownRed.spec.ts
@@ -0,0 +1,57 @@
+/** Which failures of a test run are passed over: those that are listed, and no others. */
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { expect } from 'earl';
+
+const PASSED = 'ok 1 - should add';
+const FAILED = 'not ok 2 - should divide';
+const LISTED = 'should divide | divides by zero | issue 4';
+
+/** Exit status and output of the check. */
+function check(runStatus: number, output: string, known?: string): { status: number | null; text: string } {
+  const folder = mkdtempSync(join(tmpdir(), 'known-red-'));
+  try {
+    const outputFile = join(folder, 'output');
+    const knownFile = join(folder, 'known');
+    writeFileSync(outputFile, output);
+    if (known !== undefined) writeFileSync(knownFile, known);
+    const words = ['scripts/checkTests.mjs', String(runStatus), outputFile, knownFile];
+    const { status, stdout, stderr } = spawnSync(process.execPath, words, { encoding: 'utf8' });
+    return { status, text: stdout + stderr };
+  } finally {
+    rmSync(folder, { recursive: true });
+  }
+}
+
+test('should pass a run in which all tests passed', () => {
+  expect(check(0, PASSED).status).toEqual(0);
+});
+
+test('should pass over a listed failure and print it', () => {
+  const { status, text } = check(1, `${PASSED}\n${FAILED}`, LISTED);
+  expect(status).toEqual(0);
+  expect(text).toInclude('known red: should divide: divides by zero | issue 4');
+});
+
+test('should fail on a failure that is not listed', () => {
+  expect(check(1, FAILED).status).toEqual(1);
+  expect(check(1, `${FAILED}\nnot ok 3 - should subtract`, LISTED).status).toEqual(1);
+});
+
+test('should fail when the run failed without naming a test', () => {
+  expect(check(1, PASSED, LISTED).status).toEqual(1);
+});
+
+test('should tell that a listed test has passed', () => {
+  const { status, text } = check(0, 'ok 2 - should divide', LISTED);
+  expect(status).toEqual(0);
+  expect(text).toInclude('known red, but passed: should divide');
+});
+
+test('should fail when too many failures are listed', () => {
+  const known = ['a', 'b', 'c', 'd'].map((name) => `${name} | cause | issue 4`).join('\n');
+  expect(check(0, PASSED, known).status).toEqual(1);
+});
