Hear of versions by way of agents too, and send nothing late where a request may lie on its way

Cause 1: the bound of an older version was counted from when this entry heard of the newer one by its own source, and not at all from a version that it had missed: a record holds only the newest, and the gate took none older than one it knew. Cause 2: the time that a request may lie between entry and server was part of no bound, neither when it is sent nor when it is taken back; a link counted as narrow only by the mean rate since a version began to come. Ruled out: requests that cannot be taken back (both were resumable first attempts); an entry kept busy (5 to 9% of its processor); heads that come before the first event and so end the taking back (143 of 143 streams: head and first event within 4 ms, trial). Change: entries tell agents what they have heard of and when, agents pass news on to all entries that send to them, and a gate keeps the earliest of all words; a process that has just started is not held to it, as before. Entries measure the round trip to boxes of older versions five times a second; where it takes over 400 ms, or nothing is heard, nothing is sent in the last 3 s before the bound, and what has not begun is taken back 2 s before it. Logs: version.heard, link.slow, link.well.

--- a/src/protocol/boxMessages.ts
+++ b/src/protocol/boxMessages.ts
@@ -24,6 +24,14 @@
 });
 export type WantedVersion = z.infer<typeof wantedVersionSchema>;
 
+/** A version that some process has heard of, and how long ago the first one did whose word has come to the sender. */
+export const heardVersionSchema = z.object({
+  model: z.string(),
+  version: countSchema,
+  heardMilliseconds: z.number().nonnegative(),
+});
+export type HeardVersion = z.infer<typeof heardVersionSchema>;
+
 /** A box whose agent exchanges chunks. */
 export const agentAddressSchema = z.object({ box: nameSchema, dataCentre: z.string(), address: z.string() });
 export type AgentAddress = z.infer<typeof agentAddressSchema>;
@@ -33,6 +41,8 @@
   type: z.literal('entry-presence'),
   entry: entryAddressSchema,
   wanted: z.array(wantedVersionSchema).max(MAXIMUM_LIST),
+  /** The newest versions that the entry has heard of; absent where a sender does not tell them. */
+  heard: z.array(heardVersionSchema).max(MAXIMUM_LIST).optional(),
   /** Where weights are read, as host:port; '' while unknown. */
   origin: z.string(),
   /** Whether the entry sends requests to the backend server of the box, and wants to hear its status. */
@@ -82,6 +92,20 @@
 });
 export type EntryList = z.infer<typeof entryListSchema>;
 
+/**
+ * Sent by an agent to the entries that hear its status, when it hears of a version, or that it was heard of earlier than it
+ * knew: an entry whose own source is late, or has missed a version, learns of it by any entry that is connected to the agent.
+ */
+export const versionsHeardSchema = z.object({
+  type: z.literal('versions-heard'),
+  versions: z.array(heardVersionSchema).max(MAXIMUM_LIST),
+});
+
+/** Asks the other end of a connection for a {@link linkEchoSchema}; answered by the connection itself. */
+export const linkProbeSchema = z.object({ type: z.literal('link-probe'), number: countSchema });
+/** Answers the probe of the same number. */
+export const linkEchoSchema = z.object({ type: z.literal('link-echo'), number: countSchema });
+
 /** Sent between agents: whether the sender is about to switch, and what it holds. */
 export const switchStateSchema = z.object({
   type: z.literal('switch-state'),
--- a/src/protocol/controlConnection.ts
+++ b/src/protocol/controlConnection.ts
@@ -7,6 +7,7 @@
 import { StepError, errorText } from '../utils/stepError.js';
 import { withTimeout } from '../utils/timers.js';
 import { sameMac } from './authentication.js';
+import { LinkDelay } from './linkDelay.js';
 import { FrameReader, HEARTBEAT_FRAME, encodeFrame } from './frameCodec.js';
 import type { Identity } from './handshake.js';
 import { PROTOCOL_VERSION, challengeSchema, handshakeMac, helloSchema, welcomeSchema } from './handshake.js';
@@ -64,6 +65,7 @@
   private _lastSentAt = 0;
   private _lastHeardAt = performance.now();
   private _closed = false;
+  private readonly _delay = new LinkDelay();
 
   private constructor(socket: net.Socket, options: ControlOptions) {
     super();
@@ -141,6 +143,17 @@
     this._write({ type: 'reply', call, ...reply });
   }
 
+  /** Measures a round trip: what is sent may lie on a narrow link for seconds. */
+  probe(): void {
+    if (this._delay.isFull) return;
+    this._write({ type: 'link-probe', number: this._delay.noteSent(performance.now()) });
+  }
+
+  /** How long a round trip takes at the least, in milliseconds, by the latest probes; 0 while none has been answered. */
+  get delayMilliseconds(): number {
+    return this._delay.milliseconds(performance.now());
+  }
+
   /** Closes the connection at once. */
   close(reason: string): void {
     if (this._closed) return;
@@ -240,6 +253,8 @@
 
   private _dispatch(message: Message): void {
     if (message.type === 'reply') this._calls.get(message.call)?.(message);
+    else if (message.type === 'link-probe') this._write({ type: 'link-echo', number: message.number });
+    else if (message.type === 'link-echo') this._delay.noteEcho(message.number, performance.now());
     else this.emit('message', message);
   }
 
--- /dev/null
+++ b/src/protocol/linkDelay.ts
@@ -0,0 +1,47 @@
+/** How long a message and its answer take on a connection, by numbered probes. */
+
+/** A round trip that was measured longer ago says nothing of the link now. */
+const FRESH_MILLISECONDS = 1_500;
+/** Probes that are waited for; more say nothing that the oldest does not say. */
+const MOST_OPEN = 8;
+
+/** Monotonic milliseconds throughout. One per connection. */
+export class LinkDelay {
+  /** When each unanswered probe was sent, by its number, the oldest first. */
+  private readonly _open = new Map<number, number>();
+  private _next = 0;
+  private _roundTrip = 0;
+  private _measuredAt = Number.NEGATIVE_INFINITY;
+
+  /** Whether so many probes wait for their answers that another one would say nothing. */
+  get isFull(): boolean {
+    return this._open.size >= MOST_OPEN;
+  }
+
+  /** Notes that a probe is sent; returns its number. */
+  noteSent(now: number): number {
+    const number = this._next++;
+    this._open.set(number, now);
+    return number;
+  }
+
+  /** Notes the answer to a probe. Answers come in the order of the probes. */
+  noteEcho(number: number, now: number): void {
+    const sentAt = this._open.get(number);
+    if (sentAt === undefined) return;
+    for (const earlier of [...this._open.keys()]) if (earlier <= number) this._open.delete(earlier);
+    this._roundTrip = now - sentAt;
+    this._measuredAt = now;
+  }
+
+  /**
+   * The last round trip if it is fresh, or the time for which a probe has been waiting if that is longer. 0 for a peer that
+   * has answered no probe yet: it may be of a version that knows none.
+   */
+  milliseconds(now: number): number {
+    if (this._measuredAt === Number.NEGATIVE_INFINITY) return 0;
+    const measured = now - this._measuredAt < FRESH_MILLISECONDS ? this._roundTrip : 0;
+    const [oldest] = this._open.values();
+    return Math.max(measured, oldest === undefined ? 0 : now - oldest);
+  }
+}
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -6,7 +6,10 @@
   boxStatusSchema,
   entryListSchema,
   entryPresenceSchema,
+  linkEchoSchema,
+  linkProbeSchema,
   switchStateSchema,
+  versionsHeardSchema,
 } from './boxMessages.js';
 import { recordChangesSchema, recordStampSchema, recordSubscribeSchema } from './recordMessages.js';
 import {
@@ -55,6 +58,9 @@
   boxStatusSchema,
   entryListSchema,
   switchStateSchema,
+  versionsHeardSchema,
+  linkProbeSchema,
+  linkEchoSchema,
   recordSubscribeSchema,
   recordChangesSchema,
   recordStampSchema,
--- a/src/serving/agentAnnouncements.ts
+++ b/src/serving/agentAnnouncements.ts
@@ -63,6 +63,7 @@
       type: 'entry-presence',
       entry: own,
       wanted: models.map((model) => gate.wanted(model)),
+      heard: models.flatMap((model) => gate.heard(model)),
       origin,
       hearsStatus: routed.has(agent.box),
       hearsEntries: directory.has(agent.box),
--- a/src/serving/boxLinks.ts
+++ b/src/serving/boxLinks.ts
@@ -5,6 +5,7 @@
   BoxStatus,
   EntryList,
   EntryPresence,
+  HeardVersion,
 } from '../protocol/boxMessages.js';
 import type { ControlOptions } from '../protocol/controlConnection.js';
 import { ControlConnection } from '../protocol/controlConnection.js';
@@ -28,6 +29,7 @@
   agentList: (agent: AgentAddress) => AgentList;
   onStatus: (agent: AgentAddress, status: BoxStatus) => void;
   onEntries: (agent: AgentAddress, list: EntryList) => void;
+  onHeard: (agent: AgentAddress, versions: readonly HeardVersion[]) => void;
   onDown: (agent: AgentAddress) => void;
 }
 
@@ -67,6 +69,16 @@
     return [...this._links.values()].filter((link) => link.connection !== undefined).length;
   }
 
+  /** Measures a round trip to the agents on these boxes. */
+  probe(boxes: Iterable<string>): void {
+    for (const box of boxes) this._links.get(box)?.connection?.probe();
+  }
+
+  /** How long a round trip to the agent on `box` takes at the least, in milliseconds; 0 while that is not measured. */
+  delayMilliseconds(box: string): number {
+    return this._links.get(box)?.connection?.delayMilliseconds ?? 0;
+  }
+
   /** Keeps exactly these agents connected. */
   want(agents: readonly AgentAddress[]): void {
     const wanted = new Map(agents.map((agent) => [agent.box, agent]));
@@ -151,6 +163,8 @@
     const closed = new Promise<string>((resolve) => connection.once('close', resolve));
     connection.on('message', (message) => this._onMessage(link, message));
     connection.start();
+    // measured once while the link is idle: only a peer that has answered a probe is known to answer them
+    connection.probe();
     link.wantsAgents = false;
     link.sentPresence = '';
     link.sentAgents = '';
@@ -165,12 +179,15 @@
   private _onMessage(link: Link, message: Message): void {
     if (message.type === 'box-status') this._options.onStatus(link.agent, message);
     if (message.type === 'entry-list') this._options.onEntries(link.agent, message);
+    if (message.type === 'versions-heard') this._options.onHeard(link.agent, message.versions);
     if (message.type !== 'agent-list-query') return;
     link.wantsAgents = message.wanted;
     this._tell(link);
   }
 }
 
-function presenceText({ wanted, ...rest }: EntryPresence): string {
-  return JSON.stringify([rest, wanted.map(({ model, version }) => [model, version])]);
+/** All of a presence but the ages in it, which change without an event. */
+function presenceText({ wanted, heard, ...rest }: EntryPresence): string {
+  const versions = [...wanted, ...(heard ?? [])];
+  return JSON.stringify([rest, versions.map(({ model, version }) => [model, version])]);
 }
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -13,7 +13,7 @@
 import { hostOf, splitAddress } from '../utils/hostPort.js';
 import { errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
-import { AgentAnnouncements } from './agentAnnouncements.js';
+import { AgentAnnouncements, boxOfHost } from './agentAnnouncements.js';
 import { BoxLinks } from './boxLinks.js';
 import { CallerServer } from './callerServer.js';
 import { ConfigurationHolder } from './configurationHolder.js';
@@ -23,6 +23,7 @@
 import type { ForwardServices } from './forwardServices.js';
 import { ForwardedRequest } from './forwardedRequest.js';
 import type { HeaderNames } from './headerNames.js';
+import { LinkProber } from './linkProber.js';
 import { NamedVersions } from './namedVersions.js';
 import { PlatformFollowers } from './platformFollowers.js';
 import type { ServingPlatform } from './platformRecords.js';
@@ -59,7 +60,9 @@
   private readonly _entries: EntryDirectory;
   private readonly _pool: ServerPool;
   private readonly _gate: VersionGate;
+  private readonly _named: NamedVersions;
   private readonly _links: BoxLinks;
+  private readonly _prober: LinkProber;
   private readonly _announcements: AgentAnnouncements;
   private readonly _followers: PlatformFollowers;
   private readonly _control: ControlServer;
@@ -96,6 +99,7 @@
       entries: () => this._entries.count(),
       entriesNear: () => this._entries.countNear(),
       isRouted: (host) => this._announcements.isRouted(host),
+      linkDelay: (host) => this._links.delayMilliseconds(boxOfHost(host)),
     });
     this._gate = new VersionGate(
       { switchMilliseconds: settings.versionMilliseconds, contactMilliseconds: settings.contactMilliseconds },
@@ -103,6 +107,8 @@
     );
     this._links = this._createLinks(random);
     this._followers = this._createFollowers(random);
+    this._named = new NamedVersions(this._followers, parts.platform.reader, this._gate, parts.log);
+    this._prober = this._createProber();
     this._control = new ControlServer(
       this._controlOptions(),
       (connection) => this._followers.relay.attach(connection),
@@ -176,6 +182,7 @@
 
   /** Closes at once. */
   close(): void {
+    this._prober.stop();
     this._followers.stop();
     this._control.close();
     this._links.close();
@@ -211,10 +218,16 @@
       agentList: (agent) => this._announcements.agentList(agent),
       onStatus: (agent, status) => this._pool.noteStatus(hostOf(agent.address), status),
       onEntries: (agent, list) => this._entries.report(agent.box, list),
+      onHeard: (agent, versions) => this._named.onHeard(agent, versions) && this._links.announce(),
       onDown: (agent) => this._entries.forget(agent.box),
     });
   }
 
+  private _createProber(): LinkProber {
+    const { _pool: pool, _gate: gate, _links: links, _log: log } = this;
+    return new LinkProber({ pool, gate, links, log });
+  }
+
   private _createFollowers(random: Random): PlatformFollowers {
     const { box, controlAddress, seeds } = this._settings;
     return new PlatformFollowers({
@@ -257,10 +270,10 @@
 
   private _follow(): void {
     const { configuration, servers, versions } = this._followers;
+    this._prober.start();
     configuration.on('change', () => this._onConfiguration());
     servers.on('change', () => this._onServers());
-    const named = new NamedVersions(this._followers, this._parts.platform.reader, this._gate, this._log);
-    versions.on('change', (change) => named.onChange(change) && this._links.announce());
+    versions.on('change', (change) => this._named.onChange(change) && this._links.announce());
     this._followers.start();
   }
 
--- a/src/serving/namedVersions.ts
+++ b/src/serving/namedVersions.ts
@@ -1,4 +1,5 @@
-/** Versions that the platform's records name, as they come to the version gate. */
+/** Versions that the platform's records name, and those that other entries have heard of, as they come to the version gate. */
+import type { AgentAddress, HeardVersion } from '../protocol/boxMessages.js';
 import type { ReplicaChange } from '../records/recordReplica.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { PlatformFollowers } from './platformFollowers.js';
@@ -33,6 +34,20 @@
     return changed;
   }
 
+  /** Takes what an agent has heard of from other entries; returns whether any of it is new here. */
+  onHeard({ box }: AgentAddress, versions: readonly HeardVersion[]): boolean {
+    const news = versions.filter((heard) => this._gate.noteHeard(heard));
+    for (const { model, version, heardMilliseconds } of news) {
+      this._log.state('version.heard', {
+        model,
+        version,
+        agent: box,
+        heardMilliseconds: Math.round(heardMilliseconds),
+      });
+    }
+    return news.length > 0;
+  }
+
   /** How long before now a version may have been named that comes with a change. */
   private _lateMilliseconds(whole: boolean): number {
     if (!this._listed) return Number.POSITIVE_INFINITY;
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -73,7 +73,8 @@
   /** Whether the bound is so near that the request should no longer begin on the version of `server`. */
   mayBeginTooLate(server: TrackedServer): boolean {
     const { model } = this._request;
-    return model !== '' && server.version(model) < this._services.gate.lowestToBegin(model);
+    const mayLie = server.slowLink || server.agentSilent;
+    return model !== '' && server.version(model) < this._services.gate.lowestToBegin(model, mayLie);
   }
 
   /** Counts an attempt. */
--- a/src/serving/serverEligibility.ts
+++ b/src/serving/serverEligibility.ts
@@ -12,7 +12,7 @@
  * The servers that hold a version on which the request may begin and are not changing it. A server of an older version
  * that nothing has been heard of may be frozen or cut off, and begin the request only when it is back, after the bound
  * for its version; on a narrow link a request may be on its way for as long. Such a server is left out as long as there
- * is any other.
+ * is any other, and late in the time of its version altogether: no request is sent whose time on the way nobody knows.
  */
 export function eligibleServers<Server extends VersionedServer>(
   servers: readonly Server[],
@@ -21,7 +21,8 @@
   if (need.model === '') return [...servers];
   const able = servers.filter((server) => isAble(server, need));
   const sure = able.filter((server) => !mayBeginTooLate(server, need));
-  return sure.length > 0 ? sure : able;
+  if (sure.length > 0) return sure;
+  return able.filter((server) => server.version(need.model) >= need.preferredVersion);
 }
 
 function isAble(server: VersionedServer, need: ServerNeed): boolean {
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -2,6 +2,7 @@
 import type { BoxStatus } from '../protocol/boxMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
+import { hostOf } from '../utils/hostPort.js';
 import type { Random } from '../utils/random.js';
 import { BackendConnections } from './backendConnections.js';
 import type { BackendServerRecord } from './backendServerRecord.js';
@@ -25,6 +26,8 @@
   entriesNear: () => number;
   /** Whether this entry hears of the load of the backend server at `host`, or nobody does. */
   isRouted: (host: string) => boolean;
+  /** How long a round trip to the box at `host` takes at the least, in milliseconds; 0 while that is not measured. */
+  linkDelay?: (host: string) => number;
 }
 
 /** A chosen server, or how the service stands when there is none. */
@@ -177,8 +180,13 @@
     const { clock, dataCentre, entriesNear, entries } = this._options;
     const sharers = (): number =>
       record.dataCentre === dataCentre ? entriesNear() : entries() - entriesNear();
-    return new TrackedServer(record, connections, clock, () =>
-      Math.min(MOST_SHARERS, Math.max(1, sharers())),
+    const linkDelay = (): number => this._options.linkDelay?.(hostOf(address)) ?? 0;
+    return new TrackedServer(
+      record,
+      connections,
+      clock,
+      () => Math.min(MOST_SHARERS, Math.max(1, sharers())),
+      linkDelay,
     );
   }
 
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -14,6 +14,8 @@
 const AGENT_SILENCE_MILLISECONDS = 1_400;
 /** First answers that take longer say that requests wait, on the way or at the server. */
 const PROMPT_MILLISECONDS = 350;
+/** Round trips to the box that take longer say that a request would lie on its way: 180 ms are chunks of a version on a link that is well. */
+export const SLOW_LINK_MILLISECONDS = 400;
 /** Prompts before which another one has to wait long to be read. */
 const MANY_UNREAD = 3;
 /** Time in which half of the prompts have been read that waited at the last report. */
@@ -37,20 +39,26 @@
   private _heardAt = 0;
   private _streams = 0;
   private readonly _sharers: () => number;
+  private readonly _linkDelay: () => number;
   private _ownUnread = 0;
 
-  /** `sharers` is how many entries send most of their requests to this server. */
+  /**
+   * `sharers` is how many entries send most of their requests to this server; `linkDelay` is how long a round trip to its box
+   * takes at the least, in milliseconds, 0 while that is not measured.
+   */
   constructor(
     record: BackendServerRecord,
     connections: BackendConnections,
     clock: Clock,
     sharers: () => number,
+    linkDelay: () => number = () => 0,
   ) {
     this.record = record;
     this.connections = connections;
     this.health = new ServerHealth(clock);
     this._clock = clock;
     this._sharers = sharers;
+    this._linkDelay = linkDelay;
     this.update(record);
   }
 
@@ -126,9 +134,9 @@
     return this._clock.now() - this._statusAt > AGENT_SILENCE_MILLISECONDS;
   }
 
-  /** Whether the link of the server's box is narrow. */
+  /** Whether the link of the server's box is narrow, or what is sent to the box lies on its way. */
   get slowLink(): boolean {
-    return this._status?.slowLink === true;
+    return this._status?.slowLink === true || this._linkDelay() > SLOW_LINK_MILLISECONDS;
   }
 
   /** Milliseconds for which the server has been between two versions, 0 when it is not. */
--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -1,5 +1,5 @@
 /** Which versions of a model may still begin requests. */
-import type { WantedVersion } from '../protocol/boxMessages.js';
+import type { HeardVersion, WantedVersion } from '../protocol/boxMessages.js';
 import { LAST_SEND_MARGIN_MILLISECONDS } from '../protocol/versionMargins.js';
 import type { Clock } from '../utils/clock.js';
 
@@ -19,23 +19,31 @@
  * case seen, and up to 500 ms where eight prompts of the mean size wait (45 ms each) beside a large one.
  */
 const TAKE_BACK_MARGIN_MILLISECONDS = 500;
+/** The same where the request, and the reset behind it, may lie on the way: 2.7 s were seen on a link squeezed to a fifth. */
+const SLOW_TAKE_BACK_MARGIN_MILLISECONDS = 2_000;
 /** Servers of older versions are avoided this long before the bound: before, most of them are of an older one. */
 const PREFERRED_MARGIN_MILLISECONDS = 3_000;
 /** The version of a model before any other is named. */
 const FIRST_VERSION = 1;
 /** Versions of one model that are remembered. */
 const REMEMBERED = 16;
+/** Versions of one model that others are told of: several may be named within the bound of the oldest. */
+const TOLD = 4;
 
 interface KnownVersion {
   version: number;
+  /** From when on its bound is counted. */
   knownAt: number;
+  /** When the first process heard of it whose word has come here. */
+  heardAt: number;
 }
 
-/** Versions of a model only rise. */
+/** Versions of a model only rise, but the news of them may come in any order, and from several sides. */
 export class VersionGate {
   private readonly _bounds: VersionBounds;
   private readonly _clock: Clock;
   private readonly _startedAt: number;
+  /** By model, in the order of versions. */
   private readonly _known = new Map<string, KnownVersion[]>();
 
   constructor(bounds: VersionBounds, clock: Clock) {
@@ -45,21 +53,37 @@
   }
 
   /**
-   * Notes a version. It may have been named `lateMilliseconds` before it was heard of; infinite when nothing is known of
-   * the time since the start. A process is not held to the bound for `contactMilliseconds` after its start, nor after it was
-   * without word of the store for longer than that. If it took the bound for over, it would refuse everything until the newer
-   * version has come, and take back the requests that it has just sent.
+   * Notes a version; returns whether it was unknown. It may have been named `lateMilliseconds` before it was heard of; infinite
+   * when nothing is known of the time since the start. A process is not held to the bound for `contactMilliseconds` after its
+   * start, nor after it was without word of the store for longer than that. If it took the bound for over, it would refuse
+   * everything until the newer version has come, and take back the requests that it has just sent.
    */
   note(model: string, version: number, lateMilliseconds: number): boolean {
-    const known = this._known.get(model) ?? [];
-    if (known.some((item) => item.version >= version)) return false;
-    const { switchMilliseconds, contactMilliseconds } = this._bounds;
     const now = this._clock.now();
     const contactSince = Number.isFinite(lateMilliseconds) ? now : this._startedAt;
-    const earliestThatCounts = contactSince - (switchMilliseconds - contactMilliseconds);
-    known.push({ version, knownAt: Math.max(now - lateMilliseconds, earliestThatCounts) });
-    this._known.set(model, known.slice(-REMEMBERED));
-    return true;
+    const knownAt = Math.max(now - lateMilliseconds, this._earliestThatCounts(contactSince));
+    return this._take(model, { version, knownAt, heardAt: now });
+  }
+
+  /**
+   * Notes that some process has known of a version for `heardMilliseconds`; returns whether it was unknown here. The bound
+   * counts from then, also where this process hears late, or of a newer version first: its own source may have missed one.
+   */
+  noteHeard({ model, version, heardMilliseconds }: HeardVersion): boolean {
+    const heardAt = this._clock.now() - heardMilliseconds;
+    const knownAt = Math.max(heardAt, this._earliestThatCounts(this._startedAt));
+    return this._take(model, { version, knownAt, heardAt });
+  }
+
+  /** The newest versions of a model that are known here, for others. */
+  heard(model: string): HeardVersion[] {
+    const now = this._clock.now();
+    const newest = (this._known.get(model) ?? []).slice(-TOLD);
+    return newest.map(({ version, heardAt }) => ({
+      model,
+      version,
+      heardMilliseconds: Math.max(0, now - heardAt),
+    }));
   }
 
   /**
@@ -71,9 +95,13 @@
     return this._dueAfter(model, this._bounds.switchMilliseconds - margin);
   }
 
-  /** The lowest version on which requests that have been sent may still begin; others have to be taken back. */
-  lowestToBegin(model: string): number {
-    return this._dueAfter(model, this._bounds.switchMilliseconds - TAKE_BACK_MARGIN_MILLISECONDS);
+  /**
+   * The lowest version on which requests that have been sent may still begin; others have to be taken back. `slow` when
+   * taking back may take long.
+   */
+  lowestToBegin(model: string, slow = false): number {
+    const margin = slow ? SLOW_TAKE_BACK_MARGIN_MILLISECONDS : TAKE_BACK_MARGIN_MILLISECONDS;
+    return this._dueAfter(model, this._bounds.switchMilliseconds - margin);
   }
 
   /** The lowest version that is not better avoided, since others may begin too late if their server goes dark. */
@@ -97,6 +125,27 @@
     };
   }
 
+  /** The earliest moment from which a bound is counted by a process that has been in contact since `contactSince`. */
+  private _earliestThatCounts(contactSince: number): number {
+    const { switchMilliseconds, contactMilliseconds } = this._bounds;
+    return contactSince - (switchMilliseconds - contactMilliseconds);
+  }
+
+  /** Keeps the earliest of what is known of a version; returns whether it was unknown. */
+  private _take(model: string, news: KnownVersion): boolean {
+    const known = this._known.get(model) ?? [];
+    const same = known.find(({ version }) => version === news.version);
+    if (same) {
+      same.knownAt = Math.min(same.knownAt, news.knownAt);
+      same.heardAt = Math.min(same.heardAt, news.heardAt);
+      return false;
+    }
+    known.push(news);
+    known.sort((a, b) => a.version - b.version);
+    this._known.set(model, known.slice(-REMEMBERED));
+    return true;
+  }
+
   /** The newest version that has been known for `milliseconds`, 0 when there is none. */
   private _dueAfter(model: string, milliseconds: number): number {
     const oldest = this._clock.now() - milliseconds;
--- a/src/staging/connectedEntries.ts
+++ b/src/staging/connectedEntries.ts
@@ -71,6 +71,11 @@
     this._changed.call();
   }
 
+  /** Sends a message to all entries that send requests to the backend server of this box. */
+  broadcastToRouted(message: Message): void {
+    this.broadcastStatus(message, 'all');
+  }
+
   /** Sends a status to the entries that want it: to all of them, or to those of this data centre. */
   broadcastStatus(message: Message, audience: StatusAudience): void {
     const heard = [...this._entries].filter(
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -6,7 +6,6 @@
   AgentList,
   BoxStatus,
   EntryPresence,
-  ServingState,
   SwitchState,
 } from '../protocol/boxMessages.js';
 import type { ControlConnection, ControlOptions } from '../protocol/controlConnection.js';
@@ -28,9 +27,11 @@
 import { ChunkStore } from '../weights/chunkStore.js';
 import { PeerChunkClient } from '../weights/peerChunkClient.js';
 import { UploadQueue } from '../weights/uploadQueue.js';
+import { boxStatus } from './boxStatus.js';
 import { ChunkServer } from './chunkServer.js';
 import { ConnectedEntries } from './connectedEntries.js';
 import { drawOrder, firstDrawers } from './drawSchedule.js';
+import { HeardVersions } from './heardVersions.js';
 import type { LocalBackend } from './localBackend.js';
 import { receiveRate, sendRate } from './linkRates.js';
 import { ManifestReader } from './manifestReader.js';
@@ -76,6 +77,7 @@
   private readonly _metricsServer: MetricsServer;
   private readonly _statusSender: StatusSender;
   private readonly _entries: ConnectedEntries;
+  private readonly _heard = new HeardVersions(this._clock);
   /** All boxes of the service, this one included. */
   private _members: Member[] = [];
   /** The other boxes that this one is connected to. */
@@ -231,7 +233,10 @@
     if (message.type === 'agent-list') this._takeAgents(message);
     if (message.type !== 'entry-presence') return;
     const wantsStatus = this._entries.note(connection, message);
-    if (wantsStatus) connection.send(this._status());
+    if (wantsStatus) {
+      connection.send(this._status());
+      connection.send({ type: 'versions-heard', versions: this._heard.all() });
+    }
     this._takeOrigin(message.origin);
     this._takeVersions(message);
   }
@@ -262,6 +267,8 @@
   }
 
   private _takeVersions(presence: EntryPresence): void {
+    const news = this._heard.take(presence.heard ?? []);
+    if (news.length > 0) this._entries.broadcastToRouted({ type: 'versions-heard', versions: news });
     for (const { model, version, knownMilliseconds } of presence.wanted) {
       this._stages.want({ model, version, namedAt: this._clock.now() - knownMilliseconds });
     }
@@ -291,24 +298,8 @@
     return { type: 'switch-state', version: nextVersion, state: switchStage };
   }
 
-  private _servingState(): ServingState {
-    const { switchStage, servedVersion } = this._reconciler;
-    if (switchStage === 'switching' || switchStage === 'preparing') return switchStage;
-    return servedVersion > 0 ? 'serving' : 'empty';
-  }
-
   private _status(): BoxStatus {
-    const { status, servedVersion } = this._reconciler;
-    return {
-      type: 'box-status',
-      state: this._servingState(),
-      // before the first word of the backend server nothing is known
-      model: status ? this._stages.model : '',
-      version: servedVersion,
-      running: status?.running ?? 0,
-      queued: status?.queued ?? 0,
-      slowLink: this._stages.isSlow,
-    };
+    return boxStatus(this._reconciler, this._stages);
   }
 }
 
--- a/tests/controlConnection.spec.ts
+++ b/tests/controlConnection.spec.ts
@@ -15,6 +15,7 @@
 } from '../src/protocol/frameCodec.js';
 import { messageSchema } from '../src/protocol/message.js';
 import { allowedSilence } from '../src/protocol/silence.js';
+import { until } from './fixtures/until.js';
 
 function options(box: string, key = 'the-shared-key'): ControlOptions {
   return { key, identity: { role: 'entry', box, dataCentre: 'zagreb' }, peerTimeoutMilliseconds: 300 };
@@ -195,3 +196,20 @@
     { seed: 9, numRuns: 500 },
   );
 });
+
+test('should measure a round trip by itself, and pass no probe on as a message', async () => {
+  const { server, port, accepted } = await listen();
+  const client = await ControlConnection.connect('127.0.0.1', port, options('client'));
+  const connection = await accepted;
+  const heard: string[] = [];
+  connection.on('message', ({ type }) => heard.push(type));
+  client.on('message', ({ type }) => heard.push(type));
+  connection.start();
+  client.start();
+  expect(client.delayMilliseconds).toEqual(0);
+  client.probe();
+  await until(() => client.delayMilliseconds > 0);
+  expect(heard).toEqual([]);
+  client.close('done');
+  server.close();
+});
--- a/tests/gatewayRequests.spec.ts
+++ b/tests/gatewayRequests.spec.ts
@@ -246,3 +246,12 @@
   expect(fixture.arrivals).toEqual(1);
   await stopped;
 });
+
+test('should take the word of an agent that other entries have heard of a version', async () => {
+  await fixture.startEngines([answers({ status: 200 })]);
+  fixture.tellStatus(0, {});
+  fixture.tellHeard(0, 2, 100);
+  await until(() => fixture.lines.some((line) => line.includes('version.heard')));
+  await fixture.ask({ headers: { 'larklatch-model': 'model' } });
+  expect(fixture.backends[0].arrived[0].headers.get('larklatch-expected-version')).toEqual('1');
+});
--- /dev/null
+++ b/tests/heardVersions.spec.ts
@@ -0,0 +1,34 @@
+/** Versions that reach an entry by way of the agents. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { HeardVersions } from '../src/staging/heardVersions.js';
+import { ManualClock } from '../src/utils/clock.js';
+
+function heard(version: number, heardMilliseconds: number) {
+  return { model: 'm', version, heardMilliseconds };
+}
+
+test('should pass on what is new to it, once', () => {
+  const versions = new HeardVersions(new ManualClock());
+  expect(versions.take([heard(2, 0)])).toEqual([heard(2, 0)]);
+  expect(versions.take([heard(2, 0), heard(3, 10)])).toEqual([heard(3, 10)]);
+});
+
+test('should pass on that a version was heard of earlier', () => {
+  const clock = new ManualClock();
+  const versions = new HeardVersions(clock);
+  versions.take([heard(2, 0)]);
+  clock.advance(1_000);
+  expect(versions.take([heard(2, 1_050)])).toEqual([]);
+  expect(versions.take([heard(2, 1_500)])).toEqual([heard(2, 1_500)]);
+  clock.advance(500);
+  expect(versions.all()).toEqual([heard(2, 2_000)]);
+});
+
+test('should remember a few versions only', () => {
+  const versions = new HeardVersions(new ManualClock());
+  for (let version = 1; version <= 20; version++) versions.take([heard(version, 0)]);
+  expect(versions.all().map(({ version }) => version)).toEqual(
+    Array.from({ length: 16 }, (_, index) => index + 5),
+  );
+});
--- /dev/null
+++ b/tests/linkDelay.spec.ts
@@ -0,0 +1,42 @@
+/** How long a message may lie on a connection. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { LinkDelay } from '../src/protocol/linkDelay.js';
+
+test('should tell the last round trip while it is fresh', () => {
+  const delay = new LinkDelay();
+  const number = delay.noteSent(100);
+  delay.noteEcho(number, 350);
+  expect([delay.milliseconds(400), delay.milliseconds(1_900)]).toEqual([250, 0]);
+});
+
+test('should tell for how long an answer has been waited for', () => {
+  const delay = new LinkDelay();
+  delay.noteEcho(delay.noteSent(0), 10);
+  delay.noteSent(1_000);
+  delay.noteSent(1_200);
+  expect(delay.milliseconds(1_700)).toEqual(700);
+});
+
+test('should tell nothing of a peer that has answered no probe', () => {
+  const delay = new LinkDelay();
+  delay.noteSent(0);
+  expect(delay.milliseconds(5_000)).toEqual(0);
+});
+
+test('should take an answer for all probes before it', () => {
+  const delay = new LinkDelay();
+  delay.noteEcho(delay.noteSent(0), 10);
+  delay.noteSent(100);
+  delay.noteEcho(delay.noteSent(200), 230);
+  expect(delay.milliseconds(240)).toEqual(30);
+});
+
+test('should be full after a few probes without an answer', () => {
+  const delay = new LinkDelay();
+  while (!delay.isFull) delay.noteSent(0);
+  const number = delay.noteSent(1);
+  expect(number).toEqual(8);
+  delay.noteEcho(number, 2);
+  expect([delay.isFull, delay.milliseconds(3)]).toEqual([false, 1]);
+});
--- a/tests/trackedServer.spec.ts
+++ b/tests/trackedServer.spec.ts
@@ -7,7 +7,11 @@
 import { TrackedServer } from '../src/serving/trackedServer.js';
 import { ManualClock } from '../src/utils/clock.js';
 
-function trackedServer(clock: ManualClock, models: ServedModel[] = []): TrackedServer {
+function trackedServer(
+  clock: ManualClock,
+  models: ServedModel[] = [],
+  linkDelay?: () => number,
+): TrackedServer {
   const record = {
     id: 's',
     service: 'm',
@@ -17,7 +21,7 @@
     draining: false,
   };
   const options = { address: record.address, connectMilliseconds: 1, limit: () => 1 };
-  return new TrackedServer({ ...record, models }, new BackendConnections(options), clock, () => 3);
+  return new TrackedServer({ ...record, models }, new BackendConnections(options), clock, () => 3, linkDelay);
 }
 
 test('should believe the agent that a server has lost its version', () => {
@@ -92,3 +96,11 @@
   clock.advance(120);
   expect(server.unread).toEqual(4);
 });
+
+test('should call a link slow on which a probe has been waiting', () => {
+  let delay = 400;
+  const server = trackedServer(new ManualClock(), [], () => delay);
+  expect(server.slowLink).toEqual(false);
+  delay = 401;
+  expect([server.slowLink, server.beginsSoon]).toEqual([true, false]);
+});
--- a/tests/versionGate.spec.ts
+++ b/tests/versionGate.spec.ts
@@ -127,3 +127,47 @@
   clock.advance(1_500);
   expect(gate.lowest('m')).toEqual(3);
 });
+
+test('should count the bound from when any entry heard of a version', () => {
+  const clock = new ManualClock();
+  clock.advance(20_000);
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, 0);
+  expect(gate.noteHeard({ model: 'm', version: 2, heardMilliseconds: 1_000 })).toEqual(false);
+  clock.advance(6_001);
+  expect(gate.lowest('m')).toEqual(2);
+});
+
+test('should know of a version by the word of another entry alone', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  expect(gate.noteHeard({ model: 'm', version: 2, heardMilliseconds: 200 })).toEqual(true);
+  expect(gate.newest('m')).toEqual(2);
+  clock.advance(100);
+  expect(gate.heard('m')).toEqual([{ model: 'm', version: 2, heardMilliseconds: 300 }]);
+});
+
+test('should tell others when it heard of a version, not from when it counts the bound', () => {
+  const clock = new ManualClock();
+  clock.advance(20_000);
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, 1_500);
+  expect(gate.heard('m')[0]?.heardMilliseconds).toEqual(0);
+});
+
+test('should not be held after a start to what others have heard long before', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  gate.noteHeard({ model: 'm', version: 2, heardMilliseconds: 7_900 });
+  expect(gate.lowestToBegin('m')).toEqual(0);
+  clock.advance(2_501);
+  expect(gate.lowestToBegin('m')).toEqual(2);
+});
+
+test('should take back sooner where the reset may lie on its way', () => {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, 0);
+  clock.advance(6_100);
+  expect([gate.lowestToBegin('m'), gate.lowestToBegin('m', true)]).toEqual([0, 2]);
+});
