Logs: a line when an entry or agent begins or ceases to hold an entry for live

Cause: of an entry that was named long after it had lost power, the logs could not say by whose word it was. Ruled out: a line for each list (hundreds a second while the configuration changes; the answer is in the changes only). Change: agents log `entry.connected` and `entry.disconnected` (with the reason, once per box, also with two connections); entries log `entry.live` and `entry.not-live` (agents that named it, age of their last list) and `agent.asked` and `agent.not-asked` (reason, silence). No behaviour changes: `ask` and `endAsking` only take note so far.

--- a/src/protocol/controlConnection.ts
+++ b/src/protocol/controlConnection.ts
@@ -95,6 +95,11 @@
     return this._closed;
   }
 
+  /** Milliseconds since anything came from the peer; after the end of the connection as well. */
+  get silentMilliseconds(): number {
+    return performance.now() - this._lastHeardAt;
+  }
+
   /** Delivers messages from now on; those that came before are delivered first. */
   start(): void {
     this._started = true;
--- a/src/serving/boxLinks.ts
+++ b/src/serving/boxLinks.ts
@@ -29,6 +29,10 @@
   onStatus: (agent: AgentAddress, status: BoxStatus) => void;
   onEntries: (agent: AgentAddress, list: EntryList) => void;
   onDown: (agent: AgentAddress) => void;
+  /** The agent is asked from now on which entries are connected to it; its whole list follows. */
+  onAsked: (agent: AgentAddress) => void;
+  /** The agent is no longer asked or connected. It had been silent for so many milliseconds. */
+  onNotAsked: (agent: AgentAddress, silentMilliseconds: number) => void;
 }
 
 const GATHER_MILLISECONDS = 15;
@@ -40,6 +44,8 @@
   connection: ControlConnection | undefined;
   /** Whether the agent has asked this entry for the agents of its service. */
   wantsAgents: boolean;
+  /** Whether the agent has been told to tell which entries are connected to it. */
+  isAsked: boolean;
   /** What was last sent on the connection, without what only ages. */
   sentPresence: string;
   sentAgents: string;
@@ -83,6 +89,7 @@
         stopped: new AbortController(),
         connection: undefined,
         wantsAgents: false,
+        isAsked: false,
         sentPresence: '',
         sentAgents: '',
         toldAgents: undefined,
@@ -115,9 +122,24 @@
     const text = presenceText(presence);
     if (text !== link.sentPresence) connection.send(presence);
     link.sentPresence = text;
+    this._noteAsked(link, connection, presence.hearsEntries);
     if (link.wantsAgents) this._tellAgents(link, connection);
   }
 
+  /** Hands on that the agent begins or ceases to be asked for entries, as it has been told on this connection. */
+  private _noteAsked(link: Link, connection: ControlConnection, isAsked: boolean, reason?: string): void {
+    const { agent } = link;
+    if (link.isAsked === isAsked) return;
+    link.isAsked = isAsked;
+    if (isAsked) {
+      this._options.log.state('agent.asked', { agent: agent.box });
+      return this._options.onAsked(agent);
+    }
+    const silent = connection.silentMilliseconds;
+    this._options.log.state('agent.not-asked', { agent: agent.box, reason, silent: Math.round(silent) });
+    this._options.onNotAsked(agent, silent);
+  }
+
   private _tellAgents(link: Link, connection: ControlConnection): void {
     const list = this._options.agentList(link.agent);
     if (list.agents === link.toldAgents) return;
@@ -159,6 +181,7 @@
     const reason = await closed;
     link.connection = undefined;
     this._options.log.state('agent.lost', { agent: agent.box, reason });
+    this._noteAsked(link, connection, false, reason);
     this._options.onDown(agent);
   }
 
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -1,8 +1,12 @@
 /** Which entries callers may use. Learnt from a few agents, to which every live entry is connected. */
 import type { EntryAddress, EntryList } from '../protocol/boxMessages.js';
 import type { RecordSource } from '../records/sourceChoice.js';
+import type { EventLog } from '../telemetry/eventLog.js';
+import type { Clock } from '../utils/clock.js';
 import { orderAcrossDataCentres } from '../utils/dataCentreOrder.js';
 import { compareText } from '../utils/rendezvous.js';
+import type { Witness } from './liveEntryLog.js';
+import { LiveEntryLog } from './liveEntryLog.js';
 
 /** Fewest entries to name, as long as there are so many. */
 const FEWEST_ENTRIES = 2;
@@ -11,34 +15,56 @@
 /** After a start, so that entries that start together do not each take the whole of a shared bound. */
 const ASSUMED_ENTRIES = 16;
 
+/** What the agent on one box has told. */
+interface Report {
+  /** Entries by box. */
+  entries: Map<string, EntryAddress>;
+  /** Monotonic milliseconds of its last list. */
+  heardAt: number;
+}
+
 /** An entry is live while any agent that is connected to this one is connected to it. */
 export class EntryDirectory {
   private readonly _own: EntryAddress;
-  /** Entries by box, by the box of the agent that they are connected to. */
-  private readonly _reports = new Map<string, Map<string, EntryAddress>>();
+  private readonly _clock: Clock;
+  private readonly _liveLog: LiveEntryLog;
+  /** Reports by the box of their agent. */
+  private readonly _reports = new Map<string, Report>();
   private _lastKnown: EntryAddress[] = [];
   /** Undefined after a change, until it is asked for. */
   private _live: readonly EntryAddress[] | undefined;
   private _ranked: readonly RecordSource[] = [];
   private _rankedFor: readonly EntryAddress[] = [];
 
-  constructor(own: EntryAddress) {
+  constructor(own: EntryAddress, clock: Clock, log: EventLog) {
     this._own = own;
+    this._clock = clock;
+    this._liveLog = new LiveEntryLog(clock, log);
   }
 
   /** Takes what the agent on `box` tells of the entries that it is connected to. */
   report(box: string, { whole, entries, gone }: Omit<EntryList, 'type'>): void {
-    const known = whole ? new Map<string, EntryAddress>() : (this._reports.get(box) ?? new Map());
+    const known = whole ? new Map<string, EntryAddress>() : (this._reports.get(box)?.entries ?? new Map());
     for (const entry of entries) known.set(entry.box, entry);
     for (const left of gone) known.delete(left);
-    this._reports.set(box, known);
+    this._reports.set(box, { entries: known, heardAt: this._clock.now() });
     this._live = this._workOut();
   }
 
+  /** The agent on `box` is asked from now on; its whole list follows. */
+  ask(_box: string): void {
+    this._live = undefined;
+  }
+
+  /** The agent on `box`, which has been silent for so long, is no longer asked. */
+  endAsking(_box: string, _silentMilliseconds: number): void {
+    this._live = undefined;
+  }
+
   /** Forgets an agent that is no longer connected. */
   forget(box: string): void {
     this._reports.delete(box);
-    this._live = undefined;
+    this._live = this._workOut();
   }
 
   /** This entry leaves: callers are not sent to it any more. */
@@ -89,7 +115,7 @@
   private _workOut(): EntryAddress[] {
     const found = new Map<string, EntryAddress>();
     const leaving = new Set<string>();
-    for (const entries of this._reports.values()) {
+    for (const { entries } of this._reports.values()) {
       for (const entry of entries.values()) {
         if (entry.leaving) leaving.add(entry.box);
         found.set(entry.box, entry);
@@ -99,6 +125,21 @@
     else for (const entry of this._lastKnown) found.set(entry.box, entry);
     found.set(this._own.box, this._own);
     const live = [...found.values()].filter((entry) => !entry.leaving && !leaving.has(entry.box));
+    this._liveLog.note(this._witnesses(live));
     return live.sort((a, b) => compareText(a.box, b.box));
   }
+
+  /** Why each of these entries is held for live, this one excluded. */
+  private _witnesses(live: readonly EntryAddress[]): Map<string, Witness> {
+    const others = live.filter(({ box }) => box !== this._own.box);
+    return new Map(others.map(({ box }) => [box, this._witnessOf(box)]));
+  }
+
+  private _witnessOf(box: string): Witness {
+    const naming = [...this._reports].filter(([, { entries }]) => entries.has(box));
+    return {
+      agents: naming.map(([agent]) => agent),
+      heardAt: Math.max(...naming.map(([, { heardAt }]) => heardAt)),
+    };
+  }
 }
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -86,7 +86,7 @@
       leaving: false,
     };
     this._configuration = new ConfigurationHolder(parts.log);
-    this._entries = new EntryDirectory(this._own);
+    this._entries = new EntryDirectory(this._own, clock, parts.log);
     this._pool = new ServerPool({
       dataCentre: settings.dataCentre,
       clock,
@@ -212,6 +212,8 @@
       onStatus: (agent, status) => this._pool.noteStatus(hostOf(agent.address), status),
       onEntries: (agent, list) => this._entries.report(agent.box, list),
       onDown: (agent) => this._entries.forget(agent.box),
+      onAsked: (agent) => this._entries.ask(agent.box),
+      onNotAsked: (agent, silentMilliseconds) => this._entries.endAsking(agent.box, silentMilliseconds),
     });
   }
 
--- a/src/staging/connectedEntries.ts
+++ b/src/staging/connectedEntries.ts
@@ -2,6 +2,7 @@
 import type { EntryAddress, EntryPresence } from '../protocol/boxMessages.js';
 import { ControlConnection } from '../protocol/controlConnection.js';
 import type { Message } from '../protocol/message.js';
+import type { EventLog } from '../telemetry/eventLog.js';
 import { Gathered } from '../utils/gathered.js';
 import { compareText } from '../utils/rendezvous.js';
 import type { StatusAudience } from './statusSender.js';
@@ -27,6 +28,7 @@
 
 export class ConnectedEntries {
   private readonly _dataCentre: string;
+  private readonly _log: EventLog;
   private readonly _entries = new Map<ControlConnection, ConnectedEntry>();
   private readonly _changed = new Gathered(
     () => Math.max(SHORTEST_GATHER_MILLISECONDS, GATHER_PER_LISTENER_MILLISECONDS * this._listeners().length),
@@ -36,8 +38,9 @@
   private _told = new Map<string, EntryAddress>();
 
   /** `dataCentre` is that of this box. */
-  constructor(dataCentre: string) {
+  constructor(dataCentre: string, log: EventLog) {
     this._dataCentre = dataCentre;
+    this._log = log;
   }
 
   get count(): number {
@@ -53,6 +56,7 @@
   note(connection: ControlConnection, presence: EntryPresence): boolean {
     const known = this._entries.get(connection);
     const { entry: address, hearsStatus, hearsEntries } = presence;
+    if (!this._isConnected(address.box)) this._log.state('entry.connected', { entry: address.box });
     this._entries.set(connection, {
       address,
       hearsStatus,
@@ -65,8 +69,12 @@
     return hearsStatus && !known?.hearsStatus;
   }
 
-  forget(connection: ControlConnection): void {
+  /** The connection has ended, for `reason`. */
+  forget(connection: ControlConnection, reason: string): void {
+    const box = this._entries.get(connection)?.address.box;
     this._entries.delete(connection);
+    if (box !== undefined && !this._isConnected(box))
+      this._log.state('entry.disconnected', { entry: box, reason });
     this._askEnough();
     this._changed.call();
   }
@@ -102,6 +110,11 @@
     }
   }
 
+  /** Whether the entry on `box` has any connection: a restarted one may have two for a while. */
+  private _isConnected(box: string): boolean {
+    return [...this._entries.values()].some(({ address }) => address.box === box);
+  }
+
   private _listeners(): [ControlConnection, ConnectedEntry][] {
     return [...this._entries].filter(([, entry]) => entry.hearsEntries);
   }
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -93,7 +93,7 @@
     this._settings = settings;
     this._parts = parts;
     this._log = parts.log;
-    this._entries = new ConnectedEntries(settings.dataCentre);
+    this._entries = new ConnectedEntries(settings.dataCentre, parts.log);
     this._statusSender = new StatusSender({
       clock: this._clock,
       build: () => this._status(),
@@ -223,7 +223,7 @@
   private _onConnection(connection: ControlConnection): void {
     if (connection.peer.role === 'agent') return this._peers.attach(connection);
     connection.on('message', (message) => this._onEntryMessage(connection, message));
-    connection.once('close', () => this._entries.forget(connection));
+    connection.once('close', (reason) => this._entries.forget(connection, reason));
     connection.start();
   }
 
--- a/tests/connectedEntries.spec.ts
+++ b/tests/connectedEntries.spec.ts
@@ -6,6 +6,8 @@
 import { FrameReader } from '../src/protocol/frameCodec.js';
 import type { Message } from '../src/protocol/message.js';
 import { ConnectedEntries } from '../src/staging/connectedEntries.js';
+import { notedLog } from './fixtures/notedLog.js';
+import { quietLog } from './fixtures/quietLog.js';
 import { until } from './fixtures/until.js';
 
 /** A connection that only notes what is sent on it. */
@@ -47,7 +49,7 @@
 }
 
 function connected(count: number): { entries: ConnectedEntries; connections: NotedConnection[] } {
-  const entries = new ConnectedEntries('north');
+  const entries = new ConnectedEntries('north', quietLog());
   const connections = Array.from({ length: count }, () => new NotedConnection());
   connections.forEach((connection, index) => {
     entries.note(connection.asConnection(), presence(`entry-${index}`));
@@ -63,7 +65,7 @@
 
 test('should ask another entry when one that it asked is lost', () => {
   const { entries, connections } = connected(5);
-  entries.forget(connections[0].asConnection());
+  entries.forget(connections[0].asConnection(), 'closed by peer');
   expect(connections.slice(1).filter((connection) => connection.asked)).toHaveLength(3);
   entries.stop();
 });
@@ -76,7 +78,7 @@
 });
 
 test('should want a status for an entry that sends requests, once', () => {
-  const entries = new ConnectedEntries('north');
+  const entries = new ConnectedEntries('north', quietLog());
   const connection = new NotedConnection().asConnection();
   expect(entries.note(connection, presence('a', { hearsStatus: false }))).toEqual(false);
   expect(entries.note(connection, presence('a'))).toEqual(true);
@@ -86,7 +88,7 @@
 });
 
 test('should ask entries of its own data centre before others', () => {
-  const entries = new ConnectedEntries('south');
+  const entries = new ConnectedEntries('south', quietLog());
   const connections = Array.from({ length: 8 }, () => new NotedConnection());
   const far = connections.slice(0, 3);
   const near = connections.slice(3);
@@ -95,19 +97,19 @@
     const entry = { ...presence(`near-${index}`).entry, dataCentre: 'south' };
     entries.note(connection.asConnection(), presence(`near-${index}`, { entry }));
   });
-  far.forEach((connection) => entries.forget(connection.asConnection()));
+  far.forEach((connection) => entries.forget(connection.asConnection(), 'closed by peer'));
   expect(near.filter((connection) => connection.asked)).toHaveLength(3);
   entries.stop();
 });
 
 test('should tell an entry of all others once, and then of changes', async () => {
-  const entries = new ConnectedEntries('north');
+  const entries = new ConnectedEntries('north', quietLog());
   const listener = new NotedConnection();
   const other = new NotedConnection();
   entries.note(listener.asConnection(), presence('listener', { hearsEntries: true }));
   entries.note(other.asConnection(), presence('other'));
   await until(() => listener.lists.length === 1);
-  entries.forget(other.asConnection());
+  entries.forget(other.asConnection(), 'closed by peer');
   entries.note(new NotedConnection().asConnection(), presence('third'));
   await until(() => listener.lists.length === 2);
   const [first, second] = listener.lists;
@@ -118,3 +120,16 @@
   expect(second.gone).toEqual(['other']);
   entries.stop();
 });
+
+test('should log once that an entry is connected, and that its last connection has ended', () => {
+  const { log, steps } = notedLog();
+  const entries = new ConnectedEntries('north', log);
+  const old = new NotedConnection().asConnection();
+  const young = new NotedConnection().asConnection();
+  for (const connection of [old, old, young]) entries.note(connection, presence('a'));
+  entries.forget(old, 'silent for too long');
+  expect(steps()).toEqual(['entry.connected']);
+  entries.forget(young, 'closed by peer');
+  expect(steps()).toEqual(['entry.connected', 'entry.disconnected']);
+  entries.stop();
+});
--- /dev/null
+++ b/tests/liveEntryLog.spec.ts
@@ -0,0 +1,35 @@
+/** What an entry logs of the other entries that it holds for live. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { LiveEntryLog } from '../src/serving/liveEntryLog.js';
+import { ManualClock } from '../src/utils/clock.js';
+import { notedLog } from './fixtures/notedLog.js';
+
+test('should write one line when an entry becomes live, and one by whose word it was when it no longer is', () => {
+  const clock = new ManualClock();
+  const { log, lines } = notedLog();
+  const live = new LiveEntryLog(clock, log);
+  clock.advance(1_000);
+  live.note(new Map([['b', { agents: ['one'], heardAt: 1_000 }]]));
+  clock.advance(500);
+  live.note(new Map([['b', { agents: ['one', 'two'], heardAt: 1_500 }]]));
+  clock.advance(300);
+  live.note(new Map());
+  const told = lines.map(({ step, entry, agents, age, liveFor }) => [step, entry, agents, age, liveFor]);
+  expect(told).toEqual([
+    ['entry.live', 'b', ['one'], undefined, undefined],
+    ['entry.not-live', 'b', ['one', 'two'], 300, 800],
+  ]);
+});
+
+test('should say who spoke last of an entry that was only remembered', () => {
+  const clock = new ManualClock();
+  const { log, lines } = notedLog();
+  const live = new LiveEntryLog(clock, log);
+  live.note(new Map([['b', { agents: ['one'], heardAt: 0 }]]));
+  clock.advance(700);
+  live.note(new Map([['b', { agents: [], heardAt: Number.NEGATIVE_INFINITY }]]));
+  live.note(new Map());
+  expect(lines.map(({ step }) => step)).toEqual(['entry.live', 'entry.not-live']);
+  expect([lines[1].agents, lines[1].age]).toEqual([['one'], 700]);
+});
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -12,6 +12,7 @@
 import { retryAfter } from '../src/serving/retryAdvice.js';
 import { ServerHealth } from '../src/serving/serverHealth.js';
 import { ManualClock } from '../src/utils/clock.js';
+import { quietLog } from './fixtures/quietLog.js';
 import { routeFixture, servingConfiguration } from './fixtures/servingFixture.js';
 
 test('should find the route with the longest prefix of the path', () => {
@@ -176,7 +177,7 @@
 }
 
 test('should take what has changed since the last list', () => {
-  const directory = new EntryDirectory(entry('a', 'north'));
+  const directory = new EntryDirectory(entry('a', 'north'), new ManualClock(), quietLog());
   directory.report('agent', all([entry('b', 'north'), entry('c', 'north')]));
   directory.report('agent', { whole: false, entries: [entry('d', 'north')], gone: ['b'] });
   expect(directory.addressesFor('north')).toEqual(['a:80', 'c:80', 'd:80']);
@@ -185,33 +186,33 @@
 });
 
 test('should assume that it shares bounds with many until it knows better', () => {
-  const directory = new EntryDirectory(entry('a', 'north'));
+  const directory = new EntryDirectory(entry('a', 'north'), new ManualClock(), quietLog());
   expect(directory.count()).toEqual(16);
   directory.report('agent', all([entry('a', 'north')]));
   expect(directory.count()).toEqual(1);
 });
 
 test("should name the live entries of the caller's data centre", () => {
-  const directory = new EntryDirectory(entry('a', 'north'));
+  const directory = new EntryDirectory(entry('a', 'north'), new ManualClock(), quietLog());
   directory.report('agent', all([entry('a', 'north'), entry('b', 'north'), entry('c', 'south')]));
   expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
 });
 
 test('should name an entry of another data centre rather than only one', () => {
-  const directory = new EntryDirectory(entry('a', 'north'));
+  const directory = new EntryDirectory(entry('a', 'north'), new ManualClock(), quietLog());
   directory.report('agent', all([entry('b', 'south'), entry('c', 'south')]));
   expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
 });
 
 test('should not name an entry that leaves, whoever says so', () => {
-  const directory = new EntryDirectory(entry('a', 'north'));
+  const directory = new EntryDirectory(entry('a', 'north'), new ManualClock(), quietLog());
   directory.report('one', all([entry('b', 'north')]));
   directory.report('two', all([entry('b', 'north', true)]));
   expect(directory.addressesFor('north')).toEqual(['a:80']);
 });
 
 test('should go on naming the entries it knew when no agent can be reached', () => {
-  const directory = new EntryDirectory(entry('a', 'north'));
+  const directory = new EntryDirectory(entry('a', 'north'), new ManualClock(), quietLog());
   directory.report('agent', all([entry('b', 'north')]));
   expect(directory.count()).toEqual(2);
   directory.forget('agent');
