An entry is named only by the word of agents that are asked, connected and heard

Ruled out: counting by the selection of the moment. A selection that flips away and back within the 15 ms of gathering is never heard of by the agent, which then sends no whole list again; the report would be lost. What counts is what was sent on the connection. Ruled out too: keeping an ended report for a while instead of what is remembered; it names longer in the ordinary case. Change: AgentReports holds a subscription for each agent from the question (as sent) to its end, counts a report from the whole list on and while the connection is not silent for longer than it may be; lists outside of that are passed over. BoxLinks tells both ends. What no report confirms is named for REMEMBERED_MILLISECONDS from the last word on, then only the entry itself. Sources of records keep what was last known, and the comment says why. The agents' gathering has an upper end (600 ms, from 120 listeners on; not measured on a large fleet), without which there is no sum. `entries_live` now counts live entries; `entries_sharing` is what it counted before. Conclusion: the age of what is named is bounded by construction.

--- a/src/protocol/controlConnection.ts
+++ b/src/protocol/controlConnection.ts
@@ -13,7 +13,7 @@
 import type { Message } from './message.js';
 import { messageSchema, schemaOf } from './message.js';
 import type { ReplyMessage } from './rolloutMessages.js';
-import { allowedSilence } from './silence.js';
+import { CARE_INTERVAL_MILLISECONDS, SECOND_LOOK_MILLISECONDS, allowedSilence } from './silence.js';
 
 /** A message that expects a reply, before its `call` number is set. */
 export type CallMessage = Extract<Message, { call?: number }>;
@@ -34,11 +34,7 @@
 
 /** Heartbeats of a quiet connection within the silence that counts as its loss. */
 const HEARTBEATS_PER_TIMEOUT = 2.5;
-/** How often a process looks after all its connections: one timer, since one for each wakes it hundreds of times a second. */
-const CARE_INTERVAL_MILLISECONDS = 200;
 const care = new SharedInterval(CARE_INTERVAL_MILLISECONDS);
-/** How long a silent connection has to show what already lies in its buffer. */
-const SECOND_LOOK_MILLISECONDS = 50;
 /** Default time for a call to be answered, in milliseconds. */
 const CALL_TIMEOUT_MILLISECONDS = 5_000;
 
--- a/src/serving/boxLinks.ts
+++ b/src/serving/boxLinks.ts
@@ -28,11 +28,10 @@
   agentList: (agent: AgentAddress) => AgentList;
   onStatus: (agent: AgentAddress, status: BoxStatus) => void;
   onEntries: (agent: AgentAddress, list: EntryList) => void;
-  onDown: (agent: AgentAddress) => void;
-  /** The agent is asked from now on which entries are connected to it; its whole list follows. */
-  onAsked: (agent: AgentAddress) => void;
-  /** The agent is no longer asked or connected. It had been silent for so many milliseconds. */
-  onNotAsked: (agent: AgentAddress, silentMilliseconds: number) => void;
+  /** The agent is asked from now on which entries are connected to it; its whole list follows on this connection. */
+  onAsked: (agent: AgentAddress, connection: ControlConnection) => void;
+  /** The agent is no longer asked or connected. */
+  onNotAsked: (agent: AgentAddress) => void;
 }
 
 const GATHER_MILLISECONDS = 15;
@@ -133,11 +132,11 @@
     link.isAsked = isAsked;
     if (isAsked) {
       this._options.log.state('agent.asked', { agent: agent.box });
-      return this._options.onAsked(agent);
+      return this._options.onAsked(agent, connection);
     }
-    const silent = connection.silentMilliseconds;
-    this._options.log.state('agent.not-asked', { agent: agent.box, reason, silent: Math.round(silent) });
-    this._options.onNotAsked(agent, silent);
+    const silent = Math.round(connection.silentMilliseconds);
+    this._options.log.state('agent.not-asked', { agent: agent.box, reason, silent });
+    this._options.onNotAsked(agent);
   }
 
   private _tellAgents(link: Link, connection: ControlConnection): void {
@@ -182,7 +181,6 @@
     link.connection = undefined;
     this._options.log.state('agent.lost', { agent: agent.box, reason });
     this._noteAsked(link, connection, false, reason);
-    this._options.onDown(agent);
   }
 
   private _onMessage(link: Link, message: Message): void {
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -1,105 +1,127 @@
-/** Which entries callers may use. Learnt from a few agents, to which every live entry is connected. */
+/**
+ * Which entries callers may use. Learnt from a few agents, to which every live entry is connected.
+ *
+ * An entry that has gone off without a word is named for at most the sum of these times:
+ * 1. `noticedWithin` the time-out of peers: the agents find that the entry is silent;
+ * 2. `LONGEST_GATHER_MILLISECONDS`: the agents gather what they tell;
+ * 3. only where an agent falls silent as well before it could tell, `noticedWithin` once more, after which its report counts no
+ *    longer; or, where no report is left, `REMEMBERED_MILLISECONDS` since the last word of the agent that had one. These overlap,
+ *    so that the longer of them counts.
+ */
 import type { EntryAddress, EntryList } from '../protocol/boxMessages.js';
 import type { RecordSource } from '../records/sourceChoice.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import { orderAcrossDataCentres } from '../utils/dataCentreOrder.js';
 import { compareText } from '../utils/rendezvous.js';
+import type { AgentVoice } from './agentReports.js';
+import { AgentReports } from './agentReports.js';
 import type { Witness } from './liveEntryLog.js';
 import { LiveEntryLog } from './liveEntryLog.js';
+import { SharingEntries } from './sharingEntries.js';
+
+/** What a directory works with. */
+export interface EntryDirectoryOptions {
+  own: EntryAddress;
+  clock: Clock;
+  log: EventLog;
+  /** Silence after which an agent counts as gone. */
+  peerTimeoutMilliseconds: number;
+}
 
 /** Fewest entries to name, as long as there are so many. */
 const FEWEST_ENTRIES = 2;
 const MOST_ENTRIES = 64;
 const RECORDS_KEY = 'record-sources';
-/** After a start, so that entries that start together do not each take the whole of a shared bound. */
-const ASSUMED_ENTRIES = 16;
-
-/** What the agent on one box has told. */
-interface Report {
-  /** Entries by box. */
-  entries: Map<string, EntryAddress>;
-  /** Monotonic milliseconds of its last list. */
-  heardAt: number;
-}
+/**
+ * How long entries are named that no report confirms, from the last word of an agent on: where all agents are exchanged, or their
+ * connections reset, the next lists come sooner. Silence takes longer to be noticed, so that it adds nothing to the sum above.
+ */
+export const REMEMBERED_MILLISECONDS = 2_000;
 
-/** An entry is live while any agent that is connected to this one is connected to it. */
+/** An entry is live while any agent that is asked and connected names it. */
 export class EntryDirectory {
   private readonly _own: EntryAddress;
   private readonly _clock: Clock;
+  private readonly _reports: AgentReports;
+  private readonly _sharing: SharingEntries;
   private readonly _liveLog: LiveEntryLog;
-  /** Reports by the box of their agent. */
-  private readonly _reports = new Map<string, Report>();
-  private _lastKnown: EntryAddress[] = [];
-  /** Undefined after a change, until it is asked for. */
-  private _live: readonly EntryAddress[] | undefined;
+  /** Entries as the reports told them while there were any, this one not always included. */
+  private _told: readonly EntryAddress[] = [];
+  /** Monotonic milliseconds of the last word behind {@link EntryDirectory._told}, once no report is left; -infinity before. */
+  private _lastWordAt = Number.NEGATIVE_INFINITY;
+  /** All of {@link EntryDirectory._told} and this one, those that leave excluded. */
+  private _known: readonly EntryAddress[] = [];
+  private _live: readonly EntryAddress[] = [];
+  /** What {@link EntryDirectory._live} was worked out from. */
+  private _liveFor = '';
   private _ranked: readonly RecordSource[] = [];
-  private _rankedFor: readonly EntryAddress[] = [];
+  private _rankedFor: readonly EntryAddress[] | undefined;
 
-  constructor(own: EntryAddress, clock: Clock, log: EventLog) {
+  constructor({ own, clock, log, peerTimeoutMilliseconds }: EntryDirectoryOptions) {
     this._own = own;
     this._clock = clock;
+    this._reports = new AgentReports(clock, peerTimeoutMilliseconds);
+    this._sharing = new SharingEntries(own, clock);
     this._liveLog = new LiveEntryLog(clock, log);
-  }
-
-  /** Takes what the agent on `box` tells of the entries that it is connected to. */
-  report(box: string, { whole, entries, gone }: Omit<EntryList, 'type'>): void {
-    const known = whole ? new Map<string, EntryAddress>() : (this._reports.get(box)?.entries ?? new Map());
-    for (const entry of entries) known.set(entry.box, entry);
-    for (const left of gone) known.delete(left);
-    this._reports.set(box, { entries: known, heardAt: this._clock.now() });
-    this._live = this._workOut();
+    this._workOut();
   }
 
   /** The agent on `box` is asked from now on; its whole list follows. */
-  ask(_box: string): void {
-    this._live = undefined;
+  ask(box: string, voice: AgentVoice): void {
+    this._reports.ask(box, voice);
+    this._workOut();
   }
 
-  /** The agent on `box`, which has been silent for so long, is no longer asked. */
-  endAsking(_box: string, _silentMilliseconds: number): void {
-    this._live = undefined;
+  /** The agent on `box` is no longer asked or connected: what it told no longer counts. */
+  endAsking(box: string): void {
+    this._refresh();
+    const voice = this._reports.end(box);
+    const isLast = this._reports.counted().length === 0;
+    if (voice && isLast) this._lastWordAt = this._clock.now() - voice.silentMilliseconds;
+    this._workOut();
   }
 
-  /** Forgets an agent that is no longer connected. */
-  forget(box: string): void {
-    this._reports.delete(box);
-    this._live = this._workOut();
+  /** Takes what the agent on `box` tells of the entries that it is connected to. */
+  report(box: string, list: Omit<EntryList, 'type'>): void {
+    if (this._reports.take(box, list)) this._workOut();
   }
 
   /** This entry leaves: callers are not sent to it any more. */
   leave(): void {
     this._own.leaving = true;
-    this._live = undefined;
+    this._workOut();
   }
 
-  /** All live entries, this one included, those that leave excluded. */
+  /** All live entries, this one included, those that leave excluded. Without word of any agent, only this one. */
   live(): readonly EntryAddress[] {
-    this._live ??= this._workOut();
+    this._refresh();
     return this._live;
   }
 
-  /** The live entries in the order in which they are asked for records of the store, as all of them work out alike. */
+  /**
+   * The entries in the order in which they are asked for records of the store, as all of them work out alike. Here entries stay
+   * that nobody confirms: each source proves itself on its own connection within a second, so that a dead one does little harm,
+   * while without any source every entry that has lost its agents would read the store itself.
+   */
   recordSources(): readonly RecordSource[] {
-    const live = this.live();
-    if (live !== this._rankedFor) {
-      this._rankedFor = live;
-      const order = orderAcrossDataCentres(RECORDS_KEY, live);
+    this._refresh();
+    if (this._known !== this._rankedFor) {
+      this._rankedFor = this._known;
+      const order = orderAcrossDataCentres(RECORDS_KEY, this._known);
       this._ranked = order.map(({ box, control }) => ({ box, address: control }));
     }
     return this._ranked;
   }
 
-  /** How many entries share the bounds of the whole system; many, until it is known. */
+  /** How many entries share the bounds of the whole system; no fewer when nobody confirms them, and many until it is known. */
   count(): number {
-    return this._lastKnown.length === 0 && this._reports.size === 0
-      ? ASSUMED_ENTRIES
-      : this.live().length || 1;
+    return this._sharing.count();
   }
 
-  /** How many live entries stand in this one's data centre. */
+  /** How many of these stand in this one's data centre. */
   countNear(): number {
-    return this.live().filter((entry) => entry.dataCentre === this._own.dataCentre).length;
+    return this._sharing.countIn(this._own.dataCentre);
   }
 
   /** Addresses for a caller in `data centre`: its own data centre's entries, and others where that has too few. */
@@ -112,34 +134,43 @@
     return chosen.slice(0, MOST_ENTRIES).map((entry) => entry.address);
   }
 
-  private _workOut(): EntryAddress[] {
-    const found = new Map<string, EntryAddress>();
-    const leaving = new Set<string>();
-    for (const { entries } of this._reports.values()) {
-      for (const entry of entries.values()) {
-        if (entry.leaving) leaving.add(entry.box);
-        found.set(entry.box, entry);
-      }
-    }
-    if (this._reports.size > 0) this._lastKnown = [...found.values()];
-    else for (const entry of this._lastKnown) found.set(entry.box, entry);
-    found.set(this._own.box, this._own);
-    const live = [...found.values()].filter((entry) => !entry.leaving && !leaving.has(entry.box));
-    this._liveLog.note(this._witnesses(live));
-    return live.sort((a, b) => compareText(a.box, b.box));
-  }
-
-  /** Why each of these entries is held for live, this one excluded. */
-  private _witnesses(live: readonly EntryAddress[]): Map<string, Witness> {
-    const others = live.filter(({ box }) => box !== this._own.box);
-    return new Map(others.map(({ box }) => [box, this._witnessOf(box)]));
-  }
-
-  private _witnessOf(box: string): Witness {
-    const naming = [...this._reports].filter(([, { entries }]) => entries.has(box));
-    return {
-      agents: naming.map(([agent]) => agent),
-      heardAt: Math.max(...naming.map(([, { heardAt }]) => heardAt)),
-    };
+  /** Time alone may end what counts. */
+  private _refresh(): void {
+    if (this._basis() !== this._liveFor) this._workOut();
+  }
+
+  /** The agents by whose word entries are live, or whether they are still remembered. */
+  private _basis(): string {
+    const counted = this._reports.counted();
+    if (counted.length > 0) return counted.join();
+    return this._clock.now() - this._lastWordAt <= REMEMBERED_MILLISECONDS ? 'remembered' : '';
+  }
+
+  private _workOut(): void {
+    this._liveFor = this._basis();
+    if (this._reports.counted().length > 0) this._takeReports();
+    else this._known = this._withOwn(this._told);
+    this._live = this._liveFor === '' ? this._withOwn([]) : this._known;
+    this._liveLog.note(this._witnesses());
+  }
+
+  private _takeReports(): void {
+    this._told = this._reports.entries();
+    this._lastWordAt = Number.NEGATIVE_INFINITY;
+    this._known = this._withOwn(this._told);
+    this._sharing.note(this._known);
+  }
+
+  /** These entries and this one, those that leave excluded. */
+  private _withOwn(entries: readonly EntryAddress[]): readonly EntryAddress[] {
+    const others = entries.filter(({ box }) => box !== this._own.box);
+    const staying = [...others, this._own].filter(({ leaving }) => !leaving);
+    return staying.sort((a, b) => compareText(a.box, b.box));
+  }
+
+  /** Why each live entry is held for live, this one excluded. */
+  private _witnesses(): Map<string, Witness> {
+    const others = this._live.filter(({ box }) => box !== this._own.box);
+    return new Map(others.map(({ box }) => [box, this._reports.witnessOf(box)]));
   }
 }
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -86,7 +86,12 @@
       leaving: false,
     };
     this._configuration = new ConfigurationHolder(parts.log);
-    this._entries = new EntryDirectory(this._own, clock, parts.log);
+    this._entries = new EntryDirectory({
+      own: this._own,
+      clock,
+      log: parts.log,
+      peerTimeoutMilliseconds: settings.peerTimeoutMilliseconds,
+    });
     this._pool = new ServerPool({
       dataCentre: settings.dataCentre,
       clock,
@@ -211,9 +216,8 @@
       agentList: (agent) => this._announcements.agentList(agent),
       onStatus: (agent, status) => this._pool.noteStatus(hostOf(agent.address), status),
       onEntries: (agent, list) => this._entries.report(agent.box, list),
-      onDown: (agent) => this._entries.forget(agent.box),
-      onAsked: (agent) => this._entries.ask(agent.box),
-      onNotAsked: (agent, silentMilliseconds) => this._entries.endAsking(agent.box, silentMilliseconds),
+      onAsked: (agent, connection) => this._entries.ask(agent.box, connection),
+      onNotAsked: (agent) => this._entries.endAsking(agent.box),
     });
   }
 
@@ -298,7 +302,8 @@
     this._metrics.gauge('caller_connections', () => this._callers.connections);
     this._metrics.gauge('configuration_version', () => this._configuration.version);
     this._metrics.gauge('agents_connected', () => this._links.connected);
-    this._metrics.gauge('entries_live', () => this._entries.count());
+    this._metrics.gauge('entries_live', () => this._entries.live().length);
+    this._metrics.gauge('entries_sharing', () => this._entries.count());
     this._metrics.gauge('reads_store', () => Number(this._followers.isReading));
     this._metrics.gauge('record_listeners', () => this._followers.relay.listeners);
     this._metrics.gauge('log_lines_dropped', () => this._log.droppedLines);
--- a/src/staging/connectedEntries.ts
+++ b/src/staging/connectedEntries.ts
@@ -15,6 +15,8 @@
  */
 const GATHER_PER_LISTENER_MILLISECONDS = 5;
 const SHORTEST_GATHER_MILLISECONDS = 15;
+/** Reached with 120 listeners; an entry that is off is named until its end has been told. */
+export const LONGEST_GATHER_MILLISECONDS = 600;
 
 interface ConnectedEntry {
   address: EntryAddress;
@@ -31,7 +33,7 @@
   private readonly _log: EventLog;
   private readonly _entries = new Map<ControlConnection, ConnectedEntry>();
   private readonly _changed = new Gathered(
-    () => Math.max(SHORTEST_GATHER_MILLISECONDS, GATHER_PER_LISTENER_MILLISECONDS * this._listeners().length),
+    () => gatherMilliseconds(this._listeners().length),
     () => this._tell(),
   );
   /** Entries by box, as the listeners have been told. */
@@ -147,6 +149,11 @@
   }
 }
 
+function gatherMilliseconds(listeners: number): number {
+  const wanted = GATHER_PER_LISTENER_MILLISECONDS * listeners;
+  return Math.min(LONGEST_GATHER_MILLISECONDS, Math.max(SHORTEST_GATHER_MILLISECONDS, wanted));
+}
+
 function isSame(a: EntryAddress, b: EntryAddress | undefined): boolean {
   return JSON.stringify(a) === JSON.stringify(b);
 }
--- a/tests/connectedEntries.spec.ts
+++ b/tests/connectedEntries.spec.ts
@@ -133,3 +133,39 @@
   expect(steps()).toEqual(['entry.connected', 'entry.disconnected']);
   entries.stop();
 });
+
+test('should tell an entry of all others anew when it asks again, also at once', async () => {
+  const entries = new ConnectedEntries('north', quietLog());
+  const listener = new NotedConnection();
+  const tell = (hearsEntries: boolean): boolean =>
+    entries.note(listener.asConnection(), presence('listener', { hearsEntries }));
+  tell(true);
+  await until(() => listener.lists.length === 1);
+  tell(false);
+  tell(true);
+  await until(() => listener.lists.length === 2);
+  expect(listener.lists[1].whole).toEqual(true);
+  entries.stop();
+});
+
+test('should name a restarted entry as its newest connection tells, until the last of them has ended', async () => {
+  const entries = new ConnectedEntries('north', quietLog());
+  const listener = new NotedConnection();
+  const [old, young] = [new NotedConnection().asConnection(), new NotedConnection().asConnection()];
+  entries.note(listener.asConnection(), presence('listener', { hearsEntries: true }));
+  entries.note(old, presence('b', { entry: { ...presence('b').entry, leaving: true } }));
+  entries.note(young, presence('b'));
+  await until(() => listener.lists.length === 1);
+  expect(listener.lists[0].entries.map(({ box, leaving }) => [box, leaving])).toEqual([
+    ['b', false],
+    ['listener', false],
+  ]);
+  entries.forget(old, 'silent for too long');
+  entries.note(new NotedConnection().asConnection(), presence('c'));
+  await until(() => listener.lists.length === 2);
+  expect(listener.lists[1].gone).toEqual([]);
+  entries.forget(young, 'silent for too long');
+  await until(() => listener.lists.length === 3);
+  expect(listener.lists[2].gone).toEqual(['b']);
+  entries.stop();
+});
