Where a box stands is known again when it comes back to the list of agents

An agent forgot what another box had told of its turn as soon as that left the list; when it came back on the connection that had lasted, neither told anything anew, since to its mind nothing had changed. Until the next change of stage the box counted as absent, and others could begin their turns beside it. And what it kept of a box that had not listed it meanwhile could be old. Ruled out: closing connections to boxes that are not listed; they flip within milliseconds, and a dial costs more than a message. Change: PeerMessages counts listed boxes only, and keeps what connected ones told; SwitchNotices tells a box that is listed anew where this one stands.

--- a/src/staging/peerMessages.ts
+++ b/src/staging/peerMessages.ts
@@ -14,6 +14,7 @@
 
 export class PeerMessages implements AgentPeersListener {
   private readonly _swarm: SwarmMessageHandler;
+  /** What connected boxes told last. */
   private readonly _stages = new Map<string, KnownStage>();
   private readonly _clock: Clock;
   private readonly _onUp: (box: string) => void;
@@ -26,16 +27,19 @@
     this._swarm = new SwarmMessageHandler(exchanges);
   }
 
-  /** Forgets boxes that no longer belong to the service. */
+  /**
+   * Counts only these boxes from now on. What the others told is kept for as long as they are connected: a box that is listed
+   * again in a moment has nothing new to tell.
+   */
   keep(boxes: readonly string[]): void {
     this._wanted = new Set(boxes);
-    for (const box of this._stages.keys()) if (!this._wanted.has(box)) this._stages.delete(box);
   }
 
-  /** Where the connected boxes stand on the way to `version`. */
+  /** Where the connected boxes of the service stand on the way to `version`. */
   stages(version: number): SwitchPeer[] {
     const now = this._clock.now();
-    return [...this._stages].map(([box, known]) => ({
+    const wanted = [...this._stages].filter(([box]) => this._wanted.has(box));
+    return wanted.map(([box, known]) => ({
       box,
       stage: stageTowards(version, known),
       stageMilliseconds: now - known.since,
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -38,6 +38,7 @@
 import { StageQueue } from './stageQueue.js';
 import { stagingMetrics } from './stagingMetrics.js';
 import { StatusSender } from './statusSender.js';
+import { SwitchNotices } from './switchNotices.js';
 import { connectedPeers, switchGroup } from './switchGroup.js';
 import type { SwitchPeer } from './switchTurn.js';
 import { UploadPriorities } from './uploadPriorities.js';
@@ -76,16 +77,17 @@
   private readonly _metricsServer: MetricsServer;
   private readonly _statusSender: StatusSender;
   private readonly _entries: ConnectedEntries;
+  private readonly _notices = new SwitchNotices({
+    state: () => this._switchState(),
+    send: (boxes, state) => this._peers.broadcast(boxes, state),
+  });
   /** All boxes of the service, this one included. */
   private _members: Member[] = [];
-  /** The other boxes that this one is connected to. */
-  private _connected: readonly Member[] = [];
   /** The boxes that take turns at switching, this one included. */
   private _group: readonly Member[] = [];
   private _origin: Origin | undefined;
   private _originAddress = '';
   private _agentsRevision = 0;
-  private _lastState = '';
   private _statusTimer: NodeJS.Timeout | undefined;
 
   constructor(settings: StagingSettings, parts: StagingParts) {
@@ -248,11 +250,13 @@
     const members = agents.map((agent) => this._memberOf(agent));
     if (JSON.stringify(members) === JSON.stringify(this._members)) return;
     this._members = members;
-    this._connected = connectedPeers(this._settings.box, members);
+    const connected = connectedPeers(this._settings.box, members);
+    const boxes = connected.map(({ box }) => box);
     this._group = switchGroup(this._settings.box, members);
-    this._peers.want(this._connected);
-    this._messages.keep(this._connected.map((member) => member.box));
+    this._peers.want(connected);
+    this._messages.keep(boxes);
     this._stages.updateMembers();
+    this._notices.list(boxes);
   }
 
   private _memberOf(agent: AgentAddress): Member {
@@ -270,14 +274,7 @@
   /** Tells the other boxes and the entries when this box comes to another stage. */
   private _onStage(): void {
     this._statusSender.onChange();
-    const state = this._switchState();
-    const text = JSON.stringify(state);
-    if (text === this._lastState) return;
-    this._lastState = text;
-    this._peers.broadcast(
-      this._connected.map((member) => member.box),
-      state,
-    );
+    this._notices.onStage();
   }
 
   /** Where the other boxes of the group stand on the way to `version`. */
