--- a/src/staging/connectedEntries.ts
+++ b/src/staging/connectedEntries.ts
@@ -2,6 +2,7 @@
 import type { EntryAddress, EntryPresence } from '../protocol/boxMessages.js';
 import { ControlConnection } from '../protocol/controlConnection.js';
 import type { Message } from '../protocol/message.js';
+import type { EventLog } from '../telemetry/eventLog.js';
 import { Gathered } from '../utils/gathered.js';
 import { compareText } from '../utils/rendezvous.js';
 import type { StatusAudience } from './statusSender.js';
@@ -14,6 +15,8 @@
  */
 const GATHER_PER_LISTENER_MILLISECONDS = 5;
 const SHORTEST_GATHER_MILLISECONDS = 15;
+/** Reached with 120 listeners; an entry that is off is named until its end has been told. */
+export const LONGEST_GATHER_MILLISECONDS = 600;
 
 interface ConnectedEntry {
   address: EntryAddress;
@@ -27,17 +30,19 @@
 
 export class ConnectedEntries {
   private readonly _dataCentre: string;
+  private readonly _log: EventLog;
   private readonly _entries = new Map<ControlConnection, ConnectedEntry>();
   private readonly _changed = new Gathered(
-    () => Math.max(SHORTEST_GATHER_MILLISECONDS, GATHER_PER_LISTENER_MILLISECONDS * this._listeners().length),
+    () => gatherMilliseconds(this._listeners().length),
     () => this._tell(),
   );
   /** Entries by box, as the listeners have been told. */
   private _told = new Map<string, EntryAddress>();
 
   /** `dataCentre` is that of this box. */
-  constructor(dataCentre: string) {
+  constructor(dataCentre: string, log: EventLog) {
     this._dataCentre = dataCentre;
+    this._log = log;
   }
 
   get count(): number {
@@ -53,6 +58,7 @@
   note(connection: ControlConnection, presence: EntryPresence): boolean {
     const known = this._entries.get(connection);
     const { entry: address, hearsStatus, hearsEntries } = presence;
+    if (!this._isConnected(address.box)) this._log.state('entry.connected', { entry: address.box });
     this._entries.set(connection, {
       address,
       hearsStatus,
@@ -65,8 +71,12 @@
     return hearsStatus && !known?.hearsStatus;
   }
 
-  forget(connection: ControlConnection): void {
+  /** The connection has ended, for `reason`. */
+  forget(connection: ControlConnection, reason: string): void {
+    const box = this._entries.get(connection)?.address.box;
     this._entries.delete(connection);
+    if (box !== undefined && !this._isConnected(box))
+      this._log.state('entry.disconnected', { entry: box, reason });
     this._askEnough();
     this._changed.call();
   }
@@ -102,6 +112,11 @@
     }
   }
 
+  /** Whether the entry on `box` has any connection: a restarted one may have two for a while. */
+  private _isConnected(box: string): boolean {
+    return [...this._entries.values()].some(({ address }) => address.box === box);
+  }
+
   private _listeners(): [ControlConnection, ConnectedEntry][] {
     return [...this._entries].filter(([, entry]) => entry.hearsEntries);
   }
@@ -134,6 +149,11 @@
   }
 }
 
+function gatherMilliseconds(listeners: number): number {
+  const wanted = GATHER_PER_LISTENER_MILLISECONDS * listeners;
+  return Math.min(LONGEST_GATHER_MILLISECONDS, Math.max(SHORTEST_GATHER_MILLISECONDS, wanted));
+}
+
 function isSame(a: EntryAddress, b: EntryAddress | undefined): boolean {
   return JSON.stringify(a) === JSON.stringify(b);
 }
