--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -23,13 +23,13 @@
 import type { ForwardServices } from './forwardServices.js';
 import { ForwardedRequest } from './forwardedRequest.js';
 import type { HeaderNames } from './headerNames.js';
+import { addGatewayGauges } from './gatewayGauges.js';
 import { LinkProber } from './linkProber.js';
 import { NamedVersions } from './namedVersions.js';
 import { PlatformFollowers } from './platformFollowers.js';
 import type { ServingPlatform } from './platformRecords.js';
 import { RequestAdmission } from './requestAdmission.js';
 import { ServerPool } from './serverPool.js';
-import { addControlGauges } from '../protocol/controlGauges.js';
 import { MetricsServer } from '../telemetry/metricsServer.js';
 import { ServingMetrics } from '../telemetry/servingMetrics.js';
 import { VersionGate } from './versionGate.js';
@@ -89,18 +89,13 @@
       leaving: false,
     };
     this._configuration = new ConfigurationHolder(parts.log);
-    this._entries = new EntryDirectory(this._own);
-    this._pool = new ServerPool({
-      dataCentre: settings.dataCentre,
+    this._entries = new EntryDirectory({
+      own: this._own,
       clock,
-      random,
       log: parts.log,
-      service: (name) => this._configuration.index?.service(name),
-      entries: () => this._entries.count(),
-      entriesNear: () => this._entries.countNear(),
-      isRouted: (host) => this._announcements.isRouted(host),
-      linkDelay: (host) => this._links.delayMilliseconds(boxOfHost(host)),
+      peerTimeoutMilliseconds: settings.peerTimeoutMilliseconds,
     });
+    this._pool = this._createPool(random);
     this._gate = new VersionGate(
       { switchMilliseconds: settings.versionMilliseconds, contactMilliseconds: settings.contactMilliseconds },
       clock,
@@ -145,11 +140,19 @@
   /** Starts listening and following the platform. Throws when a port is taken. */
   async start(): Promise<void> {
     const { callerAddress, readyAddress, directoryAddress, metricsAddress, controlAddress } = this._settings;
-    this._addGauges();
+    addGatewayGauges({
+      metrics: this._metrics,
+      running: () => this._running,
+      callers: this._callers,
+      configuration: this._configuration,
+      links: this._links,
+      entries: this._entries,
+      followers: this._followers,
+      log: this._log,
+    });
     await this._control.listen(...splitAddress(controlAddress));
     this._follow();
-    const [host, port] = splitAddress(callerAddress);
-    await this._callers.listen(host, port);
+    await this._callers.listen(...splitAddress(callerAddress));
     await this._directory.listen(new Set([readyAddress, directoryAddress]));
     await this._metricsServer.listen(...splitAddress(metricsAddress));
     this._log.state('gateway.started', { address: callerAddress });
@@ -209,6 +212,20 @@
     return { key: sharedKey, identity: { role: 'entry', box, dataCentre }, peerTimeoutMilliseconds };
   }
 
+  private _createPool(random: Random): ServerPool {
+    return new ServerPool({
+      dataCentre: this._settings.dataCentre,
+      clock: this._clock,
+      random,
+      log: this._log,
+      service: (name) => this._configuration.index?.service(name),
+      entries: () => this._entries.count(),
+      entriesNear: () => this._entries.countNear(),
+      isRouted: (host) => this._announcements.isRouted(host),
+      linkDelay: (host) => this._links.delayMilliseconds(boxOfHost(host)),
+    });
+  }
+
   private _createLinks(random: Random): BoxLinks {
     return new BoxLinks({
       control: this._controlOptions(),
@@ -219,7 +236,8 @@
       onStatus: (agent, status) => this._pool.noteStatus(hostOf(agent.address), status),
       onEntries: (agent, list) => this._entries.report(agent.box, list),
       onHeard: (agent, versions) => this._named.onHeard(agent, versions) && this._links.announce(),
-      onDown: (agent) => this._entries.forget(agent.box),
+      onAsked: (agent, connection) => this._entries.ask(agent.box, connection),
+      onNotAsked: (agent) => this._entries.endAsking(agent.box),
     });
   }
 
@@ -230,8 +248,11 @@
 
   private _createFollowers(random: Random): PlatformFollowers {
     const { box, controlAddress, seeds } = this._settings;
+    const store = new CountedStore(this._parts.platform.store, (call, kind) =>
+      this._metrics.count(`store_calls_total{call="${call}",kind="${kind}"}`),
+    );
     return new PlatformFollowers({
-      platform: { ...this._parts.platform, store: this._countedStore() },
+      platform: { ...this._parts.platform, store },
       own: { box, address: controlAddress },
       seeds,
       ranking: () => this._entries.recordSources(),
@@ -242,12 +263,6 @@
     });
   }
 
-  private _countedStore(): CountedStore {
-    return new CountedStore(this._parts.platform.store, (call, kind) =>
-      this._metrics.count(`store_calls_total{call="${call}",kind="${kind}"}`),
-    );
-  }
-
   private _createAdmission(random: Random): RequestAdmission {
     const { retryPercent, retryWindowMilliseconds, retrySlack } = this._settings;
     return new RequestAdmission({
@@ -302,17 +317,4 @@
     this._links.want(this._announcements.selection().agents);
     this._links.announce();
   }
-
-  private _addGauges(): void {
-    addControlGauges(this._metrics);
-    this._metrics.gauge('requests_running', () => this._running);
-    this._metrics.gauge('caller_connections', () => this._callers.connections);
-    this._metrics.gauge('configuration_version', () => this._configuration.version);
-    this._metrics.gauge('agents_connected', () => this._links.connected);
-    this._metrics.gauge('entries_live', () => this._entries.count());
-    this._metrics.gauge('reads_store', () => Number(this._followers.isReading));
-    this._metrics.gauge('record_listeners', () => this._followers.relay.listeners);
-    this._metrics.gauge('log_lines_dropped', () => this._log.droppedLines);
-    this._metrics.gauge('memory_bytes', () => process.memoryUsage.rss());
-  }
 }
--- /dev/null
+++ b/src/serving/gatewayGauges.ts
@@ -0,0 +1,38 @@
+/** The gauges of a gateway. */
+import { addControlGauges } from '../protocol/controlGauges.js';
+import type { EventLog } from '../telemetry/eventLog.js';
+import type { ServingMetrics } from '../telemetry/servingMetrics.js';
+import type { BoxLinks } from './boxLinks.js';
+import type { CallerServer } from './callerServer.js';
+import type { ConfigurationHolder } from './configurationHolder.js';
+import type { EntryDirectory } from './entryDirectory.js';
+import type { PlatformFollowers } from './platformFollowers.js';
+
+/** What the gauges are read from. */
+export interface GatewayGaugesOptions {
+  metrics: ServingMetrics;
+  /** Requests that have been admitted and have not ended. */
+  running: () => number;
+  callers: CallerServer;
+  configuration: ConfigurationHolder;
+  links: BoxLinks;
+  entries: EntryDirectory;
+  followers: PlatformFollowers;
+  log: EventLog;
+}
+
+/** Adds them to the metrics; each is read when it is asked for. */
+export function addGatewayGauges(options: GatewayGaugesOptions): void {
+  const { metrics, running, callers, configuration, links, entries, followers, log } = options;
+  addControlGauges(metrics);
+  metrics.gauge('requests_running', running);
+  metrics.gauge('caller_connections', () => callers.connections);
+  metrics.gauge('configuration_version', () => configuration.version);
+  metrics.gauge('agents_connected', () => links.connected);
+  metrics.gauge('entries_live', () => entries.live().length);
+  metrics.gauge('entries_sharing', () => entries.count());
+  metrics.gauge('reads_store', () => Number(followers.isReading));
+  metrics.gauge('record_listeners', () => followers.relay.listeners);
+  metrics.gauge('log_lines_dropped', () => log.droppedLines);
+  metrics.gauge('memory_bytes', () => process.memoryUsage.rss());
+}
