Sight: log why a request is not sent to another server

Cause: three states end a stream that has begun by the same step (attempts used, retry budget empty, no server in time), and request.cut said `all-busy`, or how the last attempt failed, for all of them. Nobody could tell from a log which one it was. Ruled out: nothing yet; this commit changes no decision. Change: the permission for another attempt answers why there is none, as a type (attempts used, retry budget, no server, all busy, old version, time); the end of a request logs it as `noAttempt`, and request.not-handed-over says it in the same words. The reason of a refusal that the caller is told uses these words too. Conclusion: the next log of a cut stream names its cause.

--- a/src/serving/finalAnswer.ts
+++ b/src/serving/finalAnswer.ts
@@ -2,14 +2,11 @@
 import type { AnswerHeaders } from './backendCall.js';
 import type { CallerExchange } from './callerExchange.js';
 import { OWN_STATUS } from './callerExchange.js';
-import type { RequestOutcome } from './requestTrace.js';
+import type { EndFields, RequestOutcome } from './requestTrace.js';
 import type { TrackedServer } from './trackedServer.js';
 
 /** Hears of the end before it is logged. */
-export type EndListener = (
-  outcome: RequestOutcome,
-  fields: Record<string, string | number | boolean>,
-) => void;
+export type EndListener = (outcome: RequestOutcome, fields: EndFields) => void;
 
 export class FinalAnswer {
   private readonly _exchange: CallerExchange;
@@ -56,7 +53,7 @@
     this._end('caller-gone', {});
   }
 
-  private _end(outcome: RequestOutcome, fields: Record<string, string | number | boolean>): void {
+  private _end(outcome: RequestOutcome, fields: EndFields): void {
     if (this._given) return;
     this._given = true;
     this._onEnd(outcome, fields);
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -7,6 +7,7 @@
   CallFailure,
 } from './backendCall.js';
 import { SharedInterval } from '../utils/sharedInterval.js';
+import { AnswerReceiver } from './answerReceiver.js';
 import { BackendCall } from './backendCall.js';
 import { OWN_STATUS } from './callerExchange.js';
 import type { AdmittedRequest } from './admittedRequest.js';
@@ -14,8 +15,10 @@
 import { MISDIRECTED, handoverDelay, isSilent, judgeAnswer } from './answerJudgement.js';
 import { FinalAnswer } from './finalAnswer.js';
 import type { ForwardServices } from './forwardServices.js';
+import type { NoAttempt } from './noAttempt.js';
+import { noAttemptOf } from './noAttempt.js';
 import { RequestAttempts } from './requestAttempts.js';
-import type { RequestOutcome } from './requestTrace.js';
+import type { EndFields, RequestOutcome } from './requestTrace.js';
 import { RequestTrace } from './requestTrace.js';
 import { retryAfter } from './retryAdvice.js';
 import { StreamHandover } from './streamHandover.js';
@@ -25,21 +28,21 @@
 /** How often a request looks at its server: several times within the shortest patience. */
 const WATCH_INTERVAL_MILLISECONDS = 50;
 const watches = new SharedInterval(WATCH_INTERVAL_MILLISECONDS);
-/** Largest answer of a request that is no stream, in bytes. */
-const LARGEST_ANSWER = 16 * 1024 * 1024;
 
 export class ForwardedRequest {
   private readonly _services: ForwardServices;
   private readonly _request: AdmittedRequest;
   private readonly _trace: RequestTrace;
   private readonly _relay: StreamRelay | undefined;
+  private readonly _received: AnswerReceiver;
   private readonly _attempts: RequestAttempts;
   private readonly _handoverDelay: number;
   private readonly _final: FinalAnswer;
   private readonly _done: () => void;
   private _call: BackendCall | undefined;
   private _handover: StreamHandover | undefined;
-  private _answer: PartialAnswer | undefined;
+  /** Why there was no next attempt when one was last wanted; undefined while there is one. */
+  private _noAttempt: NoAttempt | undefined;
   /** Whether the request may have run somewhere. */
   private _mayHaveRun = false;
   private _attemptStartedAt = 0;
@@ -57,6 +60,7 @@
     this._trace = new RequestTrace(request, services.log, services.metrics, services.clock);
     if (request.route.kind === 'stream')
       this._relay = new StreamRelay(request.exchange, request.lastEventId, services.clock);
+    this._received = new AnswerReceiver(request.exchange, this._relay);
   }
 
   start(): void {
@@ -75,18 +79,19 @@
   private _attempt(): void {
     if (this._final.given) return;
     const found = this._attempts.find();
-    if (found.kind === 'none') return this._giveUp(found.reason);
+    if (found.kind === 'none') return this._giveUp(noAttemptOf(found)!);
     const { server } = found;
     this._attemptStartedAt = this._services.clock.now();
-    this._answer = undefined;
+    this._received.forget();
     const call = BackendCall.send(server, this._outgoing(server), this._listenerFor(server));
-    if (!call) return this._giveUp('all-busy');
+    if (!call) return this._giveUp('all busy');
     this._call = call;
     if (this._relay) server.streamBegan();
     this._noteAttempt(server);
   }
 
   private _noteAttempt(server: TrackedServer): void {
+    this._noAttempt = undefined;
     this._attempts.noteSent(server);
     this._trace.sent(server, this._attempts.count);
   }
@@ -111,25 +116,11 @@
     server.health.noteFirstAnswer(this._services.clock.now() - this._attemptStartedAt);
     const version = Number(headers[names.version]);
     if (model !== '' && version > 0) server.noteVersion(model, version);
-    this._answer = { status, headers, body: [], length: 0 };
-    const isStream = this._relay !== undefined && status === 200 && headers[names.seal] !== undefined;
-    if (isStream) this._relay?.begin(status, headers);
+    this._received.onHead(status, headers, headers[names.seal] !== undefined);
   }
 
   private _onData(bytes: Buffer): void {
-    const answer = this._answer;
-    if (!answer) return;
-    if (this._relay?.begun && answer.status === 200) return this._relayEvents(bytes);
-    answer.body.push(bytes);
-    answer.length += bytes.length;
-    if (answer.length > LARGEST_ANSWER) this._onForeignAnswer(this._call!.server);
-  }
-
-  private _relayEvents(bytes: Buffer): void {
-    const call = this._call;
-    if (this._relay!.push(bytes)) return;
-    call?.pause();
-    this._request.exchange.onceDrained(() => call?.resume());
+    if (!this._received.onData(bytes, this._call)) this._onForeignAnswer(this._call!.server);
   }
 
   /** The answer is for another request: nothing of this connection can be trusted. */
@@ -139,7 +130,7 @@
   }
 
   private _onEnd(server: TrackedServer): void {
-    const answer = this._answer!;
+    const answer = this._received.answer!;
     this._forgetCall(server);
     if (this._relay?.begun && answer.status === 200) {
       server.health.note('succeeded');
@@ -166,7 +157,7 @@
   private _onRejected(server: TrackedServer, status: number): void {
     server.health.note(status === MISDIRECTED ? 'displaced' : 'rejected');
     this._trace.rejected(server, status);
-    if (!this._goOnElsewhere()) this._giveUp('all-busy');
+    if (!this._goOnElsewhere()) this._giveUp(this._noAttempt!);
   }
 
   private _afterFailure(server: TrackedServer, failure: CallFailure): void {
@@ -184,29 +175,32 @@
   /** Nothing reached the server, so that the attempt does not count. */
   private _afterUnreachable(server: TrackedServer): void {
     server.health.noteUnreachable();
-    if (this._attempts.noteUnreachable()) this._attempt();
-    else this._giveUp('no-server');
+    const refused = this._attempts.noteUnreachable();
+    if (refused) this._giveUp(refused);
+    else this._attempt();
   }
 
   /** Goes on with the handover under way, or with another attempt; false when there can be none. */
   private _goOnElsewhere(): boolean {
     if (this._handover) return true;
-    if (!this._takeRetry()) return false;
+    this._noAttempt = this._takeRetry();
+    if (this._noAttempt) return false;
     this._attempt();
     return true;
   }
 
-  private _takeRetry(isHandover = false): boolean {
-    const taken = this._attempts.takeRetry(isHandover);
-    if (taken) this._trace.retried();
-    return taken;
+  /** Takes permission for one more attempt; returns why there is none. */
+  private _takeRetry(isHandover = false): NoAttempt | undefined {
+    const refused = this._attempts.takeRetry(isHandover);
+    if (!refused) this._trace.retried();
+    return refused;
   }
 
   /** Looks whether the server is silent for too long, or is about to take another version. */
   private _watch(): void {
     const call = this._call;
     if (!call || this._handover) return;
-    if (!this._answer && this._attempts.mayBeginTooLate(call.server)) return this._takeBack(call);
+    if (!this._received.answer && this._attempts.mayBeginTooLate(call.server)) return this._takeBack(call);
     const { switchingFor } = call.server;
     if (switchingFor === 0) this._moveIfSilent(call);
     else if (this._relay && switchingFor > this._handoverDelay) this._beginHandover(call.server);
@@ -224,9 +218,9 @@
       objective: this._request.route.objectiveMilliseconds,
       serverSilentFor: server.silentFor,
       stream: this._relay !== undefined,
-      streamSilentFor: this._answer && this._relay?.begun ? this._relay.silentFor() : undefined,
+      streamSilentFor: this._received.answer && this._relay?.begun ? this._relay.silentFor() : undefined,
     });
-    if (!silent || !this._takeRetry()) return;
+    if (!silent || this._takeRetry()) return;
     this._endAttempt('silent');
     this._mayHaveRun = true;
     server.health.note('silent');
@@ -237,8 +231,9 @@
   /** Asks another server for the rest of the stream, while this one goes on. */
   private _beginHandover(from: TrackedServer): void {
     const found = this._attempts.find(true);
-    if (found.kind === 'none') return this._trace.notHandedOver(from, found.reason);
-    if (!this._takeRetry(true)) return this._trace.notHandedOver(from, 'no attempt or retry left');
+    if (found.kind === 'none') return this._trace.notHandedOver(from, noAttemptOf(found)!);
+    const refused = this._takeRetry(true);
+    if (refused) return this._trace.notHandedOver(from, refused);
     const { server } = found;
     const startedAt = this._services.clock.now();
     this._handover = StreamHandover.begin({
@@ -272,7 +267,8 @@
     this._trace.attemptFailed(server, failure, this._services.clock.now() - startedAt);
   }
 
-  private _giveUp(reason: string): void {
+  private _giveUp(reason: NoAttempt): void {
+    this._noAttempt = reason;
     if (this._relay?.begun) return this._final.cut(reason);
     if (this._mayHaveRun) return this._final.refuse(OWN_STATUS.unclear, reason);
     this._final.refuse(
@@ -310,11 +306,12 @@
     this._relay?.forgetPartial();
   }
 
-  private _onEnded(outcome: RequestOutcome, fields: Record<string, string | number | boolean>): void {
+  private _onEnded(outcome: RequestOutcome, fields: EndFields): void {
     this._handover?.cancel();
     clearTimeout(this._deadlineTimer);
     this._endWatch();
-    this._trace.ended(outcome, this._attempts.count, fields, this._relay);
+    const why = { ...fields, noAttempt: this._noAttempt };
+    this._trace.ended(outcome, this._attempts.count, why, this._relay);
     this._done();
   }
 }
--- /dev/null
+++ b/src/serving/noAttempt.ts
@@ -0,0 +1,16 @@
+/** Why a request is not sent to another server now. */
+import type { ServerFound } from './serverPool.js';
+
+/**
+ * `attempts used`: as many servers as its route allows may have run it. `retry budget`: the share of retries is used up.
+ * `no server`: none is left to ask. `all busy`: none has room. `old version`: none is of a version on which it may begin.
+ * `time`: too little is left for another attempt.
+ */
+export type NoAttempt = 'attempts used' | 'retry budget' | 'no server' | 'all busy' | 'old version' | 'time';
+
+const OF_CHOICE = { 'no-server': 'no server', 'all-busy': 'all busy', 'old-version': 'old version' } as const;
+
+/** The same for a choice that found no server; undefined when it found one. */
+export function noAttemptOf(found: ServerFound): NoAttempt | undefined {
+  return found.kind === 'none' ? OF_CHOICE[found.reason] : undefined;
+}
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -2,6 +2,8 @@
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { BackendRequest } from './backendCall.js';
 import type { ForwardServices } from './forwardServices.js';
+import type { NoAttempt } from './noAttempt.js';
+import { noAttemptOf } from './noAttempt.js';
 import { outgoingRequest } from './outgoingRequest.js';
 import type { ServerFound } from './serverPool.js';
 import type { TrackedServer } from './trackedServer.js';
@@ -82,17 +84,24 @@
     this._tried.add(server.record.id);
   }
 
-  /** Nothing reached the server, so that the attempt does not count; returns whether to go on to another one. */
-  noteUnreachable(): boolean {
+  /** Nothing reached the server, so that the attempt does not count; returns why not to go on to another one. */
+  noteUnreachable(): NoAttempt | undefined {
     this._count--;
     this._unreachable++;
-    return this._unreachable < MOST_UNREACHABLE && this.leftMilliseconds > SHORTEST_ATTEMPT_MILLISECONDS;
+    if (this._unreachable >= MOST_UNREACHABLE) return 'no server';
+    return this.leftMilliseconds <= SHORTEST_ATTEMPT_MILLISECONDS ? 'time' : undefined;
   }
 
-  /** Takes permission for one more attempt: the route, the time left, a server and the retry budget must allow it. */
-  takeRetry(isHandover = false): boolean {
+  /**
+   * Takes permission for one more attempt: the route, the time left, a server and the retry budget must allow it. Returns
+   * what does not.
+   */
+  takeRetry(isHandover = false): NoAttempt | undefined {
     const { route, retries } = this._request;
-    if (this._count >= route.attempts || this.leftMilliseconds < SHORTEST_ATTEMPT_MILLISECONDS) return false;
-    return this.find(isHandover).kind === 'found' && retries.takeRetry();
+    if (this._count >= route.attempts) return 'attempts used';
+    if (this.leftMilliseconds < SHORTEST_ATTEMPT_MILLISECONDS) return 'time';
+    const noServer = noAttemptOf(this.find(isHandover));
+    if (noServer) return noServer;
+    return retries.takeRetry() ? undefined : 'retry budget';
   }
 }
--- a/src/serving/requestTrace.ts
+++ b/src/serving/requestTrace.ts
@@ -10,6 +10,9 @@
 /** How a request ended. */
 export type RequestOutcome = 'answered' | 'refused' | 'failed' | 'cut' | 'caller-gone';
 
+/** What else is logged of an end. */
+export type EndFields = Record<string, string | number | boolean | undefined>;
+
 export class RequestTrace {
   private readonly _request: AdmittedRequest;
   private readonly _log: EventLog;
@@ -68,12 +71,7 @@
     this._metrics.retried(this._request.service);
   }
 
-  ended(
-    outcome: RequestOutcome,
-    attempts: number,
-    fields: Record<string, string | number | boolean>,
-    stream: StreamRelay | undefined,
-  ): void {
+  ended(outcome: RequestOutcome, attempts: number, fields: EndFields, stream: StreamRelay | undefined): void {
     const milliseconds = Math.round(this._clock.now() - this._startedAt);
     this._metrics.requestEnded(this._request.service, outcome, milliseconds);
     const { name: route, objectiveMilliseconds } = this._request.route;
--- a/tests/requestAttempts.spec.ts
+++ b/tests/requestAttempts.spec.ts
@@ -3,8 +3,12 @@
 import { expect } from 'earl';
 import type { AdmittedRequest } from '../src/serving/admittedRequest.js';
 import type { ForwardServices } from '../src/serving/forwardServices.js';
+import type { NoAttempt } from '../src/serving/noAttempt.js';
 import { RequestAttempts } from '../src/serving/requestAttempts.js';
+import { RetryAllowance } from '../src/serving/retryAllowance.js';
 import type { ServerNeed } from '../src/serving/serverNeed.js';
+import type { ServerFound } from '../src/serving/serverPool.js';
+import type { TrackedServer } from '../src/serving/trackedServer.js';
 import { VersionGate } from '../src/serving/versionGate.js';
 import { ManualClock } from '../src/utils/clock.js';
 import { routeFixture } from './fixtures/servingFixture.js';
@@ -31,3 +35,41 @@
   expect(needs.map(({ lowestVersion }) => lowestVersion)).toEqual([0, 2, 0]);
   expect(needs.map(({ lowestVersionSlow }) => lowestVersionSlow)).toEqual([0, 2, 0]);
 });
+
+const SERVER = { record: { id: 'server-1' } } as TrackedServer;
+const FOUND: ServerFound = { kind: 'found', server: SERVER };
+
+interface Standing {
+  found?: ServerFound;
+  slack?: number;
+  sent?: number;
+  left?: number;
+}
+
+/** Attempts of a request to which its route allows two, and how things stand for it. */
+function attemptsAt({ found = FOUND, slack = 100, sent = 1, left = 1_000 }: Standing): RequestAttempts {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  const pool = { find: () => found };
+  const services = { clock, gate, pool } as unknown as ForwardServices;
+  const retries = new RetryAllowance({ ratio: 0, windowMilliseconds: 10_000, slack }, clock, () => 1);
+  const endsAt = clock.now() + left;
+  const request = { service: 's', model: 'm', route: routeFixture({ attempts: 2 }), retries, endsAt };
+  const attempts = new RequestAttempts(services, request as unknown as AdmittedRequest);
+  for (let attempt = 0; attempt < sent; attempt++) attempts.noteSent(SERVER);
+  return attempts;
+}
+
+for (const [why, standing] of [
+  [undefined, {}],
+  ['attempts used', { sent: 2 }],
+  ['retry budget', { slack: 0 }],
+  ['no server', { found: { kind: 'none', reason: 'no-server' } }],
+  ['all busy', { found: { kind: 'none', reason: 'all-busy' } }],
+  ['old version', { found: { kind: 'none', reason: 'old-version' } }],
+  ['time', { left: 30 }],
+] as const satisfies readonly (readonly [NoAttempt | undefined, Standing])[]) {
+  test(`should say why there is no next attempt: ${why ?? 'there is one'}`, () => {
+    expect(attemptsAt(standing).takeRetry()).toEqual(why);
+  });
+}
