Mend: a begun stream that cannot go on just now waits for a place

Cause: rules made for new requests (refuse at once; attempts, retries and a first answer in time) were applied to a stream that has begun, whose caller loses all that it has. Ruled out: that one mend is enough. Each of the three tests failed by its own cause (`attempts used`, `retry budget`, `all busy`). Change: what a server says it has not run uses up no attempt of a stream that has begun (runs are counted), but takes a retry; a fifth of the retry allowance is kept for begun answers; the choice for one asks for no first answer in time and may use the fullness of handovers, while the version gate holds; a begun, resumable stream that finds no room, server or retry looks again every 50 ms, holding no connection, until there is one, its time is over or its caller leaves. A server that has not run it is asked again after 150 ms; sends beyond the route's number are 100 ms apart at least. A handover that is rejected is known as not run. A server that has just answered is no longer taken for silent because the stream had waited. New requests: unchanged. Tests: "should keep this share of the retries within the bound" took all retries as new ones; now new ones and then begun ones take them, with the same sums (17, 34), and a test of the parts (13 of 17) stands beside it. Not measured: what the kept share costs new requests.

--- a/src/serving/backendCall.ts
+++ b/src/serving/backendCall.ts
@@ -31,6 +31,8 @@
 export interface CallFailure {
   sent: boolean;
   reason: string;
+  /** The status by which the server said that it has not run the request. */
+  rejectedWith?: number;
 }
 
 /** Why an attempt was given up by this process. */
--- a/src/serving/finalAnswer.ts
+++ b/src/serving/finalAnswer.ts
@@ -8,6 +8,15 @@
 /** Hears of the end before it is logged. */
 export type EndListener = (outcome: RequestOutcome, fields: EndFields) => void;
 
+/** How a request stands that is given up. */
+export interface GivenUp {
+  /** Whether the caller has a part of the answer. */
+  begun: boolean;
+  mayHaveRun: boolean;
+  /** When to come back with what has not run. */
+  retryAfterMilliseconds: number;
+}
+
 export class FinalAnswer {
   private readonly _exchange: CallerExchange;
   private readonly _onEnd: EndListener;
@@ -42,6 +51,13 @@
     this._end(status === OWN_STATUS.notRun ? 'refused' : 'failed', { status, reason });
   }
 
+  /** No server can go on: cuts an answer that has begun, and says of any other whether it may have run. */
+  giveUp(reason: string, { begun, mayHaveRun, retryAfterMilliseconds }: GivenUp): void {
+    if (begun) return this.cut(reason);
+    if (mayHaveRun) return this.refuse(OWN_STATUS.unclear, reason);
+    this.refuse(OWN_STATUS.notRun, reason, retryAfterMilliseconds);
+  }
+
   /** Closes the caller's connection, so that what was passed on cannot look whole. */
   cut(reason: string): void {
     this._exchange.cut();
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -1,22 +1,17 @@
 /** Carries one admitted request to backend servers until it has an answer. */
-import type {
-  AbortReason,
-  AnswerHeaders,
-  BackendCallListener,
-  BackendRequest,
-  CallFailure,
-} from './backendCall.js';
+import type { AnswerHeaders, BackendCallListener, BackendRequest, CallFailure } from './backendCall.js';
 import { SharedInterval } from '../utils/sharedInterval.js';
 import { AnswerReceiver } from './answerReceiver.js';
-import { BackendCall } from './backendCall.js';
+import type { BackendCall } from './backendCall.js';
 import { OWN_STATUS } from './callerExchange.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { PartialAnswer } from './answerJudgement.js';
 import { MISDIRECTED, handoverDelay, isSilent, judgeAnswer } from './answerJudgement.js';
+import { CurrentAttempt } from './currentAttempt.js';
 import { FinalAnswer } from './finalAnswer.js';
 import type { ForwardServices } from './forwardServices.js';
 import type { NoAttempt } from './noAttempt.js';
-import { noAttemptOf } from './noAttempt.js';
+import { mayPass, noAttemptOf } from './noAttempt.js';
 import { RequestAttempts } from './requestAttempts.js';
 import type { EndFields, RequestOutcome } from './requestTrace.js';
 import { RequestTrace } from './requestTrace.js';
@@ -25,7 +20,7 @@
 import { StreamRelay } from './streamRelay.js';
 import type { TrackedServer } from './trackedServer.js';
 
-/** How often a request looks at its server: several times within the shortest patience. */
+/** How often a request looks at its server, or for one that it waits for: several times within the shortest patience. */
 const WATCH_INTERVAL_MILLISECONDS = 50;
 const watches = new SharedInterval(WATCH_INTERVAL_MILLISECONDS);
 
@@ -35,17 +30,18 @@
   private readonly _trace: RequestTrace;
   private readonly _relay: StreamRelay | undefined;
   private readonly _received: AnswerReceiver;
+  private readonly _current: CurrentAttempt;
   private readonly _attempts: RequestAttempts;
   private readonly _handoverDelay: number;
   private readonly _final: FinalAnswer;
   private readonly _done: () => void;
-  private _call: BackendCall | undefined;
   private _handover: StreamHandover | undefined;
   /** Why there was no next attempt when one was last wanted; undefined while there is one. */
   private _noAttempt: NoAttempt | undefined;
+  /** Whether a stream that has begun waits until it can go on elsewhere. */
+  private _isWaiting = false;
   /** Whether the request may have run somewhere. */
   private _mayHaveRun = false;
-  private _attemptStartedAt = 0;
   private _deadlineTimer: NodeJS.Timeout | undefined;
   private _endWatch: () => void = () => undefined;
 
@@ -56,11 +52,12 @@
     this._done = done;
     this._final = new FinalAnswer(request.exchange, (outcome, fields) => this._onEnded(outcome, fields));
     this._handoverDelay = handoverDelay(services.random.fraction());
-    this._attempts = new RequestAttempts(services, request);
+    this._attempts = new RequestAttempts(services, request, () => this._relay?.begun === true);
     this._trace = new RequestTrace(request, services.log, services.metrics, services.clock);
     if (request.route.kind === 'stream')
       this._relay = new StreamRelay(request.exchange, request.lastEventId, services.clock);
     this._received = new AnswerReceiver(request.exchange, this._relay);
+    this._current = new CurrentAttempt(services.clock, this._relay);
   }
 
   start(): void {
@@ -81,13 +78,10 @@
     const found = this._attempts.find();
     if (found.kind === 'none') return this._giveUp(noAttemptOf(found)!);
     const { server } = found;
-    this._attemptStartedAt = this._services.clock.now();
     this._received.forget();
-    const call = BackendCall.send(server, this._outgoing(server), this._listenerFor(server));
-    if (!call) return this._giveUp('all busy');
-    this._call = call;
-    if (this._relay) server.streamBegan();
-    this._noteAttempt(server);
+    const sent = this._current.send(server, this._outgoing(server), this._listenerFor(server));
+    if (sent) this._noteAttempt(server);
+    else this._giveUp('all busy');
   }
 
   private _noteAttempt(server: TrackedServer): void {
@@ -113,25 +107,25 @@
     const { names } = this._services;
     const { exchange, model } = this._request;
     if (headers[names.requestId] !== exchange.requestId) return this._onForeignAnswer(server);
-    server.health.noteFirstAnswer(this._services.clock.now() - this._attemptStartedAt);
+    server.health.noteFirstAnswer(this._current.waited);
     const version = Number(headers[names.version]);
     if (model !== '' && version > 0) server.noteVersion(model, version);
     this._received.onHead(status, headers, headers[names.seal] !== undefined);
   }
 
   private _onData(bytes: Buffer): void {
-    if (!this._received.onData(bytes, this._call)) this._onForeignAnswer(this._call!.server);
+    if (!this._received.onData(bytes, this._current.call)) this._onForeignAnswer(this._current.call!.server);
   }
 
   /** The answer is for another request: nothing of this connection can be trusted. */
   private _onForeignAnswer(server: TrackedServer): void {
-    this._endAttempt('foreign-answer');
+    this._current.end('foreign-answer');
     this._afterFailure(server, { sent: true, reason: 'foreign-answer' });
   }
 
   private _onEnd(server: TrackedServer): void {
     const answer = this._received.answer!;
-    this._forgetCall(server);
+    this._current.forget(server);
     if (this._relay?.begun && answer.status === 200) {
       server.health.note('succeeded');
       return this._final.endStream(server, answer.status);
@@ -155,14 +149,19 @@
 
   /** The server says that the request has not run. */
   private _onRejected(server: TrackedServer, status: number): void {
+    this._noteRejected(server, status);
+    if (!this._goOnElsewhere()) this._giveUp(this._noAttempt!);
+  }
+
+  private _noteRejected(server: TrackedServer, status: number): void {
     server.health.note(status === MISDIRECTED ? 'displaced' : 'rejected');
+    this._attempts.noteNotRun(server);
     this._trace.rejected(server, status);
-    if (!this._goOnElsewhere()) this._giveUp(this._noAttempt!);
   }
 
   private _afterFailure(server: TrackedServer, failure: CallFailure): void {
-    this._forgetCall(server);
-    this._trace.attemptFailed(server, failure, this._services.clock.now() - this._attemptStartedAt);
+    this._current.forget(server);
+    this._trace.attemptFailed(server, failure, this._current.waited);
     if (!failure.sent && !this._handover) return this._afterUnreachable(server);
     this._mayHaveRun = true;
     if (failure.reason === 'silent') server.health.note('silent');
@@ -175,20 +174,32 @@
   /** Nothing reached the server, so that the attempt does not count. */
   private _afterUnreachable(server: TrackedServer): void {
     server.health.noteUnreachable();
-    const refused = this._attempts.noteUnreachable();
+    const refused = this._attempts.noteUnreachable(server);
     if (refused) this._giveUp(refused);
     else this._attempt();
   }
 
-  /** Goes on with the handover under way, or with another attempt; false when there can be none. */
+  /** Goes on with the handover under way, with another attempt or by waiting for one; false when there can be none. */
   private _goOnElsewhere(): boolean {
-    if (this._handover) return true;
+    if (this._handover || this._final.given) return true;
     this._noAttempt = this._takeRetry();
-    if (this._noAttempt) return false;
+    if (this._noAttempt) return this._waitsFor(this._noAttempt);
     this._attempt();
     return true;
   }
 
+  /** Lets a stream that has begun wait for what is missing, and holds nothing meanwhile; false when it is not to wait. */
+  private _waitsFor(reason: NoAttempt): boolean {
+    this._isWaiting = this._relay?.begun === true && this._attempts.repeatable && mayPass(reason);
+    if (this._isWaiting) this._trace.waiting(reason);
+    return this._isWaiting;
+  }
+
+  private _tryAgain(): void {
+    this._isWaiting = false;
+    if (!this._goOnElsewhere()) this._giveUp(this._noAttempt!);
+  }
+
   /** Takes permission for one more attempt; returns why there is none. */
   private _takeRetry(isHandover = false): NoAttempt | undefined {
     const refused = this._attempts.takeRetry(isHandover);
@@ -198,7 +209,8 @@
 
   /** Looks whether the server is silent for too long, or is about to take another version. */
   private _watch(): void {
-    const call = this._call;
+    if (this._isWaiting) return this._tryAgain();
+    const { call } = this._current;
     if (!call || this._handover) return;
     if (!this._received.answer && this._attempts.mayBeginTooLate(call.server)) return this._takeBack(call);
     const { switchingFor } = call.server;
@@ -207,12 +219,12 @@
   }
 
   private _takeBack({ server }: BackendCall): void {
-    this._endAttempt('not-needed');
+    this._current.end('not-needed');
     this._afterFailure(server, { sent: true, reason: 'not begun before the bound of its version' });
   }
 
   private _moveIfSilent({ server }: BackendCall): void {
-    const waited = this._services.clock.now() - this._attemptStartedAt;
+    const { waited } = this._current;
     const silent = isSilent({
       waited,
       objective: this._request.route.objectiveMilliseconds,
@@ -221,7 +233,7 @@
       streamSilentFor: this._received.answer && this._relay?.begun ? this._relay.silentFor() : undefined,
     });
     if (!silent || this._takeRetry()) return;
-    this._endAttempt('silent');
+    this._current.end('silent');
     this._mayHaveRun = true;
     server.health.note('silent');
     this._trace.attemptFailed(server, { sent: true, reason: 'silent' }, waited);
@@ -251,36 +263,36 @@
   /** The other server has sent an event: lets the first one go and follows the other. */
   private _onHandoverReady(call: BackendCall, startedAt: number): void {
     this._handover = undefined;
-    if (this._call) {
-      const waited = this._services.clock.now() - this._attemptStartedAt;
-      this._trace.attemptFailed(this._call.server, { sent: true, reason: 'switching' }, waited);
-      this._endAttempt('not-needed');
-    }
+    const { call: former, waited } = this._current;
+    if (former) this._trace.attemptFailed(former.server, { sent: true, reason: 'switching' }, waited);
+    this._current.end('not-needed');
     this._mayHaveRun = true;
-    this._call = call;
-    this._attemptStartedAt = startedAt;
+    this._current.follow(call, startedAt);
   }
 
   private _onHandoverFailed(server: TrackedServer, failure: CallFailure, startedAt: number): void {
     this._handover = undefined;
-    if (!this._call) return this._afterFailure(server, failure);
+    const { rejectedWith } = failure;
+    if (rejectedWith !== undefined && this._current.call) return this._noteRejected(server, rejectedWith);
+    if (rejectedWith !== undefined) return this._onRejected(server, rejectedWith);
+    if (!this._current.call) return this._afterFailure(server, failure);
+    this._mayHaveRun ||= failure.sent;
     this._trace.attemptFailed(server, failure, this._services.clock.now() - startedAt);
   }
 
   private _giveUp(reason: NoAttempt): void {
     this._noAttempt = reason;
-    if (this._relay?.begun) return this._final.cut(reason);
-    if (this._mayHaveRun) return this._final.refuse(OWN_STATUS.unclear, reason);
-    this._final.refuse(
-      OWN_STATUS.notRun,
-      reason,
-      retryAfter(this._attempts.leftMilliseconds, this._services.random.fraction()),
-    );
+    if (this._waitsFor(reason)) return;
+    this._final.giveUp(reason, {
+      begun: this._relay?.begun === true,
+      mayHaveRun: this._mayHaveRun,
+      retryAfterMilliseconds: retryAfter(this._attempts.leftMilliseconds, this._services.random.fraction()),
+    });
   }
 
   private _onTimeOver(): void {
-    const sent = this._mayHaveRun || this._handover !== undefined || this._call?.sent === true;
-    this._endAttempt('time-over');
+    const sent = this._mayHaveRun || this._handover !== undefined || this._current.call?.sent === true;
+    this._current.end('time-over');
     if (this._relay?.begun) return this._final.cut('time over');
     if (sent) return this._final.refuse(OWN_STATUS.timeOver, 'time over');
     this._final.refuse(OWN_STATUS.notRun, 'time over before the request was sent', 0);
@@ -288,24 +300,10 @@
 
   private _onCallerGone(): void {
     if (this._final.given) return;
-    this._endAttempt('caller-gone');
+    this._current.end('caller-gone');
     this._final.callerGone();
   }
 
-  /** Ends the attempt under way, if there is one. */
-  private _endAttempt(reason: AbortReason): void {
-    const call = this._call;
-    if (call) this._forgetCall(call.server);
-    call?.abort(reason);
-  }
-
-  private _forgetCall(server: TrackedServer): void {
-    if (!this._call) return;
-    this._call = undefined;
-    if (this._relay) server.streamEnded();
-    this._relay?.forgetPartial();
-  }
-
   private _onEnded(outcome: RequestOutcome, fields: EndFields): void {
     this._handover?.cancel();
     clearTimeout(this._deadlineTimer);
--- a/src/serving/noAttempt.ts
+++ b/src/serving/noAttempt.ts
@@ -8,9 +8,16 @@
  */
 export type NoAttempt = 'attempts used' | 'retry budget' | 'no server' | 'all busy' | 'old version' | 'time';
 
+/** What may change while a caller waits. */
+const PASSING: ReadonlySet<NoAttempt> = new Set(['retry budget', 'no server', 'all busy', 'old version']);
 const OF_CHOICE = { 'no-server': 'no server', 'all-busy': 'all busy', 'old-version': 'old version' } as const;
 
 /** The same for a choice that found no server; undefined when it found one. */
 export function noAttemptOf(found: ServerFound): NoAttempt | undefined {
   return found.kind === 'none' ? OF_CHOICE[found.reason] : undefined;
 }
+
+/** Whether it is worth waiting for another attempt. */
+export function mayPass(reason: NoAttempt): boolean {
+  return PASSING.has(reason);
+}
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -6,21 +6,37 @@
 import { noAttemptOf } from './noAttempt.js';
 import { outgoingRequest } from './outgoingRequest.js';
 import type { ServerFound } from './serverPool.js';
+import { LONGEST_HANDOVER_MILLISECONDS } from './streamHandover.js';
 import type { TrackedServer } from './trackedServer.js';
 
 /** Least time that is worth another attempt. */
 const SHORTEST_ATTEMPT_MILLISECONDS = 40;
 /** Connections that cannot be opened cost no attempt, but there is an end to them. */
 const MOST_UNREACHABLE = 4;
+/** Time after which a server that has not run a begun stream is asked again: until then choices avoid it (serverHealth). */
+const ASK_AGAIN_MILLISECONDS = 150;
+/**
+ * Least time between the sends of a begun stream beyond those that its route allows at once: places come free every few
+ * milliseconds, but each send takes a retry from all others.
+ */
+const RESEND_MILLISECONDS = 100;
 
 export class RequestAttempts {
   private readonly _services: ForwardServices;
   private readonly _request: AdmittedRequest;
+  private readonly _hasBegun: () => boolean;
   private readonly _tried = new Set<string>();
+  /** When servers were last tried that have not run the request. */
+  private readonly _notRunAt = new Map<string, number>();
+  private _lastNotRunAt = Number.NEGATIVE_INFINITY;
   private _count = 0;
+  /** Those of the sends that a server says it has not run. */
+  private _notRun = 0;
   private _unreachable = 0;
 
-  constructor(services: ForwardServices, request: AdmittedRequest) {
+  /** `hasBegun` tells whether the caller has a part of the answer. */
+  constructor(services: ForwardServices, request: AdmittedRequest, hasBegun: () => boolean = () => false) {
+    this._hasBegun = hasBegun;
     this._services = services;
     this._request = request;
   }
@@ -41,9 +57,12 @@
     return this._request.endsAt - this._services.clock.now();
   }
 
-  /** The best server that has not been tried; `isHandover` while the request runs on another one. */
+  /**
+   * The best server that has not been tried; `isHandover` while the request runs on another one. An answer that has begun is
+   * asked for no first answer in time any more, and may be sent again to a server that has not run it.
+   */
   find(isHandover = false): ServerFound {
-    const { service, model, route } = this._request;
+    const { service, model } = this._request;
     const { gate, pool } = this._services;
     const preferredVersion = gate.preferred(model);
     // what is handed over late to a server of an older version would have to move again, and may begin there too late
@@ -55,9 +74,9 @@
       lowestVersionSlow: Math.max(gate.lowest(model, true), lowestForHandover),
       preferredVersion,
       newestVersion: gate.newest(model),
-      objectiveMilliseconds: route.objectiveMilliseconds,
-      isHandover,
-      tried: this._tried,
+      objectiveMilliseconds: this._objectiveMilliseconds(isHandover),
+      isCarriedOver: isHandover || this._hasBegun(),
+      tried: this._hasBegun() && !isHandover ? this._triedLately() : this._tried,
     });
   }
 
@@ -82,10 +101,21 @@
   noteSent(server: TrackedServer): void {
     this._count++;
     this._tried.add(server.record.id);
+    this._notRunAt.delete(server.record.id);
+  }
+
+  /**
+   * The server says that it has not run the request. Attempts bound the runs of a stream that has begun: it loses none by
+   * this when it is broken off, and may ask the server again. A new request is sent to no more servers than its route allows.
+   */
+  noteNotRun(server: TrackedServer): void {
+    this._notRun++;
+    this._noteNotRunAt(server);
   }
 
   /** Nothing reached the server, so that the attempt does not count; returns why not to go on to another one. */
-  noteUnreachable(): NoAttempt | undefined {
+  noteUnreachable(server: TrackedServer): NoAttempt | undefined {
+    this._noteNotRunAt(server);
     this._count--;
     this._unreachable++;
     if (this._unreachable >= MOST_UNREACHABLE) return 'no server';
@@ -98,10 +128,37 @@
    */
   takeRetry(isHandover = false): NoAttempt | undefined {
     const { route, retries } = this._request;
-    if (this._count >= route.attempts) return 'attempts used';
+    // a stream that is handed over still has its first server, and needs no more sends than a new request
+    const isBrokenOff = this._hasBegun() && !isHandover;
+    const used = isBrokenOff ? this._count - this._notRun : this._count;
+    if (used >= route.attempts) return 'attempts used';
     if (this.leftMilliseconds < SHORTEST_ATTEMPT_MILLISECONDS) return 'time';
+    if (isBrokenOff && this._isTooSoon()) return 'all busy';
     const noServer = noAttemptOf(this.find(isHandover));
     if (noServer) return noServer;
-    return retries.takeRetry() ? undefined : 'retry budget';
+    return retries.takeRetry(this._hasBegun()) ? undefined : 'retry budget';
+  }
+
+  private _noteNotRunAt(server: TrackedServer): void {
+    this._lastNotRunAt = this._services.clock.now();
+    this._notRunAt.set(server.record.id, this._lastNotRunAt);
+  }
+
+  /** Servers that may have run the request, and those that have not but were asked only just now. */
+  private _triedLately(): Set<string> {
+    const now = this._services.clock.now();
+    const isLate = (id: string): boolean => now - (this._notRunAt.get(id) ?? now) >= ASK_AGAIN_MILLISECONDS;
+    return new Set([...this._tried].filter((id) => !isLate(id)));
+  }
+
+  private _isTooSoon(): boolean {
+    const isBeyond = this._count >= this._request.route.attempts || this._unreachable >= MOST_UNREACHABLE;
+    return isBeyond && this._services.clock.now() - this._lastNotRunAt < RESEND_MILLISECONDS;
+  }
+
+  /** Time that a server may take for its first answer. */
+  private _objectiveMilliseconds(isHandover: boolean): number {
+    if (!this._hasBegun()) return this._request.route.objectiveMilliseconds;
+    return isHandover ? LONGEST_HANDOVER_MILLISECONDS : Number.POSITIVE_INFINITY;
   }
 }
--- a/src/serving/requestTrace.ts
+++ b/src/serving/requestTrace.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../utils/clock.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { CallFailure } from './backendCall.js';
+import type { NoAttempt } from './noAttempt.js';
 import type { ServingMetrics } from '../telemetry/servingMetrics.js';
 import type { StreamRelay } from './streamRelay.js';
 import type { TrackedServer } from './trackedServer.js';
@@ -20,6 +21,7 @@
   private readonly _clock: Clock;
   private readonly _startedAt: number;
   private _stays = false;
+  private _waitsFor: NoAttempt | undefined;
 
   constructor(request: AdmittedRequest, log: EventLog, metrics: ServingMetrics, clock: Clock) {
     this._request = request;
@@ -30,6 +32,7 @@
   }
 
   sent(server: TrackedServer, attempt: number): void {
+    this._waitsFor = undefined;
     const now = this._clock.now();
     const { statusAge } = server;
     if (statusAge !== undefined) this._metrics.loadUsed(server.record.service, statusAge);
@@ -67,6 +70,15 @@
     this._log.decision('request.not-handed-over', { request: this._id, server: server.record.id, reason });
   }
 
+  /** A stream that has begun waits until it can go on elsewhere; logged once for each reason. */
+  waiting(reason: NoAttempt): void {
+    if (this._waitsFor === reason) return;
+    this._waitsFor = reason;
+    this._metrics.count(`streams_waiting_total{reason="${reason}"}`);
+    const leftMilliseconds = Math.round(this._request.endsAt - this._clock.now());
+    this._log.decision('request.waiting', { request: this._id, noAttempt: reason, leftMilliseconds });
+  }
+
   retried(): void {
     this._metrics.retried(this._request.service);
   }
--- a/src/serving/retryAllowance.ts
+++ b/src/serving/retryAllowance.ts
@@ -12,6 +12,11 @@
 
 /** Parts of the bound that are used, to leave room for what other entries count otherwise. */
 const SAFETY = 0.85;
+/**
+ * Part of this entry's share that is kept for answers that have begun: their callers lose all that they have, while a new
+ * request that is refused at once may come again. No day has measured it; a fifth leaves new requests most of the share.
+ */
+const KEPT_FOR_BEGUN = 0.2;
 const SLICES = 20;
 
 interface Slice {
@@ -39,14 +44,15 @@
     this._current().requests++;
   }
 
-  /** Takes permission for one more arrival of a request; false when there is none. */
-  takeRetry(): boolean {
+  /** Takes permission for one more arrival of a request, whose answer `hasBegun` or not; false when there is none. */
+  takeRetry(hasBegun: boolean): boolean {
     const current = this._current();
     const requests = this._slices.reduce((sum, slice) => sum + slice.requests, 0);
     const retries = this._slices.reduce((sum, slice) => sum + slice.retries, 0);
     const { ratio, slack } = this._bound;
     const allowed = SAFETY * (ratio * requests + slack / Math.max(1, this._entries()));
-    if (retries + 1 > allowed) return false;
+    const open = hasBegun ? allowed : allowed * (1 - KEPT_FOR_BEGUN);
+    if (retries + 1 > open) return false;
     current.retries++;
     return true;
   }
--- a/src/serving/serverNeed.ts
+++ b/src/serving/serverNeed.ts
@@ -13,8 +13,8 @@
   newestVersion: number;
   /** Time within which a first answer is worth most. */
   objectiveMilliseconds: number;
-  /** Whether the request already runs on another server, which is freed sooner if this one takes it. */
-  isHandover: boolean;
+  /** Whether the request is carried over from another server, which it still runs on or which broke its answer off. */
+  isCarriedOver: boolean;
   /** Servers that have been tried for the request. */
   tried: ReadonlySet<string>;
 }
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -56,8 +56,8 @@
 const TIE_PROMPTS = 0.8;
 /** Requests beyond the batch wait for one to end: several times the objective, and with them all that come after. */
 const FULLEST_ENGINE = 1;
-/** Streams that are handed over have been admitted, and keep their server from its next version. */
-const FULLEST_FOR_HANDOVERS = 1.1;
+/** Streams that are handed over or broken off have been admitted, and the first keep their server from its next version. */
+const FULLEST_FOR_CARRIED_OVER = 1.1;
 
 export class ServerPool {
   private readonly _options: ServerPoolOptions;
@@ -200,7 +200,7 @@
     };
   }
 
-  private _cost({ service, isHandover }: ServerNeed): ServiceCost {
+  private _cost({ service, isCarriedOver }: ServerNeed): ServiceCost {
     const engine = this._options.service(service)?.engine;
     if (!engine) return PLAIN_COST;
     const reading = engine.usualPromptTokens / (engine.readTokensPerSecond / 1000);
@@ -210,7 +210,7 @@
       serviceMilliseconds: reading + writing,
       readMilliseconds: reading,
       usualFirstMilliseconds,
-      fullest: isHandover ? FULLEST_FOR_HANDOVERS : FULLEST_ENGINE,
+      fullest: isCarriedOver ? FULLEST_FOR_CARRIED_OVER : FULLEST_ENGINE,
       batchSlowdown: 0,
       tieMilliseconds: reading * TIE_PROMPTS,
     };
--- a/src/serving/streamHandover.ts
+++ b/src/serving/streamHandover.ts
@@ -1,4 +1,5 @@
 /** Moves a stream to another server without a pause: the first server goes on until the second has sent an event. */
+import { judgeAnswer } from './answerJudgement.js';
 import type { AnswerHeaders, BackendCallListener, BackendRequest, CallFailure } from './backendCall.js';
 import { BackendCall } from './backendCall.js';
 import type { HeaderNames } from './headerNames.js';
@@ -20,7 +21,7 @@
 }
 
 /** Time for the first event of the second server: less than entries keep clear of the bound of an older version. */
-const LONGEST_MILLISECONDS = 600;
+export const LONGEST_HANDOVER_MILLISECONDS = 600;
 const SUCCESS = 200;
 
 /** Ends by exactly one of `onReady`, `onFailed` and {@link StreamHandover.cancel}. */
@@ -35,7 +36,7 @@
     this._options = options;
     this._timer = setTimeout(
       () => this._fail({ sent: true, reason: 'handover was silent' }),
-      LONGEST_MILLISECONDS,
+      LONGEST_HANDOVER_MILLISECONDS,
     );
   }
 
@@ -62,9 +63,14 @@
   private _onHead(status: number, headers: AnswerHeaders): void {
     if (this._state !== 'waiting') return;
     const { names, requestId } = this._options;
-    const fits = status === SUCCESS && headers[names.requestId] === requestId;
-    if (fits && headers[names.seal] !== undefined) this._headers = headers;
-    else this._fail({ sent: true, reason: `status ${status} of a handover` });
+    const isOwn = headers[names.requestId] === requestId;
+    if (isOwn && status === SUCCESS && headers[names.seal] !== undefined) {
+      this._headers = headers;
+      return;
+    }
+    const isRejected = isOwn && judgeAnswer(status, headers, names) === 'not-run';
+    const reason = `status ${status} of a handover`;
+    this._fail({ sent: true, reason, rejectedWith: isRejected ? status : undefined });
   }
 
   private _onData(bytes: Buffer): void {
--- a/src/serving/streamRelay.ts
+++ b/src/serving/streamRelay.ts
@@ -12,6 +12,8 @@
   private _lastEventId: string;
   private _begun = false;
   private _heardAt = 0;
+  /** When the server that sends the events now was last heard. */
+  private _serverHeardAt = 0;
   private _firstAt = 0;
   private _longestPause = 0;
 
@@ -41,15 +43,16 @@
     return this._longestPause;
   }
 
-  /** Milliseconds since the last bytes came. */
+  /** Milliseconds since the server that sends the events now was last heard. */
   silentFor(): number {
-    return this._clock.now() - this._heardAt;
+    return this._clock.now() - this._serverHeardAt;
   }
 
   /** Sends the head, unless that of an earlier server has been sent. */
   begin(status: number, headers: AnswerHeaders): void {
+    this._serverHeardAt = this._clock.now();
     if (this._begun) return;
-    this._heardAt = this._clock.now();
+    this._heardAt = this._serverHeardAt;
     this._begun = true;
     this._exchange.begin(status, headers);
   }
@@ -60,6 +63,7 @@
     if (this._firstAt > 0) this._longestPause = Math.max(this._longestPause, now - this._heardAt);
     else this._firstAt = now;
     this._heardAt = now;
+    this._serverHeardAt = now;
     let flows = true;
     for (const event of this._splitter.push(bytes)) {
       if (event.id !== undefined) {
--- a/standins/scriptedBackend.ts
+++ b/standins/scriptedBackend.ts
@@ -33,9 +33,9 @@
     this._server = net.createServer((socket) => this._accept(socket));
   }
 
-  /** Starts listening and returns host:port. */
-  async listen(host = '127.0.0.1'): Promise<string> {
-    await new Promise<void>((resolve) => this._server.listen(0, host, resolve));
+  /** Starts listening, at a free port unless one is named, and returns host:port. */
+  async listen(host = '127.0.0.1', port = 0): Promise<string> {
+    await new Promise<void>((resolve) => this._server.listen(port, host, resolve));
     return `${host}:${(this._server.address() as AddressInfo).port}`;
   }
 
--- a/tests/requestAttempts.spec.ts
+++ b/tests/requestAttempts.spec.ts
@@ -73,3 +73,49 @@
     expect(attemptsAt(standing).takeRetry()).toEqual(why);
   });
 }
+
+/** Attempts of a stream that has begun, the needs that they told the pool, and their clock. */
+function begunStream(found: ServerFound): {
+  attempts: RequestAttempts;
+  needs: ServerNeed[];
+  clock: ManualClock;
+} {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, 0);
+  const needs: ServerNeed[] = [];
+  const pool = { find: (need: ServerNeed) => (needs.push(need), found) };
+  const services = { clock, gate, pool } as unknown as ForwardServices;
+  const retries = new RetryAllowance({ ratio: 0, windowMilliseconds: 10_000, slack: 100 }, clock, () => 1);
+  const route = routeFixture({ attempts: 2, objectiveMilliseconds: 200 });
+  const request = { service: 's', model: 'm', route, retries, endsAt: 60_000 };
+  const attempts = new RequestAttempts(services, request as unknown as AdmittedRequest, () => true);
+  return { attempts, needs, clock };
+}
+
+test('should ask no first answer in time for a stream that has begun, and hold it to the bound of its version', () => {
+  const { attempts, needs, clock } = begunStream(FOUND);
+  attempts.find();
+  attempts.find(true);
+  clock.advance(8_000);
+  attempts.find();
+  expect(needs.map((need) => need.objectiveMilliseconds)).toEqual([Infinity, 600, Infinity]);
+  expect(needs.map((need) => need.isCarriedOver)).toEqual([true, true, true]);
+  expect(needs.map((need) => need.lowestVersion)).toEqual([0, 0, 2]);
+});
+
+test('should ask a server again, after a while, that has not run a stream that has begun', () => {
+  const { attempts, needs, clock } = begunStream(FOUND);
+  const ran = { record: { id: 'server-2' } } as TrackedServer;
+  attempts.noteSent(ran);
+  attempts.noteSent(SERVER);
+  attempts.noteNotRun(SERVER);
+  expect(attempts.takeRetry()).toEqual('all busy');
+  clock.advance(100);
+  expect(attempts.takeRetry()).toEqual(undefined);
+  clock.advance(50);
+  expect(attempts.takeRetry()).toEqual(undefined);
+  expect(needs.map(({ tried }) => [...tried])).toEqual([['server-2', 'server-1'], ['server-2']]);
+  attempts.noteSent(SERVER);
+  expect(attempts.takeRetry()).toEqual('attempts used');
+});
--- a/tests/serverEligibility.spec.ts
+++ b/tests/serverEligibility.spec.ts
@@ -22,7 +22,7 @@
   preferredVersion: 0,
   newestVersion: 2,
   objectiveMilliseconds: 400,
-  isHandover: false,
+  isCarriedOver: false,
   tried: new Set(),
 };
 
--- a/tests/serverPool.spec.ts
+++ b/tests/serverPool.spec.ts
@@ -52,7 +52,7 @@
   return pool;
 }
 
-function need(isHandover: boolean): ServerNeed {
+function need(isCarriedOver: boolean): ServerNeed {
   return {
     service: 'chat',
     model: 'm',
@@ -61,14 +61,14 @@
     preferredVersion: 0,
     newestVersion: 1,
     objectiveMilliseconds: 500,
-    isHandover,
+    isCarriedOver,
     tried: new Set(),
   };
 }
 
 test('should have room on a full server for a stream that is handed over, and for nothing new', () => {
   const kinds = (running: number): string[] =>
-    [false, true].map((isHandover) => poolWithLoad(running).find(need(isHandover)).kind);
+    [false, true].map((isCarriedOver) => poolWithLoad(running).find(need(isCarriedOver)).kind);
   expect(kinds(SLOTS - 1)).toEqual(['found', 'found']);
   expect(kinds(SLOTS)).toEqual(['none', 'found']);
   expect(kinds(SLOTS + 1)).toEqual(['none', 'none']);
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -104,13 +104,27 @@
   const bound = { ratio: 0.2, windowMilliseconds: 10_000, slack: 100 };
   const allowance = new RetryAllowance(bound, clock, () => 5);
   let taken = 0;
-  while (allowance.takeRetry()) taken++;
+  while (allowance.takeRetry(false)) taken++;
+  while (allowance.takeRetry(true)) taken++;
   expect(taken).toEqual(17);
   for (let request = 0; request < 100; request++) allowance.onRequest();
-  while (allowance.takeRetry()) taken++;
+  while (allowance.takeRetry(false)) taken++;
+  while (allowance.takeRetry(true)) taken++;
   expect(taken).toEqual(34);
   clock.advance(10_500);
-  expect(allowance.takeRetry()).toEqual(true);
+  expect(allowance.takeRetry(false)).toEqual(true);
+});
+
+test('should keep a part of the retries for answers that have begun', () => {
+  const clock = new ManualClock();
+  const bound = { ratio: 0.2, windowMilliseconds: 10_000, slack: 100 };
+  const allowance = new RetryAllowance(bound, clock, () => 5);
+  let taken = 0;
+  while (allowance.takeRetry(false)) taken++;
+  expect(taken).toEqual(13);
+  while (allowance.takeRetry(true)) taken++;
+  expect(taken).toEqual(17);
+  expect(allowance.takeRetry(false)).toEqual(false);
 });
 
 test('should cut a stream into whole events, wherever its bytes are cut', () => {
--- a/tests/streamResumption.spec.ts
+++ b/tests/streamResumption.spec.ts
@@ -3,6 +3,9 @@
 import { expect } from 'earl';
 import { answers, chunkOf, events, streamHead } from '../standins/scriptedBackend.js';
 import type { ArrivedRequest, Script } from '../standins/scriptedBackend.js';
+import type { CallerExchange } from '../src/serving/callerExchange.js';
+import { StreamRelay } from '../src/serving/streamRelay.js';
+import { ManualClock } from '../src/utils/clock.js';
 import { GatewayFixture } from './fixtures/gatewayFixture.js';
 import { routeFixture } from './fixtures/servingFixture.js';
 import { until } from './fixtures/until.js';
@@ -17,6 +20,8 @@
 
 const STREAM_ROUTE = routeFixture({ kind: 'stream', resumable: true });
 const STREAM = { routes: [STREAM_ROUTE] };
+/** So many retries that they bound nothing that a test does. */
+const PLENTY = { retrySlack: 10_000 };
 const LAST_EVENT = 5;
 const WHOLE = events(1, 2, 3, 4, 5);
 const rejects = answers({ status: 503, headers: { 'larklatch-not-run': '1' }, seal: null });
@@ -54,7 +59,7 @@
  */
 test('should go on with a begun stream once a server has room that rejected it as not run', async () => {
   const script = inTurn(breaksOff, rejects, rejects, goesOn);
-  await fixture.start([script, script], STREAM);
+  await fixture.start([script, script], STREAM, PLENTY);
   const answer = await fixture.ask();
   expect([answer.body, answer.whole]).toEqual([WHOLE, true]);
   expect(fixture.arrivals).toEqual(4);
@@ -93,3 +98,149 @@
   others.abort();
   expect([answer.body, answer.whole]).toEqual([WHOLE, true]);
 });
+
+/** Whether a line of the log holds all of these. */
+function logged(...parts: string[]): boolean {
+  return fixture.lines.some((line) => parts.every((part) => line.includes(part)));
+}
+
+/** How often the servers were sent a request. */
+function arrivalsOf(id: string): number {
+  const arrived = fixture.backends.flatMap((backend) => backend.arrived);
+  return arrived.filter(({ headers }) => headers.get('larklatch-request-id') === id).length;
+}
+
+test('should go on with a begun stream at a server that had rejected it before it began', async () => {
+  const script = inTurn(rejects, breaksOff, goesOn);
+  await fixture.start([script, script], STREAM, PLENTY);
+  const answer = await fixture.ask();
+  expect([answer.body, answer.whole, fixture.arrivals]).toEqual([WHOLE, true, 3]);
+});
+
+test('should cut a begun stream at once when as many servers have run it as its route allows', async () => {
+  const script = inTurn(breaksOff, breaksOff, goesOn);
+  await fixture.start([script, script, script], STREAM);
+  const answer = await fixture.ask();
+  expect([answer.status, answer.whole, fixture.arrivals]).toEqual([200, false, 2]);
+  expect([logged('request.cut', 'attempts used'), logged('request.waiting')]).toEqual([true, false]);
+});
+
+test('should refuse a stream that has not begun at once, as not run', async () => {
+  await fixture.start([rejects, rejects, rejects], STREAM);
+  const { status, headers } = await fixture.ask();
+  expect([status, headers['retry-after'] !== undefined, fixture.arrivals]).toEqual([503, true, 2]);
+  expect(logged('request.waiting')).toEqual(false);
+});
+
+/** Breaks a first stream off, which is rejected from then on, and lets a second one go on after a wait as long. */
+function onlySecondGoesOn(): Script {
+  const first = inTurn(breaksOff, rejects);
+  const second = inTurn(breaksOff, rejects, goesOn);
+  return (request) => (request.headers.get('larklatch-request-id') === 'request-1' ? first : second)(request);
+}
+
+test('should send nothing more for a stream that waits once its caller has left', async () => {
+  const script = onlySecondGoesOn();
+  await fixture.start([script, script], STREAM, PLENTY);
+  const caller = new AbortController();
+  void fixture.ask({ signal: caller.signal }).catch(() => undefined);
+  await until(() => logged('request.waiting'));
+  caller.abort();
+  await until(() => logged('request.caller-gone'));
+  const sent = arrivalsOf('request-1');
+  const other = await fixture.ask({ headers: { 'larklatch-request-id': 'request-2' } });
+  expect([other.whole, arrivalsOf('request-1')]).toEqual([true, sent]);
+});
+
+test('should cut a stream that waits when its time is over, and send nothing more for it', async () => {
+  const script = onlySecondGoesOn();
+  const routes = [routeFixture({ kind: 'stream', resumable: true, timeoutMilliseconds: 600 })];
+  await fixture.start([script, script], { routes }, PLENTY);
+  const answer = await fixture.ask();
+  expect([answer.status, answer.whole, logged('request.waiting')]).toEqual([200, false, true]);
+  expect(logged('request.cut', '"noAttempt"')).toEqual(true);
+  const sent = arrivalsOf('request-1');
+  const other = await fixture.ask({ headers: { 'larklatch-request-id': 'request-2' } });
+  expect([other.whole, arrivalsOf('request-1')]).toEqual([true, sent]);
+});
+
+test('should end a stream that waits when the entry has stopped', async () => {
+  const script = inTurn(breaksOff, rejects);
+  await fixture.start([script, script], STREAM, PLENTY);
+  const asked = fixture.ask();
+  await until(() => logged('request.waiting'));
+  await fixture.gateway.stop();
+  const answer = await asked;
+  expect([answer.status, answer.whole]).toEqual([200, false]);
+  await until(() => logged('request.caller-gone'));
+});
+
+test('should let a begun stream wait for a server that cannot be reached', async () => {
+  const breaksOffAlone: Script = (request) => {
+    fixture.backends.find((backend) => backend.arrived.length === 0)!.close();
+    breaksOff(request);
+  };
+  const script = inTurn(breaksOffAlone, goesOn);
+  await fixture.start([script, script], STREAM, PLENTY);
+  const asked = fixture.ask();
+  await until(() => logged('request.waiting', 'no server'));
+  const closed = fixture.backends.findIndex((backend) => backend.arrived.length === 0);
+  const found = fixture.lines.find(
+    (line) => line.includes('server.found') && line.includes(`server-${closed}`),
+  );
+  const [, port] = /"address":"127\.0\.0\.1:(\d+)"/.exec(found ?? '') ?? [];
+  await fixture.backends[closed].listen('127.0.0.1', Number(port));
+  const answer = await asked;
+  expect([answer.body, answer.whole]).toEqual([WHOLE, true]);
+});
+
+/** Lets the server switch that has the only request. */
+function switchFirst(): void {
+  const first = fixture.backends.findIndex((backend) => backend.arrived.length === 1);
+  fixture.tellStatus(first, { state: 'switching' });
+  fixture.tellStatus(1 - first, { state: 'serving' });
+}
+
+test('should go on with a stream that breaks off after the server it was to be handed over to rejected it', async () => {
+  let first: ArrivedRequest | undefined;
+  const script = inTurn((request) => begins((first = request)), rejects, goesOn);
+  await fixture.startEngines([script, script], STREAM);
+  const asked = fixture.ask();
+  await until(() => fixture.arrivals === 1);
+  switchFirst();
+  await until(() => logged('request.rejected'));
+  first!.socket.end();
+  const answer = await asked;
+  expect([answer.body, answer.whole, fixture.arrivals]).toEqual([WHOLE, true, 3]);
+});
+
+test('should go on with a stream that breaks off before the server it is to be handed over to rejects it', async () => {
+  let first: ArrivedRequest | undefined;
+  const rejectsLater: Script = (request) => {
+    first!.socket.end();
+    void until(() => logged('request.attempt-failed')).then(() => rejects(request));
+  };
+  const script = inTurn((request) => begins((first = request)), rejectsLater, goesOn);
+  await fixture.startEngines([script, script], STREAM);
+  const asked = fixture.ask();
+  await until(() => fixture.arrivals === 1);
+  switchFirst();
+  const answer = await asked;
+  expect([answer.body, answer.whole, fixture.arrivals]).toEqual([WHOLE, true, 3]);
+});
+
+test('should not take a server for silent that has just answered a stream that waited for it', () => {
+  const clock = new ManualClock();
+  const exchange = { begin: () => undefined, write: () => true } as unknown as CallerExchange;
+  const relay = new StreamRelay(exchange, '', clock);
+  clock.advance(1);
+  relay.begin(200, {});
+  relay.push(Buffer.from(events(1)));
+  clock.advance(2_000);
+  expect(relay.silentFor()).toEqual(2_000);
+  relay.begin(200, {});
+  clock.advance(100);
+  expect(relay.silentFor()).toEqual(100);
+  relay.push(Buffer.from(events(2)));
+  expect([relay.silentFor(), relay.longestPause]).toEqual([0, 2_100]);
+});
