Handovers: what may have run is said so, and what has not is said so too

Cause: looking for the same class (a rule for new requests applied to one that has been admitted) at handovers showed two untrue answers beside it: a handover that was silent was forgotten, so that a later rejection by the first server was told to the caller as not run (503); one that was rejected was taken for a run, so that the caller got 502 for what no server had run. Ruled out: that a stream that may run once is concerned; only resumable ones are handed over.

--- a/tests/streamResumption.spec.ts
+++ b/tests/streamResumption.spec.ts
@@ -229,6 +229,33 @@
   expect([answer.body, answer.whole, fixture.arrivals]).toEqual([WHOLE, true, 3]);
 });
 
+test('should not say that a stream has not run when a handover that was silent may have run it', async () => {
+  let first: ArrivedRequest | undefined;
+  const holds: Script = () => undefined;
+  const script = inTurn((request) => void (first = request), holds);
+  await fixture.startEngines([script, script], STREAM);
+  const asked = fixture.ask();
+  await until(() => fixture.arrivals === 1);
+  switchFirst();
+  await until(() => logged('request.attempt-failed', 'handover was silent'));
+  rejects(first!);
+  expect([(await asked).status, fixture.arrivals]).toEqual([502, 2]);
+});
+
+test('should say that a stream has not run which both its server and the one of its handover rejected', async () => {
+  let first: ArrivedRequest | undefined;
+  const bothReject: Script = (request) => {
+    rejects(first!);
+    void until(() => logged('request.rejected')).then(() => rejects(request));
+  };
+  const script = inTurn((request) => void (first = request), bothReject);
+  await fixture.startEngines([script, script], STREAM);
+  const asked = fixture.ask();
+  await until(() => fixture.arrivals === 1);
+  switchFirst();
+  expect([(await asked).status, fixture.arrivals]).toEqual([503, 2]);
+});
+
 test('should not take a server for silent that has just answered a stream that waited for it', () => {
   const clock = new ManualClock();
   const exchange = { begin: () => undefined, write: () => true } as unknown as CallerExchange;
