--- a/src/serving/requestTrace.ts
+++ b/src/serving/requestTrace.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../utils/clock.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { CallFailure } from './backendCall.js';
+import type { NoAttempt } from './noAttempt.js';
 import type { ServingMetrics } from '../telemetry/servingMetrics.js';
 import type { StreamRelay } from './streamRelay.js';
 import type { TrackedServer } from './trackedServer.js';
@@ -10,6 +11,9 @@
 /** How a request ended. */
 export type RequestOutcome = 'answered' | 'refused' | 'failed' | 'cut' | 'caller-gone';
 
+/** What else is logged of an end. */
+export type EndFields = Record<string, string | number | boolean | undefined>;
+
 export class RequestTrace {
   private readonly _request: AdmittedRequest;
   private readonly _log: EventLog;
@@ -17,6 +21,7 @@
   private readonly _clock: Clock;
   private readonly _startedAt: number;
   private _stays = false;
+  private _waitsFor: NoAttempt | undefined;
 
   constructor(request: AdmittedRequest, log: EventLog, metrics: ServingMetrics, clock: Clock) {
     this._request = request;
@@ -27,6 +32,7 @@
   }
 
   sent(server: TrackedServer, attempt: number): void {
+    this._waitsFor = undefined;
     const now = this._clock.now();
     const { statusAge } = server;
     if (statusAge !== undefined) this._metrics.loadUsed(server.record.service, statusAge);
@@ -56,6 +62,17 @@
     });
   }
 
+  /** The request has not begun, and may not begin on the version of `server` any more. */
+  takenBack(server: TrackedServer): void {
+    this._log.decision('request.taken-back', {
+      request: this._id,
+      server: server.record.id,
+      version: server.version(this._request.model),
+      slowLink: server.slowLink,
+      agentSilent: server.agentSilent,
+    });
+  }
+
   /** A stream stays at a server that is about to change its version; logged once. */
   notHandedOver(server: TrackedServer, reason: string): void {
     if (this._stays) return;
@@ -64,16 +81,20 @@
     this._log.decision('request.not-handed-over', { request: this._id, server: server.record.id, reason });
   }
 
+  /** A stream that has begun waits until it can go on elsewhere; logged once for each reason. */
+  waiting(reason: NoAttempt): void {
+    if (this._waitsFor === reason) return;
+    this._waitsFor = reason;
+    this._metrics.count(`streams_waiting_total{reason="${reason}"}`);
+    const leftMilliseconds = Math.round(this._request.endsAt - this._clock.now());
+    this._log.decision('request.waiting', { request: this._id, noAttempt: reason, leftMilliseconds });
+  }
+
   retried(): void {
     this._metrics.retried(this._request.service);
   }
 
-  ended(
-    outcome: RequestOutcome,
-    attempts: number,
-    fields: Record<string, string | number | boolean>,
-    stream: StreamRelay | undefined,
-  ): void {
+  ended(outcome: RequestOutcome, attempts: number, fields: EndFields, stream: StreamRelay | undefined): void {
     const milliseconds = Math.round(this._clock.now() - this._startedAt);
     this._metrics.requestEnded(this._request.service, outcome, milliseconds);
     const { name: route, objectiveMilliseconds } = this._request.route;
--- a/tests/requestAttempts.spec.ts
+++ b/tests/requestAttempts.spec.ts
@@ -3,8 +3,11 @@
 import { expect } from 'earl';
 import type { AdmittedRequest } from '../src/serving/admittedRequest.js';
 import type { ForwardServices } from '../src/serving/forwardServices.js';
+import type { NoAttempt } from '../src/serving/noAttempt.js';
 import { RequestAttempts } from '../src/serving/requestAttempts.js';
+import { RetryAllowance } from '../src/serving/retryAllowance.js';
 import type { ServerNeed } from '../src/serving/serverNeed.js';
+import type { ServerFound } from '../src/serving/serverPool.js';
 import type { TrackedServer } from '../src/serving/trackedServer.js';
 import { VersionGate } from '../src/serving/versionGate.js';
 import { ManualClock } from '../src/utils/clock.js';
@@ -47,3 +50,87 @@
   clock.advance(1_500);
   expect(attempts.mayBeginTooLate(server)).toEqual(true);
 });
+
+const SERVER = { record: { id: 'server-1' } } as TrackedServer;
+const FOUND: ServerFound = { kind: 'found', server: SERVER };
+
+interface Standing {
+  found?: ServerFound;
+  slack?: number;
+  sent?: number;
+  left?: number;
+}
+
+/** Attempts of a request to which its route allows two, and how things stand for it. */
+function attemptsAt({ found = FOUND, slack = 100, sent = 1, left = 1_000 }: Standing): RequestAttempts {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  const pool = { find: () => found };
+  const services = { clock, gate, pool } as unknown as ForwardServices;
+  const retries = new RetryAllowance({ ratio: 0, windowMilliseconds: 10_000, slack }, clock, () => 1);
+  const endsAt = clock.now() + left;
+  const request = { service: 's', model: 'm', route: routeFixture({ attempts: 2 }), retries, endsAt };
+  const attempts = new RequestAttempts(services, request as unknown as AdmittedRequest);
+  for (let attempt = 0; attempt < sent; attempt++) attempts.noteSent(SERVER);
+  return attempts;
+}
+
+for (const [why, standing] of [
+  [undefined, {}],
+  ['attempts used', { sent: 2 }],
+  ['retry budget', { slack: 0 }],
+  ['no server', { found: { kind: 'none', reason: 'no-server' } }],
+  ['all busy', { found: { kind: 'none', reason: 'all-busy' } }],
+  ['old version', { found: { kind: 'none', reason: 'old-version' } }],
+  ['time', { left: 30 }],
+] as const satisfies readonly (readonly [NoAttempt | undefined, Standing])[]) {
+  test(`should say why there is no next attempt: ${why ?? 'there is one'}`, () => {
+    expect(attemptsAt(standing).takeRetry()).toEqual(why);
+  });
+}
+
+/** Attempts of a stream that has begun, the needs that they told the pool, and their clock. */
+function begunStream(found: ServerFound): {
+  attempts: RequestAttempts;
+  needs: ServerNeed[];
+  clock: ManualClock;
+} {
+  const clock = new ManualClock();
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  gate.note('m', 2, 0);
+  const needs: ServerNeed[] = [];
+  const pool = { find: (need: ServerNeed) => (needs.push(need), found) };
+  const services = { clock, gate, pool } as unknown as ForwardServices;
+  const retries = new RetryAllowance({ ratio: 0, windowMilliseconds: 10_000, slack: 100 }, clock, () => 1);
+  const route = routeFixture({ attempts: 2, objectiveMilliseconds: 200 });
+  const request = { service: 's', model: 'm', route, retries, endsAt: 60_000 };
+  const attempts = new RequestAttempts(services, request as unknown as AdmittedRequest, () => true);
+  return { attempts, needs, clock };
+}
+
+test('should ask no first answer in time for a stream that has begun, and hold it to the bound of its version', () => {
+  const { attempts, needs, clock } = begunStream(FOUND);
+  attempts.find();
+  attempts.find(true);
+  clock.advance(8_000);
+  attempts.find();
+  expect(needs.map((need) => need.objectiveMilliseconds)).toEqual([Infinity, 600, Infinity]);
+  expect(needs.map((need) => need.isCarriedOver)).toEqual([true, true, true]);
+  expect(needs.map((need) => need.lowestVersion)).toEqual([0, 0, 2]);
+});
+
+test('should ask a server again, after a while, that has not run a stream that has begun', () => {
+  const { attempts, needs, clock } = begunStream(FOUND);
+  const ran = { record: { id: 'server-2' } } as TrackedServer;
+  attempts.noteSent(ran);
+  attempts.noteSent(SERVER);
+  attempts.noteNotRun(SERVER);
+  expect(attempts.takeRetry()).toEqual('all busy');
+  clock.advance(100);
+  expect(attempts.takeRetry()).toEqual(undefined);
+  clock.advance(50);
+  expect(attempts.takeRetry()).toEqual(undefined);
+  expect(needs.map(({ tried }) => [...tried])).toEqual([['server-2', 'server-1'], ['server-2']]);
+  attempts.noteSent(SERVER);
+  expect(attempts.takeRetry()).toEqual('attempts used');
+});
