Judge the link of a box only by time in which chunks were on their way

Cause: the time in which there was nothing to fetch counted as time in which chunks came slowly. While the origin was dark every box told entries that its link was narrow. And a link that became narrow midway showed seconds later, since the mean ran from the beginning. Change: LinkRate takes the place of narrowLink: time with two fetches or more on their way counts, the older the less; all versions on their way count, not only the newest.

--- a/src/staging/stageQueue.ts
+++ b/src/staging/stageQueue.ts
@@ -53,9 +53,9 @@
     return this._stages;
   }
 
-  /** Whether the newest version comes so slowly that the link must be narrow. */
+  /** Whether a version comes so slowly that the link must be narrow. */
   get isSlow(): boolean {
-    return this._stages.at(-1)?.isSlow ?? false;
+    return this._stages.some((stage) => stage.isSlow);
   }
 
   /** The oldest stage of a version newer than `version`. */
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -10,7 +10,7 @@
 import { ChunkStager } from './chunkStager.js';
 import { DrawProgress, drawOrder, drawerOf } from './drawSchedule.js';
 import type { LocalBackend } from './localBackend.js';
-import { isNarrowLink } from './narrowLink.js';
+import { LinkRate } from './linkRate.js';
 import { ScarceChunks } from './scarceChunks.js';
 import { connectedPeers } from './switchGroup.js';
 
@@ -55,6 +55,7 @@
   private readonly _stager: ChunkStager;
   private readonly _seen = new Set<number>();
   private readonly _startedAt: number;
+  private readonly _linkRate: LinkRate;
   private _members: readonly Member[];
   /** Boxes that draw, in all data centres and in this one, in their order. */
   private _order: readonly string[] = [];
@@ -74,6 +75,7 @@
     this.namedAt = options.namedAt;
     this._members = options.members;
     this._startedAt = options.clock.now();
+    this._linkRate = new LinkRate(options.bytesPerSecond, this._startedAt);
     this.index = new ManifestIndex(options.manifest);
     this._progress = new DrawProgress(this.index.chunkCount, this._startedAt);
     this._stager = new ChunkStager(options.backend, options.model, this.index, options.log);
@@ -114,16 +116,9 @@
     return count === 0 ? Number.POSITIVE_INFINITY : (elapsed * (size - count)) / count;
   }
 
-  /** Whether chunks come much more slowly than the box may take them, or came so until a moment ago. */
+  /** Whether the link is narrow on which chunks come, or was until a moment ago. */
   get isSlow(): boolean {
-    const { originBytes, peerBytes, crossDataCentreBytes } = this.exchange.counts;
-    const transfer = {
-      startedAt: this._startedAt,
-      completedAt: this._completedAt,
-      receivedBytes: originBytes + peerBytes + crossDataCentreBytes,
-      bytesPerSecond: this._options.bytesPerSecond,
-    };
-    return isNarrowLink(transfer, this._options.clock.now());
+    return this._linkRate.isNarrow(this._options.clock.now());
   }
 
   /** Lets the chunks lie before the backend server from now on. */
@@ -135,8 +130,8 @@
   async start(adopt: boolean): Promise<void> {
     this.exchange.start();
     if (adopt) await this._adopt();
-    this._drawTimer = setInterval(() => this._draw(), DRAW_INTERVAL_MILLISECONDS);
-    this._draw();
+    this._drawTimer = setInterval(() => this._tick(), DRAW_INTERVAL_MILLISECONDS);
+    this._tick();
   }
 
   updateMembers(members: readonly Member[]): void {
@@ -174,9 +169,20 @@
     }
   }
 
+  private _tick(): void {
+    if (this.complete) return clearInterval(this._drawTimer);
+    this._noteLink();
+    this._draw();
+  }
+
+  private _noteLink(): void {
+    const { originBytes, peerBytes, crossDataCentreBytes } = this.exchange.counts;
+    const receivedBytes = originBytes + peerBytes + crossDataCentreBytes;
+    this._linkRate.note(this._options.clock.now(), receivedBytes, this.exchange.fetching);
+  }
+
   /** Draws what is nowhere and whose turn is ours. */
   private _draw(): void {
-    if (this.complete) return clearInterval(this._drawTimer);
     if (!this._options.mayDraw()) return;
     this._drawScarce();
     const now = this._options.clock.now();
@@ -245,6 +251,7 @@
     }
     if (!this.complete || this._completedAt < Number.POSITIVE_INFINITY) return;
     this._completedAt = this._options.clock.now();
+    this._linkRate.complete(this._completedAt);
     const { counts } = this.exchange;
     this._options.log.state('version.whole', {
       model: this.model,
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -77,6 +77,11 @@
     return this._fetcher.fetching > 0;
   }
 
+  /** Chunks that are on their way from other boxes. */
+  get fetching(): number {
+    return this._fetcher.fetching;
+  }
+
   /** Granted draws that have not ended, in order. */
   get openDraws(): readonly number[] {
     return this._drawer.open;
