--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -111,8 +111,7 @@
     server.health.noteFirstAnswer(this._current.waited);
     const version = Number(headers[names.version]);
     if (model !== '' && version > 0) server.noteVersion(model, version);
-    const sealed = headers[names.seal] !== undefined;
-    this._received.onHead(status, headers, sealed);
+    this._received.onHead(status, headers, headers[names.seal] !== undefined);
   }
 
   private _onData(bytes: Buffer): void {
@@ -237,7 +236,8 @@
       stream: this._relay !== undefined,
       streamSilentFor: this._received.answer && this._relay?.begun ? this._relay.silentFor() : undefined,
     });
-    if (!silent || this._takeRetry()) return;
+    const isRefused = silent && this._takeRetry() !== undefined;
+    if (!silent || isRefused) return;
     this._current.end('silent');
     this._mayHaveRun = true;
     server.health.note('silent');
--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -1,6 +1,12 @@
 /** Which versions of a model may still begin requests. */
 import type { HeardVersion, WantedVersion } from '../protocol/boxMessages.js';
-import { LAST_SEND_MARGIN_MILLISECONDS } from '../protocol/versionMargins.js';
+import {
+  LAST_SEND_MARGIN_MILLISECONDS,
+  PREFERRED_MARGIN_MILLISECONDS,
+  SLOW_SEND_MARGIN_MILLISECONDS,
+  SLOW_TAKE_BACK_MARGIN_MILLISECONDS,
+  TAKE_BACK_MARGIN_MILLISECONDS,
+} from '../protocol/versionMargins.js';
 import type { Clock } from '../utils/clock.js';
 
 /** Bounds of a version change, in milliseconds. */
@@ -11,18 +17,6 @@
   contactMilliseconds: number;
 }
 
-/** Servers that answer late, or are not heard, get nothing on an older version for longer than others. */
-const SLOW_MARGIN_MILLISECONDS = 1_500;
-/**
- * A request that has not begun on an older version is taken back this long before the bound. An engine reads prompts in passes,
- * and one that it has picked up begins at the end of its pass, whatever becomes of its connection: 190 ms after the reset in a
- * case seen, and up to 500 ms where eight prompts of the mean size wait (45 ms each) beside a large one.
- */
-const TAKE_BACK_MARGIN_MILLISECONDS = 500;
-/** The same where the request, and the reset behind it, may lie on the way: 2.7 s were seen on a link squeezed to a fifth. */
-const SLOW_TAKE_BACK_MARGIN_MILLISECONDS = 2_000;
-/** Servers of older versions are avoided this long before the bound: before, most of them are of an older one. */
-const PREFERRED_MARGIN_MILLISECONDS = 3_000;
 /** The version of a model before any other is named. */
 const FIRST_VERSION = 1;
 /** Versions of one model that are remembered. */
@@ -97,7 +91,7 @@
    * begin.
    */
   lowest(model: string, slow = false): number {
-    const margin = slow ? SLOW_MARGIN_MILLISECONDS : LAST_SEND_MARGIN_MILLISECONDS;
+    const margin = slow ? SLOW_SEND_MARGIN_MILLISECONDS : LAST_SEND_MARGIN_MILLISECONDS;
     return this._dueAfter(model, this._bounds.switchMilliseconds - margin);
   }
 
