The first word of the own source counts from its earliest time, also where an agent was quicker

A listing may bring a version that was named up to 1.5 s before; an entry that had heard of it from an agent some milliseconds sooner would have counted from there. Found by reading; the test fails without the change.

--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -30,6 +30,8 @@
   knownAt: number;
   /** When the first process heard of it whose word has come here. */
   heardAt: number;
+  /** Whether the own source has told it: only its first word says what time may have passed before. */
+  isNoted: boolean;
 }
 
 /** Versions of a model only rise, but the news of them may come in any order, and from several sides. */
@@ -56,7 +58,11 @@
     const now = this._clock.now();
     const contactSince = Number.isFinite(lateMilliseconds) ? now : this._startedAt;
     const knownAt = Math.max(now - lateMilliseconds, this._earliestThatCounts(contactSince));
-    return this._find(model, version) === undefined && this._add(model, { version, knownAt, heardAt: now });
+    const known = this._find(model, version);
+    if (!known) return this._add(model, { version, knownAt, heardAt: now, isNoted: true });
+    if (!known.isNoted) known.knownAt = Math.min(known.knownAt, knownAt);
+    known.isNoted = true;
+    return false;
   }
 
   /**
@@ -69,7 +75,7 @@
     const heardAt = now - heardMilliseconds;
     const knownAt = Math.max(heardAt, this._earliestThatCounts(now));
     const known = this._find(model, version);
-    if (!known) return this._add(model, { version, knownAt, heardAt });
+    if (!known) return this._add(model, { version, knownAt, heardAt, isNoted: false });
     known.knownAt = Math.min(known.knownAt, knownAt);
     known.heardAt = Math.min(known.heardAt, heardAt);
     return false;
--- a/tests/versionGate.spec.ts
+++ b/tests/versionGate.spec.ts
@@ -191,3 +191,12 @@
   clock.advance(2_501);
   expect(gate.lowestToBegin('m')).toEqual(2);
 });
+
+test('should count from the earliest time by its own source, also where an agent tells it first', () => {
+  const clock = new ManualClock();
+  clock.advance(20_000);
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  gate.noteHeard({ model: 'm', version: 2, heardMilliseconds: 20 });
+  gate.note('m', 2, 1_500);
+  expect(gate.wanted('m').knownMilliseconds).toEqual(1_500);
+});
