--- a/tests/entryDirectory.spec.ts
+++ b/tests/entryDirectory.spec.ts
@@ -8,6 +8,7 @@
 import { LONGEST_GATHER_MILLISECONDS } from '../src/staging/connectedEntries.js';
 import { PEER_TIMEOUT_MILLISECONDS, asking } from './fixtures/askingDirectory.js';
 import { DirectoryFixture } from './fixtures/directoryFixture.js';
+import { HoldingRelay } from './fixtures/holdingRelay.js';
 import { until } from './fixtures/until.js';
 
 let fixture: DirectoryFixture;
@@ -65,6 +66,25 @@
   expect(directory.addressesFor('north')).toEqual(['a:80']);
 });
 
+test('should not name an entry that falls silent while none of its connections ends', async () => {
+  // short, so that the test is; an entry whose connections a busy machine loses connects and is named again
+  const short = new DirectoryFixture(1_000);
+  const [own, silent, live] = ['a', 'b', 'c'].map((box) => short.addEntry(box));
+  const agents = await short.addAgents(4);
+  const relays = agents.map(({ address }) => new HoldingRelay(address));
+  const ways = await Promise.all(relays.map(async (relay) => await relay.listen()));
+  try {
+    for (const each of [own, live]) each.select(agents);
+    silent.select(agents.map((agent, index) => ({ ...agent, address: ways[index] })));
+    await until(() => own.names('b') && own.names('c') && silent.links.connected === agents.length);
+    for (const relay of relays) relay.hold();
+    await until(() => !own.names('b') && own.names('c'));
+  } finally {
+    short.stop();
+    for (const relay of relays) relay.close();
+  }
+});
+
 test('should forget nothing when an agent is passed over and asked again at once', async () => {
   const [own, other] = [fixture.addEntry('a'), fixture.addEntry('b')];
   const agents = await fixture.addAgents(9);
--- a/tests/requestAttempts.spec.ts
+++ b/tests/requestAttempts.spec.ts
@@ -59,10 +59,12 @@
   slack?: number;
   sent?: number;
   left?: number;
+  begun?: boolean;
 }
 
 /** Attempts of a request to which its route allows two, and how things stand for it. */
-function attemptsAt({ found = FOUND, slack = 100, sent = 1, left = 1_000 }: Standing): RequestAttempts {
+function attemptsAt(standing: Standing): RequestAttempts {
+  const { found = FOUND, slack = 100, sent = 1, left = 1_000, begun = false } = standing;
   const clock = new ManualClock();
   const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
   const pool = { find: () => found };
@@ -70,7 +72,7 @@
   const retries = new RetryAllowance({ ratio: 0, windowMilliseconds: 10_000, slack }, clock, () => 1);
   const endsAt = clock.now() + left;
   const request = { service: 's', model: 'm', route: routeFixture({ attempts: 2 }), retries, endsAt };
-  const attempts = new RequestAttempts(services, request as unknown as AdmittedRequest);
+  const attempts = new RequestAttempts(services, request as unknown as AdmittedRequest, () => begun);
   for (let attempt = 0; attempt < sent; attempt++) attempts.noteSent(SERVER);
   return attempts;
 }
@@ -134,3 +136,10 @@
   attempts.noteSent(SERVER);
   expect(attempts.takeRetry()).toEqual('attempts used');
 });
+
+test('should let a stream that has begun have the retries that are kept from new requests', () => {
+  // one retry is within the whole share of the entry, and beyond the part that new requests may use
+  const slack = 1.3;
+  const [fresh, begun] = [false, true].map((hasBegun) => attemptsAt({ slack, begun: hasBegun }));
+  expect([fresh.takeRetry(), begun.takeRetry()]).toEqual(['retry budget', undefined]);
+});
--- a/tests/serverPool.spec.ts
+++ b/tests/serverPool.spec.ts
@@ -4,6 +4,7 @@
 import type { ServerNeed } from '../src/serving/serverNeed.js';
 import { ServerPool } from '../src/serving/serverPool.js';
 import type { ServiceDescription } from '../src/serving/servingConfiguration.js';
+import { SLOW_LINK_MILLISECONDS } from '../src/serving/trackedServer.js';
 import { EventLog } from '../src/telemetry/eventLog.js';
 import { ManualClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
@@ -23,8 +24,8 @@
   origin: undefined,
 };
 
-/** A pool with one server on which `running` requests run. */
-function poolWithLoad(running: number): ServerPool {
+/** A pool with one server on which `running` requests run, and to whose box a round trip takes so long. */
+function poolWithLoad(running: number, delayMilliseconds = 0): ServerPool {
   const clock = new ManualClock();
   clock.advance(10_000);
   const pool = new ServerPool({
@@ -36,6 +37,7 @@
     entries: () => 1,
     entriesNear: () => 1,
     isRouted: () => true,
+    linkDelay: (host) => (host === '127.0.0.1' ? delayMilliseconds : 0),
   });
   const models = [{ name: 'm', version: 1 }];
   const place = { address: '127.0.0.1:1', dataCentre: 'north', slots: SLOTS, draining: false };
@@ -73,3 +75,12 @@
   expect(kinds(SLOTS)).toEqual(['none', 'found']);
   expect(kinds(SLOTS + 1)).toEqual(['none', 'none']);
 });
+
+test('should hold a link for slow on which round trips to the box of a server take long', () => {
+  const slow = [SLOW_LINK_MILLISECONDS, SLOW_LINK_MILLISECONDS + 1].map((delayMilliseconds) =>
+    poolWithLoad(0, delayMilliseconds)
+      .all()
+      .map(({ slowLink }) => slowLink),
+  );
+  expect(slow).toEqual([[false], [true]]);
+});
--- a/tests/stagingFleet.spec.ts
+++ b/tests/stagingFleet.spec.ts
@@ -1,7 +1,8 @@
 /** Versions on their way to model servers, with faults at each step: agents as on the platform, in one process. */
 import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
-import { CHUNKS, StagingFixture } from './fixtures/stagingFixture.js';
+import type { Message } from '../src/protocol/message.js';
+import { CHUNKS, MODEL, StagingFixture } from './fixtures/stagingFixture.js';
 import { until } from './fixtures/until.js';
 
 let fixture: StagingFixture;
@@ -126,3 +127,39 @@
   await until(() => fixture.allServe(2));
   expect(fixture.takenUnwhole).toEqual([]);
 });
+
+/** A version that an entry has heard of just now. */
+const HEARD = { model: MODEL, version: 7, heardMilliseconds: 0 };
+
+/** The versions that an agent told an entry by these messages. */
+function told(messages: readonly Message[]): number[] {
+  const news = messages.flatMap((message) => (message.type === 'versions-heard' ? message.versions : []));
+  return news.map(({ version }) => version);
+}
+
+test('should pass on to other entries which versions an entry has heard of', async () => {
+  await fixture.start(1);
+  const [box] = fixture.boxes;
+  const messages: Message[] = [];
+  const listen = await fixture.connectAsEntry(box, (message) => void messages.push(message));
+  listen({});
+  await until(() => messages.some(({ type }) => type === 'box-status'));
+  const tell = await fixture.connectAsEntry(box, () => undefined);
+  tell({ hearsStatus: false, heard: [HEARD] });
+  await until(() => told(messages).includes(HEARD.version));
+});
+
+test('should tell an entry that connects which versions others have heard of before', async () => {
+  await fixture.start(1);
+  const [box] = fixture.boxes;
+  const answers: Message[] = [];
+  const tell = await fixture.connectAsEntry(box, (message) => void answers.push(message));
+  tell({ hearsStatus: false, heard: [HEARD] });
+  // answered with a status, which shows that the agent has taken what came before
+  tell({ hearsStatus: true });
+  await until(() => answers.some(({ type }) => type === 'box-status'));
+  const messages: Message[] = [];
+  const listen = await fixture.connectAsEntry(box, (message) => void messages.push(message));
+  listen({});
+  await until(() => told(messages).includes(HEARD.version));
+});
