--- a/tests/stagingFleet.spec.ts
+++ b/tests/stagingFleet.spec.ts
@@ -1,6 +1,7 @@
 /** Versions on their way to model servers, with faults at each step: agents as on the platform, in one process. */
 import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
+import type { EntryList } from '../src/protocol/boxMessages.js';
 import type { Message } from '../src/protocol/message.js';
 import { CHUNKS, MODEL, StagingFixture } from './fixtures/stagingFixture.js';
 import { until } from './fixtures/until.js';
@@ -163,3 +164,16 @@
   listen({});
   await until(() => told(messages).includes(HEARD.version));
 });
+
+test('should tell an entry that another one is gone when the connection of that has ended', async () => {
+  await fixture.start(1);
+  const [box] = fixture.boxes;
+  const lists: EntryList[] = [];
+  const listen = await fixture.connectAsEntry(box, (message) => {
+    if (message.type === 'entry-list') lists.push(message);
+  });
+  listen({ hearsEntries: true });
+  await until(() => lists.some(({ entries }) => entries.some((entry) => entry.box === 'entry')));
+  box.entry?.close('the test ends it');
+  await until(() => lists.some(({ gone }) => gone.includes('entry')));
+});
