--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -114,14 +114,12 @@
 
   /** Whether the server is between two versions and takes no requests. */
   get switching(): boolean {
-    const fresh = this._clock.now() - this._statusAt < STATUS_LIFETIME_MILLISECONDS;
-    return fresh && this._status?.state === 'switching';
+    return this._freshStatus?.state === 'switching';
   }
 
   /** Whether the server is about to change its version. */
   get preparing(): boolean {
-    const fresh = this._clock.now() - this._statusAt < STATUS_LIFETIME_MILLISECONDS;
-    return fresh && this._status?.state === 'preparing';
+    return this._freshStatus?.state === 'preparing';
   }
 
   /** Milliseconds since the agent beside the server told how it stands; undefined when it never has. */
@@ -136,7 +134,7 @@
 
   /** Whether the link of the server's box is narrow, or what is sent to the box lies on its way. */
   get slowLink(): boolean {
-    return this._status?.slowLink === true || this._linkDelay() > SLOW_LINK_MILLISECONDS;
+    return this._freshStatus?.slowLink === true || this._linkDelay() > SLOW_LINK_MILLISECONDS;
   }
 
   /** Milliseconds for which the server has been between two versions, 0 when it is not. */
@@ -175,4 +173,10 @@
   get suspicious(): boolean {
     return this.silentFor > SUSPICIOUS_SILENCE_MILLISECONDS;
   }
+
+  /** What the agent has told lately: of a lost agent nothing is known, not what it said last. */
+  private get _freshStatus(): BoxStatus | undefined {
+    const isFresh = this._clock.now() - this._statusAt < STATUS_LIFETIME_MILLISECONDS;
+    return isFresh ? this._status : undefined;
+  }
 }
--- a/tests/trackedServer.spec.ts
+++ b/tests/trackedServer.spec.ts
@@ -104,3 +104,14 @@
   delay = 401;
   expect([server.slowLink, server.beginsSoon]).toEqual([true, false]);
 });
+
+test('should not call a link slow for ever by the last word of a lost agent', () => {
+  const clock = new ManualClock();
+  const server = trackedServer(clock);
+  const status = { type: 'box-status', state: 'serving', version: 1, running: 0, queued: 0 } as const;
+  server.noteStatus({ ...status, model: 'model', slowLink: true });
+  clock.advance(1_999);
+  expect(server.slowLink).toEqual(true);
+  clock.advance(1);
+  expect([server.slowLink, server.agentSilent]).toEqual([false, true]);
+});
