--- a/src/serving/agentReports.ts
+++ b/src/serving/agentReports.ts
@@ -2,16 +2,16 @@
 import type { EntryAddress, EntryList } from '../protocol/boxMessages.js';
 import { noticedWithin } from '../protocol/silence.js';
 import type { Clock } from '../utils/clock.js';
-import type { Witness } from './liveEntryLog.js';
+import type { LivenessEvidence } from './liveEntryLog.js';
 
 /** The connection to an agent, as far as the age of its word is concerned. */
-export interface AgentVoice {
+export interface AgentActivity {
   /** Milliseconds since anything came from the agent. */
   readonly silentMilliseconds: number;
 }
 
 interface Subscription {
-  voice: AgentVoice;
+  activity: AgentActivity;
   /** Entries by box; undefined until the whole list has come. */
   entries: Map<string, EntryAddress> | undefined;
   /** Monotonic milliseconds of the last list. */
@@ -34,15 +34,15 @@
   }
 
   /** The agent on `box` has been asked; what it told before, on whatever connection, no longer counts. */
-  ask(box: string, voice: AgentVoice): void {
-    this._subscriptions.set(box, { voice, entries: undefined, heardAt: Number.NEGATIVE_INFINITY });
+  ask(box: string, activity: AgentActivity): void {
+    this._subscriptions.set(box, { activity, entries: undefined, heardAt: Number.NEGATIVE_INFINITY });
   }
 
-  /** The agent is no longer asked or connected. Returns its voice if it had a report. */
-  end(box: string): AgentVoice | undefined {
+  /** The agent is no longer asked or connected. Returns its activity if it had a report. */
+  end(box: string): AgentActivity | undefined {
     const ended = this._subscriptions.get(box);
     this._subscriptions.delete(box);
-    return ended?.entries && ended.voice;
+    return ended?.entries && ended.activity;
   }
 
   /** Takes a list; one that nobody asked for, or that tells changes of a list that has not come, is passed over. */
@@ -77,7 +77,7 @@
   }
 
   /** Which reports name the entry on `box`. */
-  witnessOf(box: string): Witness {
+  evidenceOf(box: string): LivenessEvidence {
     const naming = [...this._subscriptions].filter(
       ([, subscription]) => this._counts(subscription) && subscription.entries?.has(box),
     );
@@ -91,7 +91,7 @@
     return [...this._subscriptions.values()].filter((subscription) => this._counts(subscription));
   }
 
-  private _counts({ entries, voice }: Subscription): boolean {
-    return entries !== undefined && voice.silentMilliseconds <= this._longestSilence;
+  private _counts({ entries, activity }: Subscription): boolean {
+    return entries !== undefined && activity.silentMilliseconds <= this._longestSilence;
   }
 }
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -14,9 +14,9 @@
 import type { Clock } from '../utils/clock.js';
 import { orderAcrossDataCentres } from '../utils/dataCentreOrder.js';
 import { compareText } from '../utils/rendezvous.js';
-import type { AgentVoice } from './agentReports.js';
+import type { AgentActivity } from './agentReports.js';
 import { AgentReports } from './agentReports.js';
-import type { Witness } from './liveEntryLog.js';
+import type { LivenessEvidence } from './liveEntryLog.js';
 import { LiveEntryLog } from './liveEntryLog.js';
 import { SharingEntries } from './sharingEntries.js';
 
@@ -68,17 +68,17 @@
   }
 
   /** The agent on `box` is asked from now on; its whole list follows. */
-  ask(box: string, voice: AgentVoice): void {
-    this._reports.ask(box, voice);
+  ask(box: string, activity: AgentActivity): void {
+    this._reports.ask(box, activity);
     this._workOut();
   }
 
   /** The agent on `box` is no longer asked or connected: what it told no longer counts. */
   endAsking(box: string): void {
     this._refresh();
-    const voice = this._reports.end(box);
+    const activity = this._reports.end(box);
     const isLast = this._reports.counted().length === 0;
-    const lastWordAt = voice && this._clock.now() - voice.silentMilliseconds;
+    const lastWordAt = activity && this._clock.now() - activity.silentMilliseconds;
     if (lastWordAt !== undefined && isLast) this._lastWordAt = Math.max(this._lastWordAt, lastWordAt);
     this._workOut();
   }
@@ -152,7 +152,7 @@
     if (this._reports.counted().length > 0) this._takeReports();
     else this._known = this._withOwn(this._told);
     this._live = this._liveFor === '' ? this._withOwn([]) : this._known;
-    this._liveLog.note(this._witnesses());
+    this._liveLog.note(this._evidence());
   }
 
   private _takeReports(): void {
@@ -170,8 +170,8 @@
   }
 
   /** Why each live entry is held for live, this one excluded. */
-  private _witnesses(): Map<string, Witness> {
+  private _evidence(): Map<string, LivenessEvidence> {
     const others = this._live.filter(({ box }) => box !== this._own.box);
-    return new Map(others.map(({ box }) => [box, this._reports.witnessOf(box)]));
+    return new Map(others.map(({ box }) => [box, this._reports.evidenceOf(box)]));
   }
 }
--- a/src/serving/liveEntryLog.ts
+++ b/src/serving/liveEntryLog.ts
@@ -3,14 +3,14 @@
 import type { Clock } from '../utils/clock.js';
 
 /** Why an entry is held for live. */
-export interface Witness {
+export interface LivenessEvidence {
   /** Boxes of the agents that name it; none while it is only remembered. */
   agents: readonly string[];
   /** Monotonic milliseconds of the newest list of these agents. */
   heardAt: number;
 }
 
-interface Belief extends Witness {
+interface Belief extends LivenessEvidence {
   since: number;
 }
 
@@ -26,22 +26,22 @@
   }
 
   /** Takes all entries that are held for live now. */
-  note(witnesses: ReadonlyMap<string, Witness>): void {
+  note(evidenceByEntry: ReadonlyMap<string, LivenessEvidence>): void {
     const beliefs = new Map<string, Belief>();
-    for (const [entry, witness] of witnesses) beliefs.set(entry, this._believe(entry, witness));
+    for (const [entry, evidence] of evidenceByEntry) beliefs.set(entry, this._believe(entry, evidence));
     for (const [entry, belief] of this._beliefs) if (!beliefs.has(entry)) this._tellEnd(entry, belief);
     this._beliefs = beliefs;
   }
 
-  private _believe(entry: string, witness: Witness): Belief {
+  private _believe(entry: string, evidence: LivenessEvidence): Belief {
     const known = this._beliefs.get(entry);
     if (!known) {
       const now = this._clock.now();
-      this._log.state('entry.live', { entry, agents: witness.agents });
-      return { ...witness, since: now };
+      this._log.state('entry.live', { entry, agents: evidence.agents });
+      return { ...evidence, since: now };
     }
     // while an entry is only remembered, the line of its end names who spoke of it last
-    return witness.agents.length > 0 ? { ...witness, since: known.since } : known;
+    return evidence.agents.length > 0 ? { ...evidence, since: known.since } : known;
   }
 
   private _tellEnd(entry: string, { agents, heardAt, since }: Belief): void {
--- a/src/serving/namedVersions.ts
+++ b/src/serving/namedVersions.ts
@@ -36,8 +36,8 @@
 
   /** Takes what an agent has heard of from other entries; returns whether any of it is new here. */
   onHeard({ box }: AgentAddress, versions: readonly HeardVersion[]): boolean {
-    const news = versions.filter((heard) => this._gate.noteHeard(heard));
-    for (const { model, version, heardMilliseconds } of news) {
+    const unknown = versions.filter((heard) => this._gate.noteHeard(heard));
+    for (const { model, version, heardMilliseconds } of unknown) {
       this._log.state('version.heard', {
         model,
         version,
@@ -45,7 +45,7 @@
         heardMilliseconds: Math.round(heardMilliseconds),
       });
     }
-    return news.length > 0;
+    return unknown.length > 0;
   }
 
   /** How long before now a version may have been named that comes with a change. */
--- a/src/serving/versionGate.ts
+++ b/src/serving/versionGate.ts
@@ -34,7 +34,7 @@
   isNoted: boolean;
 }
 
-/** Versions of a model only rise, but the news of them may come in any order, and from several sides. */
+/** Versions of a model only rise, but they may become known in any order, and from several sides. */
 export class VersionGate {
   private readonly _bounds: VersionBounds;
   private readonly _clock: Clock;
@@ -141,8 +141,8 @@
     return this._known.get(model)?.find((item) => item.version === version);
   }
 
-  private _add(model: string, news: KnownVersion): true {
-    const known = [...(this._known.get(model) ?? []), news].sort((a, b) => a.version - b.version);
+  private _add(model: string, added: KnownVersion): true {
+    const known = [...(this._known.get(model) ?? []), added].sort((a, b) => a.version - b.version);
     this._known.set(model, known.slice(-REMEMBERED));
     return true;
   }
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -271,8 +271,8 @@
   }
 
   private _takeVersions(presence: EntryPresence): void {
-    const news = this._heard.take(presence.heard ?? []);
-    if (news.length > 0) this._entries.broadcastToRouted({ type: 'versions-heard', versions: news });
+    const updates = this._heard.take(presence.heard ?? []);
+    if (updates.length > 0) this._entries.broadcastToRouted({ type: 'versions-heard', versions: updates });
     for (const { model, version, knownMilliseconds } of presence.wanted) {
       this._stages.want({ model, version, namedAt: this._clock.now() - knownMilliseconds });
     }
--- a/tests/entryDirectory.spec.ts
+++ b/tests/entryDirectory.spec.ts
@@ -114,20 +114,20 @@
 });
 
 test('should wait for the whole list of an agent that is asked again', () => {
-  const { directory, voice } = asking('one', 'two');
+  const { directory, activity } = asking('one', 'two');
   for (const agent of ['one', 'two']) directory.report(agent, all('a', 'b'));
   directory.endAsking('one');
-  directory.ask('one', voice);
+  directory.ask('one', activity);
   directory.report('one', change(['c'], []));
   directory.report('two', change([], ['b']));
   expect(directory.addressesFor('north')).toEqual(['a:80']);
 });
 
 test('should count nothing that was told on an earlier connection', () => {
-  const { directory, voice } = asking('one', 'two');
+  const { directory, activity } = asking('one', 'two');
   directory.report('one', all('a', 'b'));
   directory.report('two', all('a'));
-  directory.ask('one', voice);
+  directory.ask('one', activity);
   expect(directory.addressesFor('north')).toEqual(['a:80']);
 });
 
@@ -142,9 +142,9 @@
 });
 
 test('should remember from the last word of the agent on, not from the end of its connection', () => {
-  const { directory, voice } = asking('one');
+  const { directory, activity } = asking('one');
   directory.report('one', all('a', 'b'));
-  voice.silentMilliseconds = REMEMBERED_MILLISECONDS + 1;
+  activity.silentMilliseconds = REMEMBERED_MILLISECONDS + 1;
   directory.endAsking('one');
   expect(directory.addressesFor('north')).toEqual(['a:80']);
 });
@@ -161,10 +161,10 @@
 });
 
 test('should share bounds with as many for a while when other agents know of fewer', () => {
-  const { directory, clock, voice } = asking('one');
+  const { directory, clock, activity } = asking('one');
   directory.report('one', all('a', 'b', 'c'));
   directory.endAsking('one');
-  directory.ask('two', voice);
+  directory.ask('two', activity);
   directory.report('two', all('a'));
   expect([directory.count(), directory.countNear()]).toEqual([3, 3]);
   clock.advance(1_500);
@@ -172,13 +172,13 @@
 });
 
 test('should name after a pause only what has been confirmed since', () => {
-  const { directory, clock, voice } = asking('one');
+  const { directory, clock, activity } = asking('one');
   directory.report('one', all('a', 'b'));
   clock.advance(10_000);
-  voice.silentMilliseconds = 10_000;
+  activity.silentMilliseconds = 10_000;
   expect(directory.addressesFor('north')).toEqual(['a:80']);
   expect(directory.count()).toEqual(2);
-  voice.silentMilliseconds = 0;
+  activity.silentMilliseconds = 0;
   expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
 });
 
@@ -196,7 +196,7 @@
 });
 
 test('should remember from the newest last word of several agents on', () => {
-  const { directory, voice } = asking('one');
+  const { directory, activity } = asking('one');
   directory.ask('two', { silentMilliseconds: 0 });
   const list = ['a', 'b'].map((box) => ({
     box,
@@ -206,7 +206,7 @@
     leaving: false,
   }));
   for (const agent of ['one', 'two']) directory.report(agent, { whole: true, entries: list, gone: [] });
-  voice.silentMilliseconds = 2_300;
+  activity.silentMilliseconds = 2_300;
   directory.endAsking('two');
   expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
   directory.endAsking('one');
