--- /dev/null
+++ b/bench/costBench.ts
@@ -0,0 +1,122 @@
+/** Processor time of the platform's daemons by what they do: a start, an idle second, a request, an event of a stream. */
+import { execFileSync } from 'node:child_process';
+import http from 'node:http';
+import path from 'node:path';
+import { SeededRandom } from '../src/utils/random.js';
+import { pause } from '../src/utils/timers.js';
+import { STREAM_EVENTS } from '../standins/platformRunnerStandin.js';
+import type { FleetProcess } from '../soak/fleetProcess.js';
+import { CUSTOMERS, HOST, MODEL } from '../soak/soakConfiguration.js';
+import { SoakFleet } from '../soak/soakFleet.js';
+import { printLine } from './benchLine.js';
+import { processorMilliseconds } from './processUsage.js';
+
+const SIZE = { entries: 12, modelBoxes: 12, plainServers: 3 };
+const NETWORK = 61;
+const SEED = 1;
+/** Time in which all processes have met each other. */
+const MEETING_MILLISECONDS = 4_000;
+const IDLE_MILLISECONDS = 8_000;
+const LOAD_MILLISECONDS = 8_000;
+/** Requests under way at the same time at one entry. */
+const CALLERS_PER_ENTRY = 3;
+const CONDITIONS = '12 entries, 12 agents, bundled programs, loopback, mean of the processes, one run';
+const BUNDLER = path.resolve('scripts/buildPlatform.mjs');
+const PROGRAM = path.resolve('target/bundledMain.cjs');
+
+/** One kind of request. */
+interface Asked {
+  method: string;
+  path: string;
+  headers: Record<string, string>;
+}
+
+const REQUEST: Asked = { method: 'GET', path: '/boards/x', headers: {} };
+const STREAM: Asked = { method: 'POST', path: '/chat/x?stream=1', headers: { 'x-model': MODEL } };
+
+export async function benchCosts(): Promise<void> {
+  execFileSync(process.execPath, [BUNDLER], { stdio: 'inherit' });
+  const fleet = new SoakFleet({
+    size: SIZE,
+    network: NETWORK,
+    random: new SeededRandom(SEED),
+    listener: { onExecution: () => undefined, onUnwhole: () => undefined },
+    program: PROGRAM,
+  });
+  try {
+    await fleet.start();
+    await pause(MEETING_MILLISECONDS);
+    print('costs.start', 'ms', meanOf(fleet.entries), 'entry');
+    print('costs.start', 'ms', meanOf(fleet.agents), 'agent');
+    const [idleEntry, idleAgent] = await measureIdle(fleet);
+    print('costs.idleSecond', 'ms/s', idleEntry, 'entry');
+    print('costs.idleSecond', 'ms/s', idleAgent, 'agent');
+    const request = await measureLoad(fleet, REQUEST, idleEntry);
+    const stream = await measureLoad(fleet, STREAM, idleEntry);
+    print('costs.request', 'ms', request, 'entry, a plain request');
+    print('costs.event', 'ms', (stream - request) / STREAM_EVENTS, 'entry, an event beyond the request');
+  } finally {
+    await fleet.stop();
+  }
+}
+
+function print(name: string, unit: string, value: number, what: string): void {
+  printLine({ name, value, unit, baseline: null, conditions: `${what}; ${CONDITIONS}` });
+}
+
+/** Mean processor time since the start, in milliseconds. */
+function meanOf(processes: readonly FleetProcess[]): number {
+  const times = processes.map(({ processId }) => processorMilliseconds(processId!));
+  return times.reduce((sum, time) => sum + time, 0) / times.length;
+}
+
+/** Milliseconds that an entry and an agent take in a second without requests. */
+async function measureIdle({ entries, agents }: SoakFleet): Promise<[entry: number, agent: number]> {
+  const before = [meanOf(entries), meanOf(agents)];
+  await pause(IDLE_MILLISECONDS);
+  const seconds = IDLE_MILLISECONDS / 1000;
+  return [(meanOf(entries) - before[0]) / seconds, (meanOf(agents) - before[1]) / seconds];
+}
+
+/** Milliseconds that an entry takes for one request beyond `idle` milliseconds a second. */
+async function measureLoad(fleet: SoakFleet, asked: Asked, idle: number): Promise<number> {
+  const before = meanOf(fleet.entries);
+  const until = performance.now() + LOAD_MILLISECONDS;
+  const callers = fleet.entries.flatMap((entry) =>
+    Array.from({ length: CALLERS_PER_ENTRY }, async () => await askUntil(fleet, entry, asked, until)),
+  );
+  const answered = (await Promise.all(callers)).reduce((sum, count) => sum + count, 0);
+  const used = meanOf(fleet.entries) - before - (idle * LOAD_MILLISECONDS) / 1000;
+  return (used * fleet.entries.length) / answered;
+}
+
+/** Asks one after the other; returns how many were answered. */
+async function askUntil(fleet: SoakFleet, entry: FleetProcess, asked: Asked, until: number): Promise<number> {
+  const agent = new http.Agent({ keepAlive: true });
+  const [host, port] = fleet.callerAddress(entry).split(':');
+  let answered = 0;
+  while (performance.now() < until) {
+    const headers = {
+      ...asked.headers,
+      host: HOST,
+      'x-attempt-id': `${entry.name}-${performance.now()}`,
+      authorization: `Bearer ${CUSTOMERS[0].api_keys[0]}`,
+    };
+    const { method, path: target } = asked;
+    if ((await ask({ host, port, method, path: target, headers, agent })) === 200) answered++;
+    await pause(20);
+  }
+  agent.destroy();
+  return answered;
+}
+
+async function ask(options: http.RequestOptions): Promise<number> {
+  return await new Promise((resolve) => {
+    const request = http.request(options, (answer) => {
+      answer.resume();
+      answer.once('close', () => resolve(answer.statusCode ?? 0));
+    });
+    request.once('error', () => resolve(0));
+    request.end();
+  });
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,6 @@
-/** `npm run bench [-- PART ...]`: prints one JSON object a line. Parts: decisions, rollout, share, requests, control. */
+/** `npm run bench [-- PART ...]`: prints one JSON object a line. Parts: decisions, rollout, share, requests, control, costs. */
 import { benchControl } from './controlBench.js';
+import { benchCosts } from './costBench.js';
 import { benchDecisions } from './decisionBench.js';
 import { benchRequests } from './requestBench.js';
 import { benchRollout } from './rolloutBench.js';
@@ -11,6 +12,7 @@
   share: benchShare,
   requests: benchRequests,
   control: benchControl,
+  costs: benchCosts,
 };
 
 const wanted = process.argv.slice(2);
--- a/bench/processUsage.ts
+++ b/bench/processUsage.ts
@@ -11,7 +11,8 @@
   residentMegabytes: number;
 }
 
-const TICKS_PER_SECOND = 100;
+/** Of /proc/PID/stat. */
+const MILLISECONDS_PER_TICK = 10;
 const KILOBYTES_PER_MEGABYTE = 1024;
 
 /** Measures several daemons over the same interval and returns their mean. */
@@ -25,24 +26,30 @@
   return {
     bytesPerSecond: mean((index) => (after[index].controlBytes - before[index].controlBytes) / seconds),
     cpuPercent: mean(
-      (index) => ((after[index].ticks - before[index].ticks) / TICKS_PER_SECOND / seconds) * 100,
+      (index) =>
+        ((after[index].processorMilliseconds - before[index].processorMilliseconds) / milliseconds) * 100,
     ),
     residentMegabytes: mean((index) => after[index].residentMegabytes),
   };
 }
 
+/** Processor time that a process has taken since its start, in user and system mode, with all its threads. */
+export function processorMilliseconds(processId: number): number {
+  const stat = readFileSync(`/proc/${processId}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  return (Number(fields[11]) + Number(fields[12])) * MILLISECONDS_PER_TICK;
+}
+
 async function sample(
   box: FleetBox,
-): Promise<{ controlBytes: number; ticks: number; residentMegabytes: number }> {
+): Promise<{ controlBytes: number; processorMilliseconds: number; residentMegabytes: number }> {
   const metrics = await (await fetch(`${box.httpUrl}/metrics`)).text();
   const controlBytes = Number(/^larklatch_control_bytes (\d+)$/m.exec(metrics)?.[1] ?? 0);
-  const stat = readFileSync(`/proc/${box.child.processId}/stat`, 'utf8');
-  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
-  const status = readFileSync(`/proc/${box.child.processId}/status`, 'utf8');
+  const status = readFileSync(`/proc/${box.child.processId!}/status`, 'utf8');
   const residentKilobytes = Number(/^VmRSS:\s+(\d+)/m.exec(status)?.[1] ?? 0);
   return {
     controlBytes,
-    ticks: Number(fields[11]) + Number(fields[12]),
+    processorMilliseconds: processorMilliseconds(box.child.processId!),
     residentMegabytes: residentKilobytes / KILOBYTES_PER_MEGABYTE,
   };
 }
