--- a/bench/costBench.ts
+++ b/bench/costBench.ts
@@ -1,11 +1,12 @@
 /** Processor time of the platform's daemons by what they do: a start, an idle second, a request, an event of a stream. */
 import { execFileSync } from 'node:child_process';
+import { readFileSync } from 'node:fs';
 import http from 'node:http';
 import path from 'node:path';
 import { SeededRandom } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
 import { STREAM_EVENTS } from '../standins/platformRunnerStandin.js';
-import type { FleetProcess } from '../soak/fleetProcess.js';
+import type { FleetProcess, ProcessRole } from '../soak/fleetProcess.js';
 import { CUSTOMERS, HOST, MODEL } from '../soak/soakConfiguration.js';
 import { SoakFleet } from '../soak/soakFleet.js';
 import { printLine } from './benchLine.js';
@@ -22,7 +23,9 @@
 const CALLERS_PER_ENTRY = 3;
 const CONDITIONS = '12 entries, 12 agents, bundled programs, loopback, mean of the processes, one run';
 const BUNDLER = path.resolve('scripts/buildPlatform.mjs');
-const PROGRAM = path.resolve('target/bundledMain.cjs');
+const PROGRAM_IN_DEPLOY_FILE = 'target/bundledMain.cjs';
+const PROGRAM = path.resolve(PROGRAM_IN_DEPLOY_FILE);
+const DEPLOY_FILE = 'deploy/system.toml';
 
 /** One kind of request. */
 interface Asked {
@@ -42,6 +45,7 @@
     random: new SeededRandom(SEED),
     listener: { onExecution: () => undefined, onUnwhole: () => undefined },
     program: PROGRAM,
+    nodeWords: { entry: deployedWords('entry'), agent: deployedWords('agent') },
   });
   try {
     await fleet.start();
@@ -60,6 +64,13 @@
   }
 }
 
+/** The words for node of the deploy file: a code cache fits processes with the same ones only. */
+function deployedWords(role: ProcessRole): string[] {
+  const run = new RegExp(`^run = "node (.*)${PROGRAM_IN_DEPLOY_FILE} ${role}"$`, 'm');
+  const words = run.exec(readFileSync(DEPLOY_FILE, 'utf8'))?.[1] ?? '';
+  return words.trim().split(' ');
+}
+
 function print(name: string, unit: string, value: number, what: string): void {
   printLine({ name, value, unit, baseline: null, conditions: `${what}; ${CONDITIONS}` });
 }
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -9,6 +9,7 @@
 import { PlatformRunnerStandin } from '../standins/platformRunnerStandin.js';
 import { PlatformStoreStandin } from '../standins/platformStoreStandin.js';
 import type { WeightsShape } from '../standins/weightsFixture.js';
+import type { ProcessRole } from './fleetProcess.js';
 import { FleetProcess } from './fleetProcess.js';
 import { LoopbackProxy } from './loopbackProxy.js';
 import { MODEL, MODEL_SERVICE, PLAIN_SERVICE, soakConfiguration } from './soakConfiguration.js';
@@ -37,8 +38,8 @@
   network: number;
   random: Random;
   listener: FleetListener;
-  /** Further words for node. */
-  nodeWords?: readonly string[];
+  /** Further words for node, by role. */
+  nodeWords?: Record<ProcessRole, readonly string[]>;
   /** The program; as it is built for tests when left out. */
   program?: string;
 }
@@ -277,14 +278,14 @@
     entry.start();
   }
 
-  private _process(name: string, role: 'entry' | 'agent', settings: unknown): FleetProcess {
+  private _process(name: string, role: ProcessRole, settings: unknown): FleetProcess {
     return new FleetProcess({
       name,
       role,
       settings,
       directory: this.directory,
       sharedKey: SHARED_KEY,
-      nodeWords: this._options.nodeWords,
+      nodeWords: this._options.nodeWords?.[role],
       program: this._options.program,
     });
   }
