Agents read what lies staged before entries tell which version is wanted, and once only before an order

Ruled out: connections, lists of servers and load reports (entries had them from 36.0 to 36.2 s); reading the configuration as well (a large one takes 0.6 s of a side link, and bytes between regions have their price). Change: an agent asks the store at its start which models have versions (one call at a tenth of the price) and reads what lies staged of them; a chunk that was read back less than a second ago is not read again before an order.

--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -106,6 +106,7 @@
   private _configuredAt = 0;
   private _weightsVersion = 1;
   private _originAddress = '';
+  private _storeAddress = '';
   private _runnersMade = 0;
 
   constructor(options: SoakFleetOptions) {
@@ -126,7 +127,7 @@
   }
 
   async start(): Promise<void> {
-    const storeAddress = new URL(await this.store.listen()).host;
+    this._storeAddress = new URL(await this.store.listen()).host;
     this._originAddress = await this.origin.listen();
     this.configure();
     this.store.put('versions', MODEL, { model: MODEL, version: this._weightsVersion });
@@ -134,8 +135,7 @@
       await this._addBox(index, MODEL_SERVICE);
     for (let index = 0; index < this._options.size.plainServers; index++)
       await this._addBox(this._options.size.modelBoxes + index, PLAIN_SERVICE);
-    for (let index = 0; index < this._options.size.entries; index++)
-      await this._addEntry(index, storeAddress);
+    for (let index = 0; index < this._options.size.entries; index++) await this._addEntry(index);
   }
 
   async stop(): Promise<void> {
@@ -249,16 +249,16 @@
       ...this._commonSettings(`side-${box.host}`, box.host, box.zone, this._weights.boxLinkMegabits),
       app: `${box.host}:${PORTS.runner}`,
       service: box.service,
-      platform: { address: '127.0.0.1:9' },
+      platform: { address: this._storeAddress },
     };
     const agent = this._process(`agent-${box.host}`, 'agent', settings);
     this.agents.push(agent);
     agent.start();
   }
 
-  private async _addEntry(index: number, storeAddress: string): Promise<void> {
+  private async _addEntry(index: number): Promise<void> {
     const host = this._entryHost(index);
-    const proxy = new LoopbackProxy(storeAddress);
+    const proxy = new LoopbackProxy(this._storeAddress);
     const address = await proxy.listen(host, 0);
     const name = `entry-${index + 1}`;
     this.storeProxies.set(name, proxy);
--- a/src/settings/stagingSettings.ts
+++ b/src/settings/stagingSettings.ts
@@ -7,6 +7,7 @@
 export const stagingSettingsSchema = z.object({
   ...platformProcessSettings,
   address: z.ipv4('an IPv4 address').describe('address to listen on and be reached at'),
+  storeAddress: hostPortSetting.describe('store of the platform'),
   backendAddress: hostPortSetting.describe('backend server on this box'),
   controlPort: numberSetting(0, 65_535, 7_700, 'port').describe('port for control connections'),
   chunkPort: numberSetting(0, 65_535, 7_701, 'port').describe('port for chunks'),
--- a/src/staging/chunkStager.ts
+++ b/src/staging/chunkStager.ts
@@ -3,8 +3,15 @@
 import { sha256Hex } from '../utils/hash.js';
 import { errorText } from '../utils/stepError.js';
 import type { ManifestIndex } from '../weights/manifestIndex.js';
+import type { Clock } from '../utils/clock.js';
 import type { LocalBackend } from './localBackend.js';
+import type { StagedChunk } from './stagedChunks.js';
 
+/**
+ * A chunk that was read back so lately need not be read again before an order: a chunk that turns bad after it was read is
+ * taken as bad either way, and after a start of everything the second reading of all took 150 of 1,300 ms until a server served.
+ */
+const READ_LATELY_MILLISECONDS = 1_000;
 /** Rounds in which spoilt chunks are laid anew. */
 const REPAIR_ROUNDS = 3;
 
@@ -14,16 +21,20 @@
   private readonly _model: string;
   private readonly _index: ManifestIndex;
   private readonly _log: EventLog;
+  private readonly _clock: Clock;
+  /** Monotonic milliseconds at which chunks were last read back as the manifest says. */
+  private readonly _goodAt = new Map<number, number>();
   private readonly _laid = new Set<number>();
   private readonly _waiting: { chunk: number; data: Buffer }[] = [];
   private _laying = false;
   private _open = false;
   private _stopped = false;
 
-  constructor(backend: LocalBackend, model: string, index: ManifestIndex, log: EventLog) {
+  constructor(backend: LocalBackend, model: string, index: ManifestIndex, clock: Clock, log: EventLog) {
     this._backend = backend;
     this._model = model;
     this._index = index;
+    this._clock = clock;
     this._log = log;
   }
 
@@ -46,7 +57,8 @@
 
   /** Reads all chunks back and lays those anew that differ; whether all are as the manifest says. */
   async verify(data: (chunk: number) => Buffer | undefined): Promise<boolean> {
-    let suspects = Array.from({ length: this._index.chunkCount }, (_unused, chunk) => chunk);
+    const all = Array.from({ length: this._index.chunkCount }, (_unused, chunk) => chunk);
+    let suspects = all.filter((chunk) => !this._wasReadLately(chunk));
     for (let round = 0; round < REPAIR_ROUNDS; round++) {
       const spoilt = await this._spoilt(suspects);
       if (spoilt.length === 0) return true;
@@ -62,15 +74,20 @@
     return false;
   }
 
-  /** Chunks that lie there already and are as the manifest says. */
-  async adopt(take: (chunk: number, data: Buffer) => void): Promise<void> {
-    for (const chunk of await this._backend.stagedChunks(this._model)) {
-      if (chunk >= this._index.chunkCount) continue;
-      const bytes = await this._backend.getChunk(this._model, chunk);
-      if (bytes && this._matches(chunk, bytes)) take(chunk, bytes);
+  /** Takes over those of the chunks that lie there already that are as the manifest says. */
+  adopt(staged: readonly StagedChunk[], take: (chunk: number, data: Buffer) => void): void {
+    for (const { chunk, data, readAt } of staged) {
+      if (chunk >= this._index.chunkCount || !this._matches(chunk, data)) continue;
+      this._goodAt.set(chunk, readAt);
+      take(chunk, data);
     }
   }
 
+  private _wasReadLately(chunk: number): boolean {
+    const goodAt = this._goodAt.get(chunk) ?? Number.NEGATIVE_INFINITY;
+    return this._clock.now() - goodAt < READ_LATELY_MILLISECONDS;
+  }
+
   private async _spoilt(suspects: readonly number[]): Promise<number[]> {
     const spoilt: number[] = [];
     for (const chunk of suspects) {
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -37,6 +37,7 @@
 import { ManifestReader } from './manifestReader.js';
 import { PeerMessages } from './peerMessages.js';
 import { StageQueue } from './stageQueue.js';
+import { StagedChunks } from './stagedChunks.js';
 import { stagingMetrics } from './stagingMetrics.js';
 import { StatusSender } from './statusSender.js';
 import { SwitchNotices } from './switchNotices.js';
@@ -48,6 +49,8 @@
 /** What an agent is built from beside its settings. */
 export interface StagingParts {
   backend: LocalBackend;
+  /** Models of which a version has been named, as the platform has it; rejects where that cannot be found out. */
+  namedModels: () => Promise<readonly string[]>;
   /** The origin at an address (host:port). */
   originAt: (address: string) => Origin;
   log: EventLog;
@@ -71,6 +74,7 @@
   private readonly _log: EventLog;
   private readonly _peers: AgentPeers;
   private readonly _messages: PeerMessages;
+  private readonly _staged: StagedChunks;
   private readonly _stages: StageQueue;
   private readonly _reconciler: VersionReconciler;
   private readonly _control: ControlServer;
@@ -111,6 +115,12 @@
     );
     this._peers = new AgentPeers(controlOptions(settings), random, parts.exchangeLogger, this._messages);
     const uploads = new UploadQueue(new RateLimiter(sendRate(settings)), STALL_MILLISECONDS, BLOCK_BYTES);
+    this._staged = new StagedChunks({
+      backend: parts.backend,
+      models: parts.namedModels,
+      clock: this._clock,
+      log: parts.log,
+    });
     this._stages = this._createStages(random, uploads);
     this._reconciler = this._createReconciler();
     const priorities = new UploadPriorities(settings.dataCentre, () => this._members);
@@ -143,6 +153,7 @@
     await this._control.listen(address, controlPort);
     await this._metricsServer.listen(address, this._settings.metricsPort);
     this._statusTimer = setInterval(() => this._statusSender.onInterval(), STATUS_INTERVAL_MILLISECONDS);
+    this._staged.start();
     this._reconciler.start();
     this._log.state('agent.started', { address, controlPort, chunkPort });
   }
@@ -170,6 +181,7 @@
     const token = httpToken(settings.sharedKey, settings.box);
     return new StageQueue({
       backend: parts.backend,
+      staged: this._staged,
       clock,
       log: parts.log,
       members: () => this._members,
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -12,6 +12,7 @@
 import type { LocalBackend } from './localBackend.js';
 import { LinkRate } from './linkRate.js';
 import { ScarceChunks } from './scarceChunks.js';
+import type { StagedChunks } from './stagedChunks.js';
 import { connectedPeers } from './switchGroup.js';
 
 /** What a stage works with. */
@@ -22,6 +23,7 @@
   members: readonly Member[];
   services: ExchangeServices;
   backend: LocalBackend;
+  staged: StagedChunks;
   clock: Clock;
   log: EventLog;
   /** Monotonic milliseconds at which the version was named. */
@@ -78,7 +80,7 @@
     this._linkRate = new LinkRate(options.bytesPerSecond, this._startedAt);
     this.index = new ManifestIndex(options.manifest);
     this._progress = new DrawProgress(this.index.chunkCount, this._startedAt);
-    this._stager = new ChunkStager(options.backend, options.model, this.index, options.log);
+    this._stager = new ChunkStager(options.backend, options.model, this.index, options.clock, options.log);
     this.exchange = new RolloutExchange(
       { ...options.services, mayFetch: options.mayFetch },
       this._plan(),
@@ -160,7 +162,8 @@
 
   private async _adopt(): Promise<void> {
     try {
-      await this._stager.adopt((chunk, data) => {
+      const staged = await this._options.staged.take(this.model);
+      this._stager.adopt(staged, (chunk, data) => {
         this._seen.add(chunk);
         this.exchange.adopt(chunk, data);
       });
@@ -233,7 +236,7 @@
     this._peers = new Set(peers.map((member) => member.box));
   }
 
-  /** The boxes that may be counted on to draw: all but lost peers, unless so many are that they have yet to be connected. */
+  /** The order without lost peers, unless so many are lost that they have yet to be connected. */
   private _reachable(order: readonly string[]): readonly string[] {
     const { peers } = this._options.services;
     const lost = new Set([...this._peers].filter((box) => !peers.isConnected(box)));
--- /dev/null
+++ b/tests/stagedChunks.spec.ts
@@ -0,0 +1,81 @@
+/** What lies staged from an earlier life is read once, ahead of the version that wants it, and read back once only. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { ChunkStager } from '../src/staging/chunkStager.js';
+import type { LocalBackend } from '../src/staging/localBackend.js';
+import { StagedChunks } from '../src/staging/stagedChunks.js';
+import { ManualClock } from '../src/utils/clock.js';
+import { sha256Hex } from '../src/utils/hash.js';
+import { ManifestIndex } from '../src/weights/manifestIndex.js';
+import { quietLog } from './fixtures/quietLog.js';
+import { until } from './fixtures/until.js';
+
+const CHUNKS = [0, 1, 2, 3];
+const bytesOf = (chunk: number): Buffer => Buffer.from(`chunk ${chunk}`);
+
+function fixture(models: () => Promise<string[]> = async () => ['m']) {
+  const clock = new ManualClock();
+  const reads: number[] = [];
+  const place = new Map(CHUNKS.map((chunk) => [chunk, bytesOf(chunk)]));
+  const backend: Pick<LocalBackend, 'stagedChunks' | 'getChunk' | 'putChunk'> = {
+    stagedChunks: async (model) => (model === 'm' ? [...place.keys()] : []),
+    getChunk: async (_model, chunk) => {
+      reads.push(chunk);
+      return place.get(chunk);
+    },
+    putChunk: async (_model, chunk, data) => void place.set(chunk, data),
+  };
+  const staged = new StagedChunks({ backend, models, clock, log: quietLog() });
+  const chunks = CHUNKS.map((chunk) => ({ digest: sha256Hex(bytesOf(chunk)), size: bytesOf(chunk).length }));
+  const index = new ManifestIndex({ model: 'm', version: '1', chunks });
+  const stager = new ChunkStager(backend as LocalBackend, 'm', index, clock, quietLog());
+  return { clock, reads, place, staged, stager };
+}
+
+test('should have read what lies staged before a version is wanted', async () => {
+  const { staged, reads } = fixture();
+  staged.start();
+  await until(() => reads.length === CHUNKS.length);
+  expect((await staged.take('m')).map(({ chunk }) => chunk).sort()).toEqual(CHUNKS);
+  expect(reads.length).toEqual(CHUNKS.length);
+});
+
+test('should read what lies staged when it is wanted, where the models cannot be found out', async () => {
+  const { staged } = fixture(async () => await Promise.reject(new Error('no store')));
+  staged.start();
+  expect((await staged.take('m')).length).toEqual(CHUNKS.length);
+});
+
+test('should read what lies staged of a model that was not named when it began', async () => {
+  const { staged } = fixture(async () => ['other']);
+  staged.start();
+  expect((await staged.take('m')).length).toEqual(CHUNKS.length);
+});
+
+test('should take over only chunks that are as the manifest says', async () => {
+  const { staged, stager, place } = fixture();
+  place.set(2, Buffer.from('spoilt'));
+  place.set(9, Buffer.from('of a larger version'));
+  const taken: number[] = [];
+  stager.adopt(await staged.take('m'), (chunk) => taken.push(chunk));
+  expect(taken.sort()).toEqual([0, 1, 3]);
+});
+
+test('should not read a chunk back again that was read a moment ago, and read it back later', async () => {
+  const { staged, stager, reads, clock } = fixture();
+  stager.adopt(await staged.take('m'), () => undefined);
+  reads.length = 0;
+  expect(await stager.verify(bytesOf)).toEqual(true);
+  expect(reads).toEqual([]);
+  clock.advance(1_000);
+  expect(await stager.verify(bytesOf)).toEqual(true);
+  expect(reads).toEqual(CHUNKS);
+});
+
+test('should lay a chunk anew that was spoilt when it was read ahead', async () => {
+  const { staged, stager, place } = fixture();
+  place.set(2, Buffer.from('spoilt'));
+  stager.adopt(await staged.take('m'), () => undefined);
+  expect(await stager.verify(bytesOf)).toEqual(true);
+  expect(place.get(2)).toEqual(bytesOf(2));
+});
