The drawers that are left keep their chunks when one is lost

The origin went dark at 20.5 s with chunks missing, and version 2 was whole at 27.1 s only. Change: a lost drawer's place is taken by a box that does not draw yet, or its chunks are shared among the others; all others keep theirs. Tests: a loss moves its own chunks only (before: up to 44 of 48).

--- a/src/staging/drawSchedule.ts
+++ b/src/staging/drawSchedule.ts
@@ -37,12 +37,30 @@
   return order.slice(0, FIRST_DRAWERS);
 }
 
+/** The place of a lost drawer that no box takes: the others share its chunks. */
+const NOBODY = '';
+
+/**
+ * The same order where boxes are `lost`: each of the first drawers that is has its place taken by a box that does not draw yet,
+ * or where there is none by nobody. All others keep their places, and with them the chunks that they are drawing: an order that
+ * closes up gave nearly every chunk another drawer while the one before had it half, and the origin sent 2.4 copies of two
+ * versions in place of 2.1 on a day on which one of nine boxes was killed amid a draw.
+ */
+export function withSubstitutes(order: readonly string[], lost: ReadonlySet<string>): string[] {
+  const spare = order.slice(FIRST_DRAWERS).filter((box) => !lost.has(box));
+  const places = firstDrawers(order).map((box) => (lost.has(box) ? (spare.shift() ?? NOBODY) : box));
+  return [...places, ...spare];
+}
+
 /** The box whose turn it is to draw `chunk` when the first one has brought nothing for `elapsed` milliseconds. */
 export function drawerOf(order: readonly string[], chunk: number, elapsed: number): string | undefined {
   if (order.length === 0) return undefined;
   const turn = Math.floor(Math.max(0, elapsed) / DRAW_TURN_MILLISECONDS);
   const drawers = turn < FIRST_TURNS ? firstDrawers(order) : order;
-  return drawers[(chunk + turn) % drawers.length];
+  const drawer = drawers[(chunk + turn) % drawers.length];
+  if (drawer !== NOBODY) return drawer;
+  const sound = drawers.filter((box) => box !== NOBODY);
+  return sound[Math.floor(chunk / drawers.length) % sound.length];
 }
 
 /** Notes which boxes bring the chunks that they are to draw. */
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -8,7 +8,7 @@
 import type { ExchangeServices } from '../weights/exchangeServices.js';
 import { RolloutExchange } from '../weights/rolloutExchange.js';
 import { ChunkStager } from './chunkStager.js';
-import { DrawProgress, drawOrder, drawerOf } from './drawSchedule.js';
+import { DrawProgress, drawOrder, drawerOf, withSubstitutes } from './drawSchedule.js';
 import type { LocalBackend } from './localBackend.js';
 import { LinkRate } from './linkRate.js';
 import { ScarceChunks } from './scarceChunks.js';
@@ -242,7 +242,7 @@
     const lost = new Set([...this._peers].filter((box) => !peers.isConnected(box)));
     const reachable = this._peers.size - lost.size + 1;
     if (reachable * 2 <= this._peers.size + 1) return order;
-    return order.filter((box) => !lost.has(box));
+    return withSubstitutes(order, lost);
   }
 
   private _onChange(): void {
--- a/tests/stagingDecisions.spec.ts
+++ b/tests/stagingDecisions.spec.ts
@@ -10,6 +10,7 @@
   drawOrder,
   drawerOf,
   firstDrawers,
+  withSubstitutes,
 } from '../src/staging/drawSchedule.js';
 import type { SwitchPeer, SwitchSituation } from '../src/staging/switchTurn.js';
 import { mayOrder, maySwitch } from '../src/staging/switchTurn.js';
@@ -46,6 +47,42 @@
   expect(new Set(drawers).size).toEqual(5);
 });
 
+for (const [boxes, moved] of [
+  [54, 4],
+  [12, 4],
+  [9, 6],
+] as const) {
+  test(`should give other drawers only to the chunks of the one of ${boxes} boxes that is lost`, () => {
+    const order = drawOrder('r', members(boxes));
+    for (const lost of firstDrawers(order)) {
+      const after = withSubstitutes(order, new Set([lost]));
+      const chunks = Array.from({ length: CHUNKS }, (_unused, chunk) => chunk);
+      const changed = chunks.filter((chunk) => drawerOf(order, chunk, 0) !== drawerOf(after, chunk, 0));
+      expect(changed.length).toBeLessThanOrEqual(moved);
+      expect(changed.every((chunk) => drawerOf(order, chunk, 0) === lost)).toEqual(true);
+      expect(after.includes(lost)).toEqual(false);
+    }
+  });
+}
+
+test('should leave no chunk without a drawer while any box is there', () => {
+  const order = drawOrder('r', members(14));
+  for (let lost = 0; lost < order.length; lost++) {
+    const after = withSubstitutes(order, new Set(order.slice(0, lost)));
+    const drawers = Array.from({ length: CHUNKS }, (_unused, chunk) => drawerOf(after, chunk, 0) ?? '');
+    expect(drawers.every((box) => order.indexOf(box) >= lost)).toEqual(true);
+  }
+  expect(drawerOf(withSubstitutes(order, new Set(order)), 0, 0)).toEqual(undefined);
+});
+
+test('should share the chunks of a lost drawer among the others where no box stands by', () => {
+  const order = drawOrder('r', members(9));
+  const after = withSubstitutes(order, new Set([order[2]]));
+  const chunks = Array.from({ length: CHUNKS }, (_unused, chunk) => chunk);
+  const moved = chunks.filter((chunk) => drawerOf(order, chunk, 0) === order[2]);
+  expect(new Set(moved.map((chunk) => drawerOf(after, chunk, 0))).size).toEqual(moved.length);
+});
+
 test('should let few boxes of a large service draw at first, and any box once those seem to be gone', () => {
   const order = drawOrder('r', members(54));
   const drawersAfter = (turns: number): Set<string | undefined> =>
