--- a/src/serving/serverLife.ts
+++ b/src/serving/serverLife.ts
@@ -1,4 +1,5 @@
 /** Which life of a backend server a word of somebody is about: one that starts again keeps its id, and nothing else. */
+import type { BackendServerRecord } from './backendServerRecord.js';
 
 /** Who tells when a server started: its entry in service discovery, or the agent beside it. */
 export type LifeSource = 'discovery' | 'agent';
@@ -29,6 +30,22 @@
   return toldBefore !== told && told > current ? 'another' : 'former';
 }
 
+/** What of a record tells where a life is, and since when. */
+type Placed = Pick<BackendServerRecord, 'address' | 'startedAt'>;
+
+/**
+ * The records at whose address no later life is known: one process listens at an address. A server that lost its power cannot
+ * say that it leaves, and its entry stays for seconds beside that of the life that has taken its place under another id.
+ */
+export function withoutSuperseded<Record extends Placed>(records: readonly Record[]): Record[] {
+  const latest = new Map<string, number>();
+  for (const { address, startedAt } of records)
+    latest.set(address, Math.max(startedAt, latest.get(address) ?? UNKNOWN_START));
+  return records.filter(
+    ({ address, startedAt }) => startedAt === UNKNOWN_START || startedAt === latest.get(address),
+  );
+}
+
 /** What has been told of the lives of one server. */
 export class ServerLife {
   private readonly _told = new Map<LifeSource, number>();
--- a/tests/serverLife.spec.ts
+++ b/tests/serverLife.spec.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl';
 import type { BoxStatus } from '../src/protocol/boxMessages.js';
 import type { BackendServerRecord } from '../src/serving/backendServerRecord.js';
-import { ServerLife, judgeLife } from '../src/serving/serverLife.js';
+import { ServerLife, judgeLife, withoutSuperseded } from '../src/serving/serverLife.js';
 import type { LifeJudgement, LifeSource } from '../src/serving/serverLife.js';
 import type { TrackedServer } from '../src/serving/trackedServer.js';
 import { isAnotherLife } from '../src/staging/backendLife.js';
@@ -166,3 +166,22 @@
   pool.update([record(100, { id: 'i-2' })], { doubtful: true, unreadable: ['i-1'] });
   expect(pool.all().map((server) => server.record.id)).toEqual(['i-2']);
 });
+
+test('should leave out a record at whose address a later life listens', () => {
+  const former = record(100);
+  const later = record(200, { id: 'i-2' });
+  const other = record(50, { id: 'i-3', address: '127.0.0.9:1' });
+  const unknown = record(0, { id: 'i-4' });
+  expect(withoutSuperseded([former, later, other, unknown]).map(({ id }) => id)).toEqual([
+    'i-2',
+    'i-3',
+    'i-4',
+  ]);
+});
+
+test('should not send to a server that lost its power once another one listens at its address', () => {
+  const { pool } = poolFixture();
+  pool.update([record(100)]);
+  pool.update([record(100), record(200, { id: 'i-2' })], { doubtful: true });
+  expect(pool.all().map((server) => server.record.id)).toEqual(['i-2']);
+});
