Of two servers at one address the one whose entry changed last is used, where starts are not told

Change: the later start decides, or where it is not told the later change in the store: an entry changes no more once its server has ended. Decided where the store's objects are taken over. An agent holds its server for gone only at the system's code for a connection that nobody accepts, not at a time-out.

--- a/src/serving/followedRecords.ts
+++ b/src/serving/followedRecords.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationHolder } from './configurationHolder.js';
 import type { PlatformFollowers } from './platformFollowers.js';
 import type { ServingPlatform } from './platformRecords.js';
+import { supersededServers } from './serverLife.js';
 import type { ServerPool } from './serverPool.js';
 import type { ServingConfiguration } from './servingConfiguration.js';
 
@@ -42,9 +43,14 @@
     const { followers, pool, onServers } = this._options;
     const { servers, decoded, isEchoing } = followers;
     const objects = [...servers.objects.values()];
-    const records = objects.map((object) => decoded.of(object)).filter((record) => record !== undefined);
+    const listed = objects.flatMap((object) => {
+      const record = decoded.of(object);
+      return record ? [{ record, revision: object.revision }] : [];
+    });
     const unreadable = objects.filter((object) => !decoded.of(object)).map(({ name }) => name);
-    pool.update(records, { doubtful: isEchoing, unreadable });
+    const superseded = supersededServers(listed);
+    const records = listed.map(({ record }) => record).filter(({ id }) => !superseded.includes(id));
+    pool.update(records, { doubtful: isEchoing, unusable: [...unreadable, ...superseded] });
     onServers();
   }
 }
--- a/src/serving/serverLife.ts
+++ b/src/serving/serverLife.ts
@@ -30,20 +30,33 @@
   return toldBefore !== told && told > current ? 'another' : 'former';
 }
 
-/** What of a record tells where a life is, and since when. */
-type Placed = Pick<BackendServerRecord, 'address' | 'startedAt'>;
+/** An entry of service discovery, and the revision of the store at which it last changed. */
+export interface ListedServer {
+  record: Pick<BackendServerRecord, 'id' | 'address' | 'startedAt'>;
+  revision: number;
+}
 
 /**
- * The records at whose address no later life is known: one process listens at an address. A server that lost its power cannot
- * say that it leaves, and its entry stays for seconds beside that of the life that has taken its place under another id.
+ * The servers at whose address a later life listens, by their ids: one process listens at an address. A server that lost its
+ * power cannot say that it leaves, and its entry stays for seconds beside that of the life that has taken its place under
+ * another id; where starts are not told, an entry changes no more once its server has ended.
  */
-export function withoutSuperseded<Record extends Placed>(records: readonly Record[]): Record[] {
-  const latest = new Map<string, number>();
-  for (const { address, startedAt } of records)
-    latest.set(address, Math.max(startedAt, latest.get(address) ?? UNKNOWN_START));
-  return records.filter(
-    ({ address, startedAt }) => startedAt === UNKNOWN_START || startedAt === latest.get(address),
-  );
+export function supersededServers(listed: readonly ListedServer[]): string[] {
+  const latest = new Map<string, ListedServer>();
+  for (const server of listed) {
+    const { address } = server.record;
+    const other = latest.get(address);
+    if (!other || isLater(server, other)) latest.set(address, server);
+  }
+  return listed
+    .filter((server) => latest.get(server.record.address) !== server)
+    .map(({ record }) => record.id);
+}
+
+function isLater(a: ListedServer, b: ListedServer): boolean {
+  const areTold = a.record.startedAt !== UNKNOWN_START && b.record.startedAt !== UNKNOWN_START;
+  if (areTold && a.record.startedAt !== b.record.startedAt) return a.record.startedAt > b.record.startedAt;
+  return a.revision > b.revision;
 }
 
 /** What has been told of the lives of one server. */
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -10,7 +10,7 @@
 import { chooseServer } from './serverChoice.js';
 import { eligibleServers } from './serverEligibility.js';
 import type { LifeSource } from './serverLife.js';
-import { ServerLife, UNKNOWN_START, withoutSuperseded } from './serverLife.js';
+import { ServerLife, UNKNOWN_START } from './serverLife.js';
 import type { ServerNeed } from './serverNeed.js';
 import type { ServiceDescription } from './servingConfiguration.js';
 import { TrackedServer } from './trackedServer.js';
@@ -36,8 +36,8 @@
 export interface ListState {
   /** Whether servers may be missing that run. */
   doubtful?: boolean;
-  /** Servers whose entries cannot be understood. */
-  unreadable?: readonly string[];
+  /** Servers that are listed and not to be used: nobody can read their entries, or a later life listens at their address. */
+  unusable?: readonly string[];
 }
 
 /** A chosen server, or how the service stands when there is none. */
@@ -88,20 +88,15 @@
   /**
    * Takes the whole list of service discovery. Servers that left it get nothing new, unless the list is `doubtful`:
    * after an outage, servers that could not renew their entries are missing though they run. Those are kept for a
-   * while, for when there is no other. Nobody knows who wrote over the entries that are `unreadable`,
-   * and where a later life listens the earlier one has ended.
+   * while, for when there is no other. Those that are `unusable` are gone at once.
    */
-  update(
-    records: readonly BackendServerRecord[],
-    { doubtful = false, unreadable = [] }: ListState = {},
-  ): void {
-    const current = withoutSuperseded(records);
-    const present = new Set(current.map(({ id }) => id));
-    for (const record of current) this._updateOne(record);
-    const listed = new Set([...records.map(({ id }) => id), ...unreadable]);
+  update(records: readonly BackendServerRecord[], { doubtful = false, unusable = [] }: ListState = {}): void {
+    const present = new Set(records.map(({ id }) => id));
+    for (const record of records) this._updateOne(record);
+    const lost = new Set(unusable);
     for (const [id, server] of this._servers) {
       if (present.has(id)) this._missing.delete(id);
-      else if (listed.has(id)) this._remove(id, server);
+      else if (lost.has(id)) this._remove(id, server);
       else if (doubtful) this._doubt(id);
       else if (!this._missing.has(id)) this._remove(id, server);
     }
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -1,10 +1,9 @@
 /** Brings the backend server of this box to the wanted versions, again and again until it is there. */
-import { wasNeverSent } from '../external/httpClient.js';
 import type { Member } from '../protocol/rolloutMessages.js';
 import { LAST_SEND_MARGIN_MILLISECONDS } from '../protocol/versionMargins.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
-import { errorText } from '../utils/stepError.js';
+import { errorCode, errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
 import { isAnotherLife } from './backendLife.js';
 import { switchOrder } from './drawSchedule.js';
@@ -35,6 +34,8 @@
 /** The same while the backend server is busy. */
 const BUSY_ORDER_MILLISECONDS = 6_000;
 const RETRY_MILLISECONDS = 100;
+/** The system's code for a connection that nobody accepts. */
+const NOTHING_LISTENS = 'ECONNREFUSED';
 /** A box that prepares and is not whole after this long gives its turn back. */
 const LONGEST_PREPARATION_MILLISECONDS = 1_500;
 
@@ -127,7 +128,7 @@
   private _onUnreachable(error: unknown): void {
     const { log, onChange } = this._options;
     log.decision('backend.unreachable', { reason: errorText(error) });
-    if (this._isGone || !wasNeverSent((error as Error).cause)) return;
+    if (this._isGone || errorCode((error as Error).cause) !== NOTHING_LISTENS) return;
     this._isGone = true;
     log.state('backend.gone', { version: this._status?.versions.get(this._options.stages.model) });
     onChange();
--- a/tests/serverLife.spec.ts
+++ b/tests/serverLife.spec.ts
@@ -3,7 +3,7 @@
 import { expect } from 'earl';
 import type { BoxStatus } from '../src/protocol/boxMessages.js';
 import type { BackendServerRecord } from '../src/serving/backendServerRecord.js';
-import { ServerLife, judgeLife, withoutSuperseded } from '../src/serving/serverLife.js';
+import { ServerLife, judgeLife, supersededServers } from '../src/serving/serverLife.js';
 import type { LifeJudgement, LifeSource } from '../src/serving/serverLife.js';
 import type { TrackedServer } from '../src/serving/trackedServer.js';
 import { isAnotherLife } from '../src/staging/backendLife.js';
@@ -163,25 +163,33 @@
 test('should use a server no longer whose entry cannot be understood, also while the list is doubtful', () => {
   const { pool } = poolFixture();
   pool.update([record(100), record(100, { id: 'i-2' })]);
-  pool.update([record(100, { id: 'i-2' })], { doubtful: true, unreadable: ['i-1'] });
+  pool.update([record(100, { id: 'i-2' })], { doubtful: true, unusable: ['i-1'] });
   expect(pool.all().map((server) => server.record.id)).toEqual(['i-2']);
 });
 
-test('should leave out a record at whose address a later life listens', () => {
-  const former = record(100);
-  const later = record(200, { id: 'i-2' });
-  const other = record(50, { id: 'i-3', address: '127.0.0.9:1' });
-  const unknown = record(0, { id: 'i-4' });
-  expect(withoutSuperseded([former, later, other, unknown]).map(({ id }) => id)).toEqual([
-    'i-2',
-    'i-3',
-    'i-4',
-  ]);
-});
+for (const [what, former, later] of [
+  ['a later start', { startedAt: 100, revision: 9 }, { startedAt: 200, revision: 5 }],
+  ['a later change, where starts are not told', { startedAt: 0, revision: 5 }, { startedAt: 0, revision: 9 }],
+  [
+    'a later change, where only one start is told',
+    { startedAt: 100, revision: 5 },
+    { startedAt: 0, revision: 9 },
+  ],
+] as const) {
+  test(`should know of two servers at one address the one that lives by ${what}`, () => {
+    const listed = [
+      { record: record(former.startedAt, { id: 'former' }), revision: former.revision },
+      { record: record(later.startedAt, { id: 'later' }), revision: later.revision },
+      { record: record(50, { id: 'other', address: '127.0.0.9:1' }), revision: 1 },
+    ];
+    expect(supersededServers(listed)).toEqual(['former']);
+    expect(supersededServers(listed.reverse())).toEqual(['former']);
+  });
+}
 
-test('should not send to a server that lost its power once another one listens at its address', () => {
+test('should use a server no longer that is superseded, also while the list is doubtful', () => {
   const { pool } = poolFixture();
   pool.update([record(100)]);
-  pool.update([record(100), record(200, { id: 'i-2' })], { doubtful: true });
+  pool.update([record(200, { id: 'i-2' })], { doubtful: true, unusable: ['i-1'] });
   expect(pool.all().map((server) => server.record.id)).toEqual(['i-2']);
 });
