--- a/tests/stagingFleet.spec.ts
+++ b/tests/stagingFleet.spec.ts
@@ -110,6 +110,25 @@
   }
 });
 
+test('should tell entries that nothing is served while nothing listens there, and not at a time-out', async () => {
+  await fixture.start(1);
+  await until(() => fixture.allServe(1));
+  const [box] = fixture.boxes;
+  const versions: number[] = [];
+  const tell = await fixture.connectAsEntry(box, (message) => {
+    if (message.type === 'box-status' && message.model === MODEL) versions.push(message.version);
+  });
+  tell({});
+  await until(() => versions.at(-1) === 1);
+  box.server.unreachable = 'UND_ERR_CONNECT_TIMEOUT';
+  await until(() => fixture.lines.filter((line) => line.includes('backend.unreachable')).length > 2);
+  expect(versions.includes(0)).toEqual(false);
+  box.server.unreachable = 'ECONNREFUSED';
+  await until(() => versions.at(-1) === 0);
+  box.server.unreachable = undefined;
+  await until(() => versions.at(-1) === 1);
+});
+
 test('should bring the version back to a server that lost it', async () => {
   await fixture.start(2);
   await until(() => fixture.allServe(1));
