--- a/tests/stagingFleet.spec.ts
+++ b/tests/stagingFleet.spec.ts
@@ -120,6 +120,7 @@
   });
   tell({});
   await until(() => versions.at(-1) === 1);
+  versions.length = 0;
   box.server.unreachable = 'UND_ERR_CONNECT_TIMEOUT';
   await until(() => fixture.lines.filter((line) => line.includes('backend.unreachable')).length > 2);
   expect(versions.includes(0)).toEqual(false);
