One piece reads a record or notes why it cannot; records of servers are gone through once

Found on reading the change: "take what was read, else note it" stood three times (servers, versions, configuration); each change of the servers looked every object up twice and searched a list for each record; what a poll says of the server's life stood in the midst of the poll with an assertion that it is there. Change: UnreadableRecords.valueOf; one pass with a set, which the pool takes as it is; VersionReconciler._noteLife. Behaviour as before.

--- a/src/records/unreadableRecords.ts
+++ b/src/records/unreadableRecords.ts
@@ -1,4 +1,5 @@
 /** Objects of the store that cannot be understood: each is told once, and counted. */
+import type { Result } from 'neverthrow';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { StoredObject } from './watchableStore.js';
 
@@ -16,13 +17,11 @@
     return this._total;
   }
 
-  /** Notes that `object` says nothing that can be used. */
-  note(kind: string, object: StoredObject, reason: string): void {
-    if (this._told.has(object)) return;
-    this._told.add(object);
-    const { name, revision } = object;
-    this._total++;
-    this._log.state('record.unreadable', { kind, name, revision, reason });
+  /** What was read of `object`; undefined, and noted, if it says nothing that can be used. */
+  valueOf<T>(kind: string, object: StoredObject, read: Result<T, string>): T | undefined {
+    if (read.isOk()) return read.value;
+    this._note(kind, object, read.error);
+    return undefined;
   }
 
   /** Notes an object that has not even a name. */
@@ -30,4 +29,12 @@
     this._total++;
     this._log.state('record.nameless', { kind, reason });
   }
+
+  private _note(kind: string, object: StoredObject, reason: string): void {
+    if (this._told.has(object)) return;
+    this._told.add(object);
+    const { name, revision } = object;
+    this._total++;
+    this._log.state('record.unreadable', { kind, name, revision, reason });
+  }
 }
--- a/src/serving/decodedServers.ts
+++ b/src/serving/decodedServers.ts
@@ -37,9 +37,7 @@
   }
 
   private _read(object: StoredObject): BackendServerRecord | undefined {
-    const read = this._reader.server(object.name, object.value);
-    if (read.isOk()) return read.value;
-    this._unreadable.note(this._reader.kinds.servers, object, read.error);
-    return undefined;
+    const { kinds } = this._reader;
+    return this._unreadable.valueOf(kinds.servers, object, this._reader.server(object.name, object.value));
   }
 }
--- a/src/serving/followedRecords.ts
+++ b/src/serving/followedRecords.ts
@@ -2,6 +2,7 @@
 import type { ConfigurationHolder } from './configurationHolder.js';
 import type { PlatformFollowers } from './platformFollowers.js';
 import type { ServingPlatform } from './platformRecords.js';
+import type { ListedServer } from './serverLife.js';
 import { supersededServers } from './serverLife.js';
 import type { ServerPool } from './serverPool.js';
 import type { ServingConfiguration } from './servingConfiguration.js';
@@ -34,23 +35,24 @@
     const { reader, unreadable } = platform;
     for (const object of followers.configuration.objects.values()) {
       const read = reader.configuration(object.name, object.value);
-      if (read.isErr()) unreadable.note(reader.kinds.configuration, object, read.error);
-      else if (configuration.offer(read.value, 'store')) onConfiguration(read.value);
+      const value = unreadable.valueOf(reader.kinds.configuration, object, read);
+      if (value && configuration.offer(value, 'store')) onConfiguration(value);
     }
   }
 
   private _takeServers(): void {
     const { followers, pool, onServers } = this._options;
     const { servers, decoded, isEchoing } = followers;
-    const objects = [...servers.objects.values()];
-    const listed = objects.flatMap((object) => {
+    const listed: ListedServer[] = [];
+    const unusable = new Set<string>();
+    for (const object of servers.objects.values()) {
       const record = decoded.of(object);
-      return record ? [{ record, revision: object.revision }] : [];
-    });
-    const unreadable = objects.filter((object) => !decoded.of(object)).map(({ name }) => name);
-    const superseded = supersededServers(listed);
-    const records = listed.map(({ record }) => record).filter(({ id }) => !superseded.includes(id));
-    pool.update(records, { doubtful: isEchoing, unusable: [...unreadable, ...superseded] });
+      if (record) listed.push({ record, revision: object.revision });
+      else unusable.add(object.name);
+    }
+    for (const id of supersededServers(listed)) unusable.add(id);
+    const records = listed.map(({ record }) => record).filter(({ id }) => !unusable.has(id));
+    pool.update(records, { doubtful: isEchoing, unusable });
     onServers();
   }
 }
--- a/src/serving/namedVersions.ts
+++ b/src/serving/namedVersions.ts
@@ -59,10 +59,8 @@
   }
 
   private _read(object: StoredObject): NamedVersion | undefined {
-    const read = this._reader.version(object.name, object.value);
-    if (read.isOk()) return read.value;
-    this._unreadable.note(this._reader.kinds.versions, object, read.error);
-    return undefined;
+    const { kinds } = this._reader;
+    return this._unreadable.valueOf(kinds.versions, object, this._reader.version(object.name, object.value));
   }
 
   /** How long before now a version may have been named that comes with a change. */
--- a/src/serving/serverLife.ts
+++ b/src/serving/serverLife.ts
@@ -32,7 +32,7 @@
 
 /** An entry of service discovery, and the revision of the store at which it last changed. */
 export interface ListedServer {
-  record: Pick<BackendServerRecord, 'id' | 'address' | 'startedAt'>;
+  record: BackendServerRecord;
   revision: number;
 }
 
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -37,7 +37,7 @@
   /** Whether servers may be missing that run. */
   doubtful?: boolean;
   /** Servers that are listed and not to be used: nobody can read their entries, or a later life listens at their address. */
-  unusable?: readonly string[];
+  unusable?: ReadonlySet<string>;
 }
 
 /** A chosen server, or how the service stands when there is none. */
@@ -51,6 +51,7 @@
 /** How long a server is kept that is missing after an outage: longer than it needs to renew its entry. */
 const DOUBT_MILLISECONDS = 1_700;
 const UNKNOWN_SLOTS = 4;
+const NONE: ReadonlySet<string> = new Set();
 /** Plain servers slow down when they are nearly full. */
 const PLAIN_COST: ServiceCost = {
   serviceMilliseconds: 60,
@@ -90,13 +91,15 @@
    * after an outage, servers that could not renew their entries are missing though they run. Those are kept for a
    * while, for when there is no other. Those that are `unusable` are gone at once.
    */
-  update(records: readonly BackendServerRecord[], { doubtful = false, unusable = [] }: ListState = {}): void {
+  update(
+    records: readonly BackendServerRecord[],
+    { doubtful = false, unusable = NONE }: ListState = {},
+  ): void {
     const present = new Set(records.map(({ id }) => id));
     for (const record of records) this._updateOne(record);
-    const lost = new Set(unusable);
     for (const [id, server] of this._servers) {
       if (present.has(id)) this._missing.delete(id);
-      else if (lost.has(id)) this._remove(id, server);
+      else if (unusable.has(id)) this._remove(id, server);
       else if (doubtful) this._doubt(id);
       else if (!this._missing.has(id)) this._remove(id, server);
     }
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -138,10 +138,7 @@
     this._polledAt = this._options.clock.now();
     const before = this.servedVersion;
     const status = await this._options.backend.status();
-    const isAnother = this._status !== undefined && isAnotherLife(this._status, status);
-    if (isAnother) this._onAnotherLife(this._status!, status);
-    if (status.startedAt === 0) this._lifeSeenAt = Number.POSITIVE_INFINITY;
-    else if (isAnother || this._status === undefined) this._lifeSeenAt = this._options.clock.now();
+    this._noteLife(status);
     this._status = status;
     this._isGone = false;
     const served = this.servedVersion;
@@ -152,6 +149,15 @@
     this._options.onChange();
   }
 
+  /** Notes which life of the backend server `status` is the word of; it becomes the last word after that. */
+  private _noteLife(status: LocalBackendStatus): void {
+    const former = this._status;
+    const isAnother = former !== undefined && isAnotherLife(former, status);
+    if (isAnother) this._onAnotherLife(former, status);
+    if (status.startedAt === 0) this._lifeSeenAt = Number.POSITIVE_INFINITY;
+    else if (isAnother || former === undefined) this._lifeSeenAt = this._options.clock.now();
+  }
+
   /** Forgets the turn and the order of the former life; what lies staged is read back before each order. */
   private _onAnotherLife(former: LocalBackendStatus, status: LocalBackendStatus): void {
     this._options.log.state('backend.started-again', {
--- a/tests/serverLife.spec.ts
+++ b/tests/serverLife.spec.ts
@@ -163,7 +163,7 @@
 test('should use a server no longer whose entry cannot be understood, also while the list is doubtful', () => {
   const { pool } = poolFixture();
   pool.update([record(100), record(100, { id: 'i-2' })]);
-  pool.update([record(100, { id: 'i-2' })], { doubtful: true, unusable: ['i-1'] });
+  pool.update([record(100, { id: 'i-2' })], { doubtful: true, unusable: new Set(['i-1']) });
   expect(pool.all().map((server) => server.record.id)).toEqual(['i-2']);
 });
 
@@ -190,6 +190,6 @@
 test('should use a server no longer that is superseded, also while the list is doubtful', () => {
   const { pool } = poolFixture();
   pool.update([record(100)]);
-  pool.update([record(200, { id: 'i-2' })], { doubtful: true, unusable: ['i-1'] });
+  pool.update([record(200, { id: 'i-2' })], { doubtful: true, unusable: new Set(['i-1']) });
   expect(pool.all().map((server) => server.record.id)).toEqual(['i-2']);
 });
