Agents log how many chunks of other versions were laid beside an order

The record of the incident tells which version was ordered and when, but not whose chunks lay in the place before the server then, so that its hypotheses cannot be told apart. All writes go through StagingPlace, which counts them by version; version.ordered tells how many of other versions came between the reading back and the answer, chunk.not-laid whose chunk it was. No decision changes.

--- a/src/staging/chunkStager.ts
+++ b/src/staging/chunkStager.ts
@@ -4,8 +4,8 @@
 import { errorText } from '../utils/stepError.js';
 import type { ManifestIndex } from '../weights/manifestIndex.js';
 import type { Clock } from '../utils/clock.js';
-import type { LocalBackend } from './localBackend.js';
 import type { StagedChunk } from './stagedChunks.js';
+import type { StagingPlace } from './stagingPlace.js';
 
 /**
  * A chunk that was read back so lately need not be read again before an order: a chunk that turns bad after it was read is
@@ -15,13 +15,19 @@
 /** Rounds in which spoilt chunks are laid anew. */
 const REPAIR_ROUNDS = 3;
 
+/** What a stager works with. */
+export interface ChunkStagerOptions {
+  place: StagingPlace;
+  model: string;
+  version: number;
+  index: ManifestIndex;
+  clock: Clock;
+  log: EventLog;
+}
+
 /** One version on its way to the backend server. */
 export class ChunkStager {
-  private readonly _backend: LocalBackend;
-  private readonly _model: string;
-  private readonly _index: ManifestIndex;
-  private readonly _log: EventLog;
-  private readonly _clock: Clock;
+  private readonly _options: ChunkStagerOptions;
   /** Monotonic milliseconds at which chunks were last read back as the manifest says. */
   private readonly _goodAt = new Map<number, number>();
   private readonly _laid = new Set<number>();
@@ -30,12 +36,8 @@
   private _open = false;
   private _stopped = false;
 
-  constructor(backend: LocalBackend, model: string, index: ManifestIndex, clock: Clock, log: EventLog) {
-    this._backend = backend;
-    this._model = model;
-    this._index = index;
-    this._clock = clock;
-    this._log = log;
+  constructor(options: ChunkStagerOptions) {
+    this._options = options;
   }
 
   /** Lays a chunk as soon as those before it are laid and the place is free. */
@@ -60,7 +62,8 @@
    * ago, and after `readSince` in monotonic milliseconds, are not read again: before that the place may have been another one.
    */
   async verify(data: (chunk: number) => Buffer | undefined, readSince: number): Promise<boolean> {
-    const all = Array.from({ length: this._index.chunkCount }, (_unused, chunk) => chunk);
+    const { index, model, log } = this._options;
+    const all = Array.from({ length: index.chunkCount }, (_unused, chunk) => chunk);
     let suspects = all.filter((chunk) => !this._wasReadLately(chunk, readSince));
     for (let round = 0; round < REPAIR_ROUNDS; round++) {
       const spoilt = await this._spoilt(suspects);
@@ -68,10 +71,9 @@
       for (const chunk of spoilt) {
         const bytes = data(chunk);
         if (!bytes) return false;
-        await this._backend.putChunk(this._model, chunk, bytes);
+        await this._lay(chunk, bytes);
       }
-      if (this._laid.size > 0)
-        this._log.state('chunks.laid-anew', { model: this._model, chunks: spoilt.length });
+      if (this._laid.size > 0) log.state('chunks.laid-anew', { model, chunks: spoilt.length });
       suspects = spoilt;
     }
     return false;
@@ -80,7 +82,7 @@
   /** Takes over those of the chunks that lie there already that are as the manifest says. */
   adopt(staged: readonly StagedChunk[], take: (chunk: number, data: Buffer) => void): void {
     for (const { chunk, data, readAt } of staged) {
-      if (chunk >= this._index.chunkCount || !this._matches(chunk, data)) continue;
+      if (chunk >= this._options.index.chunkCount || !this._matches(chunk, data)) continue;
       this._goodAt.set(chunk, readAt);
       take(chunk, data);
     }
@@ -88,20 +90,25 @@
 
   private _wasReadLately(chunk: number, readSince: number): boolean {
     const goodAt = this._goodAt.get(chunk) ?? Number.NEGATIVE_INFINITY;
-    return goodAt > readSince && this._clock.now() - goodAt < READ_LATELY_MILLISECONDS;
+    return goodAt > readSince && this._options.clock.now() - goodAt < READ_LATELY_MILLISECONDS;
   }
 
   private async _spoilt(suspects: readonly number[]): Promise<number[]> {
     const spoilt: number[] = [];
     for (const chunk of suspects) {
-      const bytes = await this._backend.getChunk(this._model, chunk);
+      const bytes = await this._options.place.read(this._options.model, chunk);
       if (!bytes || !this._matches(chunk, bytes)) spoilt.push(chunk);
     }
     return spoilt;
   }
 
   private _matches(chunk: number, bytes: Buffer): boolean {
-    return sha256Hex(bytes) === this._index.chunk(chunk).digest;
+    return sha256Hex(bytes) === this._options.index.chunk(chunk).digest;
+  }
+
+  private async _lay(chunk: number, data: Buffer): Promise<void> {
+    const { place, model, version } = this._options;
+    await place.lay(model, version, chunk, data);
   }
 
   private _resume(): void {
@@ -112,10 +119,11 @@
     this._laying = true;
     for (let next = this._waiting.shift(); next && !this._stopped; next = this._waiting.shift()) {
       try {
-        await this._backend.putChunk(this._model, next.chunk, next.data);
+        await this._lay(next.chunk, next.data);
         this._laid.add(next.chunk);
       } catch (error) {
-        this._log.decision('chunk.not-laid', { chunk: next.chunk, reason: errorText(error) });
+        const { log, version } = this._options;
+        log.decision('chunk.not-laid', { version, chunk: next.chunk, reason: errorText(error) });
       }
     }
     this._laying = false;
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -8,7 +8,7 @@
   EntryPresence,
   SwitchState,
 } from '../protocol/boxMessages.js';
-import type { ControlConnection, ControlOptions } from '../protocol/controlConnection.js';
+import type { ControlConnection } from '../protocol/controlConnection.js';
 import { ControlServer } from '../protocol/controlServer.js';
 import type { Message } from '../protocol/message.js';
 import type { Member } from '../protocol/rolloutMessages.js';
@@ -27,6 +27,7 @@
 import { ChunkStore } from '../weights/chunkStore.js';
 import { PeerChunkClient } from '../weights/peerChunkClient.js';
 import { UploadQueue } from '../weights/uploadQueue.js';
+import { controlOptions } from './agentControl.js';
 import { boxStatus } from './boxStatus.js';
 import { ChunkServer } from './chunkServer.js';
 import { ConnectedEntries } from './connectedEntries.js';
@@ -38,6 +39,7 @@
 import { PeerMessages } from './peerMessages.js';
 import { StageQueue } from './stageQueue.js';
 import { StagedChunks } from './stagedChunks.js';
+import { StagingPlace } from './stagingPlace.js';
 import { stagingMetrics } from './stagingMetrics.js';
 import { StatusSender } from './statusSender.js';
 import { SwitchNotices } from './switchNotices.js';
@@ -75,6 +77,7 @@
   private readonly _peers: AgentPeers;
   private readonly _messages: PeerMessages;
   private readonly _staged: StagedChunks;
+  private readonly _place: StagingPlace;
   private readonly _stages: StageQueue;
   private readonly _reconciler: VersionReconciler;
   private readonly _control: ControlServer;
@@ -121,6 +124,7 @@
       clock: this._clock,
       log: parts.log,
     });
+    this._place = new StagingPlace(parts.backend);
     this._stages = this._createStages(random, uploads);
     this._reconciler = this._createReconciler();
     const priorities = new UploadPriorities(settings.dataCentre, () => this._members);
@@ -180,7 +184,7 @@
     const { _settings: settings, _parts: parts, _clock: clock } = this;
     const token = httpToken(settings.sharedKey, settings.box);
     return new StageQueue({
-      backend: parts.backend,
+      place: this._place,
       staged: this._staged,
       clock,
       log: parts.log,
@@ -226,6 +230,7 @@
     return new VersionReconciler({
       box: settings.box,
       backend: parts.backend,
+      place: this._place,
       stages: this._stages,
       clock: this._clock,
       log: parts.log,
@@ -311,8 +316,3 @@
     return boxStatus(this._reconciler, this._stages);
   }
 }
-
-function controlOptions(settings: StagingSettings): ControlOptions {
-  const { sharedKey, box, dataCentre, peerTimeoutMilliseconds } = settings;
-  return { key: sharedKey, identity: { role: 'agent', box, dataCentre }, peerTimeoutMilliseconds };
-}
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -10,6 +10,7 @@
 import { POLL_MILLISECONDS, SWITCHING_POLL_MILLISECONDS, pollInterval } from './pollInterval.js';
 import type { LocalBackend, LocalBackendStatus } from './localBackend.js';
 import type { StageQueue } from './stageQueue.js';
+import type { StagingPlace } from './stagingPlace.js';
 import type { SwitchPeer, SwitchStage } from './switchTurn.js';
 import { PREPARING_MILLISECONDS, maySwitch, mayOrder } from './switchTurn.js';
 import type { VersionStage } from './versionStage.js';
@@ -18,6 +19,7 @@
 export interface VersionReconcilerOptions {
   box: string;
   backend: LocalBackend;
+  place: StagingPlace;
   stages: StageQueue;
   clock: Clock;
   log: EventLog;
@@ -232,12 +234,13 @@
   }
 
   private async _switch(stage: VersionStage): Promise<void> {
-    const { backend, clock, log, onChange } = this._options;
+    const { backend, place, clock, log, onChange } = this._options;
     this._switchingTo = stage.version;
     this._orderedAt = clock.now();
     const isEmpty = this.servedVersion === 0;
     if (isEmpty) onChange();
     const beganAt = clock.now();
+    const besideBefore = place.writesBeside(stage.version);
     const whole = await stage.verify(this._lifeSeenAt);
     const verifyMilliseconds = Math.round(clock.now() - beganAt);
     if (!whole) {
@@ -260,6 +263,7 @@
       outcome,
       revision,
       verifyMilliseconds,
+      laidBeside: place.writesBeside(stage.version) - besideBefore,
       milliseconds: Math.round(clock.now() - stage.namedAt),
     });
     if (outcome === 'refused') this._switchingTo = 0;
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -9,10 +9,10 @@
 import { RolloutExchange } from '../weights/rolloutExchange.js';
 import { ChunkStager } from './chunkStager.js';
 import { DrawProgress, drawOrder, drawerOf, withSubstitutes } from './drawSchedule.js';
-import type { LocalBackend } from './localBackend.js';
 import { LinkRate } from './linkRate.js';
 import { ScarceChunks } from './scarceChunks.js';
 import type { StagedChunks } from './stagedChunks.js';
+import type { StagingPlace } from './stagingPlace.js';
 import { connectedPeers } from './switchGroup.js';
 
 /** What a stage works with. */
@@ -22,7 +22,7 @@
   manifest: Manifest;
   members: readonly Member[];
   services: ExchangeServices;
-  backend: LocalBackend;
+  place: StagingPlace;
   staged: StagedChunks;
   clock: Clock;
   log: EventLog;
@@ -80,7 +80,7 @@
     this._linkRate = new LinkRate(options.bytesPerSecond, this._startedAt);
     this.index = new ManifestIndex(options.manifest);
     this._progress = new DrawProgress(this.index.chunkCount, this._startedAt);
-    this._stager = new ChunkStager(options.backend, options.model, this.index, options.clock, options.log);
+    this._stager = new ChunkStager({ ...options, index: this.index });
     this.exchange = new RolloutExchange(
       { ...options.services, mayFetch: options.mayFetch },
       this._plan(),
--- a/tests/stagedChunks.spec.ts
+++ b/tests/stagedChunks.spec.ts
@@ -4,6 +4,7 @@
 import { ChunkStager } from '../src/staging/chunkStager.js';
 import type { LocalBackend } from '../src/staging/localBackend.js';
 import { StagedChunks } from '../src/staging/stagedChunks.js';
+import { StagingPlace } from '../src/staging/stagingPlace.js';
 import { ManualClock } from '../src/utils/clock.js';
 import { sha256Hex } from '../src/utils/hash.js';
 import { ManifestIndex } from '../src/weights/manifestIndex.js';
@@ -16,20 +17,21 @@
 function fixture(models: () => Promise<string[]> = async () => ['m']) {
   const clock = new ManualClock();
   const reads: number[] = [];
-  const place = new Map(CHUNKS.map((chunk) => [chunk, bytesOf(chunk)]));
+  const lying = new Map(CHUNKS.map((chunk) => [chunk, bytesOf(chunk)]));
   const backend: Pick<LocalBackend, 'stagedChunks' | 'getChunk' | 'putChunk'> = {
-    stagedChunks: async (model) => (model === 'm' ? [...place.keys()] : []),
+    stagedChunks: async (model) => (model === 'm' ? [...lying.keys()] : []),
     getChunk: async (_model, chunk) => {
       reads.push(chunk);
-      return place.get(chunk);
+      return lying.get(chunk);
     },
-    putChunk: async (_model, chunk, data) => void place.set(chunk, data),
+    putChunk: async (_model, chunk, data) => void lying.set(chunk, data),
   };
   const staged = new StagedChunks({ backend, models, clock, log: quietLog() });
   const chunks = CHUNKS.map((chunk) => ({ digest: sha256Hex(bytesOf(chunk)), size: bytesOf(chunk).length }));
   const index = new ManifestIndex({ model: 'm', version: '1', chunks });
-  const stager = new ChunkStager(backend as LocalBackend, 'm', index, clock, quietLog());
-  return { clock, reads, place, staged, stager };
+  const place = new StagingPlace(backend as LocalBackend);
+  const stager = new ChunkStager({ place, model: 'm', version: 1, index, clock, log: quietLog() });
+  return { clock, reads, lying, staged, stager };
 }
 
 test('should have read what lies staged before a version is wanted', async () => {
@@ -53,9 +55,9 @@
 });
 
 test('should take over only chunks that are as the manifest says', async () => {
-  const { staged, stager, place } = fixture();
-  place.set(2, Buffer.from('spoilt'));
-  place.set(9, Buffer.from('of a larger version'));
+  const { staged, stager, lying } = fixture();
+  lying.set(2, Buffer.from('spoilt'));
+  lying.set(9, Buffer.from('of a larger version'));
   const taken: number[] = [];
   stager.adopt(await staged.take('m'), (chunk) => taken.push(chunk));
   expect(taken.sort()).toEqual([0, 1, 3]);
@@ -73,20 +75,20 @@
 });
 
 test('should lay a chunk anew that was spoilt when it was read ahead', async () => {
-  const { staged, stager, place } = fixture();
-  place.set(2, Buffer.from('spoilt'));
+  const { staged, stager, lying } = fixture();
+  lying.set(2, Buffer.from('spoilt'));
   stager.adopt(await staged.take('m'), () => undefined);
   expect(await stager.verify(bytesOf, -1)).toEqual(true);
-  expect(place.get(2)).toEqual(bytesOf(2));
+  expect(lying.get(2)).toEqual(bytesOf(2));
 });
 
 test('should read chunks back again that may have been read from a former life of the server', async () => {
-  const { staged, stager, reads, clock, place } = fixture();
+  const { staged, stager, reads, clock, lying } = fixture();
   stager.adopt(await staged.take('m'), () => undefined);
   const lifeSeenAt = clock.now();
-  place.clear();
+  lying.clear();
   reads.length = 0;
   expect(await stager.verify(bytesOf, lifeSeenAt)).toEqual(true);
   expect(reads.slice(0, CHUNKS.length)).toEqual(CHUNKS);
-  expect([...place.keys()]).toEqual(CHUNKS);
+  expect([...lying.keys()]).toEqual(CHUNKS);
 });
