The place before a server has one version as its holder at a time

Cause: each version's stager laid its chunks from the moment at which the version before it served, and never ceased. A server that crashed and started again was brought back to the older version, while chunks of the newer one went on being laid into the same place: what came between the reading back and the order was taken by the server. Change: StagingPlace gives the place to one version; another one gets it when no write is under way, and none and no order that was given up can be carried out any more (a second after the server has answered something else, or at once when it has ended). What was read or laid before is then no longer believed to lie there. A version that was ordered stays the next one until it serves.

--- a/src/staging/chunkStager.ts
+++ b/src/staging/chunkStager.ts
@@ -30,10 +30,11 @@
   private readonly _options: ChunkStagerOptions;
   /** Monotonic milliseconds at which chunks were last read back as the manifest says. */
   private readonly _goodAt = new Map<number, number>();
-  private readonly _laid = new Set<number>();
+  /** What was laid since the place is this version's. */
+  private readonly _laid = new Map<number, Buffer>();
+  private _laidSince = Number.NEGATIVE_INFINITY;
   private readonly _waiting: { chunk: number; data: Buffer }[] = [];
   private _laying = false;
-  private _open = false;
   private _stopped = false;
 
   constructor(options: ChunkStagerOptions) {
@@ -46,10 +47,16 @@
     this._resume();
   }
 
-  /** The place before the backend server holds one version at a time: it is free for this one from now on. */
-  open(): void {
-    this._open = true;
+  /**
+   * Takes the place and lays what waits, and lays again what lay there before another version had it; false while the place
+   * cannot be had.
+   */
+  async takePlace(): Promise<boolean> {
+    const { place, version } = this._options;
+    if (!(await place.give(version))) return false;
+    if (this._laidSince !== place.heldSince) this._layAgain();
     this._resume();
+    return true;
   }
 
   /** Lays nothing more. */
@@ -59,10 +66,12 @@
 
   /**
    * Reads all chunks back and lays those anew that differ; whether all are as the manifest says. Chunks that were read a moment
-   * ago, and after `readSince` in monotonic milliseconds, are not read again: before that the place may have been another one.
+   * ago, and after `lifeSeenAt` in monotonic milliseconds, are not read again: before that they may have lain before another life
+   * of the server, or another version may have been laid over them.
    */
-  async verify(data: (chunk: number) => Buffer | undefined, readSince: number): Promise<boolean> {
-    const { index, model, log } = this._options;
+  async verify(data: (chunk: number) => Buffer | undefined, lifeSeenAt: number): Promise<boolean> {
+    const { index, model, log, place } = this._options;
+    const readSince = Math.max(lifeSeenAt, place.heldSince);
     const all = Array.from({ length: index.chunkCount }, (_unused, chunk) => chunk);
     let suspects = all.filter((chunk) => !this._wasReadLately(chunk, readSince));
     for (let round = 0; round < REPAIR_ROUNDS; round++) {
@@ -111,16 +120,27 @@
     await place.lay(model, version, chunk, data);
   }
 
+  private _layAgain(): void {
+    this._laidSince = this._options.place.heldSince;
+    for (const [chunk, data] of this._laid) this._waiting.push({ chunk, data });
+    this._laid.clear();
+  }
+
   private _resume(): void {
-    if (this._open && !this._laying) void this._layWaiting();
+    if (!this._laying) void this._layWaiting();
+  }
+
+  private get _mayLay(): boolean {
+    return !this._stopped && this._options.place.holder === this._options.version;
   }
 
   private async _layWaiting(): Promise<void> {
     this._laying = true;
-    for (let next = this._waiting.shift(); next && !this._stopped; next = this._waiting.shift()) {
+    while (this._mayLay && this._waiting.length > 0) {
+      const next = this._waiting.shift()!;
       try {
         await this._lay(next.chunk, next.data);
-        this._laid.add(next.chunk);
+        this._laid.set(next.chunk, next.data);
       } catch (error) {
         const { log, version } = this._options;
         log.decision('chunk.not-laid', { version, chunk: next.chunk, reason: errorText(error) });
--- a/src/staging/localBackend.ts
+++ b/src/staging/localBackend.ts
@@ -17,6 +17,9 @@
 /** What became of an order. */
 export type OrderOutcome = 'begun' | 'done' | 'refused' | 'unknown';
 
+/** The system's code, at the cause of a StepError, for a connection that nobody accepts: the call has reached nothing. */
+export const NOTHING_LISTENS = 'ECONNREFUSED';
+
 /** Reads throw a StepError when there is no answer. */
 export interface LocalBackend {
   status(): Promise<LocalBackendStatus>;
--- a/src/staging/stageQueue.ts
+++ b/src/staging/stageQueue.ts
@@ -63,6 +63,10 @@
     return this._stages.find((stage) => stage.version > version);
   }
 
+  of(version: number): VersionStage | undefined {
+    return this._stages.find((stage) => stage.version === version);
+  }
+
   find(rollout: string): VersionStage | undefined {
     return this._stages.find((stage) => stage.exchange.rollout === rollout);
   }
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -124,7 +124,7 @@
       clock: this._clock,
       log: parts.log,
     });
-    this._place = new StagingPlace(parts.backend);
+    this._place = new StagingPlace({ backend: parts.backend, clock: this._clock, log: parts.log });
     this._stages = this._createStages(random, uploads);
     this._reconciler = this._createReconciler();
     const priorities = new UploadPriorities(settings.dataCentre, () => this._members);
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -9,6 +9,7 @@
 import { switchOrder } from './drawSchedule.js';
 import { POLL_MILLISECONDS, SWITCHING_POLL_MILLISECONDS, pollInterval } from './pollInterval.js';
 import type { LocalBackend, LocalBackendStatus } from './localBackend.js';
+import { NOTHING_LISTENS } from './localBackend.js';
 import type { StageQueue } from './stageQueue.js';
 import type { StagingPlace } from './stagingPlace.js';
 import type { SwitchPeer, SwitchStage } from './switchTurn.js';
@@ -36,8 +37,6 @@
 /** The same while the backend server is busy. */
 const BUSY_ORDER_MILLISECONDS = 6_000;
 const RETRY_MILLISECONDS = 100;
-/** The system's code for a connection that nobody accepts. */
-const NOTHING_LISTENS = 'ECONNREFUSED';
 /** A box that prepares and is not whole after this long gives its turn back. */
 const LONGEST_PREPARATION_MILLISECONDS = 1_500;
 
@@ -100,9 +99,10 @@
     this._stopped.abort();
   }
 
-  /** The lowest version on its way that is newer than the one in service. */
+  /** The version that was ordered, until it serves; else the lowest on its way that is newer than the one in service. */
   private get _next(): VersionStage | undefined {
-    return this._options.stages.after(this.servedVersion);
+    const { stages } = this._options;
+    return stages.of(this._switchingTo) ?? stages.after(this.servedVersion);
   }
 
   private async _run(): Promise<void> {
@@ -132,6 +132,7 @@
     log.decision('backend.unreachable', { reason: errorText(error) });
     if (this._isGone || errorCode((error as Error).cause) !== NOTHING_LISTENS) return;
     this._isGone = true;
+    this._options.place.noteEnd();
     log.state('backend.gone', { version: this._status?.versions.get(this._options.stages.model) });
     onChange();
   }
@@ -140,6 +141,7 @@
     this._polledAt = this._options.clock.now();
     const before = this.servedVersion;
     const status = await this._options.backend.status();
+    this._options.place.noteAnswer();
     this._noteLife(status);
     this._status = status;
     this._isGone = false;
@@ -169,6 +171,7 @@
       formerRevision: former.revision,
       switchingTo: this._switchingTo,
     });
+    this._options.place.noteEnd();
     this._switchingTo = 0;
     this._preparingFor = 0;
   }
@@ -177,7 +180,7 @@
     this._options.stages.dropSuperseded();
     const stage = this._next;
     if (!stage) return;
-    stage.openStaging();
+    if (!(await stage.takePlace())) return;
     if (this._switchingTo > 0 && !this._orderIsLost()) return;
     if (this.servedVersion > 0 && !this._isPrepared(stage)) return;
     if (stage.complete) await this._switch(stage);
@@ -234,7 +237,7 @@
   }
 
   private async _switch(stage: VersionStage): Promise<void> {
-    const { backend, place, clock, log, onChange } = this._options;
+    const { place, clock, log, onChange } = this._options;
     this._switchingTo = stage.version;
     this._orderedAt = clock.now();
     const isEmpty = this.servedVersion === 0;
@@ -255,7 +258,7 @@
       return;
     }
     const { revision } = status;
-    const outcome = await backend.startVersion(stage.model, stage.version, revision);
+    const outcome = await place.order(stage.model, revision);
     this._orderedAt = clock.now();
     log.state('version.ordered', {
       model: stage.model,
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -123,9 +123,9 @@
     return this._linkRate.isNarrow(this._options.clock.now());
   }
 
-  /** Lets the chunks lie before the backend server from now on. */
-  openStaging(): void {
-    this._stager.open();
+  /** Lets the chunks lie before the backend server from now on; false while another version's may still come there. */
+  async takePlace(): Promise<boolean> {
+    return await this._stager.takePlace();
   }
 
   /** Opens the exchange; `adopt` takes over what lies staged from an earlier life of this process. */
@@ -148,8 +148,8 @@
   }
 
   /** Whether everything lies before the backend server as the manifest says; see {@link ChunkStager.verify}. */
-  async verify(readSince: number): Promise<boolean> {
-    return await this._stager.verify((chunk) => this.chunk(chunk), readSince);
+  async verify(lifeSeenAt: number): Promise<boolean> {
+    return await this._stager.verify((chunk) => this.chunk(chunk), lifeSeenAt);
   }
 
   /** Ends all transfers and lets the chunks go. */
--- a/tests/stagingPlace.spec.ts
+++ b/tests/stagingPlace.spec.ts
@@ -17,6 +17,14 @@
  */
 import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
+import { ChunkStager } from '../src/staging/chunkStager.js';
+import type { OrderOutcome } from '../src/staging/localBackend.js';
+import { StagingPlace } from '../src/staging/stagingPlace.js';
+import { ManualClock } from '../src/utils/clock.js';
+import { sha256Hex } from '../src/utils/hash.js';
+import { StepError } from '../src/utils/stepError.js';
+import { ManifestIndex } from '../src/weights/manifestIndex.js';
+import { quietLog } from './fixtures/quietLog.js';
 import { StagingFixture } from './fixtures/stagingFixture.js';
 import { until } from './fixtures/until.js';
 
@@ -42,3 +50,132 @@
   }
   expect(fixture.takenUnwhole).toEqual([]);
 });
+
+const SETTLED_MILLISECONDS = 1_000;
+
+/** A place before a server whose writes end when the test says so. */
+function scriptedPlace() {
+  const clock = new ManualClock();
+  const lying = new Map<number, Buffer>();
+  const ends: ((error?: Error) => void)[] = [];
+  const script = { isHeld: false, outcome: 'begun' as OrderOutcome };
+  const backend = {
+    putChunk: async (_model: string, chunk: number, data: Buffer): Promise<void> => {
+      if (script.isHeld) {
+        await new Promise<void>((resolve, reject) => {
+          ends.push((error) => (error ? reject(error) : resolve()));
+        });
+      }
+      lying.set(chunk, data);
+    },
+    getChunk: async (_model: string, chunk: number): Promise<Buffer | undefined> => lying.get(chunk),
+    startVersion: async (): Promise<OrderOutcome> => script.outcome,
+  };
+  const place = new StagingPlace({ backend, clock, log: quietLog() });
+  return { place, clock, lying, ends, script };
+}
+
+const bytesOf = (version: number, chunk = 0): Buffer => Buffer.from(`${version}/${chunk}`);
+
+function stagerOf(
+  version: number,
+  { place, clock }: { place: StagingPlace; clock: ManualClock },
+): ChunkStager {
+  const chunks = [0, 1].map((chunk) => ({ digest: sha256Hex(bytesOf(version, chunk)), size: 3 }));
+  const index = new ManifestIndex({ model: 'm', version: String(version), chunks });
+  return new ChunkStager({ place, model: 'm', version, index, clock, log: quietLog() });
+}
+
+function failure(code: string): StepError {
+  return new StepError('put', code, { cause: Object.assign(new Error(code), { code }) });
+}
+
+test('should not give the place to another version while a write is under way', async () => {
+  const { place, ends, script } = scriptedPlace();
+  await place.give(1);
+  script.isHeld = true;
+  const write = place.lay('m', 1, 0, bytesOf(1));
+  let isGiven = false;
+  const given = place.give(2).then((result) => (isGiven = result));
+  await Promise.resolve();
+  expect(isGiven).toEqual(false);
+  await expect(place.lay('m', 1, 1, bytesOf(1, 1))).toBeRejected();
+  ends[0]();
+  await write;
+  expect(await given).toEqual(true);
+});
+
+test('should lay nothing of a version that does not hold the place', async () => {
+  const { place, lying } = scriptedPlace();
+  await place.give(1);
+  await expect(place.lay('m', 2, 0, bytesOf(2))).toBeRejected();
+  expect(lying.size).toEqual(0);
+});
+
+test('should keep the place for a version whose write got no answer, until it cannot be done any more', async () => {
+  const { place, clock, ends, script } = scriptedPlace();
+  await place.give(1);
+  script.isHeld = true;
+  const write = place.lay('m', 1, 0, bytesOf(1));
+  ends[0](failure('UND_ERR_HEADERS_TIMEOUT'));
+  await expect(write).toBeRejected();
+  clock.advance(10 * SETTLED_MILLISECONDS);
+  expect(await place.give(2)).toEqual(false);
+  place.noteAnswer();
+  clock.advance(SETTLED_MILLISECONDS - 1);
+  expect(await place.give(2)).toEqual(false);
+  clock.advance(1);
+  expect(await place.give(2)).toEqual(true);
+});
+
+test('should give the place on after a write that reached nothing', async () => {
+  const { place, ends, script } = scriptedPlace();
+  await place.give(1);
+  script.isHeld = true;
+  const write = place.lay('m', 1, 0, bytesOf(1));
+  ends[0](failure('ECONNREFUSED'));
+  await expect(write).toBeRejected();
+  expect(await place.give(2)).toEqual(true);
+});
+
+test('should keep the place for a version whose order got no answer, until the server has ended', async () => {
+  const { place, script } = scriptedPlace();
+  await place.give(1);
+  script.outcome = 'unknown';
+  await place.order('m', 0);
+  expect(await place.give(2)).toEqual(false);
+  expect(await place.give(1)).toEqual(true);
+  place.noteEnd();
+  expect(await place.give(2)).toEqual(true);
+});
+
+test('should lay a version again that had the place before another one', async () => {
+  const scripted = scriptedPlace();
+  const [older, newer] = [stagerOf(1, scripted), stagerOf(2, scripted)];
+  await older.takePlace();
+  older.add(0, bytesOf(1, 0));
+  await until(() => scripted.lying.size === 1);
+  await newer.takePlace();
+  newer.add(0, bytesOf(2, 0));
+  older.add(1, bytesOf(1, 1));
+  await until(() => scripted.lying.get(0)!.equals(bytesOf(2, 0)));
+  expect(scripted.lying.size).toEqual(1);
+  await older.takePlace();
+  await until(() => scripted.lying.get(0)!.equals(bytesOf(1, 0)) && scripted.lying.size === 2);
+  expect(scripted.lying.get(1)).toEqual(bytesOf(1, 1));
+});
+
+test('should not trust what was read before another version had the place', async () => {
+  const scripted = scriptedPlace();
+  const [older, newer] = [stagerOf(1, scripted), stagerOf(2, scripted)];
+  await older.takePlace();
+  const staged = [0, 1].map((chunk) => ({ chunk, data: bytesOf(1, chunk), readAt: scripted.clock.now() }));
+  older.adopt(staged, () => undefined);
+  scripted.clock.advance(1);
+  await newer.takePlace();
+  newer.add(0, bytesOf(2, 0));
+  await until(() => scripted.lying.size === 1);
+  await older.takePlace();
+  expect(await older.verify((chunk) => bytesOf(1, chunk), -1)).toEqual(true);
+  expect([...scripted.lying.values()]).toEqual([bytesOf(1, 0), bytesOf(1, 1)]);
+});
