An order is bound to the revision of before the reading back

Cause: the revision was asked for after the chunks had been read back, so that expected_rev guarded nothing of what came between: a server that took an order late, or started again, was ordered with its new revision. Only a revision that had fallen was noticed. Change: another revision than that of the poll before the reading voids the reading (version.reading-void), and all is read again. Test: a server that takes an order amid the reading; on the code before it is ordered with the reading of before. Not closed: a server that tells no start, was never ordered and starts again between two polls looks the same; what lies staged outlasts such a start. The fixture's origin has a file of its own.

--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -253,7 +253,7 @@
     }
     onChange();
     const status = await this._statusToOrder(isEmpty || this._isLate(stage));
-    if (this._status && isAnotherLife(this._status, status)) {
+    if (!this._isAsRead(status)) {
       this._switchingTo = 0;
       return;
     }
@@ -272,6 +272,23 @@
     if (outcome === 'refused') this._switchingTo = 0;
   }
 
+  /**
+   * Whether what was read back still lies before the same life of the server: its revision of before the reading binds the order,
+   * since one that is read after it binds nothing.
+   */
+  private _isAsRead(status: LocalBackendStatus): boolean {
+    const before = this._status!;
+    if (!isAnotherLife(before, status) && before.revision === status.revision) return true;
+    const { startedAt, revision } = status;
+    this._options.log.state('version.reading-void', {
+      startedAt,
+      formerStartedAt: before.startedAt,
+      revision,
+      formerRevision: before.revision,
+    });
+    return false;
+  }
+
   /** Waits until the server may be ordered, and returns what it says of itself then. */
   private async _statusToOrder(isUnused: boolean): Promise<LocalBackendStatus> {
     const { backend, clock } = this._options;
--- a/tests/manifestReader.spec.ts
+++ b/tests/manifestReader.spec.ts
@@ -7,7 +7,8 @@
 import { ManifestReader } from '../src/staging/manifestReader.js';
 import { EventLog } from '../src/telemetry/eventLog.js';
 import { SeededRandom } from '../src/utils/random.js';
-import { FakeOrigin, MODEL } from './fixtures/stagingFixture.js';
+import { FakeOrigin } from './fixtures/fakeOrigin.js';
+import { MODEL } from './fixtures/stagingFixture.js';
 
 const NEVER = new AbortController().signal;
 const ROLLOUT = `${MODEL}@2`;
--- a/tests/stagingFleet.spec.ts
+++ b/tests/stagingFleet.spec.ts
@@ -3,7 +3,8 @@
 import { expect } from 'earl';
 import type { EntryList } from '../src/protocol/boxMessages.js';
 import type { Message } from '../src/protocol/message.js';
-import { CHUNKS, MODEL, StagingFixture } from './fixtures/stagingFixture.js';
+import { CHUNKS } from './fixtures/fakeOrigin.js';
+import { MODEL, StagingFixture } from './fixtures/stagingFixture.js';
 import { until } from './fixtures/until.js';
 
 let fixture: StagingFixture;
--- a/tests/stagingPlace.spec.ts
+++ b/tests/stagingPlace.spec.ts
@@ -51,6 +51,20 @@
   expect(fixture.takenUnwhole).toEqual([]);
 });
 
+test('should read the place again when the server takes an order between the reading and the next one', async () => {
+  await fixture.start(1);
+  await until(() => fixture.allServe(1));
+  const [{ server }] = fixture.boxes;
+  server.onRead = () => {
+    server.onRead = () => undefined;
+    server.orders.push(1);
+  };
+  fixture.name(2);
+  await until(() => fixture.allServe(2));
+  expect(server.orders).toEqual([1, 1, 2]);
+  expect(fixture.lines.some((line) => line.includes('version.reading-void'))).toEqual(true);
+});
+
 const SETTLED_MILLISECONDS = 1_000;
 
 /** A place before a server whose writes end when the test says so. */
