A server without any version is brought to the newest that is whole

Cause: an agent took up the oldest version in its queue for a server that had started again, and climbed all of them, three orders in place of one. Where an order or a write got no answer the place stays with its version, as before. Test: a server that starts again while versions 2 and 3 are whole gets one order, 3 (before [1, 2, 3] by the order of the queue).

--- a/src/staging/stageQueue.ts
+++ b/src/staging/stageQueue.ts
@@ -63,6 +63,10 @@
     return this._stages.find((stage) => stage.version > version);
   }
 
+  get newestWhole(): VersionStage | undefined {
+    return this._stages.filter((stage) => stage.complete).at(-1);
+  }
+
   of(version: number): VersionStage | undefined {
     return this._stages.find((stage) => stage.version === version);
   }
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -99,10 +99,23 @@
     this._stopped.abort();
   }
 
-  /** The version that was ordered, until it serves; else the lowest on its way that is newer than the one in service. */
+  /** The version that was ordered, until it serves; else where a server without any goes, or the lowest of the newer ones. */
   private get _next(): VersionStage | undefined {
     const { stages } = this._options;
-    return stages.of(this._switchingTo) ?? stages.after(this.servedVersion);
+    const ordered = stages.of(this._switchingTo);
+    if (ordered) return ordered;
+    return this.servedVersion > 0 ? stages.after(this.servedVersion) : this._nextOfEmpty;
+  }
+
+  /**
+   * The newest version that is whole: a server that had started again climbed all that were, three orders in place of one, each
+   * with 0.3 s without service. A call that got no answer keeps the place for its version until it cannot be carried out any more.
+   */
+  private get _nextOfEmpty(): VersionStage | undefined {
+    const { stages, place } = this._options;
+    const held = place.isUnsettled ? stages.of(place.holder) : undefined;
+    if (held?.complete) return held;
+    return stages.newestWhole ?? stages.after(0);
   }
 
   private async _run(): Promise<void> {
--- a/tests/stagingPlace.spec.ts
+++ b/tests/stagingPlace.spec.ts
@@ -65,6 +65,26 @@
   expect(fixture.lines.some((line) => line.includes('version.reading-void'))).toEqual(true);
 });
 
+test('should bring a server that has started again to the newest version that is whole, and not to each', async () => {
+  await fixture.start(1);
+  await until(() => fixture.allServe(1));
+  const [{ server }] = fixture.boxes;
+  await until(() => fixture.lines.some((line) => line.includes('version.serving')));
+  server.busy = true;
+  for (const version of [2, 3]) {
+    fixture.name(version);
+    await until(() => fixture.lines.some((line) => isWhole(line, version)));
+  }
+  server.busy = false;
+  server.crash();
+  await until(() => fixture.allServe(3));
+  expect(server.orders).toEqual([3]);
+});
+
+function isWhole(line: string, version: number): boolean {
+  return line.includes('version.whole') && line.includes(`"version":${version},`);
+}
+
 const SETTLED_MILLISECONDS = 1_000;
 
 /** A place before a server whose writes end when the test says so. */
