--- a/tests/platformRunner.spec.ts
+++ b/tests/platformRunner.spec.ts
@@ -100,6 +100,14 @@
   await until(() => standin.version === 2);
 });
 
+test('should wait for the answer to an order less long than for that to a chunk', async () => {
+  standin.faults = { silent: true };
+  const order = runner.startVersion(SHAPE.model, 2, 0);
+  const chunk = runner.putChunk(SHAPE.model, 0, Buffer.alloc(1)).catch(() => 'no answer');
+  expect(await Promise.race([order, chunk])).toEqual('unknown');
+  await chunk;
+});
+
 test('should fail with the step at a report that is none', async () => {
   const server = http.createServer((_request, response) => response.writeHead(200).end('<html>'));
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
