--- a/src/staging/stagingPlace.ts
+++ b/src/staging/stagingPlace.ts
@@ -26,13 +26,12 @@
   private readonly _options: StagingPlaceOptions;
   private _holder = 0;
   private _heldSince = Number.NEGATIVE_INFINITY;
+  /** Writes that have not ended; these promises never reject. */
   private readonly _underWay = new Set<Promise<void>>();
   /** Whether a call of the holder was given up that may still be carried out. */
   private _isUnsettled = false;
   /** Monotonic milliseconds from which on it cannot be any more; infinite until the server has answered since. */
   private _settledAt = Number.POSITIVE_INFINITY;
-  /** Writes by version. */
-  private readonly _writes = new Map<number, number>();
 
   constructor(options: StagingPlaceOptions) {
     this._options = options;
@@ -72,10 +71,9 @@
     return true;
   }
 
-  /** Lays a chunk of `version`, which must be the holder. Throws a StepError when the chunk may not lie there. */
+  /** Lays a chunk of `version`, which must be the holder. Throws when it is not, and a StepError when the chunk may not lie there. */
   async lay(model: string, version: number, chunk: number, data: Buffer): Promise<void> {
     if (version !== this._holder) throw new Error(`version ${version} does not hold the staging place`);
-    this._writes.set(version, (this._writes.get(version) ?? 0) + 1);
     const write = this._options.backend.putChunk(model, chunk, data);
     const ended = write.catch((error) => this._onFailed(error)).finally(() => this._underWay.delete(ended));
     this._underWay.add(ended);
@@ -105,13 +103,6 @@
     this._isUnsettled = false;
   }
 
-  /** Writes so far of versions other than `version`. */
-  writesBeside(version: number): number {
-    let writes = 0;
-    for (const [other, count] of this._writes) if (other !== version) writes += count;
-    return writes;
-  }
-
   /** Where nothing listens nothing was written; any other failure leaves that open. */
   private _onFailed(error: unknown): void {
     if (errorCode((error as Error).cause) !== NOTHING_LISTENS) this._unsettle();
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -256,7 +256,6 @@
     const isEmpty = this.servedVersion === 0;
     if (isEmpty) onChange();
     const beganAt = clock.now();
-    const besideBefore = place.writesBeside(stage.version);
     const whole = await stage.verify(this._lifeSeenAt);
     const verifyMilliseconds = Math.round(clock.now() - beganAt);
     if (!whole) {
@@ -279,7 +278,6 @@
       outcome,
       revision,
       verifyMilliseconds,
-      laidBeside: place.writesBeside(stage.version) - besideBefore,
       milliseconds: Math.round(clock.now() - stage.namedAt),
     });
     if (outcome === 'refused') this._switchingTo = 0;
