At the first start of the system an entry has its part of the retries at once

The tests are right: callers of a new system are let down. Change: the platform tells its first start (bootstrap), and the setting firstStart says that nothing can have been used before. Any other start goes on by requests alone for a window.

--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -284,6 +284,7 @@
         windowMilliseconds: retryWindowMilliseconds,
         slack: retrySlack,
       },
+      isFirstStart: this._settings.firstStart,
       entries: () => this._entries.count(),
       isLeaving: () => this._own.leaving,
       closesIn: () => this._closesAt - this._clock.now(),
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -23,6 +23,8 @@
   random: Random;
   log: EventLog;
   retryBound: RetryBound;
+  /** Whether no process before this one can have used this entry's share of the retries. */
+  isFirstStart: boolean;
   entries: () => number;
   isLeaving: () => boolean;
   /** Milliseconds until a leaving entry closes all connections; infinite while it stays. */
@@ -51,8 +53,8 @@
 
   constructor(options: AdmissionOptions) {
     this._options = options;
-    const { names, retryBound, clock, entries } = options;
-    this._retries = new RetryAllowances(retryBound, clock, entries);
+    const { names, retryBound, clock, entries, isFirstStart } = options;
+    this._retries = new RetryAllowances(retryBound, clock, entries, isFirstStart);
     this._dropped = new Set([
       'authorization',
       names.deadline,
--- a/src/serving/retryAllowances.ts
+++ b/src/serving/retryAllowances.ts
@@ -14,24 +14,24 @@
   private readonly _bound: RetryBound;
   private readonly _clock: Clock;
   private readonly _entries: () => number;
-  private readonly _startedAt: number;
+  private readonly _forgottenUntil: number;
   private readonly _byService = new Map<string, RetryAllowance>();
   /** Numbers of entries with the monotonic milliseconds until which they count, larger ones first. */
   private _numbers: { entries: number; until: number }[] = [];
 
-  /** `entries` tells how many entries share the bound now. */
-  constructor(bound: RetryBound, clock: Clock, entries: () => number) {
+  /** `entries` tells how many entries share the bound now; at a first start no process before this one has used anything. */
+  constructor(bound: RetryBound, clock: Clock, entries: () => number, isFirstStart = false) {
     this._bound = bound;
     this._clock = clock;
     this._entries = entries;
-    this._startedAt = clock.now();
+    this._forgottenUntil = isFirstStart ? Number.NEGATIVE_INFINITY : clock.now() + bound.windowMilliseconds;
   }
 
   of(service: string): RetryAllowance {
     let allowance = this._byService.get(service);
     if (!allowance) {
-      const forgottenUntil = this._startedAt + this._bound.windowMilliseconds;
-      allowance = new RetryAllowance(this._bound, this._clock, () => this._mostEntries(), forgottenUntil);
+      const entries = (): number => this._mostEntries();
+      allowance = new RetryAllowance(this._bound, this._clock, entries, this._forgottenUntil);
       this._byService.set(service, allowance);
     }
     return allowance;
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -26,6 +26,12 @@
     'window in which retries are counted',
   ),
   retrySlack: numberSetting(0, 1_000_000, 100, 'retries').describe('retries allowed in any window'),
+  firstStart: z
+    .boolean()
+    .default(false)
+    .describe(
+      'whether the whole system starts for the first time, so that no process before this one used its bounds',
+    ),
   contactMilliseconds: numberSetting(0, 3_600_000, 3_000, 'milliseconds').describe(
     'time in touch with the store after which all bounds hold',
   ),
--- a/tests/retryBound.spec.ts
+++ b/tests/retryBound.spec.ts
@@ -83,3 +83,13 @@
 test('should keep the bound on retries though entries no longer hear of each other', () => {
   expect(mostBeyond(play({ splitAt: 150 })) <= 0).toEqual(true);
 });
+
+test('should allow repeats at once at the first start of the system, and after any other start by requests alone', () => {
+  const [first, later] = [true, false].map(
+    (isFirstStart) => new RetryAllowances(BOUND, new ManualClock(), () => ENTRIES, isFirstStart),
+  );
+  expect(first.of(SERVICE).takeRetry(false)).toEqual(true);
+  expect(later.of(SERVICE).takeRetry(false)).toEqual(false);
+  for (let request = 0; request < 10; request++) later.of(SERVICE).onRequest();
+  expect(later.of(SERVICE).takeRetry(false)).toEqual(true);
+});
