--- a/src/staging/backendLife.ts
+++ b/src/staging/backendLife.ts
@@ -1,4 +1,4 @@
-/** Whether the backend server has started again between two of its words: nothing that it held or was ordered is left. Pure. */
+/** What two words of the backend server tell of its life: after a start nothing that it held or was ordered is left. Pure. */
 import type { LocalBackendStatus } from './localBackend.js';
 
 /** What tells the lives of a backend server apart. */
@@ -9,3 +9,13 @@
   if (before.startedAt > 0 && now.startedAt > 0) return before.startedAt !== now.startedAt;
   return now.revision < before.revision;
 }
+
+/** Whether nothing has been ordered since `before`, and the server has not started again. */
+export function isUnchanged(before: LifeSigns, now: LifeSigns): boolean {
+  return !isAnotherLife(before, now) && before.revision === now.revision;
+}
+
+/** The signs of both words, as a log line has them. */
+export function lifeFields(former: LifeSigns, { startedAt, revision }: LifeSigns): Record<string, number> {
+  return { startedAt, formerStartedAt: former.startedAt, revision, formerRevision: former.revision };
+}
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../utils/clock.js';
 import { errorCode, errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
-import { isAnotherLife } from './backendLife.js';
+import { isAnotherLife, isUnchanged, lifeFields } from './backendLife.js';
 import { switchOrder } from './drawSchedule.js';
 import { POLL_MILLISECONDS, SWITCHING_POLL_MILLISECONDS, pollInterval } from './pollInterval.js';
 import type { LocalBackend, LocalBackendStatus } from './localBackend.js';
@@ -177,14 +177,9 @@
 
   /** Forgets the turn and the order of the former life; what lies staged is read back before each order. */
   private _onAnotherLife(former: LocalBackendStatus, status: LocalBackendStatus): void {
-    this._options.log.state('backend.started-again', {
-      startedAt: status.startedAt,
-      formerStartedAt: former.startedAt,
-      revision: status.revision,
-      formerRevision: former.revision,
-      switchingTo: this._switchingTo,
-    });
-    this._options.place.noteEnd();
+    const { log, place } = this._options;
+    log.state('backend.started-again', { ...lifeFields(former, status), switchingTo: this._switchingTo });
+    place.noteEnd();
     this._switchingTo = 0;
     this._preparingFor = 0;
   }
@@ -289,14 +284,8 @@
    */
   private _isAsRead(status: LocalBackendStatus): boolean {
     const before = this._status!;
-    if (!isAnotherLife(before, status) && before.revision === status.revision) return true;
-    const { startedAt, revision } = status;
-    this._options.log.state('version.reading-void', {
-      startedAt,
-      formerStartedAt: before.startedAt,
-      revision,
-      formerRevision: before.revision,
-    });
+    if (isUnchanged(before, status)) return true;
+    this._options.log.state('version.reading-void', lifeFields(before, status));
     return false;
   }
 
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -4,14 +4,13 @@
 import type { Call } from '../soak/callerLog.js';
 import { PromiseChecks } from '../soak/promiseChecks.js';
 import { FAULT_KINDS } from '../soak/soakFaults.js';
-import { soak } from '../soak/soakRun.js';
 import type { Execution } from '../standins/platformRunnerStandin.js';
+import { shortSoak } from './fixtures/shortSoak.js';
 
 /** What the seed draws from is a part of it. */
 const KINDS_OF_SEED = FAULT_KINDS.filter(
   (kind) => !['restart-server', 'foreign-records', 'restart-amid-versions'].includes(kind),
 );
-const SIZE = { entries: 2, modelBoxes: 3, plainServers: 2 };
 
 function execution(changes: Partial<Execution> = {}): Execution {
   const base = { id: 'a', runner: 'i-1', service: 'turns', customer: 'studio-a', path: '/turns/x' };
@@ -35,29 +34,20 @@
 }
 
 test('should keep all promises through faults of one seed', async () => {
-  const report = await soak({
+  const report = await shortSoak({
     seed: 5,
-    seconds: 6,
-    size: SIZE,
-    callers: 4,
-    plannedOnly: false,
     network: 41,
     kinds: KINDS_OF_SEED,
-    log: () => undefined,
   });
   expect(report.breaches).toEqual([]);
   expect(report.served).toBeGreaterThan(50);
 });
 
 test('should cut nothing through planned work of one seed', async () => {
-  const report = await soak({
+  const report = await shortSoak({
     seed: 8,
-    seconds: 6,
-    size: SIZE,
-    callers: 4,
     plannedOnly: true,
     network: 42,
-    log: () => undefined,
   });
   expect(report.breaches).toEqual([]);
 });
--- a/tests/soakRestarts.spec.ts
+++ b/tests/soakRestarts.spec.ts
@@ -2,52 +2,39 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { FAULT_KINDS } from '../soak/soakFaults.js';
-import { soak } from '../soak/soakRun.js';
+import { shortSoak } from './fixtures/shortSoak.js';
 
 /** What the seed draws from that is older than the last kind. */
 const EARLIER_KINDS = FAULT_KINDS.filter((kind) => kind !== 'restart-amid-versions');
-const SIZE = { entries: 2, modelBoxes: 3, plainServers: 2 };
 
 test('should keep all promises while servers start again under their ids and others write entries', async () => {
-  const report = await soak({
+  const report = await shortSoak({
     seed: 11,
-    seconds: 6,
-    size: SIZE,
-    callers: 4,
-    plannedOnly: false,
     network: 43,
     kinds: ['restart-server', 'restart-server', 'foreign-records', 'name-weights', 'kill-agent', 'configure'],
-    log: () => undefined,
   });
   expect(report.breaches).toEqual([]);
   expect(report.served).toBeGreaterThan(50);
 });
 
 test('should let no server take chunks of two versions while servers start again amid versions', async () => {
-  const report = await soak({
+  const report = await shortSoak({
     seed: 21,
-    seconds: 6,
-    size: SIZE,
-    callers: 4,
-    plannedOnly: false,
     network: 44,
     kinds: ['restart-amid-versions'],
-    log: () => undefined,
   });
   expect(report.breaches).toEqual([]);
   expect(report.served).toBeGreaterThan(50);
 });
 
 test('should order no server anew by what was read from its former life', async () => {
-  const report = await soak({
+  const report = await shortSoak({
     seed: 1006,
     seconds: 12,
     size: { entries: 3, modelBoxes: 6, plainServers: 3 },
     callers: 10,
-    plannedOnly: false,
     network: 71,
     kinds: EARLIER_KINDS,
-    log: () => undefined,
   });
   expect(report.breaches).toEqual([]);
 });
