Logs tell by what a request is known when it comes again, and whether its server has ended

What was missing: at a crash up to 28 attempts fail, and their lines name ids that never come again; a failed attempt does not say whether the server has ended or only the connection. Now request.attempt-failed names a fingerprint (customer, host, method, path, body; a digest), and after a connection broke off server.checked says whether anybody listens there any more. Nothing is decided by it yet.

--- a/src/serving/admittedRequest.ts
+++ b/src/serving/admittedRequest.ts
@@ -10,6 +10,8 @@
   service: string;
   /** The model that the caller names, '' for none. */
   model: string;
+  /** By what the same request is known when it comes again; worked out when it is first asked for. */
+  fingerprint: () => string;
   method: string;
   path: string;
   /** Headers to pass on, without those that change from attempt to attempt. */
--- a/src/serving/backendCall.ts
+++ b/src/serving/backendCall.ts
@@ -31,6 +31,8 @@
 export interface CallFailure {
   sent: boolean;
   reason: string;
+  /** Whether the connection broke off with the request at the server, and not by this process. */
+  brokeOff?: boolean;
   /** The status by which the server said that it has not run the request. */
   rejectedWith?: number;
 }
@@ -144,7 +146,8 @@
   private _onError(error: unknown): void {
     if (this._ended) return;
     this._end(false);
-    this._listener.onFailed({ sent: this._sent, reason: errorCode(error) || errorText(error) });
+    const reason = errorCode(error) || errorText(error);
+    this._listener.onFailed({ sent: this._sent, reason, brokeOff: this._sent });
   }
 
   private _noteRead(): void {
--- a/src/serving/finalAnswer.ts
+++ b/src/serving/finalAnswer.ts
@@ -58,6 +58,13 @@
     this.refuse(OWN_STATUS.notRun, reason, retryAfterMilliseconds);
   }
 
+  /** The caller or the operator no longer waits; `sent` when the request may have run. */
+  timeOver(begun: boolean, sent: boolean): void {
+    if (begun) return this.cut('time over');
+    if (sent) return this.refuse(OWN_STATUS.timeOver, 'time over');
+    this.refuse(OWN_STATUS.notRun, 'time over before the request was sent', 0);
+  }
+
   /** Closes the caller's connection, so that what was passed on cannot look whole. */
   cut(reason: string): void {
     this._exchange.cut();
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -163,6 +163,7 @@
   private _afterFailure(server: TrackedServer, failure: CallFailure): void {
     this._current.forget(server);
     this._trace.attemptFailed(server, failure, this._current.waited);
+    if (failure.brokeOff) void this._services.serverEnds.hasEnded(server.record);
     if (!failure.sent && !this._handover) return this._afterUnreachable(server);
     this._mayHaveRun = true;
     if (failure.reason === 'silent') server.health.note('silent');
@@ -298,9 +299,7 @@
   private _onTimeOver(): void {
     const sent = this._mayHaveRun || this._handover !== undefined || this._current.call?.sent === true;
     this._current.end('time-over');
-    if (this._relay?.begun) return this._final.cut('time over');
-    if (sent) return this._final.refuse(OWN_STATUS.timeOver, 'time over');
-    this._final.refuse(OWN_STATUS.notRun, 'time over before the request was sent', 0);
+    this._final.timeOver(this._relay?.begun === true, sent);
   }
 
   private _onCallerGone(): void {
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -1,5 +1,6 @@
 /** Looks a caller's request up in the configuration and admits it or answers it. */
 import type http from 'node:http';
+import { requestFingerprint } from '../crashes/requestFingerprint.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { bearerToken, readBody } from '../utils/httpBody.js';
 import type { Clock } from '../utils/clock.js';
@@ -134,13 +135,18 @@
     const service = chooseTarget(route, random.fraction());
     const retries = this._retries.of(service);
     retries.onRequest();
+    const { method = 'GET', url: path = '/' } = request;
+    const host = request.headers.host ?? '';
+    const parts = { customer: customer?.name ?? '', host, method, path, body };
+    let fingerprint: string | undefined;
     return {
       exchange,
       route,
       service,
       model: String(request.headers[names.model] ?? ''),
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
+      fingerprint: () => (fingerprint ??= requestFingerprint(parts)),
+      method,
+      path,
       headers,
       body: body.length > 0 ? body : undefined,
       prompts: promptSize(request.headers[names.tokens], this._usualPromptTokens(service)),
--- a/src/serving/requestTrace.ts
+++ b/src/serving/requestTrace.ts
@@ -57,6 +57,7 @@
     this._log.decision('request.attempt-failed', {
       request: this._id,
       server: server.record.id,
+      fingerprint: failure.sent ? this._request.fingerprint() : undefined,
       ...failure,
       milliseconds,
     });
