--- /dev/null
+++ b/src/crashes/requestTurn.ts
@@ -0,0 +1,100 @@
+/** When one request may run: at once, unless the same request is suspected of ending its servers. */
+import type { Clock } from '../utils/clock.js';
+import type { CheckedServer } from './serverEnds.js';
+import type { Standing, Suspicions } from './suspicions.js';
+
+/** What a turn is about. */
+export interface TurnRequest {
+  fingerprint: () => string;
+  /** Names this very request. */
+  exchange: { readonly requestId: string };
+  /** Monotonic milliseconds at which nobody waits any more. */
+  endsAt: number;
+}
+
+/** A trial may last a little longer than its request, whose end is told after it. */
+const TRIAL_MARGIN_MILLISECONDS = 500;
+
+export class RequestTurn {
+  private readonly _suspicions: Suspicions;
+  private readonly _request: TurnRequest;
+  private readonly _clock: Clock;
+  private _isAwaited = false;
+  private _hasTrial = false;
+  private _hasAsked = false;
+  private _isOver = false;
+
+  constructor(suspicions: Suspicions, request: TurnRequest, clock: Clock) {
+    this._suspicions = suspicions;
+    this._request = request;
+    this._clock = clock;
+  }
+
+  /** Whether the request may run now, without waiting. */
+  get isFree(): boolean {
+    if (this._suspicions.isEmpty) return true;
+    const standing = this._standing();
+    return standing === 'free' || standing === 'mine';
+  }
+
+  /** Whether somebody waits for {@link RequestTurn.take}. */
+  get isAwaited(): boolean {
+    return this._isAwaited;
+  }
+
+  /** Waits until the request may run; resolves to false when it is shut out, or over. */
+  async take(): Promise<boolean> {
+    this._isAwaited = true;
+    const { endsAt, fingerprint } = this._request;
+    const left = (): number => endsAt - this._clock.now();
+    while (!this._isOver && left() > 0) {
+      const standing = this._standing();
+      if (standing === 'shut-out') break;
+      if (standing === 'free' || standing === 'mine') return this._begin(standing === 'mine');
+      if (standing === 'open') await this._ask(left());
+      else await this._suspicions.changed(fingerprint(), left());
+    }
+    this._isAwaited = false;
+    return false;
+  }
+
+  /** A server broke off the connection that had the request; resolves to whether it has ended, which is noted. */
+  async afterBreak(server: CheckedServer): Promise<boolean> {
+    const hadTrial = this._hasTrial;
+    if (!(await this._suspicions.hasEnded(server))) return false;
+    const trial = hadTrial ? this._id : '';
+    this._suspicions.noteEnd(this._request.fingerprint(), { server: server.id, trial });
+    return true;
+  }
+
+  /** The request has run to a good end. */
+  noteGoodEnd(): void {
+    if (!this._suspicions.isEmpty) this._suspicions.clear(this._request.fingerprint());
+  }
+
+  /** The request is over: the same may be tried by others. */
+  release(): void {
+    this._isOver = true;
+    if (this._hasAsked) this._suspicions.release(this._request.fingerprint(), this._id);
+  }
+
+  private async _ask(leftMilliseconds: number): Promise<void> {
+    this._hasAsked = true;
+    const milliseconds = leftMilliseconds + TRIAL_MARGIN_MILLISECONDS;
+    await this._suspicions.claim(this._request.fingerprint(), this._id, milliseconds);
+  }
+
+  private _begin(hasTrial: boolean): boolean {
+    this._isAwaited = false;
+    this._hasTrial = hasTrial;
+    return true;
+  }
+
+  private _standing(): Standing {
+    return this._suspicions.standing(this._request.fingerprint(), this._id);
+  }
+
+  private get _id(): string {
+    return this._request.exchange.requestId;
+  }
+}
--- /dev/null
+++ b/src/crashes/suspicionCopies.ts
@@ -0,0 +1,80 @@
+/** This entry's copies of the suspicions in the store: by its own writes, which it knows at once, and by its replica. */
+import { EventEmitter } from 'node:events';
+import type { RecordReplica } from '../records/recordReplica.js';
+import type { UnreadableRecords } from '../records/unreadableRecords.js';
+import type { StoredObject } from '../records/watchableStore.js';
+import type { Clock } from '../utils/clock.js';
+import type { Suspicion } from './suspicion.js';
+import { readSuspicion } from './suspicion.js';
+
+/** A suspicion as the store has it; undefined where it has been removed. */
+export interface StoredSuspicion {
+  suspicion: Suspicion | undefined;
+  /** 0 when the store never had one. */
+  revision: number;
+  /** Monotonic milliseconds at which this entry saw this revision first. */
+  seenAt: number;
+}
+
+interface SuspicionCopiesEvents {
+  /** The suspicion of a request has changed, by its fingerprint. */
+  change: [string];
+}
+
+export class SuspicionCopies extends EventEmitter<SuspicionCopiesEvents> {
+  private readonly _replica: RecordReplica;
+  private readonly _unreadable: UnreadableRecords;
+  private readonly _clock: Clock;
+  private readonly _stored = new Map<string, StoredSuspicion>();
+
+  constructor(replica: RecordReplica, unreadable: UnreadableRecords, clock: Clock) {
+    super();
+    this._replica = replica;
+    this._unreadable = unreadable;
+    this._clock = clock;
+    replica.on('change', () => this._takeReplica());
+  }
+
+  get size(): number {
+    return this._stored.size;
+  }
+
+  /** All that are known, by their fingerprints. */
+  all(): readonly (readonly [string, StoredSuspicion])[] {
+    return [...this._stored];
+  }
+
+  of(fingerprint: string): StoredSuspicion {
+    return this._stored.get(fingerprint) ?? { suspicion: undefined, revision: 0, seenAt: this._clock.now() };
+  }
+
+  /** Takes what the store holds as of `revision`, by the answer to a write. */
+  note(fingerprint: string, revision: number, suspicion: Suspicion | undefined): void {
+    const known = this._stored.get(fingerprint);
+    if (known && known.revision >= revision) return;
+    this._stored.set(fingerprint, { suspicion, revision, seenAt: this._clock.now() });
+    this.emit('change', fingerprint);
+  }
+
+  /** The same where a write found another object, or none. */
+  noteObject(fingerprint: string, object: StoredObject | undefined): void {
+    if (object) return this.note(fingerprint, object.revision, this._read(object));
+    this._stored.delete(fingerprint);
+    this.emit('change', fingerprint);
+  }
+
+  private _takeReplica(): void {
+    for (const object of this._replica.objects.values()) {
+      const known = this._stored.get(object.name);
+      if (!known || known.revision < object.revision) this.noteObject(object.name, object);
+    }
+    for (const [fingerprint, { revision }] of this._stored) {
+      const isGone = !this._replica.objects.has(fingerprint) && revision <= this._replica.revision;
+      if (isGone) this.noteObject(fingerprint, undefined);
+    }
+  }
+
+  private _read(object: StoredObject): Suspicion | undefined {
+    return this._unreadable.valueOf(this._replica.kind, object, readSuspicion(object.value));
+  }
+}
--- /dev/null
+++ b/src/crashes/suspicionWriter.ts
@@ -0,0 +1,116 @@
+/** Writes changes of suspicions into the store: none is lost by the write of another entry, or by a store that is silent. */
+import { isDeepStrictEqual } from 'node:util';
+import type { WritableStore, WriteAnswer } from '../records/writableStore.js';
+import type { EventLog } from '../telemetry/eventLog.js';
+import { Backoff } from '../utils/backoff.js';
+import type { Clock } from '../utils/clock.js';
+import type { Random } from '../utils/random.js';
+import { errorText } from '../utils/stepError.js';
+import { pause } from '../utils/timers.js';
+import type { Suspicion } from './suspicion.js';
+import type { SuspicionCopies } from './suspicionCopies.js';
+
+/** What becomes of a suspicion; undefined stands for none. Made anew on what another entry has written meanwhile. */
+export type SuspicionChange = (suspicion: Suspicion | undefined) => Suspicion | undefined;
+
+/** What a writer works with. */
+export interface SuspicionWriterOptions {
+  kind: string;
+  store: WritableStore;
+  copies: SuspicionCopies;
+  clock: Clock;
+  random: Random;
+  log: EventLog;
+}
+
+interface PendingChange {
+  apply: SuspicionChange;
+  /** Monotonic milliseconds. */
+  since: number;
+  done: () => void;
+}
+
+const RETRY = { firstMilliseconds: 40, longestMilliseconds: 500 };
+/** A store that is silent for longer than this finds what it lacks in the suspicions that come next. */
+const LONGEST_MILLISECONDS = 30_000;
+
+export class SuspicionWriter {
+  private readonly _options: SuspicionWriterOptions;
+  private readonly _pending = new Map<string, PendingChange[]>();
+  private readonly _stopped = new AbortController();
+
+  constructor(options: SuspicionWriterOptions) {
+    this._options = options;
+  }
+
+  /** Whether nothing waits to be written. */
+  get isIdle(): boolean {
+    return this._pending.size === 0;
+  }
+
+  /** The suspicion as it is once all is written that waits. */
+  of(fingerprint: string): Suspicion | undefined {
+    const { suspicion } = this._options.copies.of(fingerprint);
+    return applied(suspicion, this._pending.get(fingerprint) ?? []);
+  }
+
+  /** Resolves when the change has been written, or given up. */
+  async change(fingerprint: string, apply: SuspicionChange): Promise<void> {
+    await new Promise<void>((done) => {
+      const change = { apply, since: this._options.clock.now(), done };
+      const pending = this._pending.get(fingerprint);
+      if (pending) return void pending.push(change);
+      this._pending.set(fingerprint, [change]);
+      // what is decided in the same turn goes into the same write
+      setImmediate(() => void this._writeAll(fingerprint));
+    });
+  }
+
+  stop(): void {
+    this._stopped.abort();
+  }
+
+  private async _writeAll(fingerprint: string): Promise<void> {
+    const { clock, random, log } = this._options;
+    const backoff = new Backoff(RETRY, random);
+    for (let pending = this._pending.get(fingerprint)!; pending.length > 0;) {
+      try {
+        this._settle(pending, await this._writeOnce(fingerprint, [...pending]));
+      } catch (error) {
+        const age = Math.round(clock.now() - pending[0].since);
+        const givenUp = age > LONGEST_MILLISECONDS || this._stopped.signal.aborted;
+        log.state('suspicion.not-written', { fingerprint, reason: errorText(error), age, givenUp });
+        if (givenUp) this._settle(pending, pending.length);
+        else await pause(backoff.nextWait(), this._stopped.signal);
+      }
+    }
+    this._pending.delete(fingerprint);
+  }
+
+  /** Writes what the changes come to; returns how many of them are done, none when another entry has written. */
+  private async _writeOnce(fingerprint: string, changes: readonly PendingChange[]): Promise<number> {
+    const { copies } = this._options;
+    const { suspicion, revision } = copies.of(fingerprint);
+    const next = applied(suspicion, changes);
+    if (isDeepStrictEqual(next, suspicion)) return changes.length;
+    const answer = await this._send(fingerprint, suspicion ? revision : 0, next);
+    if (answer.kind === 'done') copies.note(fingerprint, answer.revision, next);
+    else copies.noteObject(fingerprint, answer.object);
+    return answer.kind === 'done' ? changes.length : 0;
+  }
+
+  private async _send(name: string, revision: number, next: Suspicion | undefined): Promise<WriteAnswer> {
+    const { store, kind } = this._options;
+    return next
+      ? await store.put({ kind, name, revision }, next)
+      : await store.remove({ kind, name, revision });
+  }
+
+  private _settle(pending: PendingChange[], count: number): void {
+    for (const { done } of pending.splice(0, count)) done();
+  }
+}
+
+function applied(suspicion: Suspicion | undefined, changes: readonly PendingChange[]): Suspicion | undefined {
+  return changes.reduce<Suspicion | undefined>((current, { apply }) => apply(current), suspicion);
+}
--- /dev/null
+++ b/src/crashes/suspicions.ts
@@ -0,0 +1,216 @@
+/**
+ * Which requests are suspected of ending the servers that run them, over all entries.
+ *
+ * When a server ends, all that it ran is suspected. A suspected request runs once at a time in the whole system, until it ends well
+ * somewhere, which clears it, or has ended so many servers that it runs no more. Where the store is silent, this entry goes by what
+ * it knows: it lets down nobody whose request may be good.
+ */
+import type { RecordReplica } from '../records/recordReplica.js';
+import type { UnreadableRecords } from '../records/unreadableRecords.js';
+import type { WritableStore } from '../records/writableStore.js';
+import type { EventLog } from '../telemetry/eventLog.js';
+import type { Clock } from '../utils/clock.js';
+import type { Random } from '../utils/random.js';
+import { pause } from '../utils/timers.js';
+import type { CheckedServer } from './serverEnds.js';
+import { ServerEnds } from './serverEnds.js';
+import type { ServerEnd, Suspicion } from './suspicion.js';
+import { hasFailedTrial, isShutOut, withEnd, withTrial, withoutTrial } from './suspicion.js';
+import type { StoredSuspicion } from './suspicionCopies.js';
+import { SuspicionCopies } from './suspicionCopies.js';
+import { SuspicionWriter } from './suspicionWriter.js';
+
+/** What the suspicions work with. */
+export interface SuspicionsOptions {
+  /** This entry. */
+  box: string;
+  replica: RecordReplica;
+  store: WritableStore;
+  unreadable: UnreadableRecords;
+  /** Whether this process is one of the few that read the store, and tidy it. */
+  isReading: () => boolean;
+  /** Whether the entry on a box is known to live: the trial of another one lasts no longer. */
+  isLive: (box: string) => boolean;
+  clock: Clock;
+  random: Random;
+  log: EventLog;
+}
+
+/**
+ * Whether a request may run. `free`: it is not suspected. `mine`: its trial is that of this very request. `open`: it may have a
+ * trial. `held`: another one has it. `shut-out`: it ends its servers.
+ */
+export type Standing = 'free' | 'mine' | 'open' | 'held' | 'shut-out';
+
+/** How long a request waits for the store to take its trial: callers of good requests wait as long. */
+const CLAIM_MILLISECONDS = 250;
+/**
+ * A request that ends its servers does so soon after they begin to run it. A longer trial holds up no others, who may be many and
+ * have done nothing.
+ */
+const LONGEST_TRIAL_MILLISECONDS = 3_000;
+/** Servers and weights change: after so long a request that was shut out may have one more trial, which costs a server at worst. */
+const SHUT_OUT_MILLISECONDS = 600_000;
+/** Nobody has come again with a suspected request for so long. */
+const FORGET_SUSPECTED_MILLISECONDS = 60_000;
+const FORGET_SHUT_OUT_MILLISECONDS = 24 * 3_600_000;
+const TIDY_INTERVAL_MILLISECONDS = 10_000;
+/** Beyond so many the crashes have another cause, and the store is spared. */
+const MOST_SUSPICIONS = 1_000;
+
+export class Suspicions {
+  private readonly _options: SuspicionsOptions;
+  private readonly _copies: SuspicionCopies;
+  private readonly _writer: SuspicionWriter;
+  private readonly _ends: ServerEnds;
+  private readonly _waiting = new Map<string, Set<() => void>>();
+  /** Requests of this process that have asked for a trial. */
+  private readonly _claims = new Set<string>();
+  private readonly _timer: NodeJS.Timeout;
+
+  constructor(options: SuspicionsOptions) {
+    const { replica, unreadable, clock } = options;
+    this._options = options;
+    this._ends = new ServerEnds(options.log);
+    this._copies = new SuspicionCopies(replica, unreadable, clock);
+    this._copies.on('change', (fingerprint) => this._onChange(fingerprint));
+    this._writer = new SuspicionWriter({ ...options, kind: replica.kind, copies: this._copies });
+    this._timer = setInterval(() => this._tidy(), TIDY_INTERVAL_MILLISECONDS).unref();
+  }
+
+  /** Whether nothing is suspected, so that no request needs to be looked up. */
+  get isEmpty(): boolean {
+    return this._copies.size === 0 && this._writer.isIdle;
+  }
+
+  /** Requests that are suspected, and those of them that run no more. */
+  get counts(): { suspected: number; shutOut: number } {
+    const known = this._copies.all().flatMap(([, { suspicion }]) => suspicion ?? []);
+    return { suspected: known.length, shutOut: known.filter(isShutOut).length };
+  }
+
+  /** How the same requests as `request` stand, for `request` itself. */
+  standing(fingerprint: string, request: string): Standing {
+    const suspicion = this._writer.of(fingerprint);
+    if (!suspicion) return 'free';
+    const { trial } = suspicion;
+    const stored = this._copies.of(fingerprint);
+    const isMine = trial?.request === request && trial.box === this._options.box;
+    if (!isShutOut(suspicion)) {
+      if (isMine) return 'mine';
+      return trial && trial.request !== this._lapsedTrial(stored) ? 'held' : 'open';
+    }
+    if (isMine && !hasFailedTrial(suspicion, request)) return 'mine';
+    return this._age(stored) < SHUT_OUT_MILLISECONDS ? 'shut-out' : 'open';
+  }
+
+  /** Whether the process of a server has ended that broke a connection off. Never rejects. */
+  async hasEnded(server: CheckedServer): Promise<boolean> {
+    return await this._ends.hasEnded(server);
+  }
+
+  /** A server has ended that had the request. */
+  noteEnd(fingerprint: string, end: ServerEnd): void {
+    if (this._copies.size >= MOST_SUSPICIONS && !this._writer.of(fingerprint))
+      return this._options.log.state('suspicion.not-kept', { fingerprint, server: end.server });
+    void this._writer.change(fingerprint, (suspicion) => withEnd(suspicion, end));
+    const ends = this._writer.of(fingerprint)?.ends.length;
+    this._options.log.decision('suspicion.end', { fingerprint, ...end, ends });
+  }
+
+  /** Asks for the trial of a suspected request; afterwards its standing tells whether it has it. */
+  async claim(fingerprint: string, request: string, milliseconds: number): Promise<void> {
+    const { box } = this._options;
+    const lapsed = this._lapsedTrial(this._copies.of(fingerprint));
+    const trial = {
+      box,
+      request,
+      milliseconds: Math.ceil(Math.min(milliseconds, LONGEST_TRIAL_MILLISECONDS)),
+    };
+    this._claims.add(request);
+    const claimed = this._writer.change(
+      fingerprint,
+      (suspicion) => suspicion && withTrial(suspicion, trial, lapsed),
+    );
+    await Promise.race([claimed, pause(CLAIM_MILLISECONDS)]);
+  }
+
+  /** The request that asked for a trial is over. */
+  release(fingerprint: string, request: string): void {
+    this._claims.delete(request);
+    if (!this._writer.of(fingerprint)) return;
+    void this._writer.change(fingerprint, (suspicion) => suspicion && withoutTrial(suspicion, request));
+  }
+
+  /** The request has ended well: it does not end each server that runs it. */
+  clear(fingerprint: string): void {
+    if (!this._writer.of(fingerprint)) return;
+    this._options.log.decision('suspicion.cleared', { fingerprint });
+    void this._writer.change(fingerprint, () => undefined);
+  }
+
+  /** Resolves when the suspicion may have changed, at the latest after `milliseconds`. */
+  async changed(fingerprint: string, milliseconds: number): Promise<void> {
+    const { trial } = this._writer.of(fingerprint) ?? {};
+    const lapsesIn = trial ? trial.milliseconds - this._age(this._copies.of(fingerprint)) : milliseconds;
+    const waiting = this._waiting.get(fingerprint) ?? new Set();
+    this._waiting.set(fingerprint, waiting);
+    let wake: () => void = () => undefined;
+    const woken = new Promise<void>((resolve) => (wake = resolve));
+    waiting.add(wake);
+    const ended = new AbortController();
+    await Promise.race([woken, pause(Math.max(0, Math.min(milliseconds, lapsesIn)), ended.signal)]);
+    ended.abort();
+    waiting.delete(wake);
+    if (waiting.size === 0) this._waiting.delete(fingerprint);
+  }
+
+  close(): void {
+    clearInterval(this._timer);
+    this._writer.stop();
+  }
+
+  private _age({ seenAt }: StoredSuspicion): number {
+    return this._options.clock.now() - seenAt;
+  }
+
+  /** The trial that is over though nobody has said so: its entry was killed, or cannot reach the store. */
+  private _lapsedTrial(stored: StoredSuspicion): string | undefined {
+    const trial = stored.suspicion?.trial;
+    if (!trial) return undefined;
+    const { box, isLive } = this._options;
+    const isOfFormerLife = trial.box === box && !this._claims.has(trial.request);
+    const isOver = isOfFormerLife || !isLive(trial.box) || this._age(stored) > trial.milliseconds;
+    return isOver ? trial.request : undefined;
+  }
+
+  private _onChange(fingerprint: string): void {
+    const { suspicion } = this._copies.of(fingerprint);
+    if (suspicion && isShutOut(suspicion)) {
+      const servers = suspicion.ends.map(({ server }) => server);
+      this._options.log.state('suspicion.shut-out', { fingerprint, servers });
+    }
+    for (const wake of [...(this._waiting.get(fingerprint) ?? [])]) wake();
+  }
+
+  /** Removes what nobody has come again with; the others find it in their copies. */
+  private _tidy(): void {
+    if (!this._options.isReading()) return;
+    for (const [fingerprint, stored] of this._copies.all()) {
+      const { suspicion } = stored;
+      if (!suspicion) continue;
+      const keptFor = isShutOut(suspicion) ? FORGET_SHUT_OUT_MILLISECONDS : FORGET_SUSPECTED_MILLISECONDS;
+      if (this._age(stored) > keptFor) void this._forget(fingerprint, suspicion);
+    }
+  }
+
+  private async _forget(fingerprint: string, forgotten: Suspicion): Promise<void> {
+    this._options.log.decision('suspicion.forgotten', { fingerprint, ends: forgotten.ends.length });
+    // one that has changed meanwhile is another object by then, and stays
+    const change = (suspicion: Suspicion | undefined): Suspicion | undefined =>
+      suspicion?.ends.length === forgotten.ends.length && suspicion.trial === forgotten.trial
+        ? undefined
+        : suspicion;
+    await this._writer.change(fingerprint, change);
+  }
+}
--- a/src/records/countedStore.ts
+++ b/src/records/countedStore.ts
@@ -1,15 +1,16 @@
 /** Counts the calls to a store: each has its price on the platform, answered or not. */
 import type { KindChanges, KindListing, WatchableStore } from './watchableStore.js';
+import type { WritableStore, WriteAnswer, WrittenObject } from './writableStore.js';
 
 /** How the store is called. */
-export type StoreCall = 'probe' | 'list' | 'list-stale' | 'watch';
+export type StoreCall = 'probe' | 'list' | 'list-stale' | 'watch' | 'put' | 'remove';
 
-export class CountedStore implements WatchableStore {
-  private readonly _store: WatchableStore;
+export class CountedStore implements WatchableStore, WritableStore {
+  private readonly _store: WatchableStore & WritableStore;
   private readonly _count: (call: StoreCall, kind: string) => void;
 
   /** `count` is told of each call; `kind` is '' for probes. */
-  constructor(store: WatchableStore, count: (call: StoreCall, kind: string) => void) {
+  constructor(store: WatchableStore & WritableStore, count: (call: StoreCall, kind: string) => void) {
     this._store = store;
     this._count = count;
   }
@@ -38,4 +39,14 @@
     this._count('watch', kind);
     return await this._store.watch(kind, revision, waitMilliseconds, signal);
   }
+
+  async put(object: WrittenObject, value: unknown): Promise<WriteAnswer> {
+    this._count('put', object.kind);
+    return await this._store.put(object, value);
+  }
+
+  async remove(object: WrittenObject): Promise<WriteAnswer> {
+    this._count('remove', object.kind);
+    return await this._store.remove(object);
+  }
 }
--- a/src/serving/answerJudgement.ts
+++ b/src/serving/answerJudgement.ts
@@ -32,6 +32,11 @@
   return isSuccess && headers[names.seal] === undefined ? 'unclear' : 'answered';
 }
 
+/** Whether the server has run the request to a success: it did not end by it. */
+export function isGoodEnd(verdict: AnswerVerdict, status: number): boolean {
+  return verdict === 'answered' && status < REDIRECTION;
+}
+
 /** First answer of a repeatable request, in parts of its objective, after which another server is tried. */
 const PATIENCE_OBJECTIVES = 2.5;
 const LEAST_PATIENCE_MILLISECONDS = 350;
--- a/src/serving/finalAnswer.ts
+++ b/src/serving/finalAnswer.ts
@@ -53,11 +53,16 @@
 
   /** No server can go on: cuts an answer that has begun, and says of any other whether it may have run. */
   giveUp(reason: string, { begun, mayHaveRun, retryAfterMilliseconds }: GivenUp): void {
-    if (begun) return this.cut(reason);
-    if (mayHaveRun) return this.refuse(OWN_STATUS.unclear, reason);
+    if (begun || mayHaveRun) return this.fail(begun, reason);
     this.refuse(OWN_STATUS.notRun, reason, retryAfterMilliseconds);
   }
 
+  /** The request may have run, and nobody can go on with it. */
+  fail(begun: boolean, reason: string): void {
+    if (begun) this.cut(reason);
+    else this.refuse(OWN_STATUS.unclear, reason);
+  }
+
   /** The caller or the operator no longer waits; `sent` when the request may have run. */
   timeOver(begun: boolean, sent: boolean): void {
     if (begun) return this.cut('time over');
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -1,22 +1,23 @@
 /** Carries one admitted request to backend servers until it has an answer. */
-import type { AnswerHeaders, BackendCallListener, BackendRequest, CallFailure } from './backendCall.js';
+import type { AnswerHeaders, BackendCallListener, CallFailure } from './backendCall.js';
+import { RequestTurn } from '../crashes/requestTurn.js';
 import { SharedInterval } from '../utils/sharedInterval.js';
 import { AnswerReceiver } from './answerReceiver.js';
 import type { BackendCall } from './backendCall.js';
 import { OWN_STATUS } from './callerExchange.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { PartialAnswer } from './answerJudgement.js';
-import { MISDIRECTED, handoverDelay, isSilent, judgeAnswer } from './answerJudgement.js';
+import { MISDIRECTED, handoverDelay, isGoodEnd, isSilent, judgeAnswer } from './answerJudgement.js';
 import { CurrentAttempt } from './currentAttempt.js';
 import { FinalAnswer } from './finalAnswer.js';
 import type { ForwardServices } from './forwardServices.js';
 import type { NoAttempt } from './noAttempt.js';
 import { mayPass, noAttemptOf } from './noAttempt.js';
 import { RequestAttempts } from './requestAttempts.js';
+import { RequestHandover } from './requestHandover.js';
 import type { EndFields, RequestOutcome } from './requestTrace.js';
 import { RequestTrace } from './requestTrace.js';
 import { retryAfter } from './retryAdvice.js';
-import { StreamHandover } from './streamHandover.js';
 import { StreamRelay } from './streamRelay.js';
 import type { TrackedServer } from './trackedServer.js';
 
@@ -32,10 +33,11 @@
   private readonly _received: AnswerReceiver;
   private readonly _current: CurrentAttempt;
   private readonly _attempts: RequestAttempts;
+  private readonly _turn: RequestTurn;
+  private readonly _handover: RequestHandover;
   private readonly _handoverDelay: number;
   private readonly _final: FinalAnswer;
   private readonly _done: () => void;
-  private _handover: StreamHandover | undefined;
   /** Why there was no next attempt when one was last wanted; undefined while there is one. */
   private _noAttempt: NoAttempt | undefined;
   /** Whether a stream that has begun waits until it can go on elsewhere. */
@@ -53,7 +55,14 @@
     this._final = new FinalAnswer(request.exchange, (outcome, fields) => this._onEnded(outcome, fields));
     this._handoverDelay = handoverDelay(services.random.fraction());
     this._attempts = new RequestAttempts(services, request, () => this._relay?.begun === true);
+    this._turn = new RequestTurn(services.suspicions, request, services.clock);
     this._trace = new RequestTrace(request, services.log, services.metrics, services.clock);
+    this._handover = new RequestHandover(services, request, this._attempts, this._trace, {
+      callListener: (server) => this._listenerFor(server),
+      onBegun: (server) => this._noteAttempt(server),
+      onReady: (call, startedAt) => this._onHandoverReady(call, startedAt),
+      onFailed: (server, failure, startedAt) => this._onHandoverFailed(server, failure, startedAt),
+    });
     if (request.route.kind === 'stream')
       this._relay = new StreamRelay(request.exchange, request.lastEventId, services.clock);
     this._received = new AnswerReceiver(request.exchange, this._relay);
@@ -61,13 +70,11 @@
   }
 
   start(): void {
-    const { exchange, endsAt } = this._request;
+    const { exchange } = this._request;
     if (exchange.ended) return this._onCallerGone();
     exchange.onCallerGone(() => this._onCallerGone());
-    this._deadlineTimer = setTimeout(
-      () => this._onTimeOver(),
-      Math.max(0, endsAt - this._services.clock.now()),
-    );
+    const { leftMilliseconds } = this._attempts;
+    this._deadlineTimer = setTimeout(() => this._onTimeOver(), Math.max(0, leftMilliseconds));
     // a stream shows by its head that it has begun; other requests that may run once are left to end where they are
     if (this._attempts.repeatable || this._relay) this._endWatch = watches.add(() => this._watch());
     this._attempt();
@@ -76,15 +83,23 @@
   /** Sends the request to the best server there is. */
   private _attempt(): void {
     if (this._final.given) return;
+    if (!this._turn.isFree) return void this._awaitTurn();
     const found = this._attempts.find();
     if (found.kind === 'none') return this._giveUp(noAttemptOf(found)!);
     const { server } = found;
     this._received.forget();
-    const sent = this._current.send(server, this._outgoing(server), this._listenerFor(server));
-    if (sent) this._noteAttempt(server);
+    const outgoing = this._attempts.outgoing(server, this._relay?.lastEventId ?? '');
+    if (this._current.send(server, outgoing, this._listenerFor(server))) this._noteAttempt(server);
     else this._giveUp('all busy');
   }
 
+  /** The same request is suspected of ending its servers: it runs once at a time, if at all. */
+  private async _awaitTurn(): Promise<void> {
+    if (this._turn.isAwaited) return;
+    if (await this._turn.take()) this._attempt();
+    else if (!this._final.given) this._giveUp('ends servers');
+  }
+
   private _noteAttempt(server: TrackedServer): void {
     this._noAttempt = undefined;
     this._attempts.noteSent(server);
@@ -100,10 +115,6 @@
     };
   }
 
-  private _outgoing(server: TrackedServer): BackendRequest {
-    return this._attempts.outgoing(server, this._relay?.lastEventId ?? '');
-  }
-
   private _onHead(server: TrackedServer, status: number, headers: AnswerHeaders): void {
     const { names } = this._services;
     const { exchange, model } = this._request;
@@ -129,6 +140,7 @@
     this._current.forget(server);
     if (this._received.isPassedOn) {
       server.health.note('succeeded');
+      this._turn.noteGoodEnd();
       return this._final.endStream(server, answer.status);
     }
     this._judge(server, answer);
@@ -141,8 +153,8 @@
     if (verdict === 'not-run') return this._onRejected(server, status);
     this._mayHaveRun = true;
     server.health.note(verdict === 'failed' || verdict === 'unclear' ? 'failed' : 'succeeded');
-    const again = verdict !== 'answered' && this._attempts.repeatable;
-    if (again && this._goOnElsewhere()) return;
+    if (isGoodEnd(verdict, status)) this._turn.noteGoodEnd();
+    if (verdict !== 'answered' && this._attempts.repeatable && this._goOnElsewhere()) return;
     if (verdict === 'unclear') return this._final.refuse(OWN_STATUS.unclear, `status ${status} from server`);
     if (this._relay?.begun) return this._final.cut('stream could not be resumed');
     this._final.pass(server, status, headers, Buffer.concat(answer.body));
@@ -163,14 +175,24 @@
   private _afterFailure(server: TrackedServer, failure: CallFailure): void {
     this._current.forget(server);
     this._trace.attemptFailed(server, failure, this._current.waited);
-    if (failure.brokeOff) void this._services.serverEnds.hasEnded(server.record);
-    if (!failure.sent && !this._handover) return this._afterUnreachable(server);
+    if (!failure.sent && !this._handover.isUnderWay) return this._afterUnreachable(server);
     this._mayHaveRun = true;
     if (failure.reason === 'silent') server.health.note('silent');
     else server.health.note('failed');
+    if (failure.brokeOff) void this._afterBreak(server, failure);
+    else this._goOnAfter(failure);
+  }
+
+  /** The connection broke off: if with the server, whoever sends the request next has to know. */
+  private async _afterBreak(server: TrackedServer, failure: CallFailure): Promise<void> {
+    if (await this._turn.afterBreak(server.record)) server.health.noteUnreachable();
+    const hasGoneOn = this._current.call !== undefined || this._handover.isUnderWay;
+    if (!hasGoneOn && !this._final.given) this._goOnAfter(failure);
+  }
+
+  private _goOnAfter(failure: CallFailure): void {
     if (this._attempts.repeatable && this._goOnElsewhere()) return;
-    if (this._relay?.begun) return this._final.cut(failure.reason);
-    this._final.refuse(OWN_STATUS.unclear, failure.reason);
+    this._final.fail(this._relay?.begun === true, failure.reason);
   }
 
   /** Nothing reached the server, so that the attempt does not count. */
@@ -183,7 +205,7 @@
 
   /** Goes on with the handover under way, with another attempt or by waiting for one; false when there can be none. */
   private _goOnElsewhere(): boolean {
-    if (this._handover || this._final.given) return true;
+    if (this._handover.isUnderWay || this._final.given) return true;
     this._noAttempt = this._takeRetry();
     if (this._noAttempt) return this._waitsFor(this._noAttempt);
     this._attempt();
@@ -203,8 +225,8 @@
   }
 
   /** Takes permission for one more attempt; returns why there is none. */
-  private _takeRetry(isHandover = false): NoAttempt | undefined {
-    const refused = this._attempts.takeRetry(isHandover);
+  private _takeRetry(): NoAttempt | undefined {
+    const refused = this._attempts.takeRetry();
     if (!refused) this._trace.retried();
     return refused;
   }
@@ -215,10 +237,11 @@
     const { call } = this._current;
     if (!call) return;
     if (!this._received.answer && this._attempts.mayBeginTooLate(call.server)) return this._takeBack(call);
-    if (this._handover || !this._attempts.repeatable) return;
+    if (this._handover.isUnderWay || !this._attempts.repeatable) return;
     const { switchingFor } = call.server;
     if (switchingFor === 0) this._moveIfSilent(call);
-    else if (this._relay && switchingFor > this._handoverDelay) this._beginHandover(call.server);
+    else if (this._relay && switchingFor > this._handoverDelay)
+      this._handover.begin(call.server, this._relay.lastEventId);
   }
 
   /** No request may begin on an older version after the bound, whatever else is known of it. */
@@ -237,8 +260,7 @@
       stream: this._relay !== undefined,
       streamSilentFor: this._received.answer && this._relay?.begun ? this._relay.silentFor() : undefined,
     });
-    const isRefused = silent && this._takeRetry() !== undefined;
-    if (!silent || isRefused) return;
+    if (!silent || this._takeRetry()) return;
     this._current.end('silent');
     this._mayHaveRun = true;
     server.health.note('silent');
@@ -246,29 +268,8 @@
     this._attempt();
   }
 
-  /** Asks another server for the rest of the stream, while this one goes on. */
-  private _beginHandover(from: TrackedServer): void {
-    const found = this._attempts.find(true);
-    if (found.kind === 'none') return this._trace.notHandedOver(from, noAttemptOf(found)!);
-    const refused = this._takeRetry(true);
-    if (refused) return this._trace.notHandedOver(from, refused);
-    const { server } = found;
-    const startedAt = this._services.clock.now();
-    this._handover = StreamHandover.begin({
-      server,
-      request: this._outgoing(server),
-      names: this._services.names,
-      requestId: this._request.exchange.requestId,
-      listener: this._listenerFor(server),
-      onReady: (call) => this._onHandoverReady(call, startedAt),
-      onFailed: (failure) => this._onHandoverFailed(server, failure, startedAt),
-    });
-    if (this._handover) this._noteAttempt(server);
-  }
-
   /** The other server has sent an event: lets the first one go and follows the other. */
   private _onHandoverReady(call: BackendCall, startedAt: number): void {
-    this._handover = undefined;
     const { call: former, waited } = this._current;
     if (former) this._trace.attemptFailed(former.server, { sent: true, reason: 'switching' }, waited);
     this._current.end('not-needed');
@@ -277,7 +278,6 @@
   }
 
   private _onHandoverFailed(server: TrackedServer, failure: CallFailure, startedAt: number): void {
-    this._handover = undefined;
     const { rejectedWith } = failure;
     if (rejectedWith !== undefined && this._current.call) return this._noteRejected(server, rejectedWith);
     if (rejectedWith !== undefined) return this._onRejected(server, rejectedWith);
@@ -289,15 +289,16 @@
   private _giveUp(reason: NoAttempt): void {
     this._noAttempt = reason;
     if (this._waitsFor(reason)) return;
+    const { leftMilliseconds } = this._attempts;
     this._final.giveUp(reason, {
       begun: this._relay?.begun === true,
       mayHaveRun: this._mayHaveRun,
-      retryAfterMilliseconds: retryAfter(this._attempts.leftMilliseconds, this._services.random.fraction()),
+      retryAfterMilliseconds: retryAfter(reason, leftMilliseconds, this._services.random.fraction()),
     });
   }
 
   private _onTimeOver(): void {
-    const sent = this._mayHaveRun || this._handover !== undefined || this._current.call?.sent === true;
+    const sent = this._mayHaveRun || this._handover.isUnderWay || this._current.call?.sent === true;
     this._current.end('time-over');
     this._final.timeOver(this._relay?.begun === true, sent);
   }
@@ -309,11 +310,11 @@
   }
 
   private _onEnded(outcome: RequestOutcome, fields: EndFields): void {
-    this._handover?.cancel();
+    this._handover.cancel();
+    this._turn.release();
     clearTimeout(this._deadlineTimer);
     this._endWatch();
-    const why = { ...fields, noAttempt: this._noAttempt };
-    this._trace.ended(outcome, this._attempts.count, why, this._relay);
+    this._trace.ended(outcome, this._attempts.count, { ...fields, noAttempt: this._noAttempt }, this._relay);
     this._done();
   }
 }
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -1,6 +1,5 @@
 /** An entry that reaches backend servers directly: everything it is made of, put together. */
 import type http from 'node:http';
-import { ServerEnds } from '../crashes/serverEnds.js';
 import type { EntryAddress } from '../protocol/boxMessages.js';
 import type { ControlOptions } from '../protocol/controlConnection.js';
 import { ControlServer } from '../protocol/controlServer.js';
@@ -130,7 +129,7 @@
       names: parts.names,
       pool: this._pool,
       gate: this._gate,
-      serverEnds: new ServerEnds(parts.log),
+      suspicions: this._followers.suspicions,
       clock,
       random,
       log: parts.log,
--- a/src/serving/noAttempt.ts
+++ b/src/serving/noAttempt.ts
@@ -4,10 +4,17 @@
 /**
  * `attempts used`: as many servers as its route allows may have run it. `retry budget`: the share of retries is used up.
  * `asked just now`: one has just said that it has not run it. `no server`: none is left to ask. `all busy`: none has room. `old version`: none is of a version on which it may begin.
- * `time`: too little is left for another attempt.
+ * `time`: too little is left for another attempt. `ends servers`: the same request has ended several servers, and runs no more.
  */
 export type NoAttempt =
-  'attempts used' | 'retry budget' | 'asked just now' | 'no server' | 'all busy' | 'old version' | 'time';
+  | 'attempts used'
+  | 'retry budget'
+  | 'asked just now'
+  | 'no server'
+  | 'all busy'
+  | 'old version'
+  | 'time'
+  | 'ends servers';
 
 /** What may change while a caller waits. */
 const PASSING: ReadonlySet<NoAttempt> = new Set([
--- a/src/serving/platformFollowers.ts
+++ b/src/serving/platformFollowers.ts
@@ -1,4 +1,5 @@
 /** The records of the platform that a gateway follows, and whether it can trust its copies. */
+import { Suspicions } from '../crashes/suspicions.js';
 import { KindFollower } from '../records/kindFollower.js';
 import { RecordRelay } from '../records/recordRelay.js';
 import type { WeighChange } from '../records/recordReplica.js';
@@ -30,6 +31,8 @@
 /** Many servers change only what they hold while they load or switch, which their agents tell as well. */
 const GATHER_MINOR_MILLISECONDS = 500;
 const GATHER_MILLISECONDS = 60;
+/** Each that is known late may cost a server. */
+const GATHER_SUSPICIONS_MILLISECONDS = 15;
 /** The longest lag of a copy (1,000), a stamp (300), and a round of reading, as `LagWatch` and `RecordRelay` have them. */
 const LEAST_GAP_MILLISECONDS = 1_500;
 /** How long after an outage of the store backend servers may be missing that only could not renew their entries. */
@@ -39,8 +42,10 @@
   readonly configuration: RecordReplica;
   readonly servers: RecordReplica;
   readonly versions: RecordReplica;
+  readonly suspicions: Suspicions;
   readonly decoded: DecodedServers;
   readonly relay: RecordRelay;
+  private readonly _suspicions: RecordReplica;
   private readonly _state: RecordState;
   private readonly _reader: StoreReader;
   private readonly _sources: RecordSources;
@@ -53,8 +58,9 @@
     this.configuration = new RecordReplica(reader.kinds.configuration);
     this.servers = new RecordReplica(reader.kinds.servers, weighServer);
     this.versions = new RecordReplica(reader.kinds.versions);
+    this._suspicions = new RecordReplica(reader.kinds.suspicions);
     this._state = new RecordState(
-      [this.configuration, this.servers, this.versions],
+      [this.configuration, this.servers, this.versions, this._suspicions],
       clock,
       () => this._reader,
     );
@@ -68,6 +74,7 @@
       store,
       relay: this.relay,
     });
+    this.suspicions = this._createSuspicions(options);
   }
 
   /** Whether the configuration can be trusted to be the newest. */
@@ -98,22 +105,42 @@
   }
 
   stop(): void {
+    this.suspicions.close();
     this._sources.stop();
     this.relay.close();
   }
 
+  private _createSuspicions(options: PlatformFollowersOptions): Suspicions {
+    const { platform, own, ranking } = options;
+    return new Suspicions({
+      ...options,
+      ...platform,
+      box: own.box,
+      replica: this._suspicions,
+      isReading: () => this.isReading,
+      isLive: (box) => ranking().some((source) => source.box === box),
+    });
+  }
+
   private _followerOf(
     replica: RecordReplica,
     { platform, random, log }: PlatformFollowersOptions,
   ): KindFollower {
-    const isServers = replica === this.servers;
+    const [gatherMilliseconds, gatherMinorMilliseconds] = this._gatherTimes(replica);
     return new KindFollower({
       replica,
       store: platform.store,
       random,
       log,
-      gatherMilliseconds: isServers ? GATHER_SERVERS_MILLISECONDS : GATHER_MILLISECONDS,
-      gatherMinorMilliseconds: isServers ? GATHER_MINOR_MILLISECONDS : GATHER_MILLISECONDS,
+      gatherMilliseconds,
+      gatherMinorMilliseconds,
     });
   }
+
+  /** How long changes are gathered after an urgent one, and after a minor one. */
+  private _gatherTimes(replica: RecordReplica): [number, number] {
+    if (replica === this.servers) return [GATHER_SERVERS_MILLISECONDS, GATHER_MINOR_MILLISECONDS];
+    const gather = replica === this._suspicions ? GATHER_SUSPICIONS_MILLISECONDS : GATHER_MILLISECONDS;
+    return [gather, gather];
+  }
 }
--- a/src/serving/platformRecords.ts
+++ b/src/serving/platformRecords.ts
@@ -1,7 +1,8 @@
-/** The three kinds of records that a gateway follows, and how their values are read. */
+/** The kinds of records that a gateway follows, and how the values of those are read that others write. */
 import type { Result } from 'neverthrow';
 import type { UnreadableRecords } from '../records/unreadableRecords.js';
 import type { WatchableStore } from '../records/watchableStore.js';
+import type { WritableStore } from '../records/writableStore.js';
 import type { BackendServerRecord } from './backendServerRecord.js';
 import type { ServingConfiguration } from './servingConfiguration.js';
 
@@ -16,7 +17,8 @@
 
 /** Reads the values of records. Anybody may write one: what is not as it should be is used for nothing. */
 export interface RecordReader {
-  readonly kinds: { configuration: string; servers: string; versions: string };
+  /** `suspicions` is a kind of our own, which nobody else uses. */
+  readonly kinds: { configuration: string; servers: string; versions: string; suspicions: string };
   configuration(name: string, value: unknown): ReadRecord<ServingConfiguration>;
   server(name: string, value: unknown): ReadRecord<BackendServerRecord>;
   version(name: string, value: unknown): ReadRecord<NamedVersion>;
@@ -24,7 +26,7 @@
 
 /** The platform as a gateway sees it. */
 export interface ServingPlatform {
-  store: WatchableStore;
+  store: WatchableStore & WritableStore;
   reader: RecordReader;
   /** Hears of what the reader cannot understand. */
   unreadable: UnreadableRecords;
--- a/standins/platformStoreStandin.ts
+++ b/standins/platformStoreStandin.ts
@@ -1,5 +1,6 @@
-/** A stand-in for the platform's metadata store: objects by kind and name, lists in pages, watches. */
+/** A stand-in for the platform's metadata store: objects by kind and name, lists in pages, watches, writes bound to a revision. */
 import type http from 'node:http';
+import { z } from 'zod';
 import { StandinServer, sendJsonAnswer } from './standinServer.js';
 import type { StandinRequest } from './standinServer.js';
 
@@ -13,7 +14,8 @@
   garbled?: boolean;
 }
 
-interface HeldObject {
+/** An object, or what is left of one that was deleted. */
+export interface HeldObject {
   kind: string;
   name: string;
   revision: number;
@@ -21,8 +23,13 @@
   gone: boolean;
 }
 
+const writtenSchema = z.object({
+  metadata: z.object({ name: z.string().default(''), revision: z.number().default(0) }).prefault({}),
+  spec: z.unknown().optional(),
+});
 const PAGE = 2;
 const LIST = /^\/objects\/([^/]+)$/;
+const OBJECT = /^\/objects\/([^/]+)\/([^/]+)$/;
 
 export class PlatformStoreStandin extends StandinServer<PlatformStoreFaults> {
   /** Called with each call before it is answered. */
@@ -68,12 +75,36 @@
     if (this.faults.status) return sendJsonAnswer(response, this.faults.status, {});
     if (this.faults.garbled) return void response.writeHead(200).end('<html>');
     if (this.answer !== undefined) return sendJsonAnswer(response, 200, this.answer);
+    if (method !== 'GET') return this._write(request);
     const kind = LIST.exec(url.pathname)?.[1] ?? '';
     const watch = url.searchParams.get('watch');
     if (watch === null) this._list(kind, url.searchParams.get('since_rev') ?? '', response);
     else await this._watch(kind, Number(watch), Number(url.searchParams.get('wait_ms')), response);
   }
 
+  private _write({ method, url, body, response }: StandinRequest): void {
+    const { metadata, spec } = writtenSchema.parse(body ?? {});
+    const [, kind, named] = OBJECT.exec(url.pathname) ?? LIST.exec(url.pathname) ?? [];
+    const name = named ?? metadata.name;
+    const known = this.held(kind, name);
+    if (method === 'POST') {
+      if (known) return sendJsonAnswer(response, 409, toWire(known));
+    } else {
+      const expected = metadata.revision || Number(url.searchParams.get('revision'));
+      if (!known) return sendJsonAnswer(response, 404, {});
+      if (expected > 0 && expected !== known.revision) return sendJsonAnswer(response, 409, toWire(known));
+    }
+    if (method === 'DELETE') this.remove(kind, name);
+    else this.put(kind, name, spec);
+    const written = this._objects.find((object) => object.kind === kind && object.name === name)!;
+    sendJsonAnswer(response, 200, toWire(written));
+  }
+
+  /** An object as it is held now. */
+  held(kind: string, name: string): HeldObject | undefined {
+    return this._objects.find((object) => object.kind === kind && object.name === name && !object.gone);
+  }
+
   private _change(change: Omit<HeldObject, 'revision'>): void {
     const known = this._objects.findIndex(({ kind, name }) => kind === change.kind && name === change.name);
     if (known >= 0) this._objects.splice(known, 1);
--- a/tests/platformStore.spec.ts
+++ b/tests/platformStore.spec.ts
@@ -282,3 +282,30 @@
   for (let change = 0; change < 6; change++) standin.put('servers', 'a', 3);
   await until(() => replica.objects.get('a')?.value === 3);
 });
+
+test('should create, replace and delete an object that is as it was known', async () => {
+  const object = { kind: 'own', name: 'a' };
+  expect(await store.put({ ...object, revision: 0 }, { x: 1 })).toEqual({ kind: 'done', revision: 1 });
+  expect(await store.put({ ...object, revision: 1 }, { x: 2 })).toEqual({ kind: 'done', revision: 2 });
+  expect(standin.held('own', 'a')?.spec).toEqual({ x: 2 });
+  expect(await store.remove({ ...object, revision: 2 })).toEqual({ kind: 'done', revision: 3 });
+  expect(standin.held('own', 'a')).toEqual(undefined);
+});
+
+test('should tell what an object has become when somebody else has written it', async () => {
+  const object = { kind: 'own', name: 'a' };
+  standin.put('own', 'a', { x: 1 });
+  standin.put('own', 'a', { x: 2 });
+  const conflict = { kind: 'conflict', object: { name: 'a', revision: 2, value: { x: 2 } } } as const;
+  expect(await store.put({ ...object, revision: 0 }, {})).toEqual(conflict);
+  expect(await store.put({ ...object, revision: 1 }, {})).toEqual(conflict);
+  expect(await store.remove({ ...object, revision: 1 })).toEqual(conflict);
+  standin.remove('own', 'a');
+  expect(await store.put({ ...object, revision: 2 }, {})).toEqual({ kind: 'conflict', object: undefined });
+  expect(await store.remove({ ...object, revision: 2 })).toEqual({ kind: 'conflict', object: undefined });
+});
+
+test('should not take a write for done that the store has refused', async () => {
+  standin.faults = { status: 503 };
+  await expect(store.put({ kind: 'own', name: 'a', revision: 0 }, {})).toBeRejectedWith('status 503');
+});
--- a/tests/recordReplica.spec.ts
+++ b/tests/recordReplica.spec.ts
@@ -103,7 +103,12 @@
     models: [{ name: 'm', version: 1 }],
   };
   const reader: RecordReader = {
-    kinds: { configuration: 'configuration', servers: 'servers', versions: 'versions' },
+    kinds: {
+      configuration: 'configuration',
+      servers: 'servers',
+      versions: 'versions',
+      suspicions: 'suspicions',
+    },
     configuration: () => err('not used'),
     server: (_name, value) => ok(value as BackendServerRecord),
     version: () => err('not used'),
--- a/tests/recordSources.spec.ts
+++ b/tests/recordSources.spec.ts
@@ -12,6 +12,7 @@
 import type { RecordReader } from '../src/serving/platformRecords.js';
 import type { ServingConfiguration } from '../src/serving/servingConfiguration.js';
 import { EventLog } from '../src/telemetry/eventLog.js';
+import type { WritableStore, WriteAnswer, WrittenObject } from '../src/records/writableStore.js';
 import { SystemClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
 import { StepError } from '../src/utils/stepError.js';
@@ -23,19 +24,19 @@
 import { until } from './fixtures/until.js';
 
 const READER: RecordReader = {
-  kinds: { configuration: 'config', servers: 'servers', versions: 'versions' },
+  kinds: { configuration: 'config', servers: 'servers', versions: 'versions', suspicions: 'suspicions' },
   configuration: (_name, value) => ok(value as ServingConfiguration),
   server: () => err('not used'),
   version: () => err('not used'),
 };
 
 /** A store that one entry may be cut off from, and whose watches may stay silent there. */
-class CuttableStore implements WatchableStore {
+class CuttableStore implements WatchableStore, WritableStore {
   cut = false;
   deaf = false;
-  private readonly _store: WatchableStore;
+  private readonly _store: WatchableStore & WritableStore;
 
-  constructor(store: WatchableStore) {
+  constructor(store: WatchableStore & WritableStore) {
     this._store = store;
   }
 
@@ -63,6 +64,16 @@
     });
   }
 
+  async put(object: WrittenObject, value: unknown): Promise<WriteAnswer> {
+    this._pass();
+    return await this._store.put(object, value);
+  }
+
+  async remove(object: WrittenObject): Promise<WriteAnswer> {
+    this._pass();
+    return await this._store.remove(object);
+  }
+
   private _pass(): void {
     if (this.cut) throw new StepError('test.store', 'cut off');
   }
@@ -77,7 +88,12 @@
   readonly control: ControlOptions;
   readonly address: string;
 
-  constructor(own: RecordSource, seeds: string[], ranking: readonly RecordSource[], store: WatchableStore) {
+  constructor(
+    own: RecordSource,
+    seeds: string[],
+    ranking: readonly RecordSource[],
+    store: WatchableStore & WritableStore,
+  ) {
     this.address = own.address;
     this.store = new CuttableStore(store);
     const identity = { role: 'entry', box: own.box, dataCentre: 'north' } as const;
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -225,7 +225,8 @@
 });
 
 test('should tell callers to come back within the time that they wait, and apart', () => {
-  expect(retryAfter(6_000, 0)).toEqual(960);
-  expect(retryAfter(6_000, 0.999)).toEqual(1_919);
-  expect(retryAfter(-5, 0.5)).toEqual(0);
+  expect(retryAfter('no server', 6_000, 0)).toEqual(960);
+  expect(retryAfter('all busy', 6_000, 0.999)).toEqual(1_919);
+  expect(retryAfter('time', -5, 0.5)).toEqual(0);
+  expect(retryAfter('ends servers', 6_000, 0.5)).toEqual(600_000);
 });
--- a/tests/servingMetrics.spec.ts
+++ b/tests/servingMetrics.spec.ts
@@ -3,6 +3,7 @@
 import { expect } from 'earl';
 import { CountedStore } from '../src/records/countedStore.js';
 import type { WatchableStore } from '../src/records/watchableStore.js';
+import type { WritableStore } from '../src/records/writableStore.js';
 import { ServingMetrics } from '../src/telemetry/servingMetrics.js';
 
 const NEVER = new AbortController().signal;
@@ -20,11 +21,13 @@
 });
 
 test('should count calls to the store, answered or not', async () => {
-  const store: WatchableStore = {
+  const store: WatchableStore & WritableStore = {
     probe: async () => undefined,
     list: async () => ({ revision: 1, objects: [] }),
     listStale: async () => ({ revision: 1, objects: [] }),
     watch: async () => await Promise.reject(new Error('lost')),
+    put: async () => ({ kind: 'done', revision: 1 }),
+    remove: async () => await Promise.reject(new Error('lost')),
   };
   const calls: string[] = [];
   const counted = new CountedStore(store, (call, kind) => void calls.push(`${call} ${kind}`.trim()));
@@ -32,5 +35,9 @@
   expect(await counted.list('servers', NEVER)).toEqual({ revision: 1, objects: [] });
   await counted.listStale('versions', NEVER);
   await expect(counted.watch('servers', 1, 1, NEVER)).toBeRejectedWith('lost');
-  expect(calls).toEqual(['probe', 'list servers', 'list-stale versions', 'watch servers']);
+  const object = { kind: 'own', name: 'a', revision: 0 };
+  expect(await counted.put(object, {})).toEqual({ kind: 'done', revision: 1 });
+  await expect(counted.remove(object)).toBeRejectedWith('lost');
+  const reads = ['probe', 'list servers', 'list-stale versions', 'watch servers'];
+  expect(calls).toEqual([...reads, 'put own', 'remove own']);
 });
--- /dev/null
+++ b/tests/suspicions.spec.ts
@@ -0,0 +1,248 @@
+/** Which requests are suspected of ending their servers: what entries conclude, by one store, with writes that cross or fail. */
+import { afterEach, beforeEach, test } from 'node:test';
+import { expect } from 'earl';
+import type { Suspicion } from '../src/crashes/suspicion.js';
+import { isShutOut, readSuspicion, withEnd, withTrial, withoutTrial } from '../src/crashes/suspicion.js';
+import { RequestTurn } from '../src/crashes/requestTurn.js';
+import { Suspicions } from '../src/crashes/suspicions.js';
+import { RecordReplica } from '../src/records/recordReplica.js';
+import { UnreadableRecords } from '../src/records/unreadableRecords.js';
+import { ManualClock } from '../src/utils/clock.js';
+import { SeededRandom } from '../src/utils/random.js';
+import { quietLog } from './fixtures/quietLog.js';
+import { ScriptedStore } from './fixtures/scriptedStore.js';
+import { until } from './fixtures/until.js';
+
+const KIND = 'suspicions';
+const MINUTE = 60_000;
+const DEADLINE = 6_000;
+
+let store: ScriptedStore;
+let clock: ManualClock;
+let made: Suspicions[];
+let replicas: RecordReplica[];
+let live: Set<string>;
+
+beforeEach(() => {
+  store = new ScriptedStore();
+  clock = new ManualClock();
+  made = [];
+  replicas = [];
+  live = new Set(['a', 'b']);
+});
+
+afterEach(() => {
+  for (const suspicions of made) suspicions.close();
+});
+
+function entry(box: string): Suspicions {
+  const replica = new RecordReplica(KIND);
+  replicas.push(replica);
+  const suspicions = new Suspicions({
+    box,
+    replica,
+    store,
+    unreadable: new UnreadableRecords(quietLog()),
+    isReading: () => true,
+    isLive: (other) => live.has(other),
+    clock,
+    random: new SeededRandom(1),
+    log: quietLog(),
+  });
+  made.push(suspicions);
+  return suspicions;
+}
+
+/** Lets all entries hear what the store holds. */
+async function tell(): Promise<void> {
+  const listing = await store.list(KIND);
+  for (const replica of replicas) replica.takeListing(listing);
+}
+
+function held(): Suspicion | undefined {
+  return store.value(KIND, 'f') as Suspicion | undefined;
+}
+
+function turn(suspicions: Suspicions, id: string): RequestTurn {
+  const request = { fingerprint: () => 'f', exchange: { requestId: id }, endsAt: clock.now() + DEADLINE };
+  return new RequestTurn(suspicions, request, clock);
+}
+
+const END = { server: 's-1', trial: '' };
+
+test('should shut out by three ends, one of them that of a trial', () => {
+  const ends = (...trials: string[]): Suspicion => ({
+    ends: trials.map((trial, index) => ({ server: `s-${index}`, trial })),
+  });
+  expect(isShutOut(ends('', 'r'))).toEqual(false);
+  expect(isShutOut(ends('', 'r', 'q'))).toEqual(true);
+  // a rack that fails ends many servers at one moment
+  expect(isShutOut(ends('', '', '', '', ''))).toEqual(false);
+});
+
+test('should count an end once, whoever tells it', () => {
+  const twice = withEnd(withEnd(undefined, END), END);
+  expect(twice.ends).toEqual([END]);
+  expect(withEnd(twice, { server: 's-1', trial: 'r' }).ends.length).toEqual(2);
+});
+
+test('should keep the latest ends only', () => {
+  let suspicion: Suspicion = { ends: [] };
+  for (let index = 0; index < 20; index++)
+    suspicion = withEnd(suspicion, { server: `s-${index}`, trial: 'r' });
+  expect([suspicion.ends.length, suspicion.ends.at(-1)?.server]).toEqual([8, 's-19']);
+});
+
+test('should let one trial go on at a time', () => {
+  const trial = { box: 'a', request: 'r', milliseconds: 1 };
+  const other = { box: 'b', request: 'q', milliseconds: 1 };
+  const tried = withTrial({ ends: [END] }, trial);
+  expect(withTrial(tried, other).trial).toEqual(trial);
+  expect(withTrial(tried, other, 'r').trial).toEqual(other);
+  expect(withoutTrial(tried, 'q').trial).toEqual(trial);
+  expect(withoutTrial(tried, 'r').trial).toEqual(undefined);
+});
+
+test('should read only what an entry may have written', () => {
+  expect(readSuspicion({ ends: [END] }).isOk()).toEqual(true);
+  for (const value of [null, 'text', {}, { ends: [{}] }, { ends: [], trial: { box: 7 } }])
+    expect(readSuspicion(value).isErr()).toEqual(true);
+});
+
+test('should run a suspected request once at a time over all entries', async () => {
+  const [a, b] = [entry('a'), entry('b')];
+  a.noteEnd('f', END);
+  expect(await turn(a, 'r').take()).toEqual(true);
+  await tell();
+  expect(b.standing('f', 'q')).toEqual('held');
+  expect(a.standing('f', 'r')).toEqual('mine');
+});
+
+test('should write an end and the trial that follows it at once', async () => {
+  const a = entry('a');
+  a.noteEnd('f', END);
+  await turn(a, 'r').take();
+  const { revision } = await store.list(KIND);
+  expect(revision).toEqual(2);
+});
+
+test('should give a trial to one of two entries that ask before they hear of each other', async () => {
+  const [a, b] = [entry('a'), entry('b')];
+  a.noteEnd('f', END);
+  b.noteEnd('f', { server: 's-2', trial: '' });
+  const [first, second] = [turn(a, 'r'), turn(b, 'q')];
+  const waiting = second.take();
+  expect(await first.take()).toEqual(true);
+  await until(() => a.standing('f', 'r') === 'mine' && b.standing('f', 'q') === 'held');
+  expect(held()?.ends.length).toEqual(2);
+  first.noteGoodEnd();
+  await until(() => held() === undefined);
+  await tell();
+  expect(await waiting).toEqual(true);
+});
+
+test('should clear a request that ends well anywhere, and let those go on that wait', async () => {
+  const [a, b] = [entry('a'), entry('b')];
+  a.noteEnd('f', END);
+  await turn(a, 'r').take();
+  await tell();
+  const waiting = turn(b, 'q').take();
+  turn(b, 'earlier').noteGoodEnd();
+  expect(await waiting).toEqual(true);
+  await until(() => held() === undefined);
+  await tell();
+  expect([a.isEmpty, b.isEmpty]).toEqual([true, true]);
+});
+
+test('should reject the copies that wait once the trial has shut the request out', async () => {
+  const [a, b] = [entry('a'), entry('b')];
+  a.noteEnd('f', END);
+  a.noteEnd('f', { server: 's-2', trial: '' });
+  await turn(a, 'r').take();
+  await tell();
+  const waiting = turn(b, 'q').take();
+  a.noteEnd('f', { server: 's-3', trial: 'r' });
+  await until(() => held()?.ends.length === 3);
+  await tell();
+  expect(await waiting).toEqual(false);
+  expect(a.standing('f', 'r')).toEqual('shut-out');
+});
+
+test('should lose no end when two entries write at the same moment', async () => {
+  const [a, b] = [entry('a'), entry('b')];
+  a.noteEnd('f', END);
+  b.noteEnd('f', { server: 's-2', trial: '' });
+  await until(() => !(a.isEmpty || b.isEmpty));
+  await until(() => held()?.ends.length === 2);
+});
+
+test('should go on by its own knowledge while the store takes nothing, and tell it later', async () => {
+  const a = entry('a');
+  store.refusesWrites = true;
+  a.noteEnd('f', END);
+  expect(await turn(a, 'r').take()).toEqual(true);
+  a.noteEnd('f', { server: 's-2', trial: 'r' });
+  a.release('f', 'r');
+  const second = turn(a, 'q');
+  expect(await second.take()).toEqual(true);
+  a.noteEnd('f', { server: 's-3', trial: 'q' });
+  expect(a.standing('f', 'p')).toEqual('shut-out');
+  store.refusesWrites = false;
+  await until(() => held()?.ends.length === 3);
+});
+
+test('should end the trial of an entry that has ended, or has started again', async () => {
+  const [a, b] = [entry('a'), entry('b')];
+  a.noteEnd('f', END);
+  await turn(a, 'r').take();
+  await tell();
+  expect(b.standing('f', 'q')).toEqual('held');
+  live.delete('a');
+  expect(b.standing('f', 'q')).toEqual('open');
+  const again = entry('a');
+  await tell();
+  expect(again.standing('f', 'q')).toEqual('open');
+});
+
+test('should end a trial that lasts too long', async () => {
+  const [a, b] = [entry('a'), entry('b')];
+  a.noteEnd('f', END);
+  await turn(a, 'r').take();
+  await tell();
+  clock.advance(3_001);
+  expect(b.standing('f', 'q')).toEqual('open');
+});
+
+test('should free the trial of a request that is over', async () => {
+  const a = entry('a');
+  a.noteEnd('f', END);
+  const first = turn(a, 'r');
+  await first.take();
+  expect(a.standing('f', 'q')).toEqual('held');
+  first.release();
+  expect(a.standing('f', 'q')).toEqual('open');
+});
+
+test('should not ask for a trial for a caller who has left', async () => {
+  const a = entry('a');
+  a.noteEnd('f', END);
+  const [first, second] = [turn(a, 'r'), turn(a, 'q')];
+  await first.take();
+  const waiting = second.take();
+  second.release();
+  first.release();
+  expect(await waiting).toEqual(false);
+  expect(held()?.trial?.request).not.toEqual('q');
+});
+
+test('should allow one trial more after a long time, and none after it has failed', async () => {
+  const a = entry('a');
+  for (const server of ['s-1', 's-2', 's-3']) a.noteEnd('f', { server, trial: 'r' });
+  await until(() => a.counts.shutOut === 1);
+  expect(await turn(a, 'q').take()).toEqual(false);
+  clock.advance(10 * MINUTE);
+  expect(await turn(a, 'p').take()).toEqual(true);
+  expect(a.standing('f', 'o')).toEqual('shut-out');
+  a.noteEnd('f', { server: 's-4', trial: 'p' });
+  expect(a.standing('f', 'p')).toEqual('shut-out');
+});
