Soak: callers come again with a request that ends each server that runs it

Fault crashing-request: 80 sends in 9.6 s to any entry, servers end after 70 ms and are back after 2 s; promise: three ends, then at most three runs later than 3.5 s after the third, beside restarts, splits and all other faults. A server that has ended refuses connections also behind its proxy.

--- a/bench/costBench.ts
+++ b/bench/costBench.ts
@@ -5,7 +5,7 @@
 import path from 'node:path';
 import { SeededRandom } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
-import { STREAM_EVENTS } from '../standins/platformRunnerStandin.js';
+import { STREAM_EVENTS } from '../standins/platformAnswers.js';
 import type { FleetProcess, ProcessRole } from '../soak/fleetProcess.js';
 import { CUSTOMERS, HOST, MODEL } from '../soak/soakConfiguration.js';
 import { SoakFleet } from '../soak/soakFleet.js';
@@ -43,7 +43,7 @@
     size: SIZE,
     network: NETWORK,
     random: new SeededRandom(SEED),
-    listener: { onExecution: () => undefined, onUnwhole: () => undefined },
+    listener: { onExecution: () => undefined, onUnwhole: () => undefined, onCrash: () => undefined },
     program: PROGRAM,
     nodeWords: { entry: deployedWords('entry'), agent: deployedWords('agent') },
   });
--- a/soak/loopbackProxy.ts
+++ b/soak/loopbackProxy.ts
@@ -32,6 +32,10 @@
     return this._mode;
   }
 
+  get isListening(): boolean {
+    return this._server.listening;
+  }
+
   /** Starts listening and returns host:port. */
   async listen(host: string, port: number): Promise<string> {
     await new Promise<void>((resolve, reject) => {
@@ -47,6 +51,7 @@
     for (const pair of this._pairs) this._apply(pair);
   }
 
+  /** Refuses connections from now on, as a port where nobody listens; {@link LoopbackProxy.listen} may follow. */
   close(): void {
     this._server.close();
     for (const pair of this._pairs) cut(pair);
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -1,5 +1,6 @@
 /** Checks what callers and backend servers have seen against the promises of docs/PROMISES.md. */
 import type { Execution } from '../standins/platformRunnerStandin.js';
+import { ENDING_BODY } from '../standins/platformRunnerStandin.js';
 import type { Call } from './callerLog.js';
 
 export type PromiseName =
@@ -11,6 +12,7 @@
   | 'version' // no request begins on an older version after the bound
   | 'configuration' // a configuration is in force in time, and stays
   | 'draining' // a leaving server gets nothing new
+  | 'crashing' // a request that ends each server which runs it is kept from them
   | 'planned' // planned work cuts nothing
   | 'ends' // no process ends by itself
   | 'recovery'; // requests are served again once faults are over
@@ -39,10 +41,21 @@
   at: number;
 }
 
+/** What has come of a request that ends each server which runs it. */
+interface CrashingRequest {
+  /** When a server ended, in wall clock milliseconds. */
+  crashes: number[];
+  runs: number;
+  lateRuns: number;
+}
+
 /** Beyond the bounds themselves: timers and processors of a loaded machine. */
 const SLACK_MILLISECONDS = 500;
 /** After a harm, processes are held to bounds in time again. */
 const CONTACT_MILLISECONDS = 3_000;
+/** Ends of servers after which a request that ends them is known for it, and runs that it may have once all know. */
+const TELLING_CRASHES = 3;
+const MOST_LATE_RUNS = 3;
 const MOST_BREACHES = 50;
 const NOT_FOUND = 404;
 
@@ -65,6 +78,8 @@
   /** Configurations that an entry was seen to have, by entry and the time at which they came. */
   private readonly _inForce = new Set<string>();
   private readonly _leaving = new Map<string, number>();
+  /** Requests that end servers, by their bodies. */
+  private readonly _crashing = new Map<string, CrashingRequest>();
 
   constructor(bounds: CheckBounds) {
     this._bounds = bounds;
@@ -95,6 +110,19 @@
     this._checkOnce(execution.id);
     this._checkVersion(execution);
     this._checkLeaving(execution);
+    if (execution.body.startsWith(ENDING_BODY)) this._checkCrashing(execution);
+  }
+
+  /** A server has ended under the request with this body. */
+  onCrash(body: string): void {
+    this._crashingOf(body).crashes.push(Date.now());
+  }
+
+  /** How many servers have ended under requests, and how often such requests have run. */
+  get crashing(): { requests: number; crashes: number; runs: number } {
+    const all = [...this._crashing.values()];
+    const crashes = all.reduce((sum, request) => sum + request.crashes.length, 0);
+    return { requests: all.length, crashes, runs: all.reduce((sum, request) => sum + request.runs, 0) };
   }
 
   onUnwhole(runner: string, version: number): void {
@@ -189,6 +217,23 @@
     this._breach('draining', `${id} began at ${runner}, ${at - since} ms after it was leaving`);
   }
 
+  private _checkCrashing({ body, runner, at, id }: Execution): void {
+    const request = this._crashingOf(body);
+    request.runs++;
+    const known = request.crashes[TELLING_CRASHES - 1];
+    if (known === undefined || at - known < CONTACT_MILLISECONDS + SLACK_MILLISECONDS) return;
+    if (this._isHarmed(known, at)) return;
+    request.lateRuns++;
+    if (request.lateRuns > MOST_LATE_RUNS)
+      this._breach('crashing', `${id} ran at ${runner}, ${at - known} ms after the third end by its like`);
+  }
+
+  private _crashingOf(body: string): CrashingRequest {
+    const request = this._crashing.get(body) ?? { crashes: [], runs: 0, lateRuns: 0 };
+    this._crashing.set(body, request);
+    return request;
+  }
+
   /**
    * Whether the system may have reset a connection that still waited to be accepted as its entry stopped listening: the
    * caller sees an open connection, the entry never does.
--- a/soak/soakCaller.ts
+++ b/soak/soakCaller.ts
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import type { Random } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
-import { STREAM_EVENTS, eventText, sealOf } from '../standins/platformRunnerStandin.js';
+import { STREAM_EVENTS, eventText, sealOf } from '../standins/platformAnswers.js';
 import type { Call, CallEnd, CallKind } from './callerLog.js';
 import type { NewestRoute } from './soakFleet.js';
 import { CUSTOMERS, HOST } from './soakConfiguration.js';
@@ -245,3 +245,19 @@
   if (PROMISES.has(seen.status)) return 'refused';
   return seen.status === 200 && wrong === undefined ? 'whole' : 'failed';
 }
+
+/** Sends a stream's request whose answer nobody looks at: what it does to servers is what counts. */
+export function sendCrashing(address: string, id: string, body: string): void {
+  const [host, port] = address.split(':');
+  const headers = {
+    host: HOST,
+    'x-attempt-id': id,
+    'x-deadline-ms': String(DEADLINE_MILLISECONDS),
+    authorization: `Bearer ${CUSTOMERS[0].api_keys[0]}`,
+    'x-model': 'm0',
+  };
+  const options = { host, port, method: METHODS.stream, path: PATHS.stream, headers, agent: false };
+  const request = http.request(options, (answer) => answer.on('error', () => undefined).resume());
+  request.on('error', () => undefined);
+  request.end(body);
+}
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -1,9 +1,11 @@
 /** Faults and planned work that a soak draws from; each is applied from outside the processes. */
 import type { Random } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
+import { ENDING_BODY } from '../standins/platformRunnerStandin.js';
 import type { FleetProcess } from './fleetProcess.js';
 import type { ProxyMode } from './loopbackProxy.js';
 import type { PromiseChecks } from './promiseChecks.js';
+import { sendCrashing } from './soakCaller.js';
 import type { SoakBox, SoakFleet } from './soakFleet.js';
 import { MODEL_SERVICE, PLAIN_SERVICE } from './soakConfiguration.js';
 
@@ -28,7 +30,8 @@
   | 'rot-chunks'
   | 'restart-server'
   | 'restart-amid-versions'
-  | 'foreign-records';
+  | 'foreign-records'
+  | 'crashing-request';
 
 export const PLANNED_KINDS: readonly PlannedKind[] = [
   'configure',
@@ -57,6 +60,7 @@
   'restart-server',
   'foreign-records',
   'restart-amid-versions',
+  'crashing-request',
 ];
 
 const PROXY_MODES: readonly ProxyMode[] = ['delay', 'reset', 'deaf', 'mute', 'silent'];
@@ -75,6 +79,8 @@
 const VERSIONS_AMID_RESTARTS = 4;
 const AMID_MILLISECONDS = 400;
 const RESTARTED_SHARE = 0.5;
+const CRASHING_SENDS = 80;
+const CRASHING_GAP_MILLISECONDS = 120;
 /** What other writers leave in the store. */
 const FOREIGN_VALUES: readonly unknown[] = [
   null,
@@ -93,6 +99,7 @@
   private readonly _random: Random;
   private readonly _log: (line: string) => void;
   private readonly _leaving = new Set<SoakBox>();
+  private _crashing = 0;
 
   constructor(fleet: SoakFleet, checks: PromiseChecks, random: Random, log: (line: string) => void) {
     this._fleet = fleet;
@@ -104,7 +111,9 @@
   /** Applies a fault and resolves when it has been lifted. */
   async apply(kind: FaultKind): Promise<void> {
     const isPlanned = (PLANNED_KINDS as readonly FaultKind[]).includes(kind);
-    const lift = isPlanned ? () => undefined : this._checks.onHarm();
+    // entries stay in touch with all else while servers end under a request
+    const harmsNone = isPlanned || kind === 'crashing-request';
+    const lift = harmsNone ? () => undefined : this._checks.onHarm();
     const milliseconds = SHORTEST_MILLISECONDS + this._random.integer(LONGEST_MILLISECONDS);
     this._log(`${kind} ${milliseconds}`);
     try {
@@ -153,6 +162,7 @@
     if (kind === 'restart-server') return await this._restart(this._pick(boxes));
     if (kind === 'restart-amid-versions') return await this._restartAmidVersions();
     if (kind === 'foreign-records') return await this._writeForeign(milliseconds);
+    if (kind === 'crashing-request') return await this._sendCrashing();
     if (kind === 'rot-chunks') return await this._rot(this._pick(this._boxesOf(MODEL_SERVICE)), milliseconds);
     if (kind === 'harm-store') {
       store.faults = this._random.integer(2) === 0 ? { status: 503 } : { silent: true };
@@ -265,6 +275,18 @@
     await this._fleet.startRunner(box);
   }
 
+  /** Callers come again and again with a request that ends each server which runs it, to any entry. */
+  private async _sendCrashing(): Promise<void> {
+    const round = this._crashing++;
+    const body = `${ENDING_BODY} ${round}"}`;
+    for (let sent = 0; sent < CRASHING_SENDS; sent++) {
+      const id = `crashing-${round}-${sent}`;
+      this._checks.onAsked(id);
+      sendCrashing(this._fleet.callerAddress(this._pick(this._fleet.entries)), id, body);
+      await pause(CRASHING_GAP_MILLISECONDS);
+    }
+  }
+
   /** Spoils what lies staged again and again while a version moves, but not so late that nobody could notice. */
   private async _rot(box: SoakBox, milliseconds: number): Promise<void> {
     this._checks.onNamed(this._fleet.nameWeights());
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -2,48 +2,17 @@
 import { mkdtempSync, readFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
-import type { Random } from '../src/utils/random.js';
-import type { OriginLink } from '../standins/platformOriginStandin.js';
+import { pause } from '../src/utils/timers.js';
 import { PlatformOriginStandin } from '../standins/platformOriginStandin.js';
-import type { Execution } from '../standins/platformRunnerStandin.js';
 import { PlatformRunnerStandin } from '../standins/platformRunnerStandin.js';
 import { PlatformStoreStandin } from '../standins/platformStoreStandin.js';
-import type { WeightsShape } from '../standins/weightsFixture.js';
+import type { FleetWeights, SoakFleetOptions } from './fleetOptions.js';
 import type { ProcessRole } from './fleetProcess.js';
 import { FleetProcess } from './fleetProcess.js';
 import { LoopbackProxy } from './loopbackProxy.js';
 import { MODEL, MODEL_SERVICE, PLAIN_SERVICE, soakConfiguration } from './soakConfiguration.js';
 import { PORTS } from './soakPorts.js';
 
-/** How large a fleet is. */
-export interface FleetSize {
-  entries: number;
-  /** Boxes with a model server and an agent. */
-  modelBoxes: number;
-  plainServers: number;
-}
-
-/** How weights move. */
-export interface FleetWeights {
-  shape: WeightsShape;
-  boxLinkMegabits: number;
-  originLink: OriginLink;
-}
-
-/** What a fleet is made from. */
-export interface SoakFleetOptions {
-  size: FleetSize;
-  weights?: FleetWeights;
-  /** The second part of all loopback addresses, so that fleets do not meet. */
-  network: number;
-  random: Random;
-  listener: FleetListener;
-  /** Further words for node, by role. */
-  nodeWords?: Record<ProcessRole, readonly string[]>;
-  /** The program; as it is built for tests when left out. */
-  program?: string;
-}
-
 /** A route that came with the newest configuration. */
 export interface NewestRoute {
   prefix: string;
@@ -53,6 +22,9 @@
 /** A server that answers at once leaves no gap between the reading back of chunks and the taking of an order. */
 const CALL_MILLISECONDS = 6;
 
+/** A server that crashed is back after so long. */
+const CRASHED_MILLISECONDS = 2_000;
+
 /** A box with a server, and the proxy before it. */
 export interface SoakBox {
   host: string;
@@ -65,12 +37,6 @@
   lives: number;
 }
 
-/** Hears what servers see. */
-export interface FleetListener {
-  onExecution(execution: Execution): void;
-  onUnwhole(runner: string, version: number): void;
-}
-
 export const ZONES = ['north', 'south', 'west'];
 /** Small versions on fast links: a soak looks for broken promises, not for time. */
 const SMALL_WEIGHTS: FleetWeights = {
@@ -111,6 +77,7 @@
   private _originAddress = '';
   private _storeAddress = '';
   private _runnersMade = 0;
+  private _isStopped = false;
 
   constructor(options: SoakFleetOptions) {
     const { random, weights = SMALL_WEIGHTS } = options;
@@ -142,6 +109,7 @@
   }
 
   async stop(): Promise<void> {
+    this._isStopped = true;
     for (const process of [...this.entries, ...this.agents]) process.signal('SIGKILL');
     await Promise.all([...this.entries, ...this.agents].map((process) => process.ended()));
     for (const { runner, proxy } of this.boxes) {
@@ -172,9 +140,22 @@
   /** Ends the server of a box at once; its record leaves the store. */
   crashRunner(box: SoakBox): void {
     box.runner.close();
+    box.proxy.close();
     this.store.remove('servers', box.runner.id);
   }
 
+  /** A request has ended the server of a box. Its record stays until another one starts there. */
+  private async _onCrash(runner: PlatformRunnerStandin, body: string): Promise<void> {
+    const box = this.boxes.find((candidate) => candidate.runner === runner);
+    if (!box) return;
+    box.proxy.close();
+    this._options.listener.onCrash(body);
+    await pause(CRASHED_MILLISECONDS);
+    if (box.runner !== runner || this._isStopped) return;
+    this.store.remove('servers', runner.id);
+    await this.startRunner(box);
+  }
+
   /** Starts another server on a box: another id, and no model. */
   async startRunner(box: SoakBox): Promise<void> {
     await this._startLife(box, this._createRunner(box.service, 0), true);
@@ -192,6 +173,7 @@
     if (keepsStaged) for (const [piece, bytes] of staged) runner.staged.set(piece, bytes);
     box.lives++;
     await runner.listen(box.host, PORTS.runner);
+    if (!box.proxy.isListening) await box.proxy.listen(box.host, PORTS.proxied);
     this.publish(box);
   }
 
@@ -229,6 +211,7 @@
       weights: service === MODEL_SERVICE ? this._weights.shape : undefined,
       version: service === MODEL_SERVICE ? version : 0,
       onExecution: (execution) => this._options.listener.onExecution(execution),
+      onCrash: (runner, body) => void this._onCrash(runner, body),
       onUnwhole: (runner, unwhole) => this._options.listener.onUnwhole(runner, unwhole),
       fraction: () => this._options.random.fraction(),
       callMilliseconds: CALL_MILLISECONDS,
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -8,7 +8,7 @@
 import { SoakCaller } from './soakCaller.js';
 import type { FaultKind } from './soakFaults.js';
 import { FAULT_KINDS, PLANNED_KINDS, SoakFaults } from './soakFaults.js';
-import type { FleetSize } from './soakFleet.js';
+import type { FleetSize } from './fleetOptions.js';
 import { BOUNDS, SoakFleet, ZONES } from './soakFleet.js';
 
 /** What a soak is made from. */
@@ -36,6 +36,8 @@
   /** Calls by their end. */
   ends: Record<string, number>;
   originBytes: number;
+  /** Requests that end servers, the servers that ended under them, and how often they have run. */
+  crashing: { requests: number; crashes: number; runs: number };
   /** Where settings and logs of the processes lie. */
   directory: string;
 }
@@ -155,6 +157,7 @@
     served: checks.calls.filter((call) => call.end === 'whole').length,
     ends,
     originBytes: fleet.origin.bytesSent,
+    crashing: checks.crashing,
     directory: fleet.directory,
   };
 }
--- /dev/null
+++ b/standins/platformRunnerFaults.ts
@@ -0,0 +1,19 @@
+/** What a runner of the platform's stand-in does wrong. */
+
+/** What a runner can be told to do wrong; shares are of requests. */
+export interface PlatformRunnerFaults {
+  /** Runs them and resets the connection. */
+  lostShare?: number;
+  /** Answers them with an error of its own. */
+  failedShare?: number;
+  /** Breaks their answers off. */
+  brokenShare?: number;
+  /** Sends a second answer after the first. */
+  extraShare?: number;
+  /** Never answers anything. */
+  silent?: boolean;
+  /** Turns everything away. */
+  shedding?: boolean;
+  /** Loses the answers to orders that it carries out. */
+  lostOrders?: boolean;
+}
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -3,6 +3,8 @@
 import { placementHash, sha256Hex } from '../src/utils/hash.js';
 import { SeededRandom } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
+import type { PlatformRunnerFaults } from './platformRunnerFaults.js';
+import { STREAM_EVENTS, eventText, sealOf } from './platformAnswers.js';
 import { sendJsonAnswer } from './standinServer.js';
 import type { WeightsShape } from './weightsFixture.js';
 import { versionDigests } from './weightsFixture.js';
@@ -14,6 +16,7 @@
   service: string;
   customer: string;
   path: string;
+  body: string;
   /** Version of the model, 0 for services without one. */
   version: number;
   /** Wall clock, in milliseconds. */
@@ -31,6 +34,8 @@
   version: number;
   /** Hears of every request that begins. */
   onExecution: (execution: Execution) => void;
+  /** Hears that a request ends the process, which is to be closed at once. */
+  onCrash?: (runner: PlatformRunnerStandin, body: string) => void;
   /** Hears of a version that was taken though it was not whole. */
   onUnwhole: (runner: string, version: number) => void;
   /** Draws from 0 up to 1. */
@@ -39,30 +44,15 @@
   callMilliseconds?: number;
 }
 
-/** What a runner can be told to do wrong; shares are of requests. */
-export interface PlatformRunnerFaults {
-  /** Runs them and resets the connection. */
-  lostShare?: number;
-  /** Answers them with an error of its own. */
-  failedShare?: number;
-  /** Breaks their answers off. */
-  brokenShare?: number;
-  /** Sends a second answer after the first. */
-  extraShare?: number;
-  /** Never answers anything. */
-  silent?: boolean;
-  /** Turns everything away. */
-  shedding?: boolean;
-  /** Loses the answers to orders that it carries out. */
-  lostOrders?: boolean;
-}
-
+/** A request whose body begins so ends each runner that runs it. */
+export const ENDING_BODY = '{"prompt":"ends its runner';
+/** How long the runner works on it before. */
+const ENDING_MILLISECONDS = 70;
 /** Requests that wait beyond the slots. */
 const QUEUE = 16;
 const WARM_MILLISECONDS = 60;
 const EVENT_MILLISECONDS = 15;
 const PLAIN_MILLISECONDS = 10;
-const EVENTS = 6;
 const EXCUSED_MILLISECONDS = 3_000;
 const LATEST = Number.MAX_SAFE_INTEGER;
 const MISDIRECTED = 421;
@@ -140,7 +130,7 @@
     if (call === 'stage-put') return this._put(Number(piece), body, response);
     if (call === 'stage-get') return this._get(piece, response);
     if (call === 'healthz') return void response.writeHead(200, { 'x-instance-id': this.id }).end();
-    await this._run(request, response, url);
+    await this._run(request, response, url, body.toString());
   }
 
   private async _takeTime(): Promise<void> {
@@ -213,7 +203,12 @@
     this._starting = false;
   }
 
-  private async _run(request: http.IncomingMessage, response: http.ServerResponse, url: URL): Promise<void> {
+  private async _run(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    url: URL,
+    body: string,
+  ): Promise<void> {
     const { slots, service, onExecution, fraction } = this._options;
     const { headers } = request;
     const id = String(headers['x-attempt-id'] ?? '');
@@ -224,9 +219,10 @@
     this._active++;
     const customer = String(headers['x-tenant'] ?? '');
     const version = this._options.weights ? this._version : 0;
-    const execution = { id, runner: this.id, service, customer, path: url.pathname, version };
+    const execution = { id, runner: this.id, service, customer, path: url.pathname, body, version };
     onExecution({ ...execution, at: Date.now() });
     try {
+      if (body.startsWith(ENDING_BODY)) return await this._crash(body);
       await this._answer(request, response, id, url, fraction());
     } finally {
       this._active--;
@@ -234,6 +230,12 @@
     }
   }
 
+  private async _crash(body: string): Promise<void> {
+    await pause(ENDING_MILLISECONDS);
+    this.close();
+    this._options.onCrash?.(this, body);
+  }
+
   /** The status by which a request is turned away, 0 when it is let in. */
   private _refusal(headers: http.IncomingHttpHeaders): number {
     const target = headers['x-target-instance'] ?? this.id;
@@ -283,7 +285,7 @@
     const first = Number(request.headers['last-event-id'] ?? 0) + 1;
     const last = isBroken ? first + 1 : LATEST;
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
-    for (let event = first; event <= EVENTS && !response.destroyed; event++) {
+    for (let event = first; event <= STREAM_EVENTS && !response.destroyed; event++) {
       await pause(EVENT_MILLISECONDS);
       const text = eventText(id, event);
       if (event >= last)
@@ -294,17 +296,6 @@
   }
 }
 
-/** What a caller of the stand-in must get: the seal of an answer, its events, and how many there are. */
-export function sealOf(id: string): string {
-  return `seal-of-${id}`;
-}
-
-export function eventText(id: string, event: number): string {
-  return `id: ${event}\ndata: event ${event} of ${id}\n\n`;
-}
-
-export const STREAM_EVENTS = EVENTS;
-
 interface OrderBody {
   operation: string;
   version: number;
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -9,12 +9,13 @@
 
 /** What the seed draws from is a part of it. */
 const KINDS_OF_SEED = FAULT_KINDS.filter(
-  (kind) => !['restart-server', 'foreign-records', 'restart-amid-versions'].includes(kind),
+  (kind) =>
+    !['restart-server', 'foreign-records', 'restart-amid-versions', 'crashing-request'].includes(kind),
 );
 
 function execution(changes: Partial<Execution> = {}): Execution {
   const base = { id: 'a', runner: 'i-1', service: 'turns', customer: 'studio-a', path: '/turns/x' };
-  return { ...base, version: 0, at: Date.now(), ...changes };
+  return { ...base, body: '', version: 0, at: Date.now(), ...changes };
 }
 
 function call(changes: Partial<Call> = {}): Call {
--- a/tests/soakRestarts.spec.ts
+++ b/tests/soakRestarts.spec.ts
@@ -4,8 +4,10 @@
 import { FAULT_KINDS } from '../soak/soakFaults.js';
 import { shortSoak } from './fixtures/shortSoak.js';
 
-/** What the seed draws from that is older than the last kind. */
-const EARLIER_KINDS = FAULT_KINDS.filter((kind) => kind !== 'restart-amid-versions');
+/** What the seed draws from that is older than the last kinds. */
+const EARLIER_KINDS = FAULT_KINDS.filter(
+  (kind) => kind !== 'restart-amid-versions' && kind !== 'crashing-request',
+);
 
 test('should keep all promises while servers start again under their ids and others write entries', async () => {
   const report = await shortSoak({
