Suspicions: few writes at a time, a bound for many ends at one moment, turns that have names of their own

By reading: callers may use an id twice or none, and two such requests would have shared a trial; a silent store would have held all connections of the process to it; a rack that fails would have had a write for each request.

--- a/src/crashes/requestTurn.ts
+++ b/src/crashes/requestTurn.ts
@@ -15,7 +15,12 @@
 /** A trial may last a little longer than its request, whose end is told after it. */
 const TRIAL_MARGIN_MILLISECONDS = 500;
 
+/** Callers may use an id twice, or none. */
+let turns = 0;
+
 export class RequestTurn {
+  /** Names this turn among all others. */
+  readonly id: string;
   private readonly _suspicions: Suspicions;
   private readonly _request: TurnRequest;
   private readonly _clock: Clock;
@@ -28,6 +33,7 @@
     this._suspicions = suspicions;
     this._request = request;
     this._clock = clock;
+    this.id = `${request.exchange.requestId}/${turns++}`;
   }
 
   /** Whether the request may run now, without waiting. */
@@ -62,7 +68,7 @@
   async afterBreak(server: CheckedServer): Promise<boolean> {
     const hadTrial = this._hasTrial;
     if (!(await this._suspicions.hasEnded(server))) return false;
-    const trial = hadTrial ? this._id : '';
+    const trial = hadTrial ? this.id : '';
     this._suspicions.noteEnd(this._request.fingerprint(), { server: server.id, trial });
     return true;
   }
@@ -75,13 +81,13 @@
   /** The request is over: the same may be tried by others. */
   release(): void {
     this._isOver = true;
-    if (this._hasAsked) this._suspicions.release(this._request.fingerprint(), this._id);
+    if (this._hasAsked) this._suspicions.release(this._request.fingerprint(), this.id);
   }
 
   private async _ask(leftMilliseconds: number): Promise<void> {
     this._hasAsked = true;
     const milliseconds = leftMilliseconds + TRIAL_MARGIN_MILLISECONDS;
-    await this._suspicions.claim(this._request.fingerprint(), this._id, milliseconds);
+    await this._suspicions.claim(this._request.fingerprint(), this.id, milliseconds);
   }
 
   private _begin(hasTrial: boolean): boolean {
@@ -91,10 +97,6 @@
   }
 
   private _standing(): Standing {
-    return this._suspicions.standing(this._request.fingerprint(), this._id);
-  }
-
-  private get _id(): string {
-    return this._request.exchange.requestId;
+    return this._suspicions.standing(this._request.fingerprint(), this.id);
   }
 }
--- a/src/crashes/suspicionWriter.ts
+++ b/src/crashes/suspicionWriter.ts
@@ -30,6 +30,8 @@
   done: () => void;
 }
 
+/** Writes under way at once: more would keep the store's other calls of this process waiting while it is silent. */
+const MOST_WRITES = 8;
 const RETRY = { firstMilliseconds: 40, longestMilliseconds: 500 };
 /** A store that is silent for longer than this finds what it lacks in the suspicions that come next. */
 const LONGEST_MILLISECONDS = 30_000;
@@ -38,14 +40,16 @@
   private readonly _options: SuspicionWriterOptions;
   private readonly _pending = new Map<string, PendingChange[]>();
   private readonly _stopped = new AbortController();
+  private readonly _waiting: (() => void)[] = [];
+  private _writes = 0;
 
   constructor(options: SuspicionWriterOptions) {
     this._options = options;
   }
 
-  /** Whether nothing waits to be written. */
-  get isIdle(): boolean {
-    return this._pending.size === 0;
+  /** Suspicions that wait to be written. */
+  get pending(): number {
+    return this._pending.size;
   }
 
   /** The suspicion as it is once all is written that waits. */
@@ -101,9 +105,15 @@
 
   private async _send(name: string, revision: number, next: Suspicion | undefined): Promise<WriteAnswer> {
     const { store, kind } = this._options;
-    return next
-      ? await store.put({ kind, name, revision }, next)
-      : await store.remove({ kind, name, revision });
+    while (this._writes >= MOST_WRITES) await new Promise<void>((resume) => this._waiting.push(resume));
+    this._writes++;
+    try {
+      const object = { kind, name, revision };
+      return next ? await store.put(object, next) : await store.remove(object);
+    } finally {
+      this._writes--;
+      this._waiting.shift()?.();
+    }
   }
 
   private _settle(pending: PendingChange[], count: number): void {
--- a/src/crashes/suspicions.ts
+++ b/src/crashes/suspicions.ts
@@ -55,8 +55,11 @@
 const FORGET_SUSPECTED_MILLISECONDS = 60_000;
 const FORGET_SHUT_OUT_MILLISECONDS = 24 * 3_600_000;
 const TIDY_INTERVAL_MILLISECONDS = 10_000;
-/** Beyond so many the crashes have another cause, and the store is spared. */
+/** Beyond so many the servers end for another cause, as with their racks, and the store is spared. */
 const MOST_SUSPICIONS = 1_000;
+const MOST_PENDING = 100;
+/** How often a request that waits looks whether the entry of the trial still lives. */
+const LOOK_MILLISECONDS = 250;
 
 export class Suspicions {
   private readonly _options: SuspicionsOptions;
@@ -80,7 +83,7 @@
 
   /** Whether nothing is suspected, so that no request needs to be looked up. */
   get isEmpty(): boolean {
-    return this._copies.size === 0 && this._writer.isIdle;
+    return this._copies.size === 0 && this._writer.pending === 0;
   }
 
   /** Requests that are suspected, and those of them that run no more. */
@@ -111,7 +114,8 @@
 
   /** A server has ended that had the request. */
   noteEnd(fingerprint: string, end: ServerEnd): void {
-    if (this._copies.size >= MOST_SUSPICIONS && !this._writer.of(fingerprint))
+    const areMany = this._copies.size >= MOST_SUSPICIONS || this._writer.pending >= MOST_PENDING;
+    if (areMany && !this._writer.of(fingerprint))
       return this._options.log.state('suspicion.not-kept', { fingerprint, server: end.server });
     void this._writer.change(fingerprint, (suspicion) => withEnd(suspicion, end));
     const ends = this._writer.of(fingerprint)?.ends.length;
@@ -149,17 +153,15 @@
     void this._writer.change(fingerprint, () => undefined);
   }
 
-  /** Resolves when the suspicion may have changed, at the latest after `milliseconds`. */
+  /** Resolves when the standing may have changed, at the latest after `milliseconds`. */
   async changed(fingerprint: string, milliseconds: number): Promise<void> {
-    const { trial } = this._writer.of(fingerprint) ?? {};
-    const lapsesIn = trial ? trial.milliseconds - this._age(this._copies.of(fingerprint)) : milliseconds;
     const waiting = this._waiting.get(fingerprint) ?? new Set();
     this._waiting.set(fingerprint, waiting);
     let wake: () => void = () => undefined;
     const woken = new Promise<void>((resolve) => (wake = resolve));
     waiting.add(wake);
     const ended = new AbortController();
-    await Promise.race([woken, pause(Math.max(0, Math.min(milliseconds, lapsesIn)), ended.signal)]);
+    await Promise.race([woken, pause(Math.min(milliseconds, LOOK_MILLISECONDS), ended.signal)]);
     ended.abort();
     waiting.delete(wake);
     if (waiting.size === 0) this._waiting.delete(fingerprint);
--- a/tests/suspicions.spec.ts
+++ b/tests/suspicions.spec.ts
@@ -112,10 +112,10 @@
 test('should run a suspected request once at a time over all entries', async () => {
   const [a, b] = [entry('a'), entry('b')];
   a.noteEnd('f', END);
-  expect(await turn(a, 'r').take()).toEqual(true);
+  const first = turn(a, 'r');
+  expect(await first.take()).toEqual(true);
   await tell();
-  expect(b.standing('f', 'q')).toEqual('held');
-  expect(a.standing('f', 'r')).toEqual('mine');
+  expect([a.standing('f', first.id), b.standing('f', 'other')]).toEqual(['mine', 'held']);
 });
 
 test('should write an end and the trial that follows it at once', async () => {
@@ -133,7 +133,7 @@
   const [first, second] = [turn(a, 'r'), turn(b, 'q')];
   const waiting = second.take();
   expect(await first.take()).toEqual(true);
-  await until(() => a.standing('f', 'r') === 'mine' && b.standing('f', 'q') === 'held');
+  await until(() => a.standing('f', first.id) === 'mine' && b.standing('f', second.id) === 'held');
   expect(held()?.ends.length).toEqual(2);
   first.noteGoodEnd();
   await until(() => held() === undefined);
@@ -158,14 +158,15 @@
   const [a, b] = [entry('a'), entry('b')];
   a.noteEnd('f', END);
   a.noteEnd('f', { server: 's-2', trial: '' });
-  await turn(a, 'r').take();
+  const first = turn(a, 'r');
+  await first.take();
   await tell();
   const waiting = turn(b, 'q').take();
-  a.noteEnd('f', { server: 's-3', trial: 'r' });
+  a.noteEnd('f', { server: 's-3', trial: first.id });
   await until(() => held()?.ends.length === 3);
   await tell();
   expect(await waiting).toEqual(false);
-  expect(a.standing('f', 'r')).toEqual('shut-out');
+  expect(a.standing('f', first.id)).toEqual('shut-out');
 });
 
 test('should lose no end when two entries write at the same moment', async () => {
@@ -180,12 +181,13 @@
   const a = entry('a');
   store.refusesWrites = true;
   a.noteEnd('f', END);
-  expect(await turn(a, 'r').take()).toEqual(true);
-  a.noteEnd('f', { server: 's-2', trial: 'r' });
-  a.release('f', 'r');
+  const first = turn(a, 'r');
+  expect(await first.take()).toEqual(true);
+  a.noteEnd('f', { server: 's-2', trial: first.id });
+  first.release();
   const second = turn(a, 'q');
   expect(await second.take()).toEqual(true);
-  a.noteEnd('f', { server: 's-3', trial: 'q' });
+  a.noteEnd('f', { server: 's-3', trial: second.id });
   expect(a.standing('f', 'p')).toEqual('shut-out');
   store.refusesWrites = false;
   await until(() => held()?.ends.length === 3);
@@ -232,7 +234,7 @@
   second.release();
   first.release();
   expect(await waiting).toEqual(false);
-  expect(held()?.trial?.request).not.toEqual('q');
+  expect(held()?.trial?.request).not.toEqual(second.id);
 });
 
 test('should allow one trial more after a long time, and none after it has failed', async () => {
@@ -241,8 +243,24 @@
   await until(() => a.counts.shutOut === 1);
   expect(await turn(a, 'q').take()).toEqual(false);
   clock.advance(10 * MINUTE);
-  expect(await turn(a, 'p').take()).toEqual(true);
-  expect(a.standing('f', 'o')).toEqual('shut-out');
-  a.noteEnd('f', { server: 's-4', trial: 'p' });
-  expect(a.standing('f', 'p')).toEqual('shut-out');
+  const later = turn(a, 'p');
+  expect(await later.take()).toEqual(true);
+  expect(a.standing('f', 'other')).toEqual('shut-out');
+  a.noteEnd('f', { server: 's-4', trial: later.id });
+  expect(a.standing('f', later.id)).toEqual('shut-out');
+});
+
+test('should tell requests apart that use one id', async () => {
+  const a = entry('a');
+  a.noteEnd('f', END);
+  const [first, second] = [turn(a, ''), turn(a, '')];
+  await first.take();
+  expect(a.standing('f', second.id)).toEqual('held');
+});
+
+test('should spare a store that is silent when many servers end at one moment', async () => {
+  const a = entry('a');
+  store.refusesWrites = true;
+  for (let index = 0; index < 300; index++) a.noteEnd(`f-${index}`, END);
+  expect([a.standing('f-0', 'r'), a.standing('f-299', 'r')]).toEqual(['open', 'free']);
 });
