--- a/src/crashes/requestTurn.ts
+++ b/src/crashes/requestTurn.ts
@@ -26,7 +26,8 @@
   private readonly _clock: Clock;
   private _isAwaited = false;
   private _hasTrial = false;
-  private _hasAsked = false;
+  /** Whether the request has left anything with the suspicions. */
+  private _isKnown = false;
   private _isOver = false;
 
   constructor(suspicions: Suspicions, request: TurnRequest, clock: Clock) {
@@ -69,7 +70,9 @@
     const hadTrial = this._hasTrial;
     if (!(await this._suspicions.hasEnded(server))) return false;
     const trial = hadTrial ? this.id : '';
+    this._isKnown = true;
     this._suspicions.noteEnd(this._request.fingerprint(), { server: server.id, trial });
+    if (this._isOver) this.release();
     return true;
   }
 
@@ -81,11 +84,11 @@
   /** The request is over: the same may be tried by others. */
   release(): void {
     this._isOver = true;
-    if (this._hasAsked) this._suspicions.release(this._request.fingerprint(), this.id);
+    if (this._isKnown) this._suspicions.release(this._request.fingerprint(), this.id);
   }
 
   private async _ask(leftMilliseconds: number): Promise<void> {
-    this._hasAsked = true;
+    this._isKnown = true;
     const milliseconds = leftMilliseconds + TRIAL_MARGIN_MILLISECONDS;
     await this._suspicions.claim(this._request.fingerprint(), this.id, milliseconds);
   }
--- a/src/crashes/suspicionWriter.ts
+++ b/src/crashes/suspicionWriter.ts
@@ -39,6 +39,8 @@
 export class SuspicionWriter {
   private readonly _options: SuspicionWriterOptions;
   private readonly _pending = new Map<string, PendingChange[]>();
+  /** Those of the pending that are being written. */
+  private readonly _writing = new Set<string>();
   private readonly _stopped = new AbortController();
   private readonly _waiting: (() => void)[] = [];
   private _writes = 0;
@@ -58,13 +60,24 @@
     return applied(suspicion, this._pending.get(fingerprint) ?? []);
   }
 
-  /** Resolves when the change has been written, or given up. */
+  /** Whether the store has a suspicion, or is about to get one. */
+  isTold(fingerprint: string): boolean {
+    return this._writing.has(fingerprint) || this._options.copies.of(fingerprint).revision > 0;
+  }
+
+  /** Notes a change that is written with the next one, or never if that undoes it. */
+  propose(fingerprint: string, apply: SuspicionChange): void {
+    this._add(fingerprint, apply, () => undefined);
+    const isUndone = !this.isTold(fingerprint) && this.of(fingerprint) === undefined;
+    if (isUndone) this._pending.delete(fingerprint);
+  }
+
+  /** Resolves when the change, and all that was proposed before, has been written, or given up. */
   async change(fingerprint: string, apply: SuspicionChange): Promise<void> {
     await new Promise<void>((done) => {
-      const change = { apply, since: this._options.clock.now(), done };
-      const pending = this._pending.get(fingerprint);
-      if (pending) return void pending.push(change);
-      this._pending.set(fingerprint, [change]);
+      this._add(fingerprint, apply, done);
+      if (this._writing.has(fingerprint)) return;
+      this._writing.add(fingerprint);
       // what is decided in the same turn goes into the same write
       setImmediate(() => void this._writeAll(fingerprint));
     });
@@ -74,6 +87,12 @@
     this._stopped.abort();
   }
 
+  private _add(fingerprint: string, apply: SuspicionChange, done: () => void): void {
+    const pending = this._pending.get(fingerprint) ?? [];
+    pending.push({ apply, since: this._options.clock.now(), done });
+    this._pending.set(fingerprint, pending);
+  }
+
   private async _writeAll(fingerprint: string): Promise<void> {
     const { clock, random, log } = this._options;
     const backoff = new Backoff(RETRY, random);
@@ -89,6 +108,7 @@
       }
     }
     this._pending.delete(fingerprint);
+    this._writing.delete(fingerprint);
   }
 
   /** Writes what the changes come to; returns how many of them are done, none when another entry has written. */
--- a/src/crashes/suspicions.ts
+++ b/src/crashes/suspicions.ts
@@ -18,6 +18,7 @@
 import { hasFailedTrial, isShutOut, withEnd, withTrial, withoutTrial } from './suspicion.js';
 import type { StoredSuspicion } from './suspicionCopies.js';
 import { SuspicionCopies } from './suspicionCopies.js';
+import type { SuspicionChange } from './suspicionWriter.js';
 import { SuspicionWriter } from './suspicionWriter.js';
 
 /** What the suspicions work with. */
@@ -57,7 +58,7 @@
 const TIDY_INTERVAL_MILLISECONDS = 10_000;
 /** Beyond so many the servers end for another cause, as with their racks, and the store is spared. */
 const MOST_SUSPICIONS = 1_000;
-const MOST_PENDING = 100;
+const MOST_PENDING = 200;
 /** How often a request that waits looks whether the entry of the trial still lives. */
 const LOOK_MILLISECONDS = 250;
 
@@ -117,7 +118,7 @@
     const areMany = this._copies.size >= MOST_SUSPICIONS || this._writer.pending >= MOST_PENDING;
     if (areMany && !this._writer.of(fingerprint))
       return this._options.log.state('suspicion.not-kept', { fingerprint, server: end.server });
-    void this._writer.change(fingerprint, (suspicion) => withEnd(suspicion, end));
+    void this._change(fingerprint, (suspicion) => withEnd(suspicion, end));
     const ends = this._writer.of(fingerprint)?.ends.length;
     this._options.log.decision('suspicion.end', { fingerprint, ...end, ends });
   }
@@ -132,14 +133,14 @@
       milliseconds: Math.ceil(Math.min(milliseconds, LONGEST_TRIAL_MILLISECONDS)),
     };
     this._claims.add(request);
-    const claimed = this._writer.change(
+    const claimed = this._change(
       fingerprint,
       (suspicion) => suspicion && withTrial(suspicion, trial, lapsed),
     );
     await Promise.race([claimed, pause(CLAIM_MILLISECONDS)]);
   }
 
-  /** The request that asked for a trial is over. */
+  /** A request is over that has been at the end of a server, or asked for a trial. What it leaves behind is told to all. */
   release(fingerprint: string, request: string): void {
     this._claims.delete(request);
     if (!this._writer.of(fingerprint)) return;
@@ -150,7 +151,7 @@
   clear(fingerprint: string): void {
     if (!this._writer.of(fingerprint)) return;
     this._options.log.decision('suspicion.cleared', { fingerprint });
-    void this._writer.change(fingerprint, () => undefined);
+    void this._change(fingerprint, () => undefined);
   }
 
   /** Resolves when the standing may have changed, at the latest after `milliseconds`. */
@@ -172,6 +173,16 @@
     this._writer.stop();
   }
 
+  /**
+   * The store is told of a request once it has ended two servers, or is over: most that are at the end of a server end well at the
+   * next one, and each write has its price.
+   */
+  private async _change(fingerprint: string, change: SuspicionChange): Promise<void> {
+    const ends = change(this._writer.of(fingerprint))?.ends.length ?? 0;
+    if (ends > 1 || this._writer.isTold(fingerprint)) await this._writer.change(fingerprint, change);
+    else this._writer.propose(fingerprint, change);
+  }
+
   private _age({ seenAt }: StoredSuspicion): number {
     return this._options.clock.now() - seenAt;
   }
