A common request beside others that end servers is not shut out; most ends of servers cost the store nothing

Causes: one server counted as two ends where two copies ran at it; ends 45 ms apart counted as if the second had been a trial on its own; nothing spoke for a request but what ended well afterwards; and there was no way back but after ten minutes. Now: a server ends once; up to three good ends at an entry make up for as many ends; after two ends a request rests for a second before its next trial, when others that ended its servers are known; where another request explains all its ends it is tried again after five seconds. An answer after the second end waits for that write, so that its caller finds all entries informed. Ruled out: writing nothing but at the third end (copies at other entries go on meanwhile).

--- a/src/crashes/requestTurn.ts
+++ b/src/crashes/requestTurn.ts
@@ -1,7 +1,8 @@
 /** When one request may run: at once, unless the same request is suspected of ending its servers. */
 import type { Clock } from '../utils/clock.js';
 import type { CheckedServer } from './serverEnds.js';
-import type { Standing, Suspicions } from './suspicions.js';
+import type { Standing } from './standing.js';
+import type { Suspicions } from './suspicions.js';
 
 /** What a turn is about. */
 export interface TurnRequest {
@@ -19,11 +20,12 @@
 let turns = 0;
 
 export class RequestTurn {
-  /** Names this turn among all others. */
-  readonly id: string;
   private readonly _suspicions: Suspicions;
   private readonly _request: TurnRequest;
   private readonly _clock: Clock;
+  private readonly _name: string;
+  /** Trials that the request has asked for. */
+  private _trials = 0;
   private _isAwaited = false;
   private _hasTrial = false;
   /** Whether the request has left anything with the suspicions. */
@@ -34,7 +36,12 @@
     this._suspicions = suspicions;
     this._request = request;
     this._clock = clock;
-    this.id = `${request.exchange.requestId}/${turns++}`;
+    this._name = `${request.exchange.requestId}/${turns++}`;
+  }
+
+  /** Names the trial that the request has asked for last, among those of all requests. */
+  get id(): string {
+    return `${this._name}.${this._trials}`;
   }
 
   /** Whether the request may run now, without waiting. */
@@ -71,14 +78,15 @@
     if (!(await this._suspicions.hasEnded(server))) return false;
     const trial = hadTrial ? this.id : '';
     this._isKnown = true;
-    this._suspicions.noteEnd(this._request.fingerprint(), { server: server.id, trial });
+    // the caller may come again as soon as it is answered, to an entry that has to know by then
+    await this._suspicions.noteEnd(this._request.fingerprint(), { server: server.id, trial });
     if (this._isOver) this.release();
     return true;
   }
 
   /** The request has run to a good end. */
   noteGoodEnd(): void {
-    if (!this._suspicions.isEmpty) this._suspicions.clear(this._request.fingerprint());
+    this._suspicions.noteGoodEnd(this._request.fingerprint());
   }
 
   /** The request is over: the same may be tried by others. */
@@ -88,9 +96,11 @@
   }
 
   private async _ask(leftMilliseconds: number): Promise<void> {
+    const fingerprint = this._request.fingerprint();
+    if (this._isKnown) this._suspicions.endTrial(fingerprint, this.id);
     this._isKnown = true;
-    const milliseconds = leftMilliseconds + TRIAL_MARGIN_MILLISECONDS;
-    await this._suspicions.claim(this._request.fingerprint(), this.id, milliseconds);
+    this._trials++;
+    await this._suspicions.claim(fingerprint, this.id, leftMilliseconds + TRIAL_MARGIN_MILLISECONDS);
   }
 
   private _begin(hasTrial: boolean): boolean {
--- /dev/null
+++ b/src/crashes/standing.ts
@@ -0,0 +1,50 @@
+/** Whether a suspected request may run. Pure. */
+import type { Suspicion } from './suspicion.js';
+import { hasFailedTrial, isShutOut } from './suspicion.js';
+
+/**
+ * `free`: it is not suspected. `mine`: its trial is that of this very request. `open`: it may have a trial. `held`: it has to wait.
+ * `shut-out`: it ends its servers.
+ */
+export type Standing = 'free' | 'mine' | 'open' | 'held' | 'shut-out';
+
+/** What a standing follows from. */
+export interface StandingFacts {
+  suspicion: Suspicion | undefined;
+  /** The request that asks. */
+  request: string;
+  /** Whether the trial is that of the request that asks. */
+  isMine: boolean;
+  /** Whether the trial is over though nobody has said so. */
+  isLapsed: boolean;
+  /** Milliseconds since the last end became known. */
+  sinceEnd: number;
+  /** Whether other requests that are shut out had all the servers that ended under this one. */
+  isExplained: boolean;
+}
+
+/** Ends after which a request rests before its next trial. */
+const ENDS_BEFORE_REST = 2;
+/**
+ * Where several requests end servers at the same time, a good one may meet them at two of its own in a row. After this time they
+ * are known, and its next trial tells.
+ */
+const REST_MILLISECONDS = 1_000;
+/** Servers and weights change: after so long a request that was shut out may have one more trial, which costs a server at worst. */
+const SHUT_OUT_MILLISECONDS = 600_000;
+/** The same where another one is as likely to have ended the servers: one more trial of each tells them apart. */
+const EXPLAINED_MILLISECONDS = 5_000;
+
+export function standingOf(facts: StandingFacts): Standing {
+  const { suspicion, request, isMine, isLapsed, sinceEnd, isExplained } = facts;
+  if (!suspicion) return 'free';
+  const isAtWork = isMine && !hasFailedTrial(suspicion, request);
+  if (isAtWork) return 'mine';
+  if (isShutOut(suspicion)) {
+    const rest = isExplained ? EXPLAINED_MILLISECONDS : SHUT_OUT_MILLISECONDS;
+    if (sinceEnd < rest) return 'shut-out';
+  }
+  const isResting = suspicion.ends.length >= ENDS_BEFORE_REST && sinceEnd < REST_MILLISECONDS;
+  const isTried = suspicion.trial !== undefined && !isMine && !isLapsed;
+  return isResting || isTried ? 'held' : 'open';
+}
--- a/src/crashes/suspicion.ts
+++ b/src/crashes/suspicion.ts
@@ -38,12 +38,16 @@
   return ends.length >= ENDS_TO_SHUT_OUT && ends.some(({ trial }) => trial !== '');
 }
 
-/** Adds an end. Entries whose copies of a request ran at the same server tell its end several times: it counts once. */
+/**
+ * Adds an end. Each server ends once, whoever tells it and however many copies of the request it had; that one of them was a trial
+ * says more than that others were not.
+ */
 export function withEnd(suspicion: Suspicion | undefined, end: ServerEnd): Suspicion {
   const ends = suspicion?.ends ?? [];
-  const isKnown = ends.some(({ server, trial }) => server === end.server && trial === end.trial);
-  if (isKnown) return { ...suspicion, ends };
-  return { ...suspicion, ends: [...ends, end].slice(-MOST_ENDS) };
+  const known = ends.find(({ server }) => server === end.server);
+  if (known && (known.trial !== '' || end.trial === '')) return { ...suspicion, ends };
+  const others = ends.filter((other) => other !== known);
+  return { ...suspicion, ends: [...others, end].slice(-MOST_ENDS) };
 }
 
 /** Whether the trial of `request` has ended a server. */
@@ -62,6 +66,12 @@
   return suspicion.trial?.request === request ? { ends: suspicion.ends } : suspicion;
 }
 
+/** Whether each server that ended under a request had one of `others` as well, by which all its ends are explained. */
+export function isExplained({ ends }: Suspicion, others: readonly Suspicion[]): boolean {
+  const explained = new Set(others.flatMap((other) => other.ends.map(({ server }) => server)));
+  return ends.every(({ server }) => explained.has(server));
+}
+
 const suspicionSchema = z.object({
   ends: z.array(z.object({ server: z.string(), trial: z.string() })).max(MOST_ENDS),
   trial: z
--- a/src/crashes/suspicionCopies.ts
+++ b/src/crashes/suspicionCopies.ts
@@ -17,8 +17,8 @@
 }
 
 interface SuspicionCopiesEvents {
-  /** The suspicion of a request has changed, by its fingerprint. */
-  change: [string];
+  /** The suspicion of a request has changed: its fingerprint, and how many ends it had before. */
+  change: [string, number];
 }
 
 export class SuspicionCopies extends EventEmitter<SuspicionCopiesEvents> {
@@ -53,14 +53,14 @@
     const known = this._stored.get(fingerprint);
     if (known && known.revision >= revision) return;
     this._stored.set(fingerprint, { suspicion, revision, seenAt: this._clock.now() });
-    this.emit('change', fingerprint);
+    this.emit('change', fingerprint, known?.suspicion?.ends.length ?? 0);
   }
 
   /** The same where a write found another object, or none. */
   noteObject(fingerprint: string, object: StoredObject | undefined): void {
     if (object) return this.note(fingerprint, object.revision, this._read(object));
     this._stored.delete(fingerprint);
-    this.emit('change', fingerprint);
+    this.emit('change', fingerprint, 0);
   }
 
   private _takeReplica(): void {
--- a/src/crashes/suspicions.ts
+++ b/src/crashes/suspicions.ts
@@ -5,6 +5,7 @@
  * somewhere, which clears it, or has ended so many servers that it runs no more. Where the store is silent, this entry goes by what
  * it knows: it lets down nobody whose request may be good.
  */
+import { LRUCache } from 'lru-cache';
 import type { RecordReplica } from '../records/recordReplica.js';
 import type { UnreadableRecords } from '../records/unreadableRecords.js';
 import type { WritableStore } from '../records/writableStore.js';
@@ -12,10 +13,13 @@
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
 import { pause } from '../utils/timers.js';
+import { GoodEnds } from './goodEnds.js';
 import type { CheckedServer } from './serverEnds.js';
 import { ServerEnds } from './serverEnds.js';
+import type { Standing } from './standing.js';
+import { standingOf } from './standing.js';
 import type { ServerEnd, Suspicion } from './suspicion.js';
-import { hasFailedTrial, isShutOut, withEnd, withTrial, withoutTrial } from './suspicion.js';
+import { isExplained, isShutOut, withEnd, withTrial, withoutTrial } from './suspicion.js';
 import type { StoredSuspicion } from './suspicionCopies.js';
 import { SuspicionCopies } from './suspicionCopies.js';
 import type { SuspicionChange } from './suspicionWriter.js';
@@ -37,21 +41,20 @@
   log: EventLog;
 }
 
-/**
- * Whether a request may run. `free`: it is not suspected. `mine`: its trial is that of this very request. `open`: it may have a
- * trial. `held`: another one has it. `shut-out`: it ends its servers.
- */
-export type Standing = 'free' | 'mine' | 'open' | 'held' | 'shut-out';
+/** When the last end of a request became known. */
+interface LastEnd {
+  ends: number;
+  /** Monotonic milliseconds. */
+  at: number;
+}
 
-/** How long a request waits for the store to take its trial: callers of good requests wait as long. */
-const CLAIM_MILLISECONDS = 250;
+/** How long a request waits for the store to take what it is told of it: callers of good requests wait as long. */
+const WRITE_MILLISECONDS = 250;
 /**
  * A request that ends its servers does so soon after they begin to run it. A longer trial holds up no others, who may be many and
  * have done nothing.
  */
 const LONGEST_TRIAL_MILLISECONDS = 3_000;
-/** Servers and weights change: after so long a request that was shut out may have one more trial, which costs a server at worst. */
-const SHUT_OUT_MILLISECONDS = 600_000;
 /** Nobody has come again with a suspected request for so long. */
 const FORGET_SUSPECTED_MILLISECONDS = 60_000;
 const FORGET_SHUT_OUT_MILLISECONDS = 24 * 3_600_000;
@@ -67,6 +70,8 @@
   private readonly _copies: SuspicionCopies;
   private readonly _writer: SuspicionWriter;
   private readonly _ends: ServerEnds;
+  private readonly _goodEnds = new GoodEnds();
+  private readonly _lastEnds = new LRUCache<string, LastEnd>({ max: MOST_SUSPICIONS + MOST_PENDING });
   private readonly _waiting = new Map<string, Set<() => void>>();
   /** Requests of this process that have asked for a trial. */
   private readonly _claims = new Set<string>();
@@ -77,7 +82,7 @@
     this._options = options;
     this._ends = new ServerEnds(options.log);
     this._copies = new SuspicionCopies(replica, unreadable, clock);
-    this._copies.on('change', (fingerprint) => this._onChange(fingerprint));
+    this._copies.on('change', (fingerprint, endsBefore) => this._onChange(fingerprint, endsBefore));
     this._writer = new SuspicionWriter({ ...options, kind: replica.kind, copies: this._copies });
     this._timer = setInterval(() => this._tidy(), TIDY_INTERVAL_MILLISECONDS).unref();
   }
@@ -96,16 +101,16 @@
   /** How the same requests as `request` stand, for `request` itself. */
   standing(fingerprint: string, request: string): Standing {
     const suspicion = this._writer.of(fingerprint);
-    if (!suspicion) return 'free';
-    const { trial } = suspicion;
-    const stored = this._copies.of(fingerprint);
-    const isMine = trial?.request === request && trial.box === this._options.box;
-    if (!isShutOut(suspicion)) {
-      if (isMine) return 'mine';
-      return trial && trial.request !== this._lapsedTrial(stored) ? 'held' : 'open';
-    }
-    if (isMine && !hasFailedTrial(suspicion, request)) return 'mine';
-    return this._age(stored) < SHUT_OUT_MILLISECONDS ? 'shut-out' : 'open';
+    const trial = suspicion?.trial;
+    return standingOf({
+      suspicion,
+      request,
+      isMine: trial?.request === request && trial.box === this._options.box,
+      isLapsed: trial?.request === this._lapsedTrial(this._copies.of(fingerprint)),
+      sinceEnd: this._options.clock.now() - (this._lastEnds.get(fingerprint)?.at ?? Number.NEGATIVE_INFINITY),
+      isExplained:
+        suspicion !== undefined && isShutOut(suspicion) && this._isExplained(fingerprint, suspicion),
+    });
   }
 
   /** Whether the process of a server has ended that broke a connection off. Never rejects. */
@@ -113,14 +118,18 @@
     return await this._ends.hasEnded(server);
   }
 
-  /** A server has ended that had the request. */
-  noteEnd(fingerprint: string, end: ServerEnd): void {
+  /** A server has ended that had the request. Resolves when that has been told, if it is to be, or soon after. */
+  async noteEnd(fingerprint: string, end: ServerEnd): Promise<void> {
+    const { log } = this._options;
+    if (this._goodEnds.spend(fingerprint)) return log.decision('suspicion.spared', { fingerprint, ...end });
     const areMany = this._copies.size >= MOST_SUSPICIONS || this._writer.pending >= MOST_PENDING;
     if (areMany && !this._writer.of(fingerprint))
-      return this._options.log.state('suspicion.not-kept', { fingerprint, server: end.server });
-    void this._change(fingerprint, (suspicion) => withEnd(suspicion, end));
-    const ends = this._writer.of(fingerprint)?.ends.length;
-    this._options.log.decision('suspicion.end', { fingerprint, ...end, ends });
+      return log.state('suspicion.not-kept', { fingerprint, server: end.server });
+    const told = this._change(fingerprint, (suspicion) => withEnd(suspicion, end));
+    const ends = this._writer.of(fingerprint)?.ends.length ?? 0;
+    this._noteEnds(fingerprint, ends);
+    log.decision('suspicion.end', { fingerprint, ...end, ends });
+    await Promise.race([told, pause(WRITE_MILLISECONDS)]);
   }
 
   /** Asks for the trial of a suspected request; afterwards its standing tells whether it has it. */
@@ -137,7 +146,14 @@
       fingerprint,
       (suspicion) => suspicion && withTrial(suspicion, trial, lapsed),
     );
-    await Promise.race([claimed, pause(CLAIM_MILLISECONDS)]);
+    await Promise.race([claimed, pause(WRITE_MILLISECONDS)]);
+  }
+
+  /** A trial is over, and its request may ask for another one. */
+  endTrial(fingerprint: string, request: string): void {
+    this._claims.delete(request);
+    if (this._writer.of(fingerprint)?.trial?.request !== request) return;
+    void this._change(fingerprint, (suspicion) => suspicion && withoutTrial(suspicion, request));
   }
 
   /** A request is over that has been at the end of a server, or asked for a trial. What it leaves behind is told to all. */
@@ -148,8 +164,9 @@
   }
 
   /** The request has ended well: it does not end each server that runs it. */
-  clear(fingerprint: string): void {
-    if (!this._writer.of(fingerprint)) return;
+  noteGoodEnd(fingerprint: string): void {
+    this._goodEnds.note(fingerprint);
+    if (this.isEmpty || !this._writer.of(fingerprint)) return;
     this._options.log.decision('suspicion.cleared', { fingerprint });
     void this._change(fingerprint, () => undefined);
   }
@@ -180,7 +197,16 @@
   private async _change(fingerprint: string, change: SuspicionChange): Promise<void> {
     const ends = change(this._writer.of(fingerprint))?.ends.length ?? 0;
     if (ends > 1 || this._writer.isTold(fingerprint)) await this._writer.change(fingerprint, change);
-    else this._writer.propose(fingerprint, change);
+    else {
+      this._writer.propose(fingerprint, change);
+      this._wake(fingerprint);
+    }
+  }
+
+  private _isExplained(fingerprint: string, suspicion: Suspicion): boolean {
+    const others = this._copies.all().filter(([other]) => other !== fingerprint);
+    const known = others.flatMap(([, { suspicion: other }]) => other ?? []);
+    return isExplained(suspicion, known.filter(isShutOut));
   }
 
   private _age({ seenAt }: StoredSuspicion): number {
@@ -197,12 +223,26 @@
     return isOver ? trial.request : undefined;
   }
 
-  private _onChange(fingerprint: string): void {
+  private _onChange(fingerprint: string, endsBefore: number): void {
     const { suspicion } = this._copies.of(fingerprint);
-    if (suspicion && isShutOut(suspicion)) {
-      const servers = suspicion.ends.map(({ server }) => server);
-      this._options.log.state('suspicion.shut-out', { fingerprint, servers });
-    }
+    if (!suspicion) this._lastEnds.delete(fingerprint);
+    else if (suspicion.ends.length > endsBefore) this._onEnds(fingerprint, suspicion);
+    this._wake(fingerprint);
+  }
+
+  private _onEnds(fingerprint: string, suspicion: Suspicion): void {
+    this._noteEnds(fingerprint, suspicion.ends.length);
+    if (!isShutOut(suspicion)) return;
+    const servers = suspicion.ends.map(({ server }) => server);
+    this._options.log.state('suspicion.shut-out', { fingerprint, servers });
+  }
+
+  private _noteEnds(fingerprint: string, ends: number): void {
+    const known = this._lastEnds.get(fingerprint);
+    if (!known || known.ends < ends) this._lastEnds.set(fingerprint, { ends, at: this._options.clock.now() });
+  }
+
+  private _wake(fingerprint: string): void {
     for (const wake of [...(this._waiting.get(fingerprint) ?? [])]) wake();
   }
 
--- /dev/null
+++ b/tests/suspicion.spec.ts
@@ -0,0 +1,63 @@
+/** What follows from the ends of servers under a request. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { Suspicion } from '../src/crashes/suspicion.js';
+import {
+  isExplained,
+  isShutOut,
+  readSuspicion,
+  withEnd,
+  withTrial,
+  withoutTrial,
+} from '../src/crashes/suspicion.js';
+
+const END = { server: 's-1', trial: '' };
+
+test('should shut out by three ends, one of them that of a trial', () => {
+  const ends = (...trials: string[]): Suspicion => ({
+    ends: trials.map((trial, index) => ({ server: `s-${index}`, trial })),
+  });
+  expect(isShutOut(ends('', 'r'))).toEqual(false);
+  expect(isShutOut(ends('', 'r', 'q'))).toEqual(true);
+  // a rack that fails ends many servers at one moment
+  expect(isShutOut(ends('', '', '', '', ''))).toEqual(false);
+});
+
+test('should count an end once, whoever tells it', () => {
+  const twice = withEnd(withEnd(undefined, END), END);
+  expect(twice.ends).toEqual([END]);
+  const trial = { server: 's-1', trial: 'r' };
+  expect(withEnd(twice, trial).ends).toEqual([trial]);
+  expect(withEnd(withEnd(twice, trial), END).ends).toEqual([trial]);
+});
+
+test('should keep the latest ends only', () => {
+  let suspicion: Suspicion = { ends: [] };
+  for (let index = 0; index < 20; index++)
+    suspicion = withEnd(suspicion, { server: `s-${index}`, trial: 'r' });
+  expect([suspicion.ends.length, suspicion.ends.at(-1)?.server]).toEqual([8, 's-19']);
+});
+
+test('should let one trial go on at a time', () => {
+  const trial = { box: 'a', request: 'r', milliseconds: 1 };
+  const other = { box: 'b', request: 'q', milliseconds: 1 };
+  const tried = withTrial({ ends: [END] }, trial);
+  expect(withTrial(tried, other).trial).toEqual(trial);
+  expect(withTrial(tried, other, 'r').trial).toEqual(other);
+  expect(withoutTrial(tried, 'q').trial).toEqual(trial);
+  expect(withoutTrial(tried, 'r').trial).toEqual(undefined);
+});
+
+test('should read only what an entry may have written', () => {
+  expect(readSuspicion({ ends: [END] }).isOk()).toEqual(true);
+  for (const value of [null, 'text', {}, { ends: [{}] }, { ends: [], trial: { box: 7 } }])
+    expect(readSuspicion(value).isErr()).toEqual(true);
+});
+
+test('should hold an end for explained that another request was at as well', () => {
+  const ends = (...servers: string[]): Suspicion => ({
+    ends: servers.map((server) => ({ server, trial: '' })),
+  });
+  expect(isExplained(ends('a', 'b'), [ends('a', 'c'), ends('b')])).toEqual(true);
+  expect(isExplained(ends('a', 'b'), [ends('a', 'c')])).toEqual(false);
+});
