--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,6 +1,6 @@
 /** `npm run soak -- --minutes M --seed S`: soaks one seed after the other until the time is over. */
 import meow from 'meow';
-import { FAULT_KINDS } from './soakFaults.js';
+import { FAULT_KINDS } from './faultKinds.js';
 import { soak } from './soakRun.js';
 
 const HELP = `
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -29,6 +29,9 @@
   until: number;
 }
 
+/** What a harm strikes. Entries stay in touch with all else while servers end under a request. */
+export type Harmed = 'all' | 'servers';
+
 /** A planned stop of an entry. */
 interface Stop extends Harm {
   /** Where callers reach it, host:port. */
@@ -72,7 +75,7 @@
   private readonly _calls = new Map<string, Call>();
   private readonly _executions = new Map<string, Execution[]>();
   private readonly _asked = new Set<string>();
-  private readonly _harms: Harm[] = [];
+  private readonly _harms: (Harm & { harmed: Harmed })[] = [];
   private readonly _stops: Stop[] = [];
   private readonly _named: Announcement[] = [];
   /** Configurations that an entry was seen to have, by entry and the time at which they came. */
@@ -130,8 +133,8 @@
   }
 
   /** Something is harmed from now on; the returned function ends it. */
-  onHarm(): () => void {
-    const harm = { from: Date.now(), until: Number.POSITIVE_INFINITY };
+  onHarm(harmed: Harmed = 'all'): () => void {
+    const harm = { harmed, from: Date.now(), until: Number.POSITIVE_INFINITY };
     this._harms.push(harm);
     return () => (harm.until = Date.now());
   }
@@ -222,7 +225,8 @@
     request.runs++;
     const known = request.crashes[TELLING_CRASHES - 1];
     if (known === undefined || at - known < CONTACT_MILLISECONDS + SLACK_MILLISECONDS) return;
-    if (this._isHarmed(known, at)) return;
+    const all = this._harms.filter(({ harmed }) => harmed === 'all');
+    if (this._isHarmed(known, at, all)) return;
     request.lateRuns++;
     if (request.lateRuns > MOST_LATE_RUNS)
       this._breach('crashing', `${id} ran at ${runner}, ${at - known} ms after the third end by its like`);
@@ -247,8 +251,8 @@
     return isReset && !ran && stopped;
   }
 
-  private _isHarmed(from: number, until: number): boolean {
-    return this._harms.some((harm) => harm.from <= until && harm.until + CONTACT_MILLISECONDS >= from);
+  private _isHarmed(from: number, until: number, harms: readonly Harm[] = this._harms): boolean {
+    return harms.some((harm) => harm.from <= until && harm.until + CONTACT_MILLISECONDS >= from);
   }
 
   private _breach(promise: PromiseName, what: string): void {
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -2,6 +2,8 @@
 import type { Random } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
 import { ENDING_BODY } from '../standins/platformRunnerStandin.js';
+import type { FaultKind } from './faultKinds.js';
+import { PLANNED_KINDS } from './faultKinds.js';
 import type { FleetProcess } from './fleetProcess.js';
 import type { ProxyMode } from './loopbackProxy.js';
 import type { PromiseChecks } from './promiseChecks.js';
@@ -9,60 +11,6 @@
 import type { SoakBox, SoakFleet } from './soakFleet.js';
 import { MODEL_SERVICE, PLAIN_SERVICE } from './soakConfiguration.js';
 
-/** Work that must not be noticed by any request. */
-export type PlannedKind =
-  'configure' | 'name-weights' | 'stop-entry' | 'stop-agent' | 'replace-server' | 'reload';
-
-export type FaultKind =
-  | PlannedKind
-  | 'kill-entry'
-  | 'kill-agent'
-  | 'freeze-entry'
-  | 'freeze-agent'
-  | 'kill-many'
-  | 'harm-store-link'
-  | 'harm-server-link'
-  | 'harm-store'
-  | 'forget-history'
-  | 'harm-origin'
-  | 'sick-server'
-  | 'crash-server'
-  | 'rot-chunks'
-  | 'restart-server'
-  | 'restart-amid-versions'
-  | 'foreign-records'
-  | 'crashing-request';
-
-export const PLANNED_KINDS: readonly PlannedKind[] = [
-  'configure',
-  'name-weights',
-  'stop-entry',
-  'stop-agent',
-  'replace-server',
-  'reload',
-];
-
-export const FAULT_KINDS: readonly FaultKind[] = [
-  ...PLANNED_KINDS,
-  'kill-entry',
-  'kill-agent',
-  'freeze-entry',
-  'freeze-agent',
-  'kill-many',
-  'harm-store-link',
-  'harm-server-link',
-  'harm-store',
-  'forget-history',
-  'harm-origin',
-  'sick-server',
-  'crash-server',
-  'rot-chunks',
-  'restart-server',
-  'foreign-records',
-  'restart-amid-versions',
-  'crashing-request',
-];
-
 const PROXY_MODES: readonly ProxyMode[] = ['delay', 'reset', 'deaf', 'mute', 'silent'];
 const LONGEST_MILLISECONDS = 3_500;
 const SHORTEST_MILLISECONDS = 300;
@@ -79,6 +27,8 @@
 const VERSIONS_AMID_RESTARTS = 4;
 const AMID_MILLISECONDS = 400;
 const RESTARTED_SHARE = 0.5;
+/** Writes that got no answer are done so much later. */
+const LATE_WRITE_MILLISECONDS = 1_500;
 const CRASHING_SENDS = 80;
 const CRASHING_GAP_MILLISECONDS = 120;
 /** What other writers leave in the store. */
@@ -111,9 +61,8 @@
   /** Applies a fault and resolves when it has been lifted. */
   async apply(kind: FaultKind): Promise<void> {
     const isPlanned = (PLANNED_KINDS as readonly FaultKind[]).includes(kind);
-    // entries stay in touch with all else while servers end under a request
-    const harmsNone = isPlanned || kind === 'crashing-request';
-    const lift = harmsNone ? () => undefined : this._checks.onHarm();
+    const harmed = kind === 'crashing-request' ? 'servers' : 'all';
+    const lift = isPlanned ? () => undefined : this._checks.onHarm(harmed);
     const milliseconds = SHORTEST_MILLISECONDS + this._random.integer(LONGEST_MILLISECONDS);
     this._log(`${kind} ${milliseconds}`);
     try {
@@ -164,10 +113,8 @@
     if (kind === 'foreign-records') return await this._writeForeign(milliseconds);
     if (kind === 'crashing-request') return await this._sendCrashing();
     if (kind === 'rot-chunks') return await this._rot(this._pick(this._boxesOf(MODEL_SERVICE)), milliseconds);
-    if (kind === 'harm-store') {
-      store.faults = this._random.integer(2) === 0 ? { status: 503 } : { silent: true };
-      await pause(milliseconds);
-      store.faults = {};
+    if (kind === 'harm-store' || kind === 'lose-writes') {
+      await this._harmStore(kind, milliseconds);
     } else if (kind === 'harm-origin') {
       origin.faults = this._originFaults();
       // without a version that moves, nobody would notice
@@ -184,6 +131,14 @@
     }
   }
 
+  private async _harmStore(kind: 'harm-store' | 'lose-writes', milliseconds: number): Promise<void> {
+    const { store } = this._fleet;
+    if (kind === 'lose-writes') store.faults = { lateWritesMilliseconds: LATE_WRITE_MILLISECONDS };
+    else store.faults = this._random.integer(2) === 0 ? { status: 503 } : { silent: true };
+    await pause(milliseconds);
+    store.faults = {};
+  }
+
   private async _stopEntry(entry: FleetProcess): Promise<void> {
     const onEnded = this._checks.onStopping(this._fleet.callerAddress(entry));
     await this._end([entry], 'SIGTERM');
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -6,8 +6,9 @@
 import type { Breach } from './promiseChecks.js';
 import { PromiseChecks } from './promiseChecks.js';
 import { SoakCaller } from './soakCaller.js';
-import type { FaultKind } from './soakFaults.js';
-import { FAULT_KINDS, PLANNED_KINDS, SoakFaults } from './soakFaults.js';
+import type { FaultKind } from './faultKinds.js';
+import { FAULT_KINDS, PLANNED_KINDS } from './faultKinds.js';
+import { SoakFaults } from './soakFaults.js';
 import type { FleetSize } from './fleetOptions.js';
 import { BOUNDS, SoakFleet, ZONES } from './soakFleet.js';
 
--- a/src/serving/gatewayGauges.ts
+++ b/src/serving/gatewayGauges.ts
@@ -34,6 +34,8 @@
   metrics.gauge('entries_live', () => entries.live().length);
   metrics.gauge('entries_sharing', () => entries.count());
   metrics.gauge('reads_store', () => Number(followers.isReading));
+  metrics.gauge('requests_suspected', () => followers.suspicions.counts.suspected);
+  metrics.gauge('requests_shut_out', () => followers.suspicions.counts.shutOut);
   metrics.gauge('record_listeners', () => followers.relay.listeners);
   metrics.gauge('records_unreadable_total', () => unreadable.total);
   metrics.gauge('log_lines_dropped', () => log.droppedLines);
