--- a/standins/platformOriginStandin.ts
+++ b/standins/platformOriginStandin.ts
@@ -56,6 +56,11 @@
     });
   }
 
+  /** Connections that are open, also those whose other end says nothing any more. */
+  get connections(): number {
+    return this._connections;
+  }
+
   /** Starts listening and returns host:port. */
   async listen(host = '127.0.0.1'): Promise<string> {
     await new Promise<void>((resolve) => this._server.listen(0, host, resolve));
