--- a/src/external/httpClient.ts
+++ b/src/external/httpClient.ts
@@ -1,4 +1,5 @@
 /** JSON over HTTP towards the platform and backend servers, by undici. */
+import type { Dispatcher } from 'undici';
 import { Agent, request } from 'undici';
 import { StepError, errorCode, errorText } from '../utils/stepError.js';
 import { parseJson } from '../utils/json.js';
@@ -13,6 +14,8 @@
   headers?: Record<string, string>;
   timeoutMilliseconds: number;
   signal?: AbortSignal;
+  /** Whose connections to use; those that all calls share when absent. */
+  dispatcher?: Dispatcher;
 }
 
 /** The parsed answer; `body` is undefined when there is none or it is not JSON. */
@@ -22,7 +25,7 @@
   body: unknown;
 }
 
-const dispatcher = new Agent({ connections: 32, pipelining: 1, keepAliveTimeout: 10_000 });
+const sharedDispatcher = new Agent({ connections: 32, pipelining: 1, keepAliveTimeout: 10_000 });
 
 /** Codes after which it is certain that the request never left this process. */
 const NEVER_SENT = new Set([
@@ -46,7 +49,7 @@
       method: options.method,
       headers: { 'content-type': 'application/json', ...options.headers },
       body: options.body === undefined ? undefined : JSON.stringify(options.body),
-      dispatcher,
+      dispatcher: options.dispatcher ?? sharedDispatcher,
       signal: limit.signal,
     });
     const text = await answer.body.text();
