--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -23,7 +23,8 @@
   | 'restart-amid-versions'
   | 'foreign-records'
   | 'crashing-request'
-  | 'lose-writes';
+  | 'lose-writes'
+  | 'lose-power';
 
 export const PLANNED_KINDS: readonly PlannedKind[] = [
   'configure',
@@ -54,4 +55,5 @@
   'restart-amid-versions',
   'crashing-request',
   'lose-writes',
+  'lose-power',
 ];
--- a/soak/loopbackProxy.ts
+++ b/soak/loopbackProxy.ts
@@ -20,6 +20,7 @@
 export class LoopbackProxy {
   private readonly _target: string;
   private readonly _pairs = new Set<Pair>();
+  private readonly _abandoned: Socket[] = [];
   private readonly _server = net.createServer((client) => this._accept(client));
   private _mode: ProxyMode = 'pass';
 
@@ -51,10 +52,25 @@
     for (const pair of this._pairs) this._apply(pair);
   }
 
+  /**
+   * Leaves all connections open at the server for good and says nothing on them any more, as a client that has lost its power. New
+   * ones pass.
+   */
+  abandon(): void {
+    for (const { client, server } of this._pairs) {
+      for (const socket of [client, server]) socket.removeAllListeners().on('error', () => undefined);
+      server.pause();
+      client.destroy();
+      this._abandoned.push(server);
+    }
+    this._pairs.clear();
+  }
+
   /** Refuses connections from now on, as a port where nobody listens; {@link LoopbackProxy.listen} may follow. */
   close(): void {
     this._server.close();
     for (const pair of this._pairs) cut(pair);
+    for (const server of this._abandoned) server.destroy();
   }
 
   private _accept(client: Socket): void {
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -98,6 +98,8 @@
         return await this._freeze(this._pick(entries), milliseconds);
       case 'freeze-agent':
         return await this._freeze(this._pick(agents), milliseconds);
+      case 'lose-power':
+        return await this._losePower();
       default:
         return await this._harm(kind, milliseconds);
     }
@@ -153,6 +155,14 @@
     for (const process of ended) process.start();
   }
 
+  /** The boxes of all agents, while a version comes: the origin hears nothing of it. */
+  private async _losePower(): Promise<void> {
+    this._checks.onNamed(this._fleet.nameWeights());
+    await pause(this._random.integer(AMID_MILLISECONDS));
+    this._fleet.abandonOrigin();
+    await this._end(this._fleet.agents, 'SIGKILL');
+  }
+
   private async _freeze(process: FleetProcess, milliseconds: number): Promise<void> {
     if (!process.running || process.paused) return;
     process.signal('SIGSTOP');
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -42,7 +42,7 @@
 const SMALL_WEIGHTS: FleetWeights = {
   shape: { model: MODEL, chunks: 12, chunkBytes: 4_096 },
   boxLinkMegabits: 50,
-  originLink: { bytesPerSecond: 0, maximumConnections: 1_000 },
+  originLink: { bytesPerSecond: 0, maximumConnections: 48 },
 };
 /** Entries that the settings of each name, as the platform does. */
 const SEEDS = 3;
@@ -74,6 +74,7 @@
   private _configurationVersion = 0;
   private _configuredAt = 0;
   private _weightsVersion = 1;
+  private _originProxy: LoopbackProxy | undefined;
   private _originAddress = '';
   private _storeAddress = '';
   private _runnersMade = 0;
@@ -98,7 +99,8 @@
 
   async start(): Promise<void> {
     this._storeAddress = new URL(await this.store.listen()).host;
-    this._originAddress = await this.origin.listen();
+    this._originProxy = new LoopbackProxy(await this.origin.listen());
+    this._originAddress = await this._originProxy.listen('127.0.0.1', 0);
     this.configure();
     this.store.put('versions', MODEL, { model: MODEL, version: this._weightsVersion });
     for (let index = 0; index < this._options.size.modelBoxes; index++)
@@ -117,6 +119,7 @@
       proxy.close();
     }
     for (const proxy of this.storeProxies.values()) proxy.close();
+    this._originProxy?.close();
     this.store.close();
     this.origin.close();
   }
@@ -183,6 +186,11 @@
     this.store.put('servers', box.runner.id, record);
   }
 
+  /** What the boxes of all agents leave behind at the origin when they lose their power; the processes are killed by others. */
+  abandonOrigin(): void {
+    this._originProxy?.abandon();
+  }
+
   /** Addresses of the directory of each entry. */
   directories(): string[] {
     return this.entries.map((_entry, index) => `${this._entryHost(index)}:${PORTS.directory}`);
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -47,6 +47,7 @@
 import type { SwitchPeer } from './switchTurn.js';
 import { UploadPriorities } from './uploadPriorities.js';
 import { VersionReconciler } from './versionReconciler.js';
+import { WatchedOrigin } from './watchedOrigin.js';
 
 /** What an agent is built from beside its settings. */
 export interface StagingParts {
@@ -94,7 +95,7 @@
   private _members: Member[] = [];
   /** The boxes that take turns at switching, this one included. */
   private _group: readonly Member[] = [];
-  private _origin: Origin | undefined;
+  private _origin: WatchedOrigin | undefined;
   private _originAddress = '';
   private _agentsRevision = 0;
   private _statusTimer: NodeJS.Timeout | undefined;
@@ -141,6 +142,7 @@
       uploads,
       log: parts.log,
       entries: () => this._entries.count,
+      originLostFor: () => this._origin?.lostFor ?? 0,
     });
     this._metricsServer = new MetricsServer(metrics, METRICS_PATH);
     this._control = new ControlServer(
@@ -263,7 +265,7 @@
   private _takeOrigin(address: string): void {
     if (address === '' || address === this._originAddress) return;
     this._originAddress = address;
-    this._origin = this._parts.originAt(address);
+    this._origin = new WatchedOrigin(this._parts.originAt(address), this._clock, this._parts.log);
   }
 
   private _takeAgents({ agents, revision }: AgentList): void {
--- a/src/staging/stagingMetrics.ts
+++ b/src/staging/stagingMetrics.ts
@@ -15,6 +15,8 @@
   log: EventLog;
   /** Entries that are connected. */
   entries: () => number;
+  /** Milliseconds for which the origin has answered nothing. */
+  originLostFor: () => number;
 }
 
 /** Figures of the newest version on its way, and of the process. */
@@ -24,6 +26,7 @@
   uploads,
   log,
   entries,
+  originLostFor,
 }: StagingFigures): ServingMetrics {
   const metrics = new ServingMetrics();
   const counts = (): TransferCounts | undefined => stages.stages.at(-1)?.exchange.counts;
@@ -36,6 +39,7 @@
   metrics.gauge('version_corrupt_chunks', () => counts()?.corruptChunks ?? 0);
   metrics.gauge('uploaded_bytes', () => uploads.bytesSent);
   metrics.gauge('entries_connected', entries);
+  metrics.gauge('origin_lost_milliseconds', originLostFor);
   addControlGauges(metrics);
   metrics.gauge('log_lines_dropped', () => log.droppedLines);
   metrics.gauge('memory_bytes', () => process.memoryUsage.rss());
--- a/standins/platformOriginStandin.ts
+++ b/standins/platformOriginStandin.ts
@@ -45,6 +45,8 @@
     this._shape = shape;
     this._fraction = fraction;
     this._limiter = new RateLimiter(link.bytesPerSecond);
+    // a connection whose other end is gone without a word stays, and counts
+    this._server.keepAliveTimeout = 0;
     this._server.on('connection', (socket) => {
       if (this._connections >= link.maximumConnections) {
         this.resets++;
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -16,6 +16,7 @@
   'restart-amid-versions',
   'crashing-request',
   'lose-writes',
+  'lose-power',
 ];
 const KINDS_OF_SEED = FAULT_KINDS.filter((kind) => !LATER_KINDS.includes(kind));
 
