Turns: a time that is over is no shut-out; lives by their start, where it is told; a stale trial no longer keeps a suspicion for ever

By reading: a request whose time ended while it waited would have been told that it ends servers; a server that keeps its id over starts would have counted once; ids of callers may be of any length; a suspicion with a trial that nobody ended was never forgotten, and said so every ten seconds.

--- a/src/crashes/requestTurn.ts
+++ b/src/crashes/requestTurn.ts
@@ -13,6 +13,11 @@
   endsAt: number;
 }
 
+/** How the wait for a turn ended: `ends servers` for a request that is shut out, `time` where nobody waits any more. */
+export type TurnOutcome = 'granted' | 'ends servers' | 'time';
+
+/** Ids are the callers' own, of any length. */
+const LONGEST_ID = 64;
 /** A trial may last a little longer than its request, whose end is told after it. */
 const TRIAL_MARGIN_MILLISECONDS = 500;
 
@@ -36,7 +41,7 @@
     this._suspicions = suspicions;
     this._request = request;
     this._clock = clock;
-    this._name = `${request.exchange.requestId}/${turns++}`;
+    this._name = `${request.exchange.requestId.slice(0, LONGEST_ID)}/${turns++}`;
   }
 
   /** Names the trial that the request has asked for last, among those of all requests. */
@@ -56,20 +61,12 @@
     return this._isAwaited;
   }
 
-  /** Waits until the request may run; resolves to false when it is shut out, or over. */
-  async take(): Promise<boolean> {
+  /** Waits until the request may run, if it ever may. */
+  async take(): Promise<TurnOutcome> {
     this._isAwaited = true;
-    const { endsAt, fingerprint } = this._request;
-    const left = (): number => endsAt - this._clock.now();
-    while (!this._isOver && left() > 0) {
-      const standing = this._standing();
-      if (standing === 'shut-out') break;
-      if (standing === 'free' || standing === 'mine') return this._begin(standing === 'mine');
-      if (standing === 'open') await this._ask(left());
-      else await this._suspicions.changed(fingerprint(), left());
-    }
+    const outcome = await this._waitForTurn();
     this._isAwaited = false;
-    return false;
+    return outcome;
   }
 
   /** A server broke off the connection that had the request; resolves to whether it has ended, which is noted. */
@@ -77,9 +74,10 @@
     const hadTrial = this._hasTrial;
     if (!(await this._suspicions.hasEnded(server))) return false;
     const trial = hadTrial ? this.id : '';
+    const life = server.startedAt > 0 ? `${server.id}@${server.startedAt}` : server.id;
     this._isKnown = true;
     // the caller may come again as soon as it is answered, to an entry that has to know by then
-    await this._suspicions.noteEnd(this._request.fingerprint(), { server: server.id, trial });
+    await this._suspicions.noteEnd(this._request.fingerprint(), { server: life, trial });
     if (this._isOver) this.release();
     return true;
   }
@@ -95,6 +93,20 @@
     if (this._isKnown) this._suspicions.release(this._request.fingerprint(), this.id);
   }
 
+  private async _waitForTurn(): Promise<TurnOutcome> {
+    const { endsAt, fingerprint } = this._request;
+    const left = (): number => endsAt - this._clock.now();
+    while (!this._isOver && left() > 0) {
+      const standing = this._standing();
+      this._hasTrial = standing === 'mine';
+      if (standing === 'shut-out') return 'ends servers';
+      if (standing === 'free' || standing === 'mine') return 'granted';
+      if (standing === 'open') await this._ask(left());
+      else await this._suspicions.changed(fingerprint(), left());
+    }
+    return 'time';
+  }
+
   private async _ask(leftMilliseconds: number): Promise<void> {
     const fingerprint = this._request.fingerprint();
     if (this._isKnown) this._suspicions.endTrial(fingerprint, this.id);
@@ -103,12 +115,6 @@
     await this._suspicions.claim(fingerprint, this.id, leftMilliseconds + TRIAL_MARGIN_MILLISECONDS);
   }
 
-  private _begin(hasTrial: boolean): boolean {
-    this._isAwaited = false;
-    this._hasTrial = hasTrial;
-    return true;
-  }
-
   private _standing(): Standing {
     return this._suspicions.standing(this._request.fingerprint(), this.id);
   }
--- a/src/crashes/serverEnds.ts
+++ b/src/crashes/serverEnds.ts
@@ -9,6 +9,8 @@
   id: string;
   /** host:port. */
   address: string;
+  /** When this life began, in Unix milliseconds by the server's clock; 0 where it is not told. */
+  startedAt: number;
 }
 
 /** Nobody listens at the address. */
--- a/src/crashes/suspicions.ts
+++ b/src/crashes/suspicions.ts
@@ -5,6 +5,7 @@
  * somewhere, which clears it, or has ended so many servers that it runs no more. Where the store is silent, this entry goes by what
  * it knows: it lets down nobody whose request may be good.
  */
+import { isDeepStrictEqual } from 'node:util';
 import { LRUCache } from 'lru-cache';
 import type { RecordReplica } from '../records/recordReplica.js';
 import type { UnreadableRecords } from '../records/unreadableRecords.js';
@@ -261,9 +262,7 @@
     this._options.log.decision('suspicion.forgotten', { fingerprint, ends: forgotten.ends.length });
     // one that has changed meanwhile is another object by then, and stays
     const change = (suspicion: Suspicion | undefined): Suspicion | undefined =>
-      suspicion?.ends.length === forgotten.ends.length && suspicion.trial === forgotten.trial
-        ? undefined
-        : suspicion;
+      isDeepStrictEqual(suspicion, forgotten) ? undefined : suspicion;
     await this._writer.change(fingerprint, change);
   }
 }
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -73,8 +73,7 @@
     const { exchange } = this._request;
     if (exchange.ended) return this._onCallerGone();
     exchange.onCallerGone(() => this._onCallerGone());
-    const { leftMilliseconds } = this._attempts;
-    this._deadlineTimer = setTimeout(() => this._onTimeOver(), Math.max(0, leftMilliseconds));
+    this._deadlineTimer = setTimeout(() => this._onTimeOver(), Math.max(0, this._attempts.leftMilliseconds));
     // a stream shows by its head that it has begun; other requests that may run once are left to end where they are
     if (this._attempts.repeatable || this._relay) this._endWatch = watches.add(() => this._watch());
     this._attempt();
@@ -96,8 +95,9 @@
   /** The same request is suspected of ending its servers: it runs once at a time, if at all. */
   private async _awaitTurn(): Promise<void> {
     if (this._turn.isAwaited) return;
-    if (await this._turn.take()) this._attempt();
-    else if (!this._final.given) this._giveUp('ends servers');
+    const outcome = await this._turn.take();
+    if (outcome === 'granted') this._attempt();
+    else if (!this._final.given) this._giveUp(outcome);
   }
 
   private _noteAttempt(server: TrackedServer): void {
