Read once more: one time for what is shut out, one wait with an end, kinds of faults listed once

Found: the ten minutes for which a request is shut out stood twice, in the standing and in the advice to its caller, and had to be kept alike by hand (SHUT_OUT_MILLISECONDS serves both now). A wait for a promise with a longest time was written three times in Suspicions, two of them leaving their timers to run on (atMost, beside withTimeout). The soak's kinds stood as a union and as a list (the type comes from the list, whose order is as it was). Behaviour as before.

--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -1,41 +1,16 @@
 /** The kinds of faults and planned work that a soak draws from. A new one comes last: seeds go on drawing what they drew. */
 
 /** Work that must not be noticed by any request. */
-export type PlannedKind =
-  'configure' | 'name-weights' | 'stop-entry' | 'stop-agent' | 'replace-server' | 'reload';
-
-export type FaultKind =
-  | PlannedKind
-  | 'kill-entry'
-  | 'kill-agent'
-  | 'freeze-entry'
-  | 'freeze-agent'
-  | 'kill-many'
-  | 'harm-store-link'
-  | 'harm-server-link'
-  | 'harm-store'
-  | 'forget-history'
-  | 'harm-origin'
-  | 'sick-server'
-  | 'crash-server'
-  | 'rot-chunks'
-  | 'restart-server'
-  | 'restart-amid-versions'
-  | 'foreign-records'
-  | 'crashing-request'
-  | 'lose-writes'
-  | 'lose-power';
-
-export const PLANNED_KINDS: readonly PlannedKind[] = [
+export const PLANNED_KINDS = [
   'configure',
   'name-weights',
   'stop-entry',
   'stop-agent',
   'replace-server',
   'reload',
-];
+] as const;
 
-export const FAULT_KINDS: readonly FaultKind[] = [
+export const FAULT_KINDS = [
   ...PLANNED_KINDS,
   'kill-entry',
   'kill-agent',
@@ -56,4 +31,6 @@
   'crashing-request',
   'lose-writes',
   'lose-power',
-];
+] as const;
+
+export type FaultKind = (typeof FAULT_KINDS)[number];
--- a/src/crashes/standing.ts
+++ b/src/crashes/standing.ts
@@ -31,7 +31,7 @@
  */
 const REST_MILLISECONDS = 1_000;
 /** Servers and weights change: after so long a request that was shut out may have one more trial, which costs a server at worst. */
-const SHUT_OUT_MILLISECONDS = 600_000;
+export const SHUT_OUT_MILLISECONDS = 600_000;
 /** The same where another one is as likely to have ended the servers: one more trial of each tells them apart. */
 const EXPLAINED_MILLISECONDS = 5_000;
 
--- a/src/crashes/suspicions.ts
+++ b/src/crashes/suspicions.ts
@@ -13,7 +13,7 @@
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
-import { pause } from '../utils/timers.js';
+import { atMost } from '../utils/timers.js';
 import { GoodEnds } from './goodEnds.js';
 import type { CheckedServer } from './serverEnds.js';
 import { ServerEnds } from './serverEnds.js';
@@ -130,7 +130,7 @@
     const ends = this._writer.of(fingerprint)?.ends.length ?? 0;
     this._noteEnds(fingerprint, ends);
     log.decision('suspicion.end', { fingerprint, ...end, ends });
-    await Promise.race([told, pause(WRITE_MILLISECONDS)]);
+    await atMost(told, WRITE_MILLISECONDS);
   }
 
   /** Asks for the trial of a suspected request; afterwards its standing tells whether it has it. */
@@ -147,7 +147,7 @@
       fingerprint,
       (suspicion) => suspicion && withTrial(suspicion, trial, lapsed),
     );
-    await Promise.race([claimed, pause(WRITE_MILLISECONDS)]);
+    await atMost(claimed, WRITE_MILLISECONDS);
   }
 
   /** A trial is over, and its request may ask for another one. */
@@ -179,9 +179,7 @@
     let wake: () => void = () => undefined;
     const woken = new Promise<void>((resolve) => (wake = resolve));
     waiting.add(wake);
-    const ended = new AbortController();
-    await Promise.race([woken, pause(Math.min(milliseconds, LOOK_MILLISECONDS), ended.signal)]);
-    ended.abort();
+    await atMost(woken, Math.min(milliseconds, LOOK_MILLISECONDS));
     waiting.delete(wake);
     if (waiting.size === 0) this._waiting.delete(fingerprint);
   }
--- a/src/serving/retryAdvice.ts
+++ b/src/serving/retryAdvice.ts
@@ -1,4 +1,5 @@
 /** When a caller that was refused should come back. Pure. */
+import { SHUT_OUT_MILLISECONDS } from '../crashes/standing.js';
 import type { NoAttempt } from './noAttempt.js';
 
 /** Callers wait no longer than a third of the time that they have left, which is a little less at their end. */
@@ -6,16 +7,13 @@
 /** The shortest advice, in parts of the longest: callers that were refused together come back apart. */
 const SHORTEST_SHARE = 0.5;
 
-/** A request that ends its servers does so for as long as they are what they are: coming back soon is no use. */
-const ENDS_SERVERS_MILLISECONDS = 600_000;
-
 /**
  * Milliseconds to wait, for a request that was refused for `reason` and has `leftMilliseconds` left; `fraction` is a random number from 0 up to 1. A
  * server without room has none a moment later either: bursts, switches and losses last for seconds, and an answer to
  * the new attempt is worth as much late as soon.
  */
 export function retryAfter(reason: NoAttempt, leftMilliseconds: number, fraction: number): number {
-  if (reason === 'ends servers') return ENDS_SERVERS_MILLISECONDS;
+  if (reason === 'ends servers') return SHUT_OUT_MILLISECONDS;
   const longest = Math.max(0, leftMilliseconds) * LONGEST_SHARE;
   return Math.round(longest * (SHORTEST_SHARE + (1 - SHORTEST_SHARE) * fraction));
 }
--- a/src/utils/timers.ts
+++ b/src/utils/timers.ts
@@ -10,6 +10,16 @@
   }
 }
 
+/** Resolves when `work` does, and after `milliseconds` at the latest. */
+export async function atMost(work: Promise<void>, milliseconds: number): Promise<void> {
+  const ended = new AbortController();
+  try {
+    await Promise.race([work, pause(milliseconds, ended.signal)]);
+  } finally {
+    ended.abort();
+  }
+}
+
 /** Rejects with `onTimeout()` when `work` takes longer than `milliseconds`. */
 export async function withTimeout<T>(
   work: Promise<T>,
