Read what servers say of themselves in their answers: a line when it begins, changes and ends, and gauges

Nothing acts upon it yet. ServerPool keeps it by server id also while service discovery has lost the server; another life of a server knows nothing of it.

--- a/src/serving/answerJudgement.ts
+++ b/src/serving/answerJudgement.ts
@@ -1,4 +1,5 @@
 /** What an answer of a backend server means, and when a missing one is given up. Pure. */
+import { MISDIRECTED } from './answerHead.js';
 import type { AnswerHeaders } from './backendCall.js';
 import type { HeaderNames } from './headerNames.js';
 
@@ -18,8 +19,6 @@
 
 /** Statuses that promise that a request has not run, which without a proof may not be passed on. */
 const PROMISING_STATUSES = new Set([408, 421, 429, 503]);
-/** Another server has the address, or the server holds another version. */
-export const MISDIRECTED = 421;
 const SERVER_ERROR = 500;
 const REDIRECTION = 300;
 
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -2,12 +2,13 @@
 import type { AnswerHeaders, BackendCallListener, CallFailure } from './backendCall.js';
 import { RequestTurn } from '../crashes/requestTurn.js';
 import { SharedInterval } from '../utils/sharedInterval.js';
+import { MISDIRECTED, noteAnswerHead } from './answerHead.js';
 import { AnswerReceiver } from './answerReceiver.js';
 import type { BackendCall } from './backendCall.js';
 import { OWN_STATUS } from './callerExchange.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { PartialAnswer } from './answerJudgement.js';
-import { MISDIRECTED, handoverDelay, isGoodEnd, isSilent, judgeAnswer } from './answerJudgement.js';
+import { handoverDelay, isGoodEnd, isSilent, judgeAnswer } from './answerJudgement.js';
 import { CurrentAttempt } from './currentAttempt.js';
 import { FinalAnswer } from './finalAnswer.js';
 import type { ForwardServices } from './forwardServices.js';
@@ -120,8 +121,7 @@
     const { exchange, model } = this._request;
     if (headers[names.requestId] !== exchange.requestId) return this._onForeignAnswer(server);
     server.health.noteFirstAnswer(this._current.waited);
-    const version = Number(headers[names.version]);
-    if (model !== '' && version > 0) server.noteVersion(model, version);
+    noteAnswerHead(server, status, headers, names, model);
     this._received.onHead(status, headers, headers[names.seal] !== undefined);
   }
 
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -1,5 +1,6 @@
 /** An entry that reaches backend servers directly: everything it is made of, put together. */
 import type http from 'node:http';
+import { ServerSignals } from '../backpressure/serverSignals.js';
 import type { EntryAddress } from '../protocol/boxMessages.js';
 import type { ControlOptions } from '../protocol/controlConnection.js';
 import { ControlServer } from '../protocol/controlServer.js';
@@ -12,9 +13,9 @@
 import { SeededRandom } from '../utils/random.js';
 import { hostOf, splitAddress } from '../utils/hostPort.js';
 import { errorText } from '../utils/stepError.js';
-import { pause } from '../utils/timers.js';
 import { AgentAnnouncements, boxOfHost } from './agentAnnouncements.js';
 import { BoxLinks } from './boxLinks.js';
+import { drainCallers, drainEnd } from './callerDrain.js';
 import { CallerServer } from './callerServer.js';
 import { ConfigurationHolder } from './configurationHolder.js';
 import type { DirectoryPaths } from './directoryServer.js';
@@ -44,12 +45,6 @@
 }
 
 const PERCENT = 100;
-/** How long a leaving entry takes new connections: callers may keep its address for three times as long as told. */
-const LEAVING_LISTEN_SHARE = 0.72;
-const LEAVING_POLL_MILLISECONDS = 50;
-/** Within this time after a connection is opened its first request comes, also where either side is slow to run. */
-const FIRST_REQUEST_MILLISECONDS = 200;
-const LEAVING_END_SHARE = 0.95;
 
 export class GatewayDaemon {
   private readonly _settings: GatewaySettings;
@@ -59,6 +54,7 @@
   private readonly _metrics = new ServingMetrics();
   private readonly _configuration: ConfigurationHolder;
   private readonly _entries: EntryDirectory;
+  private readonly _signals: ServerSignals;
   private readonly _pool: ServerPool;
   private readonly _gate: VersionGate;
   private readonly _named: NamedVersions;
@@ -96,6 +92,7 @@
       log: parts.log,
       peerTimeoutMilliseconds: settings.peerTimeoutMilliseconds,
     });
+    this._signals = new ServerSignals(clock, parts.log);
     this._pool = this._createPool(random);
     this._gate = new VersionGate(
       { switchMilliseconds: settings.versionMilliseconds, contactMilliseconds: settings.contactMilliseconds },
@@ -156,6 +153,7 @@
       links: this._links,
       entries: this._entries,
       followers: this._followers,
+      signals: this._signals,
       unreadable: this._parts.platform.unreadable,
       log: this._log,
     });
@@ -170,19 +168,17 @@
   /** Leaves the directory, lets requests in flight end, then closes. */
   async stop(): Promise<void> {
     if (this._own.leaving) return;
-    const startedAt = this._clock.now();
-    const { drainMilliseconds } = this._settings;
+    const drained = {
+      clock: this._clock,
+      drainMilliseconds: this._settings.drainMilliseconds,
+      running: () => this._running,
+      stopListening: async () => await this._callers.stopListening(),
+    };
     this._entries.leave();
-    this._closesAt = startedAt + drainMilliseconds * LEAVING_END_SHARE;
+    this._closesAt = drainEnd(drained);
     this._log.state('gateway.leaving', { running: this._running, connections: this._callers.connections });
     this._links.announceNow();
-    const elapsed = (): number => this._clock.now() - startedAt;
-    while (elapsed() < drainMilliseconds * LEAVING_LISTEN_SHARE) await pause(LEAVING_POLL_MILLISECONDS);
-    await this._callers.stopListening();
-    await pause(FIRST_REQUEST_MILLISECONDS);
-    while (this._running > 0 && elapsed() < drainMilliseconds * LEAVING_END_SHARE) {
-      await pause(LEAVING_POLL_MILLISECONDS);
-    }
+    await drainCallers(drained);
     this.close();
     this._log.state('gateway.stopped', { running: this._running });
   }
@@ -227,6 +223,7 @@
       clock: this._clock,
       random,
       log: this._log,
+      signals: this._signals,
       service: (name) => this._configuration.index?.service(name),
       entries: () => this._entries.count(),
       entriesNear: () => this._entries.countNear(),
--- a/src/serving/gatewayGauges.ts
+++ b/src/serving/gatewayGauges.ts
@@ -1,4 +1,5 @@
 /** The gauges of a gateway. */
+import type { ServerSignals } from '../backpressure/serverSignals.js';
 import { addControlGauges } from '../protocol/controlGauges.js';
 import type { UnreadableRecords } from '../records/unreadableRecords.js';
 import type { EventLog } from '../telemetry/eventLog.js';
@@ -19,13 +20,15 @@
   links: BoxLinks;
   entries: EntryDirectory;
   followers: PlatformFollowers;
+  signals: ServerSignals;
   unreadable: UnreadableRecords;
   log: EventLog;
 }
 
 /** Adds them to the metrics; each is read when it is asked for. */
 export function addGatewayGauges(options: GatewayGaugesOptions): void {
-  const { metrics, running, callers, configuration, links, entries, followers, unreadable, log } = options;
+  const { metrics, running, callers, configuration, links, entries, followers, signals, unreadable, log } =
+    options;
   addControlGauges(metrics);
   metrics.gauge('requests_running', running);
   metrics.gauge('caller_connections', () => callers.connections);
@@ -36,6 +39,9 @@
   metrics.gauge('reads_store', () => Number(followers.isReading));
   metrics.gauge('requests_suspected', () => followers.suspicions.counts.suspected);
   metrics.gauge('requests_shut_out', () => followers.suspicions.counts.shutOut);
+  metrics.gauge('servers_limited', () => signals.counts.limited);
+  metrics.gauge('servers_leaving', () => signals.counts.leaving);
+  metrics.gauge('servers_resting', () => signals.counts.resting);
   metrics.gauge('record_listeners', () => followers.relay.listeners);
   metrics.gauge('records_unreadable_total', () => unreadable.total);
   metrics.gauge('log_lines_dropped', () => log.droppedLines);
--- a/src/serving/headerNames.ts
+++ b/src/serving/headerNames.ts
@@ -1,5 +1,7 @@
+import type { SignalNames } from '../backpressure/answerSignals.js';
+
 /** The names that request and answer headers have towards callers and backend servers. All in lower case. */
-export interface HeaderNames {
+export interface HeaderNames extends SignalNames {
   requestId: string;
   deadline: string;
   lastEventId: string;
@@ -33,4 +35,7 @@
   version: 'larklatch-version',
   model: 'larklatch-model',
   tokens: 'larklatch-tokens',
+  serverLimit: 'larklatch-requests-per-second',
+  serverLeaving: 'larklatch-leaving',
+  retryAfter: 'retry-after',
 };
--- a/src/serving/requestHandover.ts
+++ b/src/serving/requestHandover.ts
@@ -59,6 +59,7 @@
       request: this._attempts.outgoing(server, lastEventId),
       names: this._services.names,
       requestId: this._request.exchange.requestId,
+      model: this._request.model,
       listener: this._listener.callListener(server),
       onReady: (call) => {
         this._handover = undefined;
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -1,4 +1,5 @@
 /** All backend servers that service discovery knows, and the choice among them. */
+import type { ServerSignals } from '../backpressure/serverSignals.js';
 import type { BoxStatus } from '../protocol/boxMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
@@ -21,6 +22,8 @@
   clock: Clock;
   random: Random;
   log: EventLog;
+  /** What servers ask for in their answers. */
+  signals: ServerSignals;
   service: (name: string) => ServiceDescription | undefined;
   /** How many entries share the connections to each server. */
   entries: () => number;
@@ -165,6 +168,7 @@
     this._options.log.state('server.started-again', { server: id, service, source, startedAt });
     const former = this._servers.get(id)!;
     former.connections.endOpenedBefore(former.certainlyLivedAt);
+    this._options.signals.startAnew(id);
     this._servers.set(id, this._track(record));
   }
 
@@ -241,6 +245,7 @@
     return new TrackedServer(
       record,
       connections,
+      this._options.signals.of(record.id),
       clock,
       () => Math.min(MOST_SHARERS, Math.max(1, sharers())),
       linkDelay,
--- a/src/serving/streamHandover.ts
+++ b/src/serving/streamHandover.ts
@@ -1,4 +1,5 @@
 /** Moves a stream to another server without a pause: the first server goes on until the second has sent an event. */
+import { noteAnswerHead } from './answerHead.js';
 import { judgeAnswer } from './answerJudgement.js';
 import type { AnswerHeaders, BackendCallListener, BackendRequest, CallFailure } from './backendCall.js';
 import { BackendCall } from './backendCall.js';
@@ -12,6 +13,8 @@
   request: BackendRequest;
   names: HeaderNames;
   requestId: string;
+  /** '' for requests without one. */
+  model: string;
   /** Hears all of the second server's answer, from its head on, once that server has sent its first event. */
   listener: BackendCallListener;
   /** The second server has sent its first event: the first one can be let go, and the request goes on with `call`. */
@@ -62,8 +65,9 @@
 
   private _onHead(status: number, headers: AnswerHeaders): void {
     if (this._state !== 'waiting') return;
-    const { names, requestId } = this._options;
+    const { server, names, requestId, model } = this._options;
     const isOwn = headers[names.requestId] === requestId;
+    if (isOwn) noteAnswerHead(server, status, headers, names, model);
     if (isOwn && status === SUCCESS && headers[names.seal] !== undefined) {
       this._headers = headers;
       return;
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -1,4 +1,5 @@
 /** All that this entry knows of one life of a backend server. */
+import type { ServerBackpressure } from '../backpressure/serverBackpressure.js';
 import { BoxLoad } from '../routing/backend.js';
 import type { BoxStatus } from '../protocol/boxMessages.js';
 import type { Clock } from '../utils/clock.js';
@@ -33,6 +34,8 @@
   readonly health: ServerHealth;
   readonly load = new BoxLoad();
   readonly connections: BackendConnections;
+  /** What its answers ask for. */
+  readonly backpressure: ServerBackpressure;
   private readonly _clock: Clock;
   private readonly _versions = new Map<string, number>();
   private _status: BoxStatus | undefined;
@@ -51,12 +54,14 @@
   constructor(
     record: BackendServerRecord,
     connections: BackendConnections,
+    backpressure: ServerBackpressure,
     clock: Clock,
     sharers: () => number,
     linkDelay: () => number = () => 0,
   ) {
     this.record = record;
     this.connections = connections;
+    this.backpressure = backpressure;
     this.health = new ServerHealth(clock);
     this._clock = clock;
     this._sharers = sharers;
--- a/tests/trackedServer.spec.ts
+++ b/tests/trackedServer.spec.ts
@@ -1,11 +1,13 @@
 /** What a gateway believes of one backend server. */
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { ServerBackpressure } from '../src/backpressure/serverBackpressure.js';
 import { BackendConnections } from '../src/serving/backendConnections.js';
 import type { ServedModel } from '../src/serving/backendServerRecord.js';
 import { promptSize } from '../src/serving/promptSize.js';
 import { TrackedServer } from '../src/serving/trackedServer.js';
 import { ManualClock } from '../src/utils/clock.js';
+import { quietLog } from './fixtures/quietLog.js';
 
 function trackedServer(
   clock: ManualClock,
@@ -23,7 +25,9 @@
   };
   const options = { address: record.address, connectMilliseconds: 1, clock, limit: () => 1 };
   const connections = new BackendConnections(options);
-  const server = new TrackedServer({ ...record, models }, connections, clock, () => 3, linkDelay);
+  const backpressure = new ServerBackpressure(record.id, clock, quietLog());
+  const served = { ...record, models };
+  const server = new TrackedServer(served, connections, backpressure, clock, () => 3, linkDelay);
   server.update(server.record);
   return server;
 }
