Failing tests: servers that name a limit get many times as many requests; the soak says limits, leaves and rests

The stand-in of the platform's runners says the three headers; the soak has a kind for each, and checks all entries together, told or not.

--- a/bench/costBench.ts
+++ b/bench/costBench.ts
@@ -43,7 +43,13 @@
     size: SIZE,
     network: NETWORK,
     random: new SeededRandom(SEED),
-    listener: { onExecution: () => undefined, onUnwhole: () => undefined, onCrash: () => undefined },
+    listener: {
+      onExecution: () => undefined,
+      onUnwhole: () => undefined,
+      onCrash: () => undefined,
+      onArrival: () => undefined,
+      onSpoken: () => undefined,
+    },
     program: PROGRAM,
     nodeWords: { entry: deployedWords('entry'), agent: deployedWords('agent') },
   });
--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -31,6 +31,9 @@
   'crashing-request',
   'lose-writes',
   'lose-power',
+  'limit-server',
+  'leave-by-answers',
+  'rest-server',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -2,6 +2,7 @@
 import type { Execution } from '../standins/platformRunnerStandin.js';
 import { ENDING_BODY } from '../standins/platformRunnerStandin.js';
 import type { Call } from './callerLog.js';
+import type { SignalChecks } from './signalChecks.js';
 
 export type PromiseName =
   | 'answer' // every caller gets the whole answer to its own request
@@ -12,6 +13,8 @@
   | 'version' // no request begins on an older version after the bound
   | 'configuration' // a configuration is in force in time, and stays
   | 'draining' // a leaving server gets nothing new
+  | 'limit' // a server gets no more requests than it has said it takes
+  | 'rest' // a server that asked an entry for rest gets it
   | 'crashing' // a request that ends each server which runs it is kept from them
   | 'planned' // planned work cuts nothing
   | 'ends' // no process ends by itself
@@ -23,14 +26,19 @@
   what: string;
 }
 
+/** Hears of broken promises. */
+export type BreachListener = (promise: PromiseName, what: string) => void;
+
 /** A time in which something was harmed, in wall clock milliseconds. */
 interface Harm {
   from: number;
   until: number;
 }
 
-/** What a harm strikes. Entries stay in touch with all else while servers end under a request. */
-export type Harmed = 'all' | 'servers';
+/**
+ * What a harm strikes. Entries stay in touch with all else while servers end under a request; processes that end hold no request up.
+ */
+export type Harmed = 'all' | 'servers' | 'processes';
 
 /** A planned stop of an entry. */
 interface Stop extends Harm {
@@ -174,6 +182,20 @@
       this._breach('recovery', `${served} of ${late.length} served after all faults`);
   }
 
+  /** What entries were told by servers, and whether they heeded it. */
+  checkSignals(signals: SignalChecks): void {
+    const links = this._harms.filter(({ harmed }) => harmed === 'all');
+    signals.check(
+      {
+        callOf: (id) => this._calls.get(id),
+        isHarmed: (from, until) => this._isHarmed(from, until),
+        isHeldUp: (from, until) => this._isHarmed(from, until, links),
+        drainMilliseconds: this._bounds.drainMilliseconds,
+      },
+      (promise, what) => this._breach(promise, what),
+    );
+  }
+
   /** A process that ended by itself. */
   onOwnEnd(name: string): void {
     this._breach('ends', name);
@@ -225,7 +247,7 @@
     request.runs++;
     const known = request.crashes[TELLING_CRASHES - 1];
     if (known === undefined || at - known < CONTACT_MILLISECONDS + SLACK_MILLISECONDS) return;
-    const all = this._harms.filter(({ harmed }) => harmed === 'all');
+    const all = this._harms.filter(({ harmed }) => harmed !== 'servers');
     if (this._isHarmed(known, at, all)) return;
     request.lateRuns++;
     if (request.lateRuns > MOST_LATE_RUNS)
--- /dev/null
+++ b/soak/signalFaults.ts
@@ -0,0 +1,38 @@
+/** Servers that ask for something in their answers; nothing else is harmed meanwhile. */
+import type { Random } from '../src/utils/random.js';
+import { pause } from '../src/utils/timers.js';
+import type { SignalChecks } from './signalChecks.js';
+import type { SoakBox } from './soakFleet.js';
+
+/** A limit has to be kept from three seconds on, over any four. */
+const LIMITED_MILLISECONDS = 8_000;
+const LIMITS_PER_SECOND = [1, 2.8, 5];
+const REST_SECONDS = 3;
+const RESTING_MILLISECONDS = 6_000;
+const SHED_SHARE = 0.5;
+
+export class SignalFaults {
+  private readonly _checks: SignalChecks;
+  private readonly _random: Random;
+
+  constructor(checks: SignalChecks, random: Random) {
+    this._checks = checks;
+    this._random = random;
+  }
+
+  /** A server names a limit. */
+  async limit({ runner }: SoakBox): Promise<void> {
+    const limitPerSecond = LIMITS_PER_SECOND[this._random.integer(LIMITS_PER_SECOND.length)];
+    runner.faults = { ...runner.faults, limitPerSecond };
+    await pause(LIMITED_MILLISECONDS);
+    runner.faults = { ...runner.faults, limitPerSecond: undefined };
+    this._checks.onLimitLifted(runner.id);
+  }
+
+  /** A server turns half of its requests away and asks their entries for rest. */
+  async rest({ runner }: SoakBox): Promise<void> {
+    runner.faults = { ...runner.faults, sheddingShare: SHED_SHARE, restSeconds: REST_SECONDS };
+    await pause(RESTING_MILLISECONDS);
+    runner.faults = { ...runner.faults, sheddingShare: 0, restSeconds: 0 };
+  }
+}
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -6,7 +6,9 @@
 import { PLANNED_KINDS } from './faultKinds.js';
 import type { FleetProcess } from './fleetProcess.js';
 import type { ProxyMode } from './loopbackProxy.js';
-import type { PromiseChecks } from './promiseChecks.js';
+import type { Harmed, PromiseChecks } from './promiseChecks.js';
+import type { SignalChecks } from './signalChecks.js';
+import { SignalFaults } from './signalFaults.js';
 import { sendCrashing } from './soakCaller.js';
 import type { SoakBox, SoakFleet } from './soakFleet.js';
 import { MODEL_SERVICE, PLAIN_SERVICE } from './soakConfiguration.js';
@@ -29,6 +31,10 @@
 const RESTARTED_SHARE = 0.5;
 /** Writes that got no answer are done so much later. */
 const LATE_WRITE_MILLISECONDS = 1_500;
+/** Faults that are no harm to processes or links: what entries promise holds all the while. */
+const HARMLESS_KINDS: readonly FaultKind[] = ['limit-server', 'leave-by-answers', 'rest-server'];
+/** Processes end by these and start again; none stands still, and no request lies on its way. */
+const ENDING_KINDS: readonly FaultKind[] = ['kill-entry', 'kill-agent', 'kill-many'];
 const CRASHING_SENDS = 80;
 const CRASHING_GAP_MILLISECONDS = 120;
 /** What other writers leave in the store. */
@@ -46,14 +52,22 @@
 export class SoakFaults {
   private readonly _fleet: SoakFleet;
   private readonly _checks: PromiseChecks;
+  private readonly _signals: SignalFaults;
   private readonly _random: Random;
   private readonly _log: (line: string) => void;
   private readonly _leaving = new Set<SoakBox>();
   private _crashing = 0;
 
-  constructor(fleet: SoakFleet, checks: PromiseChecks, random: Random, log: (line: string) => void) {
+  constructor(
+    fleet: SoakFleet,
+    checks: PromiseChecks,
+    signals: SignalChecks,
+    random: Random,
+    log: (line: string) => void,
+  ) {
     this._fleet = fleet;
     this._checks = checks;
+    this._signals = new SignalFaults(signals, random);
     this._random = random;
     this._log = log;
   }
@@ -61,12 +75,13 @@
   /** Applies a fault and resolves when it has been lifted. */
   async apply(kind: FaultKind): Promise<void> {
     const isPlanned = (PLANNED_KINDS as readonly FaultKind[]).includes(kind);
-    const harmed = kind === 'crashing-request' ? 'servers' : 'all';
-    const lift = isPlanned ? () => undefined : this._checks.onHarm(harmed);
+    const isHarmless = isPlanned || HARMLESS_KINDS.includes(kind);
+    const lift = isHarmless ? () => undefined : this._checks.onHarm(harmedBy(kind));
     const milliseconds = SHORTEST_MILLISECONDS + this._random.integer(LONGEST_MILLISECONDS);
     this._log(`${kind} ${milliseconds}`);
     try {
-      await this._perform(kind, milliseconds);
+      if (HARMLESS_KINDS.includes(kind)) await this._ask(kind, this._pick(this._fleet.boxes));
+      else await this._perform(kind, milliseconds);
     } finally {
       lift();
     }
@@ -133,6 +148,13 @@
     }
   }
 
+  /** A server asks for something in its answers. */
+  private async _ask(kind: FaultKind, box: SoakBox): Promise<void> {
+    if (kind === 'limit-server') await this._signals.limit(box);
+    else if (kind === 'rest-server') await this._signals.rest(box);
+    else await this._leaveByAnswers(box);
+  }
+
   private async _harmStore(kind: 'harm-store' | 'lose-writes', milliseconds: number): Promise<void> {
     const { store } = this._fleet;
     if (kind === 'lose-writes') store.faults = { lateWritesMilliseconds: LATE_WRITE_MILLISECONDS };
@@ -240,6 +262,19 @@
     await this._fleet.startRunner(box);
   }
 
+  /** The server leaves, and only its answers say so: its record stays as it was until it has ended. */
+  private async _leaveByAnswers(box: SoakBox): Promise<void> {
+    const { runner } = box;
+    if (this._leaving.has(box)) return;
+    this._leaving.add(box);
+    runner.faults = { ...runner.faults, leaving: true };
+    await pause(LEAVE_MILLISECONDS);
+    this._leaving.delete(box);
+    if (box.runner !== runner) return;
+    this._fleet.crashRunner(box);
+    await this._fleet.startRunner(box);
+  }
+
   /** Callers come again and again with a request that ends each server which runs it, to any entry. */
   private async _sendCrashing(): Promise<void> {
     const round = this._crashing++;
@@ -275,3 +310,8 @@
     return items[this._random.integer(items.length)];
   }
 }
+
+function harmedBy(kind: FaultKind): Harmed {
+  if (kind === 'crashing-request') return 'servers';
+  return ENDING_KINDS.includes(kind) ? 'processes' : 'all';
+}
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -219,6 +219,8 @@
       weights: service === MODEL_SERVICE ? this._weights.shape : undefined,
       version: service === MODEL_SERVICE ? version : 0,
       onExecution: (execution) => this._options.listener.onExecution(execution),
+      onArrival: (arrival) => this._options.listener.onArrival(arrival),
+      onSpoken: (spoken) => this._options.listener.onSpoken(spoken),
       onCrash: (runner, body) => void this._onCrash(runner, body),
       onUnwhole: (runner, unwhole) => this._options.listener.onUnwhole(runner, unwhole),
       fraction: () => this._options.random.fraction(),
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -5,6 +5,7 @@
 import type { Call } from './callerLog.js';
 import type { Breach } from './promiseChecks.js';
 import { PromiseChecks } from './promiseChecks.js';
+import { SignalChecks } from './signalChecks.js';
 import { SoakCaller } from './soakCaller.js';
 import type { FaultKind } from './faultKinds.js';
 import { FAULT_KINDS, PLANNED_KINDS } from './faultKinds.js';
@@ -62,34 +63,48 @@
     drainMilliseconds: BOUNDS.drain_ms,
     configurationMilliseconds: CONFIGURATION_MILLISECONDS,
   });
+  const signals = new SignalChecks();
   const { size, network } = options;
   const fleet = new SoakFleet({
     size,
     network,
     random: new SeededRandom(options.seed + 1),
-    listener: checks,
+    listener: {
+      onExecution: (execution) => checks.onExecution(execution),
+      onCrash: (body) => checks.onCrash(body),
+      onUnwhole: (runner, version) => checks.onUnwhole(runner, version),
+      onArrival: (arrival) => signals.onArrival(arrival),
+      onSpoken: (spoken) => signals.onSpoken(spoken),
+    },
   });
   try {
     await fleet.start();
     checks.onNamed(fleet.weightsVersion);
     await pause(START_MILLISECONDS);
-    return await withCallers(options, fleet, checks, random);
+    const faults = new SoakFaults(fleet, checks, signals, random, options.log);
+    return await withCallers({ options, fleet, checks, signals, faults, random });
   } finally {
     await fleet.stop();
   }
 }
 
-async function withCallers(
-  options: SoakOptions,
-  fleet: SoakFleet,
-  checks: PromiseChecks,
-  random: Random,
-): Promise<SoakReport> {
+/** A soak under way. */
+interface RunningSoak {
+  options: SoakOptions;
+  fleet: SoakFleet;
+  checks: PromiseChecks;
+  signals: SignalChecks;
+  faults: SoakFaults;
+  random: Random;
+}
+
+async function withCallers(running: RunningSoak): Promise<SoakReport> {
+  const { options, fleet, checks, signals, faults, random } = running;
   const callers = createCallers(options, fleet, checks);
   const ended = Promise.all(callers.map((caller) => caller.run()));
   let settledAt: number;
   try {
-    await applyFaults(options, new SoakFaults(fleet, checks, random, options.log), random);
+    await applyFaults(options, faults, random);
     await pause(SETTLE_MILLISECONDS);
     settledAt = Date.now();
     await pause(RECOVERED_MILLISECONDS);
@@ -98,6 +113,7 @@
     await ended;
   }
   checks.checkRecovery(settledAt, LEAST_SERVED_SHARE);
+  checks.checkSignals(signals);
   if (options.plannedOnly) checks.checkPlanned((id) => fleet.wasRead(id));
   for (const { name, unexpectedEnds } of [...fleet.entries, ...fleet.agents])
     if (unexpectedEnds > 0) checks.onOwnEnd(`${name} ended ${unexpectedEnds} times by itself`);
--- a/standins/platformRunnerFaults.ts
+++ b/standins/platformRunnerFaults.ts
@@ -14,6 +14,14 @@
   silent?: boolean;
   /** Turns everything away. */
   shedding?: boolean;
+  /** Turns this share of requests away. */
+  sheddingShare?: number;
+  /** Asks for so many seconds of rest where it turns a request away. */
+  restSeconds?: number;
+  /** Names a limit of so many requests a second in all answers to requests. */
+  limitPerSecond?: number;
+  /** Says in all answers to requests that it leaves. */
+  leaving?: boolean;
   /** Loses the answers to orders that it carries out. */
   lostOrders?: boolean;
 }
--- /dev/null
+++ b/standins/platformRunnerSignals.ts
@@ -0,0 +1,44 @@
+/** What a runner of the platform's stand-in says of itself in the heads of its answers. */
+import type http from 'node:http';
+import type { PlatformRunnerFaults } from './platformRunnerFaults.js';
+
+/** A request that has reached a runner, whether it runs or not. */
+export interface Arrival {
+  id: string;
+  runner: string;
+  /** Wall clock, in milliseconds. */
+  at: number;
+}
+
+/** What an answer says; `at` is when it was given. */
+export interface SpokenSignals extends Arrival {
+  limitPerSecond: number | undefined;
+  leaving: boolean;
+  restMilliseconds: number;
+}
+
+const MILLISECONDS = 1_000;
+
+/** What a runner with these faults says in an answer that turns the request away or not. */
+export function spokenSignals(
+  faults: PlatformRunnerFaults,
+  answered: Omit<Arrival, 'at'>,
+  turnsAway: boolean,
+): SpokenSignals {
+  const { limitPerSecond, leaving = false, restSeconds = 0 } = faults;
+  const restMilliseconds = turnsAway ? restSeconds * MILLISECONDS : 0;
+  return { ...answered, at: Date.now(), limitPerSecond, leaving, restMilliseconds };
+}
+
+/** Whether an answer says anything. */
+export function saysAnything({ limitPerSecond, leaving, restMilliseconds }: SpokenSignals): boolean {
+  return limitPerSecond !== undefined || leaving || restMilliseconds > 0;
+}
+
+export function signalHeaders(spoken: SpokenSignals): http.OutgoingHttpHeaders {
+  const headers: http.OutgoingHttpHeaders = {};
+  if (spoken.limitPerSecond !== undefined) headers['server-limit'] = String(spoken.limitPerSecond);
+  if (spoken.leaving) headers['server-leaving'] = '1';
+  if (spoken.restMilliseconds > 0) headers['retry-after'] = String(spoken.restMilliseconds / MILLISECONDS);
+  return headers;
+}
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -1,9 +1,12 @@
 /** A stand-in for a runner of the platform: requests, reports, orders and staged pieces, over its published calls. */
 import http from 'node:http';
+import { readBody } from '../src/utils/httpBody.js';
 import { placementHash, sha256Hex } from '../src/utils/hash.js';
 import { SeededRandom } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
 import type { PlatformRunnerFaults } from './platformRunnerFaults.js';
+import type { Arrival, SpokenSignals } from './platformRunnerSignals.js';
+import { saysAnything, signalHeaders, spokenSignals } from './platformRunnerSignals.js';
 import { STREAM_EVENTS, eventText, sealOf } from './platformAnswers.js';
 import { sendJsonAnswer } from './standinServer.js';
 import type { WeightsShape } from './weightsFixture.js';
@@ -34,6 +37,8 @@
   version: number;
   /** Hears of every request that begins. */
   onExecution: (execution: Execution) => void;
+  onArrival?: (arrival: Arrival) => void;
+  onSpoken?: (spoken: SpokenSignals) => void;
   /** Hears that a request ends the process, which is to be closed at once. */
   onCrash?: (runner: PlatformRunnerStandin, body: string) => void;
   /** Hears of a version that was taken though it was not whole. */
@@ -55,8 +60,7 @@
 const PLAIN_MILLISECONDS = 10;
 const EXCUSED_MILLISECONDS = 3_000;
 const LATEST = Number.MAX_SAFE_INTEGER;
-const MISDIRECTED = 421;
-const UNAVAILABLE = 503;
+const [MISDIRECTED, UNAVAILABLE] = [421, 503];
 
 export class PlatformRunnerStandin {
   faults: PlatformRunnerFaults = {};
@@ -121,7 +125,8 @@
   private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     if (this.faults.silent) return;
     const url = new URL(request.url ?? '/', 'http://runner');
-    const body = await readAll(request);
+    const body = await readBody(request, Number.MAX_SAFE_INTEGER).catch(() => undefined);
+    if (!body) return;
     const [, call] = url.pathname.split('/');
     const piece = url.searchParams.get('item_count');
     if (call === 'report') return sendJsonAnswer(response, 200, this._report());
@@ -212,6 +217,7 @@
     const { slots, service, onExecution, fraction } = this._options;
     const { headers } = request;
     const id = String(headers['x-attempt-id'] ?? '');
+    this._options.onArrival?.({ id, runner: this.id, at: Date.now() });
     const refusal = this._refusal(headers);
     if (refusal) return this._turnAway(response, refusal, id);
     if (this._active >= slots) await new Promise<void>((resume) => this._waiting.push(resume));
@@ -243,11 +249,21 @@
     if (target !== this.id) return MISDIRECTED;
     if (this._options.weights && (this._version === 0 || expected !== this._version)) return MISDIRECTED;
     const isFull = this._active + this._waiting.length >= this._options.slots + QUEUE;
-    return this._starting || isFull || this.faults.shedding ? UNAVAILABLE : 0;
+    const { sheddingShare = 0 } = this.faults;
+    const isShed = this.faults.shedding || (sheddingShare > 0 && this._options.fraction() < sheddingShare);
+    return this._starting || isFull || isShed ? UNAVAILABLE : 0;
   }
 
   private _turnAway(response: http.ServerResponse, status: number, id: string): void {
-    response.writeHead(status, { 'x-not-executed': '1', 'x-attempt-id': id, 'content-length': 0 }).end();
+    const own = { 'x-not-executed': '1', 'x-attempt-id': id, 'content-length': 0 };
+    response.writeHead(status, { ...own, ...this._speak(id, status === UNAVAILABLE) }).end();
+  }
+
+  /** The headers of what it says of itself in the answer to a request. */
+  private _speak(id: string, turnsAway: boolean): http.OutgoingHttpHeaders {
+    const spoken = spokenSignals(this.faults, { id, runner: this.id }, turnsAway);
+    if (saysAnything(spoken)) this._options.onSpoken?.(spoken);
+    return signalHeaders(spoken);
   }
 
   private async _answer(
@@ -258,7 +274,8 @@
     drawn: number,
   ): Promise<void> {
     const { lostShare = 0, failedShare = 0, brokenShare = 0, extraShare = 0 } = this.faults;
-    const headers: http.OutgoingHttpHeaders = { 'x-attempt-id': id, 'x-server-seal': sealOf(id) };
+    const own = { 'x-attempt-id': id, 'x-server-seal': sealOf(id) };
+    const headers: http.OutgoingHttpHeaders = { ...own, ...this._speak(id, false) };
     if (this._options.weights) headers['x-weight-versions'] = String(this._version);
     if (drawn < lostShare) return void response.destroy();
     if (drawn < lostShare + failedShare) return void response.writeHead(500, headers).end('failed');
@@ -301,9 +318,3 @@
   version: number;
   expected_rev?: number;
 }
-
-async function readAll(request: http.IncomingMessage): Promise<Buffer> {
-  const pieces: Buffer[] = [];
-  for await (const piece of request) pieces.push(piece as Buffer);
-  return Buffer.concat(pieces);
-}
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -17,6 +17,9 @@
   'crashing-request',
   'lose-writes',
   'lose-power',
+  'limit-server',
+  'leave-by-answers',
+  'rest-server',
 ];
 const KINDS_OF_SEED = FAULT_KINDS.filter((kind) => !LATER_KINDS.includes(kind));
 
--- a/tests/soakRestarts.spec.ts
+++ b/tests/soakRestarts.spec.ts
@@ -6,7 +6,16 @@
 
 /** What the seed draws from that is older than the last kinds. */
 const EARLIER_KINDS = FAULT_KINDS.filter(
-  (kind) => !['restart-amid-versions', 'crashing-request', 'lose-writes', 'lose-power'].includes(kind),
+  (kind) =>
+    ![
+      'restart-amid-versions',
+      'crashing-request',
+      'lose-writes',
+      'lose-power',
+      'limit-server',
+      'leave-by-answers',
+      'rest-server',
+    ].includes(kind),
 );
 
 test('should keep all promises while servers start again under their ids and others write entries', async () => {
--- /dev/null
+++ b/tests/soakSignals.spec.ts
@@ -0,0 +1,18 @@
+/** Short soaks with fixed seeds, of servers that ask for something in their answers while entries start again. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { shortSoak } from './fixtures/shortSoak.js';
+
+const SIZE = { entries: 4, modelBoxes: 4, plainServers: 3 };
+
+test('should keep to the limits of servers over all entries while some start again', async () => {
+  const report = await shortSoak({
+    seed: 61,
+    size: SIZE,
+    callers: 10,
+    network: 47,
+    kinds: ['limit-server', 'limit-server', 'kill-entry', 'stop-entry', 'configure'],
+  });
+  expect(report.breaches).toEqual([]);
+  expect(report.served).toBeGreaterThan(50);
+});
