Tell all entries what servers ask of all of them, by way of the agents that tell entries of each other

An entry that had not asked a server in need yet, or had started again, sent to it until an answer told it otherwise, and one without a share never heard of the end of a limit. Words carry their age and the start of the server's life: an older word, or one of another life, changes nothing.

--- a/src/backpressure/serverLimit.ts
+++ b/src/backpressure/serverLimit.ts
@@ -14,7 +14,7 @@
   private readonly _clock: Clock;
   /** Undefined while no limit holds. */
   private _perSecond: number | undefined;
-  private _namedAt = 0;
+  private _namedAt = Number.NEGATIVE_INFINITY;
   /** Monotonic milliseconds; undefined while the server names its limit. */
   private _endedAt: number | undefined;
 
@@ -38,6 +38,11 @@
     return undefined;
   }
 
+  /** Monotonic milliseconds at which the limit was last named or ended; -infinity when neither has been heard. */
+  get heardAt(): number {
+    return Math.max(this._namedAt, this._endedAt ?? Number.NEGATIVE_INFINITY);
+  }
+
   /** The server names a limit. Returns whether it is another one. */
   name(perSecond: number): boolean {
     const isOther = this.named !== perSecond;
@@ -47,11 +52,9 @@
     return isOther;
   }
 
-  /** An answer of the server names none. Returns whether the limit ends by that. */
-  passOver(): boolean {
-    const isOver = this.named !== undefined && this._clock.now() - this._namedAt >= END_MILLISECONDS;
-    if (isOver) this.end();
-    return isOver;
+  /** Whether an answer that names none ends the limit. */
+  get mayEnd(): boolean {
+    return this.named !== undefined && this._clock.now() - this._namedAt >= END_MILLISECONDS;
   }
 
   /** The limit has ended. */
--- a/src/backpressure/serverSignals.ts
+++ b/src/backpressure/serverSignals.ts
@@ -1,7 +1,10 @@
 /** What all backend servers ask of those that send them requests. */
+import { EventEmitter } from 'node:events';
 import { LRUCache } from 'lru-cache';
+import type { ServerWord } from '../protocol/boxMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
+import { Gathered } from '../utils/gathered.js';
 import { ServerBackpressure } from './serverBackpressure.js';
 
 /** What the signals work with. */
@@ -15,28 +18,62 @@
 /** What is known of a server while service discovery lists it or not. */
 interface KnownServer {
   dataCentre: string;
+  /** When it started, in Unix milliseconds by its own clock; 0 while that is not known. */
+  startedAt: number;
   backpressure: ServerBackpressure;
 }
 
 /** Servers that are remembered. Their ids are their own, so that one that has left and is listed again is known. */
 const MOST_SERVERS = 10_000;
+/** Changes of so long a time are told together: a limit that changes with each answer costs no message for each. */
+const GATHER_MILLISECONDS = 100;
 
-export class ServerSignals {
+interface ServerSignalsEvents {
+  /** Answers to this entry have changed what servers ask of all entries. */
+  change: [ServerWord[]];
+}
+
+export class ServerSignals extends EventEmitter<ServerSignalsEvents> {
   private readonly _options: ServerSignalsOptions;
   /** By server id; kept when a server is gone from service discovery, which may lose its record for a while. */
   private readonly _byServer = new LRUCache<string, KnownServer>({ max: MOST_SERVERS });
+  /** Servers whose word is to be told. */
+  private readonly _changed = new Set<string>();
+  private readonly _telling = new Gathered(
+    () => GATHER_MILLISECONDS,
+    () => this._tell(),
+  );
 
   constructor(options: ServerSignalsOptions) {
+    super();
     this._options = options;
   }
 
-  /** What the present life of a server asks for, which stands in a data centre. */
-  of(server: string, dataCentre: string): ServerBackpressure {
+  /** What the life of a server asks for that began at `startedAt`, 0 where that is not known. */
+  of(server: string, dataCentre: string, startedAt: number): ServerBackpressure {
     const known = this._byServer.get(server) ?? this._add(server);
     known.dataCentre = dataCentre;
+    known.startedAt = startedAt;
     return known.backpressure;
   }
 
+  /** Takes what other entries have heard from servers. */
+  take(words: readonly ServerWord[]): void {
+    for (const word of words) this._takeOne(word);
+  }
+
+  /** What servers ask of all entries now, for those that have not heard it. */
+  words(): ServerWord[] {
+    return [...this._byServer.keys()].flatMap((server) => {
+      const { backpressure } = this._byServer.peek(server)!;
+      return backpressure.isLimited || backpressure.isLeaving ? [this._wordOf(server)] : [];
+    });
+  }
+
+  close(): void {
+    this._telling.cancel();
+  }
+
   /** The server has started again: nothing that its former life asked for holds. */
   startAnew(server: string): void {
     this._byServer.delete(server);
@@ -54,9 +91,52 @@
 
   private _add(server: string): KnownServer {
     const { clock, log } = this._options;
-    const share = (perSecond: number): number => this._options.share(server, known.dataCentre, perSecond);
-    const known = { dataCentre: '', backpressure: new ServerBackpressure({ server, clock, log, share }) };
+    const known: KnownServer = {
+      dataCentre: '',
+      startedAt: 0,
+      backpressure: new ServerBackpressure({
+        server,
+        clock,
+        log,
+        share: (perSecond) => this._options.share(server, known.dataCentre, perSecond),
+        onChange: () => this._onChange(server),
+      }),
+    };
     this._byServer.set(server, known);
     return known;
   }
+
+  private _onChange(server: string): void {
+    this._changed.add(server);
+    this._telling.call();
+  }
+
+  private _tell(): void {
+    const changed = [...this._changed].filter((server) => this._byServer.has(server));
+    this._changed.clear();
+    if (changed.length === 0) return;
+    this.emit(
+      'change',
+      changed.map((server) => this._wordOf(server)),
+    );
+  }
+
+  /** A word of another life says nothing of the present one. */
+  private _takeOne({ server, startedAt, limitPerSecond, leaving, heardMilliseconds }: ServerWord): void {
+    const known = this._byServer.get(server) ?? this._add(server);
+    const isOtherLife = startedAt > 0 && known.startedAt > 0 && startedAt !== known.startedAt;
+    if (isOtherLife) return;
+    known.backpressure.noteTold({
+      limitPerSecond: limitPerSecond ?? undefined,
+      leaving,
+      heardAt: this._options.clock.now() - heardMilliseconds,
+    });
+  }
+
+  private _wordOf(server: string): ServerWord {
+    const { startedAt, backpressure } = this._byServer.peek(server)!;
+    const { limitPerSecond, leaving, heardAt } = backpressure.demand;
+    const heardMilliseconds = Math.max(0, this._options.clock.now() - heardAt);
+    return { server, startedAt, limitPerSecond: limitPerSecond ?? null, leaving, heardMilliseconds };
+  }
 }
--- a/src/protocol/boxMessages.ts
+++ b/src/protocol/boxMessages.ts
@@ -3,6 +3,7 @@
 import { countSchema, nameSchema } from './names.js';
 
 const MAXIMUM_LIST = 10_000;
+const MAXIMUM_NAME = 200;
 
 /** An entry that callers may use. */
 export const entryAddressSchema = z.object({
@@ -103,6 +104,28 @@
   versions: z.array(heardVersionSchema).max(MAXIMUM_LIST),
 });
 
+/** What a backend server asks of all entries, as its answers have told. */
+export const serverWordSchema = z.object({
+  server: z.string().max(MAXIMUM_NAME),
+  /** When the server started, in Unix milliseconds by its own clock; 0 where it is not told. */
+  startedAt: countSchema,
+  /** Requests a second that it takes from all entries together; null where it names no limit. */
+  limitPerSecond: z.number().nonnegative().nullable(),
+  leaving: z.boolean(),
+  /** Since the answer that told it. */
+  heardMilliseconds: z.number().nonnegative(),
+});
+export type ServerWord = z.infer<typeof serverWordSchema>;
+
+/**
+ * Sent by an entry to the agents that tell entries of each other, when answers tell it a change, and passed on by these to all
+ * entries: one that has not asked the server yet, or has started again, heeds it as well.
+ */
+export const serverWordsSchema = z.object({
+  type: z.literal('server-words'),
+  words: z.array(serverWordSchema).max(MAXIMUM_LIST),
+});
+
 /** Asks the other end of a connection for a {@link linkEchoSchema}; answered by the connection itself. */
 export const linkProbeSchema = z.object({ type: z.literal('link-probe'), number: countSchema });
 /** Answers the probe of the same number. */
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -8,6 +8,7 @@
   entryPresenceSchema,
   linkEchoSchema,
   linkProbeSchema,
+  serverWordsSchema,
   switchStateSchema,
   versionsHeardSchema,
 } from './boxMessages.js';
@@ -59,6 +60,7 @@
   entryListSchema,
   switchStateSchema,
   versionsHeardSchema,
+  serverWordsSchema,
   linkProbeSchema,
   linkEchoSchema,
   recordSubscribeSchema,
--- a/src/serving/boxLinks.ts
+++ b/src/serving/boxLinks.ts
@@ -1,4 +1,5 @@
 /** Control connections from an entry to the agents beside backend servers. */
+import type { ServerSignals } from '../backpressure/serverSignals.js';
 import type {
   AgentAddress,
   AgentList,
@@ -23,6 +24,8 @@
   control: ControlOptions;
   random: Random;
   log: EventLog;
+  /** What servers ask for, which entries tell each other by way of the agents that they ask for entries. */
+  signals: ServerSignals;
   /** What this entry tells the agent on a box of itself. */
   presence: (agent: AgentAddress) => EntryPresence;
   /** The agents that the agent on a box should know. */
@@ -67,6 +70,7 @@
 
   constructor(options: BoxLinksOptions) {
     this._options = options;
+    options.signals.on('change', (words) => this._tellAsked({ type: 'server-words', words }));
   }
 
   /** Agents that are connected now. */
@@ -125,6 +129,10 @@
     this.want([]);
   }
 
+  private _tellAsked(message: Message): void {
+    for (const { connection, isAsked } of this._links.values()) if (isAsked) connection?.send(message);
+  }
+
   /** Sends what the agent has not been told yet. */
   private _tell(link: Link): void {
     const { connection, agent } = link;
@@ -143,6 +151,8 @@
     if (link.isAsked === isAsked) return;
     link.isAsked = isAsked;
     if (isAsked) {
+      const words = this._options.signals.words();
+      if (words.length > 0) connection.send({ type: 'server-words', words });
       this._options.log.state('agent.asked', { agent: agent.box });
       return this._options.onAsked(agent, connection);
     }
@@ -201,6 +211,7 @@
     if (message.type === 'box-status') this._options.onStatus(link.agent, message);
     if (message.type === 'entry-list') this._options.onEntries(link.agent, message);
     if (message.type === 'versions-heard') this._options.onHeard(link.agent, message.versions);
+    if (message.type === 'server-words') this._options.signals.take(message.words);
     if (message.type !== 'agent-list-query') return;
     link.wantsAgents = message.wanted;
     this._tell(link);
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -194,6 +194,7 @@
     this._prober.stop();
     this._followers.stop();
     this._control.close();
+    this._signals.close();
     this._links.close();
     this._pool.close();
     this._callers.close();
@@ -238,6 +239,7 @@
       control: this._controlOptions(),
       random,
       log: this._log,
+      signals: this._signals,
       presence: (agent) => this._announcements.presence(agent),
       agentList: (agent) => this._announcements.agentList(agent),
       onStatus: (agent, status) => this._pool.noteStatus(hostOf(agent.address), status),
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -250,7 +250,7 @@
     return new TrackedServer(
       record,
       connections,
-      this._options.signals.of(record.id, record.dataCentre),
+      this._options.signals.of(record.id, record.dataCentre, this._lives.get(record.id)!.startedAt),
       clock,
       () => Math.min(MOST_SHARERS, Math.max(1, sharers())),
       linkDelay,
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -16,7 +16,6 @@
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Logger } from '../telemetry/logger.js';
 import { MetricsServer } from '../telemetry/metricsServer.js';
-import type { Clock } from '../utils/clock.js';
 import { SystemClock } from '../utils/clock.js';
 import { placementHash } from '../utils/hash.js';
 import { hostOf } from '../utils/hostPort.js';
@@ -73,7 +72,7 @@
 export class StagingDaemon {
   private readonly _settings: StagingSettings;
   private readonly _parts: StagingParts;
-  private readonly _clock: Clock = new SystemClock();
+  private readonly _clock = new SystemClock();
   private readonly _log: EventLog;
   private readonly _peers: AgentPeers;
   private readonly _messages: PeerMessages;
@@ -105,7 +104,7 @@
     this._settings = settings;
     this._parts = parts;
     this._log = parts.log;
-    this._entries = new ConnectedEntries(settings.dataCentre, parts.log);
+    this._entries = new ConnectedEntries(settings.dataCentre, parts.log, this._clock);
     this._statusSender = new StatusSender({
       clock: this._clock,
       build: () => this._status(),
@@ -252,6 +251,7 @@
 
   private _onEntryMessage(connection: ControlConnection, message: Message): void {
     if (message.type === 'agent-list') this._takeAgents(message);
+    if (message.type === 'server-words') this._entries.takeServerWords(message.words);
     if (message.type !== 'entry-presence') return;
     const wantsStatus = this._entries.note(connection, message);
     if (wantsStatus) {
--- a/tests/connectedEntries.spec.ts
+++ b/tests/connectedEntries.spec.ts
@@ -7,6 +7,7 @@
 import type { Message } from '../src/protocol/message.js';
 import { ConnectedEntries } from '../src/staging/connectedEntries.js';
 import { notedLog } from './fixtures/notedLog.js';
+import { ManualClock } from '../src/utils/clock.js';
 import { quietLog } from './fixtures/quietLog.js';
 import { until } from './fixtures/until.js';
 
@@ -49,7 +50,7 @@
 }
 
 function connected(count: number): { entries: ConnectedEntries; connections: NotedConnection[] } {
-  const entries = new ConnectedEntries('north', quietLog());
+  const entries = new ConnectedEntries('north', quietLog(), new ManualClock());
   const connections = Array.from({ length: count }, () => new NotedConnection());
   connections.forEach((connection, index) => {
     entries.note(connection.asConnection(), presence(`entry-${index}`));
@@ -78,7 +79,7 @@
 });
 
 test('should want a status for an entry that sends requests, once', () => {
-  const entries = new ConnectedEntries('north', quietLog());
+  const entries = new ConnectedEntries('north', quietLog(), new ManualClock());
   const connection = new NotedConnection().asConnection();
   expect(entries.note(connection, presence('a', { hearsStatus: false }))).toEqual(false);
   expect(entries.note(connection, presence('a'))).toEqual(true);
@@ -88,7 +89,7 @@
 });
 
 test('should ask entries of its own data centre before others', () => {
-  const entries = new ConnectedEntries('south', quietLog());
+  const entries = new ConnectedEntries('south', quietLog(), new ManualClock());
   const connections = Array.from({ length: 8 }, () => new NotedConnection());
   const far = connections.slice(0, 3);
   const near = connections.slice(3);
@@ -103,7 +104,7 @@
 });
 
 test('should tell an entry of all others once, and then of changes', async () => {
-  const entries = new ConnectedEntries('north', quietLog());
+  const entries = new ConnectedEntries('north', quietLog(), new ManualClock());
   const listener = new NotedConnection();
   const other = new NotedConnection();
   entries.note(listener.asConnection(), presence('listener', { hearsEntries: true }));
@@ -123,7 +124,7 @@
 
 test('should log once that an entry is connected, and that its last connection has ended', () => {
   const { log, steps } = notedLog();
-  const entries = new ConnectedEntries('north', log);
+  const entries = new ConnectedEntries('north', log, new ManualClock());
   const old = new NotedConnection().asConnection();
   const young = new NotedConnection().asConnection();
   for (const connection of [old, old, young]) entries.note(connection, presence('a'));
@@ -135,7 +136,7 @@
 });
 
 test('should tell an entry of all others anew when it asks again, also at once', async () => {
-  const entries = new ConnectedEntries('north', quietLog());
+  const entries = new ConnectedEntries('north', quietLog(), new ManualClock());
   const listener = new NotedConnection();
   const tell = (hearsEntries: boolean): boolean =>
     entries.note(listener.asConnection(), presence('listener', { hearsEntries }));
@@ -149,7 +150,7 @@
 });
 
 test('should name a restarted entry as its newest connection tells, until the last of them has ended', async () => {
-  const entries = new ConnectedEntries('north', quietLog());
+  const entries = new ConnectedEntries('north', quietLog(), new ManualClock());
   const listener = new NotedConnection();
   const [old, young] = [new NotedConnection().asConnection(), new NotedConnection().asConnection()];
   entries.note(listener.asConnection(), presence('listener', { hearsEntries: true }));
--- a/tests/limitShare.spec.ts
+++ b/tests/limitShare.spec.ts
@@ -35,7 +35,13 @@
       limitShare({ server: 'i-1', dataCentre: DATA_CENTRES[0], perSecond, own, entries: known() });
     this._entries.set(
       own,
-      new ServerBackpressure({ server: 'i-1', clock: this._clock, log: quietLog(), share }),
+      new ServerBackpressure({
+        server: 'i-1',
+        clock: this._clock,
+        log: quietLog(),
+        share,
+        onChange: () => undefined,
+      }),
     );
   }
 
--- a/tests/serverLife.spec.ts
+++ b/tests/serverLife.spec.ts
@@ -1,7 +1,6 @@
 /** Servers that start again under their id: which life a word is about, and that nothing of a former life is believed. */
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { ServerSignals } from '../src/backpressure/serverSignals.js';
 import type { BoxStatus } from '../src/protocol/boxMessages.js';
 import type { BackendServerRecord } from '../src/serving/backendServerRecord.js';
 import { ServerLife, judgeLife, supersededServers } from '../src/serving/serverLife.js';
@@ -12,7 +11,7 @@
 import { ManualClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
 import { notedLog } from './fixtures/notedLog.js';
-import { quietLog } from './fixtures/quietLog.js';
+import { servingSignals } from './fixtures/servingSignals.js';
 
 for (const [what, current, toldBefore, told, judgement] of [
   ['the first word', 0, 0, 100, 'same'],
@@ -94,11 +93,7 @@
     clock,
     random: new SeededRandom(1),
     log: noted.log,
-    signals: new ServerSignals({
-      clock,
-      log: quietLog(),
-      share: (_server, _dataCentre, perSecond) => perSecond,
-    }),
+    signals: servingSignals(clock),
     service: () => undefined,
     entries: () => 1,
     entriesNear: () => 1,
--- a/tests/serverPool.spec.ts
+++ b/tests/serverPool.spec.ts
@@ -1,7 +1,6 @@
 /** Which server a gateway finds for a request, and for whom there is still room. */
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { ServerSignals } from '../src/backpressure/serverSignals.js';
 import type { ServerNeed } from '../src/serving/serverNeed.js';
 import { ServerPool } from '../src/serving/serverPool.js';
 import type { ServiceDescription } from '../src/serving/servingConfiguration.js';
@@ -9,7 +8,7 @@
 import { EventLog } from '../src/telemetry/eventLog.js';
 import { ManualClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
-import { quietLog } from './fixtures/quietLog.js';
+import { servingSignals } from './fixtures/servingSignals.js';
 
 const SLOTS = 8;
 const CHAT: ServiceDescription = {
@@ -35,11 +34,7 @@
     clock,
     random: new SeededRandom(1),
     log: new EventLog({ write: () => true }, 'off', { box: 'entry', dataCentre: 'north' }),
-    signals: new ServerSignals({
-      clock,
-      log: quietLog(),
-      share: (_server, _dataCentre, perSecond) => perSecond,
-    }),
+    signals: servingSignals(clock),
     service: () => CHAT,
     entries: () => 1,
     entriesNear: () => 1,
--- /dev/null
+++ b/tests/serverWords.spec.ts
@@ -0,0 +1,153 @@
+/** What servers ask for reaches entries that have not asked them, by way of the agents, and is not overtaken by older words. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { AnswerSignals } from '../src/backpressure/answerSignals.js';
+import type { ServerSignals } from '../src/backpressure/serverSignals.js';
+import type { ServerWord } from '../src/protocol/boxMessages.js';
+import { ServerWords } from '../src/staging/serverWords.js';
+import { ManualClock } from '../src/utils/clock.js';
+import { servingSignals } from './fixtures/servingSignals.js';
+
+const SERVER = 'i-1';
+
+function word(changes: Partial<ServerWord> = {}): ServerWord {
+  return {
+    server: SERVER,
+    startedAt: 0,
+    limitPerSecond: 1,
+    leaving: false,
+    heardMilliseconds: 0,
+    ...changes,
+  };
+}
+
+function saying(changes: Partial<AnswerSignals>): AnswerSignals {
+  return {
+    limitPerSecond: undefined,
+    leaving: false,
+    restMilliseconds: 0,
+    unreadable: undefined,
+    ...changes,
+  };
+}
+
+/** Signals of one entry, and what it tells the others. */
+function entry() {
+  const clock = new ManualClock();
+  clock.advance(10_000);
+  const signals: ServerSignals = servingSignals(clock);
+  return { clock, signals, server: signals.of(SERVER, 'north', 0) };
+}
+
+test('should pass on what is new to an agent, once', () => {
+  const words = new ServerWords(new ManualClock());
+  expect(words.take([word()])).toEqual([word()]);
+  expect(words.take([word()])).toEqual([]);
+  expect(words.all()).toEqual([word()]);
+});
+
+test('should keep the newer of two words at an agent, whichever comes first', () => {
+  const words = new ServerWords(new ManualClock());
+  words.take([word({ limitPerSecond: null, heardMilliseconds: 100 })]);
+  expect(words.take([word({ heardMilliseconds: 2_000 })])).toEqual([]);
+  expect(words.take([word({ heardMilliseconds: 50 })])).toEqual([word({ heardMilliseconds: 50 })]);
+});
+
+test('should not forget at an agent that a server leaves', () => {
+  const words = new ServerWords(new ManualClock());
+  words.take([word({ leaving: true, heardMilliseconds: 500 })]);
+  const later = word({ limitPerSecond: 2 });
+  expect(words.take([later])).toEqual([{ ...later, leaving: true }]);
+});
+
+test('should take another life of a server for itself at an agent', () => {
+  const words = new ServerWords(new ManualClock());
+  words.take([word({ startedAt: 5, leaving: true, heardMilliseconds: 500 })]);
+  const later = word({ startedAt: 6 });
+  expect(words.take([later])).toEqual([later]);
+});
+
+test('should forget words at an agent that are very old', () => {
+  const clock = new ManualClock();
+  const words = new ServerWords(clock);
+  words.take([word()]);
+  clock.advance(700_000);
+  expect(words.all()).toEqual([]);
+});
+
+test('should heed the limit that another entry was told', () => {
+  const { signals, server } = entry();
+  signals.take([word()]);
+  expect(server.isLimited).toEqual(true);
+  expect(server.waitMilliseconds).toEqual(1_000);
+});
+
+test('should heed a limit that was told before the server was found', () => {
+  const { signals } = entry();
+  signals.take([word({ server: 'i-2' })]);
+  expect(signals.of('i-2', 'north', 0).isLimited).toEqual(true);
+});
+
+test('should not heed what was told of another life of a server', () => {
+  const { signals } = entry();
+  const server = signals.of('i-2', 'north', 6);
+  signals.take([word({ server: 'i-2', startedAt: 5 })]);
+  expect(server.isLimited).toEqual(false);
+});
+
+test('should hear from another entry that a limit has ended, and not by an older word', () => {
+  const { clock, signals, server } = entry();
+  server.note(saying({ limitPerSecond: 1 }));
+  clock.advance(2_000);
+  signals.take([word({ limitPerSecond: null, heardMilliseconds: 2_500 })]);
+  expect(server.isLimited).toEqual(true);
+  signals.take([word({ limitPerSecond: null, heardMilliseconds: 500 })]);
+  expect(server.isLimited).toEqual(false);
+  signals.take([word({ heardMilliseconds: 1_000 })]);
+  expect(server.isLimited).toEqual(false);
+});
+
+test('should heed a limit that it was told though an older answer of the server came later', () => {
+  const { signals, server } = entry();
+  server.note(saying({}));
+  signals.take([word({ heardMilliseconds: 50 })]);
+  server.note(saying({}));
+  expect(server.isLimited).toEqual(true);
+});
+
+test('should end a limit by an answer only when none has named it for a second', () => {
+  const { clock, server } = entry();
+  server.note(saying({ limitPerSecond: 1 }));
+  clock.advance(900);
+  server.note(saying({}));
+  expect(server.isLimited).toEqual(true);
+  clock.advance(100);
+  server.note(saying({}));
+  expect(server.isLimited).toEqual(false);
+});
+
+test('should believe nothing of a former life of a server', () => {
+  const { signals, server } = entry();
+  server.note(saying({ limitPerSecond: 1, leaving: true, restMilliseconds: 1_000 }));
+  signals.startAnew(SERVER);
+  const present = signals.of(SERVER, 'north', 0);
+  expect([present.isLimited, present.isLeaving, present.isResting]).toEqual([false, false, false]);
+});
+
+test('should tell the other entries what answers have changed, and nothing else', async () => {
+  const { signals, server } = entry();
+  const told: ServerWord[][] = [];
+  const once = new Promise<void>((resolve) => {
+    signals.on('change', (words) => {
+      told.push(words);
+      resolve();
+    });
+  });
+  server.note(saying({}));
+  signals.take([word({ server: 'i-2' })]);
+  server.note(saying({ limitPerSecond: 1 }));
+  server.note(saying({ limitPerSecond: 2, leaving: true }));
+  await once;
+  expect(told).toEqual([[word({ limitPerSecond: 2, leaving: true })]]);
+  expect(new Set(signals.words().map(({ server: id }) => id))).toEqual(new Set([SERVER, 'i-2']));
+});
--- a/tests/trackedServer.spec.ts
+++ b/tests/trackedServer.spec.ts
@@ -1,13 +1,12 @@
 /** What a gateway believes of one backend server. */
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { ServerBackpressure } from '../src/backpressure/serverBackpressure.js';
 import { BackendConnections } from '../src/serving/backendConnections.js';
 import type { ServedModel } from '../src/serving/backendServerRecord.js';
 import { promptSize } from '../src/serving/promptSize.js';
 import { TrackedServer } from '../src/serving/trackedServer.js';
 import { ManualClock } from '../src/utils/clock.js';
-import { quietLog } from './fixtures/quietLog.js';
+import { servingSignals } from './fixtures/servingSignals.js';
 
 function trackedServer(
   clock: ManualClock,
@@ -25,12 +24,7 @@
   };
   const options = { address: record.address, connectMilliseconds: 1, clock, limit: () => 1 };
   const connections = new BackendConnections(options);
-  const backpressure = new ServerBackpressure({
-    server: record.id,
-    clock,
-    log: quietLog(),
-    share: (perSecond) => perSecond,
-  });
+  const backpressure = servingSignals(clock).of(record.id, record.dataCentre, record.startedAt);
   const served = { ...record, models };
   const server = new TrackedServer(served, connections, backpressure, clock, () => 3, linkDelay);
   server.update(server.record);
