Send nothing to a server that has said in an answer that it leaves

Callers saw nothing of it yet: the server still served, but from 2 s after its word requests may be lost with its end. Cause: entries knew of a leave by service discovery alone; while the store takes nothing, the record stands ready for as long. What an answer has said counts as much as the record now, for all entries (the agents pass it on), and for as long as that life of the server is known: also when its record is lost and comes back ready. The last server of a service that leaves is no server: callers are refused at once.

--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -123,7 +123,8 @@
   /** Chooses a server: one of those whose load is told here, unless none of them can serve the request at all. */
   find(need: ServerNeed): ServerFound {
     const present = this.all().filter(
-      ({ record }) => record.service === need.service && !record.draining && !need.tried.has(record.id),
+      (server) =>
+        server.record.service === need.service && !server.isLeaving && !need.tried.has(server.record.id),
     );
     const routed = present.filter(({ host }) => this._options.isRouted(host));
     const found = this._findAmong(routed, need);
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -81,6 +81,11 @@
     this.host = hostOf(record.address);
   }
 
+  /** Whether the server has said that it leaves, in service discovery or in an answer: its record may be late, or lost. */
+  get isLeaving(): boolean {
+    return this.record.draining || this.backpressure.isLeaving;
+  }
+
   /** Takes what the agent beside the server says. */
   noteStatus(status: BoxStatus): void {
     if (status.state === 'switching' && this._status?.state !== 'switching')
--- a/tests/serverRests.spec.ts
+++ b/tests/serverRests.spec.ts
@@ -13,6 +13,7 @@
 import type { Script } from '../standins/scriptedBackend.js';
 import { answers } from '../standins/scriptedBackend.js';
 import { GatewayFixture } from './fixtures/gatewayFixture.js';
+import { until } from './fixtures/until.js';
 
 let fixture: GatewayFixture;
 
@@ -56,6 +57,19 @@
   expect(statuses.every((status) => status === 200)).toEqual(true);
 });
 
+test('should send nothing more to a leaving server whose record is lost and comes back', async () => {
+  await fixture.start([leaves], MANY_CONNECTIONS);
+  const record = fixture.record(0);
+  await fixture.ask();
+  fixture.setServer(0, undefined);
+  await until(() => fixture.lines.some((line) => line.includes('server.gone')));
+  fixture.setServer(0, record);
+  await until(() => fixture.lines.filter((line) => line.includes('server.found')).length === 2);
+  const statuses = await askOften();
+  expect(fixture.arrivals).toEqual(1);
+  expect(statuses.every((status) => status === 503)).toEqual(true);
+});
+
 test('should leave a server alone for the rest that it asks for', async () => {
   await fixture.start([rests('30'), answers()], MANY_CONNECTIONS);
   const statuses = await askOften();
