Leave a server alone for the rest that it asks for

A server that rejected with 503 and Retry-After got up to five requests from the same entry within that rest, by the record; and callers were refused whose two attempts had gone to servers that rested, while others had room. Now a rest excludes the server for this entry until its end, at the one place that all sends pass; a request whose connection comes up only after the word is not sent. While all rest, callers are refused at once and told to come back when the first takes requests, as far as their third allows.

--- a/src/backpressure/serverBackpressure.ts
+++ b/src/backpressure/serverBackpressure.ts
@@ -65,15 +65,17 @@
 
   /** Whether the server wants no request from this entry now. */
   get isResting(): boolean {
-    return this._clock.now() < this._restsUntil;
+    return this._restMilliseconds > 0;
   }
 
   /** Milliseconds until this entry may send a request, 0 when it may now; infinite when others are to. */
   get waitMilliseconds(): number {
-    const allowed = this._limit.allowed;
-    if (allowed === undefined) return 0;
-    this._allowance.setRate(this._share(allowed));
-    return this._allowance.waitMilliseconds;
+    return Math.max(this._restMilliseconds, this._limitMilliseconds);
+  }
+
+  /** Whether a request that has been on its way to a connection should still be sent. */
+  get isClosed(): boolean {
+    return this._isLeaving || this.isResting;
   }
 
   /** A request is sent to the server. */
@@ -106,6 +108,17 @@
     else this._name(limitPerSecond, 'entry');
   }
 
+  private get _restMilliseconds(): number {
+    return Math.max(0, this._restsUntil - this._clock.now());
+  }
+
+  private get _limitMilliseconds(): number {
+    const allowed = this._limit.allowed;
+    if (allowed === undefined) return 0;
+    this._allowance.setRate(this._share(allowed));
+    return this._allowance.waitMilliseconds;
+  }
+
   private _name(perSecond: number, source: SignalSource): boolean {
     const former = this._limit.named;
     if (this._limit.allowed === undefined) this._allowance = new SendAllowance(this._clock);
--- a/src/serving/backendCall.ts
+++ b/src/serving/backendCall.ts
@@ -38,7 +38,8 @@
 }
 
 /** Why an attempt was given up by this process. */
-export type AbortReason = 'caller-gone' | 'time-over' | 'silent' | 'foreign-answer' | 'not-needed';
+export type AbortReason =
+  'caller-gone' | 'time-over' | 'silent' | 'foreign-answer' | 'not-needed' | 'server-closed';
 
 class CallAborted extends Error {}
 
@@ -114,6 +115,8 @@
     this._connection.client.dispatch(options, {
       onRequestStart: (controller) => {
         this._controller = controller;
+        // a connection takes a while to come up, and the server may have asked for rest meanwhile
+        if (this.server.backpressure.isClosed) this._aborted ??= 'server-closed';
         if (this._aborted) controller.abort(new CallAborted(this._aborted));
         else this._sent = true;
       },
--- /dev/null
+++ b/tests/backendCall.spec.ts
@@ -0,0 +1,48 @@
+/** One attempt at a backend server. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import type { CallFailure } from '../src/serving/backendCall.js';
+import { BackendCall } from '../src/serving/backendCall.js';
+import { BackendConnections } from '../src/serving/backendConnections.js';
+import { TrackedServer } from '../src/serving/trackedServer.js';
+import { SystemClock } from '../src/utils/clock.js';
+import { ScriptedBackend, answers } from '../standins/scriptedBackend.js';
+import { servingSignals } from './fixtures/servingSignals.js';
+
+const REQUEST = { method: 'GET', path: '/', headers: [], body: undefined, prompts: 0 };
+
+/** Sends a request, and lets the server ask for something before its connection is up. */
+async function sendBeforeWord(changes: { leaving: boolean; restMilliseconds: number }) {
+  const backend = new ScriptedBackend(answers());
+  const address = await backend.listen();
+  const clock = new SystemClock();
+  const place = { service: 's', dataCentre: 'north', slots: 1, draining: false, models: [] };
+  const connections = new BackendConnections({ address, connectMilliseconds: 500, clock, limit: () => 1 });
+  const backpressure = servingSignals(clock).of('i-1', 'north', 0);
+  const record = { id: 'i-1', startedAt: 0, address, ...place };
+  const server = new TrackedServer(record, connections, backpressure, clock, () => 1);
+  const failure = await new Promise<CallFailure | undefined>((resolve) => {
+    const listener = { onHead: () => undefined, onData: () => undefined };
+    BackendCall.send(server, REQUEST, { ...listener, onEnd: () => resolve(undefined), onFailed: resolve });
+    backpressure.note({ limitPerSecond: undefined, unreadable: undefined, ...changes });
+  });
+  const arrivals = backend.arrived.length;
+  connections.close();
+  backend.close();
+  return { failure, arrivals };
+}
+
+test('should send nothing over a connection that comes up after the server has asked for rest', async () => {
+  const { failure, arrivals } = await sendBeforeWord({ leaving: false, restMilliseconds: 5_000 });
+  expect([failure?.sent, arrivals]).toEqual([false, 0]);
+});
+
+test('should send nothing over a connection that comes up after the server has said it leaves', async () => {
+  const { failure, arrivals } = await sendBeforeWord({ leaving: true, restMilliseconds: 0 });
+  expect([failure?.sent, arrivals]).toEqual([false, 0]);
+});
+
+test('should send over a connection that comes up while the server asks for nothing', async () => {
+  const { failure, arrivals } = await sendBeforeWord({ leaving: false, restMilliseconds: 0 });
+  expect([failure, arrivals]).toEqual([undefined, 1]);
+});
--- a/tests/serverRests.spec.ts
+++ b/tests/serverRests.spec.ts
@@ -86,6 +86,18 @@
   expect(statuses.filter((status) => status === 200).length).toBeGreaterThan(0);
 });
 
+test('should refuse at once while all servers rest, and say when the first of them takes requests', async () => {
+  await fixture.start([rests('30'), rests('20')], MANY_CONNECTIONS);
+  await askOften();
+  const answer = await fixture.ask({ headers: { 'larklatch-deadline-milliseconds': '3000' } });
+  expect(answer.status).toEqual(503);
+  expect(fixture.arrivals).toEqual(2);
+  // a caller waits for a third of its time at the most, and nearer to now no server takes it
+  const seconds = Number(answer.headers['retry-after']);
+  expect(seconds).toBeGreaterThan(0.75);
+  expect(seconds).toBeLessThanOrEqual(0.96);
+});
+
 for (const text of ['', 'NaN', '-1', '1e309', 'soon']) {
   test(`should go on asking a server whose Retry-After of "${text}" means nothing`, async () => {
     await fixture.start([rests(text)], MANY_CONNECTIONS);
