Find out that a limit has ended where those that share it have no callers

By reading: entries that hold no share of a limit heard of its end by others only. Where these have no callers for the service, as with a customer of one data centre and servers of another, nobody would ever have asked the server again. Now an entry that hears a limit confirmed tells it to all every ten seconds, and one that has had no such word for fifteen may ask once in its turn, of eight seconds for each entry, so that few ask at the same time. Two entries in place of three hold the smallest limits, which leaves room for these. A word keeps the time of its answer, so that an end told late is not taken for older than the naming. Tests: one entry without a share asks within 75 s, not before 15 s; before, never.

--- a/src/backpressure/limitShare.ts
+++ b/src/backpressure/limitShare.ts
@@ -2,6 +2,14 @@
 import type { PlacedBox } from '../utils/dataCentreOrder.js';
 import { rendezvousOrder } from '../utils/rendezvous.js';
 
+/** What an entry may send of a limit. */
+export interface LimitShare {
+  /** Requests a second; 0 for an entry that leaves the server to others. */
+  perSecond: number;
+  /** How many entries there are. */
+  entries: number;
+}
+
 /** A limit, and those that share it. */
 export interface SharedLimit {
   /** Id of the server. */
@@ -17,19 +25,20 @@
 }
 
 /** Entries that share a limit of less than one request a second. Each may send one at any moment: more would come to a burst. */
-const FEWEST_HOLDERS = 3;
+const FEWEST_HOLDERS = 2;
 /** After a start, so that entries that start together do not each take the whole. */
 const ASSUMED_ENTRIES = 16;
 
 /**
- * Requests a second that this entry may send. Few entries hold a share, so that each is worth something: those of the server's data
+ * The part of this entry. Few entries hold a share, so that each is worth something: those of the server's data
  * centre, as far as there are any, in an order that all entries work out alike.
  */
-export function limitShare(limit: SharedLimit): number {
+export function limitShare(limit: SharedLimit): LimitShare {
   const { server, dataCentre, perSecond, own, entries } = limit;
-  if (!entries) return perSecond / ASSUMED_ENTRIES;
+  if (!entries) return { perSecond: perSecond / ASSUMED_ENTRIES, entries: ASSUMED_ENTRIES };
   const near = entries.filter((entry) => entry.dataCentre === dataCentre);
   const ranked = rendezvousOrder(server, near.length > 0 ? near : entries, ({ box }) => box);
   const holders = ranked.slice(0, FEWEST_HOLDERS + Math.floor(perSecond));
-  return holders.some(({ box }) => box === own) ? perSecond / holders.length : 0;
+  const holds = holders.some(({ box }) => box === own);
+  return { perSecond: holds ? perSecond / holders.length : 0, entries: entries.length };
 }
--- a/src/backpressure/sendAllowance.ts
+++ b/src/backpressure/sendAllowance.ts
@@ -31,10 +31,10 @@
     return ((1 - this._tokens) / this._perSecond) * MILLISECONDS;
   }
 
-  /** A request is sent. */
+  /** A request is sent, be it out of turn. */
   take(): void {
     this._count();
-    this._tokens--;
+    this._tokens = Math.max(0, this._tokens - 1);
   }
 
   private get _most(): number {
--- a/src/backpressure/serverBackpressure.ts
+++ b/src/backpressure/serverBackpressure.ts
@@ -2,17 +2,26 @@
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import type { AnswerSignals } from './answerSignals.js';
+import type { LimitShare } from './limitShare.js';
+import { untilProbe } from './probeSlot.js';
 import { SendAllowance } from './sendAllowance.js';
 import { ServerLimit } from './serverLimit.js';
 
+/** How often all entries are told that a limit still holds. */
+export const CONFIRM_MILLISECONDS = 10_000;
+/** After so long without such a word nobody sends to the server, or nobody can tell. */
+const STALE_MILLISECONDS = 15_000;
+
 /** What is known of a server beside its answers. */
 export interface BackpressureOptions {
   /** Id of the server. */
   server: string;
   clock: Clock;
   log: EventLog;
-  /** This entry's part, in requests a second, of what the server takes from all entries. */
-  share: (perSecond: number) => number;
+  /** This entry's part of the requests a second that the server takes from all entries. */
+  share: (perSecond: number) => LimitShare;
+  /** Where this entry stands among those that ask a server for news of its limit in turn, from 0 up to 1. */
+  phase: number;
   /** An answer to this entry has changed what the server asks of all entries. */
   onChange: () => void;
 }
@@ -33,7 +42,8 @@
   readonly server: string;
   private readonly _clock: Clock;
   private readonly _log: EventLog;
-  private readonly _share: (perSecond: number) => number;
+  private readonly _share: (perSecond: number) => LimitShare;
+  private readonly _phase: number;
   private readonly _onChange: () => void;
   private readonly _limit: ServerLimit;
   /** What this entry may send while a limit holds, or has ended just now. */
@@ -42,12 +52,16 @@
   private _leavingHeardAt = Number.NEGATIVE_INFINITY;
   private _restsUntil = Number.NEGATIVE_INFINITY;
   private _hasLoggedUnreadable = false;
+  private _sentAt = Number.NEGATIVE_INFINITY;
+  /** Monotonic milliseconds of the answer by which all entries have last been told of the limit. */
+  private _sharedAt = Number.NEGATIVE_INFINITY;
 
-  constructor({ server, clock, log, share, onChange }: BackpressureOptions) {
+  constructor({ server, clock, log, share, phase, onChange }: BackpressureOptions) {
     this.server = server;
     this._clock = clock;
     this._log = log;
     this._share = share;
+    this._phase = phase;
     this._onChange = onChange;
     this._limit = new ServerLimit(clock);
     this._allowance = new SendAllowance(clock);
@@ -80,6 +94,7 @@
 
   /** A request is sent to the server. */
   noteSent(): void {
+    this._sentAt = this._clock.now();
     if (this._limit.allowed !== undefined) this._allowance.take();
   }
 
@@ -92,20 +107,23 @@
   /** Takes what an answer to this entry says. */
   note(signals: AnswerSignals): void {
     const { limitPerSecond, leaving, restMilliseconds, unreadable } = signals;
+    const now = this._clock.now();
     if (unreadable !== undefined) this._noteUnreadable(unreadable);
     const hasLimitChanged =
-      limitPerSecond === undefined ? this._passOver() : this._name(limitPerSecond, 'answer');
-    const isNewlyLeaving = leaving && this._leave(this._clock.now(), 'answer');
+      limitPerSecond === undefined ? this._passOver() : this._name(limitPerSecond, now, 'answer');
+    const isNewlyLeaving = leaving && this._leave(now, 'answer');
     if (restMilliseconds > 0) this._rest(restMilliseconds);
-    if (hasLimitChanged || isNewlyLeaving) this._onChange();
+    const isConfirmed = this.isLimited && now - this._sharedAt >= CONFIRM_MILLISECONDS;
+    if (hasLimitChanged || isNewlyLeaving || isConfirmed) this._tell(now);
   }
 
   /** Takes what another entry has heard. What is known here from a later answer stays. */
   noteTold({ limitPerSecond, leaving, heardAt }: ServerDemand): void {
     if (leaving) this._leave(heardAt, 'entry');
     if (heardAt <= this._limit.heardAt) return;
-    if (limitPerSecond === undefined) this._end('entry');
-    else this._name(limitPerSecond, 'entry');
+    this._sharedAt = heardAt;
+    if (limitPerSecond === undefined) this._end(heardAt, 'entry');
+    else this._name(limitPerSecond, heardAt, 'entry');
   }
 
   private get _restMilliseconds(): number {
@@ -115,14 +133,28 @@
   private get _limitMilliseconds(): number {
     const allowed = this._limit.allowed;
     if (allowed === undefined) return 0;
-    this._allowance.setRate(this._share(allowed));
-    return this._allowance.waitMilliseconds;
+    const { perSecond, entries } = this._share(allowed);
+    this._allowance.setRate(perSecond);
+    return perSecond > 0 ? this._allowance.waitMilliseconds : this._probeMilliseconds(entries);
+  }
+
+  /** Others send to the server; where none of them has news of it, this entry asks in its turn whether the limit still holds. */
+  private _probeMilliseconds(entries: number): number {
+    const now = this._clock.now();
+    const freshMilliseconds = this._limit.heardAt + STALE_MILLISECONDS - now;
+    if (freshMilliseconds > 0) return freshMilliseconds;
+    return untilProbe({ now, entries, phase: this._phase, askedAt: this._sentAt });
+  }
+
+  private _tell(now: number): void {
+    this._sharedAt = now;
+    this._onChange();
   }
 
-  private _name(perSecond: number, source: SignalSource): boolean {
+  private _name(perSecond: number, heardAt: number, source: SignalSource): boolean {
     const former = this._limit.named;
     if (this._limit.allowed === undefined) this._allowance = new SendAllowance(this._clock);
-    const isOther = this._limit.name(perSecond);
+    const isOther = this._limit.name(perSecond, heardAt);
     if (isOther) this._log.state('server.limited', { server: this.server, perSecond, former, source });
     return isOther;
   }
@@ -130,15 +162,14 @@
   /** An answer names no limit; returns whether one ends by that. */
   private _passOver(): boolean {
     if (!this._limit.mayEnd) return false;
-    this._end('answer');
+    this._end(this._clock.now(), 'answer');
     return true;
   }
 
-  private _end(source: SignalSource): void {
+  private _end(heardAt: number, source: SignalSource): void {
     const former = this._limit.named;
-    if (former === undefined) return;
-    this._limit.end();
-    this._log.state('server.limit-ended', { server: this.server, former, source });
+    this._limit.end(heardAt);
+    if (former !== undefined) this._log.state('server.limit-ended', { server: this.server, former, source });
   }
 
   private _leave(heardAt: number, source: SignalSource): boolean {
--- a/src/backpressure/serverLimit.ts
+++ b/src/backpressure/serverLimit.ts
@@ -14,7 +14,8 @@
   private readonly _clock: Clock;
   /** Undefined while no limit holds. */
   private _perSecond: number | undefined;
-  private _namedAt = Number.NEGATIVE_INFINITY;
+  /** Monotonic milliseconds of the latest answer that anybody has told of it. */
+  private _heardAt = Number.NEGATIVE_INFINITY;
   /** Monotonic milliseconds; undefined while the server names its limit. */
   private _endedAt: number | undefined;
 
@@ -38,27 +39,28 @@
     return undefined;
   }
 
-  /** Monotonic milliseconds at which the limit was last named or ended; -infinity when neither has been heard. */
+  /** Monotonic milliseconds of the answer by which the limit was last named or ended; -infinity when there was none. */
   get heardAt(): number {
-    return Math.max(this._namedAt, this._endedAt ?? Number.NEGATIVE_INFINITY);
+    return this._heardAt;
   }
 
-  /** The server names a limit. Returns whether it is another one. */
-  name(perSecond: number): boolean {
+  /** The server has named a limit in an answer of that time. Returns whether it is another one. */
+  name(perSecond: number, heardAt: number): boolean {
     const isOther = this.named !== perSecond;
     this._perSecond = perSecond;
-    this._namedAt = this._clock.now();
+    this._heardAt = heardAt;
     this._endedAt = undefined;
     return isOther;
   }
 
   /** Whether an answer that names none ends the limit. */
   get mayEnd(): boolean {
-    return this.named !== undefined && this._clock.now() - this._namedAt >= END_MILLISECONDS;
+    return this.named !== undefined && this._clock.now() - this._heardAt >= END_MILLISECONDS;
   }
 
-  /** The limit has ended. */
-  end(): void {
+  /** The limit has ended, by an answer of that time. */
+  end(heardAt: number): void {
     if (this.named !== undefined) this._endedAt = this._clock.now();
+    this._heardAt = heardAt;
   }
 }
--- a/src/backpressure/serverSignals.ts
+++ b/src/backpressure/serverSignals.ts
@@ -4,15 +4,19 @@
 import type { ServerWord } from '../protocol/boxMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
+import { placementHash } from '../utils/hash.js';
 import { Gathered } from '../utils/gathered.js';
+import type { LimitShare } from './limitShare.js';
 import { ServerBackpressure } from './serverBackpressure.js';
 
 /** What the signals work with. */
 export interface ServerSignalsOptions {
   clock: Clock;
   log: EventLog;
-  /** This entry's part, in requests a second, of what a server of a data centre takes from all entries. */
-  share: (server: string, dataCentre: string, perSecond: number) => number;
+  /** This entry. */
+  box: string;
+  /** This entry's part of the requests a second that a server of a data centre takes from all entries. */
+  share: (server: string, dataCentre: string, perSecond: number) => LimitShare;
 }
 
 /** What is known of a server while service discovery lists it or not. */
@@ -27,6 +31,9 @@
 const MOST_SERVERS = 10_000;
 /** Changes of so long a time are told together: a limit that changes with each answer costs no message for each. */
 const GATHER_MILLISECONDS = 100;
+/** For so long after it an entry that connects is told of the end of a limit. */
+const ENDED_MILLISECONDS = 60_000;
+const HASHES = 2 ** 32;
 
 interface ServerSignalsEvents {
   /** Answers to this entry have changed what servers ask of all entries. */
@@ -66,10 +73,17 @@
   words(): ServerWord[] {
     return [...this._byServer.keys()].flatMap((server) => {
       const { backpressure } = this._byServer.peek(server)!;
-      return backpressure.isLimited || backpressure.isLeaving ? [this._wordOf(server)] : [];
+      const { isLimited, isLeaving, demand } = backpressure;
+      const isNew = this._options.clock.now() - demand.heardAt < ENDED_MILLISECONDS;
+      return isLimited || isLeaving || isNew ? [this._wordOf(server)] : [];
     });
   }
 
+  /** Tells what has changed at once. */
+  tellNow(): void {
+    this._telling.now();
+  }
+
   close(): void {
     this._telling.cancel();
   }
@@ -90,7 +104,7 @@
   }
 
   private _add(server: string): KnownServer {
-    const { clock, log } = this._options;
+    const { clock, log, box } = this._options;
     const known: KnownServer = {
       dataCentre: '',
       startedAt: 0,
@@ -99,6 +113,7 @@
         clock,
         log,
         share: (perSecond) => this._options.share(server, known.dataCentre, perSecond),
+        phase: placementHash(server, box) / HASHES,
         onChange: () => this._onChange(server),
       }),
     };
--- a/src/serving/entrySignals.ts
+++ b/src/serving/entrySignals.ts
@@ -18,6 +18,7 @@
   return new ServerSignals({
     clock,
     log,
+    box: own.box,
     share: (server, dataCentre, perSecond) =>
       limitShare({ server, dataCentre, perSecond, own: own.box, entries: entries.limitSharers() }),
   });
--- a/src/staging/serverWords.ts
+++ b/src/staging/serverWords.ts
@@ -14,8 +14,13 @@
   heardAt: number;
 }
 
+/** A word that is the same is passed on again after so long: entries that leave the server to others wait for it. */
+const PASS_ON_MILLISECONDS = 9_000;
+
 export class ServerWords {
   private readonly _clock: Clock;
+  /** When the word that was last passed on was heard, by server. */
+  private readonly _passedOn = new LRUCache<string, number>({ max: REMEMBERED });
   private readonly _words = new LRUCache<string, RememberedWord>({ max: REMEMBERED });
 
   constructor(clock: Clock) {
@@ -41,7 +46,11 @@
     const known = this._words.get(word.server);
     const next = known ? merged(known, { word, heardAt }) : { word, heardAt };
     this._words.set(word.server, next);
-    return known === undefined || !isSame(known.word, next.word);
+    const sincePassedOn = next.heardAt - (this._passedOn.get(word.server) ?? Number.NEGATIVE_INFINITY);
+    const isNew =
+      known === undefined || !isSame(known.word, next.word) || sincePassedOn >= PASS_ON_MILLISECONDS;
+    if (isNew) this._passedOn.set(word.server, next.heardAt);
+    return isNew;
   }
 }
 
--- a/tests/limitShare.spec.ts
+++ b/tests/limitShare.spec.ts
@@ -5,6 +5,7 @@
 import { limitShare } from '../src/backpressure/limitShare.js';
 import { ServerBackpressure } from '../src/backpressure/serverBackpressure.js';
 import { ManualClock } from '../src/utils/clock.js';
+import { placementHash } from '../src/utils/hash.js';
 import type { PlacedBox } from '../src/utils/dataCentreOrder.js';
 import { quietLog } from './fixtures/quietLog.js';
 
@@ -31,7 +32,7 @@
 
   /** Starts an entry, or starts it again: it knows nothing. `known` are the entries that it knows of. */
   start(own: string, known: () => readonly PlacedBox[] | undefined): void {
-    const share = (perSecond: number): number =>
+    const share = (perSecond: number) =>
       limitShare({ server: 'i-1', dataCentre: DATA_CENTRES[0], perSecond, own, entries: known() });
     this._entries.set(
       own,
@@ -40,6 +41,7 @@
         clock: this._clock,
         log: quietLog(),
         share,
+        phase: placementHash('i-1', own) / 2 ** 32,
         onChange: () => undefined,
       }),
     );
@@ -154,3 +156,15 @@
   expect(entries.sends.length).toBeGreaterThanOrEqual(5);
   expect(entries.worst).toBeLessThanOrEqual(5);
 });
+
+test('should find out that a limit has ended where those that share it have no callers', () => {
+  const entries = new DemandingEntries();
+  const all = boxes(6);
+  // the entry of another data centre leaves the server to those near it, which have no callers and hear nothing
+  entries.start('entry-1', () => all);
+  entries.hear(1);
+  entries.run(14_900);
+  expect(entries.sends.length).toEqual(0);
+  entries.run(60_000);
+  expect(entries.sends.length).toEqual(1);
+});
--- a/tests/serverWords.spec.ts
+++ b/tests/serverWords.spec.ts
@@ -67,6 +67,16 @@
   expect(words.take([later])).toEqual([later]);
 });
 
+test('should pass on from time to time at an agent that a limit still holds', () => {
+  const clock = new ManualClock();
+  const words = new ServerWords(clock);
+  words.take([word()]);
+  clock.advance(5_000);
+  expect(words.take([word()])).toEqual([]);
+  clock.advance(5_000);
+  expect(words.take([word()])).toEqual([word()]);
+});
+
 test('should forget words at an agent that are very old', () => {
   const clock = new ManualClock();
   const words = new ServerWords(clock);
@@ -126,6 +136,24 @@
   expect(server.isLimited).toEqual(false);
 });
 
+test('should tell the other entries from time to time that a limit still holds', () => {
+  const { clock, signals, server } = entry();
+  server.note(saying({ limitPerSecond: 1 }));
+  const heardAt = (): number => clock.now() - signals.words()[0].heardMilliseconds;
+  let told = 0;
+  signals.emit = () => {
+    told++;
+    return true;
+  };
+  for (let second = 0; second < 25; second++) {
+    clock.advance(1_000);
+    server.note(saying({ limitPerSecond: 1 }));
+    signals.tellNow();
+  }
+  expect(told).toEqual(3);
+  expect(heardAt()).toEqual(clock.now());
+});
+
 test('should believe nothing of a former life of a server', () => {
   const { signals, server } = entry();
   server.note(saying({ limitPerSecond: 1, leaving: true, restMilliseconds: 1_000 }));
