A word of a former life told before the server is found says nothing of the present one; a limit is confirmed by answers that name it

By reading the change: an entry that has just started hears words of servers before service discovery lists them. One of a former life, such as that it leaves, was kept for the present life under the same id, which would have got nothing (the test failed before). An answer without a limit, within the second in which it does not end one, counted as a confirmation.

--- a/src/backpressure/serverBackpressure.ts
+++ b/src/backpressure/serverBackpressure.ts
@@ -8,7 +8,7 @@
 import { ServerLimit } from './serverLimit.js';
 
 /** How often all entries are told that a limit still holds. */
-export const CONFIRM_MILLISECONDS = 10_000;
+const CONFIRM_MILLISECONDS = 10_000;
 /** After so long without such a word nobody sends to the server, or nobody can tell. */
 const STALE_MILLISECONDS = 15_000;
 
@@ -34,7 +34,7 @@
   heardAt: number;
 }
 
-/** By whose word something is believed: an answer to this entry, or another entry's. */
+/** Who told it: an answer to this entry, or another entry. */
 type SignalSource = 'answer' | 'entry';
 
 export class ServerBackpressure {
@@ -87,7 +87,7 @@
     return Math.max(this._restMilliseconds, this._limitMilliseconds);
   }
 
-  /** Whether a request that has been on its way to a connection should still be sent. */
+  /** Whether a request is not to be sent any more that has waited for its connection. */
   get isClosed(): boolean {
     return this._isLeaving || this.isResting;
   }
@@ -113,7 +113,7 @@
       limitPerSecond === undefined ? this._passOver() : this._name(limitPerSecond, now, 'answer');
     const isNewlyLeaving = leaving && this._leave(now, 'answer');
     if (restMilliseconds > 0) this._rest(restMilliseconds);
-    const isConfirmed = this.isLimited && now - this._sharedAt >= CONFIRM_MILLISECONDS;
+    const isConfirmed = limitPerSecond !== undefined && now - this._sharedAt >= CONFIRM_MILLISECONDS;
     if (hasLimitChanged || isNewlyLeaving || isConfirmed) this._tell(now);
   }
 
--- a/src/backpressure/serverLimit.ts
+++ b/src/backpressure/serverLimit.ts
@@ -8,7 +8,7 @@
 /** By then it has grown to more than a server's usual share. */
 const RAMP_MILLISECONDS = 3_000;
 /** Requests a second that are sent whatever the limit: only an answer tells of its end. */
-export const LEAST_PER_SECOND = 0.25;
+const LEAST_PER_SECOND = 0.25;
 
 export class ServerLimit {
   private readonly _clock: Clock;
--- a/src/backpressure/serverSignals.ts
+++ b/src/backpressure/serverSignals.ts
@@ -58,9 +58,9 @@
 
   /** What the life of a server asks for that began at `startedAt`, 0 where that is not known. */
   of(server: string, dataCentre: string, startedAt: number): ServerBackpressure {
-    const known = this._byServer.get(server) ?? this._add(server);
+    const known = this._livesAt(server, startedAt) ?? this._add(server);
     known.dataCentre = dataCentre;
-    known.startedAt = startedAt;
+    known.startedAt = startedAt || known.startedAt;
     return known.backpressure;
   }
 
@@ -79,11 +79,6 @@
     });
   }
 
-  /** Tells what has changed at once. */
-  tellNow(): void {
-    this._telling.now();
-  }
-
   close(): void {
     this._telling.cancel();
   }
@@ -103,6 +98,13 @@
     };
   }
 
+  /** What is known of the server, unless of another life than the one that began at `startedAt`; 0 says nothing. */
+  private _livesAt(server: string, startedAt: number): KnownServer | undefined {
+    const known = this._byServer.get(server);
+    const isOther = known && startedAt > 0 && known.startedAt > 0 && startedAt !== known.startedAt;
+    return isOther ? undefined : known;
+  }
+
   private _add(server: string): KnownServer {
     const { clock, log, box } = this._options;
     const known: KnownServer = {
@@ -138,9 +140,9 @@
 
   /** A word of another life says nothing of the present one. */
   private _takeOne({ server, startedAt, limitPerSecond, leaving, heardMilliseconds }: ServerWord): void {
-    const known = this._byServer.get(server) ?? this._add(server);
-    const isOtherLife = startedAt > 0 && known.startedAt > 0 && startedAt !== known.startedAt;
-    if (isOtherLife) return;
+    const known = this._byServer.has(server) ? this._livesAt(server, startedAt) : this._add(server);
+    if (!known) return;
+    known.startedAt ||= startedAt;
     known.backpressure.noteTold({
       limitPerSecond: limitPerSecond ?? undefined,
       leaving,
--- a/src/serving/sharingEntries.ts
+++ b/src/serving/sharingEntries.ts
@@ -9,7 +9,7 @@
  * How long an entry counts that is no longer known. Where other agents are asked, their first lists lack entries that are yet to
  * connect to them: a dial, a handshake and the agent's gathering later they are named again.
  */
-export const HOLD_MILLISECONDS = 1_500;
+const HOLD_MILLISECONDS = 1_500;
 
 interface Sharer {
   dataCentre: string;
--- a/src/staging/serverWords.ts
+++ b/src/staging/serverWords.ts
@@ -8,19 +8,19 @@
 /** A server that has said nothing new for so long has ended, or tells it again to whoever asks it. */
 const FORGET_MILLISECONDS = 600_000;
 
+/** A word that is the same is passed on again after so long: entries that leave the server to others wait for it. */
+const PASS_ON_MILLISECONDS = 9_000;
+
+/** Times in monotonic milliseconds. */
 interface RememberedWord {
   word: ServerWord;
-  /** Monotonic milliseconds. */
   heardAt: number;
+  /** When that was heard which was passed on last. */
+  passedOnAt: number;
 }
 
-/** A word that is the same is passed on again after so long: entries that leave the server to others wait for it. */
-const PASS_ON_MILLISECONDS = 9_000;
-
 export class ServerWords {
   private readonly _clock: Clock;
-  /** When the word that was last passed on was heard, by server. */
-  private readonly _passedOn = new LRUCache<string, number>({ max: REMEMBERED });
   private readonly _words = new LRUCache<string, RememberedWord>({ max: REMEMBERED });
 
   constructor(clock: Clock) {
@@ -44,12 +44,11 @@
   private _takeOne(word: ServerWord): boolean {
     const heardAt = this._clock.now() - word.heardMilliseconds;
     const known = this._words.get(word.server);
-    const next = known ? merged(known, { word, heardAt }) : { word, heardAt };
+    const told = { word, heardAt, passedOnAt: heardAt };
+    const next = known ? merged(known, told) : told;
+    const isNew = known === undefined || !isSame(known.word, next.word) || isDue(next);
+    if (isNew) next.passedOnAt = next.heardAt;
     this._words.set(word.server, next);
-    const sincePassedOn = next.heardAt - (this._passedOn.get(word.server) ?? Number.NEGATIVE_INFINITY);
-    const isNew =
-      known === undefined || !isSame(known.word, next.word) || sincePassedOn >= PASS_ON_MILLISECONDS;
-    if (isNew) this._passedOn.set(word.server, next.heardAt);
     return isNew;
   }
 }
@@ -59,7 +58,11 @@
   const newer = told.heardAt > known.heardAt ? told : known;
   const isSameLife = told.word.startedAt === known.word.startedAt;
   const leaving = isSameLife ? known.word.leaving || told.word.leaving : newer.word.leaving;
-  return { word: { ...newer.word, leaving }, heardAt: newer.heardAt };
+  return { word: { ...newer.word, leaving }, heardAt: newer.heardAt, passedOnAt: known.passedOnAt };
+}
+
+function isDue({ heardAt, passedOnAt }: RememberedWord): boolean {
+  return heardAt - passedOnAt >= PASS_ON_MILLISECONDS;
 }
 
 function isSame(a: ServerWord, b: ServerWord): boolean {
--- a/tests/serverWords.spec.ts
+++ b/tests/serverWords.spec.ts
@@ -2,10 +2,12 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import type { AnswerSignals } from '../src/backpressure/answerSignals.js';
+import { ServerBackpressure } from '../src/backpressure/serverBackpressure.js';
 import type { ServerSignals } from '../src/backpressure/serverSignals.js';
 import type { ServerWord } from '../src/protocol/boxMessages.js';
 import { ServerWords } from '../src/staging/serverWords.js';
 import { ManualClock } from '../src/utils/clock.js';
+import { quietLog } from './fixtures/quietLog.js';
 import { servingSignals } from './fixtures/servingSignals.js';
 
 const SERVER = 'i-1';
@@ -105,6 +107,13 @@
   expect(server.isLimited).toEqual(false);
 });
 
+test('should not heed what was told of a former life before the present one was found', () => {
+  const { signals } = entry();
+  signals.take([word({ server: 'i-2', startedAt: 5, leaving: true })]);
+  const server = signals.of('i-2', 'north', 6);
+  expect([server.isLimited, server.isLeaving]).toEqual([false, false]);
+});
+
 test('should hear from another entry that a limit has ended, and not by an older word', () => {
   const { clock, signals, server } = entry();
   server.note(saying({ limitPerSecond: 1 }));
@@ -137,21 +146,25 @@
 });
 
 test('should tell the other entries from time to time that a limit still holds', () => {
-  const { clock, signals, server } = entry();
-  server.note(saying({ limitPerSecond: 1 }));
-  const heardAt = (): number => clock.now() - signals.words()[0].heardMilliseconds;
+  const clock = new ManualClock();
   let told = 0;
-  signals.emit = () => {
-    told++;
-    return true;
-  };
-  for (let second = 0; second < 25; second++) {
-    clock.advance(1_000);
+  const server = new ServerBackpressure({
+    server: SERVER,
+    clock,
+    log: quietLog(),
+    share: (perSecond) => ({ perSecond, entries: 1 }),
+    phase: 0,
+    onChange: () => told++,
+  });
+  for (let second = 0; second <= 25; second++) {
     server.note(saying({ limitPerSecond: 1 }));
-    signals.tellNow();
+    clock.advance(1_000);
   }
   expect(told).toEqual(3);
-  expect(heardAt()).toEqual(clock.now());
+  server.note(saying({}));
+  clock.advance(20_000);
+  server.note(saying({}));
+  expect(told).toEqual(4);
 });
 
 test('should believe nothing of a former life of a server', () => {
