--- a/soak/fleetOptions.ts
+++ b/soak/fleetOptions.ts
@@ -2,7 +2,7 @@
 import type { Random } from '../src/utils/random.js';
 import type { OriginLink } from '../standins/platformOriginStandin.js';
 import type { Arrival, SpokenSignals } from '../standins/platformRunnerSignals.js';
-import type { Execution } from '../standins/platformRunnerStandin.js';
+import type { Execution } from '../standins/platformRunnerOptions.js';
 import type { WeightsShape } from '../standins/weightsFixture.js';
 import type { ProcessRole } from './fleetProcess.js';
 
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -1,5 +1,5 @@
 /** Checks what callers and backend servers have seen against the promises of docs/PROMISES.md. */
-import type { Execution } from '../standins/platformRunnerStandin.js';
+import type { Execution } from '../standins/platformRunnerOptions.js';
 import { ENDING_BODY } from '../standins/platformRunnerStandin.js';
 import type { Call } from './callerLog.js';
 import type { SignalChecks } from './signalChecks.js';
--- a/src/serving/noAttempt.ts
+++ b/src/serving/noAttempt.ts
@@ -2,9 +2,15 @@
 import type { ServerFound } from './serverPool.js';
 
 /**
- * `attempts used`: as many servers as its route allows may have run it. `retry budget`: the share of retries is used up.
- * `asked just now`: one has just said that it has not run it. `no server`: none is left to ask. `all busy`: none has room. `old version`: none is of a version on which it may begin.
- * `servers at limit`: none takes one more from this entry now. `time`: too little is left for another attempt. `ends servers`: the same request has ended several servers, and runs no more.
+ * - `attempts used`: as many servers as its route allows may have run it.
+ * - `retry budget`: the share of retries is used up.
+ * - `asked just now`: one has just said that it has not run it.
+ * - `no server`: none is left to ask.
+ * - `all busy`: none has room.
+ * - `old version`: none is of a version on which it may begin.
+ * - `servers at limit`: none takes one more from this entry now.
+ * - `time`: too little is left for another attempt.
+ * - `ends servers`: the same request has ended several servers, and runs no more.
  */
 export type NoAttempt =
   | 'attempts used'
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -5,50 +5,13 @@
 import { SeededRandom } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
 import type { PlatformRunnerFaults } from './platformRunnerFaults.js';
-import type { Arrival, SpokenSignals } from './platformRunnerSignals.js';
+import type { PlatformRunnerOptions } from './platformRunnerOptions.js';
 import { saysAnything, signalHeaders, spokenSignals } from './platformRunnerSignals.js';
 import { STREAM_EVENTS, eventText, sealOf } from './platformAnswers.js';
 import { sendJsonAnswer } from './standinServer.js';
 import type { WeightsShape } from './weightsFixture.js';
 import { versionDigests } from './weightsFixture.js';
 
-/** One request that a runner has begun to work on. */
-export interface Execution {
-  id: string;
-  runner: string;
-  service: string;
-  customer: string;
-  path: string;
-  body: string;
-  /** Version of the model, 0 for services without one. */
-  version: number;
-  /** Wall clock, in milliseconds. */
-  at: number;
-}
-
-/** How a runner is made. */
-export interface PlatformRunnerOptions {
-  id: string;
-  service: string;
-  slots: number;
-  /** Undefined for a service without a model. */
-  weights: WeightsShape | undefined;
-  /** The version that it holds at first, 0 for none. */
-  version: number;
-  /** Hears of every request that begins. */
-  onExecution: (execution: Execution) => void;
-  onArrival?: (arrival: Arrival) => void;
-  onSpoken?: (spoken: SpokenSignals) => void;
-  /** Hears that a request ends the process, which is to be closed at once. */
-  onCrash?: (runner: PlatformRunnerStandin, body: string) => void;
-  /** Hears of a version that was taken though it was not whole. */
-  onUnwhole: (runner: string, version: number) => void;
-  /** Draws from 0 up to 1. */
-  fraction: () => number;
-  /** Longest time of a call about pieces or an order; each takes a part of it, drawn by the runner's id. At once when absent. */
-  callMilliseconds?: number;
-}
-
 /** A request whose body begins so ends each runner that runs it. */
 export const ENDING_BODY = '{"prompt":"ends its runner';
 /** How long the runner works on it before. */
@@ -60,7 +23,8 @@
 const PLAIN_MILLISECONDS = 10;
 const EXCUSED_MILLISECONDS = 3_000;
 const LATEST = Number.MAX_SAFE_INTEGER;
-const [MISDIRECTED, UNAVAILABLE] = [421, 503];
+const MISDIRECTED = 421;
+const UNAVAILABLE = 503;
 
 export class PlatformRunnerStandin {
   faults: PlatformRunnerFaults = {};
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -5,7 +5,7 @@
 import { PromiseChecks } from '../soak/promiseChecks.js';
 import type { FaultKind } from '../soak/faultKinds.js';
 import { FAULT_KINDS } from '../soak/faultKinds.js';
-import type { Execution } from '../standins/platformRunnerStandin.js';
+import type { Execution } from '../standins/platformRunnerOptions.js';
 import { ENDING_BODY } from '../standins/platformRunnerStandin.js';
 import { shortSoak } from './fixtures/shortSoak.js';
 
