--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -33,7 +33,7 @@
   'lose-power',
   'limit-server',
   'leave-by-answers',
-  'rest-server',
+  'reject-with-retry-after',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -14,7 +14,7 @@
   | 'configuration' // a configuration is in force in time, and stays
   | 'draining' // a leaving server gets nothing new
   | 'limit' // a server gets no more requests than it has said it takes
-  | 'rest' // a server that asked an entry for rest gets it
+  | 'retry-after' // an entry keeps to the Retry-After of a server
   | 'crashing' // a request that ends each server which runs it is kept from them
   | 'planned' // planned work cuts nothing
   | 'ends' // no process ends by itself
--- a/soak/signalChecks.ts
+++ b/soak/signalChecks.ts
@@ -1,4 +1,4 @@
-/** Checks that the entries together heed what servers say of themselves in their answers: limits, leaves and rests. */
+/** Checks that the entries together heed what servers say of themselves in their answers: limits, leaves and Retry-After. */
 import type { Arrival, SpokenSignals } from '../standins/platformRunnerSignals.js';
 import type { BreachListener } from './promiseChecks.js';
 
@@ -26,16 +26,16 @@
 const WINDOW_SLACK = 5;
 /** From the first naming of a limit until it has to be kept. */
 const CONTACT_MILLISECONDS = 3_000;
-/** A rest has to be kept from so long after it was asked for, but for so many requests. */
-const REST_DELAY_MILLISECONDS = 500;
-const MOST_IN_REST = 2;
+/** A Retry-After has to be kept from so long after it was given, but for so many requests. */
+const RETRY_AFTER_DELAY_MILLISECONDS = 500;
+const MOST_WITHIN_RETRY_AFTER = 2;
 /** Timers and processors of a loaded machine. */
 const SLACK_MILLISECONDS = 500;
 
 export class SignalChecks {
   private readonly _arrivals = new Map<string, Arrival[]>();
   private readonly _leaves = new Map<string, number>();
-  private readonly _rests: SpokenSignals[] = [];
+  private readonly _rejections: SpokenSignals[] = [];
   private readonly _limits: LimitTime[] = [];
 
   onArrival(arrival: Arrival): void {
@@ -46,9 +46,9 @@
 
   /** A server has said something of itself in an answer. */
   onSpoken(spoken: SpokenSignals): void {
-    const { runner, at, leaving, restMilliseconds } = spoken;
+    const { runner, at, leaving, retryAfterMilliseconds } = spoken;
     if (leaving && !this._leaves.has(runner)) this._leaves.set(runner, at);
-    if (restMilliseconds > 0) this._rests.push(spoken);
+    if (retryAfterMilliseconds > 0) this._rejections.push(spoken);
     if (spoken.limitPerSecond !== undefined) this._noteLimit(runner, spoken.limitPerSecond, at);
   }
 
@@ -61,7 +61,7 @@
   check(context: SignalContext, breach: BreachListener): void {
     for (const limit of this._limits) this._checkLimit(limit, context, breach);
     for (const [runner, at] of this._leaves) this._checkLeave(runner, at, context, breach);
-    for (const rest of this._rests) this._checkRest(rest, context, breach);
+    for (const rejection of this._rejections) this._checkRetryAfter(rejection, context, breach);
   }
 
   private _noteLimit(runner: string, perSecond: number, at: number): void {
@@ -105,20 +105,23 @@
     );
   }
 
-  private _checkRest(
-    { runner, id, at, restMilliseconds }: SpokenSignals,
+  private _checkRetryAfter(
+    { runner, id, at, retryAfterMilliseconds }: SpokenSignals,
     context: SignalContext,
     breach: BreachListener,
   ): void {
     const entry = context.callOf(id)?.entry;
-    if (entry === undefined || context.isHarmed(at, at + restMilliseconds)) return;
+    if (entry === undefined || context.isHarmed(at, at + retryAfterMilliseconds)) return;
     const got = (this._arrivals.get(runner) ?? []).filter(
       (arrival) =>
-        arrival.at > at + REST_DELAY_MILLISECONDS &&
-        arrival.at < at + restMilliseconds &&
+        arrival.at > at + RETRY_AFTER_DELAY_MILLISECONDS &&
+        arrival.at < at + retryAfterMilliseconds &&
         context.callOf(arrival.id)?.entry === entry,
     );
-    if (got.length > MOST_IN_REST)
-      breach('rest', `${runner} got ${got.length} requests of ${entry} in ${restMilliseconds} ms of rest`);
+    if (got.length > MOST_WITHIN_RETRY_AFTER)
+      breach(
+        'retry-after',
+        `${runner} got ${got.length} requests of ${entry} in ${retryAfterMilliseconds} ms of Retry-After`,
+      );
   }
 }
--- a/soak/signalFaults.ts
+++ b/soak/signalFaults.ts
@@ -7,8 +7,8 @@
 /** A limit has to be kept from three seconds on, over any four. */
 const LIMITED_MILLISECONDS = 8_000;
 const LIMITS_PER_SECOND = [1, 2.8, 5];
-const REST_SECONDS = 3;
-const RESTING_MILLISECONDS = 6_000;
+const RETRY_AFTER_SECONDS = 3;
+const REJECTING_MILLISECONDS = 6_000;
 const SHED_SHARE = 0.5;
 
 export class SignalFaults {
@@ -29,10 +29,10 @@
     this._checks.onLimitLifted(runner.id);
   }
 
-  /** A server turns half of its requests away and asks their entries for rest. */
-  async rest({ runner }: SoakBox): Promise<void> {
-    runner.faults = { ...runner.faults, sheddingShare: SHED_SHARE, restSeconds: REST_SECONDS };
-    await pause(RESTING_MILLISECONDS);
-    runner.faults = { ...runner.faults, sheddingShare: 0, restSeconds: 0 };
+  /** A server turns half of its requests away with Retry-After. */
+  async rejectWithRetryAfter({ runner }: SoakBox): Promise<void> {
+    runner.faults = { ...runner.faults, sheddingShare: SHED_SHARE, retryAfterSeconds: RETRY_AFTER_SECONDS };
+    await pause(REJECTING_MILLISECONDS);
+    runner.faults = { ...runner.faults, sheddingShare: 0, retryAfterSeconds: 0 };
   }
 }
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -32,7 +32,7 @@
 /** Writes that got no answer are done so much later. */
 const LATE_WRITE_MILLISECONDS = 1_500;
 /** Faults that are no harm to processes or links: what entries promise holds all the while. */
-const HARMLESS_KINDS: readonly FaultKind[] = ['limit-server', 'leave-by-answers', 'rest-server'];
+const HARMLESS_KINDS: readonly FaultKind[] = ['limit-server', 'leave-by-answers', 'reject-with-retry-after'];
 /** Processes end by these and start again; none stands still, and no request lies on its way. */
 const ENDING_KINDS: readonly FaultKind[] = ['kill-entry', 'kill-agent', 'kill-many'];
 const CRASHING_SENDS = 80;
@@ -151,7 +151,7 @@
   /** A server asks for something in its answers. */
   private async _ask(kind: FaultKind, box: SoakBox): Promise<void> {
     if (kind === 'limit-server') await this._signals.limit(box);
-    else if (kind === 'rest-server') await this._signals.rest(box);
+    else if (kind === 'reject-with-retry-after') await this._signals.rejectWithRetryAfter(box);
     else await this._leaveByAnswers(box);
   }
 
--- a/src/backpressure/answerSignals.ts
+++ b/src/backpressure/answerSignals.ts
@@ -17,8 +17,8 @@
   /** Requests a second from all entries together; undefined where the answer names no limit. */
   limitPerSecond: number | undefined;
   leaving: boolean;
-  /** How long the server wants no request from this entry; 0 where it does not ask for rest. */
-  restMilliseconds: number;
+  /** How long the server wants no request from this entry; 0 where it does not say. */
+  retryAfterMilliseconds: number;
   /** A header that is there and cannot be read, with its value; undefined when all can be. */
   unreadable: string | undefined;
 }
@@ -26,16 +26,16 @@
 const NONE: AnswerSignals = {
   limitPerSecond: undefined,
   leaving: false,
-  restMilliseconds: 0,
+  retryAfterMilliseconds: 0,
   unreadable: undefined,
 };
-/** Statuses of a rejection that may ask for rest. */
-const RESTING_STATUSES = new Set([429, 503]);
+/** Statuses of a rejection whose Retry-After counts. */
+const RETRY_AFTER_STATUSES = new Set([429, 503]);
 const LEAVING = '1';
 const DECIMAL = /^\d+(\.\d+)?$/;
 const MILLISECONDS = 1_000;
-/** A server that asks for longer is asked again after this: its clock or its word is wrong. */
-export const LONGEST_REST_MILLISECONDS = 600_000;
+/** A server that asks for longer is asked again after this: its clock or its configuration is wrong. */
+export const LONGEST_RETRY_AFTER_MILLISECONDS = 600_000;
 const LONGEST_LOGGED = 40;
 
 /** Reads the signals of an answer; `wallClock` is Unix milliseconds, for dates. */
@@ -47,18 +47,18 @@
 ): AnswerSignals {
   const limit = textOf(headers[names.serverLimit]);
   const leaving = textOf(headers[names.serverLeaving]);
-  const rest = RESTING_STATUSES.has(status) ? textOf(headers[names.retryAfter]) : undefined;
-  if (limit === undefined && leaving === undefined && rest === undefined) return NONE;
+  const retryAfter = RETRY_AFTER_STATUSES.has(status) ? textOf(headers[names.retryAfter]) : undefined;
+  if (limit === undefined && leaving === undefined && retryAfter === undefined) return NONE;
   const limitPerSecond = decimal(limit);
-  const restMilliseconds = restOf(rest, wallClock);
+  const retryAfterMilliseconds = retryAfterOf(retryAfter, wallClock);
   const unreadable = [
     ...unread(names.serverLimit, limit, limitPerSecond),
-    ...unread(names.retryAfter, rest, restMilliseconds),
+    ...unread(names.retryAfter, retryAfter, retryAfterMilliseconds),
   ];
   return {
     limitPerSecond,
     leaving: leaving === LEAVING,
-    restMilliseconds: restMilliseconds ?? 0,
+    retryAfterMilliseconds: retryAfterMilliseconds ?? 0,
     unreadable: unreadable.at(0)?.slice(0, LONGEST_LOGGED),
   };
 }
@@ -78,13 +78,13 @@
   return Number.isFinite(value) ? value : undefined;
 }
 
-/** Milliseconds of rest, undefined when the value means nothing. */
-function restOf(text: string | undefined, wallClock: () => number): number | undefined {
+/** Milliseconds of a Retry-After, undefined when its value means nothing. */
+function retryAfterOf(text: string | undefined, wallClock: () => number): number | undefined {
   if (text === undefined) return undefined;
   const seconds = decimal(text);
   const milliseconds = seconds === undefined ? untilDate(text, wallClock) : seconds * MILLISECONDS;
   if (milliseconds === undefined) return undefined;
-  return Math.min(LONGEST_REST_MILLISECONDS, Math.max(0, milliseconds));
+  return Math.min(LONGEST_RETRY_AFTER_MILLISECONDS, Math.max(0, milliseconds));
 }
 
 /** Milliseconds until an HTTP date, which ends in its time zone; other texts that a date parser takes are no dates. */
--- a/src/backpressure/serverBackpressure.ts
+++ b/src/backpressure/serverBackpressure.ts
@@ -9,7 +9,7 @@
 
 /** How often all entries are told that a limit still holds. */
 const CONFIRM_MILLISECONDS = 10_000;
-/** After so long without such a word nobody sends to the server, or nobody can tell. */
+/** After so long without such a notice nobody sends to the server, or nobody can tell. */
 const STALE_MILLISECONDS = 15_000;
 
 /** What is known of a server beside its answers. */
@@ -20,7 +20,7 @@
   log: EventLog;
   /** This entry's part of the requests a second that the server takes from all entries. */
   share: (perSecond: number) => LimitShare;
-  /** Where this entry stands among those that ask a server for news of its limit in turn, from 0 up to 1. */
+  /** Where this entry stands among those that ask a server in turn whether its limit still holds, from 0 up to 1. */
   phase: number;
   /** An answer to this entry has changed what the server asks of all entries. */
   onChange: () => void;
@@ -50,7 +50,7 @@
   private _allowance: SendAllowance;
   private _isLeaving = false;
   private _leavingHeardAt = Number.NEGATIVE_INFINITY;
-  private _restsUntil = Number.NEGATIVE_INFINITY;
+  private _backoffUntil = Number.NEGATIVE_INFINITY;
   private _hasLoggedUnreadable = false;
   private _sentAt = Number.NEGATIVE_INFINITY;
   /** Monotonic milliseconds of the answer by which all entries have last been told of the limit. */
@@ -78,18 +78,18 @@
   }
 
   /** Whether the server wants no request from this entry now. */
-  get isResting(): boolean {
-    return this._restMilliseconds > 0;
+  get isBackingOff(): boolean {
+    return this._backoffMilliseconds > 0;
   }
 
   /** Milliseconds until this entry may send a request, 0 when it may now; infinite when others are to. */
   get waitMilliseconds(): number {
-    return Math.max(this._restMilliseconds, this._limitMilliseconds);
+    return Math.max(this._backoffMilliseconds, this._limitMilliseconds);
   }
 
   /** Whether a request is not to be sent any more that has waited for its connection. */
   get isClosed(): boolean {
-    return this._isLeaving || this.isResting;
+    return this._isLeaving || this.isBackingOff;
   }
 
   /** A request is sent to the server. */
@@ -106,13 +106,13 @@
 
   /** Takes what an answer to this entry says. */
   note(signals: AnswerSignals): void {
-    const { limitPerSecond, leaving, restMilliseconds, unreadable } = signals;
+    const { limitPerSecond, leaving, retryAfterMilliseconds, unreadable } = signals;
     const now = this._clock.now();
     if (unreadable !== undefined) this._noteUnreadable(unreadable);
     const hasLimitChanged =
       limitPerSecond === undefined ? this._passOver() : this._name(limitPerSecond, now, 'answer');
     const isNewlyLeaving = leaving && this._leave(now, 'answer');
-    if (restMilliseconds > 0) this._rest(restMilliseconds);
+    if (retryAfterMilliseconds > 0) this._backOff(retryAfterMilliseconds);
     const isConfirmed = limitPerSecond !== undefined && now - this._sharedAt >= CONFIRM_MILLISECONDS;
     if (hasLimitChanged || isNewlyLeaving || isConfirmed) this._tell(now);
   }
@@ -126,8 +126,8 @@
     else this._name(limitPerSecond, heardAt, 'entry');
   }
 
-  private get _restMilliseconds(): number {
-    return Math.max(0, this._restsUntil - this._clock.now());
+  private get _backoffMilliseconds(): number {
+    return Math.max(0, this._backoffUntil - this._clock.now());
   }
 
   private get _limitMilliseconds(): number {
@@ -138,7 +138,7 @@
     return perSecond > 0 ? this._allowance.waitMilliseconds : this._probeMilliseconds(entries);
   }
 
-  /** Others send to the server; where none of them has news of it, this entry asks in its turn whether the limit still holds. */
+  /** Others send to the server; where none of them has told of it lately, this entry asks in its turn whether the limit still holds. */
   private _probeMilliseconds(entries: number): number {
     const now = this._clock.now();
     const freshMilliseconds = this._limit.heardAt + STALE_MILLISECONDS - now;
@@ -180,9 +180,9 @@
     return true;
   }
 
-  private _rest(milliseconds: number): void {
-    if (!this.isResting) this._log.state('server.resting', { server: this.server, milliseconds });
-    this._restsUntil = Math.max(this._restsUntil, this._clock.now() + milliseconds);
+  private _backOff(milliseconds: number): void {
+    if (!this.isBackingOff) this._log.state('server.backing-off', { server: this.server, milliseconds });
+    this._backoffUntil = Math.max(this._backoffUntil, this._clock.now() + milliseconds);
   }
 
   private _noteUnreadable(header: string): void {
--- a/src/backpressure/serverSignals.ts
+++ b/src/backpressure/serverSignals.ts
@@ -1,7 +1,7 @@
 /** What all backend servers ask of those that send them requests. */
 import { EventEmitter } from 'node:events';
 import { LRUCache } from 'lru-cache';
-import type { ServerWord } from '../protocol/boxMessages.js';
+import type { ServerNotice } from '../protocol/boxMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import { placementHash } from '../utils/hash.js';
@@ -37,14 +37,14 @@
 
 interface ServerSignalsEvents {
   /** Answers to this entry have changed what servers ask of all entries. */
-  change: [ServerWord[]];
+  change: [ServerNotice[]];
 }
 
 export class ServerSignals extends EventEmitter<ServerSignalsEvents> {
   private readonly _options: ServerSignalsOptions;
   /** By server id; kept when a server is gone from service discovery, which may lose its record for a while. */
   private readonly _byServer = new LRUCache<string, KnownServer>({ max: MOST_SERVERS });
-  /** Servers whose word is to be told. */
+  /** Servers whose notice is to be told. */
   private readonly _changed = new Set<string>();
   private readonly _telling = new Gathered(
     () => GATHER_MILLISECONDS,
@@ -65,17 +65,17 @@
   }
 
   /** Takes what other entries have heard from servers. */
-  take(words: readonly ServerWord[]): void {
-    for (const word of words) this._takeOne(word);
+  take(notices: readonly ServerNotice[]): void {
+    for (const notice of notices) this._takeOne(notice);
   }
 
   /** What servers ask of all entries now, for those that have not heard it. */
-  words(): ServerWord[] {
+  notices(): ServerNotice[] {
     return [...this._byServer.keys()].flatMap((server) => {
       const { backpressure } = this._byServer.peek(server)!;
       const { isLimited, isLeaving, demand } = backpressure;
       const isNew = this._options.clock.now() - demand.heardAt < ENDED_MILLISECONDS;
-      return isLimited || isLeaving || isNew ? [this._wordOf(server)] : [];
+      return isLimited || isLeaving || isNew ? [this._noticeOf(server)] : [];
     });
   }
 
@@ -88,13 +88,13 @@
     this._byServer.delete(server);
   }
 
-  /** Servers that name a limit, leave, or want rest from this entry. */
-  get counts(): { limited: number; leaving: number; resting: number } {
+  /** Servers that name a limit, leave, or want no request from this entry for a while. */
+  get counts(): { limited: number; leaving: number; backingOff: number } {
     const all = [...this._byServer.values()].map(({ backpressure }) => backpressure);
     return {
       limited: all.filter(({ isLimited }) => isLimited).length,
       leaving: all.filter(({ isLeaving }) => isLeaving).length,
-      resting: all.filter(({ isResting }) => isResting).length,
+      backingOff: all.filter(({ isBackingOff }) => isBackingOff).length,
     };
   }
 
@@ -134,12 +134,12 @@
     if (changed.length === 0) return;
     this.emit(
       'change',
-      changed.map((server) => this._wordOf(server)),
+      changed.map((server) => this._noticeOf(server)),
     );
   }
 
-  /** A word of another life says nothing of the present one. */
-  private _takeOne({ server, startedAt, limitPerSecond, leaving, heardMilliseconds }: ServerWord): void {
+  /** A notice of another life says nothing of the present one. */
+  private _takeOne({ server, startedAt, limitPerSecond, leaving, heardMilliseconds }: ServerNotice): void {
     const known = this._byServer.has(server) ? this._livesAt(server, startedAt) : this._add(server);
     if (!known) return;
     known.startedAt ||= startedAt;
@@ -150,7 +150,7 @@
     });
   }
 
-  private _wordOf(server: string): ServerWord {
+  private _noticeOf(server: string): ServerNotice {
     const { startedAt, backpressure } = this._byServer.peek(server)!;
     const { limitPerSecond, leaving, heardAt } = backpressure.demand;
     const heardMilliseconds = Math.max(0, this._options.clock.now() - heardAt);
--- a/src/protocol/boxMessages.ts
+++ b/src/protocol/boxMessages.ts
@@ -105,7 +105,7 @@
 });
 
 /** What a backend server asks of all entries, as its answers have told. */
-export const serverWordSchema = z.object({
+export const serverNoticeSchema = z.object({
   server: z.string().max(MAXIMUM_NAME),
   /** When the server started, in Unix milliseconds by its own clock; 0 where it is not told. */
   startedAt: countSchema,
@@ -115,15 +115,15 @@
   /** Since the answer that told it. */
   heardMilliseconds: z.number().nonnegative(),
 });
-export type ServerWord = z.infer<typeof serverWordSchema>;
+export type ServerNotice = z.infer<typeof serverNoticeSchema>;
 
 /**
  * Sent by an entry to the agents that tell entries of each other, when answers tell it a change, and passed on by these to all
  * entries: one that has not asked the server yet, or has started again, heeds it as well.
  */
-export const serverWordsSchema = z.object({
-  type: z.literal('server-words'),
-  words: z.array(serverWordSchema).max(MAXIMUM_LIST),
+export const serverNoticesSchema = z.object({
+  type: z.literal('server-notices'),
+  notices: z.array(serverNoticeSchema).max(MAXIMUM_LIST),
 });
 
 /** Asks the other end of a connection for a {@link linkEchoSchema}; answered by the connection itself. */
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -8,7 +8,7 @@
   entryPresenceSchema,
   linkEchoSchema,
   linkProbeSchema,
-  serverWordsSchema,
+  serverNoticesSchema,
   switchStateSchema,
   versionsHeardSchema,
 } from './boxMessages.js';
@@ -60,7 +60,7 @@
   entryListSchema,
   switchStateSchema,
   versionsHeardSchema,
-  serverWordsSchema,
+  serverNoticesSchema,
   linkProbeSchema,
   linkEchoSchema,
   recordSubscribeSchema,
--- a/src/serving/backendCall.ts
+++ b/src/serving/backendCall.ts
@@ -115,7 +115,7 @@
     this._connection.client.dispatch(options, {
       onRequestStart: (controller) => {
         this._controller = controller;
-        // a connection takes a while to come up, and the server may have asked for rest meanwhile
+        // a connection takes a while to come up, and the server may have asked for a pause meanwhile
         if (this.server.backpressure.isClosed) this._aborted ??= 'server-closed';
         if (this._aborted) controller.abort(new CallAborted(this._aborted));
         else this._sent = true;
--- a/src/serving/boxLinks.ts
+++ b/src/serving/boxLinks.ts
@@ -70,7 +70,7 @@
 
   constructor(options: BoxLinksOptions) {
     this._options = options;
-    options.signals.on('change', (words) => this._tellAsked({ type: 'server-words', words }));
+    options.signals.on('change', (notices) => this._tellAsked({ type: 'server-notices', notices }));
   }
 
   /** Agents that are connected now. */
@@ -151,8 +151,8 @@
     if (link.isAsked === isAsked) return;
     link.isAsked = isAsked;
     if (isAsked) {
-      const words = this._options.signals.words();
-      if (words.length > 0) connection.send({ type: 'server-words', words });
+      const notices = this._options.signals.notices();
+      if (notices.length > 0) connection.send({ type: 'server-notices', notices });
       this._options.log.state('agent.asked', { agent: agent.box });
       return this._options.onAsked(agent, connection);
     }
@@ -211,7 +211,7 @@
     if (message.type === 'box-status') this._options.onStatus(link.agent, message);
     if (message.type === 'entry-list') this._options.onEntries(link.agent, message);
     if (message.type === 'versions-heard') this._options.onHeard(link.agent, message.versions);
-    if (message.type === 'server-words') this._options.signals.take(message.words);
+    if (message.type === 'server-notices') this._options.signals.take(message.notices);
     if (message.type !== 'agent-list-query') return;
     link.wantsAgents = message.wanted;
     this._tell(link);
--- a/src/serving/gatewayGauges.ts
+++ b/src/serving/gatewayGauges.ts
@@ -41,7 +41,7 @@
   metrics.gauge('requests_shut_out', () => followers.suspicions.counts.shutOut);
   metrics.gauge('servers_limited', () => signals.counts.limited);
   metrics.gauge('servers_leaving', () => signals.counts.leaving);
-  metrics.gauge('servers_resting', () => signals.counts.resting);
+  metrics.gauge('servers_backing_off', () => signals.counts.backingOff);
   metrics.gauge('record_listeners', () => followers.relay.listeners);
   metrics.gauge('records_unreadable_total', () => unreadable.total);
   metrics.gauge('log_lines_dropped', () => log.droppedLines);
--- a/src/staging/connectedEntries.ts
+++ b/src/staging/connectedEntries.ts
@@ -1,12 +1,12 @@
 /** The entries that are connected to this agent, and what each of them wants to hear or is asked for. */
-import type { EntryAddress, EntryPresence, ServerWord } from '../protocol/boxMessages.js';
+import type { EntryAddress, EntryPresence, ServerNotice } from '../protocol/boxMessages.js';
 import { ControlConnection } from '../protocol/controlConnection.js';
 import type { Message } from '../protocol/message.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import { Gathered } from '../utils/gathered.js';
 import { compareText } from '../utils/rendezvous.js';
-import { ServerWords } from './serverWords.js';
+import { ServerNotices } from './serverNotices.js';
 import type { StatusAudience } from './statusSender.js';
 
 /** Entries that are asked who the other agents are: any of them may be lost, and more would only repeat it. */
@@ -33,7 +33,7 @@
 export class ConnectedEntries {
   private readonly _dataCentre: string;
   private readonly _log: EventLog;
-  private readonly _serverWords: ServerWords;
+  private readonly _serverNotices: ServerNotices;
   private readonly _entries = new Map<ControlConnection, ConnectedEntry>();
   private readonly _changed = new Gathered(
     () => gatherMilliseconds(this._listeners().length),
@@ -46,7 +46,7 @@
   constructor(dataCentre: string, log: EventLog, clock: Clock) {
     this._dataCentre = dataCentre;
     this._log = log;
-    this._serverWords = new ServerWords(clock);
+    this._serverNotices = new ServerNotices(clock);
   }
 
   get count(): number {
@@ -70,7 +70,7 @@
       asked: known?.asked ?? false,
       synced: known?.synced === true && hearsEntries,
     });
-    if (hearsEntries && !known?.hearsEntries) this._sendWords(connection);
+    if (hearsEntries && !known?.hearsEntries) this._sendNotices(connection);
     this._askEnough();
     this._changed.call();
     return hearsStatus && !known?.hearsStatus;
@@ -92,18 +92,18 @@
   }
 
   /** Takes what an entry has heard from servers, and passes on to all what is new. */
-  takeServerWords(words: readonly ServerWord[]): void {
-    const news = this._serverWords.take(words);
-    if (news.length === 0) return;
+  takeServerNotices(notices: readonly ServerNotice[]): void {
+    const changed = this._serverNotices.take(notices);
+    if (changed.length === 0) return;
     ControlConnection.broadcast(
       this._listeners().map(([connection]) => connection),
-      { type: 'server-words', words: news },
+      { type: 'server-notices', notices: changed },
     );
   }
 
-  private _sendWords(connection: ControlConnection): void {
-    const words = this._serverWords.all();
-    if (words.length > 0) connection.send({ type: 'server-words', words });
+  private _sendNotices(connection: ControlConnection): void {
+    const notices = this._serverNotices.all();
+    if (notices.length > 0) connection.send({ type: 'server-notices', notices });
   }
 
   /** Sends a status to the entries that want it: to all of them, or to those of this data centre. */
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -251,7 +251,7 @@
 
   private _onEntryMessage(connection: ControlConnection, message: Message): void {
     if (message.type === 'agent-list') this._takeAgents(message);
-    if (message.type === 'server-words') this._entries.takeServerWords(message.words);
+    if (message.type === 'server-notices') this._entries.takeServerNotices(message.notices);
     if (message.type !== 'entry-presence') return;
     const wantsStatus = this._entries.note(connection, message);
     if (wantsStatus) {
--- a/standins/platformRunnerFaults.ts
+++ b/standins/platformRunnerFaults.ts
@@ -16,8 +16,8 @@
   shedding?: boolean;
   /** Turns this share of requests away. */
   sheddingShare?: number;
-  /** Asks for so many seconds of rest where it turns a request away. */
-  restSeconds?: number;
+  /** Seconds of Retry-After where it turns a request away. */
+  retryAfterSeconds?: number;
   /** Names a limit of so many requests a second in all answers to requests. */
   limitPerSecond?: number;
   /** Says in all answers to requests that it leaves. */
--- a/standins/platformRunnerSignals.ts
+++ b/standins/platformRunnerSignals.ts
@@ -14,7 +14,7 @@
 export interface SpokenSignals extends Arrival {
   limitPerSecond: number | undefined;
   leaving: boolean;
-  restMilliseconds: number;
+  retryAfterMilliseconds: number;
 }
 
 const MILLISECONDS = 1_000;
@@ -25,20 +25,21 @@
   answered: Omit<Arrival, 'at'>,
   turnsAway: boolean,
 ): SpokenSignals {
-  const { limitPerSecond, leaving = false, restSeconds = 0 } = faults;
-  const restMilliseconds = turnsAway ? restSeconds * MILLISECONDS : 0;
-  return { ...answered, at: Date.now(), limitPerSecond, leaving, restMilliseconds };
+  const { limitPerSecond, leaving = false, retryAfterSeconds = 0 } = faults;
+  const retryAfterMilliseconds = turnsAway ? retryAfterSeconds * MILLISECONDS : 0;
+  return { ...answered, at: Date.now(), limitPerSecond, leaving, retryAfterMilliseconds };
 }
 
 /** Whether an answer says anything. */
-export function saysAnything({ limitPerSecond, leaving, restMilliseconds }: SpokenSignals): boolean {
-  return limitPerSecond !== undefined || leaving || restMilliseconds > 0;
+export function saysAnything({ limitPerSecond, leaving, retryAfterMilliseconds }: SpokenSignals): boolean {
+  return limitPerSecond !== undefined || leaving || retryAfterMilliseconds > 0;
 }
 
 export function signalHeaders(spoken: SpokenSignals): http.OutgoingHttpHeaders {
   const headers: http.OutgoingHttpHeaders = {};
   if (spoken.limitPerSecond !== undefined) headers['server-limit'] = String(spoken.limitPerSecond);
   if (spoken.leaving) headers['server-leaving'] = '1';
-  if (spoken.restMilliseconds > 0) headers['retry-after'] = String(spoken.restMilliseconds / MILLISECONDS);
+  if (spoken.retryAfterMilliseconds > 0)
+    headers['retry-after'] = String(spoken.retryAfterMilliseconds / MILLISECONDS);
   return headers;
 }
--- a/tests/answerSignals.spec.ts
+++ b/tests/answerSignals.spec.ts
@@ -1,7 +1,7 @@
 /** What the head of a backend server's answer says of the server. */
 import { test } from 'node:test';
 import { expect } from 'earl';
-import { LONGEST_REST_MILLISECONDS, readSignals } from '../src/backpressure/answerSignals.js';
+import { LONGEST_RETRY_AFTER_MILLISECONDS, readSignals } from '../src/backpressure/answerSignals.js';
 import { OWN_HEADER_NAMES as NAMES } from '../src/serving/headerNames.js';
 
 const NOW = Date.UTC(2026, 0, 2, 3, 4, 5);
@@ -12,7 +12,7 @@
 
 test('should read nothing from an answer that says nothing', () => {
   const { unreadable, ...signals } = read(200, { 'content-type': 'text/plain', 'retry-after': '3' });
-  expect(signals).toEqual({ limitPerSecond: undefined, leaving: false, restMilliseconds: 0 });
+  expect(signals).toEqual({ limitPerSecond: undefined, leaving: false, retryAfterMilliseconds: 0 });
   expect(unreadable).toEqual(undefined);
 });
 
@@ -33,22 +33,22 @@
   ['0', 0],
   ['Fri, 02 Jan 2026 03:04:09 GMT', 4_000],
   ['Fri, 02 Jan 2026 03:04:01 GMT', 0],
-  ['31536000', LONGEST_REST_MILLISECONDS],
+  ['31536000', LONGEST_RETRY_AFTER_MILLISECONDS],
 ] as const) {
-  test(`should read a rest of "${text}" from a rejection`, () => {
-    expect(read(503, { 'retry-after': text }).restMilliseconds).toEqual(milliseconds);
-    expect(read(429, { 'retry-after': text }).restMilliseconds).toEqual(milliseconds);
-    expect(read(500, { 'retry-after': text }).restMilliseconds).toEqual(0);
+  test(`should read a Retry-After of "${text}" from a rejection`, () => {
+    expect(read(503, { 'retry-after': text }).retryAfterMilliseconds).toEqual(milliseconds);
+    expect(read(429, { 'retry-after': text }).retryAfterMilliseconds).toEqual(milliseconds);
+    expect(read(500, { 'retry-after': text }).retryAfterMilliseconds).toEqual(0);
   });
 }
 
 for (const text of ['', 'NaN', '-1', '1e309', 'Infinity', 'soon', '9'.repeat(400)]) {
-  test(`should take "${text.slice(0, 10)}" for no limit and no rest, and say so`, () => {
+  test(`should take "${text.slice(0, 10)}" for no limit and no Retry-After, and say so`, () => {
     const limit = read(200, { [NAMES.serverLimit]: text });
     expect(limit.limitPerSecond).toEqual(undefined);
     expect(limit.unreadable).toEqual(`${NAMES.serverLimit}: ${text}`.slice(0, 40));
-    const rest = read(503, { 'retry-after': text });
-    expect(rest.restMilliseconds).toEqual(0);
-    expect(rest.unreadable).toEqual(`retry-after: ${text}`.slice(0, 40));
+    const rejected = read(503, { 'retry-after': text });
+    expect(rejected.retryAfterMilliseconds).toEqual(0);
+    expect(rejected.unreadable).toEqual(`retry-after: ${text}`.slice(0, 40));
   });
 }
--- a/tests/backendCall.spec.ts
+++ b/tests/backendCall.spec.ts
@@ -12,7 +12,7 @@
 const REQUEST = { method: 'GET', path: '/', headers: [], body: undefined, prompts: 0 };
 
 /** Sends a request, and lets the server ask for something before its connection is up. */
-async function sendBeforeWord(changes: { leaving: boolean; restMilliseconds: number }) {
+async function sendBeforeWord(changes: { leaving: boolean; retryAfterMilliseconds: number }) {
   const backend = new ScriptedBackend(answers());
   const address = await backend.listen();
   const clock = new SystemClock();
@@ -32,17 +32,17 @@
   return { failure, arrivals };
 }
 
-test('should send nothing over a connection that comes up after the server has asked for rest', async () => {
-  const { failure, arrivals } = await sendBeforeWord({ leaving: false, restMilliseconds: 5_000 });
+test('should send nothing over a connection that comes up after the server has asked for a pause', async () => {
+  const { failure, arrivals } = await sendBeforeWord({ leaving: false, retryAfterMilliseconds: 5_000 });
   expect([failure?.sent, arrivals]).toEqual([false, 0]);
 });
 
 test('should send nothing over a connection that comes up after the server has said it leaves', async () => {
-  const { failure, arrivals } = await sendBeforeWord({ leaving: true, restMilliseconds: 0 });
+  const { failure, arrivals } = await sendBeforeWord({ leaving: true, retryAfterMilliseconds: 0 });
   expect([failure?.sent, arrivals]).toEqual([false, 0]);
 });
 
 test('should send over a connection that comes up while the server asks for nothing', async () => {
-  const { failure, arrivals } = await sendBeforeWord({ leaving: false, restMilliseconds: 0 });
+  const { failure, arrivals } = await sendBeforeWord({ leaving: false, retryAfterMilliseconds: 0 });
   expect([failure, arrivals]).toEqual([undefined, 1]);
 });
--- a/tests/limitShare.spec.ts
+++ b/tests/limitShare.spec.ts
@@ -21,7 +21,7 @@
 }
 
 function saying(limitPerSecond: number | undefined): AnswerSignals {
-  return { limitPerSecond, leaving: false, restMilliseconds: 0, unreadable: undefined };
+  return { limitPerSecond, leaving: false, retryAfterMilliseconds: 0, unreadable: undefined };
 }
 
 /** Entries that all have callers for one server of the first data centre all the while. */
--- a/tests/serverRests.spec.ts
+++ b/tests/serverRetryAfter.spec.ts
@@ -25,8 +25,8 @@
 
 const leaves = answers({ headers: { 'larklatch-leaving': '1' } });
 
-/** Turns requests away and asks for rest. */
-function rests(seconds: string): Script {
+/** Rejects requests with Retry-After. */
+function rejects(seconds: string): Script {
   return answers({
     status: 503,
     headers: { 'larklatch-not-run': '1', 'retry-after': seconds },
@@ -70,15 +70,15 @@
   expect(statuses.every((status) => status === 503)).toEqual(true);
 });
 
-test('should leave a server alone for the rest that it asks for', async () => {
-  await fixture.start([rests('30'), answers()], MANY_CONNECTIONS);
+test('should send nothing to a server until its Retry-After is over', async () => {
+  await fixture.start([rejects('30'), answers()], MANY_CONNECTIONS);
   const statuses = await askOften();
   expect(fixture.backends[0].arrived.length).toBeLessThanOrEqual(1);
   expect(statuses.every((status) => status === 200)).toEqual(true);
 });
 
-test('should come back to a server after its rest', async () => {
-  await fixture.start([rests('0.3')], MANY_CONNECTIONS);
+test('should come back to a server after its Retry-After', async () => {
+  await fixture.start([rejects('0.3')], MANY_CONNECTIONS);
   const answer = await fixture.ask();
   expect(answer.status).toEqual(503);
   fixture.backends[0].answerWith(answers());
@@ -86,8 +86,8 @@
   expect(statuses.filter((status) => status === 200).length).toBeGreaterThan(0);
 });
 
-test('should refuse at once while all servers rest, and say when the first of them takes requests', async () => {
-  await fixture.start([rests('30'), rests('20')], MANY_CONNECTIONS);
+test('should refuse at once while all servers have asked for a pause, and say when the first of them takes requests', async () => {
+  await fixture.start([rejects('30'), rejects('20')], MANY_CONNECTIONS);
   await askOften();
   const answer = await fixture.ask({ headers: { 'larklatch-deadline-milliseconds': '3000' } });
   expect(answer.status).toEqual(503);
@@ -100,7 +100,7 @@
 
 for (const text of ['', 'NaN', '-1', '1e309', 'soon']) {
   test(`should go on asking a server whose Retry-After of "${text}" means nothing`, async () => {
-    await fixture.start([rests(text)], MANY_CONNECTIONS);
+    await fixture.start([rejects(text)], MANY_CONNECTIONS);
     await askOften();
     expect(fixture.backends[0].arrived.length).toBeGreaterThan(10);
     const noted = fixture.lines.filter((line) => line.includes('server.signal-unreadable'));
--- a/tests/signalChecks.spec.ts
+++ b/tests/signalChecks.spec.ts
@@ -9,7 +9,7 @@
 const NAMED_AT = 1_000;
 
 function spoken(changes: Partial<SpokenSignals>): SpokenSignals {
-  const silent = { limitPerSecond: undefined, leaving: false, restMilliseconds: 0 };
+  const silent = { limitPerSecond: undefined, leaving: false, retryAfterMilliseconds: 0 };
   return { id: 'first', runner: RUNNER, at: NAMED_AT, ...silent, ...changes };
 }
 
@@ -64,10 +64,10 @@
   expect(broken(said, [['entry-0', NAMED_AT + 2_600]], { isHarmed: () => true })).toEqual([]);
 });
 
-test('should see three requests of an entry within the rest that it was asked for', () => {
-  const said = spoken({ id: 'entry-0 1000', restMilliseconds: 3_000 });
+test('should see three requests of an entry within the Retry-After that it was given', () => {
+  const said = spoken({ id: 'entry-0 1000', retryAfterMilliseconds: 3_000 });
   const within = [1_600, 2_000, 3_900].map((at) => ['entry-0', at] as const);
-  expect(broken(said, within)).toEqual(['rest']);
+  expect(broken(said, within)).toEqual(['retry-after']);
   expect(broken(said, within.slice(1))).toEqual([]);
   expect(broken(said, [...within.slice(1), ['entry-1', 3_000]])).toEqual([]);
   expect(broken(said, [['entry-0', 1_400], ...within.slice(1), ['entry-0', 4_100]])).toEqual([]);
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -19,7 +19,7 @@
   'lose-power',
   'limit-server',
   'leave-by-answers',
-  'rest-server',
+  'reject-with-retry-after',
 ];
 const KINDS_OF_SEED = FAULT_KINDS.filter((kind) => !LATER_KINDS.includes(kind));
 
--- a/tests/soakRestarts.spec.ts
+++ b/tests/soakRestarts.spec.ts
@@ -14,7 +14,7 @@
       'lose-power',
       'limit-server',
       'leave-by-answers',
-      'rest-server',
+      'reject-with-retry-after',
     ].includes(kind),
 );
 
--- a/tests/soakSignals.spec.ts
+++ b/tests/soakSignals.spec.ts
@@ -17,13 +17,13 @@
   expect(report.served).toBeGreaterThan(50);
 });
 
-test('should leave servers alone that leave by their answers alone, or want rest', async () => {
+test('should leave servers alone that leave by their answers alone, or reject with Retry-After', async () => {
   const report = await shortSoak({
     seed: 62,
     size: SIZE,
     callers: 24,
     network: 48,
-    kinds: ['leave-by-answers', 'rest-server', 'configure'],
+    kinds: ['leave-by-answers', 'reject-with-retry-after', 'configure'],
   });
   expect(report.breaches).toEqual([]);
   expect(report.served).toBeGreaterThan(50);
