--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -1,6 +1,7 @@
 /** Faults and planned work that a soak draws from; each is applied from outside the processes. */
 import type { Random } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
+import { SICKNESSES } from '../standins/platformRunnerFaults.js';
 import { ENDING_BODY } from '../standins/platformRunnerStandin.js';
 import type { FaultKind } from './faultKinds.js';
 import { PLANNED_KINDS } from './faultKinds.js';
@@ -192,19 +193,14 @@
     process.signal('SIGCONT');
   }
 
+  /** What the server asks for in its answers meanwhile goes on. */
   private async _sicken(box: SoakBox, milliseconds: number): Promise<void> {
     const { runner } = box;
-    runner.faults = this._pick([
-      { lostShare: 0.2 },
-      { failedShare: 0.4 },
-      { brokenShare: 0.3 },
-      { extraShare: 0.3 },
-      { silent: true },
-      { shedding: true },
-      { lostOrders: true },
-    ]);
+    const sick = this._pick(SICKNESSES);
+    runner.faults = { ...runner.faults, ...sick };
     await pause(milliseconds);
-    runner.faults = {};
+    const well = Object.fromEntries(Object.keys(sick).map((fault) => [fault, undefined]));
+    runner.faults = { ...runner.faults, ...well };
   }
 
   private async _crash(box: SoakBox, milliseconds: number): Promise<void> {
@@ -251,23 +247,22 @@
 
   /** Another server takes over a box once the one there has ended in order. */
   private async _replace(box: SoakBox): Promise<void> {
-    const { runner } = box;
     this._fleet.publish(box, 'draining');
-    this._checks.onLeaving(runner.id);
-    this._leaving.add(box);
-    await pause(LEAVE_MILLISECONDS);
-    this._leaving.delete(box);
-    if (box.runner !== runner) return;
-    this._fleet.crashRunner(box);
-    await this._fleet.startRunner(box);
+    this._checks.onLeaving(box.runner.id);
+    await this._endLeaving(box);
   }
 
   /** The server leaves, and only its answers say so: its record stays as it was until it has ended. */
   private async _leaveByAnswers(box: SoakBox): Promise<void> {
-    const { runner } = box;
     if (this._leaving.has(box)) return;
+    box.runner.faults = { ...box.runner.faults, leaving: true };
+    await this._endLeaving(box);
+  }
+
+  /** Ends a server some time after it has said that it leaves, and starts another one in its place. */
+  private async _endLeaving(box: SoakBox): Promise<void> {
+    const { runner } = box;
     this._leaving.add(box);
-    runner.faults = { ...runner.faults, leaving: true };
     await pause(LEAVE_MILLISECONDS);
     this._leaving.delete(box);
     if (box.runner !== runner) return;
--- a/standins/platformRunnerFaults.ts
+++ b/standins/platformRunnerFaults.ts
@@ -25,3 +25,14 @@
   /** Loses the answers to orders that it carries out. */
   lostOrders?: boolean;
 }
+
+/** Ways in which a runner is ill, one at a time. */
+export const SICKNESSES: readonly PlatformRunnerFaults[] = [
+  { lostShare: 0.2 },
+  { failedShare: 0.4 },
+  { brokenShare: 0.3 },
+  { extraShare: 0.3 },
+  { silent: true },
+  { shedding: true },
+  { lostOrders: true },
+];
