--- a/src/records/kindFollower.ts
+++ b/src/records/kindFollower.ts
@@ -91,6 +91,7 @@
   private _take(answer: KindListing | KindChanges): number {
     const { replica, log, gatherMilliseconds, gatherMinorMilliseconds } = this._options;
     if ('objects' in answer) {
+      this._noteOlder(answer.revision);
       replica.takeListing(answer);
       this._revision = answer.revision;
       return 0;
@@ -105,6 +106,13 @@
     return weight === 'urgent' ? gatherMilliseconds : gatherMinorMilliseconds;
   }
 
+  /** A listing that is older than the copy is passed over. */
+  private _noteOlder(revision: number): void {
+    const { replica, log } = this._options;
+    if (revision >= replica.revision) return;
+    log.state('store.listing-older', { kind: replica.kind, revision, held: replica.revision });
+  }
+
   private _onAnswer(): void {
     if (this._reachable) return;
     this._reachable = true;
