--- a/standins/platformStoreStandin.ts
+++ b/standins/platformStoreStandin.ts
@@ -25,6 +25,13 @@
   gone: boolean;
 }
 
+/** A copy from which the store may come back. */
+export interface StoreCopy {
+  revision: number;
+  objects: readonly HeldObject[];
+}
+
+const ERA_HEADER = 'store-era';
 const writtenSchema = z.object({
   metadata: z.object({ name: z.string().default(''), revision: z.number().default(0) }).prefault({}),
   spec: z.unknown().optional(),
@@ -38,6 +45,10 @@
   onCall: (call: string) => void = () => undefined;
   /** Answers each list and watch instead of what is held. */
   answer: unknown;
+  /** Rises each time the store comes back from an older copy. */
+  era = 1;
+  /** Told in place of the era; '' tells none. */
+  eraHeader: string | undefined;
   /** Calls that were made, as `METHOD path?query`. */
   readonly calls: string[] = [];
   private readonly _objects: HeldObject[] = [];
@@ -59,6 +70,21 @@
     this._change({ kind, name, spec: null, gone: true });
   }
 
+  copy(): StoreCopy {
+    return { revision: this._revision, objects: [...this._objects] };
+  }
+
+  /**
+   * Comes back from an older copy: what was written since is gone, and its revisions are given out again. Open connections are cut.
+   */
+  returnFrom({ revision, objects }: StoreCopy): void {
+    this.era++;
+    this._objects.splice(0, this._objects.length, ...objects);
+    this._revision = revision;
+    this._forgottenUpTo = Math.min(this._forgottenUpTo, revision);
+    this.cutConnections();
+  }
+
   /** Watches that wait now are never answered, as after a cut that lost their answers. */
   deafenWatches(): void {
     this._watchers.clear();
@@ -74,6 +100,7 @@
     const call = `${method} ${url.pathname}${url.search}`;
     this.calls.push(call);
     this.onCall(call);
+    this._tellEra(response);
     if (this.faults.silent) return;
     if (this.faults.status) return sendJsonAnswer(response, this.faults.status, {});
     if (this.faults.garbled) return void response.writeHead(200).end('<html>');
@@ -85,6 +112,12 @@
     else await this._watch(kind, Number(watch), Number(url.searchParams.get('wait_ms')), response);
   }
 
+  private _tellEra(response: http.ServerResponse): void {
+    const told = this.eraHeader ?? String(this.era);
+    if (told === '') response.removeHeader(ERA_HEADER);
+    else response.setHeader(ERA_HEADER, told);
+  }
+
   private _takeWrite(request: StandinRequest): void {
     const { lateWritesMilliseconds } = this.faults;
     if (lateWritesMilliseconds === undefined) return this._write(request, sendJsonAnswer);
@@ -136,10 +169,12 @@
     wait: number,
     response: http.ServerResponse,
   ): Promise<void> {
-    if (after < this._forgottenUpTo) return sendJsonAnswer(response, 410, {});
+    const isUnknown = after < this._forgottenUpTo || after > this._revision;
+    if (isUnknown) return sendJsonAnswer(response, 410, {});
     const changes = (): HeldObject[] =>
       this._objects.filter((object) => object.kind === kind && object.revision > after);
     if (changes().length === 0) await this._untilChange(wait);
+    this._tellEra(response);
     if (this.answer !== undefined) return sendJsonAnswer(response, 200, this.answer);
     const events = changes().map((object) => ({ object: toWire(object), gone: object.gone }));
     sendJsonAnswer(response, 200, { events, at: this._revision });
--- a/standins/standinServer.ts
+++ b/standins/standinServer.ts
@@ -30,6 +30,11 @@
   /** Stops listening and cuts every connection. */
   close(): void {
     this._server.close();
+    this.cutConnections();
+  }
+
+  /** Cuts every connection and goes on listening. */
+  cutConnections(): void {
     this._server.closeAllConnections();
   }
 
--- a/tests/recordSources.spec.ts
+++ b/tests/recordSources.spec.ts
@@ -2,138 +2,16 @@
 import net from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
-import { err, ok } from 'neverthrow';
-import { ControlServer } from '../src/protocol/controlServer.js';
-import type { ControlOptions } from '../src/protocol/controlConnection.js';
-import { PlatformFollowers } from '../src/serving/platformFollowers.js';
-import type { RecordSource } from '../src/records/sourceChoice.js';
 import { READERS } from '../src/records/sourceChoice.js';
-import type { KindChanges, KindListing, WatchableStore } from '../src/records/watchableStore.js';
-import type { RecordReader } from '../src/serving/platformRecords.js';
-import type { ServingConfiguration } from '../src/serving/servingConfiguration.js';
-import { EventLog } from '../src/telemetry/eventLog.js';
-import type { WritableStore, WriteAnswer, WrittenObject } from '../src/records/writableStore.js';
-import { SystemClock } from '../src/utils/clock.js';
-import { SeededRandom } from '../src/utils/random.js';
-import { StepError } from '../src/utils/stepError.js';
-import { UnreadableRecords } from '../src/records/unreadableRecords.js';
 import { PlatformStore } from '../platform/store.js';
 import { PlatformStoreStandin } from '../standins/platformStoreStandin.js';
-import { quietLog } from './fixtures/quietLog.js';
 import { freePort } from './fixtures/freePort.js';
+import { RecordEntry } from './fixtures/recordEntry.js';
 import { until } from './fixtures/until.js';
 
-const READER: RecordReader = {
-  kinds: { configuration: 'config', servers: 'servers', versions: 'versions', suspicions: 'suspicions' },
-  configuration: (_name, value) => ok(value as ServingConfiguration),
-  server: () => err('not used'),
-  version: () => err('not used'),
-};
-
-/** A store that one entry may be cut off from, and whose watches may stay silent there. */
-class CuttableStore implements WatchableStore, WritableStore {
-  cut = false;
-  deaf = false;
-  private readonly _store: WatchableStore & WritableStore;
-
-  constructor(store: WatchableStore & WritableStore) {
-    this._store = store;
-  }
-
-  async probe(timeoutMilliseconds: number, signal: AbortSignal): Promise<void> {
-    this._pass();
-    await this._store.probe(timeoutMilliseconds, signal);
-  }
-
-  async list(kind: string, signal: AbortSignal): Promise<KindListing> {
-    this._pass();
-    return await this._store.list(kind, signal);
-  }
-
-  async listStale(kind: string, signal: AbortSignal): Promise<KindListing> {
-    this._pass();
-    return await this._store.listStale(kind, signal);
-  }
-
-  async watch(kind: string, revision: number, wait: number, signal: AbortSignal): Promise<KindChanges> {
-    this._pass();
-    const answer = await this._store.watch(kind, revision, wait, signal);
-    if (!this.deaf) return answer;
-    return await new Promise((_resolve, reject) => {
-      signal.addEventListener('abort', () => reject(new StepError('test.watch', 'given up')));
-    });
-  }
-
-  async put(object: WrittenObject, value: unknown): Promise<WriteAnswer> {
-    this._pass();
-    return await this._store.put(object, value);
-  }
-
-  async remove(object: WrittenObject): Promise<WriteAnswer> {
-    this._pass();
-    return await this._store.remove(object);
-  }
-
-  private _pass(): void {
-    if (this.cut) throw new StepError('test.store', 'cut off');
-  }
-}
-
-/** One entry, as far as the store's records are concerned. */
-class Entry {
-  readonly followers: PlatformFollowers;
-  readonly store: CuttableStore;
-  readonly server: ControlServer;
-  readonly lines: string[] = [];
-  readonly control: ControlOptions;
-  readonly address: string;
-
-  constructor(
-    own: RecordSource,
-    seeds: string[],
-    ranking: readonly RecordSource[],
-    store: WatchableStore & WritableStore,
-  ) {
-    this.address = own.address;
-    this.store = new CuttableStore(store);
-    const identity = { role: 'entry', box: own.box, dataCentre: 'north' } as const;
-    this.control = { key: 'a key for the tests', identity, peerTimeoutMilliseconds: 2_000 };
-    this.followers = new PlatformFollowers({
-      platform: { store: this.store, reader: READER, unreadable: new UnreadableRecords(quietLog()) },
-      own,
-      seeds,
-      ranking: () => ranking,
-      control: this.control,
-      clock: new SystemClock(),
-      random: new SeededRandom(1),
-      log: new EventLog({ write: (line) => void this.lines.push(line) }, 'decision'),
-    });
-    this.server = new ControlServer(
-      this.control,
-      (connection) => this.followers.relay.attach(connection),
-      () => undefined,
-    );
-  }
-
-  async start(port: number): Promise<void> {
-    await this.server.listen('127.0.0.1', port);
-    this.followers.start();
-  }
-
-  /** The configuration that this entry holds. */
-  get held(): unknown {
-    return this.followers.configuration.objects.get('main')?.value;
-  }
-
-  stop(): void {
-    this.followers.stop();
-    this.server.close();
-  }
-}
-
 let standin: PlatformStoreStandin;
 let store: PlatformStore;
-let entries: Entry[] = [];
+let entries: RecordEntry[] = [];
 
 beforeEach(async () => {
   standin = new PlatformStoreStandin();
@@ -150,7 +28,7 @@
 async function startEntries(count: number): Promise<void> {
   const ports = await Promise.all(Array.from({ length: count }, () => freePort()));
   const ranking = ports.map((port, index) => ({ box: `entry-${index}`, address: `127.0.0.1:${port}` }));
-  entries = ranking.map((own) => new Entry(own, [], ranking, store));
+  entries = ranking.map((own) => new RecordEntry(own, [], ranking, store));
   await Promise.all(entries.map(async (entry, index) => await entry.start(ports[index])));
   await until(() => entries.every((entry) => entry.held === 1 && entry.followers.isCurrent));
   // the others are current as soon as one reads; the second one may begin a tick later
@@ -220,7 +98,7 @@
   const port = await freePort();
   const own = { box: 'late', address: `127.0.0.1:${port}` };
   const seeds = entries.map(({ address }) => address);
-  const late = new Entry(own, seeds, [own], store);
+  const late = new RecordEntry(own, seeds, [own], store);
   entries.push(late);
   await late.start(port);
   await until(() => late.held === 1);
@@ -231,7 +109,7 @@
   const port = await freePort();
   const own = { box: 'restarted', address: `127.0.0.1:${port}` };
   const seeds = [`127.0.0.1:${await silentPort()}`, `127.0.0.1:${await silentPort()}`];
-  const restarted = new Entry(own, seeds, [own], store);
+  const restarted = new RecordEntry(own, seeds, [own], store);
   entries.push(restarted);
   await restarted.start(port);
   await until(() => restarted.held === 1);
@@ -243,7 +121,7 @@
 test('should read for itself when no other entry can be reached', async () => {
   const port = await freePort();
   const own = { box: 'alone', address: `127.0.0.1:${port}` };
-  const alone = new Entry(own, [`127.0.0.1:${await silentPort()}`], [own], store);
+  const alone = new RecordEntry(own, [`127.0.0.1:${await silentPort()}`], [own], store);
   entries.push(alone);
   await alone.start(port);
   await until(() => alone.held === 1 && alone.followers.isCurrent);
