Order what the store says by its era first; hold what it had lost until it is written again

Cause: a revision was taken for the order of all time. After a return revisions are lower, and are given out again: listings and changes were passed over as older than the copy, by readers, relays, stamps and the watch for lag alike; a watch from a revision given out again was answered without what had changed up to it.

The probe tells a return to those that read the store, whose waiting watches might hear nothing.

An older copy is no decision. What was in force stays (`HeldRecords`): a higher number of the operator and a server that leaves until the store has the same word; a server that had gone until its entry would have lapsed; one whose entry is lost until it would have renewed it. Entries tell each other what they hold, both ways on the connections that they have, so that one that starts just then believes no older configuration. A stale listing at a start only stands until there is a copy, since it may be of the era before.

--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -12,7 +12,12 @@
   switchStateSchema,
   versionsHeardSchema,
 } from './boxMessages.js';
-import { recordChangesSchema, recordStampSchema, recordSubscribeSchema } from './recordMessages.js';
+import {
+  recordChangesSchema,
+  recordStampSchema,
+  recordSubscribeSchema,
+  recordsHeldSchema,
+} from './recordMessages.js';
 import {
   digestMessageSchema,
   entryStateSchema,
@@ -66,6 +71,7 @@
   recordSubscribeSchema,
   recordChangesSchema,
   recordStampSchema,
+  recordsHeldSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- a/src/protocol/recordMessages.ts
+++ b/src/protocol/recordMessages.ts
@@ -7,6 +7,13 @@
 /** Revisions of the store by kind of record. */
 const revisionsSchema = z.record(z.string(), countSchema);
 
+/**
+ * Values are JSON texts, absent where there is none: the runtime writes and reads these ten times as fast as nested items of a
+ * message. A configuration of 1,850 routes took 51 ms to encode and 32 to decode in a process that had just started, and
+ * takes 4 and 10; all entries do that at each change, and hear of nothing else meanwhile.
+ */
+const objectSchema = z.object({ name: z.string(), revision: countSchema, json: z.string().optional() });
+
 /** Asks an entry for its copies: for how current they are, and for their changes too if `wantsChanges`. */
 export const recordSubscribeSchema = z.object({
   type: z.literal('record-subscribe'),
@@ -22,18 +29,33 @@
   kind: z.string(),
   revision: countSchema,
   whole: z.boolean(),
-  /**
-   * Values are JSON texts, absent where there is none: the runtime writes and reads these ten times as fast as nested items of a
-   * message. A configuration of 1,850 routes took 51 ms to encode and 32 to decode in a process that had just started, and
-   * takes 4 and 10; all entries do that at each change, and hear of nothing else meanwhile.
-   */
-  objects: z
-    .array(z.object({ name: z.string(), revision: countSchema, json: z.string().optional() }))
-    .max(MAXIMUM_LIST),
+  objects: z.array(objectSchema).max(MAXIMUM_LIST),
   gone: z.array(z.string()).max(MAXIMUM_LIST),
 });
 export type RecordChanges = z.infer<typeof recordChangesSchema>;
 
+/**
+ * What counts on at the sender since the store came back from an older copy, which lacks it; sent to either side of a connection, so
+ * that whoever has just started knows what the others do.
+ */
+export const recordsHeldSchema = z.object({
+  type: z.literal('records-held'),
+  kind: z.string(),
+  /** Of the sender's copy. */
+  revision: countSchema,
+  records: z
+    .array(
+      z.object({
+        object: objectSchema,
+        /** Whether it had been deleted. */
+        gone: z.boolean(),
+        heldMilliseconds: z.number().nonnegative(),
+      }),
+    )
+    .max(MAXIMUM_LIST),
+});
+export type RecordsHeld = z.infer<typeof recordsHeldSchema>;
+
 /** How current the sender's copies are; sent now and then and with each change. */
 export const recordStampSchema = z.object({
   type: z.literal('record-stamp'),
--- a/src/records/countedStore.ts
+++ b/src/records/countedStore.ts
@@ -15,9 +15,9 @@
     this._count = count;
   }
 
-  async probe(timeoutMilliseconds: number, signal: AbortSignal): Promise<void> {
+  async probe(timeoutMilliseconds: number, signal: AbortSignal): Promise<number> {
     this._count('probe', '');
-    await this._store.probe(timeoutMilliseconds, signal);
+    return await this._store.probe(timeoutMilliseconds, signal);
   }
 
   async list(kind: string, signal: AbortSignal): Promise<KindListing> {
--- a/src/records/kindFollower.ts
+++ b/src/records/kindFollower.ts
@@ -56,9 +56,10 @@
     this._reachable = false;
   }
 
-  /** Lists anew at once: the call under way may never be answered. */
+  /** Lists anew at once: the call under way may never be answered. Until then the copy counts as not confirmed. */
   refresh(): void {
     this._revision = undefined;
+    this._reachable = false;
     this._asking.abort();
   }
 
--- a/src/records/recordRelay.ts
+++ b/src/records/recordRelay.ts
@@ -1,4 +1,4 @@
-/** Passes this process's copies on to the entries that ask for them. */
+/** Passes this process's copies on to the entries that ask for them, and hears what counts on at these (`HeldRecords`). */
 import { ControlConnection } from '../protocol/controlConnection.js';
 import type { Message } from '../protocol/message.js';
 import type { RecordChanges, RecordSubscribe } from '../protocol/recordMessages.js';
@@ -17,7 +17,10 @@
 
   constructor(state: RecordState) {
     this._state = state;
-    for (const replica of state.replicas) replica.on('change', (change) => this._onChange(replica, change));
+    for (const replica of state.replicas) {
+      replica.on('change', (change) => this._onChange(replica, change));
+      replica.on('held', () => this._tellHeld());
+    }
   }
 
   /** Entries that listen. */
@@ -29,6 +32,7 @@
   attach(connection: ControlConnection): void {
     connection.on('message', (message) => {
       if (message.type === 'record-subscribe') this._subscribe(connection, message);
+      if (message.type === 'records-held') this._state.takeHeld(message);
     });
     connection.once('close', () => this._forget(connection));
     connection.start();
@@ -54,9 +58,16 @@
         if (replica.revision > (revisions[replica.kind] ?? 0)) connection.send(wholeOf(replica));
       }
     }
+    for (const message of this._state.toldHeld()) connection.send(message);
     connection.send(this._state.stamp(wantsChanges));
   }
 
+  private _tellHeld(): void {
+    const listeners = [...this._listeners.keys()];
+    if (listeners.length === 0) return;
+    for (const message of this._state.toldHeld()) ControlConnection.broadcast(listeners, message);
+  }
+
   private _forget(connection: ControlConnection): void {
     this._listeners.delete(connection);
     if (this._listeners.size > 0) return;
@@ -65,6 +76,8 @@
   }
 
   private _onChange(replica: RecordReplica, change: ReplicaChange): void {
+    // others end what counts on by themselves, and are told of more apart
+    if (change.cause === 'held') return;
     this._broadcast(true, change.whole ? wholeOf(replica) : changesOf(replica, change));
     this._broadcast(true, this._state.stamp(true));
   }
@@ -79,8 +92,8 @@
   }
 }
 
-function wholeOf({ kind, revision, objects }: RecordReplica): RecordChanges {
-  const told = [...objects.values()].map(toldObject);
+function wholeOf({ kind, revision, stored }: RecordReplica): RecordChanges {
+  const told = stored.map(toldObject);
   return { type: 'record-changes', kind, revision, whole: true, objects: told, gone: [] };
 }
 
--- a/src/records/recordSources.ts
+++ b/src/records/recordSources.ts
@@ -12,6 +12,7 @@
 import type { RecordSource, SourceChoice } from './sourceChoice.js';
 import { chooseSources } from './sourceChoice.js';
 import { SourceLink } from './sourceLink.js';
+import { startOfEra } from './storeRevision.js';
 import type { StoreReader } from './storeReader.js';
 import { storedObject } from './toldObject.js';
 import type { WatchableStore } from './watchableStore.js';
@@ -58,6 +59,7 @@
   constructor(options: RecordSourcesOptions) {
     this._options = options;
     this._failed = new FailedSources(options.clock, options.log);
+    for (const replica of options.state.replicas) replica.on('held', () => this._tellHeld());
   }
 
   start(): void {
@@ -84,7 +86,8 @@
     await Promise.all(
       state.replicas.map(async (replica) => {
         try {
-          replica.takeListing(await store.listStale(replica.kind, this._stopped.signal));
+          const { objects } = await store.listStale(replica.kind, this._stopped.signal);
+          replica.takeProvisional(objects);
         } catch (error) {
           if (this._stopped.signal.aborted) return;
           log.state('records.no-stale-copy', { kind: replica.kind, reason: errorText(error) });
@@ -102,6 +105,11 @@
     this._readIf(choice);
     this._choosePrimary(choice.sources);
     this._lookBehind();
+    this._options.state.releaseHeld();
+  }
+
+  private _tellHeld(): void {
+    for (const link of this._links.values()) link.tellHeld();
   }
 
   private _fail(address: string, reason: string): void {
@@ -151,6 +159,8 @@
       revisions: () => state.revisions,
       onStamp: (stamp) => this._onStamp(address, stamp),
       onChanges: (changes) => this._onChanges(changes),
+      held: () => state.toldHeld(),
+      onHeld: (held) => state.takeHeld(held),
       onLost: (reason) => this._onLost(address, reason),
     });
     this._links.set(address, link);
@@ -205,7 +215,7 @@
   private _lookBehind(): void {
     const { state, clock, reader } = this._options;
     for (const { kind, revision } of state.replicas) {
-      const newest = [...this._links.values()].map((link) => link.stamp?.newestChanges[kind] ?? 0);
+      const newest = [...this._links.values()].map((link) => newestOf(kind, link.stamp));
       if (!this._lag.isTooLong(kind, revision, Math.max(0, ...newest), clock.now())) continue;
       if (reader.confirmedAt > Number.NEGATIVE_INFINITY) reader.refresh();
       else if (this._primary !== '') this._fail(this._primary, `behind in ${kind}`);
@@ -226,3 +236,8 @@
     ]);
   }
 }
+
+/** The newest that a source knows of a kind: a change, or that the store has come back from an older copy. */
+function newestOf(kind: string, stamp: RecordStamp | undefined): number {
+  return Math.max(stamp?.newestChanges[kind] ?? 0, startOfEra(stamp?.revisions[kind] ?? 0));
+}
--- a/src/records/recordState.ts
+++ b/src/records/recordState.ts
@@ -1,7 +1,8 @@
 /** This process's copies of the store's records, and until when they are known to have been the newest. */
-import type { RecordStamp } from '../protocol/recordMessages.js';
+import type { RecordStamp, RecordsHeld } from '../protocol/recordMessages.js';
 import type { Clock } from '../utils/clock.js';
 import type { RecordReplica } from './recordReplica.js';
+import { storedObject, toldObject } from './toldObject.js';
 
 /** How current copies are; monotonic milliseconds, -infinity for never. */
 export interface Freshness {
@@ -26,8 +27,13 @@
 
   /** Milliseconds for which the copies have not been confirmed to be the newest; infinite when they never were. */
   get unconfirmedFor(): number {
+    return this._clock.now() - this.confirmedAt;
+  }
+
+  /** Monotonic milliseconds at which the copies were last confirmed; -infinity when they never were. */
+  get confirmedAt(): number {
     this.confirm(this._ownReading());
-    return this._clock.now() - this._confirmedAt;
+    return this._confirmedAt;
   }
 
   /** Milliseconds since the store was regained after an outage; infinite when it never was lost. */
@@ -40,6 +46,12 @@
     return Object.fromEntries(this.replicas.map(({ kind, revision }) => [kind, revision]));
   }
 
+  /** Ends what has counted on for long enough since the store came back from an older copy. */
+  releaseHeld(): void {
+    const { confirmedAt } = this;
+    for (const replica of this.replicas) replica.releaseHeld(this._regainedAt, confirmedAt);
+  }
+
   replica(kind: string): RecordReplica | undefined {
     return this.replicas.find((candidate) => candidate.kind === kind);
   }
@@ -63,6 +75,33 @@
     this._lostAt = this._clock.now();
   }
 
+  /** What counts on here since the store came back from an older copy, by kind. */
+  toldHeld(): RecordsHeld[] {
+    const now = this._clock.now();
+    const telling = this.replicas.filter(({ held }) => held.length > 0);
+    return telling.map(({ kind, revision, held }) => ({
+      type: 'records-held',
+      kind,
+      revision,
+      records: held.map(({ object, gone, since }) => ({
+        object: toldObject(object),
+        gone,
+        heldMilliseconds: Math.max(0, now - since),
+      })),
+    }));
+  }
+
+  /** Takes what counts on at another entry. */
+  takeHeld({ kind, revision, records }: RecordsHeld): void {
+    const now = this._clock.now();
+    const held = records.map(({ object, gone, heldMilliseconds }) => ({
+      object: storedObject(object),
+      gone,
+      since: now - heldMilliseconds,
+    }));
+    this.replica(kind)?.takeHeld(revision, held);
+  }
+
   /** `withChanges` says that the receiver has been sent all changes. */
   stamp(withChanges: boolean): RecordStamp {
     return {
--- a/src/records/sourceLink.ts
+++ b/src/records/sourceLink.ts
@@ -2,7 +2,7 @@
 import type { ControlOptions } from '../protocol/controlConnection.js';
 import { ControlConnection } from '../protocol/controlConnection.js';
 import type { Message } from '../protocol/message.js';
-import type { RecordChanges, RecordStamp } from '../protocol/recordMessages.js';
+import type { RecordChanges, RecordStamp, RecordsHeld } from '../protocol/recordMessages.js';
 import type { Clock } from '../utils/clock.js';
 import { splitAddress } from '../utils/hostPort.js';
 import { errorText } from '../utils/stepError.js';
@@ -16,6 +16,9 @@
   revisions: () => Record<string, number>;
   onStamp: (stamp: RecordStamp) => void;
   onChanges: (changes: RecordChanges) => void;
+  /** What counts on here, told when the link is up. */
+  held: () => readonly RecordsHeld[];
+  onHeld: (held: RecordsHeld) => void;
   onLost: (reason: string) => void;
 }
 
@@ -47,6 +50,11 @@
     if (this._connection) this._subscribe(this._connection);
   }
 
+  /** Tells what counts on here. */
+  tellHeld(): void {
+    for (const message of this._options.held()) this._connection?.send(message);
+  }
+
   close(): void {
     this._closed = true;
     this._connection?.close('no longer a source');
@@ -62,6 +70,7 @@
       connection.once('close', (reason) => this._onClose(reason));
       connection.start();
       this._subscribe(connection);
+      this.tellHeld();
     } catch (error) {
       this._onClose(errorText(error));
     }
@@ -74,6 +83,7 @@
 
   private _onMessage(message: Message): void {
     if (message.type === 'record-changes' && this._wantsChanges) this._options.onChanges(message);
+    if (message.type === 'records-held') this._options.onHeld(message);
     if (message.type !== 'record-stamp') return;
     this.stamp = message;
     this.stampedAt = this._options.clock.now();
--- a/src/records/storeProbe.ts
+++ b/src/records/storeProbe.ts
@@ -17,6 +17,8 @@
   answered: [];
   /** The store is silent: watches that were opened before may hang, also once it answers again. */
   lost: [];
+  /** The store has come back from an older copy: all that was read of it is of a former era. */
+  returned: [];
 }
 
 /** With the time-out, the longest time until those who rely on this process know that it has lost the store. */
@@ -30,6 +32,8 @@
   private _isLost = false;
   private _answeredAt = Number.NEGATIVE_INFINITY;
   private _regainedAt = Number.NEGATIVE_INFINITY;
+  /** Of the last answer; undefined before the first one. */
+  private _era: number | undefined;
 
   constructor(options: StoreProbeOptions) {
     super();
@@ -46,7 +50,7 @@
     return this._isLost;
   }
 
-  /** Monotonic milliseconds at which the store was regained; -infinity when it never was lost. */
+  /** Monotonic milliseconds at which the store was regained, or came back from an older copy; -infinity when it never did. */
   get regainedAt(): number {
     return this._regainedAt;
   }
@@ -66,8 +70,8 @@
     while (!stopped.aborted) {
       const askedAt = this._options.clock.now();
       try {
-        await this._options.store.probe(TIMEOUT_MILLISECONDS, stopped);
-        if (!stopped.aborted) this._onAnswer(askedAt);
+        const era = await this._options.store.probe(TIMEOUT_MILLISECONDS, stopped);
+        if (!stopped.aborted) this._onAnswer(askedAt, era);
       } catch (error) {
         if (!stopped.aborted) this._onSilence(errorText(error));
       }
@@ -75,8 +79,9 @@
     }
   }
 
-  private _onAnswer(askedAt: number): void {
+  private _onAnswer(askedAt: number, era: number): void {
     this._answeredAt = askedAt;
+    this._noteEra(era);
     if (this._isLost) {
       this._isLost = false;
       this._regainedAt = this._options.clock.now();
@@ -85,6 +90,15 @@
     this.emit('answered');
   }
 
+  private _noteEra(era: number): void {
+    const former = this._era;
+    this._era = era;
+    if (former === undefined || former === era) return;
+    this._regainedAt = this._options.clock.now();
+    this._options.log.state('store.returned', { era, former });
+    this.emit('returned');
+  }
+
   private _onSilence(reason: string): void {
     if (this._isLost) return;
     this._isLost = true;
--- a/src/records/storeReader.ts
+++ b/src/records/storeReader.ts
@@ -25,6 +25,7 @@
     this._probe = new StoreProbe({ store, clock, log });
     this._probe.on('answered', () => this._onAnswer());
     this._probe.on('lost', () => this._stopFollowers());
+    this._probe.on('returned', () => this.refresh());
   }
 
   get isReading(): boolean {
@@ -62,7 +63,7 @@
     this._stopFollowers();
   }
 
-  /** Lists all kinds anew: another entry has newer copies. */
+  /** Lists all kinds anew: another entry has newer copies, or the store has come back from an older one. */
   refresh(): void {
     for (const follower of this._options.followers) follower.refresh();
   }
--- a/src/records/watchableStore.ts
+++ b/src/records/watchableStore.ts
@@ -1,4 +1,7 @@
-/** A store of objects by kind and name, which can be listed and watched. */
+/**
+ * A store of objects by kind and name, which can be listed and watched. Its revisions are ordered over its returns from an older copy
+ * (`storeRevision.ts`).
+ */
 
 /** One object as of a revision of the store. */
 export interface StoredObject {
@@ -25,10 +28,10 @@
 
 /** Reads throw a StepError when there is no usable answer. */
 export interface WatchableStore {
-  /** Resolves when the store answers at all, by the cheapest read there is. */
-  probe(timeoutMilliseconds: number, signal: AbortSignal): Promise<void>;
+  /** Asks for the era of the store, which tells whether it answers at all, by the cheapest read there is. */
+  probe(timeoutMilliseconds: number, signal: AbortSignal): Promise<number>;
   list(kind: string, signal: AbortSignal): Promise<KindListing>;
-  /** The same at a fraction of the price, but perhaps as of some seconds ago. */
+  /** The same at a fraction of the price, but perhaps as of some seconds ago, or of the era before: its revisions order nothing. */
   listStale(kind: string, signal: AbortSignal): Promise<KindListing>;
   /** Waits up to `waitMilliseconds` for a change after `revision`. */
   watch(kind: string, revision: number, waitMilliseconds: number, signal: AbortSignal): Promise<KindChanges>;
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -256,7 +256,7 @@
   }
 
   private _createFollowers(random: Random): PlatformFollowers {
-    const { box, controlAddress, seeds } = this._settings;
+    const { box, controlAddress, seeds, serverHeartbeatMilliseconds } = this._settings;
     const store = new CountedStore(this._parts.platform.store, (call, kind) =>
       this._metrics.count(`store_calls_total{call="${call}",kind="${kind}"}`),
     );
@@ -266,6 +266,7 @@
       seeds,
       ranking: () => this._entries.recordSources(),
       control: this._controlOptions(),
+      heartbeatMilliseconds: serverHeartbeatMilliseconds,
       clock: this._clock,
       random,
       log: this._log,
--- a/standins/platformStoreStandin.ts
+++ b/standins/platformStoreStandin.ts
@@ -46,7 +46,7 @@
   /** Answers each list and watch instead of what is held. */
   answer: unknown;
   /** Rises each time the store comes back from an older copy. */
-  era = 1;
+  era = 0;
   /** Told in place of the era; '' tells none. */
   eraHeader: string | undefined;
   /** Calls that were made, as `METHOD path?query`. */
@@ -77,12 +77,12 @@
   /**
    * Comes back from an older copy: what was written since is gone, and its revisions are given out again. Open connections are cut.
    */
-  returnFrom({ revision, objects }: StoreCopy): void {
+  returnFrom({ revision, objects }: StoreCopy, { keepsConnections = false } = {}): void {
     this.era++;
     this._objects.splice(0, this._objects.length, ...objects);
     this._revision = revision;
     this._forgottenUpTo = Math.min(this._forgottenUpTo, revision);
-    this.cutConnections();
+    if (!keepsConnections) this.cutConnections();
   }
 
   /** Watches that wait now are never answered, as after a cut that lost their answers. */
--- a/standins/standinServer.ts
+++ b/standins/standinServer.ts
@@ -24,6 +24,11 @@
   /** Starts listening and returns the base URL. */
   async listen(port = 0): Promise<string> {
     await new Promise<void>((resolve) => this._server.listen(port, '127.0.0.1', resolve));
+    return this.url;
+  }
+
+  /** The base URL, once it listens. */
+  get url(): string {
     return `http://127.0.0.1:${(this._server.address() as AddressInfo).port}`;
   }
 
--- a/tests/olderStore.spec.ts
+++ b/tests/olderStore.spec.ts
@@ -1,7 +1,11 @@
 /** The store comes back from an older copy: what was written since is gone, and its revisions are given out again. */
 import { afterEach, beforeEach, test } from 'node:test';
+import { expect } from 'earl';
+import { PlatformRecordReader } from '../platform/records.js';
 import { PlatformStore } from '../platform/store.js';
+import type { RecordSource } from '../src/records/sourceChoice.js';
 import { PlatformStoreStandin } from '../standins/platformStoreStandin.js';
+import type { StoreCopy } from '../standins/platformStoreStandin.js';
 import { freePort } from './fixtures/freePort.js';
 import { RecordEntry } from './fixtures/recordEntry.js';
 import { until } from './fixtures/until.js';
@@ -9,19 +13,24 @@
 const ENTRIES = 4;
 /** More than are written after the store has come back. */
 const LOST_WRITES = 20;
+const READER = new PlatformRecordReader();
 
 let standin: PlatformStoreStandin;
+let ranking: RecordSource[];
 let entries: RecordEntry[] = [];
 
 beforeEach(async () => {
   standin = new PlatformStoreStandin();
-  const store = new PlatformStore(new URL(await standin.listen()).host, () => undefined);
-  standin.put('config', 'main', 0);
+  const address = new URL(await standin.listen()).host;
+  configure(1);
+  name(1);
+  publish('a');
   const ports = await Promise.all(Array.from({ length: ENTRIES }, () => freePort()));
-  const ranking = ports.map((port, index) => ({ box: `entry-${index}`, address: `127.0.0.1:${port}` }));
-  entries = ranking.map((own) => new RecordEntry(own, [], ranking, store));
+  ranking = ports.map((port, index) => ({ box: `entry-${index}`, address: `127.0.0.1:${port}` }));
+  entries = [];
+  for (const own of ranking) entries.push(entryAt(own, address));
   await Promise.all(entries.map(async (entry, index) => await entry.start(ports[index])));
-  await until(() => entries.every((entry) => entry.held === 0 && entry.followers.isCurrent));
+  await all((entry) => entry.followers.isCurrent && versionAt(entry) === 1);
 });
 
 afterEach(() => {
@@ -29,11 +38,185 @@
   standin.close();
 });
 
-test('should take what is written after the store came back from an older copy', async () => {
+function entryAt(own: RecordSource, storeAddress: string): RecordEntry {
+  return new RecordEntry(own, [], ranking, new PlatformStore(storeAddress, () => undefined), READER);
+}
+
+function configure(version: number): void {
+  standin.put('config', 'main', { version, routes: [], services: [] });
+}
+
+function name(version: number): void {
+  standin.put('versions', 'm', { model: 'm', version });
+}
+
+function publish(id: string, changes: Record<string, unknown> = {}): void {
+  const place = { service: 's', address: `127.0.0.1:${1_000 + id.charCodeAt(0)}`, zone: 'north', slots: 4 };
+  const state = { state: 'ready', version: 'v1', cold_left_ms: 0, seq_no: 0 };
+  standin.put('servers', id, { ...place, ...state, ...changes });
+}
+
+/** Writes that the store will have lost; returns what it had before. */
+function copyThenWrite(): StoreCopy {
   const copy = standin.copy();
-  for (let value = 1; value <= LOST_WRITES; value++) standin.put('config', 'main', value);
-  await until(() => entries.every((entry) => entry.held === LOST_WRITES));
+  for (let count = 0; count < LOST_WRITES; count++) standin.put('other', 'object', count);
+  return copy;
+}
+
+async function all(condition: (entry: RecordEntry) => boolean): Promise<void> {
+  await until(() => entries.every(condition));
+}
+
+function versionAt(entry: RecordEntry): number | undefined {
+  return (entry.held as { version: number } | undefined)?.version;
+}
+
+function namedAt(entry: RecordEntry): number | undefined {
+  return (entry.followers.versions.objects.get('m')?.value as { version: number } | undefined)?.version;
+}
+
+/** What an entry believes of the servers, as `id state`. */
+function serversAt(entry: RecordEntry): string[] {
+  const records = [...entry.followers.servers.objects.values()];
+  return records.map((object) => `${object.name} ${(object.value as { state: string }).state}`).sort();
+}
+
+/** Whether an entry has read the store, or copies of it, since it came back. */
+function hasReturned(entry: RecordEntry): boolean {
+  return entry.followers.era === standin.era && entry.followers.isCurrent;
+}
+
+async function restart(index: number): Promise<void> {
+  entries[index].stop();
+  const own = { ...ranking[index], address: `127.0.0.1:${await freePort()}` };
+  ranking[index] = own;
+  entries[index] = entryAt(own, new URL(standin.url).host);
+  await entries[index].start(Number(new URL(`http://${own.address}`).port));
+}
+
+test('should take what is written after the store came back from an older copy', async () => {
+  const copy = copyThenWrite();
+  configure(2);
+  await all((entry) => versionAt(entry) === 2);
+  standin.returnFrom(copy);
+  configure(3);
+  publish('b');
+  await all((entry) => versionAt(entry) === 3 && serversAt(entry).includes('b ready'));
+});
+
+test('should take what is written after a watch has waited through the return', async () => {
+  const copy = copyThenWrite();
+  await all((entry) => entry.followers.isCurrent);
+  standin.returnFrom(copy, { keepsConnections: true });
+  configure(2);
+  await all((entry) => versionAt(entry) === 2);
+});
+
+test('should take what is written after two returns in a row', async () => {
+  const copy = copyThenWrite();
+  configure(2);
+  await all((entry) => versionAt(entry) === 2);
+  standin.returnFrom(copy);
+  await all(hasReturned);
+  const second = copyThenWrite();
+  standin.returnFrom(second);
+  configure(3);
+  await all((entry) => versionAt(entry) === 3);
+});
+
+test('should take what is written after a return that those who read the store were cut off from', async () => {
+  const copy = copyThenWrite();
+  for (const entry of entries.slice(0, 2)) entry.store.cut = true;
+  standin.returnFrom(copy);
+  await until(() => entries.slice(2).every(hasReturned));
+  configure(2);
+  await all((entry) => versionAt(entry) === 2);
+  for (const entry of entries) entry.store.cut = false;
+  configure(3);
+  await all((entry) => versionAt(entry) === 3);
+});
+
+test('should hold the configuration that the store has lost, at an entry that starts too', async () => {
+  const copy = copyThenWrite();
+  configure(2);
+  await all((entry) => versionAt(entry) === 2);
+  standin.returnFrom(copy);
+  await all(hasReturned);
+  expect(entries.map(versionAt)).toEqual(entries.map(() => 2));
+  await restart(3);
+  await all((entry) => versionAt(entry) === 2);
+  await restart(0);
+  await all((entry) => versionAt(entry) === 2);
+});
+
+test('should hold a version of weights that the store has lost, and take the next one', async () => {
+  const copy = copyThenWrite();
+  name(2);
+  await all((entry) => namedAt(entry) === 2);
+  standin.returnFrom(copy);
+  await all(hasReturned);
+  expect(entries.map(namedAt)).toEqual(entries.map(() => 2));
+  name(2);
+  name(3);
+  await all((entry) => namedAt(entry) === 3);
+});
+
+test('should not take a server for ready again that leaves, until its next life', async () => {
+  publish('b');
+  const copy = copyThenWrite();
+  publish('b', { state: 'draining' });
+  await all((entry) => serversAt(entry).includes('b draining'));
+  standin.returnFrom(copy);
+  await all(hasReturned);
+  expect(entries.map(serversAt)).toEqual(entries.map(() => ['a ready', 'b draining']));
+  publish('b', { seq_no: 1 });
+  await restart(0);
+  await all((entry) => hasReturned(entry) && serversAt(entry).includes('b draining'));
+  publish('b', { state: 'draining', seq_no: 2 });
+  await until(() => entries.every((entry) => entry.followers.heldRecords === 0));
+  publish('b', { born: 1 });
+  await all((entry) => serversAt(entry).includes('b ready'));
+});
+
+test('should not bring back a server that has gone, until its entry would have lapsed', async () => {
+  publish('b');
+  publish('c');
+  const copy = copyThenWrite();
+  standin.remove('servers', 'b');
+  standin.remove('servers', 'c');
+  await all((entry) => serversAt(entry).join() === 'a ready');
+  standin.returnFrom(copy);
+  await all(hasReturned);
+  expect(entries.map(serversAt)).toEqual(entries.map(() => ['a ready']));
+  standin.remove('servers', 'b');
+  // one that stands there for longer than a server that has ended renews its entry
+  await all((entry) => serversAt(entry).join() === 'a ready,c ready');
+});
+
+test('should keep a server whose entry the store has lost until it would have written it again', async () => {
+  const copy = copyThenWrite();
+  publish('b');
+  publish('c');
+  await all((entry) => serversAt(entry).length === 3);
+  standin.returnFrom(copy);
+  await all(hasReturned);
+  expect(entries.map(serversAt)).toEqual(entries.map(() => ['a ready', 'b ready', 'c ready']));
+  publish('b');
+  await all((entry) => serversAt(entry).join() === 'a ready,b ready');
+});
+
+test('should tell of a return, and of what counts on since', async () => {
+  const copy = copyThenWrite();
+  configure(2);
+  await all((entry) => versionAt(entry) === 2);
   standin.returnFrom(copy);
-  standin.put('config', 'main', 'written after the return');
-  await until(() => entries.every((entry) => entry.held === 'written after the return'));
+  await all(hasReturned);
+  const [reader] = entries;
+  const line = (step: string): string => reader.lines.find((one) => one.includes(`"${step}"`)) ?? '';
+  await until(() => line('store.returned') !== '');
+  expect(line('store.returned')).toInclude('"era":1,"former":0');
+  expect(line('record.held')).toInclude('"kind":"config","name":"main","reason":"replaced"');
+  configure(3);
+  await until(() => line('record.released') !== '');
+  expect(line('record.released')).toInclude('"reason":"written again"');
 });
--- a/tests/servingMetrics.spec.ts
+++ b/tests/servingMetrics.spec.ts
@@ -22,7 +22,7 @@
 
 test('should count calls to the store, answered or not', async () => {
   const store: WatchableStore & WritableStore = {
-    probe: async () => undefined,
+    probe: async () => 0,
     list: async () => ({ revision: 1, objects: [] }),
     listStale: async () => ({ revision: 1, objects: [] }),
     watch: async () => await Promise.reject(new Error('lost')),
