Write again the suspicions that the store has lost; no write without a pause against an older object

Callers of a request that had been shut out for ending its servers would have had it run again after the store came back from an older copy, and servers ended by it: suspicions are our own, and nobody else writes them. A request that had been cleared since the copy was suspected again.

Each entry goes on with what it knew, and without what had been cleared: as changes proposed on what the store has by now, so that what has come since counts too. An entry that reads the store writes them within 0.4 s, the others only where nobody has by then.

What the tests of suspicions share moves into a fixture, unchanged.

--- a/src/crashes/suspicion.ts
+++ b/src/crashes/suspicion.ts
@@ -72,6 +72,23 @@
   return ends.every(({ server }) => explained.has(server));
 }
 
+/** What was known before the store came back from an older copy, with what it has since. */
+export function withKnown(stored: Suspicion | undefined, known: Suspicion): Suspicion {
+  if (!stored || isPartOf(stored, known)) return known;
+  return known.ends.reduce<Suspicion>(withEnd, stored);
+}
+
+/** What the store has since it came back from an older copy, where `cleared` had been removed: nothing, unless more has come. */
+export function withoutCleared(stored: Suspicion | undefined, cleared: Suspicion): Suspicion | undefined {
+  return stored && isPartOf(stored, cleared) ? undefined : stored;
+}
+
+/** Whether all ends of a suspicion are known by another one. */
+function isPartOf({ ends }: Suspicion, { ends: known }: Suspicion): boolean {
+  const servers = new Set(known.map(({ server }) => server));
+  return ends.every(({ server }) => servers.has(server));
+}
+
 const suspicionSchema = z.object({
   ends: z.array(z.object({ server: z.string(), trial: z.string() })).max(MOST_ENDS),
   trial: z
--- a/src/crashes/suspicionCopies.ts
+++ b/src/crashes/suspicionCopies.ts
@@ -1,5 +1,6 @@
 /** This entry's copies of the suspicions in the store: by its own writes, which it knows at once, and by its replica. */
 import { EventEmitter } from 'node:events';
+import { LRUCache } from 'lru-cache';
 import type { RecordReplica } from '../records/recordReplica.js';
 import type { UnreadableRecords } from '../records/unreadableRecords.js';
 import type { StoredObject } from '../records/watchableStore.js';
@@ -19,20 +20,36 @@
 interface SuspicionCopiesEvents {
   /** The suspicion of a request has changed: its fingerprint, and how many ends it had before. */
   change: [string, number];
+  /** The store is about to be seen as it came back from an older copy: what was known until now. */
+  return: [KnownSuspicions];
 }
 
+/** What was known before the store came back, by fingerprint. */
+export interface KnownSuspicions {
+  suspected: ReadonlyMap<string, Suspicion>;
+  /** Those that had been removed, as they were last. */
+  cleared: ReadonlyMap<string, Suspicion>;
+}
+
+/** Suspicions whose removal is remembered. */
+const MOST_CLEARED = 1_000;
+
 export class SuspicionCopies extends EventEmitter<SuspicionCopiesEvents> {
   private readonly _replica: RecordReplica;
   private readonly _unreadable: UnreadableRecords;
   private readonly _clock: Clock;
   private readonly _stored = new Map<string, StoredSuspicion>();
+  private readonly _cleared = new LRUCache<string, Suspicion>({ max: MOST_CLEARED });
 
   constructor(replica: RecordReplica, unreadable: UnreadableRecords, clock: Clock) {
     super();
     this._replica = replica;
     this._unreadable = unreadable;
     this._clock = clock;
-    replica.on('change', () => this._takeReplica());
+    replica.on('change', ({ cause }) => {
+      if (cause === 'return') this.emit('return', this._known());
+      this._takeReplica();
+    });
   }
 
   get size(): number {
@@ -48,19 +65,36 @@
     return this._stored.get(fingerprint) ?? { suspicion: undefined, revision: 0, seenAt: this._clock.now() };
   }
 
-  /** Takes what the store holds as of `revision`, by the answer to a write. */
-  note(fingerprint: string, revision: number, suspicion: Suspicion | undefined): void {
+  /** Takes what the store holds as of `revision`, by the answer to a write; returns whether it is news. */
+  note(fingerprint: string, revision: number, suspicion: Suspicion | undefined): boolean {
     const known = this._stored.get(fingerprint);
-    if (known && known.revision >= revision) return;
+    if (known && known.revision >= revision) return false;
+    this._noteCleared(fingerprint, suspicion);
     this._stored.set(fingerprint, { suspicion, revision, seenAt: this._clock.now() });
     this.emit('change', fingerprint, known?.suspicion?.ends.length ?? 0);
+    return true;
   }
 
   /** The same where a write found another object, or none. */
-  noteObject(fingerprint: string, object: StoredObject | undefined): void {
+  noteObject(fingerprint: string, object: StoredObject | undefined): boolean {
     if (object) return this.note(fingerprint, object.revision, this._read(object));
-    this._stored.delete(fingerprint);
+    this._noteCleared(fingerprint, undefined);
+    const isNews = this._stored.delete(fingerprint);
     this.emit('change', fingerprint, 0);
+    return isNews;
+  }
+
+  private _noteCleared(fingerprint: string, suspicion: Suspicion | undefined): void {
+    const former = this._stored.get(fingerprint)?.suspicion;
+    if (suspicion) this._cleared.delete(fingerprint);
+    else if (former) this._cleared.set(fingerprint, former);
+  }
+
+  private _known(): KnownSuspicions {
+    const suspected = [...this._stored].flatMap(([fingerprint, { suspicion }]) =>
+      suspicion ? [[fingerprint, suspicion] as const] : [],
+    );
+    return { suspected: new Map(suspected), cleared: new Map(this._cleared.entries()) };
   }
 
   private _takeReplica(): void {
--- a/src/crashes/suspicionWriter.ts
+++ b/src/crashes/suspicionWriter.ts
@@ -5,7 +5,7 @@
 import { Backoff } from '../utils/backoff.js';
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
-import { errorText } from '../utils/stepError.js';
+import { StepError, errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
 import type { Suspicion } from './suspicion.js';
 import type { SuspicionCopies } from './suspicionCopies.js';
@@ -47,6 +47,7 @@
 
   constructor(options: SuspicionWriterOptions) {
     this._options = options;
+    options.copies.on('change', (fingerprint) => this._dropIfDone(fingerprint));
   }
 
   /** Suspicions that wait to be written. */
@@ -72,6 +73,11 @@
     if (isUndone) this._pending.delete(fingerprint);
   }
 
+  /** Writes what has been proposed, if the store lacks it still. */
+  async writeProposed(fingerprint: string): Promise<void> {
+    if (this._pending.has(fingerprint)) await this.change(fingerprint, (suspicion) => suspicion);
+  }
+
   /** Resolves when the change, and all that was proposed before, has been written, or given up. */
   async change(fingerprint: string, apply: SuspicionChange): Promise<void> {
     await new Promise<void>((done) => {
@@ -93,6 +99,14 @@
     this._pending.set(fingerprint, pending);
   }
 
+  /** What another entry has written meanwhile needs no write here. */
+  private _dropIfDone(fingerprint: string): void {
+    const pending = this._pending.get(fingerprint);
+    if (!pending || this._writing.has(fingerprint)) return;
+    const { suspicion } = this._options.copies.of(fingerprint);
+    if (isDeepStrictEqual(applied(suspicion, pending), suspicion)) this._pending.delete(fingerprint);
+  }
+
   private async _writeAll(fingerprint: string): Promise<void> {
     const { clock, random, log } = this._options;
     const backoff = new Backoff(RETRY, random);
@@ -118,9 +132,13 @@
     const next = applied(suspicion, changes);
     if (isDeepStrictEqual(next, suspicion)) return changes.length;
     const answer = await this._send(fingerprint, suspicion ? revision : 0, next);
-    if (answer.kind === 'done') copies.note(fingerprint, answer.revision, next);
-    else copies.noteObject(fingerprint, answer.object);
-    return answer.kind === 'done' ? changes.length : 0;
+    if (answer.kind === 'done') {
+      copies.note(fingerprint, answer.revision, next);
+      return changes.length;
+    }
+    if (!copies.noteObject(fingerprint, answer.object))
+      throw new StepError('suspicion.write', 'a conflict with an object that is older than the copy');
+    return 0;
   }
 
   private async _send(name: string, revision: number, next: Suspicion | undefined): Promise<WriteAnswer> {
--- a/src/crashes/suspicions.ts
+++ b/src/crashes/suspicions.ts
@@ -13,15 +13,23 @@
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
-import { atMost } from '../utils/timers.js';
+import { atMost, pause } from '../utils/timers.js';
 import { GoodEnds } from './goodEnds.js';
 import type { CheckedServer } from './serverEnds.js';
 import { ServerEnds } from './serverEnds.js';
 import type { Standing } from './standing.js';
 import { standingOf } from './standing.js';
 import type { ServerEnd, Suspicion } from './suspicion.js';
-import { isExplained, isShutOut, withEnd, withTrial, withoutTrial } from './suspicion.js';
-import type { StoredSuspicion } from './suspicionCopies.js';
+import {
+  isExplained,
+  isShutOut,
+  withEnd,
+  withKnown,
+  withTrial,
+  withoutCleared,
+  withoutTrial,
+} from './suspicion.js';
+import type { KnownSuspicions, StoredSuspicion } from './suspicionCopies.js';
 import { SuspicionCopies } from './suspicionCopies.js';
 import type { SuspicionChange } from './suspicionWriter.js';
 import { SuspicionWriter } from './suspicionWriter.js';
@@ -63,6 +71,12 @@
 /** Beyond so many the servers end for another cause, as with their racks, and the store is spared. */
 const MOST_SUSPICIONS = 1_000;
 const MOST_PENDING = 200;
+/**
+ * After the store has come back from an older copy, an entry that reads it writes again what it lacks within this time, and others after
+ * it within as long again: whoever comes later finds it written.
+ */
+const RESTORE_MILLISECONDS = 400;
+const RESTORE_BY_OTHERS_MILLISECONDS = 1_600;
 /** How often a request that waits looks whether the entry of the trial still lives. */
 const LOOK_MILLISECONDS = 250;
 
@@ -77,6 +91,7 @@
   /** Requests of this process that have asked for a trial. */
   private readonly _claims = new Set<string>();
   private readonly _timer: NodeJS.Timeout;
+  private readonly _stopped = new AbortController();
 
   constructor(options: SuspicionsOptions) {
     const { replica, unreadable, clock } = options;
@@ -84,6 +99,7 @@
     this._ends = new ServerEnds(options.log);
     this._copies = new SuspicionCopies(replica, unreadable, clock);
     this._copies.on('change', (fingerprint, endsBefore) => this._onChange(fingerprint, endsBefore));
+    this._copies.on('return', (known) => void this._restore(known));
     this._writer = new SuspicionWriter({ ...options, kind: replica.kind, copies: this._copies });
     this._timer = setInterval(() => this._tidy(), TIDY_INTERVAL_MILLISECONDS).unref();
   }
@@ -186,6 +202,7 @@
 
   close(): void {
     clearInterval(this._timer);
+    this._stopped.abort();
     this._writer.stop();
   }
 
@@ -223,7 +240,7 @@
   }
 
   private _onChange(fingerprint: string, endsBefore: number): void {
-    const { suspicion } = this._copies.of(fingerprint);
+    const suspicion = this._writer.of(fingerprint);
     if (!suspicion) this._lastEnds.delete(fingerprint);
     else if (suspicion.ends.length > endsBefore) this._onEnds(fingerprint, suspicion);
     this._wake(fingerprint);
@@ -245,6 +262,27 @@
     for (const wake of [...(this._waiting.get(fingerprint) ?? [])]) wake();
   }
 
+  /** The store has come back from an older copy: what it has lost counts on here at once, and is written again. */
+  private async _restore({ suspected, cleared }: KnownSuspicions): Promise<void> {
+    for (const [fingerprint, known] of suspected)
+      this._writer.propose(fingerprint, (suspicion) => withKnown(suspicion, known));
+    // the copies are taken next: only then is there again what had been removed
+    await Promise.resolve();
+    for (const [fingerprint, former] of cleared)
+      if (this._copies.of(fingerprint).suspicion)
+        this._writer.propose(fingerprint, (suspicion) => withoutCleared(suspicion, former));
+    const { random, isReading, log } = this._options;
+    log.state('suspicions.restoring', { suspected: suspected.size, cleared: cleared.size });
+    const [least, most] = isReading()
+      ? [0, RESTORE_MILLISECONDS]
+      : [RESTORE_MILLISECONDS, RESTORE_BY_OTHERS_MILLISECONDS];
+    await pause(least + random.fraction() * (most - least), this._stopped.signal);
+    for (const fingerprint of [...suspected.keys(), ...cleared.keys()]) {
+      if (this._stopped.signal.aborted) return;
+      await this._writer.writeProposed(fingerprint);
+    }
+  }
+
   /** Removes what nobody has come again with; the others find it in their copies. */
   private _tidy(): void {
     if (!this._options.isReading()) return;
--- a/tests/suspicions.spec.ts
+++ b/tests/suspicions.spec.ts
@@ -3,80 +3,48 @@
 import { expect } from 'earl';
 import type { Suspicion } from '../src/crashes/suspicion.js';
 import { RequestTurn } from '../src/crashes/requestTurn.js';
-import { Suspicions } from '../src/crashes/suspicions.js';
-import { RecordReplica } from '../src/records/recordReplica.js';
-import { UnreadableRecords } from '../src/records/unreadableRecords.js';
-import { ManualClock } from '../src/utils/clock.js';
-import { SeededRandom } from '../src/utils/random.js';
-import { quietLog } from './fixtures/quietLog.js';
-import { ScriptedStore } from './fixtures/scriptedStore.js';
+import type { Suspicions } from '../src/crashes/suspicions.js';
+import type { ManualClock } from '../src/utils/clock.js';
+import type { ScriptedStore } from './fixtures/scriptedStore.js';
+import { KIND, REST, SuspicionsFixture } from './fixtures/suspicionsFixture.js';
 import { until } from './fixtures/until.js';
 
-const KIND = 'suspicions';
 const DEADLINE = 6_000;
-/** Longer than a request rests after two ends. */
-const REST = 1_001;
 
+let fixture: SuspicionsFixture;
 let store: ScriptedStore;
 let clock: ManualClock;
-let made: Suspicions[];
-let replicas: RecordReplica[];
 let live: Set<string>;
 
 beforeEach(() => {
-  store = new ScriptedStore();
-  clock = new ManualClock();
-  made = [];
-  replicas = [];
-  live = new Set(['a', 'b']);
+  fixture = new SuspicionsFixture();
+  ({ store, clock, live } = fixture);
 });
 
-afterEach(() => {
-  for (const suspicions of made) suspicions.close();
-});
+afterEach(() => fixture.close());
 
 function entry(box: string): Suspicions {
-  const replica = new RecordReplica(KIND);
-  replicas.push(replica);
-  const suspicions = new Suspicions({
-    box,
-    replica,
-    store,
-    unreadable: new UnreadableRecords(quietLog()),
-    isReading: () => true,
-    isLive: (other) => live.has(other),
-    clock,
-    random: new SeededRandom(1),
-    log: quietLog(),
-  });
-  made.push(suspicions);
-  return suspicions;
+  return fixture.entry(box);
 }
 
-/** Lets all entries hear what the store holds, and the time go by for which a request rests. */
 async function tell(): Promise<void> {
-  const listing = await store.list(KIND);
-  for (const replica of replicas) replica.takeListing(listing);
-  clock.advance(REST);
+  await fixture.tell();
 }
 
 function held(): Suspicion | undefined {
-  return store.value(KIND, 'f') as Suspicion | undefined;
+  return fixture.held;
 }
 
 function turn(suspicions: Suspicions, id: string): RequestTurn {
-  const request = { fingerprint: () => 'f', exchange: { requestId: id }, endsAt: clock.now() + DEADLINE };
-  return new RequestTurn(suspicions, request, clock);
+  return fixture.turn(suspicions, id);
 }
 
-const END = { server: 's-1', trial: '' };
-
-/** Lets a request be at the ends of two servers, of which the store is told. */
 function suspect(suspicions: Suspicions, ...servers: [string, string]): void {
-  for (const server of servers) void suspicions.noteEnd('f', { server, trial: '' });
-  clock.advance(REST);
+  fixture.suspect(suspicions, ...servers);
 }
 
+const END = { server: 's-1', trial: '' };
+
 test('should run a suspected request once at a time over all entries', async () => {
   const [a, b] = [entry('a'), entry('b')];
   suspect(a, 's-1', 's-2');
