Soak: the store comes back from an older copy, beside everything else

What all had heard before holds on through the return (the checks of leaving servers, configurations and requests that end servers are not excused by it), and so does what is said 3 s after it.

--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -36,9 +36,10 @@
 }
 
 /**
- * What a harm strikes. Entries stay in touch with all else while servers end under a request; processes that end hold no request up.
+ * What a harm strikes. Entries stay in touch with all else while servers end under a request; processes that end hold no request up;
+ * the `copy` from which the store comes back lacks what was told lately, and nothing else.
  */
-export type Harmed = 'all' | 'servers' | 'processes';
+export type Harmed = 'all' | 'servers' | 'processes' | 'copy';
 
 /** A planned stop of an entry. */
 interface Stop extends Harm {
@@ -231,14 +232,14 @@
     const age = sentAt - configuredAt;
     const isLate = age > this._bounds.configurationMilliseconds + SLACK_MILLISECONDS;
     if (this._inForce.has(key)) this._breach('configuration', `${id}: ${entry} went back`);
-    else if (isLate && !this._isHarmed(configuredAt, endedAt))
+    else if (isLate && !this._isExcused(configuredAt, endedAt, this._bounds.configurationMilliseconds))
       this._breach('configuration', `${id}: not in force at ${entry} after ${age} ms`);
   }
 
   private _checkLeaving({ runner, at, id }: Execution): void {
     const since = this._leaving.get(runner);
     if (since === undefined || at - since < this._bounds.drainMilliseconds + SLACK_MILLISECONDS) return;
-    if (this._isHarmed(since, at)) return;
+    if (this._isExcused(since, at, this._bounds.drainMilliseconds)) return;
     this._breach('draining', `${id} began at ${runner}, ${at - since} ms after it was leaving`);
   }
 
@@ -247,7 +248,7 @@
     request.runs++;
     const known = request.crashes[TELLING_CRASHES - 1];
     if (known === undefined || at - known < CONTACT_MILLISECONDS + SLACK_MILLISECONDS) return;
-    const all = this._harms.filter(({ harmed }) => harmed !== 'servers');
+    const all = this._harms.filter(({ harmed }) => harmed !== 'servers' && harmed !== 'copy');
     if (this._isHarmed(known, at, all)) return;
     request.lateRuns++;
     if (request.lateRuns > MOST_LATE_RUNS)
@@ -273,6 +274,20 @@
     return isReset && !ran && stopped;
   }
 
+  /**
+   * Whether a word of `since` need not be kept at `at`. What all had heard within `bound` before the store went holds on while it is
+   * away and once it has come back from a copy that lacks it.
+   */
+  private _isExcused(since: number, at: number, bound: number): boolean {
+    const others = this._harms.filter(({ harmed }) => harmed !== 'copy');
+    const copies = this._harms.filter(({ harmed }) => harmed === 'copy');
+    const isLost = copies.some(
+      ({ from, until }) =>
+        since + bound + SLACK_MILLISECONDS >= from && since <= until + CONTACT_MILLISECONDS,
+    );
+    return isLost || this._isHarmed(since, at, others);
+  }
+
   private _isHarmed(from: number, until: number, harms: readonly Harm[] = this._harms): boolean {
     return harms.some((harm) => harm.from <= until && harm.until + CONTACT_MILLISECONDS >= from);
   }
--- a/soak/soakConfiguration.ts
+++ b/soak/soakConfiguration.ts
@@ -9,6 +9,17 @@
 export const HOST = 'games.example';
 export const MODEL = 'm0';
 
+/** What other writers leave in the store. */
+export const FOREIGN_VALUES: readonly unknown[] = [
+  null,
+  'text',
+  7,
+  {},
+  { service: PLAIN_SERVICE, state: 'ready' },
+  { service: PLAIN_SERVICE, address: 'nowhere', zone: 'north', slots: 8, state: 'ready', version: 'v1' },
+  { model: 'other', version: 1e300 },
+];
+
 /** A configuration of which `newestPrefix` is the route that no earlier one has. */
 export function soakConfiguration(version: number, newestPrefix: string, originAddress: string): unknown {
   return {
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -10,9 +10,10 @@
 import type { Harmed, PromiseChecks } from './promiseChecks.js';
 import type { SignalChecks } from './signalChecks.js';
 import { SignalFaults } from './signalFaults.js';
+import { lapseEntries, returnStore } from './storeReturn.js';
 import { sendCrashing } from './soakCaller.js';
 import type { SoakBox, SoakFleet } from './soakFleet.js';
-import { MODEL_SERVICE, PLAIN_SERVICE } from './soakConfiguration.js';
+import { FOREIGN_VALUES, MODEL_SERVICE, PLAIN_SERVICE } from './soakConfiguration.js';
 
 const PROXY_MODES: readonly ProxyMode[] = ['delay', 'reset', 'deaf', 'mute', 'silent'];
 const LONGEST_MILLISECONDS = 3_500;
@@ -38,17 +39,6 @@
 const ENDING_KINDS: readonly FaultKind[] = ['kill-entry', 'kill-agent', 'kill-many'];
 const CRASHING_SENDS = 80;
 const CRASHING_GAP_MILLISECONDS = 120;
-/** What other writers leave in the store. */
-const FOREIGN_VALUES: readonly unknown[] = [
-  null,
-  'text',
-  7,
-  {},
-  { service: PLAIN_SERVICE, state: 'ready' },
-  { service: PLAIN_SERVICE, address: 'nowhere', zone: 'north', slots: 8, state: 'ready', version: 'v1' },
-  { model: 'other', version: 1e300 },
-];
-
 /** Applies one fault after the other; several may overlap. */
 export class SoakFaults {
   private readonly _fleet: SoakFleet;
@@ -86,6 +76,7 @@
     } finally {
       lift();
     }
+    if (kind === 'return-store') await this._changeAfterReturn();
   }
 
   private async _perform(kind: FaultKind, milliseconds: number): Promise<void> {
@@ -116,6 +107,8 @@
         return await this._freeze(this._pick(agents), milliseconds);
       case 'lose-power':
         return await this._losePower();
+      case 'return-store':
+        return await returnStore(this._fleet, this._random);
       default:
         return await this._harm(kind, milliseconds);
     }
@@ -164,6 +157,13 @@
     store.faults = {};
   }
 
+  /** What is said once all are in touch again is kept like anything else. */
+  private async _changeAfterReturn(): Promise<void> {
+    await lapseEntries(this._fleet);
+    this._fleet.configure();
+    await this._replace(this._pick(this._boxesOf(MODEL_SERVICE)));
+  }
+
   private async _stopEntry(entry: FleetProcess): Promise<void> {
     const onEnded = this._checks.onStopping(this._fleet.callerAddress(entry));
     await this._end([entry], 'SIGTERM');
@@ -308,5 +308,6 @@
 
 function harmedBy(kind: FaultKind): Harmed {
   if (kind === 'crashing-request') return 'servers';
+  if (kind === 'return-store') return 'copy';
   return ENDING_KINDS.includes(kind) ? 'processes' : 'all';
 }
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -35,6 +35,8 @@
   proxy: LoopbackProxy;
   /** How often a server has been started here. */
   lives: number;
+  /** What the server last said of itself in the store. */
+  state: 'ready' | 'draining';
 }
 
 export const ZONES = ['north', 'south', 'west'];
@@ -128,11 +130,14 @@
   configure(): number {
     this._configurationVersion += 1 + this._options.random.integer(3);
     this._configuredAt = Date.now();
-    const spec = soakConfiguration(this._configurationVersion, this.newestRoute.prefix, this._originAddress);
-    this.store.put('config', 'main', spec);
+    this.store.put('config', 'main', this._configuration());
     return this._configurationVersion;
   }
 
+  private _configuration(): unknown {
+    return soakConfiguration(this._configurationVersion, this.newestRoute.prefix, this._originAddress);
+  }
+
   /** Names a newer version of the model's weights. */
   nameWeights(): number {
     this._weightsVersion++;
@@ -181,7 +186,8 @@
   }
 
   /** Writes what a server says of itself into the store. */
-  publish(box: SoakBox, state: 'ready' | 'draining' = 'ready'): void {
+  publish(box: SoakBox, state: SoakBox['state'] = 'ready'): void {
+    box.state = state;
     const record = box.runner.record(`${box.host}:${PORTS.proxied}`, box.zone, state);
     this.store.put('servers', box.runner.id, record);
   }
@@ -191,6 +197,20 @@
     this._originProxy?.abandon();
   }
 
+  /** Operator and servers write again what the store may have lost, as they said it last. */
+  writeAgain(): void {
+    this.store.put('config', 'main', this._configuration());
+    this.store.put('versions', MODEL, { model: MODEL, version: this._weightsVersion });
+    for (const box of this.boxes) if (box.runner.isListening) this.publish(box, box.state);
+  }
+
+  /** The entries of servers that have ended go, since nobody renews them. */
+  lapseEntries(): void {
+    const running = new Set(this.boxes.map(({ runner }) => runner.id));
+    for (const { name } of this.store.all('servers'))
+      if (!running.has(name)) this.store.remove('servers', name);
+  }
+
   /** Addresses of the directory of each entry. */
   directories(): string[] {
     return this.entries.map((_entry, index) => `${this._entryHost(index)}:${PORTS.directory}`);
@@ -233,7 +253,7 @@
     const zone = ZONES[index % ZONES.length];
     const runner = this._createRunner(service, 1);
     const proxy = new LoopbackProxy(`${host}:${PORTS.runner}`);
-    const box: SoakBox = { host, zone, service, runner, proxy, lives: 1 };
+    const box: SoakBox = { host, zone, service, runner, proxy, lives: 1, state: 'ready' };
     await runner.listen(host, PORTS.runner);
     await proxy.listen(host, PORTS.proxied);
     this.boxes.push(box);
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -64,6 +64,10 @@
     });
   }
 
+  get isListening(): boolean {
+    return this._server.listening;
+  }
+
   /** Ends at once, as in a crash. */
   close(): void {
     this._server.close();
--- a/standins/platformStoreStandin.ts
+++ b/standins/platformStoreStandin.ts
@@ -143,6 +143,11 @@
     answer(response, 200, toWire(written));
   }
 
+  /** All objects of a kind as they are held now. */
+  all(kind: string): readonly HeldObject[] {
+    return this._objects.filter((object) => object.kind === kind && !object.gone);
+  }
+
   /** An object as it is held now. */
   held(kind: string, name: string): HeldObject | undefined {
     return this._objects.find((object) => object.kind === kind && object.name === name && !object.gone);
@@ -157,8 +162,8 @@
   }
 
   private _list(kind: string, after: string, response: http.ServerResponse): void {
-    const all = this._objects.filter((object) => object.kind === kind && !object.gone);
-    const later = all.sort((a, b) => (a.name < b.name ? -1 : 1)).filter((object) => object.name > after);
+    const sorted = [...this.all(kind)].sort((a, b) => (a.name < b.name ? -1 : 1));
+    const later = sorted.filter((object) => object.name > after);
     const entries = later.slice(0, PAGE).map(toWire);
     sendJsonAnswer(response, 200, { entries, more: later.length > PAGE, at: this._revision });
   }
