A test counts the calls of two readers once both read, in place of a bound that their start passes by chance

Two readers that list and watch four kinds make 16; 12 held only while the second one had just begun.

--- a/tests/recordSources.spec.ts
+++ b/tests/recordSources.spec.ts
@@ -1,6 +1,7 @@
 /** Entries that share what a few of them read of the store, while these and the store fail. */
 import net from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
+import { isDeepStrictEqual } from 'node:util';
 import { expect } from 'earl';
 import { READERS } from '../src/records/sourceChoice.js';
 import { PlatformStore } from '../platform/store.js';
@@ -9,6 +10,9 @@
 import { RecordEntry } from './fixtures/recordEntry.js';
 import { until } from './fixtures/until.js';
 
+/** Each reader watches four kinds. */
+const WATCHES = READERS * 4;
+
 let standin: PlatformStoreStandin;
 let store: PlatformStore;
 let entries: RecordEntry[] = [];
@@ -41,10 +45,16 @@
 
 test('should read the store at two entries and pass it on to all', async () => {
   await startEntries(6);
-  expect(entries.map((entry) => entry.followers.isReading)).toEqual([true, true, false, false, false, false]);
-  expect(strongCalls().length).toBeLessThanOrEqual(12);
+  const readers = (): boolean[] => entries.map((entry) => entry.followers.isReading);
+  await until(() => isDeepStrictEqual(readers(), [true, true, false, false, false, false]));
+  // each kind is listed first
+  await until(() => strongCalls().length >= 2 * WATCHES);
+  const before = strongCalls().length;
   standin.put('config', 'main', 2);
   await until(() => entries.every((entry) => entry.held === 2));
+  await until(() => strongCalls().length - before >= WATCHES);
+  expect(strongCalls().length - before).toEqual(WATCHES);
+  expect(readers()).toEqual([true, true, false, false, false, false]);
 });
 
 test('should pass on what is new when a reader is cut off from the store', async () => {
