Hold servers that had gone for longer; take what a conflict tells twice for what the store has

A server that had gone is held against an older copy for ten heartbeats in place of four: a store that has just come back may take its time to end the entries that nobody renews. Servers that were only not renewed while the store was away (right after an outage) are not remembered as gone, so that they are back as soon as their entries are.

A conflict whose object is older than the copy is tried once more after a pause; if it is told again, it is what the store has, also where no era says that it came back.

--- a/src/crashes/suspicionCopies.ts
+++ b/src/crashes/suspicionCopies.ts
@@ -84,6 +84,12 @@
     return isNews;
   }
 
+  /** Takes an object for what the store holds, also where it is older than the copy. */
+  replace(fingerprint: string, object: StoredObject): void {
+    this._stored.delete(fingerprint);
+    this.noteObject(fingerprint, object);
+  }
+
   private _noteCleared(fingerprint: string, suspicion: Suspicion | undefined): void {
     const former = this._stored.get(fingerprint)?.suspicion;
     if (suspicion) this._cleared.delete(fingerprint);
--- a/src/crashes/suspicionWriter.ts
+++ b/src/crashes/suspicionWriter.ts
@@ -7,7 +7,9 @@
 import type { Random } from '../utils/random.js';
 import { StepError, errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
+import type { StoredObject } from '../records/watchableStore.js';
 import type { Suspicion } from './suspicion.js';
+import { withKnown } from './suspicion.js';
 import type { SuspicionCopies } from './suspicionCopies.js';
 
 /** What becomes of a suspicion; undefined stands for none. Made anew on what another entry has written meanwhile. */
@@ -41,6 +43,8 @@
   private readonly _pending = new Map<string, PendingChange[]>();
   /** Those of the pending that are being written. */
   private readonly _writing = new Set<string>();
+  /** Revisions of objects older than the copy that conflicts told of, by fingerprint. */
+  private readonly _older = new Map<string, number>();
   private readonly _stopped = new AbortController();
   private readonly _waiting: (() => void)[] = [];
   private _writes = 0;
@@ -99,6 +103,12 @@
     this._pending.set(fingerprint, pending);
   }
 
+  /** Adds a change to those under way, before them. */
+  private _addFirst(fingerprint: string, apply: SuspicionChange): void {
+    const since = this._options.clock.now();
+    this._pending.get(fingerprint)?.unshift({ apply, since, done: () => undefined });
+  }
+
   /** What another entry has written meanwhile needs no write here. */
   private _dropIfDone(fingerprint: string): void {
     const pending = this._pending.get(fingerprint);
@@ -123,6 +133,7 @@
     }
     this._pending.delete(fingerprint);
     this._writing.delete(fingerprint);
+    this._older.delete(fingerprint);
   }
 
   /** Writes what the changes come to; returns how many of them are done, none when another entry has written. */
@@ -136,11 +147,27 @@
       copies.note(fingerprint, answer.revision, next);
       return changes.length;
     }
-    if (!copies.noteObject(fingerprint, answer.object))
-      throw new StepError('suspicion.write', 'a conflict with an object that is older than the copy');
+    if (!copies.noteObject(fingerprint, answer.object)) this._onOlder(fingerprint, answer.object);
     return 0;
   }
 
+  /**
+   * A conflict tells of an object that is older than the copy: the copy may have become newer meanwhile. One that is told again is what
+   * the store has, though it has not told that it came back from an older copy.
+   */
+  private _onOlder(fingerprint: string, object: StoredObject | undefined): void {
+    const { copies } = this._options;
+    const known = copies.of(fingerprint).suspicion;
+    const isToldAgain = object !== undefined && this._older.get(fingerprint) === object.revision;
+    if (!isToldAgain) {
+      if (object) this._older.set(fingerprint, object.revision);
+      throw new StepError('suspicion.write', 'a conflict with an object that is older than the copy');
+    }
+    this._older.delete(fingerprint);
+    copies.replace(fingerprint, object);
+    if (known) this._addFirst(fingerprint, (suspicion) => withKnown(suspicion, known));
+  }
+
   private async _send(name: string, revision: number, next: Suspicion | undefined): Promise<WriteAnswer> {
     const { store, kind } = this._options;
     while (this._writes >= MOST_WRITES) await new Promise<void>((resume) => this._waiting.push(resume));
--- a/src/records/heldRecords.ts
+++ b/src/records/heldRecords.ts
@@ -33,6 +33,8 @@
 export interface HeldRecordsOptions {
   kind: string;
   policy: ReturnPolicy;
+  /** Whether objects may be missing that were only not renewed while the store was away. */
+  mayHaveLapsed: () => boolean;
   clock: Clock;
   log: EventLog;
 }
@@ -66,9 +68,9 @@
     return this._holdings.has(name);
   }
 
-  /** The store has deleted an object. */
+  /** The store has an object no longer. */
   noteDeleted(last: StoredObject): void {
-    this._deleted.set(last.name, last);
+    if (!this._options.mayHaveLapsed()) this._deleted.set(last.name, last);
   }
 
   /** An object stands in the store. */
--- a/src/serving/platformFollowers.ts
+++ b/src/serving/platformFollowers.ts
@@ -63,7 +63,11 @@
     this.decoded = new DecodedServers(reader, unreadable);
     const weighServer: WeighChange = (before, after) => this.decoded.weigh(before, after);
     const replicaOf = (kind: string, policy: ReturnPolicy, weigh?: WeighChange): RecordReplica =>
-      new RecordReplica(kind, weigh, new HeldRecords({ kind, policy, clock, log }));
+      new RecordReplica(
+        kind,
+        weigh,
+        new HeldRecords({ kind, policy, mayHaveLapsed: () => this.isEchoing, clock, log }),
+      );
     this.configuration = replicaOf(
       reader.kinds.configuration,
       new NumberedReturn(({ name, value }) => reader.configuration(name, value).unwrapOr(undefined)?.version),
--- a/src/serving/serverReturn.ts
+++ b/src/serving/serverReturn.ts
@@ -9,8 +9,8 @@
 
 /** Heartbeats until a server that runs has written again: one may just have been missed. */
 const RENEWAL_HEARTBEATS = 2;
-/** Heartbeats until the entry of a server that has ended is gone. */
-const LAPSE_HEARTBEATS = 4;
+/** Heartbeats until the entry of a server that has ended is certainly gone: a store that has just come back may take its time. */
+const LAPSE_HEARTBEATS = 10;
 
 export class ServerReturn implements ReturnPolicy {
   private readonly _read: (object: StoredObject) => BackendServerRecord | undefined;
