Tell another entry what counts on only where it holds less; eras and revisions apart in log lines

Each entry told all that it held to all sources and listeners at a return. In a fleet of a hundred entries one that reads the store would have taken a hundred copies of a large configuration at that moment. Stamps now tell how much counts on, and whichever side holds less is told, once for each difference (`heldExchange`). Log lines carry the store's own era and revision.

--- a/src/protocol/recordMessages.ts
+++ b/src/protocol/recordMessages.ts
@@ -35,8 +35,8 @@
 export type RecordChanges = z.infer<typeof recordChangesSchema>;
 
 /**
- * What counts on at the sender since the store came back from an older copy, which lacks it; sent to either side of a connection, so
- * that whoever has just started knows what the others do.
+ * What counts on at the sender since the store came back from an older copy, which lacks it; sent by either side of a connection where
+ * the other holds less, so that one that has just started knows what the others do.
  */
 export const recordsHeldSchema = z.object({
   type: z.literal('records-held'),
@@ -70,5 +70,7 @@
   revisions: revisionsSchema,
   /** The newest change of each kind that the sender knows. A copy that was confirmed later may lack nothing of it. */
   newestChanges: revisionsSchema,
+  /** How many records of each kind count on at the sender since the store came back from an older copy. */
+  held: z.record(z.string(), countSchema).default({}),
 });
 export type RecordStamp = z.infer<typeof recordStampSchema>;
--- a/src/records/heldRecords.ts
+++ b/src/records/heldRecords.ts
@@ -7,7 +7,7 @@
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import type { ReturnPolicy } from './returnPolicy.js';
-import { storeRevisionOf } from './storeRevision.js';
+import { revisionFields } from './storeRevision.js';
 import type { StoredObject } from './watchableStore.js';
 
 /** A word that counts on. */
@@ -94,7 +94,7 @@
     for (const object of this._deleted.values())
       this._weigh({ object, gone: true, since }, stored.get(object.name));
     const { kind, log } = this._options;
-    log.state('records.returned', { kind, ...storeRevisionOf(revision), held: this._holdings.size });
+    log.state('records.returned', { kind, ...revisionFields(revision), held: this._holdings.size });
   }
 
   /** Takes what another entry holds, beside what the store has here; returns whether it counts for more than what was held. */
@@ -140,7 +140,13 @@
     this._holdings.set(name, { ...record, stored, milliseconds });
     const reason = record.gone ? 'deleted' : stored ? 'replaced' : 'missing';
     const until = Number.isFinite(milliseconds) ? milliseconds : undefined;
-    log.state('record.held', { kind, name, reason, milliseconds: until, revision: record.object.revision });
+    log.state('record.held', {
+      kind,
+      name,
+      reason,
+      milliseconds: until,
+      ...revisionFields(record.object.revision),
+    });
     return true;
   }
 
--- a/src/records/kindFollower.ts
+++ b/src/records/kindFollower.ts
@@ -5,6 +5,7 @@
 import { errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
 import type { RecordReplica } from './recordReplica.js';
+import { revisionFields } from './storeRevision.js';
 import type { KindChanges, KindListing, WatchableStore } from './watchableStore.js';
 
 /** What a follower works with. */
@@ -111,14 +112,20 @@
   private _noteOlder(revision: number): void {
     const { replica, log } = this._options;
     if (revision >= replica.revision) return;
-    log.state('store.listing-older', { kind: replica.kind, revision, held: replica.revision });
+    const held = revisionFields(replica.revision);
+    log.state('store.listing-older', {
+      kind: replica.kind,
+      ...revisionFields(revision),
+      heldEra: held.era,
+      heldRevision: held.revision,
+    });
   }
 
   private _onAnswer(): void {
     if (this._reachable) return;
     this._reachable = true;
     const { replica, log } = this._options;
-    log.state('store.reachable', { kind: replica.kind, revision: replica.revision });
+    log.state('store.reachable', { kind: replica.kind, ...revisionFields(replica.revision) });
   }
 
   private _onSilence(reason: string): void {
--- a/src/records/recordRelay.ts
+++ b/src/records/recordRelay.ts
@@ -17,10 +17,7 @@
 
   constructor(state: RecordState) {
     this._state = state;
-    for (const replica of state.replicas) {
-      replica.on('change', (change) => this._onChange(replica, change));
-      replica.on('held', () => this._tellHeld());
-    }
+    for (const replica of state.replicas) replica.on('change', (change) => this._onChange(replica, change));
   }
 
   /** Entries that listen. */
@@ -58,16 +55,12 @@
         if (replica.revision > (revisions[replica.kind] ?? 0)) connection.send(wholeOf(replica));
       }
     }
-    for (const message of this._state.toldHeld()) connection.send(message);
+    for (const replica of this._state.replicas) {
+      if (replica.held.length > 0) connection.send(this._state.toldHeld(replica));
+    }
     connection.send(this._state.stamp(wantsChanges));
   }
 
-  private _tellHeld(): void {
-    const listeners = [...this._listeners.keys()];
-    if (listeners.length === 0) return;
-    for (const message of this._state.toldHeld()) ControlConnection.broadcast(listeners, message);
-  }
-
   private _forget(connection: ControlConnection): void {
     this._listeners.delete(connection);
     if (this._listeners.size > 0) return;
--- a/src/records/recordReplica.ts
+++ b/src/records/recordReplica.ts
@@ -37,8 +37,6 @@
 
 interface RecordReplicaEvents {
   change: [ReplicaChange];
-  /** More counts on than before. */
-  held: [];
 }
 
 /** Emits `change` when something has changed that is used. */
@@ -101,7 +99,6 @@
     this._revision = revision;
     const cause = isReturn ? 'return' : 'store';
     if (weight !== 'none' || isFirst || isReturn) this.emit('change', { cause, whole: true, changes: [] });
-    if (isReturn && this.held.length > 0) this.emit('held');
     if (isFirst || isReturn) this._takeEarly();
   }
 
@@ -123,9 +120,7 @@
     if (isEarly) this._early = [...this._early, { revision, records }].slice(-MOST_EARLY);
     if (isEarly || !this._isOfThisEra(revision)) return;
     const taken = records.filter((record) => this._held?.adopt(record, this._storedOf(record.object.name)));
-    if (taken.length === 0) return;
-    this._believe(taken.map(({ object, gone }) => ({ object, gone })));
-    this.emit('held');
+    if (taken.length > 0) this._believe(taken.map(({ object, gone }) => ({ object, gone })));
   }
 
   /** Ends what has counted on for long enough (`HeldRecords.releaseLapsed`). */
--- a/src/records/recordSources.ts
+++ b/src/records/recordSources.ts
@@ -12,7 +12,7 @@
 import type { RecordSource, SourceChoice } from './sourceChoice.js';
 import { chooseSources } from './sourceChoice.js';
 import { SourceLink } from './sourceLink.js';
-import { startOfEra } from './storeRevision.js';
+import { eraOf, startOfEra } from './storeRevision.js';
 import type { StoreReader } from './storeReader.js';
 import { storedObject } from './toldObject.js';
 import type { WatchableStore } from './watchableStore.js';
@@ -59,7 +59,6 @@
   constructor(options: RecordSourcesOptions) {
     this._options = options;
     this._failed = new FailedSources(options.clock, options.log);
-    for (const replica of options.state.replicas) replica.on('held', () => this._tellHeld());
   }
 
   start(): void {
@@ -108,10 +107,6 @@
     this._options.state.releaseHeld();
   }
 
-  private _tellHeld(): void {
-    for (const link of this._links.values()) link.tellHeld();
-  }
-
   private _fail(address: string, reason: string): void {
     this._failed.add(address, reason);
     this._closeLink(address);
@@ -159,7 +154,6 @@
       revisions: () => state.revisions,
       onStamp: (stamp) => this._onStamp(address, stamp),
       onChanges: (changes) => this._onChanges(changes),
-      held: () => state.toldHeld(),
       onHeld: (held) => state.takeHeld(held),
       onLost: (reason) => this._onLost(address, reason),
     });
@@ -224,6 +218,20 @@
 
   private _onStamp(address: string, stamp: RecordStamp): void {
     if (address === this._primary && stamp.withChanges) this._options.state.confirmByStamp(stamp);
+    const link = this._links.get(address);
+    if (link) this._exchangeHeld(link, stamp);
+  }
+
+  /** Evens out what counts on here and there since the store came back from an older copy. */
+  private _exchangeHeld(link: SourceLink, stamp: RecordStamp): void {
+    const { state } = this._options;
+    for (const replica of state.replicas) {
+      const { kind, revision, held } = replica;
+      if (eraOf(stamp.revisions[kind] ?? 0) !== eraOf(revision)) continue;
+      const step = link.heldExchange.next(kind, held.length, stamp.held[kind] ?? 0);
+      if (step === 'tell') link.tellHeld(state.toldHeld(replica));
+      else if (step === 'ask') link.askForHeld();
+    }
   }
 
   private _onChanges({ kind, revision, whole, objects, gone }: RecordChanges): void {
--- a/src/records/recordState.ts
+++ b/src/records/recordState.ts
@@ -75,20 +75,15 @@
     this._lostAt = this._clock.now();
   }
 
-  /** What counts on here since the store came back from an older copy, by kind. */
-  toldHeld(): RecordsHeld[] {
+  /** What counts on here of one kind since the store came back from an older copy. */
+  toldHeld({ kind, revision, held }: RecordReplica): RecordsHeld {
     const now = this._clock.now();
-    const telling = this.replicas.filter(({ held }) => held.length > 0);
-    return telling.map(({ kind, revision, held }) => ({
-      type: 'records-held',
-      kind,
-      revision,
-      records: held.map(({ object, gone, since }) => ({
-        object: toldObject(object),
-        gone,
-        heldMilliseconds: Math.max(0, now - since),
-      })),
+    const records = held.map(({ object, gone, since }) => ({
+      object: toldObject(object),
+      gone,
+      heldMilliseconds: Math.max(0, now - since),
     }));
+    return { type: 'records-held', kind, revision, records };
   }
 
   /** Takes what counts on at another entry. */
@@ -112,6 +107,7 @@
       lost: this._lostAt > this._confirmedAt,
       revisions: this.revisions,
       newestChanges: Object.fromEntries(this.replicas.map(({ kind, newestChange }) => [kind, newestChange])),
+      held: Object.fromEntries(this.replicas.map(({ kind, held }) => [kind, held.length])),
     };
   }
 }
--- a/src/records/sourceLink.ts
+++ b/src/records/sourceLink.ts
@@ -6,6 +6,7 @@
 import type { Clock } from '../utils/clock.js';
 import { splitAddress } from '../utils/hostPort.js';
 import { errorText } from '../utils/stepError.js';
+import { HeldExchange } from './heldExchange.js';
 
 /** What a link works with. */
 export interface SourceLinkOptions {
@@ -16,14 +17,13 @@
   revisions: () => Record<string, number>;
   onStamp: (stamp: RecordStamp) => void;
   onChanges: (changes: RecordChanges) => void;
-  /** What counts on here, told when the link is up. */
-  held: () => readonly RecordsHeld[];
   onHeld: (held: RecordsHeld) => void;
   onLost: (reason: string) => void;
 }
 
 export class SourceLink {
   readonly openedAt: number;
+  readonly heldExchange = new HeldExchange();
   /** Monotonic milliseconds at which the last stamp came; -infinity before. */
   stampedAt = Number.NEGATIVE_INFINITY;
   stamp: RecordStamp | undefined;
@@ -50,9 +50,14 @@
     if (this._connection) this._subscribe(this._connection);
   }
 
-  /** Tells what counts on here. */
-  tellHeld(): void {
-    for (const message of this._options.held()) this._connection?.send(message);
+  /** Tells what counts on here of one kind. */
+  tellHeld(held: RecordsHeld): void {
+    this._connection?.send(held);
+  }
+
+  /** Asks for what counts on there, by subscribing anew. */
+  askForHeld(): void {
+    if (this._connection) this._subscribe(this._connection);
   }
 
   close(): void {
@@ -70,7 +75,6 @@
       connection.once('close', (reason) => this._onClose(reason));
       connection.start();
       this._subscribe(connection);
-      this.tellHeld();
     } catch (error) {
       this._onClose(errorText(error));
     }
--- a/src/records/storeRevision.ts
+++ b/src/records/storeRevision.ts
@@ -30,6 +30,12 @@
   return Math.floor(revision / NUMBERS_PER_ERA);
 }
 
+/** A revision as the fields of a log line. */
+export function revisionFields(ordered: number): { era: number; revision: number } {
+  const { era, number } = storeRevisionOf(ordered);
+  return { era, revision: number };
+}
+
 /** The place before all changes of the era of `revision`. */
 export function startOfEra(revision: number): number {
   return orderedRevision({ era: eraOf(revision), number: 0 });
--- a/src/records/unreadableRecords.ts
+++ b/src/records/unreadableRecords.ts
@@ -1,6 +1,7 @@
 /** Objects of the store that cannot be understood: each is told once, and counted. */
 import type { Result } from 'neverthrow';
 import type { EventLog } from '../telemetry/eventLog.js';
+import { revisionFields } from './storeRevision.js';
 import type { StoredObject } from './watchableStore.js';
 
 export class UnreadableRecords {
@@ -35,6 +36,6 @@
     this._told.add(object);
     const { name, revision } = object;
     this._total++;
-    this._log.state('record.unreadable', { kind, name, revision, reason });
+    this._log.state('record.unreadable', { kind, name, ...revisionFields(revision), reason });
   }
 }
