--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -34,7 +34,7 @@
   'limit-server',
   'leave-by-answers',
   'reject-with-retry-after',
-  'return-store',
+  'roll-back-store',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -10,7 +10,7 @@
 import type { Harmed, PromiseChecks } from './promiseChecks.js';
 import type { SignalChecks } from './signalChecks.js';
 import { SignalFaults } from './signalFaults.js';
-import { lapseEntries, returnStore } from './storeReturn.js';
+import { lapseEntries, rollBackStore } from './storeRollback.js';
 import { sendCrashing } from './soakCaller.js';
 import type { SoakBox, SoakFleet } from './soakFleet.js';
 import { FOREIGN_VALUES, MODEL_SERVICE, PLAIN_SERVICE } from './soakConfiguration.js';
@@ -76,7 +76,7 @@
     } finally {
       lift();
     }
-    if (kind === 'return-store') await this._changeAfterReturn();
+    if (kind === 'roll-back-store') await this._changeAfterRollback();
   }
 
   private async _perform(kind: FaultKind, milliseconds: number): Promise<void> {
@@ -107,8 +107,8 @@
         return await this._freeze(this._pick(agents), milliseconds);
       case 'lose-power':
         return await this._losePower();
-      case 'return-store':
-        return await returnStore(this._fleet, this._random);
+      case 'roll-back-store':
+        return await rollBackStore(this._fleet, this._random);
       default:
         return await this._harm(kind, milliseconds);
     }
@@ -158,7 +158,7 @@
   }
 
   /** What is said once all are in touch again is kept like anything else. */
-  private async _changeAfterReturn(): Promise<void> {
+  private async _changeAfterRollback(): Promise<void> {
     await lapseEntries(this._fleet);
     this._fleet.configure();
     await this._replace(this._pick(this._boxesOf(MODEL_SERVICE)));
@@ -308,6 +308,6 @@
 
 function harmedBy(kind: FaultKind): Harmed {
   if (kind === 'crashing-request') return 'servers';
-  if (kind === 'return-store') return 'copy';
+  if (kind === 'roll-back-store') return 'copy';
   return ENDING_KINDS.includes(kind) ? 'processes' : 'all';
 }
--- a/soak/storeReturn.ts
+++ b/soak/storeRollback.ts
@@ -1,4 +1,4 @@
-/** The store of a soak comes back from an older copy; operator and servers write again what they had said. */
+/** The store of a soak is rolled back; operator and servers write again what they had said. */
 import type { Random } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
 import type { SoakFleet } from './soakFleet.js';
@@ -11,13 +11,13 @@
 /** The entries of servers that have ended go after three heartbeats. */
 const LAPSE_MILLISECONDS = 3_600;
 /** Returns in a row, at the most. */
-const MOST_RETURNS = 2;
+const MOST_ROLLBACKS = 2;
 /** Other writers write so much meanwhile, at the most: after many, revisions stay below those of before for long. */
 const MOST_OTHER_WRITES = 200;
 
 /** The store is away for a moment and comes back without what was written lately, once or more. */
-export async function returnStore(fleet: SoakFleet, random: Random): Promise<void> {
-  const returns = 1 + random.integer(MOST_RETURNS);
+export async function rollBackStore(fleet: SoakFleet, random: Random): Promise<void> {
+  const returns = 1 + random.integer(MOST_ROLLBACKS);
   for (let count = 0; count < returns; count++) {
     const copy = fleet.store.copy();
     fleet.configure();
@@ -27,7 +27,7 @@
     fleet.store.faults = random.integer(2) === 0 ? { status: 503 } : { silent: true };
     fleet.store.cutConnections();
     await pause(LEAST_AWAY_MILLISECONDS + random.integer(AWAY_MILLISECONDS));
-    fleet.store.returnFrom(copy);
+    fleet.store.rollBackTo(copy);
     fleet.store.faults = {};
     await pause(random.integer(WRITE_AGAIN_MILLISECONDS));
     fleet.writeAgain();
--- a/src/crashes/suspicion.ts
+++ b/src/crashes/suspicion.ts
@@ -72,13 +72,13 @@
   return ends.every(({ server }) => explained.has(server));
 }
 
-/** What was known before the store came back from an older copy, with what it has since. */
+/** Merges what was `known` before the store was rolled back into what it has now. */
 export function withKnown(stored: Suspicion | undefined, known: Suspicion): Suspicion {
   if (!stored || isPartOf(stored, known)) return known;
   return known.ends.reduce<Suspicion>(withEnd, stored);
 }
 
-/** What the store has since it came back from an older copy, where `cleared` had been removed: nothing, unless more has come. */
+/** Removes again what was `cleared` before the store was rolled back, unless new ends have come since. */
 export function withoutCleared(stored: Suspicion | undefined, cleared: Suspicion): Suspicion | undefined {
   return stored && isPartOf(stored, cleared) ? undefined : stored;
 }
--- a/src/crashes/suspicionCopies.ts
+++ b/src/crashes/suspicionCopies.ts
@@ -20,11 +20,11 @@
 interface SuspicionCopiesEvents {
   /** The suspicion of a request has changed: its fingerprint, and how many ends it had before. */
   change: [string, number];
-  /** The store is about to be seen as it came back from an older copy: what was known until now. */
-  return: [KnownSuspicions];
+  /** The store was rolled back; what was known before. The copies are replaced right after. */
+  rollback: [KnownSuspicions];
 }
 
-/** What was known before the store came back, by fingerprint. */
+/** What was known before the store was rolled back, by fingerprint. */
 export interface KnownSuspicions {
   suspected: ReadonlyMap<string, Suspicion>;
   /** Those that had been removed, as they were last. */
@@ -47,7 +47,7 @@
     this._unreadable = unreadable;
     this._clock = clock;
     replica.on('change', ({ cause }) => {
-      if (cause === 'return') this.emit('return', this._known());
+      if (cause === 'rollback') this.emit('rollback', this._known());
       this._takeReplica();
     });
   }
@@ -84,7 +84,7 @@
     return isNews;
   }
 
-  /** Takes an object for what the store holds, also where it is older than the copy. */
+  /** Takes an object as what the store holds, even if it is older than the copy. */
   replace(fingerprint: string, object: StoredObject): void {
     this._stored.delete(fingerprint);
     this.noteObject(fingerprint, object);
--- a/src/crashes/suspicionWriter.ts
+++ b/src/crashes/suspicionWriter.ts
@@ -43,7 +43,7 @@
   private readonly _pending = new Map<string, PendingChange[]>();
   /** Those of the pending that are being written. */
   private readonly _writing = new Set<string>();
-  /** Revisions of objects older than the copy that conflicts told of, by fingerprint. */
+  /** Revisions of conflicting objects that were older than the copy, by fingerprint. */
   private readonly _older = new Map<string, number>();
   private readonly _stopped = new AbortController();
   private readonly _waiting: (() => void)[] = [];
@@ -77,7 +77,7 @@
     if (isUndone) this._pending.delete(fingerprint);
   }
 
-  /** Writes what has been proposed, if the store lacks it still. */
+  /** Writes what has been proposed, unless the store has it by now. */
   async writeProposed(fingerprint: string): Promise<void> {
     if (this._pending.has(fingerprint)) await this.change(fingerprint, (suspicion) => suspicion);
   }
@@ -103,13 +103,13 @@
     this._pending.set(fingerprint, pending);
   }
 
-  /** Adds a change to those under way, before them. */
+  /** Adds a change before those that are pending. */
   private _addFirst(fingerprint: string, apply: SuspicionChange): void {
     const since = this._options.clock.now();
     this._pending.get(fingerprint)?.unshift({ apply, since, done: () => undefined });
   }
 
-  /** What another entry has written meanwhile needs no write here. */
+  /** Drops changes that another entry has written meanwhile. */
   private _dropIfDone(fingerprint: string): void {
     const pending = this._pending.get(fingerprint);
     if (!pending || this._writing.has(fingerprint)) return;
@@ -152,8 +152,8 @@
   }
 
   /**
-   * A conflict tells of an object that is older than the copy: the copy may have become newer meanwhile. One that is told again is what
-   * the store has, though it has not told that it came back from an older copy.
+   * A conflict with an object that is older than the copy: the copy may have been updated meanwhile. The same object again means that the
+   * store was rolled back without saying so.
    */
   private _onOlder(fingerprint: string, object: StoredObject | undefined): void {
     const { copies } = this._options;
--- a/src/crashes/suspicions.ts
+++ b/src/crashes/suspicions.ts
@@ -71,11 +71,9 @@
 /** Beyond so many the servers end for another cause, as with their racks, and the store is spared. */
 const MOST_SUSPICIONS = 1_000;
 const MOST_PENDING = 200;
-/**
- * After the store has come back from an older copy, an entry that reads it writes again what it lacks within this time, and others after
- * it within as long again: whoever comes later finds it written.
- */
+/** After a rollback, entries that read the store write again what it lacks within this time, so that one write is enough. */
 const RESTORE_MILLISECONDS = 400;
+/** The others do so by then, in case those that read the store have just started. */
 const RESTORE_BY_OTHERS_MILLISECONDS = 1_600;
 /** How often a request that waits looks whether the entry of the trial still lives. */
 const LOOK_MILLISECONDS = 250;
@@ -99,7 +97,7 @@
     this._ends = new ServerEnds(options.log);
     this._copies = new SuspicionCopies(replica, unreadable, clock);
     this._copies.on('change', (fingerprint, endsBefore) => this._onChange(fingerprint, endsBefore));
-    this._copies.on('return', (known) => void this._restore(known));
+    this._copies.on('rollback', (known) => void this._restore(known));
     this._writer = new SuspicionWriter({ ...options, kind: replica.kind, copies: this._copies });
     this._timer = setInterval(() => this._tidy(), TIDY_INTERVAL_MILLISECONDS).unref();
   }
@@ -262,11 +260,11 @@
     for (const wake of [...(this._waiting.get(fingerprint) ?? [])]) wake();
   }
 
-  /** The store has come back from an older copy: what it has lost counts on here at once, and is written again. */
+  /** Keeps what a rollback of the store has lost, and writes it again. */
   private async _restore({ suspected, cleared }: KnownSuspicions): Promise<void> {
     for (const [fingerprint, known] of suspected)
       this._writer.propose(fingerprint, (suspicion) => withKnown(suspicion, known));
-    // the copies are taken next: only then is there again what had been removed
+    // the copies are replaced next: only then is what was cleared there again
     await Promise.resolve();
     for (const [fingerprint, former] of cleared)
       if (this._copies.of(fingerprint).suspicion)
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -16,7 +16,7 @@
   recordChangesSchema,
   recordStampSchema,
   recordSubscribeSchema,
-  recordsHeldSchema,
+  recordsRetainedSchema,
 } from './recordMessages.js';
 import {
   digestMessageSchema,
@@ -71,7 +71,7 @@
   recordSubscribeSchema,
   recordChangesSchema,
   recordStampSchema,
-  recordsHeldSchema,
+  recordsRetainedSchema,
 ]);
 export type Message = z.infer<typeof messageSchema>;
 
--- a/src/protocol/recordMessages.ts
+++ b/src/protocol/recordMessages.ts
@@ -35,11 +35,11 @@
 export type RecordChanges = z.infer<typeof recordChangesSchema>;
 
 /**
- * What counts on at the sender since the store came back from an older copy, which lacks it; sent by either side of a connection where
- * the other holds less, so that one that has just started knows what the others do.
+ * Records that the sender keeps in force since the store was rolled back. Either side sends them where the other has fewer, so that an
+ * entry that has just started does not serve by the snapshot.
  */
-export const recordsHeldSchema = z.object({
-  type: z.literal('records-held'),
+export const recordsRetainedSchema = z.object({
+  type: z.literal('records-retained'),
   kind: z.string(),
   /** Of the sender's copy. */
   revision: countSchema,
@@ -49,12 +49,12 @@
         object: objectSchema,
         /** Whether it had been deleted. */
         gone: z.boolean(),
-        heldMilliseconds: z.number().nonnegative(),
+        retainedMilliseconds: z.number().nonnegative(),
       }),
     )
     .max(MAXIMUM_LIST),
 });
-export type RecordsHeld = z.infer<typeof recordsHeldSchema>;
+export type RecordsRetained = z.infer<typeof recordsRetainedSchema>;
 
 /** How current the sender's copies are; sent now and then and with each change. */
 export const recordStampSchema = z.object({
@@ -70,7 +70,7 @@
   revisions: revisionsSchema,
   /** The newest change of each kind that the sender knows. A copy that was confirmed later may lack nothing of it. */
   newestChanges: revisionsSchema,
-  /** How many records of each kind count on at the sender since the store came back from an older copy. */
-  held: z.record(z.string(), countSchema).default({}),
+  /** How many records of each kind the sender retains since the store was rolled back. */
+  retained: z.record(z.string(), countSchema).default({}),
 });
 export type RecordStamp = z.infer<typeof recordStampSchema>;
--- a/src/records/kindFollower.ts
+++ b/src/records/kindFollower.ts
@@ -108,7 +108,7 @@
     return weight === 'urgent' ? gatherMilliseconds : gatherMinorMilliseconds;
   }
 
-  /** A listing that is older than the copy is passed over. */
+  /** The replica passes over a listing that is older than it. */
   private _noteOlder(revision: number): void {
     const { replica, log } = this._options;
     if (revision >= replica.revision) return;
@@ -116,7 +116,7 @@
     log.state('store.listing-older', {
       kind: replica.kind,
       ...revisionFields(revision),
-      heldEra: held.era,
+      heldGeneration: held.generation,
       heldRevision: held.revision,
     });
   }
--- a/src/records/recordRelay.ts
+++ b/src/records/recordRelay.ts
@@ -1,4 +1,4 @@
-/** Passes this process's copies on to the entries that ask for them, and hears what counts on at these (`HeldRecords`). */
+/** Passes this process's copies on to the entries that ask for them, and takes over what these retain (`RetainedRecords`). */
 import { ControlConnection } from '../protocol/controlConnection.js';
 import type { Message } from '../protocol/message.js';
 import type { RecordChanges, RecordSubscribe } from '../protocol/recordMessages.js';
@@ -29,7 +29,7 @@
   attach(connection: ControlConnection): void {
     connection.on('message', (message) => {
       if (message.type === 'record-subscribe') this._subscribe(connection, message);
-      if (message.type === 'records-held') this._state.takeHeld(message);
+      if (message.type === 'records-retained') this._state.takeRetained(message);
     });
     connection.once('close', () => this._forget(connection));
     connection.start();
@@ -56,7 +56,7 @@
       }
     }
     for (const replica of this._state.replicas) {
-      if (replica.held.length > 0) connection.send(this._state.toldHeld(replica));
+      if (replica.retained.length > 0) connection.send(this._state.toldRetained(replica));
     }
     connection.send(this._state.stamp(wantsChanges));
   }
@@ -69,8 +69,8 @@
   }
 
   private _onChange(replica: RecordReplica, change: ReplicaChange): void {
-    // others end what counts on by themselves, and are told of more apart
-    if (change.cause === 'held') return;
+    // listeners retain and release by themselves
+    if (change.cause === 'retained') return;
     this._broadcast(true, change.whole ? wholeOf(replica) : changesOf(replica, change));
     this._broadcast(true, this._state.stamp(true));
   }
--- a/src/records/recordReplica.ts
+++ b/src/records/recordReplica.ts
@@ -1,10 +1,10 @@
 /**
- * This process's copy of all objects of one kind, whoever brings it: only ever a newer one. Where the store has come back from an older
- * copy, what it had before may count on.
+ * This process's copy of all objects of one kind, whoever brings it: only ever a newer one. Records that a rollback of the store has lost
+ * may stay in force.
  */
 import { EventEmitter } from 'node:events';
-import type { HeldRecord, HeldRecords } from './heldRecords.js';
-import { eraOf } from './storeRevision.js';
+import type { RetainedRecord, RetainedRecords } from './retainedRecords.js';
+import { generationOf } from './storeRevision.js';
 import type { KindListing, ObjectChange, StoredObject } from './watchableStore.js';
 
 /** How much a change matters: `minor` may wait for others, `none` changes nothing that is used. */
@@ -13,26 +13,23 @@
 /** Weighs a change of one object; undefined stands for an object that is not there. */
 export type WeighChange = (before: StoredObject | undefined, after: StoredObject | undefined) => ChangeWeight;
 
-/**
- * Where a change comes from: the store, for what it has or for its return from an older copy (`return`), or the end of what counted on
- * after such a return, or another entry that knows of more (`held`).
- */
-export type ChangeCause = 'store' | 'return' | 'held';
+/** What caused a change: the `store`, a `rollback` of it, or that records are `retained` or released after one. */
+export type ChangeCause = 'store' | 'rollback' | 'retained';
 
 /** What has changed in a copy; `whole` when it was replaced. */
 export interface ReplicaChange {
   cause: ChangeCause;
   whole: boolean;
-  /** As the store has them. */
+  /** As the store has them, whether in force or not. */
   changes: readonly ObjectChange[];
 }
 
 interface EarlyRecords {
   revision: number;
-  records: readonly HeldRecord[];
+  records: readonly RetainedRecord[];
 }
 
-/** Words of other entries that wait for a copy: each tells all that it holds. */
+/** Messages of other entries that wait for a copy: each holds all that its sender retains. */
 const MOST_EARLY = 8;
 
 interface RecordReplicaEvents {
@@ -42,21 +39,21 @@
 /** Emits `change` when something has changed that is used. */
 export class RecordReplica extends EventEmitter<RecordReplicaEvents> {
   readonly kind: string;
-  /** What is believed. */
+  /** The objects in force. */
   readonly objects = new Map<string, StoredObject>();
   private readonly _weigh: WeighChange;
-  private readonly _held: HeldRecords | undefined;
+  private readonly _retained: RetainedRecords | undefined;
   private _revision = 0;
   private _newestChange = 0;
-  /** What other entries hold as of an era of which there is no copy here yet. */
+  /** What other entries hold as of an generation of which there is no copy here yet. */
   private _early: EarlyRecords[] = [];
 
-  /** Without `held`, nothing counts on. */
-  constructor(kind: string, weigh: WeighChange = () => 'urgent', held?: HeldRecords) {
+  /** Without `retained`, a rollback takes effect as it is. */
+  constructor(kind: string, weigh: WeighChange = () => 'urgent', retained?: RetainedRecords) {
     super();
     this.kind = kind;
     this._weigh = weigh;
-    this._held = held;
+    this._retained = retained;
     this.setMaxListeners(0);
   }
 
@@ -70,19 +67,19 @@
     return this._newestChange;
   }
 
-  /** What counts on since the store has come back from an older copy. */
-  get held(): readonly HeldRecord[] {
-    return this._held?.all() ?? [];
+  /** Records that stay in force since the store was rolled back. */
+  get retained(): readonly RetainedRecord[] {
+    return this._retained?.all() ?? [];
   }
 
   /** All objects as the store has them. */
   get stored(): readonly StoredObject[] {
-    const believed = [...this.objects.values()].filter(({ name }) => !this._held?.has(name));
-    const inPlace = this.held.flatMap(({ object }) => this._held?.storedInPlaceOf(object.name) ?? []);
+    const believed = [...this.objects.values()].filter(({ name }) => !this._retained?.has(name));
+    const inPlace = this.retained.flatMap(({ object }) => this._retained?.storedInPlaceOf(object.name) ?? []);
     return [...believed, ...inPlace];
   }
 
-  /** Takes what the store may have had some seconds ago, until there is a copy. */
+  /** Takes objects that may be seconds old, until there is a copy. */
   takeProvisional(objects: readonly StoredObject[]): void {
     if (this._revision > 0) return;
     for (const object of objects) this.objects.set(object.name, object);
@@ -94,17 +91,17 @@
     const { revision } = listing;
     if (revision < this._revision) return;
     const isFirst = this._revision === 0;
-    const isReturn = !isFirst && !this._isOfThisEra(revision);
-    const weight = this._replace(listing, isReturn);
+    const isRollback = !isFirst && !this._isOfThisGeneration(revision);
+    const weight = this._replace(listing, isRollback);
     this._revision = revision;
-    const cause = isReturn ? 'return' : 'store';
-    if (weight !== 'none' || isFirst || isReturn) this.emit('change', { cause, whole: true, changes: [] });
-    if (isFirst || isReturn) this._takeEarly();
+    const cause = isRollback ? 'rollback' : 'store';
+    if (weight !== 'none' || isFirst || isRollback) this.emit('change', { cause, whole: true, changes: [] });
+    if (isFirst || isRollback) this._takeEarly();
   }
 
-  /** Takes what has changed up to `revision` in the era of the copy; returns how much that matters. */
+  /** Takes what has changed up to `revision`, in the generation of the copy; returns how much that matters. */
   takeChanges(revision: number, changes: readonly ObjectChange[]): ChangeWeight {
-    if (revision <= this._revision || !this._isOfThisEra(revision)) return 'none';
+    if (revision <= this._revision || !this._isOfThisGeneration(revision)) return 'none';
     const newer = changes.filter((change) => this._isNewer(change));
     const deleted = newer.filter(({ gone }) => gone);
     this._noteDeleted(deleted.flatMap(({ object }) => this.objects.get(object.name) ?? []));
@@ -114,19 +111,21 @@
     return weight;
   }
 
-  /** Takes what counts on at another entry whose copy is of the era of `revision`. */
-  takeHeld(revision: number, records: readonly HeldRecord[]): void {
-    const isEarly = this._revision === 0 || eraOf(revision) > eraOf(this._revision);
+  /** Takes over records that another entry retains, whose copy is as of `revision`. */
+  takeRetained(revision: number, records: readonly RetainedRecord[]): void {
+    const isEarly = this._revision === 0 || generationOf(revision) > generationOf(this._revision);
     if (isEarly) this._early = [...this._early, { revision, records }].slice(-MOST_EARLY);
-    if (isEarly || !this._isOfThisEra(revision)) return;
-    const taken = records.filter((record) => this._held?.adopt(record, this._storedOf(record.object.name)));
+    if (isEarly || !this._isOfThisGeneration(revision)) return;
+    const taken = records.filter((record) =>
+      this._retained?.adopt(record, this._storedOf(record.object.name)),
+    );
     if (taken.length > 0) this._believe(taken.map(({ object, gone }) => ({ object, gone })));
   }
 
-  /** Ends what has counted on for long enough (`HeldRecords.releaseLapsed`). */
-  releaseHeld(regainedAt: number, confirmedAt: number): void {
-    if (!this._held || this._held.size === 0) return;
-    const released = this._held.releaseLapsed(regainedAt, confirmedAt);
+  /** Releases retained records whose time is over ({@link RetainedRecords.releaseLapsed}). */
+  releaseRetained(regainedAt: number, confirmedAt: number): void {
+    if (!this._retained || this._retained.size === 0) return;
+    const released = this._retained.releaseLapsed(regainedAt, confirmedAt);
     const changes = [...released].flatMap(([name, stored]) => {
       const object = stored ?? this.objects.get(name);
       return object ? [{ object, gone: !stored }] : [];
@@ -136,15 +135,15 @@
 
   /** Notes that the copy is as the store had it at `revision`, with what is used of its changes up to `newestChange`. */
   noteRevision(revision: number, newestChange: number): void {
-    if (!this._isOfThisEra(revision)) return;
+    if (!this._isOfThisGeneration(revision)) return;
     this._revision = Math.max(this._revision, revision);
     this._newestChange = Math.max(this._newestChange, newestChange);
   }
 
-  private _replace({ revision, objects }: KindListing, isReturn: boolean): ChangeWeight {
+  private _replace({ revision, objects }: KindListing, isRollback: boolean): ChangeWeight {
     const stored = new Map(objects.map((object) => [object.name, object]));
     const gone = [...this.objects.values()].filter(({ name }) => !stored.has(name));
-    if (isReturn) this._held?.begin(this.objects, stored, revision);
+    if (isRollback) this._retained?.begin(this.objects, stored, revision);
     else if (this._revision > 0) this._noteDeleted(gone.filter(({ name }) => this._storedOf(name)));
     return this._apply([
       ...objects.map((object) => ({ object, gone: false })),
@@ -155,15 +154,15 @@
   private _takeEarly(): void {
     const early = this._early;
     this._early = [];
-    for (const { revision, records } of early) this.takeHeld(revision, records);
+    for (const { revision, records } of early) this.takeRetained(revision, records);
   }
 
-  private _isOfThisEra(revision: number): boolean {
-    return eraOf(revision) === eraOf(this._revision);
+  private _isOfThisGeneration(revision: number): boolean {
+    return generationOf(revision) === generationOf(this._revision);
   }
 
   private _storedOf(name: string): StoredObject | undefined {
-    return this._held?.has(name) ? this._held.storedInPlaceOf(name) : this.objects.get(name);
+    return this._retained?.has(name) ? this._retained.storedInPlaceOf(name) : this.objects.get(name);
   }
 
   /** Whether a change is not in the copy yet. Deletions may carry the revision of the change before. */
@@ -173,17 +172,17 @@
   }
 
   private _noteDeleted(objects: readonly StoredObject[]): void {
-    for (const object of objects) this._held?.noteDeleted(object);
+    for (const object of objects) this._retained?.noteDeleted(object);
   }
 
-  /** Takes changes of the store as far as they are believed. */
+  /** Applies changes of the store as far as they come into force. */
   private _apply(changes: readonly ObjectChange[], by: 'listing' | 'change' = 'listing'): ChangeWeight {
     let weight: ChangeWeight = 'none';
     for (const { object, gone } of changes) {
       const { name, revision } = object;
       this._newestChange = Math.max(this._newestChange, revision);
       const stored = gone ? undefined : object;
-      const believed = this._held ? this._held.judge(name, stored, by) : stored;
+      const believed = this._retained ? this._retained.judge(name, stored, by) : stored;
       weight = heavier(weight, this._set(name, believed));
     }
     return weight;
@@ -192,7 +191,7 @@
   private _believe(changes: readonly ObjectChange[]): void {
     const weights = changes.map(({ object, gone }) => this._set(object.name, gone ? undefined : object));
     const isUsed = weights.some((weight) => weight !== 'none');
-    if (isUsed) this.emit('change', { cause: 'held', whole: false, changes: [] });
+    if (isUsed) this.emit('change', { cause: 'retained', whole: false, changes: [] });
   }
 
   private _set(name: string, object: StoredObject | undefined): ChangeWeight {
@@ -200,7 +199,7 @@
     if (!object) this.objects.delete(name);
     else {
       this.objects.set(name, object);
-      this._held?.noteWritten(name);
+      this._retained?.noteWritten(name);
     }
     return weight;
   }
--- a/src/records/recordSources.ts
+++ b/src/records/recordSources.ts
@@ -12,7 +12,7 @@
 import type { RecordSource, SourceChoice } from './sourceChoice.js';
 import { chooseSources } from './sourceChoice.js';
 import { SourceLink } from './sourceLink.js';
-import { eraOf, startOfEra } from './storeRevision.js';
+import { generationOf, startOfGeneration } from './storeRevision.js';
 import type { StoreReader } from './storeReader.js';
 import { storedObject } from './toldObject.js';
 import type { WatchableStore } from './watchableStore.js';
@@ -104,7 +104,7 @@
     this._readIf(choice);
     this._choosePrimary(choice.sources);
     this._lookBehind();
-    this._options.state.releaseHeld();
+    this._options.state.releaseRetained();
   }
 
   private _fail(address: string, reason: string): void {
@@ -154,7 +154,7 @@
       revisions: () => state.revisions,
       onStamp: (stamp) => this._onStamp(address, stamp),
       onChanges: (changes) => this._onChanges(changes),
-      onHeld: (held) => state.takeHeld(held),
+      onRetained: (records) => state.takeRetained(records),
       onLost: (reason) => this._onLost(address, reason),
     });
     this._links.set(address, link);
@@ -219,18 +219,18 @@
   private _onStamp(address: string, stamp: RecordStamp): void {
     if (address === this._primary && stamp.withChanges) this._options.state.confirmByStamp(stamp);
     const link = this._links.get(address);
-    if (link) this._exchangeHeld(link, stamp);
+    if (link) this._exchangeRetained(link, stamp);
   }
 
-  /** Evens out what counts on here and there since the store came back from an older copy. */
-  private _exchangeHeld(link: SourceLink, stamp: RecordStamp): void {
+  /** Exchanges retained records with a source where either side has more. */
+  private _exchangeRetained(link: SourceLink, stamp: RecordStamp): void {
     const { state } = this._options;
     for (const replica of state.replicas) {
-      const { kind, revision, held } = replica;
-      if (eraOf(stamp.revisions[kind] ?? 0) !== eraOf(revision)) continue;
-      const step = link.heldExchange.next(kind, held.length, stamp.held[kind] ?? 0);
-      if (step === 'tell') link.tellHeld(state.toldHeld(replica));
-      else if (step === 'ask') link.askForHeld();
+      const { kind, revision, retained } = replica;
+      if (generationOf(stamp.revisions[kind] ?? 0) !== generationOf(revision)) continue;
+      const step = link.retainedExchange.next(kind, retained.length, stamp.retained[kind] ?? 0);
+      if (step === 'tell') link.tellRetained(state.toldRetained(replica));
+      else if (step === 'ask') link.askForRetained();
     }
   }
 
@@ -245,7 +245,7 @@
   }
 }
 
-/** The newest that a source knows of a kind: a change, or that the store has come back from an older copy. */
+/** The newest that a source knows of a kind: a change, or that the store was rolled back. */
 function newestOf(kind: string, stamp: RecordStamp | undefined): number {
-  return Math.max(stamp?.newestChanges[kind] ?? 0, startOfEra(stamp?.revisions[kind] ?? 0));
+  return Math.max(stamp?.newestChanges[kind] ?? 0, startOfGeneration(stamp?.revisions[kind] ?? 0));
 }
--- a/src/records/recordState.ts
+++ b/src/records/recordState.ts
@@ -1,5 +1,5 @@
 /** This process's copies of the store's records, and until when they are known to have been the newest. */
-import type { RecordStamp, RecordsHeld } from '../protocol/recordMessages.js';
+import type { RecordStamp, RecordsRetained } from '../protocol/recordMessages.js';
 import type { Clock } from '../utils/clock.js';
 import type { RecordReplica } from './recordReplica.js';
 import { storedObject, toldObject } from './toldObject.js';
@@ -46,10 +46,10 @@
     return Object.fromEntries(this.replicas.map(({ kind, revision }) => [kind, revision]));
   }
 
-  /** Ends what has counted on for long enough since the store came back from an older copy. */
-  releaseHeld(): void {
+  /** Releases retained records whose time is over. */
+  releaseRetained(): void {
     const { confirmedAt } = this;
-    for (const replica of this.replicas) replica.releaseHeld(this._regainedAt, confirmedAt);
+    for (const replica of this.replicas) replica.releaseRetained(this._regainedAt, confirmedAt);
   }
 
   replica(kind: string): RecordReplica | undefined {
@@ -75,26 +75,26 @@
     this._lostAt = this._clock.now();
   }
 
-  /** What counts on here of one kind since the store came back from an older copy. */
-  toldHeld({ kind, revision, held }: RecordReplica): RecordsHeld {
+  /** The retained records of a kind, as a message. */
+  toldRetained({ kind, revision, retained }: RecordReplica): RecordsRetained {
     const now = this._clock.now();
-    const records = held.map(({ object, gone, since }) => ({
+    const records = retained.map(({ object, gone, since }) => ({
       object: toldObject(object),
       gone,
-      heldMilliseconds: Math.max(0, now - since),
+      retainedMilliseconds: Math.max(0, now - since),
     }));
-    return { type: 'records-held', kind, revision, records };
+    return { type: 'records-retained', kind, revision, records };
   }
 
-  /** Takes what counts on at another entry. */
-  takeHeld({ kind, revision, records }: RecordsHeld): void {
+  /** Takes over records that another entry retains. */
+  takeRetained({ kind, revision, records }: RecordsRetained): void {
     const now = this._clock.now();
-    const held = records.map(({ object, gone, heldMilliseconds }) => ({
+    const taken = records.map(({ object, gone, retainedMilliseconds }) => ({
       object: storedObject(object),
       gone,
-      since: now - heldMilliseconds,
+      since: now - retainedMilliseconds,
     }));
-    this.replica(kind)?.takeHeld(revision, held);
+    this.replica(kind)?.takeRetained(revision, taken);
   }
 
   /** `withChanges` says that the receiver has been sent all changes. */
@@ -107,7 +107,7 @@
       lost: this._lostAt > this._confirmedAt,
       revisions: this.revisions,
       newestChanges: Object.fromEntries(this.replicas.map(({ kind, newestChange }) => [kind, newestChange])),
-      held: Object.fromEntries(this.replicas.map(({ kind, held }) => [kind, held.length])),
+      retained: Object.fromEntries(this.replicas.map(({ kind, retained }) => [kind, retained.length])),
     };
   }
 }
--- /dev/null
+++ b/src/records/retainedRecords.ts
@@ -0,0 +1,176 @@
+/**
+ * Records that stay in force after the store was rolled back to a snapshot that lacks them, until the store has them again or their
+ * writer has had the time to write them again.
+ */
+import { isDeepStrictEqual } from 'node:util';
+import { LRUCache } from 'lru-cache';
+import type { EventLog } from '../telemetry/eventLog.js';
+import type { Clock } from '../utils/clock.js';
+import type { RollbackPolicy } from './rollbackPolicy.js';
+import { revisionFields } from './storeRevision.js';
+import type { StoredObject } from './watchableStore.js';
+
+/** A record that stays in force. */
+export interface RetainedRecord {
+  /** As it was before the rollback, or before its deletion if `gone`. */
+  object: StoredObject;
+  /** Whether the object had been deleted. */
+  gone: boolean;
+  /** Monotonic milliseconds of the rollback, as seen by the first entry that retains the record. */
+  since: number;
+}
+
+/** A retained record, and what the store has in its place. */
+interface Retention extends RetainedRecord {
+  stored: StoredObject | undefined;
+  milliseconds: number;
+}
+
+/** How an object came: in a listing of all, or as a change that was just written. */
+export type StoredBy = 'listing' | 'change';
+
+/** What retained records work with. */
+export interface RetainedRecordsOptions {
+  kind: string;
+  policy: RollbackPolicy;
+  /** Whether objects may be missing only because they could not be renewed during an outage. */
+  mayHaveLapsed: () => boolean;
+  clock: Clock;
+  log: EventLog;
+}
+
+/** Deleted objects that are remembered, so that a rollback does not bring them back. */
+const MOST_DELETED = 2_000;
+
+export class RetainedRecords {
+  private readonly _options: RetainedRecordsOptions;
+  private readonly _retentions = new Map<string, Retention>();
+  private readonly _deleted = new LRUCache<string, StoredObject>({ max: MOST_DELETED });
+
+  constructor(options: RetainedRecordsOptions) {
+    this._options = options;
+  }
+
+  get size(): number {
+    return this._retentions.size;
+  }
+
+  all(): readonly RetainedRecord[] {
+    return [...this._retentions.values()].map(({ object, gone, since }) => ({ object, gone, since }));
+  }
+
+  /** What the store has in place of a retained record; undefined where it has nothing, or nothing is retained. */
+  storedInPlaceOf(name: string): StoredObject | undefined {
+    return this._retentions.get(name)?.stored;
+  }
+
+  has(name: string): boolean {
+    return this._retentions.has(name);
+  }
+
+  /** Notes that an object was deleted. */
+  noteDeleted(last: StoredObject): void {
+    if (!this._options.mayHaveLapsed()) this._deleted.set(last.name, last);
+  }
+
+  /** Notes that an object exists. */
+  noteWritten(name: string): void {
+    this._deleted.delete(name);
+  }
+
+  /**
+   * Compares the objects of `before` the rollback with those `stored` at `revision` after it. Retained records take that revision: they
+   * are later than the snapshot, and earlier than what is written next.
+   */
+  begin(
+    before: ReadonlyMap<string, StoredObject>,
+    stored: ReadonlyMap<string, StoredObject>,
+    revision: number,
+  ): void {
+    this._retentions.clear();
+    const since = this._options.clock.now();
+    for (const object of before.values())
+      this._weigh({ object: { ...object, revision }, gone: false, since }, stored.get(object.name));
+    for (const object of this._deleted.values())
+      this._weigh({ object, gone: true, since }, stored.get(object.name));
+    const { kind, log } = this._options;
+    log.state('records.rolled-back', { kind, ...revisionFields(revision), retained: this._retentions.size });
+  }
+
+  /** Takes over a record that another entry retains, if it outweighs what is known here; returns whether it does. */
+  adopt(record: RetainedRecord, stored: StoredObject | undefined): boolean {
+    const { name } = record.object;
+    const known = this._retentions.get(name);
+    const isNews = known ? !known.gone && this._outweighs(record, known.object) : !this._deleted.has(name);
+    return isNews && this._weigh(record, stored);
+  }
+
+  /** The object in force where the store has `stored` now. */
+  judge(name: string, stored: StoredObject | undefined, by: StoredBy): StoredObject | undefined {
+    const retention = this._retentions.get(name);
+    if (!retention) return stored;
+    if (this._isConfirmed(retention, stored, by)) {
+      this._release(name, 'written again');
+      return stored;
+    }
+    retention.stored = stored;
+    return retention.gone ? undefined : retention.object;
+  }
+
+  /**
+   * Releases records whose time is over. It runs while the store answers: since it was regained at `regainedAt`, up to `confirmedAt`, both
+   * in monotonic milliseconds. Returns what the store has in place of each.
+   */
+  releaseLapsed(regainedAt: number, confirmedAt: number): ReadonlyMap<string, StoredObject | undefined> {
+    const released = new Map<string, StoredObject | undefined>();
+    for (const [name, { since, milliseconds, stored }] of this._retentions) {
+      if (confirmedAt - Math.max(since, regainedAt) < milliseconds) continue;
+      this._release(name, 'not written again');
+      released.set(name, stored);
+    }
+    return released;
+  }
+
+  /** Retains a record for as long as the policy says; returns whether that is at all. */
+  private _weigh(record: RetainedRecord, stored: StoredObject | undefined): boolean {
+    const milliseconds = this._timeOf(record, stored);
+    if (milliseconds === 0) return false;
+    const { kind, log } = this._options;
+    const { name } = record.object;
+    this._retentions.set(name, { ...record, stored, milliseconds });
+    const reason = record.gone ? 'deleted' : stored ? 'replaced' : 'missing';
+    const until = Number.isFinite(milliseconds) ? milliseconds : undefined;
+    log.state('record.retained', {
+      kind,
+      name,
+      reason,
+      milliseconds: until,
+      ...revisionFields(record.object.revision),
+    });
+    return true;
+  }
+
+  private _timeOf({ object, gone }: RetainedRecord, stored: StoredObject | undefined): number {
+    const { policy } = this._options;
+    if (gone) return stored ? policy.deleted(object, stored) : 0;
+    if (!stored) return policy.missing(object);
+    return isDeepStrictEqual(object.value, stored.value) ? 0 : policy.replaced(object, stored);
+  }
+
+  private _outweighs(record: RetainedRecord, known: StoredObject): boolean {
+    return !record.gone && this._options.policy.replaced(record.object, known) > 0;
+  }
+
+  /** Whether the store has written the retained record again, or a later one. */
+  private _isConfirmed(retention: Retention, stored: StoredObject | undefined, by: StoredBy): boolean {
+    const isWritten = by === 'change' || stored?.revision !== retention.stored?.revision;
+    if (!isWritten) return false;
+    return retention.gone || !stored || this._timeOf(retention, stored) === 0;
+  }
+
+  private _release(name: string, reason: string): void {
+    const { kind, log } = this._options;
+    this._retentions.delete(name);
+    log.state('record.released', { kind, name, reason });
+  }
+}
--- a/src/records/sourceLink.ts
+++ b/src/records/sourceLink.ts
@@ -2,11 +2,11 @@
 import type { ControlOptions } from '../protocol/controlConnection.js';
 import { ControlConnection } from '../protocol/controlConnection.js';
 import type { Message } from '../protocol/message.js';
-import type { RecordChanges, RecordStamp, RecordsHeld } from '../protocol/recordMessages.js';
+import type { RecordChanges, RecordStamp, RecordsRetained } from '../protocol/recordMessages.js';
 import type { Clock } from '../utils/clock.js';
 import { splitAddress } from '../utils/hostPort.js';
 import { errorText } from '../utils/stepError.js';
-import { HeldExchange } from './heldExchange.js';
+import { RetainedExchange } from './retainedExchange.js';
 
 /** What a link works with. */
 export interface SourceLinkOptions {
@@ -17,13 +17,13 @@
   revisions: () => Record<string, number>;
   onStamp: (stamp: RecordStamp) => void;
   onChanges: (changes: RecordChanges) => void;
-  onHeld: (held: RecordsHeld) => void;
+  onRetained: (records: RecordsRetained) => void;
   onLost: (reason: string) => void;
 }
 
 export class SourceLink {
   readonly openedAt: number;
-  readonly heldExchange = new HeldExchange();
+  readonly retainedExchange = new RetainedExchange();
   /** Monotonic milliseconds at which the last stamp came; -infinity before. */
   stampedAt = Number.NEGATIVE_INFINITY;
   stamp: RecordStamp | undefined;
@@ -50,13 +50,13 @@
     if (this._connection) this._subscribe(this._connection);
   }
 
-  /** Tells what counts on here of one kind. */
-  tellHeld(held: RecordsHeld): void {
-    this._connection?.send(held);
+  /** Sends retained records. */
+  tellRetained(records: RecordsRetained): void {
+    this._connection?.send(records);
   }
 
-  /** Asks for what counts on there, by subscribing anew. */
-  askForHeld(): void {
+  /** Asks for the retained records of the source, by subscribing again. */
+  askForRetained(): void {
     if (this._connection) this._subscribe(this._connection);
   }
 
@@ -87,7 +87,7 @@
 
   private _onMessage(message: Message): void {
     if (message.type === 'record-changes' && this._wantsChanges) this._options.onChanges(message);
-    if (message.type === 'records-held') this._options.onHeld(message);
+    if (message.type === 'records-retained') this._options.onRetained(message);
     if (message.type !== 'record-stamp') return;
     this.stamp = message;
     this.stampedAt = this._options.clock.now();
--- a/src/records/storeProbe.ts
+++ b/src/records/storeProbe.ts
@@ -17,8 +17,8 @@
   answered: [];
   /** The store is silent: watches that were opened before may hang, also once it answers again. */
   lost: [];
-  /** The store has come back from an older copy: all that was read of it is of a former era. */
-  returned: [];
+  /** The store was rolled back: watches that wait may miss changes. */
+  rollback: [];
 }
 
 /** With the time-out, the longest time until those who rely on this process know that it has lost the store. */
@@ -33,7 +33,7 @@
   private _answeredAt = Number.NEGATIVE_INFINITY;
   private _regainedAt = Number.NEGATIVE_INFINITY;
   /** Of the last answer; undefined before the first one. */
-  private _era: number | undefined;
+  private _generation: number | undefined;
 
   constructor(options: StoreProbeOptions) {
     super();
@@ -50,7 +50,7 @@
     return this._isLost;
   }
 
-  /** Monotonic milliseconds at which the store was regained, or came back from an older copy; -infinity when it never did. */
+  /** Monotonic milliseconds at which the store was regained, or seen to be rolled back; -infinity when it never was. */
   get regainedAt(): number {
     return this._regainedAt;
   }
@@ -70,8 +70,8 @@
     while (!stopped.aborted) {
       const askedAt = this._options.clock.now();
       try {
-        const era = await this._options.store.probe(TIMEOUT_MILLISECONDS, stopped);
-        if (!stopped.aborted) this._onAnswer(askedAt, era);
+        const generation = await this._options.store.probe(TIMEOUT_MILLISECONDS, stopped);
+        if (!stopped.aborted) this._onAnswer(askedAt, generation);
       } catch (error) {
         if (!stopped.aborted) this._onSilence(errorText(error));
       }
@@ -79,9 +79,9 @@
     }
   }
 
-  private _onAnswer(askedAt: number, era: number): void {
+  private _onAnswer(askedAt: number, generation: number): void {
     this._answeredAt = askedAt;
-    this._noteEra(era);
+    this._noteGeneration(generation);
     if (this._isLost) {
       this._isLost = false;
       this._regainedAt = this._options.clock.now();
@@ -90,13 +90,13 @@
     this.emit('answered');
   }
 
-  private _noteEra(era: number): void {
-    const former = this._era;
-    this._era = era;
-    if (former === undefined || former === era) return;
+  private _noteGeneration(generation: number): void {
+    const former = this._generation;
+    this._generation = generation;
+    if (former === undefined || former === generation) return;
     this._regainedAt = this._options.clock.now();
-    this._options.log.state('store.returned', { era, former });
-    this.emit('returned');
+    this._options.log.state('store.rolled-back', { generation, former });
+    this.emit('rollback');
   }
 
   private _onSilence(reason: string): void {
--- a/src/records/storeReader.ts
+++ b/src/records/storeReader.ts
@@ -25,7 +25,7 @@
     this._probe = new StoreProbe({ store, clock, log });
     this._probe.on('answered', () => this._onAnswer());
     this._probe.on('lost', () => this._stopFollowers());
-    this._probe.on('returned', () => this.refresh());
+    this._probe.on('rollback', () => this.refresh());
   }
 
   get isReading(): boolean {
@@ -63,7 +63,7 @@
     this._stopFollowers();
   }
 
-  /** Lists all kinds anew: another entry has newer copies, or the store has come back from an older one. */
+  /** Lists all kinds anew: another entry has newer copies, or the store was rolled back. */
   refresh(): void {
     for (const follower of this._options.followers) follower.refresh();
   }
--- a/src/records/storeRevision.ts
+++ b/src/records/storeRevision.ts
@@ -1,42 +1,42 @@
 /**
- * One order of all that a store says, also over its returns from an older copy. The store gives revisions out again then, and its
- * era rises: the era counts first, the store's own revision second.
+ * A total order of a store's revisions. A store that is rolled back to an older snapshot gives revisions out again, and its generation
+ * rises: revisions are ordered by generation first.
  */
 
-/** A revision as the store itself tells it. */
+/** A revision as the store tells it. */
 export interface StoreRevision {
-  /** How often the store has come back from an older copy, counted from any start. */
-  era: number;
-  /** Rises with each change within an era. */
+  /** Rises with each rollback. */
+  generation: number;
+  /** Rises with each change within a generation. */
   number: number;
 }
 
-const NUMBERS_PER_ERA = 2 ** 40;
-/** A later era has no place in the order. */
-export const LAST_ERA = 2 ** 13 - 1;
+const NUMBERS_PER_GENERATION = 2 ** 40;
+/** The last one whose ordered revisions are safe integers. */
+export const LAST_GENERATION = 2 ** 13 - 1;
 
-/** The place of a revision in the order; 0 comes before all. */
-export function orderedRevision({ era, number }: StoreRevision): number {
-  return era * NUMBERS_PER_ERA + number;
+/** Encodes a revision as one number that compares as the order does; 0 comes before all. */
+export function orderedRevision({ generation, number }: StoreRevision): number {
+  return generation * NUMBERS_PER_GENERATION + number;
 }
 
-/** What the store told, by its place in the order. */
+/** Decodes an ordered revision. */
 export function storeRevisionOf(revision: number): StoreRevision {
-  const era = eraOf(revision);
-  return { era, number: revision - era * NUMBERS_PER_ERA };
+  const generation = generationOf(revision);
+  return { generation, number: revision - generation * NUMBERS_PER_GENERATION };
 }
 
-export function eraOf(revision: number): number {
-  return Math.floor(revision / NUMBERS_PER_ERA);
+export function generationOf(revision: number): number {
+  return Math.floor(revision / NUMBERS_PER_GENERATION);
 }
 
-/** A revision as the fields of a log line. */
-export function revisionFields(ordered: number): { era: number; revision: number } {
-  const { era, number } = storeRevisionOf(ordered);
-  return { era, revision: number };
+/** An ordered revision as the fields of a log line. */
+export function revisionFields(ordered: number): { generation: number; revision: number } {
+  const { generation, number } = storeRevisionOf(ordered);
+  return { generation, revision: number };
 }
 
-/** The place before all changes of the era of `revision`. */
-export function startOfEra(revision: number): number {
-  return orderedRevision({ era: eraOf(revision), number: 0 });
+/** The ordered revision before all changes of the generation of `revision`. */
+export function startOfGeneration(revision: number): number {
+  return orderedRevision({ generation: generationOf(revision), number: 0 });
 }
--- a/src/records/watchableStore.ts
+++ b/src/records/watchableStore.ts
@@ -1,5 +1,5 @@
 /**
- * A store of objects by kind and name, which can be listed and watched. Its revisions are ordered over its returns from an older copy
+ * A store of objects by kind and name, which can be listed and watched. Its revisions are ordered over rollbacks to an older snapshot
  * (`storeRevision.ts`).
  */
 
@@ -28,10 +28,10 @@
 
 /** Reads throw a StepError when there is no usable answer. */
 export interface WatchableStore {
-  /** Asks for the era of the store, which tells whether it answers at all, by the cheapest read there is. */
+  /** Asks for the generation of the store, which tells whether it answers at all, by the cheapest read there is. */
   probe(timeoutMilliseconds: number, signal: AbortSignal): Promise<number>;
   list(kind: string, signal: AbortSignal): Promise<KindListing>;
-  /** The same at a fraction of the price, but perhaps as of some seconds ago, or of the era before: its revisions order nothing. */
+  /** The same at a fraction of the price, but perhaps as of some seconds ago, or of the generation before: its revisions order nothing. */
   listStale(kind: string, signal: AbortSignal): Promise<KindListing>;
   /** Waits up to `waitMilliseconds` for a change after `revision`. */
   watch(kind: string, revision: number, waitMilliseconds: number, signal: AbortSignal): Promise<KindChanges>;
--- a/src/serving/gatewayGauges.ts
+++ b/src/serving/gatewayGauges.ts
@@ -37,8 +37,8 @@
   metrics.gauge('entries_live', () => entries.live().length);
   metrics.gauge('entries_sharing', () => entries.count());
   metrics.gauge('reads_store', () => Number(followers.isReading));
-  metrics.gauge('store_era', () => followers.era);
-  metrics.gauge('records_held', () => followers.heldRecords);
+  metrics.gauge('store_generation', () => followers.generation);
+  metrics.gauge('records_retained', () => followers.retainedRecords);
   metrics.gauge('requests_suspected', () => followers.suspicions.counts.suspected);
   metrics.gauge('requests_shut_out', () => followers.suspicions.counts.shutOut);
   metrics.gauge('servers_limited', () => signals.counts.limited);
--- a/src/serving/platformFollowers.ts
+++ b/src/serving/platformFollowers.ts
@@ -1,6 +1,6 @@
 /** The records of the platform that a gateway follows, and whether it can trust its copies. */
 import { Suspicions } from '../crashes/suspicions.js';
-import { HeldRecords } from '../records/heldRecords.js';
+import { RetainedRecords } from '../records/retainedRecords.js';
 import { KindFollower } from '../records/kindFollower.js';
 import { RecordRelay } from '../records/recordRelay.js';
 import type { WeighChange } from '../records/recordReplica.js';
@@ -8,14 +8,14 @@
 import type { RecordSourcesOptions } from '../records/recordSources.js';
 import { RecordSources } from '../records/recordSources.js';
 import { RecordState } from '../records/recordState.js';
-import type { ReturnPolicy } from '../records/returnPolicy.js';
-import { eraOf } from '../records/storeRevision.js';
+import type { RollbackPolicy } from '../records/rollbackPolicy.js';
+import { generationOf } from '../records/storeRevision.js';
 import { StoreReader } from '../records/storeReader.js';
 import type { Random } from '../utils/random.js';
 import { DecodedServers } from './decodedServers.js';
-import { NumberedReturn } from './numberedReturn.js';
+import { NumberedRollbackPolicy } from './numberedRollbackPolicy.js';
 import type { ServingPlatform } from './platformRecords.js';
-import { ServerReturn } from './serverReturn.js';
+import { ServerRollbackPolicy } from './serverRollbackPolicy.js';
 
 /** What the followers work with. */
 export interface PlatformFollowersOptions extends Omit<
@@ -62,24 +62,28 @@
     const { store, reader, unreadable } = platform;
     this.decoded = new DecodedServers(reader, unreadable);
     const weighServer: WeighChange = (before, after) => this.decoded.weigh(before, after);
-    const replicaOf = (kind: string, policy: ReturnPolicy, weigh?: WeighChange): RecordReplica =>
+    const replicaOf = (kind: string, policy: RollbackPolicy, weigh?: WeighChange): RecordReplica =>
       new RecordReplica(
         kind,
         weigh,
-        new HeldRecords({ kind, policy, mayHaveLapsed: () => this.isEchoing, clock, log }),
+        new RetainedRecords({ kind, policy, mayHaveLapsed: () => this.isEchoing, clock, log }),
       );
     this.configuration = replicaOf(
       reader.kinds.configuration,
-      new NumberedReturn(({ name, value }) => reader.configuration(name, value).unwrapOr(undefined)?.version),
+      new NumberedRollbackPolicy(
+        ({ name, value }) => reader.configuration(name, value).unwrapOr(undefined)?.version,
+      ),
     );
     this.servers = replicaOf(
       reader.kinds.servers,
-      new ServerReturn((object) => this.decoded.of(object), options.heartbeatMilliseconds),
+      new ServerRollbackPolicy((object) => this.decoded.of(object), options.heartbeatMilliseconds),
       weighServer,
     );
     this.versions = replicaOf(
       reader.kinds.versions,
-      new NumberedReturn(({ name, value }) => reader.version(name, value).unwrapOr(undefined)?.version),
+      new NumberedRollbackPolicy(
+        ({ name, value }) => reader.version(name, value).unwrapOr(undefined)?.version,
+      ),
     );
     this._suspicions = new RecordReplica(reader.kinds.suspicions);
     this._state = new RecordState(
@@ -118,14 +122,14 @@
     return this._state.regainedFor < OUTAGE_ECHO_MILLISECONDS;
   }
 
-  /** The latest era of the store that this process knows of. */
-  get era(): number {
-    return eraOf(Math.max(...this._state.replicas.map(({ revision }) => revision)));
+  /** The latest generation of the store that this process knows of. */
+  get generation(): number {
+    return generationOf(Math.max(...this._state.replicas.map(({ revision }) => revision)));
   }
 
-  /** How many words of the store count on since it came back from an older copy. */
-  get heldRecords(): number {
-    return this._state.replicas.reduce((sum, { held }) => sum + held.length, 0);
+  /** How many records stay in force that a rollback of the store has lost. */
+  get retainedRecords(): number {
+    return this._state.replicas.reduce((sum, { retained }) => sum + retained.length, 0);
   }
 
   /** Whether this process reads the store itself. */
--- a/src/serving/serverReturn.ts
+++ b/src/serving/serverRollbackPolicy.ts
@@ -1,22 +1,22 @@
 /**
- * What backend servers said before the store came back from an older copy. A server renews its entry at each heartbeat, and the entry
- * of one that has ended goes when it has not been renewed for a few.
+ * Keeps what backend servers said of themselves in force over a rollback. A running server renews its entry at each heartbeat; the entry
+ * of one that has ended lapses after a few.
  */
-import type { ReturnPolicy } from '../records/returnPolicy.js';
+import type { RollbackPolicy } from '../records/rollbackPolicy.js';
 import type { StoredObject } from '../records/watchableStore.js';
 import type { BackendServerRecord } from './backendServerRecord.js';
 import { UNKNOWN_START } from './serverLife.js';
 
-/** Heartbeats until a server that runs has written again: one may just have been missed. */
+/** Heartbeats in which a running server renews its entry: the first may just have been missed. */
 const RENEWAL_HEARTBEATS = 2;
-/** Heartbeats until the entry of a server that has ended is certainly gone: a store that has just come back may take its time. */
+/** Heartbeats until the entry of a server that has ended has lapsed, with a margin for a store that has just been restored. */
 const LAPSE_HEARTBEATS = 10;
 
-export class ServerReturn implements ReturnPolicy {
+export class ServerRollbackPolicy implements RollbackPolicy {
   private readonly _read: (object: StoredObject) => BackendServerRecord | undefined;
   private readonly _heartbeatMilliseconds: number;
 
-  /** `read` tells what an entry says; undefined where it cannot be understood. */
+  /** `read` decodes an entry; undefined where it is invalid. */
   constructor(
     read: (object: StoredObject) => BackendServerRecord | undefined,
     heartbeatMilliseconds: number,
@@ -25,9 +25,9 @@
     this._heartbeatMilliseconds = heartbeatMilliseconds;
   }
 
-  /** A server that has said it leaves goes on leaving in that life, and a later life takes the place of an earlier one. */
-  replaced(held: StoredObject, stored: StoredObject): number {
-    const former = this._read(held);
+  /** A draining server does not become ready again in the same life, and an earlier life does not replace a later one. */
+  replaced(before: StoredObject, stored: StoredObject): number {
+    const former = this._read(before);
     const present = this._read(stored);
     if (!former || !present) return 0;
     if (former.startedAt === present.startedAt)
@@ -35,11 +35,11 @@
     return isLater(former, present) ? LAPSE_HEARTBEATS * this._heartbeatMilliseconds : 0;
   }
 
-  missing(held: StoredObject): number {
-    return this._read(held) ? RENEWAL_HEARTBEATS * this._heartbeatMilliseconds : 0;
+  missing(former: StoredObject): number {
+    return this._read(former) ? RENEWAL_HEARTBEATS * this._heartbeatMilliseconds : 0;
   }
 
-  /** The same life has ended, or leaves without a word and keeps serving. */
+  /** A life whose entry was deleted has ended, or drains without saying so. */
   deleted(last: StoredObject, stored: StoredObject): number {
     const former = this._read(last);
     const present = this._read(stored);
--- a/standins/platformStoreStandin.ts
+++ b/standins/platformStoreStandin.ts
@@ -45,7 +45,7 @@
   onCall: (call: string) => void = () => undefined;
   /** Answers each list and watch instead of what is held. */
   answer: unknown;
-  /** Rises each time the store comes back from an older copy. */
+  /** Rises each time the store is rolled back. */
   era = 0;
   /** Told in place of the era; '' tells none. */
   eraHeader: string | undefined;
@@ -75,9 +75,9 @@
   }
 
   /**
-   * Comes back from an older copy: what was written since is gone, and its revisions are given out again. Open connections are cut.
+   * Is rolled back to an older copy: what was written since is gone, and its revisions are given out again. Open connections are cut.
    */
-  returnFrom({ revision, objects }: StoreCopy, { keepsConnections = false } = {}): void {
+  rollBackTo({ revision, objects }: StoreCopy, { keepsConnections = false } = {}): void {
     this.era++;
     this._objects.splice(0, this._objects.length, ...objects);
     this._revision = revision;
--- a/tests/serverReturn.spec.ts
+++ b/tests/rollbackPolicies.spec.ts
@@ -1,20 +1,20 @@
-/** For how long an earlier word counts for more than what the store has since it came back from an older copy. */
+/** For how long an earlier word counts for more than what the store has since it was rolled back. */
 import { test } from 'node:test';
 import { expect } from 'earl';
 import type { StoredObject } from '../src/records/watchableStore.js';
 import type { BackendServerRecord } from '../src/serving/backendServerRecord.js';
-import { NumberedReturn } from '../src/serving/numberedReturn.js';
-import { ServerReturn } from '../src/serving/serverReturn.js';
+import { NumberedRollbackPolicy } from '../src/serving/numberedRollbackPolicy.js';
+import { ServerRollbackPolicy } from '../src/serving/serverRollbackPolicy.js';
 
 const HEARTBEAT = 1_000;
 const RENEWED = 2 * HEARTBEAT;
 const LAPSED = 10 * HEARTBEAT;
 const ALWAYS = Number.POSITIVE_INFINITY;
-const servers = new ServerReturn(
+const servers = new ServerRollbackPolicy(
   ({ value }) => (value === undefined ? undefined : ({ startedAt: 0, ...value } as BackendServerRecord)),
   HEARTBEAT,
 );
-const numbers = new NumberedReturn(({ value }) => value as number | undefined);
+const numbers = new NumberedRollbackPolicy(({ value }) => value as number | undefined);
 
 function object(value: unknown): StoredObject {
   return { name: 'x', revision: 1, value };
--- a/tests/olderStore.spec.ts
+++ b/tests/storeRollback.spec.ts
@@ -1,4 +1,4 @@
-/** The store comes back from an older copy: what was written since is gone, and its revisions are given out again. */
+/** The store is rolled back: what was written since is gone, and its revisions are given out again. */
 import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
 import { PlatformRecordReader } from '../platform/records.js';
@@ -82,8 +82,8 @@
 }
 
 /** Whether an entry has read the store, or copies of it, since it came back. */
-function hasReturned(entry: RecordEntry): boolean {
-  return entry.followers.era === standin.era && entry.followers.isCurrent;
+function hasRolledBack(entry: RecordEntry): boolean {
+  return entry.followers.generation === standin.era && entry.followers.isCurrent;
 }
 
 async function restart(index: number): Promise<void> {
@@ -94,41 +94,41 @@
   await entries[index].start(Number(new URL(`http://${own.address}`).port));
 }
 
-test('should take what is written after the store came back from an older copy', async () => {
+test('should take what is written after the store was rolled back', async () => {
   const copy = copyThenWrite();
   configure(2);
   await all((entry) => versionAt(entry) === 2);
-  standin.returnFrom(copy);
+  standin.rollBackTo(copy);
   configure(3);
   publish('b');
   await all((entry) => versionAt(entry) === 3 && serversAt(entry).includes('b ready'));
 });
 
-test('should take what is written after a watch has waited through the return', async () => {
+test('should take what is written after a watch has waited through a rollback', async () => {
   const copy = copyThenWrite();
   await all((entry) => entry.followers.isCurrent);
-  standin.returnFrom(copy, { keepsConnections: true });
+  standin.rollBackTo(copy, { keepsConnections: true });
   configure(2);
   await all((entry) => versionAt(entry) === 2);
 });
 
-test('should take what is written after two returns in a row', async () => {
+test('should take what is written after two rollbacks in a row', async () => {
   const copy = copyThenWrite();
   configure(2);
   await all((entry) => versionAt(entry) === 2);
-  standin.returnFrom(copy);
-  await all(hasReturned);
+  standin.rollBackTo(copy);
+  await all(hasRolledBack);
   const second = copyThenWrite();
-  standin.returnFrom(second);
+  standin.rollBackTo(second);
   configure(3);
   await all((entry) => versionAt(entry) === 3);
 });
 
-test('should take what is written after a return that those who read the store were cut off from', async () => {
+test('should take what is written after a rollback that those who read the store were cut off from', async () => {
   const copy = copyThenWrite();
   for (const entry of entries.slice(0, 2)) entry.store.cut = true;
-  standin.returnFrom(copy);
-  await until(() => entries.slice(2).every(hasReturned));
+  standin.rollBackTo(copy);
+  await until(() => entries.slice(2).every(hasRolledBack));
   configure(2);
   await all((entry) => versionAt(entry) === 2);
   for (const entry of entries) entry.store.cut = false;
@@ -140,8 +140,8 @@
   const copy = copyThenWrite();
   configure(2);
   await all((entry) => versionAt(entry) === 2);
-  standin.returnFrom(copy);
-  await all(hasReturned);
+  standin.rollBackTo(copy);
+  await all(hasRolledBack);
   expect(entries.map(versionAt)).toEqual(entries.map(() => 2));
   await restart(3);
   await all((entry) => versionAt(entry) === 2);
@@ -153,8 +153,8 @@
   const copy = copyThenWrite();
   name(2);
   await all((entry) => namedAt(entry) === 2);
-  standin.returnFrom(copy);
-  await all(hasReturned);
+  standin.rollBackTo(copy);
+  await all(hasRolledBack);
   expect(entries.map(namedAt)).toEqual(entries.map(() => 2));
   name(2);
   name(3);
@@ -166,14 +166,14 @@
   const copy = copyThenWrite();
   publish('b', { state: 'draining' });
   await all((entry) => serversAt(entry).includes('b draining'));
-  standin.returnFrom(copy);
-  await all(hasReturned);
+  standin.rollBackTo(copy);
+  await all(hasRolledBack);
   expect(entries.map(serversAt)).toEqual(entries.map(() => ['a ready', 'b draining']));
   publish('b', { seq_no: 1 });
   await restart(0);
-  await all((entry) => hasReturned(entry) && serversAt(entry).includes('b draining'));
+  await all((entry) => hasRolledBack(entry) && serversAt(entry).includes('b draining'));
   publish('b', { state: 'draining', seq_no: 2 });
-  await until(() => entries.every((entry) => entry.followers.heldRecords === 0));
+  await until(() => entries.every((entry) => entry.followers.retainedRecords === 0));
   publish('b', { born: 1 });
   await all((entry) => serversAt(entry).includes('b ready'));
 });
@@ -185,8 +185,8 @@
   standin.remove('servers', 'b');
   standin.remove('servers', 'c');
   await all((entry) => serversAt(entry).join() === 'a ready');
-  standin.returnFrom(copy);
-  await all(hasReturned);
+  standin.rollBackTo(copy);
+  await all(hasRolledBack);
   expect(entries.map(serversAt)).toEqual(entries.map(() => ['a ready']));
   standin.remove('servers', 'b');
   // one that stands there for longer than a server that has ended renews its entry
@@ -198,24 +198,24 @@
   publish('b');
   publish('c');
   await all((entry) => serversAt(entry).length === 3);
-  standin.returnFrom(copy);
-  await all(hasReturned);
+  standin.rollBackTo(copy);
+  await all(hasRolledBack);
   expect(entries.map(serversAt)).toEqual(entries.map(() => ['a ready', 'b ready', 'c ready']));
   publish('b');
   await all((entry) => serversAt(entry).join() === 'a ready,b ready');
 });
 
-test('should tell of a return, and of what counts on since', async () => {
+test('should tell of a rollback, and of what is retained since', async () => {
   const copy = copyThenWrite();
   configure(2);
   await all((entry) => versionAt(entry) === 2);
-  standin.returnFrom(copy);
-  await all(hasReturned);
+  standin.rollBackTo(copy);
+  await all(hasRolledBack);
   const [reader] = entries;
   const line = (step: string): string => reader.lines.find((one) => one.includes(`"${step}"`)) ?? '';
-  await until(() => line('store.returned') !== '');
-  expect(line('store.returned')).toInclude('"era":1,"former":0');
-  expect(line('record.held')).toInclude('"kind":"config","name":"main","reason":"replaced"');
+  await until(() => line('store.rolled-back') !== '');
+  expect(line('store.rolled-back')).toInclude('"generation":1,"former":0');
+  expect(line('record.retained')).toInclude('"kind":"config","name":"main","reason":"replaced"');
   configure(3);
   await until(() => line('record.released') !== '');
   expect(line('record.released')).toInclude('"reason":"written again"');
--- a/tests/suspicionReturn.spec.ts
+++ b/tests/suspicionRollback.spec.ts
@@ -1,4 +1,4 @@
-/** Suspicions that the store has lost, as it came back from an older copy: nobody else writes them again. */
+/** Suspicions that the store has lost, as it was rolled back: nobody else writes them again. */
 import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
 import type { Suspicions } from '../src/crashes/suspicions.js';
@@ -33,7 +33,7 @@
   const entries = [fixture.entry('a'), fixture.entry('b')];
   const copy = fixture.store.copy();
   await shutOut(entries[0]);
-  fixture.store.returnFrom(copy);
+  fixture.store.rollBackTo(copy);
   await fixture.hear();
   expect(standings(...entries)).toEqual(['shut-out', 'shut-out']);
   await until(() => fixture.held?.ends.length === 3);
@@ -46,7 +46,7 @@
   const others = ['b', 'c', 'd', 'e'].map((box) => fixture.entry(box, false));
   const copy = fixture.store.copy();
   await shutOut(reader);
-  fixture.store.returnFrom(copy);
+  fixture.store.rollBackTo(copy);
   await fixture.hear();
   const { writes } = fixture.store;
   await until(() => fixture.held !== undefined);
@@ -62,7 +62,7 @@
   const copy = fixture.store.copy();
   await shutOut(former);
   former.close();
-  fixture.store.returnFrom(copy);
+  fixture.store.rollBackTo(copy);
   fixture.entry('a');
   await fixture.hear();
   await until(() => fixture.held?.ends.length === 3);
@@ -78,7 +78,7 @@
   entries[0].noteGoodEnd('f');
   await until(() => fixture.held === undefined);
   await fixture.hear();
-  fixture.store.returnFrom(copy);
+  fixture.store.rollBackTo(copy);
   await fixture.hear();
   expect(standings(...entries)).toEqual(['free', 'free']);
   await until(() => fixture.held === undefined);
@@ -93,7 +93,7 @@
   await fixture.hear();
   const copy = fixture.store.copy();
   await shutOut(entry);
-  fixture.store.returnFrom(copy);
+  fixture.store.rollBackTo(copy);
   fixture.store.change(KIND, 'f', { ends: [{ server: 's-4', trial: 'another' }] });
   await fixture.hear();
   await until(() => fixture.held?.ends.length === 4);
@@ -107,7 +107,7 @@
   await until(() => fixture.held !== undefined);
   const copy = fixture.store.copy();
   await shutOut(entry);
-  fixture.store.returnFrom(copy, { tellsEra: false });
+  fixture.store.rollBackTo(copy, { tellsGeneration: false });
   const { writes } = fixture.store;
   fixture.store.mostWrites = writes + 20;
   void entry.noteEnd('f', { server: 's-4', trial: '' });
--- a/tests/trackedServer.spec.ts
+++ b/tests/trackedServer.spec.ts
@@ -41,7 +41,7 @@
   expect(server.version('model')).toEqual(3);
 });
 
-test('should not count on a server with prompts before it to begin soon', () => {
+test('should not are retained a server with prompts before it to begin soon', () => {
   const clock = new ManualClock();
   clock.advance(10_000);
   const server = trackedServer(clock);
