Keep what had gone from coming back by a listing, a late revision, or a second rollback

Read in the diff, and shown by three tests that failed before (`retainedRecords`): a server that was retained as gone was taken for ready after its time though a listing had lacked it meanwhile; a deletion that carries the revision of the change before was passed over where another record was retained in its place; what another entry had told to have gone was forgotten at the next rollback.

--- a/src/records/recordReplica.ts
+++ b/src/records/recordReplica.ts
@@ -45,7 +45,7 @@
   private readonly _retained: RetainedRecords | undefined;
   private _revision = 0;
   private _newestChange = 0;
-  /** What other entries hold as of an generation of which there is no copy here yet. */
+  /** What other entries hold as of a generation of which there is no copy here yet. */
   private _early: EarlyRecords[] = [];
 
   /** Without `retained`, a rollback takes effect as it is. */
@@ -140,7 +140,9 @@
 
   private _replace({ revision, objects }: KindListing, isRollback: boolean): ChangeWeight {
     const stored = new Map(objects.map((object) => [object.name, object]));
-    const gone = [...this.objects.values()].filter(({ name }) => !stored.has(name));
+    const retained = this.retained.map(({ object }) => object);
+    const known = new Map([...retained, ...this.objects.values()].map((object) => [object.name, object]));
+    const gone = [...known.values()].filter(({ name }) => !stored.has(name));
     if (isRollback) this._retained?.begin(this.objects, stored, revision);
     else if (this._revision > 0) this._noteMissing(gone);
     return this._apply([
@@ -166,7 +168,7 @@
   /** Whether a change is not in the copy yet. Deletions may carry the revision of the change before. */
   private _isNewer({ object, gone }: ObjectChange): boolean {
     if (!gone) return object.revision > this._revision;
-    return object.revision >= (this.objects.get(object.name)?.revision ?? 0);
+    return object.revision >= (this._storedOf(object.name)?.revision ?? 0);
   }
 
   /** Objects that a listing lacks have been deleted, unless the store lacked them before. */
--- a/src/records/retainedRecords.ts
+++ b/src/records/retainedRecords.ts
@@ -104,7 +104,9 @@
     const known = this._retentions.get(name);
     const isNews = known ? !known.gone && this._outweighs(record, known.object) : !this._deleted.has(name);
     const age = this._options.clock.now() - record.since;
-    return isNews && age < this._timeOf(record, stored) && this._weigh(record, stored);
+    if (!isNews || age >= this._timeOf(record, stored)) return false;
+    if (record.gone) this._deleted.set(name, record.object);
+    return this._weigh(record, stored);
   }
 
   /** The object in force where the store has `stored` now. */
--- /dev/null
+++ b/tests/retainedRecords.spec.ts
@@ -0,0 +1,146 @@
+/** Records that stay in force after a rollback, by one replica: what the store tells next, in whatever way. */
+import { beforeEach, test } from 'node:test';
+import { expect } from 'earl';
+import { RecordReplica } from '../src/records/recordReplica.js';
+import { RetainedRecords } from '../src/records/retainedRecords.js';
+import { orderedRevision } from '../src/records/storeRevision.js';
+import type { KindListing, StoredObject } from '../src/records/watchableStore.js';
+import { ManualClock } from '../src/utils/clock.js';
+import { quietLog } from './fixtures/quietLog.js';
+
+const RETAINED = 1_000;
+let clock: ManualClock;
+let mayHaveLapsed: boolean;
+let replica: RecordReplica;
+
+function replicaOf(): RecordReplica {
+  const policy = { replaced: () => RETAINED, missing: () => RETAINED, deleted: () => RETAINED };
+  const options = { kind: 'servers', policy, mayHaveLapsed: () => mayHaveLapsed, clock, log: quietLog() };
+  return new RecordReplica('servers', undefined, new RetainedRecords(options));
+}
+
+beforeEach(() => {
+  clock = new ManualClock();
+  mayHaveLapsed = false;
+  replica = replicaOf();
+});
+
+function at(generation: number, number: number): number {
+  return orderedRevision({ generation, number });
+}
+
+function object(name: string, revision: number, value: unknown = 'ready'): StoredObject {
+  return { name, revision, value };
+}
+
+function listing(revision: number, ...objects: StoredObject[]): KindListing {
+  return { revision, objects };
+}
+
+function remove(name: string, revision: number): void {
+  replica.takeChanges(revision, [{ object: object(name, revision), gone: true }]);
+}
+
+function names(of = replica): string[] {
+  return [...of.objects.keys()].sort();
+}
+
+/** The time goes by for which records are retained, while the store answers. */
+function letLapse(): void {
+  clock.advance(RETAINED);
+  replica.releaseRetained(Number.NEGATIVE_INFINITY, clock.now());
+}
+
+/** The store had `a` and `b`, removed `b`, and is rolled back to when it had both. */
+function rollBackWithGone(): void {
+  replica.takeListing(listing(at(0, 5), object('a', at(0, 1)), object('b', at(0, 2))));
+  remove('b', at(0, 6));
+  replica.takeListing(listing(at(1, 3), object('a', at(1, 1)), object('b', at(1, 2))));
+}
+
+test('should not bring back what had gone when a later listing lacks it too', () => {
+  rollBackWithGone();
+  expect(names()).toEqual(['a']);
+  replica.takeListing(listing(at(1, 4), object('a', at(1, 1))));
+  letLapse();
+  expect(names()).toEqual(['a']);
+});
+
+test('should take what had gone once its time is over and the store has it still', () => {
+  rollBackWithGone();
+  letLapse();
+  expect(names()).toEqual(['a', 'b']);
+});
+
+test('should take what had gone once it is written anew', () => {
+  rollBackWithGone();
+  replica.takeChanges(at(1, 4), [{ object: object('b', at(1, 4)), gone: false }]);
+  expect(names()).toEqual(['a', 'b']);
+});
+
+test('should take a deletion that carries the revision of the change before', () => {
+  replica.takeListing(listing(at(0, 5), object('a', at(0, 4), 'draining')));
+  replica.takeListing(listing(at(1, 3), object('a', at(1, 1))));
+  expect(replica.objects.get('a')?.value).toEqual('draining');
+  replica.takeChanges(at(1, 4), [{ object: object('a', at(1, 1)), gone: true }]);
+  expect(names()).toEqual([]);
+});
+
+test('should remember what came and went in one answer', () => {
+  replica.takeListing(listing(at(0, 5)));
+  replica.takeChanges(at(0, 7), [
+    { object: object('b', at(0, 6)), gone: false },
+    { object: object('b', at(0, 7)), gone: true },
+  ]);
+  replica.takeListing(listing(at(1, 6), object('b', at(1, 6))));
+  expect(names()).toEqual([]);
+});
+
+test('should not take for gone what a listing lacks after an outage', () => {
+  replica.takeListing(listing(at(0, 5), object('b', at(0, 2))));
+  mayHaveLapsed = true;
+  replica.takeListing(listing(at(0, 6)));
+  mayHaveLapsed = false;
+  replica.takeListing(listing(at(1, 3), object('b', at(1, 2))));
+  expect(names()).toEqual(['b']);
+});
+
+test('should retain over a second rollback what another entry had told after the first', () => {
+  rollBackWithGone();
+  const other = replicaOf();
+  other.takeListing(listing(at(1, 3), object('a', at(1, 1)), object('b', at(1, 2))));
+  other.takeRetained(replica.revision, replica.retained);
+  expect(names(other)).toEqual(['a']);
+  other.takeListing(listing(at(2, 3), object('a', at(2, 1)), object('b', at(2, 2))));
+  expect(names(other)).toEqual(['a']);
+});
+
+test('should wait with what another entry retains until it has a copy of that generation', () => {
+  rollBackWithGone();
+  const other = replicaOf();
+  other.takeRetained(replica.revision, replica.retained);
+  other.takeListing(listing(at(1, 3), object('a', at(1, 1)), object('b', at(1, 2))));
+  expect(names(other)).toEqual(['a']);
+});
+
+test('should not take over what is retained for longer than its time', () => {
+  rollBackWithGone();
+  clock.advance(RETAINED);
+  const other = replicaOf();
+  other.takeListing(listing(at(1, 3), object('a', at(1, 1)), object('b', at(1, 2))));
+  other.takeRetained(replica.revision, replica.retained);
+  expect(names(other)).toEqual(['a', 'b']);
+});
+
+test('should pass on what the store has, not what is retained', () => {
+  rollBackWithGone();
+  expect(replica.stored.map(({ name }) => name).sort()).toEqual(['a', 'b']);
+});
+
+test('should tell of a change behind a retained record', () => {
+  rollBackWithGone();
+  const told: string[] = [];
+  replica.on('change', ({ changes }) => told.push(...changes.map(({ object: { name } }) => name)));
+  remove('b', at(1, 4));
+  expect(told).toEqual(['b']);
+});
