A rollback by itself is no outage: what a listing lacks after it has gone

A server that went just after a rollback, and whose entry was found missing by a listing (readers list anew when the probe tells a rollback), was taken for one that had only lapsed, and not remembered: the next rollback brought it back. Entries lapse while the store is lost, which is what the time of regaining says now, and nothing else.

--- a/src/records/storeProbe.ts
+++ b/src/records/storeProbe.ts
@@ -50,7 +50,7 @@
     return this._isLost;
   }
 
-  /** Monotonic milliseconds at which the store was regained, or seen to be rolled back; -infinity when it never was. */
+  /** Monotonic milliseconds at which the store was regained; -infinity when it never was lost. */
   get regainedAt(): number {
     return this._regainedAt;
   }
@@ -94,7 +94,6 @@
     const former = this._generation;
     this._generation = generation;
     if (former === undefined || former === generation) return;
-    this._regainedAt = this._options.clock.now();
     this._options.log.state('store.rolled-back', { generation, former });
     this.emit('rollback');
   }
