--- a/src/crashes/suspicionCopies.ts
+++ b/src/crashes/suspicionCopies.ts
@@ -65,7 +65,7 @@
     return this._stored.get(fingerprint) ?? { suspicion: undefined, revision: 0, seenAt: this._clock.now() };
   }
 
-  /** Takes what the store holds as of `revision`, by the answer to a write; returns whether it is news. */
+  /** Takes what the store holds as of `revision`, by the answer to a write; returns whether it is newer. */
   note(fingerprint: string, revision: number, suspicion: Suspicion | undefined): boolean {
     const known = this._stored.get(fingerprint);
     if (known && known.revision >= revision) return false;
@@ -79,9 +79,9 @@
   noteObject(fingerprint: string, object: StoredObject | undefined): boolean {
     if (object) return this.note(fingerprint, object.revision, this._read(object));
     this._noteCleared(fingerprint, undefined);
-    const isNews = this._stored.delete(fingerprint);
+    const isNewer = this._stored.delete(fingerprint);
     this.emit('change', fingerprint, 0);
-    return isNews;
+    return isNewer;
   }
 
   /** Takes an object as what the store holds, even if it is older than the copy. */
--- /dev/null
+++ b/src/crashes/suspicionRestorer.ts
@@ -0,0 +1,70 @@
+/** Keeps the suspicions that a rollback of the store has lost, and writes them again: nobody else does. */
+import type { EventLog } from '../telemetry/eventLog.js';
+import type { Random } from '../utils/random.js';
+import { pause } from '../utils/timers.js';
+import { withKnown, withoutCleared } from './suspicion.js';
+import type { KnownSuspicions, SuspicionCopies } from './suspicionCopies.js';
+import type { SuspicionWriter } from './suspicionWriter.js';
+
+/** What a restorer works with. */
+export interface SuspicionRestorerOptions {
+  copies: SuspicionCopies;
+  writer: SuspicionWriter;
+  /** Whether this process is one of the few that read the store. */
+  isReading: () => boolean;
+  random: Random;
+  log: EventLog;
+}
+
+/** After a rollback, entries that read the store write again what it lacks within this time, so that one write is enough. */
+const RESTORE_MILLISECONDS = 400;
+/** The others do so by then, in case those that read the store have just started. */
+const RESTORE_BY_OTHERS_MILLISECONDS = 1_600;
+export class SuspicionRestorer {
+  private readonly _options: SuspicionRestorerOptions;
+  private readonly _stopped = new AbortController();
+
+  constructor(options: SuspicionRestorerOptions) {
+    this._options = options;
+    options.copies.on('rollback', (known) => void this._restore(known));
+  }
+
+  stop(): void {
+    this._stopped.abort();
+  }
+
+  private async _restore(known: KnownSuspicions): Promise<void> {
+    const { suspected, cleared } = known;
+    this._proposeSuspected(known);
+    // the copies are replaced next: only then is what was cleared there again
+    await Promise.resolve();
+    this._proposeCleared(known);
+    this._options.log.state('suspicions.restoring', { suspected: suspected.size, cleared: cleared.size });
+    await pause(this._waitMilliseconds(), this._stopped.signal);
+    for (const fingerprint of [...suspected.keys(), ...cleared.keys()]) {
+      if (this._stopped.signal.aborted) return;
+      await this._options.writer.writeProposed(fingerprint);
+    }
+  }
+
+  private _proposeSuspected({ suspected }: KnownSuspicions): void {
+    for (const [fingerprint, known] of suspected)
+      this._options.writer.propose(fingerprint, (suspicion) => withKnown(suspicion, known));
+  }
+
+  private _proposeCleared({ cleared }: KnownSuspicions): void {
+    const { copies, writer } = this._options;
+    for (const [fingerprint, former] of cleared) {
+      if (copies.of(fingerprint).suspicion)
+        writer.propose(fingerprint, (suspicion) => withoutCleared(suspicion, former));
+    }
+  }
+
+  /** Others than readers wait until these must have written. */
+  private _waitMilliseconds(): number {
+    const { isReading, random } = this._options;
+    if (isReading()) return random.fraction() * RESTORE_MILLISECONDS;
+    const others = RESTORE_BY_OTHERS_MILLISECONDS - RESTORE_MILLISECONDS;
+    return RESTORE_MILLISECONDS + random.fraction() * others;
+  }
+}
--- a/src/crashes/suspicions.ts
+++ b/src/crashes/suspicions.ts
@@ -13,24 +13,17 @@
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
-import { atMost, pause } from '../utils/timers.js';
+import { atMost } from '../utils/timers.js';
 import { GoodEnds } from './goodEnds.js';
 import type { CheckedServer } from './serverEnds.js';
 import { ServerEnds } from './serverEnds.js';
 import type { Standing } from './standing.js';
 import { standingOf } from './standing.js';
 import type { ServerEnd, Suspicion } from './suspicion.js';
-import {
-  isExplained,
-  isShutOut,
-  withEnd,
-  withKnown,
-  withTrial,
-  withoutCleared,
-  withoutTrial,
-} from './suspicion.js';
-import type { KnownSuspicions, StoredSuspicion } from './suspicionCopies.js';
+import { isExplained, isShutOut, withEnd, withTrial, withoutTrial } from './suspicion.js';
+import type { StoredSuspicion } from './suspicionCopies.js';
 import { SuspicionCopies } from './suspicionCopies.js';
+import { SuspicionRestorer } from './suspicionRestorer.js';
 import type { SuspicionChange } from './suspicionWriter.js';
 import { SuspicionWriter } from './suspicionWriter.js';
 
@@ -71,10 +64,6 @@
 /** Beyond so many the servers end for another cause, as with their racks, and the store is spared. */
 const MOST_SUSPICIONS = 1_000;
 const MOST_PENDING = 200;
-/** After a rollback, entries that read the store write again what it lacks within this time, so that one write is enough. */
-const RESTORE_MILLISECONDS = 400;
-/** The others do so by then, in case those that read the store have just started. */
-const RESTORE_BY_OTHERS_MILLISECONDS = 1_600;
 /** How often a request that waits looks whether the entry of the trial still lives. */
 const LOOK_MILLISECONDS = 250;
 
@@ -82,6 +71,7 @@
   private readonly _options: SuspicionsOptions;
   private readonly _copies: SuspicionCopies;
   private readonly _writer: SuspicionWriter;
+  private readonly _restorer: SuspicionRestorer;
   private readonly _ends: ServerEnds;
   private readonly _goodEnds = new GoodEnds();
   private readonly _lastEnds = new LRUCache<string, LastEnd>({ max: MOST_SUSPICIONS + MOST_PENDING });
@@ -89,7 +79,6 @@
   /** Requests of this process that have asked for a trial. */
   private readonly _claims = new Set<string>();
   private readonly _timer: NodeJS.Timeout;
-  private readonly _stopped = new AbortController();
 
   constructor(options: SuspicionsOptions) {
     const { replica, unreadable, clock } = options;
@@ -97,8 +86,8 @@
     this._ends = new ServerEnds(options.log);
     this._copies = new SuspicionCopies(replica, unreadable, clock);
     this._copies.on('change', (fingerprint, endsBefore) => this._onChange(fingerprint, endsBefore));
-    this._copies.on('rollback', (known) => void this._restore(known));
     this._writer = new SuspicionWriter({ ...options, kind: replica.kind, copies: this._copies });
+    this._restorer = new SuspicionRestorer({ ...options, copies: this._copies, writer: this._writer });
     this._timer = setInterval(() => this._tidy(), TIDY_INTERVAL_MILLISECONDS).unref();
   }
 
@@ -200,7 +189,7 @@
 
   close(): void {
     clearInterval(this._timer);
-    this._stopped.abort();
+    this._restorer.stop();
     this._writer.stop();
   }
 
@@ -260,27 +249,6 @@
     for (const wake of [...(this._waiting.get(fingerprint) ?? [])]) wake();
   }
 
-  /** Keeps what a rollback of the store has lost, and writes it again. */
-  private async _restore({ suspected, cleared }: KnownSuspicions): Promise<void> {
-    for (const [fingerprint, known] of suspected)
-      this._writer.propose(fingerprint, (suspicion) => withKnown(suspicion, known));
-    // the copies are replaced next: only then is what was cleared there again
-    await Promise.resolve();
-    for (const [fingerprint, former] of cleared)
-      if (this._copies.of(fingerprint).suspicion)
-        this._writer.propose(fingerprint, (suspicion) => withoutCleared(suspicion, former));
-    const { random, isReading, log } = this._options;
-    log.state('suspicions.restoring', { suspected: suspected.size, cleared: cleared.size });
-    const [least, most] = isReading()
-      ? [0, RESTORE_MILLISECONDS]
-      : [RESTORE_MILLISECONDS, RESTORE_BY_OTHERS_MILLISECONDS];
-    await pause(least + random.fraction() * (most - least), this._stopped.signal);
-    for (const fingerprint of [...suspected.keys(), ...cleared.keys()]) {
-      if (this._stopped.signal.aborted) return;
-      await this._writer.writeProposed(fingerprint);
-    }
-  }
-
   /** Removes what nobody has come again with; the others find it in their copies. */
   private _tidy(): void {
     if (!this._options.isReading()) return;
--- a/src/records/retainedRecords.ts
+++ b/src/records/retainedRecords.ts
@@ -102,9 +102,9 @@
   adopt(record: RetainedRecord, stored: StoredObject | undefined): boolean {
     const { name } = record.object;
     const known = this._retentions.get(name);
-    const isNews = known ? !known.gone && this._outweighs(record, known.object) : !this._deleted.has(name);
+    const isNewer = known ? !known.gone && this._outweighs(record, known.object) : !this._deleted.has(name);
     const age = this._options.clock.now() - record.since;
-    if (!isNews || age >= this._timeOf(record, stored)) return false;
+    if (!isNewer || age >= this._timeOf(record, stored)) return false;
     if (record.gone) this._deleted.set(name, record.object);
     return this._weigh(record, stored);
   }
