Weigh a record that another entry retains once; rollbacks by their name

What was taken over from another entry was weighed by its policy twice, which decodes the whole configuration each time.

--- a/soak/storeRollback.ts
+++ b/soak/storeRollback.ts
@@ -10,15 +10,15 @@
 const WRITE_AGAIN_MILLISECONDS = 1_000;
 /** The entries of servers that have ended go after three heartbeats. */
 const LAPSE_MILLISECONDS = 3_600;
-/** Returns in a row, at the most. */
+/** Rollbacks in a row, at the most. */
 const MOST_ROLLBACKS = 2;
 /** Other writers write so much meanwhile, at the most: after many, revisions stay below those of before for long. */
 const MOST_OTHER_WRITES = 200;
 
 /** The store is away for a moment and comes back without what was written lately, once or more. */
 export async function rollBackStore(fleet: SoakFleet, random: Random): Promise<void> {
-  const returns = 1 + random.integer(MOST_ROLLBACKS);
-  for (let count = 0; count < returns; count++) {
+  const rollbacks = 1 + random.integer(MOST_ROLLBACKS);
+  for (let count = 0; count < rollbacks; count++) {
     const copy = fleet.store.copy();
     fleet.configure();
     const others = random.integer(MOST_OTHER_WRITES);
--- a/src/records/recordReplica.ts
+++ b/src/records/recordReplica.ts
@@ -45,7 +45,7 @@
   private readonly _retained: RetainedRecords | undefined;
   private _revision = 0;
   private _newestChange = 0;
-  /** What other entries hold as of a generation of which there is no copy here yet. */
+  /** What other entries retain in a generation of which there is no copy here yet. */
   private _early: EarlyRecords[] = [];
 
   /** Without `retained`, a rollback takes effect as it is. */
--- a/src/records/retainedRecords.ts
+++ b/src/records/retainedRecords.ts
@@ -91,9 +91,9 @@
     this._retentions.clear();
     const since = this._options.clock.now();
     for (const object of before.values())
-      this._weigh({ object: { ...object, revision }, gone: false, since }, stored.get(object.name));
+      this._compare({ object: { ...object, revision }, gone: false, since }, stored.get(object.name));
     for (const object of this._deleted.values())
-      this._weigh({ object, gone: true, since }, stored.get(object.name));
+      this._compare({ object, gone: true, since }, stored.get(object.name));
     const { kind, log } = this._options;
     log.state('records.rolled-back', { kind, ...revisionFields(revision), retained: this._retentions.size });
   }
@@ -103,10 +103,13 @@
     const { name } = record.object;
     const known = this._retentions.get(name);
     const isNewer = known ? !known.gone && this._outweighs(record, known.object) : !this._deleted.has(name);
-    const age = this._options.clock.now() - record.since;
-    if (!isNewer || age >= this._timeOf(record, stored)) return false;
+    if (!isNewer) return false;
+    const milliseconds = this._timeOf(record, stored);
+    const isOver = this._options.clock.now() - record.since >= milliseconds;
+    if (isOver) return false;
     if (record.gone) this._deleted.set(name, record.object);
-    return this._weigh(record, stored);
+    this._retain(record, stored, milliseconds);
+    return true;
   }
 
   /** The object in force where the store has `stored` now. */
@@ -135,10 +138,13 @@
     return released;
   }
 
-  /** Retains a record for as long as the policy says; returns whether that is at all. */
-  private _weigh(record: RetainedRecord, stored: StoredObject | undefined): boolean {
+  /** Retains a record for as long as the policy says, if at all. */
+  private _compare(record: RetainedRecord, stored: StoredObject | undefined): void {
     const milliseconds = this._timeOf(record, stored);
-    if (milliseconds === 0) return false;
+    if (milliseconds > 0) this._retain(record, stored, milliseconds);
+  }
+
+  private _retain(record: RetainedRecord, stored: StoredObject | undefined, milliseconds: number): void {
     const { kind, log } = this._options;
     const { name } = record.object;
     this._retentions.set(name, { ...record, stored, milliseconds });
@@ -151,7 +157,6 @@
       milliseconds: until,
       ...revisionFields(record.object.revision),
     });
-    return true;
   }
 
   private _timeOf({ object, gone }: RetainedRecord, stored: StoredObject | undefined): number {
