Records: keep the last state of an object that a listing lacked before its deletion

Callers would see requests at a server that has gone, after the store has returned from an older copy.

Cause, by a trace of the listings and changes: the pages of a listing are read one after the other. A server that is deleted between two pages is missing from a listing that still has the revision of the first page. The copy remembers it as deleted, with its record; then the watch reports the deletion, without a record, and that replaced the remembered one. A deletion without a readable record is not retained after a rollback.

Change: a deletion event of an object that the copy no longer has does not replace a remembered deletion.

--- a/src/records/recordReplica.ts
+++ b/src/records/recordReplica.ts
@@ -183,6 +183,16 @@
     return object.revision >= (this._storedOf(object.name)?.revision ?? 0);
   }
 
+  /**
+   * Remembers the deletion of an object. The pages of a listing are read one after the other, so that it may lack an
+   * object before its deletion is watched. Its last state is then known from before, while the event has none.
+   */
+  private _rememberDeletion(object: StoredObject): void {
+    const known = this.objects.get(object.name);
+    if (known || !this._retained?.isDeleted(object.name))
+      this._retained?.rememberDeletion(known ?? object, 'change');
+  }
+
   /** Remembers as deleted the objects that are missing from a listing, unless the store lacked them before. */
   private _rememberDeletions(objects: readonly StoredObject[]): void {
     const deleted = objects.filter(({ name }) => this._storedOf(name));
@@ -195,7 +205,7 @@
     for (const { object, gone } of changes) {
       const { name, revision } = object;
       this._newestChange = Math.max(this._newestChange, revision);
-      if (gone && via === 'change') this._retained?.rememberDeletion(this.objects.get(name) ?? object, via);
+      if (gone && via === 'change') this._rememberDeletion(object);
       const wasRetained = this._retained?.has(name) ?? false;
       const storedBefore = this._storedOf(name);
       const stored = gone ? undefined : object;
--- a/src/records/retainedRecords.ts
+++ b/src/records/retainedRecords.ts
@@ -75,6 +75,11 @@
     if (!mayHaveExpired) this._deleted.set(last.name, last);
   }
 
+  /** Whether the deletion of an object is remembered, and the object has not existed since. */
+  isDeleted(name: string): boolean {
+    return this._deleted.has(name);
+  }
+
   /** Forgets the deletion of an object that exists again. */
   forgetDeletion(name: string): void {
     this._deleted.delete(name);
--- a/tests/retainedRecords.spec.ts
+++ b/tests/retainedRecords.spec.ts
@@ -14,7 +14,8 @@
 let replica: RecordReplica;
 
 function replicaOf(): RecordReplica {
-  const policy = { replaced: () => RETAINED, missing: () => RETAINED, deleted: () => RETAINED };
+  const deleted = ({ value }: StoredObject): number => (value === null ? 0 : RETAINED);
+  const policy = { replaced: () => RETAINED, missing: () => RETAINED, deleted };
   const options = { kind: 'servers', policy, mayHaveExpired: () => mayHaveExpired, clock, log: quietLog() };
   return new RecordReplica('servers', undefined, new RetainedRecords(options));
 }
@@ -66,6 +67,15 @@
   expect(names()).toEqual(['a']);
 });
 
+test('should not restore a deleted object that a listing in several pages lacked before its deletion was watched', () => {
+  const b = object('b', at(0, 2));
+  replica.applyListing(listing(at(0, 5), object('a', at(0, 1)), b));
+  replica.applyListing(listing(at(0, 5), object('a', at(0, 1))));
+  replica.applyChanges(at(0, 6), [{ object: object('b', at(0, 6), null), gone: true }]);
+  replica.applyListing(listing(at(1, 3), object('a', at(1, 1)), object('b', at(1, 2))));
+  expect(names()).toEqual(['a']);
+});
+
 test('should restore a deleted object once its retention has expired and the store still has it', () => {
   rollBackAfterDeletion();
   expireRetained();
