Decode how long servers are cold and what they handle meanwhile

Cause: cold_start_s, cold_per_s, cold_left_ms and X-Cold-Ms were not read. Change: a service has an optional cold part, a record the end of its warm-up in this process's time, and an answer the time left.

--- a/src/backpressure/answerSignals.ts
+++ b/src/backpressure/answerSignals.ts
@@ -9,6 +9,8 @@
   serverLimit: string;
   /** Set to 1 on every answer of a server that is shutting down. */
   serverLeaving: string;
+  /** Milliseconds for which the server remains cold, as a decimal number. */
+  serverCold: string;
   /** On a rejection: seconds to wait, or the date before which this entry must not send to the server. */
   retryAfter: string;
 }
@@ -19,6 +21,8 @@
   leaving: boolean;
   /** How long this entry must not send to the server; 0 without a Retry-After. */
   retryAfterMilliseconds: number;
+  /** How long the server remains cold; 0 when it is warm or does not tell. */
+  coldMilliseconds: number;
   /** Name and value of the first header that cannot be parsed; undefined when all headers are valid. */
   unreadable: string | undefined;
 }
@@ -27,6 +31,7 @@
   limitPerSecond: undefined,
   leaving: false,
   retryAfterMilliseconds: 0,
+  coldMilliseconds: 0,
   unreadable: undefined,
 };
 /** Statuses for which Retry-After is honoured. */
@@ -48,17 +53,21 @@
   const limit = lastValue(headers[names.serverLimit]);
   const leaving = lastValue(headers[names.serverLeaving]);
   const retryAfter = RETRY_AFTER_STATUSES.has(status) ? lastValue(headers[names.retryAfter]) : undefined;
-  if (limit === undefined && leaving === undefined && retryAfter === undefined) return NO_SIGNALS;
+  const cold = lastValue(headers[names.serverCold]);
+  if ([limit, leaving, retryAfter, cold].every((text) => text === undefined)) return NO_SIGNALS;
   const limitPerSecond = parseDecimal(limit);
   const retryAfterMilliseconds = parseRetryAfter(retryAfter, wallClock);
+  const coldMilliseconds = parseDecimal(cold);
   const unreadable = [
     ...describeInvalid(names.serverLimit, limit, limitPerSecond),
     ...describeInvalid(names.retryAfter, retryAfter, retryAfterMilliseconds),
+    ...describeInvalid(names.serverCold, cold, coldMilliseconds),
   ];
   return {
     limitPerSecond,
     leaving: leaving === LEAVING_VALUE,
     retryAfterMilliseconds: retryAfterMilliseconds ?? 0,
+    coldMilliseconds: coldMilliseconds ?? 0,
     unreadable: unreadable.at(0)?.slice(0, MAX_LOGGED_CHARACTERS),
   };
 }
--- a/src/serving/backendServerRecord.ts
+++ b/src/serving/backendServerRecord.ts
@@ -19,4 +19,8 @@
   slots: number;
   draining: boolean;
   models: readonly ServedModel[];
+  /** Milliseconds for which the server remains cold, counted from when the record was written; absent when it is warm. */
+  coldLeftMilliseconds?: number;
+  /** Latest end of that time, in this process's monotonic milliseconds; set when the record arrives. */
+  coldUntil?: number;
 }
--- a/src/serving/headerNames.ts
+++ b/src/serving/headerNames.ts
@@ -37,5 +37,6 @@
   tokens: 'larklatch-tokens',
   serverLimit: 'larklatch-requests-per-second',
   serverLeaving: 'larklatch-leaving',
+  serverCold: 'larklatch-cold-milliseconds',
   retryAfter: 'retry-after',
 };
--- a/src/serving/platformFollowers.ts
+++ b/src/serving/platformFollowers.ts
@@ -59,7 +59,7 @@
   constructor(options: PlatformFollowersOptions) {
     const { platform, clock, log } = options;
     const { store, reader, unreadable } = platform;
-    this.serverDecoder = new ServerRecordDecoder(reader, unreadable);
+    this.serverDecoder = new ServerRecordDecoder(reader, unreadable, clock);
     const classifyServer: ClassifyChange = (before, after) =>
       this.serverDecoder.classifyChange(before, after);
     const replicaOf = (kind: string, policy: RollbackPolicy, classify?: ClassifyChange): RecordReplica =>
--- a/src/serving/servingConfiguration.ts
+++ b/src/serving/servingConfiguration.ts
@@ -48,12 +48,22 @@
   address: string;
 }
 
+/** How servers of a service behave for a while after they start under traffic, or at other times by their record. */
+export interface ColdStartDescription {
+  /** Duration of the warm-up after a start. */
+  startMilliseconds: number;
+  /** Requests per second that a cold server handles, from all entries together. */
+  perSecond: number;
+}
+
 export interface ServiceDescription {
   name: string;
   /** Connections that a backend server accepts from all entries together. */
   maximumConnections: number;
   engine: EngineDescription | undefined;
   origin: OriginDescription | undefined;
+  /** Undefined if a cold server handles as many requests as any other. */
+  cold?: ColdStartDescription;
 }
 
 /** A customer and its API keys. */
--- a/tests/answerSignals.spec.ts
+++ b/tests/answerSignals.spec.ts
@@ -12,7 +12,12 @@
 
 test('should return no signals for a response without backpressure headers', () => {
   const { unreadable, ...signals } = read(200, { 'content-type': 'text/plain', 'retry-after': '3' });
-  expect(signals).toEqual({ limitPerSecond: undefined, leaving: false, retryAfterMilliseconds: 0 });
+  expect(signals).toEqual({
+    limitPerSecond: undefined,
+    leaving: false,
+    retryAfterMilliseconds: 0,
+    coldMilliseconds: 0,
+  });
   expect(unreadable).toEqual(undefined);
 });
 
--- a/tests/backendCall.spec.ts
+++ b/tests/backendCall.spec.ts
@@ -24,7 +24,8 @@
   const failure = await new Promise<CallFailure | undefined>((resolve) => {
     const listener = { onHead: () => undefined, onData: () => undefined };
     BackendCall.send(server, REQUEST, { ...listener, onEnd: () => resolve(undefined), onFailed: resolve });
-    backpressure.applySignals({ limitPerSecond: undefined, unreadable: undefined, ...signals });
+    const none = { limitPerSecond: undefined, coldMilliseconds: 0, unreadable: undefined };
+    backpressure.applySignals({ ...none, ...signals });
   });
   const arrivals = backend.arrived.length;
   connections.close();
--- a/tests/limitShare.spec.ts
+++ b/tests/limitShare.spec.ts
@@ -21,7 +21,13 @@
 }
 
 function signalsWith(limitPerSecond: number | undefined): AnswerSignals {
-  return { limitPerSecond, leaving: false, retryAfterMilliseconds: 0, unreadable: undefined };
+  return {
+    limitPerSecond,
+    leaving: false,
+    retryAfterMilliseconds: 0,
+    coldMilliseconds: 0,
+    unreadable: undefined,
+  };
 }
 
 /** Simulates entries that always have requests for one server in the first data centre. */
--- a/tests/serverNotices.spec.ts
+++ b/tests/serverNotices.spec.ts
@@ -30,6 +30,7 @@
     limitPerSecond: undefined,
     leaving: false,
     retryAfterMilliseconds: 0,
+    coldMilliseconds: 0,
     unreadable: undefined,
     ...changes,
   };
