Limit cold servers over all entries

Cause: a cold server fails well above cold_per_s x 1.5 + 5 requests in a second. Answers that tell of a warm-up are shared with the other entries in server notices.

--- a/src/backpressure/serverBackpressure.ts
+++ b/src/backpressure/serverBackpressure.ts
@@ -1,7 +1,9 @@
-/** Tracks the limit, shutdown and Retry-After signals of one incarnation of a backend server. */
+/** Tracks the limit, warm-up, shutdown and Retry-After signals of one incarnation of a backend server. */
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import type { AnswerSignals } from './answerSignals.js';
+import type { ColdSource, ColdTerms } from './coldLimit.js';
+import { ColdLimit } from './coldLimit.js';
 import type { LimitShare } from './limitShare.js';
 import { millisecondsUntilProbe } from './probeSlot.js';
 import { TokenBucket } from './tokenBucket.js';
@@ -24,6 +26,8 @@
   share: (perSecond: number) => LimitShare;
   /** Position of this entry in the probe schedule, from 0 to 1 (exclusive). */
   phase: number;
+  /** The limit that applies while the server is cold; by default there is none. */
+  cold?: ColdTerms;
   /** Called when an answer to this entry changes the shared state, or confirms a limit after a while. */
   onChange: () => void;
 }
@@ -32,13 +36,17 @@
 export interface SharedBackpressure {
   limitPerSecond: number | undefined;
   leaving: boolean;
-  /** Monotonic milliseconds of the answer that carried it. */
+  /** Monotonic milliseconds of the answer that carried it; -Infinity if there was none. */
   heardAt: number;
+  /** Milliseconds for which the server remains cold; 0 when it is warm. */
+  coldMilliseconds: number;
 }
 
 /** Where a signal came from: an answer to this entry, or another entry. */
 type SignalSource = 'answer' | 'entry';
 
+const NEVER_COLD: ColdTerms = { perSecond: () => 0, share: () => undefined };
+
 export class ServerBackpressure {
   /** Id of the server. */
   readonly server: string;
@@ -48,6 +56,7 @@
   private readonly _phase: number;
   private readonly _onChange: () => void;
   private readonly _limit: ServerLimit;
+  private readonly _cold: ColdLimit;
   /** Limits this entry's requests while a limit applies or ramps up after its end. */
   private _bucket: TokenBucket;
   private _isLeaving = false;
@@ -58,7 +67,7 @@
   /** Monotonic milliseconds of the last limit notice, sent by this entry or received from another. */
   private _sharedAt = Number.NEGATIVE_INFINITY;
 
-  constructor({ server, clock, log, share, phase, onChange }: BackpressureOptions) {
+  constructor({ server, clock, log, share, phase, cold = NEVER_COLD, onChange }: BackpressureOptions) {
     this.server = server;
     this._clock = clock;
     this._log = log;
@@ -66,6 +75,7 @@
     this._phase = phase;
     this._onChange = onChange;
     this._limit = new ServerLimit(clock);
+    this._cold = new ColdLimit({ server, clock, log, terms: cold, phase });
     this._bucket = new TokenBucket(clock);
   }
 
@@ -74,6 +84,11 @@
     return this._limit.advertised !== undefined;
   }
 
+  /** Whether the server is cold and handles fewer requests while it is. */
+  get isCold(): boolean {
+    return this._cold.isCold;
+  }
+
   /** Whether the server has announced its shutdown; this is final for the incarnation. */
   get isLeaving(): boolean {
     return this._isLeaving;
@@ -86,7 +101,7 @@
 
   /** Milliseconds until this entry may send a request; 0 when it may send now. */
   get waitMilliseconds(): number {
-    return Math.max(this._backoffMilliseconds, this._limitWaitMilliseconds);
+    return Math.max(this._backoffMilliseconds, this._limitWaitMilliseconds, this._cold.waitMilliseconds);
   }
 
   /** Whether a request that waited for its connection must no longer be sent. */
@@ -98,17 +113,25 @@
   noteSent(): void {
     this._sentAt = this._clock.now();
     if (this._limit.allowed !== undefined) this._bucket.take();
+    this._cold.noteSent();
+  }
+
+  /** Records that the server is cold until `until`, in monotonic milliseconds. */
+  noteCold(source: ColdSource, until: number): void {
+    this._cold.note(source, until);
   }
 
   /** State to share with the other entries. */
   get sharedState(): SharedBackpressure {
     const { advertised: limitPerSecond, heardAt } = this._limit;
-    return { limitPerSecond, leaving: this._isLeaving, heardAt: Math.max(heardAt, this._leavingHeardAt) };
+    const { coldMilliseconds } = this._cold;
+    const latest = Math.max(heardAt, this._leavingHeardAt);
+    return { limitPerSecond, leaving: this._isLeaving, heardAt: latest, coldMilliseconds };
   }
 
   /** Applies the signals of an answer to this entry. */
   applySignals(signals: AnswerSignals): void {
-    const { limitPerSecond, leaving, retryAfterMilliseconds, unreadable } = signals;
+    const { limitPerSecond, leaving, retryAfterMilliseconds, coldMilliseconds, unreadable } = signals;
     const now = this._clock.now();
     if (unreadable !== undefined) this._noteUnreadable(unreadable);
     const hasLimitChanged =
@@ -116,11 +139,14 @@
     const isNewlyLeaving = leaving && this._markLeaving(now, 'answer');
     if (retryAfterMilliseconds > 0) this._backOff(retryAfterMilliseconds);
     const isConfirmed = limitPerSecond !== undefined && now - this._sharedAt >= CONFIRM_INTERVAL_MILLISECONDS;
+    const isNewlyCold = coldMilliseconds > 0 && this._cold.note('answer', now + coldMilliseconds);
     if (hasLimitChanged || isNewlyLeaving || isConfirmed) this._notify(now);
+    else if (isNewlyCold) this._onChange();
   }
 
   /** Applies a notice from another entry. State from a later answer takes precedence. */
-  applyNotice({ limitPerSecond, leaving, heardAt }: SharedBackpressure): void {
+  applyNotice({ limitPerSecond, leaving, heardAt, coldMilliseconds }: SharedBackpressure): void {
+    if (coldMilliseconds > 0) this._cold.note('entry', this._clock.now() + coldMilliseconds);
     if (leaving) this._markLeaving(heardAt, 'entry');
     if (heardAt <= this._limit.heardAt) return;
     this._sharedAt = heardAt;
--- a/src/backpressure/serverLimit.ts
+++ b/src/backpressure/serverLimit.ts
@@ -9,10 +9,15 @@
 /** After a limit ends, the allowed rate doubles at this interval, so that the load does not return all at once. */
 const DOUBLING_MILLISECONDS = 500;
 /** Duration of the ramp, after which the rate exceeds a server's usual load and is no longer limited. */
-const RAMP_MILLISECONDS = 3_000;
+export const RAMP_MILLISECONDS = 3_000;
 /** Minimum requests per second whatever the limit is: only an answer can show that the limit has ended. */
 const MIN_PER_SECOND = 0.25;
 
+/** Multiple of an ended limit that may be sent this many milliseconds after its end; 1 before the end. */
+export function rampFactor(sinceEnd: number): number {
+  return 2 ** (Math.max(0, sinceEnd) / DOUBLING_MILLISECONDS);
+}
+
 export class ServerLimit {
   private readonly _clock: Clock;
   /** Requests per second of the current limit, or of the ended one during the ramp. */
@@ -37,7 +42,7 @@
     const perSecond = Math.max(this._perSecond, MIN_PER_SECOND);
     if (this._endedAt === undefined) return perSecond;
     const sinceEnd = this._clock.now() - this._endedAt;
-    if (sinceEnd < RAMP_MILLISECONDS) return perSecond * 2 ** (sinceEnd / DOUBLING_MILLISECONDS);
+    if (sinceEnd < RAMP_MILLISECONDS) return perSecond * rampFactor(sinceEnd);
     this._perSecond = undefined;
     return undefined;
   }
--- a/src/backpressure/serverSignals.ts
+++ b/src/backpressure/serverSignals.ts
@@ -6,6 +6,8 @@
 import type { Clock } from '../utils/clock.js';
 import { placementHash } from '../utils/hash.js';
 import { CoalescedCall } from '../utils/coalescedCall.js';
+import type { PlacedBox } from '../utils/dataCentreOrder.js';
+import { ColdSharers } from './coldSharers.js';
 import type { LimitShare } from './limitShare.js';
 import { ServerBackpressure } from './serverBackpressure.js';
 
@@ -16,11 +18,19 @@
   box: string;
   /** Returns this entry's share of the requests per second that a server accepts from all entries. */
   share: (server: string, dataCentre: string, perSecond: number) => LimitShare;
+  /** What limits cold servers; by default nothing does. */
+  cold?: {
+    /** Returns the requests per second that a cold server of the service handles; 0 if that is not limited. */
+    perSecond: (service: string) => number;
+    /** Returns the entries that share a cold server; undefined until they are known. */
+    entries: () => readonly PlacedBox[] | undefined;
+  };
 }
 
 /** State of a server, kept whether or not service discovery lists it at the moment. */
 interface KnownServer {
   dataCentre: string;
+  service: string;
   /** When the process started, in Unix milliseconds by its own clock; 0 while unknown. */
   startedAt: number;
   backpressure: ServerBackpressure;
@@ -32,6 +42,8 @@
 const BATCH_MILLISECONDS = 100;
 /** The end of a limit is reported to newly connected entries for this long. */
 const REPORT_ENDED_MILLISECONDS = 60_000;
+/** Age of the limit in the notice of a server that has sent none: older than any other notice, which it must not end. */
+const NEVER_HEARD_MILLISECONDS = 600_000;
 const HASH_RANGE = 2 ** 32;
 
 interface ServerSignalsEvents {
@@ -56,9 +68,10 @@
   }
 
   /** Returns the state of the server incarnation that started at `startedAt`; 0 when the start is unknown. */
-  backpressureOf(server: string, dataCentre: string, startedAt: number): ServerBackpressure {
+  backpressureOf(server: string, dataCentre: string, startedAt: number, service = ''): ServerBackpressure {
     const known = this._findIncarnation(server, startedAt) ?? this._add(server);
     known.dataCentre = dataCentre;
+    known.service = service;
     known.startedAt = startedAt || known.startedAt;
     return known.backpressure;
   }
@@ -72,9 +85,9 @@
   notices(): ServerNotice[] {
     return [...this._byServer.keys()].flatMap((server) => {
       const { backpressure } = this._byServer.peek(server)!;
-      const { isLimited, isLeaving, sharedState } = backpressure;
+      const { isLimited, isCold, isLeaving, sharedState } = backpressure;
       const isRecent = this._options.clock.now() - sharedState.heardAt < REPORT_ENDED_MILLISECONDS;
-      return isLimited || isLeaving || isRecent ? [this._noticeOf(server)] : [];
+      return isLimited || isCold || isLeaving || isRecent ? [this._noticeOf(server)] : [];
     });
   }
 
@@ -87,11 +100,12 @@
     this._byServer.delete(server);
   }
 
-  /** Numbers of servers that advertise a limit, are shutting down, or have asked this entry to back off. */
-  get counts(): { limited: number; leaving: number; backingOff: number } {
+  /** Numbers of servers that advertise a limit, are cold, are shutting down, or have asked this entry to back off. */
+  get counts(): { limited: number; cold: number; leaving: number; backingOff: number } {
     const all = [...this._byServer.values()].map(({ backpressure }) => backpressure);
     return {
       limited: all.filter(({ isLimited }) => isLimited).length,
+      cold: all.filter(({ isCold }) => isCold).length,
       leaving: all.filter(({ isLeaving }) => isLeaving).length,
       backingOff: all.filter(({ isBackingOff }) => isBackingOff).length,
     };
@@ -105,9 +119,16 @@
   }
 
   private _add(server: string): KnownServer {
-    const { clock, log, box } = this._options;
+    const { clock, log, box, cold } = this._options;
+    const sharers = new ColdSharers({
+      server,
+      own: box,
+      dataCentre: () => known.dataCentre,
+      entries: () => cold?.entries(),
+    });
     const known: KnownServer = {
       dataCentre: '',
+      service: '',
       startedAt: 0,
       backpressure: new ServerBackpressure({
         server,
@@ -115,6 +136,10 @@
         log,
         share: (perSecond) => this._options.share(server, known.dataCentre, perSecond),
         phase: placementHash(server, box) / HASH_RANGE,
+        cold: {
+          perSecond: () => cold?.perSecond(known.service) ?? 0,
+          share: (perSecond) => sharers.share(perSecond),
+        },
         onChange: () => this._onChange(server),
       }),
     };
@@ -144,6 +169,7 @@
     limitPerSecond,
     leaving,
     heardMilliseconds,
+    coldMilliseconds = 0,
   }: ServerNotice): void {
     const known = this._byServer.has(server) ? this._findIncarnation(server, startedAt) : this._add(server);
     if (!known) return;
@@ -152,13 +178,16 @@
       limitPerSecond: limitPerSecond ?? undefined,
       leaving,
       heardAt: this._options.clock.now() - heardMilliseconds,
+      coldMilliseconds,
     });
   }
 
   private _noticeOf(server: string): ServerNotice {
     const { startedAt, backpressure } = this._byServer.peek(server)!;
-    const { limitPerSecond, leaving, heardAt } = backpressure.sharedState;
-    const heardMilliseconds = Math.max(0, this._options.clock.now() - heardAt);
-    return { server, startedAt, limitPerSecond: limitPerSecond ?? null, leaving, heardMilliseconds };
+    const { limitPerSecond, leaving, heardAt, coldMilliseconds } = backpressure.sharedState;
+    const age = Math.max(0, this._options.clock.now() - heardAt);
+    const heardMilliseconds = Number.isFinite(age) ? age : NEVER_HEARD_MILLISECONDS;
+    const notice = { server, startedAt, limitPerSecond: limitPerSecond ?? null, leaving, heardMilliseconds };
+    return coldMilliseconds > 0 ? { ...notice, coldMilliseconds } : notice;
   }
 }
--- a/src/protocol/boxMessages.ts
+++ b/src/protocol/boxMessages.ts
@@ -108,7 +108,10 @@
   versions: z.array(heardVersionSchema).max(MAXIMUM_LIST_LENGTH),
 });
 
-/** What a backend server requires of all entries: a limit on requests, or that they send none. Its answers carry it. */
+/**
+ * What a backend server requires of all entries: a limit on requests, fewer while it is cold, or that they send none.
+ * Its answers carry it.
+ */
 export const serverNoticeSchema = z.object({
   server: z.string().max(MAXIMUM_NAME_LENGTH),
   /** Start of the server in Unix milliseconds by its own clock; 0 when unknown. */
@@ -116,8 +119,10 @@
   /** Requests per second that the server accepts from all entries together; null without a limit. */
   limitPerSecond: z.number().nonnegative().nullable(),
   leaving: z.boolean(),
-  /** Time since the answer that carried the notice. */
+  /** Time since the answer that carried the limit or that the server is leaving. */
   heardMilliseconds: z.number().nonnegative(),
+  /** Time for which the server remains cold. Absent when it is warm, and in messages of earlier builds. */
+  coldMilliseconds: z.number().nonnegative().optional(),
 });
 export type ServerNotice = z.infer<typeof serverNoticeSchema>;
 
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -9,6 +9,7 @@
  *    heard. These two overlap, so only the longer one counts.
  */
 import type { EntryAddress, EntryList } from '../protocol/boxMessages.js';
+import { SettledEntries } from '../backpressure/settledEntries.js';
 import type { RecordSource } from '../records/sourceChoice.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
@@ -53,6 +54,7 @@
   private readonly _reports: AgentReports;
   private readonly _sharing: SharingEntries;
   private readonly _limitSharing: SharingEntries;
+  private readonly _settled: SettledEntries;
   private readonly _liveLog: LiveEntryLog;
   /** Entries of the last valid reports; this entry is not always included. */
   private _reported: readonly EntryAddress[] = [];
@@ -75,6 +77,7 @@
     this._reports = new AgentReports(clock, peerTimeoutMilliseconds);
     this._sharing = new SharingEntries(own, clock);
     this._limitSharing = new SharingEntries(own, clock, KEEP_LIMIT_SHARE_MILLISECONDS);
+    this._settled = new SettledEntries(clock);
     this._liveLog = new LiveEntryLog(clock, log);
     this._recompute();
   }
@@ -132,6 +135,11 @@
     return this._limitSharing.all();
   }
 
+  /** Entries that share cold servers; undefined until the list of entries is complete. */
+  coldSharers(): readonly PlacedBox[] | undefined {
+    return this._settled.isSettled ? this._limitSharing.all() : undefined;
+  }
+
   /**
    * Number of entries that share system-wide limits. It does not fall when reports are lost, and is a high assumed
    * number until the entries are known.
@@ -183,6 +191,7 @@
     this._known = this._withOwn(this._reported);
     this._sharing.setEntries(this._known);
     this._limitSharing.setEntries(this._known);
+    this._settled.noteList(this._known);
   }
 
   /** `entries` and this entry, without leaving entries, sorted by box. */
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -87,13 +87,11 @@
       leaving: false,
     };
     this._configuration = new ConfigurationHolder(parts.log);
-    this._entries = new EntryDirectory({
-      own: this._own,
-      clock,
-      log: parts.log,
-      peerTimeoutMilliseconds: settings.peerTimeoutMilliseconds,
-    });
-    this._signals = createEntrySignals({ own: this._own, entries: this._entries, clock, log: parts.log });
+    const own = { own: this._own, clock, log: parts.log };
+    const { peerTimeoutMilliseconds } = settings;
+    this._entries = new EntryDirectory({ ...own, peerTimeoutMilliseconds });
+    const { _entries: entries, _configuration: configuration } = this;
+    this._signals = createEntrySignals({ ...own, entries, configuration });
     this._pool = this._createPool(random);
     this._gate = new VersionGate(
       { switchMilliseconds: settings.versionMilliseconds, contactMilliseconds: settings.contactMilliseconds },
--- a/src/serving/gatewayGauges.ts
+++ b/src/serving/gatewayGauges.ts
@@ -42,6 +42,7 @@
   metrics.gauge('requests_suspected', () => followers.suspicions.counts.suspected);
   metrics.gauge('requests_shut_out', () => followers.suspicions.counts.shutOut);
   metrics.gauge('servers_limited', () => signals.counts.limited);
+  metrics.gauge('servers_cold', () => signals.counts.cold);
   metrics.gauge('servers_leaving', () => signals.counts.leaving);
   metrics.gauge('servers_backing_off', () => signals.counts.backingOff);
   metrics.gauge('record_listeners', () => followers.relay.listeners);
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -1,4 +1,5 @@
 /** Keeps all backend servers listed by service discovery and selects one for each request. */
+import { ObservedStarts } from '../backpressure/observedStarts.js';
 import type { ServerSignals } from '../backpressure/serverSignals.js';
 import type { BoxStatus } from '../protocol/boxMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
@@ -85,6 +86,7 @@
   /** The current incarnation of each server, by server id. */
   private readonly _servers = new Map<string, TrackedServer>();
   private readonly _incarnations = new Map<string, ServerIncarnation>();
+  private readonly _starts = new ObservedStarts();
   private _byHost = new Map<string, TrackedServer[]>();
   /** Ids of servers that are missing from a possibly incomplete list. */
   private readonly _missing = new Set<string>();
@@ -104,6 +106,7 @@
   ): void {
     const present = new Set(records.map(({ id }) => id));
     for (const record of records) this._updateOne(record);
+    this._starts.endList();
     for (const [id, server] of this._servers) {
       if (present.has(id)) this._missing.delete(id);
       else if (unusable.has(id)) this._remove(id, server);
@@ -252,14 +255,15 @@
     const sharers = (): number =>
       record.dataCentre === dataCentre ? entriesInDataCentre() : entries() - entriesInDataCentre();
     const linkDelay = (): number => this._options.linkDelay?.(hostOf(address)) ?? 0;
+    const { startedAt } = this._incarnations.get(record.id)!;
+    const { id, service } = record;
+    const backpressure = this._options.signals.backpressureOf(id, record.dataCentre, startedAt, service);
+    const warmUp = this._options.service(service)?.cold?.startMilliseconds ?? 0;
+    if (this._starts.note(id, startedAt)) backpressure.noteCold('start', clock.now() + warmUp);
     return new TrackedServer(
       record,
       connections,
-      this._options.signals.backpressureOf(
-        record.id,
-        record.dataCentre,
-        this._incarnations.get(record.id)!.startedAt,
-      ),
+      backpressure,
       clock,
       () => Math.min(MAX_SHARERS, Math.max(1, sharers())),
       linkDelay,
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -76,6 +76,7 @@
   update(record: BackendServerRecord): void {
     this.updateLocation(record);
     for (const { name, version } of record.models) this.noteVersion(name, version);
+    if (record.coldUntil !== undefined) this.backpressure.noteCold('record', record.coldUntil);
   }
 
   /** Applies a service discovery record without its versions, when it may be older than the known versions. */
--- a/src/staging/serverNotices.ts
+++ b/src/staging/serverNotices.ts
@@ -16,11 +16,16 @@
  * to the server; the others learn from the repeated notice that the limit still applies.
  */
 const REPEAT_MILLISECONDS = 9_000;
+/** Ends of a warm-up that differ by less are the same end, told with different delays. */
+const SAME_END_MILLISECONDS = 500;
 
 /** Times in monotonic milliseconds. */
 interface RememberedNotice {
-  notice: ServerNotice;
+  /** The notice without the warm-up, which {@link RememberedNotice.coldUntil} holds. */
+  notice: Omit<ServerNotice, 'coldMilliseconds'>;
   heardAt: number;
+  /** End of the server's warm-up; -Infinity if none is known. */
+  coldUntil: number;
   /** Value of `heardAt` when the notice was last forwarded. */
   forwardedAt: number;
 }
@@ -46,16 +51,24 @@
   all(): ServerNotice[] {
     const now = this._clock.now();
     return [...this._notices.values()]
-      .map(({ notice, heardAt }) => ({ ...notice, heardMilliseconds: now - heardAt }))
-      .filter(({ heardMilliseconds }) => heardMilliseconds <= MAX_AGE_MILLISECONDS);
+      .filter(({ heardAt, coldUntil }) => now - heardAt <= MAX_AGE_MILLISECONDS || coldUntil > now)
+      .map(({ notice, heardAt, coldUntil }) => ({
+        ...notice,
+        heardMilliseconds: now - heardAt,
+        ...(coldUntil > now ? { coldMilliseconds: coldUntil - now } : {}),
+      }));
   }
 
   private _mergeOne(notice: ServerNotice): boolean {
-    const heardAt = this._clock.now() - notice.heardMilliseconds;
+    const { coldMilliseconds, ...rest } = notice;
+    const now = this._clock.now();
+    const heardAt = now - rest.heardMilliseconds;
+    const coldUntil = coldMilliseconds === undefined ? Number.NEGATIVE_INFINITY : now + coldMilliseconds;
     const known = this._notices.get(notice.server);
-    const reported = { notice, heardAt, forwardedAt: heardAt };
+    const reported = { notice: rest, heardAt, coldUntil, forwardedAt: heardAt };
     const next = known ? merged(known, reported) : reported;
-    const isNew = known === undefined || !isSame(known.notice, next.notice) || isDue(next);
+    const isNew =
+      known === undefined || !isSame(known.notice, next.notice) || isDue(next) || isColder(known, next);
     if (isNew) next.forwardedAt = next.heardAt;
     this._notices.set(notice.server, next);
     return isNew;
@@ -67,16 +80,31 @@
  * from an entry that does not know of it yet.
  */
 function merged(known: RememberedNotice, reported: RememberedNotice): RememberedNotice {
-  const newer = reported.heardAt > known.heardAt ? reported : known;
+  const newer = reported.heardAt > known.heardAt || isColdSuccessor(known, reported) ? reported : known;
   const isSameIncarnation = reported.notice.startedAt === known.notice.startedAt;
   const leaving = isSameIncarnation ? known.notice.leaving || reported.notice.leaving : newer.notice.leaving;
-  return { notice: { ...newer.notice, leaving }, heardAt: newer.heardAt, forwardedAt: known.forwardedAt };
+  const coldUntil = isSameIncarnation ? Math.max(known.coldUntil, reported.coldUntil) : newer.coldUntil;
+  return {
+    notice: { ...newer.notice, leaving },
+    heardAt: newer.heardAt,
+    coldUntil,
+    forwardedAt: known.forwardedAt,
+  };
+}
+
+/** A server that starts is cold before it has sent a limit, so its first notice has no time of its own. */
+function isColdSuccessor(known: RememberedNotice, reported: RememberedNotice): boolean {
+  return reported.coldUntil > known.coldUntil && reported.notice.startedAt > known.notice.startedAt;
+}
+
+function isColder(known: RememberedNotice, next: RememberedNotice): boolean {
+  return next.coldUntil - known.coldUntil > SAME_END_MILLISECONDS;
 }
 
 function isDue({ heardAt, forwardedAt }: RememberedNotice): boolean {
   return heardAt - forwardedAt >= REPEAT_MILLISECONDS;
 }
 
-function isSame(a: ServerNotice, b: ServerNotice): boolean {
+function isSame(a: RememberedNotice['notice'], b: RememberedNotice['notice']): boolean {
   return a.startedAt === b.startedAt && a.limitPerSecond === b.limitPerSecond && a.leaving === b.leaving;
 }
