Stand-in and soak: servers that turn cold

Cause: the runner stand-in always reported cold_left_ms 0 and sent no X-Cold-Ms. Change: a runner can turn cold, tells so in its record and answers, and counts the requests received meanwhile. The soak has the fault turn-cold and checks that a cold server gets at most 1.5 times its rate and 5 requests in any second, from 2 s after it became cold.

--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -39,6 +39,15 @@
   'leave-by-answers',
   'reject-with-retry-after',
   'roll-back-store',
+  'turn-cold',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
+
+/** Kinds that only make servers send signals in their answers or records. All promises must hold meanwhile. */
+export const SIGNAL_KINDS: readonly FaultKind[] = [
+  'limit-server',
+  'leave-by-answers',
+  'reject-with-retry-after',
+  'turn-cold',
+];
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -14,6 +14,7 @@
   | 'configuration' // a configuration is in force within the time bound and is not reverted
   | 'draining' // a draining server gets no new requests
   | 'limit' // a server gets no more requests than the limit that it announced
+  | 'cold' // a cold server gets no more requests than it handles
   | 'retry-after' // an entry obeys the Retry-After of a server
   | 'crashing' // a request that crashes every server is no longer sent to servers
   | 'planned' // planned operations fail no request
--- a/soak/signalChecks.ts
+++ b/soak/signalChecks.ts
@@ -1,9 +1,9 @@
 /**
- * Checks that the entries together obey the signals in the answers of servers: limits, drain notices and
- * Retry-After.
+ * Checks that the entries together obey the signals of servers: limits, warm-ups, drain notices and Retry-After.
  */
 import type { Arrival, SentSignals } from '../standins/platformRunnerSignals.js';
 import type { BreachListener } from './promiseChecks.js';
+import { COLD_PER_SECOND } from './soakConfiguration.js';
 
 /** What the checks need to know about callers and faults. Times are in wall clock milliseconds. */
 export interface SignalContext {
@@ -31,6 +31,10 @@
 const WINDOW_SLACK_REQUESTS = 5;
 /** A limit has to be obeyed this long after its first announcement. */
 const LIMIT_GRACE_MILLISECONDS = 3_000;
+/** The rate of a cold server is checked over sliding windows of this length, with the same factor and slack. */
+const COLD_WINDOW_MILLISECONDS = 1_000;
+/** A cold server's rate has to be obeyed this long after it has become cold. */
+const COLD_GRACE_MILLISECONDS = 2_000;
 /** A Retry-After has to be obeyed this long after the answer that carried it. */
 const RETRY_AFTER_GRACE_MILLISECONDS = 500;
 /** Requests that an entry may still send during the Retry-After. */
@@ -44,6 +48,7 @@
   private readonly _drainingSince = new Map<string, number>();
   private readonly _rejections: SentSignals[] = [];
   private readonly _limits: LimitPeriod[] = [];
+  private readonly _coldPeriods: Omit<LimitPeriod, 'perSecond'>[] = [];
 
   /** A request has reached a server, which may still reject it. */
   onArrival(arrival: Arrival): void {
@@ -66,9 +71,16 @@
     if (open) open.until = Date.now();
   }
 
+  /** A server is cold from now on for this long. */
+  onCold(runner: string, milliseconds: number): void {
+    const from = Date.now();
+    this._coldPeriods.push({ runner, from, until: from + milliseconds });
+  }
+
   /** Reports all breaches. To be called at the end of a soak. */
   check(context: SignalContext, breach: BreachListener): void {
     for (const limit of this._limits) this._checkLimit(limit, context, breach);
+    for (const period of this._coldPeriods) this._checkCold(period, context, breach);
     for (const [runner, at] of this._drainingSince) this._checkDrain(runner, at, context, breach);
     for (const rejection of this._rejections) this._checkRetryAfter(rejection, context, breach);
   }
@@ -106,6 +118,24 @@
     }
   }
 
+  private _checkCold(
+    { runner, from, until }: Omit<LimitPeriod, 'perSecond'>,
+    context: SignalContext,
+    breach: BreachListener,
+  ): void {
+    const begin = from + COLD_GRACE_MILLISECONDS;
+    const times = (this._arrivals.get(runner) ?? [])
+      .map(({ at }) => at)
+      .filter((at) => at >= begin && at <= until);
+    const allowed = WINDOW_FACTOR * COLD_PER_SECOND + WINDOW_SLACK_REQUESTS;
+    for (const start of times) {
+      const end = start + COLD_WINDOW_MILLISECONDS;
+      const got = times.filter((at) => at >= start && at < end).length;
+      if (got <= allowed || context.mayBeDelayed(start - COLD_GRACE_MILLISECONDS, end)) continue;
+      return breach('cold', `${runner} got ${got} requests in 1 s, ${start - from} ms after it became cold`);
+    }
+  }
+
   private _checkDrain(runner: string, since: number, context: SignalContext, breach: BreachListener): void {
     const bound = since + context.drainMilliseconds + SLACK_MILLISECONDS;
     const late = (this._arrivals.get(runner) ?? []).filter(({ id, at }) => {
--- a/soak/signalFaults.ts
+++ b/soak/signalFaults.ts
@@ -8,6 +8,7 @@
 const LIMIT_MILLISECONDS = 8_000;
 const LIMITS_PER_SECOND = [1, 2.8, 5];
 const RETRY_AFTER_SECONDS = 3;
+const COLD_MILLISECONDS = 6_000;
 const REJECT_MILLISECONDS = 6_000;
 const SHED_SHARE = 0.5;
 
@@ -30,6 +31,14 @@
     this._checks.onLimitLifted(runner.id);
   }
 
+  /** Makes a server cold for a while; `publish` writes its record. */
+  async turnCold({ runner }: SoakBox, publish: () => void): Promise<void> {
+    runner.turnCold(COLD_MILLISECONDS);
+    this._checks.onCold(runner.id, COLD_MILLISECONDS);
+    publish();
+    await pause(COLD_MILLISECONDS);
+  }
+
   /** Makes a server reject half of its requests with Retry-After for a while. */
   async rejectWithRetryAfter({ runner }: SoakBox): Promise<void> {
     runner.faults = { ...runner.faults, sheddingShare: SHED_SHARE, retryAfterSeconds: RETRY_AFTER_SECONDS };
--- a/soak/soakConfiguration.ts
+++ b/soak/soakConfiguration.ts
@@ -6,6 +6,10 @@
   { name: 'studio-a', api_keys: ['key-a'] },
   { name: 'studio-b', api_keys: ['key-b'] },
 ];
+/** Requests per second that a cold server handles. */
+export const COLD_PER_SECOND = 4;
+/** Servers are not cold when they start, because planned work must not fail any request. */
+const COLD = { cold_start_s: 0, cold_per_s: COLD_PER_SECOND };
 export const HOST = 'games.example';
 export const MODEL = 'm0';
 
@@ -32,7 +36,7 @@
     ],
     services: [
       modelService(),
-      { name: PLAIN_SERVICE, max_conns: 64 },
+      { name: PLAIN_SERVICE, max_conns: 64, ...COLD },
       { name: 'weights', origin: originAddress, link_mbps: 100, max_conns: 48 },
     ],
     limits: { max_body_bytes: 100_000, idle_timeout_ms: 15_000 },
@@ -53,5 +57,5 @@
     read_per_s: 31_900,
     usual: { prompt: 500, answer: 6 },
   };
-  return { name: MODEL_SERVICE, max_conns: 194, engine };
+  return { name: MODEL_SERVICE, max_conns: 194, engine, ...COLD };
 }
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -4,7 +4,7 @@
 import { RUNNER_FAULTS } from '../standins/platformRunnerFaults.js';
 import { CRASH_BODY } from '../standins/platformRunnerStandin.js';
 import type { FaultKind } from './faultKinds.js';
-import { PLANNED_KINDS } from './faultKinds.js';
+import { PLANNED_KINDS, SIGNAL_KINDS } from './faultKinds.js';
 import type { FleetProcess } from './fleetProcess.js';
 import type { ProxyMode } from './loopbackProxy.js';
 import type { FaultScope, PromiseChecks } from './promiseChecks.js';
@@ -33,8 +33,6 @@
 const RESTARTED_SHARE = 0.5;
 /** Delay after which the store performs a write that it did not answer. */
 const LATE_WRITE_MILLISECONDS = 1_500;
-/** Kinds that only make servers send signals in their answers. All promises must hold meanwhile. */
-const SIGNAL_KINDS: readonly FaultKind[] = ['limit-server', 'leave-by-answers', 'reject-with-retry-after'];
 /** Kinds that kill and restart processes, but neither pause one nor delay requests in flight. */
 const PROCESS_KILL_KINDS: readonly FaultKind[] = ['kill-entry', 'kill-agent', 'kill-many'];
 const CRASHING_REQUESTS = 80;
@@ -145,10 +143,12 @@
     }
   }
 
-  /** Makes a server send a signal in its answers. */
+  /** Makes a server send a signal in its answers or its record. */
   private async _applySignal(kind: FaultKind, box: SoakBox): Promise<void> {
     if (kind === 'limit-server') await this._signals.limit(box);
     else if (kind === 'reject-with-retry-after') await this._signals.rejectWithRetryAfter(box);
+    else if (kind === 'turn-cold')
+      await this._signals.turnCold(box, () => this._fleet.publish(box, box.state));
     else await this._drainByAnswers(box);
   }
 
--- a/standins/platformRunnerOptions.ts
+++ b/standins/platformRunnerOptions.ts
@@ -26,6 +26,8 @@
   weights: WeightsShape | undefined;
   /** The version that it serves at first; 0 for none. */
   version: number;
+  /** How long it is cold after a start; 0 by default. */
+  coldStartMilliseconds?: number;
   /** Called when a request starts to run. */
   onExecution: (execution: Execution) => void;
   /** Called when a request arrives. */
--- a/standins/platformRunnerSignals.ts
+++ b/standins/platformRunnerSignals.ts
@@ -15,6 +15,8 @@
   limitPerSecond: number | undefined;
   leaving: boolean;
   retryAfterMilliseconds: number;
+  /** How long the runner remains cold; 0 when it is warm. */
+  coldMilliseconds: number;
 }
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -24,15 +26,17 @@
   faults: PlatformRunnerFaults,
   request: Omit<Arrival, 'at'>,
   isRejected: boolean,
+  coldMilliseconds: number,
 ): SentSignals {
   const { limitPerSecond, leaving = false, retryAfterSeconds = 0 } = faults;
   const retryAfterMilliseconds = isRejected ? retryAfterSeconds * MILLISECONDS_PER_SECOND : 0;
-  return { ...request, at: Date.now(), limitPerSecond, leaving, retryAfterMilliseconds };
+  return { ...request, at: Date.now(), limitPerSecond, leaving, retryAfterMilliseconds, coldMilliseconds };
 }
 
 /** Returns whether an answer has any backpressure header. */
-export function hasSignals({ limitPerSecond, leaving, retryAfterMilliseconds }: SentSignals): boolean {
-  return limitPerSecond !== undefined || leaving || retryAfterMilliseconds > 0;
+export function hasSignals(signals: SentSignals): boolean {
+  const { limitPerSecond, leaving, retryAfterMilliseconds, coldMilliseconds } = signals;
+  return limitPerSecond !== undefined || leaving || retryAfterMilliseconds > 0 || coldMilliseconds > 0;
 }
 
 /** Returns the headers that carry the signals. */
@@ -42,5 +46,6 @@
   if (signals.leaving) headers['server-leaving'] = '1';
   if (signals.retryAfterMilliseconds > 0)
     headers['retry-after'] = String(signals.retryAfterMilliseconds / MILLISECONDS_PER_SECOND);
+  if (signals.coldMilliseconds > 0) headers['x-cold-ms'] = String(Math.ceil(signals.coldMilliseconds));
   return headers;
 }
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -46,6 +46,9 @@
   private _starting = false;
   /** Unix milliseconds. */
   private _startedAt = 0;
+  /** Unix milliseconds. */
+  private _coldUntil = 0;
+  private _receivedCold = 0;
 
   constructor(options: PlatformRunnerOptions) {
     this._options = options;
@@ -62,6 +65,7 @@
 
   async listen(host: string, port: number): Promise<void> {
     this._startedAt = Date.now();
+    this.turnCold(this._options.coldStartMilliseconds ?? 0);
     await new Promise<void>((resolve, reject) => {
       this._server.once('error', reject);
       this._server.listen(port, host, resolve);
@@ -72,6 +76,21 @@
     return this._server.listening;
   }
 
+  /** Makes the runner cold for this long; its next record and its answers tell so. */
+  turnCold(milliseconds: number): void {
+    this._coldUntil = Date.now() + milliseconds;
+  }
+
+  /** How long the runner remains cold; 0 when it is warm. */
+  get coldMilliseconds(): number {
+    return Math.max(0, this._coldUntil - Date.now());
+  }
+
+  /** Number of requests received while it was cold. */
+  get receivedCold(): number {
+    return this._receivedCold;
+  }
+
   /** Closes the server and all connections immediately, as in a crash. */
   close(): void {
     this._server.close();
@@ -91,7 +110,8 @@
     const { service, slots, weights } = this._options;
     const { _sequence: seq_no, _startedAt: born } = this;
     const models = weights ? this._models() : [];
-    return { service, address, zone, slots, state, version: 'v1', cold_left_ms: 0, seq_no, born, models };
+    const cold_left_ms = this.coldMilliseconds;
+    return { service, address, zone, slots, state, version: 'v1', cold_left_ms, seq_no, born, models };
   }
 
   private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
@@ -189,6 +209,7 @@
     const { slots, service, onExecution, fraction } = this._options;
     const { headers } = request;
     const id = String(headers['x-attempt-id'] ?? '');
+    if (this.coldMilliseconds > 0) this._receivedCold++;
     this._options.onArrival?.({ id, runner: this.id, at: Date.now() });
     const rejection = this._rejectionStatus(headers);
     if (rejection) return this._reject(response, rejection, id);
@@ -234,7 +255,7 @@
 
   /** Returns the backpressure headers of an answer, and reports them. */
   private _signalHeaders(id: string, isRejected: boolean): http.OutgoingHttpHeaders {
-    const signals = sentSignals(this.faults, { id, runner: this.id }, isRejected);
+    const signals = sentSignals(this.faults, { id, runner: this.id }, isRejected, this.coldMilliseconds);
     if (hasSignals(signals)) this._options.onSignals?.(signals);
     return signalHeaders(signals);
   }
--- a/tests/signalChecks.spec.ts
+++ b/tests/signalChecks.spec.ts
@@ -10,7 +10,7 @@
 const SENT_AT = 1_000;
 
 function signals(changes: Partial<SentSignals>): SentSignals {
-  const none = { limitPerSecond: undefined, leaving: false, retryAfterMilliseconds: 0 };
+  const none = { limitPerSecond: undefined, leaving: false, retryAfterMilliseconds: 0, coldMilliseconds: 0 };
   return { id: 'first', runner: RUNNER, at: SENT_AT, ...none, ...changes };
 }
 
@@ -79,3 +79,17 @@
   expect(brokenPromises(sent, [...within.slice(1), ['entry-1', 3_000]])).toEqual([]);
   expect(brokenPromises(sent, [['entry-0', 1_400], ...within.slice(1), ['entry-0', 4_100]])).toEqual([]);
 });
+
+test('should report that entries together exceed the rate of a cold server', () => {
+  const broken = [12, 11].map((count) => {
+    const checks = new SignalChecks();
+    const from = Date.now();
+    checks.onCold(RUNNER, 6_000);
+    for (const [entry, at] of evenArrivals(count, from + 3_000, 80))
+      checks.onArrival({ id: `${entry} ${at}`, runner: RUNNER, at });
+    const promises: string[] = [];
+    checks.check(context(), (promise) => void promises.push(promise));
+    return promises;
+  });
+  expect(broken).toEqual([['cold'], []]);
+});
--- a/tests/soakRestarts.spec.ts
+++ b/tests/soakRestarts.spec.ts
@@ -15,6 +15,7 @@
       'limit-server',
       'leave-by-answers',
       'reject-with-retry-after',
+      'turn-cold',
     ].includes(kind),
 );
 
--- a/tests/soakSignals.spec.ts
+++ b/tests/soakSignals.spec.ts
@@ -28,3 +28,15 @@
   expect(report.breaches).toEqual([]);
   expect(report.served).toBeGreaterThan(50);
 });
+
+test('should obey the rate of cold servers over all entries together while some entries restart', async () => {
+  const report = await shortSoak({
+    seed: 63,
+    size: SIZE,
+    callers: 24,
+    network: 72,
+    kinds: ['turn-cold', 'turn-cold', 'kill-entry', 'stop-entry', 'configure'],
+  });
+  expect(report.breaches).toEqual([]);
+  expect(report.served).toBeGreaterThan(50);
+});
