--- a/src/backpressure/coldLimit.ts
+++ b/src/backpressure/coldLimit.ts
@@ -36,6 +36,7 @@
   private readonly _options: ColdLimitOptions;
   private readonly _clock: Clock;
   private _bucket: TokenBucket;
+  /** The source of the end that applies. */
   private _source: ColdSource = 'record';
   /** Monotonic milliseconds. */
   private _coldSince = Number.NEGATIVE_INFINITY;
@@ -86,7 +87,8 @@
     const end = Math.min(until, now + MAX_COLD_MILLISECONDS);
     if (!(end > now) || end <= this._coldUntil) return false;
     const isNews = this.coldMilliseconds === 0 || end - this._coldUntil > SAME_END_MILLISECONDS;
-    if (this.coldMilliseconds === 0) this._begin(source);
+    if (this.coldMilliseconds === 0) this._begin();
+    if (isNews) this._source = source;
     this._coldUntil = end;
     const perSecond = this._options.terms.perSecond();
     if (perSecond > 0) this._updateRate(perSecond);
@@ -99,9 +101,8 @@
     if (this._clock.now() - this._coldUntil < RAMP_MILLISECONDS) this._bucket.take();
   }
 
-  private _begin(source: ColdSource): void {
+  private _begin(): void {
     const now = this._clock.now();
-    this._source = source;
     this._coldSince = now;
     if (now - this._coldUntil >= RAMP_MILLISECONDS)
       this._bucket = new TokenBucket(this._clock, this._options.phase);
