Home regions: run requests only on servers in the regions of their route and customer

Change: the configuration's home_regions and the regions of data centres in the settings file are decoded. ServerPool.find, through which every attempt chooses its server, considers only servers in regions that the route and the customer both permit; a server in an unknown region is not used for such a request. Without a permitted server, a request is rejected at once as not run ('no permitted server'), with a Retry-After, a counter, and its home regions in the log line. 'larklatch losses' counts these in a column of their own.

--- a/src/cli/lossTable.ts
+++ b/src/cli/lossTable.ts
@@ -4,16 +4,18 @@
 
 /**
  * How a request ended. An answered request is `late-first` when its first byte came after the objective, `late-midway`
- * when its stream paused for too long, and `in-time` otherwise.
+ * when its stream paused for too long, and `in-time` otherwise. A refused request is `not-permitted` when no server was
+ * where it may run.
  */
 export type RequestEnd =
-  'in-time' | 'late-first' | 'late-midway' | 'refused' | 'failed' | 'cut' | 'caller-gone';
+  'in-time' | 'late-first' | 'late-midway' | 'refused' | 'not-permitted' | 'failed' | 'cut' | 'caller-gone';
 
 const ENDS: readonly RequestEnd[] = [
   'in-time',
   'late-first',
   'late-midway',
   'refused',
+  'not-permitted',
   'failed',
   'cut',
   'caller-gone',
@@ -37,8 +39,12 @@
   objectiveMilliseconds?: number;
   firstMilliseconds?: number;
   pauseMilliseconds?: number;
+  /** Why the request was not sent to another server. */
+  noAttempt?: string;
 }
 
+/** A reason of `NoAttemptReason` in src/serving. */
+const NOT_PERMITTED = 'no permitted server';
 const STEP_PREFIX = 'request.';
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -93,6 +99,7 @@
 
 function endOf(line: EndLine, longestPauseMilliseconds: number): RequestEnd {
   const outcome = line.step.slice(STEP_PREFIX.length);
+  if (outcome === 'refused' && line.noAttempt === NOT_PERMITTED) return 'not-permitted';
   if (outcome !== 'answered') return outcome as RequestEnd;
   const first = line.firstMilliseconds ?? line.milliseconds;
   if (first > (line.objectiveMilliseconds ?? Number.POSITIVE_INFINITY)) return 'late-first';
--- a/src/cli/settingsPage.ts
+++ b/src/cli/settingsPage.ts
@@ -42,10 +42,15 @@
 
 function row(name: string, field: z.ZodType): string {
   const parsedDefault = field.safeParse(undefined);
-  const defaultText = parsedDefault.success
+  const shownDefault = parsedDefault.success
     ? parsedDefault.data === undefined
       ? 'none'
-      : `\`${String(parsedDefault.data)}\``
+      : `\`${defaultText(parsedDefault.data)}\``
     : 'required';
-  return `| \`${flagOf(name)}\` | \`${variableOf(name)}\` | ${field.description ?? ''} | ${defaultText} |`;
+  return `| \`${flagOf(name)}\` | \`${variableOf(name)}\` | ${field.description ?? ''} | ${shownDefault} |`;
+}
+
+function defaultText(value: unknown): string {
+  const isMapping = typeof value === 'object' && !Array.isArray(value);
+  return isMapping ? JSON.stringify(value) : String(value);
 }
--- a/src/serving/admittedRequest.ts
+++ b/src/serving/admittedRequest.ts
@@ -1,4 +1,5 @@
 /** A caller's request after admission, ready to be forwarded to a backend server. */
+import type { PermittedRegions } from '../locality/permittedRegions.js';
 import type { CallerExchange } from './callerExchange.js';
 import type { RetryAllowance } from './retryAllowance.js';
 import type { Route } from './servingConfiguration.js';
@@ -7,6 +8,8 @@
   exchange: CallerExchange;
   route: Route;
   service: string;
+  /** Regions in which the request may run, by the home regions of its route and its customer. */
+  permittedRegions: PermittedRegions;
   /** The model named by the caller, '' for none. */
   model: string;
   /** Identifies equal requests, including those sent again under another id. Computed on first use. */
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -10,6 +10,7 @@
  */
 import type { EntryAddress, EntryList } from '../protocol/boxMessages.js';
 import type { RecordSource } from '../records/sourceChoice.js';
+import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import { orderAcrossDataCentres } from '../utils/dataCentreOrder.js';
@@ -46,6 +47,12 @@
  */
 const KEEP_LIMIT_SHARE_MILLISECONDS = 10_000;
 
+/** Returns the address of an entry that has just started. */
+export function entryAddressOf(settings: GatewaySettings): EntryAddress {
+  const { box, dataCentre, callerAddress, controlAddress } = settings;
+  return { box, dataCentre, address: callerAddress, control: controlAddress, leaving: false };
+}
+
 /** An entry is live while any connected agent that this entry subscribes to lists it. */
 export class EntryDirectory {
   private readonly _own: EntryAddress;
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -20,7 +20,8 @@
 import { ConfigurationHolder } from './configurationHolder.js';
 import type { DirectoryPaths } from './directoryServer.js';
 import { DirectoryServer } from './directoryServer.js';
-import { EntryDirectory } from './entryDirectory.js';
+import { EntryDirectory, entryAddressOf } from './entryDirectory.js';
+import { EntryLocality } from './entryLocality.js';
 import { createEntrySignals } from './entrySignals.js';
 import { RecordApplier } from './recordApplier.js';
 import type { ForwardingContext } from './forwardingContext.js';
@@ -31,6 +32,7 @@
 import { VersionUpdates } from './versionUpdates.js';
 import { PlatformFollowers } from './platformFollowers.js';
 import type { ServingPlatform } from './platformRecords.js';
+import { retryLimitOf } from './retryAllowance.js';
 import { RequestAdmission } from './requestAdmission.js';
 import { ServerPool } from './serverPool.js';
 import { MetricsServer } from '../telemetry/metricsServer.js';
@@ -45,8 +47,6 @@
   log: EventLog;
 }
 
-const PERCENT = 100;
-
 export class GatewayDaemon {
   private readonly _settings: GatewaySettings;
   private readonly _parts: GatewayParts;
@@ -54,6 +54,7 @@
   private readonly _log: EventLog;
   private readonly _metrics = new ServingMetrics();
   private readonly _configuration: ConfigurationHolder;
+  private readonly _locality: EntryLocality;
   private readonly _entries: EntryDirectory;
   private readonly _signals: ServerSignals;
   private readonly _pool: ServerPool;
@@ -79,14 +80,9 @@
     this._settings = settings;
     this._parts = parts;
     this._log = parts.log;
-    this._own = {
-      box: settings.box,
-      dataCentre: settings.dataCentre,
-      address: settings.callerAddress,
-      control: settings.controlAddress,
-      leaving: false,
-    };
+    this._own = entryAddressOf(settings);
     this._configuration = new ConfigurationHolder(parts.log);
+    this._locality = new EntryLocality(settings);
     this._entries = new EntryDirectory({
       own: this._own,
       clock,
@@ -227,6 +223,7 @@
       log: this._log,
       signals: this._signals,
       service: (name) => this._configuration.index?.service(name),
+      permission: this._locality.permission,
       entries: () => this._entries.count(),
       entriesInDataCentre: () => this._entries.countInOwnDataCentre(),
       isRouted: (host) => this._announcements.isRouted(host),
@@ -274,18 +271,13 @@
   }
 
   private _createAdmission(random: Random): RequestAdmission {
-    const { retryPercent, retryWindowMilliseconds, retrySlack } = this._settings;
     return new RequestAdmission({
       names: this._parts.names,
       configuration: this._configuration,
       clock: this._clock,
       random,
       log: this._log,
-      retryLimit: {
-        ratio: retryPercent / PERCENT,
-        windowMilliseconds: retryWindowMilliseconds,
-        slack: retrySlack,
-      },
+      retryLimit: retryLimitOf(this._settings),
       isFirstStart: this._settings.firstStart,
       entries: () => this._entries.count(),
       isLeaving: () => this._own.leaving,
--- a/src/serving/noAttemptReason.ts
+++ b/src/serving/noAttemptReason.ts
@@ -6,6 +6,7 @@
  * - `retry budget`: this entry's share of the retries is used up.
  * - `asked just now`: a server has just said that it has not run the request.
  * - `no server`: no server is left to try.
+ * - `no permitted server`: all servers are outside of the request's home regions.
  * - `all busy`: no server has capacity.
  * - `old version`: no server has a version on which the request may still begin.
  * - `servers at limit`: all servers are at the request rate that they accept from this entry.
@@ -17,6 +18,7 @@
   | 'retry budget'
   | 'asked just now'
   | 'no server'
+  | 'no permitted server'
   | 'all busy'
   | 'old version'
   | 'servers at limit'
@@ -28,12 +30,14 @@
   'retry budget',
   'asked just now',
   'no server',
+  'no permitted server',
   'all busy',
   'old version',
   'servers at limit',
 ]);
 const REASON_BY_CHOICE = {
   'no-server': 'no server',
+  'not-permitted': 'no permitted server',
   'all-busy': 'all busy',
   'old-version': 'old version',
   'at-limit': 'servers at limit',
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -1,6 +1,7 @@
 /** Checks a caller's request against the configuration, and either admits it or answers it. */
 import type http from 'node:http';
 import { requestFingerprint } from '../crashes/requestFingerprint.js';
+import { permittedRegions } from '../locality/permittedRegions.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { bearerToken, readBody } from '../utils/httpBody.js';
 import type { Clock } from '../utils/clock.js';
@@ -143,6 +144,7 @@
       exchange,
       route,
       service,
+      permittedRegions: permittedRegions([route.homeRegions, customer?.homeRegions ?? []]),
       model: String(request.headers[names.model] ?? ''),
       fingerprint: () => (fingerprint ??= requestFingerprint(parts)),
       method,
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -66,7 +66,7 @@
    * to a server that has not run it.
    */
   find(isHandover = false): ServerSelection {
-    const { service, model } = this._request;
+    const { service, model, permittedRegions } = this._request;
     const { gate, pool } = this._context;
     const preferredVersion = gate.preferredMinVersion(model);
     // A stream handed over to an older version shortly before the version deadline would have to move again, and
@@ -74,6 +74,7 @@
     const lowestForHandover = isHandover ? preferredVersion : 0;
     const found = pool.find({
       service,
+      permittedRegions,
       model,
       minVersion: Math.max(gate.minVersionToSend(model), lowestForHandover),
       minVersionIfSlow: Math.max(gate.minVersionToSend(model, true), lowestForHandover),
--- a/src/serving/requestTrace.ts
+++ b/src/serving/requestTrace.ts
@@ -1,4 +1,5 @@
 /** Writes the log lines and counts the metrics of one request. */
+import { regionsText } from '../locality/permittedRegions.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import type { AdmittedRequest } from './admittedRequest.js';
@@ -98,6 +99,8 @@
   ended(outcome: RequestOutcome, attempts: number, fields: EndFields, stream: StreamRelay | undefined): void {
     const milliseconds = Math.round(this._clock.now() - this._startedAt);
     this._metrics.recordRequest(this._request.service, outcome, milliseconds);
+    const isNotPermitted = fields['noAttempt'] === ('no permitted server' satisfies NoAttemptReason);
+    if (isNotPermitted && outcome === 'refused') this._metrics.countNotPermitted(this._request.service);
     const { name: route, objectiveMilliseconds } = this._request.route;
     const firstBytesAt = stream?.firstBytesAt ?? 0;
     this._log.decision(`request.${outcome}`, {
@@ -108,6 +111,7 @@
       objectiveMilliseconds,
       firstMilliseconds: firstBytesAt > 0 ? Math.round(firstBytesAt - this._startedAt) : undefined,
       pauseMilliseconds: stream ? Math.round(stream.longestPause) : undefined,
+      homeRegions: isNotPermitted ? regionsText(this._request.permittedRegions) : undefined,
       ...fields,
     });
   }
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -1,5 +1,6 @@
 /** Keeps all backend servers listed by service discovery and selects one for each request. */
 import type { ServerSignals } from '../backpressure/serverSignals.js';
+import type { ServerPermission } from '../locality/serverPermission.js';
 import type { BoxStatus } from '../protocol/boxMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
@@ -24,6 +25,8 @@
   /** Backpressure signals from the answers of servers. */
   signals: ServerSignals;
   service: (name: string) => ServiceDescription | undefined;
+  /** Where requests may run. */
+  permission: ServerPermission;
   /** Number of entries that share the connections to each server. */
   entries: () => number;
   /** Number of these entries in this data centre. */
@@ -45,7 +48,7 @@
 /** The selected server, or the reason why there is none. */
 export type ServerSelection =
   | { kind: 'found'; server: TrackedServer }
-  | { kind: 'none'; reason: 'no-server' | 'all-busy' | 'old-version' }
+  | { kind: 'none'; reason: 'no-server' | 'not-permitted' | 'all-busy' | 'old-version' }
   /** All servers limit their requests; the first is expected to accept one after `waitMilliseconds`. */
   | { kind: 'none'; reason: 'at-limit'; waitMilliseconds: number };
 
@@ -122,14 +125,18 @@
     for (const { record } of this._byHost.get(host) ?? []) this._noteStatusOf(record, status);
   }
 
-  /** Selects one of the servers that report their load here, or of all if none of these can serve the request. */
+  /**
+   * Selects one of the servers that report their load here, or of all if none of these can serve the request. Only
+   * servers where the request may run are considered; there is no other place where a server is chosen for a request.
+   */
   find(requirements: ServerRequirements): ServerSelection {
-    const present = this.all().filter(
-      (server) =>
-        server.record.service === requirements.service &&
-        !server.isLeaving &&
-        !requirements.tried.has(server.record.id),
+    const { service, permittedRegions, tried } = requirements;
+    const staying = this.all().filter(({ record, isLeaving }) => record.service === service && !isLeaving);
+    const permitted = staying.filter(({ record }) =>
+      this._options.permission.permits(record.dataCentre, permittedRegions),
     );
+    if (staying.length > 0 && permitted.length === 0) return { kind: 'none', reason: 'not-permitted' };
+    const present = permitted.filter(({ record }) => !tried.has(record.id));
     const routed = present.filter(({ host }) => this._options.isRouted(host));
     const found = this._findAmong(routed, requirements);
     const othersMayServe = found.kind === 'none' && found.reason !== 'all-busy';
--- a/src/serving/serverRequirements.ts
+++ b/src/serving/serverRequirements.ts
@@ -1,6 +1,10 @@
+import type { PermittedRegions } from '../locality/permittedRegions.js';
+
 /** Requirements of a request on the server that it is sent to. */
 export interface ServerRequirements {
   service: string;
+  /** Regions in which the request may run. */
+  permittedRegions: PermittedRegions;
   /** The model; '' for services without one. */
   model: string;
   /** Lowest version on which the request may begin. */
--- a/src/serving/servingConfiguration.ts
+++ b/src/serving/servingConfiguration.ts
@@ -28,6 +28,8 @@
   anonymous: boolean;
   /** Whether a stream may be resumed on another backend server. */
   resumable: boolean;
+  /** Regions to which the requests are limited; empty for none. */
+  homeRegions: readonly string[];
 }
 
 /** Properties of a service's model engine. */
@@ -61,6 +63,8 @@
   name: string;
   keys: readonly string[];
   priority: number | undefined;
+  /** Regions to which the customer's requests are limited; empty for none. */
+  homeRegions: readonly string[];
 }
 
 /** Limits for requests and connections of callers. */
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -4,6 +4,11 @@
 
 export const gatewaySettingsSchema = z.object({
   ...platformProcessSettings,
+  region: z.string('a name').optional().describe('region of the own data centre'),
+  regions: z
+    .record(z.string(), z.string())
+    .default({})
+    .describe('region of each data centre; requests with home regions run only where the region is known'),
   callerAddress: hostPortSetting.describe('where callers connect'),
   readyAddress: hostPortSetting.describe('where readiness is asked for'),
   directoryAddress: hostPortSetting.describe('where callers ask which entries to use'),
--- a/src/telemetry/servingMetrics.ts
+++ b/src/telemetry/servingMetrics.ts
@@ -21,6 +21,11 @@
     this.count(`server_rejections_total{service="${service}"}`);
   }
 
+  /** Counts a request that was refused because no server is where it may run. */
+  countNotPermitted(service: string): void {
+    this.count(`requests_not_permitted_total{service="${service}"}`);
+  }
+
   countRetry(service: string): void {
     this.count(`retries_total{service="${service}"}`);
   }
--- /dev/null
+++ b/tests/locality.spec.ts
@@ -0,0 +1,96 @@
+/** Home regions at a gateway, with servers in two regions. */
+import { afterEach, beforeEach, test } from 'node:test';
+import { expect } from 'earl';
+import { answers, chunkOf, events, streamHead } from '../standins/scriptedBackend.js';
+import type { Script } from '../standins/scriptedBackend.js';
+import { GatewayFixture } from './fixtures/gatewayFixture.js';
+import { routeFixture } from './fixtures/servingFixture.js';
+import { until } from './fixtures/until.js';
+
+const SETTINGS = { regions: { north: 'r-north', south: 'r-south' } };
+const HOME = { routes: [routeFixture({ homeRegions: ['r-south'] })] };
+const STREAM_AT_HOME = routeFixture({
+  kind: 'stream',
+  resumable: true,
+  homeRegions: ['r-south'],
+  timeoutMilliseconds: 400,
+});
+const rejects = answers({ status: 503, headers: { 'larklatch-not-run': '1' }, seal: null });
+let fixture: GatewayFixture;
+
+beforeEach(() => {
+  fixture = new GatewayFixture();
+  fixture.dataCentres = ['north', 'south'];
+});
+
+afterEach(() => fixture.stop());
+
+function arrived(): number[] {
+  return fixture.backends.map((backend) => backend.arrived.length);
+}
+
+/** Guards against requests on servers outside the home regions: 159 a day before home regions were supported. */
+test('should send requests with home regions to servers there only, also when these reject them', async () => {
+  await fixture.start([answers(), answers()], HOME, SETTINGS);
+  for (let request = 0; request < 8; request++) expect((await fixture.request()).status).toEqual(200);
+  expect(arrived()).toEqual([0, 8]);
+});
+
+test('should not retry a request outside of its home regions', async () => {
+  await fixture.start([answers(), rejects], HOME, SETTINGS);
+  expect((await fixture.request()).status).toEqual(503);
+  expect(arrived()).toEqual([0, 1]);
+});
+
+test('should reject a request at once when no server of its home regions is left', async () => {
+  await fixture.start([answers(), answers()], HOME, SETTINGS);
+  fixture.setServer(1, undefined);
+  await until(() => fixture.lines.some((line) => line.includes('server.gone')));
+  const { status, headers, body } = await fixture.request();
+  expect([status, JSON.parse(body)]).toEqual([503, { error: 'no permitted server' }]);
+  expect(Number(headers['retry-after'])).toBeGreaterThan(0);
+  const line = fixture.lines.find((text) => text.includes('request.refused'))!;
+  expect(JSON.parse(line)).toLooseEqual(
+    expect.subset({ noAttempt: 'no permitted server', homeRegions: 'r-south' }),
+  );
+  expect(arrived()).toEqual([0, 0]);
+});
+
+test('should apply the home regions of a customer, and those of a route besides', async () => {
+  const customers = [{ name: 'one', keys: ['key-one'], priority: 1, homeRegions: ['r-south'] }];
+  const other = routeFixture({ name: 'other', pathPrefix: '/b/', homeRegions: ['r-north'] });
+  await fixture.start([answers(), answers()], { customers, routes: [routeFixture(), other] }, SETTINGS);
+  expect([(await fixture.request()).status, (await fixture.request({ path: '/b/x' })).status]).toEqual([
+    200, 503,
+  ]);
+  expect(arrived()).toEqual([0, 1]);
+});
+
+test('should cut a begun stream rather than resume it outside of its home regions', async () => {
+  const disconnects: Script = (request) => {
+    request.socket.write(streamHead(request) + chunkOf(events(1, 2)));
+    request.socket.end();
+  };
+  await fixture.start([answers(), disconnects], { routes: [STREAM_AT_HOME] }, SETTINGS);
+  const { body, whole } = await fixture.request();
+  expect([body, whole, arrived()[0]]).toEqual([events(1, 2), false, 0]);
+});
+
+test('should hand a stream over to a server of its home regions only', async () => {
+  let sent = false;
+  const holds: Script = (request) => {
+    if (!sent) request.socket.write(streamHead(request) + chunkOf(events(1)));
+    sent = true;
+  };
+  await fixture.startEngines(
+    [holds, holds],
+    { routes: [{ ...STREAM_AT_HOME, timeoutMilliseconds: 2_000 }] },
+    SETTINGS,
+  );
+  const answer = fixture.request();
+  await until(() => sent);
+  fixture.sendStatus(1, { state: 'switching' });
+  await until(() => fixture.lines.some((line) => line.includes('request.not-handed-over')));
+  await answer;
+  expect(arrived()).toEqual([0, 1]);
+});
--- a/tests/lossTable.spec.ts
+++ b/tests/lossTable.spec.ts
@@ -19,6 +19,7 @@
     line('request.answered', 0.5, { firstMilliseconds: 450, pauseMilliseconds: 60, attempts: 2 }),
     line('request.answered', 1.2, { firstMilliseconds: 100, pauseMilliseconds: 350, route: 's' }),
     line('request.refused', 1.4),
+    line('request.refused', 1.5, { noAttempt: 'no permitted server' }),
     'not a log line\n',
   ];
   const rows = await readLosses(Readable.from(log), 300);
@@ -31,11 +32,13 @@
       'late-first': 1,
       'late-midway': 0,
       refused: 0,
+      'not-permitted': 0,
       failed: 0,
       cut: 0,
       'caller-gone': 0,
     },
   });
-  expect([rows[1].ends['late-midway'], rows[1].ends.refused]).toEqual([1, 1]);
+  const { ends } = rows[1];
+  expect([ends['late-midway'], ends.refused, ends['not-permitted']]).toEqual([1, 1, 1]);
   expect(formatLosses(rows).length).toEqual(5);
 });
--- a/tests/platformAdapter.spec.ts
+++ b/tests/platformAdapter.spec.ts
@@ -120,7 +120,7 @@
   expect(read?.routes[0].kind).toEqual('stream');
   expect(read?.routes[0].targets.map((target) => target.service)).toEqual(['a', 'b']);
   expect(read?.services[1].origin).toEqual({ address: '1.2.3.4:80' });
-  expect(read?.customers).toEqual([{ name: 't', keys: ['k'], priority: 1 }]);
+  expect(read?.customers).toEqual([{ name: 't', keys: ['k'], priority: 1, homeRegions: [] }]);
 });
 
 test('should treat a request of an unknown type as not idempotent', () => {
--- a/tests/serverEligibility.spec.ts
+++ b/tests/serverEligibility.spec.ts
@@ -22,6 +22,7 @@
 
 const REQUIREMENTS: ServerRequirements = {
   service: 's',
+  permittedRegions: 'any',
   model: 'm',
   minVersion: 0,
   minVersionIfSlow: 0,
--- a/tests/serverIncarnation.spec.ts
+++ b/tests/serverIncarnation.spec.ts
@@ -11,6 +11,7 @@
 import { ManualClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
 import { createRecordingLog } from './fixtures/recordingLog.js';
+import { EVERYWHERE } from './fixtures/everywhere.js';
 import { servingSignals } from './fixtures/servingSignals.js';
 
 for (const [what, current, previouslyReported, reported, match] of [
@@ -95,6 +96,7 @@
     log: recording.log,
     signals: servingSignals(clock),
     service: () => undefined,
+    permission: EVERYWHERE,
     entries: () => 1,
     entriesInDataCentre: () => 1,
     isRouted: () => true,
--- a/tests/serverPool.spec.ts
+++ b/tests/serverPool.spec.ts
@@ -8,6 +8,7 @@
 import { EventLog } from '../src/telemetry/eventLog.js';
 import { ManualClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
+import { EVERYWHERE } from './fixtures/everywhere.js';
 import { servingSignals } from './fixtures/servingSignals.js';
 
 const SLOTS = 8;
@@ -36,6 +37,7 @@
     log: new EventLog({ write: () => true }, 'off', { box: 'entry', dataCentre: 'north' }),
     signals: servingSignals(clock),
     service: () => CHAT,
+    permission: EVERYWHERE,
     entries: () => 1,
     entriesInDataCentre: () => 1,
     isRouted: () => true,
@@ -59,6 +61,7 @@
 function requirements(isContinuation: boolean): ServerRequirements {
   return {
     service: 'chat',
+    permittedRegions: 'any',
     model: 'm',
     minVersion: 0,
     minVersionIfSlow: 0,
