Directory: name only entries in the caller's region or a home region

Cause: /resolve named entries of any region, also for hosts whose routes have home regions.

Change: for a host with home regions, the directory names only entries in the region of the caller (of the query, otherwise that of its data centre) or in a home region that all routes with home regions share, also while there are few; without one it answers 503. In a deployment with regions it also answers 503 before the first configuration, since the home regions of a host are unknown until then.

--- a/src/serving/directoryServer.ts
+++ b/src/serving/directoryServer.ts
@@ -1,5 +1,6 @@
 /** HTTP server for the directory of entries and the readiness check. */
 import http from 'node:http';
+import type { CallerPlace, NamesEntriesOf } from '../locality/directoryRegions.js';
 import { answerJson } from '../utils/httpBody.js';
 import { splitAddress } from '../utils/hostPort.js';
 import { closeHttp, listenHttp } from '../utils/httpServer.js';
@@ -10,8 +11,10 @@
   ready: string;
   directory: string;
   metrics: string;
-  /** The data centre in the query of a directory request. */
-  dataCentreOf(query: URLSearchParams): string;
+  /** The host in the query of a directory request, '' for none. */
+  hostOf(query: URLSearchParams): string;
+  /** The place of the caller in the query of a directory request. */
+  callerPlaceOf(query: URLSearchParams): CallerPlace;
   directoryAnswer(addresses: readonly string[], keepSeconds: number): unknown;
 }
 
@@ -19,6 +22,8 @@
   paths: DirectoryPaths;
   keepSeconds: number;
   entries: EntryDirectory;
+  /** Which entries a caller of a host may use; undefined while the routes of the host are unknown. */
+  mayNameTo: (caller: CallerPlace, host: string) => NamesEntriesOf | undefined;
   isReady: () => boolean;
 }
 
@@ -45,12 +50,14 @@
   }
 
   private _serve(request: http.IncomingMessage, response: http.ServerResponse): void {
-    const { paths, keepSeconds, entries, isReady } = this._options;
+    const { paths, keepSeconds, entries, mayNameTo, isReady } = this._options;
     const url = new URL(request.url ?? '/', 'http://directory');
     if (url.pathname === paths.ready)
       return answerJson(response, isReady() ? 200 : 503, { ready: isReady() });
     if (url.pathname !== paths.directory) return answerJson(response, 404, { error: 'no such path' });
-    const addresses = entries.addressesFor(paths.dataCentreOf(url.searchParams));
+    const caller = paths.callerPlaceOf(url.searchParams);
+    const mayName = mayNameTo(caller, paths.hostOf(url.searchParams));
+    const addresses = mayName ? entries.addressesFor(caller.dataCentre, mayName) : [];
     if (addresses.length === 0) return answerJson(response, 503, { error: 'no entry is known' });
     answerJson(response, 200, paths.directoryAnswer(addresses, keepSeconds));
   }
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -8,6 +8,7 @@
  *    which its report is invalid, or, if no valid report is left, `REMEMBERED_MILLISECONDS` after the agent was last
  *    heard. These two overlap, so only the longer one counts.
  */
+import type { NamesEntriesOf } from '../locality/directoryRegions.js';
 import type { EntryAddress, EntryList } from '../protocol/boxMessages.js';
 import type { RecordSource } from '../records/sourceChoice.js';
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
@@ -152,9 +153,12 @@
     return this._sharing.countIn(this._own.dataCentre);
   }
 
-  /** Addresses for a caller in `dataCentre`: the entries there, and others if these are too few. */
-  addressesFor(dataCentre: string): string[] {
-    const live = this.live();
+  /**
+   * Addresses for a caller in `dataCentre`: the entries there, and others if these are too few. Entries that `mayName`
+   * excludes are never among them.
+   */
+  addressesFor(dataCentre: string, mayName: NamesEntriesOf = () => true): string[] {
+    const live = this.live().filter((entry) => mayName(entry.dataCentre));
     const sameDataCentre = live.filter((entry) => entry.dataCentre === dataCentre);
     const otherDataCentres = live.filter((entry) => entry.dataCentre !== dataCentre);
     const chosen =
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -82,7 +82,7 @@
     this._log = parts.log;
     this._own = entryAddressOf(settings);
     this._configuration = new ConfigurationHolder(parts.log);
-    this._locality = new EntryLocality(settings);
+    this._locality = new EntryLocality(settings, this._configuration);
     this._entries = new EntryDirectory({
       own: this._own,
       clock,
@@ -135,6 +135,7 @@
       paths: parts.paths,
       keepSeconds: settings.directorySeconds,
       entries: this._entries,
+      mayNameTo: (caller, host) => this._locality.mayNameTo(caller, host),
       isReady: () => !this._own.leaving && this._configuration.index !== undefined,
     });
   }
--- a/src/serving/routeIndex.ts
+++ b/src/serving/routeIndex.ts
@@ -1,4 +1,6 @@
 /** Index for finding the route and the customer of a request in one version of the configuration. */
+import type { PermittedRegions } from '../locality/permittedRegions.js';
+import { permittedRegions } from '../locality/permittedRegions.js';
 import type {
   CustomerKeys,
   Route,
@@ -32,11 +34,16 @@
 
   /** Returns the route with the longest matching path prefix. The port of `host` and the query string are ignored. */
   route(host: string, target: string): Route | undefined {
-    const routes = this._routesByHost.get(host.replace(/:\d+$/, '').toLowerCase());
+    const routes = this._routesAt(host);
     const path = target.split('?', 1)[0];
     return routes?.find((route) => path.startsWith(route.pathPrefix));
   }
 
+  /** Returns the home regions that all routes of a host with home regions share. The port of `host` is ignored. */
+  homeRegions(host: string): PermittedRegions {
+    return permittedRegions((this._routesAt(host) ?? []).map((route) => route.homeRegions));
+  }
+
   /** Returns the customer to which an API key belongs. */
   customer(key: string): CustomerKeys | undefined {
     return this._customersByKey.get(key);
@@ -54,6 +61,10 @@
   services(): Iterable<ServiceDescription> {
     return this._services.values();
   }
+
+  private _routesAt(host: string): readonly Route[] | undefined {
+    return this._routesByHost.get(host.replace(/:\d+$/, '').toLowerCase());
+  }
 }
 
 /** Chooses the target service of a route by weight. `fraction` is a random number from 0 up to 1. */
--- a/tests/entryDirectory.spec.ts
+++ b/tests/entryDirectory.spec.ts
@@ -210,3 +210,18 @@
   directory.unsubscribe('one');
   expect(directory.addressesFor('north')).toEqual(['a:80', 'b:80']);
 });
+
+/** Guards against filling up a short list with entries that the home regions of the host exclude. */
+test('should not list entries that may not be named, however few are left', () => {
+  const { directory } = subscribedDirectory('agent');
+  const mayName = (dataCentre: string): boolean => dataCentre === 'west';
+  const entries = [entry('b'), entry('c', 'south'), entry('d', 'west')];
+  directory.applyList('agent', { whole: true, entries, gone: [] });
+  expect(directory.addressesFor('north', mayName)).toEqual(['d:80']);
+  directory.applyList('agent', {
+    whole: false,
+    entries: [{ ...entry('d', 'west'), leaving: true }],
+    gone: [],
+  });
+  expect(directory.addressesFor('north', mayName)).toEqual([]);
+});
--- a/tests/locality.spec.ts
+++ b/tests/locality.spec.ts
@@ -4,7 +4,7 @@
 import { answers, chunkOf, events, streamHead } from '../standins/scriptedBackend.js';
 import type { Script } from '../standins/scriptedBackend.js';
 import { GatewayFixture } from './fixtures/gatewayFixture.js';
-import { routeFixture } from './fixtures/servingFixture.js';
+import { routeFixture, servingConfiguration } from './fixtures/servingFixture.js';
 import { until } from './fixtures/until.js';
 
 const SETTINGS = { regions: { north: 'r-north', south: 'r-south' } };
@@ -29,6 +29,11 @@
   return fixture.backends.map((backend) => backend.arrived.length);
 }
 
+async function resolve(query: string): Promise<[number, unknown]> {
+  const answer = await fetch(`http://${fixture.directory}/entries?${query}`);
+  return [answer.status, ((await answer.json()) as { addresses?: unknown }).addresses];
+}
+
 /** Guards against requests on servers outside the home regions: 159 a day before home regions were supported. */
 test('should send requests with home regions to servers there only, also when these reject them', async () => {
   await fixture.start([answers(), answers()], HOME, SETTINGS);
@@ -94,3 +99,17 @@
   await answer;
   expect(arrived()).toEqual([0, 1]);
 });
+
+test('should name only entries in the region of the caller or in a home region', async () => {
+  await fixture.start([answers()], HOME, SETTINGS);
+  expect(await resolve('host=host.example&region=r-north&dataCentre=north')).toEqual([
+    200,
+    [fixture.address],
+  ]);
+  expect(await resolve('host=host.example&dataCentre=north')).toEqual([200, [fixture.address]]);
+  expect(await resolve('host=HOST.example:80&region=r-south')).toEqual([503, undefined]);
+  expect(await resolve('host=other.example&region=r-south')).toEqual([200, [fixture.address]]);
+  fixture.store.change('configuration', 'main', servingConfiguration({ version: 2 }));
+  await until(() => fixture.lines.some((line) => line.includes('"version":2')));
+  expect(await resolve('host=host.example&region=r-south')).toEqual([200, [fixture.address]]);
+});
--- a/tests/permittedRegions.spec.ts
+++ b/tests/permittedRegions.spec.ts
@@ -1,8 +1,9 @@
-/** Tables of where requests may run, without a network. */
+/** Tables of where requests may run and which entries may be named, without a network. */
 import { test } from 'node:test';
 import { expect } from 'earl';
 import fc from 'fast-check';
 import { PlatformRecordReader } from '../platform/records.js';
+import { entriesNamedTo } from '../src/locality/directoryRegions.js';
 import { permittedRegions, regionsText } from '../src/locality/permittedRegions.js';
 import { RegionMap } from '../src/locality/regionMap.js';
 import { RegionalPermission } from '../src/locality/serverPermission.js';
@@ -27,6 +28,33 @@
   });
 }
 
+for (const [what, caller, homes, named] of [
+  ['a host without homes', { region: 'west', dataCentre: 'w1' }, [], ['n1', 'n2', 's1', 'x1']],
+  ['a caller in a home region', { region: 'north', dataCentre: 'n1' }, [['north']], ['n1', 'n2']],
+  ['a caller in another region', { region: 'south', dataCentre: 's1' }, [['north']], ['n1', 'n2', 's1']],
+  ['a caller that names its data centre only', { region: '', dataCentre: 's1' }, [['west']], ['s1']],
+  [
+    'a region that differs from that of the data centre',
+    { region: 'north', dataCentre: 's1' },
+    [['west']],
+    ['n1', 'n2'],
+  ],
+  ['a caller whose region is unknown', { region: '', dataCentre: 'x1' }, [['south']], ['s1']],
+  [
+    'routes that share a home',
+    { region: 'west', dataCentre: '' },
+    [['north', 'south'], ['south'], []],
+    ['s1'],
+  ],
+  ['routes that share no home', { region: 'north', dataCentre: 'n1' }, [['north'], ['south']], ['n1', 'n2']],
+  ['no entry in any of the regions', { region: 'west', dataCentre: 'w1' }, [['east']], []],
+] as const) {
+  test(`should name entries of ${named.join()} to ${what}`, () => {
+    const mayName = entriesNamedTo(caller, permittedRegions(homes), regions);
+    expect(DATA_CENTRES.filter(mayName)).toEqual([...named]);
+  });
+}
+
 test('should prefer the region of a data centre to the own region, and use the own region without it', () => {
   const conflicting = new RegionMap({ regions: REGIONS, ownDataCentre: 's1', ownRegion: 'north' });
   const alone = new RegionMap({ regions: {}, ownDataCentre: 's1', ownRegion: 'north' });
