Soak: evacuate data centres, and send requests with home regions

Cause: nothing checked on real processes that requests stay in their home regions and out of evacuated data centres while processes, links and the store fail.

Change: the fault 'evacuate', a host with home regions with a caller in each data centre, and the promises 'home' and 'evacuated'. A rollback of the store may lose evacuations, which are then written again.

--- a/bench/costBench.ts
+++ b/bench/costBench.ts
@@ -53,6 +53,7 @@
       onCrash: () => undefined,
       onArrival: () => undefined,
       onSignals: () => undefined,
+      onEvacuation: () => () => undefined,
     },
     program: PROGRAM,
     nodeArguments: { entry: deployedNodeArguments('entry'), agent: deployedNodeArguments('agent') },
--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -4,6 +4,8 @@
  * sequence that their seed selected without it.
  */
 
+import type { FaultScope } from './promiseChecks.js';
+
 /** Planned operations, which must not fail any request. */
 export const PLANNED_KINDS = [
   'configure',
@@ -39,6 +41,29 @@
   'leave-by-answers',
   'reject-with-retry-after',
   'roll-back-store',
+  'evacuate',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
+
+/** Kinds that only make servers send signals in their answers. All promises must hold meanwhile. */
+export const SIGNAL_KINDS: readonly FaultKind[] = [
+  'limit-server',
+  'leave-by-answers',
+  'reject-with-retry-after',
+];
+/** Kinds that kill and restart processes, but neither pause one nor delay requests in flight. */
+const PROCESS_KILL_KINDS: readonly FaultKind[] = ['kill-entry', 'kill-agent', 'kill-many'];
+
+/** Whether all promises must hold during a fault. */
+export function keepsPromises(kind: FaultKind): boolean {
+  const isPlanned = (PLANNED_KINDS as readonly FaultKind[]).includes(kind);
+  return isPlanned || SIGNAL_KINDS.includes(kind) || kind === 'evacuate';
+}
+
+/** What a fault affects. */
+export function faultScope(kind: FaultKind): FaultScope {
+  if (kind === 'crashing-request') return 'servers';
+  if (kind === 'roll-back-store') return 'rollback';
+  return PROCESS_KILL_KINDS.includes(kind) ? 'processes' : 'all';
+}
--- a/soak/fleetOptions.ts
+++ b/soak/fleetOptions.ts
@@ -45,6 +45,8 @@
   onSignals(signals: SentSignals): void;
   /** A server has activated a version that lacks chunks or has corrupted ones. */
   onIncompleteVersion(runner: string, version: number): void;
+  /** The operator has evacuated a data centre; the returned function is called at the end of the evacuation. */
+  onEvacuation(zone: string): () => void;
   /** The request with this body has crashed a server. */
   onCrash(body: string): void;
 }
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -2,33 +2,10 @@
 import type { Execution } from '../standins/platformRunnerOptions.js';
 import { CRASH_BODY } from '../standins/platformRunnerStandin.js';
 import type { Call } from './callerLog.js';
+import type { LocalityChecks } from './localityChecks.js';
+import type { Breach, PromiseName } from './promiseNames.js';
 import type { SignalChecks } from './signalChecks.js';
 
-export type PromiseName =
-  | 'answer' // every caller gets the complete answer to its own request
-  | 'once' // a request that must not be repeated runs at most once
-  | 'not-run' // a refused request has not run
-  | 'asked' // servers run only requests that a caller sent
-  | 'whole' // no server activates an incomplete version
-  | 'version' // no request starts on an older version after the version deadline
-  | 'configuration' // a configuration is in force within the time bound and is not reverted
-  | 'draining' // a draining server gets no new requests
-  | 'limit' // a server gets no more requests than the limit that it announced
-  | 'retry-after' // an entry obeys the Retry-After of a server
-  | 'crashing' // a request that crashes every server is no longer sent to servers
-  | 'planned' // planned operations fail no request
-  | 'ends' // no process exits unexpectedly
-  | 'recovery'; // requests are served again after the last fault
-
-/** A broken promise, with a description for the report. */
-export interface Breach {
-  promise: PromiseName;
-  what: string;
-}
-
-/** Called for each broken promise. */
-export type BreachListener = (promise: PromiseName, what: string) => void;
-
 /** The period of a fault, in wall clock milliseconds. */
 interface FaultWindow {
   from: number;
@@ -206,6 +183,13 @@
     );
   }
 
+  /** Checks where requests ran. */
+  checkLocality(locality: LocalityChecks): void {
+    locality.check({ isExcused: (since, at, bound) => this._isExcused(since, at, bound) }, (promise, what) =>
+      this._breach(promise, what),
+    );
+  }
+
   /** A process exited unexpectedly. */
   onUnexpectedExit(description: string): void {
     this._breach('ends', description);
--- a/soak/signalChecks.ts
+++ b/soak/signalChecks.ts
@@ -3,7 +3,7 @@
  * Retry-After.
  */
 import type { Arrival, SentSignals } from '../standins/platformRunnerSignals.js';
-import type { BreachListener } from './promiseChecks.js';
+import type { BreachListener } from './promiseNames.js';
 
 /** What the checks need to know about callers and faults. Times are in wall clock milliseconds. */
 export interface SignalContext {
--- a/soak/soakConfiguration.ts
+++ b/soak/soakConfiguration.ts
@@ -8,6 +8,10 @@
 ];
 export const HOST = 'games.example';
 export const MODEL = 'm0';
+/** Host and path prefix of the only route with home regions, and these regions. */
+export const HOME_HOST = 'home.example';
+export const HOME_PATH = '/home/';
+export const HOME_REGIONS: readonly string[] = ['r-south', 'r-west'];
 
 /** Invalid records, as other writers may leave them in the store. */
 export const FOREIGN_VALUES: readonly unknown[] = [
@@ -29,6 +33,11 @@
       route('/turns/', 'non_idempotent', PLAIN_SERVICE, { max_attempts: 2 }),
       route('/boards/', 'idempotent', PLAIN_SERVICE, { max_attempts: 2 }),
       route(newestPrefix, 'idempotent', PLAIN_SERVICE, {}),
+      route(HOME_PATH, 'idempotent', PLAIN_SERVICE, {
+        host: HOME_HOST,
+        max_attempts: 2,
+        home_regions: HOME_REGIONS,
+      }),
     ],
     services: [
       modelService(),
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -4,13 +4,14 @@
 import { RUNNER_FAULTS } from '../standins/platformRunnerFaults.js';
 import { CRASH_BODY } from '../standins/platformRunnerStandin.js';
 import type { FaultKind } from './faultKinds.js';
-import { PLANNED_KINDS } from './faultKinds.js';
+import { SIGNAL_KINDS, faultScope, keepsPromises } from './faultKinds.js';
 import type { FleetProcess } from './fleetProcess.js';
 import type { ProxyMode } from './loopbackProxy.js';
-import type { FaultScope, PromiseChecks } from './promiseChecks.js';
+import type { PromiseChecks } from './promiseChecks.js';
 import type { SignalChecks } from './signalChecks.js';
 import { SignalFaults } from './signalFaults.js';
 import { removeStaleServers, rollBackStore } from './storeRollback.js';
+import { ZONES } from './soakBounds.js';
 import { sendCrashingRequest } from './soakCaller.js';
 import type { SoakBox, SoakFleet } from './soakFleet.js';
 import { FOREIGN_VALUES, MODEL_SERVICE, PLAIN_SERVICE } from './soakConfiguration.js';
@@ -33,10 +34,6 @@
 const RESTARTED_SHARE = 0.5;
 /** Delay after which the store performs a write that it did not answer. */
 const LATE_WRITE_MILLISECONDS = 1_500;
-/** Kinds that only make servers send signals in their answers. All promises must hold meanwhile. */
-const SIGNAL_KINDS: readonly FaultKind[] = ['limit-server', 'leave-by-answers', 'reject-with-retry-after'];
-/** Kinds that kill and restart processes, but neither pause one nor delay requests in flight. */
-const PROCESS_KILL_KINDS: readonly FaultKind[] = ['kill-entry', 'kill-agent', 'kill-many'];
 const CRASHING_REQUESTS = 80;
 const CRASHING_INTERVAL_MILLISECONDS = 120;
 
@@ -66,9 +63,7 @@
 
   /** Applies a fault and resolves when it is over. */
   async apply(kind: FaultKind): Promise<void> {
-    const isPlanned = (PLANNED_KINDS as readonly FaultKind[]).includes(kind);
-    const keepsPromises = isPlanned || SIGNAL_KINDS.includes(kind);
-    const endFault = keepsPromises ? () => undefined : this._checks.onFault(faultScope(kind));
+    const endFault = keepsPromises(kind) ? () => undefined : this._checks.onFault(faultScope(kind));
     const milliseconds = MIN_FAULT_MILLISECONDS + this._random.integer(FAULT_SPREAD_MILLISECONDS);
     this._log(`${kind} ${milliseconds}`);
     try {
@@ -106,6 +101,8 @@
         return await this._freeze(this._pick(entries), milliseconds);
       case 'freeze-agent':
         return await this._freeze(this._pick(agents), milliseconds);
+      case 'evacuate':
+        return await this._fleet.evacuations.run(this._pick(ZONES), milliseconds);
       case 'lose-power':
         return await this._losePower();
       case 'roll-back-store':
@@ -311,9 +308,3 @@
     return items[this._random.integer(items.length)];
   }
 }
-
-function faultScope(kind: FaultKind): FaultScope {
-  if (kind === 'crashing-request') return 'servers';
-  if (kind === 'roll-back-store') return 'rollback';
-  return PROCESS_KILL_KINDS.includes(kind) ? 'processes' : 'all';
-}
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -11,6 +11,8 @@
 import { FleetProcess } from './fleetProcess.js';
 import { LoopbackProxy } from './loopbackProxy.js';
 import { MODEL, MODEL_SERVICE, PLAIN_SERVICE, soakConfiguration } from './soakConfiguration.js';
+import { BOUNDS, REGIONS, ZONES } from './soakBounds.js';
+import { SoakEvacuations } from './soakEvacuations.js';
 import { PORTS } from './soakPorts.js';
 
 /** The route that only the newest configuration has. */
@@ -39,7 +41,6 @@
   state: 'ready' | 'draining';
 }
 
-export const ZONES = ['north', 'south', 'west'];
 /** Small versions on fast links, since a soak checks promises and not transfer times. */
 const SMALL_WEIGHTS: FleetWeights = {
   shape: { model: MODEL, chunks: 12, chunkBytes: 4_096 },
@@ -50,21 +51,10 @@
 const SEEDS = 3;
 const SHARED_KEY = 'the key of a soak';
 
-/** The section `bounds` of each process's settings. */
-export const BOUNDS = {
-  contact_ms: 3000,
-  grace_s: 3,
-  retry_ratio: 0.2,
-  retry_window_s: 10,
-  retry_slack: 100,
-  version_ms: 8000,
-  drain_ms: 2000,
-  ttl_max_s: 2,
-};
-
 export class SoakFleet {
   readonly store = new PlatformStoreStandin();
   readonly origin: PlatformOriginStandin;
+  readonly evacuations: SoakEvacuations;
   readonly entries: FleetProcess[] = [];
   readonly agents: FleetProcess[] = [];
   readonly boxes: SoakBox[] = [];
@@ -86,6 +76,7 @@
     const { random, weights = SMALL_WEIGHTS } = options;
     this._options = options;
     this._weights = weights;
+    this.evacuations = new SoakEvacuations(this.store, options.listener.onEvacuation);
     this.origin = new PlatformOriginStandin(weights.shape, () => random.fraction(), weights.originLink);
   }
 
@@ -201,6 +192,7 @@
     this.store.put('config', 'main', this._configuration());
     this.store.put('versions', MODEL, { model: MODEL, version: this._weightsVersion });
     for (const box of this.boxes) if (box.runner.isListening) this.publish(box, box.state);
+    this.evacuations.rewrite();
   }
 
   /** Removes the records of servers that have ended and so no longer renew them. */
@@ -220,6 +212,11 @@
     return `${this._entryHost(this.entries.indexOf(entry))}:${PORTS.front}`;
   }
 
+  /** The data centre of an entry, by its index. */
+  zoneOfEntry(index: number): string {
+    return ZONES[index % ZONES.length];
+  }
+
   /** Whether any entry has logged this request id. */
   hasLogged(id: string): boolean {
     return this.entries.some(({ logFile }) => readFileSync(logFile, 'utf8').includes(`"${id}"`));
@@ -280,7 +277,9 @@
     const name = `entry-${index + 1}`;
     this.storeProxies.set(name, proxy);
     const settings = {
-      ...this._commonSettings(name, host, ZONES[index % ZONES.length], 1000),
+      ...this._commonSettings(name, host, this.zoneOfEntry(index), 1000),
+      region: REGIONS[this.zoneOfEntry(index)],
+      zones: REGIONS,
       platform: { address },
       listen: {
         front: `${host}:${PORTS.front}`,
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -3,7 +3,7 @@
 import type { Random } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
 import type { Call } from './callerLog.js';
-import type { Breach } from './promiseChecks.js';
+import type { Breach } from './promiseNames.js';
 import { PromiseChecks } from './promiseChecks.js';
 import { SignalChecks } from './signalChecks.js';
 import { SoakCaller } from './soakCaller.js';
@@ -11,7 +11,10 @@
 import { FAULT_KINDS, PLANNED_KINDS } from './faultKinds.js';
 import { SoakFaults } from './soakFaults.js';
 import type { FleetSize } from './fleetOptions.js';
-import { BOUNDS, SoakFleet, ZONES } from './soakFleet.js';
+import { HomeCaller } from './homeCaller.js';
+import { LocalityChecks } from './localityChecks.js';
+import { BOUNDS, ZONES } from './soakBounds.js';
+import { SoakFleet } from './soakFleet.js';
 
 /** Options of a soak. */
 export interface SoakOptions {
@@ -40,6 +43,8 @@
   originBytes: number;
   /** Number of requests that crash servers, the crashes, and the runs of such requests. */
   crashing: { requests: number; crashes: number; runs: number };
+  /** Number of requests with home regions that ran there. */
+  ranAtHome: number;
   /** Directory of the processes' settings and logs. */
   directory: string;
 }
@@ -66,13 +71,19 @@
     configurationMilliseconds: CONFIGURATION_MILLISECONDS,
   });
   const signals = new SignalChecks();
+  const locality = new LocalityChecks();
   const { size, network } = options;
   const fleet = new SoakFleet({
     size,
     network,
     random: new SeededRandom(options.seed + 1),
     listener: {
-      onExecution: (execution) => checks.onExecution(execution),
+      onExecution: (execution) => {
+        checks.onExecution(execution);
+        const box = fleet.boxes.find(({ runner }) => runner.id === execution.runner);
+        if (box) locality.onExecution(execution, box.zone);
+      },
+      onEvacuation: (zone) => locality.onEvacuation(zone),
       onCrash: (body) => checks.onCrash(body),
       onIncompleteVersion: (runner, version) => checks.onIncompleteVersion(runner, version),
       onArrival: (arrival) => signals.onArrival(arrival),
@@ -84,7 +95,7 @@
     checks.onVersionAnnounced(fleet.weightsVersion);
     await pause(START_MILLISECONDS);
     const faults = new SoakFaults(fleet, checks, signals, random, options.log);
-    return await runWithCallers({ options, fleet, checks, signals, faults, random });
+    return await runWithCallers({ options, fleet, checks, signals, locality, faults, random });
   } finally {
     await fleet.stop();
   }
@@ -96,13 +107,14 @@
   fleet: SoakFleet;
   checks: PromiseChecks;
   signals: SignalChecks;
+  locality: LocalityChecks;
   faults: SoakFaults;
   random: Random;
 }
 
 async function runWithCallers(running: RunningSoak): Promise<SoakReport> {
-  const { options, fleet, checks, signals, faults, random } = running;
-  const callers = createCallers(options, fleet, checks);
+  const { options, fleet, checks, signals, locality, faults, random } = running;
+  const callers = [...createCallers(options, fleet, checks), ...createHomeCallers(running)];
   const ended = Promise.all(callers.map((caller) => caller.run()));
   let settledAt: number;
   try {
@@ -116,10 +128,11 @@
   }
   checks.checkRecovery(settledAt, MIN_SERVED_SHARE);
   checks.checkSignals(signals);
+  checks.checkLocality(locality);
   if (options.plannedOnly) checks.checkPlanned((id) => fleet.hasLogged(id));
   for (const { name, unexpectedExits } of [...fleet.entries, ...fleet.agents])
     if (unexpectedExits > 0) checks.onUnexpectedExit(`${name} ended ${unexpectedExits} times unexpectedly`);
-  return report(options, fleet, checks);
+  return report(running);
 }
 
 function createCallers(options: SoakOptions, fleet: SoakFleet, checks: PromiseChecks): SoakCaller[] {
@@ -143,6 +156,25 @@
   );
 }
 
+/** Creates a caller of the host with home regions in each data centre. */
+function createHomeCallers({ options, fleet, checks, locality }: RunningSoak): HomeCaller[] {
+  const entries = fleet.entries.map((entry) => fleet.callerAddress(entry));
+  let ids = 0;
+  return ZONES.map(
+    (zone) =>
+      new HomeCaller({
+        zone,
+        directories: fleet.directories(),
+        newId: () => {
+          const id = `home-${options.seed}-${ids++}`;
+          checks.onSending(id);
+          return id;
+        },
+        onNamed: (entry) => locality.onNamed(fleet.zoneOfEntry(entries.indexOf(entry)), zone),
+      }),
+  );
+}
+
 /** Applies random faults for the duration of the soak, and resolves when all of them are over. */
 async function applyFaults(options: SoakOptions, faults: SoakFaults, random: Random): Promise<void> {
   const kinds = options.kinds ?? (options.plannedOnly ? PLANNED_KINDS : FAULT_KINDS);
@@ -163,7 +195,7 @@
   if (failures.length > 0) throw failures[0];
 }
 
-function report(options: SoakOptions, fleet: SoakFleet, checks: PromiseChecks): SoakReport {
+function report({ options, fleet, checks, locality }: RunningSoak): SoakReport {
   const ends: Record<string, number> = {};
   for (const { kind, outcome, status } of checks.calls) {
     const key = `${kind} ${outcome} ${status}`;
@@ -177,6 +209,7 @@
     ends,
     originBytes: fleet.origin.bytesSent,
     crashing: checks.crashing,
+    ranAtHome: locality.ranAtHome,
     directory: fleet.directory,
   };
 }
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -20,6 +20,7 @@
   'limit-server',
   'leave-by-answers',
   'reject-with-retry-after',
+  'evacuate',
 ];
 const KINDS_OF_SEED = FAULT_KINDS.filter((kind) => !EXCLUDED_KINDS.includes(kind));
 
