--- a/src/locality/evacuationFollower.ts
+++ b/src/locality/evacuationFollower.ts
@@ -11,7 +11,7 @@
   evacuations: Evacuations;
   /** Whether there is no copy because the source of the records does not provide evacuations, as in an older build. */
   isNotProvided: () => boolean;
-  /** Where the records come from, for the log. */
+  /** Where confirmed records come from, for the log. Provisional ones come from the store. */
   source: () => string;
   /** Upper bound for the age of a change, in milliseconds; infinite if unknown. */
   maxAgeMilliseconds: () => number;
@@ -84,7 +84,7 @@
   private _origin({ revision }: RecordReplica, isProvisional: boolean): Record<string, unknown> {
     const maxAge = this._isListed ? this._options.maxAgeMilliseconds() : Number.POSITIVE_INFINITY;
     return {
-      source: this._options.source(),
+      source: isProvisional ? 'store' : this._options.source(),
       provisional: isProvisional || undefined,
       maxAgeMilliseconds: Number.isFinite(maxAge) ? Math.round(maxAge) : undefined,
       ...revisionFields(revision),
