--- a/soak/signalChecks.ts
+++ b/soak/signalChecks.ts
@@ -2,7 +2,7 @@
  * Checks that the entries together obey the signals of servers: limits, warm-ups, drain notices and Retry-After.
  */
 import type { Arrival, SentSignals } from '../standins/platformRunnerSignals.js';
-import type { BreachListener } from './promiseChecks.js';
+import type { BreachListener } from './promiseNames.js';
 import { COLD_PER_SECOND } from './soakConfiguration.js';
 
 /** What the checks need to know about callers and faults. Times are in wall clock milliseconds. */
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -8,9 +8,11 @@
  *    which its report is invalid, or, if no valid report is left, `REMEMBERED_MILLISECONDS` after the agent was last
  *    heard. These two overlap, so only the longer one counts.
  */
+import type { NamesEntriesOf } from '../locality/directoryRegions.js';
 import type { EntryAddress, EntryList } from '../protocol/boxMessages.js';
 import { SettledEntries } from '../backpressure/settledEntries.js';
 import type { RecordSource } from '../records/sourceChoice.js';
+import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import { orderAcrossDataCentres } from '../utils/dataCentreOrder.js';
@@ -47,6 +49,12 @@
  */
 const KEEP_LIMIT_SHARE_MILLISECONDS = 10_000;
 
+/** Returns the address of an entry that has just started. */
+export function entryAddressOf(settings: GatewaySettings): EntryAddress {
+  const { box, dataCentre, callerAddress, controlAddress } = settings;
+  return { box, dataCentre, address: callerAddress, control: controlAddress, leaving: false };
+}
+
 /** An entry is live while any connected agent that this entry subscribes to lists it. */
 export class EntryDirectory {
   private readonly _own: EntryAddress;
@@ -153,9 +161,12 @@
     return this._sharing.countIn(this._own.dataCentre);
   }
 
-  /** Addresses for a caller in `dataCentre`: the entries there, and others if these are too few. */
-  addressesFor(dataCentre: string): string[] {
-    const live = this.live();
+  /**
+   * Addresses for a caller in `dataCentre`: the entries there, and others if these are too few. Entries that `mayName`
+   * excludes are never among them.
+   */
+  addressesFor(dataCentre: string, mayName: NamesEntriesOf = () => true): string[] {
+    const live = this.live().filter((entry) => mayName(entry.dataCentre));
     const sameDataCentre = live.filter((entry) => entry.dataCentre === dataCentre);
     const otherDataCentres = live.filter((entry) => entry.dataCentre !== dataCentre);
     const chosen =
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -20,7 +20,8 @@
 import { ConfigurationHolder } from './configurationHolder.js';
 import type { DirectoryPaths } from './directoryServer.js';
 import { DirectoryServer } from './directoryServer.js';
-import { EntryDirectory } from './entryDirectory.js';
+import { EntryDirectory, entryAddressOf } from './entryDirectory.js';
+import { EntryLocality } from './entryLocality.js';
 import { createEntrySignals } from './entrySignals.js';
 import { RecordApplier } from './recordApplier.js';
 import type { ForwardingContext } from './forwardingContext.js';
@@ -31,6 +32,7 @@
 import { VersionUpdates } from './versionUpdates.js';
 import { PlatformFollowers } from './platformFollowers.js';
 import type { ServingPlatform } from './platformRecords.js';
+import { retryLimitOf } from './retryAllowance.js';
 import { RequestAdmission } from './requestAdmission.js';
 import { ServerPool } from './serverPool.js';
 import { MetricsServer } from '../telemetry/metricsServer.js';
@@ -45,8 +47,6 @@
   log: EventLog;
 }
 
-const PERCENT = 100;
-
 export class GatewayDaemon {
   private readonly _settings: GatewaySettings;
   private readonly _parts: GatewayParts;
@@ -54,6 +54,7 @@
   private readonly _log: EventLog;
   private readonly _metrics = new ServingMetrics();
   private readonly _configuration: ConfigurationHolder;
+  private readonly _locality: EntryLocality;
   private readonly _entries: EntryDirectory;
   private readonly _signals: ServerSignals;
   private readonly _pool: ServerPool;
@@ -79,14 +80,9 @@
     this._settings = settings;
     this._parts = parts;
     this._log = parts.log;
-    this._own = {
-      box: settings.box,
-      dataCentre: settings.dataCentre,
-      address: settings.callerAddress,
-      control: settings.controlAddress,
-      leaving: false,
-    };
+    this._own = entryAddressOf(settings);
     this._configuration = new ConfigurationHolder(parts.log);
+    this._locality = new EntryLocality(settings, this._configuration);
     const own = { own: this._own, clock, log: parts.log };
     const { peerTimeoutMilliseconds } = settings;
     this._entries = new EntryDirectory({ ...own, peerTimeoutMilliseconds });
@@ -137,7 +133,9 @@
       paths: parts.paths,
       keepSeconds: settings.directorySeconds,
       entries: this._entries,
-      isReady: () => !this._own.leaving && this._configuration.index !== undefined,
+      mayNameTo: (caller, host) => this._locality.mayNameTo(caller, host),
+      isReady: () =>
+        !this._own.leaving && this._configuration.index !== undefined && this._locality.knowsEvacuations,
     });
   }
 
@@ -152,6 +150,7 @@
       links: this._links,
       entries: this._entries,
       followers: this._followers,
+      locality: this._locality,
       signals: this._signals,
       unreadable: this._parts.platform.unreadable,
       log: this._log,
@@ -225,6 +224,7 @@
       log: this._log,
       signals: this._signals,
       service: (name) => this._configuration.index?.service(name),
+      permission: this._locality.permission,
       entries: () => this._entries.count(),
       entriesInDataCentre: () => this._entries.countInOwnDataCentre(),
       isRouted: (host) => this._announcements.isRouted(host),
@@ -254,7 +254,7 @@
   }
 
   private _createFollowers(random: Random): PlatformFollowers {
-    const { box, controlAddress, seeds, serverHeartbeatMilliseconds } = this._settings;
+    const { box, controlAddress, seeds, serverHeartbeatMilliseconds, evacuateMilliseconds } = this._settings;
     const store = new CountedStore(this._parts.platform.store, (call, kind) =>
       this._metrics.count(`store_calls_total{call="${call}",kind="${kind}"}`),
     );
@@ -265,6 +265,7 @@
       ranking: () => this._entries.recordSources(),
       control: this._controlOptions(),
       heartbeatMilliseconds: serverHeartbeatMilliseconds,
+      followsEvacuations: evacuateMilliseconds !== undefined,
       clock: this._clock,
       random,
       log: this._log,
@@ -272,28 +273,25 @@
   }
 
   private _createAdmission(random: Random): RequestAdmission {
-    const { retryPercent, retryWindowMilliseconds, retrySlack } = this._settings;
     return new RequestAdmission({
       names: this._parts.names,
       configuration: this._configuration,
       clock: this._clock,
       random,
       log: this._log,
-      retryLimit: {
-        ratio: retryPercent / PERCENT,
-        windowMilliseconds: retryWindowMilliseconds,
-        slack: retrySlack,
-      },
+      retryLimit: retryLimitOf(this._settings),
       isFirstStart: this._settings.firstStart,
       entries: () => this._entries.count(),
       isLeaving: () => this._own.leaving,
       closesIn: () => this._closesAt - this._clock.now(),
+      knowsEvacuations: () => this._locality.knowsEvacuations,
       isCurrent: () => this._followers.isCurrent,
     });
   }
 
   private _followRecords(): void {
     const { versions } = this._followers;
+    this._locality.follow(this._followers, this._pool, this._clock, this._log);
     this._prober.start();
     new RecordApplier({
       platform: this._parts.platform,
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -4,6 +4,11 @@
 
 export const gatewaySettingsSchema = z.object({
   ...platformProcessSettings,
+  region: z.string('a name').optional().describe('region of the own data centre'),
+  regions: z
+    .record(z.string(), z.string())
+    .default({})
+    .describe('region of each data centre; requests with home regions run only where the region is known'),
   callerAddress: hostPortSetting.describe('where callers connect'),
   readyAddress: hostPortSetting.describe('where readiness is asked for'),
   directoryAddress: hostPortSetting.describe('where callers ask which entries to use'),
@@ -38,6 +43,13 @@
   contactMilliseconds: numberSetting(0, 3_600_000, 3_000, 'milliseconds').describe(
     'how long a gateway is exempt from version deadlines after its start, or after it has regained the store',
   ),
+  evacuateMilliseconds: z.coerce
+    .number('milliseconds')
+    .nonnegative('milliseconds')
+    .optional()
+    .describe(
+      'time in which the evacuation of a data centre takes effect; without it, evacuations are not followed',
+    ),
 });
 
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- a/tests/coldServers.spec.ts
+++ b/tests/coldServers.spec.ts
@@ -15,6 +15,7 @@
 import { ManualClock } from '../src/utils/clock.js';
 import { SeededRandom } from '../src/utils/random.js';
 import { ColdFleet, boxes } from './fixtures/coldFleet.js';
+import { EVERYWHERE } from './fixtures/everywhere.js';
 import { quietLog } from './fixtures/quietLog.js';
 import { createRecordingLog } from './fixtures/recordingLog.js';
 
@@ -63,6 +64,7 @@
       origin: undefined,
       ...(coldPerSecond > 0 ? { cold } : {}),
     }),
+    permission: EVERYWHERE,
     entries: () => 1,
     entriesInDataCentre: () => 1,
     isRouted: () => true,
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -21,6 +21,7 @@
   'leave-by-answers',
   'reject-with-retry-after',
   'turn-cold',
+  'evacuate',
 ];
 const KINDS_OF_SEED = FAULT_KINDS.filter((kind) => !EXCLUDED_KINDS.includes(kind));
 
