Cold servers: assume 100 entries while they are unknown

Each entry assumed 150 others.

Assuming 100 keeps the bound in all 60 tests of cold servers; 75 exceeds it with 100 entries that know nothing.

--- a/src/backpressure/coldShare.ts
+++ b/src/backpressure/coldShare.ts
@@ -35,10 +35,10 @@
 /** Among divisions with nearly the highest total rate, the one with most holders is used. */
 const NEARLY_BEST = 0.9;
 /**
- * Assumed number of entries while they are unknown. A fleet has up to 100; half as many again, because at the same time
- * entries that know each other may use the whole rate.
+ * Assumed number of entries while they are unknown: a fleet has up to 100. With 75, 100 entries that know nothing of each
+ * other exceeded the bound; with more, most requests were rejected after a loss of power, when all servers are cold.
  */
-const ASSUMED_ENTRIES = 150;
+const ASSUMED_ENTRIES = 100;
 
 /**
  * Divides the rate of a cold server between at most `candidates` entries.
