Start: set V8 flags after the modules are loaded

V8 accepts the compiled form of Node.js's own modules, which is part of the executable, only with default flags. The flags on the command line made each process compile these modules itself. The daemons now set the same flags once their modules are loaded and before the WebAssembly parser is compiled.

--- a/bench/costBench.ts
+++ b/bench/costBench.ts
@@ -78,7 +78,7 @@
 function deployedNodeArguments(role: ProcessRole): string[] {
   const run = new RegExp(`^run = "node (.*)${PROGRAM_IN_DEPLOY_FILE} ${role}"$`, 'm');
   const nodeArguments = run.exec(readFileSync(DEPLOY_FILE, 'utf8'))?.[1] ?? '';
-  return nodeArguments.trim().split(' ');
+  return nodeArguments.split(' ').filter((argument) => argument !== '');
 }
 
 function print(name: string, unit: string, value: number, what: string): void {
--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -52,6 +52,6 @@
   logLevel: 'warning',
 });
 
-// A code cache is valid only for processes with the same flags of node, which the deploy file names for each role.
+// A code cache is valid only for processes with the same arguments of node, which the deploy file names for each role.
 const roles = readFileSync('deploy/system.toml', 'utf8').matchAll(/^run = "node (.*)"$/gm);
 for (const [, args] of roles) execFileSync(process.execPath, [...args.split(' '), 'write-code-cache']);
--- a/tests/codeCache.spec.ts
+++ b/tests/codeCache.spec.ts
@@ -1,4 +1,5 @@
 /** Loading of bundles with a V8 code cache. */
+import { spawnSync } from 'node:child_process';
 import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -34,3 +35,11 @@
   writeFileSync(file, "throw new Error('broken bundle')");
   expect(() => requireCached<BundleExports>(file, cacheFile)).toThrow('broken bundle');
 });
+
+/** Guards against flags that this version of V8 does not know: it only prints an error and ignores them. */
+test('should set flags that V8 knows', () => {
+  const module = new URL('../platform/runtimeFlags.js', import.meta.url).href;
+  const code = `import('${module}').then(({ setRuntimeFlags }) => setRuntimeFlags())`;
+  const { status, stdout, stderr } = spawnSync(process.execPath, ['-e', code], { encoding: 'utf8' });
+  expect([status, stdout, stderr]).toEqual([0, '', '']);
+});
