Cost bench: measure the statuses that an entry receives

An entry of a large fleet is connected to all agents of a service with 40 or fewer and receives some 90 statuses a second, which a fleet of 12 and 12 does not show. The bench now adds 28 stand-ins for agents and prints an entry's idle second with 40 agents and the cost of a status.

--- a/bench/costBench.ts
+++ b/bench/costBench.ts
@@ -14,6 +14,7 @@
 import { SoakFleet } from '../soak/soakFleet.js';
 import { printLine } from './benchLine.js';
 import { processorMilliseconds } from './processUsage.js';
+import { StatusSource } from './statusSource.js';
 
 const SIZE = { entries: 12, modelBoxes: 12, plainServers: 3 };
 const NETWORK = 61;
@@ -22,6 +23,10 @@
 const STARTUP_MILLISECONDS = 4_000;
 const IDLE_MILLISECONDS = 8_000;
 const LOAD_MILLISECONDS = 8_000;
+/** Stand-ins for agents; with the agents of the fleet as many as an entry connects to. */
+const STATUS_SOURCES = 28;
+/** Interval at which each stand-in sends statuses: an entry of a large fleet under load receives some 90 a second. */
+const STATUS_MILLISECONDS = 311;
 /** Concurrent requests to one entry. */
 const CALLERS_PER_ENTRY = 3;
 const CONDITIONS = '12 entries, 12 agents, bundled programs, loopback, mean of the processes, one run';
@@ -69,6 +74,7 @@
     const stream = await measureLoad(fleet, STREAM, idleEntry);
     print('costs.request', 'ms', request, 'entry, a plain request');
     print('costs.event', 'ms', (stream - request) / STREAM_EVENTS, 'entry, an event beyond the request');
+    await measureStatuses(fleet);
   } finally {
     await fleet.stop();
   }
@@ -102,6 +108,33 @@
   ];
 }
 
+/**
+ * Prints what an entry that is connected to as many agents as an entry of a large fleet takes in an idle second, and
+ * for a status of an agent.
+ */
+async function measureStatuses(fleet: SoakFleet): Promise<void> {
+  const sources = Array.from(
+    { length: STATUS_SOURCES },
+    (_unused, index) => new StatusSource(NETWORK, index),
+  );
+  for (const source of sources) await source.start(fleet.store);
+  await pause(STARTUP_MILLISECONDS);
+  const [idle] = await measureIdle(fleet);
+  const what = `entry, connected to ${SIZE.modelBoxes + STATUS_SOURCES} agents`;
+  print('costs.connectedIdleSecond', 'ms/s', idle, what);
+  const stopSending = sources.map((source) => source.sendEvery(STATUS_MILLISECONDS));
+  const [loaded] = await measureIdle(fleet);
+  for (const stop of stopSending) stop();
+  for (const source of sources) source.close();
+  const perSecond = (STATUS_SOURCES * 1000) / STATUS_MILLISECONDS;
+  print(
+    'costs.status',
+    'ms',
+    (loaded - idle) / perSecond,
+    `${what}, ${Math.round(perSecond)} statuses a second`,
+  );
+}
+
 /** Milliseconds of processor time that an entry takes for one request, beyond its `idle` milliseconds a second. */
 async function measureLoad(fleet: SoakFleet, target: RequestTarget, idle: number): Promise<number> {
   const before = meanProcessorMilliseconds(fleet.entries);
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -48,7 +48,7 @@
 };
 /** Number of entries that the settings of each entry list as seeds, as on the platform. */
 const SEEDS = 3;
-const SHARED_KEY = 'the key of a soak';
+export const SHARED_KEY = 'the key of a soak';
 
 /** The section `bounds` of each process's settings. */
 export const BOUNDS = {
