--- a/bench/costBench.ts
+++ b/bench/costBench.ts
@@ -122,7 +122,12 @@
   const [idle] = await measureIdle(fleet);
   const what = `entry, connected to ${SIZE.modelBoxes + STATUS_SOURCES} agents`;
   print('costs.connectedIdleSecond', 'ms/s', idle, what);
-  const stopSending = sources.map((source) => source.sendEvery(STATUS_MILLISECONDS));
+  const stopSending: (() => void)[] = [];
+  for (const source of sources) {
+    stopSending.push(source.sendEvery(STATUS_MILLISECONDS));
+    // Spread over the interval, as those of independent agents are.
+    await pause(STATUS_MILLISECONDS / STATUS_SOURCES);
+  }
   const [loaded] = await measureIdle(fleet);
   for (const stop of stopSending) stop();
   for (const source of sources) source.close();
