Agents: no rounds between polls while the box serves its version

The reconciler woke up every 120 ms, also when it polls an idle server every 360 ms and has no version to prepare. While it serves the target version it now waits for the next poll; a new target ends the wait. The wait itself no longer adds a listener to an AbortSignal each time.

--- a/src/staging/pollInterval.ts
+++ b/src/staging/pollInterval.ts
@@ -21,3 +21,17 @@
   const isIdle = status !== undefined && status.running + status.queued === 0;
   return phase === 'serving' && isIdle ? IDLE_POLL_MILLISECONDS : POLL_MILLISECONDS;
 }
+
+/**
+ * Returns the milliseconds until the next round of checks, `sincePoll` milliseconds after the last poll. Only a box that
+ * stages or switches a version has anything to do between two polls.
+ */
+export function roundInterval(
+  phase: SwitchPhase,
+  status: LocalBackendStatus | undefined,
+  sincePoll: number,
+): number {
+  if (phase === 'staging') return POLL_MILLISECONDS;
+  if (phase !== 'serving') return SWITCHING_POLL_MILLISECONDS;
+  return Math.max(1, pollInterval(phase, status) - sincePoll);
+}
--- a/src/staging/stageQueue.ts
+++ b/src/staging/stageQueue.ts
@@ -76,15 +76,16 @@
     return this._stages.find((stage) => stage.exchange.rollout === rollout);
   }
 
-  /** Sets the target if it is newer than the current one, and opens a stage for it. */
-  setTarget(target: TargetVersion): void {
-    if (this._target && target.version <= this._target.version) return;
+  /** Sets the target if it is newer than the current one, and opens a stage for it. Returns whether it is newer. */
+  setTarget(target: TargetVersion): boolean {
+    if (this._target && target.version <= this._target.version) return false;
     this._target = target;
     this._manifestReading.abort();
     this._manifestReading = new AbortController();
     this._options.log.state('version.wanted', { model: target.model, version: target.version });
     this.dropSuperseded();
     void this._open(target, this._manifestReading.signal);
+    return true;
   }
 
   /** Drops incomplete versions that are not worth finishing now that there is a newer target. */
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -253,8 +253,7 @@
     if (message.type === 'agent-list') this._updateAgents(message);
     if (message.type === 'server-notices') this._entries.mergeServerNotices(message.notices);
     if (message.type !== 'entry-presence') return;
-    const wantsStatus = this._entries.update(connection, message);
-    if (wantsStatus) {
+    if (this._entries.update(connection, message)) {
       connection.send(this._status());
       connection.send({ type: 'versions-heard', versions: this._heardVersions.all() });
     }
@@ -293,7 +292,8 @@
     const added = this._heardVersions.merge(presence.heard ?? []);
     if (added.length > 0) this._entries.sendToStatusListeners({ type: 'versions-heard', versions: added });
     for (const { model, version, knownMilliseconds } of presence.wanted) {
-      this._stages.setTarget({ model, version, announcedAt: this._clock.now() - knownMilliseconds });
+      const announcedAt = this._clock.now() - knownMilliseconds;
+      if (this._stages.setTarget({ model, version, announcedAt })) this._reconciler.wake();
     }
   }
 
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -5,9 +5,10 @@
 import type { Clock } from '../utils/clock.js';
 import { errorCode, errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
+import { WakeableTimer } from '../utils/wakeableTimer.js';
 import { hasRestarted, isUnchanged, restartLogFields } from './backendIncarnation.js';
 import { switchOrder } from './originFetchSchedule.js';
-import { POLL_MILLISECONDS, SWITCHING_POLL_MILLISECONDS, pollInterval } from './pollInterval.js';
+import { SWITCHING_POLL_MILLISECONDS, pollInterval, roundInterval } from './pollInterval.js';
 import type { LocalBackend, LocalBackendStatus } from './localBackend.js';
 import { CONNECTION_REFUSED } from './localBackend.js';
 import type { StageQueue } from './stageQueue.js';
@@ -43,6 +44,7 @@
 export class VersionReconciler {
   private readonly _options: VersionReconcilerOptions;
   private readonly _stopped = new AbortController();
+  private readonly _timer = new WakeableTimer();
   private _status: LocalBackendStatus | undefined;
   /**
    * Monotonic milliseconds since which chunks are known to be read from the current incarnation of the backend server;
@@ -97,6 +99,12 @@
 
   stop(): void {
     this._stopped.abort();
+    this.wake();
+  }
+
+  /** Starts the next round now; to be called when there is a new target version. */
+  wake(): void {
+    this._timer.wake();
   }
 
   /**
@@ -131,9 +139,9 @@
         this._onUnreachable(error);
         await pause(RETRY_MILLISECONDS, this._stopped.signal);
       }
-      const isFarFromSwitching = this.switchPhase === 'serving' || this.switchPhase === 'staging';
-      const wait = isFarFromSwitching ? POLL_MILLISECONDS : SWITCHING_POLL_MILLISECONDS;
-      await pause(wait, this._stopped.signal);
+      const sincePoll = this._options.clock.now() - this._polledAt;
+      const wait = roundInterval(this.switchPhase, this._status, sincePoll);
+      if (!this._stopped.signal.aborted) await this._timer.wait(wait);
     }
   }
 
--- a/tests/stagingDecisions.spec.ts
+++ b/tests/stagingDecisions.spec.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import type { LocalBackendStatus } from '../src/staging/localBackend.js';
-import { pollInterval } from '../src/staging/pollInterval.js';
+import { pollInterval, roundInterval } from '../src/staging/pollInterval.js';
 import type { Member } from '../src/protocol/rolloutMessages.js';
 import {
   ORIGIN_FETCH_TURN_MILLISECONDS,
@@ -208,18 +208,24 @@
   });
 }
 
+function statusOf(running: number): LocalBackendStatus {
+  return { versions: new Map(), busy: false, revision: 0, running, queued: 0, startedAt: 0 };
+}
+
 test('should poll an idle server less often, unless it is about to switch', () => {
-  const status = (running: number): LocalBackendStatus => ({
-    versions: new Map(),
-    busy: false,
-    revision: 0,
-    running,
-    queued: 0,
-    startedAt: 0,
-  });
-  const usual = pollInterval('serving', status(1));
-  expect(pollInterval('serving', status(0))).toBeGreaterThan(usual);
-  expect(pollInterval('staged', status(0))).toEqual(usual);
+  const usual = pollInterval('serving', statusOf(1));
+  expect(pollInterval('serving', statusOf(0))).toBeGreaterThan(usual);
+  expect(pollInterval('staged', statusOf(0))).toEqual(usual);
   expect(pollInterval('serving', undefined)).toEqual(usual);
-  expect(pollInterval('switching', status(0))).toBeLessThan(usual);
+  expect(pollInterval('switching', statusOf(0))).toBeLessThan(usual);
+});
+
+/** Guards against a status that gets older than the poll interval, and against rounds that nothing needs. */
+test('should wait for the next poll while serving, and no longer than usual otherwise', () => {
+  const interval = pollInterval('serving', statusOf(0));
+  expect(roundInterval('serving', statusOf(0), 0)).toEqual(interval);
+  expect(roundInterval('serving', statusOf(0), interval - 20)).toEqual(20);
+  expect(roundInterval('serving', statusOf(0), 2 * interval)).toEqual(1);
+  expect(roundInterval('staging', statusOf(0), 0)).toEqual(pollInterval('staging', statusOf(0)));
+  expect(roundInterval('staged', statusOf(0), 0)).toBeLessThan(pollInterval('staged', statusOf(0)));
 });
