--- a/tests/platformRunner.spec.ts
+++ b/tests/platformRunner.spec.ts
@@ -108,6 +108,21 @@
   await chunk;
 });
 
+/** Guards against a report that is taken for the one before it, whose reading is reused if the bytes are the same. */
+test('should read a report that differs from the last, and fail on an invalid one after it', async () => {
+  const report = { models: [], seq_no: 1, queued: 0, active: 0 };
+  const bodies = [report, report, { ...report, active: 2 }, { ...report, active: '2' }, report];
+  const server = http.createServer((_request, response) => response.end(JSON.stringify(bodies.shift())));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  const client = new PlatformRunner(`127.0.0.1:${port}`);
+  for (const running of [0, 0, 2]) expect((await client.status()).running).toEqual(running);
+  await expect(client.status()).toBeRejectedWith(/runner\.report/);
+  expect((await client.status()).running).toEqual(0);
+  server.close();
+  server.closeAllConnections();
+});
+
 test('should fail with the name of the step if the report is invalid', async () => {
   const server = http.createServer((_request, response) => response.writeHead(200).end('<html>'));
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
