Record sources: stop at the second working candidate

The choice of sources runs ten times a second and checked all live entries for failures, of which it uses two.

--- a/src/records/sourceChoice.ts
+++ b/src/records/sourceChoice.ts
@@ -38,9 +38,12 @@
 /** The first candidates that have not failed read the store; all other entries listen to them. */
 export function chooseSources(input: SourceChoiceInput): SourceChoice {
   const { own, hasFailed } = input;
-  const candidates = candidatesOf(input);
-  const working = candidates.filter(({ address }) => !hasFailed(address));
-  const chosen = working.slice(0, READER_COUNT);
+  const chosen: RecordSource[] = [];
+  // Does not check the other candidates: this runs ten times a second, with up to a hundred of them.
+  for (const candidate of candidatesOf(input)) {
+    if (chosen.length === READER_COUNT) break;
+    if (!hasFailed(candidate.address)) chosen.push(candidate);
+  }
   const sources = chosen.filter(({ address }) => address !== own.address);
   // When all have failed, no entry reaches the store, and each checks by itself whether it is back.
   const reads = chosen.length === 0 || sources.length < chosen.length;
