Bench of switches: agents in threads behind links of limited rates

The rollout bench runs agents of another kind, and staging tests have links without limits, so nothing showed why the first server of a narrow fleet has a complete copy only shortly before the last.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,6 @@
 /**
  * `npm run bench [-- PART ...]`: runs the given parts, or all, and prints each result as a line of JSON. Parts:
- * decisions, rollout, share, requests, control, costs.
+ * decisions, rollout, switches, share, requests, control, costs.
  */
 import { benchControl } from './controlBench.js';
 import { benchCosts } from './costBench.js';
@@ -8,10 +8,12 @@
 import { benchRequests } from './requestBench.js';
 import { benchRollout } from './rolloutBench.js';
 import { benchShare } from './shareBench.js';
+import { benchSwitches } from './switchBench.js';
 
 const PARTS: Record<string, () => Promise<void>> = {
   decisions: benchDecisions,
   rollout: benchRollout,
+  switches: benchSwitches,
   share: benchShare,
   requests: benchRequests,
   control: benchControl,
