Uploads go first to the boxes that switch first, in order

Cause: a third of the boxes counted as early, and all of them alike. On 36 boxes the chunks spread evenly over 12 early boxes, so that the first one was complete little sooner than the last of them. A late box could wait behind them for 1.5 s until it gave up, with one of its three fetches.

Change: within a data centre, a waiting request is ranked by the position of the requesting box in the order of switching. When too many wait, the one with the last position is refused, so that its box asks elsewhere. Imports by other data centres still go before all others, with their own limit. Requests without a rank (agents of the other kind) are handled as before. The decision is a pure function (weights/uploadOrder).

--- a/src/staging/chunkServer.ts
+++ b/src/staging/chunkServer.ts
@@ -5,7 +5,8 @@
 import { answerJson, bearerToken } from '../utils/httpBody.js';
 import { closeHttp, listenHttp } from '../utils/httpServer.js';
 import { errorText } from '../utils/stepError.js';
-import type { UploadPriority, UploadQueue } from '../weights/uploadQueue.js';
+import type { UploadRequest } from '../weights/uploadOrder.js';
+import type { UploadQueue } from '../weights/uploadQueue.js';
 
 /** Options of a {@link ChunkServer}. */
 export interface ChunkServerOptions {
@@ -14,8 +15,8 @@
   /** Returns a chunk that this box has and has verified. */
   chunk: (rollout: string, chunk: number) => Buffer | undefined;
   manifest: (rollout: string) => Manifest | undefined;
-  /** Returns the upload priority of chunks of a rollout for a box. */
-  priority: (box: string, rollout: string) => UploadPriority;
+  /** Returns the upload priority and rank of chunks of a rollout for a box. */
+  priority: (box: string, rollout: string) => Pick<UploadRequest, 'priority' | 'rank'>;
 }
 
 const KEEP_ALIVE_MILLISECONDS = 30_000;
@@ -57,6 +58,6 @@
     }
     const data = kind === 'chunks' ? chunk(name, Number(index)) : undefined;
     if (!data) return answerJson(response, 404, { error: 'no such chunk' });
-    await uploads.send(response, data, { chunk: `${name}/${index}`, priority: priority(sender, name) });
+    await uploads.send(response, data, { chunk: `${name}/${index}`, ...priority(sender, name) });
   }
 }
--- a/src/weights/uploadQueue.ts
+++ b/src/weights/uploadQueue.ts
@@ -3,28 +3,17 @@
 import { HEADER } from '../protocol/headers.js';
 import { untilDrained } from '../utils/backpressure.js';
 import type { RateLimiter } from '../utils/rateLimiter.js';
+import type { RankedUpload, UploadRequest } from './uploadOrder.js';
+import { admitUpload, nextUpload } from './uploadOrder.js';
 
 /** Chunks sent at the same time. One alone arrives, and can be passed on, sooner than two that share the link. */
 const UPLOAD_SLOTS = 1;
-/** Who requests a chunk: a gateway of another data centre, a box that switches early, or any other box. */
-export type UploadPriority = 'other-data-centre' | 'early' | 'usual';
-
-/** Most urgent first. */
-const PRIORITIES: readonly UploadPriority[] = ['other-data-centre', 'early', 'usual'];
-/** Requests that may wait for a slot. Few `usual` ones, since other boxes in the data centre hold those chunks too. */
-const MAXIMUM_WAITING: Record<UploadPriority, number> = { 'other-data-centre': 6, early: 6, usual: 2 };
 const BLOCK_BYTES = 64 * 1024;
 
-/** The chunk that is requested, and how urgently. */
-export interface UploadRequest {
-  /** Identifies the chunk: the same in all requests for it. */
-  chunk: string;
-  priority: UploadPriority;
-}
-
 interface WaitingUpload {
   request: UploadRequest;
-  begin: () => void;
+  /** Ends the wait: the upload begins, or is refused in favour of a more urgent one. */
+  end: (outcome: 'begin' | 'refuse') => void;
 }
 
 /** Number of chunks for which the queue counts how often they were sent. */
@@ -57,11 +46,10 @@
 
   /** Responds with `data`, or with status 503 when the queue is full. */
   async send(response: http.ServerResponse, data: Buffer, request: UploadRequest): Promise<void> {
-    if (this._isFullFor(request)) {
+    if (!(await this._takeSlot(request))) {
       response.writeHead(503, { [HEADER.uploadQueue]: String(this.length) }).end();
       return;
     }
-    await this._takeSlot(request);
     this._countSent(request.chunk);
     try {
       response.writeHead(200, {
@@ -91,39 +79,30 @@
     clearTimeout(stallTimer);
   }
 
-  /** Each priority has its own limit, so that requests of one don't displace those of another. */
-  private _isFullFor({ priority }: UploadRequest): boolean {
-    const waitingOfPriority = this._waiting.filter(({ request }) => request.priority === priority);
-    return waitingOfPriority.length >= MAXIMUM_WAITING[priority];
-  }
-
-  private async _takeSlot(request: UploadRequest): Promise<void> {
-    if (this._active >= UPLOAD_SLOTS)
-      await new Promise<void>((begin) => this._waiting.push({ request, begin }));
-    else this._active++;
+  /** Waits for a slot. Returns false if the request is refused. */
+  private async _takeSlot(request: UploadRequest): Promise<boolean> {
+    if (this._active < UPLOAD_SLOTS) {
+      this._active++;
+      return true;
+    }
+    const admission = admitUpload(this._ranked(), request);
+    if (admission === 'refuse') return false;
+    if (admission !== 'wait') this._waiting.splice(admission.displace, 1)[0].end('refuse');
+    const outcome = await new Promise((end) => this._waiting.push({ request, end }));
+    return outcome === 'begin';
   }
 
   private _releaseSlot(): void {
-    const next = this._next();
-    if (next) next.begin();
-    else this._active--;
-  }
-
-  /** Removes the first request by rank from the queue. */
-  private _next(): WaitingUpload | undefined {
-    let best = 0;
-    for (let index = 1; index < this._waiting.length; index++) {
-      if (this._rank(this._waiting[index]) < this._rank(this._waiting[best])) best = index;
-    }
-    return this._waiting.splice(best, 1)[0];
+    const next = nextUpload(this._ranked());
+    if (next < 0) this._active--;
+    else this._waiting.splice(next, 1)[0].end('begin');
   }
 
-  private _rank({ request }: WaitingUpload): number {
-    const timesSent = this._timesSent.get(request.chunk) ?? 0;
-    return (
-      PRIORITIES.indexOf(request.priority) * MAXIMUM_COUNTED_CHUNKS +
-      Math.min(timesSent, MAXIMUM_COUNTED_CHUNKS - 1)
-    );
+  private _ranked(): RankedUpload[] {
+    return this._waiting.map(({ request }) => ({
+      request,
+      timesSent: this._timesSent.get(request.chunk) ?? 0,
+    }));
   }
 
   private _countSent(chunk: string): void {
--- a/standins/faultyAgent.ts
+++ b/standins/faultyAgent.ts
@@ -8,7 +8,7 @@
 import { agentSettingsSchema } from '../src/settings/agentSettings.js';
 import { enableLogs } from '../src/telemetry/logger.js';
 import { RateLimiter } from '../src/utils/rateLimiter.js';
-import type { UploadRequest } from '../src/weights/uploadQueue.js';
+import type { UploadRequest } from '../src/weights/uploadOrder.js';
 import { UploadQueue } from '../src/weights/uploadQueue.js';
 
 /** One of this many chunks is corrupted. */
