Chunks are fetched from idle holders before rarer ones at busy holders

Cause: every box asked first for the rarest chunk, which is the newest, and so for the one holder of it, whose link is also needed for the other data centres. Meanwhile other links were idle: outgoing links of 36 boxes were in use for 0.55 of the time until all had a complete copy.

Change: an upload that waits at the least loaded holder of a chunk counts like two holders more. Imports from other data centres still come first.

--- a/src/weights/chunkPicker.ts
+++ b/src/weights/chunkPicker.ts
@@ -24,7 +24,16 @@
 }
 
 /**
- * Picks the rarest chunk first. A chunk that a neighbour in the own data centre holds is never fetched from another
+ * A waiting upload at the least loaded holder counts like this many holders more. Without it, all boxes asked the one
+ * holder of the newest chunk, while the links of the others were idle: of the time until 36 boxes had a complete copy,
+ * their outgoing links were in use for a half.
+ */
+const HOLDERS_PER_LOAD = 2;
+/** Longer upload queues count like this one, since reports of them are out of date soon. */
+const MAXIMUM_COUNTED_LOAD = 3;
+
+/**
+ * Picks rare chunks first, but prefers those whose holder is idle. A chunk that a neighbour in the own data centre holds is never fetched from another
  * data centre. A chunk that only other data centres hold is fetched before all others, and by one gateway; if that
  * gateway does not fetch it in time, the next one in the order of `importers` does.
  */
@@ -105,25 +114,25 @@
 
   /** Returns the next fetch, or undefined when there is nothing to fetch now. */
   next(): ChunkPick | undefined {
-    const candidates = this._candidates();
-    for (const chunk of candidates) {
+    const { held } = this._options;
+    let best: (ChunkPick & { order: number }) | undefined;
+    for (let chunk = 0; chunk < held.size; chunk++) {
+      if (held.has(chunk) || this._inFlight.has(chunk)) continue;
+      if (this._holdersInDataCentre[chunk] === 0 && !this._mayImport(chunk)) continue;
       const peer = this._bestHolder(chunk);
-      if (peer) return { chunk, peer };
+      if (!peer) continue;
+      const order = this._orderOf(chunk, peer);
+      if (!best || order < best.order) best = { chunk, peer, order };
     }
-    return undefined;
+    return best && { chunk: best.chunk, peer: best.peer };
   }
 
-  /** Chunks that may be fetched: first those of other data centres only, then the rarest; ties in random order. */
-  private _candidates(): number[] {
-    const { held, random } = this._options;
-    const candidates: { chunk: number; order: number }[] = [];
-    for (let chunk = 0; chunk < held.size; chunk++) {
-      if (held.has(chunk) || this._inFlight.has(chunk)) continue;
-      const holders = this._holdersInDataCentre[chunk];
-      if (holders > 0 || this._mayImport(chunk))
-        candidates.push({ chunk, order: holders + random.fraction() });
-    }
-    return candidates.sort((a, b) => a.order - b.order).map((item) => item.chunk);
+  /** Lower ones are fetched first: chunks of other data centres only, then by number of holders and load. */
+  private _orderOf(chunk: number, peer: PeerView): number {
+    const fraction = this._options.random.fraction();
+    const holders = this._holdersInDataCentre[chunk];
+    if (holders === 0) return fraction - 1;
+    return holders + Math.min(loadOf(peer), MAXIMUM_COUNTED_LOAD) * HOLDERS_PER_LOAD + fraction;
   }
 
   private _mayImport(chunk: number): boolean {
--- a/tests/chunkPicker.spec.ts
+++ b/tests/chunkPicker.spec.ts
@@ -116,3 +116,20 @@
   expect(names(false)).toEqual(['has-one']);
   expect(names(true)).toEqual(['elsewhere']);
 });
+
+// Guards against all boxes asking the one holder of the newest chunk while the links of the others are idle.
+test('should prefer a chunk of an idle neighbour to a rarer one of a busy neighbour', () => {
+  const { picker, peer } = createPicker();
+  peer('busy', [2]).uploadQueue = 2;
+  peer('idle', [0, 1]);
+  peer('other', [0]);
+  expect(picker.next()?.chunk).toEqual(1);
+});
+
+// A chunk of another data centre is at one box only, and all boxes of this data centre wait for it.
+test('should import a chunk before others even if its holder is busy', () => {
+  const { picker, peer } = createPicker(['self']);
+  peer('far', [2], true).uploadQueue = 5;
+  peer('idle', [0]);
+  expect(picker.next()?.chunk).toEqual(2);
+});
