Overdue chunks get a second sender, and slow senders are asked last

Cause: a fetch from a box whose outgoing link is throttled takes 1 to 3 s and occupies one of three fetches. Its upload queue looks short, since the chunks wait in the network, so that boxes asked it again and again. A data centre whose only holder of a chunk was throttled waited for it although other data centres held the chunk.

Change: 800 ms after its request a chunk is overdue. The sender then counts as slow for 2 s, and another neighbour that holds the chunk is asked too; the first to arrive counts and the other fetch is ended. At most two overdue fetches go on beside the usual ones. A slow neighbour is asked only for what no other one can send. If all holders in the data centre are slow, the chunk is imported again, and if all known holders are slow, one box of the data centre fetches it from the origin, as it does for a chunk that stays at a single box.

--- a/src/weights/chunkPicker.ts
+++ b/src/weights/chunkPicker.ts
@@ -31,6 +31,8 @@
 const HOLDERS_PER_LOAD = 2;
 /** Longer upload queues count like this one, since reports of them are out of date soon. */
 const MAXIMUM_COUNTED_LOAD = 3;
+/** Load that a slow peer counts as: it is asked only for chunks that no other peer can send. */
+const SLOW_LOAD = 1_000;
 
 /**
  * Picks rare chunks first, but prefers those whose holder is idle. A chunk that a neighbour in the own data centre holds is never fetched from another
@@ -108,6 +110,13 @@
     return [...this._peers.values()].filter((peer) => peer.held.has(chunk)).map((peer) => peer.box);
   }
 
+  /** Returns the box that alone holds the chunk, or one of its holders if transfers from all of them are slow. */
+  soleHolder(chunk: number): string | undefined {
+    const holders = [...this._peers.values()].filter((peer) => peer.held.has(chunk));
+    const isScarce = holders.length === 1 || holders.every((peer) => this._isSlow(peer));
+    return isScarce ? holders[0]?.box : undefined;
+  }
+
   isInFlight(chunk: number): boolean {
     return this._inFlight.has(chunk);
   }
@@ -118,7 +127,8 @@
     let best: (ChunkPick & { order: number }) | undefined;
     for (let chunk = 0; chunk < held.size; chunk++) {
       if (held.has(chunk) || this._inFlight.has(chunk)) continue;
-      if (this._holdersInDataCentre[chunk] === 0 && !this._mayImport(chunk)) continue;
+      if (!this._hasFastHolder(chunk) && !this._mayImport(chunk) && this._holdersInDataCentre[chunk] === 0)
+        continue;
       const peer = this._bestHolder(chunk);
       if (!peer) continue;
       const order = this._orderOf(chunk, peer);
@@ -130,9 +140,19 @@
   /** Lower ones are fetched first: chunks of other data centres only, then by number of holders and load. */
   private _orderOf(chunk: number, peer: PeerView): number {
     const fraction = this._options.random.fraction();
+    if (peer.crossDataCentre) return fraction - 1;
     const holders = this._holdersInDataCentre[chunk];
-    if (holders === 0) return fraction - 1;
-    return holders + Math.min(loadOf(peer), MAXIMUM_COUNTED_LOAD) * HOLDERS_PER_LOAD + fraction;
+    const load = this._isSlow(peer) ? SLOW_LOAD : Math.min(loadOf(peer), MAXIMUM_COUNTED_LOAD);
+    return holders + load * HOLDERS_PER_LOAD + fraction;
+  }
+
+  /** Whether a neighbour in the own data centre holds the chunk whose transfers are not slow just now. */
+  private _hasFastHolder(chunk: number): boolean {
+    if (this._holdersInDataCentre[chunk] === 0) return false;
+    for (const peer of this._peers.values()) {
+      if (!peer.crossDataCentre && peer.held.has(chunk) && !this._isSlow(peer)) return true;
+    }
+    return false;
   }
 
   private _mayImport(chunk: number): boolean {
@@ -149,15 +169,24 @@
   /** The least loaded usable holder: in the own data centre if any neighbour there holds the chunk, else in others. */
   private _bestHolder(chunk: number): PeerView | undefined {
     const now = this._options.clock.now();
-    const crossDataCentre = this._holdersInDataCentre[chunk] === 0;
+    const crossDataCentre = !this._hasFastHolder(chunk) && this._mayImport(chunk);
     let best: PeerView | undefined;
     for (const peer of this._peers.values()) {
       if (peer.crossDataCentre !== crossDataCentre || !peer.held.has(chunk) || !peer.isUsable(now)) continue;
       if (peer.inFlight >= this._options.fetchesPerPeer) continue;
-      if (!best || loadOf(peer) < loadOf(best)) best = peer;
+      if (!best || this._isBetter(peer, best)) best = peer;
     }
     return best;
   }
+
+  private _isBetter(peer: PeerView, other: PeerView): boolean {
+    const isSlow = this._isSlow(peer);
+    return isSlow === this._isSlow(other) ? loadOf(peer) < loadOf(other) : !isSlow;
+  }
+
+  private _isSlow(peer: PeerView): boolean {
+    return peer.isSlow(this._options.clock.now());
+  }
 }
 
 function loadOf(peer: PeerView): number {
--- a/src/weights/peerFetcher.ts
+++ b/src/weights/peerFetcher.ts
@@ -39,9 +39,27 @@
 /** How long a peer is avoided after a fetch from it has failed. */
 const FAILED_PEER_MILLISECONDS = 500;
 
+/**
+ * Time from the request after which a chunk counts as overdue. A chunk of 32 KiB takes 60 ms over a free link of
+ * 5 Mbit/s, 400 ms with the time in the upload queue and both links shared, and 1 to 3 s over a throttled link.
+ */
+const OVERDUE_MILLISECONDS = 800;
+/** Overdue fetches that go on beside those that replace them; more would crowd the incoming link if it is slow itself. */
+const MAXIMUM_OVERDUE = 2;
+
+interface RunningFetch {
+  chunk: number;
+  peer: PeerView;
+  /** Aborted once the chunk has arrived from another peer. */
+  cancelled: AbortController;
+  /** Whether another peer may send the chunk too. */
+  isOverdue: boolean;
+  overdueTimer?: NodeJS.Timeout;
+}
+
 export class PeerFetcher {
   private readonly _options: PeerFetcherOptions;
-  private _fetching = 0;
+  private readonly _running = new Set<RunningFetch>();
   private _idleTimer: NodeJS.Timeout | undefined;
 
   constructor(options: PeerFetcherOptions) {
@@ -60,9 +78,9 @@
     }
   }
 
-  /** Number of fetches in progress. */
+  /** Number of fetches in progress, without overdue ones. */
   get fetching(): number {
-    return this._fetching;
+    return [...this._running].filter(({ isOverdue }) => !isOverdue).length;
   }
 
   stop(): void {
@@ -71,7 +89,7 @@
 
   private _canStartFetch(): boolean {
     const { isComplete, signal } = this._options;
-    return this._fetching < this._options.bounds.fetchesAtOnce && !isComplete() && !signal.aborted;
+    return this.fetching < this._options.bounds.fetchesAtOnce && !isComplete() && !signal.aborted;
   }
 
   private _retryWhenIdle(): void {
@@ -84,31 +102,57 @@
 
   private async _fetch({ chunk, peer }: ChunkPick): Promise<void> {
     const { picker, store, logger, rollout } = this._options;
-    this._fetching++;
+    const fetch: RunningFetch = { chunk, peer, cancelled: new AbortController(), isOverdue: false };
+    this._running.add(fetch);
     peer.inFlight++;
     picker.markInFlight(chunk);
     logger.decision('chunk.fetch', { rollout, chunk, peer: peer.box });
     try {
-      store(chunk, await this._receive(chunk, peer), peer.crossDataCentre);
+      store(chunk, await this._receive(fetch), peer.crossDataCentre);
+      this._cancelOthers(fetch);
     } catch (error) {
-      this._onFailed(peer, error);
+      if (!fetch.cancelled.signal.aborted) this._onFailed(peer, error);
     } finally {
-      this._fetching--;
+      this._running.delete(fetch);
+      clearTimeout(fetch.overdueTimer);
       peer.inFlight--;
-      picker.clearInFlight(chunk);
+      if (!fetch.isOverdue) picker.clearInFlight(chunk);
       this.fill();
     }
   }
 
-  private async _receive(chunk: number, peer: PeerView): Promise<Buffer> {
+  private async _receive(fetch: RunningFetch): Promise<Buffer> {
     const { index, bounds, counts } = this._options;
-    const open = (signal: AbortSignal): Promise<AsyncIterable<Buffer>> => this._open(chunk, peer, signal);
+    const { chunk, peer, cancelled } = fetch;
+    const open = async (signal: AbortSignal): Promise<AsyncIterable<Buffer>> => {
+      fetch.overdueTimer = setTimeout(() => this._onOverdue(fetch), OVERDUE_MILLISECONDS);
+      return await this._open(chunk, peer, AbortSignal.any([signal, cancelled.signal]));
+    };
     const onBytes = (bytes: number): void => {
       counts[peer.crossDataCentre ? 'crossDataCentreBytes' : 'peerBytes'] += bytes;
     };
     return await receiveChunk(index.chunk(chunk), bounds, open, onBytes, peer.box);
   }
 
+  /** Lets another peer send the chunk as well; the first to arrive counts. */
+  private _onOverdue(fetch: RunningFetch): void {
+    const { clock, logger, rollout, picker } = this._options;
+    const { chunk, peer } = fetch;
+    peer.markSlow(clock.now());
+    const overdue = [...this._running].filter(({ isOverdue }) => isOverdue).length;
+    if (overdue >= MAXIMUM_OVERDUE || picker.holders(chunk).length < 2) return;
+    fetch.isOverdue = true;
+    logger.decision('chunk.overdue', { rollout, chunk, peer: peer.box });
+    picker.clearInFlight(chunk);
+    this.fill();
+  }
+
+  private _cancelOthers(arrived: RunningFetch): void {
+    for (const fetch of this._running) {
+      if (fetch !== arrived && fetch.chunk === arrived.chunk) fetch.cancelled.abort();
+    }
+  }
+
   private async _open(chunk: number, peer: PeerView, signal: AbortSignal): Promise<AsyncIterable<Buffer>> {
     const { client, rollout, member } = this._options;
     const from = member(peer.box);
--- a/src/weights/peerView.ts
+++ b/src/weights/peerView.ts
@@ -3,6 +3,9 @@
 /** Corrupt chunks that are tolerated from a peer; with one more, it is excluded for the rest of the rollout. */
 const MAXIMUM_CORRUPT_CHUNKS = 2;
 
+/** How long a peer counts as slow after a slow transfer. A throttled link stays slow for 5 to 7 s at a time. */
+const SLOW_MILLISECONDS = 2_000;
+
 /** What a box knows about one neighbour in one rollout. */
 export class PeerView {
   readonly box: string;
@@ -15,6 +18,7 @@
   uploadQueue = 0;
   private _corruptChunks = 0;
   private _avoidUntil = 0;
+  private _slowUntil = 0;
 
   constructor(box: string, crossDataCentre: boolean, chunkCount: number) {
     this.box = box;
@@ -37,6 +41,15 @@
     this._avoidUntil = Math.max(this._avoidUntil, time);
   }
 
+  /** Whether a chunk took long to arrive from the peer a moment ago, so that others are preferred. */
+  isSlow(now: number): boolean {
+    return now < this._slowUntil;
+  }
+
+  markSlow(now: number): void {
+    this._slowUntil = now + SLOW_MILLISECONDS;
+  }
+
   countCorruptChunk(): void {
     this._corruptChunks++;
   }
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -98,12 +98,12 @@
       .filter((chunk) => !this._picker.isInFlight(chunk) && !this._picker.isAvailable(chunk));
   }
 
-  /** Missing chunks that only one neighbour is known to hold, each with the box of that neighbour. */
+  /** Missing chunks that only one neighbour is known to hold, or only slow ones, each with such a neighbour. */
   soleHolders(): Map<number, string> {
     const found = new Map<number, string>();
     for (const chunk of this.held.missing()) {
-      const holders = this._picker.holders(chunk);
-      if (holders.length === 1) found.set(chunk, holders[0]);
+      const holder = this._picker.soleHolder(chunk);
+      if (holder !== undefined) found.set(chunk, holder);
     }
     return found;
   }
--- a/tests/chunkPicker.spec.ts
+++ b/tests/chunkPicker.spec.ts
@@ -133,3 +133,46 @@
   peer('idle', [0]);
   expect(picker.next()?.chunk).toEqual(2);
 });
+
+// Guards against three fetches that all wait for boxes with throttled links while other boxes hold other chunks.
+test('should fetch from a slow neighbour only what no other one can send', () => {
+  const { picker, clock, held, peer } = createPicker([]);
+  peer('slow', [0, 1]).markSlow(clock.now());
+  peer('usual', [1, 2]).uploadQueue = 3;
+  peer('other', [1, 2]);
+  const picks: number[] = [];
+  for (let pick = picker.next(); pick; pick = picker.next()) {
+    expect(pick.peer.box === 'slow').toEqual(pick.chunk === 0);
+    picks.push(pick.chunk);
+    held.add(pick.chunk);
+  }
+  expect(picks.at(-1)).toEqual(0);
+});
+
+// Guards against a data centre that waits for a throttled box although others could send the chunk once more.
+test('should import a chunk again if all its holders in the data centre are slow', () => {
+  const { picker, clock, peer } = createPicker(['self']);
+  const slow = peer('slow', [1]);
+  peer('far', [1], true);
+  expect(picker.next()?.peer.box).toEqual('slow');
+  slow.markSlow(clock.now());
+  expect(picker.next()?.peer.box).toEqual('far');
+  clock.advance(2_000);
+  expect(picker.next()?.peer.box).toEqual('slow');
+});
+
+test('should report a chunk as scarce that is at one neighbour or at slow ones only', () => {
+  const { picker, clock, peer } = createPicker();
+  peer('a', [0, 1]);
+  const second = peer('b', [1, 2]);
+  const third = peer('c', [2]);
+  expect([0, 1, 2, 3].map((chunk) => picker.soleHolder(chunk))).toEqual([
+    'a',
+    undefined,
+    undefined,
+    undefined,
+  ]);
+  second.markSlow(clock.now());
+  third.markSlow(clock.now());
+  expect([1, 2].map((chunk) => picker.soleHolder(chunk))).toEqual([undefined, 'b']);
+});
