--- a/src/staging/stageQueue.ts
+++ b/src/staging/stageQueue.ts
@@ -3,7 +3,8 @@
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { ManifestReader } from './manifestReader.js';
 import type { VersionStageOptions } from './versionStage.js';
-import { VersionStage, rolloutName } from './versionStage.js';
+import { rolloutName } from './stagePlan.js';
+import { VersionStage } from './versionStage.js';
 import { isWorthFinishing } from './worthFinishing.js';
 
 /** A version to load and serve. */
--- a/src/staging/stagingMetrics.ts
+++ b/src/staging/stagingMetrics.ts
@@ -37,6 +37,12 @@
   metrics.gauge('version_peer_bytes', () => counts()?.peerBytes ?? 0);
   metrics.gauge('version_cross_data_centre_bytes', () => counts()?.crossDataCentreBytes ?? 0);
   metrics.gauge('version_corrupt_chunks', () => counts()?.corruptChunks ?? 0);
+  metrics.gauge('version_missing_chunks', () => stages.stages.at(-1)?.exchange.held.missing().length ?? 0);
+  metrics.gauge(
+    'version_unavailable_chunks',
+    () => stages.stages.at(-1)?.exchange.unavailableChunks().length ?? 0,
+  );
+  metrics.gauge('version_overdue_chunks', () => counts()?.overdueChunks ?? 0);
   metrics.gauge('uploaded_bytes', () => uploads.bytesSent);
   metrics.gauge('entries_connected', entries);
   metrics.gauge('origin_lost_milliseconds', originLostFor);
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -18,8 +18,10 @@
   replaceLostOriginFetchers,
 } from './originFetchSchedule.js';
 import { LinkRate } from './linkRate.js';
+import { MissingReports, chunkList, missingChunkFields } from './missingChunks.js';
 import { ScarceChunks } from './scarceChunks.js';
 import type { StagedChunks } from './stagedChunks.js';
+import { stagePlan } from './stagePlan.js';
 import type { StagingArea } from './stagingArea.js';
 import { connectedPeers } from './switchGroup.js';
 
@@ -53,11 +55,6 @@
 /** A version announced within this time is at no box yet, so that a box need not wait for reports of others. */
 const NEW_VERSION_AGE_MILLISECONDS = 1_000;
 
-/** Returns the name of a rollout, which is the same at all boxes. */
-export function rolloutName(model: string, version: number): string {
-  return `${model}@${version}`;
-}
-
 export class VersionStage {
   readonly version: number;
   readonly model: string;
@@ -79,6 +76,7 @@
   private readonly _progress: OriginFetchProgress;
   private readonly _scarce = new ScarceChunks();
   private readonly _refetchedChunks = new Set<number>();
+  private readonly _missingReports: MissingReports;
   private _tickTimer: NodeJS.Timeout | undefined;
   /** Monotonic milliseconds at which the version became complete; infinite before. */
   private _completedAt = Number.POSITIVE_INFINITY;
@@ -90,6 +88,7 @@
     this.announcedAt = options.announcedAt;
     this._members = options.members;
     this._startedAt = options.clock.now();
+    this._missingReports = new MissingReports(this._startedAt);
     this._linkRate = new LinkRate(options.bytesPerSecond, this._startedAt);
     this.index = new ManifestIndex(options.manifest);
     this._progress = new OriginFetchProgress(this.index.chunkCount, this._startedAt);
@@ -216,13 +215,27 @@
         originFetcherOf(order, chunk, this._progress.millisecondsWithoutProgress(order, chunk, now)) === box,
     );
     this.exchange.keepOnlyOriginFetches(due);
+    this._reportMissing(unavailable, order, now);
     const open = new Set(this.exchange.openDraws);
     const added = due.filter((chunk) => !open.has(chunk));
     if (added.length === 0) return;
-    this._options.log.decision('draws.begun', { version: this.version, chunks: added.length });
+    this._options.log.decision('draws.begun', {
+      version: this.version,
+      chunks: added.length,
+      list: chunkList(added),
+    });
     this.exchange.grant(added);
   }
 
+  /** Logs which chunks are missing, and which boxes are to fetch those from the origin that nobody here has. */
+  private _reportMissing(unavailable: readonly number[], order: readonly string[], now: number): void {
+    if (!this._missingReports.isDue(now)) return;
+    const fetcherOf = (chunk: number): string | undefined =>
+      originFetcherOf(order, chunk, this._progress.millisecondsWithoutProgress(order, chunk, now));
+    const fields = missingChunkFields(this.exchange.held.missing(), unavailable, fetcherOf);
+    this._options.log.decision('chunks.missing', { version: this.version, ...fields });
+  }
+
   /**
    * Fetches chunks again from the origin that have stayed at a single box, whose link must be slow. In each data centre
    * one box does so.
@@ -241,7 +254,11 @@
       .filter((chunk) => !this._refetchedChunks.has(chunk));
     if (due.length === 0) return;
     for (const chunk of due) this._refetchedChunks.add(chunk);
-    this._options.log.decision('draws.of-scarce-chunks', { version: this.version, chunks: due.length });
+    this._options.log.decision('draws.of-scarce-chunks', {
+      version: this.version,
+      chunks: due.length,
+      list: chunkList(due),
+    });
     this.exchange.grant(due, true);
   }
 
@@ -289,22 +306,6 @@
   }
 
   private _plan(): PlanMessage {
-    const { model, version, manifest } = this._options;
-    return {
-      type: 'plan',
-      call: 0,
-      customer: '',
-      configuration: model,
-      epoch: 0,
-      rollout: rolloutName(model, version),
-      kind: 'model',
-      model,
-      version: String(version),
-      manifestDigest: '',
-      manifest,
-      weight: 1,
-      distribution: 'exchange',
-      members: [...this._members],
-    };
+    return stagePlan(this._options, this._members);
   }
 }
--- a/src/weights/peerFetcher.ts
+++ b/src/weights/peerFetcher.ts
@@ -136,9 +136,10 @@
 
   /** Lets another peer send the chunk as well; the first to arrive counts. */
   private _onOverdue(fetch: RunningFetch): void {
-    const { clock, logger, rollout, picker } = this._options;
+    const { clock, counts, logger, rollout, picker } = this._options;
     const { chunk, peer } = fetch;
     peer.markSlow(clock.now());
+    counts.overdueChunks++;
     const overdue = [...this._running].filter(({ isOverdue }) => isOverdue).length;
     if (overdue >= MAXIMUM_OVERDUE || picker.holders(chunk).length < 2) return;
     fetch.isOverdue = true;
--- a/src/weights/rolloutExchange.ts
+++ b/src/weights/rolloutExchange.ts
@@ -26,6 +26,7 @@
     peerBytes: 0,
     crossDataCentreBytes: 0,
     corruptChunks: 0,
+    overdueChunks: 0,
   };
   /** Why no chunks are fetched, or '' if there is no problem. */
   problem = '';
--- a/src/weights/transferCounts.ts
+++ b/src/weights/transferCounts.ts
@@ -1,4 +1,4 @@
-/** Bytes that a box has received for a rollout, by source, and its corrupt chunks. */
+/** Bytes that a box has received for a rollout, by source, and its corrupt and overdue chunks. */
 export interface TransferCounts {
   /** From the origin, including failed fetches. */
   originBytes: number;
@@ -7,4 +7,6 @@
   /** From agents in other data centres. */
   crossDataCentreBytes: number;
   corruptChunks: number;
+  /** Chunks from agents that were overdue. */
+  overdueChunks: number;
 }
--- a/tests/originFetcher.spec.ts
+++ b/tests/originFetcher.spec.ts
@@ -35,7 +35,7 @@
         fetchesAtOnce: 1,
         importStepMilliseconds: 1,
       },
-      counts: { originBytes: 0, peerBytes: 0, crossDataCentreBytes: 0, corruptChunks: 0 },
+      counts: { originBytes: 0, peerBytes: 0, crossDataCentreBytes: 0, corruptChunks: 0, overdueChunks: 0 },
       random: new SeededRandom(1),
       logger: new Logger('test'),
       signal: this._ended.signal,
--- a/tests/peerFetcher.spec.ts
+++ b/tests/peerFetcher.spec.ts
@@ -81,7 +81,7 @@
       fetchesAtOnce: 1,
       importStepMilliseconds: 600,
     },
-    counts: { originBytes: 0, peerBytes: 0, crossDataCentreBytes: 0, corruptChunks: 0 },
+    counts: { originBytes: 0, peerBytes: 0, crossDataCentreBytes: 0, corruptChunks: 0, overdueChunks: 0 },
     clock,
     random,
     logger: new Logger('test'),
