Many slow neighbours count as none, and refetches from the origin are paced

Cause: on an overloaded machine all fetches are overdue.

Change: if more than a third of the neighbours were slow a moment ago, none is treated as slow, and no second sender is asked. A box that has fetched chunks again from the origin waits 0.4 s longer for each before the next.

--- a/src/staging/scarceChunks.ts
+++ b/src/staging/scarceChunks.ts
@@ -6,6 +6,18 @@
  */
 const MAX_SOLE_HOLDER_MILLISECONDS = 1_200;
 
+/**
+ * Further overdue time for each chunk that this box has fetched again already. A box has to fetch one or two of the chunks
+ * of a throttled box. If it is to fetch more, all boxes are slow, and each further copy would load the origin's link in
+ * vain: on an overloaded machine 78 boxes fetched 88 chunks of 64 again, and the origin sent 2.8 copies.
+ */
+const WAIT_PER_REFETCH_MILLISECONDS = 400;
+
+/** Whether a box that has fetched `refetched` chunks again may do so with this one. */
+export function mayRefetch({ overdueMilliseconds }: ScarceChunk, refetched: number): boolean {
+  return overdueMilliseconds >= refetched * WAIT_PER_REFETCH_MILLISECONDS;
+}
+
 /** A chunk that a single box has had for too long. */
 export interface ScarceChunk {
   chunk: number;
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -19,7 +19,7 @@
 } from './originFetchSchedule.js';
 import { LinkRate } from './linkRate.js';
 import { MissingReports, chunkList, missingChunkFields } from './missingChunks.js';
-import { ScarceChunks } from './scarceChunks.js';
+import { ScarceChunks, mayRefetch } from './scarceChunks.js';
 import type { StagedChunks } from './stagedChunks.js';
 import { stagePlan } from './stagePlan.js';
 import type { StagingArea } from './stagingArea.js';
@@ -246,12 +246,13 @@
     const order = this._withLostPeersReplaced(this._localOriginFetchOrder);
     const due = this._scarce
       .update(this.exchange.soleHolders(), now)
+      .filter((scarce) => !this._refetchedChunks.has(scarce.chunk))
+      .filter((scarce) => mayRefetch(scarce, this._refetchedChunks.size))
       .filter(({ chunk, holder, overdueMilliseconds }) => {
         const others = order.filter((candidate) => candidate !== holder);
         return originFetcherOf(others, chunk, overdueMilliseconds) === box;
       })
-      .map(({ chunk }) => chunk)
-      .filter((chunk) => !this._refetchedChunks.has(chunk));
+      .map(({ chunk }) => chunk);
     if (due.length === 0) return;
     for (const chunk of due) this._refetchedChunks.add(chunk);
     this._options.log.decision('draws.of-scarce-chunks', {
--- a/src/weights/chunkPicker.ts
+++ b/src/weights/chunkPicker.ts
@@ -31,6 +31,11 @@
 const HOLDERS_PER_LOAD = 2;
 /** Longer upload queues count like this one, since reports of them are out of date soon. */
 const MAXIMUM_COUNTED_LOAD = 3;
+/**
+ * Largest share of the neighbours that may count as slow. If more are, the link or the processor of this box is short
+ * itself, or all boxes are: further imports and fetches would add to the load.
+ */
+const MAXIMUM_SLOW_SHARE = 1 / 3;
 /** Load that a slow peer counts as: it is asked only for chunks that no other peer can send. */
 const SLOW_LOAD = 1_000;
 
@@ -110,10 +115,19 @@
     return [...this._peers.values()].filter((peer) => peer.held.has(chunk)).map((peer) => peer.box);
   }
 
+  /** Whether transfers from `peer` are slow while those from most others are not. */
+  isSlow(peer: PeerView): boolean {
+    const now = this._options.clock.now();
+    if (!peer.isSlow(now)) return false;
+    let slow = 0;
+    for (const other of this._peers.values()) if (other.isSlow(now)) slow++;
+    return slow <= this._peers.size * MAXIMUM_SLOW_SHARE;
+  }
+
   /** Returns the box that alone holds the chunk, or one of its holders if transfers from all of them are slow. */
   soleHolder(chunk: number): string | undefined {
     const holders = [...this._peers.values()].filter((peer) => peer.held.has(chunk));
-    const isScarce = holders.length === 1 || holders.every((peer) => this._isSlow(peer));
+    const isScarce = holders.length === 1 || holders.every((peer) => this.isSlow(peer));
     return isScarce ? holders[0]?.box : undefined;
   }
 
@@ -142,7 +156,7 @@
     const fraction = this._options.random.fraction();
     if (peer.crossDataCentre) return fraction - 1;
     const holders = this._holdersInDataCentre[chunk];
-    const load = this._isSlow(peer) ? SLOW_LOAD : Math.min(loadOf(peer), MAXIMUM_COUNTED_LOAD);
+    const load = this.isSlow(peer) ? SLOW_LOAD : Math.min(loadOf(peer), MAXIMUM_COUNTED_LOAD);
     return holders + load * HOLDERS_PER_LOAD + fraction;
   }
 
@@ -150,7 +164,7 @@
   private _hasFastHolder(chunk: number): boolean {
     if (this._holdersInDataCentre[chunk] === 0) return false;
     for (const peer of this._peers.values()) {
-      if (!peer.crossDataCentre && peer.held.has(chunk) && !this._isSlow(peer)) return true;
+      if (!peer.crossDataCentre && peer.held.has(chunk) && !this.isSlow(peer)) return true;
     }
     return false;
   }
@@ -180,12 +194,8 @@
   }
 
   private _isBetter(peer: PeerView, other: PeerView): boolean {
-    const isSlow = this._isSlow(peer);
-    return isSlow === this._isSlow(other) ? loadOf(peer) < loadOf(other) : !isSlow;
-  }
-
-  private _isSlow(peer: PeerView): boolean {
-    return peer.isSlow(this._options.clock.now());
+    const isSlow = this.isSlow(peer);
+    return isSlow === this.isSlow(other) ? loadOf(peer) < loadOf(other) : !isSlow;
   }
 }
 
--- a/src/weights/peerFetcher.ts
+++ b/src/weights/peerFetcher.ts
@@ -141,7 +141,7 @@
     peer.markSlow(clock.now());
     counts.overdueChunks++;
     const overdue = [...this._running].filter(({ isOverdue }) => isOverdue).length;
-    if (overdue >= MAXIMUM_OVERDUE || picker.holders(chunk).length < 2) return;
+    if (overdue >= MAXIMUM_OVERDUE || !picker.isSlow(peer) || picker.holders(chunk).length < 2) return;
     fetch.isOverdue = true;
     logger.decision('chunk.overdue', { rollout, chunk, peer: peer.box });
     picker.clearInFlight(chunk);
--- a/tests/chunkPicker.spec.ts
+++ b/tests/chunkPicker.spec.ts
@@ -139,6 +139,7 @@
   const { picker, clock, held, peer } = createPicker([]);
   peer('slow', [0, 1]).markSlow(clock.now());
   peer('usual', [1, 2]).uploadQueue = 3;
+  peer('third', []);
   peer('other', [1, 2]);
   const picks: number[] = [];
   for (let pick = picker.next(); pick; pick = picker.next()) {
@@ -153,6 +154,7 @@
 test('should import a chunk again if all its holders in the data centre are slow', () => {
   const { picker, clock, peer } = createPicker(['self']);
   const slow = peer('slow', [1]);
+  peer('third', []);
   peer('far', [1], true);
   expect(picker.next()?.peer.box).toEqual('slow');
   slow.markSlow(clock.now());
@@ -166,6 +168,7 @@
   peer('a', [0, 1]);
   const second = peer('b', [1, 2]);
   const third = peer('c', [2]);
+  for (const box of ['d', 'e', 'f']) peer(box, []);
   expect([0, 1, 2, 3].map((chunk) => picker.soleHolder(chunk))).toEqual([
     'a',
     undefined,
@@ -176,3 +179,16 @@
   third.markSlow(clock.now());
   expect([1, 2].map((chunk) => picker.soleHolder(chunk))).toEqual([undefined, 'b']);
 });
+
+// Guards against boxes that are all short of processor time and import and fetch each chunk several times.
+test('should treat no neighbour as slow if many of them are', () => {
+  const { picker, clock, peer } = createPicker(['self']);
+  const first = peer('a', [1]);
+  const second = peer('b', [2]);
+  peer('far', [1, 2], true);
+  first.markSlow(clock.now());
+  expect(picker.isSlow(first)).toEqual(true);
+  second.markSlow(clock.now());
+  expect([picker.isSlow(first), picker.isSlow(second)]).toEqual([false, false]);
+  expect(picker.next()?.peer.crossDataCentre).toEqual(false);
+});
