Only boxes that see other data centres fetch scarce chunks again

Cause: the turn to fetch a chunk again that is at a single box goes round all boxes of a data centre, 900 ms each. Boxes that exchange chunks with their own data centre only do not know of a holder elsewhere and let their turn pass.

Change: the turns go round the gateways of the data centre.

--- a/src/staging/originFetchSchedule.ts
+++ b/src/staging/originFetchSchedule.ts
@@ -31,6 +31,20 @@
   return [...switchOrder(rollout, [...gateways]), ...switchOrder(rollout, others)];
 }
 
+/**
+ * Returns the boxes of a data centre in the order in which they fetch chunks again that are at a single box. Only those
+ * that exchange chunks with other data centres know of a holder there: when the others had turns as well, a data centre
+ * waited up to 3.6 s longer for a chunk of a throttled box elsewhere.
+ */
+export function scarceFetchOrder(
+  rollout: string,
+  members: readonly Member[],
+  dataCentre: string | undefined,
+): string[] {
+  const gateways = exchangeGateways(members).filter((member) => member.dataCentre === dataCentre);
+  return switchOrder(rollout, gateways);
+}
+
 /**
  * Number of boxes that fetch from the origin at first. With more boxes, each would have a smaller share of the origin's
  * link, so that the first chunks would arrive later, and the origin might not accept as many connections.
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -16,6 +16,7 @@
   originFetchOrder,
   originFetcherOf,
   replaceLostOriginFetchers,
+  scarceFetchOrder,
 } from './originFetchSchedule.js';
 import { LinkRate } from './linkRate.js';
 import { MissingReports, chunkList, missingChunkFields } from './missingChunks.js';
@@ -70,7 +71,7 @@
   private _members: readonly Member[];
   /** Boxes of all data centres in the order in which they fetch from the origin. */
   private _originFetchOrder: readonly string[] = [];
-  /** The same for the boxes of this data centre. */
+  /** The boxes of this data centre in the order in which they fetch scarce chunks again. */
   private _localOriginFetchOrder: readonly string[] = [];
   private _peers: ReadonlySet<string> = new Set();
   private readonly _progress: OriginFetchProgress;
@@ -267,9 +268,8 @@
   private _updateOriginFetchOrders(): void {
     const { box } = this._options.services;
     const own = this._members.find((member) => member.box === box);
-    const local = this._members.filter((member) => member.dataCentre === own?.dataCentre);
     this._originFetchOrder = originFetchOrder(this.exchange.rollout, this._members);
-    this._localOriginFetchOrder = originFetchOrder(this.exchange.rollout, local);
+    this._localOriginFetchOrder = scarceFetchOrder(this.exchange.rollout, this._members, own?.dataCentre);
     const peers = connectedPeers(box, this._members);
     this._peers = new Set(peers.map((member) => member.box));
   }
--- a/tests/stagingDecisions.spec.ts
+++ b/tests/stagingDecisions.spec.ts
@@ -11,6 +11,7 @@
   originFetcherOf,
   initialOriginFetchers,
   replaceLostOriginFetchers,
+  scarceFetchOrder,
 } from '../src/staging/originFetchSchedule.js';
 import type { SwitchPeer, SwitchSituation } from '../src/staging/switchTurn.js';
 import { mayOrder, maySwitch } from '../src/staging/switchTurn.js';
@@ -121,6 +122,17 @@
   expect(downloaderAt(pending, 1_000)).not.toEqual(dead);
 });
 
+// Guards against a data centre that waits for a chunk of a throttled box elsewhere while boxes have the turn that do not
+// know of it.
+test('should let only boxes fetch scarce chunks again that know the holders in other data centres', () => {
+  const all = members(36);
+  const north = new Set(all.filter(({ dataCentre }) => dataCentre === 'north').map(({ box }) => box));
+  const order = scarceFetchOrder('r', all, 'north');
+  const gateways = originFetchOrder('r', all).slice(0, 3 * 8);
+  expect(order.length).toEqual(8);
+  expect(order.every((box) => north.has(box) && gateways.includes(box))).toEqual(true);
+});
+
 test('should have no downloader without members', () => {
   expect(originFetcherOf([], 1, 0)).toEqual(undefined);
 });
