--- a/src/weights/chunkPicker.ts
+++ b/src/weights/chunkPicker.ts
@@ -24,7 +24,23 @@
 }
 
 /**
- * Picks the rarest chunk first. A chunk that a neighbour in the own data centre holds is never fetched from another
+ * A waiting upload at the least loaded holder counts like this many holders more. Without it, all boxes asked the one
+ * holder of the newest chunk, while the links of the others were idle: of the time until 36 boxes had a complete copy,
+ * their outgoing links were in use for a half.
+ */
+const HOLDERS_PER_LOAD = 2;
+/** Longer upload queues count like this one, since reports of them are out of date soon. */
+const MAXIMUM_COUNTED_LOAD = 3;
+/**
+ * Largest share of the neighbours that may count as slow. If more are, the link or the processor of this box is short
+ * itself, or all boxes are: further imports and fetches would add to the load.
+ */
+const MAXIMUM_SLOW_SHARE = 1 / 3;
+/** Load that a slow peer counts as: it is asked only for chunks that no other peer can send. */
+const SLOW_LOAD = 1_000;
+
+/**
+ * Picks rare chunks first, but prefers those whose holder is idle. A chunk that a neighbour in the own data centre holds is never fetched from another
  * data centre. A chunk that only other data centres hold is fetched before all others, and by one gateway; if that
  * gateway does not fetch it in time, the next one in the order of `importers` does.
  */
@@ -99,31 +115,58 @@
     return [...this._peers.values()].filter((peer) => peer.held.has(chunk)).map((peer) => peer.box);
   }
 
+  /** Whether transfers from `peer` are slow while those from most others are not. */
+  isSlow(peer: PeerView): boolean {
+    const now = this._options.clock.now();
+    if (!peer.isSlow(now)) return false;
+    let slow = 0;
+    for (const other of this._peers.values()) if (other.isSlow(now)) slow++;
+    return slow <= this._peers.size * MAXIMUM_SLOW_SHARE;
+  }
+
+  /** Returns the box that alone holds the chunk, or one of its holders if transfers from all of them are slow. */
+  soleHolder(chunk: number): string | undefined {
+    const holders = [...this._peers.values()].filter((peer) => peer.held.has(chunk));
+    const isScarce = holders.length === 1 || holders.every((peer) => this.isSlow(peer));
+    return isScarce ? holders[0]?.box : undefined;
+  }
+
   isInFlight(chunk: number): boolean {
     return this._inFlight.has(chunk);
   }
 
   /** Returns the next fetch, or undefined when there is nothing to fetch now. */
   next(): ChunkPick | undefined {
-    const candidates = this._candidates();
-    for (const chunk of candidates) {
+    const { held } = this._options;
+    let best: (ChunkPick & { order: number }) | undefined;
+    for (let chunk = 0; chunk < held.size; chunk++) {
+      if (held.has(chunk) || this._inFlight.has(chunk)) continue;
+      if (!this._hasFastHolder(chunk) && !this._mayImport(chunk) && this._holdersInDataCentre[chunk] === 0)
+        continue;
       const peer = this._bestHolder(chunk);
-      if (peer) return { chunk, peer };
+      if (!peer) continue;
+      const order = this._orderOf(chunk, peer);
+      if (!best || order < best.order) best = { chunk, peer, order };
     }
-    return undefined;
+    return best && { chunk: best.chunk, peer: best.peer };
   }
 
-  /** Chunks that may be fetched: first those of other data centres only, then the rarest; ties in random order. */
-  private _candidates(): number[] {
-    const { held, random } = this._options;
-    const candidates: { chunk: number; order: number }[] = [];
-    for (let chunk = 0; chunk < held.size; chunk++) {
-      if (held.has(chunk) || this._inFlight.has(chunk)) continue;
-      const holders = this._holdersInDataCentre[chunk];
-      if (holders > 0 || this._mayImport(chunk))
-        candidates.push({ chunk, order: holders + random.fraction() });
+  /** Lower ones are fetched first: chunks of other data centres only, then by number of holders and load. */
+  private _orderOf(chunk: number, peer: PeerView): number {
+    const fraction = this._options.random.fraction();
+    if (peer.crossDataCentre) return fraction - 1;
+    const holders = this._holdersInDataCentre[chunk];
+    const load = this.isSlow(peer) ? SLOW_LOAD : Math.min(loadOf(peer), MAXIMUM_COUNTED_LOAD);
+    return holders + load * HOLDERS_PER_LOAD + fraction;
+  }
+
+  /** Whether a neighbour in the own data centre holds the chunk whose transfers are not slow just now. */
+  private _hasFastHolder(chunk: number): boolean {
+    if (this._holdersInDataCentre[chunk] === 0) return false;
+    for (const peer of this._peers.values()) {
+      if (!peer.crossDataCentre && peer.held.has(chunk) && !this.isSlow(peer)) return true;
     }
-    return candidates.sort((a, b) => a.order - b.order).map((item) => item.chunk);
+    return false;
   }
 
   private _mayImport(chunk: number): boolean {
@@ -140,15 +183,20 @@
   /** The least loaded usable holder: in the own data centre if any neighbour there holds the chunk, else in others. */
   private _bestHolder(chunk: number): PeerView | undefined {
     const now = this._options.clock.now();
-    const crossDataCentre = this._holdersInDataCentre[chunk] === 0;
+    const crossDataCentre = !this._hasFastHolder(chunk) && this._mayImport(chunk);
     let best: PeerView | undefined;
     for (const peer of this._peers.values()) {
       if (peer.crossDataCentre !== crossDataCentre || !peer.held.has(chunk) || !peer.isUsable(now)) continue;
       if (peer.inFlight >= this._options.fetchesPerPeer) continue;
-      if (!best || loadOf(peer) < loadOf(best)) best = peer;
+      if (!best || this._isBetter(peer, best)) best = peer;
     }
     return best;
   }
+
+  private _isBetter(peer: PeerView, other: PeerView): boolean {
+    const isSlow = this.isSlow(peer);
+    return isSlow === this.isSlow(other) ? loadOf(peer) < loadOf(other) : !isSlow;
+  }
 }
 
 function loadOf(peer: PeerView): number {
