Admission: on-time requests first, with reserved slots and ranks

Cause: a rejected caller retries after 1 to 2 s, which is always after its objective, and takes the slot of a first attempt. All entries see the same few free slots in reports that are 150 to 300 ms old, and together send several times as many requests there. Requests of all ranks go to servers with the same priority.

Change: `src/admission` learns the usual deadline of first attempts by route, classifies requests as on-time or late, ranks them by the priorities of customers and routes, and reserves slots by the mean fill of the servers. Near full servers the share of the requests that is sent declines with the fill. A rank that gets slots much more rarely than the more urgent ones is treated as the first one. The setting `admission` (`on-time-first` or `arrival-order`) chooses the policy.

--- /dev/null
+++ b/src/admission/onTimeFirstPolicy.ts
@@ -0,0 +1,59 @@
+/** Admission by timeliness and rank: under shortage, slots are reserved for on-time requests and for urgent ranks. */
+import type {
+  AdmissionPolicy,
+  AdmissionProfile,
+  Arrival,
+  FleetLoad,
+  Precedence,
+  SlotOutcome,
+} from './admissionPolicy.js';
+import type { Random } from '../utils/random.js';
+import { FirstAttempts, timelinessOf } from './firstAttempts.js';
+import { PressureTrend } from './pressureTrend.js';
+import { RankShares } from './rankShares.js';
+import { sentShare } from './contention.js';
+import { reservedShare } from './reservedSlots.js';
+
+export class OnTimeFirstPolicy implements AdmissionPolicy {
+  readonly kind = 'on-time-first';
+  private readonly _firstAttempts = new FirstAttempts();
+  private readonly _shares = new RankShares();
+  private readonly _trend = new PressureTrend();
+  private readonly _random: Random;
+
+  constructor(random: Random) {
+    this._random = random;
+  }
+
+  admit(arrival: Arrival): AdmissionProfile {
+    const { service, route, rank, ranks, objectiveMilliseconds, arrivedAt, deadlineMilliseconds } = arrival;
+    const since = this._firstAttempts.millisecondsSince(route, deadlineMilliseconds);
+    return {
+      service,
+      rank,
+      ranks,
+      objectiveMilliseconds,
+      firstAttemptAt: arrivedAt - since,
+      lot: this._random.fraction(),
+    };
+  }
+
+  precedence({ rank, firstAttemptAt, objectiveMilliseconds }: AdmissionProfile, now: number): Precedence {
+    return { rank, timeliness: timelinessOf(now - firstAttemptAt, objectiveMilliseconds) };
+  }
+
+  reservedShare(profile: AdmissionProfile, load: FleetLoad, now: number): number {
+    const { timeliness, rank } = this.precedence(profile, now);
+    const isDeprived = timeliness === 'on-time' && this._shares.isDeprived(profile.service, rank, now);
+    const precedence = { timeliness, rank: isDeprived ? 0 : rank };
+    const recent = this._trend.note(profile.service, load.pressure, now);
+    const pressure = timeliness === 'late' ? Math.max(load.pressure, recent) : load.pressure;
+    if (profile.lot >= sentShare(precedence, profile.ranks, { ...load, pressure })) return 1;
+    return reservedShare(precedence, profile.ranks, pressure);
+  }
+
+  noteOutcome(profile: AdmissionProfile, outcome: SlotOutcome, now: number): void {
+    if (this.precedence(profile, now).timeliness === 'late') return;
+    this._shares.note(profile.service, profile.rank, outcome, now);
+  }
+}
--- a/src/serving/admittedRequest.ts
+++ b/src/serving/admittedRequest.ts
@@ -1,4 +1,5 @@
 /** A caller's request after admission, ready to be forwarded to a backend server. */
+import type { AdmissionProfile } from '../admission/admissionPolicy.js';
 import type { CallerExchange } from './callerExchange.js';
 import type { RetryAllowance } from './retryAllowance.js';
 import type { Route } from './servingConfiguration.js';
@@ -21,6 +22,7 @@
   /** Id of the last stream event that the caller has received, '' for none. */
   lastEventId: string;
   retries: RetryAllowance;
+  profile: AdmissionProfile;
   /** Monotonic milliseconds of the request's deadline: the caller's or the route's, whichever comes first. */
   endsAt: number;
 }
--- a/src/serving/forwardingContext.ts
+++ b/src/serving/forwardingContext.ts
@@ -1,4 +1,5 @@
 /** Dependencies shared by all requests of a gateway. */
+import type { AdmissionPolicy } from '../admission/admissionPolicy.js';
 import type { SuspicionTracker } from '../crashes/suspicionTracker.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { ServingMetrics } from '../telemetry/servingMetrics.js';
@@ -11,6 +12,7 @@
 export interface ForwardingContext {
   names: HeaderNames;
   pool: ServerPool;
+  admission: AdmissionPolicy;
   gate: VersionGate;
   suspicions: SuspicionTracker;
   clock: Clock;
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -1,5 +1,6 @@
 /** An entry that connects directly to backend servers; creates its components and runs them. */
 import type http from 'node:http';
+import { createAdmissionPolicy } from '../admission/createAdmissionPolicy.js';
 import type { ServerSignals } from '../backpressure/serverSignals.js';
 import type { EntryAddress } from '../protocol/boxMessages.js';
 import type { ControlOptions } from '../protocol/controlConnection.js';
@@ -32,6 +33,7 @@
 import { PlatformFollowers } from './platformFollowers.js';
 import type { ServingPlatform } from './platformRecords.js';
 import { RequestAdmission } from './requestAdmission.js';
+import { retryLimitOf } from './retryAllowance.js';
 import { ServerPool } from './serverPool.js';
 import { MetricsServer } from '../telemetry/metricsServer.js';
 import { ServingMetrics } from '../telemetry/servingMetrics.js';
@@ -45,8 +47,6 @@
   log: EventLog;
 }
 
-const PERCENT = 100;
-
 export class GatewayDaemon {
   private readonly _settings: GatewaySettings;
   private readonly _parts: GatewayParts;
@@ -126,6 +126,7 @@
     this._forward = {
       names: parts.names,
       pool: this._pool,
+      admission: this._admission.policy,
       gate: this._gate,
       suspicions: this._followers.suspicions,
       clock,
@@ -274,18 +275,14 @@
   }
 
   private _createAdmission(random: Random): RequestAdmission {
-    const { retryPercent, retryWindowMilliseconds, retrySlack } = this._settings;
     return new RequestAdmission({
+      policy: createAdmissionPolicy(this._settings.admission, random),
       names: this._parts.names,
       configuration: this._configuration,
       clock: this._clock,
       random,
       log: this._log,
-      retryLimit: {
-        ratio: retryPercent / PERCENT,
-        windowMilliseconds: retryWindowMilliseconds,
-        slack: retrySlack,
-      },
+      retryLimit: retryLimitOf(this._settings),
       isFirstStart: this._settings.firstStart,
       entries: () => this._entries.count(),
       isLeaving: () => this._own.leaving,
--- a/src/serving/noAttemptReason.ts
+++ b/src/serving/noAttemptReason.ts
@@ -7,6 +7,7 @@
  * - `asked just now`: a server has just said that it has not run the request.
  * - `no server`: no server is left to try.
  * - `all busy`: no server has capacity.
+ * - `reserved`: the free slots are reserved for requests that come before this one.
  * - `old version`: no server has a version on which the request may still begin.
  * - `servers at limit`: all servers are at the request rate that they accept from this entry.
  * - `time`: too little time is left for another attempt.
@@ -18,6 +19,7 @@
   | 'asked just now'
   | 'no server'
   | 'all busy'
+  | 'reserved'
   | 'old version'
   | 'servers at limit'
   | 'time'
@@ -29,12 +31,14 @@
   'asked just now',
   'no server',
   'all busy',
+  'reserved',
   'old version',
   'servers at limit',
 ]);
 const REASON_BY_CHOICE = {
   'no-server': 'no server',
   'all-busy': 'all busy',
+  reserved: 'reserved',
   'old-version': 'old version',
   'at-limit': 'servers at limit',
 } as const;
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -1,5 +1,6 @@
 /** Checks a caller's request against the configuration, and either admits it or answers it. */
 import type http from 'node:http';
+import type { AdmissionPolicy, AdmissionProfile } from '../admission/admissionPolicy.js';
 import { requestFingerprint } from '../crashes/requestFingerprint.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { bearerToken, readBody } from '../utils/httpBody.js';
@@ -17,6 +18,7 @@
 import type { CustomerKeys, Route } from './servingConfiguration.js';
 
 export interface AdmissionOptions {
+  policy: AdmissionPolicy;
   names: HeaderNames;
   configuration: ConfigurationHolder;
   clock: Clock;
@@ -40,6 +42,8 @@
   reason: string;
 }
 
+/** The lowest rank that the priority header can carry. */
+const MAX_PRIORITY = 9;
 const RETRY_AFTER_STALE_MILLISECONDS = 400;
 const MAX_REQUEST_MILLISECONDS = 3_600_000;
 /** Upper bound of a typical request's duration; a draining entry admits only requests that will end in time. */
@@ -48,12 +52,14 @@
 const RETRY_AFTER_LEAVING_MILLISECONDS = 10;
 
 export class RequestAdmission {
+  readonly policy: AdmissionPolicy;
   private readonly _options: AdmissionOptions;
   private readonly _retries: RetryAllowances;
   private readonly _droppedHeaders: ReadonlySet<string>;
 
   constructor(options: AdmissionOptions) {
     this._options = options;
+    this.policy = options.policy;
     const { names, retryLimit, clock, entries, isFirstStart } = options;
     this._retries = new RetryAllowances(retryLimit, clock, entries, isFirstStart);
     this._droppedHeaders = new Set([
@@ -131,8 +137,11 @@
     const { request } = exchange;
     const headers = forwardedHeaders(request, this._droppedHeaders);
     if (customer) headers.push(names.customer, customer.name);
-    headers.push(names.priority, String(customer?.priority ?? route.priority));
     const service = chooseTarget(route, random.fraction());
+    const profile = this._profile(request, route, service, customer, arrivedAt);
+    const configuredPriority = customer?.priority ?? route.priority;
+    const priority = profile.ranks > 1 ? Math.min(MAX_PRIORITY, profile.rank) : configuredPriority;
+    headers.push(names.priority, String(priority));
     const retries = this._retries.of(service);
     retries.onRequest();
     const { method = 'GET', url: path = '/' } = request;
@@ -152,10 +161,32 @@
       promptSize: promptSize(request.headers[names.tokens], this._meanPromptTokens(service)),
       lastEventId: String(request.headers[names.lastEventId] ?? ''),
       retries,
+      profile,
       endsAt: arrivedAt + this._timeout(request, route),
     };
   }
 
+  private _profile(
+    request: http.IncomingMessage,
+    route: Route,
+    service: string,
+    customer: CustomerKeys | undefined,
+    arrivedAt: number,
+  ): AdmissionProfile {
+    const { configuration, names } = this._options;
+    const rank = configuration.index?.ranks.rank(service, route, customer?.priority);
+    const deadline = Number(request.headers[names.deadline]);
+    return this.policy.admit({
+      service,
+      route: route.name,
+      objectiveMilliseconds: route.objectiveMilliseconds,
+      rank: rank?.rank ?? 0,
+      ranks: rank?.ranks ?? 1,
+      deadlineMilliseconds: deadline > 0 ? Math.min(deadline, MAX_REQUEST_MILLISECONDS) : undefined,
+      arrivedAt,
+    });
+  }
+
   /** Mean number of tokens of a prompt to a service, 0 when unknown. */
   private _meanPromptTokens(service: string): number {
     return this._options.configuration.index?.service(service)?.engine?.meanPromptTokens ?? 0;
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -7,6 +7,7 @@
 import { outgoingRequest } from './outgoingRequest.js';
 import { computeRetryAfter } from './retryAfter.js';
 import type { ServerSelection } from './serverPool.js';
+import { SlotRequest } from './slotRequest.js';
 import { HANDOVER_TIMEOUT_MILLISECONDS } from './streamHandover.js';
 import type { TrackedServer } from './trackedServer.js';
 
@@ -23,6 +24,8 @@
 const MIN_RESEND_INTERVAL_MILLISECONDS = 100;
 
 export class RequestAttempts {
+  /** The request's claim to a slot. */
+  readonly slot: SlotRequest;
   private readonly _context: ForwardingContext;
   private readonly _request: AdmittedRequest;
   private readonly _hasBegun: () => boolean;
@@ -42,6 +45,7 @@
     this._hasBegun = hasBegun;
     this._context = context;
     this._request = request;
+    this.slot = new SlotRequest(context, request);
   }
 
   /** Number of sends, without those that did not reach a server. */
@@ -81,8 +85,10 @@
       newestVersion: gate.newest(model),
       objectiveMilliseconds: this._objectiveMilliseconds(isHandover),
       isContinuation: isHandover || this._hasBegun(),
+      reservedShare: isHandover || this._hasBegun() ? undefined : this.slot.reservedShare,
       tried: this._hasBegun() && !isHandover ? this._excludedServers() : this._tried,
     });
+    this.slot.noteSearch(found);
     this._waitMilliseconds = 'waitMilliseconds' in found ? found.waitMilliseconds : 0;
     return found;
   }
@@ -108,6 +114,7 @@
   /** Counts an attempt at `server`. */
   noteSent(server: TrackedServer): void {
     this._count++;
+    this.slot.noteSent();
     this._tried.add(server.record.id);
     this._notRunAt.delete(server.record.id);
   }
--- a/src/serving/retryAllowance.ts
+++ b/src/serving/retryAllowance.ts
@@ -1,4 +1,5 @@
 /** Limits this entry's retries for a service to its share of the limit for all entries, in a sliding window. */
+import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import type { Clock } from '../utils/clock.js';
 
 /** Limit on the retries of all entries. */
@@ -10,6 +11,14 @@
   slack: number;
 }
 
+const PERCENT = 100;
+
+/** Returns the limit on retries that the settings contain. */
+export function retryLimitOf(settings: GatewaySettings): RetryLimit {
+  const { retryPercent, retryWindowMilliseconds, retrySlack } = settings;
+  return { ratio: retryPercent / PERCENT, windowMilliseconds: retryWindowMilliseconds, slack: retrySlack };
+}
+
 /** Share of the limit that is used; the rest is a margin for differences in how entries count. */
 const SAFETY_FACTOR = 0.85;
 /**
--- a/src/serving/routeIndex.ts
+++ b/src/serving/routeIndex.ts
@@ -1,4 +1,5 @@
 /** Index for finding the route and the customer of a request in one version of the configuration. */
+import { RequestRanks } from '../admission/requestRanks.js';
 import type {
   CustomerKeys,
   Route,
@@ -9,12 +10,14 @@
 /** Immutable; each new version of the configuration gets a new index. */
 export class RouteIndex {
   readonly configuration: ServingConfiguration;
+  readonly ranks: RequestRanks;
   private readonly _routesByHost = new Map<string, Route[]>();
   private readonly _customersByKey = new Map<string, CustomerKeys>();
   private readonly _services = new Map<string, ServiceDescription>();
 
   constructor(configuration: ServingConfiguration) {
     this.configuration = configuration;
+    this.ranks = new RequestRanks(configuration.routes, configuration.customers);
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase();
       const atHost = this._routesByHost.get(host);
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -89,13 +89,15 @@
 /**
  * Whether a request sent to `candidate` is likely to get its first byte within its objective. If no
  * candidate qualifies, the request is refused, because more work on a full server would delay all of its requests.
+ * `reservedShare` is the share of the slots that the request has to leave to others.
  */
 export function canMeetObjective(
   candidate: Candidate,
   service: ServiceCost,
   objectiveMilliseconds: number,
+  reservedShare = 0,
 ): boolean {
-  if (candidate.load >= candidate.slots * service.maxFill) return false;
+  if (candidate.load >= candidate.slots * service.maxFill * (1 - reservedShare)) return false;
   const spare = objectiveMilliseconds * (1 - BASE_SHARE);
   return candidate.pendingPrompts * service.readMilliseconds <= spare;
 }
@@ -114,10 +116,11 @@
   service: ServiceCost,
   objectiveMilliseconds: number,
   random: Random,
+  reservedShare = 0,
 ): T | undefined {
   const healthy = candidates.filter((candidate) => !candidate.failing);
   const timely = (healthy.length > 0 ? healthy : candidates).filter((candidate) =>
-    canMeetObjective(candidate, service, objectiveMilliseconds),
+    canMeetObjective(candidate, service, objectiveMilliseconds, reservedShare),
   );
   const preferred = timely.filter((candidate) => !candidate.avoided);
   const usable = preferred.length > 0 ? preferred : timely;
@@ -137,6 +140,14 @@
   return cheapest(sample, service);
 }
 
+/** Mean fill of the candidates, without those that fail and only look empty; 1 when no more is sent to any of them. */
+export function meanFill(candidates: readonly Candidate[], service: ServiceCost): number {
+  const healthy = candidates.filter((candidate) => !candidate.failing && !candidate.avoided);
+  const slots = healthy.reduce((sum, candidate) => sum + candidate.slots, 0) * service.maxFill;
+  const filled = healthy.reduce((sum, candidate) => sum + candidate.load, 0);
+  return slots > 0 ? filled / slots : 0;
+}
+
 /** Returns the first candidate unless a later one is cheaper by more than the tie margin. */
 function cheapest<T extends Candidate>(candidates: readonly T[], service: ServiceCost): T | undefined {
   let best: T | undefined;
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -8,7 +8,7 @@
 import { BackendConnections } from './backendConnections.js';
 import type { BackendServerRecord } from './backendServerRecord.js';
 import type { Candidate, ServiceCost } from './serverChoice.js';
-import { chooseServer } from './serverChoice.js';
+import { canMeetObjective, chooseServer, meanFill } from './serverChoice.js';
 import { eligibleServers } from './serverEligibility.js';
 import type { IncarnationSource } from './serverIncarnation.js';
 import { ServerIncarnation, UNKNOWN_START } from './serverIncarnation.js';
@@ -45,7 +45,9 @@
 /** The selected server, or the reason why there is none. */
 export type ServerSelection =
   | { kind: 'found'; server: TrackedServer }
-  | { kind: 'none'; reason: 'no-server' | 'all-busy' | 'old-version' }
+  | { kind: 'none'; reason: 'no-server' | 'old-version' }
+  /** No server has capacity, or none that is not reserved for other requests. `pressure` is their mean fill. */
+  | { kind: 'none'; reason: 'all-busy' | 'reserved'; pressure?: number }
   /** All servers limit their requests; the first is expected to accept one after `waitMilliseconds`. */
   | { kind: 'none'; reason: 'at-limit'; waitMilliseconds: number };
 
@@ -132,7 +134,8 @@
     );
     const routed = present.filter(({ host }) => this._options.isRouted(host));
     const found = this._findAmong(routed, requirements);
-    const othersMayServe = found.kind === 'none' && found.reason !== 'all-busy';
+    const othersMayServe =
+      found.kind === 'none' && found.reason !== 'all-busy' && found.reason !== 'reserved';
     return othersMayServe && routed.length < present.length ? this._findAmong(present, requirements) : found;
   }
 
@@ -146,9 +149,13 @@
     const open = accepting.filter((server) => server.connections.available);
     const candidates = open.map((server) => this._candidate(server, requirements));
     const cost = this._cost(requirements);
-    const chosen = chooseServer(candidates, cost, requirements.objectiveMilliseconds, this._options.random);
-    if (!chosen) return { kind: 'none', reason: 'all-busy' };
-    return { kind: 'found', server: this._servers.get(chosen.id)! };
+    const { objectiveMilliseconds, reservedShare } = requirements;
+    const pressure = meanFill(candidates, cost);
+    const reserved = reservedShare?.({ pressure, entries: this._options.entries() }) ?? 0;
+    const chosen = chooseServer(candidates, cost, objectiveMilliseconds, this._options.random, reserved);
+    if (chosen) return { kind: 'found', server: this._servers.get(chosen.id)! };
+    const hasSlot = candidates.some((candidate) => canMeetObjective(candidate, cost, objectiveMilliseconds));
+    return { kind: 'none', reason: hasSlot ? 'reserved' : 'all-busy', pressure };
   }
 
   /** Closes all connections that are not in use. */
--- a/src/serving/serverRequirements.ts
+++ b/src/serving/serverRequirements.ts
@@ -1,4 +1,6 @@
 /** Requirements of a request on the server that it is sent to. */
+import type { FleetLoad } from '../admission/admissionPolicy.js';
+
 export interface ServerRequirements {
   service: string;
   /** The model; '' for services without one. */
@@ -15,6 +17,8 @@
   objectiveMilliseconds: number;
   /** Whether another server still runs the request, or broke off its answer, so that this one only continues it. */
   isContinuation: boolean;
+  /** Share of each server's slots that the request has to leave to others; 0 if absent. */
+  reservedShare?: (load: FleetLoad) => number;
   /** Ids of the servers that the request was already sent to. */
   tried: ReadonlySet<string>;
 }
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -21,6 +21,10 @@
   directorySeconds: numberSetting(1, 3_600, 2, 'seconds').describe(
     'how long callers may keep the list of entries',
   ),
+  admission: z
+    .enum(['on-time-first', 'arrival-order'])
+    .default('on-time-first')
+    .describe('which requests get the last slots under shortage: `on-time-first` or `arrival-order`'),
   retryPercent: numberSetting(0, 1_000, 20, 'percent').describe('retries allowed per 100 requests'),
   retryWindowMilliseconds: numberSetting(100, 3_600_000, 10_000, 'milliseconds').describe(
     'window in which retries are counted',
--- a/tests/requestAttempts.spec.ts
+++ b/tests/requestAttempts.spec.ts
@@ -1,6 +1,7 @@
 /** Whether and where a request may be sent next. */
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { ArrivalOrderPolicy } from '../src/admission/arrivalOrderPolicy.js';
 import type { AdmittedRequest } from '../src/serving/admittedRequest.js';
 import type { ForwardingContext } from '../src/serving/forwardingContext.js';
 import type { NoAttemptReason } from '../src/serving/noAttemptReason.js';
@@ -24,7 +25,7 @@
       return { kind: 'none', reason: 'no-server' } as const;
     },
   };
-  const services = { clock, gate, pool } as unknown as ForwardingContext;
+  const services = { clock, gate, pool, admission: new ArrivalOrderPolicy() } as unknown as ForwardingContext;
   const request = { service: 's', model: 'm', route: routeFixture() } as AdmittedRequest;
   const attempts = new RequestAttempts(services, request);
   clock.advance(4_900);
@@ -40,7 +41,7 @@
   const clock = new ManualClock();
   const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
   gate.noteTarget('m', 2, 0);
-  const services = { clock, gate } as unknown as ForwardingContext;
+  const services = { clock, gate, admission: new ArrivalOrderPolicy() } as unknown as ForwardingContext;
   const request = { service: 's', model: 'm', route: routeFixture() } as AdmittedRequest;
   const attempts = new RequestAttempts(services, request);
   const server = { version: () => 1, slowLink: false, agentSilent: false } as unknown as TrackedServer;
@@ -68,7 +69,7 @@
   const clock = new ManualClock();
   const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
   const pool = { find: () => found };
-  const services = { clock, gate, pool } as unknown as ForwardingContext;
+  const services = { clock, gate, pool, admission: new ArrivalOrderPolicy() } as unknown as ForwardingContext;
   const retries = new RetryAllowance({ ratio: 0, windowMilliseconds: 10_000, slack }, clock, () => 1);
   const endsAt = clock.now() + left;
   const request = { service: 's', model: 'm', route: routeFixture({ attempts: 2 }), retries, endsAt };
@@ -102,7 +103,7 @@
   gate.noteTarget('m', 2, 0);
   const needs: ServerRequirements[] = [];
   const pool = { find: (need: ServerRequirements) => (needs.push(need), found) };
-  const services = { clock, gate, pool } as unknown as ForwardingContext;
+  const services = { clock, gate, pool, admission: new ArrivalOrderPolicy() } as unknown as ForwardingContext;
   const retries = new RetryAllowance({ ratio: 0, windowMilliseconds: 10_000, slack: 100 }, clock, () => 1);
   const route = routeFixture({ attempts: 2, objectiveMilliseconds: 200 });
   const request = { service: 's', model: 'm', route, retries, endsAt: 60_000 };
