Admission: Retry-After by the load

Cause: Retry-After was a random 0.16 to 0.32 of the time left, whatever the load was, so that callers that were rejected together came back within a second.

Change: the admission policy computes it. A caller that can still be on time retries after 10 to 40 ms while the shortage is momentary and few requests are rejected; otherwise the wait is at most 0.32 of the time left, as today, and spread from half of that down to a tenth of it as more requests are rejected. `retryAfter.ts` is gone; its test cases are now in `admission.spec.ts` and `requestAttempts.spec.ts`.

--- a/src/admission/admissionPolicy.ts
+++ b/src/admission/admissionPolicy.ts
@@ -1,5 +1,7 @@
 /** The interface of admission control: which request gets a slot under shortage, and when a rejected caller retries. */
 
+import type { RetryTime } from './retryDelay.js';
+
 /** Whether a request can still meet its objective, counted from its caller's first attempt. */
 export type Timeliness = 'on-time' | 'late';
 
@@ -53,6 +55,13 @@
 /** What became of a request when it asked for a slot. */
 export type SlotOutcome = 'sent' | 'rejected';
 
+/** A request that is rejected. */
+export interface Rejection extends RetryTime {
+  profile: AdmissionProfile;
+  /** Whether it was rejected because servers have too few slots. */
+  lacksSlot: boolean;
+}
+
 /** Decides on the requests of one entry. Implementations perform no I/O. */
 export interface AdmissionPolicy {
   readonly kind: AdmissionKind;
@@ -64,4 +73,6 @@
   reservedShare(profile: AdmissionProfile, load: FleetLoad, now: number): number;
   /** Records whether a request got a slot. */
   noteOutcome(profile: AdmissionProfile, outcome: SlotOutcome, now: number): void;
+  /** Returns the milliseconds after which the caller of a rejected request should retry. */
+  retryDelay(rejection: Rejection, now: number): number;
 }
--- a/src/admission/arrivalOrderPolicy.ts
+++ b/src/admission/arrivalOrderPolicy.ts
@@ -1,8 +1,18 @@
 /** Admission in order of arrival: every request may use every free slot. */
-import type { AdmissionPolicy, AdmissionProfile, Arrival, Precedence } from './admissionPolicy.js';
+import type { Random } from '../utils/random.js';
+import type { AdmissionPolicy, AdmissionProfile, Arrival, Precedence, Rejection } from './admissionPolicy.js';
+import { spreadDelay } from './retryDelay.js';
+
+/** Minimum wait as a share of the maximum wait; the range spreads out callers that were rejected together. */
+const MIN_SHARE = 0.5;
 
 export class ArrivalOrderPolicy implements AdmissionPolicy {
   readonly kind = 'arrival-order';
+  private readonly _random: Random;
+
+  constructor(random: Random) {
+    this._random = random;
+  }
 
   admit({ service, objectiveMilliseconds, arrivedAt }: Arrival): AdmissionProfile {
     return { service, rank: 0, ranks: 1, objectiveMilliseconds, firstAttemptAt: arrivedAt, lot: 0 };
@@ -17,4 +27,12 @@
   }
 
   noteOutcome(): void {}
+
+  /**
+   * Load bursts, version switches and lost servers last for seconds, and an answer is as useful to the caller later, as
+   * long as it comes before the deadline.
+   */
+  retryDelay(rejection: Rejection): number {
+    return spreadDelay(rejection, MIN_SHARE, this._random.fraction());
+  }
 }
--- a/src/admission/createAdmissionPolicy.ts
+++ b/src/admission/createAdmissionPolicy.ts
@@ -5,5 +5,5 @@
 import { OnTimeFirstPolicy } from './onTimeFirstPolicy.js';
 
 export function createAdmissionPolicy(kind: AdmissionKind, random: Random): AdmissionPolicy {
-  return kind === 'arrival-order' ? new ArrivalOrderPolicy() : new OnTimeFirstPolicy(random);
+  return kind === 'arrival-order' ? new ArrivalOrderPolicy(random) : new OnTimeFirstPolicy(random);
 }
--- a/src/admission/onTimeFirstPolicy.ts
+++ b/src/admission/onTimeFirstPolicy.ts
@@ -5,6 +5,7 @@
   Arrival,
   FleetLoad,
   Precedence,
+  Rejection,
   SlotOutcome,
 } from './admissionPolicy.js';
 import type { Random } from '../utils/random.js';
@@ -12,6 +13,8 @@
 import { PressureTrend } from './pressureTrend.js';
 import { RankShares } from './rankShares.js';
 import { sentShare } from './contention.js';
+import { callerDelay } from './retryDelay.js';
+import { RejectionShare } from './rejectionShare.js';
 import { reservedShare } from './reservedSlots.js';
 
 export class OnTimeFirstPolicy implements AdmissionPolicy {
@@ -19,6 +22,7 @@
   private readonly _firstAttempts = new FirstAttempts();
   private readonly _shares = new RankShares();
   private readonly _trend = new PressureTrend();
+  private readonly _rejections = new RejectionShare();
   private readonly _random: Random;
 
   constructor(random: Random) {
@@ -53,7 +57,18 @@
   }
 
   noteOutcome(profile: AdmissionProfile, outcome: SlotOutcome, now: number): void {
+    this._rejections.note(profile.service, outcome, now);
     if (this.precedence(profile, now).timeliness === 'late') return;
     this._shares.note(profile.service, profile.rank, outcome, now);
   }
+
+  retryDelay(rejection: Rejection, now: number): number {
+    const { profile, lacksSlot } = rejection;
+    const situation = {
+      timeliness: this.precedence(profile, now).timeliness,
+      pressure: lacksSlot ? this._trend.mean(profile.service) : 1,
+      rejectedShare: this._rejections.at(profile.service, now),
+    };
+    return callerDelay(rejection, situation, this._random.fraction());
+  }
 }
--- a/src/admission/pressureTrend.ts
+++ b/src/admission/pressureTrend.ts
@@ -22,4 +22,9 @@
     this._trends.set(service, { mean, at: now });
     return mean;
   }
+
+  /** The mean of the last second before the last call of {@link PressureTrend.note}; 0 without any. */
+  mean(service: string): number {
+    return this._trends.get(service)?.mean ?? 0;
+  }
 }
--- a/src/admission/reservedSlots.ts
+++ b/src/admission/reservedSlots.ts
@@ -5,7 +5,7 @@
 import type { Precedence } from './admissionPolicy.js';
 
 /** Mean fill of the servers above which slots are reserved, and above which all of the reservation applies. */
-const FIRST_PRESSURE = 0.75;
+export const FIRST_PRESSURE = 0.75;
 const FULL_PRESSURE = 0.95;
 /** Share of the slots that a rank leaves to the ranks before it, and that all ranks together leave at most. */
 const RANK_SHARE = 0.1;
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -5,7 +5,6 @@
 import type { NoAttemptReason } from './noAttemptReason.js';
 import { noAttemptReasonOf } from './noAttemptReason.js';
 import { outgoingRequest } from './outgoingRequest.js';
-import { computeRetryAfter } from './retryAfter.js';
 import type { ServerSelection } from './serverPool.js';
 import { SlotRequest } from './slotRequest.js';
 import { HANDOVER_TIMEOUT_MILLISECONDS } from './streamHandover.js';
@@ -157,8 +156,8 @@
 
   /** Milliseconds after which the caller should retry a request that was refused for `reason`. */
   retryAfter(reason: NoAttemptReason): number {
-    const fraction = this._context.random.fraction();
-    return computeRetryAfter(reason, this.remainingMilliseconds, fraction, this._waitMilliseconds);
+    const time = { leftMilliseconds: this.remainingMilliseconds, waitMilliseconds: this._waitMilliseconds };
+    return this.slot.retryDelay(reason, time);
   }
 
   private _noteNotRunAt(server: TrackedServer): void {
--- a/src/serving/slotRequest.ts
+++ b/src/serving/slotRequest.ts
@@ -1,5 +1,7 @@
 /** A request's claim to a slot of a server: passes it to admission control, and keeps what explains a rejection. */
 import type { AdmissionPolicy, FleetLoad } from '../admission/admissionPolicy.js';
+import type { RetryTime } from '../admission/retryDelay.js';
+import { SHUT_OUT_MILLISECONDS } from '../crashes/runDecision.js';
 import type { Clock } from '../utils/clock.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { NoAttemptReason } from './noAttemptReason.js';
@@ -7,7 +9,7 @@
 import type { ServerSelection } from './serverPool.js';
 
 /** Reasons for which a request did not get a slot, as opposed to there being no server for it. */
-const SLOT_REASONS: ReadonlySet<NoAttemptReason | undefined> = new Set(['all busy', 'reserved']);
+const SLOT_REASONS: ReadonlySet<NoAttemptReason> = new Set(['all busy', 'reserved']);
 const PRESSURE_DIGITS = 2;
 
 export class SlotRequest {
@@ -36,10 +38,20 @@
     this._hasGotSlot = true;
   }
 
-  /** Records the end of the request; returns the fields that the log line of a rejection has in addition. */
-  ended(outcome: RequestOutcome, reason: NoAttemptReason | undefined): EndFields {
+  /** Records that the request is rejected; returns the milliseconds after which its caller should retry. */
+  retryDelay(reason: NoAttemptReason, time: RetryTime): number {
+    if (reason === 'ends servers') return SHUT_OUT_MILLISECONDS;
+    const lacksSlot = SLOT_REASONS.has(reason);
+    if (!this._hasGotSlot && lacksSlot) this._note('rejected');
+    return this._admission.retryDelay(
+      { ...time, profile: this._request.profile, lacksSlot },
+      this._clock.now(),
+    );
+  }
+
+  /** Additional fields of the log line about the end of the request. */
+  logFields(outcome: RequestOutcome): EndFields {
     if (outcome !== 'refused') return {};
-    if (!this._hasGotSlot && SLOT_REASONS.has(reason)) this._note('rejected');
     const { timeliness, rank } = this._admission.precedence(this._request.profile, this._clock.now());
     const pressure =
       this._pressure === undefined ? undefined : Number(this._pressure.toFixed(PRESSURE_DIGITS));
--- a/tests/admission.spec.ts
+++ b/tests/admission.spec.ts
@@ -8,6 +8,7 @@
 import { RankShares } from '../src/admission/rankShares.js';
 import { RequestRanks } from '../src/admission/requestRanks.js';
 import { reservedShare } from '../src/admission/reservedSlots.js';
+import { callerDelay, spreadDelay } from '../src/admission/retryDelay.js';
 import { UsualDeadline } from '../src/admission/usualDeadline.js';
 import { SeededRandom } from '../src/utils/random.js';
 
@@ -151,7 +152,31 @@
 });
 
 test('should change nothing in arrival order', () => {
-  const policy = new ArrivalOrderPolicy();
+  const policy = new ArrivalOrderPolicy(new SeededRandom(1));
   expect(policy.admit({ ...ARRIVAL, rank: 2, ranks: 3 }).ranks).toEqual(1);
   expect(policy.reservedShare()).toEqual(0);
 });
+
+test('should advise callers to retry within their timeout, at different times', () => {
+  const time = { leftMilliseconds: 6_000, waitMilliseconds: 0 };
+  expect([0, 0.999].map((fraction) => spreadDelay(time, 0.5, fraction))).toEqual([960, 1_919]);
+  expect(spreadDelay({ ...time, leftMilliseconds: -5 }, 0.5, 0.5)).toEqual(0);
+  expect(spreadDelay({ ...time, waitMilliseconds: 1_500 }, 0.5, 0)).toEqual(1_500);
+  expect(spreadDelay({ ...time, waitMilliseconds: 9_000 }, 0.5, 0)).toEqual(1_920);
+});
+
+test('should let callers retry immediately only on time, during a momentary shortage, and when few are rejected', () => {
+  const time = { leftMilliseconds: 6_000, waitMilliseconds: 0 };
+  const momentary = { timeliness: 'on-time', pressure: 0.6, rejectedShare: 0.1 } as const;
+  const lasting = [{ timeliness: 'late' } as const, { pressure: 0.8 }, { rejectedShare: 0.5 }];
+  expect(callerDelay(time, momentary, 0.5)).toEqual(25);
+  for (const change of lasting) expect(callerDelay(time, { ...momentary, ...change }, 0) > 500).toEqual(true);
+});
+
+test('should spread the retries of a crowd over more time', () => {
+  const time = { leftMilliseconds: 6_000, waitMilliseconds: 0 };
+  const earliest = [0.2, 1].map((rejectedShare) =>
+    callerDelay(time, { timeliness: 'late', pressure: 1, rejectedShare }, 0),
+  );
+  expect(earliest).toEqual([806, 192]);
+});
--- a/tests/requestAttempts.spec.ts
+++ b/tests/requestAttempts.spec.ts
@@ -12,6 +12,7 @@
 import type { TrackedServer } from '../src/serving/trackedServer.js';
 import { VersionGate } from '../src/serving/versionGate.js';
 import { ManualClock } from '../src/utils/clock.js';
+import { SeededRandom } from '../src/utils/random.js';
 import { routeFixture } from './fixtures/servingFixture.js';
 
 test('should not hand a stream over to a server of an older version close to the version deadline', () => {
@@ -25,7 +26,12 @@
       return { kind: 'none', reason: 'no-server' } as const;
     },
   };
-  const services = { clock, gate, pool, admission: new ArrivalOrderPolicy() } as unknown as ForwardingContext;
+  const services = {
+    clock,
+    gate,
+    pool,
+    admission: new ArrivalOrderPolicy(new SeededRandom(1)),
+  } as unknown as ForwardingContext;
   const request = { service: 's', model: 'm', route: routeFixture() } as AdmittedRequest;
   const attempts = new RequestAttempts(services, request);
   clock.advance(4_900);
@@ -41,7 +47,11 @@
   const clock = new ManualClock();
   const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
   gate.noteTarget('m', 2, 0);
-  const services = { clock, gate, admission: new ArrivalOrderPolicy() } as unknown as ForwardingContext;
+  const services = {
+    clock,
+    gate,
+    admission: new ArrivalOrderPolicy(new SeededRandom(1)),
+  } as unknown as ForwardingContext;
   const request = { service: 's', model: 'm', route: routeFixture() } as AdmittedRequest;
   const attempts = new RequestAttempts(services, request);
   const server = { version: () => 1, slowLink: false, agentSilent: false } as unknown as TrackedServer;
@@ -69,7 +79,12 @@
   const clock = new ManualClock();
   const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
   const pool = { find: () => found };
-  const services = { clock, gate, pool, admission: new ArrivalOrderPolicy() } as unknown as ForwardingContext;
+  const services = {
+    clock,
+    gate,
+    pool,
+    admission: new ArrivalOrderPolicy(new SeededRandom(1)),
+  } as unknown as ForwardingContext;
   const retries = new RetryAllowance({ ratio: 0, windowMilliseconds: 10_000, slack }, clock, () => 1);
   const endsAt = clock.now() + left;
   const request = { service: 's', model: 'm', route: routeFixture({ attempts: 2 }), retries, endsAt };
@@ -103,7 +118,12 @@
   gate.noteTarget('m', 2, 0);
   const needs: ServerRequirements[] = [];
   const pool = { find: (need: ServerRequirements) => (needs.push(need), found) };
-  const services = { clock, gate, pool, admission: new ArrivalOrderPolicy() } as unknown as ForwardingContext;
+  const services = {
+    clock,
+    gate,
+    pool,
+    admission: new ArrivalOrderPolicy(new SeededRandom(1)),
+  } as unknown as ForwardingContext;
   const retries = new RetryAllowance({ ratio: 0, windowMilliseconds: 10_000, slack: 100 }, clock, () => 1);
   const route = routeFixture({ attempts: 2, objectiveMilliseconds: 200 });
   const request = { service: 's', model: 'm', route, retries, endsAt: 60_000 };
@@ -144,3 +164,12 @@
   const [fresh, begun] = [false, true].map((hasBegun) => attemptsIn({ slack, begun: hasBegun }));
   expect([fresh.takeRetry(), begun.takeRetry()]).toEqual(['retry budget', undefined]);
 });
+
+test('should advise callers to retry within their timeout, and not for a long time when the request ends servers', () => {
+  for (let request = 0; request < 20; request++) {
+    const delay = attemptsIn({ left: 6_000 }).retryAfter('no server');
+    expect(delay >= 960 && delay <= 1_920).toEqual(true);
+  }
+  expect(attemptsIn({ left: -5 }).retryAfter('time')).toEqual(0);
+  expect(attemptsIn({ left: 6_000 }).retryAfter('ends servers')).toEqual(600_000);
+});
--- a/tests/servingDecisions.spec.ts
+++ b/tests/servingDecisions.spec.ts
@@ -8,7 +8,6 @@
 import { EventSplitter } from '../src/serving/eventSplitter.js';
 import { RetryAllowance } from '../src/serving/retryAllowance.js';
 import { RouteIndex, chooseTarget } from '../src/serving/routeIndex.js';
-import { computeRetryAfter } from '../src/serving/retryAfter.js';
 import { ServerHealth } from '../src/serving/serverHealth.js';
 import { ManualClock } from '../src/utils/clock.js';
 import { subscribedDirectory } from './fixtures/subscribedDirectory.js';
@@ -227,10 +226,3 @@
   directory.applyList('two', all([entry('b', 'north', true)]));
   expect(directory.addressesFor('north')).toEqual(['a:80']);
 });
-
-test('should advise callers to retry within their timeout, at different times', () => {
-  expect(computeRetryAfter('no server', 6_000, 0)).toEqual(960);
-  expect(computeRetryAfter('all busy', 6_000, 0.999)).toEqual(1_919);
-  expect(computeRetryAfter('time', -5, 0.5)).toEqual(0);
-  expect(computeRetryAfter('ends servers', 6_000, 0.5)).toEqual(600_000);
-});
