Admission: compare fewer servers while they are nearly full

Cause: above a fill of about 0.7, the loads that entries see differ more by their age than by the servers. Each entry compared four servers, so that most entries chose the same one of the last reports, which queued until the next.

Change: under the on-time-first policy, with several entries and a mean fill of 0.7 or more, two servers are compared, one of them in the own data centre.

--- a/src/admission/admissionPolicy.ts
+++ b/src/admission/admissionPolicy.ts
@@ -52,6 +52,17 @@
   entries: number;
 }
 
+/** Which slots a request may use. */
+export interface SlotLimits {
+  /** Share of each server's slots that the request has to leave to others; 1 when it must not be sent. */
+  reservedShare: number;
+  /** Whether to compare only few servers, as other entries see the same ones. */
+  spread: boolean;
+}
+
+/** The limits of a request that may use all slots. */
+export const NO_SLOT_LIMITS: SlotLimits = { reservedShare: 0, spread: false };
+
 /** What became of a request when it asked for a slot. */
 export type SlotOutcome = 'sent' | 'rejected';
 
@@ -69,8 +80,8 @@
   admit(arrival: Arrival): AdmissionProfile;
   /** Returns the precedence of the request at `now`. */
   precedence(profile: AdmissionProfile, now: number): Precedence;
-  /** Returns the share of each server's slots that the request has to leave to others; 1 when it must not be sent. */
-  reservedShare(profile: AdmissionProfile, load: FleetLoad, now: number): number;
+  /** Returns which slots the request may use. */
+  slotLimits(profile: AdmissionProfile, load: FleetLoad, now: number): SlotLimits;
   /** Records whether a request got a slot. */
   noteOutcome(profile: AdmissionProfile, outcome: SlotOutcome, now: number): void;
   /** Returns the milliseconds after which the caller of a rejected request should retry. */
--- a/src/admission/arrivalOrderPolicy.ts
+++ b/src/admission/arrivalOrderPolicy.ts
@@ -1,6 +1,14 @@
 /** Admission in order of arrival: every request may use every free slot. */
 import type { Random } from '../utils/random.js';
-import type { AdmissionPolicy, AdmissionProfile, Arrival, Precedence, Rejection } from './admissionPolicy.js';
+import type {
+  AdmissionPolicy,
+  AdmissionProfile,
+  Arrival,
+  Precedence,
+  Rejection,
+  SlotLimits,
+} from './admissionPolicy.js';
+import { NO_SLOT_LIMITS } from './admissionPolicy.js';
 import { spreadDelay } from './retryDelay.js';
 
 /** Minimum wait as a share of the maximum wait; the range spreads out callers that were rejected together. */
@@ -22,8 +30,8 @@
     return { timeliness: 'on-time', rank: 0 };
   }
 
-  reservedShare(): number {
-    return 0;
+  slotLimits(): SlotLimits {
+    return NO_SLOT_LIMITS;
   }
 
   noteOutcome(): void {}
--- a/src/admission/onTimeFirstPolicy.ts
+++ b/src/admission/onTimeFirstPolicy.ts
@@ -6,13 +6,14 @@
   FleetLoad,
   Precedence,
   Rejection,
+  SlotLimits,
   SlotOutcome,
 } from './admissionPolicy.js';
 import type { Random } from '../utils/random.js';
 import { FirstAttempts, timelinessOf } from './firstAttempts.js';
 import { PressureTrend } from './pressureTrend.js';
 import { RankShares } from './rankShares.js';
-import { sentShare } from './contention.js';
+import { mustSpread, sentShare } from './contention.js';
 import { callerDelay } from './retryDelay.js';
 import { RejectionShare } from './rejectionShare.js';
 import { reservedShare } from './reservedSlots.js';
@@ -46,14 +47,15 @@
     return { rank, timeliness: timelinessOf(now - firstAttemptAt, objectiveMilliseconds) };
   }
 
-  reservedShare(profile: AdmissionProfile, load: FleetLoad, now: number): number {
+  slotLimits(profile: AdmissionProfile, load: FleetLoad, now: number): SlotLimits {
     const { timeliness, rank } = this.precedence(profile, now);
     const isDeprived = timeliness === 'on-time' && this._shares.isDeprived(profile.service, rank, now);
     const precedence = { timeliness, rank: isDeprived ? 0 : rank };
     const recent = this._trend.note(profile.service, load.pressure, now);
     const pressure = timeliness === 'late' ? Math.max(load.pressure, recent) : load.pressure;
-    if (profile.lot >= sentShare(precedence, profile.ranks, { ...load, pressure })) return 1;
-    return reservedShare(precedence, profile.ranks, pressure);
+    const isHeldBack = profile.lot >= sentShare(precedence, profile.ranks, { ...load, pressure });
+    const reserved = isHeldBack ? 1 : reservedShare(precedence, profile.ranks, pressure);
+    return { reservedShare: reserved, spread: mustSpread(load) };
   }
 
   noteOutcome(profile: AdmissionProfile, outcome: SlotOutcome, now: number): void {
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -84,7 +84,7 @@
       newestVersion: gate.newest(model),
       objectiveMilliseconds: this._objectiveMilliseconds(isHandover),
       isContinuation: isHandover || this._hasBegun(),
-      reservedShare: isHandover || this._hasBegun() ? undefined : this.slot.reservedShare,
+      slotLimits: isHandover || this._hasBegun() ? undefined : this.slot.limits,
       tried: this._hasBegun() && !isHandover ? this._excludedServers() : this._tried,
     });
     this.slot.noteSearch(found);
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -1,4 +1,6 @@
 /** Chooses the backend server with the lowest expected cost for a request. Pure functions except for randomness. */
+import type { SlotLimits } from '../admission/admissionPolicy.js';
+import { NO_SLOT_LIMITS } from '../admission/admissionPolicy.js';
 import type { Random } from '../utils/random.js';
 import { shuffled } from '../utils/random.js';
 
@@ -62,8 +64,9 @@
 const LAST_SLOT_COST_MILLISECONDS = 100;
 const CROWDING_EXPONENT = 4;
 /** Number of servers that are sampled and compared, and how many of them are in the own data centre. */
-const SAMPLE_SIZE = 4;
-const OWN_DATA_CENTRE_SAMPLE = 3;
+const USUAL_SAMPLE = { size: 4, own: 3 };
+/** The same while servers are nearly full, when all entries would choose the emptiest one of the last reports. */
+const SPREAD_SAMPLE = { size: 2, own: 1 };
 
 /** Expected cost of sending a request to `candidate`, in milliseconds. */
 export function expectedCost(candidate: Candidate, service: ServiceCost): number {
@@ -116,7 +119,7 @@
   service: ServiceCost,
   objectiveMilliseconds: number,
   random: Random,
-  reservedShare = 0,
+  { reservedShare, spread }: SlotLimits = NO_SLOT_LIMITS,
 ): T | undefined {
   const healthy = candidates.filter((candidate) => !candidate.failing);
   const timely = (healthy.length > 0 ? healthy : candidates).filter((candidate) =>
@@ -132,11 +135,9 @@
     usable.filter((candidate) => !candidate.sameDataCentre),
     random,
   );
-  const ownSample = ownDataCentre.slice(
-    0,
-    Math.max(OWN_DATA_CENTRE_SAMPLE, SAMPLE_SIZE - otherDataCentres.length),
-  );
-  const sample = [...ownSample, ...otherDataCentres.slice(0, SAMPLE_SIZE - ownSample.length)];
+  const { size, own } = spread ? SPREAD_SAMPLE : USUAL_SAMPLE;
+  const ownSample = ownDataCentre.slice(0, Math.max(own, size - otherDataCentres.length));
+  const sample = [...ownSample, ...otherDataCentres.slice(0, size - ownSample.length)];
   return cheapest(sample, service);
 }
 
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -149,10 +149,10 @@
     const open = accepting.filter((server) => server.connections.available);
     const candidates = open.map((server) => this._candidate(server, requirements));
     const cost = this._cost(requirements);
-    const { objectiveMilliseconds, reservedShare } = requirements;
+    const { objectiveMilliseconds, slotLimits } = requirements;
     const pressure = meanFill(candidates, cost);
-    const reserved = reservedShare?.({ pressure, entries: this._options.entries() }) ?? 0;
-    const chosen = chooseServer(candidates, cost, objectiveMilliseconds, this._options.random, reserved);
+    const limits = slotLimits?.({ pressure, entries: this._options.entries() });
+    const chosen = chooseServer(candidates, cost, objectiveMilliseconds, this._options.random, limits);
     if (chosen) return { kind: 'found', server: this._servers.get(chosen.id)! };
     const hasSlot = candidates.some((candidate) => canMeetObjective(candidate, cost, objectiveMilliseconds));
     return { kind: 'none', reason: hasSlot ? 'reserved' : 'all-busy', pressure };
--- a/src/serving/serverRequirements.ts
+++ b/src/serving/serverRequirements.ts
@@ -1,5 +1,5 @@
 /** Requirements of a request on the server that it is sent to. */
-import type { FleetLoad } from '../admission/admissionPolicy.js';
+import type { FleetLoad, SlotLimits } from '../admission/admissionPolicy.js';
 
 export interface ServerRequirements {
   service: string;
@@ -17,8 +17,8 @@
   objectiveMilliseconds: number;
   /** Whether another server still runs the request, or broke off its answer, so that this one only continues it. */
   isContinuation: boolean;
-  /** Share of each server's slots that the request has to leave to others; 0 if absent. */
-  reservedShare?: (load: FleetLoad) => number;
+  /** Returns which slots the request may use; all if absent. */
+  slotLimits?: (load: FleetLoad) => SlotLimits;
   /** Ids of the servers that the request was already sent to. */
   tried: ReadonlySet<string>;
 }
--- a/src/serving/slotRequest.ts
+++ b/src/serving/slotRequest.ts
@@ -1,5 +1,5 @@
 /** A request's claim to a slot of a server: passes it to admission control, and keeps what explains a rejection. */
-import type { AdmissionPolicy, FleetLoad } from '../admission/admissionPolicy.js';
+import type { AdmissionPolicy, FleetLoad, SlotLimits } from '../admission/admissionPolicy.js';
 import type { RetryTime } from '../admission/retryDelay.js';
 import { SHUT_OUT_MILLISECONDS } from '../crashes/runDecision.js';
 import type { Clock } from '../utils/clock.js';
@@ -25,9 +25,9 @@
     this._request = request;
   }
 
-  /** Share of each server's slots that the request has to leave to others. */
-  readonly reservedShare = (load: FleetLoad): number =>
-    this._admission.reservedShare(this._request.profile, load, this._clock.now());
+  /** Returns which slots the request may use. */
+  readonly limits = (load: FleetLoad): SlotLimits =>
+    this._admission.slotLimits(this._request.profile, load, this._clock.now());
 
   noteSearch(found: ServerSelection): void {
     this._pressure = 'pressure' in found ? found.pressure : undefined;
--- a/tests/serverChoice.spec.ts
+++ b/tests/serverChoice.spec.ts
@@ -132,3 +132,26 @@
   clock.advance(200);
   expect(gate.preferredMinVersion('m')).toEqual(2);
 });
+
+test('should spread requests over more servers when told to, as all entries see the same loads', () => {
+  const servers = [
+    candidate('empty', { load: 4 }),
+    ...['a', 'b', 'c', 'd', 'e'].map((id) => candidate(id, { load: 12 })),
+  ];
+  const random = new SeededRandom(1);
+  const sentToEmpty = (spread: boolean): number =>
+    Array.from({ length: 300 }, () =>
+      chooseServer(servers, ENGINE, 400, random, { reservedShare: 0, spread }),
+    ).filter((chosen) => chosen?.id === 'empty').length;
+  expect(sentToEmpty(false) > 180).toEqual(true);
+  expect(sentToEmpty(true) < 120).toEqual(true);
+});
+
+test('should not send to a server whose free slots are reserved', () => {
+  const servers = [candidate('a', { load: 12 })];
+  const random = new SeededRandom(1);
+  const chosen = [0.2, 0.3].map((reservedShare) =>
+    chooseServer(servers, ENGINE, 400, random, { reservedShare, spread: false }),
+  );
+  expect(chosen.map((server) => server?.id)).toEqual(['a', undefined]);
+});
