Admission: log, counters and command line tell why a request got no slot

Change: the line has `timeliness`, `rank` and `pressure`; counters give requests by timeliness and rejections by rank, timeliness and reason; `larklatch losses` has rows for them and `larklatch explain` says them in words. Tests: two new ones, which failed before (no such rows or words).

--- a/src/cli/explainCommand.ts
+++ b/src/cli/explainCommand.ts
@@ -1,6 +1,7 @@
 /** `larklatch explain REQUEST-ID`: lists the log lines of one request, from the logs of several processes. */
 import { createInterface } from 'node:readline';
 import type { Readable } from 'node:stream';
+import { rejectionText } from './rejectionText.js';
 
 /** A parsed log line of the request. */
 export interface RequestLogLine {
@@ -27,7 +28,9 @@
   return lines.map(({ time, step, box, fields }) => {
     const offset = `+${time - lines[0].time} ms`.padStart(10);
     const details = Object.entries(fields).map(([name, value]) => `${name}=${JSON.stringify(value)}`);
-    return `${offset}  ${box}  ${step}  ${details.join(' ')}`;
+    const explanation = rejectionText(fields);
+    const suffix = explanation === undefined ? '' : `  (${explanation})`;
+    return `${offset}  ${box}  ${step}  ${details.join(' ')}${suffix}`;
   });
 }
 
--- a/src/cli/lossTable.ts
+++ b/src/cli/lossTable.ts
@@ -37,13 +37,17 @@
   objectiveMilliseconds?: number;
   firstMilliseconds?: number;
   pauseMilliseconds?: number;
+  /** Of a rejected request: why, and its precedence then. */
+  noAttempt?: string;
+  timeliness?: string;
+  rank?: number;
 }
 
 const STEP_PREFIX = 'request.';
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
- * Counts the requests in log lines, by second and by route. Text before the JSON of a line is ignored. A stream that
+ * Counts the requests in log lines, by second and by route, and the rejected ones by rank, timeliness and reason. Text before the JSON of a line is ignored. A stream that
  * pauses for longer than `longestPauseMilliseconds` is late.
  */
 export async function readLosses(input: Readable, longestPauseMilliseconds: number): Promise<LossRow[]> {
@@ -55,13 +59,16 @@
   const firstStart = lines.reduce((first, line) => Math.min(first, startOf(line)), Number.POSITIVE_INFINITY);
   const seconds = new Map<string, LossRow>();
   const routes = new Map<string, LossRow>();
+  const rejections = new Map<string, LossRow>();
   for (const line of lines) {
     const second = Math.floor((startOf(line) - firstStart) / MILLISECONDS_PER_SECOND);
     const end = endOf(line, longestPauseMilliseconds);
     addRequest(getOrCreateRow(seconds, `second ${second}`), line, end);
     addRequest(getOrCreateRow(routes, `route ${line.route}`), line, end);
+    if (end === 'refused' && line.timeliness !== undefined)
+      addRequest(getOrCreateRow(rejections, rejectionGroup(line)), line, end);
   }
-  return [...sortRows(seconds), ...sortRows(routes)];
+  return [...sortRows(seconds), ...sortRows(routes), ...sortRows(rejections)];
 }
 
 /** Formats the rows as a text table with a header. */
@@ -87,6 +94,11 @@
   }
 }
 
+/** Group of a rejected request. */
+function rejectionGroup({ rank = 0, timeliness, noAttempt }: EndLine): string {
+  return `rank ${rank} ${timeliness} ${noAttempt ?? ''}`.trim();
+}
+
 function startOf({ time, milliseconds }: EndLine): number {
   return time - milliseconds;
 }
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -313,7 +313,7 @@
     this._suspicionGate.release();
     clearTimeout(this._timeout);
     this._stopWatching();
-    const own = { noAttempt: this._noAttempt, ...this._attempts.slot.logFields(outcome) };
+    const own = { noAttempt: this._noAttempt, ...this._attempts.slot.ended(outcome, this._noAttempt) };
     this._trace.ended(outcome, this._attempts.count, { ...fields, ...own }, this._relay);
     this._done();
   }
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -87,7 +87,6 @@
       slotLimits: isHandover || this._hasBegun() ? undefined : this.slot.limits,
       tried: this._hasBegun() && !isHandover ? this._excludedServers() : this._tried,
     });
-    this.slot.noteSearch(found);
     this._waitMilliseconds = 'waitMilliseconds' in found ? found.waitMilliseconds : 0;
     return found;
   }
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -45,9 +45,7 @@
 /** The selected server, or the reason why there is none. */
 export type ServerSelection =
   | { kind: 'found'; server: TrackedServer }
-  | { kind: 'none'; reason: 'no-server' | 'old-version' }
-  /** No server has capacity, or none that is not reserved for other requests. `pressure` is their mean fill. */
-  | { kind: 'none'; reason: 'all-busy' | 'reserved'; pressure?: number }
+  | { kind: 'none'; reason: 'no-server' | 'all-busy' | 'reserved' | 'old-version' }
   /** All servers limit their requests; the first is expected to accept one after `waitMilliseconds`. */
   | { kind: 'none'; reason: 'at-limit'; waitMilliseconds: number };
 
@@ -155,7 +153,7 @@
     const chosen = chooseServer(candidates, cost, objectiveMilliseconds, this._options.random, limits);
     if (chosen) return { kind: 'found', server: this._servers.get(chosen.id)! };
     const hasSlot = candidates.some((candidate) => canMeetObjective(candidate, cost, objectiveMilliseconds));
-    return { kind: 'none', reason: hasSlot ? 'reserved' : 'all-busy', pressure };
+    return { kind: 'none', reason: hasSlot ? 'reserved' : 'all-busy' };
   }
 
   /** Closes all connections that are not in use. */
--- a/src/serving/slotRequest.ts
+++ b/src/serving/slotRequest.ts
@@ -1,12 +1,13 @@
 /** A request's claim to a slot of a server: passes it to admission control, and keeps what explains a rejection. */
-import type { AdmissionPolicy, FleetLoad, SlotLimits } from '../admission/admissionPolicy.js';
+import type { AdmissionPolicy, FleetLoad, Precedence, SlotLimits } from '../admission/admissionPolicy.js';
 import type { RetryTime } from '../admission/retryDelay.js';
 import { SHUT_OUT_MILLISECONDS } from '../crashes/runDecision.js';
 import type { Clock } from '../utils/clock.js';
+import type { ServingMetrics } from '../telemetry/servingMetrics.js';
 import type { AdmittedRequest } from './admittedRequest.js';
+import type { ForwardingContext } from './forwardingContext.js';
 import type { NoAttemptReason } from './noAttemptReason.js';
 import type { EndFields, RequestOutcome } from './requestTrace.js';
-import type { ServerSelection } from './serverPool.js';
 
 /** Reasons for which a request did not get a slot, as opposed to there being no server for it. */
 const SLOT_REASONS: ReadonlySet<NoAttemptReason> = new Set(['all busy', 'reserved']);
@@ -15,23 +16,26 @@
 export class SlotRequest {
   private readonly _admission: AdmissionPolicy;
   private readonly _clock: Clock;
+  private readonly _metrics: ServingMetrics;
   private readonly _request: AdmittedRequest;
   private _hasGotSlot = false;
+  private _precedence: Precedence | undefined;
   private _pressure: number | undefined;
 
-  constructor({ admission, clock }: { admission: AdmissionPolicy; clock: Clock }, request: AdmittedRequest) {
+  constructor({ admission, clock, metrics }: ForwardingContext, request: AdmittedRequest) {
     this._admission = admission;
     this._clock = clock;
+    this._metrics = metrics;
     this._request = request;
   }
 
   /** Returns which slots the request may use. */
-  readonly limits = (load: FleetLoad): SlotLimits =>
-    this._admission.slotLimits(this._request.profile, load, this._clock.now());
-
-  noteSearch(found: ServerSelection): void {
-    this._pressure = 'pressure' in found ? found.pressure : undefined;
-  }
+  readonly limits = (load: FleetLoad): SlotLimits => {
+    const now = this._clock.now();
+    this._precedence = this._admission.precedence(this._request.profile, now);
+    this._pressure = load.pressure;
+    return this._admission.slotLimits(this._request.profile, load, now);
+  };
 
   noteSent(): void {
     if (!this._hasGotSlot) this._note('sent');
@@ -49,10 +53,15 @@
     );
   }
 
-  /** Additional fields of the log line about the end of the request. */
-  logFields(outcome: RequestOutcome): EndFields {
+  /** Counts the request at its end by its last precedence; returns additional fields for the log line of a rejection. */
+  ended(outcome: RequestOutcome, reason: NoAttemptReason | undefined): EndFields {
+    if (!this._precedence) return {};
+    const { service } = this._request;
+    const { timeliness, rank } = this._precedence;
+    this._metrics.count(`requests_by_timeliness_total{service="${service}",timeliness="${timeliness}"}`);
     if (outcome !== 'refused') return {};
-    const { timeliness, rank } = this._admission.precedence(this._request.profile, this._clock.now());
+    const labels = `service="${service}",rank="${rank}",timeliness="${timeliness}",reason="${reason ?? 'other'}"`;
+    this._metrics.count(`requests_rejected_total{${labels}}`);
     const pressure =
       this._pressure === undefined ? undefined : Number(this._pressure.toFixed(PRESSURE_DIGITS));
     return { timeliness, rank, pressure };
--- a/tests/explain.spec.ts
+++ b/tests/explain.spec.ts
@@ -48,3 +48,12 @@
   await fixture.request();
   expect(await stepsOf('request-2')).toEqual([]);
 });
+
+test('should explain why a request got no slot', () => {
+  const fields = { noAttempt: 'reserved', timeliness: 'late', rank: 2, pressure: 0.931 };
+  const [text] = formatRequestLog([{ time: 0, step: 'request.refused', box: 'b', fields }]);
+  expect(text).toInclude(
+    'reserved for requests before it; the request (rank 2) could no longer meet its objective',
+  );
+  expect(text).toInclude('mean fill 93%');
+});
--- a/tests/lossTable.spec.ts
+++ b/tests/lossTable.spec.ts
@@ -39,3 +39,14 @@
   expect([rows[1].ends['late-midway'], rows[1].ends.refused]).toEqual([1, 1]);
   expect(formatLosses(rows).length).toEqual(5);
 });
+
+test('should count rejected requests by rank, timeliness and reason', async () => {
+  const rejection = { noAttempt: 'reserved', timeliness: 'late', rank: 1, pressure: 0.93 };
+  const log = [line('request.refused', 0, rejection), line('request.refused', 0.2, rejection)];
+  const rows = await readLosses(Readable.from(log), 300);
+  expect(rows.map(({ group, ends }) => [group, ends.refused])).toEqual([
+    ['second 0', 2],
+    ['route r', 2],
+    ['rank 1 late reserved', 2],
+  ]);
+});
