Admission: short wait of on-time requests at the entry

Cause: an on-time request was rejected even if a slot became free a few milliseconds later.

They look for a slot when a status arrives or a request ends. The wait ends when the caller disconnects, when the request would be late, and when the entry stops.

--- a/src/admission/admissionPolicy.ts
+++ b/src/admission/admissionPolicy.ts
@@ -82,6 +82,8 @@
   precedence(profile: AdmissionProfile, now: number): Precedence;
   /** Returns which slots the request may use. */
   slotLimits(profile: AdmissionProfile, load: FleetLoad, now: number): SlotLimits;
+  /** Returns how long the request may wait for a slot, in milliseconds; 0 when it must be rejected immediately. */
+  maxWait(profile: AdmissionProfile, now: number): number;
   /** Records whether a request got a slot. */
   noteOutcome(profile: AdmissionProfile, outcome: SlotOutcome, now: number): void;
   /** Returns the milliseconds after which the caller of a rejected request should retry. */
--- a/src/admission/arrivalOrderPolicy.ts
+++ b/src/admission/arrivalOrderPolicy.ts
@@ -34,6 +34,10 @@
     return NO_SLOT_LIMITS;
   }
 
+  maxWait(): number {
+    return 0;
+  }
+
   noteOutcome(): void {}
 
   /**
--- a/src/admission/firstAttempts.ts
+++ b/src/admission/firstAttempts.ts
@@ -29,6 +29,11 @@
   }
 }
 
+/** Monotonic milliseconds from which a request is late. */
+export function lateFrom(firstAttemptAt: number, objectiveMilliseconds: number): number {
+  return firstAttemptAt + objectiveMilliseconds * (1 - MIN_ANSWER_SHARE);
+}
+
 /** Whether a request whose first attempt was `elapsedMilliseconds` ago can still meet its objective. */
 export function timelinessOf(elapsedMilliseconds: number, objectiveMilliseconds: number): Timeliness {
   return elapsedMilliseconds <= objectiveMilliseconds * (1 - MIN_ANSWER_SHARE) ? 'on-time' : 'late';
--- a/src/admission/onTimeFirstPolicy.ts
+++ b/src/admission/onTimeFirstPolicy.ts
@@ -10,13 +10,16 @@
   SlotOutcome,
 } from './admissionPolicy.js';
 import type { Random } from '../utils/random.js';
-import { FirstAttempts, timelinessOf } from './firstAttempts.js';
+import { FirstAttempts, lateFrom, timelinessOf } from './firstAttempts.js';
 import { PressureTrend } from './pressureTrend.js';
 import { RankShares } from './rankShares.js';
 import { mustSpread, sentShare } from './contention.js';
 import { callerDelay } from './retryDelay.js';
 import { RejectionShare } from './rejectionShare.js';
-import { reservedShare } from './reservedSlots.js';
+import { FIRST_PRESSURE, reservedShare } from './reservedSlots.js';
+
+/** Share of the objective for which a request may wait: its caller loses nothing by a later rejection. */
+const MAX_WAIT_SHARE = 1 / 8;
 
 export class OnTimeFirstPolicy implements AdmissionPolicy {
   readonly kind = 'on-time-first';
@@ -58,6 +61,14 @@
     return { reservedShare: reserved, spread: mustSpread(load) };
   }
 
+  /** No slot is expected during a lasting shortage; a wait would only make the request, and those after it, late. */
+  maxWait(profile: AdmissionProfile, now: number): number {
+    const { service, firstAttemptAt, objectiveMilliseconds } = profile;
+    if (this._trend.mean(service) >= FIRST_PRESSURE) return 0;
+    const left = lateFrom(firstAttemptAt, objectiveMilliseconds) - now;
+    return Math.max(0, Math.min(left, objectiveMilliseconds * MAX_WAIT_SHARE));
+  }
+
   noteOutcome(profile: AdmissionProfile, outcome: SlotOutcome, now: number): void {
     this._rejections.note(profile.service, outcome, now);
     if (this.precedence(profile, now).timeliness === 'late') return;
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -1,10 +1,9 @@
 /** Forwards an admitted request to backend servers until it has an answer. */
-import type { AnswerHeaders, BackendCallListener, CallFailure } from './backendCall.js';
+import type { AnswerHeaders, BackendCall, BackendCallListener, CallFailure } from './backendCall.js';
 import { SuspicionGate } from '../crashes/suspicionGate.js';
 import { SharedInterval } from '../utils/sharedInterval.js';
 import { MISDIRECTED_REQUEST, recordAnswerHead } from './answerHead.js';
 import { AnswerReceiver } from './answerReceiver.js';
-import type { BackendCall } from './backendCall.js';
 import { OWN_STATUS } from './callerExchange.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { PartialAnswer } from './answerClassification.js';
@@ -84,7 +83,11 @@
     if (this._final.ended) return;
     if (!this._suspicionGate.isOpen) return void this._awaitPermission();
     const found = this._attempts.find();
-    if (found.kind === 'none') return this._giveUp(noAttemptReasonOf(found)!);
+    if (found.kind === 'none') {
+      const reason = noAttemptReasonOf(found)!;
+      const giveUp = (): void => this._giveUp(reason);
+      return this._attempts.slot.waitOrGiveUp(reason, () => this._attempt(), giveUp);
+    }
     const { server } = found;
     this._receiver.reset();
     const outgoing = this._attempts.outgoing(server, this._relay?.lastEventId ?? '');
@@ -176,8 +179,7 @@
     this._trace.attemptFailed(server, failure, this._current.elapsedMilliseconds);
     if (!failure.sent && !this._handover.inProgress) return this._afterUnreachable(server);
     this._mayHaveRun = true;
-    if (failure.reason === 'silent') server.health.noteOutcome('silent');
-    else server.health.noteOutcome('failed');
+    server.health.noteOutcome(failure.reason === 'silent' ? 'silent' : 'failed');
     if (failure.brokeOff) void this._afterDisconnect(server, failure);
     else this._continueAfter(failure);
   }
@@ -289,11 +291,9 @@
   private _giveUp(reason: NoAttemptReason): void {
     this._noAttempt = reason;
     if (this._waitIfTransient(reason)) return;
-    this._final.giveUp(reason, {
-      begun: this._relay?.begun === true,
-      mayHaveRun: this._mayHaveRun,
-      retryAfterMilliseconds: this._attempts.retryAfter(reason),
-    });
+    const begun = this._relay?.begun === true;
+    const retryAfterMilliseconds = this._attempts.retryAfter(reason);
+    this._final.giveUp(reason, { begun, mayHaveRun: this._mayHaveRun, retryAfterMilliseconds });
   }
 
   private _onTimeout(): void {
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -150,6 +150,7 @@
     addGatewayGauges({
       metrics: this._metrics,
       running: () => this._running,
+      waiting: () => this._pool.waiting.count,
       callers: this._callers,
       configuration: this._configuration,
       links: this._links,
@@ -180,6 +181,7 @@
     this._closesAt = drainDeadline(drainingEntry);
     this._log.state('gateway.leaving', { running: this._running, connections: this._callers.connections });
     this._links.announceNow();
+    this._pool.waiting.close();
     await drainCallers(drainingEntry);
     this.close();
     this._log.state('gateway.stopped', { running: this._running });
--- a/src/serving/gatewayGauges.ts
+++ b/src/serving/gatewayGauges.ts
@@ -15,6 +15,8 @@
   metrics: ServingMetrics;
   /** Number of requests that have been admitted and have not ended. */
   running: () => number;
+  /** Number of requests that wait for a slot. */
+  waiting: () => number;
   callers: CallerServer;
   configuration: ConfigurationHolder;
   links: BoxLinks;
@@ -27,10 +29,22 @@
 
 /** Registers the gauges; each value is read when the metrics are requested. */
 export function addGatewayGauges(options: GatewayGaugesOptions): void {
-  const { metrics, running, callers, configuration, links, entries, followers, signals, unreadable, log } =
-    options;
+  const {
+    metrics,
+    running,
+    waiting,
+    callers,
+    configuration,
+    links,
+    entries,
+    followers,
+    signals,
+    unreadable,
+    log,
+  } = options;
   addControlGauges(metrics);
   metrics.gauge('requests_running', running);
+  metrics.gauge('requests_waiting', waiting);
   metrics.gauge('caller_connections', () => callers.connections);
   metrics.gauge('configuration_version', () => configuration.version);
   metrics.gauge('agents_connected', () => links.connected);
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -15,6 +15,7 @@
 import { RetryAllowances } from './retryAllowances.js';
 import { chooseTarget } from './routeIndex.js';
 import type { RouteIndex } from './routeIndex.js';
+import { RETRY_AFTER_LEAVING_MILLISECONDS } from './slotRequest.js';
 import type { CustomerKeys, Route } from './servingConfiguration.js';
 
 export interface AdmissionOptions {
@@ -48,8 +49,6 @@
 const MAX_REQUEST_MILLISECONDS = 3_600_000;
 /** Upper bound of a typical request's duration; a draining entry admits only requests that will end in time. */
 const TYPICAL_MILLISECONDS = 3_200;
-/** Retry delay when this entry is draining: another entry can take the request immediately. */
-const RETRY_AFTER_LEAVING_MILLISECONDS = 10;
 
 export class RequestAdmission {
   readonly policy: AdmissionPolicy;
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -1,4 +1,5 @@
 /** Keeps all backend servers listed by service discovery and selects one for each request. */
+import { WaitingRequests } from '../admission/waitingRequests.js';
 import type { ServerSignals } from '../backpressure/serverSignals.js';
 import type { BoxStatus } from '../protocol/boxMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
@@ -81,6 +82,8 @@
 const MAX_CONTINUATION_FILL = 1.1;
 
 export class ServerPool {
+  /** Requests that wait for a slot of a server. */
+  readonly waiting = new WaitingRequests();
   private readonly _options: ServerPoolOptions;
   /** The current incarnation of each server, by server id. */
   private readonly _servers = new Map<string, TrackedServer>();
@@ -120,6 +123,7 @@
   /** Applies a status message of the agent at `host`. */
   noteStatus(host: string, status: BoxStatus): void {
     for (const { record } of this._byHost.get(host) ?? []) this._noteStatusOf(record, status);
+    this.waiting.wake();
   }
 
   /** Selects one of the servers that report their load here, or of all if none of these can serve the request. */
--- a/src/serving/slotRequest.ts
+++ b/src/serving/slotRequest.ts
@@ -4,6 +4,8 @@
 import { SHUT_OUT_MILLISECONDS } from '../crashes/runDecision.js';
 import type { Clock } from '../utils/clock.js';
 import type { ServingMetrics } from '../telemetry/servingMetrics.js';
+import type { WaitingRequests } from '../admission/waitingRequests.js';
+import { SlotWait } from './slotWait.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { ForwardingContext } from './forwardingContext.js';
 import type { NoAttemptReason } from './noAttemptReason.js';
@@ -11,6 +13,8 @@
 
 /** Reasons for which a request did not get a slot, as opposed to there being no server for it. */
 const SLOT_REASONS: ReadonlySet<NoAttemptReason> = new Set(['all busy', 'reserved']);
+/** Retry delay while this entry stops: another entry can take the request immediately. */
+export const RETRY_AFTER_LEAVING_MILLISECONDS = 10;
 const PRESSURE_DIGITS = 2;
 
 export class SlotRequest {
@@ -18,14 +22,18 @@
   private readonly _clock: Clock;
   private readonly _metrics: ServingMetrics;
   private readonly _request: AdmittedRequest;
+  private readonly _waiting: WaitingRequests;
+  private readonly _wait: SlotWait;
   private _hasGotSlot = false;
   private _precedence: Precedence | undefined;
   private _pressure: number | undefined;
 
-  constructor({ admission, clock, metrics }: ForwardingContext, request: AdmittedRequest) {
+  constructor({ admission, pool, clock, metrics }: ForwardingContext, request: AdmittedRequest) {
     this._admission = admission;
     this._clock = clock;
     this._metrics = metrics;
+    this._waiting = pool.waiting;
+    this._wait = new SlotWait(pool.waiting);
     this._request = request;
   }
 
@@ -37,7 +45,24 @@
     return this._admission.slotLimits(this._request.profile, load, now);
   };
 
+  /**
+   * Makes the request wait for a slot if one is expected in time. `tryAgain` looks for one, and calls this method again if
+   * there is still none; `giveUp` is called at the end of the wait, or immediately if the request must not wait.
+   */
+  waitOrGiveUp(reason: NoAttemptReason, tryAgain: () => void, giveUp: () => void): void {
+    const mayWait = !this._hasGotSlot && SLOT_REASONS.has(reason);
+    if (mayWait && this._wait.isWaiting) return;
+    const { profile } = this._request;
+    const { rank, firstAttemptAt, objectiveMilliseconds } = profile;
+    const objectiveEndsAt = firstAttemptAt + objectiveMilliseconds;
+    const milliseconds = this._admission.maxWait(profile, this._clock.now());
+    const waits = mayWait && this._wait.begin({ rank, objectiveEndsAt, tryAgain, giveUp }, milliseconds);
+    if (waits) this._metrics.count(`requests_waited_total{service="${this._request.service}"}`);
+    else giveUp();
+  }
+
   noteSent(): void {
+    this._wait.end();
     if (!this._hasGotSlot) this._note('sent');
     this._hasGotSlot = true;
   }
@@ -45,6 +70,7 @@
   /** Records that the request is rejected; returns the milliseconds after which its caller should retry. */
   retryDelay(reason: NoAttemptReason, time: RetryTime): number {
     if (reason === 'ends servers') return SHUT_OUT_MILLISECONDS;
+    if (this._waiting.isClosed) return RETRY_AFTER_LEAVING_MILLISECONDS;
     const lacksSlot = SLOT_REASONS.has(reason);
     if (!this._hasGotSlot && lacksSlot) this._note('rejected');
     return this._admission.retryDelay(
@@ -53,8 +79,10 @@
     );
   }
 
-  /** Counts the request at its end by its last precedence; returns additional fields for the log line of a rejection. */
+  /** Ends the request's wait, counts the request by its last precedence, and has others look for the slot it had; returns additional fields for the log line of a rejection. */
   ended(outcome: RequestOutcome, reason: NoAttemptReason | undefined): EndFields {
+    this._wait.end();
+    if (this._hasGotSlot) this._waiting.wake();
     if (!this._precedence) return {};
     const { service } = this._request;
     const { timeliness, rank } = this._precedence;
--- a/tests/requestAttempts.spec.ts
+++ b/tests/requestAttempts.spec.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { ArrivalOrderPolicy } from '../src/admission/arrivalOrderPolicy.js';
+import { WaitingRequests } from '../src/admission/waitingRequests.js';
 import type { AdmittedRequest } from '../src/serving/admittedRequest.js';
 import type { ForwardingContext } from '../src/serving/forwardingContext.js';
 import type { NoAttemptReason } from '../src/serving/noAttemptReason.js';
@@ -50,6 +51,7 @@
   const services = {
     clock,
     gate,
+    pool: {},
     admission: new ArrivalOrderPolicy(new SeededRandom(1)),
   } as unknown as ForwardingContext;
   const request = { service: 's', model: 'm', route: routeFixture() } as AdmittedRequest;
@@ -78,7 +80,7 @@
   const { found = FOUND, slack = 100, sent = 1, left = 1_000, begun = false } = situation;
   const clock = new ManualClock();
   const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
-  const pool = { find: () => found };
+  const pool = { find: () => found, waiting: new WaitingRequests() };
   const services = {
     clock,
     gate,
