Admission: no limits on slots for a request that may have run

Cause: a request whose server failed or fell silent was searched for another server as a late one. Under shortage it found none and ended with 502, after which its caller does not retry.

Change: such a request has no limits on slots, like a begun stream. The new test failed before: the second of its four searches was limited.

--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -58,6 +58,14 @@
     return kind === 'repeatable' || (kind === 'stream' && resumable);
   }
 
+  /**
+   * Whether a server may have run the request. Its caller cannot be told to retry, so that it is not subject to the
+   * limits on slots any more.
+   */
+  private get _mayHaveRun(): boolean {
+    return this._hasBegun() || this._count > this._notRunCount;
+  }
+
   /** Milliseconds until the request's deadline. */
   get remainingMilliseconds(): number {
     return this._request.endsAt - this._context.clock.now();
@@ -84,7 +92,7 @@
       newestVersion: gate.newest(model),
       objectiveMilliseconds: this._objectiveMilliseconds(isHandover),
       isContinuation: isHandover || this._hasBegun(),
-      slotLimits: isHandover || this._hasBegun() ? undefined : this.slot.limits,
+      slotLimits: isHandover || this._mayHaveRun ? undefined : this.slot.limits,
       tried: this._hasBegun() && !isHandover ? this._excludedServers() : this._tried,
     });
     this._waitMilliseconds = 'waitMilliseconds' in found ? found.waitMilliseconds : 0;
--- a/src/serving/slotRequest.ts
+++ b/src/serving/slotRequest.ts
@@ -79,7 +79,10 @@
     );
   }
 
-  /** Ends the request's wait, counts the request by its last precedence, and has others look for the slot it had; returns additional fields for the log line of a rejection. */
+  /**
+   * Ends the request's wait, counts the request by its last precedence, and has others look for the slot that it had.
+   * Returns additional fields for the log line of a rejection.
+   */
   ended(outcome: RequestOutcome, reason: NoAttemptReason | undefined): EndFields {
     this._wait.end();
     if (this._hasGotSlot) this._waiting.wake();
--- a/tests/requestAttempts.spec.ts
+++ b/tests/requestAttempts.spec.ts
@@ -175,3 +175,23 @@
   expect(attemptsIn({ left: -5 }).retryAfter('time')).toEqual(0);
   expect(attemptsIn({ left: 6_000 }).retryAfter('ends servers')).toEqual(600_000);
 });
+
+test('should limit the slots only of requests that have not run, as the others cannot be rejected', () => {
+  const clock = new ManualClock();
+  const limited: boolean[] = [];
+  const find = (need: ServerRequirements): ServerSelection => {
+    limited.push(need.slotLimits !== undefined);
+    return FOUND;
+  };
+  const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
+  const admission = new ArrivalOrderPolicy(new SeededRandom(1));
+  const services = { clock, gate, pool: { find }, admission } as unknown as ForwardingContext;
+  const attempts = new RequestAttempts(services, { route: routeFixture() } as AdmittedRequest);
+  attempts.find();
+  attempts.noteSent(SERVER);
+  attempts.find();
+  attempts.noteNotRun(SERVER);
+  attempts.find();
+  attempts.find(true);
+  expect(limited).toEqual([true, false, true, false]);
+});
