--- a/src/cli/rejectionText.ts
+++ b/src/cli/rejectionText.ts
@@ -5,8 +5,16 @@
   reserved: 'the free slots were reserved for requests before it',
 };
 
+/** The fields of a log line that the explanation depends on. */
+export interface RejectionFields {
+  noAttempt?: unknown;
+  timeliness?: unknown;
+  rank?: unknown;
+  pressure?: unknown;
+}
+
 /** Returns the explanation; undefined for lines that do not tell of a rejection for lack of a slot. */
-export function rejectionText(fields: Readonly<Record<string, unknown>>): string | undefined {
+export function rejectionText(fields: RejectionFields): string | undefined {
   const text = TEXT_BY_REASON[String(fields.noAttempt)];
   if (text === undefined || fields.timeliness === undefined) return undefined;
   const timeliness =
--- a/src/serving/slotRequest.ts
+++ b/src/serving/slotRequest.ts
@@ -26,7 +26,7 @@
   private readonly _wait: SlotWait;
   private _hasGotSlot = false;
   private _precedence: Precedence | undefined;
-  private _pressure: number | undefined;
+  private _pressure = 0;
 
   constructor({ admission, pool, clock, metrics }: ForwardingContext, request: AdmittedRequest) {
     this._admission = admission;
@@ -93,9 +93,7 @@
     if (outcome !== 'refused') return {};
     const labels = `service="${service}",rank="${rank}",timeliness="${timeliness}",reason="${reason ?? 'other'}"`;
     this._metrics.count(`requests_rejected_total{${labels}}`);
-    const pressure =
-      this._pressure === undefined ? undefined : Number(this._pressure.toFixed(PRESSURE_DIGITS));
-    return { timeliness, rank, pressure };
+    return { timeliness, rank, pressure: Number(this._pressure.toFixed(PRESSURE_DIGITS)) };
   }
 
   private _note(outcome: 'sent' | 'rejected'): void {
