--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -1,5 +1,6 @@
 /** An entry that connects directly to backend servers; creates its components and runs them. */
 import type http from 'node:http';
+import { createAdmissionPolicy } from '../admission/createAdmissionPolicy.js';
 import type { ServerSignals } from '../backpressure/serverSignals.js';
 import type { EntryAddress } from '../protocol/boxMessages.js';
 import type { ControlOptions } from '../protocol/controlConnection.js';
@@ -83,11 +84,10 @@
     this._own = entryAddressOf(settings);
     this._configuration = new ConfigurationHolder(parts.log);
     this._locality = new EntryLocality(settings, this._configuration);
-    const own = { own: this._own, clock, log: parts.log };
+    const { _own: own, _configuration: configuration, _log: log } = this;
     const { peerTimeoutMilliseconds } = settings;
-    this._entries = new EntryDirectory({ ...own, peerTimeoutMilliseconds });
-    const { _entries: entries, _configuration: configuration } = this;
-    this._signals = createEntrySignals({ ...own, entries, configuration });
+    const entries = (this._entries = new EntryDirectory({ own, clock, log, peerTimeoutMilliseconds }));
+    this._signals = createEntrySignals({ own, clock, log, entries, configuration });
     this._pool = this._createPool(random);
     this._gate = new VersionGate(
       { switchMilliseconds: settings.versionMilliseconds, contactMilliseconds: settings.contactMilliseconds },
@@ -120,6 +120,7 @@
     this._forward = {
       names: parts.names,
       pool: this._pool,
+      admission: this._admission.policy,
       gate: this._gate,
       suspicions: this._followers.suspicions,
       clock,
@@ -145,6 +146,7 @@
     addGatewayGauges({
       metrics: this._metrics,
       running: () => this._running,
+      waiting: () => this._pool.waiting.count,
       callers: this._callers,
       configuration: this._configuration,
       links: this._links,
@@ -176,6 +178,7 @@
     this._closesAt = drainDeadline(drainingEntry);
     this._log.state('gateway.leaving', { running: this._running, connections: this._callers.connections });
     this._links.announceNow();
+    this._pool.waiting.close();
     await drainCallers(drainingEntry);
     this.close();
     this._log.state('gateway.stopped', { running: this._running });
@@ -274,6 +277,7 @@
 
   private _createAdmission(random: Random): RequestAdmission {
     return new RequestAdmission({
+      policy: createAdmissionPolicy(this._settings.admission, random),
       names: this._parts.names,
       configuration: this._configuration,
       clock: this._clock,
--- a/src/serving/noAttemptReason.ts
+++ b/src/serving/noAttemptReason.ts
@@ -8,6 +8,7 @@
  * - `no server`: no server is left to try.
  * - `no permitted server`: all servers are outside of the request's home regions, or in evacuated data centres.
  * - `all busy`: no server has capacity.
+ * - `reserved`: the free slots are reserved for requests that come before this one.
  * - `old version`: no server has a version on which the request may still begin.
  * - `servers at limit`: all servers are at the request rate that they accept from this entry.
  * - `time`: too little time is left for another attempt.
@@ -20,6 +21,7 @@
   | 'no server'
   | 'no permitted server'
   | 'all busy'
+  | 'reserved'
   | 'old version'
   | 'servers at limit'
   | 'time'
@@ -32,6 +34,7 @@
   'no server',
   'no permitted server',
   'all busy',
+  'reserved',
   'old version',
   'servers at limit',
 ]);
@@ -39,6 +42,7 @@
   'no-server': 'no server',
   'not-permitted': 'no permitted server',
   'all-busy': 'all busy',
+  reserved: 'reserved',
   'old-version': 'old version',
   'at-limit': 'servers at limit',
 } as const;
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -1,5 +1,6 @@
 /** Checks a caller's request against the configuration, and either admits it or answers it. */
 import type http from 'node:http';
+import type { AdmissionPolicy, AdmissionProfile } from '../admission/admissionPolicy.js';
 import { requestFingerprint } from '../crashes/requestFingerprint.js';
 import { permittedRegions } from '../locality/permittedRegions.js';
 import type { EventLog } from '../telemetry/eventLog.js';
@@ -15,9 +16,11 @@
 import { RetryAllowances } from './retryAllowances.js';
 import { chooseTarget } from './routeIndex.js';
 import type { RouteIndex } from './routeIndex.js';
+import { RETRY_AFTER_LEAVING_MILLISECONDS } from './slotRequest.js';
 import type { CustomerKeys, Route } from './servingConfiguration.js';
 
 export interface AdmissionOptions {
+  policy: AdmissionPolicy;
   names: HeaderNames;
   configuration: ConfigurationHolder;
   clock: Clock;
@@ -43,20 +46,22 @@
   reason: string;
 }
 
+/** The lowest rank that the priority header can carry. */
+const MAX_PRIORITY = 9;
 const RETRY_AFTER_STALE_MILLISECONDS = 400;
 const MAX_REQUEST_MILLISECONDS = 3_600_000;
 /** Upper bound of a typical request's duration; a draining entry admits only requests that will end in time. */
 const TYPICAL_MILLISECONDS = 3_200;
-/** Retry delay when this entry is draining: another entry can take the request immediately. */
-const RETRY_AFTER_LEAVING_MILLISECONDS = 10;
 
 export class RequestAdmission {
+  readonly policy: AdmissionPolicy;
   private readonly _options: AdmissionOptions;
   private readonly _retries: RetryAllowances;
   private readonly _droppedHeaders: ReadonlySet<string>;
 
   constructor(options: AdmissionOptions) {
     this._options = options;
+    this.policy = options.policy;
     const { names, retryLimit, clock, entries, isFirstStart } = options;
     this._retries = new RetryAllowances(retryLimit, clock, entries, isFirstStart);
     this._droppedHeaders = new Set([
@@ -138,8 +143,9 @@
     const { request } = exchange;
     const headers = forwardedHeaders(request, this._droppedHeaders);
     if (customer) headers.push(names.customer, customer.name);
-    headers.push(names.priority, String(customer?.priority ?? route.priority));
     const service = chooseTarget(route, random.fraction());
+    const profile = this._profile(request, route, service, customer, arrivedAt);
+    headers.push(names.priority, String(priorityOf(profile, route, customer)));
     const retries = this._retries.of(service);
     retries.onRequest();
     const { method = 'GET', url: path = '/' } = request;
@@ -160,10 +166,32 @@
       promptSize: promptSize(request.headers[names.tokens], this._meanPromptTokens(service)),
       lastEventId: String(request.headers[names.lastEventId] ?? ''),
       retries,
+      profile,
       endsAt: arrivedAt + this._timeout(request, route),
     };
   }
 
+  private _profile(
+    request: http.IncomingMessage,
+    route: Route,
+    service: string,
+    customer: CustomerKeys | undefined,
+    arrivedAt: number,
+  ): AdmissionProfile {
+    const { configuration, names } = this._options;
+    const rank = configuration.index?.ranks.rank(service, route, customer?.priority);
+    const deadline = Number(request.headers[names.deadline]);
+    return this.policy.admit({
+      service,
+      route: route.name,
+      objectiveMilliseconds: route.objectiveMilliseconds,
+      rank: rank?.rank ?? 0,
+      ranks: rank?.ranks ?? 1,
+      deadlineMilliseconds: deadline > 0 ? Math.min(deadline, MAX_REQUEST_MILLISECONDS) : undefined,
+      arrivedAt,
+    });
+  }
+
   /** Mean number of tokens of a prompt to a service, 0 when unknown. */
   private _meanPromptTokens(service: string): number {
     return this._options.configuration.index?.service(service)?.engine?.meanPromptTokens ?? 0;
@@ -179,3 +207,12 @@
     return this._options.closesIn() >= Math.min(this._timeout(request, route), TYPICAL_MILLISECONDS);
   }
 }
+
+/** Priority of a request at the server: its rank if the service has several, else the configured priority. */
+function priorityOf(
+  { rank, ranks }: AdmissionProfile,
+  route: Route,
+  customer: CustomerKeys | undefined,
+): number {
+  return ranks > 1 ? Math.min(MAX_PRIORITY, rank) : (customer?.priority ?? route.priority);
+}
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -5,8 +5,8 @@
 import type { NoAttemptReason } from './noAttemptReason.js';
 import { noAttemptReasonOf } from './noAttemptReason.js';
 import { outgoingRequest } from './outgoingRequest.js';
-import { computeRetryAfter } from './retryAfter.js';
 import type { ServerSelection } from './serverPool.js';
+import { SlotRequest } from './slotRequest.js';
 import { HANDOVER_TIMEOUT_MILLISECONDS } from './streamHandover.js';
 import type { TrackedServer } from './trackedServer.js';
 
@@ -23,6 +23,8 @@
 const MIN_RESEND_INTERVAL_MILLISECONDS = 100;
 
 export class RequestAttempts {
+  /** The request's claim to a slot. */
+  readonly slot: SlotRequest;
   private readonly _context: ForwardingContext;
   private readonly _request: AdmittedRequest;
   private readonly _hasBegun: () => boolean;
@@ -42,6 +44,7 @@
     this._hasBegun = hasBegun;
     this._context = context;
     this._request = request;
+    this.slot = new SlotRequest(context, request);
   }
 
   /** Number of sends, without those that did not reach a server. */
@@ -55,6 +58,14 @@
     return kind === 'repeatable' || (kind === 'stream' && resumable);
   }
 
+  /**
+   * Whether a server may have run the request. Its caller cannot be told to retry, so that it is not subject to the
+   * limits on slots any more.
+   */
+  private get _mayHaveRun(): boolean {
+    return this._hasBegun() || this._count > this._notRunCount;
+  }
+
   /** Milliseconds until the request's deadline. */
   get remainingMilliseconds(): number {
     return this._request.endsAt - this._context.clock.now();
@@ -82,6 +93,7 @@
       newestVersion: gate.newest(model),
       objectiveMilliseconds: this._objectiveMilliseconds(isHandover),
       isContinuation: isHandover || this._hasBegun(),
+      slotLimits: isHandover || this._mayHaveRun ? undefined : this.slot.limits,
       tried: this._hasBegun() && !isHandover ? this._excludedServers() : this._tried,
     });
     this._waitMilliseconds = 'waitMilliseconds' in found ? found.waitMilliseconds : 0;
@@ -109,6 +121,7 @@
   /** Counts an attempt at `server`. */
   noteSent(server: TrackedServer): void {
     this._count++;
+    this.slot.noteSent();
     this._tried.add(server.record.id);
     this._notRunAt.delete(server.record.id);
   }
@@ -151,8 +164,8 @@
 
   /** Milliseconds after which the caller should retry a request that was refused for `reason`. */
   retryAfter(reason: NoAttemptReason): number {
-    const fraction = this._context.random.fraction();
-    return computeRetryAfter(reason, this.remainingMilliseconds, fraction, this._waitMilliseconds);
+    const time = { leftMilliseconds: this.remainingMilliseconds, waitMilliseconds: this._waitMilliseconds };
+    return this.slot.retryDelay(reason, time);
   }
 
   private _noteNotRunAt(server: TrackedServer): void {
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -1,4 +1,6 @@
 /** Chooses the backend server with the lowest expected cost for a request. Pure functions except for randomness. */
+import type { SlotLimits } from '../admission/admissionPolicy.js';
+import { NO_SLOT_LIMITS } from '../admission/admissionPolicy.js';
 import type { Random } from '../utils/random.js';
 import { shuffled } from '../utils/random.js';
 
@@ -62,8 +64,9 @@
 const LAST_SLOT_COST_MILLISECONDS = 100;
 const CROWDING_EXPONENT = 4;
 /** Number of servers that are sampled and compared, and how many of them are in the own data centre. */
-const SAMPLE_SIZE = 4;
-const OWN_DATA_CENTRE_SAMPLE = 3;
+const USUAL_SAMPLE = { size: 4, own: 3 };
+/** The same while servers are nearly full, when all entries would choose the emptiest one of the last reports. */
+const SPREAD_SAMPLE = { size: 2, own: 1 };
 
 /** Expected cost of sending a request to `candidate`, in milliseconds. */
 export function expectedCost(candidate: Candidate, service: ServiceCost): number {
@@ -89,13 +92,15 @@
 /**
  * Whether a request sent to `candidate` is likely to get its first byte within its objective. If no
  * candidate qualifies, the request is refused, because more work on a full server would delay all of its requests.
+ * `reservedShare` is the share of the slots that the request has to leave to others.
  */
 export function canMeetObjective(
   candidate: Candidate,
   service: ServiceCost,
   objectiveMilliseconds: number,
+  reservedShare = 0,
 ): boolean {
-  if (candidate.load >= candidate.slots * service.maxFill) return false;
+  if (candidate.load >= candidate.slots * service.maxFill * (1 - reservedShare)) return false;
   const spare = objectiveMilliseconds * (1 - BASE_SHARE);
   return candidate.pendingPrompts * service.readMilliseconds <= spare;
 }
@@ -114,10 +119,11 @@
   service: ServiceCost,
   objectiveMilliseconds: number,
   random: Random,
+  { reservedShare, spread }: SlotLimits = NO_SLOT_LIMITS,
 ): T | undefined {
   const healthy = candidates.filter((candidate) => !candidate.failing);
   const timely = (healthy.length > 0 ? healthy : candidates).filter((candidate) =>
-    canMeetObjective(candidate, service, objectiveMilliseconds),
+    canMeetObjective(candidate, service, objectiveMilliseconds, reservedShare),
   );
   const preferred = timely.filter((candidate) => !candidate.avoided);
   const usable = preferred.length > 0 ? preferred : timely;
@@ -129,14 +135,20 @@
     usable.filter((candidate) => !candidate.sameDataCentre),
     random,
   );
-  const ownSample = ownDataCentre.slice(
-    0,
-    Math.max(OWN_DATA_CENTRE_SAMPLE, SAMPLE_SIZE - otherDataCentres.length),
-  );
-  const sample = [...ownSample, ...otherDataCentres.slice(0, SAMPLE_SIZE - ownSample.length)];
+  const { size, own } = spread ? SPREAD_SAMPLE : USUAL_SAMPLE;
+  const ownSample = ownDataCentre.slice(0, Math.max(own, size - otherDataCentres.length));
+  const sample = [...ownSample, ...otherDataCentres.slice(0, size - ownSample.length)];
   return cheapest(sample, service);
 }
 
+/** Mean fill of the candidates, without those that fail and only look empty; 1 when no more is sent to any of them. */
+export function meanFill(candidates: readonly Candidate[], service: ServiceCost): number {
+  const healthy = candidates.filter((candidate) => !candidate.failing && !candidate.avoided);
+  const slots = healthy.reduce((sum, candidate) => sum + candidate.slots, 0) * service.maxFill;
+  const filled = healthy.reduce((sum, candidate) => sum + candidate.load, 0);
+  return slots > 0 ? filled / slots : 0;
+}
+
 /** Returns the first candidate unless a later one is cheaper by more than the tie margin. */
 function cheapest<T extends Candidate>(candidates: readonly T[], service: ServiceCost): T | undefined {
   let best: T | undefined;
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -1,4 +1,5 @@
 /** Keeps all backend servers listed by service discovery and selects one for each request. */
+import { WaitingRequests } from '../admission/waitingRequests.js';
 import { ObservedStarts } from '../backpressure/observedStarts.js';
 import type { ServerSignals } from '../backpressure/serverSignals.js';
 import type { ServerPermission } from '../locality/serverPermission.js';
@@ -9,12 +10,13 @@
 import type { Random } from '../utils/random.js';
 import { BackendConnections } from './backendConnections.js';
 import type { BackendServerRecord } from './backendServerRecord.js';
-import type { Candidate, ServiceCost } from './serverChoice.js';
-import { chooseServer } from './serverChoice.js';
+import type { Candidate } from './serverChoice.js';
+import { canMeetObjective, chooseServer, meanFill } from './serverChoice.js';
 import { eligibleServers } from './serverEligibility.js';
 import type { IncarnationSource } from './serverIncarnation.js';
 import { ServerIncarnation, UNKNOWN_START } from './serverIncarnation.js';
 import type { ServerRequirements } from './serverRequirements.js';
+import { serviceCost } from './serviceCost.js';
 import type { ServiceDescription } from './servingConfiguration.js';
 import { TrackedServer } from './trackedServer.js';
 
@@ -49,7 +51,7 @@
 /** The selected server, or the reason why there is none. */
 export type ServerSelection =
   | { kind: 'found'; server: TrackedServer }
-  | { kind: 'none'; reason: 'no-server' | 'not-permitted' | 'all-busy' | 'old-version' }
+  | { kind: 'none'; reason: 'no-server' | 'not-permitted' | 'all-busy' | 'reserved' | 'old-version' }
   /** All servers limit their requests; the first is expected to accept one after `waitMilliseconds`. */
   | { kind: 'none'; reason: 'at-limit'; waitMilliseconds: number };
 
@@ -60,31 +62,12 @@
 const KEEP_MISSING_MILLISECONDS = 1_700;
 const DEFAULT_CONNECTIONS = 4;
 const NO_SERVERS: ReadonlySet<string> = new Set();
-/** Cost parameters of services without a model engine, whose servers slow down when they are nearly full. */
-const PLAIN_COST: ServiceCost = {
-  serviceMilliseconds: 60,
-  readMilliseconds: 0,
-  typicalFirstByteMilliseconds: 100,
-  maxFill: 3,
-  batchSlowdown: 0.25,
-  tieMilliseconds: 0,
-};
-/** Typical number of prompts read and of steps taken by a server before the first event of a stream. */
-const TYPICAL_FIRST_READS = 3;
-const TYPICAL_FIRST_STEPS = 12;
 /** Maximum number of entries assumed to send to one server at the same time; more would choose different servers. */
 const MAX_SHARERS = 3;
-/** Cost differences below this many prompts are ignored, since another entry may just have sent one. */
-const TIE_PROMPTS = 0.8;
-/** A request beyond the batch waits for another to end, for several times its objective, and delays all later ones. */
-const MAX_ENGINE_FILL = 1;
-/**
- * Higher for streams that are handed over, or resumed after a server broke them off: they were admitted already, and
- * a pending handover delays a version switch.
- */
-const MAX_CONTINUATION_FILL = 1.1;
 
 export class ServerPool {
+  /** Requests that wait for a slot of a server. */
+  readonly waiting = new WaitingRequests();
   private readonly _options: ServerPoolOptions;
   /** The current incarnation of each server, by server id. */
   private readonly _servers = new Map<string, TrackedServer>();
@@ -126,6 +109,7 @@
   /** Applies a status message of the agent at `host`. */
   noteStatus(host: string, status: BoxStatus): void {
     for (const { record } of this._byHost.get(host) ?? []) this._noteStatusOf(record, status);
+    this.waiting.wake();
   }
 
   /**
@@ -142,7 +126,8 @@
     const present = permitted.filter(({ record }) => !tried.has(record.id));
     const routed = present.filter(({ host }) => this._options.isRouted(host));
     const found = this._findAmong(routed, requirements);
-    const othersMayServe = found.kind === 'none' && found.reason !== 'all-busy';
+    const othersMayServe =
+      found.kind === 'none' && found.reason !== 'all-busy' && found.reason !== 'reserved';
     return othersMayServe && routed.length < present.length ? this._findAmong(present, requirements) : found;
   }
 
@@ -155,10 +140,15 @@
       return { kind: 'none', reason: 'at-limit', waitMilliseconds: shortestWait(eligible) };
     const open = accepting.filter((server) => server.connections.available);
     const candidates = open.map((server) => this._candidate(server, requirements));
-    const cost = this._cost(requirements);
-    const chosen = chooseServer(candidates, cost, requirements.objectiveMilliseconds, this._options.random);
-    if (!chosen) return { kind: 'none', reason: 'all-busy' };
-    return { kind: 'found', server: this._servers.get(chosen.id)! };
+    const { service, isContinuation } = requirements;
+    const cost = serviceCost(this._options.service(service)?.engine, isContinuation);
+    const { objectiveMilliseconds, slotLimits } = requirements;
+    const pressure = meanFill(candidates, cost);
+    const limits = slotLimits?.({ pressure, entries: this._options.entries() });
+    const chosen = chooseServer(candidates, cost, objectiveMilliseconds, this._options.random, limits);
+    if (chosen) return { kind: 'found', server: this._servers.get(chosen.id)! };
+    const hasSlot = candidates.some((candidate) => canMeetObjective(candidate, cost, objectiveMilliseconds));
+    return { kind: 'none', reason: hasSlot ? 'reserved' : 'all-busy' };
   }
 
   /** Closes all connections that are not in use. */
@@ -295,23 +285,6 @@
       failing: health.failing(load.outstanding),
     };
   }
-
-  private _cost({ service, isContinuation }: ServerRequirements): ServiceCost {
-    const engine = this._options.service(service)?.engine;
-    if (!engine) return PLAIN_COST;
-    const reading = engine.meanPromptTokens / (engine.readTokensPerSecond / 1000);
-    const writing = engine.meanAnswerTokens * engine.stepMilliseconds;
-    const typicalFirstByteMilliseconds =
-      TYPICAL_FIRST_READS * reading + TYPICAL_FIRST_STEPS * engine.stepMilliseconds;
-    return {
-      serviceMilliseconds: reading + writing,
-      readMilliseconds: reading,
-      typicalFirstByteMilliseconds,
-      maxFill: isContinuation ? MAX_CONTINUATION_FILL : MAX_ENGINE_FILL,
-      batchSlowdown: 0,
-      tieMilliseconds: reading * TIE_PROMPTS,
-    };
-  }
 }
 
 function shortestWait(servers: readonly TrackedServer[]): number {
--- a/src/serving/serverRequirements.ts
+++ b/src/serving/serverRequirements.ts
@@ -1,6 +1,8 @@
 import type { PermittedRegions } from '../locality/permittedRegions.js';
 
 /** Requirements of a request on the server that it is sent to. */
+import type { FleetLoad, SlotLimits } from '../admission/admissionPolicy.js';
+
 export interface ServerRequirements {
   service: string;
   /** Regions in which the request may run. */
@@ -19,6 +21,8 @@
   objectiveMilliseconds: number;
   /** Whether another server still runs the request, or broke off its answer, so that this one only continues it. */
   isContinuation: boolean;
+  /** Returns which slots the request may use; all if absent. */
+  slotLimits?: (load: FleetLoad) => SlotLimits;
   /** Ids of the servers that the request was already sent to. */
   tried: ReadonlySet<string>;
 }
