--- a/src/backpressure/coldLimit.ts
+++ b/src/backpressure/coldLimit.ts
@@ -79,8 +79,8 @@
   }
 
   /**
-   * Records that the server is cold until `until`, in monotonic milliseconds. Returns whether it becomes cold by that, or
-   * remains cold for considerably longer than known.
+   * Records that the server is cold until `until`, in monotonic milliseconds. Returns whether it becomes cold by that,
+   * or remains cold for considerably longer than known.
    */
   note(source: ColdSource, until: number): boolean {
     const now = this._clock.now();
--- a/src/backpressure/coldShare.ts
+++ b/src/backpressure/coldShare.ts
@@ -35,8 +35,8 @@
 /** Among divisions with nearly the highest total rate, the one with most holders is used. */
 const NEARLY_BEST = 0.9;
 /**
- * Assumed number of entries while they are unknown: a fleet has up to 100. With 75, 100 entries that know nothing of each
- * other exceeded the bound; with more, most requests were rejected after a loss of power, when all servers are cold.
+ * Assumed number of entries while they are unknown: a fleet has up to 100. With 75, 100 entries that know nothing of
+ * each other exceeded the bound; with more, most requests were rejected after a loss of power, when all servers are cold.
  */
 const ASSUMED_ENTRIES = 100;
 
--- a/src/cli/lossTable.ts
+++ b/src/cli/lossTable.ts
@@ -51,8 +51,8 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
- * Counts the requests in log lines, by second and by route, and the rejected ones by rank, timeliness and reason. Text before the JSON of a line is ignored. A stream that
- * pauses for longer than `longestPauseMilliseconds` is late.
+ * Counts the requests in log lines, by second and by route, and the rejected ones by rank, timeliness and reason. Text
+ * before the JSON of a line is ignored. A stream that pauses for longer than `longestPauseMilliseconds` is late.
  */
 export async function readLosses(input: Readable, longestPauseMilliseconds: number): Promise<LossRow[]> {
   const lines: EndLine[] = [];
--- a/src/serving/backendServerRecord.ts
+++ b/src/serving/backendServerRecord.ts
@@ -19,7 +19,7 @@
   slots: number;
   draining: boolean;
   models: readonly ServedModel[];
-  /** Milliseconds for which the server remains cold, counted from when the record was written; absent when it is warm. */
+  /** Milliseconds for which the server remains cold, from when the record was written; absent when it is warm. */
   coldLeftMilliseconds?: number;
   /** Latest end of that time, in this process's monotonic milliseconds; set when the record arrives. */
   coldUntil?: number;
--- a/src/weights/chunkPicker.ts
+++ b/src/weights/chunkPicker.ts
@@ -40,9 +40,10 @@
 const SLOW_LOAD = 1_000;
 
 /**
- * Picks rare chunks first, but prefers those whose holder is idle. A chunk that a neighbour in the own data centre holds is never fetched from another
- * data centre. A chunk that only other data centres hold is fetched before all others, and by one gateway; if that
- * gateway does not fetch it in time, the next one in the order of `importers` does.
+ * Picks rare chunks first, but prefers those whose holder is idle. A chunk that a neighbour in the own data centre holds
+ * is not fetched from another data centre unless transfers from all these holders are slow. A chunk that only other
+ * data centres hold is fetched before all others, and by one gateway; if that gateway does not fetch it in time, the
+ * next one in the order of `importers` does.
  */
 export class ChunkPicker {
   private readonly _options: ChunkPickerOptions;
