Compute the mean fill of servers only for requests with slot limits; one context for tests of attempts

ServerPool.find computed the mean fill for each search, also for resumed streams, which have no slot limits and do not use it. Four tests of RequestAttempts built the same fake context; contextOf builds it now. Behaviour and assertions are as before.

--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -143,8 +143,7 @@
     const { service, isContinuation } = requirements;
     const cost = serviceCost(this._options.service(service)?.engine, isContinuation);
     const { objectiveMilliseconds, slotLimits } = requirements;
-    const pressure = meanFill(candidates, cost);
-    const limits = slotLimits?.({ pressure, entries: this._options.entries() });
+    const limits = slotLimits?.({ pressure: meanFill(candidates, cost), entries: this._options.entries() });
     const chosen = chooseServer(candidates, cost, objectiveMilliseconds, this._options.random, limits);
     if (chosen) return { kind: 'found', server: this._servers.get(chosen.id)! };
     const hasSlot = candidates.some((candidate) => canMeetObjective(candidate, cost, objectiveMilliseconds));
--- a/tests/requestAttempts.spec.ts
+++ b/tests/requestAttempts.spec.ts
@@ -16,6 +16,12 @@
 import { SeededRandom } from '../src/utils/random.js';
 import { routeFixture } from './fixtures/servingFixture.js';
 
+/** The dependencies of attempts that these tests need, with admission in order of arrival. */
+function contextOf(clock: ManualClock, gate: VersionGate, pool: unknown): ForwardingContext {
+  const admission = new ArrivalOrderPolicy(new SeededRandom(1));
+  return { clock, gate, pool, admission } as unknown as ForwardingContext;
+}
+
 test('should not hand a stream over to a server of an older version close to the version deadline', () => {
   const clock = new ManualClock();
   const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
@@ -27,12 +33,7 @@
       return { kind: 'none', reason: 'no-server' } as const;
     },
   };
-  const services = {
-    clock,
-    gate,
-    pool,
-    admission: new ArrivalOrderPolicy(new SeededRandom(1)),
-  } as unknown as ForwardingContext;
+  const services = contextOf(clock, gate, pool);
   const request = { service: 's', model: 'm', route: routeFixture() } as AdmittedRequest;
   const attempts = new RequestAttempts(services, request);
   clock.advance(4_900);
@@ -48,12 +49,7 @@
   const clock = new ManualClock();
   const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
   gate.noteTarget('m', 2, 0);
-  const services = {
-    clock,
-    gate,
-    pool: {},
-    admission: new ArrivalOrderPolicy(new SeededRandom(1)),
-  } as unknown as ForwardingContext;
+  const services = contextOf(clock, gate, {});
   const request = { service: 's', model: 'm', route: routeFixture() } as AdmittedRequest;
   const attempts = new RequestAttempts(services, request);
   const server = { version: () => 1, slowLink: false, agentSilent: false } as unknown as TrackedServer;
@@ -81,12 +77,7 @@
   const clock = new ManualClock();
   const gate = new VersionGate({ switchMilliseconds: 8_000, contactMilliseconds: 3_000 }, clock);
   const pool = { find: () => found, waiting: new WaitingRequests() };
-  const services = {
-    clock,
-    gate,
-    pool,
-    admission: new ArrivalOrderPolicy(new SeededRandom(1)),
-  } as unknown as ForwardingContext;
+  const services = contextOf(clock, gate, pool);
   const retries = new RetryAllowance({ ratio: 0, windowMilliseconds: 10_000, slack }, clock, () => 1);
   const endsAt = clock.now() + left;
   const request = { service: 's', model: 'm', route: routeFixture({ attempts: 2 }), retries, endsAt };
@@ -120,12 +111,7 @@
   gate.noteTarget('m', 2, 0);
   const needs: ServerRequirements[] = [];
   const pool = { find: (need: ServerRequirements) => (needs.push(need), found) };
-  const services = {
-    clock,
-    gate,
-    pool,
-    admission: new ArrivalOrderPolicy(new SeededRandom(1)),
-  } as unknown as ForwardingContext;
+  const services = contextOf(clock, gate, pool);
   const retries = new RetryAllowance({ ratio: 0, windowMilliseconds: 10_000, slack: 100 }, clock, () => 1);
   const route = routeFixture({ attempts: 2, objectiveMilliseconds: 200 });
   const request = { service: 's', model: 'm', route, retries, endsAt: 60_000 };
