Failed attempts: log the parts of the prompt and how far the answer was

The logs of the incident could not tell which parts a prompt has, whether an attempt had begun to be answered when its server exited, and whether an answer has a length or chunks. So they could not tell a harmful part from servers that crash for reasons of their own.

--- a/src/serving/admittedRequest.ts
+++ b/src/serving/admittedRequest.ts
@@ -22,6 +22,8 @@
   body: Buffer | undefined;
   /** Size of the prompt relative to the service's mean prompt; 1 when the caller does not give it. */
   promptSize: number;
+  /** Ids of the parts of the prompt that other requests may share. */
+  promptParts: readonly string[];
   /** Id of the last stream event that the caller has received, '' for none. */
   lastEventId: string;
   retries: RetryAllowance;
--- a/src/serving/answerReceiver.ts
+++ b/src/serving/answerReceiver.ts
@@ -1,23 +1,39 @@
 /** Receives the answer of an attempt: forwards events of a stream as they arrive, and buffers any other answer. */
 import type { PartialAnswer } from './answerClassification.js';
 import type { AnswerHeaders, BackendCall } from './backendCall.js';
+import { isFramed } from './answerHead.js';
 import type { CallerExchange } from './callerExchange.js';
 import type { StreamRelay } from './streamRelay.js';
+import type { Clock } from '../utils/clock.js';
 
 /** Size limit for buffered answers. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const SUCCESS = 200;
 
+/** How far the answer of an attempt is. */
+export interface AnswerProgress {
+  /** Undefined before the head. */
+  status: number | undefined;
+  /** Milliseconds since the first bytes of the body; undefined before them. */
+  answeringFor: number | undefined;
+  /** Whether the answer has neither a length nor chunks. */
+  endsWithConnection: boolean;
+}
+
 export class AnswerReceiver {
   private readonly _exchange: CallerExchange;
   private readonly _relay: StreamRelay | undefined;
   private _answer: PartialAnswer | undefined;
   private _isSealed = false;
+  private readonly _clock: Clock;
+  /** Monotonic milliseconds of the first bytes of the current attempt's body; undefined before them. */
+  private _bodyBeganAt: number | undefined;
 
   /** `relay` forwards the events when the request is a stream. */
-  constructor(exchange: CallerExchange, relay: StreamRelay | undefined) {
+  constructor(exchange: CallerExchange, relay: StreamRelay | undefined, clock: Clock) {
     this._exchange = exchange;
     this._relay = relay;
+    this._clock = clock;
   }
 
   /** The part of the current attempt's answer received so far; undefined before its head. */
@@ -25,6 +41,15 @@
     return this._answer;
   }
 
+  get progress(): AnswerProgress {
+    const beganAt = this._bodyBeganAt;
+    return {
+      status: this._answer?.status,
+      answeringFor: beganAt === undefined ? undefined : this._clock.now() - beganAt,
+      endsWithConnection: this._answer !== undefined && !isFramed(this._answer.headers),
+    };
+  }
+
   /** Whether events of the current attempt are forwarded as they arrive; this requires the server's seal. */
   get isForwarding(): boolean {
     return this._relay?.begun === true && this._answer?.status === SUCCESS && this._isSealed;
@@ -33,11 +58,13 @@
   /** Discards the answer, before another attempt. */
   reset(): void {
     this._answer = undefined;
+    this._bodyBeganAt = undefined;
   }
 
   /** Receives the head. `sealed` tells whether it carries the seal, the proof that a server ran the request. */
   onHead(status: number, headers: AnswerHeaders, sealed: boolean): void {
     this._answer = { status, headers, body: [], length: 0 };
+    this._bodyBeganAt = undefined;
     this._isSealed = sealed;
     if (status === SUCCESS && sealed) this._relay?.begin(status, headers);
   }
@@ -46,6 +73,7 @@
   onData(bytes: Buffer, call: BackendCall | undefined): boolean {
     const answer = this._answer;
     if (!answer) return true;
+    this._bodyBeganAt ??= this._clock.now();
     if (this._relay && this.isForwarding) {
       this._forward(this._relay, bytes, call);
       return true;
--- a/src/serving/callerExchange.ts
+++ b/src/serving/callerExchange.ts
@@ -1,5 +1,6 @@
 /** A caller's request and its answer. Ensures that exactly one answer is sent. */
 import type http from 'node:http';
+import { isFramed } from './answerHead.js';
 
 /** Statuses of answers that this process gives itself instead of forwarding a server's answer. */
 export const OWN_STATUS = {
@@ -118,7 +119,7 @@
    * Returns whether the answer had a length or chunked encoding.
    */
   private _copyFraming(headers: http.IncomingHttpHeaders): boolean {
-    const framed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    const framed = isFramed(headers);
     if (!framed) {
       this._response.useChunkedEncodingByDefault = false;
       this._response.setHeader('connection', 'close');
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -64,7 +64,7 @@
     });
     if (request.route.kind === 'stream')
       this._relay = new StreamRelay(request.exchange, request.lastEventId, context.clock);
-    this._receiver = new AnswerReceiver(request.exchange, this._relay);
+    this._receiver = new AnswerReceiver(request.exchange, this._relay, context.clock);
     this._current = new CurrentAttempt(context.clock, this._relay);
   }
 
@@ -176,7 +176,7 @@
 
   private _afterFailure(server: TrackedServer, failure: CallFailure): void {
     this._current.clear(server);
-    this._trace.attemptFailed(server, failure, this._current.elapsedMilliseconds);
+    this._trace.attemptFailed(server, failure, this._current.elapsedMilliseconds, this._receiver.progress);
     if (!failure.sent && !this._handover.inProgress) return this._afterUnreachable(server);
     this._mayHaveRun = true;
     server.health.noteOutcome(failure.reason === 'silent' ? 'silent' : 'failed');
--- a/src/serving/headerNames.ts
+++ b/src/serving/headerNames.ts
@@ -19,6 +19,8 @@
   model: string;
   /** On a request: number of prompt tokens and maximum number of output tokens, separated by a comma. */
   tokens: string;
+  /** On a request: the parts of its prompt in order, each as `id:tokens`, separated by commas. */
+  promptParts: string;
 }
 
 /** Header names of the product's own API. */
@@ -35,6 +37,7 @@
   version: 'larklatch-version',
   model: 'larklatch-model',
   tokens: 'larklatch-tokens',
+  promptParts: 'larklatch-prompt-parts',
   serverLimit: 'larklatch-requests-per-second',
   serverLeaving: 'larklatch-leaving',
   serverCold: 'larklatch-cold-milliseconds',
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -11,6 +11,7 @@
 import type { ConfigurationHolder } from './configurationHolder.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { HeaderNames } from './headerNames.js';
+import { sharedPromptParts } from './promptParts.js';
 import { promptSize } from './promptSize.js';
 import type { RetryLimit } from './retryAllowance.js';
 import { RetryAllowances } from './retryAllowances.js';
@@ -164,6 +165,7 @@
       headers,
       body: body.length > 0 ? body : undefined,
       promptSize: promptSize(request.headers[names.tokens], this._meanPromptTokens(service)),
+      promptParts: sharedPromptParts(request.headers[names.promptParts]),
       lastEventId: String(request.headers[names.lastEventId] ?? ''),
       retries,
       profile,
--- a/src/serving/requestTrace.ts
+++ b/src/serving/requestTrace.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import type { AdmittedRequest } from './admittedRequest.js';
+import type { AnswerProgress } from './answerReceiver.js';
 import type { CallFailure } from './backendCall.js';
 import type { NoAttemptReason } from './noAttemptReason.js';
 import type { ServingMetrics } from '../telemetry/servingMetrics.js';
@@ -53,14 +54,25 @@
     this._log.decision('request.rejected', { request: this._id, server: server.record.id, status });
   }
 
-  attemptFailed(server: TrackedServer, failure: CallFailure, elapsed: number): void {
+  /** `progress` tells how far the answer was, if that is known. */
+  attemptFailed(
+    server: TrackedServer,
+    failure: CallFailure,
+    elapsed: number,
+    progress?: AnswerProgress,
+  ): void {
     const milliseconds = Math.round(elapsed);
+    const { answeringFor, endsWithConnection } = progress ?? {};
     this._log.decision('request.attempt-failed', {
       request: this._id,
       server: server.record.id,
       fingerprint: failure.sent ? this._request.fingerprint() : undefined,
+      promptParts: this._request.promptParts.join(',') || undefined,
       ...failure,
       milliseconds,
+      answerStatus: progress?.status,
+      answeringMilliseconds: answeringFor === undefined ? undefined : Math.round(answeringFor),
+      endsWithConnection: endsWithConnection || undefined,
     });
   }
 
