--- /dev/null
+++ b/tests/harmfulPromptPart.spec.ts
@@ -0,0 +1,98 @@
+/**
+ * Guards against a part of a prompt that crashes each server which begins to answer it. Requests with that part were
+ * all unlike otherwise, so that entries took each of them for a new one: 82 servers crashed within 30 seconds.
+ */
+import { afterEach, beforeEach, test } from 'node:test';
+import { expect } from 'earl';
+import { chunkOf, events, streamHead } from '../standins/scriptedBackend.js';
+import type { Script } from '../standins/scriptedBackend.js';
+import type { CallerAnswer } from './fixtures/gatewayFixture.js';
+import { CrashingFleet } from './fixtures/crashingFleet.js';
+import { routeFixture } from './fixtures/servingFixture.js';
+import { pause } from '../src/utils/timers.js';
+
+const SERVERS = 8;
+const RESTART_MILLISECONDS = 800;
+const HARMFUL_REQUESTS = 60;
+const HARMFUL_INTERVAL_MILLISECONDS = 120;
+const SOUND_REQUESTS = 120;
+const SOUND_INTERVAL_MILLISECONDS = 60;
+/** All entries have to know of the part this long after its fifth crash, and let at most three requests pass. */
+const CRASHES = 5;
+const KNOWN_MILLISECONDS = 3_000;
+const MAX_LATE_REQUESTS = 3;
+/** More attempts than crashes that one request can meet. */
+const STREAM = { routes: [routeFixture({ kind: 'stream', resumable: true, attempts: 6 })] };
+const EVENTS = 10;
+const EVENT_INTERVAL_MILLISECONDS = 40;
+
+let fleet: CrashingFleet;
+let requests: number;
+/** When requests with the harmful part reached a server, in Unix milliseconds. */
+let harmfulAt: number[];
+
+beforeEach(() => {
+  fleet = new CrashingFleet();
+  requests = 0;
+  harmfulAt = [];
+});
+
+afterEach(() => fleet.stop());
+
+/** Streams some events; a request with the part `bad` crashes the server once the head of its answer is sent. */
+function crashesOnPart(index: number): Script {
+  return (request) => {
+    request.socket.write(streamHead(request));
+    if (request.headers.get('larklatch-prompt-parts')?.includes('bad')) {
+      harmfulAt.push(Date.now());
+      setTimeout(() => void fleet.crashAndRestart(index, RESTART_MILLISECONDS), EVENT_INTERVAL_MILLISECONDS);
+      return;
+    }
+    let id = Number(request.headers.get('last-event-id') ?? 0);
+    const timer = setInterval(() => {
+      id++;
+      request.socket.write(chunkOf(events(id)));
+      if (id < EVENTS) return;
+      clearInterval(timer);
+      request.socket.write('0\r\n\r\n');
+    }, EVENT_INTERVAL_MILLISECONDS);
+  };
+}
+
+/** Sends a request that nothing but the shared parts has in common with any other. */
+async function send(...sharedParts: string[]): Promise<CallerAnswer> {
+  const own = (0xffff0000 + requests++).toString(16);
+  const parts = [...sharedParts, own].map((part) => `${part}:100`).join(',');
+  return await fleet.send(`prompt ${own}`, { headers: { 'larklatch-prompt-parts': parts } });
+}
+
+async function sendSeries(
+  count: number,
+  intervalMilliseconds: number,
+  parts: string[],
+): Promise<CallerAnswer[]> {
+  const answers: Promise<CallerAnswer>[] = [];
+  for (let sent = 0; sent < count; sent++) {
+    answers.push(send(...parts));
+    await pause(intervalMilliseconds);
+  }
+  return await Promise.all(answers);
+}
+
+for (const [place, parts] of [
+  ['first', ['bad', 'c0']],
+  ['second', ['c0', 'bad']],
+] as const) {
+  test(`should stop requests whose ${place} part crashes servers, and serve those with the same other part`, async () => {
+    await fleet.start(SERVERS, crashesOnPart, STREAM);
+    const [, sound] = await Promise.all([
+      sendSeries(HARMFUL_REQUESTS, HARMFUL_INTERVAL_MILLISECONDS, [...parts]),
+      sendSeries(SOUND_REQUESTS, SOUND_INTERVAL_MILLISECONDS, ['c0']),
+    ]);
+    const knownAt = (fleet.crashedAt[CRASHES - 1] ?? Infinity) + KNOWN_MILLISECONDS;
+    expect(harmfulAt.filter((at) => at > knownAt).length).toBeLessThanOrEqual(MAX_LATE_REQUESTS);
+    expect(sound.filter(({ status, whole }) => status !== 200 || !whole).length).toEqual(0);
+    const rejected = await send(...parts);
+    expect(rejected.status).toEqual(503);
+  });
+}
