Recognise harmful requests by the parts of their prompts too

Cause: a request was known by the digest of its whole contents only. Requests that share nothing but one part were all new: each crashed two servers at its first try and one more when its caller came again. The harm was bounded for one identity and came back under the next.

Change: a request has several identities: its contents, each shared part of its prompt, and all shared parts together. Suspicions, trials, the store and the restoration after a rollback are the same for all kinds. - A part is present at each crash if it is common. An exit counts against it only if the entry sees no other request with it succeed for 0.3 s; a success at any entry clears it, and one exit restricts nothing. - A server that has been answering a request for 0.3 s was not crashed by its prompt, and such a request proves its parts at once, not only at its end. - What is shut out no longer restricts a request if identities that the request does not have may explain all exits; it has a trial after a pause of 1 s (it was 5 s after which all such requests had one, and rejections until then).

--- a/src/crashes/runDecision.ts
+++ b/src/crashes/runDecision.ts
@@ -1,15 +1,17 @@
-/** Decides whether a suspected request may run. Pure functions. */
+/** Decides whether a request may run, by the suspicion of one of its identities. Pure functions. */
+import type { IdentityKind } from './requestIdentity.js';
 import type { Suspicion } from './suspicion.js';
-import { hasFailedTrial, isShutOut } from './suspicion.js';
+import { failedTrials, hasFailedTrial, isShutOut } from './suspicion.js';
 
 /**
- * `run`: the request is not suspected. `run-as-trial`: the request has the trial. `claim-trial`: it may claim a
- * trial. `held`: it has to wait. `shut-out`: it is refused, because it crashes the servers that run it.
+ * `run`: the identity does not restrict the request. `run-as-trial`: the request has the trial. `claim-trial`: it may
+ * claim a trial. `held`: it has to wait. `shut-out`: it is refused, because it crashes the servers that run it.
  */
 export type RunDecision = 'run' | 'run-as-trial' | 'claim-trial' | 'held' | 'shut-out';
 
 /** The facts that a decision depends on. */
 export interface RunDecisionInput {
+  kind: IdentityKind;
   suspicion: Suspicion | undefined;
   /** Id of the trial that the request claimed last. */
   request: string;
@@ -19,10 +21,19 @@
   isTrialExpired: boolean;
   /** Time since this entry learned of the last server exit. */
   millisecondsSinceLastExit: number;
-  /** Whether each server that exited under this request also ran another request that is shut out. */
+  /** Whether identities that are shut out, and that this request does not have, may have caused all exits. */
   isExplainedByOthers: boolean;
 }
 
+/**
+ * Server exits from which on requests run one at a time. The first exit must not hold up the many requests that share
+ * a part of a prompt, of which most are harmless.
+ */
+const EXITS_BEFORE_TRIAL: Record<IdentityKind, number> = {
+  request: 1,
+  'prompt-part': 2,
+  'prompt-parts': 2,
+};
 /** Server exits after which a request has to pause before its next trial. */
 const EXITS_BEFORE_PAUSE = 2;
 /**
@@ -31,26 +42,26 @@
  */
 const PAUSE_MILLISECONDS = 1_000;
 /**
- * Servers and weights change: after this time a request that is shut out may have another trial, which costs at most
- * one server.
- */
-export const SHUT_OUT_MILLISECONDS = 600_000;
-/**
- * The same for a request whose servers may all have been crashed by another one that is shut out: one more trial of
- * each tells which of them is harmful.
+ * Servers and weights change: after this time what is shut out may have another trial, which costs at most one server.
  */
-const EXPLAINED_MILLISECONDS = 5_000;
+const FIRST_SHUT_OUT_MILLISECONDS = 30_000;
+const MAX_SHUT_OUT_MILLISECONDS = 600_000;
+/** Each failed trial makes the next shut-out longer. */
+const SHUT_OUT_GROWTH = 4;
+
+/** How long an identity is shut out after its last server exit. */
+export function shutOutMilliseconds(suspicion: Suspicion): number {
+  const growth = SHUT_OUT_GROWTH ** Math.max(0, failedTrials(suspicion) - 1);
+  return Math.min(MAX_SHUT_OUT_MILLISECONDS, FIRST_SHUT_OUT_MILLISECONDS * growth);
+}
 
 export function decideRun(facts: RunDecisionInput): RunDecision {
-  const { suspicion, request, ownsTrial, isTrialExpired, millisecondsSinceLastExit, isExplainedByOthers } =
-    facts;
-  if (!suspicion) return 'run';
+  const { suspicion, request, ownsTrial, isTrialExpired, millisecondsSinceLastExit } = facts;
+  if (!suspicion || suspicion.ends.length < EXITS_BEFORE_TRIAL[facts.kind]) return 'run';
   const isRunningTrial = ownsTrial && !hasFailedTrial(suspicion, request);
   if (isRunningTrial) return 'run-as-trial';
-  if (isShutOut(suspicion)) {
-    const blockedFor = isExplainedByOthers ? EXPLAINED_MILLISECONDS : SHUT_OUT_MILLISECONDS;
-    if (millisecondsSinceLastExit < blockedFor) return 'shut-out';
-  }
+  const isBlocked = isShutOut(suspicion) && !facts.isExplainedByOthers;
+  if (isBlocked && millisecondsSinceLastExit < shutOutMilliseconds(suspicion)) return 'shut-out';
   const isPausing =
     suspicion.ends.length >= EXITS_BEFORE_PAUSE && millisecondsSinceLastExit < PAUSE_MILLISECONDS;
   const isTrialTaken = suspicion.trial !== undefined && !ownsTrial && !isTrialExpired;
--- a/src/crashes/suspicion.ts
+++ b/src/crashes/suspicion.ts
@@ -1,4 +1,4 @@
-/** What is known of a request whose servers exited while they ran it, and what follows from that. Pure functions. */
+/** What is known of an identity of requests whose servers exited while they ran them, and what follows from that. Pure functions. */
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { z } from 'zod';
@@ -37,7 +37,7 @@
 const MAX_EXITS = 8;
 
 export function isShutOut({ ends }: Suspicion): boolean {
-  return ends.length >= EXITS_TO_SHUT_OUT && ends.some(({ trial }) => trial !== '');
+  return ends.length >= EXITS_TO_SHUT_OUT && failedTrials({ ends }) > 0;
 }
 
 /**
@@ -52,6 +52,11 @@
   return { ...suspicion, ends: [...others, exit].slice(-MAX_EXITS) };
 }
 
+/** Number of trials during which a server exited. */
+export function failedTrials({ ends }: Suspicion): number {
+  return ends.filter(({ trial }) => trial !== '').length;
+}
+
 /** Whether a server exited during the trial `request`. */
 export function hasFailedTrial({ ends }: Suspicion, request: string): boolean {
   return ends.some(({ trial }) => trial === request);
--- a/src/crashes/suspicionGate.ts
+++ b/src/crashes/suspicionGate.ts
@@ -1,14 +1,17 @@
 /**
- * Decides when a request may run: at once, unless the same request is suspected of crashing the servers that run it.
+ * Decides when a request may run: at once, unless one of its identities is suspected of crashing the servers that run
+ * it.
  */
 import type { Clock } from '../utils/clock.js';
-import type { ServerProcess } from './serverExitChecker.js';
+import { IdentityGate } from './identityGate.js';
+import type { RequestIdentity } from './requestIdentity.js';
 import type { RunDecision } from './runDecision.js';
+import type { ServerProcess } from './serverExitChecker.js';
 import type { SuspicionTracker } from './suspicionTracker.js';
 
 /** The request that a gate controls. */
 export interface GatedRequest {
-  fingerprint: () => string;
+  identities: () => readonly RequestIdentity[];
   /** Provides the caller's id of the request. */
   exchange: { readonly requestId: string };
   /** Deadline of the request in monotonic milliseconds. */
@@ -21,10 +24,10 @@
 /** Request ids are chosen by callers and may have any length. */
 const MAX_ID_LENGTH = 64;
 /**
- * A trial may outlast the deadline of its request by this much, because its end is reported after that of the
- * request.
+ * A server that has sent an answer for this long was not crashed by the prompt: a harmful part crashes its server when
+ * the answer begins.
  */
-const TRIAL_MARGIN_MILLISECONDS = 500;
+const PROVEN_MILLISECONDS = 300;
 
 /** Makes the ids of trials unique: callers may use a request id twice, or send none. */
 let gatesCreated = 0;
@@ -34,13 +37,11 @@
   private readonly _request: GatedRequest;
   private readonly _clock: Clock;
   private readonly _trialIdPrefix: string;
-  /** Number of trials that the request has claimed. */
-  private _trialsClaimed = 0;
+  private _identityGates: readonly IdentityGate[] | undefined;
   private _isWaiting = false;
-  private _hasTrial = false;
-  /** Whether the tracker holds a server exit or a trial of the request. */
-  private _hasState = false;
   private _isReleased = false;
+  /** Whether the current attempt has shown that the prompt does not crash the server. */
+  private _isPromptProven = false;
 
   constructor(tracker: SuspicionTracker, request: GatedRequest, clock: Clock) {
     this._tracker = tracker;
@@ -49,16 +50,14 @@
     this._trialIdPrefix = `${request.exchange.requestId.slice(0, MAX_ID_LENGTH)}/${gatesCreated++}`;
   }
 
-  /** Id of the trial that the request claimed last, unique among all requests. */
-  get id(): string {
-    return `${this._trialIdPrefix}.${this._trialsClaimed}`;
+  /** Id of the trial that the request claimed last, for each of its identities. */
+  get trialIds(): readonly string[] {
+    return this._gates.map(({ trialId }) => trialId);
   }
 
   /** Whether the request may run now, without waiting. */
   get isOpen(): boolean {
-    if (this._tracker.isEmpty) return true;
-    const decision = this._runDecision();
-    return decision === 'run' || decision === 'run-as-trial';
+    return this._tracker.isEmpty || this._gates.every(isOpen);
   }
 
   /** Whether a call of {@link SuspicionGate.wait} is pending. */
@@ -66,6 +65,13 @@
     return this._isWaiting;
   }
 
+  /** Milliseconds after which a request that is shut out may come again; 0 if it is not shut out. */
+  get shutOutMilliseconds(): number {
+    if (this._tracker.isEmpty) return 0;
+    const shutOut = this._gates.filter(({ decision }) => decision === 'shut-out');
+    return Math.max(0, ...shutOut.map(({ shutOutMilliseconds }) => shutOutMilliseconds));
+  }
+
   /** Waits until the request may run, is shut out, or is over. */
   async wait(): Promise<GateOutcome> {
     this._isWaiting = true;
@@ -74,56 +80,77 @@
     return outcome;
   }
 
+  /** Starts another attempt. */
+  onSent(): void {
+    this._isPromptProven = false;
+    if (this._tracker.isEmpty) return;
+    for (const gate of this._gates) gate.noteSent();
+  }
+
+  /** The server has been sending the answer of the current attempt for `milliseconds`. */
+  onAnswering(milliseconds = 0): void {
+    if (this._isPromptProven || milliseconds < PROVEN_MILLISECONDS) return;
+    this._recordPromptProven();
+  }
+
   /**
-   * Handles a server that broke off the connection while it had the request. Resolves to whether its process has
-   * exited, which then counts against the request.
+   * Handles a server that broke off the connection while it had the request; `answeringFor` is how long it had been
+   * sending the answer. Resolves to whether its process has exited, which then counts against the request.
    */
-  async onConnectionBroken(server: ServerProcess): Promise<boolean> {
-    const hadTrial = this._hasTrial;
+  async onConnectionBroken(server: ServerProcess, answeringFor = 0): Promise<boolean> {
+    const isPromptProven = this._isPromptProven || answeringFor >= PROVEN_MILLISECONDS;
     if (!(await this._tracker.hasExited(server))) return false;
-    const trial = hadTrial ? this.id : '';
     const serverProcess = server.startedAt > 0 ? `${server.id}@${server.startedAt}` : server.id;
-    this._hasState = true;
+    const suspected = this._gates.filter(({ identity }) => !isPromptProven || identity.kind === 'request');
     // Once it has its answer, the caller may retry at another entry, which has to know of the exit by then.
-    await this._tracker.recordServerExit(this._request.fingerprint(), { server: serverProcess, trial });
+    await Promise.all(suspected.map((gate) => gate.recordServerExit(serverProcess)));
     if (this._isReleased) this.release();
     return true;
   }
 
   /** Records that the request completed successfully. */
   recordSuccess(): void {
-    this._tracker.recordSuccess(this._request.fingerprint());
+    if (!this._isPromptProven) this._recordPromptProven();
+    for (const gate of this._gates) if (gate.identity.kind === 'request') gate.recordSuccess();
   }
 
-  /** Ends the request, so that the same request of another caller may get a trial. */
+  /** Ends the request, so that another one with the same identity may get a trial. */
   release(): void {
     this._isReleased = true;
-    if (this._hasState) this._tracker.release(this._request.fingerprint(), this.id);
+    for (const gate of this._identityGates ?? []) gate.release();
+  }
+
+  private get _gates(): readonly IdentityGate[] {
+    if (this._identityGates) return this._identityGates;
+    const identities = this._request.identities();
+    const own = new Set(identities.map(({ fingerprint }) => fingerprint));
+    this._identityGates = identities.map(
+      (identity) => new IdentityGate(this._tracker, identity, this._trialIdPrefix, own),
+    );
+    return this._identityGates;
   }
 
+  /** Trials are claimed in the order of the identities, which keeps requests from waiting for each other. */
   private async _waitUntilDecided(): Promise<GateOutcome> {
-    const { endsAt, fingerprint } = this._request;
-    const left = (): number => endsAt - this._clock.now();
+    const left = (): number => this._request.endsAt - this._clock.now();
     while (!this._isReleased && left() > 0) {
-      const decision = this._runDecision();
-      this._hasTrial = decision === 'run-as-trial';
-      if (decision === 'shut-out') return 'ends servers';
-      if (decision === 'run' || decision === 'run-as-trial') return 'granted';
-      if (decision === 'claim-trial') await this._claimTrial(left());
-      else await this._tracker.waitForChange(fingerprint(), left());
+      if (this._gates.some(({ decision }) => decision === 'shut-out')) return 'ends servers';
+      const closed = this._gates.find((gate) => !isOpen(gate));
+      if (!closed) return 'granted';
+      await closed.proceed(left());
     }
     return 'time';
   }
 
-  private async _claimTrial(leftMilliseconds: number): Promise<void> {
-    const fingerprint = this._request.fingerprint();
-    if (this._hasState) this._tracker.endTrial(fingerprint, this.id);
-    this._hasState = true;
-    this._trialsClaimed++;
-    await this._tracker.claim(fingerprint, this.id, leftMilliseconds + TRIAL_MARGIN_MILLISECONDS);
+  private _recordPromptProven(): void {
+    this._isPromptProven = true;
+    if (this._tracker.suspectsNothing) return;
+    for (const gate of this._gates) if (gate.identity.kind !== 'request') gate.recordSuccess();
   }
+}
 
-  private _runDecision(): RunDecision {
-    return this._tracker.runDecision(this._request.fingerprint(), this.id);
-  }
+const OPEN_DECISIONS: ReadonlySet<RunDecision> = new Set(['run', 'run-as-trial']);
+
+function isOpen({ decision }: IdentityGate): boolean {
+  return OPEN_DECISIONS.has(decision);
 }
--- a/src/crashes/suspicionTracker.ts
+++ b/src/crashes/suspicionTracker.ts
@@ -1,14 +1,12 @@
 /**
- * Tracks which requests are suspected of crashing the servers that run them. All entries share this state through the
- * store.
+ * Tracks which identities of requests are suspected of crashing the servers that run them. All entries share this state
+ * through the store.
  *
- * When a server exits, all requests that it ran become suspected. A suspected request runs only once at a time in the
- * whole system, which is called its trial. It is cleared when it completes successfully at any entry, and shut out
- * when too many servers have exited under it: from then on entries refuse it. While the store does not answer, this
+ * When a server exits, the identities of all requests that it ran become suspected. Requests with a suspected identity
+ * run only one at a time in the whole system, which is called its trial. An identity is cleared when a request with it
+ * succeeds at any entry, and shut out when too many servers have exited under it: from then on entries refuse it. While the store does not answer, this
  * entry decides by what it knows, so that it refuses no request that may be harmless.
  */
-import { isDeepStrictEqual } from 'node:util';
-import { LRUCache } from 'lru-cache';
 import type { RecordReplica } from '../records/recordReplica.js';
 import type { UnreadableRecords } from '../records/unreadableRecords.js';
 import type { WritableStore } from '../records/writableStore.js';
@@ -16,16 +14,20 @@
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
 import { waitAtMost } from '../utils/timers.js';
+import { ExitTimes } from './exitTimes.js';
 import { SuccessCredits } from './successCredits.js';
 import type { ServerProcess } from './serverExitChecker.js';
 import { ServerExitChecker } from './serverExitChecker.js';
+import type { RequestIdentity } from './requestIdentity.js';
 import type { RunDecision } from './runDecision.js';
-import { decideRun } from './runDecision.js';
+import { decideRun, shutOutMilliseconds } from './runDecision.js';
 import type { ServerExit, Suspicion } from './suspicion.js';
 import { isExplained, isShutOut, withServerExit, withTrial, withoutTrial } from './suspicion.js';
 import type { StoredSuspicion } from './suspicionCopies.js';
+import { SuspicionCleaner } from './suspicionCleaner.js';
 import { SuspicionCopies } from './suspicionCopies.js';
 import { SuspicionRestorer } from './suspicionRestorer.js';
+import { UnconfirmedExits } from './unconfirmedExits.js';
 import type { SuspicionChange } from './suspicionWriter.js';
 import { SuspicionWriter } from './suspicionWriter.js';
 
@@ -44,13 +46,6 @@
   log: EventLog;
 }
 
-/** When the last server exit under a request became known. */
-interface LastExit {
-  ends: number;
-  /** Monotonic milliseconds. */
-  at: number;
-}
-
 /** How long a request waits for its change to be written. Callers of harmless requests have to wait for it too. */
 const WRITE_WAIT_MILLISECONDS = 250;
 /**
@@ -58,11 +53,6 @@
  * request, who may be many and whose requests may be harmless, wait no longer than this for the end of a trial.
  */
 const MAX_TRIAL_MILLISECONDS = 3_000;
-/** A suspicion is removed when it has not changed for this time, because nobody has repeated the request. */
-const SUSPECTED_TTL_MILLISECONDS = 60_000;
-/** The same for a request that is shut out. */
-const SHUT_OUT_TTL_MILLISECONDS = 24 * 3_600_000;
-const CLEANUP_INTERVAL_MILLISECONDS = 10_000;
 /**
  * With more suspicions than this, the servers probably exit for another cause, such as failing racks. No further
  * requests become suspected then, which also limits the writes to the store.
@@ -79,21 +69,25 @@
   private readonly _restorer: SuspicionRestorer;
   private readonly _exitChecker: ServerExitChecker;
   private readonly _successCredits = new SuccessCredits();
-  private readonly _lastExits = new LRUCache<string, LastExit>({ max: MAX_SUSPICIONS + MAX_PENDING });
+  private readonly _unconfirmed: UnconfirmedExits;
+  private _confirmTimer: NodeJS.Timeout | undefined;
+  private readonly _exitTimes: ExitTimes;
   private readonly _waiting = new Map<string, Set<() => void>>();
   /** Trials that requests of this process have claimed. */
   private readonly _claims = new Set<string>();
-  private readonly _timer: NodeJS.Timeout;
+  private readonly _cleaner: SuspicionCleaner;
 
   constructor(options: SuspicionTrackerOptions) {
     const { replica, unreadable, clock } = options;
     this._options = options;
+    this._unconfirmed = new UnconfirmedExits(clock);
+    this._exitTimes = new ExitTimes(clock, MAX_SUSPICIONS + MAX_PENDING);
     this._exitChecker = new ServerExitChecker(options.log);
     this._copies = new SuspicionCopies(replica, unreadable, clock);
     this._copies.on('change', (fingerprint, endsBefore) => this._onChange(fingerprint, endsBefore));
     this._writer = new SuspicionWriter({ ...options, kind: replica.kind, copies: this._copies });
     this._restorer = new SuspicionRestorer({ ...options, copies: this._copies, writer: this._writer });
-    this._timer = setInterval(() => this._removeStale(), CLEANUP_INTERVAL_MILLISECONDS).unref();
+    this._cleaner = new SuspicionCleaner({ ...options, copies: this._copies, writer: this._writer });
   }
 
   /** Whether no request is suspected, so that none needs to be looked up. */
@@ -101,49 +95,67 @@
     return this._copies.size === 0 && this._writer.pending === 0;
   }
 
-  /** Number of suspected requests, and of those among them that are shut out. */
+  /** Whether a success of a prompt clears nothing. */
+  get suspectsNothing(): boolean {
+    return this.isEmpty && this._unconfirmed.size === 0;
+  }
+
+  /** Number of suspected identities, and of those among them that are shut out. */
   get counts(): { suspected: number; shutOut: number } {
     const suspicions = this._copies.all().flatMap(([, { suspicion }]) => suspicion ?? []);
     return { suspected: suspicions.length, shutOut: suspicions.filter(isShutOut).length };
   }
 
-  /** Decides whether a request may run now; `request` is the id of the trial that it claimed last. */
-  runDecision(fingerprint: string, request: string): RunDecision {
+  /**
+   * Decides whether a request may run now, by one of its identities; `request` is the id of the trial that it claimed
+   * last, and `own` are the fingerprints of all its identities.
+   */
+  runDecision(
+    { kind, fingerprint }: RequestIdentity,
+    request: string,
+    own: ReadonlySet<string> = new Set([fingerprint]),
+  ): RunDecision {
     const suspicion = this._writer.get(fingerprint);
     const trial = suspicion?.trial;
     return decideRun({
+      kind,
       suspicion,
       request,
       ownsTrial: trial?.request === request && trial.box === this._options.box,
       isTrialExpired: trial?.request === this._expiredTrial(this._copies.get(fingerprint)),
-      millisecondsSinceLastExit:
-        this._options.clock.now() - (this._lastExits.get(fingerprint)?.at ?? Number.NEGATIVE_INFINITY),
+      millisecondsSinceLastExit: this._exitTimes.since(fingerprint),
       isExplainedByOthers:
-        suspicion !== undefined && isShutOut(suspicion) && this._isExplained(fingerprint, suspicion),
+        suspicion !== undefined && isShutOut(suspicion) && this._isExplained(suspicion, own),
     });
   }
 
+  /** Milliseconds until an identity that is shut out may have another trial. */
+  shutOutMilliseconds({ fingerprint }: RequestIdentity): number {
+    const suspicion = this._writer.get(fingerprint);
+    if (!suspicion) return 0;
+    return Math.max(0, shutOutMilliseconds(suspicion) - this._exitTimes.since(fingerprint));
+  }
+
   /** Resolves to whether the process of a server that broke off a connection has exited. Never rejects. */
   async hasExited(server: ServerProcess): Promise<boolean> {
     return await this._exitChecker.hasExited(server);
   }
 
   /**
-   * Records that a server exited while it had the request. Resolves when this is written to the store, if it is to be
-   * written, at the latest after a short time.
+   * Records that a server exited while it had a request with this identity. Resolves when this is written to the store,
+   * if it is to be written at once, at the latest after a short time.
    */
-  async recordServerExit(fingerprint: string, exit: ServerExit): Promise<void> {
+  async recordServerExit(identity: RequestIdentity, exit: ServerExit): Promise<void> {
     const { log } = this._options;
+    const { fingerprint } = identity;
+    if (identity.kind !== 'request' && exit.trial === '') {
+      if (!this._unconfirmed.add(identity, exit))
+        log.state('suspicion.not-kept', { fingerprint, server: exit.server });
+      return this._scheduleConfirmation();
+    }
     if (this._successCredits.spend(fingerprint))
       return log.decision('suspicion.spared', { fingerprint, ...exit });
-    const isFull = this._copies.size >= MAX_SUSPICIONS || this._writer.pending >= MAX_PENDING;
-    if (isFull && !this._writer.get(fingerprint))
-      return log.state('suspicion.not-kept', { fingerprint, server: exit.server });
-    const written = this._change(fingerprint, (suspicion) => withServerExit(suspicion, exit));
-    const ends = this._writer.get(fingerprint)?.ends.length ?? 0;
-    this._recordExitCount(fingerprint, ends);
-    log.decision('suspicion.end', { fingerprint, ...exit, ends });
-    await waitAtMost(written, WRITE_WAIT_MILLISECONDS);
+    await waitAtMost(this._count(identity, [exit]), WRITE_WAIT_MILLISECONDS);
   }
 
   /** Claims the trial of a suspected request; `runDecision` tells afterwards whether the request got it. */
@@ -180,11 +192,10 @@
     void this._writer.write(fingerprint, (suspicion) => suspicion && withoutTrial(suspicion, request));
   }
 
-  /**
-   * Records that the request completed successfully, which shows that it does not crash every server that runs it.
-   */
-  recordSuccess(fingerprint: string): void {
-    this._successCredits.add(fingerprint);
+  /** Records that a request with this identity succeeded, which shows that it does not crash every server. */
+  recordSuccess({ kind, fingerprint }: RequestIdentity): void {
+    if (kind === 'request') this._successCredits.add(fingerprint);
+    else this._unconfirmed.discard(fingerprint);
     if (this.isEmpty || !this._writer.get(fingerprint)) return;
     this._options.log.decision('suspicion.cleared', { fingerprint });
     void this._change(fingerprint, () => undefined);
@@ -203,11 +214,42 @@
   }
 
   close(): void {
-    clearInterval(this._timer);
+    this._cleaner.stop();
+    clearTimeout(this._confirmTimer);
     this._restorer.stop();
     this._writer.stop();
   }
 
+  private _scheduleConfirmation(): void {
+    const { nextDueIn } = this._unconfirmed;
+    if (nextDueIn === undefined) return;
+    this._confirmTimer ??= setTimeout(() => this._confirmExits(), nextDueIn).unref();
+  }
+
+  private _confirmExits(): void {
+    this._confirmTimer = undefined;
+    for (const { identity, exits } of this._unconfirmed.takeConfirmed()) void this._count(identity, exits);
+    this._scheduleConfirmation();
+  }
+
+  /** Counts server exits against an identity. Resolves when this is written, if it is to be written at once. */
+  private async _count(identity: RequestIdentity, exits: readonly ServerExit[]): Promise<void> {
+    const { log } = this._options;
+    const { kind, fingerprint } = identity;
+    const isFull = this._copies.size >= MAX_SUSPICIONS || this._writer.pending >= MAX_PENDING;
+    if (isFull && !this._writer.get(fingerprint))
+      return log.state('suspicion.not-kept', { fingerprint, server: exits[0].server });
+    const change: SuspicionChange = (suspicion) =>
+      exits.reduce<Suspicion | undefined>(withServerExit, suspicion);
+    // Requests that share a part arrive at all entries, which have to add up the exits that each of them sees.
+    const written =
+      kind === 'request' ? this._change(fingerprint, change) : this._writer.write(fingerprint, change);
+    const ends = this._writer.get(fingerprint)?.ends.length ?? 0;
+    this._exitTimes.record(fingerprint, ends);
+    for (const exit of exits) log.decision('suspicion.end', { kind, fingerprint, ...exit, ends });
+    await written;
+  }
+
   /**
    * Writes a change to the store once two servers have exited under the request, and only queues it before: most
    * requests that see one server exit succeed on the next server, and each write has a cost on the platform.
@@ -221,8 +263,8 @@
     }
   }
 
-  private _isExplained(fingerprint: string, suspicion: Suspicion): boolean {
-    const others = this._copies.all().filter(([other]) => other !== fingerprint);
+  private _isExplained(suspicion: Suspicion, own: ReadonlySet<string>): boolean {
+    const others = this._copies.all().filter(([fingerprint]) => !own.has(fingerprint));
     const known = others.flatMap(([, { suspicion: other }]) => other ?? []);
     return isExplained(suspicion, known.filter(isShutOut));
   }
@@ -246,44 +288,19 @@
 
   private _onChange(fingerprint: string, exitsBefore: number): void {
     const suspicion = this._writer.get(fingerprint);
-    if (!suspicion) this._lastExits.delete(fingerprint);
+    if (!suspicion) this._exitTimes.forget(fingerprint);
     else if (suspicion.ends.length > exitsBefore) this._onNewExits(fingerprint, suspicion);
     this._wake(fingerprint);
   }
 
   private _onNewExits(fingerprint: string, suspicion: Suspicion): void {
-    this._recordExitCount(fingerprint, suspicion.ends.length);
+    this._exitTimes.record(fingerprint, suspicion.ends.length);
     if (!isShutOut(suspicion)) return;
     const servers = suspicion.ends.map(({ server }) => server);
     this._options.log.state('suspicion.shut-out', { fingerprint, servers });
   }
 
-  private _recordExitCount(fingerprint: string, ends: number): void {
-    const known = this._lastExits.get(fingerprint);
-    if (!known || known.ends < ends)
-      this._lastExits.set(fingerprint, { ends, at: this._options.clock.now() });
-  }
-
   private _wake(fingerprint: string): void {
     for (const wake of [...(this._waiting.get(fingerprint) ?? [])]) wake();
   }
-
-  /** Removes suspicions of requests that nobody repeats; the other entries see the removal in their copies. */
-  private _removeStale(): void {
-    if (!this._options.isReading()) return;
-    for (const [fingerprint, stored] of this._copies.all()) {
-      const { suspicion } = stored;
-      if (!suspicion) continue;
-      const keptFor = isShutOut(suspicion) ? SHUT_OUT_TTL_MILLISECONDS : SUSPECTED_TTL_MILLISECONDS;
-      if (this._age(stored) > keptFor) void this._remove(fingerprint, suspicion);
-    }
-  }
-
-  private async _remove(fingerprint: string, stale: Suspicion): Promise<void> {
-    this._options.log.decision('suspicion.forgotten', { fingerprint, ends: stale.ends.length });
-    // A suspicion that has changed in the meantime stays.
-    const change = (suspicion: Suspicion | undefined): Suspicion | undefined =>
-      isDeepStrictEqual(suspicion, stale) ? undefined : suspicion;
-    await this._writer.write(fingerprint, change);
-  }
 }
--- a/src/serving/admittedRequest.ts
+++ b/src/serving/admittedRequest.ts
@@ -1,5 +1,6 @@
 /** A caller's request after admission, ready to be forwarded to a backend server. */
 import type { AdmissionProfile } from '../admission/admissionPolicy.js';
+import type { RequestIdentity } from '../crashes/requestIdentity.js';
 import type { PermittedRegions } from '../locality/permittedRegions.js';
 import type { CallerExchange } from './callerExchange.js';
 import type { RetryAllowance } from './retryAllowance.js';
@@ -22,6 +23,8 @@
   body: Buffer | undefined;
   /** Size of the prompt relative to the service's mean prompt; 1 when the caller does not give it. */
   promptSize: number;
+  /** Identifies the request and what it shares with others. Computed on first use. */
+  identities: () => readonly RequestIdentity[];
   /** Ids of the parts of the prompt that other requests may share. */
   promptParts: readonly string[];
   /** Id of the last stream event that the caller has received, '' for none. */
--- a/src/serving/answerReceiver.ts
+++ b/src/serving/answerReceiver.ts
@@ -41,11 +41,15 @@
     return this._answer;
   }
 
+  /** Milliseconds since the first bytes of the current attempt's body; undefined before them. */
+  get answeringFor(): number | undefined {
+    return this._bodyBeganAt === undefined ? undefined : this._clock.now() - this._bodyBeganAt;
+  }
+
   get progress(): AnswerProgress {
-    const beganAt = this._bodyBeganAt;
     return {
       status: this._answer?.status,
-      answeringFor: beganAt === undefined ? undefined : this._clock.now() - beganAt,
+      answeringFor: this.answeringFor,
       endsWithConnection: this._answer !== undefined && !isFramed(this._answer.headers),
     };
   }
--- a/src/serving/currentAttempt.ts
+++ b/src/serving/currentAttempt.ts
@@ -1,4 +1,5 @@
 /** The current attempt of a request: its call and its start time. */
+import { isStalled } from './answerClassification.js';
 import type { Clock } from '../utils/clock.js';
 import type { AbortReason, BackendCallListener, BackendRequest } from './backendCall.js';
 import { BackendCall } from './backendCall.js';
@@ -43,6 +44,20 @@
     this._startedAt = startedAt;
   }
 
+  /**
+   * Whether the attempt should be abandoned in favour of another server. `hasHead` tells whether the head of its answer
+   * has arrived.
+   */
+  isStalled(objectiveMilliseconds: number, hasHead: boolean): boolean {
+    return isStalled({
+      waited: this.elapsedMilliseconds,
+      objective: objectiveMilliseconds,
+      serverSilentFor: this._call?.server.silentFor ?? 0,
+      stream: this._relay !== undefined,
+      streamSilentFor: hasHead && this._relay?.begun ? this._relay.silentFor() : undefined,
+    });
+  }
+
   /** Clears the attempt after its call to `server` has ended, and drops an event that was received only in part. */
   clear(server: TrackedServer): void {
     if (!this._call) return;
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import type { AdmissionPolicy, AdmissionProfile } from '../admission/admissionPolicy.js';
 import { requestFingerprint } from '../crashes/requestFingerprint.js';
+import { requestIdentities } from '../crashes/requestIdentity.js';
 import { permittedRegions } from '../locality/permittedRegions.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { bearerToken, readBody } from '../utils/httpBody.js';
@@ -152,20 +153,22 @@
     const { method = 'GET', url: path = '/' } = request;
     const host = request.headers.host ?? '';
     const parts = { customer: customer?.name ?? '', host, method, path, body };
-    let fingerprint: string | undefined;
+    const fingerprint = lazy(() => requestFingerprint(parts));
+    const promptParts = sharedPromptParts(request.headers[names.promptParts]);
     return {
       exchange,
       route,
       service,
       permittedRegions: permittedRegions([route.homeRegions, customer?.homeRegions ?? []]),
       model: String(request.headers[names.model] ?? ''),
-      fingerprint: () => (fingerprint ??= requestFingerprint(parts)),
+      fingerprint,
+      identities: lazy(() => requestIdentities({ service, fingerprint: fingerprint(), promptParts })),
       method,
       path,
       headers,
       body: body.length > 0 ? body : undefined,
       promptSize: promptSize(request.headers[names.tokens], this._meanPromptTokens(service)),
-      promptParts: sharedPromptParts(request.headers[names.promptParts]),
+      promptParts,
       lastEventId: String(request.headers[names.lastEventId] ?? ''),
       retries,
       profile,
@@ -210,6 +213,12 @@
   }
 }
 
+/** Returns a function that computes a value on its first call and returns it from then on. */
+function lazy<T>(compute: () => T): () => T {
+  let result: { value: T } | undefined;
+  return () => (result ??= { value: compute() }).value;
+}
+
 /** Priority of a request at the server: its rank if the service has several, else the configured priority. */
 function priorityOf(
   { rank, ranks }: AdmissionProfile,
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -162,8 +162,12 @@
     return retries.takeRetry(this._hasBegun()) ? undefined : 'retry budget';
   }
 
-  /** Milliseconds after which the caller should retry a request that was refused for `reason`. */
-  retryAfter(reason: NoAttemptReason): number {
+  /**
+   * Milliseconds after which the caller should retry a request that was refused for `reason`. `shutOutMilliseconds` is
+   * how long it remains shut out.
+   */
+  retryAfter(reason: NoAttemptReason, shutOutMilliseconds = 0): number {
+    if (reason === 'ends servers') return shutOutMilliseconds;
     const time = { leftMilliseconds: this.remainingMilliseconds, waitMilliseconds: this._waitMilliseconds };
     return this.slot.retryDelay(reason, time);
   }
--- a/src/serving/slotRequest.ts
+++ b/src/serving/slotRequest.ts
@@ -1,7 +1,6 @@
 /** A request's claim to a slot of a server: passes it to admission control, and keeps what explains a rejection. */
 import type { AdmissionPolicy, FleetLoad, Precedence, SlotLimits } from '../admission/admissionPolicy.js';
 import type { RetryTime } from '../admission/retryDelay.js';
-import { SHUT_OUT_MILLISECONDS } from '../crashes/runDecision.js';
 import type { Clock } from '../utils/clock.js';
 import type { ServingMetrics } from '../telemetry/servingMetrics.js';
 import type { WaitingRequests } from '../admission/waitingRequests.js';
@@ -69,7 +68,6 @@
 
   /** Records that the request is rejected; returns the milliseconds after which its caller should retry. */
   retryDelay(reason: NoAttemptReason, time: RetryTime): number {
-    if (reason === 'ends servers') return SHUT_OUT_MILLISECONDS;
     if (this._waiting.isClosed) return RETRY_AFTER_LEAVING_MILLISECONDS;
     const lacksSlot = SLOT_REASONS.has(reason);
     if (!this._hasGotSlot && lacksSlot) this._note('rejected');
