Break off streams that end inside an event

The entry dropped the incomplete event, ended the answer in order, counted a success of the server, and cleared the suspicion of the request that had crashed it.

Cause: the end of the connection was the end of the answer, whatever it held.

Change: a stream that ends inside an event, or before its first one unless the caller continues an earlier answer, has been broken off, whatever its framing: it counts as a lost connection for the server, and is resumed on another one or cut. An answer without length that is cut is reset at the caller 0.1 s later: an ordinary close would look like its end, and a reset at once would discard what the caller has not read yet.

--- a/src/crashes/suspicionGate.ts
+++ b/src/crashes/suspicionGate.ts
@@ -108,8 +108,12 @@
     return true;
   }
 
-  /** Records that the request completed successfully. */
-  recordSuccess(): void {
+  /**
+   * Records that the request completed successfully. An answer that ends with its connection may have been cut off by a
+   * crash, and shows nothing.
+   */
+  recordSuccess(endsWithConnection = false): void {
+    if (endsWithConnection) return;
     if (!this._isPromptProven) this._recordPromptProven();
     for (const gate of this._gates) if (gate.identity.kind === 'request') gate.recordSuccess();
   }
--- a/src/serving/answerReceiver.ts
+++ b/src/serving/answerReceiver.ts
@@ -1,6 +1,6 @@
 /** Receives the answer of an attempt: forwards events of a stream as they arrive, and buffers any other answer. */
 import type { PartialAnswer } from './answerClassification.js';
-import type { AnswerHeaders, BackendCall } from './backendCall.js';
+import type { AnswerHeaders, BackendCall, CallFailure } from './backendCall.js';
 import { isFramed } from './answerHead.js';
 import type { CallerExchange } from './callerExchange.js';
 import type { StreamRelay } from './streamRelay.js';
@@ -50,7 +50,7 @@
     return {
       status: this._answer?.status,
       answeringFor: this.answeringFor,
-      endsWithConnection: this._answer !== undefined && !isFramed(this._answer.headers),
+      endsWithConnection: this.endsWithConnection,
     };
   }
 
@@ -59,6 +59,17 @@
     return this._relay?.begun === true && this._answer?.status === SUCCESS && this._isSealed;
   }
 
+  /** The failure of an answer that was broken off although its connection was closed in order; undefined for others. */
+  get brokenOff(): CallFailure | undefined {
+    const isBrokenOff = this.isForwarding && this._relay?.isBrokenOff === true;
+    return isBrokenOff ? { sent: true, reason: 'ended inside an event', brokeOff: true } : undefined;
+  }
+
+  /** Whether the current attempt's answer has neither a length nor chunks, so that its end may be that of its server. */
+  get endsWithConnection(): boolean {
+    return this._answer !== undefined && !isFramed(this._answer.headers);
+  }
+
   /** Discards the answer, before another attempt. */
   reset(): void {
     this._answer = undefined;
--- a/src/serving/callerExchange.ts
+++ b/src/serving/callerExchange.ts
@@ -26,6 +26,9 @@
   'content-length',
 ]);
 
+/** A reset discards what the caller has received and not read yet. */
+const RESET_DELAY_MILLISECONDS = 100;
+
 /** Writes the answer to a caller's request. */
 export class CallerExchange {
   readonly request: http.IncomingMessage;
@@ -33,6 +36,10 @@
   private readonly _response: http.ServerResponse;
   private readonly _requestIdHeader: string;
   private readonly _isLeaving: () => boolean;
+  /** Whether the answer has neither a length nor chunks, so that only a reset shows that it is incomplete. */
+  private _endsWithConnection = false;
+  /** Whether the connection is about to be reset. */
+  private _isAborted = false;
 
   constructor(
     request: http.IncomingMessage,
@@ -53,7 +60,7 @@
   }
 
   get ended(): boolean {
-    return this._response.writableEnded || this._response.destroyed;
+    return this._isAborted || this._response.writableEnded || this._response.destroyed;
   }
 
   /** Calls `listener` when the caller disconnects before the answer is complete. */
@@ -110,7 +117,10 @@
 
   /** Closes the caller's connection, so that an incomplete answer cannot be taken for a complete one. */
   abort(): void {
-    this._response.destroy();
+    const { socket } = this._response;
+    if (!this._endsWithConnection || !socket) return void this._response.destroy();
+    this._isAborted = true;
+    setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MILLISECONDS);
   }
 
   /**
@@ -120,6 +130,7 @@
    */
   private _copyFraming(headers: http.IncomingHttpHeaders): boolean {
     const framed = isFramed(headers);
+    this._endsWithConnection = !framed;
     if (!framed) {
       this._response.useChunkedEncodingByDefault = false;
       this._response.setHeader('connection', 'close');
--- a/src/serving/currentAttempt.ts
+++ b/src/serving/currentAttempt.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../utils/clock.js';
 import type { AbortReason, BackendCallListener, BackendRequest } from './backendCall.js';
 import { BackendCall } from './backendCall.js';
+import type { Route } from './servingConfiguration.js';
 import type { StreamRelay } from './streamRelay.js';
 import type { TrackedServer } from './trackedServer.js';
 
@@ -48,7 +49,7 @@
    * Whether the attempt should be abandoned in favour of another server. `hasHead` tells whether the head of its answer
    * has arrived.
    */
-  isStalled(objectiveMilliseconds: number, hasHead: boolean): boolean {
+  isStalled({ objectiveMilliseconds }: Route, hasHead: boolean): boolean {
     return isStalled({
       waited: this.elapsedMilliseconds,
       objective: objectiveMilliseconds,
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -134,7 +134,7 @@
     if (this._receiver.isForwarding) this._suspicionGate.onAnswering(this._receiver.answeringFor);
   }
 
-  /** Handles an answer to another request, or one that is too large: the connection can no longer be used. */
+  /** Handles an answer to another request, or one that is too large. */
   private _onForeignAnswer(server: TrackedServer): void {
     this._current.abort('foreign-answer');
     this._afterFailure(server, { sent: true, reason: 'foreign-answer' });
@@ -142,10 +142,12 @@
 
   private _onEnd(server: TrackedServer): void {
     const answer = this._receiver.answer!;
+    const { brokenOff } = this._receiver;
+    if (brokenOff) return this._afterFailure(server, brokenOff);
     this._current.clear(server);
     if (this._receiver.isForwarding) {
       server.health.noteOutcome('succeeded');
-      this._suspicionGate.recordSuccess();
+      this._suspicionGate.recordSuccess(this._receiver.endsWithConnection);
       return this._final.endStream(server, answer.status);
     }
     this._onCompleteAnswer(server, answer);
@@ -158,7 +160,7 @@
     if (kind === 'not-run') return this._onRejected(server, status);
     this._mayHaveRun = true;
     server.health.noteOutcome(kind === 'failed' || kind === 'unclear' ? 'failed' : 'succeeded');
-    if (isSuccessfulRun(kind, status)) this._suspicionGate.recordSuccess();
+    if (isSuccessfulRun(kind, status)) this._suspicionGate.recordSuccess(this._receiver.endsWithConnection);
     if (kind !== 'answered' && this._attempts.repeatable && this._continueElsewhere()) return;
     if (kind === 'unclear') return this._final.refuse(OWN_STATUS.unknown, `status ${status} from server`);
     if (this._relay?.begun) return this._final.cut('stream could not be resumed');
@@ -259,8 +261,7 @@
 
   private _retryIfStalled({ server }: BackendCall): void {
     const { elapsedMilliseconds: elapsed } = this._current;
-    const { objectiveMilliseconds } = this._request.route;
-    const stalled = this._current.isStalled(objectiveMilliseconds, this._receiver.answer !== undefined);
+    const stalled = this._current.isStalled(this._request.route, this._receiver.answer !== undefined);
     if (!stalled || this._takeRetry()) return;
     this._current.abort('silent');
     this._mayHaveRun = true;
--- a/src/serving/streamRelay.ts
+++ b/src/serving/streamRelay.ts
@@ -76,6 +76,14 @@
     return canTakeMore;
   }
 
+  /**
+   * Whether a stream that ends now was broken off: inside an event, or before its first one unless the caller had
+   * events of it already.
+   */
+  get isBrokenOff(): boolean {
+    return this._splitter.rest.length > 0 || (this._firstBytesAt === 0 && this._lastEventId === '');
+  }
+
   /** Drops an event that was received only in part. */
   dropPartialEvent(): void {
     this._splitter = new EventSplitter();
--- a/standins/scriptedBackend.ts
+++ b/standins/scriptedBackend.ts
@@ -120,6 +120,14 @@
   return answerBytes(request, { headers, body: '', seal });
 }
 
+/** Returns the head of an event stream that has neither a length nor chunks, and ends with its connection. */
+export function unframedStreamHead(request: ArrivedRequest): string {
+  return answerBytes(request, {
+    headers: { connection: 'close', 'content-type': 'text/event-stream' },
+    body: '',
+  });
+}
+
 /** Returns server-sent events with these ids. */
 export function events(...ids: number[]): string {
   return ids.map((id) => `id: ${id}\ndata: event ${id}\n\n`).join('');
--- a/tests/gatewayStreams.spec.ts
+++ b/tests/gatewayStreams.spec.ts
@@ -1,7 +1,7 @@
 /** Streams through a gateway: forwarded by event, resumed after a failure, handed over before a switch. */
 import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
-import { answers, chunkOf, events, streamHead } from '../standins/scriptedBackend.js';
+import { answers, chunkOf, events, streamHead, unframedStreamHead } from '../standins/scriptedBackend.js';
 import type { ArrivedRequest, Script } from '../standins/scriptedBackend.js';
 import { GatewayFixture } from './fixtures/gatewayFixture.js';
 import { routeFixture } from './fixtures/servingFixture.js';
@@ -16,6 +16,7 @@
 afterEach(() => fixture.stop());
 
 const STREAM = { routes: [routeFixture({ kind: 'stream', resumable: true })] };
+const ONCE_STREAM = { routes: [routeFixture({ kind: 'stream' })] };
 const rejects = answers({ status: 503, headers: { 'larklatch-not-run': '1' }, seal: null });
 
 function streams(...parts: string[]): (request: ArrivedRequest) => void {
@@ -63,6 +64,46 @@
   });
 }
 
+/** Sends a stream that ends with its connection, and closes the connection after `text`. */
+function endsWithConnection(text: (last: number) => string): Script {
+  return (request) => {
+    const last = Number(request.headers.get('last-event-id') ?? 0);
+    request.socket.end(unframedStreamHead(request) + text(last));
+  };
+}
+
+test('should complete a stream without length that ends after an event', async () => {
+  await fixture.start([endsWithConnection(() => events(1, 2))], STREAM);
+  const { body, whole } = await fixture.request();
+  expect([body, whole]).toEqual([events(1, 2), true]);
+});
+
+for (const [where, rest] of [
+  ['inside an event', 'id: 3\ndata: ev'],
+  ['before the blank line of an event', 'id: 3\ndata: event 3\n'],
+] as const) {
+  test(`should break off a stream without length that ends ${where}`, async () => {
+    await fixture.start([endsWithConnection(() => events(1, 2) + rest)], ONCE_STREAM);
+    const { body, whole } = await fixture.request();
+    expect([body.startsWith(events(1, 2)), whole]).toEqual([true, false]);
+  });
+}
+
+test('should resume a stream without length that ends inside an event', async () => {
+  const script = endsWithConnection((last) => (last === 0 ? `${events(1, 2)}id: 3` : events(3, 4)));
+  await fixture.start([script, script], STREAM);
+  const { body, whole } = await fixture.request();
+  expect([body, whole]).toEqual([events(1, 2, 3, 4), true]);
+});
+
+test('should resume a stream without length that ends before its first event', async () => {
+  let sent = 0;
+  const script = endsWithConnection(() => (sent++ === 0 ? '' : events(1, 2)));
+  await fixture.start([script, script], STREAM);
+  const { body, whole } = await fixture.request();
+  expect([body, whole]).toEqual([events(1, 2), true]);
+});
+
 /** Sends the gateway the status messages by which the servers' agents report whether they are switching versions. */
 function reportStates(states: readonly ('serving' | 'switching')[]): void {
   states.forEach((state, index) => fixture.sendStatus(index, { state }));
--- a/tests/harmfulPromptPart.spec.ts
+++ b/tests/harmfulPromptPart.spec.ts
@@ -4,8 +4,8 @@
  */
 import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
-import { chunkOf, events, streamHead } from '../standins/scriptedBackend.js';
-import type { Script } from '../standins/scriptedBackend.js';
+import { chunkOf, events, streamHead, unframedStreamHead } from '../standins/scriptedBackend.js';
+import type { ArrivedRequest, Script } from '../standins/scriptedBackend.js';
 import type { CallerAnswer } from './fixtures/gatewayFixture.js';
 import { CrashingFleet } from './fixtures/crashingFleet.js';
 import { routeFixture } from './fixtures/servingFixture.js';
@@ -39,22 +39,44 @@
 
 afterEach(() => fleet.stop());
 
-/** Streams some events; a request with the part `bad` crashes the server once the head of its answer is sent. */
-function crashesOnPart(index: number): Script {
+/** How an answer tells where it ends, and what a server sends of it before it crashes. */
+interface Framing {
+  head: (request: ArrivedRequest) => string;
+  event: (id: number) => string;
+  end: (request: ArrivedRequest) => void;
+  beforeCrash: string;
+}
+
+const CHUNKED: Framing = {
+  head: (request) => streamHead(request),
+  event: (id) => chunkOf(events(id)),
+  end: ({ socket }) => void socket.write('0\r\n\r\n'),
+  beforeCrash: '',
+};
+const ENDS_WITH_CONNECTION: Framing = {
+  head: unframedStreamHead,
+  event: (id) => events(id),
+  end: ({ socket }) => void socket.end(),
+  beforeCrash: 'id: 1\ndata: ev',
+};
+
+/** Streams some events; a request with the part `bad` crashes the server once its answer has begun. */
+function crashesOnPart(index: number, { head, event, end, beforeCrash }: Framing): Script {
   return (request) => {
-    request.socket.write(streamHead(request));
+    request.socket.write(head(request));
     if (request.headers.get('larklatch-prompt-parts')?.includes('bad')) {
       harmfulAt.push(Date.now());
+      request.socket.write(beforeCrash);
       setTimeout(() => void fleet.crashAndRestart(index, RESTART_MILLISECONDS), EVENT_INTERVAL_MILLISECONDS);
       return;
     }
     let id = Number(request.headers.get('last-event-id') ?? 0);
     const timer = setInterval(() => {
       id++;
-      request.socket.write(chunkOf(events(id)));
+      request.socket.write(event(id));
       if (id < EVENTS) return;
       clearInterval(timer);
-      request.socket.write('0\r\n\r\n');
+      end(request);
     }, EVENT_INTERVAL_MILLISECONDS);
   };
 }
@@ -87,12 +109,13 @@
   return await Promise.all(answers);
 }
 
-for (const [place, parts] of [
-  ['first', ['bad', 'c0']],
-  ['second', ['c0', 'bad']],
+for (const [which, parts, framing] of [
+  ['first part crashes servers', ['bad', 'c0'], CHUNKED],
+  ['second part crashes servers', ['c0', 'bad'], CHUNKED],
+  ['second part crashes servers inside an event of unknown length', ['c0', 'bad'], ENDS_WITH_CONNECTION],
 ] as const) {
-  test(`should stop requests whose ${place} part crashes servers, and serve those with the same other part`, async () => {
-    await fleet.start(SERVERS, crashesOnPart, STREAM);
+  test(`should stop requests whose ${which}, and serve those with the same other part`, async () => {
+    await fleet.start(SERVERS, (index) => crashesOnPart(index, framing), STREAM);
     const [, sound] = await Promise.all([
       sendSeries(HARMFUL_REQUESTS, HARMFUL_INTERVAL_MILLISECONDS, () => send(...parts)),
       sendSeries(SOUND_REQUESTS, SOUND_INTERVAL_MILLISECONDS, () => sendTwice('c0')),
