--- a/src/crashes/requestIdentity.ts
+++ b/src/crashes/requestIdentity.ts
@@ -26,6 +26,14 @@
 /** Long enough to rule out collisions. */
 const HEX_DIGITS = 32;
 
+const PART_PREFIX = 'part-';
+const PARTS_PREFIX = 'parts-';
+
+/** Whether a fingerprint is that of a part, or of all parts, of a prompt. */
+export function isPromptFingerprint(fingerprint: string): boolean {
+  return fingerprint.startsWith(PART_PREFIX) || fingerprint.startsWith(PARTS_PREFIX);
+}
+
 /**
  * Returns all identities of a request, in an order that is the same for all requests. The customer is no part of those
  * of a prompt: what crashes a server does so for every customer.
@@ -38,10 +46,10 @@
   const identities: RequestIdentity[] = [{ kind: 'request', fingerprint }];
   const serviceHash = placementHash(service).toString(16);
   for (const part of promptParts)
-    identities.push({ kind: 'prompt-part', fingerprint: `part-${part}-${serviceHash}` });
+    identities.push({ kind: 'prompt-part', fingerprint: `${PART_PREFIX}${part}-${serviceHash}` });
   if (promptParts.length > 1) {
     const digest = sha256Hex([service, ...promptParts].join(',')).slice(0, HEX_DIGITS);
-    identities.push({ kind: 'prompt-parts', fingerprint: `parts-${digest}` });
+    identities.push({ kind: 'prompt-parts', fingerprint: `${PARTS_PREFIX}${digest}` });
   }
   return identities.sort((one, other) => (one.fingerprint < other.fingerprint ? -1 : 1));
 }
--- a/src/crashes/runDecision.ts
+++ b/src/crashes/runDecision.ts
@@ -34,11 +34,11 @@
   'prompt-part': 2,
   'prompt-parts': 2,
 };
-/** Server exits after which a request has to pause before its next trial. */
+/** Server exits after which a request has to pause before its next trial, or before it is rejected. */
 const EXITS_BEFORE_PAUSE = 2;
 /**
- * When several harmful requests run at the same time, a harmless one may share two crashed servers with them in a
- * row. After this pause the harmful ones are known, and the next trial of the harmless one clears it.
+ * A harmless request may share several crashed servers with harmful ones in a row. After this pause the harmful ones
+ * are known, so that the harmless one is not rejected, and its next trial clears it.
  */
 const PAUSE_MILLISECONDS = 1_000;
 /**
@@ -60,10 +60,11 @@
   if (!suspicion || suspicion.ends.length < EXITS_BEFORE_TRIAL[facts.kind]) return 'run';
   const isRunningTrial = ownsTrial && !hasFailedTrial(suspicion, request);
   if (isRunningTrial) return 'run-as-trial';
-  const isBlocked = isShutOut(suspicion) && !facts.isExplainedByOthers;
-  if (isBlocked && millisecondsSinceLastExit < shutOutMilliseconds(suspicion)) return 'shut-out';
   const isPausing =
     suspicion.ends.length >= EXITS_BEFORE_PAUSE && millisecondsSinceLastExit < PAUSE_MILLISECONDS;
+  if (isPausing) return 'held';
+  const isBlocked = isShutOut(suspicion) && !facts.isExplainedByOthers;
+  if (isBlocked && millisecondsSinceLastExit < shutOutMilliseconds(suspicion)) return 'shut-out';
   const isTrialTaken = suspicion.trial !== undefined && !ownsTrial && !isTrialExpired;
-  return isPausing || isTrialTaken ? 'held' : 'claim-trial';
+  return isTrialTaken ? 'held' : 'claim-trial';
 }
--- a/src/crashes/suspicion.ts
+++ b/src/crashes/suspicion.ts
@@ -73,12 +73,6 @@
   return suspicion.trial?.request === request ? { ends: suspicion.ends } : suspicion;
 }
 
-/** Whether each server that exited under a request also ran one of `others`, which may have caused the exit. */
-export function isExplained({ ends }: Suspicion, others: readonly Suspicion[]): boolean {
-  const explained = new Set(others.flatMap((other) => other.ends.map(({ server }) => server)));
-  return ends.every(({ server }) => explained.has(server));
-}
-
 /** Merges the suspicion `known` before a rollback of the store into the one that the store has now. */
 export function restoreKnown(stored: Suspicion | undefined, known: Suspicion): Suspicion {
   if (!stored || isPartOf(stored, known)) return known;
--- a/src/crashes/suspicionTracker.ts
+++ b/src/crashes/suspicionTracker.ts
@@ -14,6 +14,7 @@
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
 import { waitAtMost } from '../utils/timers.js';
+import { isExplainedByOthers } from './explanation.js';
 import { ExitTimes } from './exitTimes.js';
 import { SuccessCredits } from './successCredits.js';
 import type { ServerProcess } from './serverExitChecker.js';
@@ -22,7 +23,7 @@
 import type { RunDecision } from './runDecision.js';
 import { decideRun, shutOutMilliseconds } from './runDecision.js';
 import type { ServerExit, Suspicion } from './suspicion.js';
-import { isExplained, isShutOut, withServerExit, withTrial, withoutTrial } from './suspicion.js';
+import { isShutOut, withServerExit, withTrial, withoutTrial } from './suspicion.js';
 import type { StoredSuspicion } from './suspicionCopies.js';
 import { SuspicionCleaner } from './suspicionCleaner.js';
 import { SuspicionCopies } from './suspicionCopies.js';
@@ -102,7 +103,7 @@
 
   /** Number of suspected identities, and of those among them that are shut out. */
   get counts(): { suspected: number; shutOut: number } {
-    const suspicions = this._copies.all().flatMap(([, { suspicion }]) => suspicion ?? []);
+    const suspicions = this._suspicions().map(([, suspicion]) => suspicion);
     return { suspected: suspicions.length, shutOut: suspicions.filter(isShutOut).length };
   }
 
@@ -111,10 +112,11 @@
    * last, and `own` are the fingerprints of all its identities.
    */
   runDecision(
-    { kind, fingerprint }: RequestIdentity,
+    identity: RequestIdentity,
     request: string,
-    own: ReadonlySet<string> = new Set([fingerprint]),
+    own: ReadonlySet<string> = new Set([identity.fingerprint]),
   ): RunDecision {
+    const { kind, fingerprint } = identity;
     const suspicion = this._writer.get(fingerprint);
     const trial = suspicion?.trial;
     return decideRun({
@@ -125,7 +127,9 @@
       isTrialExpired: trial?.request === this._expiredTrial(this._copies.get(fingerprint)),
       millisecondsSinceLastExit: this._exitTimes.since(fingerprint),
       isExplainedByOthers:
-        suspicion !== undefined && isShutOut(suspicion) && this._isExplained(suspicion, own),
+        suspicion !== undefined &&
+        isShutOut(suspicion) &&
+        isExplainedByOthers(identity, suspicion, own, this._suspicions()),
     });
   }
 
@@ -263,10 +267,10 @@
     }
   }
 
-  private _isExplained(suspicion: Suspicion, own: ReadonlySet<string>): boolean {
-    const others = this._copies.all().filter(([fingerprint]) => !own.has(fingerprint));
-    const known = others.flatMap(([, { suspicion: other }]) => other ?? []);
-    return isExplained(suspicion, known.filter(isShutOut));
+  private _suspicions(): (readonly [string, Suspicion])[] {
+    return this._copies
+      .all()
+      .flatMap(([fingerprint, { suspicion }]) => (suspicion ? [[fingerprint, suspicion] as const] : []));
   }
 
   private _age({ seenAt }: StoredSuspicion): number {
--- a/tests/suspicionTracker.spec.ts
+++ b/tests/suspicionTracker.spec.ts
@@ -139,6 +139,7 @@
   const second = gate(a, 'q');
   expect(await second.wait()).toEqual('granted');
   void a.recordServerExit(REQUEST, { server: 's-3', trial: second.trialIds[0] });
+  clock.advance(PAUSE);
   expect(a.runDecision(REQUEST, 'p')).toEqual('shut-out');
   store.refusesWrites = false;
   await until(() => storedSuspicion()?.ends.length === 3);
@@ -192,12 +193,14 @@
   const a = entry('a');
   for (const server of ['s-1', 's-2', 's-3']) void a.recordServerExit(REQUEST, { server, trial: 'r' });
   await until(() => a.counts.shutOut === 1);
+  clock.advance(PAUSE);
   expect(await gate(a, 'q').wait()).toEqual('ends servers');
   clock.advance(600_000);
   const later = gate(a, 'p');
   expect(await later.wait()).toEqual('granted');
   expect(a.runDecision(REQUEST, 'other')).toEqual('held');
   void a.recordServerExit(REQUEST, { server: 's-4', trial: later.trialIds[0] });
+  clock.advance(PAUSE);
   expect(a.runDecision(REQUEST, later.trialIds[0])).toEqual('shut-out');
 });
 
