Soak: requests that share a harmful part of their prompts

All streams of the calm callers share the first part. The check of crashing requests knows parts too: three runs at most, later than 3.5 s after the fifth crash.

--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -43,6 +43,7 @@
   'roll-back-store',
   'turn-cold',
   'evacuate',
+  'harmful-part',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
@@ -65,7 +66,7 @@
 
 /** What a fault affects. */
 export function faultScope(kind: FaultKind): FaultScope {
-  if (kind === 'crashing-request') return 'servers';
+  if (kind === 'crashing-request' || kind === 'harmful-part') return 'servers';
   if (kind === 'roll-back-store') return 'rollback';
   return PROCESS_KILL_KINDS.includes(kind) ? 'processes' : 'all';
 }
--- a/soak/fleetOptions.ts
+++ b/soak/fleetOptions.ts
@@ -47,6 +47,6 @@
   onIncompleteVersion(runner: string, version: number): void;
   /** The operator has evacuated a data centre; the returned function is called at the end of the evacuation. */
   onEvacuation(zone: string): () => void;
-  /** The request with this body has crashed a server. */
-  onCrash(body: string): void;
+  /** A body, or a part of a prompt, has crashed a server. */
+  onCrash(harm: string): void;
 }
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -1,6 +1,6 @@
 /** Checks the records of callers and backend servers against the promises of docs/PROMISES.md. */
 import type { Execution } from '../standins/platformRunnerOptions.js';
-import { CRASH_BODY } from '../standins/platformRunnerStandin.js';
+import { CRASH_BODY } from '../standins/platformRunnerHarm.js';
 import type { Call } from './callerLog.js';
 import type { LocalityChecks } from './localityChecks.js';
 import type { Breach, PromiseName } from './promiseNames.js';
@@ -32,7 +32,7 @@
   at: number;
 }
 
-/** History of a request that crashes every server which runs it. */
+/** History of requests with a body, or a part of their prompts, that crashes every server which runs them. */
 interface CrashingRequestRecord {
   /** Times of the crashes, in wall clock milliseconds. */
   crashes: number[];
@@ -45,8 +45,8 @@
 const SLACK_MILLISECONDS = 500;
 /** Time bounds apply again this long after a fault. */
 const RECOVERY_MILLISECONDS = 3_000;
-/** Number of crashes after which entries must stop forwarding the request. */
-const CRASHES_UNTIL_KNOWN = 3;
+/** Number of crashes by one body, or by one part of prompts, after which entries must stop forwarding it. */
+const CRASHES_UNTIL_KNOWN = { body: 3, part: 5 };
 /** Runs that are allowed once all entries should know about the request. */
 const MAX_LATE_RUNS = 3;
 const MAX_BREACHES = 50;
@@ -72,7 +72,7 @@
   /** `entry configuredAt` for each entry and each configuration that the entry has been seen to apply. */
   private readonly _configured = new Set<string>();
   private readonly _drainingSince = new Map<string, number>();
-  /** Requests that crash servers, by body. */
+  /** Requests that crash servers, by body or by part of their prompts. */
   private readonly _crashingRequests = new Map<string, CrashingRequestRecord>();
 
   constructor(bounds: CheckBounds) {
@@ -106,12 +106,12 @@
     this._checkOnce(execution.id);
     this._checkVersion(execution);
     this._checkDraining(execution);
-    if (execution.body.startsWith(CRASH_BODY)) this._checkCrashing(execution);
+    if (execution.harm !== undefined) this._checkCrashing(execution, execution.harm);
   }
 
-  /** The request with this body has crashed a server. */
-  onCrash(body: string): void {
-    this._crashingRequest(body).crashes.push(Date.now());
+  /** A body, or a part of a prompt, has crashed a server. */
+  onCrash(harm: string): void {
+    this._crashingRequest(harm).crashes.push(Date.now());
   }
 
   /** Totals over all requests that crash servers. */
@@ -237,10 +237,11 @@
     this._breach('draining', `${id} started at ${runner}, ${at - since} ms after it began to drain`);
   }
 
-  private _checkCrashing({ body, runner, at, id }: Execution): void {
-    const request = this._crashingRequest(body);
+  private _checkCrashing({ runner, at, id }: Execution, harm: string): void {
+    const request = this._crashingRequest(harm);
     request.runs++;
-    const knownSince = request.crashes[CRASHES_UNTIL_KNOWN - 1];
+    const crashesUntilKnown = CRASHES_UNTIL_KNOWN[harm.startsWith(CRASH_BODY) ? 'body' : 'part'];
+    const knownSince = request.crashes[crashesUntilKnown - 1];
     if (knownSince === undefined || at - knownSince < RECOVERY_MILLISECONDS + SLACK_MILLISECONDS) return;
     const faults = this._faults.filter(({ scope }) => scope !== 'servers' && scope !== 'rollback');
     if (this._overlapsFault(knownSince, at, faults)) return;
@@ -248,13 +249,13 @@
     if (request.lateRuns > MAX_LATE_RUNS)
       this._breach(
         'crashing',
-        `${id} ran at ${runner}, ${at - knownSince} ms after the third crash by the same request`,
+        `${id} ran at ${runner}, ${at - knownSince} ms after crash ${crashesUntilKnown} by ${harm}`,
       );
   }
 
-  private _crashingRequest(body: string): CrashingRequestRecord {
-    const request = this._crashingRequests.get(body) ?? { crashes: [], runs: 0, lateRuns: 0 };
-    this._crashingRequests.set(body, request);
+  private _crashingRequest(harm: string): CrashingRequestRecord {
+    const request = this._crashingRequests.get(harm) ?? { crashes: [], runs: 0, lateRuns: 0 };
+    this._crashingRequests.set(harm, request);
     return request;
   }
 
--- a/soak/soakCaller.ts
+++ b/soak/soakCaller.ts
@@ -38,6 +38,8 @@
   ...Array<CallKind>(2).fill('repeatable'),
   'newest',
 ];
+/** The first part of the prompts of all streams. */
+export const COMMON_PART = 'c0:40';
 /** Statuses by which an entry promises that the request has not run. */
 const REFUSAL_STATUSES = new Set([408, 421, 429, 503]);
 /** Statuses of invalid requests. Callers of a soak send only valid ones. */
@@ -204,7 +206,8 @@
         authorization: `Bearer ${customer.api_keys[0]}`,
         'x-tenant': 'forged',
       };
-      if (kind === 'stream') headers['x-model'] = 'm0';
+      if (kind === 'stream')
+        Object.assign(headers, { 'x-model': 'm0', 'x-prefix-hash': `${COMMON_PART},1:50` });
       const method = METHODS[kind];
       const request = http.request({ host, port, method, path, headers, agent: this._agent }, (answer) => {
         received.status = answer.statusCode ?? 0;
@@ -258,7 +261,7 @@
 }
 
 /** Sends a streaming request that crashes the server, and ignores the answer. */
-export function sendCrashingRequest(address: string, id: string, body: string): void {
+export function sendCrashingRequest(address: string, id: string, body: string, promptParts = ''): void {
   const [host, port] = address.split(':');
   const headers = {
     host: HOST,
@@ -266,6 +269,7 @@
     'x-deadline-ms': String(DEADLINE_MILLISECONDS),
     authorization: `Bearer ${CUSTOMERS[0].api_keys[0]}`,
     'x-model': 'm0',
+    ...(promptParts === '' ? {} : { 'x-prefix-hash': promptParts }),
   };
   const options = { host, port, method: METHODS.stream, path: PATHS.stream, headers, agent: false };
   const request = http.request(options, (answer) => answer.on('error', () => undefined).resume());
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -2,17 +2,16 @@
 import type { Random } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
 import { RUNNER_FAULTS } from '../standins/platformRunnerFaults.js';
-import { CRASH_BODY } from '../standins/platformRunnerStandin.js';
 import type { FaultKind } from './faultKinds.js';
 import { SIGNAL_KINDS, faultScope, keepsPromises } from './faultKinds.js';
 import type { FleetProcess } from './fleetProcess.js';
+import { HarmfulRequests } from './harmfulRequests.js';
 import type { ProxyMode } from './loopbackProxy.js';
 import type { PromiseChecks } from './promiseChecks.js';
 import type { SignalChecks } from './signalChecks.js';
 import { SignalFaults } from './signalFaults.js';
 import { removeStaleServers, rollBackStore } from './storeRollback.js';
 import { ZONES } from './soakBounds.js';
-import { sendCrashingRequest } from './soakCaller.js';
 import type { SoakBox, SoakFleet } from './soakFleet.js';
 import { FOREIGN_VALUES, MODEL_SERVICE, PLAIN_SERVICE } from './soakConfiguration.js';
 
@@ -34,8 +33,6 @@
 const RESTARTED_SHARE = 0.5;
 /** Delay after which the store performs a write that it did not answer. */
 const LATE_WRITE_MILLISECONDS = 1_500;
-const CRASHING_REQUESTS = 80;
-const CRASHING_INTERVAL_MILLISECONDS = 120;
 
 /** Applies faults, of which several may be active at the same time. */
 export class SoakFaults {
@@ -45,7 +42,7 @@
   private readonly _random: Random;
   private readonly _log: (line: string) => void;
   private readonly _drainingBoxes = new Set<SoakBox>();
-  private _crashingRounds = 0;
+  private readonly _harmfulRequests: HarmfulRequests;
 
   constructor(
     fleet: SoakFleet,
@@ -59,6 +56,11 @@
     this._signals = new SignalFaults(signals, random);
     this._random = random;
     this._log = log;
+    this._harmfulRequests = new HarmfulRequests({
+      entries: () => fleet.entries.map((entry) => fleet.callerAddress(entry)),
+      random,
+      onSending: (id) => checks.onSending(id),
+    });
   }
 
   /** Applies a fault and resolves when it is over. */
@@ -67,7 +69,9 @@
     const milliseconds = MIN_FAULT_MILLISECONDS + this._random.integer(FAULT_SPREAD_MILLISECONDS);
     this._log(`${kind} ${milliseconds}`);
     try {
-      if (SIGNAL_KINDS.includes(kind)) await this._applySignal(kind, this._pick(this._fleet.boxes));
+      if (kind === 'crashing-request') await this._harmfulRequests.sendRepeated();
+      else if (kind === 'harmful-part') await this._harmfulRequests.sendWithHarmfulPart();
+      else if (SIGNAL_KINDS.includes(kind)) await this._applySignal(kind, this._pick(this._fleet.boxes));
       else await this._applyFault(kind, milliseconds);
     } finally {
       endFault();
@@ -121,7 +125,6 @@
     if (kind === 'restart-server') return await this._restartServer(this._pick(boxes));
     if (kind === 'restart-amid-versions') return await this._restartDuringVersions();
     if (kind === 'foreign-records') return await this._writeForeignRecords(milliseconds);
-    if (kind === 'crashing-request') return await this._sendCrashingRequests();
     if (kind === 'rot-chunks')
       return await this._corruptStagedChunks(this._pick(this._boxesOf(MODEL_SERVICE)), milliseconds);
     if (kind === 'harm-store' || kind === 'lose-writes') {
@@ -275,18 +278,6 @@
     await this._fleet.startRunner(box);
   }
 
-  /** Sends a request that crashes every server which runs it, again and again, to randomly chosen entries. */
-  private async _sendCrashingRequests(): Promise<void> {
-    const round = this._crashingRounds++;
-    const body = `${CRASH_BODY} ${round}"}`;
-    for (let sent = 0; sent < CRASHING_REQUESTS; sent++) {
-      const id = `crashing-${round}-${sent}`;
-      this._checks.onSending(id);
-      sendCrashingRequest(this._fleet.callerAddress(this._pick(this._fleet.entries)), id, body);
-      await pause(CRASHING_INTERVAL_MILLISECONDS);
-    }
-  }
-
   /** Corrupts staged chunks during the transfer of a version, while the agent can still detect that. */
   private async _corruptStagedChunks(box: SoakBox, milliseconds: number): Promise<void> {
     this._checks.onVersionAnnounced(this._fleet.announceWeights());
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -143,11 +143,11 @@
   }
 
   /** Handles a request that crashed a server. The server's record stays until another one starts on the box. */
-  private async _onCrash(runner: PlatformRunnerStandin, body: string): Promise<void> {
+  private async _onCrash(runner: PlatformRunnerStandin, harm: string): Promise<void> {
     const box = this.boxes.find((candidate) => candidate.runner === runner);
     if (!box) return;
     box.proxy.close();
-    this._options.listener.onCrash(body);
+    this._options.listener.onCrash(harm);
     await pause(CRASH_RESTART_MILLISECONDS);
     if (box.runner !== runner || this._isStopped) return;
     this.store.remove('servers', runner.id);
@@ -237,7 +237,7 @@
       onExecution: (execution) => this._options.listener.onExecution(execution),
       onArrival: (arrival) => this._options.listener.onArrival(arrival),
       onSignals: (signals) => this._options.listener.onSignals(signals),
-      onCrash: (runner, body) => void this._onCrash(runner, body),
+      onCrash: (runner, harm) => void this._onCrash(runner, harm),
       onIncompleteVersion: (runner, incomplete) =>
         this._options.listener.onIncompleteVersion(runner, incomplete),
       fraction: () => this._options.random.fraction(),
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -84,7 +84,7 @@
         if (box) locality.onExecution(execution, box.zone);
       },
       onEvacuation: (zone) => locality.onEvacuation(zone),
-      onCrash: (body) => checks.onCrash(body),
+      onCrash: (harm) => checks.onCrash(harm),
       onIncompleteVersion: (runner, version) => checks.onIncompleteVersion(runner, version),
       onArrival: (arrival) => signals.onArrival(arrival),
       onSignals: (sent) => signals.onSignals(sent),
--- a/standins/platformRunnerOptions.ts
+++ b/standins/platformRunnerOptions.ts
@@ -11,6 +11,8 @@
   customer: string;
   path: string;
   body: string;
+  /** What in the request crashes the runner: its body, or a part of its prompt; undefined if nothing does. */
+  harm: string | undefined;
   /** Version of the model; 0 for a service without a model. */
   version: number;
   /** Start time, in Unix milliseconds. */
@@ -35,7 +37,7 @@
   /** Called before an answer with a backpressure header is sent. */
   onSignals?: (signals: SentSignals) => void;
   /** Called when a request has crashed the runner. The runner is already closed. */
-  onCrash?: (runner: PlatformRunnerStandin, body: string) => void;
+  onCrash?: (runner: PlatformRunnerStandin, harm: string) => void;
   /** Called when the runner loads a version although chunks of it are missing or corrupt. */
   onIncompleteVersion: (runner: string, version: number) => void;
   /** Returns a random number from 0 to 1. */
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -8,13 +8,12 @@
 import type { PlatformRunnerOptions } from './platformRunnerOptions.js';
 import { hasSignals, signalHeaders, sentSignals } from './platformRunnerSignals.js';
 import { STREAM_EVENTS, eventText, sealOf } from './platformAnswers.js';
+import { CRASH_PART, harmIn } from './platformRunnerHarm.js';
 import { sendJsonAnswer } from './standinServer.js';
 import type { WeightsShape } from './weightsFixture.js';
 import { versionDigests } from './weightsFixture.js';
 
-/** A request whose body starts with this crashes the runner that runs it. */
-export const CRASH_BODY = '{"prompt":"ends its runner';
-/** Time from the start of such a request to the crash. */
+/** Time from the start of a harmful request to the crash. */
 const CRASH_DELAY_MILLISECONDS = 70;
 /** Requests that can wait for a slot. */
 const MAX_QUEUED = 16;
@@ -218,10 +217,11 @@
     this._active++;
     const customer = String(headers['x-tenant'] ?? '');
     const version = this._options.weights ? this._version : 0;
-    const execution = { id, runner: this.id, service, customer, path: url.pathname, body, version };
+    const harm = harmIn(body, String(headers['x-prefix-hash'] ?? ''));
+    const execution = { id, runner: this.id, service, customer, path: url.pathname, body, version, harm };
     onExecution({ ...execution, at: Date.now() });
     try {
-      if (body.startsWith(CRASH_BODY)) return await this._crash(body);
+      if (harm !== undefined) return await this._crash(harm, id, response);
       await this._answer(request, response, id, url, fraction());
     } finally {
       this._active--;
@@ -229,10 +229,16 @@
     }
   }
 
-  private async _crash(body: string): Promise<void> {
+  /** A part of a prompt crashes the runner within the first event of an answer that ends with its connection. */
+  private async _crash(harm: string, id: string, response: http.ServerResponse): Promise<void> {
+    if (harm.startsWith(CRASH_PART)) {
+      response.useChunkedEncodingByDefault = false;
+      response.writeHead(200, { 'x-attempt-id': id, 'x-server-seal': sealOf(id), connection: 'close' });
+      response.write(eventText(id, 1).slice(0, -2));
+    }
     await pause(CRASH_DELAY_MILLISECONDS);
     this.close();
-    this._options.onCrash?.(this, body);
+    this._options.onCrash?.(this, harm);
   }
 
   /** Returns the status with which to reject a request; 0 to accept it. */
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -6,7 +6,7 @@
 import type { FaultKind } from '../soak/faultKinds.js';
 import { FAULT_KINDS } from '../soak/faultKinds.js';
 import type { Execution } from '../standins/platformRunnerOptions.js';
-import { CRASH_BODY } from '../standins/platformRunnerStandin.js';
+import { CRASH_BODY } from '../standins/platformRunnerHarm.js';
 import { shortSoak } from './fixtures/shortSoak.js';
 
 /** Kinds that the first test excludes: with them its seed would select another sequence of faults. */
@@ -22,12 +22,13 @@
   'reject-with-retry-after',
   'turn-cold',
   'evacuate',
+  'harmful-part',
 ];
 const KINDS_OF_SEED = FAULT_KINDS.filter((kind) => !EXCLUDED_KINDS.includes(kind));
 
 function execution(changes: Partial<Execution> = {}): Execution {
   const base = { id: 'a', runner: 'i-1', service: 'turns', customer: 'studio-a', path: '/turns/x' };
-  return { ...base, body: '', version: 0, at: Date.now(), ...changes };
+  return { ...base, body: '', harm: undefined, version: 0, at: Date.now(), ...changes };
 }
 
 function call(changes: Partial<Call> = {}): Call {
@@ -161,9 +162,10 @@
     const promiseChecks = createChecks();
     for (let crash = 0; crash < 3; crash++) promiseChecks.onCrash(body);
     if (hasFault) promiseChecks.onFault()();
-    promiseChecks.onExecution(execution({ path: '/chat/x', body }));
+    promiseChecks.onExecution(execution({ path: '/chat/x', body, harm: body }));
     const at = Date.now() + 4_000;
-    for (let run = 0; run < runs; run++) promiseChecks.onExecution(execution({ path: '/chat/x', body, at }));
+    for (let run = 0; run < runs; run++)
+      promiseChecks.onExecution(execution({ path: '/chat/x', body, harm: body, at }));
     return promiseChecks.breaches.map(({ promise }) => promise);
   };
   expect(breachesAfter(3)).toEqual([]);
--- a/tests/soakCrashing.spec.ts
+++ b/tests/soakCrashing.spec.ts
@@ -17,3 +17,15 @@
   expect(report.crashing.requests).toBeGreaterThan(0);
   expect(report.served).toBeGreaterThan(50);
 });
+
+test('should reject requests with a harmful part of their prompts while entries restart and writes are lost', async () => {
+  const report = await shortSoak({
+    seed: 32,
+    size: { entries: 3, modelBoxes: 6, plainServers: 2 },
+    network: 53,
+    kinds: ['harmful-part', 'kill-entry', 'lose-writes'],
+  });
+  expect(report.breaches).toEqual([]);
+  expect(report.crashing.requests).toBeGreaterThan(0);
+  expect(report.served).toBeGreaterThan(50);
+});
--- a/tests/soakRestarts.spec.ts
+++ b/tests/soakRestarts.spec.ts
@@ -16,6 +16,7 @@
       'leave-by-answers',
       'reject-with-retry-after',
       'turn-cold',
+      'harmful-part',
     ].includes(kind),
 );
 
