Suspect a request that turns harmful at its first exit

Each entry let a request that had succeeded lately end up to three servers before it was suspected. The harm was bounded at each entry and went on at the next: up to 21 servers with seven entries.

Change: the credits for successes are gone. A success clears a single request only if the successful run began after the last exit: a run of before says nothing of a request that has turned harmful meanwhile.

The test of the credits is replaced by the first.

--- a/src/crashes/identityGate.ts
+++ b/src/crashes/identityGate.ts
@@ -70,8 +70,9 @@
     await this._tracker.recordServerExit(this.identity, { server, trial });
   }
 
-  recordSuccess(): void {
-    this._tracker.recordSuccess(this.identity);
+  /** Records that the request succeeded after it had run for `milliseconds`. */
+  recordSuccess(milliseconds: number): void {
+    this._tracker.recordSuccess(this.identity, milliseconds);
   }
 
   /** Ends the request's trial. */
--- a/src/crashes/suspicionGate.ts
+++ b/src/crashes/suspicionGate.ts
@@ -42,11 +42,14 @@
   private _isReleased = false;
   /** Whether the current attempt has shown that the prompt does not crash the server. */
   private _isPromptProven = false;
+  /** Start of the current attempt, in monotonic milliseconds. */
+  private _sentAt: number;
 
   constructor(tracker: SuspicionTracker, request: GatedRequest, clock: Clock) {
     this._tracker = tracker;
     this._request = request;
     this._clock = clock;
+    this._sentAt = clock.now();
     this._trialIdPrefix = `${request.exchange.requestId.slice(0, MAX_ID_LENGTH)}/${gatesCreated++}`;
   }
 
@@ -83,6 +86,7 @@
   /** Starts another attempt. */
   onSent(): void {
     this._isPromptProven = false;
+    this._sentAt = this._clock.now();
     if (this._tracker.isEmpty) return;
     for (const gate of this._gates) gate.noteSent();
   }
@@ -115,7 +119,8 @@
   recordSuccess(endsWithConnection = false): void {
     if (endsWithConnection) return;
     if (!this._isPromptProven) this._recordPromptProven();
-    for (const gate of this._gates) if (gate.identity.kind === 'request') gate.recordSuccess();
+    for (const gate of this._gates)
+      if (gate.identity.kind === 'request') gate.recordSuccess(this._runningFor);
   }
 
   /** Ends the request, so that another one with the same identity may get a trial. */
@@ -124,6 +129,10 @@
     for (const gate of this._identityGates ?? []) gate.release();
   }
 
+  private get _runningFor(): number {
+    return this._clock.now() - this._sentAt;
+  }
+
   private get _gates(): readonly IdentityGate[] {
     if (this._identityGates) return this._identityGates;
     const identities = this._request.identities();
@@ -149,7 +158,8 @@
   private _recordPromptProven(): void {
     this._isPromptProven = true;
     if (this._tracker.suspectsNothing) return;
-    for (const gate of this._gates) if (gate.identity.kind !== 'request') gate.recordSuccess();
+    for (const gate of this._gates)
+      if (gate.identity.kind !== 'request') gate.recordSuccess(this._runningFor);
   }
 }
 
--- a/src/crashes/suspicionTracker.ts
+++ b/src/crashes/suspicionTracker.ts
@@ -16,7 +16,6 @@
 import { waitAtMost } from '../utils/timers.js';
 import { isExplainedByOthers } from './explanation.js';
 import { ExitTimes } from './exitTimes.js';
-import { SuccessCredits } from './successCredits.js';
 import type { ServerProcess } from './serverExitChecker.js';
 import { ServerExitChecker } from './serverExitChecker.js';
 import type { RequestIdentity } from './requestIdentity.js';
@@ -69,7 +68,6 @@
   private readonly _writer: SuspicionWriter;
   private readonly _restorer: SuspicionRestorer;
   private readonly _exitChecker: ServerExitChecker;
-  private readonly _successCredits = new SuccessCredits();
   private readonly _unconfirmed: UnconfirmedExits;
   private _confirmTimer: NodeJS.Timeout | undefined;
   private readonly _exitTimes: ExitTimes;
@@ -157,8 +155,6 @@
         log.state('suspicion.not-kept', { fingerprint, server: exit.server });
       return this._scheduleConfirmation();
     }
-    if (this._successCredits.spend(fingerprint))
-      return log.decision('suspicion.spared', { fingerprint, ...exit });
     await waitAtMost(this._count(identity, [exit]), WRITE_WAIT_MILLISECONDS);
   }
 
@@ -196,10 +192,13 @@
     void this._writer.write(fingerprint, (suspicion) => suspicion && withoutTrial(suspicion, request));
   }
 
-  /** Records that a request with this identity succeeded, which shows that it does not crash every server. */
-  recordSuccess({ kind, fingerprint }: RequestIdentity): void {
-    if (kind === 'request') this._successCredits.add(fingerprint);
-    else this._unconfirmed.discard(fingerprint);
+  /**
+   * Records that a request with this identity succeeded after it had run for `milliseconds`, which shows that it does not
+   * crash every server. A single request may have turned harmful while an earlier run of it went on.
+   */
+  recordSuccess({ kind, fingerprint }: RequestIdentity, milliseconds = 0): void {
+    if (kind === 'request' && this._exitTimes.since(fingerprint) < milliseconds) return;
+    if (kind !== 'request') this._unconfirmed.discard(fingerprint);
     if (this.isEmpty || !this._writer.get(fingerprint)) return;
     this._options.log.decision('suspicion.cleared', { fingerprint });
     void this._change(fingerprint, () => undefined);
--- a/tests/harmReplay.spec.ts
+++ b/tests/harmReplay.spec.ts
@@ -97,6 +97,10 @@
   replay([{ perSecond: 5, parts: ['c0', 'a1'], isRepeated: true, harmfulFrom: 0 }]);
 });
 
+test('should stop a repeated request that turns harmful', () => {
+  replay([{ perSecond: 5, parts: ['c0', 'a1'], isRepeated: true, harmfulFrom: 5_000 }]);
+});
+
 test('should stop requests with a harmful part over restarts of all entries', () => {
   const restarts = new Set([700, 1_500, 4_000, 9_000]);
   replay([{ perSecond: 5, parts: ['c0', 'bad'], harmfulFrom: 0 }], [COMMON, RARE], (model, at) => {
--- a/tests/suspicionTracker.spec.ts
+++ b/tests/suspicionTracker.spec.ts
@@ -253,13 +253,13 @@
   expect(a.runDecision(REQUEST, 'r')).toEqual('claim-trial');
 });
 
-test('should not suspect a request that has succeeded, up to a limit', async () => {
-  const a = entry('a');
-  for (let good = 0; good < 10; good++) a.recordSuccess(REQUEST);
-  for (const server of ['s-1', 's-2', 's-3']) void a.recordServerExit(REQUEST, { server, trial: '' });
-  expect(a.runDecision(REQUEST, 'r')).toEqual('run');
-  void a.recordServerExit(REQUEST, { server: 's-4', trial: '' });
-  expect(a.runDecision(REQUEST, 'r')).toEqual('claim-trial');
+test('should suspect a request that turns harmful at each entry, however often it has succeeded', async () => {
+  const entries = [entry('a'), entry('b')];
+  for (const [index, tracker] of entries.entries()) {
+    for (let good = 0; good < 10; good++) tracker.recordSuccess(REQUEST);
+    void tracker.recordServerExit(REQUEST, { server: `s-${index}`, trial: '' });
+    expect(tracker.runDecision(REQUEST, 'r')).toEqual('claim-trial');
+  }
 });
 
 /**
