Several bystanders explain nothing of a part; postmortem

Change: single requests explain the exits of a part only one by one; parts under suspicion still explain them together.

--- a/src/crashes/explanation.ts
+++ b/src/crashes/explanation.ts
@@ -14,7 +14,8 @@
 /**
  * Whether identities of `all` that a request does not have, as `own`, may have caused the exits under its identity: what
  * is shut out, and parts of prompts under suspicion. What has far fewer exits is rather explained by this identity; a
- * single request, though, may be a bystander of several harmful parts in turn.
+ * single request, though, may be a bystander of several harmful parts in turn. For that reason many requests together
+ * explain nothing of a part: they may all be its bystanders.
  */
 export function isExplainedByOthers(
   { kind }: RequestIdentity,
@@ -23,12 +24,20 @@
   all: Iterable<readonly [string, Suspicion]>,
 ): boolean {
   const explained = new Set<string>();
+  const requests: Suspicion[] = [];
   for (const [fingerprint, other] of all) {
     const isPrompt = isPromptFingerprint(fingerprint);
     const mayExplain = isShutOut(other) || (isPrompt && other.ends.length >= EXITS_TO_EXPLAIN);
     const hasEnough = other.ends.length + MAX_MORE_EXITS >= ends.length || (isPrompt && kind === 'request');
     if (own.has(fingerprint) || !mayExplain || !hasEnough) continue;
-    for (const { server } of other.ends) explained.add(server);
+    if (isPrompt || kind === 'request') for (const { server } of other.ends) explained.add(server);
+    else requests.push(other);
   }
-  return ends.filter(({ server }) => !explained.has(server)).length <= MAX_UNEXPLAINED;
+  const unexplained = ends.filter(({ server }) => !explained.has(server)).map(({ server }) => server);
+  return [{ ends: [] }, ...requests].some((request) => countWithout(unexplained, request) <= MAX_UNEXPLAINED);
+}
+
+/** Number of servers that did not exit under `suspicion`. */
+function countWithout(servers: readonly string[], { ends }: Suspicion): number {
+  return servers.filter((server) => !ends.some((exit) => exit.server === server)).length;
 }
--- a/tests/suspicion.spec.ts
+++ b/tests/suspicion.spec.ts
@@ -85,3 +85,10 @@
   expect(explains(suspicion, 'request', parts)).toEqual(true);
   expect(explains(suspicion, 'request', { f: exitsOf('a', 'b'), g: exitsOf('c', 'e') })).toEqual(false);
 });
+
+test('should explain the exits of a part by one request, not by several that may be its bystanders', () => {
+  const suspicion = exitsOf('a', 'b', 'c', 'd');
+  expect(explains(suspicion, 'prompt-part', { f: exitsOf('a', 'b', 'c') })).toEqual(true);
+  const bystanders = { f: exitsOf('a', 'b', 'e'), g: exitsOf('c', 'd', 'e') };
+  expect(explains(suspicion, 'prompt-part', bystanders)).toEqual(false);
+});
