--- a/src/crashes/suspicion.ts
+++ b/src/crashes/suspicion.ts
@@ -1,4 +1,4 @@
-/** What is known of an identity of requests whose servers exited while they ran them, and what follows from that. Pure functions. */
+/** What is known of an identity of requests under which servers exited, and what follows from that. Pure functions. */
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { z } from 'zod';
--- a/src/crashes/suspicionTracker.ts
+++ b/src/crashes/suspicionTracker.ts
@@ -4,8 +4,8 @@
  *
  * When a server exits, the identities of all requests that it ran become suspected. Requests with a suspected identity
  * run only one at a time in the whole system, which is called its trial. An identity is cleared when a request with it
- * succeeds at any entry, and shut out when too many servers have exited under it: from then on entries refuse it. While the store does not answer, this
- * entry decides by what it knows, so that it refuses no request that may be harmless.
+ * succeeds at any entry, and shut out when too many servers have exited under it: from then on entries refuse it. While
+ * the store does not answer, this entry decides by what it knows, so that it refuses no request that may be harmless.
  */
 import type { RecordReplica } from '../records/recordReplica.js';
 import type { UnreadableRecords } from '../records/unreadableRecords.js';
--- a/tests/soakCrashing.spec.ts
+++ b/tests/soakCrashing.spec.ts
@@ -6,26 +6,19 @@
 import { expect } from 'earl';
 import { shortSoak } from './fixtures/shortSoak.js';
 
-test('should reject requests that crash servers while entries restart and writes are lost', async () => {
-  const report = await shortSoak({
-    seed: 31,
-    size: { entries: 3, modelBoxes: 6, plainServers: 2 },
-    network: 45,
-    kinds: ['crashing-request', 'kill-entry', 'lose-writes'],
+for (const [which, kind, seed, network] of [
+  ['that crash servers', 'crashing-request', 31, 45],
+  ['with a harmful part of their prompts', 'harmful-part', 32, 53],
+] as const) {
+  test(`should reject requests ${which} while entries restart and writes are lost`, async () => {
+    const report = await shortSoak({
+      seed,
+      size: { entries: 3, modelBoxes: 6, plainServers: 2 },
+      network,
+      kinds: [kind, 'kill-entry', 'lose-writes'],
+    });
+    expect(report.breaches).toEqual([]);
+    expect(report.crashing.requests).toBeGreaterThan(0);
+    expect(report.served).toBeGreaterThan(50);
   });
-  expect(report.breaches).toEqual([]);
-  expect(report.crashing.requests).toBeGreaterThan(0);
-  expect(report.served).toBeGreaterThan(50);
-});
-
-test('should reject requests with a harmful part of their prompts while entries restart and writes are lost', async () => {
-  const report = await shortSoak({
-    seed: 32,
-    size: { entries: 3, modelBoxes: 6, plainServers: 2 },
-    network: 53,
-    kinds: ['harmful-part', 'kill-entry', 'lose-writes'],
-  });
-  expect(report.breaches).toEqual([]);
-  expect(report.crashing.requests).toBeGreaterThan(0);
-  expect(report.served).toBeGreaterThan(50);
-});
+}
