Test of the soak's checks: take the end of a call after its entry's stop

Cause: the test took the end of the call (now + 1 ms) before it had the entry stop, so that with more than a millisecond between them the call ended before the stop. With 5 ms of work put between them the test fails each time before and passes now; its assertions are the same.

--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -121,7 +121,6 @@
 
 test('should distinguish a request that a stopping entry cut from one that it never read', () => {
   const reset = { outcome: 'cut', status: 0, sentAt: Date.now(), onNewConnection: true } as const;
-  const now = { endedAt: Date.now() + 1 };
   const breachesOf = (
     changes: Partial<Call>,
     more: (promiseChecks: PromiseChecks) => void,
@@ -130,7 +129,7 @@
     const promiseChecks = createChecks();
     promiseChecks.onStopping('entry');
     more(promiseChecks);
-    promiseChecks.onCall(call({ ...reset, ...now, ...changes }));
+    promiseChecks.onCall(call({ ...reset, endedAt: Date.now(), ...changes }));
     promiseChecks.checkPlanned(() => wasRead);
     return promiseChecks.breaches.length;
   };
