Success of a request: compute no fingerprint while nothing is suspected

Each successful request computed the digest of its contents, which only the credits for successes needed. They are gone, and nothing is cleared while nothing is suspected.

--- a/src/crashes/suspicionGate.ts
+++ b/src/crashes/suspicionGate.ts
@@ -119,6 +119,7 @@
   recordSuccess(endsWithConnection = false): void {
     if (endsWithConnection) return;
     if (!this._isPromptProven) this._recordPromptProven();
+    if (this._tracker.isEmpty) return;
     for (const gate of this._gates)
       if (gate.identity.kind === 'request') gate.recordSuccess(this._runningFor);
   }
