Comments: what explains exits, and when exit times and trials change

The facts of a decision still said that only what is shut out explains exits; parts under suspicion do too. One reason that an edit had dropped is back.

--- a/src/crashes/exitTimes.ts
+++ b/src/crashes/exitTimes.ts
@@ -18,7 +18,7 @@
     this._last = new LRUCache({ max: maxIdentities });
   }
 
-  /** Records that `ends` exits are known; only more than before are news. */
+  /** Records that `ends` exits are known; the time changes only if these are more than before. */
   record(fingerprint: string, ends: number): void {
     const known = this._last.get(fingerprint);
     if (!known || known.ends < ends) this._last.set(fingerprint, { ends, at: this._clock.now() });
--- a/src/crashes/identityGate.ts
+++ b/src/crashes/identityGate.ts
@@ -17,7 +17,7 @@
   /** Number of trials that the request has claimed. */
   private _trialsClaimed = 0;
   private _hasTrial = false;
-  /** Whether the tracker holds a server exit or a trial of the request. */
+  /** Whether the tracker holds a trial of the request, or an exit that it writes when the request is over. */
   private _hasState = false;
 
   /** `own` are the fingerprints of all identities of the request. */
--- a/src/crashes/runDecision.ts
+++ b/src/crashes/runDecision.ts
@@ -21,7 +21,7 @@
   isTrialExpired: boolean;
   /** Time since this entry learned of the last server exit. */
   millisecondsSinceLastExit: number;
-  /** Whether identities that are shut out, and that this request does not have, may have caused all exits. */
+  /** Whether identities that this request does not have may have caused the exits; see `isExplainedByOthers`. */
   isExplainedByOthers: boolean;
 }
 
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -134,7 +134,7 @@
     if (this._receiver.isForwarding) this._suspicionGate.onAnswering(this._receiver.answeringFor);
   }
 
-  /** Handles an answer to another request, or one that is too large. */
+  /** Handles an answer to another request, or one that is too large: the connection can no longer be used. */
   private _onForeignAnswer(server: TrackedServer): void {
     this._current.abort('foreign-answer');
     this._afterFailure(server, { sent: true, reason: 'foreign-answer' });
