--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,6 +1,6 @@
 /**
- * Freezes an agent between its check of the staged pieces and its order to load them. A piece turns bad while the agent
- * stands still. Once it wakes, it must not order the runner to take what lies there unchecked.
+ * A machine stands still between its agent's check of the staged pieces and the order to load them, right after a piece
+ * has turned bad. Once it wakes, the agent must not order the runner to take what lies there unchecked.
  */
 import { fileURLToPath } from 'node:url';
 import { setTimeout as pause } from 'node:timers/promises';
@@ -19,9 +19,9 @@
 const NEW_VERSION = 2;
 /** The site file has a machine stand still for 3.5 to 4 s. */
 const FREEZE_MILLISECONDS = 4_000;
-/** From the report that the agent asks for after its check to the moment at which it stands still. */
-const BEFORE_FREEZE_MILLISECONDS = 10;
-const BEFORE_SPOILING_MILLISECONDS = 100;
+/** From the report that the agent asks for after its check until a piece turns bad, and from then until the freeze. */
+const BEFORE_SPOILING_MILLISECONDS = 5;
+const BEFORE_FREEZE_MILLISECONDS = 5;
 /** A piece that turned bad less than this before it was taken doesn't count. */
 const EXCUSED_MILLISECONDS = 3_000;
 const SPOILT_PIECE = 17;
@@ -68,15 +68,17 @@
 
 async function freeze(runner, agent) {
   frozen = runner;
-  await pause(BEFORE_FREEZE_MILLISECONDS);
-  agent.kill('SIGSTOP');
-  record.write(`agent of ${runner.id} stands still`);
   await pause(BEFORE_SPOILING_MILLISECONDS);
   runner.spoil(SPOILT_PIECE);
   record.write(`piece ${SPOILT_PIECE} turns bad at ${runner.id}`);
-  await pause(FREEZE_MILLISECONDS - BEFORE_SPOILING_MILLISECONDS);
+  await pause(BEFORE_FREEZE_MILLISECONDS);
+  agent.kill('SIGSTOP');
+  runner.standStill();
+  record.write(`the machine of ${runner.id} stands still: agent and runner`);
+  await pause(FREEZE_MILLISECONDS);
+  runner.wake();
   agent.kill('SIGCONT');
-  record.write(`agent of ${runner.id} wakes`);
+  record.write(`the machine of ${runner.id} wakes`);
 }
 
 function onStart(runner, version, badPieces) {
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -26,6 +26,8 @@
     this._waiting = [];
     this._orders = 0;
     this._isStarting = false;
+    this._awake = Promise.resolve();
+    this._wake = () => undefined;
     /** Pieces that were spoilt or missing when the layers in service were taken, with the age of the damage. */
     this.badPieces = [];
     this._server = http.createServer((request, response) => void this._serve(request, response));
@@ -44,6 +46,15 @@
     this._server.closeAllConnections();
   }
 
+  /** Stands still with its machine until {@link Runner.wake}: it answers and sends nothing. */
+  standStill() {
+    this._awake = new Promise((resolve) => (this._wake = resolve));
+  }
+
+  wake() {
+    this._wake();
+  }
+
   /** A staged piece turns bad. */
   spoil(piece) {
     const bytes = Buffer.from(this.staged.get(piece));
@@ -76,6 +87,7 @@
   async _serve(request, response) {
     const body = await readBody(request).catch(() => undefined);
     if (body === undefined) return;
+    await this._awake;
     const url = new URL(request.url, 'http://runner');
     const [, call] = url.pathname.split('/');
     const item = url.searchParams.get('item_count');
@@ -195,6 +207,7 @@
       response.write(`id: ${event}\ndata: ${id} ${event} of ${events}\n\n`);
       this._onCall('event', { id, event, badPieces: this.badPieces });
       if (event < events) await pause(pauseMilliseconds);
+      await this._awake;
     }
     response.end();
   }
