Entries: take a request while leaving only if it ends before the close

Cause: a leaving entry compared the time until its close with a constant, 3.2 s, which is less than its longest streams take. Evidence: in its log the last stream taken came 4.21 s after the signal and the first one rejected 4.41 s; those cut are those that needed more than 3.2 s; each had one attempt and no pause over 81 ms.

Change: src/draining decides. A request is taken if its deadline, or an upper bound of its duration, ends before the close. The bound of a stream is its maximum of tokens at the slowest recent pace, where streams of half its length or more are preferred; that of other requests is twice the longest recent one of the route. Where nothing shows the pace, one stream at a time is started and held back for two pauses between events; if it then may not end, its caller gets 502 and has been sent nothing. It is judged at admission and again before each send: after a wait, a retry, a resumption or a handover. What is rejected is rejected at once. Requests count as running from their arrival until their answer has been handed to the system. Rejections and cuts have a line with bound, basis, tokens and time left, and a metric.

Why it works: the constant is gone, and what is taken without a deadline in time is bounded by what the caller and the servers show.

--- a/src/serving/admittedRequest.ts
+++ b/src/serving/admittedRequest.ts
@@ -23,6 +23,8 @@
   body: Buffer | undefined;
   /** Size of the prompt relative to the service's mean prompt; 1 when the caller does not give it. */
   promptSize: number;
+  /** Maximum number of tokens of the answer; undefined when the caller does not give it. */
+  outputTokens: number | undefined;
   /** Identifies the request and what it shares with others. Computed on first use. */
   identities: () => readonly RequestIdentity[];
   /** Ids of the parts of the prompt that other requests may share. */
--- a/src/serving/callerExchange.ts
+++ b/src/serving/callerExchange.ts
@@ -27,7 +27,7 @@
 ]);
 
 /** A reset discards what the caller has received and not read yet. */
-const RESET_DELAY_MILLISECONDS = 100;
+export const RESET_DELAY_MILLISECONDS = 100;
 
 /** Writes the answer to a caller's request. */
 export class CallerExchange {
@@ -63,6 +63,11 @@
     return this._isAborted || this._response.writableEnded || this._response.destroyed;
   }
 
+  /** Calls `listener` when the answer has been handed to the operating system, or the connection is closed. */
+  onceClosed(listener: () => void): void {
+    this._response.once('close', listener);
+  }
+
   /** Calls `listener` when the caller disconnects before the answer is complete. */
   onCallerDisconnect(listener: () => void): void {
     this._response.once('close', () => {
--- a/src/serving/entryDirectory.ts
+++ b/src/serving/entryDirectory.ts
@@ -123,6 +123,12 @@
     return this._live;
   }
 
+  /** Whether the agents report no other entry that is not leaving; false while no agent's report is valid. */
+  get isOnlyEntry(): boolean {
+    this._refresh();
+    return this._reports.validAgents().length > 0 && this._known.every(({ box }) => box === this._own.box);
+  }
+
   /**
    * The entries in the order in which they serve as sources of store records; the order is the same on all entries.
    * Unconfirmed entries are included: a dead source is detected on its own connection within a second, whereas
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -7,13 +7,15 @@
 import { OWN_STATUS } from './callerExchange.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { PartialAnswer } from './answerClassification.js';
-import { handoverDelay, isSuccessfulRun, classifyAnswer } from './answerClassification.js';
+import { isSuccessfulRun, classifyAnswer } from './answerClassification.js';
 import { CurrentAttempt } from './currentAttempt.js';
 import { FinalAnswer } from './finalAnswer.js';
 import type { ForwardingContext } from './forwardingContext.js';
 import type { NoAttemptReason } from './noAttemptReason.js';
 import { isTransient, noAttemptReasonOf } from './noAttemptReason.js';
 import { RequestAttempts } from './requestAttempts.js';
+import { RequestDrain } from './requestDrain.js';
+import { RequestEnding } from './requestEnding.js';
 import { RequestHandover } from './requestHandover.js';
 import type { EndFields, RequestOutcome } from './requestTrace.js';
 import { RequestTrace } from './requestTrace.js';
@@ -25,6 +27,8 @@
 const watchInterval = new SharedInterval(WATCH_INTERVAL_MILLISECONDS);
 
 export class ForwardedRequest {
+  /** Ends the request before a server has answered it. */
+  readonly ending: RequestEnding;
   private readonly _context: ForwardingContext;
   private readonly _request: AdmittedRequest;
   private readonly _trace: RequestTrace;
@@ -34,25 +38,16 @@
   private readonly _attempts: RequestAttempts;
   private readonly _suspicionGate: SuspicionGate;
   private readonly _handover: RequestHandover;
-  private readonly _handoverDelay: number;
+  private readonly _drain: RequestDrain;
   private readonly _final: FinalAnswer;
-  private readonly _done: () => void;
-  /** Why no further attempt could be made when one was last needed; undefined during an attempt. */
-  private _noAttempt: NoAttemptReason | undefined;
   /** Whether a stream that has begun is waiting to be resumed on another server. */
   private _isWaiting = false;
-  /** Whether the request may have run on any server. */
-  private _mayHaveRun = false;
-  private _timeout: NodeJS.Timeout | undefined;
   private _stopWatching: () => void = () => undefined;
 
-  /** `done` is called once, when the request has ended. */
-  constructor(context: ForwardingContext, request: AdmittedRequest, done: () => void) {
+  constructor(context: ForwardingContext, request: AdmittedRequest) {
     this._context = context;
     this._request = request;
-    this._done = done;
     this._final = new FinalAnswer(request.exchange, (outcome, fields) => this._onEnded(outcome, fields));
-    this._handoverDelay = handoverDelay(context.random.fraction());
     this._attempts = new RequestAttempts(context, request, () => this._relay?.begun === true);
     this._suspicionGate = new SuspicionGate(context.suspicions, request, context.clock);
     this._trace = new RequestTrace(request, context.log, context.metrics, context.clock);
@@ -62,17 +57,19 @@
       onReady: (call, startedAt) => this._onHandoverReady(call, startedAt),
       onFailed: (server, failure, startedAt) => this._onHandoverFailed(server, failure, startedAt),
     });
-    if (request.route.kind === 'stream')
-      this._relay = new StreamRelay(request.exchange, request.lastEventId, context.clock);
+    this._drain = new RequestDrain(context, request, this._attempts.repeatable);
+    const { observation } = this._drain;
+    if (observation)
+      this._relay = new StreamRelay(request.exchange, request.lastEventId, context.clock, observation);
     this._receiver = new AnswerReceiver(request.exchange, this._relay, context.clock);
     this._current = new CurrentAttempt(context.clock, this._relay);
+    const { _final: final, _current: current, _handover: handover, _attempts: attempts } = this;
+    const { _suspicionGate: suspicionGate, _drain: drain } = this;
+    this.ending = new RequestEnding({ final, current, handover, attempts, suspicionGate, drain });
   }
 
   start(): void {
-    const { exchange } = this._request;
-    if (exchange.ended) return this._onCallerDisconnect();
-    exchange.onCallerDisconnect(() => this._onCallerDisconnect());
-    this._timeout = setTimeout(() => this._onTimeout(), Math.max(0, this._attempts.remainingMilliseconds));
+    if (!this.ending.start(this._request)) return;
     // Of the non-repeatable requests only streams are watched: the head of a stream shows whether it has begun.
     if (this._attempts.repeatable || this._relay) this._stopWatching = watchInterval.add(() => this._watch());
     this._attempt();
@@ -82,6 +79,8 @@
   private _attempt(): void {
     if (this._final.ended) return;
     if (!this._suspicionGate.isOpen) return void this._awaitPermission();
+    if (!this._drain.mayStart()) return this._giveUp('leaving');
+    if (this._drain.isMeasuring) this._relay?.hold();
     const found = this._attempts.find();
     if (found.kind === 'none') {
       const reason = noAttemptReasonOf(found)!;
@@ -104,7 +103,7 @@
   }
 
   private _noteAttempt(server: TrackedServer): void {
-    this._noAttempt = undefined;
+    this.ending.noAttempt = undefined;
     this._attempts.noteSent(server);
     this._suspicionGate.onSent();
     this._trace.sent(server, this._attempts.count);
@@ -132,6 +131,17 @@
     if (!this._receiver.onData(bytes, this._current.call))
       return this._onForeignAnswer(this._current.call!.server);
     if (this._receiver.isForwarding) this._suspicionGate.onAnswering(this._receiver.answeringFor);
+    this._measure();
+  }
+
+  /** Releases a stream that was held back, or gives it up, once its pace shows how long it takes. */
+  private _measure(): void {
+    const result = this._drain.measure();
+    if (result === 'ends in time') this._relay!.release();
+    if (result !== 'too long') return;
+    this._current.abort('not-needed');
+    this.ending.mayHaveRun = true;
+    this._giveUp('leaving');
   }
 
   /** Handles an answer to another request, or one that is too large: the connection can no longer be used. */
@@ -148,6 +158,7 @@
     if (this._receiver.isForwarding) {
       server.health.noteOutcome('succeeded');
       this._suspicionGate.recordSuccess(this._receiver.endsWithConnection);
+      this._relay!.release();
       return this._final.endStream(server, answer.status);
     }
     this._onCompleteAnswer(server, answer);
@@ -158,19 +169,19 @@
     const { status, headers } = answer;
     const kind = classifyAnswer(status, headers, this._context.names);
     if (kind === 'not-run') return this._onRejected(server, status);
-    this._mayHaveRun = true;
+    this.ending.mayHaveRun = true;
     server.health.noteOutcome(kind === 'failed' || kind === 'unclear' ? 'failed' : 'succeeded');
     if (isSuccessfulRun(kind, status)) this._suspicionGate.recordSuccess(this._receiver.endsWithConnection);
     if (kind !== 'answered' && this._attempts.repeatable && this._continueElsewhere()) return;
     if (kind === 'unclear') return this._final.refuse(OWN_STATUS.unknown, `status ${status} from server`);
-    if (this._relay?.begun) return this._final.cut('stream could not be resumed');
+    if (this._relay?.begun) return this._final.fail('stream could not be resumed');
     this._final.forward(server, status, headers, Buffer.concat(answer.body));
   }
 
   /** Handles an answer by which the server says that the request has not run. */
   private _onRejected(server: TrackedServer, status: number): void {
     this._noteRejected(server, status);
-    if (!this._continueElsewhere()) this._giveUp(this._noAttempt!);
+    if (!this._continueElsewhere()) this._giveUp(this.ending.noAttempt!);
   }
 
   private _noteRejected(server: TrackedServer, status: number): void {
@@ -183,7 +194,7 @@
     this._current.clear(server);
     this._trace.attemptFailed(server, failure, this._current.elapsedMilliseconds, this._receiver.progress);
     if (!failure.sent && !this._handover.inProgress) return this._afterUnreachable(server);
-    this._mayHaveRun = true;
+    this.ending.mayHaveRun = true;
     server.health.noteOutcome(failure.reason === 'silent' ? 'silent' : 'failed');
     if (failure.brokeOff) void this._afterDisconnect(server, failure);
     else this._continueAfter(failure);
@@ -213,8 +224,8 @@
   /** Continues with the handover in progress, a new attempt or a wait. Returns false if none of these is possible. */
   private _continueElsewhere(): boolean {
     if (this._handover.inProgress || this._final.ended) return true;
-    this._noAttempt = this._takeRetry();
-    if (this._noAttempt) return this._waitIfTransient(this._noAttempt);
+    this.ending.noAttempt = this._drain.mayStart() ? this._takeRetry() : 'leaving';
+    if (this.ending.noAttempt) return this._waitIfTransient(this.ending.noAttempt);
     this._attempt();
     return true;
   }
@@ -228,7 +239,7 @@
 
   private _tryAgain(): void {
     this._isWaiting = false;
-    if (!this._continueElsewhere()) this._giveUp(this._noAttempt!);
+    if (!this._continueElsewhere()) this._giveUp(this.ending.noAttempt!);
   }
 
   /** Requests permission for another attempt. Returns the reason when it is denied. */
@@ -243,12 +254,13 @@
     if (this._isWaiting) return this._tryAgain();
     const { call } = this._current;
     if (!call) return;
+    this._measure();
     if (!this._receiver.answer && this._attempts.mayBeginTooLate(call.server))
       return this._cancelAttempt(call);
     if (this._handover.inProgress || !this._attempts.repeatable) return;
     const { switchingFor } = call.server;
     if (switchingFor === 0) this._retryIfStalled(call);
-    else if (this._relay && switchingFor > this._handoverDelay)
+    else if (this._relay && this._handover.isDue(switchingFor) && this._drain.mayStart())
       this._handover.begin(call.server, this._relay.lastEventId);
   }
 
@@ -262,9 +274,9 @@
   private _retryIfStalled({ server }: BackendCall): void {
     const { elapsedMilliseconds: elapsed } = this._current;
     const stalled = this._current.isStalled(this._request.route, this._receiver.answer !== undefined);
-    if (!stalled || this._takeRetry()) return;
+    if (!stalled || !this._drain.mayStart() || this._takeRetry()) return;
     this._current.abort('silent');
-    this._mayHaveRun = true;
+    this.ending.mayHaveRun = true;
     server.health.noteOutcome('silent');
     this._trace.attemptFailed(server, { sent: true, reason: 'silent' }, elapsed);
     this._attempt();
@@ -275,7 +287,7 @@
     const { call: previous, elapsedMilliseconds: elapsed } = this._current;
     if (previous) this._trace.attemptFailed(previous.server, { sent: true, reason: 'switching' }, elapsed);
     this._current.abort('not-needed');
-    this._mayHaveRun = true;
+    this.ending.mayHaveRun = true;
     this._current.adopt(call, startedAt);
   }
 
@@ -284,37 +296,22 @@
     if (rejectedWith !== undefined && this._current.call) return this._noteRejected(server, rejectedWith);
     if (rejectedWith !== undefined) return this._onRejected(server, rejectedWith);
     if (!this._current.call) return this._afterFailure(server, failure);
-    this._mayHaveRun ||= failure.sent;
+    this.ending.mayHaveRun ||= failure.sent;
     this._trace.attemptFailed(server, failure, this._context.clock.now() - startedAt);
   }
 
   private _giveUp(reason: NoAttemptReason): void {
-    this._noAttempt = reason;
-    if (this._waitIfTransient(reason)) return;
-    const { shutOutMilliseconds } = this._suspicionGate;
-    const retryAfterMilliseconds = this._attempts.retryAfter(reason, shutOutMilliseconds);
-    this._final.giveUp(reason, { mayHaveRun: this._mayHaveRun, retryAfterMilliseconds });
-  }
-
-  private _onTimeout(): void {
-    const sent = this._mayHaveRun || this._handover.inProgress || this._current.call?.sent === true;
-    this._current.abort('time-over');
-    this._final.timeOut(sent);
-  }
-
-  private _onCallerDisconnect(): void {
-    if (this._final.ended) return;
-    this._current.abort('caller-gone');
-    this._final.callerDisconnected();
+    this.ending.noAttempt = reason;
+    if (!this._waitIfTransient(reason)) this.ending.giveUp(reason);
   }
 
   private _onEnded(outcome: RequestOutcome, fields: EndFields): void {
     this._handover.cancel();
     this._suspicionGate.release();
-    clearTimeout(this._timeout);
+    this.ending.stop();
     this._stopWatching();
-    const own = { noAttempt: this._noAttempt, ...this._attempts.slot.ended(outcome, this._noAttempt) };
+    const slot = this._attempts.slot.ended(outcome, this.ending.noAttempt);
+    const own = { noAttempt: this.ending.noAttempt, ...slot, ...this._drain.onEnded(outcome) };
     this._trace.ended(outcome, this._attempts.count, { ...fields, ...own }, this._relay);
-    this._done();
   }
 }
--- a/src/serving/forwardingContext.ts
+++ b/src/serving/forwardingContext.ts
@@ -5,6 +5,7 @@
 import type { ServingMetrics } from '../telemetry/servingMetrics.js';
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
+import type { EntryDrain } from './entryDrain.js';
 import type { HeaderNames } from './headerNames.js';
 import type { ServerPool } from './serverPool.js';
 import type { VersionGate } from './versionGate.js';
@@ -15,6 +16,7 @@
   admission: AdmissionPolicy;
   gate: VersionGate;
   suspicions: SuspicionTracker;
+  drain: EntryDrain;
   clock: Clock;
   random: Random;
   log: EventLog;
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -1,5 +1,4 @@
 /** An entry that connects directly to backend servers; creates its components and runs them. */
-import type http from 'node:http';
 import { createAdmissionPolicy } from '../admission/createAdmissionPolicy.js';
 import type { ServerSignals } from '../backpressure/serverSignals.js';
 import type { EntryAddress } from '../protocol/boxMessages.js';
@@ -13,20 +12,18 @@
 import type { Random } from '../utils/random.js';
 import { SeededRandom } from '../utils/random.js';
 import { hostOf, splitAddress } from '../utils/hostPort.js';
-import { errorText } from '../utils/stepError.js';
 import { AgentAnnouncements, boxOfHost } from './agentAnnouncements.js';
 import { BoxLinks } from './boxLinks.js';
-import { drainCallers, drainDeadline } from './callerDrain.js';
 import { CallerServer } from './callerServer.js';
 import { ConfigurationHolder } from './configurationHolder.js';
 import type { DirectoryPaths } from './directoryServer.js';
 import { DirectoryServer } from './directoryServer.js';
 import { EntryDirectory, entryAddressOf } from './entryDirectory.js';
+import { EntryDrain } from './entryDrain.js';
 import { EntryLocality } from './entryLocality.js';
 import { createEntrySignals } from './entrySignals.js';
 import { RecordApplier } from './recordApplier.js';
 import type { ForwardingContext } from './forwardingContext.js';
-import { ForwardedRequest } from './forwardedRequest.js';
 import type { HeaderNames } from './headerNames.js';
 import { addGatewayGauges } from './gatewayGauges.js';
 import { LinkProber } from './linkProber.js';
@@ -35,6 +32,7 @@
 import type { ServingPlatform } from './platformRecords.js';
 import { retryLimitOf } from './retryAllowance.js';
 import { RequestAdmission } from './requestAdmission.js';
+import { RequestHandler } from './requestHandler.js';
 import { ServerPool } from './serverPool.js';
 import { MetricsServer } from '../telemetry/metricsServer.js';
 import { ServingMetrics } from '../telemetry/servingMetrics.js';
@@ -72,8 +70,7 @@
   private readonly _directory: DirectoryServer;
   private readonly _metricsServer: MetricsServer;
   private readonly _own: EntryAddress;
-  private _running = 0;
-  private _closesAt = Number.POSITIVE_INFINITY;
+  private readonly _drain: EntryDrain;
 
   constructor(settings: GatewaySettings, parts: GatewayParts) {
     const clock = this._clock;
@@ -87,6 +84,7 @@
     const { _own: own, _configuration: configuration, _log: log } = this;
     const { peerTimeoutMilliseconds } = settings;
     const entries = (this._entries = new EntryDirectory({ own, clock, log, peerTimeoutMilliseconds }));
+    this._drain = this._createDrain();
     this._signals = createEntrySignals({ own, clock, log, entries, configuration });
     this._pool = this._createPool(random);
     this._gate = new VersionGate(
@@ -123,12 +121,14 @@
       admission: this._admission.policy,
       gate: this._gate,
       suspicions: this._followers.suspicions,
+      drain: this._drain,
       clock,
       random,
       log: parts.log,
       metrics: this._metrics,
     };
-    this._callers = new CallerServer((request, response) => void this._handleRequest(request, response));
+    const handler = new RequestHandler(this._forward, this._admission);
+    this._callers = new CallerServer((request, response) => void handler.handle(request, response));
     this._metricsServer = new MetricsServer(this._metrics, parts.paths.metrics);
     this._directory = new DirectoryServer({
       paths: parts.paths,
@@ -145,7 +145,7 @@
     const { callerAddress, readyAddress, directoryAddress, metricsAddress, controlAddress } = this._settings;
     addGatewayGauges({
       metrics: this._metrics,
-      running: () => this._running,
+      running: () => this._drain.running,
       waiting: () => this._pool.waiting.count,
       callers: this._callers,
       configuration: this._configuration,
@@ -168,20 +168,19 @@
   /** Leaves the directory, waits for requests in flight, then closes. */
   async stop(): Promise<void> {
     if (this._own.leaving) return;
-    const drainingEntry = {
-      clock: this._clock,
-      drainMilliseconds: this._settings.drainMilliseconds,
-      running: () => this._running,
-      stopListening: async () => await this._callers.stopListening(),
-    };
     this._entries.leave();
-    this._closesAt = drainDeadline(drainingEntry);
-    this._log.state('gateway.leaving', { running: this._running, connections: this._callers.connections });
+    const drained = this._drain.drain(async () => await this._callers.stopListening());
+    const { running, closesInMilliseconds } = this._drain;
+    this._log.state('gateway.leaving', {
+      running,
+      connections: this._callers.connections,
+      closesInMilliseconds: Math.round(closesInMilliseconds),
+    });
     this._links.announceNow();
     this._pool.waiting.close();
-    await drainCallers(drainingEntry);
+    await drained;
     this.close();
-    this._log.state('gateway.stopped', { running: this._running });
+    this._log.state('gateway.stopped', { cut: this._drain.cutRequests });
   }
 
   /** Only logs that a reload was asked for: settings change with a restart, so no request in flight is interrupted. */
@@ -202,23 +201,22 @@
     this._metricsServer.close();
   }
 
-  private async _handleRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    try {
-      const admitted = await this._admission.admit(request, response);
-      if (!admitted) return;
-      this._running++;
-      new ForwardedRequest(this._forward, admitted, () => this._running--).start();
-    } catch (error) {
-      this._log.state('request.error', { reason: errorText(error) });
-      response.destroy();
-    }
-  }
-
   private _controlOptions(): ControlOptions {
     const { sharedKey, box, dataCentre, peerTimeoutMilliseconds } = this._settings;
     return { key: sharedKey, identity: { role: 'entry', box, dataCentre }, peerTimeoutMilliseconds };
   }
 
+  private _createDrain(): EntryDrain {
+    return new EntryDrain({
+      clock: this._clock,
+      log: this._log,
+      metrics: this._metrics,
+      drainMilliseconds: this._settings.drainMilliseconds,
+      engine: (service) => this._configuration.index?.service(service)?.engine,
+      isOnlyEntry: () => this._entries.isOnlyEntry,
+    });
+  }
+
   private _createPool(random: Random): ServerPool {
     return new ServerPool({
       dataCentre: this._settings.dataCentre,
@@ -286,8 +284,7 @@
       retryLimit: retryLimitOf(this._settings),
       isFirstStart: this._settings.firstStart,
       entries: () => this._entries.count(),
-      isLeaving: () => this._own.leaving,
-      closesIn: () => this._closesAt - this._clock.now(),
+      drain: this._drain,
       knowsEvacuations: () => this._locality.knowsEvacuations,
       isCurrent: () => this._followers.isCurrent,
     });
--- a/src/serving/noAttemptReason.ts
+++ b/src/serving/noAttemptReason.ts
@@ -12,6 +12,7 @@
  * - `old version`: no server has a version on which the request may still begin.
  * - `servers at limit`: all servers are at the request rate that they accept from this entry.
  * - `time`: too little time is left for another attempt.
+ * - `leaving`: this entry shuts down, and the request may not end before it closes its connections.
  * - `ends servers`: the same request has crashed several servers and is no longer run.
  */
 export type NoAttemptReason =
@@ -25,6 +26,7 @@
   | 'old version'
   | 'servers at limit'
   | 'time'
+  | 'leaving'
   | 'ends servers';
 
 /** Reasons that may cease to apply while the caller waits. */
--- a/src/serving/promptSize.ts
+++ b/src/serving/promptSize.ts
@@ -1,4 +1,4 @@
-/** Estimates the size of a prompt, which determines how long a server takes to read it. Pure functions. */
+/** Reads the sizes of a request: its prompt, and the most that its answer may have. Pure functions. */
 
 /** Size of a prompt whose number of tokens is unknown. */
 const DEFAULT_SIZE = 1;
@@ -9,3 +9,9 @@
   if (!(tokens > 0) || meanTokens <= 0) return DEFAULT_SIZE;
   return tokens / meanTokens;
 }
+
+/** Returns the maximum number of tokens of the answer, the second number of the header; undefined if there is none. */
+export function maximumOutputTokens(tokensHeader: string | string[] | undefined): number | undefined {
+  const tokens = Number.parseInt(String(tokensHeader ?? '').split(',')[1] ?? '', 10);
+  return tokens > 0 ? tokens : undefined;
+}
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -1,5 +1,6 @@
 /** Checks a caller's request against the configuration, and either admits it or answers it. */
 import type http from 'node:http';
+import type { ExpectedRequest } from '../draining/durationEstimator.js';
 import type { AdmissionPolicy, AdmissionProfile } from '../admission/admissionPolicy.js';
 import { requestFingerprint } from '../crashes/requestFingerprint.js';
 import { requestIdentities } from '../crashes/requestIdentity.js';
@@ -8,18 +9,20 @@
 import { bearerToken, readBody } from '../utils/httpBody.js';
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
-import { CallerExchange, OWN_STATUS, forwardedHeaders } from './callerExchange.js';
+import type { CallerExchange } from './callerExchange.js';
+import { OWN_STATUS, forwardedHeaders } from './callerExchange.js';
 import type { ConfigurationHolder } from './configurationHolder.js';
 import type { AdmittedRequest } from './admittedRequest.js';
+import type { EntryDrain } from './entryDrain.js';
 import type { HeaderNames } from './headerNames.js';
 import { sharedPromptParts } from './promptParts.js';
-import { promptSize } from './promptSize.js';
+import { maximumOutputTokens, promptSize } from './promptSize.js';
 import type { RetryLimit } from './retryAllowance.js';
 import { RetryAllowances } from './retryAllowances.js';
 import { chooseTarget } from './routeIndex.js';
 import type { RouteIndex } from './routeIndex.js';
-import { RETRY_AFTER_LEAVING_MILLISECONDS } from './slotRequest.js';
 import type { CustomerKeys, Route } from './servingConfiguration.js';
+import { isRepeatable } from './servingConfiguration.js';
 
 export interface AdmissionOptions {
   policy: AdmissionPolicy;
@@ -33,9 +36,7 @@
   isFirstStart: boolean;
   /** Number of entries that share the limit on retries. */
   entries: () => number;
-  isLeaving: () => boolean;
-  /** Milliseconds until a draining entry closes all connections; infinite while it is not draining. */
-  closesIn: () => number;
+  drain: EntryDrain;
   /** Whether the list of evacuated data centres is known. */
   knowsEvacuations: () => boolean;
   /** Whether the configuration is known to be the newest. */
@@ -48,12 +49,19 @@
   reason: string;
 }
 
+/** A request that the configuration allows and that has been read whole. */
+interface CheckedRequest {
+  route: Route;
+  service: string;
+  customer: CustomerKeys | undefined;
+  body: Buffer;
+  arrivedAt: number;
+}
+
 /** The lowest rank that the priority header can carry. */
 const MAX_PRIORITY = 9;
 const RETRY_AFTER_STALE_MILLISECONDS = 400;
 const MAX_REQUEST_MILLISECONDS = 3_600_000;
-/** Upper bound of a typical request's duration; a draining entry admits only requests that will end in time. */
-const TYPICAL_MILLISECONDS = 3_200;
 
 export class RequestAdmission {
   readonly policy: AdmissionPolicy;
@@ -79,13 +87,10 @@
   }
 
   /** Returns the admitted request, or undefined when the request has been answered here. */
-  async admit(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<AdmittedRequest | undefined> {
-    const arrivedAt = this._options.clock.now();
-    const { names, isLeaving, configuration, knowsEvacuations } = this._options;
-    const exchange = new CallerExchange(request, response, names.requestId, isLeaving);
+  async admit(exchange: CallerExchange): Promise<AdmittedRequest | undefined> {
+    const { clock, configuration, drain, knowsEvacuations, random } = this._options;
+    const arrivedAt = clock.now();
+    const { request } = exchange;
     const { index } = configuration;
     if (!index) {
       exchange.refuse(OWN_STATUS.notRun, 'no configuration yet', RETRY_AFTER_STALE_MILLISECONDS);
@@ -103,11 +108,14 @@
     }
     const body = await this._readBody(exchange, index);
     if (body === undefined) return undefined;
-    if (!this._endsInTime(request, route)) {
-      exchange.refuse(OWN_STATUS.notRun, 'leaving', RETRY_AFTER_LEAVING_MILLISECONDS);
+    const service = chooseTarget(route, random.fraction());
+    const expected = this._expected(request, route, service, arrivedAt);
+    const verdict = drain.admission.decide(expected);
+    if (verdict.decision === 'reject') {
+      drain.reject(exchange, expected, verdict);
       return undefined;
     }
-    return this._admitted(exchange, route, customer, body, arrivedAt);
+    return this._admitted(exchange, { route, service, customer, body, arrivedAt });
   }
 
   private _deny(exchange: CallerExchange, denial: Denial): undefined {
@@ -136,16 +144,12 @@
 
   private _admitted(
     exchange: CallerExchange,
-    route: Route,
-    customer: CustomerKeys | undefined,
-    body: Buffer,
-    arrivedAt: number,
+    { route, service, customer, body, arrivedAt }: CheckedRequest,
   ): AdmittedRequest {
-    const { names, random } = this._options;
+    const { names } = this._options;
     const { request } = exchange;
     const headers = forwardedHeaders(request, this._droppedHeaders);
     if (customer) headers.push(names.customer, customer.name);
-    const service = chooseTarget(route, random.fraction());
     const profile = this._profile(request, route, service, customer, arrivedAt);
     headers.push(names.priority, String(priorityOf(profile, route, customer)));
     const retries = this._retries.of(service);
@@ -168,6 +172,7 @@
       headers,
       body: body.length > 0 ? body : undefined,
       promptSize: promptSize(request.headers[names.tokens], this._meanPromptTokens(service)),
+      outputTokens: maximumOutputTokens(request.headers[names.tokens]),
       promptParts,
       lastEventId: String(request.headers[names.lastEventId] ?? ''),
       retries,
@@ -208,8 +213,20 @@
     return Math.min(requested || MAX_REQUEST_MILLISECONDS, route.timeoutMilliseconds);
   }
 
-  private _endsInTime(request: http.IncomingMessage, route: Route): boolean {
-    return this._options.closesIn() >= Math.min(this._timeout(request, route), TYPICAL_MILLISECONDS);
+  private _expected(
+    request: http.IncomingMessage,
+    route: Route,
+    service: string,
+    arrivedAt: number,
+  ): ExpectedRequest {
+    return {
+      service,
+      route: route.name,
+      deadlineMilliseconds: arrivedAt + this._timeout(request, route) - this._options.clock.now(),
+      tokens: maximumOutputTokens(request.headers[this._options.names.tokens]),
+      eventsSent: 0,
+      repeatable: isRepeatable(route),
+    };
   }
 }
 
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -6,6 +6,7 @@
 import { noAttemptReasonOf } from './noAttemptReason.js';
 import { outgoingRequest } from './outgoingRequest.js';
 import type { ServerSelection } from './serverPool.js';
+import { isRepeatable } from './servingConfiguration.js';
 import { SlotRequest } from './slotRequest.js';
 import { HANDOVER_TIMEOUT_MILLISECONDS } from './streamHandover.js';
 import type { TrackedServer } from './trackedServer.js';
@@ -54,8 +55,7 @@
 
   /** Whether the request may run more than once. */
   get repeatable(): boolean {
-    const { kind, resumable } = this._request.route;
-    return kind === 'repeatable' || (kind === 'stream' && resumable);
+    return isRepeatable(this._request.route);
   }
 
   /**
--- /dev/null
+++ b/src/serving/requestDrain.ts
@@ -0,0 +1,107 @@
+/** What a planned stop of the entry means for one request: whether it may still be sent to a server. */
+import type { DrainVerdict } from '../draining/drainAdmission.js';
+import type { ExpectedRequest } from '../draining/durationEstimator.js';
+import type { StreamObservation } from '../draining/streamObservation.js';
+import type { AdmittedRequest } from './admittedRequest.js';
+import type { EntryDrain } from './entryDrain.js';
+import { drainFields } from './entryDrain.js';
+import type { ForwardingContext } from './forwardingContext.js';
+import type { EndFields, RequestOutcome } from './requestTrace.js';
+
+/** Number of pauses between events from which the pace of a stream is measured. */
+const MEASURED_PAUSES = 2;
+/** Outcomes of requests that ran for as long as they needed, or longer than they had. */
+const MEASURED_OUTCOMES: ReadonlySet<RequestOutcome> = new Set(['answered', 'failed', 'cut']);
+
+/** Whether a stream that is being measured ends in time. */
+export type MeasurementResult = 'unknown' | 'ends in time' | 'too long';
+
+export class RequestDrain {
+  /** Undefined for a request whose answer is not a stream. */
+  readonly observation: StreamObservation | undefined;
+  private readonly _context: ForwardingContext;
+  private readonly _request: AdmittedRequest;
+  private readonly _repeatable: boolean;
+  private readonly _endDuration: (isMeasured: boolean) => void;
+  private _endMeasuring: (() => void) | undefined;
+  /** The last verdict while the entry was leaving. */
+  private _verdict: DrainVerdict | undefined;
+
+  /** `repeatable` tells whether the request may run more than once. */
+  constructor(context: ForwardingContext, request: AdmittedRequest, repeatable: boolean) {
+    this._context = context;
+    this._request = request;
+    this._repeatable = repeatable;
+    const { service, route, outputTokens } = request;
+    this._endDuration = this._drain.durations.begin({ service, route: route.name });
+    if (route.kind === 'stream') this.observation = this._drain.pace.observe(service, outputTokens);
+  }
+
+  /** Whether the answer must be held back until its pace shows that it ends in time. */
+  get isMeasuring(): boolean {
+    return this._endMeasuring !== undefined;
+  }
+
+  /** Milliseconds after which the caller should retry at the earliest; 0 while the entry is not leaving. */
+  get minimumRetryDelay(): number {
+    return this._drain.isLeaving ? this._drain.retryAfterMilliseconds : 0;
+  }
+
+  /** Whether the request can end before the entry closes its connections, or may be started to find out. */
+  mayStart(): boolean {
+    if (this.isMeasuring || !this._drain.isLeaving) return true;
+    const { admission } = this._drain;
+    this._verdict = admission.decide(this._expected());
+    if (this._verdict.decision === 'measure')
+      this._endMeasuring = admission.beginMeasuring(this._request.service);
+    return this._verdict.decision !== 'reject';
+  }
+
+  /** Checks the stream that is being measured; the measurement ends with the first result other than `unknown`. */
+  measure(): MeasurementResult {
+    if (!this.isMeasuring) return 'unknown';
+    const result = this._result();
+    if (result !== 'unknown') this._finishMeasuring();
+    return result;
+  }
+
+  /** The request has ended. Returns the log fields of the last verdict. */
+  onEnded(outcome: RequestOutcome): EndFields {
+    this._finishMeasuring();
+    this._endDuration(MEASURED_OUTCOMES.has(outcome));
+    this.observation?.onEnd();
+    return this._verdict ? drainFields(this._expected(), this._verdict) : {};
+  }
+
+  private get _drain(): EntryDrain {
+    return this._context.drain;
+  }
+
+  private _result(): MeasurementResult {
+    const { pace, closesInMilliseconds } = this._drain;
+    const expected = this._expected();
+    if (pace.lowerBound(expected) > closesInMilliseconds) return 'too long';
+    if (!this.observation || this.observation.pauses < MEASURED_PAUSES) return 'unknown';
+    const rest = pace.restAtPace(expected, this.observation.meanPause);
+    return rest <= closesInMilliseconds ? 'ends in time' : 'too long';
+  }
+
+  private _finishMeasuring(): void {
+    if (!this.isMeasuring) return;
+    this._endMeasuring?.();
+    this._endMeasuring = undefined;
+    if (this.observation && this.observation.pauses >= MEASURED_PAUSES) this.observation.report();
+  }
+
+  private _expected(): ExpectedRequest {
+    const { service, route, outputTokens, endsAt } = this._request;
+    return {
+      service,
+      route: route.name,
+      deadlineMilliseconds: endsAt - this._context.clock.now(),
+      tokens: outputTokens,
+      eventsSent: this.observation?.events ?? 0,
+      repeatable: this._repeatable,
+    };
+  }
+}
--- a/src/serving/requestHandover.ts
+++ b/src/serving/requestHandover.ts
@@ -1,4 +1,5 @@
 /** Hands over the stream of a request: asks another server for the rest while the first one goes on sending. */
+import { handoverDelay } from './answerClassification.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { BackendCall, BackendCallListener, CallFailure } from './backendCall.js';
 import type { ForwardingContext } from './forwardingContext.js';
@@ -25,6 +26,7 @@
   private readonly _attempts: RequestAttempts;
   private readonly _trace: RequestTrace;
   private readonly _listener: HandoverListener;
+  private readonly _delayMilliseconds: number;
   private _handover: StreamHandover | undefined;
 
   constructor(
@@ -39,12 +41,18 @@
     this._attempts = attempts;
     this._trace = trace;
     this._listener = listener;
+    this._delayMilliseconds = handoverDelay(context.random.fraction());
   }
 
   get inProgress(): boolean {
     return this._handover !== undefined;
   }
 
+  /** Whether the stream of a server that has been switching versions for so long is to be handed over. */
+  isDue(switchingMilliseconds: number): boolean {
+    return switchingMilliseconds > this._delayMilliseconds;
+  }
+
   /** Asks another server for the events after `lastEventId`, if one is available and a retry is permitted. */
   begin(from: TrackedServer, lastEventId: string): void {
     const found = this._attempts.find(true);
--- a/src/serving/servingConfiguration.ts
+++ b/src/serving/servingConfiguration.ts
@@ -32,6 +32,11 @@
   homeRegions: readonly string[];
 }
 
+/** Whether a request to this route may run more than once. */
+export function isRepeatable({ kind, resumable }: Route): boolean {
+  return kind === 'repeatable' || (kind === 'stream' && resumable);
+}
+
 /** Properties of a service's model engine. */
 export interface EngineDescription {
   slots: number;
@@ -43,6 +48,8 @@
   meanPromptTokens: number;
   /** Mean number of tokens in an answer. */
   meanAnswerTokens: number;
+  /** Number of tokens in an event of a stream. */
+  tokensPerEvent: number;
 }
 
 /** Where model weights are read from. */
--- a/src/serving/streamRelay.ts
+++ b/src/serving/streamRelay.ts
@@ -1,13 +1,22 @@
 /** Forwards the events of a stream in order and exactly once, even when several backend servers send them in turn. */
+import type { StreamObservation } from '../draining/streamObservation.js';
 import type { Clock } from '../utils/clock.js';
 import type { AnswerHeaders } from './backendCall.js';
 import type { CallerExchange } from './callerExchange.js';
 import { EventSplitter } from './eventSplitter.js';
 
+/** The beginning of an answer that is not sent to the caller yet. */
+interface HeldAnswer {
+  head: { status: number; headers: AnswerHeaders } | undefined;
+  events: Buffer[];
+}
+
 /** Forwards complete events only, so that a stream can be resumed on another server after any event. */
 export class StreamRelay {
   private readonly _exchange: CallerExchange;
   private readonly _clock: Clock;
+  private readonly _observation: StreamObservation | undefined;
+  private _held: HeldAnswer | undefined;
   private _splitter = new EventSplitter();
   private _lastEventId: string;
   private _begun = false;
@@ -19,13 +28,14 @@
   private _longestPause = 0;
 
   /** `lastEventId` is the id of the last event that the caller has received, '' for none. */
-  constructor(exchange: CallerExchange, lastEventId: string, clock: Clock) {
+  constructor(exchange: CallerExchange, lastEventId: string, clock: Clock, observation?: StreamObservation) {
+    this._observation = observation;
     this._exchange = exchange;
     this._clock = clock;
     this._lastEventId = lastEventId;
   }
 
-  /** Whether the head of the answer has been sent to the caller. */
+  /** Whether the head of an answer has been forwarded, or is held back. */
   get begun(): boolean {
     return this._begun;
   }
@@ -49,13 +59,28 @@
     return this._clock.now() - this._serverHeardAt;
   }
 
+  /** Holds the answer back from the caller until {@link StreamRelay.release}. No effect once it has begun. */
+  hold(): void {
+    if (!this._begun) this._held ??= { head: undefined, events: [] };
+  }
+
+  /** Sends what was held back, and forwards all further events as they arrive. */
+  release(): void {
+    const held = this._held;
+    this._held = undefined;
+    if (!held?.head) return;
+    this._exchange.begin(held.head.status, held.head.headers);
+    for (const event of held.events) this._exchange.write(event);
+  }
+
   /** Sends the head to the caller, unless the head of an earlier server's answer has been sent. */
   begin(status: number, headers: AnswerHeaders): void {
     this._serverHeardAt = this._clock.now();
     if (this._begun) return;
     this._heardAt = this._serverHeardAt;
     this._begun = true;
-    this._exchange.begin(status, headers);
+    if (this._held) this._held.head = { status, headers };
+    else this._exchange.begin(status, headers);
   }
 
   /** Forwards the events that `bytes` complete. Returns false when the caller reads too slowly. */
@@ -66,13 +91,16 @@
     this._heardAt = now;
     this._serverHeardAt = now;
     let canTakeMore = true;
+    let count = 0;
     for (const event of this._splitter.push(bytes)) {
       if (event.id !== undefined) {
         if (isRepeated(event.id, this._lastEventId)) continue;
         this._lastEventId = event.id;
       }
-      canTakeMore = this._exchange.write(event.bytes) && canTakeMore;
+      canTakeMore = this._send(event.bytes) && canTakeMore;
+      count++;
     }
+    this._observation?.onEvents(count);
     return canTakeMore;
   }
 
@@ -84,6 +112,12 @@
     return this._splitter.rest.length > 0 || (this._firstBytesAt === 0 && this._lastEventId === '');
   }
 
+  private _send(event: Buffer): boolean {
+    if (!this._held) return this._exchange.write(event);
+    this._held.events.push(event);
+    return true;
+  }
+
   /** Drops an event that was received only in part. */
   dropPartialEvent(): void {
     this._splitter = new EventSplitter();
--- a/tests/serverPool.spec.ts
+++ b/tests/serverPool.spec.ts
@@ -22,6 +22,7 @@
     readTokensPerSecond: 21_300,
     meanPromptTokens: 900,
     meanAnswerTokens: 80,
+    tokensPerEvent: 1,
   },
   origin: undefined,
 };
