Callers: an answer to a slow caller is not cut off when the entry stops listening

What callers saw: a caller that reads slowly loses the end of its answer when its entry, which leaves, stops listening. Found while looking for what else a leaving entry takes and does not finish.

Cause: the close of Node's HTTP server destroys idle connections, and takes those for idle on which end() has been called, though bytes are still waiting for the caller. Evidence: an answer of 12 MB is aborted in the middle as soon as the entry stops listening, while it waits for that answer; it comes whole without that call.

Change: the entry stops listening by the method of the TCP server, and closes only connections that have had a request and have none open; a request is open until its answer has been handed to the operating system.

--- a/src/serving/callerServer.ts
+++ b/src/serving/callerServer.ts
@@ -1,5 +1,6 @@
 /** The HTTP server that callers connect to. */
 import http from 'node:http';
+import net from 'node:net';
 import type { Socket } from 'node:net';
 import { setImmediate as afterPoll } from 'node:timers/promises';
 import { listenHttp } from '../utils/httpServer.js';
@@ -14,9 +15,16 @@
 const DEFAULT_IDLE_MILLISECONDS = 60_000;
 const BAD_REQUEST_ANSWER = 'HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n';
 
+/** The requests of a connection. */
+interface ConnectionUse {
+  requests: number;
+  /** Number of requests whose answers have not been handed to the operating system. */
+  open: number;
+}
+
 export class CallerServer {
   private readonly _server: http.Server;
-  private readonly _sockets = new Set<Socket>();
+  private readonly _connections = new Map<Socket, ConnectionUse>();
 
   constructor(listener: RequestListener) {
     this._server = http.createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true }, listener);
@@ -24,6 +32,7 @@
     this._server.requestTimeout = 0;
     this._server.headersTimeout = 0;
     this._server.on('connection', (socket) => this._trackSocket(socket));
+    this._server.on('request', (request, response) => this._trackRequest(request.socket, response));
     this._server.on('clientError', (_error, socket) => {
       if (socket.writable) socket.end(BAD_REQUEST_ANSWER);
       else socket.destroy();
@@ -32,7 +41,7 @@
 
   /** Number of open connections. */
   get connections(): number {
-    return this._sockets.size;
+    return this._connections.size;
   }
 
   async listen(address: string, port: number): Promise<number> {
@@ -48,7 +57,10 @@
   async stopListening(): Promise<void> {
     // Lets the event loop accept pending connections first; the system would reset them when the socket is closed.
     await afterPoll();
-    this._server.close();
+    // The method of the HTTP server would also destroy connections on which the end of an answer is being sent.
+    net.Server.prototype.close.call(this._server);
+    for (const [socket, { requests, open }] of this._connections)
+      if (requests > 0 && open === 0) socket.destroy();
   }
 
   /** Stops listening and closes all connections. */
@@ -58,7 +70,15 @@
   }
 
   private _trackSocket(socket: Socket): void {
-    this._sockets.add(socket);
-    socket.once('close', () => this._sockets.delete(socket));
+    this._connections.set(socket, { requests: 0, open: 0 });
+    socket.once('close', () => this._connections.delete(socket));
+  }
+
+  private _trackRequest(socket: Socket, response: http.ServerResponse): void {
+    const use = this._connections.get(socket);
+    if (!use) return;
+    use.requests++;
+    use.open++;
+    response.once('close', () => use.open--);
   }
 }
--- a/tests/leavingEntry.spec.ts
+++ b/tests/leavingEntry.spec.ts
@@ -1,4 +1,7 @@
 /** Requests to an entry that has been asked to stop. */
+import { once } from 'node:events';
+import http from 'node:http';
+import net from 'node:net';
 import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
 import { pause } from '../src/utils/timers.js';
@@ -118,3 +121,31 @@
   expect((await fixture.request()).status).toEqual(200);
   await stopped;
 });
+
+/** Guards against closing connections while the end of an answer is still waiting for a slow caller. */
+test('should send an answer whole to a caller that reads slowly', async () => {
+  const body = 'x'.repeat(12_000_000);
+  const script = answers({ headers: { 'content-length': String(body.length) }, body });
+  await fixture.start([script], {}, { drainMilliseconds: 5_000 });
+  const [host, port] = fixture.address.split(':');
+  const headers = { host: 'host.example', authorization: 'Bearer key-one' };
+  const request = http.get({ host, port, path: '/a/x', headers, agent: false });
+  const [answer] = (await once(request, 'response')) as [http.IncomingMessage];
+  const stopped = fixture.gateway.stop();
+  while (await isListening(host, Number(port))) await pause(20);
+  let received = 0;
+  for await (const part of answer) {
+    received += (part as Buffer).length;
+    await pause(2);
+  }
+  expect(received).toEqual(body.length);
+  await stopped;
+});
+
+async function isListening(host: string, port: number): Promise<boolean> {
+  const socket = net.connect(port, host);
+  return await once(socket, 'connect').then(
+    () => Boolean(socket.destroy()),
+    () => false,
+  );
+}
