Entries: no answer without length looks complete when the close cuts it off

What callers saw: an answer with neither a length nor chunks, of which an entry has sent a part when it closes its connections, ends in order and looks whole.

Cause: such an answer is reset 100 ms after it is given up, so that the caller can read what it has got; the close did not wait for that, nor reset anything. Evidence: the regression test, in which the caller got 200 and a complete answer of one event while the server was still sending.

Change: the requests that are open at the close are ended one by one, as at their deadline, and the process waits for the resets before it exits; the close is early enough for that.

Measured: leavingEntry "should let no answer look complete that it cuts off when it closes" fails before ("200" for "200 cut").

--- a/src/serving/entryDrain.ts
+++ b/src/serving/entryDrain.ts
@@ -10,7 +10,7 @@
 import type { Clock } from '../utils/clock.js';
 import { pause } from '../utils/timers.js';
 import type { CallerExchange } from './callerExchange.js';
-import { OWN_STATUS } from './callerExchange.js';
+import { OWN_STATUS, RESET_DELAY_MILLISECONDS } from './callerExchange.js';
 import type { EngineDescription } from './servingConfiguration.js';
 import { RETRY_AFTER_LEAVING_MILLISECONDS } from './slotRequest.js';
 
@@ -131,15 +131,17 @@
     await pause(FIRST_REQUEST_MILLISECONDS);
     while (this.running > 0 && this._closing.leftMilliseconds > 0)
       await pause(Math.min(POLL_MILLISECONDS, this._closing.leftMilliseconds));
-    this._endOpenRequests();
+    if (this.running > 0) await this._endOpenRequests();
   }
 
-  private _endOpenRequests(): void {
+  private async _endOpenRequests(): Promise<void> {
     for (const { endAtClose } of [...this._open]) {
       if (!endAtClose) continue;
       this._cutRequests++;
       endAtClose();
     }
+    // Otherwise the exit closes the connection in order, and an answer without length looks complete.
+    await pause(RESET_DELAY_MILLISECONDS + POLL_MILLISECONDS);
   }
 }
 
--- a/tests/leavingEntry.spec.ts
+++ b/tests/leavingEntry.spec.ts
@@ -5,7 +5,7 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
 import { pause } from '../src/utils/timers.js';
-import { answers, chunkOf, events, streamHead } from '../standins/scriptedBackend.js';
+import { answers, chunkOf, events, streamHead, unframedStreamHead } from '../standins/scriptedBackend.js';
 import type { Script } from '../standins/scriptedBackend.js';
 import type { CallerAnswer } from './fixtures/gatewayFixture.js';
 import { GatewayFixture } from './fixtures/gatewayFixture.js';
@@ -149,3 +149,18 @@
     () => false,
   );
 }
+
+/** Guards against an answer without length that looks complete because its connection is closed in order. */
+test('should let no answer look complete that it cuts off when it closes', async () => {
+  const sendsOneEvent: Script = (request) => {
+    request.socket.write(unframedStreamHead(request) + events(1));
+  };
+  await fixture.start([sendsOneEvent], STREAM, { drainMilliseconds: 600 });
+  const asked = fixture.request();
+  await until(() => fixture.arrivals === 1);
+  await fixture.gateway.stop();
+  expect(endOf(await asked)).toEqual('200 cut');
+  expect(fixture.lines.some((line) => line.includes('"request.cut"') && line.includes('"leaving"'))).toEqual(
+    true,
+  );
+});
