Entries: reject a request that is still being read when the connections are closed

Measured: leavingEntry "should reject a request that has not been read whole when it closes" gets no answer before.

--- a/src/serving/entryDrain.ts
+++ b/src/serving/entryDrain.ts
@@ -134,11 +134,12 @@
     if (this.running > 0) await this._endOpenRequests();
   }
 
+  /** Rejects the requests that have not been read whole, and cuts off the others. */
   private async _endOpenRequests(): Promise<void> {
-    for (const { endAtClose } of [...this._open]) {
-      if (!endAtClose) continue;
-      this._cutRequests++;
-      endAtClose();
+    for (const { exchange, endAtClose } of [...this._open]) {
+      if (endAtClose) this._cutRequests++;
+      if (endAtClose) endAtClose();
+      else exchange.refuse(OWN_STATUS.notRun, 'leaving', this.retryAfterMilliseconds);
     }
     // Otherwise the exit closes the connection in order, and an answer without length looks complete.
     await pause(RESET_DELAY_MILLISECONDS + POLL_MILLISECONDS);
--- a/tests/leavingEntry.spec.ts
+++ b/tests/leavingEntry.spec.ts
@@ -164,3 +164,19 @@
     true,
   );
 });
+
+/** Guards against closing the connection of a request that is still being read, without an answer. */
+test('should reject a request that has not been read whole when it closes', async () => {
+  await fixture.start([answers()], {}, { drainMilliseconds: 600 });
+  const [host, port] = fixture.address.split(':');
+  const socket = net.connect(Number(port), host);
+  socket.write(
+    'POST /a/x HTTP/1.1\r\nHost: host.example\r\nAuthorization: Bearer key-one\r\nContent-Length: 9\r\n\r\nhalf',
+  );
+  await once(socket, 'connect');
+  const stopped = fixture.gateway.stop();
+  const [bytes] = (await once(socket, 'data')) as [Buffer];
+  expect(bytes.toString().split('\r\n')[0]).toEqual('HTTP/1.1 503 Service Unavailable');
+  await stopped;
+  socket.destroy();
+});
