Entries: judge a stream by its own pace too before sending any of it while leaving

What callers saw: a stream that is slower than the recent ones of its service is admitted by their pace and cut at the close.

Cause: the pace of other streams bounds a stream only if it is not slower than them, and nothing checked that once it ran.

Change: while the entry leaves, a stream that may run again and whose deadline is after the close is held back until two pauses show that it ends in time, up to six if they do not. One that does not is given up with 502 before its caller has got any of it.

--- a/src/serving/requestDrain.ts
+++ b/src/serving/requestDrain.ts
@@ -8,8 +8,9 @@
 import type { ForwardingContext } from './forwardingContext.js';
 import type { EndFields, RequestOutcome } from './requestTrace.js';
 
-/** Number of pauses between events from which the pace of a stream is measured. */
-const MEASURED_PAUSES = 2;
+/** Numbers of pauses between events after which the pace of a stream may be, and has to be, decided on. */
+const MIN_PAUSES = 2;
+const MAX_PAUSES = 6;
 /** Outcomes of requests that ran for as long as they needed, or longer than they had. */
 const MEASURED_OUTCOMES: ReadonlySet<RequestOutcome> = new Set(['answered', 'failed', 'cut']);
 
@@ -23,7 +24,8 @@
   private readonly _request: AdmittedRequest;
   private readonly _repeatable: boolean;
   private readonly _endDuration: (isMeasured: boolean) => void;
-  private _endMeasuring: (() => void) | undefined;
+  private _isMeasuring = false;
+  private _endMeasuring: () => void = () => undefined;
   /** The last verdict while the entry was leaving. */
   private _verdict: DrainVerdict | undefined;
 
@@ -39,7 +41,7 @@
 
   /** Whether the answer must be held back until its pace shows that it ends in time. */
   get isMeasuring(): boolean {
-    return this._endMeasuring !== undefined;
+    return this._isMeasuring;
   }
 
   /** Milliseconds after which the caller should retry at the earliest; 0 while the entry is not leaving. */
@@ -51,10 +53,13 @@
   mayStart(): boolean {
     if (this.isMeasuring || !this._drain.isLeaving) return true;
     const { admission } = this._drain;
-    this._verdict = admission.decide(this._expected());
-    if (this._verdict.decision === 'measure')
-      this._endMeasuring = admission.beginMeasuring(this._request.service);
-    return this._verdict.decision !== 'reject';
+    const expected = this._expected();
+    const { decision, basis } = (this._verdict = admission.decide(expected));
+    if (decision === 'measure') this._endMeasuring = admission.beginMeasuring(this._request.service);
+    // Other streams show what to expect; this one may still be slower.
+    const isUncertain = decision === 'measure' || (decision === 'admit' && basis === 'pace');
+    this._isMeasuring = isUncertain && expected.repeatable && expected.eventsSent === 0;
+    return decision !== 'reject';
   }
 
   /** Checks the stream that is being measured; the measurement ends with the first result other than `unknown`. */
@@ -81,16 +86,20 @@
     const { pace, closesInMilliseconds } = this._drain;
     const expected = this._expected();
     if (pace.lowerBound(expected) > closesInMilliseconds) return 'too long';
-    if (!this.observation || this.observation.pauses < MEASURED_PAUSES) return 'unknown';
-    const rest = pace.restAtPace(expected, this.observation.meanPause);
-    return rest <= closesInMilliseconds ? 'ends in time' : 'too long';
+    const { pauses = 0, meanPause = 0 } = this.observation ?? {};
+    if (pauses < MIN_PAUSES) return 'unknown';
+    const rest = pace.restAtPace(expected, meanPause);
+    if (rest <= closesInMilliseconds) return 'ends in time';
+    // The mean of a few pauses varies: the fewer there are, the more it must exceed what is left.
+    const isDecided = pauses >= MAX_PAUSES || rest > closesInMilliseconds * (1 + 1 / pauses);
+    return isDecided ? 'too long' : 'unknown';
   }
 
   private _finishMeasuring(): void {
-    if (!this.isMeasuring) return;
-    this._endMeasuring?.();
-    this._endMeasuring = undefined;
-    if (this.observation && this.observation.pauses >= MEASURED_PAUSES) this.observation.report();
+    if (!this._isMeasuring) return;
+    this._isMeasuring = false;
+    this._endMeasuring();
+    if (this.observation && this.observation.pauses >= MIN_PAUSES) this.observation.report();
   }
 
   private _expected(): ExpectedRequest {
--- a/tests/leavingEntry.spec.ts
+++ b/tests/leavingEntry.spec.ts
@@ -49,8 +49,8 @@
 }
 
 /** Sends a request whose answer has at most `tokens` tokens. */
-async function askFor(tokens: number): Promise<CallerAnswer> {
-  return await fixture.request({ headers: { 'larklatch-tokens': `100,${tokens}` } });
+async function askFor(tokens: number, path = '/a/x'): Promise<CallerAnswer> {
+  return await fixture.request({ path, headers: { 'larklatch-tokens': `100,${tokens}` } });
 }
 
 /** How the requests ended that were sent one after the other until the entry accepted no more. */
@@ -114,6 +114,21 @@
   await stopped;
 });
 
+/** Guards against judging a stream by the pace of others alone, which a slower server or model does not keep. */
+test('should send nothing of a stream that is much slower than the recent ones', async () => {
+  const script: Script = (request) => streamOf(50, request.path.endsWith('slow') ? 100 : 10)(request);
+  await fixture.start(
+    [script],
+    { ...STREAM, services: [{ ...SERVICE, engine: ENGINE }] },
+    { drainMilliseconds: 3_000 },
+  );
+  await askFor(100);
+  const stopped = fixture.gateway.stop();
+  const ends = await Promise.all([askFor(100), askFor(100, '/a/slow')]);
+  expect(ends.map(endOf)).toEqual(['200', '502']);
+  await stopped;
+});
+
 test('should serve requests without a known length once recent ones have shown how long they take', async () => {
   await fixture.start([answers()]);
   for (let request = 0; request < 5; request++) await fixture.request();
