Soak: streams of many lengths to entries that leave

A new kind of planned work, leave-amid-streams: one to all entries get SIGTERM, together or in turn, some twice, while callers go on sending them streams of many lengths, paces and deadlines over kept connections until the process is gone. The new promise leaving: what an entry takes ends, what has ample room is taken, the rest is rejected at once. The grace time of a soak is an option, since 3 s are less than the constant of the fault.

--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -45,6 +45,7 @@
   'evacuate',
   'harmful-part',
   'turn-part-harmful',
+  'leave-amid-streams',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
@@ -64,7 +65,7 @@
 
 /** Whether all promises must hold during a fault. */
 export function keepsPromises(kind: FaultKind): boolean {
-  const isPlanned = (PLANNED_KINDS as readonly FaultKind[]).includes(kind);
+  const isPlanned = (PLANNED_KINDS as readonly FaultKind[]).includes(kind) || kind === 'leave-amid-streams';
   return isPlanned || SIGNAL_KINDS.includes(kind) || kind === 'evacuate';
 }
 
--- a/soak/fleetOptions.ts
+++ b/soak/fleetOptions.ts
@@ -28,6 +28,8 @@
   /** The second octet of all loopback addresses. Fleets that run at the same time need different ones. */
   network: number;
   random: Random;
+  /** Time from SIGTERM until a process has to be gone. Defaults to that of all soaks. */
+  graceSeconds?: number;
   listener: FleetListener;
   /** Additional command-line arguments of node, by role. */
   nodeArguments?: Record<ProcessRole, readonly string[]>;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -17,6 +17,7 @@
     --callers      number of callers (default 10)
     --planned      only planned operations, which must not fail any request
     --kinds        kinds of faults to select from, separated by commas (default: all)
+    --grace        seconds from SIGTERM until a process has to be gone (default 3)
     --network      second octet of the loopback addresses (default 31)
     --verbose      print each fault
 `;
@@ -32,6 +33,7 @@
     entries: { ...NUMBERS, default: 3 },
     boxes: { ...NUMBERS, default: 6 },
     callers: { ...NUMBERS, default: 10 },
+    grace: { ...NUMBERS },
     network: { ...NUMBERS, default: 31 },
     planned: { type: 'boolean', default: false },
     kinds: { type: 'string', default: '' },
@@ -58,6 +60,7 @@
     size: { entries: flags.entries, modelBoxes: flags.boxes, plainServers: 3 },
     callers: flags.callers,
     plannedOnly,
+    graceSeconds: flags.grace,
     network: flags.network,
     kinds: kinds.length > 0 ? kinds : undefined,
     log: (line) => flags.verbose && console.error(`${new Date().toISOString()} seed ${seed}: ${line}`),
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -4,6 +4,7 @@
 import type { Period } from './appliedConfigurations.js';
 import { AppliedConfigurations } from './appliedConfigurations.js';
 import type { Call } from './callerLog.js';
+import type { LeavingChecks } from './leavingChecks.js';
 import type { LocalityChecks } from './localityChecks.js';
 import type { Breach, PromiseName } from './promiseNames.js';
 import type { SignalChecks } from './signalChecks.js';
@@ -188,6 +189,17 @@
     );
   }
 
+  /** Checks the requests to leaving entries. */
+  checkLeaving(leaving: LeavingChecks): void {
+    leaving.check(
+      {
+        hasRun: (id) => this._executions.has(id),
+        overlapsFault: (from, until) => this._overlapsFault(from, until),
+      },
+      (what) => this._breach('leaving', what),
+    );
+  }
+
   /** A process exited unexpectedly. */
   onUnexpectedExit(description: string): void {
     this._breach('ends', description);
--- a/soak/promiseNames.ts
+++ b/soak/promiseNames.ts
@@ -16,6 +16,7 @@
   | 'evacuated' // a request is not sent to an evacuated data centre
   | 'crashing' // a request that crashes every server is no longer sent to servers
   | 'planned' // planned operations fail no request
+  | 'leaving' // a leaving entry ends what it takes, takes what can end in time, and rejects the rest at once
   | 'ends' // no process exits unexpectedly
   | 'recovery'; // requests are served again after the last fault
 
--- a/soak/soakConfiguration.ts
+++ b/soak/soakConfiguration.ts
@@ -12,6 +12,8 @@
 const COLD = { cold_start_s: 0, cold_per_s: COLD_PER_SECOND };
 export const HOST = 'games.example';
 export const MODEL = 'm0';
+/** Path prefix of the streams that may take longer than a planned stop. */
+export const LONG_PATH = '/long/';
 /** Host and path prefix of the only route with home regions, and these regions. */
 export const HOME_HOST = 'home.example';
 export const HOME_PATH = '/home/';
@@ -34,6 +36,7 @@
     version,
     routes: [
       route('/chat/', 'streaming', MODEL_SERVICE, { resumable: true, max_attempts: 2, itl_target_ms: 300 }),
+      route(LONG_PATH, 'streaming', MODEL_SERVICE, { resumable: true, max_attempts: 2, timeout_ms: 20_000 }),
       route('/turns/', 'non_idempotent', PLAIN_SERVICE, { max_attempts: 2 }),
       route('/boards/', 'idempotent', PLAIN_SERVICE, { max_attempts: 2 }),
       route(newestPrefix, 'idempotent', PLAIN_SERVICE, {}),
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -6,6 +6,8 @@
 import { SIGNAL_KINDS, faultScope, keepsPromises } from './faultKinds.js';
 import type { FleetProcess } from './fleetProcess.js';
 import { HarmfulRequests } from './harmfulRequests.js';
+import type { LeavingChecks } from './leavingChecks.js';
+import { LeavingEntries } from './leavingEntries.js';
 import type { ProxyMode } from './loopbackProxy.js';
 import type { PromiseChecks } from './promiseChecks.js';
 import type { SignalChecks } from './signalChecks.js';
@@ -43,11 +45,13 @@
   private readonly _log: (line: string) => void;
   private readonly _drainingBoxes = new Set<SoakBox>();
   private readonly _harmfulRequests: HarmfulRequests;
+  private readonly _leavingEntries: LeavingEntries;
 
   constructor(
     fleet: SoakFleet,
     checks: PromiseChecks,
     signals: SignalChecks,
+    leaving: LeavingChecks,
     random: Random,
     log: (line: string) => void,
   ) {
@@ -61,6 +65,8 @@
       random,
       onSending: (id) => checks.onSending(id),
     });
+    const restart = async (entry: FleetProcess): Promise<void> => await this._stopEntry(entry);
+    this._leavingEntries = new LeavingEntries({ fleet, random, checks, leaving, restart });
   }
 
   /** Applies a fault and resolves when it is over. */
@@ -72,6 +78,7 @@
       if (kind === 'crashing-request') await this._harmfulRequests.sendRepeated();
       else if (kind === 'harmful-part') await this._harmfulRequests.sendWithHarmfulPart();
       else if (kind === 'turn-part-harmful') await this._harmfulRequests.sendWithPartTurningHarmful();
+      else if (kind === 'leave-amid-streams') await this._leavingEntries.run();
       else if (SIGNAL_KINDS.includes(kind)) await this._applySignal(kind, this._pick(this._fleet.boxes));
       else await this._applyFault(kind, milliseconds);
     } finally {
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -313,7 +313,7 @@
       zone,
       port_range: [PORTS.rangeStart, PORTS.rangeStart + 15],
       limits: { link_mbps: megabits },
-      bounds: BOUNDS,
+      bounds: { ...BOUNDS, grace_s: this._options.graceSeconds ?? BOUNDS.grace_s },
     };
   }
 }
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -12,6 +12,7 @@
 import { SoakFaults } from './soakFaults.js';
 import type { FleetSize } from './fleetOptions.js';
 import { HomeCaller } from './homeCaller.js';
+import { LeavingChecks } from './leavingChecks.js';
 import { LocalityChecks } from './localityChecks.js';
 import { BOUNDS, ZONES } from './soakBounds.js';
 import { SoakFleet } from './soakFleet.js';
@@ -27,6 +28,8 @@
   plannedOnly: boolean;
   /** The second octet of its loopback addresses. */
   network: number;
+  /** Time from SIGTERM until a process has to be gone. Defaults to that of all soaks. */
+  graceSeconds?: number;
   /** Kinds of faults to select from. Defaults to all kinds, or to all planned ones if `plannedOnly`. */
   kinds?: readonly FaultKind[];
   log: (line: string) => void;
@@ -45,6 +48,8 @@
   crashing: { requests: number; crashes: number; runs: number };
   /** Number of requests with home regions that ran there. */
   ranAtHome: number;
+  /** Number of requests to leaving entries, by their end. */
+  leaving: Readonly<Record<string, number>>;
   /** Directory of the processes' settings and logs. */
   directory: string;
 }
@@ -72,10 +77,12 @@
   });
   const signals = new SignalChecks();
   const locality = new LocalityChecks();
+  const leaving = new LeavingChecks(options.graceSeconds);
   const { size, network } = options;
   const fleet = new SoakFleet({
     size,
     network,
+    graceSeconds: options.graceSeconds,
     random: new SeededRandom(options.seed + 1),
     listener: {
       onExecution: (execution) => {
@@ -95,8 +102,8 @@
     for (const entry of fleet.entries) checks.configurations.onEntryStarted(fleet.callerAddress(entry));
     checks.onVersionAnnounced(fleet.weightsVersion);
     await pause(START_MILLISECONDS);
-    const faults = new SoakFaults(fleet, checks, signals, random, options.log);
-    return await runWithCallers({ options, fleet, checks, signals, locality, faults, random });
+    const faults = new SoakFaults(fleet, checks, signals, leaving, random, options.log);
+    return await runWithCallers({ options, fleet, checks, signals, locality, leaving, faults, random });
   } finally {
     await fleet.stop();
   }
@@ -109,12 +116,13 @@
   checks: PromiseChecks;
   signals: SignalChecks;
   locality: LocalityChecks;
+  leaving: LeavingChecks;
   faults: SoakFaults;
   random: Random;
 }
 
 async function runWithCallers(running: RunningSoak): Promise<SoakReport> {
-  const { options, fleet, checks, signals, locality, faults, random } = running;
+  const { options, fleet, checks, signals, locality, leaving, faults, random } = running;
   const callers = [...createCallers(options, fleet, checks), ...createHomeCallers(running)];
   const ended = Promise.all(callers.map((caller) => caller.run()));
   let settledAt: number;
@@ -130,6 +138,7 @@
   checks.checkRecovery(settledAt, MIN_SERVED_SHARE);
   checks.checkSignals(signals);
   checks.checkLocality(locality);
+  checks.checkLeaving(leaving);
   if (options.plannedOnly) checks.checkPlanned((id) => fleet.hasLogged(id));
   for (const { name, unexpectedExits } of [...fleet.entries, ...fleet.agents])
     if (unexpectedExits > 0) checks.onUnexpectedExit(`${name} ended ${unexpectedExits} times unexpectedly`);
@@ -196,7 +205,7 @@
   if (failures.length > 0) throw failures[0];
 }
 
-function report({ options, fleet, checks, locality }: RunningSoak): SoakReport {
+function report({ options, fleet, checks, locality, leaving }: RunningSoak): SoakReport {
   const ends: Record<string, number> = {};
   for (const { kind, outcome, status } of checks.calls) {
     const key = `${kind} ${outcome} ${status}`;
@@ -211,6 +220,7 @@
     originBytes: fleet.origin.bytesSent,
     crashing: checks.crashing,
     ranAtHome: locality.ranAtHome,
+    leaving: leaving.counts,
     directory: fleet.directory,
   };
 }
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -7,8 +7,9 @@
 import type { PlatformRunnerFaults } from './platformRunnerFaults.js';
 import type { PlatformRunnerOptions } from './platformRunnerOptions.js';
 import { hasSignals, signalHeaders, sentSignals } from './platformRunnerSignals.js';
-import { STREAM_EVENTS, eventText, sealOf } from './platformAnswers.js';
+import { eventText, sealOf } from './platformAnswers.js';
 import { CRASH_BODY, harmIn } from './platformRunnerHarm.js';
+import { EVENT_MILLISECONDS, sendStream } from './platformStreams.js';
 import { sendJsonAnswer } from './standinServer.js';
 import type { WeightsShape } from './weightsFixture.js';
 import { versionDigests } from './weightsFixture.js';
@@ -19,11 +20,9 @@
 const MAX_QUEUED = 16;
 /** Time to load a version. */
 const LOAD_MILLISECONDS = 60;
-const EVENT_MILLISECONDS = 15;
 const ANSWER_MILLISECONDS = 10;
 /** A piece that was corrupted more recently than this counts as intact: an agent cannot have detected it yet. */
 const CORRUPTION_GRACE_MILLISECONDS = 3_000;
-const NO_EVENT = Number.MAX_SAFE_INTEGER;
 const MISDIRECTED_STATUS = 421;
 const UNAVAILABLE_STATUS = 503;
 
@@ -280,7 +279,11 @@
     if (random < lostAnswerShare) return void response.destroy();
     if (random < lostAnswerShare + errorShare) return void response.writeHead(500, headers).end('failed');
     const isTruncated = random < lostAnswerShare + errorShare + truncatedShare;
-    if (url.searchParams.has('stream')) return this._stream(request, response, id, headers, isTruncated);
+    if (url.searchParams.has('stream')) {
+      const firstEvent = Number(request.headers['last-event-id'] ?? 0) + 1;
+      response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
+      return await sendStream(response, id, url.searchParams, firstEvent, isTruncated);
+    }
     await pause(ANSWER_MILLISECONDS);
     const body = `answer of ${id}`;
     response.writeHead(200, { ...headers, 'content-length': body.length });
@@ -291,26 +294,6 @@
         `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: s\r\ncontent-length: 2\r\n\r\nno`,
       );
   }
-
-  private async _stream(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-    id: string,
-    headers: http.OutgoingHttpHeaders,
-    isTruncated: boolean,
-  ): Promise<void> {
-    const first = Number(request.headers['last-event-id'] ?? 0) + 1;
-    const truncatedEvent = isTruncated ? first + 1 : NO_EVENT;
-    response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
-    for (let event = first; event <= STREAM_EVENTS && !response.destroyed; event++) {
-      await pause(EVENT_MILLISECONDS);
-      const text = eventText(id, event);
-      if (event >= truncatedEvent)
-        return void response.write(text.slice(0, text.length >> 1), () => response.destroy());
-      response.write(text);
-    }
-    response.end();
-  }
 }
 
 interface OrderBody {
