larklatch entry: take a request while stopping only if it ends before the exit

What callers saw: an entry that was started by the command line took requests until the moment of its exit, and cut off what was running then.

Requests are grouped by configuration and, for chats, by their maximum of tokens within a factor of two; one without a deadline in time is taken if twice the longest recent one of its group ends before the close. The rest is refused at once, with the reason leaving and as not run. The time to release leases no longer adds to the drain time, and the entry stops listening before it looks for requests once more.

Measured: fleetLeaving "should cut no answer that a stopping entry takes, and refuse the others" (real processes, a drain time of 2 s, streams of 0.6 s) fails before with cut answers.

--- a/src/entry/callerApi.ts
+++ b/src/entry/callerApi.ts
@@ -6,6 +6,7 @@
 import { configurationKey, shortName } from '../configuration/recordKeys.js';
 import type { ParsedRecords } from '../configuration/parsedRecords.js';
 import { problemsOf } from '../configuration/resolveSpecification.js';
+import type { ProcessDrain } from '../draining/processDrain.js';
 import type { ServiceKind } from '../protocol/index.js';
 import type { CallerRequest } from '../requests/callerRequest.js';
 import { parseCallerOptions } from '../requests/callerRequest.js';
@@ -40,6 +41,7 @@
   clock: Clock;
   random: Random;
   metrics: Metrics;
+  drain: ProcessDrain;
 }
 
 const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
@@ -49,6 +51,7 @@
 
 const chatSchema = z.looseObject({
   model: z.string('the name of a model'),
+  max_tokens: z.unknown().optional(),
   messages: z.array(z.unknown(), 'a list of messages').min(1, 'at least one message'),
 });
 
@@ -141,12 +144,13 @@
     const json = parseJson(body);
     const parsed = chatSchema.safeParse(json);
     if (!parsed.success) return answerProblems(response, problemsOf(parsed.error, json));
-    const { model, messages } = parsed.data;
+    const { model, messages, max_tokens: tokens } = parsed.data;
     const name = this._findConfiguration(customer, 'model', model);
     if (!name) return this._answerUnknown(response, 'model', model);
     const prefix = JSON.stringify(messages).slice(0, AFFINITY_PREFIX_CHARACTERS);
     const affinity = sha256Hex(`${customer}\n${model}\n${prefix}`).slice(0, 16);
-    await this._routeRequest(request, response, { name, path: '/v1/chat/completions', body, affinity }, true);
+    const target = { name, path: '/v1/chat/completions', body, affinity, kind: lengthKind(tokens) };
+    await this._routeRequest(request, response, target, true);
   }
 
   private async _answerService(
@@ -163,7 +167,7 @@
     await this._routeRequest(
       request,
       response,
-      { name, path: `/${rest.join('/')}${url.search}`, body, affinity: '' },
+      { name, path: `/${rest.join('/')}${url.search}`, body, affinity: '', kind: '' },
       repeatable,
     );
   }
@@ -171,7 +175,7 @@
   private async _routeRequest(
     request: http.IncomingMessage,
     response: http.ServerResponse,
-    target: Pick<CallerRequest, 'name' | 'path' | 'body' | 'affinity'>,
+    target: Pick<CallerRequest, 'name' | 'path' | 'body' | 'affinity' | 'kind'>,
     repeatable: boolean,
   ): Promise<void> {
     const callerOptions = parseCallerOptions(request.headers, repeatable);
@@ -187,12 +191,15 @@
     };
     const callerLeft = new AbortController();
     response.once('close', () => callerLeft.abort());
+    const endDuration = this._options.drain.begin({ service: shortName(target.name), kind: target.kind });
     const result = await this._options.router.route(callerRequest, callerLeft.signal);
     if (result.kind === 'refused') {
+      endDuration(false);
       return answerRefusal(response, result.refusal, callerRequest.id, this._options.random);
     }
     this._options.metrics.latency('first_byte', this._options.clock.now() - arrivedAt);
     const end = await deliver(result.routed, callerRequest.id, response);
+    endDuration(end !== 'caller-left');
     this._options.metrics.count('requests_delivered', { end });
     this._options.metrics.latency('whole_answer', this._options.clock.now() - arrivedAt);
   }
@@ -217,3 +224,9 @@
     });
   }
 }
+
+/** Groups chat requests whose answers have similar maximum lengths: within a factor of two. */
+function lengthKind(maximumTokens: unknown): string {
+  if (typeof maximumTokens !== 'number' || !(maximumTokens >= 1)) return 'chat';
+  return `chat/${2 ** Math.ceil(Math.log2(maximumTokens))}`;
+}
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -6,6 +6,7 @@
 import { configurationKey } from '../configuration/recordKeys.js';
 import { Replica } from '../configuration/replica.js';
 import { ConditionalWriter } from '../configuration/conditionalWriter.js';
+import { ProcessDrain } from '../draining/processDrain.js';
 import { AgentLinks } from '../membership/agentLinks.js';
 import { BoxListFollower } from '../membership/boxListFollower.js';
 import { isWatcher, replicationPeers } from '../membership/replicationPeers.js';
@@ -36,7 +37,7 @@
 import { SystemClock } from '../utils/clock.js';
 import { placementHash } from '../utils/hash.js';
 import { SeededRandom } from '../utils/random.js';
-import { pause } from '../utils/timers.js';
+import { pause, waitAtMost } from '../utils/timers.js';
 import { CallerApi } from './callerApi.js';
 import { CustomerDirectory } from './customerDirectory.js';
 import { EntryHttpServer } from './entryHttpServer.js';
@@ -79,6 +80,7 @@
   private readonly _links: AgentLinks;
   private readonly _routes: RouteTable;
   private readonly _coordinatorPool: CoordinatorPool;
+  private readonly _drain: ProcessDrain;
   private readonly _http: EntryHttpServer;
   private readonly _control: ControlServer;
   private _linkTimer: NodeJS.Timeout | undefined;
@@ -123,6 +125,7 @@
       entries: () => this._usableEntries(),
       isLeaving: () => this._leaving,
     });
+    this._drain = new ProcessDrain(this._clock);
     this._http = this._createHttp(writer);
     this._metrics.gauge('control_bytes', () => ControlConnection.totalBytes);
     this._metrics.gauge('entry_peers', () => this._replicator.peerCount);
@@ -151,13 +154,16 @@
   /** Announces the stop to other entries, releases leases, waits for requests in flight, then closes. */
   async stop(): Promise<void> {
     this._leaving = true;
+    this._drain.closeIn(SHUTDOWN_GRACE_MILLISECONDS + this._settings.drainMilliseconds);
     this._replicator.announceLeaving();
     this._http.disableKeepAlive();
     this._logger.state('entry.leaving', { inFlight: this._http.inFlight });
-    await this._coordinatorPool.stop();
+    await waitAtMost(this._coordinatorPool.stop(), this._drain.closesInMilliseconds);
     await pause(SHUTDOWN_GRACE_MILLISECONDS);
-    const deadline = performance.now() + this._settings.drainMilliseconds;
-    while (this._http.inFlight > 0 && performance.now() < deadline) await pause(DRAIN_POLL_MILLISECONDS);
+    await this._untilIdle();
+    this._http.close();
+    // Requests may have arrived on open connections since the last check.
+    await this._untilIdle();
     this.close();
   }
 
@@ -173,9 +179,19 @@
     this._logger.state('entry.stopped');
   }
 
+  private async _untilIdle(): Promise<void> {
+    while (this._http.inFlight > 0 && this._drain.closesInMilliseconds > 0)
+      await pause(DRAIN_POLL_MILLISECONDS);
+  }
+
   private _createHttp(writer: ConditionalWriter): EntryHttpServer {
     const { _replica: replica, _specifications: specifications, _routes: routes, _settings: settings } = this;
-    const common = { clock: this._clock, random: this._random, metrics: this._metrics };
+    const common = {
+      clock: this._clock,
+      random: this._random,
+      metrics: this._metrics,
+      drain: this._drain,
+    };
     const router = new RequestRouter({
       ...common,
       routes,
--- a/src/requests/requestRouter.ts
+++ b/src/requests/requestRouter.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import { configurationKey, shortName } from '../configuration/recordKeys.js';
 import type { ParsedRecords } from '../configuration/parsedRecords.js';
+import type { ProcessDrain } from '../draining/processDrain.js';
 import type { Logger } from '../telemetry/logger.js';
 import type { Metrics } from '../telemetry/metrics.js';
 import type { Clock } from '../utils/clock.js';
@@ -24,6 +25,7 @@
   client: AgentClient;
   ledgers: ParsedRecords<LedgerRecord>;
   retries: RetryBudget;
+  drain: ProcessDrain;
   sharedKey: string;
   clock: Clock;
   random: Random;
@@ -55,6 +57,8 @@
 /** A ledger slot whose owner takes no requests is looked up repeatedly, since it may be moving to another owner. */
 const MAX_OWNER_LOOKUPS = 12;
 const OWNER_LOOKUP_INTERVAL_MILLISECONDS = 60;
+/** Another entry can take a request immediately that this one no longer takes. */
+const RETRY_AFTER_LEAVING_MILLISECONDS = 10;
 
 /** Routes all requests of an entry. */
 export class RequestRouter {
@@ -77,6 +81,10 @@
     let refusal = refusalFor('no-backend');
     let mayHaveRun = false;
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      if (!this._mayStart(request)) {
+        refusal = refusalFor('leaving', RETRY_AFTER_LEAVING_MILLISECONDS);
+        break;
+      }
       const backend = this._choose(request, tried);
       if (!backend) break;
       tried.add(backend.box);
@@ -108,6 +116,7 @@
     let reason: RefusalReason = 'no-backend';
     for (let attempt = 0; attempt < MAX_OWNER_LOOKUPS; attempt++) {
       if (callerSignal.aborted || this._isPastDeadline(request)) break;
+      if (!this._mayStart(request)) return refuseUnsent('leaving');
       const owned = this._ownerFor(request);
       if (owned === 'lost-epoch') return this._refuse(request, refusalFor('uncertain'));
       if (owned) {
@@ -230,6 +239,25 @@
     backend.load.outstanding--;
   }
 
+  /** Whether the request ends before this entry, which may be leaving, closes its connections. */
+  private _mayStart(request: CallerRequest): boolean {
+    const { drain, logger } = this._options;
+    if (!drain.isLeaving) return true;
+    const { name, kind } = request;
+    const verdict = drain.decide({ service: shortName(name), kind }, this._remaining(request));
+    if (verdict.decision === 'admit') return true;
+    const { basis, estimateMilliseconds, closesInMilliseconds } = verdict;
+    const estimate = Number.isFinite(estimateMilliseconds) ? Math.round(estimateMilliseconds) : undefined;
+    logger.decision('request.not-started', {
+      request: request.id,
+      reason: 'leaving',
+      basis,
+      estimateMilliseconds: estimate,
+      closesInMilliseconds: Math.round(closesInMilliseconds),
+    });
+    return false;
+  }
+
   private _remaining(request: CallerRequest): number | undefined {
     if (request.deadlineMilliseconds === undefined) return undefined;
     return request.arrivedAt + request.deadlineMilliseconds - this._options.clock.now();
--- /dev/null
+++ b/tests/fleetLeaving.spec.ts
@@ -0,0 +1,45 @@
+/** Requests to a real entry process that is stopping, with less time left than some of them take. */
+import { test } from 'node:test';
+import { expect } from 'earl';
+import { pause } from '../src/utils/timers.js';
+import { call, rollOut, useFleet } from './fixtures/fleetFixture.js';
+
+const context = useFleet({
+  modelBoxesPerDataCentre: 1,
+  engine: { tokenMilliseconds: 10, firstTokenMilliseconds: 5, slots: 64 },
+  agentSettings: { BACKEND_SLOTS: '64' },
+  entrySettings: { DRAIN_MILLISECONDS: '2000' },
+});
+
+/** Sends a stream to the first entry; returns how it ended. */
+async function send(maximumTokens: number): Promise<string> {
+  const messages = [{ role: 'user', content: 'ruling' }];
+  const body = { model: 'judge', messages, stream: true, max_tokens: maximumTokens };
+  const answer = await call(context.fleet, '/v1/chat/completions', body).catch(() => undefined);
+  if (!answer) return 'not accepted';
+  const text = await answer.text().catch(() => 'cut');
+  if (answer.status !== 200) return `${answer.status} ${answer.headers.get('larklatch-outcome')}`;
+  return text.endsWith('data: [DONE]\n\n') ? 'whole' : 'cut';
+}
+
+/** Guards against an entry that takes requests until the moment at which it exits, and cuts them off. */
+test('should cut no answer that a stopping entry takes, and refuse the others', async () => {
+  const { fleet } = context;
+  await rollOut(fleet, 'v1', { chunkCount: 2 });
+  await fleet.untilComplete('korrigan', 'judge', 'v1');
+  for (let request = 0; request < 5; request++) expect(await send(60)).toEqual('whole');
+  const [entry] = fleet.entries();
+  let hasExited = false;
+  const exited = entry.child.end('SIGTERM').then((code) => {
+    hasExited = true;
+    return code;
+  });
+  const ends: Promise<string>[] = [];
+  while (!hasExited) {
+    ends.push(send(60));
+    await pause(50);
+  }
+  const distinct = [...new Set(await Promise.all(ends))].sort();
+  expect(distinct.filter((end) => end !== 'not accepted')).toEqual(['503 not-run', 'whole']);
+  expect(await exited).toEqual(0);
+});
