larklatch agent: do not start a queued request that outlasts the stop

What callers saw: a request that had been queued at an agent when it got SIGTERM was started as soon as a slot became free, even just before the agent exits, and was cut off.

Change: the queue asks the same admission before it starts a request; one that may not end is refused as leaving and not run, so that the entry sends it to another box without using its retries.

Measured: fairQueue "should not start a queued request that may outlast the stop of its process"; without the check the second queued request starts 600 ms before the close, where it may need 650.

--- a/src/agent/agentDaemon.ts
+++ b/src/agent/agentDaemon.ts
@@ -1,5 +1,6 @@
 /** Creates and connects the parts of an agent, the process that runs on a box with a backend server. */
 import { randomUUID } from 'node:crypto';
+import { ProcessDrain } from '../draining/processDrain.js';
 import type { BackendServer } from '../engine/backendServer.js';
 import { HttpEngine } from '../engine/httpEngine.js';
 import { PlainService } from '../engine/plainService.js';
@@ -70,6 +71,7 @@
   private readonly _logger: Logger;
   private readonly _metrics = new Metrics();
   private readonly _store: ChunkStore;
+  private readonly _drain: ProcessDrain;
   private readonly _queue: FairQueue;
   private readonly _ledger: Ledger;
   private readonly _gate: RequestGate;
@@ -99,8 +101,9 @@
       blindMilliseconds: settings.keyLifetimeMilliseconds + ISOLATED_ENTRY_MILLISECONDS,
       maximumKeys: settings.ledgerKeys,
     });
-    const slots = settings.backendSlots;
-    this._queue = new FairQueue({ slots, waitingPerCustomer: settings.waitingPerCustomer, clock });
+    const { backendSlots: slots, waitingPerCustomer } = settings;
+    const drain = (this._drain = new ProcessDrain(clock));
+    this._queue = new FairQueue({ slots, waitingPerCustomer, clock, drain });
     this._uploads = parts.uploads ?? createUploads(settings);
     this._backend = createBackend(settings);
     this._swarmMessages = new SwarmMessageHandler(() =>
@@ -169,14 +172,13 @@
   /** Refuses new requests, waits for requests in flight and the handover of ledger slots, then closes. */
   async stop(): Promise<void> {
     this._leaving = true;
+    this._drain.closeIn(this._settings.drainMilliseconds);
     this._gate.refuseNewRequests();
     for (const version of this._hosts.versions()) version.exchange.dropPendingOriginFetches();
     this._reporter.sendNow();
     this._logger.state('agent.leaving', { inFlight: this._queue.running, queued: this._queue.waiting });
-    const deadline = performance.now() + this._settings.drainMilliseconds;
-    while (this._queue.running + this._queue.waiting > 0 && performance.now() < deadline) {
+    while (this._queue.running + this._queue.waiting > 0 && this._drain.closesInMilliseconds > 0)
       await pause(DRAIN_POLL_MILLISECONDS);
-    }
     const handoverDeadline = performance.now() + LEDGER_HANDOVER_TIMEOUT_MILLISECONDS;
     while (this._ledger.ownsSlots && performance.now() < handoverDeadline)
       await pause(DRAIN_POLL_MILLISECONDS);
@@ -207,7 +209,12 @@
       sharedKey: this._settings.sharedKey,
       gate: this._gate,
       queue: this._queue,
-      forwarder: new BackendForwarder(this._settings.backendUrl, this._ledger, this._logger),
+      forwarder: new BackendForwarder(
+        this._settings.backendUrl,
+        this._ledger,
+        this._logger,
+        () => this._leaving,
+      ),
       uploads: this._uploads,
       metrics: this._metrics,
       versions: () => this._hosts.versions(),
--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -36,6 +36,7 @@
   private readonly _baseUrl: string;
   private readonly _ledger: Ledger;
   private readonly _logger: Logger;
+  private readonly _isLeaving: () => boolean;
   private readonly _dispatcher = new Agent({
     pipelining: 1,
     headersTimeout: BACKEND_TIMEOUT_MILLISECONDS,
@@ -43,7 +44,9 @@
     connect: { timeout: 1_000 },
   });
 
-  constructor(baseUrl: string, ledger: Ledger, logger: Logger) {
+  /** `isLeaving` tells whether the agent is stopping. */
+  constructor(baseUrl: string, ledger: Ledger, logger: Logger, isLeaving: () => boolean = () => false) {
+    this._isLeaving = isLeaving;
     this._baseUrl = baseUrl;
     this._ledger = ledger;
     this._logger = logger;
@@ -75,7 +78,7 @@
     const admitted = await Promise.race([permit.admission.ready, aborted(closed)]);
     if (!admitted) {
       this._cancelLedgerEntry(request);
-      return refusalFor('deadline-too-close');
+      return refusalFor(this._isLeaving() ? 'leaving' : 'deadline-too-close');
     }
     const answer = await this._send(request, permit, closed);
     if (answer === undefined) return refusalFor('backend-unreachable');
--- a/src/requests/fairQueue.ts
+++ b/src/requests/fairQueue.ts
@@ -1,6 +1,7 @@
 /** Shares a box's slots among customers by weight, and among requests of one customer by priority. */
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
+import type { ProcessDrain } from '../draining/processDrain.js';
 import type { Priority } from '../protocol/headers.js';
 import type { Clock } from '../utils/clock.js';
 
@@ -24,7 +25,10 @@
 
 /** A queued or running request. `release` removes it from the queue or frees its slot; further calls have no effect. */
 export interface Admission {
-  /** Resolves to true once the request may run, to false when its deadline passed or it was released while queued. */
+  /**
+   * Resolves to true once the request may run; to false when its deadline passed, it was released while queued, or the
+   * process stops before the request would end.
+   */
   ready: Promise<boolean>;
   release(): void;
 }
@@ -34,6 +38,8 @@
   /** Maximum number of queued requests per customer. */
   waitingPerCustomer: number;
   clock: Clock;
+  /** The planned stop of the process, which may be too close for a request that has waited. */
+  drain: ProcessDrain;
 }
 
 interface Waiting {
@@ -119,11 +125,15 @@
     const expiresAt =
       deadline === undefined ? Number.POSITIVE_INFINITY : this._options.clock.now() + deadline;
     let startedAt: number | undefined;
+    let endDuration: ((isMeasured: boolean) => void) | undefined;
     let released = false;
     let start!: (admitted: boolean) => void;
     const ready = new Promise<boolean>((resolve) => {
       start = (admitted) => {
-        if (admitted) startedAt = this._options.clock.now();
+        if (admitted) {
+          startedAt = this._options.clock.now();
+          endDuration = this._options.drain.begin({ service: request.customer, kind: '' });
+        }
         resolve(admitted);
       };
     });
@@ -136,6 +146,7 @@
     const release = (): void => {
       if (released) return;
       released = true;
+      endDuration?.(true);
       if (startedAt === undefined) this._leaveQueue(customer, item);
       else this._finish(customer, request.customer, this._options.clock.now() - startedAt);
     };
@@ -173,7 +184,7 @@
       const item = firstWaiting(customer)!;
       customer.waiting[item.request.priority].shift();
       this._waitingCount--;
-      if (item.expiresAt < this._options.clock.now()) {
+      if (!this._mayStart(item)) {
         item.start(false);
         continue;
       }
@@ -185,6 +196,12 @@
     }
   }
 
+  private _mayStart({ request, expiresAt }: Waiting): boolean {
+    const { clock, drain } = this._options;
+    const left = expiresAt - clock.now();
+    return left >= 0 && drain.decide({ service: request.customer, kind: '' }, left).decision === 'admit';
+  }
+
   private _nextCustomer(): CustomerQueue | undefined {
     let best: CustomerQueue | undefined;
     for (const customer of this._customers.values()) {
--- a/tests/fairQueue.spec.ts
+++ b/tests/fairQueue.spec.ts
@@ -1,6 +1,7 @@
 /** Fair shares among customers, immediate refusals and deadlines. */
 import { test } from 'node:test';
 import { expect } from 'earl';
+import { ProcessDrain } from '../src/draining/processDrain.js';
 import type { Priority } from '../src/protocol/headers.js';
 import type { Admission } from '../src/requests/fairQueue.js';
 import { FairQueue } from '../src/requests/fairQueue.js';
@@ -13,9 +14,16 @@
   deadlineMilliseconds?: number;
 }
 
-function queueWith(slots: number, waitingPerCustomer = 1_000): { queue: FairQueue; clock: ManualClock } {
+interface QueueFixture {
+  queue: FairQueue;
+  clock: ManualClock;
+  drain: ProcessDrain;
+}
+
+function queueWith(slots: number, waitingPerCustomer = 1_000): QueueFixture {
   const clock = new ManualClock();
-  return { queue: new FairQueue({ slots, waitingPerCustomer, clock }), clock };
+  const drain = new ProcessDrain(clock);
+  return { queue: new FairQueue({ slots, waitingPerCustomer, clock, drain }), clock, drain };
 }
 
 function admit(queue: FairQueue, request: RequestOptions): Admission {
@@ -130,3 +138,24 @@
   running.release();
   expect(queue.running).toEqual(0);
 });
+
+/** Guards against a queued request that starts shortly before its agent exits, and is cut off. */
+test('should not start a queued request that may outlast the stop of its process', async () => {
+  const { queue, clock, drain } = queueWith(1);
+  for (let request = 0; request < 5; request++) {
+    const admission = admit(queue, { customer: 'a' });
+    clock.advance(300);
+    admission.release();
+  }
+  const running = admit(queue, { customer: 'a' });
+  const waiting = [0, 1].map(() => admit(queue, { customer: 'a' }));
+  const short = admit(queue, { customer: 'a', deadlineMilliseconds: 900 });
+  drain.closeIn(1_200);
+  clock.advance(300);
+  running.release();
+  expect(await waiting[0].ready).toEqual(true);
+  clock.advance(300);
+  waiting[0].release();
+  expect(await waiting[1].ready).toEqual(false);
+  expect(await short.ready).toEqual(true);
+});
