--- a/soak/fleetProcess.ts
+++ b/soak/fleetProcess.ts
@@ -35,8 +35,8 @@
 export class FleetProcess {
   readonly name: string;
   readonly role: ProcessRole;
-  /** Number of exits that were not caused by {@link FleetProcess.signal}. */
-  unexpectedExits = 0;
+  /** Exit code or signal of each exit that was not caused by {@link FleetProcess.signal}. */
+  readonly unexpectedExits: (number | NodeJS.Signals)[] = [];
   private readonly _options: FleetProcessOptions;
   private _child: ChildProcess | undefined;
   private _expectsExit = false;
@@ -82,7 +82,7 @@
     this._child = child;
     this._expectsExit = false;
     runningChildren.add(child);
-    child.once('exit', () => this._onExit(child));
+    child.once('exit', (code, signal) => this._onExit(child, code ?? signal ?? 0));
   }
 
   /** Sends a signal. An exit after SIGKILL or SIGTERM counts as expected. */
@@ -100,11 +100,11 @@
     if (child) await new Promise<void>((resolve) => child.once('exit', () => resolve()));
   }
 
-  private _onExit(child: ChildProcess): void {
+  private _onExit(child: ChildProcess, how: number | NodeJS.Signals): void {
     runningChildren.delete(child);
     if (this._child !== child) return;
     this._child = undefined;
     this._isPaused = false;
-    if (!this._expectsExit) this.unexpectedExits++;
+    if (!this._expectsExit) this.unexpectedExits.push(how);
   }
 }
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -141,7 +141,8 @@
   checks.checkLeaving(leaving);
   if (options.plannedOnly) checks.checkPlanned((id) => fleet.hasLogged(id));
   for (const { name, unexpectedExits } of [...fleet.entries, ...fleet.agents])
-    if (unexpectedExits > 0) checks.onUnexpectedExit(`${name} ended ${unexpectedExits} times unexpectedly`);
+    if (unexpectedExits.length > 0)
+      checks.onUnexpectedExit(`${name} ended unexpectedly: ${unexpectedExits.join(', ')}`);
   return report(running);
 }
 
