Leases: leave none held that was being acquired or renewed when the entry stops

What operators saw: after the planned stop of an entry that was just acquiring a lease, its rollouts stand still for a whole lifetime of the lease, since the entry has exited with it.

Cause: the release looked at the lease that was held at that moment, and returned if there was none, while the write that acquires it was in flight. A renewal in flight made the release name a revision that was no longer current.

Change: a release waits for the write in flight, and the release of a stop is final.

Measured: lease "should leave no lease held that was being acquired or renewed when its entry stopped"; with release() in place of close() it fails on.

--- a/src/lease/leaseKeeper.ts
+++ b/src/lease/leaseKeeper.ts
@@ -37,7 +37,9 @@
   private readonly _machine = createActor(leaseMachine).start();
   private _lastSeen: { revision: string; at: number } | undefined;
   private _held: { record: LeaseRecord; revision: number; sentAt: number } | undefined;
-  private _writing = false;
+  /** The call of {@link LeaseKeeper.tick} in progress. */
+  private _ticking: Promise<void> | undefined;
+  private _isClosed = false;
 
   constructor(options: LeaseKeeperOptions) {
     this._options = options;
@@ -58,24 +60,36 @@
    * candidates, from 0; entries of a later rank wait longer before they acquire the lease.
    */
   async tick(rank: number): Promise<void> {
-    if (this._writing) return;
-    this._writing = true;
+    if (this._isClosed || this._ticking) return;
+    this._ticking = this._tick(rank);
     try {
-      if (this.epoch !== undefined) await this._renewWhenDue();
-      else if (this._isFree(rank)) await this._acquire();
+      await this._ticking;
     } finally {
-      this._writing = false;
+      this._ticking = undefined;
     }
   }
 
+  /** Releases the lease for good: it is not acquired again. */
+  async close(): Promise<void> {
+    this._isClosed = true;
+    await this.release();
+  }
+
   /** Releases the lease, so that another entry can acquire it before it expires. */
   async release(): Promise<void> {
+    // A write in flight may still acquire the lease, or change the revision that the release has to name.
+    await this._ticking?.catch(() => undefined);
     const held = this._held;
     if (!held || this.epoch === undefined) return;
     this._end('RELEASED');
     await this._put({ ...held.record, released: true }, held.revision);
   }
 
+  private async _tick(rank: number): Promise<void> {
+    if (this.epoch !== undefined) await this._renewWhenDue();
+    else if (this._isFree(rank)) await this._acquire();
+  }
+
   /** Whether this entry may acquire the lease. It waits longer at a later rank, so that usually one entry writes. */
   private _isFree(rank: number): boolean {
     const { replica, key, clock, lifetimeMilliseconds } = this._options;
--- a/src/rollout/coordinatorPool.ts
+++ b/src/rollout/coordinatorPool.ts
@@ -71,7 +71,7 @@
   async stop(): Promise<void> {
     this._stopped = true;
     clearTimeout(this._timer);
-    await Promise.all([...this._managed.values()].map((managed) => managed.lease.release()));
+    await Promise.all([...this._managed.values()].map((managed) => managed.lease.close()));
   }
 
   /** Runs the next step soon, after a change of the replica or of the links. */
--- a/tests/lease.spec.ts
+++ b/tests/lease.spec.ts
@@ -145,3 +145,19 @@
   await two.lease.tick(2);
   expect(two.lease.epoch).toEqual(1);
 });
+
+/** Guards against an entry that exits with a lease which it was acquiring when it was asked to stop. */
+test('should leave no lease held that was being acquired or renewed when its entry stopped', async () => {
+  const { api, clock, one, two } = createFixture();
+  const acquired = one.lease.tick(0);
+  await Promise.all([acquired, one.lease.close()]);
+  await one.lease.tick(0);
+  expect(one.lease.epoch).toEqual(undefined);
+  await replicate(api, two);
+  await two.lease.tick(0);
+  expect(two.lease.epoch).toEqual(2);
+  clock.advance(LIFETIME_MILLISECONDS / 2);
+  const renewed = two.lease.tick(0);
+  await Promise.all([renewed, two.lease.close()]);
+  expect(((await api.get(KEY))?.value as { released: boolean }).released).toEqual(true);
+});
