Entries: bound a stream by the lengths and waits of recent ones too while leaving

What callers saw: callers that name a maximum of tokens which hardly any answer uses are rejected by a leaving entry though their streams would end; and a stream that waits for its first event at full servers is given up late.

Cause: the bound took the whole maximum, and the first events of those that have got one, but not the waits of those that have none yet. A held stream without events was given up by the operator's description only.

Change: once 16 streams of the service have ended within 10 s, a stream counts as at most twice as long as the longest of them and of those that run, as a share of its maximum. Its first event counts as at least as late as that of any stream that has none yet. A held stream is given up as soon as the recent pace leaves it too little time.

--- a/src/draining/paceSamples.ts
+++ b/src/draining/paceSamples.ts
@@ -26,20 +26,14 @@
   }
 
   /**
-   * The most milliseconds that any recent stream would have taken for `events` events. `marginFactor` multiplies its
-   * pauses. Undefined without recent streams.
+   * The largest value of `millisecondsOf` over the recent streams that are long enough for an estimate of `events`
+   * events. Undefined without recent streams.
    */
-  longest(events: number, now: number, marginFactor: number): number | undefined {
+  longest(events: number, now: number, millisecondsOf: (sample: PaceSample) => number): number | undefined {
     while (this._samples.length > 0 && now - this._samples[0].at > MAX_AGE_MILLISECONDS)
       this._samples.shift();
     const long = this._samples.filter(({ pauses }) => pauses >= events * MIN_LENGTH_SHARE);
     const used = long.length > 0 ? long : this._samples;
-    if (used.length === 0) return undefined;
-    return Math.max(
-      ...used.map(
-        ({ firstEventMilliseconds, pauseMilliseconds }) =>
-          firstEventMilliseconds + events * pauseMilliseconds * marginFactor,
-      ),
-    );
+    return used.length === 0 ? undefined : Math.max(...used.map(millisecondsOf));
   }
 }
--- a/src/serving/requestDrain.ts
+++ b/src/serving/requestDrain.ts
@@ -74,7 +74,7 @@
   onEnded(outcome: RequestOutcome): EndFields {
     this._finishMeasuring();
     this._endDuration(MEASURED_OUTCOMES.has(outcome));
-    this.observation?.onEnd();
+    this.observation?.onEnd(outcome === 'answered' && this._request.lastEventId === '');
     return this._verdict ? drainFields(this._expected(), this._verdict) : {};
   }
 
@@ -85,9 +85,11 @@
   private _result(): MeasurementResult {
     const { pace, closesInMilliseconds } = this._drain;
     const expected = this._expected();
-    if (pace.lowerBound(expected) > closesInMilliseconds) return 'too long';
     const { pauses = 0, meanPause = 0 } = this.observation ?? {};
-    if (pauses < MIN_PAUSES) return 'unknown';
+    if (pauses < MIN_PAUSES) {
+      const expectedRest = pace.restAtRecentPace(expected) ?? pace.lowerBound(expected);
+      return expectedRest > closesInMilliseconds ? 'too long' : 'unknown';
+    }
     const rest = pace.restAtPace(expected, meanPause);
     if (rest <= closesInMilliseconds) return 'ends in time';
     // The mean of a few pauses varies: the fewer there are, the more it must exceed what is left.
--- a/tests/drainAdmission.spec.ts
+++ b/tests/drainAdmission.spec.ts
@@ -50,7 +50,7 @@
       observation.onEvents(1);
       this.clock.advance(milliseconds);
     }
-    observation.onEnd();
+    observation.onEnd(true);
   }
 
   /** Runs requests without a known length, which take `milliseconds` each. */
@@ -104,6 +104,31 @@
   expect(leaving.decide()).toEqual('reject');
 });
 
+/** Guards against rejecting short streams whose callers name a maximum that hardly any of them uses. */
+test('should expect a stream to be at most twice as long as the recent ones once there are many', () => {
+  const leaving = new LeavingProcess();
+  for (let stream = 0; stream < 15; stream++) leaving.stream(10, 40);
+  leaving.closing.closeIn(1_400);
+  expect(leaving.decide()).toEqual('reject');
+  leaving.stream(10, 40);
+  leaving.closing.closeIn(1_400);
+  expect(leaving.decide()).toEqual('admit');
+  expect(leaving.decide({ eventsSent: 20 })).toEqual('reject');
+  const long = leaving.pace.observe('chat', REQUEST.tokens);
+  long.onEvents(30);
+  leaving.closing.closeIn(1_400);
+  expect(leaving.decide()).toEqual('reject');
+});
+
+test('should expect the first event after the longest wait of a stream that has none yet', () => {
+  const leaving = new LeavingProcess();
+  leaving.stream(50, 40);
+  leaving.pace.observe('chat', REQUEST.tokens);
+  leaving.clock.advance(1_000);
+  leaving.closing.closeIn(2_600);
+  expect(leaving.decide()).toEqual('reject');
+});
+
 test('should forget streams that ended long ago', () => {
   const leaving = new LeavingProcess();
   leaving.stream(50, 90);
