Entries: give up a held stream without events only if even the fastest pace leaves it no time

Cause: the check used the slowest recent pace, which the admission had just allowed for with the waits of the time, so that an ordinary wait exceeded it. Nothing has been sent of a held stream, and its own events decide soon.

Change: before its first pauses a held stream is given up only if it cannot end at the fastest recent pace. The bound is computed with one count of events for all samples.

--- a/src/draining/paceSamples.ts
+++ b/src/draining/paceSamples.ts
@@ -25,15 +25,11 @@
     if (this._samples.length > MAX_SAMPLES) this._samples.shift();
   }
 
-  /**
-   * The largest value of `millisecondsOf` over the recent streams that are long enough for an estimate of `events`
-   * events. Undefined without recent streams.
-   */
-  longest(events: number, now: number, millisecondsOf: (sample: PaceSample) => number): number | undefined {
+  /** The recent streams that are long enough for an estimate of `events` events; shorter ones if there are none. */
+  forLength(events: number, now: number): readonly PaceSample[] {
     while (this._samples.length > 0 && now - this._samples[0].at > MAX_AGE_MILLISECONDS)
       this._samples.shift();
     const long = this._samples.filter(({ pauses }) => pauses >= events * MIN_LENGTH_SHARE);
-    const used = long.length > 0 ? long : this._samples;
-    return used.length === 0 ? undefined : Math.max(...used.map(millisecondsOf));
+    return long.length > 0 ? long : this._samples;
   }
 }
--- a/src/draining/streamPace.ts
+++ b/src/draining/streamPace.ts
@@ -60,25 +60,35 @@
   }
 
   upperBound(request: ExpectedRequest): number | undefined {
-    const rest = this._restOf(request, (sample) => sample.firstEventMilliseconds);
-    if (rest === undefined) return undefined;
-    const pending = [...this._paceOf(request.service).running]
+    const events = this._eventsLeft(request);
+    const samples = this._samplesFor(request, events);
+    if (samples.length === 0) return undefined;
+    const waits = [...this._paceOf(request.service).running]
       .filter(({ observation }) => observation.events === 0)
       .map(({ observation }) => observation.firstEventMilliseconds);
-    const waiting = Math.max(0, ...pending) + (this._restOf(request, () => 0) ?? 0);
-    return Math.max(rest, waiting);
+    const longestWait = Math.max(0, ...waits);
+    const bounds = samples.map(
+      ({ firstEventMilliseconds, pauseMilliseconds }) =>
+        Math.max(firstEventMilliseconds, longestWait) +
+        this._rest(request.service, events, pauseMilliseconds),
+    );
+    return Math.max(...bounds);
   }
 
-  /** Upper bound of the time that a stream takes from its first event on, by the pace of recent ones; if there are any. */
-  restAtRecentPace(request: ExpectedRequest): number | undefined {
-    return this._restOf(request, () => 0);
+  /**
+   * Lower bound of the time from the first event to the end of a stream of the length that {@link StreamPace.upperBound}
+   * assumes: at the pace of the fastest recent stream, or of the operator's description.
+   */
+  shortestRest(request: ExpectedRequest): number {
+    const events = this._eventsLeft(request);
+    const pauses = this._samplesFor(request, events).map(({ pauseMilliseconds }) => pauseMilliseconds);
+    if (pauses.length === 0) return this.lowerBound(request);
+    return this._rest(request.service, events, Math.min(...pauses));
   }
 
   /** Upper bound of the time from one event to the end of the stream, if events come every `pauseMilliseconds`. */
   restAtPace(request: ExpectedRequest, pauseMilliseconds: number): number {
-    const events = this._eventsLeft(request);
-    const rest = events * pauseMilliseconds * PACE_MARGIN;
-    return Math.max(rest, this._describedMilliseconds(request.service, events)) + DELIVERY_MILLISECONDS;
+    return this._rest(request.service, this._eventsLeft(request), pauseMilliseconds);
   }
 
   /** Lower bound of the remaining time of a stream that uses its maximum of tokens, by the operator's description. */
@@ -87,24 +97,18 @@
     return Math.max(0, tokens - eventsSent * tokensPerEvent) * millisecondsPerToken;
   }
 
-  /** The most time that any recent stream would have taken; `startOf` returns what counts before its first event. */
-  private _restOf(request: ExpectedRequest, startOf: (sample: PaceSample) => number): number | undefined {
-    const samples = this._services.get(request.service)?.samples;
-    if (!samples || request.tokens === undefined) return undefined;
-    const events = this._eventsLeft(request);
-    const longest = samples.longest(
-      events,
-      this._clock.now(),
-      (sample) => startOf(sample) + events * sample.pauseMilliseconds * PACE_MARGIN,
-    );
-    if (longest === undefined) return undefined;
-    return Math.max(longest, this._describedMilliseconds(request.service, events)) + DELIVERY_MILLISECONDS;
+  /** The recent streams that show how long `events` events may take; none if the request's length is not known. */
+  private _samplesFor({ service, tokens }: ExpectedRequest, events: number): readonly PaceSample[] {
+    const samples = this._services.get(service)?.samples;
+    if (!samples || tokens === undefined) return [];
+    return samples.forLength(events, this._clock.now());
   }
 
-  /** Time to write the tokens of `events` events, by the operator's description. */
-  private _describedMilliseconds(service: string, events: number): number {
+  /** Upper bound of the time that `events` events take, which is no shorter than the operator's description says. */
+  private _rest(service: string, events: number, pauseMilliseconds: number): number {
     const { millisecondsPerToken, tokensPerEvent } = this._description(service);
-    return events * tokensPerEvent * millisecondsPerToken;
+    const described = millisecondsPerToken * tokensPerEvent;
+    return events * Math.max(pauseMilliseconds * PACE_MARGIN, described) + DELIVERY_MILLISECONDS;
   }
 
   private _eventsLeft({ service, tokens = Number.POSITIVE_INFINITY, eventsSent }: ExpectedRequest): number {
--- a/src/serving/requestDrain.ts
+++ b/src/serving/requestDrain.ts
@@ -86,10 +86,8 @@
     const { pace, closesInMilliseconds } = this._drain;
     const expected = this._expected();
     const { pauses = 0, meanPause = 0 } = this.observation ?? {};
-    if (pauses < MIN_PAUSES) {
-      const expectedRest = pace.restAtRecentPace(expected) ?? pace.lowerBound(expected);
-      return expectedRest > closesInMilliseconds ? 'too long' : 'unknown';
-    }
+    if (pauses < MIN_PAUSES)
+      return pace.shortestRest(expected) > closesInMilliseconds ? 'too long' : 'unknown';
     const rest = pace.restAtPace(expected, meanPause);
     if (rest <= closesInMilliseconds) return 'ends in time';
     // The mean of a few pauses varies: the fewer there are, the more it must exceed what is left.
