Entries: hold back only a stream that is about to be sent, and has not begun

What callers could see: a leaving entry that asked whether a stream may be handed over, or tried again, also began to measure it; if its head had been sent and no event, it could be cut off as too long.

Cause: one method both judged and began to measure. Change: canEnd judges, mayStart also begins to measure, and only before any part of the answer has been sent.

--- a/src/draining/drainAdmission.ts
+++ b/src/draining/drainAdmission.ts
@@ -66,7 +66,7 @@
 
   private _canMeasure(request: ExpectedRequest): boolean {
     const { streams, closing } = this._options;
-    if (!streams || request.tokens === undefined || !request.repeatable || request.eventsSent > 0)
+    if (!streams || request.tokens === undefined || !request.repeatable || request.eventsReceived > 0)
       return false;
     return !this._measuring.has(request.service) && streams.lowerBound(request) <= closing.leftMilliseconds;
   }
--- a/src/draining/durationEstimator.ts
+++ b/src/draining/durationEstimator.ts
@@ -9,8 +9,8 @@
   deadlineMilliseconds: number;
   /** Maximum number of tokens of the whole answer; undefined if the caller does not give it. */
   tokens: number | undefined;
-  /** Number of events of the answer that the caller has been sent. */
-  eventsSent: number;
+  /** Number of events of the answer that have come so far. */
+  eventsReceived: number;
   /** Whether the request may run again elsewhere as long as no part of its answer has been sent. */
   repeatable: boolean;
 }
--- a/src/draining/processDrain.ts
+++ b/src/draining/processDrain.ts
@@ -50,7 +50,7 @@
       route: kind,
       deadlineMilliseconds: deadlineMilliseconds ?? Number.POSITIVE_INFINITY,
       tokens: undefined,
-      eventsSent: 0,
+      eventsReceived: 0,
       repeatable: false,
     });
   }
--- a/src/draining/streamPace.ts
+++ b/src/draining/streamPace.ts
@@ -92,9 +92,9 @@
   }
 
   /** Lower bound of the remaining time of a stream that uses its maximum of tokens, by the operator's description. */
-  lowerBound({ service, tokens = 0, eventsSent }: ExpectedRequest): number {
+  lowerBound({ service, tokens = 0, eventsReceived }: ExpectedRequest): number {
     const { millisecondsPerToken, tokensPerEvent } = this._description(service);
-    return Math.max(0, tokens - eventsSent * tokensPerEvent) * millisecondsPerToken;
+    return Math.max(0, tokens - eventsReceived * tokensPerEvent) * millisecondsPerToken;
   }
 
   /** The recent streams that show how long `events` events may take; none if the request's length is not known. */
@@ -111,11 +111,15 @@
     return events * Math.max(pauseMilliseconds * PACE_MARGIN, described) + DELIVERY_MILLISECONDS;
   }
 
-  private _eventsLeft({ service, tokens = Number.POSITIVE_INFINITY, eventsSent }: ExpectedRequest): number {
+  private _eventsLeft({
+    service,
+    tokens = Number.POSITIVE_INFINITY,
+    eventsReceived,
+  }: ExpectedRequest): number {
     const maximum = Math.ceil(tokens * this._eventsPerToken(service));
     const likely = Math.ceil(maximum * this._maximumShare(service));
     // A stream that is longer than the recent ones may use its whole maximum.
-    return Math.max(0, (eventsSent < likely ? likely : maximum) - eventsSent);
+    return Math.max(0, (eventsReceived < likely ? likely : maximum) - eventsReceived);
   }
 
   private _eventsPerToken(service: string): number {
--- a/src/serving/entryDrain.ts
+++ b/src/serving/entryDrain.ts
@@ -148,7 +148,7 @@
 
 /** Log fields that tell an estimate that was wrong from a server that became slow. */
 export function drainFields(
-  { tokens, eventsSent }: ExpectedRequest,
+  { tokens, eventsReceived }: ExpectedRequest,
   { basis, estimateMilliseconds, closesInMilliseconds }: DrainVerdict,
 ): Record<string, string | number | undefined> {
   return {
@@ -156,6 +156,6 @@
     estimateMilliseconds: Math.round(estimateMilliseconds),
     closesInMilliseconds: Math.round(closesInMilliseconds),
     tokens,
-    eventsSent: eventsSent > 0 ? eventsSent : undefined,
+    eventsReceived: eventsReceived > 0 ? eventsReceived : undefined,
   };
 }
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -79,7 +79,7 @@
   private _attempt(): void {
     if (this._final.ended) return;
     if (!this._suspicionGate.isOpen) return void this._awaitPermission();
-    if (!this._drain.mayStart()) return this._giveUp('leaving');
+    if (!this._drain.mayStart(this._relay?.begun === true)) return this._giveUp('leaving');
     if (this._drain.isMeasuring) this._relay?.hold();
     const found = this._attempts.find();
     if (found.kind === 'none') {
@@ -224,7 +224,7 @@
   /** Continues with the handover in progress, a new attempt or a wait. Returns false if none of these is possible. */
   private _continueElsewhere(): boolean {
     if (this._handover.inProgress || this._final.ended) return true;
-    this.ending.noAttempt = this._drain.mayStart() ? this._takeRetry() : 'leaving';
+    this.ending.noAttempt = this._drain.canEnd() ? this._takeRetry() : 'leaving';
     if (this.ending.noAttempt) return this._waitIfTransient(this.ending.noAttempt);
     this._attempt();
     return true;
@@ -260,7 +260,7 @@
     if (this._handover.inProgress || !this._attempts.repeatable) return;
     const { switchingFor } = call.server;
     if (switchingFor === 0) this._retryIfStalled(call);
-    else if (this._relay && this._handover.isDue(switchingFor) && this._drain.mayStart())
+    else if (this._relay && this._handover.isDue(switchingFor) && this._drain.canEnd())
       this._handover.begin(call.server, this._relay.lastEventId);
   }
 
@@ -274,7 +274,7 @@
   private _retryIfStalled({ server }: BackendCall): void {
     const { elapsedMilliseconds: elapsed } = this._current;
     const stalled = this._current.isStalled(this._request.route, this._receiver.answer !== undefined);
-    if (!stalled || !this._drain.mayStart() || this._takeRetry()) return;
+    if (!stalled || !this._drain.canEnd() || this._takeRetry()) return;
     this._current.abort('silent');
     this.ending.mayHaveRun = true;
     server.health.noteOutcome('silent');
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -224,7 +224,7 @@
       route: route.name,
       deadlineMilliseconds: arrivedAt + this._timeout(request, route) - this._options.clock.now(),
       tokens: maximumOutputTokens(request.headers[this._options.names.tokens]),
-      eventsSent: 0,
+      eventsReceived: 0,
       repeatable: isRepeatable(route),
     };
   }
--- a/src/serving/requestDrain.ts
+++ b/src/serving/requestDrain.ts
@@ -49,17 +49,28 @@
     return this._drain.isLeaving ? this._drain.retryAfterMilliseconds : 0;
   }
 
-  /** Whether the request can end before the entry closes its connections, or may be started to find out. */
-  mayStart(): boolean {
-    if (this.isMeasuring || !this._drain.isLeaving) return true;
-    const { admission } = this._drain;
-    const expected = this._expected();
-    const { decision, basis } = (this._verdict = admission.decide(expected));
-    if (decision === 'measure') this._endMeasuring = admission.beginMeasuring(this._request.service);
+  /** Whether the request can end before the entry closes its connections, or is being measured to find out. */
+  canEnd(): boolean {
+    if (this._isMeasuring || !this._drain.isLeaving) return true;
+    this._verdict = this._drain.admission.decide(this._expected());
+    return this._verdict.decision !== 'reject';
+  }
+
+  /**
+   * Whether the request may be sent to a server now. Begins to measure a stream that is not certain to end in time,
+   * unless it `hasBegun`: then its caller has been sent a part of the answer.
+   */
+  mayStart(hasBegun: boolean): boolean {
+    if (!this.canEnd()) return false;
+    if (this._isMeasuring || !this._verdict) return true;
+    const { decision, basis } = this._verdict;
+    if (decision === 'measure' && hasBegun) return false;
+    if (decision === 'measure')
+      this._endMeasuring = this._drain.admission.beginMeasuring(this._request.service);
     // Other streams show what to expect; this one may still be slower.
-    const isUncertain = decision === 'measure' || (decision === 'admit' && basis === 'pace');
-    this._isMeasuring = isUncertain && expected.repeatable && expected.eventsSent === 0;
-    return decision !== 'reject';
+    const isUncertain = decision === 'measure' || basis === 'pace';
+    this._isMeasuring = isUncertain && this._repeatable && !hasBegun;
+    return true;
   }
 
   /** Checks the stream that is being measured; the measurement ends with the first result other than `unknown`. */
@@ -109,7 +120,7 @@
       route: route.name,
       deadlineMilliseconds: endsAt - this._context.clock.now(),
       tokens: outputTokens,
-      eventsSent: this.observation?.events ?? 0,
+      eventsReceived: this.observation?.events ?? 0,
       repeatable: this._repeatable,
     };
   }
--- a/tests/drainAdmission.spec.ts
+++ b/tests/drainAdmission.spec.ts
@@ -18,7 +18,7 @@
   route: 'route',
   deadlineMilliseconds: 6_000,
   tokens: 300,
-  eventsSent: 0,
+  eventsReceived: 0,
   repeatable: true,
 };
 const PLAIN = { ...REQUEST, tokens: undefined, repeatable: false };
@@ -85,7 +85,7 @@
   leaving.closing.closeIn(4_300);
   expect(leaving.decide()).toEqual('reject');
   expect(leaving.decide({ tokens: 200 })).toEqual('admit');
-  expect(leaving.decide({ eventsSent: 25 })).toEqual('admit');
+  expect(leaving.decide({ eventsReceived: 25 })).toEqual('admit');
 });
 
 /** Guards against the mean of two or three pauses deciding about streams of fifty. */
@@ -113,7 +113,7 @@
   leaving.stream(10, 40);
   leaving.closing.closeIn(1_400);
   expect(leaving.decide()).toEqual('admit');
-  expect(leaving.decide({ eventsSent: 20 })).toEqual('reject');
+  expect(leaving.decide({ eventsReceived: 20 })).toEqual('reject');
   const long = leaving.pace.observe('chat', REQUEST.tokens);
   long.onEvents(30);
   leaving.closing.closeIn(1_400);
