Entries: describe a request's duration in one place; read its tokens and time-out once

Admission and forwarding built the same description of a request in two places, and admission read the header of tokens and the time-out twice: expectedRequest serves both now.

--- a/soak/leavingEntries.ts
+++ b/soak/leavingEntries.ts
@@ -8,7 +8,7 @@
 import type { FleetProcess } from './fleetProcess.js';
 import type { LeavingChecks, LeavingEnd } from './leavingChecks.js';
 import type { PromiseChecks } from './promiseChecks.js';
-import { COMMON_PART } from './soakCaller.js';
+import { COMMON_PART, REFUSAL_STATUSES } from './soakCaller.js';
 import { CUSTOMERS, HOST, LONG_PATH, MODEL } from './soakConfiguration.js';
 import type { SoakFleet } from './soakFleet.js';
 
@@ -31,7 +31,6 @@
 const FIRST_EVENT_MILLISECONDS = 300;
 const DEADLINES_MILLISECONDS = [500, 1_500, 15_000];
 const MILLISECONDS_PER_SECOND = 1_000;
-const REJECTED_STATUSES = new Set([408, 421, 429, 503]);
 
 export class LeavingEntries {
   private readonly _options: LeavingEntriesOptions;
@@ -143,6 +142,6 @@
   id: string,
 ): { end: LeavingEnd; reason: string } {
   if (status === 200) return { end: body.endsWith(eventText(id, events)) ? 'whole' : 'cut', reason: '' };
-  if (!REJECTED_STATUSES.has(status)) return { end: 'failed', reason: '' };
+  if (!REFUSAL_STATUSES.has(status)) return { end: 'failed', reason: '' };
   return { end: 'rejected', reason: (JSON.parse(body) as { error: string }).error };
 }
--- a/soak/soakCaller.ts
+++ b/soak/soakCaller.ts
@@ -41,7 +41,7 @@
 /** The first part of the prompts of all streams. */
 export const COMMON_PART = 'c0:40';
 /** Statuses by which an entry promises that the request has not run. */
-const REFUSAL_STATUSES = new Set([408, 421, 429, 503]);
+export const REFUSAL_STATUSES = new Set([408, 421, 429, 503]);
 /** Statuses of invalid requests. Callers of a soak send only valid ones. */
 const DENIAL_STATUSES = new Set([400, 401, 403, 404]);
 const MAX_ATTEMPTS = 2;
--- a/src/serving/entryDrain.ts
+++ b/src/serving/entryDrain.ts
@@ -137,9 +137,10 @@
   /** Rejects the requests that have not been read whole, and cuts off the others. */
   private async _endOpenRequests(): Promise<void> {
     for (const { exchange, endAtClose } of [...this._open]) {
-      if (endAtClose) this._cutRequests++;
-      if (endAtClose) endAtClose();
-      else exchange.refuse(OWN_STATUS.notRun, 'leaving', this.retryAfterMilliseconds);
+      if (endAtClose) {
+        this._cutRequests++;
+        endAtClose();
+      } else exchange.refuse(OWN_STATUS.notRun, 'leaving', this.retryAfterMilliseconds);
     }
     // Otherwise the exit closes the connection in order, and an answer without length looks complete.
     await pause(RESET_DELAY_MILLISECONDS + POLL_MILLISECONDS);
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -57,7 +57,7 @@
       onReady: (call, startedAt) => this._onHandoverReady(call, startedAt),
       onFailed: (server, failure, startedAt) => this._onHandoverFailed(server, failure, startedAt),
     });
-    this._drain = new RequestDrain(context, request, this._attempts.repeatable);
+    this._drain = new RequestDrain(context, request);
     const { observation } = this._drain;
     if (observation)
       this._relay = new StreamRelay(request.exchange, request.lastEventId, context.clock, observation);
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -1,6 +1,5 @@
 /** Checks a caller's request against the configuration, and either admits it or answers it. */
 import type http from 'node:http';
-import type { ExpectedRequest } from '../draining/durationEstimator.js';
 import type { AdmissionPolicy, AdmissionProfile } from '../admission/admissionPolicy.js';
 import { requestFingerprint } from '../crashes/requestFingerprint.js';
 import { requestIdentities } from '../crashes/requestIdentity.js';
@@ -14,6 +13,7 @@
 import type { ConfigurationHolder } from './configurationHolder.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { EntryDrain } from './entryDrain.js';
+import { expectedRequest } from './expectedRequest.js';
 import type { HeaderNames } from './headerNames.js';
 import { sharedPromptParts } from './promptParts.js';
 import { maximumOutputTokens, promptSize } from './promptSize.js';
@@ -22,7 +22,6 @@
 import { chooseTarget } from './routeIndex.js';
 import type { RouteIndex } from './routeIndex.js';
 import type { CustomerKeys, Route } from './servingConfiguration.js';
-import { isRepeatable } from './servingConfiguration.js';
 
 export interface AdmissionOptions {
   policy: AdmissionPolicy;
@@ -56,6 +55,8 @@
   customer: CustomerKeys | undefined;
   body: Buffer;
   arrivedAt: number;
+  endsAt: number;
+  outputTokens: number | undefined;
 }
 
 /** The lowest rank that the priority header can carry. */
@@ -88,7 +89,7 @@
 
   /** Returns the admitted request, or undefined when the request has been answered here. */
   async admit(exchange: CallerExchange): Promise<AdmittedRequest | undefined> {
-    const { clock, configuration, drain, knowsEvacuations, random } = this._options;
+    const { clock, configuration, drain, knowsEvacuations, names, random } = this._options;
     const arrivedAt = clock.now();
     const { request } = exchange;
     const { index } = configuration;
@@ -109,13 +110,15 @@
     const body = await this._readBody(exchange, index);
     if (body === undefined) return undefined;
     const service = chooseTarget(route, random.fraction());
-    const expected = this._expected(request, route, service, arrivedAt);
+    const endsAt = arrivedAt + this._timeout(request, route);
+    const outputTokens = maximumOutputTokens(request.headers[names.tokens]);
+    const expected = expectedRequest({ service, route, outputTokens, endsAt }, clock.now(), 0);
     const verdict = drain.admission.decide(expected);
     if (verdict.decision === 'reject') {
       drain.reject(exchange, expected, verdict);
       return undefined;
     }
-    return this._admitted(exchange, { route, service, customer, body, arrivedAt });
+    return this._admitted(exchange, { route, service, customer, body, arrivedAt, endsAt, outputTokens });
   }
 
   private _deny(exchange: CallerExchange, denial: Denial): undefined {
@@ -144,7 +147,7 @@
 
   private _admitted(
     exchange: CallerExchange,
-    { route, service, customer, body, arrivedAt }: CheckedRequest,
+    { route, service, customer, body, arrivedAt, endsAt, outputTokens }: CheckedRequest,
   ): AdmittedRequest {
     const { names } = this._options;
     const { request } = exchange;
@@ -172,12 +175,12 @@
       headers,
       body: body.length > 0 ? body : undefined,
       promptSize: promptSize(request.headers[names.tokens], this._meanPromptTokens(service)),
-      outputTokens: maximumOutputTokens(request.headers[names.tokens]),
+      outputTokens,
       promptParts,
       lastEventId: String(request.headers[names.lastEventId] ?? ''),
       retries,
       profile,
-      endsAt: arrivedAt + this._timeout(request, route),
+      endsAt,
     };
   }
 
@@ -212,22 +215,6 @@
     const requested = Number(request.headers[this._options.names.deadline] ?? MAX_REQUEST_MILLISECONDS);
     return Math.min(requested || MAX_REQUEST_MILLISECONDS, route.timeoutMilliseconds);
   }
-
-  private _expected(
-    request: http.IncomingMessage,
-    route: Route,
-    service: string,
-    arrivedAt: number,
-  ): ExpectedRequest {
-    return {
-      service,
-      route: route.name,
-      deadlineMilliseconds: arrivedAt + this._timeout(request, route) - this._options.clock.now(),
-      tokens: maximumOutputTokens(request.headers[this._options.names.tokens]),
-      eventsReceived: 0,
-      repeatable: isRepeatable(route),
-    };
-  }
 }
 
 /** Returns a function that computes a value on its first call and returns it from then on. */
--- a/src/serving/requestDrain.ts
+++ b/src/serving/requestDrain.ts
@@ -5,8 +5,10 @@
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { EntryDrain } from './entryDrain.js';
 import { drainFields } from './entryDrain.js';
+import { expectedRequest } from './expectedRequest.js';
 import type { ForwardingContext } from './forwardingContext.js';
 import type { EndFields, RequestOutcome } from './requestTrace.js';
+import { isRepeatable } from './servingConfiguration.js';
 
 /** Numbers of pauses between events after which the pace of a stream may be, and has to be, decided on. */
 const MIN_PAUSES = 2;
@@ -22,18 +24,15 @@
   readonly observation: StreamObservation | undefined;
   private readonly _context: ForwardingContext;
   private readonly _request: AdmittedRequest;
-  private readonly _repeatable: boolean;
   private readonly _endDuration: (isMeasured: boolean) => void;
   private _isMeasuring = false;
   private _endMeasuring: () => void = () => undefined;
   /** The last verdict while the entry was leaving. */
   private _verdict: DrainVerdict | undefined;
 
-  /** `repeatable` tells whether the request may run more than once. */
-  constructor(context: ForwardingContext, request: AdmittedRequest, repeatable: boolean) {
+  constructor(context: ForwardingContext, request: AdmittedRequest) {
     this._context = context;
     this._request = request;
-    this._repeatable = repeatable;
     const { service, route, outputTokens } = request;
     this._endDuration = this._drain.durations.begin({ service, route: route.name });
     if (route.kind === 'stream') this.observation = this._drain.pace.observe(service, outputTokens);
@@ -69,7 +68,7 @@
       this._endMeasuring = this._drain.admission.beginMeasuring(this._request.service);
     // Other streams show what to expect; this one may still be slower.
     const isUncertain = decision === 'measure' || basis === 'pace';
-    this._isMeasuring = isUncertain && this._repeatable && !hasBegun;
+    this._isMeasuring = isUncertain && isRepeatable(this._request.route) && !hasBegun;
     return true;
   }
 
@@ -114,14 +113,6 @@
   }
 
   private _expected(): ExpectedRequest {
-    const { service, route, outputTokens, endsAt } = this._request;
-    return {
-      service,
-      route: route.name,
-      deadlineMilliseconds: endsAt - this._context.clock.now(),
-      tokens: outputTokens,
-      eventsReceived: this.observation?.events ?? 0,
-      repeatable: this._repeatable,
-    };
+    return expectedRequest(this._request, this._context.clock.now(), this.observation?.events ?? 0);
   }
 }
--- a/src/serving/requestEnding.ts
+++ b/src/serving/requestEnding.ts
@@ -32,8 +32,10 @@
 
   /** Ends the request at its deadline, or when its caller disconnects. Returns false if it has ended already. */
   start({ exchange }: AdmittedRequest): boolean {
-    if (exchange.ended) this._callerDisconnected();
-    if (exchange.ended) return false;
+    if (exchange.ended) {
+      this._callerDisconnected();
+      return false;
+    }
     exchange.onCallerDisconnect(() => this._callerDisconnected());
     const { remainingMilliseconds } = this._parts.attempts;
     this._timeout = setTimeout(() => this._timeOut(), Math.max(0, remainingMilliseconds));
