Agents: log the age of the readings that an order rests on, and the time until its answer

The line of an order told only how long the check took, so it did not distinguish an old check from an order that waits at the server.

The line has two fields more.

--- a/src/staging/chunkStager.ts
+++ b/src/staging/chunkStager.ts
@@ -59,6 +59,13 @@
     return true;
   }
 
+  /** Monotonic milliseconds at which the oldest of the last readings began; minus infinity if a chunk was never read. */
+  get oldestReadingAt(): number {
+    const { chunkCount } = this._options.index;
+    if (this._verifiedAt.size < chunkCount) return Number.NEGATIVE_INFINITY;
+    return Math.min(...this._verifiedAt.values());
+  }
+
   /** Stops writing chunks. */
   stop(): void {
     this._stopped = true;
@@ -106,8 +113,10 @@
   private async _corruptChunks(unverified: readonly number[]): Promise<number[]> {
     const corrupt: number[] = [];
     for (const chunk of unverified) {
+      const readAt = this._options.clock.now();
       const bytes = await this._options.stagingArea.read(this._options.model, chunk);
-      if (!bytes || !this._matches(chunk, bytes)) corrupt.push(chunk);
+      if (bytes && this._matches(chunk, bytes)) this._verifiedAt.set(chunk, readAt);
+      else corrupt.push(chunk);
     }
     return corrupt;
   }
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -280,6 +280,7 @@
       return;
     }
     const { revision } = status;
+    const sentAt = clock.now();
     const outcome = await stagingArea.order(stage.model, revision);
     this._orderedAt = clock.now();
     log.state('version.ordered', {
@@ -288,6 +289,8 @@
       outcome,
       revision,
       verifyMilliseconds,
+      readingMilliseconds: Math.round(sentAt - stage.oldestReadingAt),
+      answerMilliseconds: Math.round(this._orderedAt - sentAt),
       milliseconds: Math.round(clock.now() - stage.announcedAt),
     });
     if (outcome === 'refused') this._switchingTo = 0;
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -168,6 +168,11 @@
     return await this._stager.verify((chunk) => this.chunk(chunk), incarnationSeenAt);
   }
 
+  /** See {@link ChunkStager.oldestReadingAt}. */
+  get oldestReadingAt(): number {
+    return this._stager.oldestReadingAt;
+  }
+
   /** Stops all transfers and releases the chunks. */
   drop(): void {
     clearInterval(this._tickTimer);
