Agents: confirm after an order that the server took intact chunks

Callers of review/1 got complete answers that were generated with weights of which a chunk had been corrupt for over 3 s when the server took them.

Cause: a reading of a staged chunk proves that it was intact then; the server takes what is staged when it executes the order. The agent treated readings as proof without age, and nothing bounded the time in between: within the check, while waiting for entries, or in an order that a paused server reads late.

Change: the staging area is locked from before the order, and all chunks are read back after the server took them. What is intact then was intact when it was taken, whatever stood still before. Until then the agent reports no version. Layers with a corrupt chunk are released first and only then repaired and loaded again, so that an agent that restarts in between can tell. Where a server can't load a part of its layers, it stays out of service until it takes another version. Before the order, old readings are repeated twice at most: that saves loads in vain, and a check that takes longer than its bound still ends. The check no longer takes the box out of service; chunks are read over four connections. An order is one class (LoadOrder), its check, confirmation and reload another (VersionLoad), polling a third (BackendMonitor).

--- a/src/external/keepAliveClient.ts
+++ b/src/external/keepAliveClient.ts
@@ -22,6 +22,7 @@
 export class KeepAliveClient {
   private readonly _address: string;
   private readonly _client: Client;
+  private _pending = 0;
 
   /** `address` is host:port. A call fails if no data arrives for `timeoutMilliseconds`, possibly one second late. */
   constructor(address: string, timeoutMilliseconds: number) {
@@ -34,12 +35,20 @@
     });
   }
 
+  /** Number of calls without an answer yet. */
+  get pending(): number {
+    return this._pending;
+  }
+
   /** Throws a StepError if there is no answer; an answer with any status is returned. Calls are sent sequentially. */
   async call({ step, method, path, body }: KeepAliveCall): Promise<KeepAliveAnswer> {
+    this._pending++;
     try {
       return await this._dispatch({ method, path, body: body ?? null });
     } catch (error) {
       throw new StepError(step, errorText(error), { peer: this._address, cause: error });
+    } finally {
+      this._pending--;
     }
   }
 
--- a/src/protocol/boxMessages.ts
+++ b/src/protocol/boxMessages.ts
@@ -77,7 +77,10 @@
   type: z.literal('box-status'),
   state: servingStateSchema,
   model: z.string(),
+  /** The version in service; 0 if there is none, or it is not known whether the server took intact chunks. */
   version: countSchema,
+  /** Revision of the server at which it took that version; absent without one, and from senders that do not report it. */
+  revision: countSchema.optional(),
   running: countSchema,
   queued: countSchema,
   /** Whether the link of the box is slow, for requests too, judging by the rate at which chunks arrive. */
--- a/src/protocol/manifest.ts
+++ b/src/protocol/manifest.ts
@@ -11,5 +11,7 @@
   model: z.string().min(1).max(63),
   version: versionSchema,
   chunks: z.array(chunkSchema).max(100_000),
+  /** Number of layers; absent if the origin does not tell it. */
+  layers: z.number().int().positive().optional(),
 });
 export type Manifest = z.infer<typeof manifestSchema>;
--- a/src/staging/boxStatus.ts
+++ b/src/staging/boxStatus.ts
@@ -5,13 +5,14 @@
 
 /** Returns the current status of the box. */
 export function boxStatus(reconciler: VersionReconciler, stages: StageQueue): BoxStatus {
-  const { status, servedVersion } = reconciler;
+  const { status, confirmedLoad } = reconciler;
   return {
     type: 'box-status',
     state: servingState(reconciler),
     // The state of the backend server is unknown until its first answer.
     model: reconciler.knowsBackend ? stages.model : '',
-    version: servedVersion,
+    version: confirmedLoad?.version ?? 0,
+    revision: confirmedLoad?.revision,
     running: status?.running ?? 0,
     queued: status?.queued ?? 0,
     slowLink: stages.isSlow,
@@ -19,7 +20,7 @@
   };
 }
 
-function servingState({ switchPhase, servedVersion }: VersionReconciler): ServingState {
+function servingState({ switchPhase, confirmedLoad }: VersionReconciler): ServingState {
   if (switchPhase === 'switching' || switchPhase === 'preparing') return switchPhase;
-  return servedVersion > 0 ? 'serving' : 'empty';
+  return confirmedLoad ? 'serving' : 'empty';
 }
--- a/src/staging/chunkStager.ts
+++ b/src/staging/chunkStager.ts
@@ -1,17 +1,13 @@
 /** Writes the chunks of a version to the staging area of the local backend server and verifies the staged chunks. */
 import type { EventLog } from '../telemetry/eventLog.js';
-import { sha256Hex } from '../utils/hash.js';
 import { errorText } from '../utils/stepError.js';
 import type { ManifestIndex } from '../weights/manifestIndex.js';
 import type { Clock } from '../utils/clock.js';
+import { ChunkReadings } from './chunkReadings.js';
+import { freshSince } from './loadDecisions.js';
 import type { StagedChunk } from './stagedChunks.js';
 import type { StagingArea } from './stagingArea.js';
 
-/**
- * A chunk that was read back within this time is not read again before an order. A second reading could not rule out
- * later corruption either, and when all processes started at once, it took 150 of the 1,300 ms until a server served.
- */
-const RECENT_READ_MILLISECONDS = 1_000;
 /** Maximum number of rounds in which corrupt chunks are written again and read back. */
 const REPAIR_ROUNDS = 3;
 
@@ -28,17 +24,19 @@
 /** Stages the chunks of one version. */
 export class ChunkStager {
   private readonly _options: ChunkStagerOptions;
-  /** Monotonic milliseconds at which chunks were last read back and matched the manifest. */
-  private readonly _verifiedAt = new Map<number, number>();
+  private readonly _readings: ChunkReadings;
   /** Chunks that were written since this version acquired the staging area. */
   private readonly _written = new Map<number, Buffer>();
   private _writtenSince = Number.NEGATIVE_INFINITY;
   private readonly _queue: { chunk: number; data: Buffer }[] = [];
   private _isWriting = false;
+  /** The last run of the write queue. */
+  private _writing = Promise.resolve();
   private _stopped = false;
 
   constructor(options: ChunkStagerOptions) {
     this._options = options;
+    this._readings = new ChunkReadings(options);
   }
 
   /** Queues a chunk, which is written after the chunks before it while this version owns the staging area. */
@@ -59,11 +57,9 @@
     return true;
   }
 
-  /** Monotonic milliseconds at which the oldest of the last readings began; minus infinity if a chunk was never read. */
+  /** See {@link ChunkReadings.oldestAt}. */
   get oldestReadingAt(): number {
-    const { chunkCount } = this._options.index;
-    if (this._verifiedAt.size < chunkCount) return Number.NEGATIVE_INFINITY;
-    return Math.min(...this._verifiedAt.values());
+    return this._readings.oldestAt;
   }
 
   /** Stops writing chunks. */
@@ -73,17 +69,16 @@
 
   /**
    * Reads the staged chunks back and writes those again that do not match the manifest. Returns whether all match
-   * in the end. A chunk that was read a moment ago is not read again, with two exceptions: it was read before
-   * `incarnationSeenAt` (monotonic milliseconds), so possibly from an earlier incarnation of the server, or before this
-   * version acquired the staging area, so that another version may have overwritten it.
+   * in the end. A chunk that was read a moment ago is not read again, with two exceptions: it was read before `since`
+   * (monotonic milliseconds), so possibly from an earlier incarnation of the server, or before this version acquired
+   * the staging area, so that another version may have overwritten it.
    */
-  async verify(data: (chunk: number) => Buffer | undefined, incarnationSeenAt: number): Promise<boolean> {
-    const { index, model, log, stagingArea } = this._options;
-    const readSince = Math.max(incarnationSeenAt, stagingArea.ownedSince);
-    const all = Array.from({ length: index.chunkCount }, (_unused, chunk) => chunk);
-    let unverified = all.filter((chunk) => !this._wasReadRecently(chunk, readSince));
+  async verify(data: (chunk: number) => Buffer | undefined, since: number): Promise<boolean> {
+    const { model, log, stagingArea, clock } = this._options;
+    await this._writing;
+    const validSince = Math.max(since, stagingArea.ownedSince, freshSince(clock.now()));
     for (let round = 0; round < REPAIR_ROUNDS; round++) {
-      const corrupt = await this._corruptChunks(unverified);
+      const corrupt = await this._readings.readOlderThan(validSince);
       if (corrupt.length === 0) return true;
       for (const chunk of corrupt) {
         const bytes = data(chunk);
@@ -91,40 +86,23 @@
         await this._write(chunk, bytes);
       }
       if (this._written.size > 0) log.state('chunks.laid-anew', { model, chunks: corrupt.length });
-      unverified = corrupt;
     }
     return false;
   }
 
+  /** Reads the chunks that were last read at `since` or earlier; see {@link ChunkReadings.readOlderThan}. */
+  async readOlderThan(since: number): Promise<number[]> {
+    return await this._readings.readOlderThan(since);
+  }
+
   /** Passes the staged chunks that match the manifest to `take`, and records when they were read. */
   adopt(staged: readonly StagedChunk[], take: (chunk: number, data: Buffer) => void): void {
     for (const { chunk, data, readAt } of staged) {
-      if (chunk >= this._options.index.chunkCount || !this._matches(chunk, data)) continue;
-      this._verifiedAt.set(chunk, readAt);
-      take(chunk, data);
+      if (chunk < this._options.index.chunkCount && this._readings.note(chunk, data, readAt))
+        take(chunk, data);
     }
   }
 
-  private _wasReadRecently(chunk: number, readSince: number): boolean {
-    const verifiedAt = this._verifiedAt.get(chunk) ?? Number.NEGATIVE_INFINITY;
-    return verifiedAt > readSince && this._options.clock.now() - verifiedAt < RECENT_READ_MILLISECONDS;
-  }
-
-  private async _corruptChunks(unverified: readonly number[]): Promise<number[]> {
-    const corrupt: number[] = [];
-    for (const chunk of unverified) {
-      const readAt = this._options.clock.now();
-      const bytes = await this._options.stagingArea.read(this._options.model, chunk);
-      if (bytes && this._matches(chunk, bytes)) this._verifiedAt.set(chunk, readAt);
-      else corrupt.push(chunk);
-    }
-    return corrupt;
-  }
-
-  private _matches(chunk: number, bytes: Buffer): boolean {
-    return sha256Hex(bytes) === this._options.index.chunk(chunk).digest;
-  }
-
   private async _write(chunk: number, data: Buffer): Promise<void> {
     const { stagingArea, model, version } = this._options;
     await stagingArea.write(model, version, chunk, data);
@@ -137,11 +115,11 @@
   }
 
   private _startWriting(): void {
-    if (!this._isWriting) void this._writeQueue();
+    if (!this._isWriting) this._writing = this._writeQueue();
   }
 
   private get _mayWrite(): boolean {
-    return !this._stopped && this._options.stagingArea.owner === this._options.version;
+    return !this._stopped && this._options.stagingArea.mayWrite(this._options.version);
   }
 
   private async _writeQueue(): Promise<void> {
--- a/src/staging/localBackend.ts
+++ b/src/staging/localBackend.ts
@@ -10,10 +10,18 @@
   revision: number;
   running: number;
   queued: number;
+  /** The layers that it holds of its only model; absent if it does not report them. */
+  layers?: LayerRange;
   /** Start time in Unix milliseconds by its own clock; 0 if it does not report one. */
   startedAt: number;
 }
 
+/** Consecutive layers of a model, from `first` up to but not including `end`. */
+export interface LayerRange {
+  first: number;
+  end: number;
+}
+
 /** Result of an order; `unknown` if there was no answer, so that it may or may not be executed. */
 export type OrderOutcome = 'begun' | 'done' | 'refused' | 'unknown';
 
@@ -32,6 +40,9 @@
   getChunk(model: string, chunk: number): Promise<Buffer | undefined>;
   /** Returns the numbers of the staged chunks, even if they do not make up a complete version. */
   stagedChunks(model: string): Promise<number[]>;
-  /** Orders the backend server to load the staged chunks as `version`; refused if its revision is not `revision`. */
-  startVersion(model: string, version: number, revision: number): Promise<OrderOutcome>;
+  /**
+   * Orders the backend server to load the staged chunks as `version`; refused if its revision is not `revision`. With
+   * `layers`, it is to hold exactly these: it releases the others, and loads those that it does not hold.
+   */
+  startVersion(model: string, version: number, revision: number, layers?: LayerRange): Promise<OrderOutcome>;
 }
--- a/src/staging/stagedChunks.ts
+++ b/src/staging/stagedChunks.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import { errorText } from '../utils/stepError.js';
+import { readEach } from './concurrentReads.js';
 import type { LocalBackend } from './localBackend.js';
 
 /** A staged chunk whose reading began at `readAt`, in monotonic milliseconds. */
@@ -23,9 +24,6 @@
   log: EventLog;
 }
 
-/** Number of chunks read concurrently, so that one is processed while the next one arrives. */
-const READ_CONCURRENCY = 2;
-
 export class StagedChunks {
   private readonly _options: StagedChunksOptions;
   private readonly _readings = new Map<string, Promise<readonly StagedChunk[]>>();
@@ -68,16 +66,12 @@
 
   private async _readModel(model: string): Promise<readonly StagedChunk[]> {
     const { backend, clock } = this._options;
-    const remaining = (await backend.stagedChunks(model)).values();
     const found: StagedChunk[] = [];
-    const readRemaining = async (): Promise<void> => {
-      for (const chunk of remaining) {
-        const readAt = clock.now();
-        const data = await backend.getChunk(model, chunk);
-        if (data) found.push({ chunk, data, readAt });
-      }
-    };
-    await Promise.all(Array.from({ length: READ_CONCURRENCY }, readRemaining));
+    await readEach(await backend.stagedChunks(model), async (chunk) => {
+      const readAt = clock.now();
+      const data = await backend.getChunk(model, chunk);
+      if (data) found.push({ chunk, data, readAt });
+    });
     return found;
   }
 }
--- a/src/staging/stagingArea.ts
+++ b/src/staging/stagingArea.ts
@@ -3,11 +3,14 @@
  * time. Another version acquires it only when no write or order of the owner can still be executed. Without this
  * rule, a restarted server that was ordered to load an older version also loaded chunks of a newer version that was
  * still being staged.
+ *
+ * It is locked from before an order until it is known which chunks the server took: a chunk that is found intact
+ * after the server took it was intact then, unless it was written in between.
  */
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import { errorCode } from '../utils/stepError.js';
-import type { LocalBackend, OrderOutcome } from './localBackend.js';
+import type { LayerRange, LocalBackend, OrderOutcome } from './localBackend.js';
 import { CONNECTION_REFUSED } from './localBackend.js';
 
 /** Options of a {@link StagingArea}. */
@@ -27,9 +30,11 @@
   private readonly _options: StagingAreaOptions;
   private _owner = 0;
   private _ownedSince = Number.NEGATIVE_INFINITY;
+  private _isLocked = false;
+  private _lastWriteAt = Number.NEGATIVE_INFINITY;
   /** Running writes; these promises never reject. */
   private readonly _runningWrites = new Set<Promise<void>>();
-  /** Whether a call of the owner was given up without an answer. */
+  /** Whether a call of the owner, or of an earlier incarnation of this agent, was given up without an answer. */
   private _callGivenUp = false;
   /**
    * Monotonic milliseconds from which that call can no longer be executed; infinite until the server has answered
@@ -59,13 +64,44 @@
     return this._callGivenUp && this._options.clock.now() < this._safeAt;
   }
 
+  get isLocked(): boolean {
+    return this._isLocked;
+  }
+
+  /** Monotonic milliseconds at which the last write began; minus infinity before the first one. */
+  get lastWriteAt(): number {
+    return this._lastWriteAt;
+  }
+
+  /** Whether chunks of `version` may be written now. */
+  mayWrite(version: number): boolean {
+    return version === this._owner && !this._isLocked;
+  }
+
   /**
-   * Makes `version` the owner once no write of the current owner is running. Returns whether it is the owner; false
+   * Locks the area, so that nothing is written to it, once no write is running. Returns false, and does not lock it,
    * while a call that was given up may still be executed.
    */
+  async lock(): Promise<boolean> {
+    if (this._isLocked) return true;
+    this._isLocked = true;
+    await Promise.all(this._runningWrites);
+    this._isLocked = !this.hasUncertainCall;
+    return this._isLocked;
+  }
+
+  /** Ends a lock. Chunks that are written while an order may still be taken can't be judged after it. */
+  unlock(): void {
+    this._isLocked = false;
+  }
+
+  /**
+   * Makes `version` the owner once no write of the current owner is running. Returns whether it is the owner; false
+   * while a call that was given up may still be executed, or while the area is locked.
+   */
   async acquire(version: number): Promise<boolean> {
     if (version === this._owner) return true;
-    if (this.hasUncertainCall) return false;
+    if (this._isLocked || this.hasUncertainCall) return false;
     const { clock, log } = this._options;
     const former = this._owner;
     this._owner = 0;
@@ -82,11 +118,12 @@
   }
 
   /**
-   * Stages a chunk of `version`. Throws an Error if the version is not the owner, and a StepError if the chunk may
-   * not have been staged.
+   * Stages a chunk of `version`. Throws an Error if the version may not write, and a StepError if the chunk may not
+   * have been staged.
    */
   async write(model: string, version: number, chunk: number, data: Buffer): Promise<void> {
-    if (version !== this._owner) throw new Error(`version ${version} does not own the staging area`);
+    if (!this.mayWrite(version)) throw new Error(`version ${version} may not write to the staging area`);
+    this._lastWriteAt = this._options.clock.now();
     const write = this._options.backend.putChunk(model, chunk, data);
     const ended = write
       .catch((error) => this._onFailed(error))
@@ -100,9 +137,12 @@
     return await this._options.backend.getChunk(model, chunk);
   }
 
-  /** Orders the server to load the owner's version; refused if the server's revision is not `revision`. */
-  async order(model: string, revision: number): Promise<OrderOutcome> {
-    const outcome = await this._options.backend.startVersion(model, this._owner, revision);
+  /**
+   * Orders the server to load `layers` of the owner's version, or all; refused if the server's revision is not
+   * `revision`.
+   */
+  async order(model: string, revision: number, layers?: LayerRange): Promise<OrderOutcome> {
+    const outcome = await this._options.backend.startVersion(model, this._owner, revision, layers);
     if (outcome === 'unknown') this._onCallGivenUp();
     return outcome;
   }
@@ -113,9 +153,15 @@
     this._safeAt = this._options.clock.now() + LATE_EXECUTION_MILLISECONDS;
   }
 
+  /** Records that an earlier incarnation of this agent may have sent calls that the server has not executed yet. */
+  onEarlierAgent(): void {
+    this._onCallGivenUp();
+  }
+
   /** Records that the server process has ended, and all calls to it with it. */
   onServerExit(): void {
     this._callGivenUp = false;
+    this._isLocked = false;
   }
 
   /** A refused connection means that nothing was written; after any other failure that is unknown. */
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -1,6 +1,5 @@
 /** The agent of a box, which loads versions into its backend server. Creates and connects all components. */
 import type { Origin } from '../external/origin.js';
-import { httpToken } from '../protocol/authentication.js';
 import type {
   AgentAddress,
   AgentList,
@@ -23,20 +22,17 @@
 import { SeededRandom } from '../utils/random.js';
 import { RateLimiter } from '../utils/rateLimiter.js';
 import { AgentPeers } from '../weights/agentPeers.js';
-import { ChunkStore } from '../weights/chunkStore.js';
-import { PeerChunkClient } from '../weights/peerChunkClient.js';
 import { UploadQueue } from '../weights/uploadQueue.js';
 import { controlOptions } from './agentControl.js';
 import { boxStatus } from './boxStatus.js';
 import { ChunkServer } from './chunkServer.js';
 import { ConnectedEntries } from './connectedEntries.js';
-import { originFetchOrder, initialOriginFetchers } from './originFetchSchedule.js';
+import { STALL_MILLISECONDS, createStages } from './createStages.js';
 import { HeardVersions } from './heardVersions.js';
 import type { LocalBackend } from './localBackend.js';
-import { receiveRate, sendRate } from './weightRates.js';
-import { ManifestReader } from './manifestReader.js';
+import { sendRate } from './weightRates.js';
 import { PeerMessages } from './peerMessages.js';
-import { StageQueue } from './stageQueue.js';
+import type { StageQueue } from './stageQueue.js';
 import { StagedChunks } from './stagedChunks.js';
 import { StagingArea } from './stagingArea.js';
 import { stagingMetrics } from './stagingMetrics.js';
@@ -59,11 +55,6 @@
   exchangeLogger: Logger;
 }
 
-/** Maximum concurrent fetches from peers: few, so that the incoming link stays free for requests to the server. */
-const FETCHES_AT_ONCE = 3;
-/** Time of a gateway's turn to import a chunk: a fetch takes less on a working link, much more on a throttled one. */
-const IMPORT_STEP_MILLISECONDS = 600;
-const STALL_MILLISECONDS = 1_500;
 /** Bytes that an upload writes at a time: few, so that an event of a stream waits some tens of milliseconds at most. */
 const BLOCK_BYTES = 8 * 1024;
 const METRICS_PATH = '/metrics';
@@ -182,47 +173,19 @@
   }
 
   private _createStages(random: Random, uploads: UploadQueue): StageQueue {
-    const { _settings: settings, _deps: deps, _clock: clock } = this;
-    const token = httpToken(settings.sharedKey, settings.box);
-    return new StageQueue({
+    return createStages({
+      settings: this._settings,
       stagingArea: this._stagingArea,
       staged: this._stagedChunks,
-      clock,
-      log: deps.log,
+      peers: this._peers,
+      uploads,
+      clock: this._clock,
+      random,
+      log: this._deps.log,
+      exchangeLogger: this._deps.exchangeLogger,
       members: () => this._members,
+      origin: () => this._origin,
       onOpened: () => this._peerMessages.replay(),
-      bytesPerSecond: receiveRate(settings),
-      versionMilliseconds: settings.versionMilliseconds,
-      manifests: new ManifestReader({
-        origin: () => this._origin,
-        box: settings.box,
-        peers: () => this._members.filter((member) => member.box !== settings.box),
-        originFetchers: (rollout) => initialOriginFetchers(originFetchOrder(rollout, this._members)),
-        token,
-        random,
-        log: deps.log,
-      }),
-      services: {
-        box: settings.box,
-        store: new ChunkStore(settings.stagingMemoryBytes),
-        peers: this._peers,
-        client: new PeerChunkClient(token),
-        origin: {
-          manifest: async (customer, model, version) =>
-            await this._origin!.manifest(customer, model, version),
-          read: async (range, signal) => await this._origin!.read(range, signal),
-        },
-        uploads,
-        bounds: {
-          stallMilliseconds: STALL_MILLISECONDS,
-          incoming: new RateLimiter(receiveRate(settings)),
-          fetchesAtOnce: FETCHES_AT_ONCE,
-          importStepMilliseconds: IMPORT_STEP_MILLISECONDS,
-        },
-        clock,
-        random,
-        logger: deps.exchangeLogger,
-      },
     });
   }
 
@@ -239,6 +202,7 @@
       members: () => this._switchMembers,
       peers: (version) => this._switchPeers(version),
       onChange: () => this._onStateChange(),
+      onConfirmed: () => undefined,
     });
   }
 
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -3,18 +3,20 @@
 import { LAST_SEND_MARGIN_MILLISECONDS } from '../protocol/versionMargins.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
-import { errorCode, errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
 import { WakeableTimer } from '../utils/wakeableTimer.js';
-import { hasRestarted, isUnchanged, restartLogFields } from './backendIncarnation.js';
+import { BackendMonitor } from './backendMonitor.js';
 import { switchOrder } from './originFetchSchedule.js';
-import { SWITCHING_POLL_MILLISECONDS, pollInterval, roundInterval } from './pollInterval.js';
+import { pollInterval, roundInterval } from './pollInterval.js';
 import type { LocalBackend, LocalBackendStatus } from './localBackend.js';
-import { CONNECTION_REFUSED } from './localBackend.js';
+import type { ConfirmedLoad } from './servedConfirmation.js';
+import { ServedConfirmation } from './servedConfirmation.js';
 import type { StageQueue } from './stageQueue.js';
 import type { StagingArea } from './stagingArea.js';
 import type { SwitchPeer, SwitchPhase } from './switchTurn.js';
-import { PREPARING_MILLISECONDS, maySwitch, mayOrder } from './switchTurn.js';
+import { PREPARING_MILLISECONDS, maySwitch } from './switchTurn.js';
+import type { LoadResult } from './versionLoad.js';
+import { VersionLoad } from './versionLoad.js';
 import type { VersionStage } from './versionStage.js';
 
 /** Options of a {@link VersionReconciler}. */
@@ -31,12 +33,10 @@
   peers: (version: number) => SwitchPeer[];
   /** Called when the phase of this box or the status of its backend server may have changed. */
   onChange: () => void;
+  /** Called when the weights in service have been confirmed. */
+  onConfirmed: (load: ConfirmedLoad) => void;
 }
 
-/** An order is repeated if it has had no effect for this long although the backend server is idle. */
-const IDLE_ORDER_TIMEOUT_MILLISECONDS = 300;
-/** An order is repeated if it has had no effect for this long while the backend server is busy. */
-const BUSY_ORDER_TIMEOUT_MILLISECONDS = 6_000;
 const RETRY_MILLISECONDS = 100;
 /** A box that still lacks chunks after preparing for this long gives up its turn. */
 const MAX_PREPARATION_MILLISECONDS = 1_500;
@@ -45,39 +45,48 @@
   private readonly _options: VersionReconcilerOptions;
   private readonly _stopped = new AbortController();
   private readonly _timer = new WakeableTimer();
-  private _status: LocalBackendStatus | undefined;
-  /**
-   * Monotonic milliseconds since which chunks are known to be read from the current incarnation of the backend server;
-   * infinite if the server reports no start time, since a restart that lost all staged chunks may then go unnoticed.
-   */
-  private _incarnationSeenAt = Number.POSITIVE_INFINITY;
-  /** Whether nothing listens at the address of the backend server. */
-  private _isGone = false;
-  private _switchingTo = 0;
+  private readonly _monitor: BackendMonitor;
+  private readonly _confirmation: ServedConfirmation;
+  private _load: VersionLoad | undefined;
+  /** Results of loads by result, for the metrics. */
+  readonly loadResults: Record<LoadResult, number> = { serving: 0, doubtful: 0, abandoned: 0 };
+  /** Monotonic milliseconds at which the last load ended; the next one does not rely on what that one read. */
+  private _loadEndedAt = Number.NEGATIVE_INFINITY;
+  /** The status whose version is doubtful and can't be loaded again. */
+  private _doubtful: LocalBackendStatus | undefined;
+  private _lastServed = 0;
   /** The version for which this box is preparing, 0 for none. */
   private _preparingFor = 0;
   private _preparingSince = 0;
-  private _polledAt = Number.NEGATIVE_INFINITY;
-  private _orderedAt = 0;
 
   constructor(options: VersionReconcilerOptions) {
     this._options = options;
+    this._confirmation = new ServedConfirmation(() => options.stages.model);
+    this._monitor = new BackendMonitor({
+      ...options,
+      onStatus: () => this._onStatus(),
+      onExit: () => this._onExit(),
+    });
   }
 
   /** The last status of the backend server; undefined if there is none or nothing listens at its address. */
   get status(): LocalBackendStatus | undefined {
-    return this._isGone ? undefined : this._status;
+    return this._monitor.status;
   }
 
   /** Whether the state of the backend server is known, which includes that nothing listens at its address. */
   get knowsBackend(): boolean {
-    return this._status !== undefined || this._isGone;
+    return this._monitor.isKnown;
   }
 
-  /** The version in service; 0 if there is none. */
+  /** The version that the server has loaded; 0 if there is none. */
   get servedVersion(): number {
-    const model = this._options.stages.model;
-    return this.status?.versions.get(model) ?? 0;
+    return this.status?.versions.get(this._options.stages.model) ?? 0;
+  }
+
+  /** The load in service, if its weights are confirmed: requests may be sent to it. */
+  get confirmedLoad(): ConfirmedLoad | undefined {
+    return this.status && this._confirmation.loadOf(this.status);
   }
 
   /** The version that this box is to serve next; if there is none, the newer of the served and the target version. */
@@ -86,7 +95,7 @@
   }
 
   get switchPhase(): SwitchPhase {
-    if (this._switchingTo > 0) return 'switching';
+    if (this._isOutOfService) return 'switching';
     const next = this._nextStage;
     if (next && next.version === this._preparingFor) return 'preparing';
     if (next) return this._isNearlyComplete(next) ? 'staged' : 'staging';
@@ -99,6 +108,7 @@
 
   stop(): void {
     this._stopped.abort();
+    this._load?.abandon();
     this.wake();
   }
 
@@ -107,14 +117,27 @@
     this._timer.wake();
   }
 
+  /** Adds what another process remembers of the weights in service, which an earlier incarnation of this agent confirmed. */
+  noteConfirmed(load: ConfirmedLoad): void {
+    if (!this._confirmation.add(load)) return;
+    this._options.onChange();
+    this.wake();
+  }
+
+  /** Whether the server takes no requests: it is about to load, loads, or serves weights that are not confirmed. */
+  private get _isOutOfService(): boolean {
+    if (this._load && this._load.step !== 'checking') return true;
+    return this.servedVersion > 0 && !this.confirmedLoad;
+  }
+
   /**
-   * The stage to continue with: the ordered version until it serves, then the oldest one newer than the served one;
-   * see {@link VersionReconciler._nextStageOfEmptyServer} for a server without a version.
+   * The stage to continue with: the one that is being loaded, then the oldest one newer than the served one; see
+   * {@link VersionReconciler._nextStageOfEmptyServer} for a server without a version.
    */
   private get _nextStage(): VersionStage | undefined {
     const { stages } = this._options;
-    const ordered = stages.stageOf(this._switchingTo);
-    if (ordered) return ordered;
+    const loading = this._load && stages.stageOf(this._load.stage.version);
+    if (loading) return loading;
     return this.servedVersion > 0 ? stages.nextAfter(this.servedVersion) : this._nextStageOfEmptyServer;
   }
 
@@ -133,90 +156,80 @@
   private async _run(): Promise<void> {
     while (!this._stopped.signal.aborted) {
       try {
-        if (this._isPollDue()) await this._poll();
+        if (this._isPollDue()) await this._monitor.poll();
         await this._reconcile();
       } catch (error) {
-        this._onUnreachable(error);
+        this._monitor.onUnreachable(error);
         await pause(RETRY_MILLISECONDS, this._stopped.signal);
       }
-      const sincePoll = this._options.clock.now() - this._polledAt;
-      const wait = roundInterval(this.switchPhase, this._status, sincePoll);
+      const sincePoll = this._options.clock.now() - this._monitor.polledAt;
+      const wait = roundInterval(this.switchPhase, this.status, sincePoll);
       if (!this._stopped.signal.aborted) await this._timer.wait(wait);
     }
   }
 
   /** A box that waits for its turn checks its peers often, but polls its server only as often as usual. */
   private _isPollDue(): boolean {
-    const interval = pollInterval(this.switchPhase, this._status);
-    return this._options.clock.now() - this._polledAt >= interval;
+    const interval = pollInterval(this.switchPhase, this.status);
+    return this._options.clock.now() - this._monitor.polledAt >= interval;
   }
 
-  /** A refused connection means that the server is gone; a server that does not answer in time may only be busy. */
-  private _onUnreachable(error: unknown): void {
-    const { log, onChange } = this._options;
-    log.decision('backend.unreachable', { reason: errorText(error) });
-    if (this._isGone || errorCode((error as Error).cause) !== CONNECTION_REFUSED) return;
-    this._isGone = true;
-    this._options.stagingArea.onServerExit();
-    log.state('backend.gone', { version: this._status?.versions.get(this._options.stages.model) });
+  private _onStatus(): void {
+    const { stages, log, onChange } = this._options;
+    const { status, servedVersion } = this;
+    if (status) this._confirmation.keepOnly(status);
+    if (servedVersion !== this._lastServed)
+      log.state('version.serving', { version: servedVersion, before: this._lastServed });
+    this._lastServed = servedVersion;
+    if (servedVersion >= this._preparingFor) this._preparingFor = 0;
+    stages.dropOlderThan(servedVersion);
     onChange();
   }
 
-  private async _poll(): Promise<void> {
-    this._polledAt = this._options.clock.now();
-    const before = this.servedVersion;
-    const status = await this._options.backend.status();
-    this._options.stagingArea.onAnswer();
-    this._detectRestart(status);
-    this._status = status;
-    this._isGone = false;
-    const served = this.servedVersion;
-    if (served !== before) this._options.log.state('version.serving', { version: served, before });
-    if (this._switchingTo > 0 && served >= this._switchingTo) this._switchingTo = 0;
-    if (served >= this._preparingFor) this._preparingFor = 0;
-    this._options.stages.dropOlderThan(served);
-    this._options.onChange();
-  }
-
-  /** Compares `status` with the last one to detect a restart of the backend server. */
-  private _detectRestart(status: LocalBackendStatus): void {
-    const former = this._status;
-    const isRestarted = former !== undefined && hasRestarted(former, status);
-    if (isRestarted) this._onRestart(former, status);
-    if (status.startedAt === 0) this._incarnationSeenAt = Number.POSITIVE_INFINITY;
-    else if (isRestarted || former === undefined) this._incarnationSeenAt = this._options.clock.now();
-  }
-
-  /** Resets the turn and the order. Staged chunks are read back before each order anyway. */
-  private _onRestart(former: LocalBackendStatus, status: LocalBackendStatus): void {
-    const { log, stagingArea } = this._options;
-    log.state('backend.started-again', {
-      ...restartLogFields(former, status),
-      switchingTo: this._switchingTo,
-    });
-    stagingArea.onServerExit();
-    this._switchingTo = 0;
+  /** Ends the turn and the load. Staged chunks are read back before each order anyway. */
+  private _onExit(): void {
+    this._load?.abandon();
     this._preparingFor = 0;
+    this._options.onChange();
   }
 
   private async _reconcile(): Promise<void> {
     this._options.stages.dropSuperseded();
+    if (!this.knowsBackend || this._load || (await this._confirmServed())) return;
     const stage = this._nextStage;
     if (!stage) return;
-    if (!(await stage.acquireStagingArea())) return;
-    if (this._switchingTo > 0 && !this._isOrderLost()) return;
-    if (this.servedVersion > 0 && !this._isPrepared(stage)) return;
-    if (stage.complete) await this._switch(stage);
+    if (!(await stage.stager.acquireStagingArea())) return;
+    if (this.confirmedLoad && !this._isPrepared(stage)) return;
+    if (stage.complete) this._startLoad(stage);
   }
 
-  /** Whether the order may be sent: preparation is over, no requests are running, or there is no time left. */
+  /**
+   * Confirms the version in service if nothing is known of it: an order may have been taken that an earlier incarnation
+   * of this agent sent. Returns whether that has to be waited for. While a newer version is wanted, nobody else has the
+   * chunks of the one in service, and they are replaced by those of the newer one.
+   */
+  private async _confirmServed(): Promise<boolean> {
+    const { stages, stagingArea } = this._options;
+    const { status, servedVersion } = this;
+    if (!status || servedVersion === 0 || this.confirmedLoad) return false;
+    if (this._doubtful?.startedAt === status.startedAt && this._doubtful.revision === status.revision)
+      return false;
+    if (stages.targetVersion > servedVersion) return false;
+    const stage = stages.stageOf(servedVersion);
+    if (!(await stagingArea.lock()) || !stage?.complete) return true;
+    const isUnwritten = stagingArea.lastWriteAt <= this._monitor.ordersTakenAfter;
+    this._runLoad(stage, (load) => load.confirmServed(status, isUnwritten));
+    return true;
+  }
+
+  /** Whether the load may begin: preparation is over, no requests are running, or there is no time left. */
   private _isPrepared(stage: VersionStage): boolean {
     const { clock, log, onChange } = this._options;
     if (this._preparingFor !== stage.version) {
       if (!this._isNearlyComplete(stage) || !this._mayBegin(stage)) return false;
       this._preparingFor = stage.version;
       this._preparingSince = clock.now();
-      log.state('version.preparing', { version: stage.version, running: this._status?.running });
+      log.state('version.preparing', { version: stage.version, running: this.status?.running });
       onChange();
     }
     const elapsed = clock.now() - this._preparingSince;
@@ -225,7 +238,7 @@
       onChange();
       return false;
     }
-    return this._status?.running === 0 || elapsed >= PREPARING_MILLISECONDS || this._isLate(stage);
+    return this.status?.running === 0 || elapsed >= PREPARING_MILLISECONDS || this._isLate(stage);
   }
 
   private _isNearlyComplete(stage: VersionStage): boolean {
@@ -243,12 +256,6 @@
     return stage.announcedAt + versionMilliseconds - clock.now();
   }
 
-  /** Whether the last order has had no effect for so long that it has to be repeated. */
-  private _isOrderLost(): boolean {
-    const waited = this._options.clock.now() - this._orderedAt;
-    return waited > (this._status?.busy ? BUSY_ORDER_TIMEOUT_MILLISECONDS : IDLE_ORDER_TIMEOUT_MILLISECONDS);
-  }
-
   private _mayBegin(stage: VersionStage): boolean {
     const { box, members, peers } = this._options;
     return maySwitch({
@@ -259,65 +266,37 @@
     });
   }
 
-  private async _switch(stage: VersionStage): Promise<void> {
-    const { stagingArea, clock, log, onChange } = this._options;
-    this._switchingTo = stage.version;
-    this._orderedAt = clock.now();
-    const isEmpty = this.servedVersion === 0;
-    if (isEmpty) onChange();
-    const verifyStartedAt = clock.now();
-    const isVerified = await stage.verify(this._incarnationSeenAt);
-    const verifyMilliseconds = Math.round(clock.now() - verifyStartedAt);
-    if (!isVerified) {
-      this._switchingTo = 0;
-      log.state('version.not-whole', { version: stage.version, verifyMilliseconds });
-      return;
-    }
-    onChange();
-    const status = await this._statusToOrder(isEmpty || this._isLate(stage));
-    if (!this._isReadingValid(status)) {
-      this._switchingTo = 0;
-      return;
-    }
-    const { revision } = status;
-    const sentAt = clock.now();
-    const outcome = await stagingArea.order(stage.model, revision);
-    this._orderedAt = clock.now();
-    log.state('version.ordered', {
-      model: stage.model,
-      version: stage.version,
-      outcome,
-      revision,
-      verifyMilliseconds,
-      readingMilliseconds: Math.round(sentAt - stage.oldestReadingAt),
-      answerMilliseconds: Math.round(this._orderedAt - sentAt),
-      milliseconds: Math.round(clock.now() - stage.announcedAt),
-    });
-    if (outcome === 'refused') this._switchingTo = 0;
+  private _startLoad(stage: VersionStage): void {
+    const { status } = this;
+    const since = Math.max(this._monitor.incarnationSeenAt, this._loadEndedAt);
+    if (status) this._runLoad(stage, (load) => load.run(status, since));
   }
 
-  /**
-   * Whether the chunks that were read back are still staged: the server has neither restarted nor accepted an order
-   * since before the reading. The order has to carry the revision from before the reading, since a later one would not
-   * rule out a change in between; that of `status` is then the same.
-   */
-  private _isReadingValid(status: LocalBackendStatus): boolean {
-    const before = this._status!;
-    if (isUnchanged(before, status)) return true;
-    this._options.log.state('version.reading-void', restartLogFields(before, status));
-    return false;
+  private _runLoad(stage: VersionStage, work: (load: VersionLoad) => Promise<LoadResult>): void {
+    const { onChange, onConfirmed } = this._options;
+    const load = new VersionLoad({
+      ...this._options,
+      stage,
+      poll: async (signal) => await this._monitor.pollUntilAnswered(signal),
+      isUrgent: () => !this.confirmedLoad || this._isLate(stage),
+      onChange,
+      onConfirmed: (confirmed) => {
+        this.noteConfirmed(confirmed);
+        onConfirmed(confirmed);
+      },
+    });
+    this._load = load;
+    void work(load).then((result) => this._onLoadEnd(load, result));
   }
 
-  /** Waits until the order may be sent, and returns the status of the server at that moment. */
-  private async _statusToOrder(isUnused: boolean): Promise<LocalBackendStatus> {
-    const { backend, clock } = this._options;
-    const noticedAt = clock.now();
-    for (;;) {
-      this._stopped.signal.throwIfAborted();
-      const status = await backend.status();
-      const noticeMilliseconds = clock.now() - noticedAt;
-      if (isUnused || mayOrder({ noticeMilliseconds, waiting: status.queued })) return status;
-      await pause(SWITCHING_POLL_MILLISECONDS, this._stopped.signal);
-    }
+  private _onLoadEnd({ stage }: VersionLoad, result: LoadResult): void {
+    const { clock, log, onChange } = this._options;
+    const { version } = stage;
+    this._loadEndedAt = clock.now();
+    log.state('version.load-ended', { version, result, served: this.servedVersion });
+    this.loadResults[result]++;
+    if (result === 'doubtful') this._doubtful = this.status;
+    this._load = undefined;
+    onChange();
   }
 }
--- a/src/staging/versionStage.ts
+++ b/src/staging/versionStage.ts
@@ -62,8 +62,8 @@
   readonly exchange: RolloutExchange;
   readonly index: ManifestIndex;
   readonly announcedAt: number;
+  readonly stager: ChunkStager;
   private readonly _options: VersionStageOptions;
-  private readonly _stager: ChunkStager;
   /** Chunks that were queued for staging, or were staged already. */
   private readonly _handledChunks = new Set<number>();
   private readonly _startedAt: number;
@@ -93,7 +93,7 @@
     this._linkRate = new LinkRate(options.bytesPerSecond, this._startedAt);
     this.index = new ManifestIndex(options.manifest);
     this._progress = new OriginFetchProgress(this.index.chunkCount, this._startedAt);
-    this._stager = new ChunkStager({ ...options, index: this.index });
+    this.stager = new ChunkStager({ ...options, index: this.index });
     this.exchange = new RolloutExchange(
       { ...options.services, mayFetchFromPeers: options.mayFetchFromPeers },
       this._plan(),
@@ -139,11 +139,6 @@
     return this._linkRate.isSlow(this._options.clock.now());
   }
 
-  /** Acquires the staging area for this version; see {@link ChunkStager.acquireStagingArea}. */
-  async acquireStagingArea(): Promise<boolean> {
-    return await this._stager.acquireStagingArea();
-  }
-
   /** Starts the exchange. With `adopt`, takes over chunks that an earlier incarnation of the agent staged. */
   async start(adopt: boolean): Promise<void> {
     this.exchange.start();
@@ -163,20 +158,15 @@
     return this._options.services.store.get('', this.index.chunk(index).digest);
   }
 
-  /** Whether all staged chunks match the manifest; see {@link ChunkStager.verify}. */
-  async verify(incarnationSeenAt: number): Promise<boolean> {
-    return await this._stager.verify((chunk) => this.chunk(chunk), incarnationSeenAt);
-  }
-
-  /** See {@link ChunkStager.oldestReadingAt}. */
-  get oldestReadingAt(): number {
-    return this._stager.oldestReadingAt;
+  /** Repairs the staged chunks; see {@link ChunkStager.verify}. */
+  async verify(since: number): Promise<boolean> {
+    return await this.stager.verify((chunk) => this.chunk(chunk), since);
   }
 
   /** Stops all transfers and releases the chunks. */
   drop(): void {
     clearInterval(this._tickTimer);
-    this._stager.stop();
+    this.stager.stop();
     this.exchange.stop();
     this._options.services.store.release(this.exchange.rollout);
   }
@@ -184,7 +174,7 @@
   private async _adopt(): Promise<void> {
     try {
       const staged = await this._options.staged.take(this.model);
-      this._stager.adopt(staged, (chunk, data) => {
+      this.stager.adopt(staged, (chunk, data) => {
         this._handledChunks.add(chunk);
         this.exchange.adopt(chunk, data);
       });
@@ -296,7 +286,7 @@
       if (this._handledChunks.has(chunk)) continue;
       this._handledChunks.add(chunk);
       const data = this.chunk(chunk);
-      if (data) this._stager.add(chunk, data);
+      if (data) this.stager.add(chunk, data);
     }
     if (!this.complete || this._completedAt < Number.POSITIVE_INFINITY) return;
     this._completedAt = this._options.clock.now();
--- a/tests/stagingFleet.spec.ts
+++ b/tests/stagingFleet.spec.ts
@@ -65,6 +65,30 @@
   expect(fixture.corruptLoads).toEqual([]);
 });
 
+test('should not report a version to entries that was corrupt when the server took it', async () => {
+  await fixture.start(1);
+  await until(() => fixture.allServe(1));
+  const [box] = fixture.boxes;
+  const reported: { version: number; state: string }[] = [];
+  const sendPresence = await fixture.connectAsEntry(box, (message) => {
+    if (message.type === 'box-status' && message.model === MODEL) reported.push(message);
+  });
+  sendPresence({});
+  box.server.onOrder = () => void box.server.staged.set(3, Buffer.from('corrupt'));
+  fixture.announce(2);
+  await until(() => fixture.allServe(2));
+  const count = reported.length;
+  await until(() => reported.length > count + 1);
+  expect(fixture.corruptLoads).toEqual([2]);
+  expect(reported.some(({ version }) => version === 2)).toEqual(false);
+  expect(
+    reported
+      .slice(count)
+      .map(({ state }) => state)
+      .every((state) => state === 'switching'),
+  ).toEqual(true);
+});
+
 test('should detect a corrupt download and repeat it', async () => {
   fixture.origin.corruptedChunks.add(0);
   await fixture.start(3);
