Entries: send requests for a model only on a version that the agent has confirmed

Callers could get answers of a server in doubt although its agent reports none: an entry forgot after 2 s that a server was switching (machines freeze for 4 s), took the version from service discovery or from the server's answers, and an agent that restarts did not know what its predecessor had confirmed.

Change: a server stays out of service until its agent reports otherwise. A version that a server was ordered to load counts once its agent confirms it; a server that took no order serves what it started with. Each request names the version that it is meant for, so that a server which has taken another meanwhile rejects it, without running it. Entries remember the last confirmed load and tell an agent that connects; if nobody remembers, the agent reads the staged chunks back first, before anything is written.

The last expectation of "should not apply versions of a former incarnation from a lagging record" took a version from a record after the agent had reported none; the agent reports it now, and a new test expects that a record alone does not count. platformAdapter expects the additional field.

--- a/src/protocol/boxMessages.ts
+++ b/src/protocol/boxMessages.ts
@@ -37,6 +37,16 @@
 export const agentAddressSchema = z.object({ box: nameSchema, dataCentre: z.string(), address: z.string() });
 export type AgentAddress = z.infer<typeof agentAddressSchema>;
 
+/** A load of a version of which it is confirmed that the server took intact chunks. */
+export const confirmedLoadSchema = z.object({
+  /** Start of the backend server in Unix milliseconds by its own clock; 0 where it does not report one. */
+  startedAt: countSchema,
+  /** Revision of the server after the order: the number of orders that it has accepted since its start. */
+  revision: countSchema,
+  version: countSchema,
+});
+export type ConfirmedLoad = z.infer<typeof confirmedLoadSchema>;
+
 /** Sent by an entry to each agent when it connects and on every change. */
 export const entryPresenceSchema = z.object({
   type: z.literal('entry-presence'),
@@ -44,6 +54,11 @@
   wanted: z.array(wantedVersionSchema).max(MAXIMUM_LIST_LENGTH),
   /** The newest versions that the entry knows of; absent from senders that do not report them. */
   heard: z.array(heardVersionSchema).max(MAXIMUM_LIST_LENGTH).optional(),
+  /**
+   * What the agent's box reported last as confirmed, for an agent that has restarted; absent from senders that do not
+   * remember it.
+   */
+  confirmed: z.array(confirmedLoadSchema).max(MAXIMUM_LIST_LENGTH).optional(),
   /** Address of the weight origin, as host:port; '' while unknown. */
   origin: z.string(),
   /** Whether the entry sends requests to the agent's backend server, and so wants its status. */
--- a/src/serving/agentAnnouncements.ts
+++ b/src/serving/agentAnnouncements.ts
@@ -1,5 +1,6 @@
 /** Builds the messages to agents: the presence of this entry, the wanted versions, and the agents of a service. */
 import type { AgentAddress, AgentList, EntryAddress, EntryPresence } from '../protocol/boxMessages.js';
+import { hostOf } from '../utils/hostPort.js';
 import type { AgentSelection } from './agentSelection.js';
 import { selectAgents } from './agentSelection.js';
 import type { ConfigurationHolder } from './configurationHolder.js';
@@ -63,6 +64,7 @@
       entry: own,
       wanted: models.map((model) => gate.wanted(model)),
       heard: models.flatMap((model) => gate.heard(model)),
+      confirmed: this._options.pool.confirmedLoads(hostOf(agent.address)),
       origin,
       hearsStatus: routed.has(agent.box),
       hearsEntries: directory.has(agent.box),
--- a/src/serving/answerHead.ts
+++ b/src/serving/answerHead.ts
@@ -21,7 +21,7 @@
   model: string,
 ): void {
   const version = Number(headers[names.version]);
-  if (model !== '' && version > 0) server.noteVersion(model, version);
+  if (model !== '' && version > 0) server.noteAnsweredVersion(model, version);
   // The answer to a misdirected request may come from another server.
   if (status !== MISDIRECTED_REQUEST) server.backpressure.applySignals(readSignals(status, headers, names));
 }
--- a/src/serving/backendServerRecord.ts
+++ b/src/serving/backendServerRecord.ts
@@ -19,6 +19,8 @@
   slots: number;
   draining: boolean;
   models: readonly ServedModel[];
+  /** Number of orders that the server had accepted since its start when the record was written; absent when unknown. */
+  ordersTaken?: number;
   /** Milliseconds for which the server remains cold, from when the record was written; absent when it is warm. */
   coldLeftMilliseconds?: number;
   /** Latest end of that time, in this process's monotonic milliseconds; set when the record arrives. */
--- a/src/serving/boxLinks.ts
+++ b/src/serving/boxLinks.ts
@@ -223,8 +223,11 @@
   }
 }
 
-/** Serialises a presence without the ages in it, which change all the time. */
-function serialisePresence({ wanted, heard, ...rest }: EntryPresence): string {
+/**
+ * Serialises a presence without the ages in it, which change all the time, and without what the agent itself has
+ * reported on the connection.
+ */
+function serialisePresence({ wanted, heard, confirmed: _confirmed, ...rest }: EntryPresence): string {
   const versions = [...wanted, ...(heard ?? [])];
   return JSON.stringify([rest, versions.map(({ model, version }) => [model, version])]);
 }
--- a/src/serving/outgoingRequest.ts
+++ b/src/serving/outgoingRequest.ts
@@ -11,8 +11,6 @@
   remainingMilliseconds: number;
   /** Id of the last event sent to the caller, '' for none. */
   lastEventId: string;
-  /** The newest known version of the request's model, 0 for none. */
-  newestVersion: number;
 }
 
 /** Adds the headers of the attempt to the caller's request. */
@@ -22,13 +20,12 @@
   parameters: AttemptParameters,
 ): BackendRequest {
   const { method, path, headers, body, model, promptSize } = request;
-  const { server, remainingMilliseconds, lastEventId, newestVersion } = parameters;
+  const { server, remainingMilliseconds, lastEventId } = parameters;
   const own = [names.deadline, String(Math.max(1, Math.floor(remainingMilliseconds)))];
   own.push(names.expectedServer, server.record.id);
   if (lastEventId !== '') own.push(names.lastEventId, lastEventId);
   const version = server.version(model);
-  // A server that has switched to a newer version meanwhile rejects the request, which tells this entry that its view
-  // of the server is out of date.
-  if (model !== '' && newestVersion > version) own.push(names.expectedVersion, String(version));
+  // A server that has switched to another version meanwhile, which may not be confirmed yet, rejects the request.
+  if (model !== '') own.push(names.expectedVersion, String(version));
   return { method, path, headers: [...headers, ...own], body, promptSize };
 }
--- a/src/serving/requestAttempts.ts
+++ b/src/serving/requestAttempts.ts
@@ -102,12 +102,11 @@
 
   /** Returns the request to send to `server`, which asks for the events after `lastEventId`. */
   outgoing(server: TrackedServer, lastEventId: string): BackendRequest {
-    const { names, gate } = this._context;
-    return outgoingRequest(this._request, names, {
+    const { remainingMilliseconds } = this;
+    return outgoingRequest(this._request, this._context.names, {
       server,
-      remainingMilliseconds: this.remainingMilliseconds,
+      remainingMilliseconds,
       lastEventId,
-      newestVersion: gate.newest(this._request.model),
     });
   }
 
--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -3,7 +3,7 @@
 import { ObservedStarts } from '../backpressure/observedStarts.js';
 import type { ServerSignals } from '../backpressure/serverSignals.js';
 import type { ServerPermission } from '../locality/serverPermission.js';
-import type { BoxStatus } from '../protocol/boxMessages.js';
+import type { BoxStatus, ConfirmedLoad } from '../protocol/boxMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import { hostOf } from '../utils/hostPort.js';
@@ -106,6 +106,11 @@
     return [...this._servers.values()];
   }
 
+  /** What is remembered of the weights of the servers at `host`: see {@link TrackedServer.confirmedLoad}. */
+  confirmedLoads(host: string): ConfirmedLoad[] {
+    return (this._byHost.get(host) ?? []).flatMap(({ confirmedLoad }) => confirmedLoad ?? []);
+  }
+
   /** Applies a status message of the agent at `host`. */
   noteStatus(host: string, status: BoxStatus): void {
     for (const { record } of this._byHost.get(host) ?? []) this._noteStatusOf(record, status);
--- a/src/serving/serverRecordDecoder.ts
+++ b/src/serving/serverRecordDecoder.ts
@@ -61,6 +61,7 @@
   return JSON.stringify({
     ...record,
     models: undefined,
+    ordersTaken: undefined,
     coldLeftMilliseconds: undefined,
     coldUntil: undefined,
   });
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -1,12 +1,13 @@
 /** Tracks the state of one incarnation of a backend server, as known to this entry. */
 import type { ServerBackpressure } from '../backpressure/serverBackpressure.js';
 import { BoxLoad } from '../routing/backend.js';
-import type { BoxStatus } from '../protocol/boxMessages.js';
+import type { BoxStatus, ConfirmedLoad } from '../protocol/boxMessages.js';
 import type { Clock } from '../utils/clock.js';
 import { hostOf } from '../utils/hostPort.js';
 import type { BackendConnections } from './backendConnections.js';
 import type { BackendServerRecord } from './backendServerRecord.js';
 import { ServerHealth } from './serverHealth.js';
+import { UNKNOWN_START } from './serverIncarnation.js';
 
 /** A server that has streams to send and is silent for longer than this is considered unresponsive, and avoided. */
 const UNRESPONSIVE_SILENCE_MILLISECONDS = 500;
@@ -43,6 +44,8 @@
   private readonly _versions = new Map<string, number>();
   private _status: BoxStatus | undefined;
   private _statusAt = Number.NEGATIVE_INFINITY;
+  private _isReportedByAgent = false;
+  private _confirmedLoad: ConfirmedLoad | undefined;
   private _switchingSince = 0;
   private _lastDataAt = 0;
   private _streams = 0;
@@ -72,10 +75,14 @@
     this.updateLocation(record);
   }
 
-  /** Applies the service discovery record of this incarnation. */
+  /**
+   * Applies the service discovery record of this incarnation. A version that the server was ordered to load counts only
+   * once its agent has confirmed that the server took intact chunks.
+   */
   update(record: BackendServerRecord): void {
     this.updateLocation(record);
-    for (const { name, version } of record.models) this.noteVersion(name, version);
+    const isConfirmed = (record.ordersTaken ?? 0) === 0 && !this._isReportedByAgent;
+    if (isConfirmed) for (const { name, version } of record.models) this._versions.set(name, version);
     if (record.coldUntil !== undefined) this.backpressure.noteCold('record', record.coldUntil);
   }
 
@@ -96,10 +103,19 @@
       this._switchingSince = this._clock.now();
     this._status = status;
     this._statusAt = this._clock.now();
-    if (status.model !== '') this._versions.set(status.model, status.version);
+    if (status.model !== '') {
+      this._isReportedByAgent = true;
+      this._versions.set(status.model, status.version);
+    }
+    this._noteConfirmed(status);
     this.load.report(status.running + status.queued, this._clock.now());
   }
 
+  private _noteConfirmed({ version, revision, startedAt }: BoxStatus): void {
+    if (version === 0 || revision === undefined) return;
+    this._confirmedLoad = { version, revision, startedAt: startedAt ?? UNKNOWN_START };
+  }
+
   /** Records that this process sent a request; `promptSize` is in units of a mean prompt. */
   noteSent(promptSize: number): void {
     this._ownPendingPrompts += promptSize;
@@ -123,19 +139,30 @@
     return Math.max(reported, this._ownPendingPrompts * this._sharers());
   }
 
-  /** Records a version reported by the server itself. Only the agent can report that a version was lost. */
-  noteVersion(model: string, version: number): void {
-    this._versions.set(model, Math.max(version, this._versions.get(model) ?? 0));
+  /**
+   * Records the version that an answer names. A newer one than the known shows that this is out of date; it counts only
+   * once the agent has confirmed that the server took intact chunks.
+   */
+  noteAnsweredVersion(model: string, version: number): void {
+    if (version > this.version(model)) this._versions.set(model, 0);
   }
 
-  /** The version of `model` that the server serves; 0 when unknown. */
+  /** The version of `model` that the server serves, as far as it is confirmed; 0 when unknown. */
   version(model: string): number {
     return this._versions.get(model) ?? 0;
   }
 
-  /** Whether the server is switching versions and accepts no requests. */
+  /**
+   * Whether the server is switching versions and accepts no requests. It is until its agent reports otherwise: while
+   * agent and server are paused, an order may be pending, and chunks may be corrupted before the server takes it.
+   */
   get switching(): boolean {
-    return this._freshStatus?.state === 'switching';
+    return this._status?.state === 'switching';
+  }
+
+  /** The last load of which the agent has reported that the server took intact chunks; undefined without one. */
+  get confirmedLoad(): ConfirmedLoad | undefined {
+    return this._confirmedLoad;
   }
 
   /** Whether the server is about to switch versions. */
--- a/src/staging/backendMonitor.ts
+++ b/src/staging/backendMonitor.ts
@@ -14,6 +14,8 @@
   stagingArea: StagingArea;
   clock: Clock;
   log: EventLog;
+  /** The version that the server was ordered to load, for log lines; 0 for none. */
+  switchingTo: () => number;
   /** Called after each answer of the server. */
   onStatus: () => void;
   /** Called when the server process has ended: it has restarted, or nothing listens at its address. */
@@ -107,11 +109,11 @@
 
   /** Compares `status` with the last one to detect a restart of the server. */
   private _noteIncarnation(status: LocalBackendStatus): void {
-    const { clock, stagingArea, log, onExit } = this._options;
+    const { clock, stagingArea, log, switchingTo, onExit } = this._options;
     const former = this._status;
     const isRestarted = former !== undefined && hasRestarted(former, status);
     if (isRestarted) {
-      log.state('backend.started-again', restartLogFields(former, status));
+      log.state('backend.started-again', { ...restartLogFields(former, status), switchingTo: switchingTo() });
       stagingArea.onServerExit();
     }
     const hasJustStarted = status.revision === 0 && status.versions.size === 0;
--- a/src/staging/servedConfirmation.ts
+++ b/src/staging/servedConfirmation.ts
@@ -2,20 +2,9 @@
  * What is known of the weights in service: a version counts as confirmed once all chunks were found intact after the
  * server took them. The server itself loads whatever is staged.
  */
+import type { ConfirmedLoad } from '../protocol/boxMessages.js';
 import type { LocalBackendStatus } from './localBackend.js';
 
-/** A load whose weights were confirmed. */
-export interface ConfirmedLoad {
-  /** Start of the backend server in Unix milliseconds by its own clock; 0 where it does not report one. */
-  startedAt: number;
-  /** Revision of the server after the order. */
-  revision: number;
-  version: number;
-}
-
-/** The part of a server's status that a confirmation is about. */
-export type ServedLoad = Pick<LocalBackendStatus, 'startedAt' | 'revision'>;
-
 export class ServedConfirmation {
   private readonly _model: () => string;
   /** Own confirmations and those that others remember from an earlier incarnation of this agent. */
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -217,6 +217,7 @@
     if (message.type === 'agent-list') this._updateAgents(message);
     if (message.type === 'server-notices') this._entries.mergeServerNotices(message.notices);
     if (message.type !== 'entry-presence') return;
+    for (const load of message.confirmed ?? []) this._reconciler.noteConfirmed(load);
     if (this._entries.update(connection, message)) {
       connection.send(this._status());
       connection.send({ type: 'versions-heard', versions: this._heardVersions.all() });
--- a/src/staging/versionLoad.ts
+++ b/src/staging/versionLoad.ts
@@ -7,6 +7,7 @@
  * a chunk that is intact after the server took it was intact then. The box gets no requests until all are found intact;
  * layers with a chunk that is not are released and loaded again.
  */
+import type { ConfirmedLoad } from '../protocol/boxMessages.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
 import { errorText } from '../utils/stepError.js';
@@ -17,7 +18,6 @@
 import type { LayerRange, LocalBackendStatus } from './localBackend.js';
 import { chunkList } from './missingChunks.js';
 import { SWITCHING_POLL_MILLISECONDS } from './pollInterval.js';
-import type { ConfirmedLoad } from './servedConfirmation.js';
 import type { StagingArea } from './stagingArea.js';
 import { mayOrder } from './switchTurn.js';
 import type { VersionStage } from './versionStage.js';
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -1,4 +1,5 @@
 /** Brings the backend server of this box to the target version, and retries until the server serves it. */
+import type { ConfirmedLoad } from '../protocol/boxMessages.js';
 import type { Member } from '../protocol/rolloutMessages.js';
 import { LAST_SEND_MARGIN_MILLISECONDS } from '../protocol/versionMargins.js';
 import type { EventLog } from '../telemetry/eventLog.js';
@@ -9,7 +10,6 @@
 import { switchOrder } from './originFetchSchedule.js';
 import { pollInterval, roundInterval } from './pollInterval.js';
 import type { LocalBackend, LocalBackendStatus } from './localBackend.js';
-import type { ConfirmedLoad } from './servedConfirmation.js';
 import { ServedConfirmation } from './servedConfirmation.js';
 import type { StageQueue } from './stageQueue.js';
 import type { StagingArea } from './stagingArea.js';
@@ -64,6 +64,7 @@
     this._confirmation = new ServedConfirmation(() => options.stages.model);
     this._monitor = new BackendMonitor({
       ...options,
+      switchingTo: () => (this._isLoading ? this._load!.stage.version : 0),
       onStatus: () => this._onStatus(),
       onExit: () => this._onExit(),
     });
@@ -126,8 +127,12 @@
 
   /** Whether the server takes no requests: it is about to load, loads, or serves weights that are not confirmed. */
   private get _isOutOfService(): boolean {
-    if (this._load && this._load.step !== 'checking') return true;
-    return this.servedVersion > 0 && !this.confirmedLoad;
+    return this._isLoading || (this.servedVersion > 0 && !this.confirmedLoad);
+  }
+
+  /** Whether a load has got beyond the check of the staged chunks. */
+  private get _isLoading(): boolean {
+    return this._load !== undefined && this._load.step !== 'checking';
   }
 
   /**
--- a/tests/platformAdapter.spec.ts
+++ b/tests/platformAdapter.spec.ts
@@ -221,6 +221,7 @@
     slots: 16,
     draining: true,
     models: [],
+    ordersTaken: 4,
   });
 });
 
--- a/tests/serverIncarnation.spec.ts
+++ b/tests/serverIncarnation.spec.ts
@@ -123,10 +123,21 @@
   pool.noteStatus(HOST, status(200, 0));
   pool.update([record(100, { slots: 9 })]);
   expect([server().version('m'), server().record.slots]).toEqual([0, 9]);
-  pool.update([record(200, { models: [{ name: 'm', version: 1 }] })]);
+  pool.noteStatus(HOST, status(200, 1));
   expect(server().version('m')).toEqual(1);
 });
 
+test('should not apply a version that a server was ordered to load before its agent confirms it', () => {
+  const { pool, server } = poolFixture();
+  pool.update([record(100, { ordersTaken: 1 })]);
+  expect(server().version('m')).toEqual(0);
+  pool.noteStatus(HOST, status(100, 0));
+  pool.update([record(100, { models: [{ name: 'm', version: 3 }] })]);
+  expect(server().version('m')).toEqual(0);
+  pool.noteStatus(HOST, status(100, 3));
+  expect(server().version('m')).toEqual(3);
+});
+
 test('should not apply the status of a former incarnation from a lagging agent', () => {
   const { pool, server } = poolFixture();
   pool.update([record(100)]);
--- a/tests/trackedServer.spec.ts
+++ b/tests/trackedServer.spec.ts
@@ -41,6 +41,25 @@
   expect(server.version('model')).toEqual(3);
 });
 
+test('should keep a server out of service until its agent reports that it has switched', () => {
+  const clock = new ManualClock();
+  const server = trackedServer(clock, [{ name: 'model', version: 2 }]);
+  const load = { type: 'box-status', running: 0, queued: 0, model: 'model', slowLink: false } as const;
+  server.noteStatus({ ...load, state: 'switching', version: 2 });
+  clock.advance(60_000);
+  expect(server.switching).toEqual(true);
+  server.noteStatus({ ...load, state: 'serving', version: 3 });
+  expect(server.switching).toEqual(false);
+});
+
+test('should not use a server whose answer names a version that its agent has not confirmed', () => {
+  const server = trackedServer(new ManualClock(), [{ name: 'model', version: 2 }]);
+  server.noteAnsweredVersion('model', 2);
+  expect(server.version('model')).toEqual(2);
+  server.noteAnsweredVersion('model', 3);
+  expect(server.version('model')).toEqual(0);
+});
+
 test('should not expect a request to start promptly behind pending prompts', () => {
   const clock = new ManualClock();
   clock.advance(10_000);
