Agents: keep the last confirmed load in the platform's store

After a restart of an agent nobody may know whether its server took intact chunks: all entries may have restarted too, and the staged chunks may belong to the next version by then, so that they can't be read back. The server would then stay out of service until it has taken that version, several seconds.

Change: the agent writes each confirmed load to an object of its own (one call a version and box) and reads it only if it finds a load of which it knows nothing.

Test: stagingFleet, "... what the store remembers while the next version is staged".

--- a/bench/switchWorker.ts
+++ b/bench/switchWorker.ts
@@ -79,6 +79,7 @@
   const write = (line: string): void => report({ box: name, line });
   const agent = new StagingDaemon(settings, {
     backend,
+    confirmations: { read: async () => undefined, write: async () => undefined },
     announcedModels: async () => [],
     originAt: (at) => new PlatformOrigin(at),
     log: new EventLog({ write }, 'decision'),
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -26,6 +26,8 @@
 import { controlOptions } from './agentControl.js';
 import { boxStatus } from './boxStatus.js';
 import { ChunkServer } from './chunkServer.js';
+import type { ConfirmationStore } from './confirmationMemory.js';
+import { ConfirmationMemory } from './confirmationMemory.js';
 import { ConnectedEntries } from './connectedEntries.js';
 import { STALL_MILLISECONDS, createStages } from './createStages.js';
 import { HeardVersions } from './heardVersions.js';
@@ -47,6 +49,8 @@
 /** What an agent needs besides its settings. */
 export interface StagingDependencies {
   backend: LocalBackend;
+  /** Where the confirmed load of the box is kept. */
+  confirmations: ConfirmationStore;
   /** Returns the models of which the platform lists an announced version; rejects if the list cannot be read. */
   announcedModels: () => Promise<readonly string[]>;
   /** Creates a client of the origin at an address (host:port). */
@@ -71,6 +75,7 @@
   private readonly _stagingArea: StagingArea;
   private readonly _stages: StageQueue;
   private readonly _reconciler: VersionReconciler;
+  private readonly _memory: ConfirmationMemory;
   private readonly _control: ControlServer;
   private readonly _chunkServer: ChunkServer;
   private readonly _metricsServer: MetricsServer;
@@ -117,6 +122,12 @@
     });
     this._stagingArea = new StagingArea({ backend: deps.backend, clock: this._clock, log: deps.log });
     this._stages = this._createStages(random, uploads);
+    this._memory = new ConfirmationMemory({
+      store: deps.confirmations,
+      random,
+      log: deps.log,
+      onRecalled: (load) => this._reconciler.noteConfirmed(load),
+    });
     this._reconciler = this._createReconciler();
     const priorities = new UploadPriorities(settings.dataCentre, () => this._members);
     this._chunkServer = new ChunkServer({
@@ -164,6 +175,7 @@
     clearInterval(this._statusTimer);
     this._entries.stop();
     this._reconciler.stop();
+    this._memory.stop();
     this._stages.close();
     this._peers.close();
     this._control.close();
@@ -202,7 +214,8 @@
       members: () => this._switchMembers,
       peers: (version) => this._switchPeers(version),
       onChange: () => this._onStateChange(),
-      onConfirmed: () => undefined,
+      onConfirmed: (load) => this._memory.remember(load),
+      onUnconfirmed: () => this._memory.recall(),
     });
   }
 
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -35,6 +35,8 @@
   onChange: () => void;
   /** Called when the weights in service have been confirmed. */
   onConfirmed: (load: ConfirmedLoad) => void;
+  /** Called when nothing is known of the weights in service; {@link VersionReconciler.noteConfirmed} may follow. */
+  onUnconfirmed: () => void;
 }
 
 const RETRY_MILLISECONDS = 100;
@@ -219,6 +221,7 @@
     if (!status || servedVersion === 0 || this.confirmedLoad) return false;
     if (this._doubtful?.startedAt === status.startedAt && this._doubtful.revision === status.revision)
       return false;
+    this._options.onUnconfirmed();
     if (stages.targetVersion > servedVersion) return false;
     const stage = stages.stageOf(servedVersion);
     if (!(await stagingArea.lock()) || !stage?.complete) return true;
--- a/tests/stagingFleet.spec.ts
+++ b/tests/stagingFleet.spec.ts
@@ -96,6 +96,7 @@
   await until(() => fixture.allServe(1));
   const [box] = fixture.boxes;
   await fixture.stopAgent(box);
+  box.stored = undefined;
   if (!isIntact) box.server.staged.set(3, Buffer.from('corrupt'));
   await fixture.startAgent(box);
   return box;
@@ -135,6 +136,19 @@
   expect(versions.includes(1)).toEqual(false);
 });
 
+test('should serve after a restart of the agent what the store remembers while the next version is staged', async () => {
+  await fixture.start(1);
+  await until(() => fixture.allServe(1));
+  const [box] = fixture.boxes;
+  await until(() => box.stored !== undefined);
+  await fixture.stopAgent(box);
+  box.server.busy = true;
+  await fixture.startAgent(box);
+  fixture.announce(2);
+  const versions = await reportedTo(box, []);
+  await until(() => versions.includes(1));
+});
+
 test('should detect a corrupt download and repeat it', async () => {
   fixture.origin.corruptedChunks.add(0);
   await fixture.start(3);
