Soak: boxes that freeze, agent and server together, while their servers load a version

The runner stand-in takes, keeps and releases layers and tells whether each was intact when it took it. The promise `whole` now also holds for every request that runs, without the 3 s of grace; an order that was held at a frozen server may take corrupt chunks, which no agent can rule out, but no request may run on them. For all other orders it is as before.

Now only repeated checks that end with old readings count. The new test of versionLoad, "... however many orders were lost", covers it.

The report of a runner now has its layers, which platformRunner expects.

--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -46,6 +46,7 @@
   'harmful-part',
   'turn-part-harmful',
   'leave-amid-streams',
+  'freeze-amid-load',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -103,6 +103,8 @@
     this._executions.set(execution.id, [...earlier, execution]);
     if (!this._sentIds.has(execution.id)) this._breach('asked', `nobody sent ${execution.id}`);
     this._checkOnce(execution.id);
+    if (execution.isIntact === false)
+      this._breach('whole', `${execution.id} ran at ${execution.runner} on layers taken from corrupt chunks`);
     this._checkVersion(execution);
     this._checkDraining(execution);
     if (execution.harm !== undefined) this._checkCrashing(execution, execution.harm);
--- a/soak/promiseNames.ts
+++ b/soak/promiseNames.ts
@@ -5,7 +5,7 @@
   | 'once' // a request that must not be repeated runs at most once
   | 'not-run' // a refused request has not run
   | 'asked' // servers run only requests that a caller sent
-  | 'whole' // no server activates an incomplete version
+  | 'whole' // no server is ordered to load an incomplete version, and no request runs on one
   | 'version' // no request starts on an older version after the version deadline
   | 'configuration' // a configuration is in force within the time bound and is not reverted
   | 'draining' // a draining server gets no new requests
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -1,10 +1,12 @@
 /** Applies the faults and planned operations of a soak, from outside of the processes. */
 import type { Random } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
+import { ORIGIN_FAULTS } from '../standins/platformOriginStandin.js';
 import { RUNNER_FAULTS } from '../standins/platformRunnerFaults.js';
 import type { FaultKind } from './faultKinds.js';
 import { SIGNAL_KINDS, faultScope, keepsPromises } from './faultKinds.js';
 import type { FleetProcess } from './fleetProcess.js';
+import { FrozenBoxes } from './frozenBoxes.js';
 import { HarmfulRequests } from './harmfulRequests.js';
 import type { LeavingChecks } from './leavingChecks.js';
 import { LeavingEntries } from './leavingEntries.js';
@@ -46,6 +48,7 @@
   private readonly _drainingBoxes = new Set<SoakBox>();
   private readonly _harmfulRequests: HarmfulRequests;
   private readonly _leavingEntries: LeavingEntries;
+  private readonly _frozenBoxes: FrozenBoxes;
 
   constructor(
     fleet: SoakFleet,
@@ -65,6 +68,7 @@
       random,
       onSending: (id) => checks.onSending(id),
     });
+    this._frozenBoxes = new FrozenBoxes({ fleet, checks, random });
     const restart = async (entry: FleetProcess): Promise<void> => await this._stopEntry(entry);
     this._leavingEntries = new LeavingEntries({ fleet, random, checks, leaving, restart });
   }
@@ -79,6 +83,7 @@
       else if (kind === 'harmful-part') await this._harmfulRequests.sendWithHarmfulPart();
       else if (kind === 'turn-part-harmful') await this._harmfulRequests.sendWithPartTurningHarmful();
       else if (kind === 'leave-amid-streams') await this._leavingEntries.run();
+      else if (kind === 'freeze-amid-load') await this._frozenBoxes.run();
       else if (SIGNAL_KINDS.includes(kind)) await this._applySignal(kind, this._pick(this._fleet.boxes));
       else await this._applyFault(kind, milliseconds);
     } finally {
@@ -138,7 +143,7 @@
     if (kind === 'harm-store' || kind === 'lose-writes') {
       await this._breakStore(kind, milliseconds);
     } else if (kind === 'harm-origin') {
-      origin.faults = this._originFaults();
+      origin.faults = this._pick(ORIGIN_FAULTS);
       // The origin is read only while a new version is transferred.
       this._checks.onVersionAnnounced(this._fleet.announceWeights());
       await pause(milliseconds);
@@ -295,17 +300,14 @@
   private async _corruptStagedChunks(box: SoakBox, milliseconds: number): Promise<void> {
     this._checks.onVersionAnnounced(this._fleet.announceWeights());
     for (let elapsed = 0; elapsed < milliseconds; elapsed += CORRUPTION_INTERVAL_MILLISECONDS) {
-      for (const piece of box.runner.staged.keys()) {
-        if (this._random.fraction() < CORRUPTED_SHARE) box.runner.corrupt(piece);
+      const { staged } = box.runner;
+      for (const piece of staged.bytes.keys()) {
+        if (this._random.fraction() < CORRUPTED_SHARE) staged.corrupt(piece);
       }
       await pause(CORRUPTION_INTERVAL_MILLISECONDS);
     }
   }
 
-  private _originFaults(): SoakFleet['origin']['faults'] {
-    return this._pick([{ status: 503 }, { silent: true }, { corruptShare: 0.3 }, { truncatedShare: 0.3 }]);
-  }
-
   private _boxesOf(service: typeof MODEL_SERVICE | typeof PLAIN_SERVICE): SoakBox[] {
     return this._fleet.boxes.filter((box) => box.service === service);
   }
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -168,7 +168,7 @@
   private async _launch(box: SoakBox, runner: PlatformRunnerStandin, keepsStaged: boolean): Promise<void> {
     const { staged } = box.runner;
     box.runner = runner;
-    if (keepsStaged) for (const [piece, bytes] of staged) runner.staged.set(piece, bytes);
+    if (keepsStaged) for (const [piece, bytes] of staged.bytes) runner.staged.put(piece, bytes);
     box.startCount++;
     await runner.listen(box.host, PORTS.runner);
     if (!box.proxy.isListening) await box.proxy.listen(box.host, PORTS.proxied);
--- a/src/staging/loadDecisions.ts
+++ b/src/staging/loadDecisions.ts
@@ -8,17 +8,17 @@
 const MAX_READING_AGE_MILLISECONDS = 2_000;
 /** Chunks with younger readings are not read again when others are. */
 const FRESH_READING_AGE_MILLISECONDS = 1_000;
-/** Number of times that old readings are repeated: where reading takes long, some are always old. */
-const MAX_REPEATED_CHECKS = 2;
+/** Number of repeated checks that end with old readings: where reading takes long, some are always old. */
+const MAX_SLOW_CHECKS = 2;
 
 /** Returns the monotonic milliseconds after which a chunk has to have been read, as of `now`. */
 export function freshSince(now: number): number {
   return now - FRESH_READING_AGE_MILLISECONDS;
 }
 
-/** Whether to read chunks again before an order, `repeated` checks after the first. */
-export function needsCheck(oldestReadingAt: number, now: number, repeated: number): boolean {
-  return repeated < MAX_REPEATED_CHECKS && now - oldestReadingAt > MAX_READING_AGE_MILLISECONDS;
+/** Whether to read chunks again before an order; `slowChecks` were repeated before and ended with old readings. */
+export function needsCheck(oldestReadingAt: number, now: number, slowChecks: number): boolean {
+  return slowChecks < MAX_SLOW_CHECKS && now - oldestReadingAt > MAX_READING_AGE_MILLISECONDS;
 }
 
 /** An order is repeated if it has had no effect for this long although the backend server is idle. */
--- a/src/staging/loadOrder.ts
+++ b/src/staging/loadOrder.ts
@@ -48,7 +48,7 @@
   /** Status from before the first reading: an order is valid only if the server is unchanged since. */
   private readonly _before: LocalBackendStatus;
   private readonly _ordered: OrderedLayers;
-  private _repeatedChecks = 0;
+  private _slowChecks = 0;
 
   constructor(options: LoadOrderOptions, before: LocalBackendStatus, ordered: OrderedLayers = {}) {
     this._options = options;
@@ -62,8 +62,8 @@
       const status = await this._poll();
       if (!isUnchanged(this._before, status)) return this._changed(status);
       if (this._needsCheck()) {
-        this._repeatedChecks++;
         if (!(await this._check())) return await this._settle();
+        if (this._needsCheck()) this._slowChecks++;
         continue;
       }
       if (!(await this._options.stagingArea.lock())) {
@@ -78,7 +78,7 @@
   private _needsCheck(): boolean {
     const { stage, clock } = this._options;
     if (this._ordered.isRelease) return false;
-    return needsCheck(stage.stager.oldestReadingAt, clock.now(), this._repeatedChecks);
+    return needsCheck(stage.stager.oldestReadingAt, clock.now(), this._slowChecks);
   }
 
   /**
--- a/standins/platformOriginStandin.ts
+++ b/standins/platformOriginStandin.ts
@@ -17,6 +17,14 @@
   truncatedShare?: number;
 }
 
+/** Faults that are injected one at a time. */
+export const ORIGIN_FAULTS: readonly PlatformOriginFaults[] = [
+  { status: 503 },
+  { silent: true },
+  { corruptShare: 0.3 },
+  { truncatedShare: 0.3 },
+];
+
 /** Limits of the origin's network link. */
 export interface OriginLink {
   /** 0 for unlimited. */
--- a/standins/platformRunnerOptions.ts
+++ b/standins/platformRunnerOptions.ts
@@ -15,6 +15,8 @@
   harm: string | undefined;
   /** Version of the model; 0 for a service without a model. */
   version: number;
+  /** Whether the runner took all layers of that version from intact pieces; true without a model. */
+  isIntact?: boolean;
   /** Start time, in Unix milliseconds. */
   at: number;
 }
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -1,7 +1,7 @@
 /** Stand-in for a runner of the platform: requests, reports, orders and staged pieces over the runner's HTTP API. */
 import http from 'node:http';
 import { readBody } from '../src/utils/httpBody.js';
-import { placementHash, sha256Hex } from '../src/utils/hash.js';
+import { placementHash } from '../src/utils/hash.js';
 import { SeededRandom } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
 import type { PlatformRunnerFaults } from './platformRunnerFaults.js';
@@ -10,9 +10,10 @@
 import { eventText, sealOf } from './platformAnswers.js';
 import { CRASH_BODY, harmIn } from './platformRunnerHarm.js';
 import { EVENT_MILLISECONDS, sendStream } from './platformStreams.js';
+import type { LayerSpan } from './stagedPieces.js';
+import { HeldLayers, LAYER_COUNT, StagedPieces } from './stagedPieces.js';
 import { sendJsonAnswer } from './standinServer.js';
 import type { WeightsShape } from './weightsFixture.js';
-import { versionDigests } from './weightsFixture.js';
 
 /** Time from the start of a harmful request to the crash. */
 const CRASH_DELAY_MILLISECONDS = 70;
@@ -23,6 +24,8 @@
 const ANSWER_MILLISECONDS = 10;
 /** A piece that was corrupted more recently than this counts as intact: an agent cannot have detected it yet. */
 const CORRUPTION_GRACE_MILLISECONDS = 3_000;
+/** An order that waited for longer was held by a standstill. */
+const HELD_MILLISECONDS = 500;
 const MISDIRECTED_STATUS = 421;
 const UNAVAILABLE_STATUS = 503;
 
@@ -30,15 +33,18 @@
 export class PlatformRunnerStandin {
   faults: PlatformRunnerFaults = {};
   readonly id: string;
-  /** Staged pieces by number. */
-  readonly staged = new Map<number, Buffer>();
-  /** By piece: when it was corrupted, in Unix milliseconds. */
-  private readonly _corruptedAt = new Map<number, number>();
+  readonly staged = new StagedPieces();
+  /** Called when a call to read a piece or an order has arrived. */
+  onStageCall: (call: 'get' | 'order') => void = () => undefined;
   private readonly _options: PlatformRunnerOptions;
   private readonly _server = http.createServer((request, response) => void this._serve(request, response));
   private readonly _waiting: (() => void)[] = [];
   private readonly _callTimes: SeededRandom;
   private _version: number;
+  private readonly _layers: HeldLayers;
+  /** Resolves at once unless the runner stands still. */
+  private _awake = Promise.resolve();
+  private _wake: () => void = () => undefined;
   private _active = 0;
   private _sequence = 0;
   private _starting = false;
@@ -52,6 +58,7 @@
     this._options = options;
     this.id = options.id;
     this._version = options.version;
+    this._layers = new HeldLayers(options.version);
     this._callTimes = new SeededRandom(placementHash(options.id));
     this._server.keepAliveTimeout = 5_000;
   }
@@ -95,12 +102,13 @@
     this._server.closeAllConnections();
   }
 
-  /** Corrupts a staged piece. */
-  corrupt(piece: number): void {
-    const bytes = this.staged.get(piece);
-    if (!bytes) return;
-    bytes[0] ^= 1;
-    this._corruptedAt.set(piece, Date.now());
+  /** Stands still: it handles no call until {@link PlatformRunnerStandin.wake}. */
+  standStill(): void {
+    this._awake = new Promise((resolve) => (this._wake = resolve));
+  }
+
+  wake(): void {
+    this._wake();
   }
 
   /** Returns the record that the runner writes to the platform's store. */
@@ -119,11 +127,17 @@
     if (!body) return;
     const [, call] = url.pathname.split('/');
     const piece = url.searchParams.get('item_count');
-    if (call === 'report') return sendJsonAnswer(response, 200, this._report());
+    if (call === 'report') {
+      await this._awake;
+      return sendJsonAnswer(response, 200, this._report());
+    }
     if (call === 'order' || call.startsWith('stage-')) await this._delayCall();
-    if (call === 'order') return this._order(JSON.parse(body.toString()) as OrderBody, response);
-    if (call === 'stage-put') return this._put(Number(piece), body, response);
-    if (call === 'stage-get') return this._get(piece, response);
+    if (call === 'order' || piece !== null) this.onStageCall(call === 'order' ? 'order' : 'get');
+    const arrivedAt = Date.now();
+    await this._awake;
+    const wasHeld = Date.now() - arrivedAt >= HELD_MILLISECONDS;
+    if (call === 'order') return this._order(JSON.parse(body.toString()) as OrderBody, wasHeld, response);
+    if (call === 'stage-put' || call === 'stage-get') return this.staged.serve(call, piece, body, response);
     if (call === 'healthz') return void response.writeHead(200, { 'x-instance-id': this.id }).end();
     await this._run(request, response, url, body.toString());
   }
@@ -136,16 +150,18 @@
   private _models(): unknown[] {
     const { weights } = this._options;
     if (!weights || this._version === 0) return [];
-    const layers = [{ source: 0, target_version: 4, version: this._version }];
-    return [{ name: weights.model, version: this._version, adapters: [], layers }];
+    return [{ name: weights.model, version: this._version, adapters: [] }];
   }
 
   private _report(): unknown {
     const queued = this._waiting.length;
     const models = this._models();
+    const { source, target } = this._layers.span;
+    const layers = { source, target_version: target, version: this._version };
     return {
       phase: 'unified',
       models,
+      ...(models.length > 0 && { layers }),
       utilization: this._starting,
       seq_no: this._sequence,
       born: this._startedAt,
@@ -154,44 +170,39 @@
     };
   }
 
-  private _put(piece: number, body: Buffer, response: http.ServerResponse): void {
-    this.staged.set(piece, body);
-    this._corruptedAt.delete(piece);
-    response.writeHead(200).end();
-  }
-
-  private _get(piece: string | null, response: http.ServerResponse): void {
-    if (piece === null) return sendJsonAnswer(response, 200, { held: [...this.staged.keys()] });
-    const bytes = this.staged.get(Number(piece));
-    if (bytes) response.writeHead(200, { 'content-length': bytes.length }).end(bytes);
-    else response.writeHead(404).end();
-  }
-
-  private _order(order: OrderBody, response: http.ServerResponse): void {
+  private _order(order: OrderBody, wasHeld: boolean, response: http.ServerResponse): void {
     const { weights } = this._options;
     if (order.operation !== 'start' || !weights) return sendJsonAnswer(response, 400, {});
     if (order.expected_rev !== undefined && order.expected_rev !== this._sequence)
       return sendJsonAnswer(response, 409, {});
     if (this._starting) return sendJsonAnswer(response, 409, {});
-    if (order.version === this._version) return sendJsonAnswer(response, 200, {});
+    const { source = 0, target_version: target = LAYER_COUNT } = order;
+    const span = { source, target };
+    const { source: first, target: end } = this._layers.span;
+    if (order.version === this._version && source === first && target === end)
+      return sendJsonAnswer(response, 200, {});
     this._sequence++;
     this._starting = true;
-    void this._start(weights, order.version);
+    void this._start(weights, order.version, span, wasHeld);
     if (this.faults.lostOrderAnswers) response.destroy();
     else sendJsonAnswer(response, 202, {});
   }
 
-  /** Loads the pieces that are staged now; serves them when the running requests have ended. */
-  private async _start(weights: WeightsShape, version: number): Promise<void> {
-    const digests = versionDigests(weights, version);
-    const now = Date.now();
-    const isComplete = digests.every((digest, piece) => {
-      const bytes = this.staged.get(piece);
-      const isRecentlyCorrupted =
-        now - (this._corruptedAt.get(piece) ?? Number.NEGATIVE_INFINITY) < CORRUPTION_GRACE_MILLISECONDS;
-      return bytes !== undefined && (isRecentlyCorrupted || sha256Hex(bytes) === digest);
-    });
-    if (!isComplete) this._options.onIncompleteVersion(this.id, version);
+  /**
+   * Loads the pieces that are staged now; serves them when the running requests have ended. No agent can rule out that
+   * an order which was held is taken after a piece was corrupted: only requests that run on it break a promise.
+   */
+  private async _start(
+    weights: WeightsShape,
+    version: number,
+    span: LayerSpan,
+    wasHeld: boolean,
+  ): Promise<void> {
+    const isReplaced = version !== this._version;
+    const isComplete = this.staged.isComplete(weights, version, CORRUPTION_GRACE_MILLISECONDS);
+    if (isReplaced && !isComplete && !wasHeld) this._options.onIncompleteVersion(this.id, version);
+    if (isReplaced) this._layers.replace(weights, version, this.staged);
+    else this._layers.hold(span, weights, version, this.staged);
     while (this._active > 0) await pause(EVENT_MILLISECONDS);
     await pause(LOAD_MILLISECONDS);
     this._version = version;
@@ -217,7 +228,9 @@
     const customer = String(headers['x-tenant'] ?? '');
     const version = this._options.weights ? this._version : 0;
     const harm = harmIn(body, String(headers['x-prefix-hash'] ?? ''));
-    const execution = { id, runner: this.id, service, customer, path: url.pathname, body, version, harm };
+    const isIntact = this._layers.isIntact;
+    const path = url.pathname;
+    const execution = { id, runner: this.id, service, customer, path, body, version, isIntact, harm };
     onExecution({ ...execution, at: Date.now() });
     try {
       if (harm !== undefined) return await this._crash(harm, id, response);
@@ -245,8 +258,8 @@
     const target = headers['x-target-instance'] ?? this.id;
     const expected = Number(headers['x-expected-version'] ?? this._version);
     if (target !== this.id) return MISDIRECTED_STATUS;
-    if (this._options.weights && (this._version === 0 || expected !== this._version))
-      return MISDIRECTED_STATUS;
+    const isServing = this._version > 0 && this._layers.isWhole && expected === this._version;
+    if (this._options.weights && !isServing) return MISDIRECTED_STATUS;
     const isFull = this._active + this._waiting.length >= this._options.slots + MAX_QUEUED;
     const { sheddingShare = 0 } = this.faults;
     const isShed = this.faults.shedding || (sheddingShare > 0 && this._options.fraction() < sheddingShare);
@@ -300,4 +313,6 @@
   operation: string;
   version: number;
   expected_rev?: number;
+  source?: number;
+  target_version?: number;
 }
--- a/tests/platformRunner.spec.ts
+++ b/tests/platformRunner.spec.ts
@@ -4,7 +4,9 @@
 import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
 import { PlatformOrigin, PlatformRunner } from '../platform/runner.js';
+import type { LocalBackendStatus } from '../src/staging/localBackend.js';
 import { sha256Hex } from '../src/utils/hash.js';
+import { pause } from '../src/utils/timers.js';
 import { PlatformOriginStandin } from '../standins/platformOriginStandin.js';
 import { PlatformRunnerStandin } from '../standins/platformRunnerStandin.js';
 import { versionChunk } from '../standins/weightsFixture.js';
@@ -67,6 +69,7 @@
     revision: 0,
     running: 0,
     queued: 0,
+    layers: { first: 0, end: 4 },
   });
 });
 
@@ -87,6 +90,22 @@
   expect(incompleteVersions).toEqual([]);
 });
 
+async function idleStatus(): Promise<LocalBackendStatus> {
+  for (;;) {
+    const status = await runner.status();
+    if (!status.busy) return status;
+    await pause(5);
+  }
+}
+
+test('should release layers and load them again', async () => {
+  await stageAll(1);
+  expect(await runner.startVersion(SHAPE.model, 1, 0, { first: 0, end: 3 })).toEqual('begun');
+  expect((await idleStatus()).layers).toEqual({ first: 0, end: 3 });
+  expect(await runner.startVersion(SHAPE.model, 1, 1, { first: 0, end: 4 })).toEqual('begun');
+  expect((await idleStatus()).layers).toEqual({ first: 0, end: 4 });
+});
+
 test('should report an order with another revision as refused', async () => {
   await stageAll(2);
   expect(await runner.startVersion(SHAPE.model, 2, 7)).toEqual('refused');
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -24,6 +24,7 @@
   'evacuate',
   'harmful-part',
   'turn-part-harmful',
+  'freeze-amid-load',
 ];
 const KINDS_OF_SEED = FAULT_KINDS.filter((kind) => !EXCLUDED_KINDS.includes(kind));
 
--- a/tests/soakRestarts.spec.ts
+++ b/tests/soakRestarts.spec.ts
@@ -18,6 +18,7 @@
       'turn-cold',
       'harmful-part',
       'turn-part-harmful',
+      'freeze-amid-load',
     ].includes(kind),
 );
 
--- a/tests/versionLoad.spec.ts
+++ b/tests/versionLoad.spec.ts
@@ -52,12 +52,25 @@
   expect(fixture.servesIntactLayers).toEqual(true);
 });
 
+test('should read chunks again after each freeze, however many orders were lost', async () => {
+  let orders = 0;
+  fixture.server.onOrder = () => {
+    if (++orders === 5) return 'answered';
+    fixture.server.corrupt(orders);
+    fixture.freeze();
+    return 'dropped';
+  };
+  expect(await fixture.run()).toEqual('serving');
+  expect(fixture.server.revision).toEqual(1);
+  expect(fixture.servesIntactLayers).toEqual(true);
+});
+
 test('should load a layer again that was corrupt when a frozen server took the order', async () => {
   fixture.server.onOrder = () => {
-    fixture.server.onOrder = () => false;
+    fixture.server.onOrder = () => 'answered';
     fixture.server.corrupt(5);
     fixture.freeze();
-    return false;
+    return 'answered';
   };
   expect(await fixture.run()).toEqual('serving');
   expect(fixture.servesIntactLayers).toEqual(true);
@@ -66,10 +79,10 @@
 
 test('should load layers again that were corrupt when the server took an order without an answer', async () => {
   fixture.server.onOrder = () => {
-    fixture.server.onOrder = () => false;
+    fixture.server.onOrder = () => 'answered';
     for (const chunk of [0, CHUNKS - 1]) fixture.server.corrupt(chunk);
     fixture.freeze();
-    return true;
+    return 'unanswered';
   };
   expect(await fixture.run()).toEqual('serving');
   expect(fixture.servesIntactLayers).toEqual(true);
@@ -79,7 +92,7 @@
   fixture.server.takesParts = false;
   fixture.server.onOrder = () => {
     fixture.server.corrupt(5);
-    return false;
+    return 'answered';
   };
   expect(await fixture.run()).toEqual('doubtful');
   expect(fixture.confirmed).toEqual([]);
