Agents: begin no turn on what was known before a pause

Found by reading; shown by a test of the phases, not by a run of real processes.

Change: a round that begins 500 ms late shows a pause. The turn is a class of its own (SwitchPreparation).

Test: peerMessages, "... because this process was paused" and "... right after a pause"; neither the method nor the wait existed before.

--- a/src/staging/peerMessages.ts
+++ b/src/staging/peerMessages.ts
@@ -35,6 +35,14 @@
     this._peers = new Set(boxes);
   }
 
+  /**
+   * Records that this process was paused: what the other boxes reported in that time is unread, so that their phases
+   * are not known to have lasted meanwhile.
+   */
+  onPaused(milliseconds: number): void {
+    for (const known of this._phases.values()) known.since += milliseconds;
+  }
+
   /** Returns the phases of the connected boxes of the service with respect to `version`. */
   phases(version: number): SwitchPeer[] {
     const now = this._clock.now();
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -214,6 +214,7 @@
       members: () => this._switchMembers,
       peers: (version) => this._switchPeers(version),
       onChange: () => this._onStateChange(),
+      onPaused: (milliseconds) => this._peerMessages.onPaused(milliseconds),
       onConfirmed: (load) => this._memory.remember(load),
       onUnconfirmed: () => this._memory.recall(),
     });
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -1,38 +1,29 @@
 /** Brings the backend server of this box to the target version, and retries until the server serves it. */
 import type { ConfirmedLoad } from '../protocol/boxMessages.js';
-import type { Member } from '../protocol/rolloutMessages.js';
-import { LAST_SEND_MARGIN_MILLISECONDS } from '../protocol/versionMargins.js';
-import type { EventLog } from '../telemetry/eventLog.js';
-import type { Clock } from '../utils/clock.js';
 import { pause } from '../utils/timers.js';
 import { WakeableTimer } from '../utils/wakeableTimer.js';
 import { BackendMonitor } from './backendMonitor.js';
-import { switchOrder } from './originFetchSchedule.js';
 import { pollInterval, roundInterval } from './pollInterval.js';
 import type { LocalBackend, LocalBackendStatus } from './localBackend.js';
 import { ServedConfirmation } from './servedConfirmation.js';
 import type { StageQueue } from './stageQueue.js';
 import type { StagingArea } from './stagingArea.js';
-import type { SwitchPeer, SwitchPhase } from './switchTurn.js';
-import { PREPARING_MILLISECONDS, maySwitch } from './switchTurn.js';
+import type { SwitchPreparationOptions } from './switchPreparation.js';
+import { SwitchPreparation, isNearlyComplete } from './switchPreparation.js';
+import type { SwitchPhase } from './switchTurn.js';
 import type { LoadResult } from './versionLoad.js';
 import { VersionLoad } from './versionLoad.js';
 import type { VersionStage } from './versionStage.js';
 
 /** Options of a {@link VersionReconciler}. */
-export interface VersionReconcilerOptions {
-  box: string;
+export interface VersionReconcilerOptions extends SwitchPreparationOptions {
   backend: LocalBackend;
   stagingArea: StagingArea;
   stages: StageQueue;
-  clock: Clock;
-  log: EventLog;
-  versionMilliseconds: number;
-  members: () => readonly Member[];
-  /** Returns the phases of the other boxes with respect to `version`. */
-  peers: (version: number) => SwitchPeer[];
   /** Called when the phase of this box or the status of its backend server may have changed. */
   onChange: () => void;
+  /** Called after this process was paused. */
+  onPaused: (milliseconds: number) => void;
   /** Called when the weights in service have been confirmed. */
   onConfirmed: (load: ConfirmedLoad) => void;
   /** Called when nothing is known of the weights in service; {@link VersionReconciler.noteConfirmed} may follow. */
@@ -40,8 +31,8 @@
 }
 
 const RETRY_MILLISECONDS = 100;
-/** A box that still lacks chunks after preparing for this long gives up its turn. */
-const MAX_PREPARATION_MILLISECONDS = 1_500;
+/** A round that begins this much later than planned shows that the process was paused. */
+const PAUSE_MILLISECONDS = 500;
 
 export class VersionReconciler {
   private readonly _options: VersionReconcilerOptions;
@@ -49,6 +40,7 @@
   private readonly _timer = new WakeableTimer();
   private readonly _monitor: BackendMonitor;
   private readonly _confirmation: ServedConfirmation;
+  private readonly _preparation: SwitchPreparation;
   private _load: VersionLoad | undefined;
   /** Results of loads by result, for the metrics. */
   readonly loadResults: Record<LoadResult, number> = { serving: 0, doubtful: 0, abandoned: 0 };
@@ -57,13 +49,11 @@
   /** The status whose version is doubtful and can't be loaded again. */
   private _doubtful: LocalBackendStatus | undefined;
   private _lastServed = 0;
-  /** The version for which this box is preparing, 0 for none. */
-  private _preparingFor = 0;
-  private _preparingSince = 0;
 
   constructor(options: VersionReconcilerOptions) {
     this._options = options;
     this._confirmation = new ServedConfirmation(() => options.stages.model);
+    this._preparation = new SwitchPreparation(options);
     this._monitor = new BackendMonitor({
       ...options,
       switchingTo: () => (this._isLoading ? this._load!.stage.version : 0),
@@ -100,8 +90,8 @@
   get switchPhase(): SwitchPhase {
     if (this._isOutOfService) return 'switching';
     const next = this._nextStage;
-    if (next && next.version === this._preparingFor) return 'preparing';
-    if (next) return this._isNearlyComplete(next) ? 'staged' : 'staging';
+    if (next && next.version === this._preparation.version) return 'preparing';
+    if (next) return isNearlyComplete(next) ? 'staged' : 'staging';
     return this.servedVersion >= this._options.stages.targetVersion ? 'serving' : 'staging';
   }
 
@@ -171,10 +161,27 @@
       }
       const sincePoll = this._options.clock.now() - this._monitor.polledAt;
       const wait = roundInterval(this.switchPhase, this.status, sincePoll);
-      if (!this._stopped.signal.aborted) await this._timer.wait(wait);
+      if (!this._stopped.signal.aborted) await this._wait(wait);
     }
   }
 
+  private async _wait(milliseconds: number): Promise<void> {
+    const { clock } = this._options;
+    const dueAt = clock.now() + milliseconds;
+    await this._timer.wait(milliseconds);
+    const paused = clock.now() - dueAt;
+    if (paused >= PAUSE_MILLISECONDS) this._onPaused(paused);
+  }
+
+  /** Gives up a turn that has not got beyond preparing: the other boxes may have taken theirs meanwhile. */
+  private _onPaused(milliseconds: number): void {
+    const { log, onPaused } = this._options;
+    const { version } = this._preparation;
+    log.state('agent.paused', { milliseconds: Math.round(milliseconds), preparing: version });
+    onPaused(milliseconds);
+    this._preparation.onPaused();
+  }
+
   /** A box that waits for its turn checks its peers often, but polls its server only as often as usual. */
   private _isPollDue(): boolean {
     const interval = pollInterval(this.switchPhase, this.status);
@@ -188,7 +195,8 @@
     if (servedVersion !== this._lastServed)
       log.state('version.serving', { version: servedVersion, before: this._lastServed });
     this._lastServed = servedVersion;
-    if (servedVersion >= this._preparingFor) this._preparingFor = 0;
+    if (this._preparation.version > 0 && servedVersion >= this._preparation.version)
+      this._preparation.giveUp();
     stages.dropOlderThan(servedVersion);
     onChange();
   }
@@ -196,8 +204,7 @@
   /** Ends the turn and the load. Staged chunks are read back before each order anyway. */
   private _onExit(): void {
     this._load?.abandon();
-    this._preparingFor = 0;
-    this._options.onChange();
+    this._preparation.giveUp();
   }
 
   private async _reconcile(): Promise<void> {
@@ -206,7 +213,7 @@
     const stage = this._nextStage;
     if (!stage) return;
     if (!(await stage.stager.acquireStagingArea())) return;
-    if (this.confirmedLoad && !this._isPrepared(stage)) return;
+    if (this.confirmedLoad && !this._preparation.isPrepared(stage, this.status?.running)) return;
     if (stage.complete) this._startLoad(stage);
   }
 
@@ -230,50 +237,6 @@
     return true;
   }
 
-  /** Whether the load may begin: preparation is over, no requests are running, or there is no time left. */
-  private _isPrepared(stage: VersionStage): boolean {
-    const { clock, log, onChange } = this._options;
-    if (this._preparingFor !== stage.version) {
-      if (!this._isNearlyComplete(stage) || !this._mayBegin(stage)) return false;
-      this._preparingFor = stage.version;
-      this._preparingSince = clock.now();
-      log.state('version.preparing', { version: stage.version, running: this.status?.running });
-      onChange();
-    }
-    const elapsed = clock.now() - this._preparingSince;
-    if (!stage.complete && elapsed > MAX_PREPARATION_MILLISECONDS) {
-      this._preparingFor = 0;
-      onChange();
-      return false;
-    }
-    return this.status?.running === 0 || elapsed >= PREPARING_MILLISECONDS || this._isLate(stage);
-  }
-
-  private _isNearlyComplete(stage: VersionStage): boolean {
-    return stage.expectedMilliseconds < PREPARING_MILLISECONDS;
-  }
-
-  /** Whether it is too late for new requests to begin on the version in service. */
-  private _isLate(stage: VersionStage): boolean {
-    return this._leftMilliseconds(stage) <= LAST_SEND_MARGIN_MILLISECONDS;
-  }
-
-  /** Milliseconds until the version deadline, after which no request may begin on a version older than this stage's. */
-  private _leftMilliseconds(stage: VersionStage): number {
-    const { clock, versionMilliseconds } = this._options;
-    return stage.announcedAt + versionMilliseconds - clock.now();
-  }
-
-  private _mayBegin(stage: VersionStage): boolean {
-    const { box, members, peers } = this._options;
-    return maySwitch({
-      box,
-      peers: peers(stage.version),
-      order: switchOrder(stage.exchange.rollout, members()),
-      leftMilliseconds: this._leftMilliseconds(stage),
-    });
-  }
-
   private _startLoad(stage: VersionStage): void {
     const { status } = this;
     const since = Math.max(this._monitor.incarnationSeenAt, this._loadEndedAt);
@@ -286,7 +249,7 @@
       ...this._options,
       stage,
       poll: async (signal) => await this._monitor.pollUntilAnswered(signal),
-      isUrgent: () => !this.confirmedLoad || this._isLate(stage),
+      isUrgent: () => !this.confirmedLoad || this._preparation.isLate(stage),
       onChange,
       onConfirmed: (confirmed) => {
         this.noteConfirmed(confirmed);
--- a/tests/peerMessages.spec.ts
+++ b/tests/peerMessages.spec.ts
@@ -68,3 +68,34 @@
   for (const others of [[], [peer], [], [peer]]) fixture.notifyAll(others);
   await until(() => timesServing() >= 3);
 });
+
+test('should not take a box for stuck because this process was paused', () => {
+  const clock = new ManualClock();
+  const messages = new PeerMessages(
+    () => [],
+    clock,
+    () => undefined,
+  );
+  messages.setPeers(['b']);
+  messages.onPeerMessage('b', SWITCHING);
+  clock.advance(4_200);
+  messages.onPaused(4_000);
+  expect(messages.phases(2)).toEqual([{ box: 'b', phase: 'switching', phaseMilliseconds: 200 }]);
+});
+
+test('should not begin a turn right after a pause, before the other boxes have reported their phases', async () => {
+  await fixture.start(2);
+  await until(() => fixture.allServe(1));
+  blockProcess(700);
+  await until(() => fixture.logLines.some((line) => line.includes('agent.paused')));
+  const resumedAt = performance.now();
+  fixture.announce(2);
+  await until(() => fixture.logLines.some((line) => line.includes('version.preparing')));
+  expect(performance.now() - resumedAt >= 500).toEqual(true);
+});
+
+/** Keeps this process from running anything else, as a pause does. */
+function blockProcess(milliseconds: number): void {
+  const end = performance.now() + milliseconds;
+  while (performance.now() < end);
+}
