Agents: count loads by result, and tell the confirmed version

A server that is kept out of service because its weights are in doubt was visible in the log only. Metrics: version_confirmed, and version_loads by result (serving, doubtful, abandoned).

--- a/src/staging/stagingMetrics.ts
+++ b/src/staging/stagingMetrics.ts
@@ -5,6 +5,7 @@
 import type { TransferCounts } from '../weights/transferCounts.js';
 import type { UploadQueue } from '../weights/uploadQueue.js';
 import type { StageQueue } from './stageQueue.js';
+import { LOAD_RESULTS } from './versionLoad.js';
 import type { VersionReconciler } from './versionReconciler.js';
 
 /** Sources that the metrics are read from. */
@@ -32,6 +33,9 @@
   const counts = (): TransferCounts | undefined => stages.stages.at(-1)?.exchange.counts;
   metrics.gauge('version_wanted', () => stages.targetVersion);
   metrics.gauge('version_serving', () => reconciler.servedVersion);
+  metrics.gauge('version_confirmed', () => reconciler.confirmedLoad?.version ?? 0);
+  for (const result of LOAD_RESULTS)
+    metrics.gauge(`version_loads{result="${result}"}`, () => reconciler.loadCount(result));
   metrics.gauge('version_held_share', () => stages.stages.at(-1)?.heldShare ?? 0);
   metrics.gauge('version_origin_bytes', () => counts()?.originBytes ?? 0);
   metrics.gauge('version_peer_bytes', () => counts()?.peerBytes ?? 0);
--- a/src/staging/versionLoad.ts
+++ b/src/staging/versionLoad.ts
@@ -29,7 +29,8 @@
  * How a load ended: `doubtful` if the server has taken corrupt chunks and can't be ordered to load them again, so that
  * it may not get requests; `abandoned` if it has to begin again.
  */
-export type LoadResult = 'serving' | 'doubtful' | 'abandoned';
+export type LoadResult = (typeof LOAD_RESULTS)[number];
+export const LOAD_RESULTS = ['serving', 'doubtful', 'abandoned'] as const;
 
 /** Options of a {@link VersionLoad}. */
 export interface VersionLoadOptions {
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -42,8 +42,7 @@
   private readonly _confirmation: ServedConfirmation;
   private readonly _preparation: SwitchPreparation;
   private _load: VersionLoad | undefined;
-  /** Results of loads by result, for the metrics. */
-  readonly loadResults: Record<LoadResult, number> = { serving: 0, doubtful: 0, abandoned: 0 };
+  private readonly _loadCounts = new Map<LoadResult, number>();
   /** Monotonic milliseconds at which the last load ended; the next one does not rely on what that one read. */
   private _loadEndedAt = Number.NEGATIVE_INFINITY;
   /** The status whose version is doubtful and can't be loaded again. */
@@ -87,6 +86,11 @@
     return this._nextStage?.version ?? Math.max(this.servedVersion, this._options.stages.targetVersion);
   }
 
+  /** Number of loads that have ended with this result. */
+  loadCount(result: LoadResult): number {
+    return this._loadCounts.get(result) ?? 0;
+  }
+
   get switchPhase(): SwitchPhase {
     if (this._isOutOfService) return 'switching';
     const next = this._nextStage;
@@ -265,7 +269,7 @@
     const { version } = stage;
     this._loadEndedAt = clock.now();
     log.state('version.load-ended', { version, result, served: this.servedVersion });
-    this.loadResults[result]++;
+    this._loadCounts.set(result, this.loadCount(result) + 1);
     if (result === 'doubtful') this._doubtful = this.status;
     this._load = undefined;
     onChange();
