Entries: say once that an agent does not confirm what its server took

In a rolling upgrade agents of earlier builds report versions without a revision. They count as before, and one line names the agent.

--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -74,6 +74,8 @@
   private readonly _incarnations = new Map<string, ServerIncarnation>();
   private readonly _starts = new ObservedStarts();
   private _byHost = new Map<string, TrackedServer[]>();
+  /** Hosts of agents of earlier builds. */
+  private readonly _olderAgents = new Set<string>();
   /** Ids of servers that are missing from a possibly incomplete list. */
   private readonly _missing = new Set<string>();
 
@@ -113,6 +115,7 @@
 
   /** Applies a status message of the agent at `host`. */
   noteStatus(host: string, status: BoxStatus): void {
+    if (status.version > 0 && status.revision === undefined) this._logOlderAgent(host);
     for (const { record } of this._byHost.get(host) ?? []) this._noteStatusOf(record, status);
     this.waiting.wake();
   }
@@ -170,6 +173,13 @@
     this._servers.get(record.id)!.noteStatus(status);
   }
 
+  /** An agent of an earlier build does not confirm what its server took: its version counts all the same. */
+  private _logOlderAgent(host: string): void {
+    if (this._olderAgents.has(host)) return;
+    this._olderAgents.add(host);
+    this._options.log.state('agent.not-confirming', { host });
+  }
+
   /** Logs a report about an ended incarnation, which does not apply to the current one. */
   private _logLateReport(server: string, source: IncarnationSource): void {
     this._options.log.decision('server.late-word', { server, source });
--- a/src/staging/versionLoad.ts
+++ b/src/staging/versionLoad.ts
@@ -136,10 +136,10 @@
   private async _confirm(taken: TakenOrder, corrupt: readonly number[]): Promise<LoadResult> {
     const { stagingArea, onConfirmed, clock, log } = this._options;
     const { version } = this.stage;
-    const confirmed = await this._reload(taken, corrupt);
-    if (confirmed === 'doubtful' || confirmed === 'abandoned') return confirmed;
+    const intact = await this._reload(taken, corrupt);
+    if (intact === 'doubtful' || intact === 'abandoned') return intact;
     stagingArea.unlock();
-    const { startedAt, revision, takenBy } = confirmed;
+    const { startedAt, revision, takenBy } = intact;
     const confirmMilliseconds = Math.round(clock.now() - takenBy);
     log.state('version.confirmed', { version, revision, confirmMilliseconds });
     this._enter('starting');
