Agents: release the staging area when a late confirmation makes its lock needless

Found by reading. A restarted agent that knew nothing of the version in service locked the staging area to read it back. If an entry or the store remembered it only then, while chunks were missing, nothing unlocked the area: the box could never stage another version, and callers would have lost its server at the next deadline.

Change: a round that neither runs nor waits for a load unlocks the area.

Test: agentRestarts, "... after an entry has remembered late ..." fails without the change.

--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -212,8 +212,11 @@
   }
 
   private async _reconcile(): Promise<void> {
-    this._options.stages.dropSuperseded();
+    const { stages, stagingArea } = this._options;
+    stages.dropSuperseded();
     if (!this.knowsBackend || this._load || (await this._confirmServed())) return;
+    // It was locked to confirm the version in service, which is no longer needed or possible.
+    stagingArea.unlock();
     const stage = this._nextStage;
     if (!stage) return;
     if (!(await stage.stager.acquireStagingArea())) return;
