Tests: what a restarted agent recalls from the store

The stand-in of the store answers reads of single objects, as the users' page says; an agent that recalled its confirmation in the soak got a list instead and tried again.

--- a/standins/platformStoreStandin.ts
+++ b/standins/platformStoreStandin.ts
@@ -111,12 +111,20 @@
     if (this.faults.invalidJson) return void response.writeHead(200).end('<html>');
     if (this.answer !== undefined) return sendJsonAnswer(response, 200, this.answer);
     if (method !== 'GET') return this._handleWrite(request);
+    const [, objectKind, name] = OBJECT_PATH.exec(url.pathname) ?? [];
+    if (name !== undefined) return this._read(objectKind, name, response);
     const kind = KIND_PATH.exec(url.pathname)?.[1] ?? '';
     const watch = url.searchParams.get('watch');
     if (watch === null) this._list(kind, url.searchParams.get('since_rev') ?? '', response);
     else await this._watch(kind, Number(watch), Number(url.searchParams.get('wait_ms')), response);
   }
 
+  private _read(kind: string, name: string, response: http.ServerResponse): void {
+    const object = this.get(kind, name);
+    if (object) sendJsonAnswer(response, 200, toWire(object));
+    else sendJsonAnswer(response, 404, {});
+  }
+
   private _setEraHeader(response: http.ServerResponse): void {
     const header = this.eraHeader ?? String(this.era);
     if (header === '') response.removeHeader(ERA_HEADER);
