--- a/src/staging/loadDecisions.ts
+++ b/src/staging/loadDecisions.ts
@@ -11,6 +11,11 @@
 /** Number of repeated checks that end with old readings: where reading takes long, some are always old. */
 const MAX_SLOW_CHECKS = 2;
 
+/** An order is repeated if it has had no effect for this long although the backend server is idle. */
+const IDLE_ORDER_TIMEOUT_MILLISECONDS = 300;
+/** An order is repeated if it has had no effect for this long while the backend server is busy. */
+const BUSY_ORDER_TIMEOUT_MILLISECONDS = 6_000;
+
 /** Returns the monotonic milliseconds after which a chunk has to have been read, as of `now`. */
 export function freshSince(now: number): number {
   return now - FRESH_READING_AGE_MILLISECONDS;
@@ -21,11 +26,6 @@
   return slowChecks < MAX_SLOW_CHECKS && now - oldestReadingAt > MAX_READING_AGE_MILLISECONDS;
 }
 
-/** An order is repeated if it has had no effect for this long although the backend server is idle. */
-const IDLE_ORDER_TIMEOUT_MILLISECONDS = 300;
-/** An order is repeated if it has had no effect for this long while the backend server is busy. */
-const BUSY_ORDER_TIMEOUT_MILLISECONDS = 6_000;
-
 /** Whether an order has had no effect for so long, in milliseconds, that it has to be repeated. */
 export function isOrderLost(waited: number, status: Pick<LocalBackendStatus, 'busy'>): boolean {
   return waited > (status.busy ? BUSY_ORDER_TIMEOUT_MILLISECONDS : IDLE_ORDER_TIMEOUT_MILLISECONDS);
