Entries: use servers whose agents report elsewhere, as the last resort

Change: the version in the record of such a server counts once it has been listed for 3 s, which is longer than an agent takes to find a doubtful load and have it loaded again. What the agent reports to this entry goes first, always.

Tests: trackedServer, "... whose agent reports elsewhere" (fails without the change) and "... whose agent reports here". Not played on a deployment with more than 40 agents.

--- a/src/serving/serverPool.ts
+++ b/src/serving/serverPool.ts
@@ -278,6 +278,7 @@
       clock,
       () => Math.min(MAX_SHARERS, Math.max(1, sharers())),
       linkDelay,
+      () => this._options.isRouted(hostOf(address)),
     );
   }
 
--- a/src/serving/trackedServer.ts
+++ b/src/serving/trackedServer.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../utils/clock.js';
 import { hostOf } from '../utils/hostPort.js';
 import type { BackendConnections } from './backendConnections.js';
-import type { BackendServerRecord } from './backendServerRecord.js';
+import type { BackendServerRecord, ServedModel } from './backendServerRecord.js';
 import { ServerHealth } from './serverHealth.js';
 import { UNKNOWN_START } from './serverIncarnation.js';
 
@@ -23,6 +23,8 @@
  * by 180 ms on a link that is not slow.
  */
 export const SLOW_LINK_MILLISECONDS = 400;
+/** A doubtful load is found within half a second, and its layers are loaded again within a second. */
+const LISTED_VERSION_WAIT_MILLISECONDS = 3_000;
 /** With this many pending prompts or more, a new prompt waits long until it is read. */
 const MANY_PENDING_PROMPTS = 3;
 /** Time in which half of the prompts that were queued at the last report have been read. */
@@ -44,6 +46,8 @@
   private readonly _versions = new Map<string, number>();
   private _status: BoxStatus | undefined;
   private _statusAt = Number.NEGATIVE_INFINITY;
+  /** Versions in the record that the server was ordered to load, and since when they are known. */
+  private readonly _listed = new Map<string, { version: number; since: number }>();
   private _isReportedByAgent = false;
   private _confirmedLoad: ConfirmedLoad | undefined;
   private _switchingSince = 0;
@@ -51,11 +55,13 @@
   private _streams = 0;
   private readonly _sharers: () => number;
   private readonly _linkDelay: () => number;
+  private readonly _reportsHere: () => boolean;
   private _ownPendingPrompts = 0;
 
   /**
    * `sharers` returns how many entries send most of their requests to this server; `linkDelay` returns a lower
-   * bound for the round trip to its box in milliseconds, 0 while it is not measured.
+   * bound for the round trip to its box in milliseconds, 0 while it is not measured; `reportsHere` returns whether its
+   * agent reports to this entry, as soon as it is connected.
    */
   constructor(
     record: BackendServerRecord,
@@ -64,6 +70,7 @@
     clock: Clock,
     sharers: () => number,
     linkDelay: () => number = () => 0,
+    reportsHere: () => boolean = () => true,
   ) {
     this.record = record;
     this.connections = connections;
@@ -72,6 +79,7 @@
     this._clock = clock;
     this._sharers = sharers;
     this._linkDelay = linkDelay;
+    this._reportsHere = reportsHere;
     this.updateLocation(record);
   }
 
@@ -81,11 +89,27 @@
    */
   update(record: BackendServerRecord): void {
     this.updateLocation(record);
-    const isConfirmed = (record.ordersTaken ?? 0) === 0 && !this._isReportedByAgent;
-    if (isConfirmed) for (const { name, version } of record.models) this._versions.set(name, version);
+    if (!this._isReportedByAgent) for (const model of record.models) this._noteListed(model, record);
     if (record.coldUntil !== undefined) this.backpressure.noteCold('record', record.coldUntil);
   }
 
+  private _noteListed({ name, version }: ServedModel, { ordersTaken = 0 }: BackendServerRecord): void {
+    if (ordersTaken === 0) return void this._versions.set(name, version);
+    this._versions.delete(name);
+    if (this._listed.get(name)?.version !== version)
+      this._listed.set(name, { version, since: this._clock.now() });
+  }
+
+  /**
+   * The version in the record of a server whose agent does not report to this entry, which uses it only if no other can
+   * serve a request. It counts after the time in which an agent finds corrupt chunks and has them loaded again.
+   */
+  private _listedVersion(model: string): number {
+    const listed = this._listed.get(model);
+    if (!listed || this._isReportedByAgent || this._reportsHere()) return 0;
+    return this._clock.now() - listed.since >= LISTED_VERSION_WAIT_MILLISECONDS ? listed.version : 0;
+  }
+
   /** Applies a service discovery record without its versions, when it may be older than the known versions. */
   updateLocation(record: BackendServerRecord): void {
     this.record = record;
@@ -149,7 +173,7 @@
 
   /** The version of `model` that the server serves, as far as it is confirmed; 0 when unknown. */
   version(model: string): number {
-    return this._versions.get(model) ?? 0;
+    return this._versions.get(model) ?? this._listedVersion(model);
   }
 
   /**
--- a/tests/trackedServer.spec.ts
+++ b/tests/trackedServer.spec.ts
@@ -12,6 +12,7 @@
   clock: ManualClock,
   models: ServedModel[] = [],
   linkDelay?: () => number,
+  reportsHere?: () => boolean,
 ): TrackedServer {
   const record = {
     id: 's',
@@ -26,7 +27,7 @@
   const connections = new BackendConnections(options);
   const backpressure = servingSignals(clock).backpressureOf(record.id, record.dataCentre, record.startedAt);
   const served = { ...record, models };
-  const server = new TrackedServer(served, connections, backpressure, clock, () => 3, linkDelay);
+  const server = new TrackedServer(served, connections, backpressure, clock, () => 3, linkDelay, reportsHere);
   server.update(server.record);
   return server;
 }
@@ -52,6 +53,25 @@
   expect(server.switching).toEqual(false);
 });
 
+test('should use the listed version of a server whose agent reports elsewhere, but not at once', () => {
+  const clock = new ManualClock();
+  const server = trackedServer(clock, [], undefined, () => false);
+  server.update({ ...server.record, ordersTaken: 1, models: [{ name: 'model', version: 2 }] });
+  expect(server.version('model')).toEqual(0);
+  clock.advance(3_000);
+  expect(server.version('model')).toEqual(2);
+  server.update({ ...server.record, ordersTaken: 2, models: [{ name: 'model', version: 3 }] });
+  expect(server.version('model')).toEqual(0);
+});
+
+test('should never use the listed version of a server whose agent reports here', () => {
+  const clock = new ManualClock();
+  const server = trackedServer(clock);
+  server.update({ ...server.record, ordersTaken: 1, models: [{ name: 'model', version: 2 }] });
+  clock.advance(60_000);
+  expect(server.version('model')).toEqual(0);
+});
+
 test('should not use a server whose answer names a version that its agent has not confirmed', () => {
   const server = trackedServer(new ManualClock(), [{ name: 'model', version: 2 }]);
   server.noteAnsweredVersion('model', 2);
