Loads: one copy of the polls, waits and options of an order and its load

An order had its own poll and pause, line for line those of the load that sends it, and listed the same options; the reconciler logged a failed call and waited in the same way as the monitor of the server. The order is given both calls by its load now, and the monitor waits for both. Behaviour is unchanged, and so are the tests.

--- a/src/staging/backendMonitor.ts
+++ b/src/staging/backendMonitor.ts
@@ -89,15 +89,20 @@
       try {
         return await this.poll();
       } catch (error) {
-        this.onUnreachable(error);
-        await pause(RETRY_MILLISECONDS, signal);
+        await this.waitAfterFailure(error, signal);
         signal.throwIfAborted();
       }
     }
   }
 
+  /** Records that a call to the server has failed, and waits until the next try, or until `signal` is aborted. */
+  async waitAfterFailure(error: unknown, signal: AbortSignal): Promise<void> {
+    this._onUnreachable(error);
+    await pause(RETRY_MILLISECONDS, signal);
+  }
+
   /** A refused connection means that the server is gone; a server that does not answer in time may only be busy. */
-  onUnreachable(error: unknown): void {
+  private _onUnreachable(error: unknown): void {
     const { log, stagingArea, onExit } = this._options;
     log.decision('backend.unreachable', { reason: errorText(error) });
     if (this._isGone || errorCode((error as Error).cause) !== CONNECTION_REFUSED) return;
--- a/src/staging/loadOrder.ts
+++ b/src/staging/loadOrder.ts
@@ -4,11 +4,9 @@
  */
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
-import { pause } from '../utils/timers.js';
 import { hasRestarted, isUnchanged, restartLogFields } from './backendIncarnation.js';
 import { freshSince, isOrderLost, needsCheck } from './loadDecisions.js';
 import type { LayerRange, LocalBackendStatus, OrderOutcome } from './localBackend.js';
-import { SWITCHING_POLL_MILLISECONDS } from './pollInterval.js';
 import type { StagingArea } from './stagingArea.js';
 import type { VersionStage } from './versionStage.js';
 
@@ -20,10 +18,10 @@
   stagingArea: StagingArea;
   clock: Clock;
   log: EventLog;
-  /** Returns the status of the server, and waits for it while the server does not answer. */
-  poll: (signal: AbortSignal) => Promise<LocalBackendStatus>;
-  /** Aborted when the server has ended, or the agent stops. */
-  signal: AbortSignal;
+  /** Returns the status of the server, and waits for it while the server does not answer. Rejects once the load has ended. */
+  poll: () => Promise<LocalBackendStatus>;
+  /** Waits until the next poll. Rejects once the load has ended. */
+  pause: () => Promise<void>;
 }
 
 /** What the server is to hold after an order. */
@@ -59,7 +57,7 @@
   /** Sends the order, and repeats it if it was lost. Returns undefined if the server has not taken it and never will. */
   async run(): Promise<TakenOrder | undefined> {
     for (;;) {
-      const status = await this._poll();
+      const status = await this._options.poll();
       if (!isUnchanged(this._before, status)) return this._changed(status);
       if (this._needsCheck()) {
         if (!(await this._check())) return await this._settle();
@@ -67,7 +65,7 @@
         continue;
       }
       if (!(await this._options.stagingArea.lock())) {
-        await this._pause();
+        await this._options.pause();
         continue;
       }
       const taken = await this._send();
@@ -126,10 +124,10 @@
   /** Waits until an order without an answer has an effect, or is lost. */
   private async _awaitEffect(sentAt: number): Promise<TakenOrder | undefined | 'lost'> {
     for (;;) {
-      const status = await this._poll();
+      const status = await this._options.poll();
       if (!isUnchanged(this._before, status)) return this._changed(status);
       if (isOrderLost(this._options.clock.now() - sentAt, status)) return 'lost';
-      await this._pause();
+      await this._options.pause();
     }
   }
 
@@ -138,10 +136,10 @@
     const { stagingArea } = this._options;
     for (;;) {
       const isUncertain = stagingArea.hasUncertainCall;
-      const status = await this._poll();
+      const status = await this._options.poll();
       if (!isUnchanged(this._before, status)) return this._changed(status);
       if (!isUncertain) break;
-      await this._pause();
+      await this._options.pause();
     }
     stagingArea.unlock();
     return undefined;
@@ -158,16 +156,4 @@
     if (!isOwn) return undefined;
     return { startedAt: status.startedAt, revision: status.revision, takenBy: clock.now() };
   }
-
-  private async _poll(): Promise<LocalBackendStatus> {
-    const { poll, signal } = this._options;
-    const status = await poll(signal);
-    signal.throwIfAborted();
-    return status;
-  }
-
-  private async _pause(): Promise<void> {
-    await pause(SWITCHING_POLL_MILLISECONDS, this._options.signal);
-    this._options.signal.throwIfAborted();
-  }
 }
--- a/src/staging/versionLoad.ts
+++ b/src/staging/versionLoad.ts
@@ -8,17 +8,14 @@
  * layers with a chunk that is not are released and loaded again.
  */
 import type { ConfirmedLoad } from '../protocol/boxMessages.js';
-import type { EventLog } from '../telemetry/eventLog.js';
-import type { Clock } from '../utils/clock.js';
 import { errorText } from '../utils/stepError.js';
 import { pause } from '../utils/timers.js';
 import { holds, isOrderLost, layersOfChunks, layersToKeep, stillDoubtful } from './loadDecisions.js';
-import type { OrderedLayers, OrderedStage, TakenOrder } from './loadOrder.js';
+import type { LoadOrderOptions, OrderedLayers, OrderedStage, TakenOrder } from './loadOrder.js';
 import { LoadOrder } from './loadOrder.js';
 import type { LayerRange, LocalBackendStatus } from './localBackend.js';
 import { chunkList } from './missingChunks.js';
 import { SWITCHING_POLL_MILLISECONDS } from './pollInterval.js';
-import type { StagingArea } from './stagingArea.js';
 import { mayOrder } from './switchTurn.js';
 import type { VersionStage } from './versionStage.js';
 
@@ -33,11 +30,8 @@
 export const LOAD_RESULTS = ['serving', 'doubtful', 'abandoned'] as const;
 
 /** Options of a {@link VersionLoad}. */
-export interface VersionLoadOptions {
+export interface VersionLoadOptions extends Pick<LoadOrderOptions, 'stagingArea' | 'clock' | 'log'> {
   stage: OrderedStage & Pick<VersionStage, 'index'>;
-  stagingArea: StagingArea;
-  clock: Clock;
-  log: EventLog;
   /** Returns the status of the server, and waits for it while the server does not answer. */
   poll: (signal: AbortSignal) => Promise<LocalBackendStatus>;
   /** Whether the order need not wait until entries have stopped sending requests. */
@@ -129,7 +123,12 @@
   }
 
   private async _order(before: LocalBackendStatus, ordered?: OrderedLayers): Promise<TakenOrder | undefined> {
-    return await new LoadOrder({ ...this._options, signal: this._ended.signal }, before, ordered).run();
+    const options = {
+      ...this._options,
+      poll: async () => await this._poll(),
+      pause: async () => await this._pause(SWITCHING_POLL_MILLISECONDS),
+    };
+    return await new LoadOrder(options, before, ordered).run();
   }
 
   /** Ends the load of an order that the server has taken; `corrupt` chunks were found since. */
--- a/src/staging/versionReconciler.ts
+++ b/src/staging/versionReconciler.ts
@@ -1,6 +1,5 @@
 /** Brings the backend server of this box to the target version, and retries until the server serves it. */
 import type { ConfirmedLoad } from '../protocol/boxMessages.js';
-import { pause } from '../utils/timers.js';
 import { WakeableTimer } from '../utils/wakeableTimer.js';
 import { BackendMonitor } from './backendMonitor.js';
 import { pollInterval, roundInterval } from './pollInterval.js';
@@ -30,7 +29,6 @@
   onUnconfirmed: () => void;
 }
 
-const RETRY_MILLISECONDS = 100;
 /** A round that begins this much later than planned shows that the process was paused. */
 const PAUSE_MILLISECONDS = 500;
 
@@ -160,8 +158,7 @@
         if (this._isPollDue()) await this._monitor.poll();
         await this._reconcile();
       } catch (error) {
-        this._monitor.onUnreachable(error);
-        await pause(RETRY_MILLISECONDS, this._stopped.signal);
+        await this._monitor.waitAfterFailure(error, this._stopped.signal);
       }
       const sincePoll = this._options.clock.now() - this._monitor.polledAt;
       const wait = roundInterval(this.switchPhase, this.status, sincePoll);
