Leaving entries: timeline, hypotheses and three tests that fail

The users' record is cut short, so the timeline is taken from it and from runs of our own, before any change of logic: servers that become slower, or stand still, after the entry took a stream.

--- /dev/null
+++ b/tests/leavingSlowServers.spec.ts
@@ -0,0 +1,105 @@
+/** Requests to a leaving entry whose servers become slower, or stand still, after it has taken them. */
+import { afterEach, beforeEach, test } from 'node:test';
+import { expect } from 'earl';
+import { pause } from '../src/utils/timers.js';
+import { answerBytes, chunkOf, events, streamHead } from '../standins/scriptedBackend.js';
+import type { Script } from '../standins/scriptedBackend.js';
+import type { CallerAnswer } from './fixtures/gatewayFixture.js';
+import { GatewayFixture } from './fixtures/gatewayFixture.js';
+import { routeFixture } from './fixtures/servingFixture.js';
+
+const EVENTS = 40;
+const FAST_MILLISECONDS = 20;
+const SLOW_MILLISECONDS = 100;
+const DRAIN = { drainMilliseconds: 3_000 };
+const ENGINE = {
+  slots: 16,
+  models: ['model'],
+  stepMilliseconds: 5,
+  readTokensPerSecond: 30_000,
+  meanPromptTokens: 100,
+  meanAnswerTokens: 100,
+  tokensPerEvent: 2,
+};
+const SERVICES = [{ name: 'plain', maximumConnections: 100, origin: undefined, engine: ENGINE }];
+const LONG_STREAM = routeFixture({ kind: 'stream', timeoutMilliseconds: 6_000 });
+
+let fixture: GatewayFixture;
+/** Milliseconds between the events of all streams; infinite while the servers stand still. */
+let pauseMilliseconds: number;
+
+beforeEach(() => {
+  fixture = new GatewayFixture();
+  pauseMilliseconds = FAST_MILLISECONDS;
+});
+
+afterEach(() => fixture.stop());
+
+/** Sends events at the pace that holds when each of them is due. */
+const stream: Script = (request) => {
+  const { socket } = request;
+  let sent = 0;
+  let sentAt = performance.now();
+  socket.write(streamHead(request));
+  const timer = setInterval(() => {
+    if (performance.now() - sentAt < pauseMilliseconds) return;
+    sentAt = performance.now();
+    socket.write(chunkOf(events(++sent)));
+    if (sent < EVENTS) return;
+    clearInterval(timer);
+    socket.write('0\r\n\r\n');
+  }, FAST_MILLISECONDS / 2);
+  socket.once('close', () => clearInterval(timer));
+};
+
+async function askForStream(): Promise<CallerAnswer> {
+  return await fixture.request({ headers: { 'larklatch-tokens': `100,${EVENTS * 2}` } });
+}
+
+/** Sends a request every 100 ms until the servers become slower 900 ms after the entry has begun to leave. */
+async function endsAfterSlowdown(send: () => Promise<CallerAnswer>, slowPause: number): Promise<string[]> {
+  const stopped = fixture.gateway.stop();
+  const ends: Promise<string>[] = [];
+  for (let count = 0; count < 9; count++) {
+    ends.push(send().then(endOf, () => 'no answer'));
+    await pause(100);
+  }
+  pauseMilliseconds = slowPause;
+  const all = await Promise.all(ends);
+  await stopped;
+  return all;
+}
+
+function endOf({ status, whole }: CallerAnswer): string {
+  return whole ? String(status) : `${status} cut`;
+}
+
+/** Guards against streams that are cut off because their servers became slower than when they were admitted. */
+test('should cut no stream whose server becomes slower', async () => {
+  await fixture.start([stream, stream], { routes: [LONG_STREAM], services: SERVICES }, DRAIN);
+  await Promise.all([askForStream(), askForStream()]);
+  const ends = await endsAfterSlowdown(askForStream, SLOW_MILLISECONDS);
+  expect(ends.filter((end) => !['200', '503'].includes(end))).toEqual([]);
+});
+
+/** Guards against streams that are cut off because their servers stand still. */
+test('should cut no stream whose server stands still', async () => {
+  await fixture.start([stream, stream], { routes: [LONG_STREAM], services: SERVICES }, DRAIN);
+  await Promise.all([askForStream(), askForStream()]);
+  const ends = await endsAfterSlowdown(askForStream, Number.POSITIVE_INFINITY);
+  expect(ends.filter((end) => !['200', '503'].includes(end))).toEqual([]);
+});
+
+/** Guards against requests that may run only once and get no answer of their server when the entry closes. */
+test('should break off no call that may run once', async () => {
+  let answerMilliseconds = 20;
+  const call: Script = (request) =>
+    void setTimeout(() => request.socket.write(answerBytes(request)), answerMilliseconds);
+  const once = routeFixture({ kind: 'once', timeoutMilliseconds: 6_000 });
+  await fixture.start([call], { routes: [once], services: SERVICES }, DRAIN);
+  for (let count = 0; count < 5; count++) await fixture.request();
+  const stopped = fixture.gateway.stop();
+  answerMilliseconds = 4_000;
+  expect(endOf(await fixture.request())).toEqual('503');
+  await stopped;
+});
