Leaving entries: log on what each request was taken, and what was left at its end

The line of the end gave the last verdict, which later checks replace: a stream that was taken on 2.4 s with 4.7 s left read "645 ms, 39 ms left". So an estimate that was wrong could not be told from a server that became slow. The line now keeps the verdict on which the request was taken, the time to the close and to the deadline at its end, and for how long its server had been silent.

The test fails before: there was no `takenOn`.

--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -311,7 +311,8 @@
     this.ending.stop();
     this._stopWatching();
     const slot = this._attempts.slot.ended(outcome, this.ending.noAttempt);
-    const own = { noAttempt: this.ending.noAttempt, ...slot, ...this._drain.onEnded(outcome) };
+    const drain = this._drain.onEnded(outcome);
+    const own = { noAttempt: this.ending.noAttempt, ...slot, ...drain };
     this._trace.ended(outcome, this._attempts.count, { ...fields, ...own }, this._relay);
   }
 }
--- a/src/serving/requestDrain.ts
+++ b/src/serving/requestDrain.ts
@@ -4,7 +4,6 @@
 import type { StreamObservation } from '../draining/streamObservation.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { EntryDrain } from './entryDrain.js';
-import { drainFields } from './entryDrain.js';
 import { expectedRequest } from './expectedRequest.js';
 import type { ForwardingContext } from './forwardingContext.js';
 import type { EndFields, RequestOutcome } from './requestTrace.js';
@@ -29,6 +28,8 @@
   private _endMeasuring: () => void = () => undefined;
   /** The last verdict while the entry was leaving. */
   private _verdict: DrainVerdict | undefined;
+  /** The verdict on which the request was first sent to a server while the entry was leaving. */
+  private _taken: DrainVerdict | undefined;
 
   constructor(context: ForwardingContext, request: AdmittedRequest) {
     this._context = context;
@@ -62,6 +63,7 @@
   mayStart(hasBegun: boolean): boolean {
     if (!this.canEnd()) return false;
     if (this._isMeasuring || !this._verdict) return true;
+    this._taken ??= this._verdict;
     const { decision, basis } = this._verdict;
     if (decision === 'measure' && hasBegun) return false;
     if (decision === 'measure')
@@ -80,12 +82,24 @@
     return result;
   }
 
-  /** The request has ended. Returns the log fields of the last verdict. */
+  /** The request has ended. Returns the log fields that tell on what it was taken, and what was left at its end. */
   onEnded(outcome: RequestOutcome): EndFields {
     this._finishMeasuring();
     this._endDuration(MEASURED_OUTCOMES.has(outcome));
     this.observation?.onEnd(outcome === 'answered' && this._request.lastEventId === '');
-    return this._verdict ? drainFields(this._expected(), this._verdict) : {};
+    return this._drain.isLeaving ? this._endFields() : {};
+  }
+
+  private _endFields(): EndFields {
+    const { _taken: taken } = this;
+    return {
+      takenOn: taken?.basis ?? 'before leaving',
+      takenEstimateMilliseconds: taken && Math.round(taken.estimateMilliseconds),
+      takenClosesInMilliseconds: taken && Math.round(taken.closesInMilliseconds),
+      closesInMilliseconds: Math.round(this._drain.closesInMilliseconds),
+      deadlineMilliseconds: Math.round(this._expected().deadlineMilliseconds),
+      eventsReceived: this.observation?.events,
+    };
   }
 
   private get _drain(): EntryDrain {
--- a/src/serving/requestTrace.ts
+++ b/src/serving/requestTrace.ts
@@ -123,6 +123,7 @@
       objectiveMilliseconds,
       firstMilliseconds: firstBytesAt > 0 ? Math.round(firstBytesAt - this._startedAt) : undefined,
       pauseMilliseconds: stream ? Math.round(stream.longestPause) : undefined,
+      silentMilliseconds: stream?.begun ? Math.round(stream.silentFor()) : undefined,
       homeRegions: isNotPermitted ? regionsText(this._request.permittedRegions) : undefined,
       ...fields,
     });
--- a/tests/leavingSlowServers.spec.ts
+++ b/tests/leavingSlowServers.spec.ts
@@ -7,6 +7,7 @@
 import type { CallerAnswer } from './fixtures/gatewayFixture.js';
 import { GatewayFixture } from './fixtures/gatewayFixture.js';
 import { routeFixture } from './fixtures/servingFixture.js';
+import { until } from './fixtures/until.js';
 
 const EVENTS = 40;
 const FAST_MILLISECONDS = 20;
@@ -103,3 +104,22 @@
   expect(endOf(await fixture.request())).toEqual('503');
   await stopped;
 });
+
+test('should log on what a request was taken while leaving, and what was left at its end', async () => {
+  await fixture.start([stream], { routes: [LONG_STREAM], services: SERVICES }, DRAIN);
+  const before = fixture.request({ headers: { 'larklatch-request-id': 'before' } });
+  await until(() => fixture.arrivals === 1);
+  const stopped = fixture.gateway.stop();
+  const headers = { 'larklatch-request-id': 'sure', 'larklatch-deadline-milliseconds': '2000' };
+  expect(endOf(await fixture.request({ headers }))).toEqual('200');
+  await Promise.all([before, stopped]);
+  const takenOn = (id: string): unknown => ended(id).takenOn;
+  expect([takenOn('before'), takenOn('sure')]).toEqual(['before leaving', 'deadline']);
+  expect(Number(ended('sure').closesInMilliseconds)).toBeGreaterThan(0);
+});
+
+/** The fields of the line about the end of a request. */
+function ended(id: string): Record<string, unknown> {
+  const lines = fixture.lines.map((line) => JSON.parse(line) as Record<string, unknown>);
+  return lines.find(({ step, request }) => request === id && step === 'request.answered') ?? {};
+}
