larklatch entry: serve requests with a deadline

What callers saw: 500 for each request that gives a deadline and may be repeated. Cause: the time left is a fraction of a millisecond off a whole number, and `AbortSignal.timeout` throws on fractions. The time left is rounded up now.

--- a/src/requests/requestRouter.ts
+++ b/src/requests/requestRouter.ts
@@ -204,7 +204,7 @@
     const signal =
       remaining === undefined
         ? callerSignal
-        : AbortSignal.any([callerSignal, AbortSignal.timeout(Math.max(1, remaining))]);
+        : AbortSignal.any([callerSignal, AbortSignal.timeout(Math.max(1, Math.ceil(remaining)))]);
     backend.load.outstanding++;
     const result = await this._options.client.send({
       request,
