Leaving entries: take only what a deadline ends, or what is held back until it is whole

Cause: admission, retries and releases while leaving rested on a forecast, the pace and the durations of recent requests. Nothing holds a server to its pace after a request has been taken. `larklatch entry` and stopping agents started requests on the same kind of forecast.

Change: a request is taken if its deadline, or its route's timeout, ends before the close; or, if it may run again, one of a service at a time (any number if there is no other entry), with nothing of its answer sent before it is whole. All else is rejected at once. What had been begun before is resumed to the end.

--- a/src/draining/drainAdmission.ts
+++ b/src/draining/drainAdmission.ts
@@ -1,73 +1,81 @@
-/** Decides whether a process that is shutting down may still start a request. */
+/** Decides whether a process that is shutting down may still start a request, by what is certain about it. */
 import type { ClosingTime } from './closingTime.js';
-import type { DurationEstimator, ExpectedRequest } from './durationEstimator.js';
-import type { StreamPace } from './streamPace.js';
 
 /**
- * - `admit`: the request ends before the connections are closed.
- * - `measure`: nothing shows yet how long it takes, but it can be started to find out, and be rejected before any part
- *   of its answer has been sent.
- * - `reject`: it may not end in time.
+ * - `admit`: the request ends before the connections are closed, by its deadline if by nothing else.
+ * - `hold`: the request may be started, but nothing of its answer may be sent before the whole answer has come. If it
+ *   does not come in time, the caller gets an error instead of a part of it.
+ * - `reject`: neither is possible.
  */
-export type DrainDecision = 'admit' | 'measure' | 'reject';
+export type DrainDecision = 'admit' | 'hold' | 'reject';
+
+/** What the decision rests on; `before leaving` if the process is not shutting down. */
+export type DrainBasis = 'before leaving' | 'deadline' | 'held';
+
+export interface DrainedRequest {
+  service: string;
+  /** Milliseconds until the caller gives up or the route's timeout; infinite for neither. */
+  deadlineMilliseconds: number;
+  /** Milliseconds that an answer of the length that the caller permits takes at least; undefined if not known. */
+  shortestMilliseconds: number | undefined;
+  /** Whether the request may run again elsewhere as long as no part of its answer has been sent. */
+  repeatable: boolean;
+}
 
 export interface DrainVerdict {
   decision: DrainDecision;
-  /** What bounds the request's duration. */
-  basis: 'deadline' | DurationEstimator['basis'] | 'unknown';
-  /** Upper bound of the duration in milliseconds; infinite if unknown. */
-  estimateMilliseconds: number;
+  basis: DrainBasis;
+  /** Milliseconds until the request's deadline. */
+  deadlineMilliseconds: number;
   /** Milliseconds until the connections are closed; infinite if the process is not shutting down. */
   closesInMilliseconds: number;
 }
 
-export interface DrainAdmissionOptions {
-  closing: ClosingTime;
-  /** Asked in this order; the first one that knows the request decides. */
-  estimators: readonly DurationEstimator[];
-  /** Describes the streams that can be measured; undefined if none can. */
-  streams: StreamPace | undefined;
-}
-
+/** Never relies on how long requests took recently: servers may become slower after a request has been started. */
 export class DrainAdmission {
-  private readonly _options: DrainAdmissionOptions;
-  /** Services of which a stream is being measured. */
-  private readonly _measuring = new Set<string>();
+  private readonly _closing: ClosingTime;
+  private readonly _isOnlyProcess: () => boolean;
+  /** Number of held requests by service. */
+  private readonly _held = new Map<string, number>();
+
+  /** `isOnlyProcess` tells whether callers have no other process to turn to. */
+  constructor(closing: ClosingTime, isOnlyProcess: () => boolean) {
+    this._closing = closing;
+    this._isOnlyProcess = isOnlyProcess;
+  }
 
-  constructor(options: DrainAdmissionOptions) {
-    this._options = options;
+  decide(request: DrainedRequest): DrainVerdict {
+    const closesInMilliseconds = this._closing.leftMilliseconds;
+    const { deadlineMilliseconds } = request;
+    const times = { deadlineMilliseconds, closesInMilliseconds };
+    if (!this._closing.isSet) return { decision: 'admit', basis: 'before leaving', ...times };
+    if (deadlineMilliseconds <= closesInMilliseconds)
+      return { decision: 'admit', basis: 'deadline', ...times };
+    if (this._mayHold(request)) return { decision: 'hold', basis: 'held', ...times };
+    return { decision: 'reject', basis: 'deadline', ...times };
   }
 
-  /** The deadline bounds each request; where it is too far away, recent requests show how long this one may take. */
-  decide(request: ExpectedRequest): DrainVerdict {
-    const { closing, estimators } = this._options;
-    const closesInMilliseconds = closing.leftMilliseconds;
-    const deadline = request.deadlineMilliseconds;
-    if (!closing.isSet || deadline <= closesInMilliseconds)
-      return { decision: 'admit', basis: 'deadline', estimateMilliseconds: deadline, closesInMilliseconds };
-    for (const estimator of estimators) {
-      const estimateMilliseconds = estimator.upperBound(request);
-      if (estimateMilliseconds === undefined) continue;
-      const decision = estimateMilliseconds <= closesInMilliseconds ? 'admit' : 'reject';
-      return { decision, basis: estimator.basis, estimateMilliseconds, closesInMilliseconds };
-    }
-    const decision = this._canMeasure(request) ? 'measure' : 'reject';
-    return { decision, basis: 'unknown', estimateMilliseconds: deadline, closesInMilliseconds };
+  /** A request is held; the returned function ends that. */
+  beginHolding(service: string): () => void {
+    this._held.set(service, this._heldOf(service) + 1);
+    let isHeld = true;
+    return () => {
+      if (isHeld) this._held.set(service, this._heldOf(service) - 1);
+      isHeld = false;
+    };
   }
 
   /**
-   * Begins to measure a stream; the returned function ends that. One stream of a service is measured at a time, since
-   * its result decides about the others.
+   * Other processes answer sooner than one that holds the answer back. So one request of a service is held at a time, for
+   * callers that know no other process, unless there is none.
    */
-  beginMeasuring(service: string): () => void {
-    this._measuring.add(service);
-    return () => this._measuring.delete(service);
+  private _mayHold({ service, shortestMilliseconds, repeatable }: DrainedRequest): boolean {
+    const mayEnd = (shortestMilliseconds ?? 0) <= this._closing.leftMilliseconds;
+    if (!repeatable || !mayEnd) return false;
+    return this._isOnlyProcess() || (shortestMilliseconds !== undefined && this._heldOf(service) === 0);
   }
 
-  private _canMeasure(request: ExpectedRequest): boolean {
-    const { streams, closing } = this._options;
-    if (!streams || request.tokens === undefined || !request.repeatable || request.eventsReceived > 0)
-      return false;
-    return !this._measuring.has(request.service) && streams.lowerBound(request) <= closing.leftMilliseconds;
+  private _heldOf(service: string): number {
+    return this._held.get(service) ?? 0;
   }
 }
--- a/src/entry/callerApi.ts
+++ b/src/entry/callerApi.ts
@@ -191,15 +191,11 @@
     };
     const callerLeft = new AbortController();
     response.once('close', () => callerLeft.abort());
-    const endDuration = this._options.drain.begin({ service: shortName(target.name), kind: target.kind });
     const result = await this._options.router.route(callerRequest, callerLeft.signal);
-    if (result.kind === 'refused') {
-      endDuration(false);
+    if (result.kind === 'refused')
       return answerRefusal(response, result.refusal, callerRequest.id, this._options.random);
-    }
     this._options.metrics.latency('first_byte', this._options.clock.now() - arrivedAt);
     const end = await deliver(result.routed, callerRequest.id, response);
-    endDuration(end !== 'caller-left');
     this._options.metrics.count('requests_delivered', { end });
     this._options.metrics.latency('whole_answer', this._options.clock.now() - arrivedAt);
   }
--- a/src/requests/fairQueue.ts
+++ b/src/requests/fairQueue.ts
@@ -125,15 +125,11 @@
     const expiresAt =
       deadline === undefined ? Number.POSITIVE_INFINITY : this._options.clock.now() + deadline;
     let startedAt: number | undefined;
-    let endDuration: ((isMeasured: boolean) => void) | undefined;
     let released = false;
     let start!: (admitted: boolean) => void;
     const ready = new Promise<boolean>((resolve) => {
       start = (admitted) => {
-        if (admitted) {
-          startedAt = this._options.clock.now();
-          endDuration = this._options.drain.begin({ service: request.customer, kind: '' });
-        }
+        if (admitted) startedAt = this._options.clock.now();
         resolve(admitted);
       };
     });
@@ -146,7 +142,6 @@
     const release = (): void => {
       if (released) return;
       released = true;
-      endDuration?.(true);
       if (startedAt === undefined) this._leaveQueue(customer, item);
       else this._finish(customer, request.customer, this._options.clock.now() - startedAt);
     };
@@ -196,10 +191,10 @@
     }
   }
 
-  private _mayStart({ request, expiresAt }: Waiting): boolean {
+  private _mayStart({ expiresAt }: Waiting): boolean {
     const { clock, drain } = this._options;
     const left = expiresAt - clock.now();
-    return left >= 0 && drain.decide({ service: request.customer, kind: '' }, left).decision === 'admit';
+    return left >= 0 && drain.mayStart(left);
   }
 
   private _nextCustomer(): CustomerQueue | undefined {
--- a/src/requests/requestRouter.ts
+++ b/src/requests/requestRouter.ts
@@ -242,18 +242,13 @@
   /** Whether the request ends before this entry, which may be leaving, closes its connections. */
   private _mayStart(request: CallerRequest): boolean {
     const { drain, logger } = this._options;
-    if (!drain.isLeaving) return true;
-    const { name, kind } = request;
-    const verdict = drain.decide({ service: shortName(name), kind }, this._remaining(request));
-    if (verdict.decision === 'admit') return true;
-    const { basis, estimateMilliseconds, closesInMilliseconds } = verdict;
-    const estimate = Number.isFinite(estimateMilliseconds) ? Math.round(estimateMilliseconds) : undefined;
+    const deadline = this._remaining(request);
+    if (drain.mayStart(deadline)) return true;
     logger.decision('request.not-started', {
       request: request.id,
       reason: 'leaving',
-      basis,
-      estimateMilliseconds: estimate,
-      closesInMilliseconds: Math.round(closesInMilliseconds),
+      deadlineMilliseconds: deadline && Math.round(deadline),
+      closesInMilliseconds: Math.round(drain.closesInMilliseconds),
     });
     return false;
   }
--- a/src/serving/entryDrain.ts
+++ b/src/serving/entryDrain.ts
@@ -2,16 +2,15 @@
 import { ClosingTime } from '../draining/closingTime.js';
 import { DrainAdmission } from '../draining/drainAdmission.js';
 import type { DrainVerdict } from '../draining/drainAdmission.js';
-import type { ExpectedRequest } from '../draining/durationEstimator.js';
-import { RecentDurations } from '../draining/recentDurations.js';
-import { StreamPace } from '../draining/streamPace.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { ServingMetrics } from '../telemetry/servingMetrics.js';
 import type { Clock } from '../utils/clock.js';
 import { pause } from '../utils/timers.js';
+import type { AdmittedRequest } from './admittedRequest.js';
 import type { CallerExchange } from './callerExchange.js';
 import { OWN_STATUS, RESET_DELAY_MILLISECONDS } from './callerExchange.js';
 import type { EngineDescription } from './servingConfiguration.js';
+import { isRepeatable } from './servingConfiguration.js';
 import { RETRY_AFTER_LEAVING_MILLISECONDS } from './slotRequest.js';
 
 export interface EntryDrainOptions {
@@ -26,6 +25,9 @@
   isOnlyEntry: () => boolean;
 }
 
+/** The properties of a request on which its admission depends while the entry is leaving. */
+export type LeavingRequest = Pick<AdmittedRequest, 'service' | 'route' | 'outputTokens' | 'endsAt'>;
+
 /** A request of which the caller has not been sent the whole answer. */
 export interface OpenRequest {
   exchange: CallerExchange;
@@ -47,30 +49,17 @@
 const RETRY_AFTER_ONLY_ENTRY_MILLISECONDS = 1_000;
 
 export class EntryDrain {
-  readonly pace: StreamPace;
-  readonly durations: RecentDurations;
-  readonly admission: DrainAdmission;
   private readonly _options: EntryDrainOptions;
   private readonly _closing: ClosingTime;
+  private readonly _admission: DrainAdmission;
   private readonly _open = new Set<OpenRequest>();
   private _cutRequests = 0;
 
   constructor(options: EntryDrainOptions) {
-    const { clock, engine } = options;
+    const { clock, isOnlyEntry } = options;
     this._options = options;
     this._closing = new ClosingTime(clock);
-    this.pace = new StreamPace(clock, (service) => {
-      const description = engine(service);
-      if (!description) return undefined;
-      const { stepMilliseconds: millisecondsPerToken, tokensPerEvent } = description;
-      return { millisecondsPerToken, tokensPerEvent };
-    });
-    this.durations = new RecentDurations(clock);
-    this.admission = new DrainAdmission({
-      closing: this._closing,
-      estimators: [this.pace, this.durations],
-      streams: this.pace,
-    });
+    this._admission = new DrainAdmission(this._closing, isOnlyEntry);
   }
 
   /** Number of requests of which the caller has not been sent the whole answer. */
@@ -107,16 +96,40 @@
     return request;
   }
 
+  /** Whether a request that has been read may be sent to a server now. */
+  decide({ service, route, outputTokens, endsAt }: LeavingRequest): DrainVerdict {
+    const { clock, engine } = this._options;
+    const stepMilliseconds = engine(service)?.stepMilliseconds ?? 0;
+    return this._admission.decide({
+      service,
+      deadlineMilliseconds: endsAt - clock.now(),
+      shortestMilliseconds: outputTokens === undefined ? undefined : outputTokens * stepMilliseconds,
+      repeatable: isRepeatable(route),
+    });
+  }
+
+  /** The answer to a request is held back until it is complete; the returned function ends that. */
+  beginHolding(service: string): () => void {
+    this._options.metrics.count(`requests_held_leaving_total{service="${service}"}`);
+    return this._admission.beginHolding(service);
+  }
+
   /** Rejects a request that may not end in time. */
-  reject(exchange: CallerExchange, request: ExpectedRequest, verdict: DrainVerdict): void {
+  reject(
+    exchange: CallerExchange,
+    { service, route, outputTokens }: LeavingRequest,
+    verdict: DrainVerdict,
+  ): void {
     const { log, metrics } = this._options;
-    metrics.count(`requests_rejected_leaving_total{service="${request.service}",basis="${verdict.basis}"}`);
+    metrics.count(`requests_rejected_leaving_total{service="${service}"}`);
     log.decision('request.refused', {
       request: exchange.requestId,
-      route: request.route,
+      route: route.name,
       reason: 'leaving',
       noAttempt: 'leaving',
-      ...drainFields(request, verdict),
+      deadlineMilliseconds: Math.round(verdict.deadlineMilliseconds),
+      closesInMilliseconds: Math.round(verdict.closesInMilliseconds),
+      tokens: outputTokens,
     });
     exchange.refuse(OWN_STATUS.notRun, 'leaving', this.retryAfterMilliseconds);
   }
@@ -146,17 +159,3 @@
     await pause(RESET_DELAY_MILLISECONDS + POLL_MILLISECONDS);
   }
 }
-
-/** Log fields that tell an estimate that was wrong from a server that became slow. */
-export function drainFields(
-  { tokens, eventsReceived }: ExpectedRequest,
-  { basis, estimateMilliseconds, closesInMilliseconds }: DrainVerdict,
-): Record<string, string | number | undefined> {
-  return {
-    basis,
-    estimateMilliseconds: Math.round(estimateMilliseconds),
-    closesInMilliseconds: Math.round(closesInMilliseconds),
-    tokens,
-    eventsReceived: eventsReceived > 0 ? eventsReceived : undefined,
-  };
-}
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -57,10 +57,9 @@
       onReady: (call, startedAt) => this._onHandoverReady(call, startedAt),
       onFailed: (server, failure, startedAt) => this._onHandoverFailed(server, failure, startedAt),
     });
-    this._drain = new RequestDrain(context, request);
-    const { observation } = this._drain;
-    if (observation)
-      this._relay = new StreamRelay(request.exchange, request.lastEventId, context.clock, observation);
+    this._drain = new RequestDrain(context.drain, request);
+    if (request.route.kind === 'stream')
+      this._relay = new StreamRelay(request.exchange, request.lastEventId, context.clock);
     this._receiver = new AnswerReceiver(request.exchange, this._relay, context.clock);
     this._current = new CurrentAttempt(context.clock, this._relay);
     const { _final: final, _current: current, _handover: handover, _attempts: attempts } = this;
@@ -75,12 +74,17 @@
     this._attempt();
   }
 
+  /** Whether a planned stop permits to send the request to a server now. */
+  private get _canSend(): boolean {
+    return this._drain.canSend(this._relay?.begun === true);
+  }
+
   /** Sends the request to the best available server. */
   private _attempt(): void {
     if (this._final.ended) return;
     if (!this._suspicionGate.isOpen) return void this._awaitPermission();
-    if (!this._drain.mayStart(this._relay?.begun === true)) return this._giveUp('leaving');
-    if (this._drain.isMeasuring) this._relay?.hold();
+    if (!this._drain.begin(this._relay?.begun === true)) return this._giveUp('leaving');
+    if (this._drain.isHeld) this._relay?.hold();
     const found = this._attempts.find();
     if (found.kind === 'none') {
       const reason = noAttemptReasonOf(found)!;
@@ -131,17 +135,6 @@
     if (!this._receiver.onData(bytes, this._current.call))
       return this._onForeignAnswer(this._current.call!.server);
     if (this._receiver.isForwarding) this._suspicionGate.onAnswering(this._receiver.answeringFor);
-    this._measure();
-  }
-
-  /** Releases a stream that was held back, or gives it up, once its pace shows how long it takes. */
-  private _measure(): void {
-    const result = this._drain.measure();
-    if (result === 'ends in time') this._relay!.release();
-    if (result !== 'too long') return;
-    this._current.abort('not-needed');
-    this.ending.mayHaveRun = true;
-    this._giveUp('leaving');
   }
 
   /** Handles an answer to another request, or one that is too large: the connection can no longer be used. */
@@ -224,7 +217,7 @@
   /** Continues with the handover in progress, a new attempt or a wait. Returns false if none of these is possible. */
   private _continueElsewhere(): boolean {
     if (this._handover.inProgress || this._final.ended) return true;
-    this.ending.noAttempt = this._drain.canEnd() ? this._takeRetry() : 'leaving';
+    this.ending.noAttempt = this._canSend ? this._takeRetry() : 'leaving';
     if (this.ending.noAttempt) return this._waitIfTransient(this.ending.noAttempt);
     this._attempt();
     return true;
@@ -254,13 +247,12 @@
     if (this._isWaiting) return this._tryAgain();
     const { call } = this._current;
     if (!call) return;
-    this._measure();
     if (!this._receiver.answer && this._attempts.mayBeginTooLate(call.server))
       return this._cancelAttempt(call);
     if (this._handover.inProgress || !this._attempts.repeatable) return;
     const { switchingFor } = call.server;
     if (switchingFor === 0) this._retryIfStalled(call);
-    else if (this._relay && this._handover.isDue(switchingFor) && this._drain.canEnd())
+    else if (this._relay && this._handover.isDue(switchingFor) && this._canSend)
       this._handover.begin(call.server, this._relay.lastEventId);
   }
 
@@ -274,7 +266,7 @@
   private _retryIfStalled({ server }: BackendCall): void {
     const { elapsedMilliseconds: elapsed } = this._current;
     const stalled = this._current.isStalled(this._request.route, this._receiver.answer !== undefined);
-    if (!stalled || !this._drain.canEnd() || this._takeRetry()) return;
+    if (!stalled || !this._canSend || this._takeRetry()) return;
     this._current.abort('silent');
     this.ending.mayHaveRun = true;
     server.health.noteOutcome('silent');
@@ -311,8 +303,7 @@
     this.ending.stop();
     this._stopWatching();
     const slot = this._attempts.slot.ended(outcome, this.ending.noAttempt);
-    const drain = this._drain.onEnded(outcome);
-    const own = { noAttempt: this.ending.noAttempt, ...slot, ...drain };
+    const own = { noAttempt: this.ending.noAttempt, ...slot, ...this._drain.onEnded() };
     this._trace.ended(outcome, this._attempts.count, { ...fields, ...own }, this._relay);
   }
 }
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -13,7 +13,6 @@
 import type { ConfigurationHolder } from './configurationHolder.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { EntryDrain } from './entryDrain.js';
-import { expectedRequest } from './expectedRequest.js';
 import type { HeaderNames } from './headerNames.js';
 import { sharedPromptParts } from './promptParts.js';
 import { maximumOutputTokens, promptSize } from './promptSize.js';
@@ -112,13 +111,11 @@
     const service = chooseTarget(route, random.fraction());
     const endsAt = arrivedAt + this._timeout(request, route);
     const outputTokens = maximumOutputTokens(request.headers[names.tokens]);
-    const expected = expectedRequest({ service, route, outputTokens, endsAt }, clock.now(), 0);
-    const verdict = drain.admission.decide(expected);
-    if (verdict.decision === 'reject') {
-      drain.reject(exchange, expected, verdict);
-      return undefined;
-    }
-    return this._admitted(exchange, { route, service, customer, body, arrivedAt, endsAt, outputTokens });
+    const checked = { route, service, customer, body, arrivedAt, endsAt, outputTokens };
+    const verdict = drain.decide(checked);
+    if (verdict.decision !== 'reject') return this._admitted(exchange, checked);
+    drain.reject(exchange, checked, verdict);
+    return undefined;
   }
 
   private _deny(exchange: CallerExchange, denial: Denial): undefined {
--- a/src/serving/streamRelay.ts
+++ b/src/serving/streamRelay.ts
@@ -1,5 +1,4 @@
 /** Forwards the events of a stream in order and exactly once, even when several backend servers send them in turn. */
-import type { StreamObservation } from '../draining/streamObservation.js';
 import type { Clock } from '../utils/clock.js';
 import type { AnswerHeaders } from './backendCall.js';
 import type { CallerExchange } from './callerExchange.js';
@@ -15,7 +14,6 @@
 export class StreamRelay {
   private readonly _exchange: CallerExchange;
   private readonly _clock: Clock;
-  private readonly _observation: StreamObservation | undefined;
   private _held: HeldAnswer | undefined;
   private _splitter = new EventSplitter();
   private _lastEventId: string;
@@ -28,8 +26,7 @@
   private _longestPause = 0;
 
   /** `lastEventId` is the id of the last event that the caller has received, '' for none. */
-  constructor(exchange: CallerExchange, lastEventId: string, clock: Clock, observation?: StreamObservation) {
-    this._observation = observation;
+  constructor(exchange: CallerExchange, lastEventId: string, clock: Clock) {
     this._exchange = exchange;
     this._clock = clock;
     this._lastEventId = lastEventId;
@@ -91,16 +88,13 @@
     this._heardAt = now;
     this._serverHeardAt = now;
     let canTakeMore = true;
-    let count = 0;
     for (const event of this._splitter.push(bytes)) {
       if (event.id !== undefined) {
         if (isRepeated(event.id, this._lastEventId)) continue;
         this._lastEventId = event.id;
       }
       canTakeMore = this._send(event.bytes) && canTakeMore;
-      count++;
     }
-    this._observation?.onEvents(count);
     return canTakeMore;
   }
 
--- a/tests/leavingSlowServers.spec.ts
+++ b/tests/leavingSlowServers.spec.ts
@@ -57,6 +57,10 @@
   return await fixture.request({ headers: { 'larklatch-tokens': `100,${EVENTS * 2}` } });
 }
 
+async function askForSureStream(): Promise<CallerAnswer> {
+  return await fixture.request({ headers: { 'larklatch-deadline-milliseconds': '2500' } });
+}
+
 /** Sends a request every 100 ms until the servers become slower 900 ms after the entry has begun to leave. */
 async function endsAfterSlowdown(send: () => Promise<CallerAnswer>, slowPause: number): Promise<string[]> {
   const stopped = fixture.gateway.stop();
@@ -91,6 +95,23 @@
   expect(ends.filter((end) => !['200', '503'].includes(end))).toEqual([]);
 });
 
+test('should end whole what it takes by its deadline', async () => {
+  await fixture.start([stream, stream, stream, stream], { routes: [LONG_STREAM], services: SERVICES }, DRAIN);
+  const stopped = fixture.gateway.stop();
+  const ends = await Promise.all(Array.from({ length: 9 }, askForSureStream));
+  expect(ends.map(endOf)).toEqual(Array.from({ length: 9 }, () => '200'));
+  await stopped;
+});
+
+/** Guards against sending the beginning of a stream that may run again and does not end before the close. */
+test('should send nothing of a held stream whose server stands still', async () => {
+  const routes = [{ ...LONG_STREAM, resumable: true, attempts: 1 }];
+  await fixture.start([stream, stream], { routes, services: SERVICES }, DRAIN);
+  pauseMilliseconds = 100;
+  const ends = await endsAfterSlowdown(askForStream, Number.POSITIVE_INFINITY);
+  expect(ends).toEqual(['502', ...Array.from({ length: 8 }, () => '503')]);
+});
+
 /** Guards against requests that may run only once and get no answer of their server when the entry closes. */
 test('should break off no call that may run once', async () => {
   let answerMilliseconds = 20;
