Leaving entries: close the connections well before the process may be killed

What callers could see: an entry that stands still for a moment at its close is killed before it has answered or reset what is left. Change: a sixteenth of the grace time, 200 ms at least (500 ms of 8 s). The test fails before (3,800 of 4,000 ms). A deadline must end that much earlier to be certain.

--- a/src/serving/entryDrain.ts
+++ b/src/serving/entryDrain.ts
@@ -40,8 +40,9 @@
  * for up to three times the time that the directory's answer tells them to keep it.
  */
 const LISTEN_SHARE = 0.72;
-/** Time to reset connections and to exit, before the end of the drain time. */
-const CLOSE_RESERVE_MILLISECONDS = 200;
+/** Time to answer or reset what is left and to exit, as a share of the drain time; the process may stand still in it. */
+const CLOSE_RESERVE_SHARE = 1 / 16;
+const MIN_CLOSE_RESERVE_MILLISECONDS = 200;
 const POLL_MILLISECONDS = 50;
 /** Allowance for the first request on a connection that was accepted last, also when either process is slow. */
 const FIRST_REQUEST_MILLISECONDS = 200;
@@ -137,7 +138,8 @@
   /** Accepts connections for most of the drain time, waits for the open requests, and ends what is left of them. */
   async drain(stopListening: () => Promise<void>): Promise<void> {
     const { clock, drainMilliseconds } = this._options;
-    this._closing.closeIn(Math.max(0, drainMilliseconds - CLOSE_RESERVE_MILLISECONDS));
+    const reserve = Math.max(MIN_CLOSE_RESERVE_MILLISECONDS, drainMilliseconds * CLOSE_RESERVE_SHARE);
+    this._closing.closeIn(Math.max(0, drainMilliseconds - reserve));
     const listensUntil = clock.now() + drainMilliseconds * LISTEN_SHARE;
     while (clock.now() < listensUntil) await pause(POLL_MILLISECONDS);
     await stopListening();
--- a/tests/leavingEntry.spec.ts
+++ b/tests/leavingEntry.spec.ts
@@ -187,6 +187,21 @@
   );
 });
 
+/** Guards against a process that is killed while it resets what is left, because it stood still for a moment. */
+test('should close its connections well before it may be killed', async () => {
+  const sendsOneEvent: Script = (request) =>
+    void request.socket.write(streamHead(request) + chunkOf(events(1)));
+  const routes = [{ ...LONG_ROUTE, timeoutMilliseconds: 60_000 }];
+  await fixture.start([sendsOneEvent], { routes }, { drainMilliseconds: 4_000 });
+  const asked = fixture.request();
+  await until(() => fixture.arrivals === 1);
+  const stopped = fixture.gateway.stop();
+  const leaving = fixture.lines.find((line) => line.includes('gateway.leaving')) ?? '{}';
+  const { closesInMilliseconds } = JSON.parse(leaving) as { closesInMilliseconds: number };
+  expect([closesInMilliseconds <= 3_750, endOf(await asked)]).toEqual([true, '200 cut']);
+  await stopped;
+});
+
 /** Guards against closing the connection of a request that is still being read, without an answer. */
 test('should reject a request that has not been read whole when it closes', async () => {
   await fixture.start([answers()], {}, { drainMilliseconds: 600 });
