--- a/tests/foreignRecords.spec.ts
+++ b/tests/foreignRecords.spec.ts
@@ -175,6 +175,22 @@
   };
 }
 
+/** Guards against requests that end without an answer because of an address that cannot be parsed. */
+test('should answer every request while servers with addresses that are none are listed', async () => {
+  const entry = await startEntry();
+  try {
+    const hosts = ['999.1.1.1', '1.2.3.4.5', '123456789012', '9'.repeat(300)];
+    for (const [index, host] of hosts.entries())
+      store.put('servers', `odd-${index}`, { ...GOOD, service: 'plain', address: `${host}:80` });
+    await allReceived();
+    const answers = new Set<number | string>();
+    for (let request = 0; request < 40; request++) answers.add(await entry.ask().catch(() => 'none'));
+    expect([...answers]).toEqual([200]);
+  } finally {
+    entry.close();
+  }
+});
+
 test('should keep serving from the valid record while invalid objects arrive', async () => {
   const entry = await startEntry();
   try {
--- a/tests/platformAdapter.spec.ts
+++ b/tests/platformAdapter.spec.ts
@@ -187,6 +187,23 @@
   });
 }
 
+/** Guards against an address that the HTTP client refuses, or takes for another one. */
+test('should reject a backend server whose host looks like an IP address and is none', () => {
+  const hosts = [
+    '999.1.1.1',
+    '1.2.3.4.5',
+    '1.2.3',
+    '010.1.1.1',
+    '0x7f.1',
+    '123456789012',
+    '9'.repeat(400),
+    'a..b',
+    '.',
+  ];
+  const accepted = hosts.filter((host) => reader.server('i-1', { ...SERVER, address: `${host}:80` }).isOk());
+  expect(accepted).toEqual([]);
+});
+
 test('should reject a backend server whose id is not valid in a header', () => {
   for (const id of ['', 'a b', 'a\r\nx-tenant: other', 'é'])
     expect(reader.server(id, SERVER).isErr()).toEqual(true);
