Entries: answer a request whose attempt fails because of an error of the process

What callers saw: a reset connection and no answer. Cause: an error between taking a request and sending it was caught by destroying the connection, with a line that did not name the request; in an attempt after a wait or a retry it was not caught at all. Change: an error in an attempt ends the request like any other reason for which none can be made, 503 `internal error` if nothing was sent, else 502, and is logged with the request. Evidence: the test fails before with "socket hang up".

--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -79,9 +79,19 @@
     return this._drain.canSend(this._relay?.begun === true);
   }
 
-  /** Sends the request to the best available server. */
+  /** Sends the request to the best available server. An error ends it with an answer, so that its caller can go on. */
   private _attempt(): void {
     if (this._final.ended) return;
+    try {
+      this._sendToServer();
+    } catch (error) {
+      this._trace.error(error);
+      this._current.abort('not-needed');
+      this._giveUp('internal error');
+    }
+  }
+
+  private _sendToServer(): void {
     if (!this._suspicionGate.isOpen) return void this._awaitPermission();
     if (!this._drain.begin(this._relay?.begun === true)) return this._giveUp('leaving');
     if (this._drain.isHeld) this._relay?.hold();
--- a/src/serving/noAttemptReason.ts
+++ b/src/serving/noAttemptReason.ts
@@ -14,6 +14,7 @@
  * - `time`: too little time is left for another attempt.
  * - `leaving`: this entry shuts down, and the request may not end before it closes its connections.
  * - `ends servers`: the same request has crashed several servers and is no longer run.
+ * - `internal error`: the attempt could not be made because of an error of this process, which is logged.
  */
 export type NoAttemptReason =
   | 'attempts used'
@@ -27,7 +28,8 @@
   | 'servers at limit'
   | 'time'
   | 'leaving'
-  | 'ends servers';
+  | 'ends servers'
+  | 'internal error';
 
 /** Reasons that may cease to apply while the caller waits. */
 const TRANSIENT_REASONS: ReadonlySet<NoAttemptReason> = new Set([
--- a/src/serving/requestTrace.ts
+++ b/src/serving/requestTrace.ts
@@ -2,6 +2,7 @@
 import { regionsText } from '../locality/permittedRegions.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Clock } from '../utils/clock.js';
+import { errorText } from '../utils/stepError.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { AnswerProgress } from './answerReceiver.js';
 import type { CallFailure } from './backendCall.js';
@@ -104,6 +105,11 @@
     this._log.decision('request.waiting', { request: this._id, noAttempt: reason, leftMilliseconds });
   }
 
+  /** Logs an error of this process. */
+  error(error: unknown): void {
+    this._log.state('request.error', { request: this._id, reason: errorText(error) });
+  }
+
   retried(): void {
     this._metrics.countRetry(this._request.service);
   }
--- a/tests/gatewayRequests.spec.ts
+++ b/tests/gatewayRequests.spec.ts
@@ -198,6 +198,17 @@
   expect((await fixture.request({ headers: { authorization: '' } })).status).toEqual(200);
 });
 
+/** Guards against an unforeseen error that ends a request with a bare reset of its connection. */
+test('should answer a request whose server cannot be connected to because of an error, and log why', async () => {
+  await fixture.start([answers()]);
+  fixture.setServer(0, { address: '999.1.1.1:80' });
+  await until(() => fixture.lines.some((line) => line.includes('server.started-again')));
+  const answer = await fixture.request();
+  expect([answer.status, answer.body]).toEqual([503, '{"error":"internal error"}']);
+  const line = fixture.lines.find((text) => text.includes('"request.error"')) ?? '';
+  expect([line.includes('"request":"request-1"'), line.includes('Invalid URL')]).toEqual([true, true]);
+});
+
 test('should drain: report not ready, close kept connections, answer requests in flight', async () => {
   await fixture.start([(request) => void setTimeout(() => answers()(request), 200)]);
   const inFlight = fixture.request();
