--- a/src/external/httpClient.ts
+++ b/src/external/httpClient.ts
@@ -1,6 +1,7 @@
 /** Client for JSON over HTTP, used for the platform and backend servers. */
 import type { Dispatcher } from 'undici';
 import { Agent, request } from 'undici';
+import { BoundedBody, MAX_JSON_BYTES } from './boundedBody.js';
 import { StepError, errorCode, errorText } from '../utils/stepError.js';
 import { parseJson } from '../utils/json.js';
 import { TimeLimit } from '../utils/timeLimit.js';
@@ -52,8 +53,10 @@
       dispatcher: options.dispatcher ?? sharedDispatcher,
       signal: limit.signal,
     });
-    const text = await answer.body.text();
-    return { status: answer.statusCode, headers: answer.headers, body: parseJson(text) };
+    const body = new BoundedBody(options.step, MAX_JSON_BYTES);
+    // Leaving the loop early closes the connection.
+    for await (const part of answer.body as AsyncIterable<Buffer>) body.push(part);
+    return { status: answer.statusCode, headers: answer.headers, body: parseJson(body.bytes()) };
   } catch (error) {
     throw new StepError(options.step, errorText(error), { peer: new URL(options.url).host, cause: error });
   } finally {
--- a/src/serving/answerReceiver.ts
+++ b/src/serving/answerReceiver.ts
@@ -98,7 +98,9 @@
   }
 
   private _forward(relay: StreamRelay, bytes: Buffer, call: BackendCall | undefined): boolean {
-    if (relay.push(bytes)) return true;
+    const canTakeMore = relay.push(bytes);
+    if (relay.isOverfull) return false;
+    if (canTakeMore) return true;
     if (this.endsWithConnection) return this._buffer(bytes);
     call?.pause();
     this._exchange.onceWritable(() => call?.resume());
--- a/src/serving/streamRelay.ts
+++ b/src/serving/streamRelay.ts
@@ -4,10 +4,16 @@
 import type { CallerExchange } from './callerExchange.js';
 import { EventSplitter } from './eventSplitter.js';
 
+/** A longer event is no event. */
+const MAX_EVENT_BYTES = 1024 * 1024;
+/** Limit for an answer that is held back. */
+const MAX_HELD_BYTES = 16 * 1024 * 1024;
+
 /** The beginning of an answer that is not sent to the caller yet. */
 interface HeldAnswer {
   head: { status: number; headers: AnswerHeaders } | undefined;
   events: Buffer[];
+  bytes: number;
 }
 
 /** Forwards complete events only, so that a stream can be resumed on another server after any event. */
@@ -58,7 +64,7 @@
 
   /** Holds the answer back from the caller until {@link StreamRelay.release}. No effect once it has begun. */
   hold(): void {
-    if (!this._begun) this._held ??= { head: undefined, events: [] };
+    if (!this._begun) this._held ??= { head: undefined, events: [], bytes: 0 };
   }
 
   /** Sends what was held back, and forwards all further events as they arrive. */
@@ -106,9 +112,15 @@
     return this._splitter.rest.length > 0 || (this._firstBytesAt === 0 && this._lastEventId === '');
   }
 
+  /** Whether more has been buffered than any sound answer needs. */
+  get isOverfull(): boolean {
+    return this._splitter.rest.length > MAX_EVENT_BYTES || (this._held?.bytes ?? 0) > MAX_HELD_BYTES;
+  }
+
   private _send(event: Buffer): boolean {
     if (!this._held) return this._exchange.write(event);
     this._held.events.push(event);
+    this._held.bytes += event.length;
     return true;
   }
 
--- a/tests/keepAliveClient.spec.ts
+++ b/tests/keepAliveClient.spec.ts
@@ -26,7 +26,7 @@
   server.close();
 });
 
-const REPORT = { step: 'test.get', method: 'GET', path: '/report' } as const;
+const REPORT = { step: 'test.get', method: 'GET', path: '/report', maximumBytes: 100_000 } as const;
 
 async function failureOf(target: KeepAliveClient): Promise<Error | undefined> {
   try {
@@ -77,6 +77,12 @@
 test('should send a body', async () => {
   answer = (request, response) => void request.pipe(response);
   const body = Buffer.alloc(50_000, 'chunk');
-  const { bytes } = await client.call({ step: 'test.put', method: 'PUT', path: '/place', body });
+  const { bytes } = await client.call({
+    step: 'test.put',
+    method: 'PUT',
+    path: '/place',
+    body,
+    maximumBytes: 100_000,
+  });
   expect(bytes.equals(body)).toEqual(true);
 });
