Logs: write all lines before the process exits

Cause, one that fits and can be shown: lines go through a buffer that is written asynchronously, and `process.exit` drops what is left in it. Change: a planned stop ends with a flush, which waits 100 ms at most for a reader.

--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -181,6 +181,7 @@
     await drained;
     this.close();
     this._log.state('gateway.stopped', { cut: this._drain.cutRequests });
+    await this._log.flush();
   }
 
   /** Only logs that a reload was asked for: settings change with a restart, so no request in flight is interrupted. */
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -182,6 +182,7 @@
     this._chunkServer.close();
     this._metricsServer.close();
     this._log.state('agent.stopped');
+    await this._log.flush();
   }
 
   private _createStages(random: Random, uploads: UploadQueue): StageQueue {
--- a/src/telemetry/eventLog.ts
+++ b/src/telemetry/eventLog.ts
@@ -1,5 +1,6 @@
 /** Structured log lines (JSON) on standard output, with bounded rate and memory. Writing never blocks. */
 import sonicBoom from 'sonic-boom';
+import { waitAtMost } from '../utils/timers.js';
 
 /** Fields of a log line. Undefined fields are omitted. */
 export type EventFields = Record<string, string | number | boolean | readonly unknown[] | undefined>;
@@ -10,6 +11,8 @@
 /** The destination of log lines; tests replace it. */
 export interface LineSink {
   write(line: string): void;
+  /** Resolves when all lines so far have been written. */
+  flush?(): Promise<void>;
 }
 
 /** Maximum number of lines that are written per step and second. Further lines are only counted. */
@@ -18,6 +21,8 @@
 /** Size of the buffer for a slow reader of standard output; lines are dropped while it is full. */
 const BUFFER_BYTES = 256 * 1024;
 const STANDARD_OUTPUT = 1;
+/** A process that exits waits no longer than this for the reader of its lines. */
+const FLUSH_MILLISECONDS = 100;
 
 interface StepBudget {
   windowStart: number;
@@ -29,7 +34,10 @@
 export function standardOutputSink(): LineSink {
   const stream = new sonicBoom.SonicBoom({ fd: STANDARD_OUTPUT, sync: false, maxLength: BUFFER_BYTES });
   stream.on('error', () => undefined);
-  return stream;
+  return {
+    write: (line) => void stream.write(line),
+    flush: async () => await new Promise((resolve) => stream.flush(() => resolve())),
+  };
 }
 
 /** Writes the log lines of one process. The `common` fields are added to every line. */
@@ -61,6 +69,11 @@
     if (this._level === 'decision') this._write(step, fields);
   }
 
+  /** Resolves when the lines so far have been written; must be awaited before the process exits. */
+  async flush(): Promise<void> {
+    if (this._sink.flush) await waitAtMost(this._sink.flush(), FLUSH_MILLISECONDS);
+  }
+
   private _write(step: string, fields: EventFields): void {
     const now = Date.now();
     const budget = this._budgetOf(step, now);
--- a/tests/eventLog.spec.ts
+++ b/tests/eventLog.spec.ts
@@ -1,4 +1,5 @@
 /** EventLog: format, levels and rate limit of log lines. */
+import { spawnSync } from 'node:child_process';
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { EventLog } from '../src/telemetry/eventLog.js';
@@ -29,3 +30,16 @@
   expect(log.droppedLines).toEqual(MANY + 1 - lines.length);
   expect(lines.at(-1)?.includes('request.refused')).toEqual(true);
 });
+
+/** Guards against losing the last lines of a process, which tell how its requests ended. */
+test('should have written all lines before the process exits', () => {
+  const module = new URL('../src/telemetry/eventLog.js', import.meta.url).href;
+  const script = `
+    import { EventLog, standardOutputSink } from '${module}';
+    const log = new EventLog(standardOutputSink(), 'decision');
+    for (let line = 0; line < 20; line++) log.decision('request.cut', { line });
+    await log.flush();
+    process.exit(0);`;
+  const run = spawnSync(process.execPath, ['--input-type=module', '--eval', script], { encoding: 'utf8' });
+  expect(run.stdout.split('\n').filter((line) => line.includes('request.cut')).length).toEqual(20);
+});
