--- a/src/entry/callerApi.ts
+++ b/src/entry/callerApi.ts
@@ -51,7 +51,6 @@
 
 const chatSchema = z.looseObject({
   model: z.string('the name of a model'),
-  max_tokens: z.unknown().optional(),
   messages: z.array(z.unknown(), 'a list of messages').min(1, 'at least one message'),
 });
 
@@ -144,12 +143,12 @@
     const json = parseJson(body);
     const parsed = chatSchema.safeParse(json);
     if (!parsed.success) return answerProblems(response, problemsOf(parsed.error, json));
-    const { model, messages, max_tokens: tokens } = parsed.data;
+    const { model, messages } = parsed.data;
     const name = this._findConfiguration(customer, 'model', model);
     if (!name) return this._answerUnknown(response, 'model', model);
     const prefix = JSON.stringify(messages).slice(0, AFFINITY_PREFIX_CHARACTERS);
     const affinity = sha256Hex(`${customer}\n${model}\n${prefix}`).slice(0, 16);
-    const target = { name, path: '/v1/chat/completions', body, affinity, kind: lengthKind(tokens) };
+    const target = { name, path: '/v1/chat/completions', body, affinity };
     await this._routeRequest(request, response, target, true);
   }
 
@@ -167,7 +166,7 @@
     await this._routeRequest(
       request,
       response,
-      { name, path: `/${rest.join('/')}${url.search}`, body, affinity: '', kind: '' },
+      { name, path: `/${rest.join('/')}${url.search}`, body, affinity: '' },
       repeatable,
     );
   }
@@ -175,7 +174,7 @@
   private async _routeRequest(
     request: http.IncomingMessage,
     response: http.ServerResponse,
-    target: Pick<CallerRequest, 'name' | 'path' | 'body' | 'affinity' | 'kind'>,
+    target: Pick<CallerRequest, 'name' | 'path' | 'body' | 'affinity'>,
     repeatable: boolean,
   ): Promise<void> {
     const callerOptions = parseCallerOptions(request.headers, repeatable);
@@ -220,9 +219,3 @@
     });
   }
 }
-
-/** Groups chat requests whose answers have similar maximum lengths: within a factor of two. */
-function lengthKind(maximumTokens: unknown): string {
-  if (typeof maximumTokens !== 'number' || !(maximumTokens >= 1)) return 'chat';
-  return `chat/${2 ** Math.ceil(Math.log2(maximumTokens))}`;
-}
--- a/src/requests/callerRequest.ts
+++ b/src/requests/callerRequest.ts
@@ -28,8 +28,6 @@
   path: string;
   contentType: string;
   body: Buffer;
-  /** Requests of one kind take similar times. */
-  kind: string;
   /** Hash key of customer and prompt prefix, '' for none. */
   affinity: string;
   arrivedAt: number;
