--- a/tests/leavingEntry.spec.ts
+++ b/tests/leavingEntry.spec.ts
@@ -9,7 +9,7 @@
 import type { Script } from '../standins/scriptedBackend.js';
 import type { CallerAnswer } from './fixtures/gatewayFixture.js';
 import { GatewayFixture } from './fixtures/gatewayFixture.js';
-import { routeFixture } from './fixtures/servingFixture.js';
+import { STREAM_SERVICE, routeFixture } from './fixtures/servingFixture.js';
 import { until } from './fixtures/until.js';
 
 let fixture: GatewayFixture;
@@ -21,17 +21,7 @@
 afterEach(() => fixture.stop());
 
 const LONG_ROUTE = routeFixture({ kind: 'stream', resumable: true, timeoutMilliseconds: 6_000 });
-const STREAM = { routes: [LONG_ROUTE] };
-const SERVICE = { name: 'plain', maximumConnections: 100, origin: undefined };
-const ENGINE = {
-  slots: 16,
-  models: ['model'],
-  stepMilliseconds: 5,
-  readTokensPerSecond: 30_000,
-  meanPromptTokens: 100,
-  meanAnswerTokens: 100,
-  tokensPerEvent: 2,
-};
+const STREAM = { routes: [LONG_ROUTE], services: [STREAM_SERVICE] };
 
 /** Sends `count` events, one every `milliseconds`. */
 function streamOf(count: number, milliseconds: number): Script {
@@ -82,7 +72,7 @@
 test('should cut no stream that it takes while leaving, and reject the others', async () => {
   await fixture.start(
     Array.from({ length: 4 }, () => streamOf(45, 80)),
-    { ...STREAM, services: [{ ...SERVICE, engine: ENGINE }] },
+    STREAM,
     { drainMilliseconds: 6_000 },
   );
   const ends = await endsWhileLeaving(() => askFor(90, '/a/x', 4_500), 150);
@@ -92,11 +82,7 @@
 
 /** Guards against rejecting everything: what ends long before the close is served until the entry stops listening. */
 test('should serve streams that end in time until it stops listening', async () => {
-  await fixture.start(
-    [streamOf(5, 20)],
-    { ...STREAM, services: [{ ...SERVICE, engine: ENGINE }] },
-    { drainMilliseconds: 3_000 },
-  );
+  await fixture.start([streamOf(5, 20)], STREAM, { drainMilliseconds: 3_000 });
   const ends = await endsWhileLeaving(() => askFor(10), 100);
   expect(ends.filter((end) => end === '200').length).toBeGreaterThan(10);
   expect(ends.filter((end) => end.endsWith('cut'))).toEqual([]);
@@ -104,11 +90,7 @@
 
 /** Guards against the first stream after a start, whose pace nothing has shown yet, being cut off. */
 test('should reject a stream without having sent any of it when its first events come too slowly', async () => {
-  await fixture.start(
-    [streamOf(50, 100)],
-    { ...STREAM, services: [{ ...SERVICE, engine: ENGINE }] },
-    { drainMilliseconds: 3_000 },
-  );
+  await fixture.start([streamOf(50, 100)], STREAM, { drainMilliseconds: 3_000 });
   const stopped = fixture.gateway.stop();
   const first = askFor(100);
   await until(() => fixture.arrivals === 1);
@@ -121,11 +103,7 @@
 /** Guards against judging a stream by the pace of others alone, which a slower server or model does not keep. */
 test('should send nothing of a stream that is much slower than the recent ones', async () => {
   const script: Script = (request) => streamOf(50, request.path.endsWith('slow') ? 100 : 10)(request);
-  await fixture.start(
-    [script],
-    { ...STREAM, services: [{ ...SERVICE, engine: ENGINE }] },
-    { drainMilliseconds: 3_000 },
-  );
+  await fixture.start([script], STREAM, { drainMilliseconds: 3_000 });
   await askFor(100);
   const stopped = fixture.gateway.stop();
   const ends = [await askFor(100), await askFor(100, '/a/slow')];
--- a/tests/leavingSlowServers.spec.ts
+++ b/tests/leavingSlowServers.spec.ts
@@ -6,23 +6,14 @@
 import type { Script } from '../standins/scriptedBackend.js';
 import type { CallerAnswer } from './fixtures/gatewayFixture.js';
 import { GatewayFixture } from './fixtures/gatewayFixture.js';
-import { routeFixture, servingConfiguration } from './fixtures/servingFixture.js';
+import { STREAM_SERVICE, routeFixture, servingConfiguration } from './fixtures/servingFixture.js';
 import { until } from './fixtures/until.js';
 
 const EVENTS = 40;
 const FAST_MILLISECONDS = 20;
 const SLOW_MILLISECONDS = 100;
 const DRAIN = { drainMilliseconds: 3_000 };
-const ENGINE = {
-  slots: 16,
-  models: ['model'],
-  stepMilliseconds: 5,
-  readTokensPerSecond: 30_000,
-  meanPromptTokens: 100,
-  meanAnswerTokens: 100,
-  tokensPerEvent: 2,
-};
-const SERVICES = [{ name: 'plain', maximumConnections: 100, origin: undefined, engine: ENGINE }];
+const SERVICES = [STREAM_SERVICE];
 const LONG_STREAM = routeFixture({ kind: 'stream', timeoutMilliseconds: 6_000 });
 
 let fixture: GatewayFixture;
