Leaving entries: accept all pending connections before listening ends

What callers saw: some connections to a leaving entry that stood still for a moment were reset, with a request on them. Cause: one cycle of the event loop went by between the last poll and the end of listening, and not all of the connections that had been waiting were accepted in it; the system resets the others. Change: cycles go by until one accepts nothing new, 100 at most.

--- a/src/serving/callerServer.ts
+++ b/src/serving/callerServer.ts
@@ -13,6 +13,8 @@
 /** Idle connections are kept this much longer than announced, so that a request does not race with their closing. */
 const IDLE_MARGIN_MILLISECONDS = 2_000;
 const DEFAULT_IDLE_MILLISECONDS = 60_000;
+/** Limit on the cycles of the event loop in which pending connections are accepted before listening ends. */
+const MAX_ACCEPT_CYCLES = 100;
 const BAD_REQUEST_ANSWER = 'HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n';
 
 /** The requests of a connection. */
@@ -25,6 +27,8 @@
 export class CallerServer {
   private readonly _server: http.Server;
   private readonly _connections = new Map<Socket, ConnectionUse>();
+  /** Number of connections that have been accepted so far. */
+  private _accepted = 0;
 
   constructor(listener: RequestListener) {
     this._server = http.createServer({ maxHeaderSize: MAX_HEADER_BYTES, noDelay: true }, listener);
@@ -56,7 +60,10 @@
   /** Stops accepting connections and closes idle ones; a connection just opened may still send its first request. */
   async stopListening(): Promise<void> {
     // Lets the event loop accept pending connections first; the system would reset them when the socket is closed.
-    await afterPoll();
+    for (let cycle = 0, known = -1; known < this._accepted && cycle < MAX_ACCEPT_CYCLES; cycle++) {
+      known = this._accepted;
+      await afterPoll();
+    }
     // The method of the HTTP server would also destroy connections on which the end of an answer is being sent.
     net.Server.prototype.close.call(this._server);
     for (const [socket, { requests, open }] of this._connections)
@@ -70,6 +77,7 @@
   }
 
   private _trackSocket(socket: Socket): void {
+    this._accepted++;
     this._connections.set(socket, { requests: 0, open: 0 });
     socket.once('close', () => this._connections.delete(socket));
   }
--- a/tests/leavingEntry.spec.ts
+++ b/tests/leavingEntry.spec.ts
@@ -180,6 +180,26 @@
   await stopped;
 });
 
+/** Guards against resetting connections that wait to be accepted when the process stands still before it stops listening. */
+test('should answer all requests that arrived while the process stood still', async () => {
+  await fixture.start([answers()], {}, { drainMilliseconds: 2_000 });
+  const [host, port] = fixture.address.split(':');
+  const stopsAt = performance.now();
+  const stopped = fixture.gateway.stop();
+  await until(() => performance.now() - stopsAt > 1_200);
+  const asked = Array.from({ length: 60 }, async () => {
+    const socket = net.connect(Number(port), host);
+    socket.write('GET /a/x HTTP/1.1\r\nHost: host.example\r\nAuthorization: Bearer key-one\r\n\r\n');
+    const [bytes] = (await Promise.race([once(socket, 'data'), once(socket, 'close')])) as [unknown];
+    socket.destroy();
+    return String(bytes).split('\r\n')[0];
+  });
+  while (performance.now() - stopsAt < 1_550);
+  const first = new Set(await Promise.all(asked));
+  expect([...first]).toEqual(['HTTP/1.1 503 Service Unavailable']);
+  await stopped;
+});
+
 /** Guards against closing the connection of a request that is still being read, without an answer. */
 test('should reject a request that has not been read whole when it closes', async () => {
   await fixture.start([answers()], {}, { drainMilliseconds: 600 });
