--- a/soak/leavingChecks.ts
+++ b/soak/leavingChecks.ts
@@ -66,7 +66,7 @@
       if (end === 'cut' && !reachedDeadline(request) && !crossedClose(request, context))
         onBreach(`${id} at ${entry}: cut after ${milliseconds} ms`);
       if (end === 'rejected' && milliseconds > REJECTION_MILLISECONDS + SLACK_MILLISECONDS)
-        onBreach(`${id} at ${entry}: rejected after ${milliseconds} ms`);
+        onBreach(`${id} at ${entry}: rejected after ${milliseconds} ms (${request.reason})`);
       if (request.reason === 'leaving' && this._endsByDeadline(request))
         onBreach(`${id} at ${entry}: rejected although its deadline ended it before the close`);
     }
--- a/soak/leavingEntries.ts
+++ b/soak/leavingEntries.ts
@@ -30,7 +30,7 @@
 /** Number of events of the longest stream, for each second of the grace time. */
 const EVENTS_PER_SECOND = 20;
 const PAUSES_MILLISECONDS = [15, 25, 40];
-const DEADLINES_MILLISECONDS = [500, 1_500, 15_000];
+const DEADLINES_MILLISECONDS = [500, 1_500, 4_000, 15_000];
 const MILLISECONDS_PER_SECOND = 1_000;
 
 export class LeavingEntries {
