--- a/soak/leavingChecks.ts
+++ b/soak/leavingChecks.ts
@@ -37,6 +37,10 @@
 /** Time in which an entry closes its connections and exits, as a share of the grace time. */
 const CLOSE_SHARE = 1 / 8;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Time in which a process gets a signal. */
+const SIGNAL_MILLISECONDS = 200;
+/** Share of the grace time at whose end requests from before the signal may be cut. */
+const LAST_SHARE = 1 / 6;
 
 export class LeavingChecks {
   readonly graceSeconds: number;
@@ -63,8 +67,9 @@
     for (const request of requests) {
       const { id, entry, sentAt, endedAt, end } = request;
       const milliseconds = endedAt - sentAt;
-      if (end === 'cut' && !reachedDeadline(request) && !crossedClose(request, context))
-        onBreach(`${id} at ${entry}: cut after ${milliseconds} ms`);
+      const isAllowed =
+        reachedDeadline(request) || this._crossedSignal(request) || crossedClose(request, context);
+      if (end === 'cut' && !isAllowed) onBreach(`${id} at ${entry}: cut after ${milliseconds} ms`);
       if (end === 'rejected' && milliseconds > REJECTION_MILLISECONDS + SLACK_MILLISECONDS)
         onBreach(`${id} at ${entry}: rejected after ${milliseconds} ms (${request.reason})`);
       if (request.reason === 'leaving' && this._endsByDeadline(request))
@@ -72,6 +77,14 @@
     }
   }
 
+  /** Whether the entry took the request before it got the signal, and cut it at the close. */
+  private _crossedSignal({ sentAt, endedAt, killedAt }: LeavingRequest): boolean {
+    const graceMilliseconds = this.graceSeconds * MILLISECONDS_PER_SECOND;
+    const signalledAt = killedAt - graceMilliseconds;
+    const isCutAtClose = endedAt >= killedAt - graceMilliseconds * LAST_SHARE;
+    return isCutAtClose && sentAt <= signalledAt + SIGNAL_MILLISECONDS;
+  }
+
   private _endsByDeadline({ sentAt, killedAt, deadlineMilliseconds }: LeavingRequest): boolean {
     const closeMilliseconds = this.graceSeconds * MILLISECONDS_PER_SECOND * CLOSE_SHARE;
     return killedAt - sentAt >= deadlineMilliseconds + closeMilliseconds + SLACK_MILLISECONDS;
--- a/tests/soakLeaving.spec.ts
+++ b/tests/soakLeaving.spec.ts
@@ -66,6 +66,10 @@
   expect(breachesOf({ end: 'cut', endedAt: 100 }, false)).toEqual(0);
   expect(breachesOf({ end: 'cut', endedAt: 100 }, true)).toEqual(1);
   expect(breachesOf({ end: 'cut' }, true, true)).toEqual(0);
+  const atClose = { end: 'cut', endedAt: 2_800, deadlineMilliseconds: 15_000 } as const;
+  expect(breachesOf({ ...atClose, sentAt: 100 })).toEqual(0);
+  expect(breachesOf({ ...atClose, sentAt: 300 })).toEqual(1);
+  expect(breachesOf({ ...atClose, sentAt: 100, endedAt: 2_000 })).toEqual(1);
 });
 
 test('should report late rejections, and rejections of what its deadline ends in time', () => {
