Planned stops: one comparison decides whether a request may start; tests: no second wait for a server that listens

The time to the close is infinite while a process is not leaving, so the comparison with it holds for that case too.

--- a/src/draining/processDrain.ts
+++ b/src/draining/processDrain.ts
@@ -25,6 +25,6 @@
 
   /** Whether a request may start: only its deadline, in milliseconds from now, ends it before the close for certain. */
   mayStart(deadlineMilliseconds = Number.POSITIVE_INFINITY): boolean {
-    return !this.isLeaving || deadlineMilliseconds <= this.closesInMilliseconds;
+    return deadlineMilliseconds <= this.closesInMilliseconds;
   }
 }
--- a/tests/endlessAnswers.spec.ts
+++ b/tests/endlessAnswers.spec.ts
@@ -68,7 +68,6 @@
     },
   });
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  await until(() => server.listening);
   return `127.0.0.1:${(server.address() as AddressInfo).port}`;
 }
 
