--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -9,11 +9,12 @@
   #running = 0;
 
   /**
-   * `onRun` is called when a request starts to run. `streamShape` returns the events of a stream, their pause, and
-   * whether the answer is `unframed`: neither a length nor chunks, so that it ends with its connection.
+   * `onRun` is called when a request starts to run, and `onSent` when its whole answer has been sent. `streamShape`
+   * returns the events of a stream, their pause, whether the answer is `unframed`: neither a length nor chunks, so that
+   * it ends with its connection, and whether it `closes` the connection after the answer, and says so in its head.
    */
-  constructor({ id, service, zone, slots = 8, workMilliseconds = 20, onRun, streamShape }) {
-    Object.assign(this, { id, service, zone, slots, workMilliseconds, onRun, streamShape });
+  constructor({ id, service, zone, slots = 8, workMilliseconds = 20, onRun, onSent, streamShape }) {
+    Object.assign(this, { id, service, zone, slots, workMilliseconds, onRun, onSent, streamShape });
     this.born = Date.now();
   }
 
@@ -61,12 +62,13 @@
   }
 
   async #stream(id, headers, response) {
-    const { events, pauseMilliseconds, unframed } = this.streamShape();
+    const { events, pauseMilliseconds, unframed, closes } = this.streamShape();
     const head = { ...own(this, id), 'content-type': 'text/event-stream' };
     if (unframed) {
       response.useChunkedEncodingByDefault = false;
       head.connection = 'close';
     }
+    if (closes) head.connection = 'close';
     const first = Number(headers['last-event-id'] ?? 0) + 1;
     await pause(this.workMilliseconds);
     response.writeHead(200, head);
@@ -74,7 +76,7 @@
       response.write(eventText(event, events));
       await pause(pauseMilliseconds);
     }
-    response.end();
+    if (!response.destroyed) response.end(() => this.onSent?.(id));
   }
 }
 
