--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -12,6 +12,7 @@
 /**
  * Sends a request to `entry` (host:port) and resolves to what the client saw: `status`, `headers`, `body`, `sentAt`,
  * `endedAt`, and `complete`, whether the answer ended in order. `error` tells why there is none.
+ * `headers` are sent as well.
  */
 export async function send({
   entry,
@@ -23,9 +24,10 @@
   deadline = 6_000,
   body,
   agent,
+  headers: own = {},
 }) {
   const [address, port] = entry.split(':');
-  const headers = { host, 'x-attempt-id': id, 'x-deadline-ms': String(deadline) };
+  const headers = { ...own, host, 'x-attempt-id': id, 'x-deadline-ms': String(deadline) };
   if (key) headers.authorization = `Bearer ${key}`;
   if (body) headers['content-length'] = Buffer.byteLength(body);
   const seen = { id, entry, sentAt: Date.now(), status: 0, headers: {}, body: '', complete: false };
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -56,10 +56,12 @@
   #directory = mkdtempSync(path.join(tmpdir(), 'larklatch-review-'));
   #children = new Set();
 
-  constructor({ network, entries = 3, agents = 3, storeAddressOf, bounds = {} }) {
+  constructor({ network, entries = 3, agents = 3, storeAddressOf, createModelRunner, bounds = {} }) {
     this.network = network;
     this.counts = { entries, agents };
     this.bounds = { ...BOUNDS, ...bounds };
+    /** Creates and starts the model runner of a machine; by default one that only holds version 1. */
+    this.createModelRunner = createModelRunner;
     /** Returns the address at which a machine reaches the store; by default the store itself. */
     this.storeAddressOf = storeAddressOf ?? (async (_name, address) => address);
     process.once('exit', () => this.#killAll());
@@ -124,15 +126,21 @@
   async #addAgent(index) {
     const host = `127.${this.network}.2.${index + 1}`;
     const zone = ZONES[index % ZONES.length];
-    const runner = new ModelRunner({ id: `m-${index + 1}`, service: MODEL_SERVICE, zone, model: MODEL });
-    await runner.listen(host);
+    const runner = await (this.createModelRunner?.({ host, zone }) ??
+      this.#plainModelRunner(index, host, zone));
     this.modelRunners.push(runner);
-    this.publish(runner);
     const name = `side-${index + 1}`;
     const more = { app: runner.address, service: MODEL_SERVICE };
     this.agents.push(await this.#addMachine({ name, role: 'agent', host, zone, more }));
   }
 
+  async #plainModelRunner(index, host, zone) {
+    const runner = new ModelRunner({ id: `m-${index + 1}`, service: MODEL_SERVICE, zone, model: MODEL });
+    await runner.listen(host);
+    this.publish(runner);
+    return runner;
+  }
+
   async #addEntry(index) {
     const host = `127.${this.network}.1.${index + 1}`;
     const { front, ready, control, directory } = this.ports;
