--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -3,7 +3,7 @@
  * Exits with 1 if a client got such an answer as a complete success.
  */
 import { newId, send } from '../lib-2/client.mjs';
-import { CannotRun, Fleet, HOST, configuration, route } from '../lib-2/fleet.mjs';
+import { CannotRun, Fleet, HOST, ZONES, configuration, route } from '../lib-2/fleet.mjs';
 import { CaseRecord } from '../lib-2/record.mjs';
 import { ResettingRunner } from '../lib-2/resettingRunner.mjs';
 import { pause } from '../lib-2/runner.mjs';
@@ -11,11 +11,15 @@
 const IS_TROUBLED = process.env.TROUBLE !== '0';
 const NETWORK = 77;
 const LEAD_MILLISECONDS = 12_000;
-/** 5 in 100 answers. */
+/** Half of the runners reset 5 in 100 of their answers, for 5 s. */
+const RUNNERS = 4;
+const FAULTY_RUNNERS = 2;
 const RESET_EVERY = 20;
+const FAULTY_FROM_MILLISECONDS = 3_000;
+const FAULTY_MILLISECONDS = 5_000;
 const BODY_BYTES = 800;
-const REQUESTS_PER_SECOND = 60;
-const TRAFFIC_MILLISECONDS = 20_000;
+const REQUESTS_PER_SECOND = 120;
+const TRAFFIC_MILLISECONDS = 10_000;
 
 const record = new CaseRecord(import.meta.dirname);
 const fleet = new Fleet({ network: NETWORK });
@@ -28,7 +32,6 @@
     id: `turns-${index}`,
     service: 'turns',
     zone,
-    resetEvery: IS_TROUBLED ? RESET_EVERY : 0,
     bodyBytes: BODY_BYTES,
     onAnswer: (sent) => sentBy.set(sent.id, [...(sentBy.get(sent.id) ?? []), sent]),
   });
@@ -46,6 +49,14 @@
   return { ...answer, entry: entry.name, method: kind.method };
 }
 
+/** Resets some answers of half of the runners for a while. */
+async function disturb() {
+  await pause(FAULTY_FROM_MILLISECONDS);
+  for (const runner of runners.slice(0, FAULTY_RUNNERS)) runner.resetEvery = RESET_EVERY;
+  await pause(FAULTY_MILLISECONDS);
+  for (const runner of runners) runner.resetEvery = 0;
+}
+
 async function traffic() {
   const answers = [];
   const endsAt = Date.now() + TRAFFIC_MILLISECONDS;
@@ -70,8 +81,9 @@
   const services = [{ name: 'turns', max_conns: 300 }];
   const tenants = [{ name: 'studio-a', api_keys: ['key-a'] }];
   await fleet.start(configuration({ version: 1, routes, services, tenants }));
-  for (const [index, zone] of ['north', 'south', 'west'].entries()) await addRunner(index, zone);
+  for (let index = 0; index < RUNNERS; index++) await addRunner(index, ZONES[index % ZONES.length]);
   await pause(LEAD_MILLISECONDS);
+  if (IS_TROUBLED) void disturb();
   const answers = await traffic();
   const served = answers.filter(({ status }) => status === 200);
   if (served.length < answers.length / 2)
--- a/review/lib-2/resettingRunner.mjs
+++ b/review/lib-2/resettingRunner.mjs
@@ -10,11 +10,12 @@
   #answers = 0;
 
   /**
-   * One of `resetEvery` answers is reset, or none if that is 0. `onRun` is called when a request starts to run, and
-   * `onAnswer` with what the runner means to send: `body`, and `sentBytes`, less than all if it resets the answer.
+   * One of `resetEvery` answers is reset, or none while that is 0. `onAnswer` is called with what the runner means to
+   * send: `body`, and `sentBytes`, less than all if it resets the answer.
    */
-  constructor({ id, service, zone, resetEvery, bodyBytes, workMilliseconds = 20, slots = 40, onAnswer }) {
-    Object.assign(this, { id, service, zone, resetEvery, bodyBytes, workMilliseconds, slots, onAnswer });
+  constructor({ id, service, zone, bodyBytes, workMilliseconds = 20, slots = 40, onAnswer }) {
+    Object.assign(this, { id, service, zone, bodyBytes, workMilliseconds, slots, onAnswer });
+    this.resetEvery = 0;
     this.born = Date.now();
   }
 
