--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -9,7 +9,7 @@
 import { pause } from '../lib-2/runner.mjs';
 
 const IS_TROUBLED = process.env.TROUBLE !== '0';
-const NETWORK = 77;
+const NETWORK = 204;
 const LEAD_MILLISECONDS = 12_000;
 /** Half of the runners reset 5 in 100 of their answers, for 5 s. */
 const RUNNERS = 4;
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -8,7 +8,7 @@
 import { Runner, pause } from '../lib-2/runner.mjs';
 
 const IS_TROUBLED = process.env.TROUBLE !== '0';
-const NETWORK = 75;
+const NETWORK = 206;
 const LEAD_MILLISECONDS = 12_000;
 /** One of so many streams has neither a length nor chunks: 5 in 100. */
 const UNFRAMED_EVERY = 20;
--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -8,7 +8,7 @@
 import { Runner, pause } from '../lib-2/runner.mjs';
 
 const IS_TROUBLED = process.env.TROUBLE !== '0';
-const NETWORK = 78;
+const NETWORK = 207;
 const LEAD_MILLISECONDS = 12_000;
 /** One of so many answers carries `Connection: close`. */
 const CLOSES_EVERY = 10;
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -3,7 +3,7 @@
  * of the platform's store, the model runners beside the agents, and any other runners of a case.
  */
 import { spawn } from 'node:child_process';
-import { mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from 'node:fs';
 import net from 'node:net';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
@@ -56,14 +56,12 @@
   #directory = mkdtempSync(path.join(tmpdir(), 'larklatch-review-'));
   #children = new Set();
 
-  constructor({ network, entries = 3, agents = 3, storeAddressOf, createModelRunner, bounds = {} }) {
+  constructor({ network, entries = 3, agents = 3, createModelRunner, bounds = {} }) {
     this.network = network;
     this.counts = { entries, agents };
     this.bounds = { ...BOUNDS, ...bounds };
     /** Creates and starts the model runner of a machine; by default one that only holds version 1. */
     this.createModelRunner = createModelRunner;
-    /** Returns the address at which a machine reaches the store; by default the store itself. */
-    this.storeAddressOf = storeAddressOf ?? (async (_name, address) => address);
     process.once('exit', () => this.#killAll());
     for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => process.exit(2));
   }
@@ -98,25 +96,17 @@
     rmSync(this.#directory, { recursive: true, force: true });
   }
 
-  /** What a process has written so far. */
-  logOf(machine) {
-    return readFileSync(machine.log, 'utf8');
-  }
-
   /** Starts a machine's process, again if it has ended. */
   launch(machine) {
     const log = openSync(machine.log, 'a');
-    const env = { ...process.env, LARKLATCH_CONFIG: machine.settings, LARKLATCH_SHARED_KEY: SHARED_KEY };
+    const { PATH, HOME } = process.env;
+    const own = { LARKLATCH_CONFIG: machine.settings, LARKLATCH_SHARED_KEY: SHARED_KEY };
     const child = spawn('node', ['target/bundledMain.cjs', machine.role], {
       cwd: ROOT,
-      env: {
-        PATH: env.PATH,
-        HOME: env.HOME,
-        LARKLATCH_CONFIG: machine.settings,
-        LARKLATCH_SHARED_KEY: SHARED_KEY,
-      },
+      env: { PATH, HOME, ...own },
       stdio: ['ignore', log, log],
     });
+    closeSync(log);
     machine.child = child;
     machine.ended = new Promise((resolve) => child.once('exit', (code, signal) => resolve(signal ?? code)));
     this.#children.add(child);
@@ -131,7 +121,7 @@
     this.modelRunners.push(runner);
     const name = `side-${index + 1}`;
     const more = { app: runner.address, service: MODEL_SERVICE };
-    this.agents.push(await this.#addMachine({ name, role: 'agent', host, zone, more }));
+    this.agents.push(this.#addMachine({ name, role: 'agent', host, zone, more }));
   }
 
   async #plainModelRunner(index, host, zone) {
@@ -153,12 +143,11 @@
     const seeds = Array.from({ length: 3 }, (_, seed) => `127.${this.network}.1.${seed + 1}:${control}`);
     const more = { listen, seeds, bootstrap: true };
     const zone = ZONES[index % ZONES.length];
-    const machine = await this.#addMachine({ name: `edge-${index + 1}`, role: 'entry', host, zone, more });
+    const machine = this.#addMachine({ name: `edge-${index + 1}`, role: 'entry', host, zone, more });
     this.entries.push(Object.assign(machine, { front: listen.front, ready: listen.ready }));
   }
 
-  async #addMachine({ name, role, host, zone, more }) {
-    const address = await this.storeAddressOf(name, this.storeAddress);
+  #addMachine({ name, role, host, zone, more }) {
     const settings = {
       node_name: name,
       role,
@@ -174,7 +163,13 @@
       entry: 'registry',
       heartbeat_ms: 1200,
       bounds: this.bounds,
-      platform: { address, form: 'objects', writes_per_s: 400, reads_per_s: 2000, history_s: 20 },
+      platform: {
+        address: this.storeAddress,
+        form: 'objects',
+        writes_per_s: 400,
+        reads_per_s: 2000,
+        history_s: 20,
+      },
       ...more,
     };
     const file = path.join(this.#directory, `${name}.json`);
