--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -19,7 +19,7 @@
 const KILL_AFTER_MILLISECONDS = 3_000;
 
 const record = new CaseRecord(import.meta.dirname);
-const fleet = new Fleet({ network: NETWORK });
+const fleet = new Fleet({ network: NETWORK, agents: 4 });
 const runners = [];
 /** Whether the runner sent the stream without a length and chunks, by the id of its request. */
 const isUnframed = new Map();
