Client sockets: a reset behind the last bytes is no end of an answer

Cause: when bytes and a reset are both pending, libuv reads the bytes, sees the socket closed in both directions and reports an end without another read. The HTTP client also takes ECONNRESET, and a close by this process without an error, for the end of such an answer. Only calls of entries had a guard, which listened for the error event.

Change: AnswerSocket decides in one place how a connection ended. It confirms an end by another read and reports a reset or a close by this process as an error that the HTTP client takes for no end. answerConnector opens the connections of all HTTP clients with it: calls to servers, reports, orders, chunks, the store, the origin, peers, agents, and the backend servers of `larklatch agent`. A reset after an end in order still leaves the answer whole, which waiting a while or writing to the socket could not tell.

--- a/scripts/undiciParts.mjs
+++ b/scripts/undiciParts.mjs
@@ -4,6 +4,7 @@
  */
 import callRequest from 'undici/lib/api/api-request.js';
 import buildConnector from 'undici/lib/core/connect.js';
+import errors from 'undici/lib/core/errors.js';
 import Agent from 'undici/lib/dispatcher/agent.js';
 import Client from 'undici/lib/dispatcher/client.js';
 
@@ -14,4 +15,4 @@
   return callRequest.call(options.dispatcher, { ...options, origin, path: `${pathname}${search}`, method });
 }
 
-export { Agent, Client, buildConnector, request };
+export { Agent, Client, buildConnector, errors, request };
--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -7,6 +7,7 @@
 import type { Refusal } from '../requests/refusals.js';
 import { refusalFor } from '../requests/refusals.js';
 import type { Logger } from '../telemetry/logger.js';
+import { answerConnector } from '../utils/answerConnector.js';
 import { untilDrained } from '../utils/backpressure.js';
 import { StepError, errorText } from '../utils/stepError.js';
 import type { RequestPermit } from './requestGate.js';
@@ -41,7 +42,7 @@
     pipelining: 1,
     headersTimeout: BACKEND_TIMEOUT_MILLISECONDS,
     bodyTimeout: BACKEND_TIMEOUT_MILLISECONDS,
-    connect: { timeout: 1_000 },
+    connect: answerConnector(1_000),
   });
 
   /** `isLeaving` tells whether the agent is stopping. */
--- a/src/external/httpClient.ts
+++ b/src/external/httpClient.ts
@@ -2,6 +2,7 @@
 import type { Dispatcher } from 'undici';
 import { Agent, request } from 'undici';
 import { BoundedBody, MAX_JSON_BYTES } from './boundedBody.js';
+import { answerConnector } from '../utils/answerConnector.js';
 import { StepError, errorCode, errorText } from '../utils/stepError.js';
 import { parseJson } from '../utils/json.js';
 import { TimeLimit } from '../utils/timeLimit.js';
@@ -26,7 +27,12 @@
   body: unknown;
 }
 
-const sharedDispatcher = new Agent({ connections: 32, pipelining: 1, keepAliveTimeout: 10_000 });
+const sharedDispatcher = new Agent({
+  connections: 32,
+  pipelining: 1,
+  keepAliveTimeout: 10_000,
+  connect: answerConnector(),
+});
 
 /** Error codes that prove that the request was never sent. */
 const NEVER_SENT = new Set([
--- a/src/external/keepAliveClient.ts
+++ b/src/external/keepAliveClient.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici';
 import { Client } from 'undici';
+import { answerConnector } from '../utils/answerConnector.js';
 import { StepError, errorText } from '../utils/stepError.js';
 import { BoundedBody } from './boundedBody.js';
 
@@ -42,7 +43,7 @@
       pipelining: 1,
       headersTimeout: timeoutMilliseconds,
       bodyTimeout: timeoutMilliseconds,
-      connect: { timeout: timeoutMilliseconds },
+      connect: answerConnector(timeoutMilliseconds),
     });
   }
 
--- a/src/external/origin.ts
+++ b/src/external/origin.ts
@@ -3,6 +3,7 @@
 import { Agent, request } from 'undici';
 import { manifestSchema } from '../protocol/manifest.js';
 import type { Manifest } from '../protocol/manifest.js';
+import { answerConnector } from '../utils/answerConnector.js';
 import { StepError, errorText } from '../utils/stepError.js';
 import { sendJson } from './httpClient.js';
 
@@ -29,7 +30,7 @@
 /** Reads from the origin at `baseUrl` with range requests. */
 export class HttpOrigin implements Origin {
   private readonly _baseUrl: string;
-  private readonly _dispatcher = new Agent({ connections: 8, pipelining: 1 });
+  private readonly _dispatcher = new Agent({ connections: 8, pipelining: 1, connect: answerConnector() });
 
   constructor(baseUrl: string) {
     this._baseUrl = baseUrl;
--- a/src/requests/agentClient.ts
+++ b/src/requests/agentClient.ts
@@ -3,6 +3,7 @@
 import { wasNeverSent } from '../external/httpClient.js';
 import { HEADER } from '../protocol/headers.js';
 import type { Outcome } from '../protocol/headers.js';
+import { answerConnector } from '../utils/answerConnector.js';
 import type { Backend } from '../routing/backend.js';
 import type { CallerRequest } from './callerRequest.js';
 import type { RefusalReason } from './refusals.js';
@@ -64,7 +65,7 @@
       headersTimeout: firstByteMilliseconds,
       bodyTimeout: firstByteMilliseconds,
       keepAliveTimeout: 10_000,
-      connect: { timeout: 1_000 },
+      connect: answerConnector(1_000),
     });
   }
 
--- a/src/serving/backendConnections.ts
+++ b/src/serving/backendConnections.ts
@@ -1,6 +1,7 @@
 /** Connection pool of this entry for one backend server, limited to the entry's share of the server's connections. */
 import type { Socket } from 'node:net';
-import { Client, buildConnector } from 'undici';
+import { Client } from 'undici';
+import { answerConnector } from '../utils/answerConnector.js';
 import type { Clock } from '../utils/clock.js';
 
 /** How long an idle connection is kept when the server sends no keep-alive timeout. */
@@ -19,7 +20,7 @@
   /** `openedAt` is in monotonic milliseconds. */
   constructor(address: string, connectMilliseconds: number, openedAt: number) {
     this.openedAt = openedAt;
-    const connect = buildConnector({ timeout: connectMilliseconds });
+    const connect = answerConnector(connectMilliseconds);
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
--- /dev/null
+++ b/src/utils/answerConnector.ts
@@ -0,0 +1,35 @@
+/** Opens the connections of all HTTP clients of this process, so that incomplete answers fail in all of them. */
+import { buildConnector, errors } from 'undici';
+import { AnswerSocket } from './answerSocket.js';
+
+const DEFAULT_TIMEOUT_MILLISECONDS = 10_000;
+
+/**
+ * Returns the `connect` option of an undici client. Connecting fails with ConnectTimeoutError after
+ * `timeoutMilliseconds`. Connections over TLS are opened by undici itself.
+ */
+export function answerConnector(
+  timeoutMilliseconds = DEFAULT_TIMEOUT_MILLISECONDS,
+): buildConnector.connector {
+  const connectSecurely = buildConnector({ timeout: timeoutMilliseconds });
+  return (options, callback) => {
+    if (options.protocol === 'https:') return connectSecurely(options, callback);
+    const socket = new AnswerSocket();
+    const onTimeout = (): void => {
+      const peer = `${options.hostname}:${options.port}`;
+      socket.destroy(new errors.ConnectTimeoutError(`no connection to ${peer} in ${timeoutMilliseconds} ms`));
+    };
+    const timer = setTimeout(onTimeout, timeoutMilliseconds);
+    let isPending = true;
+    const settle = (...result: Parameters<buildConnector.Callback>): void => {
+      if (!isPending) return;
+      isPending = false;
+      clearTimeout(timer);
+      callback(...result);
+    };
+    socket.once('connect', () => settle(null, socket));
+    // Stays for good: an error that the client no longer listens for must not end the process.
+    socket.on('error', (error) => settle(error, null));
+    socket.connect({ host: options.hostname, port: Number(options.port) || 80 });
+  };
+}
--- a/src/weights/peerChunkClient.ts
+++ b/src/weights/peerChunkClient.ts
@@ -2,6 +2,7 @@
 import { Agent, request } from 'undici';
 import { HEADER } from '../protocol/headers.js';
 import type { Member } from '../protocol/rolloutMessages.js';
+import { answerConnector } from '../utils/answerConnector.js';
 import { StepError, errorText } from '../utils/stepError.js';
 
 /** The upload queue of the peer is full: retry later or at another peer. */
@@ -18,7 +19,11 @@
 /** Requests chunks from peers. `token` authenticates this box. */
 export class PeerChunkClient {
   private readonly _token: string;
-  private readonly _dispatcher = new Agent({ connections: 4, pipelining: 1, connectTimeout: 2_000 });
+  private readonly _dispatcher = new Agent({
+    connections: 4,
+    pipelining: 1,
+    connect: answerConnector(2_000),
+  });
 
   constructor(token: string) {
     this._token = token;
--- a/tests/backendForwarder.spec.ts
+++ b/tests/backendForwarder.spec.ts
@@ -43,13 +43,16 @@
       });
   });
   const port = await listenHttp(agent, '127.0.0.1', 0);
-  const answer = await fetch(`http://127.0.0.1:${port}`);
-  const text = await answer.text();
-  for (const each of [server, agent]) {
-    each.close();
-    each.closeAllConnections();
+  try {
+    const answer = await fetch(`http://127.0.0.1:${port}`);
+    const text = await answer.text();
+    return answer.headers.has('larklatch-outcome') ? answer : text;
+  } finally {
+    for (const each of [server, agent]) {
+      each.close();
+      each.closeAllConnections();
+    }
   }
-  return answer.headers.has('larklatch-outcome') ? answer : text;
 }
 
 test('should report the version that the backend server names', async () => {
@@ -67,3 +70,12 @@
 test('should refuse with backend-lost when the backend server closes the connection without an answer', async () => {
   expect(await forward((request) => request.socket.destroy())).toEqual('backend-lost');
 });
+
+/** Guards against a part of an answer that the entry takes for all of it. */
+test('should break off an answer without length whose connection is reset', async () => {
+  const answer = forward((_request, response) => {
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200).write('part', () => response.socket?.resetAndDestroy());
+  });
+  await expect(answer).toBeRejected();
+});
