Answers without a length: only a form that shows its end is passed on, and only if the server still runs

Cause: the entry passed such an answer on as it came, so that it ended with the connection, and the system closes the connections of a killed process in order. That form was chosen in, since a crashed server's connections are closed in order too and an answer with a length of its own asserts that it is whole.

Change: answers are passed on with a length if they are there as a whole, in chunks otherwise; a killed entry leaves the last chunk out. Callers of HTTP/1.0 get an answer once it is complete, with its length, from `larklatch entry` too. What guarded against is now decided where the answer ends: AnswerEnd has the server's process checked by one connection and takes the answer for broken off if it is refused; `larklatch agent` does the same. A check that began before the end of the answer is not relied on. This costs one connection for each answer without a length, and none for others.

The test 'should treat an answer without length as complete when its connection is closed' asserted the former form (no length, Connection: close) as the guard against a crashed server. It now asserts the length, and the guard has tests of its own: '... when its server exits' (502, or sent again, or cut for a stream).

--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -8,6 +8,8 @@
 import { refusalFor } from '../requests/refusals.js';
 import type { Logger } from '../telemetry/logger.js';
 import { answerConnector } from '../utils/answerConnector.js';
+import { framingOf } from '../utils/answerFraming.js';
+import { CONNECTION_REFUSED, connectOutcome } from '../utils/connectProbe.js';
 import { untilDrained } from '../utils/backpressure.js';
 import { StepError, errorText } from '../utils/stepError.js';
 import type { RequestPermit } from './requestGate.js';
@@ -28,6 +30,7 @@
 
 type BackendAnswer = Awaited<ReturnType<typeof httpRequest>>;
 
+const HTTP_PORT = 80;
 const MAXIMUM_KEPT_ANSWER_BYTES = 64 * 1024;
 /** One hour, since the first byte of an answer may take long. Callers cancel a request by disconnecting. */
 const BACKEND_TIMEOUT_MILLISECONDS = 3_600_000;
@@ -132,6 +135,8 @@
         if (!response.write(piece)) await untilDrained(response);
         if (response.destroyed) throw new StepError('backend.pipe', 'the entry closed the connection');
       }
+      if (framingOf(answer.headers) === 'connection' && (await this._hasExited()))
+        throw new StepError('backend.pipe', 'the backend server exited as its answer ended');
       const isKept = length <= MAXIMUM_KEPT_ANSWER_BYTES;
       const body = Buffer.concat(kept);
       this._finishLedgerEntry(
@@ -146,6 +151,12 @@
     }
   }
 
+  /** Whether the backend server has exited; the system closes the connections of a crashed process in order. */
+  private async _hasExited(): Promise<boolean> {
+    const { hostname, port } = new URL(this._baseUrl);
+    return (await connectOutcome(hostname, Number(port) || HTTP_PORT)) === CONNECTION_REFUSED;
+  }
+
   private _cancelLedgerEntry(request: ForwardRequest): void {
     if (request.ledgerKey) this._ledger.cancel(request.ledgerKey);
   }
--- a/src/crashes/serverExitChecker.ts
+++ b/src/crashes/serverExitChecker.ts
@@ -1,8 +1,7 @@
 /** Tells whether a server's process has exited or only closed a connection, as running servers do too. */
-import net from 'node:net';
 import type { EventLog } from '../telemetry/eventLog.js';
+import { CONNECTION_REFUSED, connectOutcome } from '../utils/connectProbe.js';
 import { splitAddress } from '../utils/hostPort.js';
-import { errorCode } from '../utils/stepError.js';
 
 /** One process of a server. */
 export interface ServerProcess {
@@ -13,11 +12,6 @@
   startedAt: number;
 }
 
-/** No process listens at the address. */
-const CONNECTION_REFUSED = 'ECONNREFUSED';
-/** If the box does not answer within this time, the server does not count as exited. */
-const CONNECT_TIMEOUT_MILLISECONDS = 300;
-
 /**
  * Checks by opening a connection. Each server has at most one check at a time, however many requests it broke off.
  */
@@ -29,35 +23,24 @@
     this._log = log;
   }
 
-  /** Resolves to whether the process that broke off a connection has exited. Never rejects. */
+  /** Resolves to whether the process that closed a connection has exited. Never rejects. */
   async hasExited(server: ServerProcess): Promise<boolean> {
-    const known = this._checks.get(server.id);
-    if (known) return await known;
+    const earlier = this._checks.get(server.id);
+    // A check that began before this call may have connected before the exit.
+    if (earlier && (await earlier)) return true;
+    return await (this._checks.get(server.id) ?? this._begin(server));
+  }
+
+  private async _begin(server: ServerProcess): Promise<boolean> {
     const check = this._check(server).finally(() => this._checks.delete(server.id));
     this._checks.set(server.id, check);
     return await check;
   }
 
   private async _check({ id, address }: ServerProcess): Promise<boolean> {
-    const outcome = await connectOutcome(address);
+    const outcome = await connectOutcome(...splitAddress(address));
     const ended = outcome === CONNECTION_REFUSED;
     this._log.decision('server.checked', { server: id, ended, outcome });
     return ended;
   }
 }
-
-/** Returns 'connected', 'silent', or the code of the error. */
-async function connectOutcome(address: string): Promise<string> {
-  const [host, port] = splitAddress(address);
-  return await new Promise((resolve) => {
-    const socket = net.connect({ host, port });
-    const finish = (outcome: string): void => {
-      clearTimeout(timer);
-      socket.destroy();
-      resolve(outcome);
-    };
-    const timer = setTimeout(() => finish('silent'), CONNECT_TIMEOUT_MILLISECONDS);
-    socket.once('connect', () => finish('connected'));
-    socket.once('error', (error) => finish(errorCode(error)));
-  });
-}
--- /dev/null
+++ b/src/serving/answerEnd.ts
@@ -0,0 +1,50 @@
+/** Tells whether an answer that has ended is whole. */
+import type { ServerExitChecker } from '../crashes/serverExitChecker.js';
+import type { AnswerReceiver } from './answerReceiver.js';
+import type { CallFailure } from './backendCall.js';
+import type { CurrentAttempt } from './currentAttempt.js';
+import type { TrackedServer } from './trackedServer.js';
+
+/** Tells whether the process of a server has exited. */
+export type ExitChecker = Pick<ServerExitChecker, 'hasExited'>;
+
+/** Receives what is known of an answer that has ended. */
+export interface AnswerEndListener {
+  /** Whether the request has ended in the meantime. */
+  isOver(): boolean;
+  onWhole(): void;
+  onBrokenOff(failure: CallFailure): void;
+}
+
+export class AnswerEnd {
+  private readonly _receiver: AnswerReceiver;
+  private readonly _current: CurrentAttempt;
+  private readonly _exitChecker: ExitChecker;
+
+  constructor(receiver: AnswerReceiver, current: CurrentAttempt, exitChecker: ExitChecker) {
+    this._receiver = receiver;
+    this._current = current;
+    this._exitChecker = exitChecker;
+  }
+
+  /**
+   * Judges the answer of `server`, whose HTTP client has reported its end. An answer with a length or chunks is whole
+   * then. The end of the connection says less: the system also closes the connections of a crashed process in order, so
+   * the verdict needs a check of the process.
+   */
+  judge(server: TrackedServer, listener: AnswerEndListener): void {
+    const { brokenOff, endsWithConnection } = this._receiver;
+    this._current.clear(server);
+    if (brokenOff) listener.onBrokenOff(brokenOff);
+    else if (endsWithConnection) void this._confirm(server, listener);
+    else listener.onWhole();
+  }
+
+  private async _confirm(server: TrackedServer, listener: AnswerEndListener): Promise<void> {
+    const hasExited = await this._exitChecker.hasExited(server.record);
+    // A handover may have gone on with the stream.
+    if (listener.isOver() || this._current.call) return;
+    if (!hasExited) return listener.onWhole();
+    listener.onBrokenOff({ sent: true, reason: 'server exited as its answer ended', brokeOff: true });
+  }
+}
--- a/src/serving/answerHead.ts
+++ b/src/serving/answerHead.ts
@@ -7,11 +7,6 @@
 /** Status of a server for which the request was not meant, or which has another version of the model. */
 export const MISDIRECTED_REQUEST = 421;
 
-/** Whether an answer tells where it ends, by a length or by chunks. Any other one ends with its connection. */
-export function isFramed(headers: AnswerHeaders): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
 /** Records status and headers of an answer of `server`. `model` is '' for requests without one. */
 export function recordAnswerHead(
   server: TrackedServer,
--- a/src/serving/answerReceiver.ts
+++ b/src/serving/answerReceiver.ts
@@ -1,9 +1,11 @@
 /** Receives the answer of an attempt: forwards events of a stream as they arrive, and buffers any other answer. */
-import type { PartialAnswer } from './answerClassification.js';
+import type { AnswerClass, PartialAnswer } from './answerClassification.js';
+import { classifyAnswer } from './answerClassification.js';
+import type { HeaderNames } from './headerNames.js';
 import type { AnswerHeaders, BackendCall, CallFailure } from './backendCall.js';
-import { isFramed } from './answerHead.js';
 import type { CallerExchange } from './callerExchange.js';
 import type { StreamRelay } from './streamRelay.js';
+import { framingOf } from '../utils/answerFraming.js';
 import type { Clock } from '../utils/clock.js';
 
 /** Size limit for buffered answers, and for the part of a stream that its caller has not read yet. */
@@ -69,7 +71,14 @@
 
   /** Whether the current attempt's answer has neither a length nor chunks, so that its end may be that of its server. */
   get endsWithConnection(): boolean {
-    return this._answer !== undefined && !isFramed(this._answer.headers);
+    if (!this._answer || !this._exchange.hasBody(this._answer.status)) return false;
+    return framingOf(this._answer.headers) === 'connection';
+  }
+
+  /** What the current attempt's answer means, by its head. */
+  classify(names: HeaderNames): AnswerClass {
+    const { status, headers } = this._answer!;
+    return classifyAnswer(status, headers, names);
   }
 
   /** Discards the answer, before another attempt. */
--- a/src/serving/callerExchange.ts
+++ b/src/serving/callerExchange.ts
@@ -1,6 +1,5 @@
 /** A caller's request and its answer. Ensures that exactly one answer is sent. */
 import type http from 'node:http';
-import { isFramed } from './answerHead.js';
 
 /** Statuses of answers that this process gives itself instead of forwarding a server's answer. */
 export const OWN_STATUS = {
@@ -26,9 +25,6 @@
   'content-length',
 ]);
 
-/** A reset discards what the caller has received and not read yet. */
-export const RESET_DELAY_MILLISECONDS = 100;
-
 /** Writes the answer to a caller's request. */
 export class CallerExchange {
   readonly request: http.IncomingMessage;
@@ -36,10 +32,6 @@
   private readonly _response: http.ServerResponse;
   private readonly _requestIdHeader: string;
   private readonly _isLeaving: () => boolean;
-  /** Whether the answer has neither a length nor chunks, so that only a reset shows that it is incomplete. */
-  private _endsWithConnection = false;
-  /** Whether the connection is about to be reset. */
-  private _isAborted = false;
 
   constructor(
     request: http.IncomingMessage,
@@ -60,7 +52,20 @@
   }
 
   get ended(): boolean {
-    return this._isAborted || this._response.writableEnded || this._response.destroyed;
+    return this._response.writableEnded || this._response.destroyed;
+  }
+
+  /**
+   * Whether an answer may be sent in parts before its length is known. That takes chunks, since the system closes the
+   * connections of a killed process in order: without chunks a part would look complete.
+   */
+  get takesChunks(): boolean {
+    return this._response.useChunkedEncodingByDefault;
+  }
+
+  /** Whether an answer of this status has a body. */
+  hasBody(status: number): boolean {
+    return status !== 204 && status !== 304 && this.request.method !== 'HEAD';
   }
 
   /** Calls `listener` when the answer has been handed to the operating system, or the connection is closed. */
@@ -91,17 +96,15 @@
   answer(status: number, headers: http.IncomingHttpHeaders, body: Buffer): void {
     if (this.headersSent || this.ended) return this.abort();
     this._copyHeaders(headers);
-    const hasBody = status !== 204 && status !== 304 && this.request.method !== 'HEAD';
-    const framed = hasBody && this._copyFraming(headers);
-    this._writeHead(status, framed ? body.length : undefined);
+    const hasBody = this.hasBody(status);
+    this._writeHead(status, hasBody ? body.length : undefined);
     this._response.end(hasBody ? body : undefined);
   }
 
-  /** Sends the head of an answer whose length is not known yet. */
+  /** Sends the head of an answer whose length is not known yet; its body is sent in chunks. */
   begin(status: number, headers: http.IncomingHttpHeaders): void {
     if (this.headersSent || this.ended) return;
     this._copyHeaders(headers);
-    this._copyFraming(headers);
     this._writeHead(status, undefined);
     this._response.flushHeaders();
   }
@@ -122,25 +125,7 @@
 
   /** Closes the caller's connection, so that an incomplete answer cannot be taken for a complete one. */
   abort(): void {
-    const { socket } = this._response;
-    if (!this._endsWithConnection || !socket) return void this._response.destroy();
-    this._isAborted = true;
-    setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MILLISECONDS);
-  }
-
-  /**
-   * Keeps the framing of the server's answer. An answer with neither a length nor chunked encoding ends when its
-   * connection closes, so that a truncated one cannot be detected; it must not be forwarded with a known length.
-   * Returns whether the answer had a length or chunked encoding.
-   */
-  private _copyFraming(headers: http.IncomingHttpHeaders): boolean {
-    const framed = isFramed(headers);
-    this._endsWithConnection = !framed;
-    if (!framed) {
-      this._response.useChunkedEncodingByDefault = false;
-      this._response.setHeader('connection', 'close');
-    }
-    return framed;
+    this._response.destroy();
   }
 
   private _copyHeaders(headers: http.IncomingHttpHeaders): void {
--- a/src/serving/entryDrain.ts
+++ b/src/serving/entryDrain.ts
@@ -8,7 +8,7 @@
 import { pause } from '../utils/timers.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { CallerExchange } from './callerExchange.js';
-import { OWN_STATUS, RESET_DELAY_MILLISECONDS } from './callerExchange.js';
+import { OWN_STATUS } from './callerExchange.js';
 import type { EngineDescription } from './servingConfiguration.js';
 import { isRepeatable } from './servingConfiguration.js';
 import { RETRY_AFTER_LEAVING_MILLISECONDS } from './slotRequest.js';
@@ -44,6 +44,8 @@
 const CLOSE_RESERVE_SHARE = 1 / 16;
 const MIN_CLOSE_RESERVE_MILLISECONDS = 200;
 const POLL_MILLISECONDS = 50;
+/** Time for the last rejections to leave the process before it exits. */
+const LAST_ANSWERS_MILLISECONDS = 150;
 /** Allowance for the first request on a connection that was accepted last, also when either process is slow. */
 const FIRST_REQUEST_MILLISECONDS = 200;
 /** Retry delay while no other entry serves: one that left earlier may be back by then. */
@@ -157,7 +159,6 @@
         endAtClose();
       } else exchange.refuse(OWN_STATUS.notRun, 'leaving', this.retryAfterMilliseconds);
     }
-    // Otherwise the exit closes the connection in order, and an answer without length looks complete.
-    await pause(RESET_DELAY_MILLISECONDS + POLL_MILLISECONDS);
+    await pause(LAST_ANSWERS_MILLISECONDS);
   }
 }
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -3,16 +3,17 @@
 import { SuspicionGate } from '../crashes/suspicionGate.js';
 import { SharedInterval } from '../utils/sharedInterval.js';
 import { MISDIRECTED_REQUEST, recordAnswerHead } from './answerHead.js';
+import { AnswerEnd } from './answerEnd.js';
 import { AnswerReceiver } from './answerReceiver.js';
 import { OWN_STATUS } from './callerExchange.js';
 import type { AdmittedRequest } from './admittedRequest.js';
 import type { PartialAnswer } from './answerClassification.js';
-import { isSuccessfulRun, classifyAnswer } from './answerClassification.js';
+import { isSuccessfulRun } from './answerClassification.js';
 import { CurrentAttempt } from './currentAttempt.js';
 import { FinalAnswer } from './finalAnswer.js';
 import type { ForwardingContext } from './forwardingContext.js';
 import type { NoAttemptReason } from './noAttemptReason.js';
-import { isTransient, noAttemptReasonOf } from './noAttemptReason.js';
+import { noAttemptReasonOf } from './noAttemptReason.js';
 import { RequestAttempts } from './requestAttempts.js';
 import { RequestDrain } from './requestDrain.js';
 import { RequestEnding } from './requestEnding.js';
@@ -20,6 +21,7 @@
 import type { EndFields, RequestOutcome } from './requestTrace.js';
 import { RequestTrace } from './requestTrace.js';
 import { StreamRelay } from './streamRelay.js';
+import { StreamWait } from './streamWait.js';
 import type { TrackedServer } from './trackedServer.js';
 
 /** Interval at which a request checks its server, or looks for one; a fraction of the shortest attempt timeout. */
@@ -34,14 +36,14 @@
   private readonly _trace: RequestTrace;
   private readonly _relay: StreamRelay | undefined;
   private readonly _receiver: AnswerReceiver;
+  private readonly _answerEnd: AnswerEnd;
+  private readonly _wait: StreamWait;
   private readonly _current: CurrentAttempt;
   private readonly _attempts: RequestAttempts;
   private readonly _suspicionGate: SuspicionGate;
   private readonly _handover: RequestHandover;
   private readonly _drain: RequestDrain;
   private readonly _final: FinalAnswer;
-  /** Whether a stream that has begun is waiting to be resumed on another server. */
-  private _isWaiting = false;
   private _stopWatching: () => void = () => undefined;
 
   constructor(context: ForwardingContext, request: AdmittedRequest) {
@@ -60,8 +62,11 @@
     this._drain = new RequestDrain(context.drain, request);
     if (request.route.kind === 'stream')
       this._relay = new StreamRelay(request.exchange, request.lastEventId, context.clock);
+    if (!request.exchange.takesChunks) this._relay?.hold();
     this._receiver = new AnswerReceiver(request.exchange, this._relay, context.clock);
+    this._wait = new StreamWait(this._relay, this._attempts, this._trace);
     this._current = new CurrentAttempt(context.clock, this._relay);
+    this._answerEnd = new AnswerEnd(this._receiver, this._current, context.suspicions);
     const { _final: final, _current: current, _handover: handover, _attempts: attempts } = this;
     const { _suspicionGate: suspicionGate, _drain: drain } = this;
     this.ending = new RequestEnding({ final, current, handover, attempts, suspicionGate, drain });
@@ -154,25 +159,28 @@
   }
 
   private _onEnd(server: TrackedServer): void {
+    this.ending.mayHaveRun ||= this._receiver.classify(this._context.names) !== 'not-run';
+    this._answerEnd.judge(server, {
+      isOver: () => this._final.ended,
+      onWhole: () => this._onWholeAnswer(server),
+      onBrokenOff: (failure) => this._afterFailure(server, failure),
+    });
+  }
+
+  private _onWholeAnswer(server: TrackedServer): void {
     const answer = this._receiver.answer!;
-    const { brokenOff } = this._receiver;
-    if (brokenOff) return this._afterFailure(server, brokenOff);
-    this._current.clear(server);
-    if (this._receiver.isForwarding) {
-      server.health.noteOutcome('succeeded');
-      this._suspicionGate.recordSuccess(this._receiver.endsWithConnection);
-      this._relay!.release();
-      return this._final.endStream(server, answer.status);
-    }
-    this._onCompleteAnswer(server, answer);
+    if (!this._receiver.isForwarding) return this._onCompleteAnswer(server, answer);
+    server.health.noteOutcome('succeeded');
+    this._suspicionGate.recordSuccess(this._receiver.endsWithConnection);
+    this._relay!.release();
+    this._final.endStream(server, answer.status);
   }
 
   /** Forwards a complete answer to the caller, or retries on another server, depending on what the answer means. */
   private _onCompleteAnswer(server: TrackedServer, answer: PartialAnswer): void {
     const { status, headers } = answer;
-    const kind = classifyAnswer(status, headers, this._context.names);
+    const kind = this._receiver.classify(this._context.names);
     if (kind === 'not-run') return this._onRejected(server, status);
-    this.ending.mayHaveRun = true;
     server.health.noteOutcome(kind === 'failed' || kind === 'unclear' ? 'failed' : 'succeeded');
     if (isSuccessfulRun(kind, status)) this._suspicionGate.recordSuccess(this._receiver.endsWithConnection);
     if (kind !== 'answered' && this._attempts.repeatable && this._continueElsewhere()) return;
@@ -228,20 +236,13 @@
   private _continueElsewhere(): boolean {
     if (this._handover.inProgress || this._final.ended) return true;
     this.ending.noAttempt = this._canSend ? this._takeRetry() : 'leaving';
-    if (this.ending.noAttempt) return this._waitIfTransient(this.ending.noAttempt);
+    if (this.ending.noAttempt) return this._wait.begin(this.ending.noAttempt);
     this._attempt();
     return true;
   }
 
-  /** Makes a begun stream wait, without a connection, if the reason is transient. Returns whether it waits. */
-  private _waitIfTransient(reason: NoAttemptReason): boolean {
-    this._isWaiting = this._relay?.begun === true && this._attempts.repeatable && isTransient(reason);
-    if (this._isWaiting) this._trace.waiting(reason);
-    return this._isWaiting;
-  }
-
   private _tryAgain(): void {
-    this._isWaiting = false;
+    this._wait.end();
     if (!this._continueElsewhere()) this._giveUp(this.ending.noAttempt!);
   }
 
@@ -254,7 +255,7 @@
 
   /** Checks whether the server has stalled, is switching versions, or may begin the request too late. */
   private _watch(): void {
-    if (this._isWaiting) return this._tryAgain();
+    if (this._wait.isWaiting) return this._tryAgain();
     const { call } = this._current;
     if (!call) return;
     if (!this._receiver.answer && this._attempts.mayBeginTooLate(call.server))
@@ -304,7 +305,7 @@
 
   private _giveUp(reason: NoAttemptReason): void {
     this.ending.noAttempt = reason;
-    if (!this._waitIfTransient(reason)) this.ending.giveUp(reason);
+    if (!this._wait.begin(reason)) this.ending.giveUp(reason);
   }
 
   private _onEnded(outcome: RequestOutcome, fields: EndFields): void {
--- a/src/serving/streamRelay.ts
+++ b/src/serving/streamRelay.ts
@@ -67,13 +67,11 @@
     if (!this._begun) this._held ??= { head: undefined, events: [], bytes: 0 };
   }
 
-  /** Sends what was held back, and forwards all further events as they arrive. */
+  /** Sends an answer that was held back, now that it is complete. */
   release(): void {
     const held = this._held;
     this._held = undefined;
-    if (!held?.head) return;
-    this._exchange.begin(held.head.status, held.head.headers);
-    for (const event of held.events) this._exchange.write(event);
+    if (held?.head) this._exchange.answer(held.head.status, held.head.headers, Buffer.concat(held.events));
   }
 
   /** Sends the head to the caller, unless the head of an earlier server's answer has been sent. */
--- a/tests/answerReceiver.spec.ts
+++ b/tests/answerReceiver.spec.ts
@@ -12,7 +12,7 @@
 /** Receives a stream whose caller does not read; returns what each of `count` pieces led to, and the number of pauses. */
 function receive(headers: Record<string, string>, count: number): { accepted: boolean[]; pauses: number } {
   let pauses = 0;
-  const exchange = { onceWritable: () => undefined } as unknown as CallerExchange;
+  const exchange = { onceWritable: () => undefined, hasBody: () => true } as unknown as CallerExchange;
   const relay = { begun: true, begin: () => undefined, push: () => false } as unknown as StreamRelay;
   const call = { pause: () => pauses++, resume: () => undefined } as unknown as BackendCall;
   const receiver = new AnswerReceiver(exchange, relay, new ManualClock());
--- a/tests/backendForwarder.spec.ts
+++ b/tests/backendForwarder.spec.ts
@@ -79,3 +79,14 @@
   });
   await expect(answer).toBeRejected();
 });
+
+test('should break off an answer without length whose backend server exits', async () => {
+  const answer = forward((request, response) => {
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200).write('part', () => {
+      (request.socket as { server?: http.Server }).server?.close();
+      response.socket?.end();
+    });
+  });
+  await expect(answer).toBeRejected();
+});
--- a/tests/gatewayRequests.spec.ts
+++ b/tests/gatewayRequests.spec.ts
@@ -143,11 +143,28 @@
 test('should treat an answer without length as complete when its connection is closed', async () => {
   await fixture.start([unframed(({ socket }) => void socket.end())], ONCE);
   const answer = await fixture.request({ method: 'POST' });
-  expect([answer.status, answer.body]).toEqual([200, 'part']);
-  // a truncation could not be detected, so the answer must not be forwarded as one of known length
-  expect(answer.headers['content-length']).toEqual(undefined);
-  expect(answer.headers['transfer-encoding']).toEqual(undefined);
-  expect(answer.headers.connection).toEqual('close');
+  expect([answer.status, answer.body, answer.whole]).toEqual([200, 'part', true]);
+  // without a length, what a killed entry has sent of it would look complete
+  expect(answer.headers['content-length']).toEqual('4');
+});
+
+/** Guards against a part of an answer that counts as complete: the system closes the connections of a crashed process. */
+test('should not treat an answer without length as complete when its server exits', async () => {
+  await fixture.start([unframed(() => fixture.backends[0].close())], ONCE);
+  expect((await fixture.request({ method: 'POST' })).status).toEqual(502);
+});
+
+test('should send an answer without length again when its server exits', async () => {
+  const crashes = unframed(() => fixture.backends.find(({ arrived }) => arrived.length > 0)!.close());
+  await fixture.start([crashes, crashes]);
+  fixture.backends.forEach((backend, index) =>
+    backend.answerWith((request) => {
+      fixture.backends[1 - index].answerWith(answers({ body: 'whole' }));
+      crashes(request);
+    }),
+  );
+  const { status, body } = await fixture.request();
+  expect([status, body]).toEqual([200, 'whole']);
 });
 
 test('should not treat an answer without length as complete when its connection is reset', async () => {
--- a/tests/gatewayStreams.spec.ts
+++ b/tests/gatewayStreams.spec.ts
@@ -1,4 +1,6 @@
 /** Streams through a gateway: forwarded by event, resumed after a failure, handed over before a switch. */
+import net from 'node:net';
+import { text } from 'node:stream/consumers';
 import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
 import { answers, chunkOf, events, streamHead, unframedStreamHead } from '../standins/scriptedBackend.js';
@@ -78,6 +80,17 @@
   expect([body, whole]).toEqual([events(1, 2), true]);
 });
 
+/** Guards against a stream that looks complete because the system closes the connections of a crashed server. */
+test('should break off a stream without length whose server exits between two events', async () => {
+  const crashes: Script = (request) => {
+    request.socket.write(unframedStreamHead(request) + events(1, 2));
+    setTimeout(() => fixture.backends[0].close(), 30);
+  };
+  await fixture.start([crashes], ONCE_STREAM);
+  const { body, whole } = await fixture.request();
+  expect([body, whole]).toEqual([events(1, 2), false]);
+});
+
 for (const [where, rest] of [
   ['inside an event', 'id: 3\ndata: ev'],
   ['before the blank line of an event', 'id: 3\ndata: event 3\n'],
@@ -104,6 +117,19 @@
   expect([body, whole]).toEqual([events(1, 2), true]);
 });
 
+/** Guards against a stream that a killed entry ends in order, to a caller that takes no chunks. */
+test('should send a stream with its length to a caller of HTTP/1.0, once it is complete', async () => {
+  await fixture.start([endsWithConnection(() => events(1, 2))], STREAM);
+  const [host, port] = fixture.address.split(':');
+  const socket = net.connect(Number(port), host);
+  const headers = 'Host: host.example\r\nAuthorization: Bearer key-one\r\nlarklatch-request-id: request-1';
+  socket.write(`GET /a/x HTTP/1.0\r\n${headers}\r\n\r\n`);
+  const answer = await text(socket);
+  expect(answer).toMatchRegex(/^HTTP\/1.1 200 OK\r\n/);
+  expect(answer).toMatchRegex(new RegExp(`content-length: ${events(1, 2).length}\\r\\n`, 'i'));
+  expect(answer.endsWith(`\r\n\r\n${events(1, 2)}`)).toEqual(true);
+});
+
 /** Sends the gateway the status messages by which the servers' agents report whether they are switching versions. */
 function reportStates(states: readonly ('serving' | 'switching')[]): void {
   states.forEach((state, index) => fixture.sendStatus(index, { state }));
