Backend connections: what is known of a connection ends with it

The entries log "reset within an answer without length", also for answers with chunks.

Cause: after an answer with `Connection: close` the HTTP client destroys its socket with an error of its own. BackendConnection kept any error as `_broken` for good, but its client opens another socket for the next request. A client taken from the pool between the end of the answer and the `disconnect` event carried the flag to a sound connection. `openedAt` outlived its connection in the same way, so that `resetOpenedBefore` reset connections that were begun later.

Change: the flag is gone, since client sockets report how they ended; the age and the socket belong to the client's current connection. A client whose connection is closed is not taken from the pool.

In backendConnections, 'should take the answers after one that closes its connection as whole' (20 requests, each sent as the answer before it ends) and 'should not reset a connection that replaced an older one' failed before.

--- a/src/serving/backendCall.ts
+++ b/src/serving/backendCall.ts
@@ -143,7 +143,6 @@
 
   private _onEnd(): void {
     if (this._ended) return;
-    if (this._connection.broken) return this._onError(new Error('reset within an answer without length'));
     this._end(true);
     this._listener.onEnd();
   }
--- a/src/serving/backendConnections.ts
+++ b/src/serving/backendConnections.ts
@@ -10,16 +10,16 @@
 const IDLE_MARGIN_MILLISECONDS = 1_200;
 const MAX_IDLE_MILLISECONDS = 60_000;
 
-/** One connection to a backend server; it carries one request at a time. */
+/**
+ * An HTTP client with at most one connection at a time, which carries one request at a time. The client opens another
+ * connection for the next request when its last one has been closed, so what is known of a connection is kept with it.
+ */
 export class BackendConnection {
   readonly client: Client;
-  readonly openedAt: number;
-  private _broken = false;
-  private _socket: Socket | undefined;
+  /** The current connection, and when it was begun in monotonic milliseconds; undefined without one. */
+  private _current: { socket: Socket | undefined; openedAt: number } | undefined;
 
-  /** `openedAt` is in monotonic milliseconds. */
-  constructor(address: string, connectMilliseconds: number, openedAt: number) {
-    this.openedAt = openedAt;
+  constructor(address: string, connectMilliseconds: number, clock: Clock) {
     const connect = answerConnector(connectMilliseconds);
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
@@ -28,32 +28,34 @@
       keepAliveTimeout: IDLE_MILLISECONDS,
       keepAliveMaxTimeout: MAX_IDLE_MILLISECONDS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MILLISECONDS,
-      connect: (options, callback) =>
+      connect: (options, callback) => {
+        const current = { socket: undefined as Socket | undefined, openedAt: clock.now() };
+        this._current = current;
         connect(options, (...result) => {
-          // Registered before the client's own listener, because the client reports an answer without a declared
-          // length as complete after a reset.
-          result[1]?.once('error', () => (this._broken = true));
-          this._socket = result[1] ?? undefined;
+          current.socket = result[1] ?? undefined;
           callback(...result);
-        }),
+        });
+      },
     });
   }
 
+  /** Whether a connection is open, or is being opened. */
+  get isOpen(): boolean {
+    return this._current !== undefined && this._current.socket?.destroyed !== true;
+  }
+
+  /** Whether the current connection was begun before `time`, in monotonic milliseconds. */
+  wasOpenedBefore(time: number): boolean {
+    return this.isOpen && this._current!.openedAt < time;
+  }
+
   /**
    * Resets the connection. A regular close would be queued behind the request, so that a server behind a network
    * partition would still receive the request once the partition ends. Data that has already reached the box of a
    * frozen server is still delivered to it.
    */
   reset(): void {
-    if (!this._socket) return;
-    // A reset by this side emits no error, without which the client takes it for the end of an answer without length.
-    if (!this._socket.destroyed) this._socket.emit('error', new Error('reset by this process'));
-    this._socket.resetAndDestroy();
-  }
-
-  /** Whether the connection ended with an error, in which case an answer that ended with it is incomplete. */
-  get broken(): boolean {
-    return this._broken;
+    this._current?.socket?.resetAndDestroy();
   }
 }
 
@@ -84,8 +86,10 @@
 
   /** Returns an idle connection, or opens one within the limit. */
   acquire(): BackendConnection | undefined {
-    const idle = this._idle.pop();
-    if (idle) return idle;
+    for (let idle = this._idle.pop(); idle; idle = this._idle.pop()) {
+      if (idle.isOpen) return idle;
+      this._discard(idle);
+    }
     if (this._all.size >= this._options.limit() || this._closed) return undefined;
     const connection = this._open();
     this._all.add(connection);
@@ -94,8 +98,7 @@
 
   /** Returns a connection to the pool, or closes it when it is not reusable. */
   release(connection: BackendConnection, reusable: boolean): void {
-    const isUsable = reusable && !connection.broken && !this._closed;
-    if (isUsable && this._all.has(connection)) this._idle.push(connection);
+    if (reusable && !this._closed && this._all.has(connection)) this._idle.push(connection);
     else this._discard(connection);
   }
 
@@ -111,12 +114,12 @@
    */
   resetOpenedBefore(time: number): void {
     this.close();
-    for (const connection of this._all) if (connection.openedAt < time) connection.reset();
+    for (const connection of this._all) if (connection.wasOpenedBefore(time)) connection.reset();
   }
 
   private _open(): BackendConnection {
     const { address, connectMilliseconds, clock } = this._options;
-    const connection = new BackendConnection(address, connectMilliseconds, clock.now());
+    const connection = new BackendConnection(address, connectMilliseconds, clock);
     connection.client.on('disconnect', () => {
       if (this._idle.includes(connection)) this._discard(connection);
     });
