Answers: no status that is none and no unknown transfer coding is passed on

Cause: the HTTP client's parser accepts any status of three digits, and any transfer coding counted as one that tells where the body ends. Status 000, 042 and 99, an unasked 101, blanks and control bytes in the name of a field, and heads that stop midway are refused by the parser already.

Change: headProblem judges the head of an answer that is to be passed on, for entries and for `larklatch agent`. An answer that fails is given up, its connection reset, and its request sent again or answered with 502.

--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -8,7 +8,7 @@
 import { refusalFor } from '../requests/refusals.js';
 import type { Logger } from '../telemetry/logger.js';
 import { answerConnector } from '../utils/answerConnector.js';
-import { framingOf } from '../utils/answerFraming.js';
+import { framingOf, headProblem } from '../utils/answerHead.js';
 import { CONNECTION_REFUSED, connectOutcome } from '../utils/connectProbe.js';
 import { untilDrained } from '../utils/backpressure.js';
 import { StepError, errorText } from '../utils/stepError.js';
@@ -97,13 +97,17 @@
     closed: AbortSignal,
   ): Promise<BackendAnswer | 'lost' | undefined> {
     try {
-      return await httpRequest(`${this._baseUrl}${request.path}`, {
+      const answer = await httpRequest(`${this._baseUrl}${request.path}`, {
         method: request.method as 'POST',
         headers: backendHeaders(request, permit.version.plan.version),
         body: request.body.length > 0 ? request.body : undefined,
         dispatcher: this._dispatcher,
         signal: closed,
       });
+      const problem = headProblem(answer.statusCode, answer.headers);
+      if (!problem) return answer;
+      answer.body.on('error', () => undefined).destroy();
+      throw new StepError('backend.answer', problem);
     } catch (error) {
       this._logger.decision('backend.failed', { request: request.requestId, reason: errorText(error) });
       if (wasNeverSent(error)) {
--- a/src/serving/answerReceiver.ts
+++ b/src/serving/answerReceiver.ts
@@ -5,7 +5,7 @@
 import type { AnswerHeaders, BackendCall, CallFailure } from './backendCall.js';
 import type { CallerExchange } from './callerExchange.js';
 import type { StreamRelay } from './streamRelay.js';
-import { framingOf } from '../utils/answerFraming.js';
+import { framingOf } from '../utils/answerHead.js';
 import type { Clock } from '../utils/clock.js';
 
 /** Size limit for buffered answers, and for the part of a stream that its caller has not read yet. */
--- a/src/serving/backendCall.ts
+++ b/src/serving/backendCall.ts
@@ -1,5 +1,6 @@
 /** One attempt: sends a request to a backend server over one connection and receives its answer. */
 import type { Dispatcher } from 'undici';
+import { headProblem } from '../utils/answerHead.js';
 import { errorCode, errorText } from '../utils/stepError.js';
 import type { BackendConnection } from './backendConnections.js';
 import type { TrackedServer } from './trackedServer.js';
@@ -131,7 +132,10 @@
   private _onHead(status: number, headers: AnswerHeaders): void {
     if (this._ended) return;
     this.server.noteData();
-    this._listener.onHead(status, headers);
+    const problem = headProblem(status, headers);
+    if (!problem) return this._listener.onHead(status, headers);
+    this.abort('foreign-answer');
+    this._listener.onFailed({ sent: true, reason: problem });
   }
 
   private _onData(bytes: Buffer): void {
--- a/src/utils/answerFraming.ts
+++ b/src/utils/answerHead.ts
@@ -1,4 +1,4 @@
-/** How an HTTP answer tells where its body ends. */
+/** What the head of an HTTP answer says of its body, and whether the answer may be passed on. */
 
 /** Header values by lower-case name. */
 export type HeaderValues = Readonly<Record<string, string | readonly string[] | undefined>>;
@@ -16,3 +16,14 @@
   if (coding !== undefined) return String(coding).toLowerCase() === 'chunked' ? 'chunks' : 'unknown';
   return headers['content-length'] === undefined ? 'connection' : 'length';
 }
+
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
+
+/** Why an answer with this head must not be passed on, although it could be read; undefined if it may be. */
+export function headProblem(status: number, headers: HeaderValues): string | undefined {
+  if (status < FIRST_FINAL_STATUS || status > LAST_STATUS) return `status ${status}`;
+  // The coding belongs to the connection and is not passed on, so the body would not be the server's.
+  const isReadable = framingOf(headers) !== 'unknown';
+  return isReadable ? undefined : `transfer coding ${String(headers['transfer-encoding'])}`;
+}
--- a/tests/backendForwarder.spec.ts
+++ b/tests/backendForwarder.spec.ts
@@ -90,3 +90,8 @@
   });
   await expect(answer).toBeRejected();
 });
+
+test('should refuse with backend-lost when the answer has a status that is none', async () => {
+  const answer = forward((_request, response) => void response.writeHead(999).end('done'));
+  expect(await answer).toEqual('backend-lost');
+});
