Entries: a limit for the memory of all buffered answers together

Each answer was limited to 16 MiB, their sum was not.

Change: AnswerMemory counts what is buffered for all requests, until the caller has the answer or another attempt begins. Over the limit only answers of up to 64 KiB may grow; longer ones are given up like too large ones.

--- a/src/serving/answerReceiver.ts
+++ b/src/serving/answerReceiver.ts
@@ -5,6 +5,7 @@
 import type { AnswerHeaders, BackendCall, CallFailure } from './backendCall.js';
 import type { CallerExchange } from './callerExchange.js';
 import type { StreamRelay } from './streamRelay.js';
+import type { AnswerMemory, AnswerShare } from './answerMemory.js';
 import { framingOf } from '../utils/answerHead.js';
 import type { Clock } from '../utils/clock.js';
 
@@ -29,13 +30,17 @@
   private _isSealed = false;
   /** Bytes of an answer without length forwarded while the caller is slow to read. */
   private _unreadBytes = 0;
+  private readonly _share: AnswerShare;
   private readonly _clock: Clock;
   /** Monotonic milliseconds of the first bytes of the current attempt's body; undefined before them. */
   private _bodyBeganAt: number | undefined;
 
   /** `relay` forwards the events when the request is a stream. */
-  constructor(exchange: CallerExchange, relay: StreamRelay | undefined, clock: Clock) {
+  constructor(exchange: CallerExchange, relay: StreamRelay | undefined, memory: AnswerMemory, clock: Clock) {
     this._exchange = exchange;
+    this._share = memory.share();
+    // A complete answer is kept until a slow caller has read it.
+    exchange.onceClosed(() => this._share.release());
     this._relay = relay;
     this._clock = clock;
   }
@@ -85,6 +90,7 @@
   reset(): void {
     this._answer = undefined;
     this._bodyBeganAt = undefined;
+    if (!this._relay?.begun) this._share.release();
   }
 
   /** Receives the head. `sealed` tells whether it carries the seal, the proof that a server ran the request. */
@@ -103,12 +109,12 @@
     if (this._relay && this.isForwarding) return this._forward(this._relay, bytes, call);
     answer.body.push(bytes);
     answer.length += bytes.length;
-    return answer.length <= MAX_ANSWER_BYTES;
+    return this._share.add(bytes.length) && answer.length <= MAX_ANSWER_BYTES;
   }
 
   private _forward(relay: StreamRelay, bytes: Buffer, call: BackendCall | undefined): boolean {
     const canTakeMore = relay.push(bytes);
-    if (relay.isOverfull) return false;
+    if (relay.isOverfull || (relay.isHeld && !this._share.add(bytes.length))) return false;
     if (canTakeMore) return true;
     if (this.endsWithConnection) return this._buffer(bytes);
     call?.pause();
@@ -118,8 +124,13 @@
 
   /** The HTTP client fails if an answer that ends with its connection does so during a pause: it must be read on. */
   private _buffer(bytes: Buffer): boolean {
-    if (this._unreadBytes === 0) this._exchange.onceWritable(() => (this._unreadBytes = 0));
+    if (this._unreadBytes === 0) this._exchange.onceWritable(() => this._onRead());
     this._unreadBytes += bytes.length;
-    return this._unreadBytes <= MAX_ANSWER_BYTES;
+    return this._share.add(bytes.length) && this._unreadBytes <= MAX_ANSWER_BYTES;
+  }
+
+  private _onRead(): void {
+    this._unreadBytes = 0;
+    this._share.release();
   }
 }
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -63,7 +63,7 @@
     if (request.route.kind === 'stream')
       this._relay = new StreamRelay(request.exchange, request.lastEventId, context.clock);
     if (!request.exchange.takesChunks) this._relay?.hold();
-    this._receiver = new AnswerReceiver(request.exchange, this._relay, context.clock);
+    this._receiver = new AnswerReceiver(request.exchange, this._relay, context.answerMemory, context.clock);
     this._wait = new StreamWait(this._relay, this._attempts, this._trace);
     this._current = new CurrentAttempt(context.clock, this._relay);
     this._answerEnd = new AnswerEnd(this._receiver, this._current, context.suspicions);
@@ -148,14 +148,14 @@
 
   private _onData(bytes: Buffer): void {
     if (!this._receiver.onData(bytes, this._current.call))
-      return this._onForeignAnswer(this._current.call!.server);
+      return this._onForeignAnswer(this._current.call!.server, 'answer too large');
     if (this._receiver.isForwarding) this._suspicionGate.onAnswering(this._receiver.answeringFor);
   }
 
   /** Handles an answer to another request, or one that is too large: the connection can no longer be used. */
-  private _onForeignAnswer(server: TrackedServer): void {
+  private _onForeignAnswer(server: TrackedServer, reason = 'foreign-answer'): void {
     this._current.abort('foreign-answer');
-    this._afterFailure(server, { sent: true, reason: 'foreign-answer' });
+    this._afterFailure(server, { sent: true, reason });
   }
 
   private _onEnd(server: TrackedServer): void {
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -13,6 +13,7 @@
 import { SeededRandom } from '../utils/random.js';
 import { hostOf, splitAddress } from '../utils/hostPort.js';
 import { AgentAnnouncements, boxOfHost } from './agentAnnouncements.js';
+import { AnswerMemory } from './answerMemory.js';
 import { BoxLinks } from './boxLinks.js';
 import { CallerServer } from './callerServer.js';
 import { ConfigurationHolder } from './configurationHolder.js';
@@ -118,6 +119,7 @@
     this._forward = {
       names: parts.names,
       pool: this._pool,
+      answerMemory: new AnswerMemory(settings.answerMegabytes),
       admission: this._admission.policy,
       gate: this._gate,
       suspicions: this._followers.suspicions,
--- a/src/serving/streamRelay.ts
+++ b/src/serving/streamRelay.ts
@@ -67,6 +67,11 @@
     if (!this._begun) this._held ??= { head: undefined, events: [], bytes: 0 };
   }
 
+  /** Whether the answer is held back. */
+  get isHeld(): boolean {
+    return this._held !== undefined;
+  }
+
   /** Sends an answer that was held back, now that it is complete. */
   release(): void {
     const held = this._held;
