Directory and entries: a request whose target is no URL ends nothing

Cause: the target was resolved against a base, where two slashes begin a host, and an exception in the listener ends the process.

Change: requestTarget parses a path behind a fixed host and reports a target that is no URL; the answer is 400 then. `larklatch entry` answered such a target with 500 and has 400 too.

--- a/src/entry/entryHttpServer.ts
+++ b/src/entry/entryHttpServer.ts
@@ -1,7 +1,7 @@
 /** HTTP server of an entry: callers, operators, health checks and metrics on one port. */
 import http from 'node:http';
 import type { Metrics } from '../telemetry/metrics.js';
-import { answerJson } from '../utils/httpBody.js';
+import { answerJson, requestTarget } from '../utils/httpBody.js';
 import { closeHttp, listenHttp } from '../utils/httpServer.js';
 import { errorText, StepError } from '../utils/stepError.js';
 import { answerError } from './answers.js';
@@ -50,7 +50,9 @@
     response.once('close', () => this._inFlight--);
     if (this._keepAliveDisabled) response.setHeader('connection', 'close');
     try {
-      await this._route(request, response, new URL(request.url ?? '/', 'http://entry'));
+      const url = requestTarget(request);
+      if (url) await this._route(request, response, url);
+      else answerError(response, 400, { error: 'no valid path', advice: 'see docs/CALLERS.md' });
     } catch (error) {
       this._answerFailure(response, error);
     }
--- a/src/serving/directoryServer.ts
+++ b/src/serving/directoryServer.ts
@@ -1,7 +1,7 @@
 /** HTTP server for the directory of entries and the readiness check. */
 import http from 'node:http';
 import type { CallerPlace, NamesEntriesOf } from '../locality/directoryRegions.js';
-import { answerJson } from '../utils/httpBody.js';
+import { answerJson, requestTarget } from '../utils/httpBody.js';
 import { splitAddress } from '../utils/hostPort.js';
 import { closeHttp, listenHttp } from '../utils/httpServer.js';
 import type { EntryDirectory } from './entryDirectory.js';
@@ -51,7 +51,8 @@
 
   private _serve(request: http.IncomingMessage, response: http.ServerResponse): void {
     const { paths, keepSeconds, entries, mayNameTo, isReady } = this._options;
-    const url = new URL(request.url ?? '/', 'http://directory');
+    const url = requestTarget(request);
+    if (!url) return answerJson(response, 400, { error: 'the target is no valid path' });
     if (url.pathname === paths.ready)
       return answerJson(response, isReady() ? 200 : 503, { ready: isReady() });
     if (url.pathname !== paths.directory) return answerJson(response, 404, { error: 'no such path' });
--- a/src/utils/httpBody.ts
+++ b/src/utils/httpBody.ts
@@ -23,6 +23,14 @@
   });
 }
 
+/** Returns the target of a request as a URL whose host means nothing; undefined if it is not a valid one. */
+export function requestTarget(request: http.IncomingMessage): URL | undefined {
+  const { url = '/' } = request;
+  // A path that begins with two slashes would be taken for a host if it were resolved against a base.
+  const absolute = url.startsWith('/') ? `http://host${url}` : url;
+  return URL.canParse(absolute) ? new URL(absolute) : undefined;
+}
+
 /** Sends a JSON response, unless the response has already ended. */
 export function answerJson(
   response: http.ServerResponse,
