Soak: servers that end answers in odd ways, beside killed entries

The kind `odd-answer-ends` gives a server, for a while, answers that end with their connection (30 in 100), such answers that are reset behind a part of the body (20 in 100), and answers with `Connection: close` (20 in 100). The proxies before the servers use AnswerSocket too, since they would turn a reset behind the last bytes into an end. Kinds whose seeds select a sequence exclude it.

--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -48,6 +48,7 @@
   'leave-amid-streams',
   'freeze-amid-load',
   'slow-amid-leaving',
+  'odd-answer-ends',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
--- a/soak/loopbackProxy.ts
+++ b/soak/loopbackProxy.ts
@@ -1,6 +1,7 @@
 /** A TCP proxy on loopback that injects link faults between two processes without changing either. */
 import net from 'node:net';
 import type { AddressInfo, Socket } from 'node:net';
+import { AnswerSocket } from '../src/utils/answerSocket.js';
 import { splitAddress } from '../src/utils/hostPort.js';
 
 /**
@@ -81,7 +82,8 @@
   private _accept(client: Socket): void {
     if (this._mode === 'reset') return void client.resetAndDestroy();
     const [host, port] = splitAddress(this._target);
-    const server = net.connect({ host, port, allowHalfOpen: true });
+    const server = new AnswerSocket({ allowHalfOpen: true });
+    server.connect({ host, port });
     const connection = { client, server };
     this._connections.add(connection);
     for (const socket of [client, server]) {
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -2,7 +2,7 @@
 import type { Random } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
 import { ORIGIN_FAULTS } from '../standins/platformOriginStandin.js';
-import { RUNNER_FAULTS } from '../standins/platformRunnerFaults.js';
+import { DEGRADING_KINDS, degrade, faultsOf } from './degradedServers.js';
 import type { FaultKind } from './faultKinds.js';
 import { SIGNAL_KINDS, faultScope, keepsPromises } from './faultKinds.js';
 import type { FleetProcess } from './fleetProcess.js';
@@ -149,7 +149,8 @@
       this._checks.onVersionAnnounced(this._fleet.announceWeights());
       await pause(milliseconds);
       origin.faults = {};
-    } else if (kind === 'sick-server') await this._degrade(this._pick(boxes), milliseconds);
+    } else if (DEGRADING_KINDS.includes(kind))
+      await degrade(this._pick(boxes), faultsOf(kind, this._random), milliseconds);
     else {
       const links = kind === 'harm-store-link' ? [...storeProxies.values()] : boxes.map(({ proxy }) => proxy);
       const link = this._pick(links);
@@ -220,16 +221,6 @@
     process.signal('SIGCONT');
   }
 
-  /** Gives a server a fault for a while, and keeps the signals that it sends in its answers. */
-  private async _degrade(box: SoakBox, milliseconds: number): Promise<void> {
-    const { runner } = box;
-    const faults = this._pick(RUNNER_FAULTS);
-    runner.faults = { ...runner.faults, ...faults };
-    await pause(milliseconds);
-    const cleared = Object.fromEntries(Object.keys(faults).map((fault) => [fault, undefined]));
-    runner.faults = { ...runner.faults, ...cleared };
-  }
-
   private async _crashServer(box: SoakBox, milliseconds: number): Promise<void> {
     const { runner } = box;
     this._fleet.crashRunner(box);
--- a/src/utils/answerSocket.ts
+++ b/src/utils/answerSocket.ts
@@ -33,8 +33,10 @@
   /** Whether the last read reported an end. */
   private _hasReadEnd = false;
 
-  constructor() {
+  /** `options` are those of the socket, of which `allowHalfOpen` is the only one that is not set here. */
+  constructor(options: Pick<net.SocketConstructorOpts, 'allowHalfOpen'> = {}) {
     super({
+      ...options,
       highWaterMark: BUFFER_BYTES,
       noDelay: true,
       keepAlive: true,
--- a/standins/platformAnswers.ts
+++ b/standins/platformAnswers.ts
@@ -12,3 +12,8 @@
 export function eventText(id: string, event: number): string {
   return `id: ${event}\ndata: event ${event} of ${id}\n\n`;
 }
+
+/** Returns the headers that every answer to the request `id` has. */
+export function ownHeaders(id: string): Record<string, string> {
+  return { 'x-attempt-id': id, 'x-server-seal': sealOf(id) };
+}
--- a/standins/platformRunnerFaults.ts
+++ b/standins/platformRunnerFaults.ts
@@ -22,6 +22,12 @@
   limitPerSecond?: number;
   /** Announces in all answers to requests that it is leaving. */
   leaving?: boolean;
+  /** Sends answers with neither a length nor chunks, which end with their connection. */
+  unframedShare?: number;
+  /** Sends such answers, and resets their connection behind a part of the body. */
+  resetShare?: number;
+  /** Closes the connection after an answer, and says so in its head. */
+  closingShare?: number;
   /** Executes orders, but closes the connection without an answer. */
   lostOrderAnswers?: boolean;
 }
@@ -36,3 +42,10 @@
   { shedding: true },
   { lostOrderAnswers: true },
 ];
+
+/** Answers that end with their connection, some of them by a reset, and others that close it. */
+export const ODD_ANSWER_ENDS: PlatformRunnerFaults = {
+  unframedShare: 0.3,
+  resetShare: 0.2,
+  closingShare: 0.2,
+};
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -7,8 +7,9 @@
 import type { PlatformRunnerFaults } from './platformRunnerFaults.js';
 import type { PlatformRunnerOptions } from './platformRunnerOptions.js';
 import { hasSignals, signalHeaders, sentSignals } from './platformRunnerSignals.js';
-import { eventText, sealOf } from './platformAnswers.js';
+import { eventText, ownHeaders } from './platformAnswers.js';
 import { CRASH_BODY, harmIn } from './platformRunnerHarm.js';
+import { chooseEnd, sendAnswer, streamBreak, writeHeadFor } from './platformAnswerEnds.js';
 import { EVENT_MILLISECONDS, sendStream } from './platformStreams.js';
 import type { LayerSpan } from './stagedPieces.js';
 import { HeldLayers, LAYER_COUNT, StagedPieces } from './stagedPieces.js';
@@ -247,7 +248,7 @@
   private async _crash(harm: string, id: string, response: http.ServerResponse): Promise<void> {
     if (!harm.startsWith(CRASH_BODY)) {
       response.useChunkedEncodingByDefault = false;
-      response.writeHead(200, { 'x-attempt-id': id, 'x-server-seal': sealOf(id), connection: 'close' });
+      response.writeHead(200, { ...ownHeaders(id), connection: 'close' });
       response.write(eventText(id, 1).slice(0, -2));
     }
     await pause(CRASH_DELAY_MILLISECONDS);
@@ -288,22 +289,21 @@
     random: number,
   ): Promise<void> {
     const { lostAnswerShare = 0, errorShare = 0, truncatedShare = 0, extraAnswerShare = 0 } = this.faults;
-    const own = { 'x-attempt-id': id, 'x-server-seal': sealOf(id) };
-    const headers: http.OutgoingHttpHeaders = { ...own, ...this._signalHeaders(id, false) };
+    const headers: http.OutgoingHttpHeaders = { ...ownHeaders(id), ...this._signalHeaders(id, false) };
     if (this._options.weights) headers['x-weight-versions'] = String(this._version);
     if (random < lostAnswerShare) return void response.destroy();
     if (random < lostAnswerShare + errorShare) return void response.writeHead(500, headers).end('failed');
     const isTruncated = random < lostAnswerShare + errorShare + truncatedShare;
+    const end = chooseEnd(this.faults, this._options.fraction);
     if (url.searchParams.has('stream')) {
       const firstEvent = Number(request.headers['last-event-id'] ?? 0) + 1;
-      response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' });
-      return await sendStream(response, id, url.searchParams, firstEvent, isTruncated, this.streamSpeed);
+      writeHeadFor(end, response, { ...headers, 'content-type': 'text/event-stream' });
+      const broken = streamBreak(end, isTruncated);
+      return await sendStream(response, id, url.searchParams, firstEvent, broken, this.streamSpeed);
     }
     await pause(ANSWER_MILLISECONDS);
     const body = `answer of ${id}`;
-    response.writeHead(200, { ...headers, 'content-length': body.length });
-    if (isTruncated) return void response.write(body.slice(0, 3), () => response.destroy());
-    response.end(body);
+    if (!sendAnswer(response, end, headers, body, isTruncated)) return;
     if (random < lostAnswerShare + errorShare + truncatedShare + extraAnswerShare)
       request.socket.write(
         `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: s\r\ncontent-length: 2\r\n\r\nno`,
--- a/standins/platformStreams.ts
+++ b/standins/platformStreams.ts
@@ -1,6 +1,8 @@
 /** The streams of the runner stand-in, whose length and pace a request may choose in its query. */
 import type http from 'node:http';
 import { pause } from '../src/utils/timers.js';
+import type { StreamBreak } from './platformAnswerEnds.js';
+import { writeAndReset } from './platformAnswerEnds.js';
 import { STREAM_EVENTS, eventText } from './platformAnswers.js';
 
 /** Length and pace of a stream. */
@@ -25,21 +27,22 @@
   return `stream=1&events=${events}&pause=${pauseMilliseconds}`;
 }
 
-/** Sends the events after `firstEvent - 1`. A truncated stream is broken off in the middle of its second event. */
+/** Sends the events after `firstEvent - 1`. */
 export async function sendStream(
   response: http.ServerResponse,
   id: string,
   query: URLSearchParams,
   firstEvent: number,
-  isTruncated: boolean,
+  broken: StreamBreak,
   speed: StreamSpeed,
 ): Promise<void> {
   const events = Number(query.get('events') ?? STREAM_EVENTS);
-  const truncatedEvent = isTruncated ? firstEvent + 1 : NO_EVENT;
+  const lastEvent = broken ? firstEvent + 1 : NO_EVENT;
   for (let event = firstEvent; event <= events && !response.destroyed; event++) {
     await pauseBeforeEvent(query, speed, response);
     const text = eventText(id, event);
-    if (event >= truncatedEvent)
+    if (event >= lastEvent && broken === 'reset') return writeAndReset(response, text);
+    if (event >= lastEvent)
       return void response.write(text.slice(0, text.length >> 1), () => response.destroy());
     response.write(text);
   }
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -25,6 +25,7 @@
   'harmful-part',
   'turn-part-harmful',
   'freeze-amid-load',
+  'odd-answer-ends',
 ];
 const KINDS_OF_SEED = FAULT_KINDS.filter((kind) => !EXCLUDED_KINDS.includes(kind));
 
--- a/tests/soakRestarts.spec.ts
+++ b/tests/soakRestarts.spec.ts
@@ -19,6 +19,7 @@
       'harmful-part',
       'turn-part-harmful',
       'freeze-amid-load',
+      'odd-answer-ends',
     ].includes(kind),
 );
 
