--- a/src/utils/answerSocket.ts
+++ b/src/utils/answerSocket.ts
@@ -21,6 +21,8 @@
 }
 
 const BUFFER_BYTES = 64 * 1024;
+/** Time without data after which the system probes whether the peer is still there. */
+const KEEP_ALIVE_MILLISECONDS = 60_000;
 /** Shared by all sockets, since each read is copied out of it before the next one begins. */
 const readBuffer = Buffer.allocUnsafeSlow(BUFFER_BYTES);
 
@@ -40,6 +42,7 @@
       highWaterMark: BUFFER_BYTES,
       noDelay: true,
       keepAlive: true,
+      keepAliveInitialDelay: KEEP_ALIVE_MILLISECONDS,
       // With a buffer of its own, reading from a socket can be started again after an end.
       onread: { buffer: readBuffer, callback: (length: number) => this._onBytes(length) },
     } as net.SocketConstructorOpts);
