Test of a reset after an end in order: both wait to be read

The test sent the reset 20 ms after the end, when the client had long read the end, so it did not show what says of a reset that follows one.

--- a/tests/answerSocket.spec.ts
+++ b/tests/answerSocket.spec.ts
@@ -41,10 +41,7 @@
 
 /** Guards against a complete answer that is dropped because of what its server does afterwards. */
 test('should report an end in order that a reset follows', async () => {
-  const script: RawScript = (socket) => {
-    socket.end('bytes');
-    setTimeout(() => socket.resetAndDestroy(), 20);
-  };
+  const script: RawScript = (socket) => void socket.end('bytes', () => socket.resetAndDestroy());
   expect(await reports(script)).toEqual(['bytes', 'end']);
 });
 
