--- a/tests/endlessAnswers.spec.ts
+++ b/tests/endlessAnswers.spec.ts
@@ -1,6 +1,5 @@
 /** Servers, the origin and the store may send bytes without end; nobody may collect them, or wait for their end. */
-import net from 'node:net';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { afterEach, test } from 'node:test';
 import { expect } from 'earl';
 import { PlatformOrigin, PlatformRunner } from '../platform/runner.js';
@@ -8,6 +7,7 @@
 import type { Script } from '../standins/scriptedBackend.js';
 import { answers, streamHead } from '../standins/scriptedBackend.js';
 import { GatewayFixture } from './fixtures/gatewayFixture.js';
+import { RawServer } from './fixtures/rawServer.js';
 import { routeFixture } from './fixtures/servingFixture.js';
 import { until } from './fixtures/until.js';
 
@@ -51,24 +51,12 @@
 
 /** Listens on a free port and answers with a head, and with what `send` sends after it; returns host:port. */
 async function endlessServer(send: (socket: Socket) => void): Promise<string> {
-  const sockets = new Set<Socket>();
-  const server = net.createServer((socket) => {
-    sockets.add(socket);
-    socket.on('error', () => undefined);
-    socket.once('close', () => sockets.delete(socket));
-    socket.once('data', () => {
-      socket.write(JSON_HEAD);
-      send(socket);
-    });
+  const server = new RawServer((socket) => {
+    socket.write(JSON_HEAD);
+    send(socket);
   });
-  closing.push({
-    close: () => {
-      server.close();
-      for (const socket of sockets) socket.destroy();
-    },
-  });
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
-  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  closing.push(server);
+  return await server.listen();
 }
 
 /** How a request ends whose first server sends bytes without end, and whether its connection was closed. */
