Logs: the line of an ended request says how its answer's end was determined

Before: `request.answered` said neither what form the answer had nor whether its server was checked, so that the log could not tell a reset taken for an end from an answer that showed its end. Now `framing` (length, chunks, connection) and, for an answer that ends with its connection, `processState`, the outcome of the check. No decision changes; the check's outcome became a state, so that it can be named.

--- a/src/crashes/suspicionTracker.ts
+++ b/src/crashes/suspicionTracker.ts
@@ -16,7 +16,7 @@
 import { waitAtMost } from '../utils/timers.js';
 import { hasOtherSuspect, isExplainedByOthers } from './explanation.js';
 import { ExitTimes } from './exitTimes.js';
-import type { ServerProcess } from './serverExitChecker.js';
+import type { ProcessState, ServerProcess } from './serverExitChecker.js';
 import { ServerExitChecker } from './serverExitChecker.js';
 import type { RequestIdentity } from './requestIdentity.js';
 import type { RunDecision } from './runDecision.js';
@@ -147,6 +147,11 @@
     return await this._exitChecker.hasExited(server);
   }
 
+  /** Resolves to the state of the process that closed a connection. Never rejects. */
+  async processState(server: ServerProcess): Promise<ProcessState> {
+    return await this._exitChecker.processState(server);
+  }
+
   /**
    * Records that a server exited while it had a request with this identity. Resolves when this is written to the store,
    * if it is to be written at once, at the latest after a short time.
--- a/src/serving/answerEnd.ts
+++ b/src/serving/answerEnd.ts
@@ -1,12 +1,21 @@
 /** Tells whether an answer that has ended is whole. */
-import type { ServerExitChecker } from '../crashes/serverExitChecker.js';
+import type { ProcessState, ServerExitChecker } from '../crashes/serverExitChecker.js';
+import type { Framing } from '../utils/answerHead.js';
 import type { AnswerReceiver } from './answerReceiver.js';
 import type { CallFailure } from './backendCall.js';
 import type { CurrentAttempt } from './currentAttempt.js';
 import type { TrackedServer } from './trackedServer.js';
 
-/** Tells whether the process of a server has exited. */
-export type ExitChecker = Pick<ServerExitChecker, 'hasExited'>;
+/** Tells whether the process of a server runs. */
+export type ProcessChecker = Pick<ServerExitChecker, 'processState'>;
+
+/** How the end of the last answer was determined; logged under these names. */
+export interface AnswerEndFields {
+  /** Undefined without an answer that has a body. */
+  framing: Framing | undefined;
+  /** Undefined if the server's process was not checked. */
+  processState: ProcessState | undefined;
+}
 
 /** Receives what is known of an answer that has ended. */
 export interface AnswerEndListener {
@@ -19,12 +28,17 @@
 export class AnswerEnd {
   private readonly _receiver: AnswerReceiver;
   private readonly _current: CurrentAttempt;
-  private readonly _exitChecker: ExitChecker;
+  private readonly _checker: ProcessChecker;
+  private _processState: ProcessState | undefined;
 
-  constructor(receiver: AnswerReceiver, current: CurrentAttempt, exitChecker: ExitChecker) {
+  constructor(receiver: AnswerReceiver, current: CurrentAttempt, checker: ProcessChecker) {
     this._receiver = receiver;
     this._current = current;
-    this._exitChecker = exitChecker;
+    this._checker = checker;
+  }
+
+  get fields(): AnswerEndFields {
+    return { framing: this._receiver.framing, processState: this._processState };
   }
 
   /**
@@ -34,6 +48,7 @@
    */
   judge(server: TrackedServer, listener: AnswerEndListener): void {
     const { brokenOff, endsWithConnection } = this._receiver;
+    this._processState = undefined;
     this._current.clear(server);
     if (brokenOff) listener.onBrokenOff(brokenOff);
     else if (endsWithConnection) void this._confirm(server, listener);
@@ -41,10 +56,11 @@
   }
 
   private async _confirm(server: TrackedServer, listener: AnswerEndListener): Promise<void> {
-    const hasExited = await this._exitChecker.hasExited(server.record);
+    const state = await this._checker.processState(server.record);
+    this._processState = state;
     // A handover may have gone on with the stream.
     if (listener.isOver() || this._current.call) return;
-    if (!hasExited) return listener.onWhole();
+    if (state === 'running') return listener.onWhole();
     listener.onBrokenOff({ sent: true, reason: 'server exited as its answer ended', brokeOff: true });
   }
 }
--- a/src/serving/answerReceiver.ts
+++ b/src/serving/answerReceiver.ts
@@ -6,6 +6,7 @@
 import type { CallerExchange } from './callerExchange.js';
 import type { StreamRelay } from './streamRelay.js';
 import type { AnswerMemory, AnswerShare } from './answerMemory.js';
+import type { Framing } from '../utils/answerHead.js';
 import { framingOf } from '../utils/answerHead.js';
 import type { Clock } from '../utils/clock.js';
 
@@ -76,8 +77,13 @@
 
   /** Whether the current attempt's answer has neither a length nor chunks, so that its end may be that of its server. */
   get endsWithConnection(): boolean {
-    if (!this._answer || !this._exchange.hasBody(this._answer.status)) return false;
-    return framingOf(this._answer.headers) === 'connection';
+    return this.framing === 'connection';
+  }
+
+  /** The form of the current attempt's answer; undefined without an answer that has a body. */
+  get framing(): Framing | undefined {
+    if (!this._answer || !this._exchange.hasBody(this._answer.status)) return undefined;
+    return framingOf(this._answer.headers);
   }
 
   /** What the current attempt's answer means, by its head. */
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -139,10 +139,9 @@
 
   private _onHead(server: TrackedServer, status: number, headers: AnswerHeaders): void {
     const { names } = this._context;
-    const { exchange, model } = this._request;
-    if (headers[names.requestId] !== exchange.requestId) return this._onForeignAnswer(server);
+    if (headers[names.requestId] !== this._request.exchange.requestId) return this._onForeignAnswer(server);
     server.health.noteFirstByte(this._current.elapsedMilliseconds);
-    recordAnswerHead(server, status, headers, names, model);
+    recordAnswerHead(server, status, headers, names, this._request.model);
     this._receiver.onHead(status, headers, headers[names.seal] !== undefined);
   }
 
@@ -315,6 +314,7 @@
     this._stopWatching();
     const slot = this._attempts.slot.ended(outcome, this.ending.noAttempt);
     const own = { noAttempt: this.ending.noAttempt, ...slot, ...this._drain.onEnded() };
-    this._trace.ended(outcome, this._attempts.count, { ...fields, ...own }, this._relay);
+    const all = { ...fields, ...this._answerEnd.fields, ...own };
+    this._trace.ended(outcome, this._attempts.count, all, this._relay);
   }
 }
