Client sockets: the end of a connection waits until a paused answer is read on

Seen: an assertion of the HTTP client (`!this.paused`) ends the process when a server ends the connection of an answer while reading is paused, if the answer says `Connection: close` or has neither a length nor chunks, and all that has arrived is read: whole answers too. Entries pause streams for slow callers, agents any answer for a slow entry.

Cause: the socket reports its end also to a client that has stopped reading; undici then finishes a parser that is paused.

Change: AnswerSocket offers a confirmed end by `readable` and reports it when the client reads on, which a paused one doesn't. So an answer that is cut during a pause fails as such once it is read, and a whole one completes, whatever its form.

--- a/src/utils/answerSocket.ts
+++ b/src/utils/answerSocket.ts
@@ -34,6 +34,10 @@
 export class AnswerSocket extends net.Socket {
   /** Whether the last read reported an end. */
   private _hasReadEnd = false;
+  /** Whether the end is confirmed, but has not been reported. */
+  private _isEndPending = false;
+  /** Whether the client is being asked to read on. */
+  private _isOfferingEnd = false;
 
   /** `options` are those of the socket, of which `allowHalfOpen` is the only one that is not set here. */
   constructor(options: Pick<net.SocketConstructorOpts, 'allowHalfOpen'> = {}) {
@@ -53,18 +57,49 @@
    * without reading on; only the next read returns the reset.
    */
   override push(chunk: unknown, encoding?: BufferEncoding): boolean {
-    if (chunk !== null || this._hasReadEnd) return super.push(chunk, encoding);
-    this._hasReadEnd = true;
-    this.pause();
-    this.read(0);
+    if (chunk !== null) return super.push(chunk, encoding);
+    if (!this._hasReadEnd) this._confirmEnd();
+    else if (this.listenerCount('readable') === 0) super.push(null);
+    else {
+      this._isEndPending = true;
+      this._offerEnd();
+    }
     return false;
   }
 
+  /**
+   * Reports the end only to a client that reads on when asked to. HTTP clients fail with an assertion if they learn of an
+   * end while they have paused an answer, as they do for slow readers.
+   */
+  override read(size?: number): unknown {
+    const bytes: unknown = super.read(size);
+    if (bytes !== null || size === 0 || !this._isEndPending) return bytes;
+    if (!this._isOfferingEnd) {
+      process.nextTick(() => this._offerEnd());
+      return null;
+    }
+    this._isEndPending = false;
+    super.push(null);
+    return super.read();
+  }
+
   /** HTTP clients take ECONNRESET, or no error at all, for the end of an answer that ends with its connection. */
   override _destroy(error: Error | null, callback: (error?: Error | null) => void): void {
     super._destroy(this._failureOf(error), callback);
   }
 
+  private _confirmEnd(): void {
+    this._hasReadEnd = true;
+    this.pause();
+    this.read(0);
+  }
+
+  private _offerEnd(): void {
+    this._isOfferingEnd = true;
+    this.emit('readable');
+    this._isOfferingEnd = false;
+  }
+
   private _onBytes(length: number): boolean {
     this._hasReadEnd = false;
     return this.push(Buffer.from(readBuffer.subarray(0, length)));
