Answers that end with their connection: a check without a result is no sign of life

Seen: the end of such an answer counted as whole when the check of its server got no answer within 300 ms, or failed with anything but a refused connection: an unreachable box, no descriptors left, a reset. So the stream of a server whose box goes down with it looked complete.

Cause: the check had two results, and everything but a refusal was "still running". That is right for blaming a request for a crash, and wrong for vouching for an answer. Now it has three. Requests are blamed for certain exits only, as before. `larklatch agent` does the same.

Not run with a whole process: a silent box.

--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -9,7 +9,7 @@
 import type { Logger } from '../telemetry/logger.js';
 import { answerConnector } from '../utils/answerConnector.js';
 import { framingOf, headProblem } from '../utils/answerHead.js';
-import { CONNECTION_REFUSED, connectOutcome } from '../utils/connectProbe.js';
+import { connectOutcome, processStateOf, settledState } from '../utils/connectProbe.js';
 import { untilDrained } from '../utils/backpressure.js';
 import { StepError, errorText } from '../utils/stepError.js';
 import type { RequestPermit } from './requestGate.js';
@@ -139,8 +139,8 @@
         if (!response.write(piece)) await untilDrained(response);
         if (response.destroyed) throw new StepError('backend.pipe', 'the entry closed the connection');
       }
-      if (framingOf(answer.headers) === 'connection' && (await this._hasExited()))
-        throw new StepError('backend.pipe', 'the backend server exited as its answer ended');
+      if (framingOf(answer.headers) === 'connection' && !(await this._isRunning()))
+        throw new StepError('backend.pipe', 'the backend server may have exited as its answer ended');
       const isKept = length <= MAXIMUM_KEPT_ANSWER_BYTES;
       const body = Buffer.concat(kept);
       this._finishLedgerEntry(
@@ -155,10 +155,11 @@
     }
   }
 
-  /** Whether the backend server has exited; the system closes the connections of a crashed process in order. */
-  private async _hasExited(): Promise<boolean> {
+  /** Whether the backend server runs for certain; the system closes the connections of a crashed process in order. */
+  private async _isRunning(): Promise<boolean> {
     const { hostname, port } = new URL(this._baseUrl);
-    return (await connectOutcome(hostname, Number(port) || HTTP_PORT)) === CONNECTION_REFUSED;
+    const check = async () => processStateOf(await connectOutcome(hostname, Number(port) || HTTP_PORT));
+    return (await settledState(check)) === 'running';
   }
 
   private _cancelLedgerEntry(request: ForwardRequest): void {
--- a/src/crashes/serverExitChecker.ts
+++ b/src/crashes/serverExitChecker.ts
@@ -1,6 +1,7 @@
 /** Tells whether a server's process has exited or only closed a connection, as running servers do too. */
 import type { EventLog } from '../telemetry/eventLog.js';
-import { CONNECTION_REFUSED, connectOutcome } from '../utils/connectProbe.js';
+import type { ProcessState } from '../utils/connectProbe.js';
+import { connectOutcome, processStateOf } from '../utils/connectProbe.js';
 import { splitAddress } from '../utils/hostPort.js';
 
 /** One process of a server. */
@@ -12,9 +13,6 @@
   startedAt: number;
 }
 
-/** Whether the process of a server runs, by a check. */
-export type ProcessState = 'running' | 'exited';
-
 /**
  * Checks by opening a connection. Each server has at most one check at a time, however many requests it broke off.
  */
@@ -47,8 +45,8 @@
 
   private async _check({ id, address }: ServerProcess): Promise<ProcessState> {
     const outcome = await connectOutcome(...splitAddress(address));
-    const ended = outcome === CONNECTION_REFUSED;
-    this._log.decision('server.checked', { server: id, ended, outcome });
-    return ended ? 'exited' : 'running';
+    const state = processStateOf(outcome);
+    this._log.decision('server.checked', { server: id, ended: state === 'exited', outcome });
+    return state;
   }
 }
--- a/src/crashes/suspicionGate.ts
+++ b/src/crashes/suspicionGate.ts
@@ -103,7 +103,7 @@
    */
   async onConnectionBroken(server: ServerProcess, answeringFor = 0): Promise<boolean> {
     const isPromptProven = this._isPromptProven || answeringFor >= PROVEN_MILLISECONDS;
-    if (!(await this._tracker.hasExited(server))) return false;
+    if (!(await this._tracker.exitChecker.hasExited(server))) return false;
     const serverProcess = server.startedAt > 0 ? `${server.id}@${server.startedAt}` : server.id;
     const suspected = this._gates.filter(({ identity }) => !isPromptProven || identity.kind === 'request');
     // Once it has its answer, the caller may retry at another entry, which has to know of the exit by then.
--- a/src/crashes/suspicionTracker.ts
+++ b/src/crashes/suspicionTracker.ts
@@ -16,7 +16,6 @@
 import { waitAtMost } from '../utils/timers.js';
 import { hasOtherSuspect, isExplainedByOthers } from './explanation.js';
 import { ExitTimes } from './exitTimes.js';
-import type { ProcessState, ServerProcess } from './serverExitChecker.js';
 import { ServerExitChecker } from './serverExitChecker.js';
 import type { RequestIdentity } from './requestIdentity.js';
 import type { RunDecision } from './runDecision.js';
@@ -63,11 +62,12 @@
 const RECHECK_INTERVAL_MILLISECONDS = 250;
 
 export class SuspicionTracker {
+  /** Checks servers that broke off a connection. */
+  readonly exitChecker: ServerExitChecker;
   private readonly _options: SuspicionTrackerOptions;
   private readonly _copies: SuspicionCopies;
   private readonly _writer: SuspicionWriter;
   private readonly _restorer: SuspicionRestorer;
-  private readonly _exitChecker: ServerExitChecker;
   private readonly _unconfirmed: UnconfirmedExits;
   private _confirmTimer: NodeJS.Timeout | undefined;
   private readonly _exitTimes: ExitTimes;
@@ -81,7 +81,7 @@
     this._options = options;
     this._unconfirmed = new UnconfirmedExits(clock);
     this._exitTimes = new ExitTimes(clock, MAX_SUSPICIONS + MAX_PENDING);
-    this._exitChecker = new ServerExitChecker(options.log);
+    this.exitChecker = new ServerExitChecker(options.log);
     this._copies = new SuspicionCopies(replica, unreadable, clock);
     this._copies.on('change', (fingerprint, former) => this._onChange(fingerprint, former));
     this._writer = new SuspicionWriter({ ...options, kind: replica.kind, copies: this._copies });
@@ -142,16 +142,6 @@
     return Math.max(0, shutOutMilliseconds(suspicion) - this._exitTimes.since(fingerprint));
   }
 
-  /** Resolves to whether the process of a server that broke off a connection has exited. Never rejects. */
-  async hasExited(server: ServerProcess): Promise<boolean> {
-    return await this._exitChecker.hasExited(server);
-  }
-
-  /** Resolves to the state of the process that closed a connection. Never rejects. */
-  async processState(server: ServerProcess): Promise<ProcessState> {
-    return await this._exitChecker.processState(server);
-  }
-
   /**
    * Records that a server exited while it had a request with this identity. Resolves when this is written to the store,
    * if it is to be written at once, at the latest after a short time.
--- a/src/serving/answerEnd.ts
+++ b/src/serving/answerEnd.ts
@@ -1,6 +1,8 @@
 /** Tells whether an answer that has ended is whole. */
-import type { ProcessState, ServerExitChecker } from '../crashes/serverExitChecker.js';
+import type { ServerExitChecker } from '../crashes/serverExitChecker.js';
 import type { Framing } from '../utils/answerHead.js';
+import type { ProcessState } from '../utils/connectProbe.js';
+import { settledState } from '../utils/connectProbe.js';
 import type { AnswerReceiver } from './answerReceiver.js';
 import type { CallFailure } from './backendCall.js';
 import type { CurrentAttempt } from './currentAttempt.js';
@@ -25,6 +27,11 @@
   onBrokenOff(failure: CallFailure): void;
 }
 
+const BROKEN_OFF: Record<Exclude<ProcessState, 'running'>, CallFailure> = {
+  exited: { sent: true, reason: 'server exited as its answer ended', brokeOff: true },
+  unknown: { sent: true, reason: 'server may have exited as its answer ended' },
+};
+
 export class AnswerEnd {
   private readonly _receiver: AnswerReceiver;
   private readonly _current: CurrentAttempt;
@@ -44,7 +51,7 @@
   /**
    * Judges the answer of `server`, whose HTTP client has reported its end. An answer with a length or chunks is whole
    * then. The end of the connection says less: the system also closes the connections of a crashed process in order, so
-   * the verdict needs a check of the process.
+   * the verdict needs a check that the process still runs.
    */
   judge(server: TrackedServer, listener: AnswerEndListener): void {
     const { brokenOff, endsWithConnection } = this._receiver;
@@ -56,11 +63,11 @@
   }
 
   private async _confirm(server: TrackedServer, listener: AnswerEndListener): Promise<void> {
-    const state = await this._checker.processState(server.record);
+    const state = await settledState(() => this._checker.processState(server.record));
     this._processState = state;
     // A handover may have gone on with the stream.
     if (listener.isOver() || this._current.call) return;
     if (state === 'running') return listener.onWhole();
-    listener.onBrokenOff({ sent: true, reason: 'server exited as its answer ended', brokeOff: true });
+    listener.onBrokenOff(BROKEN_OFF[state]);
   }
 }
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -66,7 +66,7 @@
     this._receiver = new AnswerReceiver(request.exchange, this._relay, context.answerMemory, context.clock);
     this._wait = new StreamWait(this._relay, this._attempts, this._trace);
     this._current = new CurrentAttempt(context.clock, this._relay);
-    this._answerEnd = new AnswerEnd(this._receiver, this._current, context.suspicions);
+    this._answerEnd = new AnswerEnd(this._receiver, this._current, context.suspicions.exitChecker);
     const { _final: final, _current: current, _handover: handover, _attempts: attempts } = this;
     const { _suspicionGate: suspicionGate, _drain: drain } = this;
     this.ending = new RequestEnding({ final, current, handover, attempts, suspicionGate, drain });
--- a/tests/serverExitChecker.spec.ts
+++ b/tests/serverExitChecker.spec.ts
@@ -33,3 +33,11 @@
     listener.close();
   }
 });
+
+/** Guards against a failed check that counts as a sign of life, or as an exit that the request is blamed for. */
+test('should know nothing of a server if the check fails', async () => {
+  const { checker, lines } = checkerWithLog();
+  const server = { id: 'a', address: '255.255.255.255:1', startedAt: 0 };
+  expect([await checker.processState(server), await checker.hasExited(server)]).toEqual(['unknown', false]);
+  expect(lines[0]).not.toInclude('"outcome":"connected"');
+});
