Answers that end with their connection: a witness connection tells whether their server was replaced

Seen: a server is killed while it sends such an answer, and another process answers at its address when it is checked: a supervisor's next process, or a standby; the system has closed the connection in order. The same holds if the entry reads the end late, after a freeze.

Cause: the check asks whether any process answers at the address, and takes that for the process that sent the answer. A restart may keep the address and the id, and neither the health check nor the store tells a new incarnation within the time of one round trip.

Change: from the head of such an answer on, a second connection to the server is kept open. A process that exits loses it, whoever listens afterwards; the check is the barrier behind which its end has arrived. If it is lost, the answer counts as broken off: sent again, resumed or cut; no request is blamed. A running server may close or refuse the connection: if more of the answer arrives a second later or more, the loss shows nothing, and the check alone decides, as before. `larklatch agent` does the same. Cost: one more connection for each answer with neither a length nor chunks, held as long as the answer; none for others.

With the loss ignored, 'should break off a stream without length whose server is replaced at its address', 'should not answer with a part if the server is replaced at its address' and 'should break off an answer without length whose backend server is replaced' fail. Not seen by a witness: one of several processes that share a listening socket, if another one has accepted it.

--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -9,7 +9,10 @@
 import type { Logger } from '../telemetry/logger.js';
 import { answerConnector } from '../utils/answerConnector.js';
 import { framingOf, headProblem } from '../utils/answerHead.js';
-import { connectOutcome, processStateOf, settledState } from '../utils/connectProbe.js';
+import { AnswerWitness } from '../utils/answerWitness.js';
+import { SystemClock } from '../utils/clock.js';
+import type { ProcessState } from '../utils/connectProbe.js';
+import { connectOutcome, processStateOf } from '../utils/connectProbe.js';
 import { untilDrained } from '../utils/backpressure.js';
 import { StepError, errorText } from '../utils/stepError.js';
 import type { RequestPermit } from './requestGate.js';
@@ -41,6 +44,7 @@
   private readonly _ledger: Ledger;
   private readonly _logger: Logger;
   private readonly _isLeaving: () => boolean;
+  private readonly _clock = new SystemClock();
   private readonly _dispatcher = new Agent({
     pipelining: 1,
     headersTimeout: BACKEND_TIMEOUT_MILLISECONDS,
@@ -132,15 +136,16 @@
     response.writeHead(answer.statusCode, headers);
     const kept: Buffer[] = [];
     let length = 0;
+    const witness = framingOf(answer.headers) === 'connection' ? this._openWitness() : undefined;
     try {
       for await (const piece of answer.body as AsyncIterable<Buffer>) {
         length += piece.length;
+        witness?.noteData();
         if (request.ledgerKey && length <= MAXIMUM_KEPT_ANSWER_BYTES) kept.push(piece);
         if (!response.write(piece)) await untilDrained(response);
         if (response.destroyed) throw new StepError('backend.pipe', 'the entry closed the connection');
       }
-      if (framingOf(answer.headers) === 'connection' && !(await this._isRunning()))
-        throw new StepError('backend.pipe', 'the backend server may have exited as its answer ended');
+      await this._assertRunning(witness);
       const isKept = length <= MAXIMUM_KEPT_ANSWER_BYTES;
       const body = Buffer.concat(kept);
       this._finishLedgerEntry(
@@ -152,14 +157,29 @@
       this._logger.decision('backend.cut', { request: request.requestId, reason: errorText(error) });
       this._finishLedgerEntry(request, undefined);
       response.destroy();
+    } finally {
+      witness?.close();
     }
   }
 
-  /** Whether the backend server runs for certain; the system closes the connections of a crashed process in order. */
-  private async _isRunning(): Promise<boolean> {
+  /** The system closes the connections of a crashed process in order, so that a part of an answer may look whole. */
+  private _openWitness(): AnswerWitness {
+    return new AnswerWitness(...this._address, this._clock);
+  }
+
+  private async _assertRunning(witness: AnswerWitness | undefined): Promise<void> {
+    const state = await witness?.processState(() => this._check());
+    if (state === undefined || state === 'running') return;
+    throw new StepError('backend.pipe', 'the backend server may have exited as its answer ended');
+  }
+
+  private async _check(): Promise<ProcessState> {
+    return processStateOf(await connectOutcome(...this._address));
+  }
+
+  private get _address(): [host: string, port: number] {
     const { hostname, port } = new URL(this._baseUrl);
-    const check = async () => processStateOf(await connectOutcome(hostname, Number(port) || HTTP_PORT));
-    return (await settledState(check)) === 'running';
+    return [hostname, Number(port) || HTTP_PORT];
   }
 
   private _cancelLedgerEntry(request: ForwardRequest): void {
--- a/src/serving/answerEnd.ts
+++ b/src/serving/answerEnd.ts
@@ -1,15 +1,22 @@
 /** Tells whether an answer that has ended is whole. */
 import type { ServerExitChecker } from '../crashes/serverExitChecker.js';
 import type { Framing } from '../utils/answerHead.js';
+import { AnswerWitness } from '../utils/answerWitness.js';
+import type { Clock } from '../utils/clock.js';
 import type { ProcessState } from '../utils/connectProbe.js';
 import { settledState } from '../utils/connectProbe.js';
+import { splitAddress } from '../utils/hostPort.js';
 import type { AnswerReceiver } from './answerReceiver.js';
-import type { CallFailure } from './backendCall.js';
+import type { BackendCallListener, CallFailure } from './backendCall.js';
+import type { CallerExchange } from './callerExchange.js';
 import type { CurrentAttempt } from './currentAttempt.js';
 import type { TrackedServer } from './trackedServer.js';
 
-/** Tells whether the process of a server runs. */
-export type ProcessChecker = Pick<ServerExitChecker, 'processState'>;
+export interface AnswerEndContext {
+  /** Tells whether the process of a server runs. */
+  suspicions: { exitChecker: Pick<ServerExitChecker, 'processState'> };
+  clock: Clock;
+}
 
 /** How the end of the last answer was determined; logged under these names. */
 export interface AnswerEndFields {
@@ -35,19 +42,41 @@
 export class AnswerEnd {
   private readonly _receiver: AnswerReceiver;
   private readonly _current: CurrentAttempt;
-  private readonly _checker: ProcessChecker;
+  private readonly _context: AnswerEndContext;
+  private _witness: AnswerWitness | undefined;
   private _processState: ProcessState | undefined;
 
-  constructor(receiver: AnswerReceiver, current: CurrentAttempt, checker: ProcessChecker) {
+  constructor(
+    receiver: AnswerReceiver,
+    current: CurrentAttempt,
+    context: AnswerEndContext,
+    exchange: Pick<CallerExchange, 'onceClosed'>,
+  ) {
     this._receiver = receiver;
     this._current = current;
-    this._checker = checker;
+    this._context = context;
+    exchange.onceClosed(() => this._witness?.close());
   }
 
   get fields(): AnswerEndFields {
     return { framing: this._receiver.framing, processState: this._processState };
   }
 
+  /** Follows the answer of `server` on its way to `listener`. */
+  follow(server: TrackedServer, listener: BackendCallListener): BackendCallListener {
+    return {
+      ...listener,
+      onHead: (status, headers) => {
+        listener.onHead(status, headers);
+        this._beginWitness(server);
+      },
+      onData: (bytes) => {
+        this._witness?.noteData();
+        listener.onData(bytes);
+      },
+    };
+  }
+
   /**
    * Judges the answer of `server`, whose HTTP client has reported its end. An answer with a length or chunks is whole
    * then. The end of the connection says less: the system also closes the connections of a crashed process in order, so
@@ -63,11 +92,21 @@
   }
 
   private async _confirm(server: TrackedServer, listener: AnswerEndListener): Promise<void> {
-    const state = await settledState(() => this._checker.processState(server.record));
+    const { exitChecker } = this._context.suspicions;
+    const check = (): Promise<ProcessState> => exitChecker.processState(server.record);
+    const state = await (this._witness?.processState(check) ?? settledState(check));
     this._processState = state;
     // A handover may have gone on with the stream.
     if (listener.isOver() || this._current.call) return;
     if (state === 'running') return listener.onWhole();
     listener.onBrokenOff(BROKEN_OFF[state]);
   }
+
+  private _beginWitness({ record }: TrackedServer): void {
+    this._witness?.close();
+    const isNeeded = this._receiver.endsWithConnection;
+    this._witness = isNeeded
+      ? new AnswerWitness(...splitAddress(record.address), this._context.clock)
+      : undefined;
+  }
 }
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -66,7 +66,7 @@
     this._receiver = new AnswerReceiver(request.exchange, this._relay, context.answerMemory, context.clock);
     this._wait = new StreamWait(this._relay, this._attempts, this._trace);
     this._current = new CurrentAttempt(context.clock, this._relay);
-    this._answerEnd = new AnswerEnd(this._receiver, this._current, context.suspicions.exitChecker);
+    this._answerEnd = new AnswerEnd(this._receiver, this._current, context, request.exchange);
     const { _final: final, _current: current, _handover: handover, _attempts: attempts } = this;
     const { _suspicionGate: suspicionGate, _drain: drain } = this;
     this.ending = new RequestEnding({ final, current, handover, attempts, suspicionGate, drain });
@@ -129,12 +129,12 @@
   }
 
   private _listenerFor(server: TrackedServer): BackendCallListener {
-    return {
+    return this._answerEnd.follow(server, {
       onHead: (status, headers) => this._onHead(server, status, headers),
       onData: (bytes) => this._onData(bytes),
       onEnd: () => this._onEnd(server),
       onFailed: (failure) => this._afterFailure(server, failure),
-    };
+    });
   }
 
   private _onHead(server: TrackedServer, status: number, headers: AnswerHeaders): void {
--- /dev/null
+++ b/src/utils/answerWitness.ts
@@ -0,0 +1,50 @@
+/** Shows whether the process that sends an answer may have exited, although its address still answers. */
+import net from 'node:net';
+import { setImmediate as endOfPoll } from 'node:timers/promises';
+import type { Clock } from './clock.js';
+import type { ProcessState } from './connectProbe.js';
+import { settledState } from './connectProbe.js';
+
+/** What a process has sent before it exited arrives within this time of the end of its other connections. */
+const SETTLE_MILLISECONDS = 1_000;
+
+/**
+ * A connection that is kept open during an answer that ends with its connection. When a process exits, the system closes
+ * all its connections, whoever listens at its address afterwards: a supervisor's next process, or a standby.
+ */
+export class AnswerWitness {
+  private readonly _socket: net.Socket;
+  private readonly _clock: Clock;
+  /** Monotonic milliseconds at which the connection ended or failed; undefined while it is open. */
+  private _lostAt: number | undefined;
+
+  constructor(host: string, port: number, clock: Clock) {
+    this._clock = clock;
+    this._socket = net.connect({ host, port });
+    const onLost = (): void => void (this._lostAt ??= clock.now());
+    this._socket.on('end', onLost).on('error', onLost).resume();
+  }
+
+  /** More of the answer has arrived: a process that only closed the connection, or refused it, has not exited. */
+  noteData(): void {
+    if (this._lostAt === undefined || this._clock.now() - this._lostAt < SETTLE_MILLISECONDS) return;
+    this._lostAt = undefined;
+    this.close();
+  }
+
+  /**
+   * The state of the process after the answer has ended. `check` tells whether a process answers at the address; one that
+   * has taken the address over does so only after this connection has ended.
+   */
+  async processState(check: () => Promise<ProcessState>): Promise<ProcessState> {
+    const state = await settledState(check);
+    await endOfPoll();
+    const isLost = this._lostAt !== undefined;
+    this.close();
+    return state === 'running' && isLost ? 'unknown' : state;
+  }
+
+  close(): void {
+    this._socket.removeAllListeners('end').destroy();
+  }
+}
--- a/tests/answerEnd.spec.ts
+++ b/tests/answerEnd.spec.ts
@@ -1,28 +1,50 @@
 /** How the end of a server's answer is determined. */
-import { afterEach, test } from 'node:test';
+import { afterEach, beforeEach, test } from 'node:test';
 import { expect } from 'earl';
 import { AnswerEnd } from '../src/serving/answerEnd.js';
 import type { AnswerReceiver } from '../src/serving/answerReceiver.js';
 import type { CurrentAttempt } from '../src/serving/currentAttempt.js';
 import type { TrackedServer } from '../src/serving/trackedServer.js';
+import { ManualClock } from '../src/utils/clock.js';
 import type { ProcessState } from '../src/utils/connectProbe.js';
+import { splitAddress } from '../src/utils/hostPort.js';
 import type { ArrivedRequest, Script } from '../standins/scriptedBackend.js';
-import { answers, events, unframedStreamHead } from '../standins/scriptedBackend.js';
+import { ScriptedBackend, answers, events, unframedStreamHead } from '../standins/scriptedBackend.js';
 import { GatewayFixture } from './fixtures/gatewayFixture.js';
 import { routeFixture } from './fixtures/servingFixture.js';
 import { until } from './fixtures/until.js';
 
 const ONCE_STREAM = { routes: [routeFixture({ kind: 'stream' })] };
 
-const fixture = new GatewayFixture();
+let fixture: GatewayFixture;
+/** A process that takes over the address of an exited server. */
+let next: ScriptedBackend;
 
-afterEach(() => fixture.stop());
+beforeEach(() => {
+  fixture = new GatewayFixture();
+  next = new ScriptedBackend(answers({ body: 'whole' }));
+});
+
+afterEach(() => {
+  fixture.stop();
+  next.close();
+});
 
 /** Sends two events of a stream without length. */
 function begins(request: ArrivedRequest): void {
   request.socket.write(unframedStreamHead(request) + events(1, 2));
 }
 
+/** Sends two events, and replaces the server at its address as the system does when its process exits. */
+function isReplaced(request: ArrivedRequest): void {
+  begins(request);
+  setTimeout(() => {
+    const [host, port] = splitAddress(fixture.record(0).address);
+    fixture.backends[0].close();
+    void next.listen(host, port);
+  }, 30);
+}
+
 async function endedLine(): Promise<string> {
   const find = (): string | undefined => fixture.lines.find((line) => /"request\.(answered|cut)"/.test(line));
   await until(() => find() !== undefined);
@@ -49,7 +71,9 @@
 async function verdict(...states: ProcessState[]): Promise<string> {
   const receiver = { brokenOff: undefined, endsWithConnection: true } as AnswerReceiver;
   const current = { clear: () => undefined, call: undefined } as unknown as CurrentAttempt;
-  const end = new AnswerEnd(receiver, current, { processState: () => Promise.resolve(states.shift()!) });
+  const exitChecker = { processState: () => Promise.resolve(states.shift()!) };
+  const context = { suspicions: { exitChecker }, clock: new ManualClock() };
+  const end = new AnswerEnd(receiver, current, context, { onceClosed: () => undefined });
   return await new Promise((resolve) =>
     end.judge({ record: {} } as TrackedServer, {
       isOver: () => false,
@@ -65,3 +89,16 @@
   expect(await verdict('unknown', 'exited')).toEqual('broken off');
   expect(await verdict('unknown', 'running')).toEqual('whole');
 });
+
+/** Guards against a stream that looks complete because a supervisor has replaced its killed server before the check. */
+test('should break off a stream without length whose server is replaced at its address', async () => {
+  await fixture.start([isReplaced], ONCE_STREAM);
+  const { body, whole } = await fixture.request();
+  expect([body, whole]).toEqual([events(1, 2), false]);
+});
+
+/** Guards against the same for an answer that may not be sent again. */
+test('should not answer with a part if the server is replaced at its address', async () => {
+  await fixture.start([isReplaced], { routes: [routeFixture({ kind: 'once' })] });
+  expect((await fixture.request({ method: 'POST' })).status).toEqual(502);
+});
--- a/tests/backendForwarder.spec.ts
+++ b/tests/backendForwarder.spec.ts
@@ -91,6 +91,24 @@
   await expect(answer).toBeRejected();
 });
 
+/** Guards against a part of an answer that looks whole because a supervisor has replaced its killed server. */
+test('should break off an answer without length whose backend server is replaced', async () => {
+  const next = http.createServer();
+  const answer = forward((request, response) => {
+    const { localAddress, localPort } = request.socket;
+    const { server } = request.socket as unknown as { server: http.Server };
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200).write('part');
+    setTimeout(() => {
+      server.close();
+      server.closeAllConnections();
+      next.listen(localPort, localAddress);
+    }, 30);
+  });
+  await expect(answer).toBeRejected();
+  next.close();
+});
+
 test('should refuse with backend-lost when the answer has a status that is none', async () => {
   const answer = forward((_request, response) => void response.writeHead(999).end('done'));
   expect(await answer).toEqual('backend-lost');
