Agents: answers to clients that take no chunks have a length

Seen: `larklatch agent` answers a client of HTTP/1.0 in a form that ends with the connection, from the backend server or from the ledger. A killed agent's connections are closed in order, and so are those of an answer that the agent itself breaks off: a part looks whole. Entries ask by HTTP/1.1; other clients of an agent need not.

Cause: the rule that an answer shows its end was kept by `larklatch entry` and by gateways, each in code of its own. AnswerWriter now is the one copy for `larklatch entry` and `larklatch agent`; a stored answer is sent with its length.

--- a/src/agent/agentHttpServer.ts
+++ b/src/agent/agentHttpServer.ts
@@ -190,6 +190,7 @@
   ): void {
     const headers = {
       'content-type': answer.contentType,
+      'content-length': answer.body.length,
       [HEADER.version]: answer.version,
       [HEADER.outcome]: 'answered',
     };
--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -10,10 +10,10 @@
 import { answerConnector } from '../utils/answerConnector.js';
 import { framingOf, headProblem } from '../utils/answerHead.js';
 import { AnswerWitness } from '../utils/answerWitness.js';
+import { AnswerWriter } from '../utils/answerWriter.js';
 import { SystemClock } from '../utils/clock.js';
 import type { ProcessState } from '../utils/connectProbe.js';
 import { connectOutcome, processStateOf } from '../utils/connectProbe.js';
-import { untilDrained } from '../utils/backpressure.js';
 import { StepError, errorText } from '../utils/stepError.js';
 import type { RequestPermit } from './requestGate.js';
 
@@ -133,7 +133,8 @@
     // The version named by the backend server, if any, is the one that ran; the plan's version may differ from it.
     const version = String(answer.headers[HEADER.version] ?? permit.version.plan.version);
     const headers = { 'content-type': contentType, [HEADER.version]: version, [HEADER.outcome]: 'answered' };
-    response.writeHead(answer.statusCode, headers);
+    const writer = new AnswerWriter(response);
+    writer.begin(answer.statusCode, headers);
     const kept: Buffer[] = [];
     let length = 0;
     const witness = framingOf(answer.headers) === 'connection' ? this._openWitness() : undefined;
@@ -142,7 +143,7 @@
         length += piece.length;
         witness?.noteData();
         if (request.ledgerKey && length <= MAXIMUM_KEPT_ANSWER_BYTES) kept.push(piece);
-        if (!response.write(piece)) await untilDrained(response);
+        await writer.write(piece);
         if (response.destroyed) throw new StepError('backend.pipe', 'the entry closed the connection');
       }
       await this._assertRunning(witness);
@@ -152,7 +153,7 @@
         request,
         isKept ? { status: answer.statusCode, contentType, version, body } : undefined,
       );
-      response.end();
+      writer.end();
     } catch (error) {
       this._logger.decision('backend.cut', { request: request.requestId, reason: errorText(error) });
       this._finishLedgerEntry(request, undefined);
--- a/tests/backendForwarder.spec.ts
+++ b/tests/backendForwarder.spec.ts
@@ -1,5 +1,7 @@
 /** Tests how an agent reports its backend server's answers to an entry. */
 import http from 'node:http';
+import net from 'node:net';
+import { text } from 'node:stream/consumers';
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { BackendForwarder } from '../src/agent/backendForwarder.js';
@@ -16,8 +18,22 @@
   end: () => undefined,
 } as unknown as RequestPermit;
 
-/** Forwards a request to `backend`. Returns the answer as an entry receives it, or the reason of a refusal. */
-async function forward(backend: http.RequestListener): Promise<Response | string> {
+/** Returns the answer of an agent as an entry receives it, or the reason of a refusal. */
+async function ask(port: number): Promise<Response | string> {
+  const answer = await fetch(`http://127.0.0.1:${port}`);
+  const body = await answer.text();
+  return answer.headers.has('larklatch-outcome') ? answer : body;
+}
+
+/** Returns all that an agent sends to a client of HTTP/1.0. */
+async function askWithoutChunks(port: number): Promise<string> {
+  const socket = net.connect(port, '127.0.0.1');
+  socket.write('GET / HTTP/1.0\r\n\r\n');
+  return await text(socket).catch(() => '');
+}
+
+/** Forwards a request to `backend`. Returns the answer that `asked` gets. */
+async function forward(backend: http.RequestListener, asked = ask): Promise<Response | string> {
   const server = http.createServer(backend);
   const url = `http://127.0.0.1:${await listenHttp(server, '127.0.0.1', 0)}`;
   const ledger = new Ledger({
@@ -44,9 +60,7 @@
   });
   const port = await listenHttp(agent, '127.0.0.1', 0);
   try {
-    const answer = await fetch(`http://127.0.0.1:${port}`);
-    const text = await answer.text();
-    return answer.headers.has('larklatch-outcome') ? answer : text;
+    return await asked(port);
   } finally {
     for (const each of [server, agent]) {
       each.close();
@@ -109,6 +123,18 @@
   next.close();
 });
 
+test('should send an answer with its length to a client that takes no chunks', async () => {
+  const answer = await forward((_request, response) => void response.end('done'), askWithoutChunks);
+  expect(answer as string).toMatchRegex(/content-length: 4\r\n(.*\r\n)*\r\ndone$/i);
+});
+
+/** Guards against a part that looks whole since its connection is closed in order. */
+test('should send nothing of an answer that was broken off to a client that takes no chunks', async () => {
+  const breaksOff: http.RequestListener = (_request, response) =>
+    response.write('part', () => response.socket?.resetAndDestroy());
+  expect(await forward(breaksOff, askWithoutChunks)).toEqual('');
+});
+
 test('should refuse with backend-lost when the answer has a status that is none', async () => {
   const answer = forward((_request, response) => void response.writeHead(999).end('done'));
   expect(await answer).toEqual('backend-lost');
