Streams: the end of a former server's answer completes nothing that another server has gone on with

Seen (by reading; shown by a test of the class, not with whole processes): a stream's first server ends its answer with the connection while a handover is in progress. The second server sends events during the check of the first one, and breaks off. The check then finds the first server running, and the stream is completed, although the second one's events show that it was not at its end.

Cause: the guard asked whether another call is under way, not whether there has been one. Now the verdict also needs the answer that it is about to be the last one received.

Result: 'should not judge an answer that another server has gone on with and broken off' failed before ("whole").

--- a/src/serving/answerEnd.ts
+++ b/src/serving/answerEnd.ts
@@ -92,12 +92,13 @@
   }
 
   private async _confirm(server: TrackedServer, listener: AnswerEndListener): Promise<void> {
+    const { answer } = this._receiver;
     const { exitChecker } = this._context.suspicions;
     const check = (): Promise<ProcessState> => exitChecker.processState(server.record);
     const state = await (this._witness?.processState(check) ?? settledState(check));
     this._processState = state;
-    // A handover may have gone on with the stream.
-    if (listener.isOver() || this._current.call) return;
+    // A handover may have gone on with the stream, and may have failed since.
+    if (listener.isOver() || this._current.call || this._receiver.answer !== answer) return;
     if (state === 'running') return listener.onWhole();
     listener.onBrokenOff(BROKEN_OFF[state]);
   }
--- a/tests/answerEnd.spec.ts
+++ b/tests/answerEnd.spec.ts
@@ -67,20 +67,26 @@
   expect([line.includes('"framing":"length"'), line.includes('processState')]).toEqual([true, false]);
 });
 
-/** Judges an answer that ends with its connection; the checks of its server have these results. */
-async function verdict(...states: ProcessState[]): Promise<string> {
-  const receiver = { brokenOff: undefined, endsWithConnection: true } as AnswerReceiver;
+/** Judges an answer that ends with its connection; `check` is the check of its server. */
+async function judge(check: (receiver: AnswerReceiver) => ProcessState): Promise<string[]> {
+  const receiver = { brokenOff: undefined, endsWithConnection: true, answer: {} } as AnswerReceiver;
   const current = { clear: () => undefined, call: undefined } as unknown as CurrentAttempt;
-  const exitChecker = { processState: () => Promise.resolve(states.shift()!) };
+  const exitChecker = { processState: () => Promise.resolve(check(receiver)) };
   const context = { suspicions: { exitChecker }, clock: new ManualClock() };
   const end = new AnswerEnd(receiver, current, context, { onceClosed: () => undefined });
-  return await new Promise((resolve) =>
-    end.judge({ record: {} } as TrackedServer, {
-      isOver: () => false,
-      onWhole: () => resolve('whole'),
-      onBrokenOff: ({ brokeOff }) => resolve(brokeOff ? 'broken off' : 'unclear'),
-    }),
-  );
+  const verdicts: string[] = [];
+  end.judge({ record: {} } as TrackedServer, {
+    isOver: () => false,
+    onWhole: () => void verdicts.push('whole'),
+    onBrokenOff: ({ brokeOff }) => void verdicts.push(brokeOff ? 'broken off' : 'unclear'),
+  });
+  await until(() => end.fields.processState !== undefined);
+  return verdicts;
+}
+
+/** The verdict if the checks of the server have these results. */
+async function verdict(...states: ProcessState[]): Promise<string> {
+  return (await judge(() => states.shift()!)).join();
 }
 
 /** Guards against the end of a killed server's stream that counts as whole since the server could not be checked. */
@@ -102,3 +108,12 @@
   await fixture.start([isReplaced], { routes: [routeFixture({ kind: 'once' })] });
   expect((await fixture.request({ method: 'POST' })).status).toEqual(502);
 });
+
+/** Guards against a stream that the end of its first server completes, although another server has gone on with it. */
+test('should not judge an answer that another server has gone on with and broken off', async () => {
+  const verdicts = await judge((receiver) => {
+    Object.assign(receiver, { answer: {} });
+    return 'running';
+  });
+  expect(verdicts).toEqual([]);
+});
