Answers that end with their connection: a server that is about to exit does not vouch for them

Cause: the system closes the connections and the port of a process that exits one by one. The check can reach the port between the end of the answer's connection and the end of the port, and then finds the witness open as well.

Change: after a check that finds a process, the witness has to stay open for 50 ms more, and what has arrived by then is read first. This delays the end of an answer with neither a length nor chunks, whose events have been passed on before; no other answer.

'should break off a stream without length whose server ends its connections one by one' failed before.

--- a/src/utils/answerWitness.ts
+++ b/src/utils/answerWitness.ts
@@ -4,9 +4,12 @@
 import type { Clock } from './clock.js';
 import type { ProcessState } from './connectProbe.js';
 import { settledState } from './connectProbe.js';
+import { pause } from './timers.js';
 
 /** What a process has sent before it exited arrives within this time of the end of its other connections. */
 const SETTLE_MILLISECONDS = 1_000;
+/** The system closes the connections of a process that exits one by one, all of them and its port within this time. */
+const EXIT_MILLISECONDS = 50;
 
 /**
  * A connection that is kept open during an answer that ends with its connection. When a process exits, the system closes
@@ -38,13 +41,20 @@
    */
   async processState(check: () => Promise<ProcessState>): Promise<ProcessState> {
     const state = await settledState(check);
-    await endOfPoll();
-    const isLost = this._lostAt !== undefined;
+    const outlives = state === 'running' && (await this._outlivesExit());
     this.close();
-    return state === 'running' && isLost ? 'unknown' : state;
+    return state === 'running' && !outlives ? 'unknown' : state;
   }
 
   close(): void {
     this._socket.removeAllListeners('end').destroy();
   }
+
+  /** Whether the connection stays open for as long as a process takes to exit. */
+  private async _outlivesExit(): Promise<boolean> {
+    await pause(EXIT_MILLISECONDS);
+    // Timers come before what has arrived while this process was paused.
+    await endOfPoll();
+    return this._lostAt === undefined;
+  }
 }
--- a/tests/answerEnd.spec.ts
+++ b/tests/answerEnd.spec.ts
@@ -117,3 +117,13 @@
   });
   expect(verdicts).toEqual([]);
 });
+
+/** Guards against a check that finds a killed process between the ends of its first connection and of its port. */
+test('should break off a stream without length whose server ends its connections one by one', async () => {
+  const exits: Script = (request) => {
+    begins(request);
+    request.socket.end(() => setTimeout(() => fixture.backends[0].close(), 10));
+  };
+  await fixture.start([exits], ONCE_STREAM);
+  expect((await fixture.request()).whole).toEqual(false);
+});
