npm test: run the tests of crowds one at a time, after the others

Both runs always take place, both write TAP to standard output, and the exit status tells whether either failed.

--- a/tests/knownRed.spec.ts
+++ b/tests/knownRed.spec.ts
@@ -1,6 +1,6 @@
-/** scripts/checkTests.mjs ignores the listed failures of a test run, and no others. */
+/** scripts/runTests.mjs runs all tests; scripts/checkTests.mjs ignores their listed failures, and no others. */
 import { spawnSync } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdirSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { test } from 'node:test';
@@ -56,6 +56,30 @@
   expect(check(0, PASSED, known).status).toEqual(1);
 });
 
+test('should run all tests and fail when those of either folder failed', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'run-tests-'));
+  const passing = "import { test } from 'node:test'; test('should add', () => {});";
+  const failing =
+    "import { test } from 'node:test'; test('should divide', () => { throw new Error('zero'); });";
+  const run = (first: string, second: string): { status: number | null; stdout: string } => {
+    writeFileSync(join(folder, 'a.spec.js'), first);
+    writeFileSync(join(folder, 'crowds', 'b.spec.js'), second);
+    const env = { ...process.env, NODE_TEST_CONTEXT: undefined };
+    return spawnSync(process.execPath, ['scripts/runTests.mjs', folder], { encoding: 'utf8', env });
+  };
+  try {
+    mkdirSync(join(folder, 'crowds'));
+    writeFileSync(join(folder, 'package.json'), '{ "type": "module" }');
+    expect(run(passing, passing).status).toEqual(0);
+    const { status, stdout } = run(failing, passing);
+    expect(status).toEqual(1);
+    expect(stdout).toMatchRegex(/^not ok 1 - should divide$[^]*^ok 1 - should add$/m);
+    expect(run(passing, failing).status).toEqual(1);
+  } finally {
+    rmSync(folder, { recursive: true });
+  }
+});
+
 test('should print the cases of the review without counting them as tests', () => {
   const cases = ['review/1', 'review/2'].map((name) => `${name} | seen | issue 4`);
   const known = [LISTED, ...['a', 'b'].map((name) => `${name} | cause | issue 4`), ...cases].join('\n');
