--- a/tests/crowds/entryRequests.spec.ts
+++ b/tests/crowds/entryRequests.spec.ts
@@ -5,15 +5,13 @@
 import { expect } from 'earl';
 import type { Script } from '../fixtures/crowd.js';
 import { CrowdTrial } from '../fixtures/crowdTrial.js';
-import { answerWith, requestHead, startEntry, stopEntry } from '../fixtures/crowdedEntry.js';
+import { UNENDED_FIELDS, answerWith, requestHead, startEntry, stopEntry } from '../fixtures/crowdedEntry.js';
 
 const CLIENTS = 1_000;
 const REQUESTS_EACH = 60;
 const REQUESTS_PER_PART = 2;
 const PROMPT_PARTS = 500;
 const LONG_ANSWER = Buffer.alloc(256 * 1024, 'x');
-const HEAD_BYTES = 15 * 1024;
-const FIELD = 'ab:cd\r\n';
 
 afterEach(stopEntry);
 
@@ -49,16 +47,15 @@
 
 test('should keep within memory when callers leave heads of many fields without end', async () => {
   const { entry, target } = await startEntry();
-  const fields = Buffer.alloc(HEAD_BYTES, FIELD);
   const problems = await new CrowdTrial(target).play((crowd) =>
-    crowd.connect(entry.front, 2_500, (client) => [requestHead(`fields-${client}`), fields]),
+    crowd.connect(entry.front, 2_500, (client) => [requestHead(`fields-${client}`), UNENDED_FIELDS]),
   );
   expect(problems).toEqual([]);
 });
 
 test('should keep within memory when callers leave heads of one long field without end', async () => {
   const { entry, target } = await startEntry();
-  const field = Buffer.from(`X-Filler: ${'x'.repeat(HEAD_BYTES)}`);
+  const field = Buffer.from(`X-Filler: ${'x'.repeat(UNENDED_FIELDS.length)}`);
   const problems = await new CrowdTrial(target).play((crowd) =>
     crowd.connect(entry.front, 2_500, (client) => [requestHead(`field-${client}`), field]),
   );
