--- a/standins/fleetSettings.ts
+++ b/standins/fleetSettings.ts
@@ -19,7 +19,7 @@
   corruptingBoxes?: readonly string[];
 }
 
-const SHARED_KEY = 'shared-key-for-loopback';
+export const SHARED_KEY = 'shared-key-for-loopback';
 
 /** Returns the environment variables that entries and agents have in common. */
 export function commonSettings(box: string, dataCentre: string, originUrl: string): Record<string, string> {
