Ledger: bound the memory of stored answers

What callers would see: clients that send many requests that must not run twice, each with a new key, make an agent keep up to 64 KiB of answer for each of up to 100,000 keys, some 6 GB; the agent ends for lack of memory, and every request that it runs is lost.

Cause: the ledger limited the number of keys only. It kept the answer as long as the key.

Change: answers are kept apart from the keys, in a cache with a limit in bytes (--ledger-answer-bytes, 256 MiB). Beyond it the oldest answers are dropped. No key is dropped: a key whose answer is gone is answered `already-started` with the outcome `unknown`, as for an answer that is too long to keep, and does not run again. At the default 100,000 keys the limit is met only by answers of more than 2 KB on average. Two gauges show the number of keys and the bytes of answers.

Test: "should drop the oldest stored answers, but no key, when all answers take too much memory" failed on the ledger of before.

--- a/src/agent/agentDaemon.ts
+++ b/src/agent/agentDaemon.ts
@@ -100,6 +100,7 @@
       keyLifetimeMilliseconds: settings.keyLifetimeMilliseconds,
       blindMilliseconds: settings.keyLifetimeMilliseconds + ISOLATED_ENTRY_MILLISECONDS,
       maximumKeys: settings.ledgerKeys,
+      maximumAnswerBytes: settings.ledgerAnswerBytes,
     });
     const { backendSlots: slots, waitingPerCustomer } = settings;
     const drain = (this._drain = new ProcessDrain(clock));
@@ -201,6 +202,8 @@
     this._metrics.gauge('control_bytes', () => ControlConnection.totalBytes);
     this._metrics.gauge('requests_running', () => this._queue.running);
     this._metrics.gauge('requests_waiting', () => this._queue.waiting);
+    this._metrics.gauge('ledger_keys', () => this._ledger.size);
+    this._metrics.gauge('ledger_answer_bytes', () => this._ledger.answerBytes);
     this._metrics.gauge('staged_bytes', () => this._store.usedBytes);
     this._metrics.gauge('uploaded_bytes', () => this._uploads.bytesSent);
     return new AgentHttpServer({
--- a/src/requests/ledger.ts
+++ b/src/requests/ledger.ts
@@ -2,6 +2,7 @@
  * Records which non-repeatable requests an agent has run. Held in memory, for the lifetime of the agent's incarnation.
  * See docs/decisions/0003-at-most-once.md.
  */
+import { LRUCache } from 'lru-cache';
 import type { LedgerSlot } from '../protocol/rolloutMessages.js';
 import type { Clock } from '../utils/clock.js';
 import { ledgerHash } from './ledgerSlots.js';
@@ -48,14 +49,18 @@
    */
   blindMilliseconds: number;
   maximumKeys: number;
+  /** Memory for stored answers. Beyond it the oldest answers are dropped, but not their keys. */
+  maximumAnswerBytes: number;
 }
 
 interface KeyState {
   running: boolean;
-  answer: StoredAnswer | undefined;
   expiresAt: number;
 }
 
+/** Estimated memory that a stored answer takes besides its body. */
+const ANSWER_OVERHEAD_BYTES = 512;
+
 interface SlotState extends LedgerSlot {
   /** Until this time, requests without a ticket are answered `uncertain`. */
   blindUntil: number;
@@ -65,16 +70,23 @@
 export class Ledger {
   private readonly _options: LedgerOptions;
   private readonly _keys = new Map<string, KeyState>();
+  private readonly _answers: LRUCache<string, StoredAnswer>;
   private readonly _slots = new Map<string, Map<number, SlotState>>();
 
   constructor(options: LedgerOptions) {
     this._options = options;
+    this._answers = new LRUCache({ maxSize: options.maximumAnswerBytes, sizeCalculation: sizeOf });
   }
 
   get size(): number {
     return this._keys.size;
   }
 
+  /** Estimated memory of the stored answers. */
+  get answerBytes(): number {
+    return this._answers.calculatedSize;
+  }
+
   /** Hash of the slots assigned for `service`, to compare with the table. */
   hashOf(service: string): number {
     return ledgerHash([...(this._slots.get(service)?.values() ?? [])]);
@@ -116,14 +128,13 @@
    * call {@link Ledger.finish}, or call {@link Ledger.cancel}.
    */
   check(service: string, request: LedgerRequest): LedgerDecision {
-    const known = this._keys.get(request.key);
-    if (known) return known.answer ? { kind: 'answered', answer: known.answer } : { kind: 'started' };
+    if (this._keys.has(request.key)) return this._decideKnown(request.key);
     const owned = this._slots.get(service)?.get(request.slot);
     if (!owned) return { kind: 'not-owner' };
     if (owned.slotEpoch !== request.slotEpoch) return this._decideOtherEpoch(owned, request);
     if (!request.ticketed && this._options.clock.now() < owned.blindUntil) return { kind: 'uncertain' };
     if (!this._evictExpired()) return { kind: 'full' };
-    this._keys.set(request.key, { running: true, answer: undefined, expiresAt: this._expiry() });
+    this._keys.set(request.key, { running: true, expiresAt: this._expiry() });
     return { kind: 'run' };
   }
 
@@ -135,7 +146,14 @@
   /** Records the end of a run. `answer` is undefined when the answer was lost or is too long to store. */
   finish(key: string, answer: StoredAnswer | undefined): void {
     this._keys.delete(key);
-    this._keys.set(key, { running: false, answer, expiresAt: this._expiry() });
+    this._keys.set(key, { running: false, expiresAt: this._expiry() });
+    if (answer) this._answers.set(key, answer);
+  }
+
+  /** Reads an answer without a change of the order in which answers are dropped. */
+  private _decideKnown(key: string): LedgerDecision {
+    const answer = this._answers.peek(key);
+    return answer ? { kind: 'answered', answer } : { kind: 'started' };
   }
 
   /**
@@ -156,8 +174,17 @@
     const now = this._options.clock.now();
     for (const [key, state] of this._keys) {
       if (state.expiresAt > now) break;
-      if (!state.running) this._keys.delete(key);
+      if (!state.running) this._forget(key);
     }
     return this._keys.size < this._options.maximumKeys;
   }
+
+  private _forget(key: string): void {
+    this._keys.delete(key);
+    this._answers.delete(key);
+  }
+}
+
+function sizeOf({ body, contentType, version }: StoredAnswer): number {
+  return body.length + contentType.length + version.length + ANSWER_OVERHEAD_BYTES;
 }
--- a/src/settings/agentSettings.ts
+++ b/src/settings/agentSettings.ts
@@ -35,6 +35,9 @@
   ledgerKeys: numberSetting(1, 10_000_000, 100_000, 'keys').describe(
     'idempotency keys remembered at the same time',
   ),
+  ledgerAnswerBytes: numberSetting(MEGABYTE, TERABYTE, 256 * MEGABYTE, 'bytes').describe(
+    'memory for the answers kept with idempotency keys; beyond it the oldest answers are dropped, but no key',
+  ),
 });
 
 export type AgentSettings = z.infer<typeof agentSettingsSchema>;
--- a/tests/backendForwarder.spec.ts
+++ b/tests/backendForwarder.spec.ts
@@ -41,6 +41,7 @@
     keyLifetimeMilliseconds: 1,
     blindMilliseconds: 1,
     maximumKeys: 1,
+    maximumAnswerBytes: 1,
   });
   const forwarder = new BackendForwarder(url, ledger, new Logger('test'));
   const request = {
--- a/tests/ledger.spec.ts
+++ b/tests/ledger.spec.ts
@@ -12,13 +12,18 @@
 const SERVICE = 'studio.turns';
 const LIFETIME = 1_000;
 const BLIND = 1_500;
+const ANSWER_BYTES = 10_000;
 
 function ledgerWith(maximumKeys = 100): { ledger: Ledger; clock: ManualClock } {
   const clock = new ManualClock();
-  return {
-    ledger: new Ledger({ clock, keyLifetimeMilliseconds: LIFETIME, blindMilliseconds: BLIND, maximumKeys }),
+  const ledger = new Ledger({
     clock,
-  };
+    keyLifetimeMilliseconds: LIFETIME,
+    blindMilliseconds: BLIND,
+    maximumKeys,
+    maximumAnswerBytes: ANSWER_BYTES,
+  });
+  return { ledger, clock };
 }
 
 function ledgerRequest(request: Partial<LedgerRequest> = {}): LedgerRequest {
@@ -86,6 +91,23 @@
   expect(decision.kind === 'answered' && decision.answer.body.toString()).toEqual('done');
 });
 
+/** Guards against answers that fill the memory of the agent when each request has a new key. */
+test('should drop the oldest stored answers, but no key, when all answers take too much memory', () => {
+  const { ledger } = ledgerWith();
+  ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: false }]);
+  const keys = Array.from({ length: 20 }, (_unused, number) => `k${number}`);
+  for (const key of keys) {
+    ledger.check(SERVICE, ledgerRequest({ key }));
+    ledger.finish(key, { status: 200, contentType: 'text/plain', version: '1', body: Buffer.alloc(1_000) });
+  }
+  const decisions = keys.map((key) => ledger.check(SERVICE, ledgerRequest({ key })).kind);
+  const dropped = decisions.indexOf('answered');
+  expect(dropped > 20 - ANSWER_BYTES / 1_000).toEqual(true);
+  expect(decisions.slice(0, dropped).every((kind) => kind === 'started')).toEqual(true);
+  expect(decisions.slice(dropped).every((kind) => kind === 'answered')).toEqual(true);
+  expect(ledger.answerBytes <= ANSWER_BYTES).toEqual(true);
+});
+
 test('should let a key run again after it was cancelled', () => {
   const { ledger } = ledgerWith();
   ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: false }]);
