Control port: bound what peers without the key can hold

What would be seen: a client that reaches the control port of an entry or an agent, without the shared key, opens connections, announces a frame of 8 MiB on each and sends all but its end. The process keeps all of it for the time of a handshake (2 s), as often as the client connects, and runs out of memory or of descriptors.

Cause: the limit on frames was the one for peers that have proved the key (8 MiB, also after decompression), and nothing limited the number of connections in their handshake.

Change: a reader takes frames of at most 4 KiB until the peer has proved that it has the key; a hello takes some 400 bytes. A server keeps at most 1,024 connections in their handshake and closes the oldest beyond that: a peer needs milliseconds, so the oldest one is the least likely to be a peer, and peers still get in. Pieces of a frame are joined when there are many, since a piece of a few bytes takes far more than its bytes. A server that closes also closes connections in their handshake.

--- a/src/protocol/controlConnection.ts
+++ b/src/protocol/controlConnection.ts
@@ -8,7 +8,7 @@
 import { withTimeout } from '../utils/timers.js';
 import { sameMac } from './authentication.js';
 import { RoundTripEstimator } from './roundTripEstimator.js';
-import { FrameReader, HEARTBEAT_FRAME, encodeFrame } from './frameCodec.js';
+import { FrameReader, HEARTBEAT_FRAME, MAXIMUM_FRAME_BYTES, encodeFrame } from './frameCodec.js';
 import type { Identity } from './handshake.js';
 import { PROTOCOL_VERSION, challengeSchema, handshakeMac, helloSchema, welcomeSchema } from './handshake.js';
 import type { Message } from './message.js';
@@ -45,6 +45,8 @@
  */
 const CHECK_LATENESS_MILLISECONDS = 20;
 const livenessChecks = new SharedInterval(LIVENESS_CHECK_INTERVAL_MILLISECONDS);
+/** Largest frame that is accepted from a peer that has not proved yet that it has the shared key. */
+const MAXIMUM_HELLO_BYTES = 4 * 1024;
 const RECEIVE_BUFFER_BYTES = 64 * 1024;
 /**
  * All connections that this process opens receive into this buffer; what has arrived is copied before the next read. A
@@ -105,6 +107,7 @@
   /** Opens a connection on an accepted socket and authenticates both ends. */
   static async accept(socket: net.Socket, options: ControlOptions): Promise<ControlConnection> {
     const connection = new ControlConnection(socket, options);
+    connection._reader.maximumBytes = MAXIMUM_HELLO_BYTES;
     socket.on('data', (bytes: Buffer) => connection._onData(bytes, false));
     await connection._openWithTimeout(
       connection._openAsServer(),
@@ -215,6 +218,7 @@
     if (!sameMac(hello.mac, expected))
       throw new StepError('control.open', 'wrong shared key', { peer: hello.identity.box });
     this.peer = hello.identity;
+    this._reader.maximumBytes = MAXIMUM_FRAME_BYTES;
     const { identity, key } = this._options;
     this._write({ type: 'welcome', identity, mac: handshakeMac(key, hello.nonce, identity) });
   }
--- a/src/protocol/controlServer.ts
+++ b/src/protocol/controlServer.ts
@@ -4,21 +4,33 @@
 import type { ControlOptions } from './controlConnection.js';
 import { ControlConnection } from './controlConnection.js';
 
+/** Default number of connections that may be in their handshake, which takes milliseconds from peers. */
+const MAXIMUM_HANDSHAKES = 1_024;
+
 /** Listens for control connections and passes each authenticated one to `onConnection`. */
 export class ControlServer {
   private readonly _server: net.Server;
   private readonly _connections = new Set<ControlConnection>();
+  /** Sockets of connections in their handshake, oldest first. */
+  private readonly _handshakes = new Set<net.Socket>();
+  private readonly _maximumHandshakes: number;
 
+  /** With more than `maximumHandshakes` connections in their handshake, the oldest of these are closed. */
   constructor(
     options: ControlOptions,
     onConnection: (connection: ControlConnection) => void,
     onRefused: (reason: string) => void,
+    maximumHandshakes = MAXIMUM_HANDSHAKES,
   ) {
+    this._maximumHandshakes = maximumHandshakes;
     this._server = net.createServer((socket) => {
-      ControlConnection.accept(socket, options).then(
-        (connection) => this._add(connection, onConnection),
-        (error) => onRefused(errorText(error)),
-      );
+      this._addHandshake(socket);
+      ControlConnection.accept(socket, options)
+        .finally(() => this._handshakes.delete(socket))
+        .then(
+          (connection) => this._add(connection, onConnection),
+          (error) => onRefused(errorText(error)),
+        );
     });
   }
 
@@ -35,6 +47,15 @@
   close(): void {
     this._server.close();
     for (const connection of this._connections) connection.close('shutting down');
+    for (const socket of this._handshakes) socket.destroy();
+  }
+
+  private _addHandshake(socket: net.Socket): void {
+    this._handshakes.add(socket);
+    if (this._handshakes.size <= this._maximumHandshakes) return;
+    const [oldest] = this._handshakes;
+    this._handshakes.delete(oldest);
+    oldest.destroy();
   }
 
   private _add(connection: ControlConnection, onConnection: (connection: ControlConnection) => void): void {
--- a/src/protocol/frameCodec.ts
+++ b/src/protocol/frameCodec.ts
@@ -26,6 +26,8 @@
 /** Sent on an idle connection to show that the sender is alive. */
 export const HEARTBEAT_FRAME = Buffer.alloc(LENGTH_BYTES);
 const NO_MESSAGES: readonly unknown[] = [];
+/** Pieces of a few bytes take much more memory than their bytes, so that they are joined. */
+const MAXIMUM_PENDING_PIECES = 256;
 
 /** Encodes one message as a frame. Throws if the message is too large. */
 export function encodeFrame(message: unknown): Buffer {
@@ -50,6 +52,8 @@
 export class FrameReader {
   private _pending: Buffer[] = [];
   private _pendingBytes = 0;
+  /** Largest body of a frame, before and after decompression. */
+  maximumBytes = MAXIMUM_FRAME_BYTES;
 
   /**
    * Adds received bytes and returns the messages that they complete. Throws on an invalid frame. Bytes in a buffer that
@@ -59,6 +63,7 @@
     if (this._pendingBytes === 0 && HEARTBEAT_FRAME.equals(bytes)) return NO_MESSAGES;
     this._pending.push(isReused ? Buffer.from(bytes) : bytes);
     this._pendingBytes += bytes.length;
+    if (this._pending.length > MAXIMUM_PENDING_PIECES) this._concatenatePending();
     const messages: unknown[] = [];
     for (let body = this._nextBody(); body !== undefined; body = this._nextBody()) {
       if (body.bytes.length > 0) messages.push(this._decode(body));
@@ -72,8 +77,7 @@
     const lengthField = this._pending[0].readUInt32BE(0);
     const isCompressed = lengthField >= COMPRESSED_BIT;
     const length = isCompressed ? lengthField - COMPRESSED_BIT : lengthField;
-    if (length > MAXIMUM_FRAME_BYTES)
-      throw new StepError('frame.decode', `${length} bytes is over the limit`);
+    if (length > this.maximumBytes) throw new StepError('frame.decode', `${length} bytes is over the limit`);
     if (this._pendingBytes < LENGTH_BYTES + length) return undefined;
     this._concatenatePending();
     const buffered = this._pending[0];
@@ -89,7 +93,7 @@
 
   private _decode({ bytes, isCompressed }: FrameBody): unknown {
     try {
-      const item = isCompressed ? inflateRawSync(bytes, { maxOutputLength: MAXIMUM_FRAME_BYTES }) : bytes;
+      const item = isCompressed ? inflateRawSync(bytes, { maxOutputLength: this.maximumBytes }) : bytes;
       return decoder.decode(item);
     } catch (error) {
       throw new StepError('frame.decode', 'not a CBOR item', { cause: error });
--- a/tests/controlConnection.spec.ts
+++ b/tests/controlConnection.spec.ts
@@ -1,4 +1,5 @@
 /** Control connections: authentication, invalid frames, calls, silent peers. */
+import { randomBytes } from 'node:crypto';
 import net from 'node:net';
 import { deflateRawSync } from 'node:zlib';
 import { test } from 'node:test';
@@ -107,6 +108,51 @@
   void accepted;
 });
 
+/** Guards against clients without the key that fill the memory with frames that they never complete. */
+test('should refuse a large frame of a peer that has not proved that it has the key', async () => {
+  const { server, port, refused } = await listen();
+  const socket = net.connect(port, '127.0.0.1').on('error', () => undefined);
+  const length = Buffer.alloc(4);
+  length.writeUInt32BE(MAXIMUM_FRAME_BYTES);
+  socket.write(length);
+  expect((await refused).includes('over the limit')).toEqual(true);
+  server.close();
+});
+
+test('should accept a large frame of a peer that has the key', async () => {
+  const { server, port, accepted } = await listen();
+  const client = await ControlConnection.connect('127.0.0.1', port, options('client'));
+  client.start();
+  const call = client.call({ type: 'revision-query', key: randomBytes(1024 * 1024).toString('hex') });
+  const connection = await accepted;
+  connection.on('message', (message) => {
+    if (message.type === 'revision-query')
+      connection.reply(message.call, { accepted: true, revision: message.key.length });
+  });
+  connection.start();
+  expect((await call).revision).toEqual(2 * 1024 * 1024);
+  client.close('done');
+  server.close();
+});
+
+test('should close the oldest connection when too many are in their handshake', async () => {
+  const patient = { ...options('server'), peerTimeoutMilliseconds: 60_000 };
+  const ignore = (): void => undefined;
+  const server = new ControlServer(patient, ignore, ignore, 2);
+  const port = await server.listen('127.0.0.1', 0);
+  const closed: number[] = [];
+  const sockets = [0, 1, 2].map((number) => {
+    const socket = net.connect(port, '127.0.0.1').on('error', () => undefined);
+    return socket.resume().once('close', () => closed.push(number));
+  });
+  await until(() => closed.length > 0);
+  expect(closed.length).toEqual(1);
+  const client = await ControlConnection.connect('127.0.0.1', port, options('client'));
+  client.close('done');
+  for (const socket of sockets) socket.destroy();
+  server.close();
+});
+
 test('should allow more silence between agents than to an entry, and the same at both ends', () => {
   expect(silenceTimeout('agent', 'agent', 300)).toEqual(600);
   expect(silenceTimeout('agent', 'entry', 300)).toEqual(300);
