Ledger: hand keys over in parts that fit into messages

What callers would see: clients that send many requests that must not run twice, each with a new key, fill the ledger with more than 8 MiB of keys: 41,000 keys of 200 characters are enough, or 80,000 tickets of our own. At the planned stop of such an agent the process ends at once with an error: the requests that it runs are cut, and its keys are lost, so that keys of its slots are answered `unknown` for their lifetime.

Cause: the reply to `ledger-export` carried all keys in one frame. Encoding it threw, nothing caught that, and Node ends a process for an unhandled rejection.

Change: the coordinator asks for the keys in parts (`after`), and sends them to the next owners in parts of 1 MiB. Parts are in the order of the keys' text, which does not change when a request ends meanwhile. An agent owns slots until the last part is taken, so that it does not exit in between. Mixed builds: an older agent answers with all keys and no `more`; an older coordinator, which asks without `after`, gets all keys if they fit and is refused otherwise, so that it never takes a part for the whole.

--- a/src/agent/orderHandler.ts
+++ b/src/agent/orderHandler.ts
@@ -1,5 +1,6 @@
 /** Handles orders from coordinators: checks the epoch, then passes the order to the host of its configuration. */
 import type { ControlConnection } from '../protocol/controlConnection.js';
+import { MAXIMUM_FRAME_BYTES } from '../protocol/frameCodec.js';
 import type { Message } from '../protocol/message.js';
 import type { OrderMessage, PlanMessage } from '../protocol/rolloutMessages.js';
 import type { Ledger } from '../requests/ledger.js';
@@ -31,8 +32,12 @@
   originBytes?: number;
   incarnation?: string;
   keys?: string[];
+  more?: boolean;
 }
 
+/** Leaves room for the other fields of a reply. */
+const MAXIMUM_KEYS_BYTES = MAXIMUM_FRAME_BYTES - 64 * 1024;
+
 export interface OrderHandlerOptions {
   incarnation: string;
   hosts: ServiceHosts;
@@ -88,7 +93,7 @@
         this._options.onLedger();
         return { accepted: true };
       case 'ledger-export':
-        return { accepted: true, keys: this._options.ledger.exportKeys(serviceKey(order)) };
+        return this._exportKeys(serviceKey(order), order.after);
       case 'ledger-import':
         this._options.ledger.importKeys(order.keys);
         return { accepted: true };
@@ -97,6 +102,14 @@
     }
   }
 
+  /** Refuses to hand over all keys at once if they do not fit into a message; they are lost with the agent then. */
+  private _exportKeys(service: string, after: string | undefined): OrderReply {
+    const { ledger } = this._options;
+    if (after !== undefined) return { accepted: true, ...ledger.exportPart(service, after) };
+    const { keys, more } = ledger.exportPart(service, '', MAXIMUM_KEYS_BYTES);
+    return more ? { accepted: false } : { accepted: true, keys };
+  }
+
   private async _plan(order: PlanMessage, host: ServiceHost): Promise<OrderReply> {
     const result = await host.plan(order);
     this._options.onPlan();
--- a/src/protocol/rolloutMessages.ts
+++ b/src/protocol/rolloutMessages.ts
@@ -77,7 +77,12 @@
 });
 
 /** Takes all ledger slots from an agent that is leaving; the reply has the keys that it remembers. */
-export const ledgerExportSchema = z.object({ type: z.literal('ledger-export'), ...orderFields });
+export const ledgerExportSchema = z.object({
+  type: z.literal('ledger-export'),
+  ...orderFields,
+  /** Asks for a part of the keys: the next ones after this key, '' for the first ones. Older builds ask for all. */
+  after: z.string().optional(),
+});
 
 /** Gives an agent the keys that another agent exported, before their slots are assigned to it. */
 export const ledgerImportSchema = z.object({
@@ -122,5 +127,7 @@
   originBytes: countSchema.optional(),
   incarnation: z.string().optional(),
   keys: z.array(z.string()).optional(),
+  /** Whether more keys follow those of this reply. */
+  more: z.boolean().optional(),
 });
 export type ReplyMessage = z.infer<typeof replyMessageSchema>;
--- a/src/requests/ledger.ts
+++ b/src/requests/ledger.ts
@@ -5,6 +5,8 @@
 import { LRUCache } from 'lru-cache';
 import type { LedgerSlot } from '../protocol/rolloutMessages.js';
 import type { Clock } from '../utils/clock.js';
+import { compareText } from '../utils/rendezvous.js';
+import { splitKeys } from './keyParts.js';
 import { ledgerHash } from './ledgerSlots.js';
 
 /** A complete answer, stored so that a caller whose answer was lost gets it when it sends the key again. */
@@ -53,6 +55,13 @@
   maximumAnswerBytes: number;
 }
 
+/** Some keys of a service, in the order of their text. */
+export interface KeyPart {
+  keys: string[];
+  /** Whether there are keys after these. */
+  more: boolean;
+}
+
 interface KeyState {
   running: boolean;
   expiresAt: number;
@@ -72,6 +81,8 @@
   private readonly _keys = new Map<string, KeyState>();
   private readonly _answers: LRUCache<string, StoredAnswer>;
   private readonly _slots = new Map<string, Map<number, SlotState>>();
+  /** Services whose keys have been exported in part. */
+  private readonly _handingOver = new Set<string>();
 
   constructor(options: LedgerOptions) {
     this._options = options;
@@ -103,11 +114,12 @@
       return [owned.slot, { ...owned, blindUntil }];
     });
     this._slots.set(service, new Map(states));
+    this._handingOver.delete(service);
   }
 
-  /** Whether this incarnation owns any slot of any service. */
+  /** Whether this incarnation owns any slot of any service, or has keys left to hand over. */
   get ownsSlots(): boolean {
-    return [...this._slots.values()].some((slots) => slots.size > 0);
+    return this._handingOver.size > 0 || [...this._slots.values()].some((slots) => slots.size > 0);
   }
 
   /** Gives up all slots of a service and returns its recorded keys, to be imported by the next owners. */
@@ -116,6 +128,16 @@
     return [...this._keys.keys()].filter((key) => key.startsWith(`${service}.`));
   }
 
+  /** Does the same in parts: returns the next keys after the key `after`, '' for the first ones. */
+  exportPart(service: string, after: string, maximumBytes?: number): KeyPart {
+    const left = this.exportKeys(service).filter((key) => key > after);
+    const [keys, ...others] = splitKeys(left.sort(compareText), maximumBytes);
+    const more = others.length > 0;
+    if (more) this._handingOver.add(service);
+    else this._handingOver.delete(service);
+    return { keys, more };
+  }
+
   /** Records keys that an earlier owner has allowed to run. */
   importKeys(keys: readonly string[]): void {
     for (const key of keys) {
--- a/src/rollout/ledgerAssigner.ts
+++ b/src/rollout/ledgerAssigner.ts
@@ -11,6 +11,7 @@
 import type { AgentLinks } from '../membership/agentLinks.js';
 import type { BoxListFollower } from '../membership/boxListFollower.js';
 import type { LedgerSlot, ReplyMessage } from '../protocol/rolloutMessages.js';
+import { splitKeys } from '../requests/keyParts.js';
 import type { LedgerCandidate, LedgerRecord, OwnerStatus, SlotOwner } from '../requests/ledgerSlots.js';
 import { assignSlots, identityOf, ledgerHash, ledgerRecordSchema, slotsOf } from '../requests/ledgerSlots.js';
 import type { Logger } from '../telemetry/logger.js';
@@ -77,12 +78,23 @@
     for (const [identity, owner] of owners) {
       if (this._ownerStatusOf(owner) !== 'owns' || !mustHandOver(owner, boxes, this._services.links))
         continue;
-      const reply = await this._order(owner.box, { type: 'ledger-export' });
-      if (reply?.accepted && reply.keys) keys.set(identity, reply.keys);
+      const exported = await this._exportKeysOf(owner.box);
+      if (exported) keys.set(identity, exported);
     }
     return keys;
   }
 
+  /** Returns all keys of the agent on `box`; undefined if it refuses, or does not answer, for any part of them. */
+  private async _exportKeysOf(box: string): Promise<string[] | undefined> {
+    const keys: string[] = [];
+    for (;;) {
+      const reply = await this._order(box, { type: 'ledger-export', after: keys.at(-1) ?? '' });
+      if (!reply?.accepted || !reply.keys) return undefined;
+      for (const key of reply.keys) keys.push(key);
+      if (!reply.more || reply.keys.length === 0) return keys;
+    }
+  }
+
   /**
    * Sends exported keys to the new owners, before the table is written. Returns false when a new owner refused them or
    * did not answer.
@@ -96,10 +108,15 @@
       const newOwners = new Set(
         after.filter((_owner, slot) => identityOf(before[slot]) === identity).map((owner) => owner.box),
       );
-      for (const newOwner of newOwners) {
-        const reply = await this._order(newOwner, { type: 'ledger-import', keys });
-        if (!reply?.accepted) return false;
-      }
+      for (const newOwner of newOwners) if (!(await this._importKeysAt(newOwner, keys))) return false;
+    }
+    return true;
+  }
+
+  private async _importKeysAt(box: string, keys: readonly string[]): Promise<boolean> {
+    for (const part of splitKeys(keys)) {
+      const reply = await this._order(box, { type: 'ledger-import', keys: part });
+      if (!reply?.accepted) return false;
     }
     return true;
   }
@@ -111,7 +128,7 @@
   private async _order(
     box: string,
     order:
-      | { type: 'ledger-export' }
+      | { type: 'ledger-export'; after: string }
       | { type: 'ledger-import'; keys: string[] }
       | { type: 'ledger'; slots: LedgerSlot[] },
   ): Promise<ReplyMessage | undefined> {
