Control connections: leave nothing behind of a call that has ended

What would be seen: a call whose message is over the limit on frames is rejected, and when the connection closes later, the process that made it ends with an unhandled rejection. Also, each call left a listener behind until its connection closed, so that a process grows with the calls on its long-lived connections.

Cause: a call subscribed to the close of the connection and never unsubscribed. If encoding threw, nobody handled the promise that this listener rejects.

Change: open calls are settled from the map in which they already are, and leave it when they end, also if the message cannot be sent. Which limit applies to frames is now decided in the codec.

Test: "should reject a call that is too large, and leave nothing of any call behind" failed before.

--- a/src/protocol/controlConnection.ts
+++ b/src/protocol/controlConnection.ts
@@ -8,7 +8,7 @@
 import { withTimeout } from '../utils/timers.js';
 import { sameMac } from './authentication.js';
 import { RoundTripEstimator } from './roundTripEstimator.js';
-import { FrameReader, HEARTBEAT_FRAME, MAXIMUM_FRAME_BYTES, encodeFrame } from './frameCodec.js';
+import { FrameReader, HEARTBEAT_FRAME, encodeFrame } from './frameCodec.js';
 import type { Identity } from './handshake.js';
 import { PROTOCOL_VERSION, challengeSchema, handshakeMac, helloSchema, welcomeSchema } from './handshake.js';
 import type { Message } from './message.js';
@@ -45,8 +45,6 @@
  */
 const CHECK_LATENESS_MILLISECONDS = 20;
 const livenessChecks = new SharedInterval(LIVENESS_CHECK_INTERVAL_MILLISECONDS);
-/** Largest frame that is accepted from a peer that has not proved yet that it has the shared key. */
-const MAXIMUM_HELLO_BYTES = 4 * 1024;
 const RECEIVE_BUFFER_BYTES = 64 * 1024;
 /**
  * All connections that this process opens receive into this buffer; what has arrived is copied before the next read. A
@@ -68,7 +66,7 @@
   private readonly _socket: net.Socket;
   private readonly _options: ControlOptions;
   private readonly _reader = new FrameReader();
-  private readonly _calls = new Map<number, (reply: ReplyMessage) => void>();
+  private readonly _calls = new Map<number, (replyOrCloseReason: ReplyMessage | string) => void>();
   private _handshake: ((frame: unknown) => void) | undefined;
   private _backlog: unknown[] = [];
   private _opened = false;
@@ -107,7 +105,7 @@
   /** Opens a connection on an accepted socket and authenticates both ends. */
   static async accept(socket: net.Socket, options: ControlOptions): Promise<ControlConnection> {
     const connection = new ControlConnection(socket, options);
-    connection._reader.maximumBytes = MAXIMUM_HELLO_BYTES;
+    connection._reader.isHandshake = true;
     socket.on('data', (bytes: Buffer) => connection._onData(bytes, false));
     await connection._openWithTimeout(
       connection._openAsServer(),
@@ -153,11 +151,12 @@
       throw new StepError(`control.${message.type}`, 'connection closed', { peer: this.peer.box });
     const call = this._nextCall++;
     const reply = new Promise<ReplyMessage>((resolve, reject) => {
-      this._calls.set(call, resolve);
-      this.once('close', (reason) => reject(this._callError(message.type, reason)));
+      this._calls.set(call, (end) =>
+        typeof end === 'string' ? reject(this._callError(message.type, end)) : resolve(end),
+      );
     });
-    this._write({ ...message, call });
     try {
+      this._write({ ...message, call });
       return await withTimeout(reply, timeoutMilliseconds, () =>
         this._callError(message.type, 'no answer in time'),
       );
@@ -189,6 +188,7 @@
     clearTimeout(this._silenceRecheck);
     this._stopLivenessChecks();
     this._socket.destroy();
+    for (const end of this._calls.values()) end(reason);
     this.emit('close', reason);
   }
 
@@ -218,7 +218,7 @@
     if (!sameMac(hello.mac, expected))
       throw new StepError('control.open', 'wrong shared key', { peer: hello.identity.box });
     this.peer = hello.identity;
-    this._reader.maximumBytes = MAXIMUM_FRAME_BYTES;
+    this._reader.isHandshake = false;
     const { identity, key } = this._options;
     this._write({ type: 'welcome', identity, mac: handshakeMac(key, hello.nonce, identity) });
   }
--- a/src/protocol/frameCodec.ts
+++ b/src/protocol/frameCodec.ts
@@ -8,6 +8,8 @@
 
 /** Largest body of a frame that either side accepts, before and after decompression. */
 export const MAXIMUM_FRAME_BYTES = 8 * 1024 * 1024;
+/** The same for a peer that has not proved yet that it has the shared key. */
+const MAXIMUM_HELLO_BYTES = 4 * 1024;
 const LENGTH_BYTES = 4;
 /** Flag in the length field; far above {@link MAXIMUM_FRAME_BYTES}. */
 const COMPRESSED_BIT = 0x8000_0000;
@@ -52,8 +54,8 @@
 export class FrameReader {
   private _pending: Buffer[] = [];
   private _pendingBytes = 0;
-  /** Largest body of a frame, before and after decompression. */
-  maximumBytes = MAXIMUM_FRAME_BYTES;
+  /** Whether the peer still has to prove that it has the shared key; until then its frames have to be small. */
+  isHandshake = false;
 
   /**
    * Adds received bytes and returns the messages that they complete. Throws on an invalid frame. Bytes in a buffer that
@@ -71,13 +73,17 @@
     return messages;
   }
 
+  private get _maximumBytes(): number {
+    return this.isHandshake ? MAXIMUM_HELLO_BYTES : MAXIMUM_FRAME_BYTES;
+  }
+
   private _nextBody(): FrameBody | undefined {
     if (this._pendingBytes < LENGTH_BYTES) return undefined;
     if (this._pending[0].length < LENGTH_BYTES) this._concatenatePending();
     const lengthField = this._pending[0].readUInt32BE(0);
     const isCompressed = lengthField >= COMPRESSED_BIT;
     const length = isCompressed ? lengthField - COMPRESSED_BIT : lengthField;
-    if (length > this.maximumBytes) throw new StepError('frame.decode', `${length} bytes is over the limit`);
+    if (length > this._maximumBytes) throw new StepError('frame.decode', `${length} bytes is over the limit`);
     if (this._pendingBytes < LENGTH_BYTES + length) return undefined;
     this._concatenatePending();
     const buffered = this._pending[0];
@@ -93,7 +99,7 @@
 
   private _decode({ bytes, isCompressed }: FrameBody): unknown {
     try {
-      const item = isCompressed ? inflateRawSync(bytes, { maxOutputLength: this.maximumBytes }) : bytes;
+      const item = isCompressed ? inflateRawSync(bytes, { maxOutputLength: this._maximumBytes }) : bytes;
       return decoder.decode(item);
     } catch (error) {
       throw new StepError('frame.decode', 'not a CBOR item', { cause: error });
--- a/tests/controlConnection.spec.ts
+++ b/tests/controlConnection.spec.ts
@@ -108,6 +108,27 @@
   void accepted;
 });
 
+/** Guards against a process that ends when it loses the connection after a call that was never sent. */
+test('should reject a call that is too large, and leave nothing of any call behind', async () => {
+  const { server, port, accepted } = await listen();
+  const client = await ControlConnection.connect('127.0.0.1', port, options('client'));
+  client.start();
+  const unhandled: unknown[] = [];
+  const note = (error: unknown): void => void unhandled.push(error);
+  process.on('unhandledRejection', note);
+  const listeners = client.listenerCount('close');
+  const call = client.call({ type: 'revision-query', key: 'k'.repeat(MAXIMUM_FRAME_BYTES) });
+  await expect(call).toBeRejected();
+  expect(client.listenerCount('close')).toEqual(listeners);
+  const closed = new Promise((resolve) => client.once('close', resolve));
+  (await accepted).close('gone');
+  await closed;
+  await new Promise((resolve) => setImmediate(resolve));
+  process.off('unhandledRejection', note);
+  expect(unhandled).toEqual([]);
+  server.close();
+});
+
 /** Guards against clients without the key that fill the memory with frames that they never complete. */
 test('should refuse a large frame of a peer that has not proved that it has the key', async () => {
   const { server, port, refused } = await listen();
