Log lines: cut long texts

What operators would see: log lines are missing. A client that sends request ids of 60 KB, each a new one, gets a line of 60 KB for every decision on its requests; four of them fill the buffer of a slow reader (256 KB), and the lines of other requests and of changes of state are dropped meanwhile. With a fast reader it is some 6 MB a second of log for each step.

Cause: the number of lines of a step is limited, their length was not, and callers choose request ids.

Change: texts of more than 2,048 characters are cut; the length that they had is added. 64 ids of prompt parts of 31 characters still fit.

Test: "should cut long texts" failed before.

--- a/src/telemetry/eventLog.ts
+++ b/src/telemetry/eventLog.ts
@@ -18,6 +18,8 @@
 /** Maximum number of lines that are written per step and second. Further lines are only counted. */
 const LINES_PER_SECOND = 100;
 const WINDOW_MILLISECONDS = 1_000;
+/** Longer texts are cut, since callers may choose them: a request id may take up to 64 KB. */
+const MAX_TEXT_CHARACTERS = 2_048;
 /** Size of the buffer for a slow reader of standard output; lines are dropped while it is full. */
 const BUFFER_BYTES = 256 * 1024;
 const STANDARD_OUTPUT = 1;
@@ -85,7 +87,8 @@
     budget.written++;
     const dropped = budget.dropped > 0 ? budget.dropped : undefined;
     budget.dropped = 0;
-    this._sink.write(`${JSON.stringify({ time: now, step, ...this._common, ...fields, dropped })}\n`);
+    const line = { time: now, step, ...this._common, ...fields, dropped };
+    this._sink.write(`${JSON.stringify(line, cutLongText)}\n`);
   }
 
   private _budgetOf(step: string, now: number): StepBudget {
@@ -101,3 +104,8 @@
     return budget;
   }
 }
+
+function cutLongText(_field: string, value: unknown): unknown {
+  if (typeof value !== 'string' || value.length <= MAX_TEXT_CHARACTERS) return value;
+  return `${value.slice(0, MAX_TEXT_CHARACTERS)}… (${value.length} characters)`;
+}
--- a/tests/eventLog.spec.ts
+++ b/tests/eventLog.spec.ts
@@ -31,6 +31,16 @@
   expect(lines.at(-1)?.includes('request.refused')).toEqual(true);
 });
 
+/** Guards against callers with long request ids, whose lines leave no room for others in the buffer. */
+test('should cut long texts', () => {
+  const lines: string[] = [];
+  const log = new EventLog({ write: (line) => void lines.push(line) }, 'decision', { box: 'b' });
+  log.decision('request.sent', { request: 'x'.repeat(60_000), server: 's' });
+  expect(lines[0].length < 3_000).toEqual(true);
+  const { request, box, server } = JSON.parse(lines[0]);
+  expect([request.endsWith('… (60000 characters)'), box, server]).toEqual([true, 'b', 's']);
+});
+
 /** Guards against losing the last lines of a process, which tell how its requests ended. */
 test('should have written all lines before the process exits', () => {
   const module = new URL('../src/telemetry/eventLog.js', import.meta.url).href;
