--- a/src/cli/daemonCommand.ts
+++ b/src/cli/daemonCommand.ts
@@ -4,7 +4,7 @@
 import type { SettingsSchema } from '../settings/settingsParser.js';
 import { parseSettings, problemLines } from '../settings/settingsParser.js';
 import type { z } from 'zod';
-import { enableLogs } from '../telemetry/logger.js';
+import { enableLogs, flushLogs } from '../telemetry/logger.js';
 import { CliError } from './cliError.js';
 import { EXIT } from './exitCodes.js';
 
@@ -51,7 +51,10 @@
   const stop = (): void => {
     if (stopping) return;
     stopping = true;
-    void daemon.stop().then(() => process.exit(EXIT.ok));
+    void daemon
+      .stop()
+      .then(flushLogs)
+      .then(() => process.exit(EXIT.ok));
   };
   process.on('SIGTERM', stop);
   process.on('SIGINT', () => (stopping ? process.exit(EXIT.failed) : stop()));
