Ledger: keep room for the keys of customers with few of them

What callers would see: a customer that sends 100,000 requests that must not run twice within the lifetime of a key (120 s), each with a new key, fills the ledger of an agent. All other customers of that box are then refused with `ledger-full` for up to 120 s, whatever they send that must not run twice.

Cause: the limit counted the keys of all customers together.

Change: the ledger counts the keys of each customer. At the limit it still takes keys of customers who have fewer than a tenth of it, up to a tenth more in total. Nobody's limit falls; memory for keys grows by a tenth at most.

Test: "should leave room for the keys of other customers" failed before.

--- a/src/requests/ledger.ts
+++ b/src/requests/ledger.ts
@@ -50,6 +50,7 @@
    * has not learnt of the loss may go on sending to the lost owner.
    */
   blindMilliseconds: number;
+  /** A tenth more is kept for customers who have few keys. */
   maximumKeys: number;
   /** Memory for stored answers. Beyond it the oldest answers are dropped, but not their keys. */
   maximumAnswerBytes: number;
@@ -67,6 +68,8 @@
   expiresAt: number;
 }
 
+/** Additional keys, as a share of the maximum, for customers who have fewer than these: nobody can use up all. */
+const RESERVED_SHARE = 0.1;
 /** Estimated memory that a stored answer takes besides its body. */
 const ANSWER_OVERHEAD_BYTES = 512;
 
@@ -79,6 +82,7 @@
 export class Ledger {
   private readonly _options: LedgerOptions;
   private readonly _keys = new Map<string, KeyState>();
+  private readonly _keysOfCustomer = new Map<string, number>();
   private readonly _answers: LRUCache<string, StoredAnswer>;
   private readonly _slots = new Map<string, Map<number, SlotState>>();
   /** Services whose keys have been exported in part. */
@@ -155,20 +159,21 @@
     if (!owned) return { kind: 'not-owner' };
     if (owned.slotEpoch !== request.slotEpoch) return this._decideOtherEpoch(owned, request);
     if (!request.ticketed && this._options.clock.now() < owned.blindUntil) return { kind: 'uncertain' };
-    if (!this._evictExpired()) return { kind: 'full' };
-    this._keys.set(request.key, { running: true, expiresAt: this._expiry() });
+    this._evictExpired();
+    if (!this._hasRoomFor(customerOf(request.key))) return { kind: 'full' };
+    this._remember(request.key, true);
     return { kind: 'run' };
   }
 
   /** Removes the key of a request that was certainly not sent to the backend server. */
   cancel(key: string): void {
-    this._keys.delete(key);
+    this._forget(key);
   }
 
   /** Records the end of a run. `answer` is undefined when the answer was lost or is too long to store. */
   finish(key: string, answer: StoredAnswer | undefined): void {
-    this._keys.delete(key);
-    this._keys.set(key, { running: false, expiresAt: this._expiry() });
+    this._forget(key);
+    this._remember(key, false);
     if (answer) this._answers.set(key, answer);
   }
 
@@ -191,20 +196,43 @@
     return this._options.clock.now() + this._options.keyLifetimeMilliseconds;
   }
 
-  /** Drops expired keys, oldest first, and returns whether another key fits. Unexpired and running keys are kept. */
-  private _evictExpired(): boolean {
+  /** Drops expired keys, oldest first. Unexpired and running keys are kept. */
+  private _evictExpired(): void {
     const now = this._options.clock.now();
     for (const [key, state] of this._keys) {
       if (state.expiresAt > now) break;
       if (!state.running) this._forget(key);
     }
-    return this._keys.size < this._options.maximumKeys;
+  }
+
+  private _hasRoomFor(customer: string): boolean {
+    const { maximumKeys } = this._options;
+    const reserved = Math.floor(maximumKeys * RESERVED_SHARE);
+    const hasFew = (this._keysOfCustomer.get(customer) ?? 0) < reserved;
+    return this._keys.size < (hasFew ? maximumKeys + reserved : maximumKeys);
+  }
+
+  private _remember(key: string, running: boolean): void {
+    this._keys.set(key, { running, expiresAt: this._expiry() });
+    this._countKey(customerOf(key), 1);
   }
 
   private _forget(key: string): void {
-    this._keys.delete(key);
+    if (!this._keys.delete(key)) return;
     this._answers.delete(key);
+    this._countKey(customerOf(key), -1);
   }
+
+  private _countKey(customer: string, change: 1 | -1): void {
+    const count = (this._keysOfCustomer.get(customer) ?? 0) + change;
+    if (count > 0) this._keysOfCustomer.set(customer, count);
+    else this._keysOfCustomer.delete(customer);
+  }
+}
+
+/** The customer's name, with which the key in the ledger begins. */
+function customerOf(key: string): string {
+  return key.split('.', 1)[0];
 }
 
 function sizeOf({ body, contentType, version }: StoredAnswer): number {
--- a/tests/ledger.spec.ts
+++ b/tests/ledger.spec.ts
@@ -126,6 +126,23 @@
   expect(ledger.check(SERVICE, ledgerRequest({ key: 'second' })).kind).toEqual('run');
 });
 
+/** Guards against a customer whose many keys keep all others from sending requests that must not run twice. */
+test('should leave room for the keys of other customers', () => {
+  const { ledger, clock } = ledgerWith(20);
+  ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: false }]);
+  const run = (key: string): string => {
+    const { kind } = ledger.check(SERVICE, ledgerRequest({ key }));
+    if (kind === 'run') ledger.finish(key, undefined);
+    return kind;
+  };
+  const many = Array.from({ length: 30 }, (_unused, number) => run(`many.turns.${number}`));
+  expect(many.filter((kind) => kind === 'run').length).toEqual(20);
+  expect(['few.turns.1', 'few.turns.2', 'many.turns.30'].map(run)).toEqual(['run', 'run', 'full']);
+  expect(ledger.size).toEqual(22);
+  clock.advance(LIFETIME + 1);
+  expect(['few.turns.3', 'many.turns.31'].map(run)).toEqual(['run', 'run']);
+});
+
 test('should never drop a key that is still running', () => {
   const { ledger, clock } = ledgerWith(1);
   ledger.assign(SERVICE, [{ slot: 3, slotEpoch: 2, blind: false }]);
