Ledger: store answers in memory of their own

Cause: the pieces of an answer were joined into a buffer from Node's pool. A small buffer retains the 8 KB block that it is a part of, and other users of the pool take the rest of the block, so that a stored answer of 1 KB retains up to 8 KB.

Change: a stored answer is copied into memory of its own. Answers that are too long to store are no longer joined at all.

Test: "should store an answer in memory of its own" failed before (8192 bytes for an answer of 4).

--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -148,11 +148,8 @@
       }
       await this._assertRunning(witness);
       const isKept = length <= MAXIMUM_KEPT_ANSWER_BYTES;
-      const body = Buffer.concat(kept);
-      this._finishLedgerEntry(
-        request,
-        isKept ? { status: answer.statusCode, contentType, version, body } : undefined,
-      );
+      const body = isKept ? unpooledCopy(kept, length) : undefined;
+      this._finishLedgerEntry(request, body && { status: answer.statusCode, contentType, version, body });
       writer.end();
     } catch (error) {
       this._logger.decision('backend.cut', { request: request.requestId, reason: errorText(error) });
@@ -204,6 +201,14 @@
   return headers;
 }
 
+/** Joins the pieces in memory of their own: a small buffer from the pool would retain a block of 8 KB. */
+function unpooledCopy(pieces: readonly Buffer[], length: number): Buffer {
+  const copy = Buffer.allocUnsafeSlow(length);
+  let copied = 0;
+  for (const piece of pieces) copied += piece.copy(copy, copied);
+  return copy;
+}
+
 async function aborted(signal: AbortSignal): Promise<false> {
   if (!signal.aborted)
     await new Promise((resolve) => signal.addEventListener('abort', resolve, { once: true }));
--- a/tests/backendForwarder.spec.ts
+++ b/tests/backendForwarder.spec.ts
@@ -32,17 +32,25 @@
   return await text(socket).catch(() => '');
 }
 
-/** Forwards a request to `backend`. Returns the answer that `asked` gets. */
-async function forward(backend: http.RequestListener, asked = ask): Promise<Response | string> {
-  const server = http.createServer(backend);
-  const url = `http://127.0.0.1:${await listenHttp(server, '127.0.0.1', 0)}`;
-  const ledger = new Ledger({
+function emptyLedger(): Ledger {
+  return new Ledger({
     clock: new ManualClock(),
     keyLifetimeMilliseconds: 1,
     blindMilliseconds: 1,
     maximumKeys: 1,
-    maximumAnswerBytes: 1,
+    maximumAnswerBytes: 10_000,
   });
+}
+
+/** Forwards a request to `backend`. Returns the answer that `asked` gets. */
+async function forward(
+  backend: http.RequestListener,
+  asked = ask,
+  ledger = emptyLedger(),
+  ledgerKey?: string,
+): Promise<Response | string> {
+  const server = http.createServer(backend);
+  const url = `http://127.0.0.1:${await listenHttp(server, '127.0.0.1', 0)}`;
   const forwarder = new BackendForwarder(url, ledger, new Logger('test'));
   const request = {
     method: 'POST',
@@ -54,7 +62,7 @@
   };
   const agent = http.createServer((_request, response) => {
     void forwarder
-      .forward({ ...request, idempotencyKey: '', priority: 'normal', ledgerKey: undefined }, PERMIT, response)
+      .forward({ ...request, idempotencyKey: '', priority: 'normal', ledgerKey }, PERMIT, response)
       .then((refusal) => {
         if (refusal) response.end(refusal.reason);
       });
@@ -140,3 +148,13 @@
   const answer = forward((_request, response) => void response.writeHead(999).end('done'));
   expect(await answer).toEqual('backend-lost');
 });
+
+/** Guards against small answers that each retain a block of the buffer pool, beyond the limit on stored answers. */
+test('should store an answer in memory of its own', async () => {
+  const ledger = emptyLedger();
+  await forward((_request, response) => response.end('done'), ask, ledger, 'c.s.k');
+  const request = { key: 'c.s.k', slot: 0, slotEpoch: 0, ticketed: false };
+  const decision = ledger.check('c.s', request);
+  const body = decision.kind === 'answered' ? decision.answer.body : Buffer.alloc(0);
+  expect([body.toString(), body.buffer.byteLength]).toEqual(['done', 4]);
+});
