Entry: cut off callers that take nothing of their answer

What callers would see: a client that sends requests with long answers and leaves the answers unread keeps a slot of the box for each of them, for as long as it stays connected. With as many such requests as a box has slots (8 by default), nobody else gets an answer from that box.

Cause: backpressure reaches from the caller over the entry to the agent, which gives the slot back when the answer has been sent. Nothing limited the wait for the caller: the time limit on the parts of an answer does not run while the entry itself does not read.

Change: while the entry waits for a caller to take more, the connection has a timeout (--caller-stall-milliseconds, 60 s), at which the server closes it. Node extends it whenever the system has taken more of what is written, so that a slow caller is not cut off: it is only a caller of whom nothing is taken for the whole time. Of several requests on a connection the first one has the timeout, and the others end with the connection.

Test: "should cut off a caller that takes nothing of its answer" failed before (no end within 10 s).

--- a/src/entry/answerDelivery.ts
+++ b/src/entry/answerDelivery.ts
@@ -13,12 +13,14 @@
 
 /**
  * Streams the answer. If the backend server fails midway, closes the connection without ending the response, so that
- * the caller can tell that the answer is incomplete.
+ * the caller can tell that the answer is incomplete. Cuts off a caller that takes no byte for `stallMilliseconds`, since
+ * the answer keeps a slot of its box.
  */
 export async function deliver(
   routed: RoutedAnswer,
   requestId: string,
   response: http.ServerResponse,
+  stallMilliseconds: number,
 ): Promise<DeliveryEnd> {
   const { status, contentType, version, body } = routed.answer;
   const head = {
@@ -27,7 +29,7 @@
     [HEADER.version]: version,
     [HEADER.outcome]: 'answered',
   };
-  const writer = new AnswerWriter(response);
+  const writer = new AnswerWriter(response, stallMilliseconds);
   try {
     writer.begin(status, head);
     for await (const piece of body) {
--- a/src/entry/callerApi.ts
+++ b/src/entry/callerApi.ts
@@ -35,6 +35,8 @@
   sharedKey: string;
   /** How long callers may keep the list of entries. */
   entriesKeepSeconds: number;
+  /** Time after which a caller that takes nothing of its answer is cut off. */
+  callerStallMilliseconds: number;
   /** Returns the entries for a caller; `callerKey` spreads the callers over them. */
   entriesFor: (dataCentre: string, callerKey: string) => EntryEndpoint[];
   dataCentre: string;
@@ -194,7 +196,12 @@
     if (result.kind === 'refused')
       return answerRefusal(response, result.refusal, callerRequest.id, this._options.random);
     this._options.metrics.latency('first_byte', this._options.clock.now() - arrivedAt);
-    const end = await deliver(result.routed, callerRequest.id, response);
+    const end = await deliver(
+      result.routed,
+      callerRequest.id,
+      response,
+      this._options.callerStallMilliseconds,
+    );
     this._options.metrics.count('requests_delivered', { end });
     this._options.metrics.latency('whole_answer', this._options.clock.now() - arrivedAt);
   }
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -214,6 +214,7 @@
       ledgers: this._ledgers,
       sharedKey: settings.sharedKey,
       entriesKeepSeconds: settings.entriesKeepSeconds,
+      callerStallMilliseconds: settings.callerStallMilliseconds,
       entriesFor: (dataCentre, callerKey) => this._entriesFor(dataCentre, callerKey),
       dataCentre: settings.dataCentre,
     });
--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -26,6 +26,9 @@
   requestTimeoutMilliseconds: numberSetting(100, 3_600_000, 60_000, 'milliseconds').describe(
     'longest time for the first byte of an answer',
   ),
+  callerStallMilliseconds: numberSetting(100, 3_600_000, 60_000, 'milliseconds').describe(
+    'time after which a caller that takes nothing of its answer is cut off',
+  ),
   isolatedMilliseconds: numberSetting(500, 600_000, 10_000, 'milliseconds').describe(
     'time without the object API and other data centres after which an entry counts as isolated',
   ),
--- a/src/utils/answerWriter.ts
+++ b/src/utils/answerWriter.ts
@@ -19,10 +19,13 @@
  */
 export class AnswerWriter {
   private readonly _response: http.ServerResponse;
+  private readonly _stallMilliseconds: number;
   private _held: HeldAnswer | undefined;
 
-  constructor(response: http.ServerResponse) {
+  /** Cuts off a caller that takes no byte for `stallMilliseconds`; 0 for no limit. */
+  constructor(response: http.ServerResponse, stallMilliseconds = 0) {
     this._response = response;
+    this._stallMilliseconds = stallMilliseconds;
   }
 
   begin(status: number, headers: http.OutgoingHttpHeaders): void {
@@ -33,7 +36,7 @@
   /** Resolves when the caller can take more. Rejects with a StepError if there is too much to send at once. */
   async write(piece: Buffer): Promise<void> {
     if (this._held) this._hold(this._held, piece);
-    else if (!this._response.write(piece)) await untilDrained(this._response);
+    else if (!this._response.write(piece)) await untilDrained(this._response, this._stallMilliseconds);
   }
 
   end(): void {
--- a/tests/answerDelivery.spec.ts
+++ b/tests/answerDelivery.spec.ts
@@ -14,7 +14,7 @@
     const answer = { status: 200, contentType: 'text/plain', version: 'v1' };
     const parts = Object.assign(body(), { destroy: () => undefined });
     const routed = { answer: { ...answer, body: parts }, done: () => undefined };
-    void deliver(routed as unknown as RoutedAnswer, 'r', response);
+    void deliver(routed as unknown as RoutedAnswer, 'r', response, 60_000);
   });
   const socket = net.connect(await listenHttp(server, '127.0.0.1', 0), '127.0.0.1');
   socket.write(`GET / HTTP/${version}\r\nHost: h\r\nConnection: close\r\n\r\n`);
@@ -49,3 +49,24 @@
 test('should deliver nothing of an answer that was broken off to a caller that takes no chunks', async () => {
   expect(await received(brokenOff, '1.0')).toEqual('');
 });
+
+async function* endless(): AsyncGenerator<Buffer> {
+  for (;;) yield Buffer.alloc(64 * 1024);
+}
+
+/** Guards against callers that keep the slots of a box by answers that they never read. */
+test('should cut off a caller that takes nothing of its answer', { timeout: 10_000 }, async () => {
+  let onEnd: (end: unknown) => void = () => undefined;
+  const ended = new Promise((resolve) => (onEnd = resolve));
+  const server = http.createServer((_request, response) => {
+    const parts = Object.assign(endless(), { destroy: () => undefined });
+    const answer = { status: 200, contentType: 'text/plain', version: 'v1', body: parts };
+    const routed = { answer, done: () => undefined } as unknown as RoutedAnswer;
+    void deliver(routed, 'r', response, 50).then(onEnd);
+  });
+  const caller = net.connect(await listenHttp(server, '127.0.0.1', 0), '127.0.0.1');
+  caller.on('error', () => undefined).write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
+  expect(await ended).toEqual('caller-left');
+  caller.destroy();
+  closeHttp(server);
+});
