Entry: an answer of an agent that names another request ends nothing

What callers saw: `larklatch entry` ended, and with it all requests that it served, when an agent answered 503 without the id of the request.

Cause: such an answer is not read, and its body is destroyed. A body that has not ended then fails with an error for which nobody listened. So did the body of an answer with an overload status.

Change: `discardBody` is the one way to drop an answer, and listens for its error; the agent's forwarder had a copy of it.

--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -1,7 +1,7 @@
 /** Sends an admitted request to the backend server, and the answer back to the entry. */
 import type http from 'node:http';
 import { Agent, request as httpRequest } from 'undici';
-import { wasNeverSent } from '../external/httpClient.js';
+import { discardBody, wasNeverSent } from '../external/httpClient.js';
 import { HEADER } from '../protocol/headers.js';
 import type { Ledger } from '../requests/ledger.js';
 import type { Refusal } from '../requests/refusals.js';
@@ -110,7 +110,7 @@
       });
       const problem = headProblem(answer.statusCode, answer.headers);
       if (!problem) return answer;
-      answer.body.on('error', () => undefined).destroy();
+      discardBody(answer.body);
       throw new StepError('backend.answer', problem);
     } catch (error) {
       this._logger.decision('backend.failed', { request: request.requestId, reason: errorText(error) });
--- a/src/external/httpClient.ts
+++ b/src/external/httpClient.ts
@@ -1,4 +1,5 @@
 /** Client for JSON over HTTP, used for the platform and backend servers. */
+import type { Readable } from 'node:stream';
 import type { Dispatcher } from 'undici';
 import { Agent, request } from 'undici';
 import { BoundedBody, MAX_JSON_BYTES } from './boundedBody.js';
@@ -48,6 +49,11 @@
   return NEVER_SENT.has(errorCode(error)) || NEVER_SENT.has(errorCode((error as Error | undefined)?.cause));
 }
 
+/** Closes the connection of an answer that is not read. Its body then fails, for which nobody else listens. */
+export function discardBody(body: Readable): void {
+  body.on('error', () => undefined).destroy();
+}
+
 /** Sends a JSON request. Throws a StepError if there is no answer; an answer with any status is returned. */
 export async function sendJson(options: JsonRequest): Promise<JsonAnswer> {
   const limit = new TimeLimit(options.timeoutMilliseconds, options.signal);
--- a/src/requests/agentClient.ts
+++ b/src/requests/agentClient.ts
@@ -1,6 +1,7 @@
 /** Sends one attempt of a request to an agent. */
+import type { Readable } from 'node:stream';
 import { Agent, request as httpRequest } from 'undici';
-import { wasNeverSent } from '../external/httpClient.js';
+import { discardBody, wasNeverSent } from '../external/httpClient.js';
 import { HEADER } from '../protocol/headers.js';
 import type { Outcome } from '../protocol/headers.js';
 import { answerConnector } from '../utils/answerConnector.js';
@@ -22,7 +23,7 @@
   status: number;
   contentType: string;
   version: string;
-  body: AsyncIterable<Buffer> & { destroy(): unknown };
+  body: Readable;
   load: number | undefined;
 }
 
@@ -130,7 +131,7 @@
   const load =
     text(HEADER.inFlight) === '' ? undefined : Number(text(HEADER.inFlight)) + Number(text(HEADER.queued));
   if (text(HEADER.requestId) !== request.id || text(HEADER.customer) !== request.name.customer) {
-    answer.body.destroy();
+    discardBody(answer.body);
     return unreachedResult('backend-lost', 'unknown');
   }
   if (text(HEADER.outcome) === 'answered') {
--- a/src/requests/requestRouter.ts
+++ b/src/requests/requestRouter.ts
@@ -1,5 +1,6 @@
 /** Routes a caller's request to a box, with retries, or refuses it. */
 import { randomUUID } from 'node:crypto';
+import { discardBody } from '../external/httpClient.js';
 import { configurationKey, shortName } from '../configuration/recordKeys.js';
 import type { ParsedRecords } from '../configuration/parsedRecords.js';
 import type { ProcessDrain } from '../draining/processDrain.js';
@@ -279,6 +280,6 @@
 
 /** Refusal for an overload status of a backend server; the status does not prove that the request has not run. */
 function overloadRefusal(answer: AgentAnswer): Refusal {
-  answer.body.destroy();
+  discardBody(answer.body);
   return { ...refusalFor('backend-lost'), status: answer.status };
 }
