Entries on the platform: one budget for what clients send and are owed

What callers saw: an entry ran out of memory and ended while clients sent many bodies that stop short of their end, chunks of one byte, requests ahead, or heads without end, or read no answers; ordinary callers got nothing.

Cause: each request had limits, their sum had none. `AnswerMemory` counted answers only. The HTTP server starts every request that one read brings, and tells of a closed connection only the request whose answer comes next.

Evidence: tests/crowds on, 250 MB allowed: 539 MB (chunks, bodies that stop short), 1,036 (chunks of one byte), 945 (whole bodies), 355 (requests ahead), 301 (heads), 349 and 1,281 (unread streams), 1,031 descriptors of 600; memory stays for 25 s after the crowd.

Change: `src/limits`. `MemoryBudget` counts connections, heads, waiting requests, bodies and answers; the largest share whose client is awaited gives way, and a quarter is kept for small ones. `ConnectionLimit` closes what has been idle for longest. `LimitedServer` serves all addresses: callers, directory, readiness, metrics, chunks. `ParserFeed` passes 4 KiB at a time, so that requests ahead wait unparsed; it stops while the HTTP server itself has paused the socket (a body or answers that nobody reads). Parts of a stream that come in one turn go out as one, and answers of every form are paused for a slow caller, now that an end waits until it is read. `Reclaimer` collects garbage early enough for a small machine. A body has the time of its route (408), a head `header_timeout_ms`, which nobody read. Settings `clientMegabytes` (in place of `answerMegabytes`) and `clientConnections`; on the platform from `memory_mb` and `max_fds`.

--- a/src/serving/answerClassification.ts
+++ b/src/serving/answerClassification.ts
@@ -1,4 +1,5 @@
 /** Classifies answers of backend servers, and decides when to stop waiting for one. Pure functions. */
+import type { ByteCollector } from '../utils/byteCollector.js';
 import { MISDIRECTED_REQUEST } from './answerHead.js';
 import type { AnswerHeaders } from './backendCall.js';
 import type { HeaderNames } from './headerNames.js';
@@ -7,8 +8,7 @@
 export interface PartialAnswer {
   status: number;
   headers: AnswerHeaders;
-  body: Buffer[];
-  length: number;
+  body: ByteCollector;
 }
 
 /**
--- a/src/serving/answerReceiver.ts
+++ b/src/serving/answerReceiver.ts
@@ -5,12 +5,12 @@
 import type { AnswerHeaders, BackendCall, CallFailure } from './backendCall.js';
 import type { CallerExchange } from './callerExchange.js';
 import type { StreamRelay } from './streamRelay.js';
-import type { AnswerMemory, AnswerShare } from './answerMemory.js';
 import type { Framing } from '../utils/answerHead.js';
 import { framingOf } from '../utils/answerHead.js';
+import { ByteCollector } from '../utils/byteCollector.js';
 import type { Clock } from '../utils/clock.js';
 
-/** Size limit for buffered answers, and for the part of a stream that its caller has not read yet. */
+/** Size limit for buffered answers. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const SUCCESS = 200;
 
@@ -29,19 +29,15 @@
   private readonly _relay: StreamRelay | undefined;
   private _answer: PartialAnswer | undefined;
   private _isSealed = false;
-  /** Bytes of an answer without length forwarded while the caller is slow to read. */
-  private _unreadBytes = 0;
-  private readonly _share: AnswerShare;
+  /** Bytes of the answer that the memory of the request counts. */
+  private _countedBytes = 0;
   private readonly _clock: Clock;
   /** Monotonic milliseconds of the first bytes of the current attempt's body; undefined before them. */
   private _bodyBeganAt: number | undefined;
 
   /** `relay` forwards the events when the request is a stream. */
-  constructor(exchange: CallerExchange, relay: StreamRelay | undefined, memory: AnswerMemory, clock: Clock) {
+  constructor(exchange: CallerExchange, relay: StreamRelay | undefined, clock: Clock) {
     this._exchange = exchange;
-    this._share = memory.share();
-    // A complete answer is kept until a slow caller has read it.
-    exchange.onceClosed(() => this._share.release());
     this._relay = relay;
     this._clock = clock;
   }
@@ -96,12 +92,12 @@
   reset(): void {
     this._answer = undefined;
     this._bodyBeganAt = undefined;
-    if (!this._relay?.begun) this._share.release();
+    if (!this._relay?.begun) this._giveMemory();
   }
 
   /** Receives the head. `sealed` tells whether it carries the seal, the proof that a server ran the request. */
   onHead(status: number, headers: AnswerHeaders, sealed: boolean): void {
-    this._answer = { status, headers, body: [], length: 0 };
+    this._answer = { status, headers, body: new ByteCollector() };
     this._bodyBeganAt = undefined;
     this._isSealed = sealed;
     if (status === SUCCESS && sealed) this._relay?.begin(status, headers);
@@ -113,30 +109,33 @@
     if (!answer) return true;
     this._bodyBeganAt ??= this._clock.now();
     if (this._relay && this.isForwarding) return this._forward(this._relay, bytes, call);
-    answer.body.push(bytes);
-    answer.length += bytes.length;
-    return this._share.add(bytes.length) && answer.length <= MAX_ANSWER_BYTES;
+    if (!this._takeMemory(answer.body.growthFor(bytes))) return false;
+    answer.body.add(bytes);
+    return answer.body.length <= MAX_ANSWER_BYTES;
   }
 
   private _forward(relay: StreamRelay, bytes: Buffer, call: BackendCall | undefined): boolean {
     const canTakeMore = relay.push(bytes);
-    if (relay.isOverfull || (relay.isHeld && !this._share.add(bytes.length))) return false;
+    if (relay.isOverfull || (relay.isHeld && !this._takeMemory(bytes.length))) return false;
     if (canTakeMore) return true;
-    if (this.endsWithConnection) return this._buffer(bytes);
     call?.pause();
-    this._exchange.onceWritable(() => call?.resume());
+    const { memory } = this._exchange;
+    memory.evict = () => this._exchange.abort();
+    this._exchange.onceWritable(() => {
+      memory.evict = undefined;
+      call?.resume();
+    });
     return true;
   }
 
-  /** The HTTP client fails if an answer that ends with its connection does so during a pause: it must be read on. */
-  private _buffer(bytes: Buffer): boolean {
-    if (this._unreadBytes === 0) this._exchange.onceWritable(() => this._onRead());
-    this._unreadBytes += bytes.length;
-    return this._share.add(bytes.length) && this._unreadBytes <= MAX_ANSWER_BYTES;
+  private _takeMemory(bytes: number): boolean {
+    if (!this._exchange.memory.take(bytes)) return false;
+    this._countedBytes += bytes;
+    return true;
   }
 
-  private _onRead(): void {
-    this._unreadBytes = 0;
-    this._share.release();
+  private _giveMemory(): void {
+    this._exchange.memory.give(this._countedBytes);
+    this._countedBytes = 0;
   }
 }
--- a/src/serving/callerExchange.ts
+++ b/src/serving/callerExchange.ts
@@ -1,11 +1,14 @@
 /** A caller's request and its answer. Ensures that exactly one answer is sent. */
 import type http from 'node:http';
+import type { MemoryShare } from '../limits/memoryBudget.js';
+import { hasBody } from '../utils/answerHead.js';
 
 /** Statuses of answers that this process gives itself instead of forwarding a server's answer. */
 export const OWN_STATUS = {
   badRequest: 400,
   unauthorized: 401,
   noRoute: 404,
+  bodyTimeOut: 408,
   tooLarge: 413,
   unknown: 502,
   notRun: 503,
@@ -29,17 +32,25 @@
 export class CallerExchange {
   readonly request: http.IncomingMessage;
   readonly requestId: string;
+  /** Counts the memory of the request and its answer. */
+  readonly memory: MemoryShare;
   private readonly _response: http.ServerResponse;
   private readonly _requestIdHeader: string;
   private readonly _isLeaving: () => boolean;
+  /** Parts of the body that were written in this turn. */
+  private readonly _unsent: Buffer[] = [];
+  private _unsentBytes = 0;
+  private readonly _writableListeners: (() => void)[] = [];
 
   constructor(
     request: http.IncomingMessage,
     response: http.ServerResponse,
     requestIdHeader: string,
     isLeaving: () => boolean,
+    memory: MemoryShare,
   ) {
     this.request = request;
+    this.memory = memory;
     this.requestId = String(request.headers[requestIdHeader] ?? '');
     this._response = response;
     this._requestIdHeader = requestIdHeader;
@@ -65,7 +76,7 @@
 
   /** Whether an answer of this status has a body. */
   hasBody(status: number): boolean {
-    return status !== 204 && status !== 304 && this.request.method !== 'HEAD';
+    return hasBody(this.request.method, status);
   }
 
   /** Calls `listener` when the answer has been handed to the operating system, or the connection is closed. */
@@ -109,25 +120,47 @@
     this._response.flushHeaders();
   }
 
-  /** Sends a part of the body. Returns false when the caller reads too slowly and the part was buffered. */
+  /**
+   * Sends a part of the body, together with all others of this turn: one by one, very small parts would take many times
+   * their size. Returns false when the caller reads too slowly; no more should be written until it is writable.
+   */
   write(bytes: Buffer): boolean {
-    return this.ended || this._response.write(bytes);
+    if (this.ended) return true;
+    if (this._unsent.length === 0) process.nextTick(() => this._flush());
+    this._unsent.push(bytes);
+    this._unsentBytes += bytes.length;
+    return !this._response.writableNeedDrain && this._unsentBytes < this._response.writableHighWaterMark;
   }
 
+  /** Calls `listener` when more may be written. */
   onceWritable(listener: () => void): void {
-    this._response.once('drain', listener);
+    this._writableListeners.push(listener);
   }
 
   /** Completes an answer. */
   end(): void {
+    this._flush();
     if (!this.ended) this._response.end();
   }
 
   /** Closes the caller's connection, so that an incomplete answer cannot be taken for a complete one. */
   abort(): void {
+    this._flush();
     this._response.destroy();
   }
 
+  private _flush(): void {
+    if (this.ended || this._unsent.length === 0) return;
+    const parts = this._unsent.splice(0);
+    this._unsentBytes = 0;
+    if (this._response.write(parts.length === 1 ? parts[0] : Buffer.concat(parts))) this._onWritable();
+    else this._response.once('drain', () => this._onWritable());
+  }
+
+  private _onWritable(): void {
+    for (const listener of this._writableListeners.splice(0)) listener();
+  }
+
   private _copyHeaders(headers: http.IncomingHttpHeaders): void {
     for (const [name, value] of Object.entries(headers)) {
       if (value !== undefined && !CONNECTION_HEADERS.has(name)) this._response.setHeader(name, value);
--- a/src/serving/directoryServer.ts
+++ b/src/serving/directoryServer.ts
@@ -1,9 +1,10 @@
 /** HTTP server for the directory of entries and the readiness check. */
-import http from 'node:http';
+import type http from 'node:http';
+import type { ClientLimits } from '../limits/clientLimits.js';
+import { LimitedServer } from '../limits/limitedServer.js';
 import type { CallerPlace, NamesEntriesOf } from '../locality/directoryRegions.js';
 import { answerJson, requestTarget } from '../utils/httpBody.js';
 import { splitAddress } from '../utils/hostPort.js';
-import { closeHttp, listenHttp } from '../utils/httpServer.js';
 import type { EntryDirectory } from './entryDirectory.js';
 
 /** Paths of the HTTP endpoints and the format of directory requests and answers. */
@@ -19,6 +20,7 @@
 }
 
 export interface DirectoryServerOptions {
+  limits: ClientLimits;
   paths: DirectoryPaths;
   keepSeconds: number;
   entries: EntryDirectory;
@@ -30,7 +32,7 @@
 /** Serves all endpoints on each of its addresses. */
 export class DirectoryServer {
   private readonly _options: DirectoryServerOptions;
-  private readonly _servers: http.Server[] = [];
+  private readonly _servers: LimitedServer[] = [];
 
   constructor(options: DirectoryServerOptions) {
     this._options = options;
@@ -38,15 +40,18 @@
 
   /** Listens on each of the addresses (host:port). */
   async listen(addresses: ReadonlySet<string>): Promise<void> {
+    const { limits } = this._options;
     for (const address of addresses) {
-      const server = http.createServer((request, response) => this._serve(request, response));
-      await listenHttp(server, ...splitAddress(address));
+      const server = new LimitedServer({ limits, isSide: true }, (request, response) =>
+        this._serve(request, response),
+      );
       this._servers.push(server);
+      await server.listen(...splitAddress(address));
     }
   }
 
   close(): void {
-    for (const server of this._servers) closeHttp(server);
+    for (const server of this._servers) server.close();
   }
 
   private _serve(request: http.IncomingMessage, response: http.ServerResponse): void {
--- a/src/serving/forwardedRequest.ts
+++ b/src/serving/forwardedRequest.ts
@@ -63,7 +63,7 @@
     if (request.route.kind === 'stream')
       this._relay = new StreamRelay(request.exchange, request.lastEventId, context.clock);
     if (!request.exchange.takesChunks) this._relay?.hold();
-    this._receiver = new AnswerReceiver(request.exchange, this._relay, context.answerMemory, context.clock);
+    this._receiver = new AnswerReceiver(request.exchange, this._relay, context.clock);
     this._wait = new StreamWait(this._relay, this._attempts, this._trace);
     this._current = new CurrentAttempt(context.clock, this._relay);
     this._answerEnd = new AnswerEnd(this._receiver, this._current, context, request.exchange);
@@ -185,7 +185,7 @@
     if (kind !== 'answered' && this._attempts.repeatable && this._continueElsewhere()) return;
     if (kind === 'unclear') return this._final.refuse(OWN_STATUS.unknown, `status ${status} from server`);
     if (this._relay?.begun) return this._final.fail('stream could not be resumed');
-    this._final.forward(server, status, headers, Buffer.concat(answer.body));
+    this._final.forward(server, status, headers, answer.body.take());
   }
 
   /** Handles an answer by which the server says that the request has not run. */
--- a/src/serving/forwardingContext.ts
+++ b/src/serving/forwardingContext.ts
@@ -5,7 +5,6 @@
 import type { ServingMetrics } from '../telemetry/servingMetrics.js';
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
-import type { AnswerMemory } from './answerMemory.js';
 import type { EntryDrain } from './entryDrain.js';
 import type { HeaderNames } from './headerNames.js';
 import type { ServerPool } from './serverPool.js';
@@ -14,7 +13,6 @@
 export interface ForwardingContext {
   names: HeaderNames;
   pool: ServerPool;
-  answerMemory: AnswerMemory;
   admission: AdmissionPolicy;
   gate: VersionGate;
   suspicions: SuspicionTracker;
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -4,6 +4,7 @@
 import type { EntryAddress } from '../protocol/boxMessages.js';
 import type { ControlOptions } from '../protocol/controlConnection.js';
 import { ControlServer } from '../protocol/controlServer.js';
+import { ClientLimits } from '../limits/clientLimits.js';
 import type { GatewaySettings } from '../settings/gatewaySettings.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import { CountedStore } from '../records/countedStore.js';
@@ -13,11 +14,9 @@
 import { SeededRandom } from '../utils/random.js';
 import { hostOf, splitAddress } from '../utils/hostPort.js';
 import { AgentAnnouncements, boxOfHost } from './agentAnnouncements.js';
-import { AnswerMemory } from './answerMemory.js';
 import { BoxLinks } from './boxLinks.js';
 import { CallerServer } from './callerServer.js';
 import { ConfigurationHolder } from './configurationHolder.js';
-import type { DirectoryPaths } from './directoryServer.js';
 import { DirectoryServer } from './directoryServer.js';
 import { EntryDirectory, entryAddressOf } from './entryDirectory.js';
 import { EntryDrain } from './entryDrain.js';
@@ -25,12 +24,11 @@
 import { createEntrySignals } from './entrySignals.js';
 import { RecordApplier } from './recordApplier.js';
 import type { ForwardingContext } from './forwardingContext.js';
-import type { HeaderNames } from './headerNames.js';
+import type { GatewayParts } from './gatewayParts.js';
 import { addGatewayGauges } from './gatewayGauges.js';
 import { LinkProber } from './linkProber.js';
 import { VersionUpdates } from './versionUpdates.js';
 import { PlatformFollowers } from './platformFollowers.js';
-import type { ServingPlatform } from './platformRecords.js';
 import { retryLimitOf } from './retryAllowance.js';
 import { RequestAdmission } from './requestAdmission.js';
 import { RequestHandler } from './requestHandler.js';
@@ -39,14 +37,6 @@
 import { ServingMetrics } from '../telemetry/servingMetrics.js';
 import { VersionGate } from './versionGate.js';
 
-/** Dependencies of a gateway besides its settings. */
-export interface GatewayParts {
-  platform: ServingPlatform;
-  names: HeaderNames;
-  paths: DirectoryPaths;
-  log: EventLog;
-}
-
 export class GatewayDaemon {
   private readonly _settings: GatewaySettings;
   private readonly _parts: GatewayParts;
@@ -67,6 +57,7 @@
   private readonly _control: ControlServer;
   private readonly _admission: RequestAdmission;
   private readonly _forward: ForwardingContext;
+  private readonly _limits: ClientLimits;
   private readonly _callers: CallerServer;
   private readonly _directory: DirectoryServer;
   private readonly _metricsServer: MetricsServer;
@@ -79,6 +70,7 @@
     this._settings = settings;
     this._parts = parts;
     this._log = parts.log;
+    this._limits = new ClientLimits(settings, { log: parts.log, hasSideAddresses: true });
     this._own = entryAddressOf(settings);
     this._configuration = new ConfigurationHolder(parts.log);
     this._locality = new EntryLocality(settings, this._configuration);
@@ -119,7 +111,6 @@
     this._forward = {
       names: parts.names,
       pool: this._pool,
-      answerMemory: new AnswerMemory(settings.answerMegabytes),
       admission: this._admission.policy,
       gate: this._gate,
       suspicions: this._followers.suspicions,
@@ -130,9 +121,10 @@
       metrics: this._metrics,
     };
     const handler = new RequestHandler(this._forward, this._admission);
-    this._callers = new CallerServer((request, response) => void handler.handle(request, response));
-    this._metricsServer = new MetricsServer(this._metrics, parts.paths.metrics);
+    this._callers = new CallerServer(this._limits, (...request) => void handler.handle(...request));
+    this._metricsServer = new MetricsServer(this._metrics, parts.paths.metrics, this._limits);
     this._directory = new DirectoryServer({
+      limits: this._limits,
       paths: parts.paths,
       keepSeconds: settings.directorySeconds,
       entries: this._entries,
@@ -150,6 +142,7 @@
       running: () => this._drain.running,
       waiting: () => this._pool.waiting.count,
       callers: this._callers,
+      limits: this._limits,
       configuration: this._configuration,
       links: this._links,
       entries: this._entries,
--- a/src/serving/gatewayGauges.ts
+++ b/src/serving/gatewayGauges.ts
@@ -2,6 +2,7 @@
 import type { ServerSignals } from '../backpressure/serverSignals.js';
 import { addControlGauges } from '../protocol/controlGauges.js';
 import type { UnreadableRecords } from '../records/unreadableRecords.js';
+import type { ClientLimits } from '../limits/clientLimits.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { ServingMetrics } from '../telemetry/servingMetrics.js';
 import type { BoxLinks } from './boxLinks.js';
@@ -19,6 +20,7 @@
   /** Number of requests that wait for a slot. */
   waiting: () => number;
   callers: CallerServer;
+  limits: ClientLimits;
   configuration: ConfigurationHolder;
   links: BoxLinks;
   entries: EntryDirectory;
@@ -36,6 +38,7 @@
     running,
     waiting,
     callers,
+    limits,
     configuration,
     links,
     entries,
@@ -48,6 +51,7 @@
   metrics.gauge('requests_running', running);
   metrics.gauge('requests_waiting', waiting);
   metrics.gauge('caller_connections', () => callers.connections);
+  addClientGauges(metrics, limits);
   metrics.gauge('configuration_version', () => configuration.version);
   metrics.gauge('agents_connected', () => links.connected);
   metrics.gauge('entries_live', () => entries.live().length);
@@ -67,3 +71,10 @@
   metrics.gauge('log_lines_dropped', () => log.droppedLines);
   metrics.gauge('memory_bytes', () => process.memoryUsage.rss());
 }
+
+function addClientGauges(metrics: ServingMetrics, limits: ClientLimits): void {
+  metrics.gauge('client_memory_bytes', () => limits.memory.bytes);
+  metrics.gauge('client_memory_evictions_total', () => limits.memory.evicted);
+  metrics.gauge('client_memory_refusals_total', () => limits.memory.refused);
+  metrics.gauge('client_connections_closed_total', () => limits.connectionsClosed);
+}
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -3,9 +3,11 @@
 import type { AdmissionPolicy, AdmissionProfile } from '../admission/admissionPolicy.js';
 import { requestFingerprint } from '../crashes/requestFingerprint.js';
 import { requestIdentities } from '../crashes/requestIdentity.js';
+import { BodyError, readBody } from '../limits/requestBody.js';
+import type { BodyProblem } from '../limits/requestBody.js';
 import { permittedRegions } from '../locality/permittedRegions.js';
 import type { EventLog } from '../telemetry/eventLog.js';
-import { bearerToken, readBody } from '../utils/httpBody.js';
+import { bearerToken } from '../utils/httpBody.js';
 import type { Clock } from '../utils/clock.js';
 import type { Random } from '../utils/random.js';
 import type { CallerExchange } from './callerExchange.js';
@@ -61,6 +63,7 @@
 /** The lowest rank that the priority header can carry. */
 const MAX_PRIORITY = 9;
 const RETRY_AFTER_STALE_MILLISECONDS = 400;
+const RETRY_AFTER_MEMORY_MILLISECONDS = 1_000;
 const MAX_REQUEST_MILLISECONDS = 3_600_000;
 
 export class RequestAdmission {
@@ -106,10 +109,10 @@
     if (!customer && !route.anonymous && index.hasCustomers) {
       return this._deny(exchange, { status: OWN_STATUS.unauthorized, reason: 'unknown API key' });
     }
-    const body = await this._readBody(exchange, index);
+    const endsAt = arrivedAt + this._timeout(request, route);
+    const body = await this._readBody(exchange, index, endsAt);
     if (body === undefined) return undefined;
     const service = chooseTarget(route, random.fraction());
-    const endsAt = arrivedAt + this._timeout(request, route);
     const outputTokens = maximumOutputTokens(request.headers[names.tokens]);
     const checked = { route, service, customer, body, arrivedAt, endsAt, outputTokens };
     const verdict = drain.decide(checked);
@@ -133,11 +136,20 @@
     return undefined;
   }
 
-  private async _readBody(exchange: CallerExchange, index: RouteIndex): Promise<Buffer | undefined> {
+  private async _readBody(
+    exchange: CallerExchange,
+    index: RouteIndex,
+    endsAt: number,
+  ): Promise<Buffer | undefined> {
+    const { clock, log } = this._options;
+    const { bodyBytes: bytes } = index.configuration.limits;
     try {
-      return await readBody(exchange.request, index.configuration.limits.bodyBytes);
-    } catch {
-      exchange.refuse(OWN_STATUS.tooLarge, 'body too large');
+      const limits = { bytes, milliseconds: endsAt - clock.now() };
+      return await readBody(exchange.request, limits, exchange.memory);
+    } catch (error) {
+      if (!(error instanceof BodyError)) throw error;
+      log.decision('request.body-refused', { request: exchange.requestId, reason: error.problem });
+      refuseBody(exchange, error.problem);
       return undefined;
     }
   }
@@ -214,6 +226,20 @@
   }
 }
 
+/** Answers a request whose body could not be read. It has not run. */
+function refuseBody(exchange: CallerExchange, problem: BodyProblem): void {
+  switch (problem) {
+    case 'too-large':
+      return exchange.refuse(OWN_STATUS.tooLarge, 'body too large');
+    case 'no-memory':
+      return exchange.refuse(OWN_STATUS.notRun, 'no memory for the body', RETRY_AFTER_MEMORY_MILLISECONDS);
+    case 'time-over':
+      return exchange.refuse(OWN_STATUS.bodyTimeOut, 'the body did not end in time');
+    case 'ended-early':
+      return exchange.abort();
+  }
+}
+
 /** Returns a function that computes a value on its first call and returns it from then on. */
 function lazy<T>(compute: () => T): () => T {
   let result: { value: T } | undefined;
--- a/src/serving/requestHandler.ts
+++ b/src/serving/requestHandler.ts
@@ -1,5 +1,6 @@
 /** Handles the requests of callers: admits or answers each of them, and forwards the admitted ones. */
 import type http from 'node:http';
+import type { MemoryShare } from '../limits/memoryBudget.js';
 import { errorText } from '../utils/stepError.js';
 import { CallerExchange, OWN_STATUS } from './callerExchange.js';
 import { ForwardedRequest } from './forwardedRequest.js';
@@ -16,9 +17,13 @@
   }
 
   /** Never throws. */
-  async handle(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+  async handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    memory: MemoryShare,
+  ): Promise<void> {
     const { names, drain, log } = this._context;
-    const exchange = new CallerExchange(request, response, names.requestId, () => drain.isLeaving);
+    const exchange = new CallerExchange(request, response, names.requestId, () => drain.isLeaving, memory);
     let mayHaveRun = false;
     try {
       const open = drain.open(exchange);
--- a/src/serving/servingConfiguration.ts
+++ b/src/serving/servingConfiguration.ts
@@ -87,6 +87,8 @@
 /** Limits for requests and connections of callers. */
 export interface CallerLimits {
   bodyBytes: number;
+  /** Longest time for the head of a request. */
+  headMilliseconds: number;
   idleMilliseconds: number;
 }
 
--- a/src/serving/streamRelay.ts
+++ b/src/serving/streamRelay.ts
@@ -1,4 +1,5 @@
 /** Forwards the events of a stream in order and exactly once, even when several backend servers send them in turn. */
+import { ByteCollector } from '../utils/byteCollector.js';
 import type { Clock } from '../utils/clock.js';
 import type { AnswerHeaders } from './backendCall.js';
 import type { CallerExchange } from './callerExchange.js';
@@ -12,8 +13,7 @@
 /** The beginning of an answer that is not sent to the caller yet. */
 interface HeldAnswer {
   head: { status: number; headers: AnswerHeaders } | undefined;
-  events: Buffer[];
-  bytes: number;
+  events: ByteCollector;
 }
 
 /** Forwards complete events only, so that a stream can be resumed on another server after any event. */
@@ -64,7 +64,7 @@
 
   /** Holds the answer back from the caller until {@link StreamRelay.release}. No effect once it has begun. */
   hold(): void {
-    if (!this._begun) this._held ??= { head: undefined, events: [], bytes: 0 };
+    if (!this._begun) this._held ??= { head: undefined, events: new ByteCollector() };
   }
 
   /** Whether the answer is held back. */
@@ -76,7 +76,7 @@
   release(): void {
     const held = this._held;
     this._held = undefined;
-    if (held?.head) this._exchange.answer(held.head.status, held.head.headers, Buffer.concat(held.events));
+    if (held?.head) this._exchange.answer(held.head.status, held.head.headers, held.events.take());
   }
 
   /** Sends the head to the caller, unless the head of an earlier server's answer has been sent. */
@@ -117,13 +117,12 @@
 
   /** Whether more has been buffered than any sound answer needs. */
   get isOverfull(): boolean {
-    return this._splitter.rest.length > MAX_EVENT_BYTES || (this._held?.bytes ?? 0) > MAX_HELD_BYTES;
+    return this._splitter.rest.length > MAX_EVENT_BYTES || (this._held?.events.length ?? 0) > MAX_HELD_BYTES;
   }
 
   private _send(event: Buffer): boolean {
     if (!this._held) return this._exchange.write(event);
-    this._held.events.push(event);
-    this._held.bytes += event.length;
+    this._held.events.add(event);
     return true;
   }
 
--- a/src/settings/commonSettings.ts
+++ b/src/settings/commonSettings.ts
@@ -24,19 +24,19 @@
   .regex(/^[^:\s]+:\d+$/, 'host:port, such as 10.0.0.1:8080');
 
 /** An integer within bounds; `unit` appears in the error message. */
+export function boundedNumber(minimum: number, maximum: number, unit: string): z.ZodCoercedNumber {
+  const allowed = `a whole number of ${unit} from ${minimum} to ${maximum}`;
+  return z.coerce.number(allowed).int(allowed).min(minimum, allowed).max(maximum, allowed);
+}
+
+/** An integer within bounds that has a default. */
 export function numberSetting(
   minimum: number,
   maximum: number,
   defaultValue: number,
   unit: string,
 ): z.ZodDefault<z.ZodCoercedNumber> {
-  const allowed = `a whole number of ${unit} from ${minimum} to ${maximum}`;
-  return z.coerce
-    .number(allowed)
-    .int(allowed)
-    .min(minimum, allowed)
-    .max(maximum, allowed)
-    .default(defaultValue);
+  return boundedNumber(minimum, maximum, unit).default(defaultValue);
 }
 
 /** Settings of every daemon. */
@@ -55,9 +55,26 @@
     .describe('which lines are logged'),
 };
 
+/** What the clients of a process may take together. */
+export const clientLimitSettings = {
+  clientMegabytes: boundedNumber(1, 1_000_000, 'megabytes')
+    .optional()
+    .describe(
+      'memory that requests and the answers to them may take together; beyond it the largest are refused or closed. ' +
+        'Without it a quarter of the machine, at most 1024',
+    ),
+  clientConnections: boundedNumber(8, 1_000_000, 'connections')
+    .optional()
+    .describe(
+      'connections that clients may keep open; beyond it those idle for longest are closed. Without it half of the ' +
+        'open files that the system allows, at most 10000',
+    ),
+};
+
 /** Settings that `larklatch entry` and `larklatch agent` share. */
 export const commonSettings = {
   ...processSettings,
+  ...clientLimitSettings,
   box: nameSchema.describe('name of this box, as in the box list'),
   dataCentre: nameSchema.describe('data centre in which this box stands'),
   address: z.ipv4('an IPv4 address').default('127.0.0.1').describe('address to listen on and be reached at'),
--- a/src/settings/gatewaySettings.ts
+++ b/src/settings/gatewaySettings.ts
@@ -1,6 +1,11 @@
 /** Settings of the gateway: an entry that connects to backend servers directly, without agents. */
 import { z } from 'zod';
-import { hostPortSetting, numberSetting, platformProcessSettings } from './commonSettings.js';
+import {
+  clientLimitSettings,
+  hostPortSetting,
+  numberSetting,
+  platformProcessSettings,
+} from './commonSettings.js';
 
 export const gatewaySettingsSchema = z.object({
   ...platformProcessSettings,
@@ -30,9 +35,7 @@
     .enum(['on-time-first', 'arrival-order'])
     .default('arrival-order')
     .describe('which requests get the last slots under shortage: `on-time-first` or `arrival-order`'),
-  answerMegabytes: numberSetting(1, 1_000_000, 64, 'megabytes').describe(
-    'memory that the answers of all requests may take together before long ones are given up',
-  ),
+  ...clientLimitSettings,
   retryPercent: numberSetting(0, 1_000, 20, 'percent').describe('retries allowed per 100 requests'),
   retryWindowMilliseconds: numberSetting(100, 3_600_000, 10_000, 'milliseconds').describe(
     'window in which retries are counted',
--- a/src/settings/stagingSettings.ts
+++ b/src/settings/stagingSettings.ts
@@ -1,11 +1,17 @@
 /** Settings of the staging agent: an agent that only loads versions into its backend server. */
 import { z } from 'zod';
-import { hostPortSetting, numberSetting, platformProcessSettings } from './commonSettings.js';
+import {
+  clientLimitSettings,
+  hostPortSetting,
+  numberSetting,
+  platformProcessSettings,
+} from './commonSettings.js';
 
 const MEGABYTE = 1024 * 1024;
 
 export const stagingSettingsSchema = z.object({
   ...platformProcessSettings,
+  ...clientLimitSettings,
   address: z.ipv4('an IPv4 address').describe('address to listen on and be reached at'),
   storeAddress: hostPortSetting.describe('store of the platform'),
   backendAddress: hostPortSetting.describe('backend server on this box'),
--- a/src/staging/chunkServer.ts
+++ b/src/staging/chunkServer.ts
@@ -1,15 +1,17 @@
 /** HTTP server that sends chunks and manifests of the versions on this box to other agents. */
-import http from 'node:http';
+import type http from 'node:http';
+import type { ClientLimits } from '../limits/clientLimits.js';
+import { LimitedServer } from '../limits/limitedServer.js';
 import { senderOfToken } from '../protocol/authentication.js';
 import type { Manifest } from '../protocol/manifest.js';
 import { answerJson, bearerToken } from '../utils/httpBody.js';
-import { closeHttp, listenHttp } from '../utils/httpServer.js';
 import { errorText } from '../utils/stepError.js';
 import type { UploadRequest } from '../weights/uploadOrder.js';
 import type { UploadQueue } from '../weights/uploadQueue.js';
 
 /** Options of a {@link ChunkServer}. */
 export interface ChunkServerOptions {
+  limits: ClientLimits;
   sharedKey: string;
   uploads: UploadQueue;
   /** Returns a chunk that this box has and has verified. */
@@ -23,23 +25,24 @@
 
 export class ChunkServer {
   private readonly _options: ChunkServerOptions;
-  private readonly _server = http.createServer((request, response) => {
-    this._serve(request, response).catch((error: unknown) =>
-      answerJson(response, 400, { error: errorText(error) }, { connection: 'close' }),
-    );
-  });
+  private readonly _server: LimitedServer;
 
   constructor(options: ChunkServerOptions) {
     this._options = options;
-    this._server.keepAliveTimeout = KEEP_ALIVE_MILLISECONDS;
+    const limited = { limits: options.limits, keepAliveMilliseconds: KEEP_ALIVE_MILLISECONDS };
+    this._server = new LimitedServer(limited, (request, response) => {
+      this._serve(request, response).catch((error: unknown) =>
+        answerJson(response, 400, { error: errorText(error) }, { connection: 'close' }),
+      );
+    });
   }
 
   async listen(address: string, port: number): Promise<number> {
-    return await listenHttp(this._server, address, port);
+    return await this._server.listen(address, port);
   }
 
   close(): void {
-    closeHttp(this._server);
+    this._server.close();
   }
 
   private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
--- a/src/staging/stagingDaemon.ts
+++ b/src/staging/stagingDaemon.ts
@@ -14,6 +14,7 @@
 import type { StagingSettings } from '../settings/stagingSettings.js';
 import type { EventLog } from '../telemetry/eventLog.js';
 import type { Logger } from '../telemetry/logger.js';
+import { ClientLimits } from '../limits/clientLimits.js';
 import { MetricsServer } from '../telemetry/metricsServer.js';
 import { SystemClock } from '../utils/clock.js';
 import { placementHash } from '../utils/hash.js';
@@ -130,7 +131,9 @@
     });
     this._reconciler = this._createReconciler();
     const priorities = new UploadPriorities(settings.dataCentre, () => this._members);
+    const limits = new ClientLimits(settings, { log: deps.log, hasSideAddresses: true });
     this._chunkServer = new ChunkServer({
+      limits,
       sharedKey: settings.sharedKey,
       uploads,
       chunk: (rollout, chunk) => this._stages.findByRollout(rollout)?.chunk(chunk),
@@ -145,7 +148,7 @@
       entries: () => this._entries.count,
       originLostFor: () => this._origin?.lostFor ?? 0,
     });
-    this._metricsServer = new MetricsServer(metrics, METRICS_PATH);
+    this._metricsServer = new MetricsServer(metrics, METRICS_PATH, limits);
     this._control = new ControlServer(
       controlOptions(settings),
       (connection) => this._onConnection(connection),
--- a/src/utils/answerHead.ts
+++ b/src/utils/answerHead.ts
@@ -17,6 +17,11 @@
   return headers['content-length'] === undefined ? 'connection' : 'length';
 }
 
+/** Whether an answer of this status to a request with this method has a body. */
+export function hasBody(method: string | undefined, status: number): boolean {
+  return status !== 204 && status !== 304 && method !== 'HEAD';
+}
+
 const FIRST_FINAL_STATUS = 200;
 const LAST_STATUS = 599;
 
--- a/tests/resetAnswers.spec.ts
+++ b/tests/resetAnswers.spec.ts
@@ -79,7 +79,7 @@
     sendAndReset(`${head}part`)(socket);
   });
   closing.push(server, { close: () => fixture.stop() });
-  const limits = { bodyBytes: 2 * UPLOAD.length, idleMilliseconds: 10_000 };
+  const limits = { bodyBytes: 2 * UPLOAD.length, headMilliseconds: 10_000, idleMilliseconds: 10_000 };
   await fixture.start([() => undefined], { routes: [routeFixture({ kind: 'once' })], limits });
   fixture.setServer(1, { ...fixture.record(0), id: 'server-1', address: await server.listen() });
   fixture.setServer(0, undefined);
