larklatch entry and agent: one budget for what clients send and are owed

What callers saw: `larklatch entry` and `larklatch agent` ran out of memory or descriptors in the same crowds as entries on the platform, and answered nobody after requests sent ahead whose clients had gone.

Besides, a chat's parsed body, many times its text, was kept until its answer had ended, and the answers kept with idempotency keys had a bound of their own that did not follow from the machine.

Change: both serve through `LimitedServer`. A body without room gets 503 at an entry and 429 at an agent, which now names the request in that answer too. Answers to callers without chunks are counted. `ledgerAnswerBytes` is set aside from the budget. `readBody` of `httpBody` is gone.

--- a/src/agent/agentDaemon.ts
+++ b/src/agent/agentDaemon.ts
@@ -6,6 +6,7 @@
 import { PlainService } from '../engine/plainService.js';
 import { HttpOrigin } from '../external/origin.js';
 import type { Origin } from '../external/origin.js';
+import { ClientLimits } from '../limits/clientLimits.js';
 import { httpToken } from '../protocol/authentication.js';
 import type { ControlOptions } from '../protocol/controlConnection.js';
 import { ControlConnection } from '../protocol/controlConnection.js';
@@ -57,6 +58,9 @@
 /** How long a stopping agent keeps answering after its last request, so that every entry learns that it is leaving. */
 const SHUTDOWN_GRACE_MILLISECONDS = 300;
 
+/** Part of the memory for clients that the answers kept with idempotency keys may take. */
+const LEDGER_PART = 0.25;
+
 /**
  * An agent. It keeps no state on disk, so each start of the process is a new incarnation.
  *
@@ -71,6 +75,7 @@
   private readonly _logger: Logger;
   private readonly _metrics = new Metrics();
   private readonly _store: ChunkStore;
+  private readonly _limits: ClientLimits;
   private readonly _drain: ProcessDrain;
   private readonly _queue: FairQueue;
   private readonly _ledger: Ledger;
@@ -95,12 +100,13 @@
     this._settings = settings;
     this._logger = new Logger('agent', { box: settings.box, dataCentre: settings.dataCentre });
     this._store = new ChunkStore(settings.stagingMemoryBytes);
+    this._limits = new ClientLimits(settings, { log: this._logger });
     this._ledger = new Ledger({
       clock,
       keyLifetimeMilliseconds: settings.keyLifetimeMilliseconds,
       blindMilliseconds: settings.keyLifetimeMilliseconds + ISOLATED_ENTRY_MILLISECONDS,
       maximumKeys: settings.ledgerKeys,
-      maximumAnswerBytes: settings.ledgerAnswerBytes,
+      maximumAnswerBytes: this._reserveLedgerBytes(),
     });
     const { backendSlots: slots, waitingPerCustomer } = settings;
     const drain = (this._drain = new ProcessDrain(clock));
@@ -198,6 +204,14 @@
     this._logger.state('agent.stopped');
   }
 
+  /** Sets memory of the clients aside for the answers that the ledger keeps; returns its size in bytes. */
+  private _reserveLedgerBytes(): number {
+    const { memory } = this._limits;
+    const bytes = this._settings.ledgerAnswerBytes ?? Math.floor(memory.limitBytes * LEDGER_PART);
+    memory.share().take(bytes);
+    return bytes;
+  }
+
   private _createHttp(): AgentHttpServer {
     this._metrics.gauge('control_bytes', () => ControlConnection.totalBytes);
     this._metrics.gauge('requests_running', () => this._queue.running);
@@ -207,6 +221,7 @@
     this._metrics.gauge('staged_bytes', () => this._store.usedBytes);
     this._metrics.gauge('uploaded_bytes', () => this._uploads.bytesSent);
     return new AgentHttpServer({
+      limits: this._limits,
       box: this._settings.box,
       incarnation: this.incarnation,
       sharedKey: this._settings.sharedKey,
--- a/src/agent/agentHttpServer.ts
+++ b/src/agent/agentHttpServer.ts
@@ -1,15 +1,19 @@
 /** HTTP server of an agent: chunks for other agents, weights for the local backend server, requests from entries. */
-import http from 'node:http';
+import type http from 'node:http';
+import type { ClientLimits } from '../limits/clientLimits.js';
+import { LimitedServer } from '../limits/limitedServer.js';
+import type { MemoryShare } from '../limits/memoryBudget.js';
+import { BodyError, readBody } from '../limits/requestBody.js';
 import { senderOfToken } from '../protocol/authentication.js';
 import { HEADER } from '../protocol/headers.js';
 import type { Priority } from '../protocol/headers.js';
 import type { FairQueue } from '../requests/fairQueue.js';
 import type { LedgerRequest } from '../requests/ledger.js';
 import type { Refusal } from '../requests/refusals.js';
+import { refusalFor } from '../requests/refusals.js';
 import type { Metrics } from '../telemetry/metrics.js';
 import { untilDrained } from '../utils/backpressure.js';
-import { answerJson, bearerToken, headerText, readBody } from '../utils/httpBody.js';
-import { closeHttp, listenHttp } from '../utils/httpServer.js';
+import { answerJson, bearerToken, headerText } from '../utils/httpBody.js';
 import { errorText } from '../utils/stepError.js';
 import type { UploadQueue } from '../weights/uploadQueue.js';
 import type { BackendForwarder } from './backendForwarder.js';
@@ -17,6 +21,7 @@
 import type { StagedVersion } from './stagedVersion.js';
 
 export interface AgentHttpOptions {
+  limits: ClientLimits;
   box: string;
   incarnation: string;
   sharedKey: string;
@@ -30,32 +35,36 @@
   isReady: () => boolean;
 }
 
+const KEEP_ALIVE_MILLISECONDS = 30_000;
 export const MAXIMUM_REQUEST_BYTES = 4 * 1024 * 1024;
 const PRIORITIES: readonly string[] = ['high', 'normal', 'low'];
 
 /** Every path except `/healthz`, `/readyz`, `/metrics` and `/local-weights/` requires the shared key. */
 export class AgentHttpServer {
   private readonly _options: AgentHttpOptions;
-  private readonly _server = http.createServer((request, response) => {
-    this._serve(request, response).catch((error: unknown) =>
-      answerJson(response, 400, { error: errorText(error) }, { connection: 'close' }),
-    );
-  });
+  private readonly _server: LimitedServer;
 
   constructor(options: AgentHttpOptions) {
     this._options = options;
-    this._server.keepAliveTimeout = 30_000;
+    const limited = { limits: options.limits, keepAliveMilliseconds: KEEP_ALIVE_MILLISECONDS };
+    this._server = new LimitedServer(limited, (request, response, share) => {
+      this._serve(request, response, share).catch((error: unknown) => this._answerFailure(response, error));
+    });
   }
 
   async listen(address: string, port: number): Promise<number> {
-    return await listenHttp(this._server, address, port);
+    return await this._server.listen(address, port);
   }
 
   close(): void {
-    closeHttp(this._server);
+    this._server.close();
   }
 
-  private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+  private async _serve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    memory: MemoryShare,
+  ): Promise<void> {
     const [, kind, ...rest] = (request.url ?? '/').split('/');
     if (kind === 'healthz') return answerJson(response, 200, { box: this._options.box });
     if (kind === 'readyz') return this._answerReady(response);
@@ -65,10 +74,16 @@
     if (sender === undefined)
       return answerJson(response, 401, { error: 'the shared key is missing or wrong' });
     if (kind === 'chunks') return await this._sendChunk(sender, rest, response);
-    if (kind === 'requests') return await this._runRequest(request, response);
+    if (kind === 'requests') return await this._runRequest(request, response, memory);
     answerJson(response, 404, { error: 'no such path' });
   }
 
+  private _answerFailure(response: http.ServerResponse, error: unknown): void {
+    const isShortOfMemory = error instanceof BodyError && error.problem === 'no-memory';
+    if (isShortOfMemory) return this._refuse(response, refusalFor('queue-full'));
+    answerJson(response, 400, { error: errorText(error) }, { connection: 'close' });
+  }
+
   private _answerReady(response: http.ServerResponse): void {
     const ready = this._options.isReady();
     answerJson(response, ready ? 200 : 503, { ready });
@@ -109,8 +124,13 @@
     response.end();
   }
 
-  private async _runRequest(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const body = await readBody(request, MAXIMUM_REQUEST_BYTES);
+  private async _runRequest(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    memory: MemoryShare,
+  ): Promise<void> {
+    this._addCommonHeaders(request, response);
+    const body = await readBody(request, { bytes: MAXIMUM_REQUEST_BYTES }, memory);
     const header = (name: string): string => headerText(request.headers, name);
     const customer = header(HEADER.customer);
     const configuration = header(HEADER.configuration);
@@ -127,7 +147,6 @@
       version: header(HEADER.version),
       ledgerRequest,
     });
-    this._addCommonHeaders(request, response);
     if (admitted.isErr()) return this._refuse(response, admitted.error);
     if (admitted.value.kind === 'replay') return this._replay(response, admitted.value.answer);
     await this._forward(request, response, admitted.value, {
@@ -135,6 +154,7 @@
       priority,
       body,
       ledgerKey: ledgerRequest?.key,
+      memory,
     });
   }
 
@@ -142,7 +162,13 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
     permit: RequestPermit,
-    details: { customer: string; priority: Priority; body: Buffer; ledgerKey: string | undefined },
+    details: {
+      customer: string;
+      priority: Priority;
+      body: Buffer;
+      ledgerKey: string | undefined;
+      memory: MemoryShare;
+    },
   ): Promise<void> {
     const refusal = await this._options.forwarder.forward(
       {
--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -10,6 +10,7 @@
 import { answerConnector } from '../utils/answerConnector.js';
 import { framingOf, hasBody, headProblem } from '../utils/answerHead.js';
 import { AnswerWitness } from '../utils/answerWitness.js';
+import type { AnswerLimits } from '../utils/answerWriter.js';
 import { AnswerWriter } from '../utils/answerWriter.js';
 import { SystemClock } from '../utils/clock.js';
 import type { ProcessState } from '../utils/connectProbe.js';
@@ -29,6 +30,8 @@
   priority: string;
   /** Key of the request in the ledger; undefined for a repeatable request. */
   ledgerKey: string | undefined;
+  /** Counts the memory of an answer that cannot be sent in parts. */
+  memory?: AnswerLimits['memory'];
 }
 
 type BackendAnswer = Awaited<ReturnType<typeof httpRequest>>;
@@ -133,7 +136,7 @@
     // The version named by the backend server, if any, is the one that ran; the plan's version may differ from it.
     const version = String(answer.headers[HEADER.version] ?? permit.version.plan.version);
     const headers = { 'content-type': contentType, [HEADER.version]: version, [HEADER.outcome]: 'answered' };
-    const writer = new AnswerWriter(response);
+    const writer = new AnswerWriter(response, { memory: request.memory });
     writer.begin(answer.statusCode, headers);
     const kept: Buffer[] = [];
     let length = 0;
--- a/src/entry/answerDelivery.ts
+++ b/src/entry/answerDelivery.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import { HEADER } from '../protocol/headers.js';
 import type { RoutedAnswer } from '../requests/requestRouter.js';
+import type { AnswerLimits } from '../utils/answerWriter.js';
 import { AnswerWriter } from '../utils/answerWriter.js';
 
 /** How a delivery ended. `whole` means that the caller was sent the complete answer. */
@@ -13,14 +14,13 @@
 
 /**
  * Streams the answer. If the backend server fails midway, closes the connection without ending the response, so that
- * the caller can tell that the answer is incomplete. Cuts off a caller that takes no byte for `stallMilliseconds`, since
- * the answer keeps a slot of its box.
+ * the caller can tell that the answer is incomplete.
  */
 export async function deliver(
   routed: RoutedAnswer,
   requestId: string,
   response: http.ServerResponse,
-  stallMilliseconds: number,
+  limits: AnswerLimits,
 ): Promise<DeliveryEnd> {
   const { status, contentType, version, body } = routed.answer;
   const head = {
@@ -29,7 +29,7 @@
     [HEADER.version]: version,
     [HEADER.outcome]: 'answered',
   };
-  const writer = new AnswerWriter(response, stallMilliseconds);
+  const writer = new AnswerWriter(response, limits);
   try {
     writer.begin(status, head);
     for await (const piece of body) {
--- a/src/entry/answers.ts
+++ b/src/entry/answers.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import type { FieldProblem } from '../configuration/resolveSpecification.js';
 import { HEADER } from '../protocol/headers.js';
+import type { BodyError } from '../limits/requestBody.js';
 import type { Refusal } from '../requests/refusals.js';
 import type { Random } from '../utils/random.js';
 import { answerJson } from '../utils/httpBody.js';
@@ -44,6 +45,14 @@
   answerJson(response, status, body, { [HEADER.outcome]: 'not-run' });
 }
 
+/** Answers a request whose body could not be read. Nothing has run. */
+export function answerBodyError(response: http.ServerResponse, { problem, message }: BodyError): void {
+  if (problem !== 'no-memory')
+    return answerError(response, 413, { error: message, advice: 'send a smaller body' });
+  response.setHeader(HEADER.retryAfter, '1');
+  answerError(response, 503, { error: message, advice: 'use another entry, or retry after Retry-After' });
+}
+
 /** Rejects a request with invalid fields. */
 export function answerProblems(response: http.ServerResponse, problems: FieldProblem[]): void {
   const first = problems[0];
--- a/src/entry/callerApi.ts
+++ b/src/entry/callerApi.ts
@@ -1,12 +1,17 @@
 /** HTTP API for callers. See docs/CALLERS.md. */
 import type http from 'node:http';
 import { randomUUID } from 'node:crypto';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import { z } from 'zod';
 import type { ConfigurationName } from '../configuration/recordKeys.js';
 import { configurationKey, shortName } from '../configuration/recordKeys.js';
 import type { ParsedRecords } from '../configuration/parsedRecords.js';
+import type { FieldProblem } from '../configuration/resolveSpecification.js';
 import { problemsOf } from '../configuration/resolveSpecification.js';
 import type { ProcessDrain } from '../draining/processDrain.js';
+import type { MemoryShare } from '../limits/memoryBudget.js';
+import { readBody } from '../limits/requestBody.js';
 import type { ServiceKind } from '../protocol/index.js';
 import type { CallerRequest } from '../requests/callerRequest.js';
 import { parseCallerOptions } from '../requests/callerRequest.js';
@@ -19,7 +24,7 @@
 import type { Metrics } from '../telemetry/metrics.js';
 import type { Clock } from '../utils/clock.js';
 import { sha256Hex } from '../utils/hash.js';
-import { answerJson, bearerToken, headerText, readBody } from '../utils/httpBody.js';
+import { answerJson, bearerToken, headerText } from '../utils/httpBody.js';
 import type { Random } from '../utils/random.js';
 import { answerError, answerProblems, answerRefusal } from './answers.js';
 import { deliver } from './answerDelivery.js';
@@ -46,7 +51,7 @@
   drain: ProcessDrain;
 }
 
-const MAXIMUM_BODY_BYTES = 4 * 1024 * 1024;
+const BODY_LIMITS = { bytes: 4 * 1024 * 1024 };
 /** Requests whose messages begin with the same characters, up to this number, share a prompt-cache affinity. */
 const AFFINITY_PREFIX_CHARACTERS = 512;
 const MAXIMUM_KEYS = 1_000;
@@ -70,7 +75,12 @@
   }
 
   /** Answers a request under `/v1/`. Returns false if the path is not part of this API. */
-  async handle(request: http.IncomingMessage, response: http.ServerResponse, url: URL): Promise<boolean> {
+  async handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    url: URL,
+    memory: MemoryShare,
+  ): Promise<boolean> {
     const [, , first, second] = url.pathname.split('/');
     const isChat = first === 'chat' && second === 'completions';
     if (!isChat && first !== 'services' && first !== 'entries' && first !== 'idempotency-keys') return false;
@@ -83,11 +93,11 @@
     } else if (first === 'entries') {
       this._answerEntries(response, url, customer);
     } else if (first === 'idempotency-keys') {
-      await this._answerKeys(request, response, customer);
+      await this._answerKeys(request, response, customer, memory);
     } else if (isChat) {
-      await this._answerChat(request, response, customer);
+      await this._answerChat(request, response, customer, memory);
     } else {
-      await this._answerService(request, response, customer, url);
+      await this._answerService(request, response, customer, url, memory);
     }
     return true;
   }
@@ -104,8 +114,9 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
     customer: string,
+    memory: MemoryShare,
   ): Promise<void> {
-    const body = parseJson(await readBody(request, MAXIMUM_BODY_BYTES));
+    const body = parseJson(await readBody(request, BODY_LIMITS, memory));
     const parsed = keysSchema.safeParse(body);
     if (!parsed.success) return answerProblems(response, problemsOf(parsed.error, body));
     const name =
@@ -140,18 +151,17 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
     customer: string,
+    memory: MemoryShare,
   ): Promise<void> {
-    const body = await readBody(request, MAXIMUM_BODY_BYTES);
-    const json = parseJson(body);
-    const parsed = chatSchema.safeParse(json);
-    if (!parsed.success) return answerProblems(response, problemsOf(parsed.error, json));
-    const { model, messages } = parsed.data;
+    const body = await readBody(request, BODY_LIMITS, memory);
+    const chat = readChat(body);
+    if (chat.isErr()) return answerProblems(response, chat.error);
+    const { model, prefix } = chat.value;
     const name = this._findConfiguration(customer, 'model', model);
     if (!name) return this._answerUnknown(response, 'model', model);
-    const prefix = JSON.stringify(messages).slice(0, AFFINITY_PREFIX_CHARACTERS);
     const affinity = sha256Hex(`${customer}\n${model}\n${prefix}`).slice(0, 16);
     const target = { name, path: '/v1/chat/completions', body, affinity };
-    await this._routeRequest(request, response, target, true);
+    await this._routeRequest(request, response, target, true, memory);
   }
 
   private async _answerService(
@@ -159,9 +169,10 @@
     response: http.ServerResponse,
     customer: string,
     url: URL,
+    memory: MemoryShare,
   ): Promise<void> {
     const [, , , service, ...rest] = url.pathname.split('/');
-    const body = await readBody(request, MAXIMUM_BODY_BYTES);
+    const body = await readBody(request, BODY_LIMITS, memory);
     const name = this._findConfiguration(customer, 'plain', service);
     if (!name) return this._answerUnknown(response, 'service', service);
     const repeatable = request.method === 'GET' || request.method === 'HEAD';
@@ -170,6 +181,7 @@
       response,
       { name, path: `/${rest.join('/')}${url.search}`, body, affinity: '' },
       repeatable,
+      memory,
     );
   }
 
@@ -178,6 +190,7 @@
     response: http.ServerResponse,
     target: Pick<CallerRequest, 'name' | 'path' | 'body' | 'affinity'>,
     repeatable: boolean,
+    memory: MemoryShare,
   ): Promise<void> {
     const callerOptions = parseCallerOptions(request.headers, repeatable);
     if (callerOptions.isErr()) return answerProblems(response, callerOptions.error);
@@ -196,12 +209,8 @@
     if (result.kind === 'refused')
       return answerRefusal(response, result.refusal, callerRequest.id, this._options.random);
     this._options.metrics.latency('first_byte', this._options.clock.now() - arrivedAt);
-    const end = await deliver(
-      result.routed,
-      callerRequest.id,
-      response,
-      this._options.callerStallMilliseconds,
-    );
+    const limits = { memory, stallMilliseconds: this._options.callerStallMilliseconds };
+    const end = await deliver(result.routed, callerRequest.id, response, limits);
     this._options.metrics.count('requests_delivered', { end });
     this._options.metrics.latency('whole_answer', this._options.clock.now() - arrivedAt);
   }
@@ -226,3 +235,15 @@
     });
   }
 }
+
+/**
+ * Reads what routing needs of a chat; the parsed body, which may be many times larger than its text, is not kept. The
+ * prefix is the beginning of the messages.
+ */
+function readChat(body: Buffer): Result<{ model: string; prefix: string }, FieldProblem[]> {
+  const json = parseJson(body);
+  const parsed = chatSchema.safeParse(json);
+  if (!parsed.success) return err(problemsOf(parsed.error, json));
+  const { model, messages } = parsed.data;
+  return ok({ model, prefix: JSON.stringify(messages).slice(0, AFFINITY_PREFIX_CHARACTERS) });
+}
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -7,6 +7,7 @@
 import { Replica } from '../configuration/replica.js';
 import { ConditionalWriter } from '../configuration/conditionalWriter.js';
 import { ProcessDrain } from '../draining/processDrain.js';
+import { ClientLimits } from '../limits/clientLimits.js';
 import { AgentLinks } from '../membership/agentLinks.js';
 import { BoxListFollower } from '../membership/boxListFollower.js';
 import { isWatcher, replicationPeers } from '../membership/replicationPeers.js';
@@ -235,6 +236,7 @@
       statusReader,
     });
     return new EntryHttpServer({
+      limits: new ClientLimits(settings, { log: this._logger }),
       callers,
       operators,
       metrics: this._metrics,
--- a/src/entry/entryHttpServer.ts
+++ b/src/entry/entryHttpServer.ts
@@ -1,14 +1,18 @@
 /** HTTP server of an entry: callers, operators, health checks and metrics on one port. */
-import http from 'node:http';
+import type http from 'node:http';
+import type { ClientLimits } from '../limits/clientLimits.js';
+import { LimitedServer } from '../limits/limitedServer.js';
+import type { MemoryShare } from '../limits/memoryBudget.js';
+import { BodyError } from '../limits/requestBody.js';
 import type { Metrics } from '../telemetry/metrics.js';
 import { answerJson, requestTarget } from '../utils/httpBody.js';
-import { closeHttp, listenHttp } from '../utils/httpServer.js';
-import { errorText, StepError } from '../utils/stepError.js';
-import { answerError } from './answers.js';
+import { errorText } from '../utils/stepError.js';
+import { answerBodyError, answerError } from './answers.js';
 import type { CallerApi } from './callerApi.js';
 import type { OperatorApi } from './operatorApi.js';
 
 export interface EntryHttpOptions {
+  limits: ClientLimits;
   callers: CallerApi;
   operators: OperatorApi;
   metrics: Metrics;
@@ -16,15 +20,20 @@
   notReadyReason: () => string;
 }
 
+const KEEP_ALIVE_MILLISECONDS = 30_000;
+
 export class EntryHttpServer {
   private readonly _options: EntryHttpOptions;
-  private readonly _server = http.createServer((request, response) => void this._serve(request, response));
+  private readonly _server: LimitedServer;
   private _inFlight = 0;
   private _keepAliveDisabled = false;
 
   constructor(options: EntryHttpOptions) {
     this._options = options;
-    this._server.keepAliveTimeout = 30_000;
+    this._server = new LimitedServer(
+      { limits: options.limits, keepAliveMilliseconds: KEEP_ALIVE_MILLISECONDS },
+      (...request) => void this._serve(...request),
+    );
   }
 
   /** Number of requests that have not been fully answered. */
@@ -33,7 +42,7 @@
   }
 
   async listen(address: string, port: number): Promise<number> {
-    return await listenHttp(this._server, address, port);
+    return await this._server.listen(address, port);
   }
 
   /** Adds `connection: close` to later answers, so that callers send no more requests on existing connections. */
@@ -42,16 +51,20 @@
   }
 
   close(): void {
-    closeHttp(this._server);
+    this._server.close();
   }
 
-  private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+  private async _serve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    memory: MemoryShare,
+  ): Promise<void> {
     this._inFlight++;
     response.once('close', () => this._inFlight--);
     if (this._keepAliveDisabled) response.setHeader('connection', 'close');
     try {
       const url = requestTarget(request);
-      if (url) await this._route(request, response, url);
+      if (url) await this._route(request, response, url, memory);
       else answerError(response, 400, { error: 'no valid path', advice: 'see docs/CALLERS.md' });
     } catch (error) {
       this._answerFailure(response, error);
@@ -62,6 +75,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
     url: URL,
+    memory: MemoryShare,
   ): Promise<void> {
     if (url.pathname === '/healthz') return answerJson(response, 200, {});
     if (url.pathname === '/readyz') return this._answerReady(response);
@@ -75,8 +89,8 @@
       });
     }
     if (url.pathname.startsWith('/v1/')) {
-      if (await this._options.callers.handle(request, response, url)) return;
-      if (await this._options.operators.handle(request, response, url)) return;
+      if (await this._options.callers.handle(request, response, url, memory)) return;
+      if (await this._options.operators.handle(request, response, url, memory)) return;
     }
     answerError(response, 404, {
       error: `no path ${url.pathname}`,
@@ -100,8 +114,7 @@
       return;
     }
     response.setHeader('connection', 'close');
-    const isInput = error instanceof StepError && error.advice === 'fix-input';
-    const advice = isInput ? 'send a smaller body' : 'report this to the operators';
-    answerError(response, isInput ? 413 : 500, { error: errorText(error), advice });
+    if (error instanceof BodyError) return answerBodyError(response, error);
+    answerError(response, 500, { error: errorText(error), advice: 'report this to the operators' });
   }
 }
--- a/src/entry/operatorApi.ts
+++ b/src/entry/operatorApi.ts
@@ -10,12 +10,14 @@
 import type { FieldProblem } from '../configuration/resolveSpecification.js';
 import { problemsOf, resolveSpecification } from '../configuration/resolveSpecification.js';
 import { configurationSchema, customerSchema, templateSchema } from '../configuration/template.js';
+import type { MemoryShare } from '../limits/memoryBudget.js';
+import { readBody } from '../limits/requestBody.js';
 import { sameMac } from '../protocol/authentication.js';
 import { HEADER } from '../protocol/headers.js';
 import { nameSchema } from '../protocol/index.js';
 import type { Specifications } from '../rollout/specifications.js';
 import { withoutChangeId } from '../rollout/specifications.js';
-import { answerJson, bearerToken, headerText, readBody } from '../utils/httpBody.js';
+import { answerJson, bearerToken, headerText } from '../utils/httpBody.js';
 import { answerError, answerProblems } from './answers.js';
 import type { RolloutStatusReader } from './rolloutStatusReader.js';
 import { parseJson } from '../utils/json.js';
@@ -46,7 +48,12 @@
   }
 
   /** Answers a request under `/v1/`. Returns false if the path is not part of this API. */
-  async handle(request: http.IncomingMessage, response: http.ServerResponse, url: URL): Promise<boolean> {
+  async handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    url: URL,
+    memory: MemoryShare,
+  ): Promise<boolean> {
     const [, , kind, ...names] = url.pathname.split('/').map(decodeURIComponent);
     if (!KINDS.includes(kind)) return false;
     if (!sameMac(bearerToken(request), this._options.operatorKey)) {
@@ -59,7 +66,7 @@
     } else if (names.length === 0 && request.method === 'GET') {
       this._answerList(response, kind);
     } else {
-      await this._answerObject(request, response, kind, names);
+      await this._answerObject(request, response, kind, names, memory);
     }
     return true;
   }
@@ -97,6 +104,7 @@
     response: http.ServerResponse,
     kind: string,
     names: string[],
+    memory: MemoryShare,
   ): Promise<void> {
     const badName = names.find((name) => !nameSchema.safeParse(name).success);
     const target = badName === undefined ? this._target(kind, names) : undefined;
@@ -109,7 +117,7 @@
       return answerProblems(response, [problem]);
     }
     if (request.method === 'GET') return this._get(response, target.key);
-    if (request.method === 'PUT') return await this._put(request, response, target);
+    if (request.method === 'PUT') return await this._put(request, response, target, memory);
     if (request.method === 'DELETE') return await this._change(request, response, target.key, undefined);
     answerError(response, 405, { error: 'no such method', advice: 'use GET, PUT or DELETE' });
   }
@@ -163,8 +171,9 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
     target: Target,
+    memory: MemoryShare,
   ): Promise<void> {
-    const text = (await readBody(request, MAXIMUM_BODY_BYTES)).toString();
+    const text = (await readBody(request, { bytes: MAXIMUM_BODY_BYTES }, memory)).toString();
     const value = parseJson(text);
     if (value === undefined) {
       return answerProblems(response, [
--- a/src/settings/agentSettings.ts
+++ b/src/settings/agentSettings.ts
@@ -1,6 +1,6 @@
 /** Settings of `larklatch agent`. */
 import { z } from 'zod';
-import { commonSettings, numberSetting, urlSetting } from './commonSettings.js';
+import { boundedNumber, commonSettings, numberSetting, urlSetting } from './commonSettings.js';
 
 const MEGABYTE = 1024 * 1024;
 const TERABYTE = 1024 ** 4;
@@ -35,9 +35,12 @@
   ledgerKeys: numberSetting(1, 10_000_000, 100_000, 'keys').describe(
     'idempotency keys remembered at the same time',
   ),
-  ledgerAnswerBytes: numberSetting(MEGABYTE, TERABYTE, 256 * MEGABYTE, 'bytes').describe(
-    'memory for the answers kept with idempotency keys; beyond it the oldest answers are dropped, but no key',
-  ),
+  ledgerAnswerBytes: boundedNumber(MEGABYTE, TERABYTE, 'bytes')
+    .optional()
+    .describe(
+      'memory for the answers kept with idempotency keys, part of that for clients; beyond it the oldest answers are ' +
+        'dropped, but no key. Without it a quarter of that for clients',
+    ),
 });
 
 export type AgentSettings = z.infer<typeof agentSettingsSchema>;
--- a/src/utils/httpBody.ts
+++ b/src/utils/httpBody.ts
@@ -1,27 +1,5 @@
-/** Helpers to read requests and to write JSON responses with Node's http module. */
+/** Helpers to read the heads of requests and to write JSON responses with Node's http module. */
 import type http from 'node:http';
-import { StepError } from './stepError.js';
-
-/**
- * Reads a whole body; throws a StepError as soon as it exceeds `limitBytes`. The rest of such a body is read and
- * discarded, and the caller should close the connection after its response.
- */
-export async function readBody(request: http.IncomingMessage, limitBytes: number): Promise<Buffer> {
-  const parts: Buffer[] = [];
-  let length = 0;
-  return await new Promise((resolve, reject) => {
-    request.on('data', (part: Buffer) => {
-      length += part.length;
-      if (length <= limitBytes) parts.push(part);
-      else reject(new StepError('http.body', `over ${limitBytes} bytes`, { advice: 'fix-input' }));
-    });
-    request.once('end', () => resolve(Buffer.concat(parts)));
-    request.once('error', reject);
-    request.once('close', () => {
-      if (!request.readableEnded) reject(new StepError('http.body', 'ended early'));
-    });
-  });
-}
 
 /** Returns the target of a request as a URL whose host means nothing; undefined if it is not a valid one. */
 export function requestTarget(request: http.IncomingMessage): URL | undefined {
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -1,6 +1,6 @@
 /** Stand-in for a runner of the platform: requests, reports, orders and staged pieces over the runner's HTTP API. */
 import http from 'node:http';
-import { readBody } from '../src/utils/httpBody.js';
+import { buffer } from 'node:stream/consumers';
 import { placementHash } from '../src/utils/hash.js';
 import { SeededRandom } from '../src/utils/random.js';
 import { pause } from '../src/utils/timers.js';
@@ -126,7 +126,7 @@
   private async _serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
     if (this.faults.silent) return;
     const url = new URL(request.url ?? '/', 'http://runner');
-    const body = await readBody(request, Number.MAX_SAFE_INTEGER).catch(() => undefined);
+    const body = await buffer(request).catch(() => undefined);
     if (!body) return;
     const [, call] = url.pathname.split('/');
     const piece = url.searchParams.get('item_count');
--- a/tests/agentReplay.spec.ts
+++ b/tests/agentReplay.spec.ts
@@ -6,7 +6,9 @@
 import { expect } from 'earl';
 import type { AgentHttpOptions } from '../src/agent/agentHttpServer.js';
 import { AgentHttpServer } from '../src/agent/agentHttpServer.js';
+import { ClientLimits } from '../src/limits/clientLimits.js';
 import { httpToken } from '../src/protocol/authentication.js';
+import { quietLog } from './fixtures/quietLog.js';
 
 const SHARED_KEY = 'a key for the tests';
 
@@ -19,6 +21,7 @@
   const answer = { status: 200, contentType: 'text/plain', version: 'v1', body: Buffer.from('stored') };
   const options = {
     box: 'box',
+    limits: new ClientLimits({}, { log: quietLog() }),
     sharedKey: SHARED_KEY,
     gate: { admit: () => ok({ kind: 'replay', answer }) },
     queue: { running: 0, waiting: 0 },
--- a/tests/answerDelivery.spec.ts
+++ b/tests/answerDelivery.spec.ts
@@ -5,16 +5,22 @@
 import { test } from 'node:test';
 import { expect } from 'earl';
 import { deliver } from '../src/entry/answerDelivery.js';
+import { MemoryBudget } from '../src/limits/memoryBudget.js';
 import type { RoutedAnswer } from '../src/requests/requestRouter.js';
+import type { AnswerLimits } from '../src/utils/answerWriter.js';
 import { closeHttp, listenHttp } from '../src/utils/httpServer.js';
 
+function limitsWith(stallMilliseconds: number): AnswerLimits {
+  return { memory: new MemoryBudget(1).share(), stallMilliseconds };
+}
+
 /** Delivers the parts that `body` yields to a caller, and returns what the caller received. */
 async function received(body: () => AsyncGenerator<Buffer>, version: '1.0' | '1.1'): Promise<string> {
   const server = http.createServer((_request, response) => {
     const answer = { status: 200, contentType: 'text/plain', version: 'v1' };
     const parts = Object.assign(body(), { destroy: () => undefined });
     const routed = { answer: { ...answer, body: parts }, done: () => undefined };
-    void deliver(routed as unknown as RoutedAnswer, 'r', response, 60_000);
+    void deliver(routed as unknown as RoutedAnswer, 'r', response, limitsWith(60_000));
   });
   const socket = net.connect(await listenHttp(server, '127.0.0.1', 0), '127.0.0.1');
   socket.write(`GET / HTTP/${version}\r\nHost: h\r\nConnection: close\r\n\r\n`);
@@ -62,7 +68,7 @@
     const parts = Object.assign(endless(), { destroy: () => undefined });
     const answer = { status: 200, contentType: 'text/plain', version: 'v1', body: parts };
     const routed = { answer, done: () => undefined } as unknown as RoutedAnswer;
-    void deliver(routed, 'r', response, 50).then(onEnd);
+    void deliver(routed, 'r', response, limitsWith(50)).then(onEnd);
   });
   const caller = net.connect(await listenHttp(server, '127.0.0.1', 0), '127.0.0.1');
   caller.on('error', () => undefined).write('GET / HTTP/1.1\r\nHost: h\r\n\r\n');
