--- a/src/protocol/controlServer.ts
+++ b/src/protocol/controlServer.ts
@@ -5,7 +5,7 @@
 import { ControlConnection } from './controlConnection.js';
 
 /** Default number of connections that may be in their handshake, which takes milliseconds from peers. */
-const MAXIMUM_HANDSHAKES = 1_024;
+const MAXIMUM_HANDSHAKES = 512;
 
 /** Listens for control connections and passes each authenticated one to `onConnection`. */
 export class ControlServer {
