Soak: streams that are reset midway, and servers killed amid them

What callers saw: a stream ended as complete although its server had reset the connection behind a part of it. The soak had resets of answers with neither a length nor chunks only, always behind the second event, and no server that is back at its address while its resets are still being read.

Servers without a model are killed amid these streams and listen again at once. Callers read over kept connections, with `Connection: close` and by HTTP/1.0. The promise `order` is checked event by event.

Settings of the processes and answers of the runner stand-in have files of their own now, and faults applied by classes of their own are listed in separateFaults.ts; behaviour is unchanged.

--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -49,6 +49,7 @@
   'freeze-amid-load',
   'slow-amid-leaving',
   'odd-answer-ends',
+  'reset-amid-streams',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -202,9 +202,9 @@
     );
   }
 
-  /** A process exited unexpectedly. */
-  onUnexpectedExit(description: string): void {
-    this._breach('ends', description);
+  /** A promise that other checks watch is broken. */
+  onBreach(promise: PromiseName, what: string): void {
+    this._breach(promise, what);
   }
 
   private _checkOnce(id: string): void {
--- a/soak/promiseNames.ts
+++ b/soak/promiseNames.ts
@@ -2,6 +2,7 @@
 
 export type PromiseName =
   | 'answer' // every caller gets the complete answer to its own request
+  | 'order' // a stream delivers each event once and in order, and one that was cut looks cut
   | 'once' // a request that must not be repeated runs at most once
   | 'not-run' // a refused request has not run
   | 'asked' // servers run only requests that a caller sent
--- a/soak/soakConfiguration.ts
+++ b/soak/soakConfiguration.ts
@@ -14,6 +14,9 @@
 export const MODEL = 'm0';
 /** Path prefix of the streams that may take longer than a planned stop. */
 export const LONG_PATH = '/long/';
+/** Path prefixes of streams of servers without a model, which entries may and may not resume. */
+export const RESUMABLE_PATH = '/feed/';
+export const UNRESUMABLE_PATH = '/tape/';
 /** Host and path prefix of the only route with home regions, and these regions. */
 export const HOME_HOST = 'home.example';
 export const HOME_PATH = '/home/';
@@ -37,6 +40,8 @@
     routes: [
       route('/chat/', 'streaming', MODEL_SERVICE, { resumable: true, max_attempts: 2, itl_target_ms: 300 }),
       route(LONG_PATH, 'streaming', MODEL_SERVICE, { resumable: true, max_attempts: 2, timeout_ms: 20_000 }),
+      route(RESUMABLE_PATH, 'streaming', PLAIN_SERVICE, { resumable: true, max_attempts: 3 }),
+      route(UNRESUMABLE_PATH, 'streaming', PLAIN_SERVICE, { max_attempts: 2 }),
       route('/turns/', 'non_idempotent', PLAIN_SERVICE, { max_attempts: 2 }),
       route('/boards/', 'idempotent', PLAIN_SERVICE, { max_attempts: 2 }),
       route(newestPrefix, 'idempotent', PLAIN_SERVICE, {}),
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -6,14 +6,13 @@
 import type { FaultKind } from './faultKinds.js';
 import { SIGNAL_KINDS, faultScope, keepsPromises } from './faultKinds.js';
 import type { FleetProcess } from './fleetProcess.js';
-import { FrozenBoxes } from './frozenBoxes.js';
-import { HarmfulRequests } from './harmfulRequests.js';
 import type { LeavingChecks } from './leavingChecks.js';
-import { LeavingEntries } from './leavingEntries.js';
 import type { ProxyMode } from './loopbackProxy.js';
 import type { PromiseChecks } from './promiseChecks.js';
+import { createSeparateFaults } from './separateFaults.js';
 import type { SignalChecks } from './signalChecks.js';
 import { SignalFaults } from './signalFaults.js';
+import type { StreamChecks } from './streamChecks.js';
 import { removeStaleServers, rollBackStore } from './storeRollback.js';
 import { ZONES } from './soakBounds.js';
 import type { SoakBox, SoakFleet } from './soakFleet.js';
@@ -46,15 +45,14 @@
   private readonly _random: Random;
   private readonly _log: (line: string) => void;
   private readonly _drainingBoxes = new Set<SoakBox>();
-  private readonly _harmfulRequests: HarmfulRequests;
-  private readonly _leavingEntries: LeavingEntries;
-  private readonly _frozenBoxes: FrozenBoxes;
+  private readonly _separateFaults: ReturnType<typeof createSeparateFaults>;
 
   constructor(
     fleet: SoakFleet,
     checks: PromiseChecks,
     signals: SignalChecks,
     leaving: LeavingChecks,
+    streams: StreamChecks,
     random: Random,
     log: (line: string) => void,
   ) {
@@ -63,14 +61,15 @@
     this._signals = new SignalFaults(signals, random);
     this._random = random;
     this._log = log;
-    this._harmfulRequests = new HarmfulRequests({
-      entries: () => fleet.entries.map((entry) => fleet.callerAddress(entry)),
+    this._separateFaults = createSeparateFaults({
+      fleet,
+      checks,
+      leaving,
+      streams,
       random,
-      onSending: (id) => checks.onSending(id),
+      restart: async (entry) => await this._stopEntry(entry),
+      isDraining: (box) => this._drainingBoxes.has(box),
     });
-    this._frozenBoxes = new FrozenBoxes({ fleet, checks, random });
-    const restart = async (entry: FleetProcess): Promise<void> => await this._stopEntry(entry);
-    this._leavingEntries = new LeavingEntries({ fleet, random, checks, leaving, restart });
   }
 
   /** Applies a fault and resolves when it is over. */
@@ -79,12 +78,8 @@
     const milliseconds = MIN_FAULT_MILLISECONDS + this._random.integer(FAULT_SPREAD_MILLISECONDS);
     this._log(`${kind} ${milliseconds}`);
     try {
-      if (kind === 'crashing-request') await this._harmfulRequests.sendRepeated();
-      else if (kind === 'harmful-part') await this._harmfulRequests.sendWithHarmfulPart();
-      else if (kind === 'turn-part-harmful') await this._harmfulRequests.sendWithPartTurningHarmful();
-      else if (kind === 'leave-amid-streams') await this._leavingEntries.run();
-      else if (kind === 'slow-amid-leaving') await this._leavingEntries.runBesideSlowServers();
-      else if (kind === 'freeze-amid-load') await this._frozenBoxes.run();
+      const separate = this._separateFaults[kind];
+      if (separate) await separate(milliseconds);
       else if (SIGNAL_KINDS.includes(kind)) await this._applySignal(kind, this._pick(this._fleet.boxes));
       else await this._applyFault(kind, milliseconds);
     } finally {
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -11,7 +11,8 @@
 import { FleetProcess } from './fleetProcess.js';
 import { LoopbackProxy } from './loopbackProxy.js';
 import { MODEL, MODEL_SERVICE, PLAIN_SERVICE, soakConfiguration } from './soakConfiguration.js';
-import { BOUNDS, REGIONS, ZONES } from './soakBounds.js';
+import { agentSettings, entrySettings } from './processSettings.js';
+import { ZONES } from './soakBounds.js';
 import { SoakEvacuations } from './soakEvacuations.js';
 import { PORTS } from './soakPorts.js';
 
@@ -165,6 +166,12 @@
     await this._launch(box, this._createRunner(box.service, 0, box.runner.id), keepsStaged);
   }
 
+  /** Kills the server of a box amid its answers and starts it again at once, at its address and under its id. */
+  async killRunner(box: SoakBox): Promise<void> {
+    box.runner.kill();
+    await this._launch(box, this._createRunner(box.service, 0, box.runner.id), true);
+  }
+
   private async _launch(box: SoakBox, runner: PlatformRunnerStandin, keepsStaged: boolean): Promise<void> {
     const { staged } = box.runner;
     box.runner = runner;
@@ -259,12 +266,9 @@
   }
 
   private _addAgent(box: SoakBox): void {
-    const settings = {
-      ...this._commonSettings(`side-${box.host}`, box.host, box.zone, this._weights.boxLinkMegabits),
-      app: `${box.host}:${PORTS.runner}`,
-      service: box.service,
-      platform: { address: this._storeAddress },
-    };
+    const name = `side-${box.host}`;
+    const node = { name, ip: box.host, zone: box.zone, graceSeconds: this._options.graceSeconds };
+    const settings = agentSettings(node, this._weights.boxLinkMegabits, box.service, this._storeAddress);
     const agent = this._createProcess(`agent-${box.host}`, 'agent', settings);
     this.agents.push(agent);
     agent.start();
@@ -276,19 +280,10 @@
     const address = await proxy.listen(host, 0);
     const name = `entry-${index + 1}`;
     this.storeProxies.set(name, proxy);
-    const settings = {
-      ...this._commonSettings(name, host, this.zoneOfEntry(index), 1000),
-      region: REGIONS[this.zoneOfEntry(index)],
-      zones: REGIONS,
-      platform: { address },
-      listen: {
-        front: `${host}:${PORTS.front}`,
-        ready: `${host}:${PORTS.ready}`,
-        directory: `${host}:${PORTS.directory}`,
-        control: `${host}:${PORTS.control}`,
-      },
-      seeds: Array.from({ length: SEEDS }, (_unused, seed) => `${this._entryHost(seed)}:${PORTS.control}`),
-    };
+    const zone = this.zoneOfEntry(index);
+    const { graceSeconds } = this._options;
+    const seeds = Array.from({ length: SEEDS }, (_unused, seed) => this._entryHost(seed));
+    const settings = entrySettings({ name, ip: host, zone, graceSeconds }, address, seeds);
     const entry = this._createProcess(name, 'entry', settings);
     this.entries.push(entry);
     entry.start();
@@ -305,15 +300,4 @@
       program: this._options.program,
     });
   }
-
-  private _commonSettings(name: string, ip: string, zone: string, megabits: number): Record<string, unknown> {
-    return {
-      node_name: name,
-      ip,
-      zone,
-      port_range: [PORTS.rangeStart, PORTS.rangeStart + 15],
-      limits: { link_mbps: megabits },
-      bounds: { ...BOUNDS, grace_s: this._options.graceSeconds ?? BOUNDS.grace_s },
-    };
-  }
 }
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -14,6 +14,7 @@
 import { HomeCaller } from './homeCaller.js';
 import { LeavingChecks } from './leavingChecks.js';
 import { LocalityChecks } from './localityChecks.js';
+import { StreamChecks } from './streamChecks.js';
 import { BOUNDS, ZONES } from './soakBounds.js';
 import { SoakFleet } from './soakFleet.js';
 
@@ -50,6 +51,8 @@
   ranAtHome: number;
   /** Number of requests to leaving entries, by their end. */
   leaving: Readonly<Record<string, number>>;
+  /** Number of streams in odd forms, by their end. */
+  streams: Readonly<Record<string, number>>;
   /** Directory of the processes' settings and logs. */
   directory: string;
 }
@@ -78,6 +81,7 @@
   const signals = new SignalChecks();
   const locality = new LocalityChecks();
   const leaving = new LeavingChecks(options.graceSeconds);
+  const streams = new StreamChecks((promise, what) => checks.onBreach(promise, what));
   const { size, network } = options;
   const fleet = new SoakFleet({
     size,
@@ -102,8 +106,18 @@
     for (const entry of fleet.entries) checks.configurations.onEntryStarted(fleet.callerAddress(entry));
     checks.onVersionAnnounced(fleet.weightsVersion);
     await pause(START_MILLISECONDS);
-    const faults = new SoakFaults(fleet, checks, signals, leaving, random, options.log);
-    return await runWithCallers({ options, fleet, checks, signals, locality, leaving, faults, random });
+    const faults = new SoakFaults(fleet, checks, signals, leaving, streams, random, options.log);
+    return await runWithCallers({
+      options,
+      fleet,
+      checks,
+      signals,
+      locality,
+      leaving,
+      streams,
+      faults,
+      random,
+    });
   } finally {
     await fleet.stop();
   }
@@ -117,6 +131,7 @@
   signals: SignalChecks;
   locality: LocalityChecks;
   leaving: LeavingChecks;
+  streams: StreamChecks;
   faults: SoakFaults;
   random: Random;
 }
@@ -142,7 +157,7 @@
   if (options.plannedOnly) checks.checkPlanned((id) => fleet.hasLogged(id));
   for (const { name, unexpectedExits } of [...fleet.entries, ...fleet.agents])
     if (unexpectedExits.length > 0)
-      checks.onUnexpectedExit(`${name} ended unexpectedly: ${unexpectedExits.join(', ')}`);
+      checks.onBreach('ends', `${name} ended unexpectedly: ${unexpectedExits.join(', ')}`);
   return report(running);
 }
 
@@ -206,7 +221,7 @@
   if (failures.length > 0) throw failures[0];
 }
 
-function report({ options, fleet, checks, locality, leaving }: RunningSoak): SoakReport {
+function report({ options, fleet, checks, locality, leaving, streams }: RunningSoak): SoakReport {
   const ends: Record<string, number> = {};
   for (const { kind, outcome, status } of checks.calls) {
     const key = `${kind} ${outcome} ${status}`;
@@ -222,6 +237,7 @@
     crashing: checks.crashing,
     ranAtHome: locality.ranAtHome,
     leaving: leaving.counts,
+    streams: streams.counts,
     directory: fleet.directory,
   };
 }
--- a/standins/platformRunnerFaults.ts
+++ b/standins/platformRunnerFaults.ts
@@ -28,6 +28,8 @@
   resetShare?: number;
   /** Closes the connection after an answer, and says so in its head. */
   closingShare?: number;
+  /** Sends streams in all forms, and resets the connections of this share of them midway. */
+  streamResetShare?: number;
   /** Executes orders, but closes the connection without an answer. */
   lostOrderAnswers?: boolean;
 }
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -9,8 +9,9 @@
 import { hasSignals, signalHeaders, sentSignals } from './platformRunnerSignals.js';
 import { eventText, ownHeaders } from './platformAnswers.js';
 import { CRASH_BODY, harmIn } from './platformRunnerHarm.js';
-import { chooseEnd, sendAnswer, streamBreak, writeHeadFor } from './platformAnswerEnds.js';
-import { EVENT_MILLISECONDS, sendStream } from './platformStreams.js';
+import { OpenSockets } from './openSockets.js';
+import { answerRequest } from './platformRunnerAnswers.js';
+import { EVENT_MILLISECONDS } from './platformStreams.js';
 import type { LayerSpan } from './stagedPieces.js';
 import { HeldLayers, LAYER_COUNT, StagedPieces } from './stagedPieces.js';
 import { sendJsonAnswer } from './standinServer.js';
@@ -22,7 +23,6 @@
 const MAX_QUEUED = 16;
 /** Time to load a version. */
 const LOAD_MILLISECONDS = 60;
-const ANSWER_MILLISECONDS = 10;
 /** A piece that was corrupted more recently than this counts as intact: an agent cannot have detected it yet. */
 const CORRUPTION_GRACE_MILLISECONDS = 3_000;
 /** An order that waited for longer was held by a standstill. */
@@ -39,6 +39,7 @@
   onStageCall: (call: 'get' | 'order') => void = () => undefined;
   private readonly _options: PlatformRunnerOptions;
   private readonly _server = http.createServer((request, response) => void this._serve(request, response));
+  private readonly _sockets = new OpenSockets(this._server);
   private readonly _waiting: (() => void)[] = [];
   private readonly _callTimes: SeededRandom;
   private _version: number;
@@ -105,6 +106,12 @@
     this._server.closeAllConnections();
   }
 
+  /** Closes the server and resets all connections, as when its process is killed before it has read all bytes. */
+  kill(): void {
+    this._server.close();
+    this._sockets.resetAll();
+  }
+
   /** Stands still: it handles no call until {@link PlatformRunnerStandin.wake}. */
   standStill(): void {
     this._awake = new Promise((resolve) => (this._wake = resolve));
@@ -237,7 +244,8 @@
     onExecution({ ...execution, at: Date.now() });
     try {
       if (harm !== undefined) return await this._crash(harm, id, response);
-      await this._answer(request, response, id, url, fraction());
+      const run = { id, request, response, query: url.searchParams, headers: this._answerHeaders(id) };
+      await answerRequest(run, fraction(), { faults: this.faults, fraction, speed: this.streamSpeed });
     } finally {
       this._active--;
       this._waiting.shift()?.();
@@ -281,33 +289,10 @@
     return signalHeaders(signals);
   }
 
-  private async _answer(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-    id: string,
-    url: URL,
-    random: number,
-  ): Promise<void> {
-    const { lostAnswerShare = 0, errorShare = 0, truncatedShare = 0, extraAnswerShare = 0 } = this.faults;
+  private _answerHeaders(id: string): http.OutgoingHttpHeaders {
     const headers: http.OutgoingHttpHeaders = { ...ownHeaders(id), ...this._signalHeaders(id, false) };
     if (this._options.weights) headers['x-weight-versions'] = String(this._version);
-    if (random < lostAnswerShare) return void response.destroy();
-    if (random < lostAnswerShare + errorShare) return void response.writeHead(500, headers).end('failed');
-    const isTruncated = random < lostAnswerShare + errorShare + truncatedShare;
-    const end = chooseEnd(this.faults, this._options.fraction);
-    if (url.searchParams.has('stream')) {
-      const firstEvent = Number(request.headers['last-event-id'] ?? 0) + 1;
-      writeHeadFor(end, response, { ...headers, 'content-type': 'text/event-stream' });
-      const broken = streamBreak(end, isTruncated);
-      return await sendStream(response, id, url.searchParams, firstEvent, broken, this.streamSpeed);
-    }
-    await pause(ANSWER_MILLISECONDS);
-    const body = `answer of ${id}`;
-    if (!sendAnswer(response, end, headers, body, isTruncated)) return;
-    if (random < lostAnswerShare + errorShare + truncatedShare + extraAnswerShare)
-      request.socket.write(
-        `HTTP/1.1 200 OK\r\nx-attempt-id: ${id}\r\nx-server-seal: s\r\ncontent-length: 2\r\n\r\nno`,
-      );
+    return headers;
   }
 }
 
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -26,6 +26,7 @@
   'turn-part-harmful',
   'freeze-amid-load',
   'odd-answer-ends',
+  'reset-amid-streams',
 ];
 const KINDS_OF_SEED = FAULT_KINDS.filter((kind) => !EXCLUDED_KINDS.includes(kind));
 
--- a/tests/soakRestarts.spec.ts
+++ b/tests/soakRestarts.spec.ts
@@ -20,6 +20,7 @@
       'turn-part-harmful',
       'freeze-amid-load',
       'odd-answer-ends',
+      'reset-amid-streams',
     ].includes(kind),
 );
 
