Soak: crowds of clients that stop short or read nothing

What callers saw: clients that nobody controls ended a process, which ran out of memory: many chunked bodies in small or large chunks and many large bodies, most stopping just short of their end, and many requests sent ahead whose answers stayed unread. No soak had such clients.

The kind `client-crowd` opens 60 connections to one entry, of one shape after the other: one-byte chunks, large chunks, long bodies, small requests or long bodies sent ahead, heads without an end, idle connections. In such soaks the settings of entries name 250 MB and 512 descriptors, and bodies may have 4 MB. Two promises are new: `limits` (VmHWM and descriptors of each entry, at any time) and `crowded` (ordinary callers get answers beside a crowd). Crowds excuse nothing else, but planned operations beside them may fail requests.

--- a/soak/faultKinds.ts
+++ b/soak/faultKinds.ts
@@ -4,8 +4,6 @@
  * sequence that their seed selected without it.
  */
 
-import type { FaultScope } from './promiseChecks.js';
-
 /** Planned operations, which must not fail any request. */
 export const PLANNED_KINDS = [
   'configure',
@@ -50,6 +48,7 @@
   'slow-amid-leaving',
   'odd-answer-ends',
   'reset-amid-streams',
+  'client-crowd',
 ] as const;
 
 export type FaultKind = (typeof FAULT_KINDS)[number];
@@ -64,6 +63,9 @@
 /** Kinds that stop entries beside streams of many lengths, whose servers may become slower. */
 const LEAVING_KINDS: readonly FaultKind[] = ['leave-amid-streams', 'slow-amid-leaving'];
 
+/** Kinds that send what unusual clients may send. */
+const CLIENT_KINDS: readonly FaultKind[] = ['client-crowd'];
+
 /** Kinds that kill and restart processes, but neither pause one nor delay requests in flight. */
 const PROCESS_KILL_KINDS: readonly FaultKind[] = ['kill-entry', 'kill-agent', 'kill-many'];
 
@@ -72,10 +74,18 @@
 
 /** Whether all promises must hold during a fault. */
 export function keepsPromises(kind: FaultKind): boolean {
-  const isPlanned = [...PLANNED_KINDS, ...LEAVING_KINDS].includes(kind);
+  const isPlanned = [...PLANNED_KINDS, ...LEAVING_KINDS, ...CLIENT_KINDS].includes(kind);
   return isPlanned || SIGNAL_KINDS.includes(kind) || kind === 'evacuate';
 }
 
+/**
+ * What a fault affects, which decides the checks that are suspended during it. `servers`: requests crash backend
+ * servers, while entries keep their connections to the store and to each other. `processes`: entries or agents
+ * exit, which delays no request in flight. `rollback`: the store is rolled back to a snapshot that lacks the latest
+ * writes. `all`: anything.
+ */
+export type FaultScope = 'all' | 'servers' | 'processes' | 'rollback';
+
 /** What a fault affects. */
 export function faultScope(kind: FaultKind): FaultScope {
   if (HARM_KINDS.includes(kind)) return 'servers';
--- a/soak/fleetOptions.ts
+++ b/soak/fleetOptions.ts
@@ -21,6 +21,14 @@
   originLink: OriginLink;
 }
 
+/** Limits that entries have to keep while crowds of clients strain them. */
+export interface CrowdLimits {
+  memoryMegabytes: number;
+  descriptors: number;
+  /** Maximum size of the body of a request. */
+  bodyBytes: number;
+}
+
 /** Options of a fleet. */
 export interface SoakFleetOptions {
   size: FleetSize;
@@ -30,6 +38,8 @@
   random: Random;
   /** Time from SIGTERM until a process has to be gone. Defaults to that of all soaks. */
   graceSeconds?: number;
+  /** Limits of the entries. By default their settings name none. */
+  crowdLimits?: CrowdLimits;
   listener: FleetListener;
   /** Additional command-line arguments of node, by role. */
   nodeArguments?: Record<ProcessRole, readonly string[]>;
--- a/soak/processSettings.ts
+++ b/soak/processSettings.ts
@@ -1,4 +1,5 @@
 /** The settings files of the processes of a soak. */
+import type { CrowdLimits } from './fleetOptions.js';
 import { BOUNDS, REGIONS } from './soakBounds.js';
 import { PORTS } from './soakPorts.js';
 
@@ -30,10 +31,18 @@
 }
 
 /** Returns the settings of an entry. `seeds` are the addresses of other entries, without their ports. */
-export function entrySettings(node: ProcessNode, storeAddress: string, seeds: readonly string[]): unknown {
+export function entrySettings(
+  node: ProcessNode,
+  storeAddress: string,
+  seeds: readonly string[],
+  limits: CrowdLimits | undefined,
+): unknown {
   return {
     ...commonSettings(node),
-    limits: { link_mbps: ENTRY_LINK_MEGABITS },
+    limits: {
+      link_mbps: ENTRY_LINK_MEGABITS,
+      ...(limits && { memory_mb: limits.memoryMegabytes, max_fds: limits.descriptors }),
+    },
     region: REGIONS[node.zone],
     zones: REGIONS,
     platform: { address: storeAddress },
--- a/soak/promiseChecks.ts
+++ b/soak/promiseChecks.ts
@@ -4,6 +4,8 @@
 import type { Period } from './appliedConfigurations.js';
 import { AppliedConfigurations } from './appliedConfigurations.js';
 import type { Call } from './callerLog.js';
+import type { CrowdChecks } from './crowdChecks.js';
+import type { FaultScope } from './faultKinds.js';
 import type { LeavingChecks } from './leavingChecks.js';
 import type { LocalityChecks } from './localityChecks.js';
 import type { Breach, PromiseName } from './promiseNames.js';
@@ -12,14 +14,6 @@
 /** The period of a fault. */
 type FaultWindow = Period;
 
-/**
- * What a fault affects, which decides the checks that are suspended during it. `servers`: requests crash backend
- * servers, while entries keep their connections to the store and to each other. `processes`: entries or agents
- * exit, which delays no request in flight. `rollback`: the store is rolled back to a snapshot that lacks the latest
- * writes. `all`: anything.
- */
-export type FaultScope = 'all' | 'servers' | 'processes' | 'rollback';
-
 /** The period of a planned stop of an entry. */
 interface EntryStop extends FaultWindow {
   /** The address for callers, host:port. */
@@ -202,6 +196,14 @@
     );
   }
 
+  /** Checks what entries used, and whether callers got answers beside crowds. */
+  checkCrowds(crowds: CrowdChecks): void {
+    crowds.check(
+      { calls: this.calls, overlapsFault: (from, until) => this._overlapsFault(from, until) },
+      (promise, what) => this._breach(promise, what),
+    );
+  }
+
   /** A promise that other checks watch is broken. */
   onBreach(promise: PromiseName, what: string): void {
     this._breach(promise, what);
--- a/soak/promiseNames.ts
+++ b/soak/promiseNames.ts
@@ -18,6 +18,8 @@
   | 'crashing' // a request that crashes every server is no longer sent to servers
   | 'planned' // planned operations fail no request
   | 'leaving' // a leaving entry ends what it takes, takes what can end in time, and rejects the rest at once
+  | 'limits' // an entry stays within the memory and the descriptors of its settings
+  | 'crowded' // callers get answers beside crowds of other clients
   | 'ends' // no process exits unexpectedly
   | 'recovery'; // requests are served again after the last fault
 
--- a/soak/separateFaults.ts
+++ b/soak/separateFaults.ts
@@ -1,5 +1,7 @@
 /** The faults that classes of their own apply. */
 import type { Random } from '../src/utils/random.js';
+import { ClientCrowds } from './clientCrowds.js';
+import type { CrowdChecks } from './crowdChecks.js';
 import type { FaultKind } from './faultKinds.js';
 import type { FleetProcess } from './fleetProcess.js';
 import { FrozenBoxes } from './frozenBoxes.js';
@@ -16,6 +18,7 @@
   checks: PromiseChecks;
   leaving: LeavingChecks;
   streams: StreamChecks;
+  crowds: CrowdChecks;
   random: Random;
   /** Stops an entry with SIGTERM and starts it again once it has exited. */
   restart: (entry: FleetProcess) => Promise<void>;
@@ -38,6 +41,7 @@
   const frozenBoxes = new FrozenBoxes(options);
   const leavingEntries = new LeavingEntries(options);
   const streamResets = new StreamResets(options);
+  const clientCrowds = new ClientCrowds(options);
   return {
     'crashing-request': async () => await harmful.sendRepeated(),
     'harmful-part': async () => await harmful.sendWithHarmfulPart(),
@@ -46,5 +50,6 @@
     'slow-amid-leaving': async () => await leavingEntries.runBesideSlowServers(),
     'freeze-amid-load': async () => await frozenBoxes.run(),
     'reset-amid-streams': async (milliseconds) => await streamResets.run(milliseconds),
+    'client-crowd': async (milliseconds) => await clientCrowds.run(milliseconds),
   };
 }
--- a/soak/soakBounds.ts
+++ b/soak/soakBounds.ts
@@ -1,4 +1,5 @@
 /** Data centres of a soak, their regions, and the bounds in the settings of its processes. */
+import type { CrowdLimits } from './fleetOptions.js';
 
 export const ZONES = ['north', 'south', 'west'];
 
@@ -21,3 +22,6 @@
   ttl_max_s: 2,
   evacuate_ms: 2000,
 };
+
+/** Limits of entries in soaks with crowds of clients. */
+export const CROWD_LIMITS: CrowdLimits = { memoryMegabytes: 250, descriptors: 512, bodyBytes: 4_000_000 };
--- a/soak/soakConfiguration.ts
+++ b/soak/soakConfiguration.ts
@@ -22,6 +22,9 @@
 export const HOME_PATH = '/home/';
 export const HOME_REGIONS: readonly string[] = ['r-south', 'r-west'];
 
+/** Maximum size of the body of a request, unless a soak has another one. */
+const SMALL_BODY_BYTES = 100_000;
+
 /** Invalid records, as other writers may leave them in the store. */
 export const FOREIGN_VALUES: readonly unknown[] = [
   null,
@@ -33,8 +36,16 @@
   { model: 'other', version: 1e300 },
 ];
 
-/** Returns a configuration. `newestPrefix` is the prefix of a route that no earlier version has. */
-export function soakConfiguration(version: number, newestPrefix: string, originAddress: string): unknown {
+/**
+ * Returns a configuration. `newestPrefix` is the prefix of a route that no earlier version has; `bodyBytes` is the
+ * maximum size of the body of a request.
+ */
+export function soakConfiguration(
+  version: number,
+  newestPrefix: string,
+  originAddress: string,
+  bodyBytes = SMALL_BODY_BYTES,
+): unknown {
   return {
     version,
     routes: [
@@ -56,7 +67,7 @@
       { name: PLAIN_SERVICE, max_conns: 64, ...COLD },
       { name: 'weights', origin: originAddress, link_mbps: 100, max_conns: 48 },
     ],
-    limits: { max_body_bytes: 100_000, idle_timeout_ms: 15_000 },
+    limits: { max_body_bytes: bodyBytes, idle_timeout_ms: 15_000 },
     tenants: CUSTOMERS,
   };
 }
--- a/soak/soakFaults.ts
+++ b/soak/soakFaults.ts
@@ -6,13 +6,12 @@
 import type { FaultKind } from './faultKinds.js';
 import { SIGNAL_KINDS, faultScope, keepsPromises } from './faultKinds.js';
 import type { FleetProcess } from './fleetProcess.js';
-import type { LeavingChecks } from './leavingChecks.js';
 import type { ProxyMode } from './loopbackProxy.js';
 import type { PromiseChecks } from './promiseChecks.js';
+import type { SeparateFaultsOptions } from './separateFaults.js';
 import { createSeparateFaults } from './separateFaults.js';
 import type { SignalChecks } from './signalChecks.js';
 import { SignalFaults } from './signalFaults.js';
-import type { StreamChecks } from './streamChecks.js';
 import { removeStaleServers, rollBackStore } from './storeRollback.js';
 import { ZONES } from './soakBounds.js';
 import type { SoakBox, SoakFleet } from './soakFleet.js';
@@ -37,6 +36,12 @@
 /** Delay after which the store performs a write that it did not answer. */
 const LATE_WRITE_MILLISECONDS = 1_500;
 
+/** Options of {@link SoakFaults}: what it harms, and the checks that have to know of it. */
+export interface SoakFaultsOptions extends Omit<SeparateFaultsOptions, 'restart' | 'isDraining'> {
+  signals: SignalChecks;
+  log: (line: string) => void;
+}
+
 /** Applies faults, of which several may be active at the same time. */
 export class SoakFaults {
   private readonly _fleet: SoakFleet;
@@ -47,26 +52,14 @@
   private readonly _drainingBoxes = new Set<SoakBox>();
   private readonly _separateFaults: ReturnType<typeof createSeparateFaults>;
 
-  constructor(
-    fleet: SoakFleet,
-    checks: PromiseChecks,
-    signals: SignalChecks,
-    leaving: LeavingChecks,
-    streams: StreamChecks,
-    random: Random,
-    log: (line: string) => void,
-  ) {
-    this._fleet = fleet;
-    this._checks = checks;
-    this._signals = new SignalFaults(signals, random);
-    this._random = random;
-    this._log = log;
+  constructor(options: SoakFaultsOptions) {
+    this._fleet = options.fleet;
+    this._checks = options.checks;
+    this._random = options.random;
+    this._signals = new SignalFaults(options.signals, options.random);
+    this._log = options.log;
     this._separateFaults = createSeparateFaults({
-      fleet,
-      checks,
-      leaving,
-      streams,
-      random,
+      ...options,
       restart: async (entry) => await this._stopEntry(entry),
       isDraining: (box) => this._drainingBoxes.has(box),
     });
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -126,7 +126,14 @@
   }
 
   private _configuration(): unknown {
-    return soakConfiguration(this._configurationVersion, this.newestRoute.prefix, this._originAddress);
+    const { crowdLimits } = this._options;
+    const bodyBytes = crowdLimits?.bodyBytes;
+    return soakConfiguration(
+      this._configurationVersion,
+      this.newestRoute.prefix,
+      this._originAddress,
+      bodyBytes,
+    );
   }
 
   /** Announces a newer version of the model's weights and returns it. */
@@ -281,9 +288,9 @@
     const name = `entry-${index + 1}`;
     this.storeProxies.set(name, proxy);
     const zone = this.zoneOfEntry(index);
-    const { graceSeconds } = this._options;
+    const { graceSeconds, crowdLimits } = this._options;
     const seeds = Array.from({ length: SEEDS }, (_unused, seed) => this._entryHost(seed));
-    const settings = entrySettings({ name, ip: host, zone, graceSeconds }, address, seeds);
+    const settings = entrySettings({ name, ip: host, zone, graceSeconds }, address, seeds, crowdLimits);
     const entry = this._createProcess(name, 'entry', settings);
     this.entries.push(entry);
     entry.start();
--- a/soak/soakRun.ts
+++ b/soak/soakRun.ts
@@ -12,10 +12,12 @@
 import { SoakFaults } from './soakFaults.js';
 import type { FleetSize } from './fleetOptions.js';
 import { HomeCaller } from './homeCaller.js';
+import type { EntryPeak } from './crowdChecks.js';
+import { CrowdChecks } from './crowdChecks.js';
 import { LeavingChecks } from './leavingChecks.js';
 import { LocalityChecks } from './localityChecks.js';
 import { StreamChecks } from './streamChecks.js';
-import { BOUNDS, ZONES } from './soakBounds.js';
+import { BOUNDS, CROWD_LIMITS, ZONES } from './soakBounds.js';
 import { SoakFleet } from './soakFleet.js';
 
 /** Options of a soak. */
@@ -53,6 +55,10 @@
   leaving: Readonly<Record<string, number>>;
   /** Number of streams in odd forms, by their end. */
   streams: Readonly<Record<string, number>>;
+  /** Number of crowds of clients, by what they send. */
+  crowds: Readonly<Record<string, number>>;
+  /** Most that each entry used at any time; empty in soaks without crowds. */
+  entryPeaks: Readonly<Record<string, EntryPeak>>;
   /** Directory of the processes' settings and logs. */
   directory: string;
 }
@@ -83,10 +89,14 @@
   const leaving = new LeavingChecks(options.graceSeconds);
   const streams = new StreamChecks((promise, what) => checks.onBreach(promise, what));
   const { size, network } = options;
+  const crowdLimits = kindsOf(options).includes('client-crowd') ? CROWD_LIMITS : undefined;
+  const crowds = new CrowdChecks(crowdLimits);
+  const checkers = { checks, signals, leaving, streams, crowds };
   const fleet = new SoakFleet({
     size,
     network,
     graceSeconds: options.graceSeconds,
+    crowdLimits,
     random: new SeededRandom(options.seed + 1),
     listener: {
       onExecution: (execution) => {
@@ -106,19 +116,11 @@
     for (const entry of fleet.entries) checks.configurations.onEntryStarted(fleet.callerAddress(entry));
     checks.onVersionAnnounced(fleet.weightsVersion);
     await pause(START_MILLISECONDS);
-    const faults = new SoakFaults(fleet, checks, signals, leaving, streams, random, options.log);
-    return await runWithCallers({
-      options,
-      fleet,
-      checks,
-      signals,
-      locality,
-      leaving,
-      streams,
-      faults,
-      random,
-    });
+    const faults = new SoakFaults({ fleet, ...checkers, random, log: options.log });
+    crowds.watch(fleet.entries);
+    return await runWithCallers({ options, fleet, ...checkers, locality, faults, random });
   } finally {
+    crowds.unwatch();
     await fleet.stop();
   }
 }
@@ -132,12 +134,13 @@
   locality: LocalityChecks;
   leaving: LeavingChecks;
   streams: StreamChecks;
+  crowds: CrowdChecks;
   faults: SoakFaults;
   random: Random;
 }
 
 async function runWithCallers(running: RunningSoak): Promise<SoakReport> {
-  const { options, fleet, checks, signals, locality, leaving, faults, random } = running;
+  const { options, fleet, checks, signals, locality, leaving, crowds, faults, random } = running;
   const callers = [...createCallers(options, fleet, checks), ...createHomeCallers(running)];
   const ended = Promise.all(callers.map((caller) => caller.run()));
   let settledAt: number;
@@ -154,7 +157,9 @@
   checks.checkSignals(signals);
   checks.checkLocality(locality);
   checks.checkLeaving(leaving);
-  if (options.plannedOnly) checks.checkPlanned((id) => fleet.hasLogged(id));
+  crowds.sample(fleet.entries);
+  checks.checkCrowds(crowds);
+  if (options.plannedOnly && !crowds.hadAny) checks.checkPlanned((id) => fleet.hasLogged(id));
   for (const { name, unexpectedExits } of [...fleet.entries, ...fleet.agents])
     if (unexpectedExits.length > 0)
       checks.onBreach('ends', `${name} ended unexpectedly: ${unexpectedExits.join(', ')}`);
@@ -201,9 +206,13 @@
   );
 }
 
+function kindsOf({ kinds, plannedOnly }: SoakOptions): readonly FaultKind[] {
+  return kinds ?? (plannedOnly ? PLANNED_KINDS : FAULT_KINDS);
+}
+
 /** Applies random faults for the duration of the soak, and resolves when all of them are over. */
 async function applyFaults(options: SoakOptions, faults: SoakFaults, random: Random): Promise<void> {
-  const kinds = options.kinds ?? (options.plannedOnly ? PLANNED_KINDS : FAULT_KINDS);
+  const kinds = kindsOf(options);
   const until = Date.now() + options.seconds * 1_000;
   const active = new Set<Promise<void>>();
   const failures: unknown[] = [];
@@ -221,7 +230,7 @@
   if (failures.length > 0) throw failures[0];
 }
 
-function report({ options, fleet, checks, locality, leaving, streams }: RunningSoak): SoakReport {
+function report({ options, fleet, checks, locality, leaving, streams, crowds }: RunningSoak): SoakReport {
   const ends: Record<string, number> = {};
   for (const { kind, outcome, status } of checks.calls) {
     const key = `${kind} ${outcome} ${status}`;
@@ -238,6 +247,8 @@
     ranAtHome: locality.ranAtHome,
     leaving: leaving.counts,
     streams: streams.counts,
+    crowds: crowds.counts,
+    entryPeaks: crowds.peaks,
     directory: fleet.directory,
   };
 }
--- a/standins/platformRunnerAnswers.ts
+++ b/standins/platformRunnerAnswers.ts
@@ -37,7 +37,7 @@
   if (query.has('stream')) return await answerWithStream(run, isTruncated, options);
   const end = chooseEnd(faults, options.fraction);
   await pause(ANSWER_MILLISECONDS);
-  const body = `answer of ${id}`;
+  const body = answerText(id, query);
   if (!sendAnswer(response, end, headers, body, isTruncated)) return;
   if (random < lostAnswerShare + errorShare + truncatedShare + extraAnswerShare)
     request.socket.write(
@@ -45,6 +45,11 @@
     );
 }
 
+/** A request may choose the length of its answer in its query. */
+function answerText(id: string, query: URLSearchParams): string {
+  return `answer of ${id}`.padEnd(Number(query.get('bytes') ?? 0), '.');
+}
+
 async function answerWithStream(
   { id, request, response, query, headers }: RunRequest,
   isTruncated: boolean,
--- a/tests/soak.spec.ts
+++ b/tests/soak.spec.ts
@@ -27,6 +27,7 @@
   'freeze-amid-load',
   'odd-answer-ends',
   'reset-amid-streams',
+  'client-crowd',
 ];
 const KINDS_OF_SEED = FAULT_KINDS.filter((kind) => !EXCLUDED_KINDS.includes(kind));
 
--- a/tests/soakRestarts.spec.ts
+++ b/tests/soakRestarts.spec.ts
@@ -21,6 +21,7 @@
       'freeze-amid-load',
       'odd-answer-ends',
       'reset-amid-streams',
+      'client-crowd',
     ].includes(kind),
 );
 
