--- a/soak/crowdChecks.ts
+++ b/soak/crowdChecks.ts
@@ -64,7 +64,6 @@
 
   /** Watches these processes until {@link CrowdChecks.unwatch}. */
   watch(processes: readonly WatchedProcess[]): void {
-    if (!this._limits) return;
     this._timer = setInterval(() => this.sample(processes), SAMPLE_MILLISECONDS);
   }
 
@@ -81,6 +80,7 @@
 
   /** Reads what the processes use now. */
   sample(processes: readonly WatchedProcess[]): void {
+    if (!this._limits) return;
     for (const { name, processId } of processes) {
       const used = processId === undefined ? undefined : readUsage(processId);
       const before = this._peaks.get(name) ?? { memoryMegabytes: 0, descriptors: 0 };
