Soak: servers killed amid streams also close their connections in order

What callers saw: a stream ends as complete after a part of its events, since its server was killed and another process listened at its address at once. The system closes most connections of a killed process in order.

--- a/soak/streamResets.ts
+++ b/soak/streamResets.ts
@@ -21,6 +21,8 @@
 }
 
 const RESET_SHARE = 0.4;
+/** Share of killed servers whose connections are reset. The system closes those of the others in order. */
+const RESET_KILL_SHARE = 0.5;
 const MAX_EVENTS = 20;
 const REQUEST_INTERVAL_MILLISECONDS = 25;
 /** Maximum time between two kills. */
@@ -62,7 +64,8 @@
       await pause(random.integer(MAX_KILL_INTERVAL_MILLISECONDS));
       const box = this._pick(fleet.boxes.filter(({ service }) => service === PLAIN_SERVICE));
       if (isDraining(box) || !box.runner.isListening) continue;
-      await fleet.killRunner(box);
+      if (random.fraction() < RESET_KILL_SHARE) await fleet.killRunner(box);
+      else await fleet.restartRunner(box, true);
       this._setResetShare(RESET_SHARE);
     }
   }
--- a/standins/platformRunnerStandin.ts
+++ b/standins/platformRunnerStandin.ts
@@ -103,7 +103,6 @@
   /** Closes the server and all connections immediately, as in a crash. */
   close(): void {
     this._server.close();
-    this._sockets.resetAnswerEnds();
     this._server.closeAllConnections();
   }
 
--- a/standins/platformStreamForms.ts
+++ b/standins/platformStreamForms.ts
@@ -1,7 +1,6 @@
 /** Streams of the runner stand-in in each form that HTTP/1.1 allows, some of which are reset midway. */
 import type http from 'node:http';
 import { pause } from '../src/utils/timers.js';
-import { markAnswerEnd } from './openSockets.js';
 import { STREAM_EVENTS, eventText } from './platformAnswers.js';
 import { writeAndReset } from './platformAnswerEnds.js';
 
@@ -72,7 +71,6 @@
     ...(framing === 'length' && { 'content-length': length }),
   });
   response.flushHeaders();
-  if (framing === 'connection') markAnswerEnd(response.socket);
 }
 
 function lastBytes(event: string, share: number): string {
