Answers that end with their connection: watched from before the request on

Cause: the witness began with the head, which may be after the exit.

Change: a service one of whose servers has sent an answer with neither a length nor chunks in the last five seconds gets its witnesses before the requests (`UnframedServices`; by service, since a server that replaces another sends what that one sent). During a handover the witness stays that of the first server until the head of the second.

--- a/src/serving/answerEnd.ts
+++ b/src/serving/answerEnd.ts
@@ -11,11 +11,13 @@
 import type { CallerExchange } from './callerExchange.js';
 import type { CurrentAttempt } from './currentAttempt.js';
 import type { TrackedServer } from './trackedServer.js';
+import type { UnframedServices } from './unframedServices.js';
 
 export interface AnswerEndContext {
   /** Tells whether the process of a server runs. */
   suspicions: { exitChecker: Pick<ServerExitChecker, 'processState'> };
   clock: Clock;
+  unframed: UnframedServices;
 }
 
 /** How the end of the last answer was determined; logged under these names. */
@@ -44,6 +46,8 @@
   private readonly _current: CurrentAttempt;
   private readonly _context: AnswerEndContext;
   private _witness: AnswerWitness | undefined;
+  /** The server of the witness. */
+  private _witnessed: TrackedServer | undefined;
   private _processState: ProcessState | undefined;
 
   constructor(
@@ -62,13 +66,22 @@
     return { framing: this._receiver.framing, processState: this._processState };
   }
 
-  /** Follows the answer of `server` on its way to `listener`. */
+  /**
+   * Follows the answer of `server`, to which the request is sent next, on its way to `listener`. A witness that begins
+   * with the head comes too late for a process that has been replaced by then, so that it begins before the request if
+   * servers of the service send such answers.
+   */
   follow(server: TrackedServer, listener: BackendCallListener): BackendCallListener {
+    // During a handover the witness is still that of the first server.
+    if (!this._current.call) {
+      this._setWitness(undefined);
+      if (this._context.unframed.has(server.record.service)) this._setWitness(server);
+    }
     return {
       ...listener,
       onHead: (status, headers) => {
         listener.onHead(status, headers);
-        this._beginWitness(server);
+        this._onFraming(server);
       },
       onData: (bytes) => {
         this._witness?.noteData();
@@ -103,11 +116,17 @@
     listener.onBrokenOff(BROKEN_OFF[state]);
   }
 
-  private _beginWitness({ record }: TrackedServer): void {
-    this._witness?.close();
+  private _onFraming(server: TrackedServer): void {
     const isNeeded = this._receiver.endsWithConnection;
-    this._witness = isNeeded
-      ? new AnswerWitness(...splitAddress(record.address), this._context.clock)
-      : undefined;
+    if (isNeeded) this._context.unframed.note(server.record.service);
+    this._setWitness(isNeeded ? server : undefined);
+  }
+
+  /** Watches the process of `server`, or none. */
+  private _setWitness(server: TrackedServer | undefined): void {
+    if (server === this._witnessed) return;
+    this._witness?.close();
+    this._witnessed = server;
+    this._witness = server && new AnswerWitness(...splitAddress(server.record.address), this._context.clock);
   }
 }
--- a/src/serving/forwardingContext.ts
+++ b/src/serving/forwardingContext.ts
@@ -8,6 +8,7 @@
 import type { EntryDrain } from './entryDrain.js';
 import type { HeaderNames } from './headerNames.js';
 import type { ServerPool } from './serverPool.js';
+import type { UnframedServices } from './unframedServices.js';
 import type { VersionGate } from './versionGate.js';
 
 export interface ForwardingContext {
@@ -17,6 +18,7 @@
   gate: VersionGate;
   suspicions: SuspicionTracker;
   drain: EntryDrain;
+  unframed: UnframedServices;
   clock: Clock;
   random: Random;
   log: EventLog;
--- a/src/serving/gatewayDaemon.ts
+++ b/src/serving/gatewayDaemon.ts
@@ -33,6 +33,7 @@
 import { RequestAdmission } from './requestAdmission.js';
 import { RequestHandler } from './requestHandler.js';
 import { ServerPool } from './serverPool.js';
+import { UnframedServices } from './unframedServices.js';
 import { MetricsServer } from '../telemetry/metricsServer.js';
 import { ServingMetrics } from '../telemetry/servingMetrics.js';
 import { VersionGate } from './versionGate.js';
@@ -115,6 +116,7 @@
       gate: this._gate,
       suspicions: this._followers.suspicions,
       drain: this._drain,
+      unframed: new UnframedServices(clock),
       clock,
       random,
       log: parts.log,
--- a/tests/answerEnd.spec.ts
+++ b/tests/answerEnd.spec.ts
@@ -5,6 +5,7 @@
 import type { AnswerReceiver } from '../src/serving/answerReceiver.js';
 import type { CurrentAttempt } from '../src/serving/currentAttempt.js';
 import type { TrackedServer } from '../src/serving/trackedServer.js';
+import { UnframedServices } from '../src/serving/unframedServices.js';
 import { ManualClock } from '../src/utils/clock.js';
 import type { ProcessState } from '../src/utils/connectProbe.js';
 import { splitAddress } from '../src/utils/hostPort.js';
@@ -72,7 +73,8 @@
   const receiver = { brokenOff: undefined, endsWithConnection: true, answer: {} } as AnswerReceiver;
   const current = { clear: () => undefined, call: undefined } as unknown as CurrentAttempt;
   const exitChecker = { processState: () => Promise.resolve(check(receiver)) };
-  const context = { suspicions: { exitChecker }, clock: new ManualClock() };
+  const clock = new ManualClock();
+  const context = { suspicions: { exitChecker }, clock, unframed: new UnframedServices(clock) };
   const end = new AnswerEnd(receiver, current, context, { onceClosed: () => undefined });
   const verdicts: string[] = [];
   end.judge({ record: {} } as TrackedServer, {
@@ -103,6 +105,20 @@
   expect([body, whole]).toEqual([events(1, 2), false]);
 });
 
+/** Guards against a server that is replaced before a witness that begins with the head of its answer has reached it. */
+test('should watch a server before it answers if its service sends streams without length', async () => {
+  const ends: Script = (request) => {
+    begins(request);
+    request.socket.end();
+  };
+  await fixture.start([ends], ONCE_STREAM);
+  expect((await fixture.request()).whole).toEqual(true);
+  const { opened } = fixture.backends[0];
+  fixture.backends[0].answerWith(() => undefined);
+  void fixture.request().catch(() => undefined);
+  await until(() => fixture.arrivals === 2 && fixture.backends[0].opened === opened + 2);
+});
+
 /** Guards against the same for an answer that may not be sent again. */
 test('should not answer with a part if the server is replaced at its address', async () => {
   await fixture.start([isReplaced], { routes: [routeFixture({ kind: 'once' })] });
