larklatch entry and agent: a refused body does not reset its connection

Cause: a body that is too long by its length is refused before it is read now, and the answer said `Connection: close`: the HTTP server then closes with bytes unread, which resets the connection.

Change: such an answer keeps the connection, and the rest of the body is discarded (within the limits of `ClientConnection`), as on the platform.

--- a/src/agent/agentHttpServer.ts
+++ b/src/agent/agentHttpServer.ts
@@ -79,9 +79,10 @@
   }
 
   private _answerFailure(response: http.ServerResponse, error: unknown): void {
-    const isShortOfMemory = error instanceof BodyError && error.problem === 'no-memory';
-    if (isShortOfMemory) return this._refuse(response, refusalFor('queue-full'));
-    answerJson(response, 400, { error: errorText(error) }, { connection: 'close' });
+    const isBody = error instanceof BodyError;
+    if (isBody && error.problem === 'no-memory') return this._refuse(response, refusalFor('queue-full'));
+    // What is left of a body is discarded: closing at once would reset the connection, and the answer could be lost.
+    answerJson(response, 400, { error: errorText(error) }, isBody ? {} : { connection: 'close' });
   }
 
   private _answerReady(response: http.ServerResponse): void {
--- a/src/entry/entryHttpServer.ts
+++ b/src/entry/entryHttpServer.ts
@@ -113,8 +113,9 @@
       response.destroy();
       return;
     }
-    response.setHeader('connection', 'close');
+    // What is left of the body is discarded: closing at once would reset the connection, and the answer could be lost.
     if (error instanceof BodyError) return answerBodyError(response, error);
+    response.setHeader('connection', 'close');
     answerError(response, 500, { error: errorText(error), advice: 'report this to the operators' });
   }
 }
