Limits, agent: call what the project has in place of copies

`LimitedServer.close` wrote `closeHttp` again, which nothing in the product called any more. `unpooledCopy` of the agent's forwarder joined pieces as `ByteCollector` does, in memory of their own; it also copied nothing into a new buffer for each answer without an idempotency key.

--- a/src/agent/backendForwarder.ts
+++ b/src/agent/backendForwarder.ts
@@ -12,6 +12,7 @@
 import { AnswerWitness } from '../utils/answerWitness.js';
 import type { AnswerLimits } from '../utils/answerWriter.js';
 import { AnswerWriter } from '../utils/answerWriter.js';
+import { ByteCollector } from '../utils/byteCollector.js';
 import { SystemClock } from '../utils/clock.js';
 import type { ProcessState } from '../utils/connectProbe.js';
 import { connectOutcome, processStateOf } from '../utils/connectProbe.js';
@@ -138,20 +139,21 @@
     const headers = { 'content-type': contentType, [HEADER.version]: version, [HEADER.outcome]: 'answered' };
     const writer = new AnswerWriter(response, { memory: request.memory });
     writer.begin(answer.statusCode, headers);
-    const kept: Buffer[] = [];
+    // In memory of its own: a small buffer from the pool would retain a block of 8 KB.
+    const kept = new ByteCollector();
     let length = 0;
     const witness = endsWithConnection(answer, request) ? this._openWitness() : undefined;
     try {
       for await (const piece of answer.body as AsyncIterable<Buffer>) {
         length += piece.length;
         witness?.noteData();
-        if (request.ledgerKey && length <= MAXIMUM_KEPT_ANSWER_BYTES) kept.push(piece);
+        if (request.ledgerKey && length <= MAXIMUM_KEPT_ANSWER_BYTES) kept.add(piece);
         await writer.write(piece);
         if (response.destroyed) throw new StepError('backend.pipe', 'the entry closed the connection');
       }
       await this._assertRunning(witness);
       const isKept = length <= MAXIMUM_KEPT_ANSWER_BYTES;
-      const body = isKept ? unpooledCopy(kept, length) : undefined;
+      const body = isKept ? kept.take() : undefined;
       this._finishLedgerEntry(request, body && { status: answer.statusCode, contentType, version, body });
       writer.end();
     } catch (error) {
@@ -208,14 +210,6 @@
   return headers;
 }
 
-/** Joins the pieces in memory of their own: a small buffer from the pool would retain a block of 8 KB. */
-function unpooledCopy(pieces: readonly Buffer[], length: number): Buffer {
-  const copy = Buffer.allocUnsafeSlow(length);
-  let copied = 0;
-  for (const piece of pieces) copied += piece.copy(copy, copied);
-  return copy;
-}
-
 async function aborted(signal: AbortSignal): Promise<false> {
   if (!signal.aborted)
     await new Promise((resolve) => signal.addEventListener('abort', resolve, { once: true }));
--- a/src/limits/limitedServer.ts
+++ b/src/limits/limitedServer.ts
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import type { Socket } from 'node:net';
 import { SystemClock } from '../utils/clock.js';
-import { listenHttp } from '../utils/httpServer.js';
+import { closeHttp, listenHttp } from '../utils/httpServer.js';
 import { ClientConnection } from './clientConnection.js';
 import type { OpenRequest } from './clientConnection.js';
 import type { ClientLimits } from './clientLimits.js';
@@ -97,8 +97,7 @@
 
   /** Stops listening and closes idle connections; other connections close after their current answer. */
   close(): void {
-    this.http.close();
-    this.http.closeIdleConnections();
+    closeHttp(this.http);
     clearInterval(this._timer);
   }
 
